Lay out the workspace: ids, clock, events, HTTP loop, store interface

Cause: nothing stood yet; the areas need fixed interfaces to go on side by side. Conclusion: decision crates can be written against these interfaces.

--- /dev/null
+++ b/crates/base/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The types that nearly every module needs: `use vg_base::prelude::*;`.
+
+pub use std::time::{Duration, Instant, SystemTime};
+
+pub use smol_str::SmolStr;
+
+pub use crate::{
+    Clock, Epoch, HostId, Incarnation, JobId, Member, NodeId, Outcome, PlanId, PoolId, QueueId,
+    RackId, RegionId, RequestId, Revision, Share, Slots, TeamId, Units, ZoneId,
+};
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of operators and callers.
--- /dev/null
+++ b/crates/conf/src/lists/mod.rs
@@ -0,0 +1,51 @@
+//! The two lists that operators edit: `plans` and `uses`.
+
+mod digest;
+mod plan;
+mod pool;
+mod queue;
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+
+pub use digest::KeyDigest;
+pub use plan::Plan;
+pub use pool::Pool;
+pub use queue::{Access, Class, Queue};
+
+/// Both lists, checked as a whole.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lists {
+    /// Customers' plans by id. A team has one plan.
+    pub plans: BTreeMap<PlanId, Plan>,
+    /// Pools by id.
+    pub pools: BTreeMap<PoolId, Pool>,
+    /// Queues by id. Each belongs to a pool of `pools`.
+    pub queues: BTreeMap<QueueId, Queue>,
+}
+
+impl Lists {
+    /// Returns the plan that a key belongs to.
+    ///
+    /// Compares with every digest in constant time, so that the time taken
+    /// tells nothing about the keys.
+    pub fn plan_of_key(&self, key: &str) -> Option<&Plan> {
+        let digest = KeyDigest::of(key);
+        let mut found = None;
+        for plan in self.plans.values() {
+            for each in &plan.keys {
+                if each.matches(&digest) {
+                    found = Some(plan);
+                }
+            }
+        }
+        found
+    }
+
+    /// Returns the plan of a team.
+    pub fn plan_of_team(&self, team: &TeamId) -> Option<&Plan> {
+        self.plans.values().find(|plan| plan.team == *team)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry host: HTTP, tables and wiring.
--- /dev/null
+++ b/crates/events/src/lib.rs
@@ -0,0 +1,16 @@
+//! Numbered events and the time line.
+//!
+//! Every process records what it does as events with a number, a name and
+//! fields. A [`Recorder`] keeps the latest ones in bounded memory and writes
+//! each to the log; stamps from a hybrid clock order events of several
+//! processes so that a cause stands before its effect.
+
+mod code;
+mod event;
+mod recorder;
+mod stamp;
+
+pub use code::{Code, Level};
+pub use event::{Event, Field};
+pub use recorder::{Recorder, Window};
+pub use stamp::{HybridClock, Stamp};
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hosts, pools, maintenance waves and moves.
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable jobs: states, placement and recovery.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Upper limits of teams as units held by nodes.
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the decisions against baselines.
--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,54 @@
+//! Bodies of requests and responses.
+
+use std::convert::Infallible;
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
+use snafu::ResultExt;
+
+use crate::error::{BodySnafu, Error};
+
+/// The body of a request or response, as `gotham` has it.
+pub type Body = gotham::helpers::http::Body;
+
+fn no_error(never: Infallible) -> io::Error {
+    match never {}
+}
+
+/// Makes a body with no bytes.
+pub fn empty() -> Body {
+    Body::new(Empty::new().map_err(no_error))
+}
+
+/// Makes a body of bytes in memory.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Body::new(Full::new(bytes.into()).map_err(no_error))
+}
+
+/// Passes a body on frame by frame as it arrives.
+pub fn stream<B>(body: B) -> Body
+where
+    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    Body::new(body.map_err(io::Error::other))
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`Error::TooLong`] above the limit; [`Error::Body`] when the sender stopped
+/// before the end, so that a cut body never passes as a whole one.
+pub async fn read_all<B>(body: B, limit: usize) -> Result<Bytes, Error>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Error::TooLong { limit }),
+        Err(e) => Err(io::Error::other(e)).context(BodySnafu),
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,19 @@
+//! HTTP server loop and client over `gotham` and `hyper-util`.
+//!
+//! `gotham` routes and handles requests; its own accept loop has no graceful
+//! stop and no limits, so [`Server`] drives the connections and hands each
+//! request to `gotham` through its public `call_handler`.
+
+mod body;
+mod client;
+mod codec;
+mod error;
+mod limits;
+mod server;
+
+pub use body::{Body, empty, full, read_all, stream};
+pub use client::{Client, Reply};
+pub use codec::{from_msgpack, to_msgpack};
+pub use error::Error;
+pub use limits::Limits;
+pub use server::{Server, ServerHandle};
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,171 @@
+//! A server on one TCP address with limits and a graceful stop.
+
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use gotham::handler::NewHandler;
+use gotham::service::call_handler;
+use gotham::state::State;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use snafu::ResultExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::task::JoinHandle;
+
+use crate::error::{BindSnafu, Error};
+use crate::limits::Limits;
+
+const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    content-type: application/problem+json\r\n\
+    retry-after: 1\r\n\
+    connection: close\r\n\
+    content-length: 70\r\n\r\n\
+    {\"status\":503,\"code\":\"too-many-connections\",\"outcome\":\"not-run\"      }";
+
+/// A bound listener that is not serving yet.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    addr: SocketAddr,
+    limits: Limits,
+}
+
+impl Server {
+    /// Binds `addr`; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`] when the port is taken or not permitted.
+    pub async fn bind(addr: SocketAddr, limits: Limits) -> Result<Server, Error> {
+        let listener = TcpListener::bind(addr).await.context(BindSnafu { addr })?;
+        let addr = listener.local_addr().context(BindSnafu { addr })?;
+        Ok(Server { listener, addr, limits })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Starts serving with `handler` (usually a `gotham` router) in tasks of
+    /// the current runtime.
+    pub fn start<H: NewHandler + 'static>(self, handler: H) -> ServerHandle {
+        let (stop, stopped) = watch::channel(false);
+        let addr = self.addr;
+        let task = tokio::spawn(accept_loop(self, Arc::new(handler), stopped));
+        ServerHandle { addr, stop, task }
+    }
+}
+
+/// A server that runs until it is stopped or dropped.
+#[derive(Debug)]
+pub struct ServerHandle {
+    addr: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl ServerHandle {
+    /// Returns the address that is served.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops accepting, lets running requests finish, and returns when the
+    /// last connection has closed.
+    pub async fn stop(mut self) {
+        self.stop.send_replace(true);
+        // The task ends by itself; an aborted one has nothing left to finish.
+        let _ = (&mut self.task).await;
+    }
+
+    /// Cuts every connection at once, as a killed process would.
+    pub fn abort(self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for ServerHandle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_loop<H: NewHandler + 'static>(
+    server: Server,
+    handler: Arc<H>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(server.limits.connections));
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = server.listener.accept() => accepted,
+            _ = stopped.wait_for(|&stop| stop) => break,
+            Some(_) = connections.join_next() => continue,
+        };
+        let (socket, client) = match accepted {
+            Ok(pair) => pair,
+            // Out of file descriptors: closing connections free some.
+            Err(_) => {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            connections.spawn(refuse(socket));
+            continue;
+        };
+        // Small answers must not wait for the peer's delayed acknowledgement.
+        let _ = socket.set_nodelay(true);
+        let watcher = graceful.watcher();
+        connections.spawn(serve(
+            socket,
+            client,
+            Arc::clone(&handler),
+            server.limits,
+            watcher,
+            permit,
+        ));
+    }
+    drop(server.listener);
+    graceful.shutdown().await;
+    while connections.join_next().await.is_some() {}
+}
+
+async fn refuse(mut socket: TcpStream) {
+    // The client is turned away anyhow; a failed write changes nothing.
+    let _ = socket.write_all(TOO_MANY_CONNECTIONS).await;
+    let _ = socket.shutdown().await;
+}
+
+async fn serve<H: NewHandler + 'static>(
+    socket: TcpStream,
+    client: SocketAddr,
+    handler: Arc<H>,
+    limits: Limits,
+    watcher: hyper_util::server::graceful::Watcher,
+    _permit: OwnedSemaphorePermit,
+) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let state = State::from_request(request, client);
+        call_handler(Arc::clone(&handler), AssertUnwindSafe(state))
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.header_bytes.max(8192))
+        .max_headers(limits.header_count)
+        .serve_connection(TokioIo::new(socket), service);
+    // A broken connection concerns its client only; the handler has already
+    // recorded how its request ended.
+    let _ = watcher.watch(connection).await;
+}
--- /dev/null
+++ b/crates/net/tests/server.rs
@@ -0,0 +1,77 @@
+//! The server's limits and its graceful stop, over real sockets.
+
+use std::time::Duration;
+
+use gotham::prelude::*;
+use gotham::router::{Router, build_simple_router};
+use gotham::state::State;
+use http::Request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use vg_net::{Client, Limits, Server, ServerHandle, empty};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+async fn slow(state: &mut State) -> Result<&'static str, gotham::handler::HandlerError> {
+    let _ = state;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    Ok("whole")
+}
+
+fn router() -> Router {
+    build_simple_router(|route| {
+        route.get("/slow").to_async_borrowing(slow);
+    })
+}
+
+async fn start(limits: Limits) -> ServerHandle {
+    let server = Server::bind("127.0.0.1:0".parse().unwrap(), limits).await.unwrap();
+    server.start(router())
+}
+
+fn get(server: &ServerHandle) -> Request<vg_net::Body> {
+    Request::get(format!("http://{}/slow", server.addr())).body(empty()).unwrap()
+}
+
+#[tokio::test]
+async fn a_stop_finishes_running_requests_and_refuses_new_connections() {
+    let server = start(Limits::default()).await;
+    let addr = server.addr();
+    let request = get(&server);
+    let running = tokio::spawn(async move { Client::default().call(request, LIMIT, 100).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    server.stop().await;
+    assert_eq!(running.await.unwrap().unwrap().body, "whole");
+    assert!(TcpStream::connect(addr).await.is_err());
+}
+
+#[tokio::test]
+async fn one_connection_too_many_is_refused_with_a_reason() {
+    let server = start(Limits { connections: 1, ..Limits::default() }).await;
+    let _held = TcpStream::connect(server.addr()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let reply = Client::default().call(get(&server), LIMIT, 100).await.unwrap();
+    assert_eq!(reply.status, 503);
+    let body: serde_json::Value = serde_json::from_slice(&reply.body).unwrap();
+    assert_eq!(body["code"], "too-many-connections");
+}
+
+#[tokio::test]
+async fn an_overlong_header_is_answered_431() {
+    let server = start(Limits { header_bytes: 8192, ..Limits::default() }).await;
+    let mut socket = TcpStream::connect(server.addr()).await.unwrap();
+    let head = format!("GET /slow HTTP/1.1\r\nhost: x\r\nlong: {}\r\n\r\n", "y".repeat(20_000));
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = [0; 12];
+    socket.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 431");
+}
+
+#[tokio::test]
+async fn a_dead_address_is_proved_not_sent() {
+    let server = start(Limits::default()).await;
+    let request = get(&server);
+    server.stop().await;
+    let error = Client::default().call(request, LIMIT, 100).await.unwrap_err();
+    assert!(error.is_not_sent(), "{error}");
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of entry hosts and the messages between them.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Endpoints' slots, connections, ejection and at-most-once receipts.
--- /dev/null
+++ b/crates/share/src/lib.rs
@@ -0,0 +1,1 @@
+//! Order of waiting work: shares, deadlines and floors.
--- /dev/null
+++ b/crates/verbenagap/src/lib.rs
@@ -0,0 +1,1 @@
+//! Manager of fleet capacity and maintenance.
--- /dev/null
+++ b/crates/verbenagap/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of operators and callers.
+
+fn main() {}
