store: MemStore with leases, watches and compaction

Cause: the daemon and every test need a store that behaves as the platform's. Change: MemStore over a table without I/O; limits of one call; Key::is_under, Change::key. Compacted now names the oldest revision that can be watched.

--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -17,6 +17,13 @@
 #[from(&str, String, SmolStr)]
 pub struct Key(pub SmolStr);
 
+impl Key {
+    /// Whether the key starts with `prefix`.
+    pub fn is_under(&self, prefix: &Key) -> bool {
+        self.0.starts_with(prefix.0.as_str())
+    }
+}
+
 /// A value of at most a megabyte.
 pub type Value = Bytes;
 
@@ -84,6 +91,16 @@
     Delete(Key),
 }
 
+impl Change {
+    /// Returns the key that is written.
+    pub fn key(&self) -> &Key {
+        match self {
+            Change::Put(put) => &put.key,
+            Change::Delete(key) => key,
+        }
+    }
+}
+
 /// A key to set.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Put {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -24,7 +24,7 @@
     #[snafu(display("the lease has lapsed"))]
     LeaseLapsed,
     /// The watch asked for revisions that the store no longer has; list anew.
-    #[snafu(display("revisions up to {oldest} are compacted"))]
+    #[snafu(display("revisions below {oldest} are compacted"))]
     Compacted {
         /// Oldest revision that can be watched from.
         oldest: StoreRevision,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,9 +6,13 @@
 
 mod api;
 mod error;
+mod limits;
+mod mem;
 
 pub use api::{
     Change, Compare, Entry, Key, LeaseId, Listing, Put, Store, StoreRevision, Txn, TxnOutcome,
     Value, Watch, WatchBatch,
 };
 pub use error::Error;
+pub use limits::{TXN_MAX_BYTES, TXN_MAX_OPS, VALUE_MAX_BYTES};
+pub use mem::{MemStore, MemWatch};
--- /dev/null
+++ b/crates/store/src/mem/table.rs
@@ -0,0 +1,164 @@
+//! The state of the store in memory and its transitions.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::limits;
+use crate::mem::history::History;
+use crate::mem::lease::Lease;
+use crate::{
+    Change, Compare, Entry, Error, Key, LeaseId, Listing, Put, StoreRevision, Txn, TxnOutcome,
+    WatchBatch,
+};
+
+/// Revision of an empty store.
+const FIRST_REVISION: StoreRevision = StoreRevision(1);
+
+/// Keys, leases and history. Callers pass the time and let leases lapse first.
+#[derive(Debug)]
+pub(crate) struct Table {
+    revision: StoreRevision,
+    entries: BTreeMap<Key, Entry>,
+    leases: BTreeMap<LeaseId, Lease>,
+    last_lease: LeaseId,
+    history: History,
+}
+
+impl Table {
+    /// Makes an empty table.
+    pub(crate) fn new() -> Table {
+        Table {
+            revision: FIRST_REVISION,
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            last_lease: LeaseId(0),
+            history: History::new(FIRST_REVISION),
+        }
+    }
+
+    /// Returns the revision of the last write.
+    pub(crate) fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
+    /// Returns the entry of a key.
+    pub(crate) fn get(&self, key: &Key) -> Option<Entry> {
+        self.entries.get(key).cloned()
+    }
+
+    /// Returns the entries under a prefix.
+    pub(crate) fn list(&self, prefix: &Key) -> Listing {
+        let from = self.entries.range(prefix.clone()..);
+        let under = from.take_while(|(key, _)| key.is_under(prefix));
+        Listing { revision: self.revision, entries: under.map(|(_, each)| each.clone()).collect() }
+    }
+
+    /// Applies a transaction if all its conditions hold.
+    pub(crate) fn commit(&mut self, txn: Txn) -> Result<TxnOutcome, Error> {
+        limits::check(&txn)?;
+        if !txn.compares.iter().all(|each| self.holds(each)) {
+            return Ok(TxnOutcome::Conflict { found: self.found(&txn.compares) });
+        }
+        self.check_leases(&txn.changes)?;
+        let revision = StoreRevision(self.revision.0 + 1);
+        for change in txn.changes {
+            match change {
+                Change::Put(put) => self.put(put, revision),
+                Change::Delete(key) => self.delete(&key, revision),
+            }
+        }
+        Ok(TxnOutcome::Done { revision: self.revision })
+    }
+
+    /// Grants a lease.
+    pub(crate) fn grant(&mut self, ttl: Duration, now: Instant) -> LeaseId {
+        self.last_lease.0 += 1;
+        self.leases.insert(self.last_lease, Lease::new(ttl, now));
+        self.last_lease
+    }
+
+    /// Renews a lease.
+    pub(crate) fn renew(&mut self, lease: LeaseId, now: Instant) -> Result<Duration, Error> {
+        let lease = self.leases.get_mut(&lease).ok_or(Error::LeaseLapsed)?;
+        lease.lapses = now + lease.ttl;
+        Ok(lease.ttl)
+    }
+
+    /// Ends a lease and deletes its keys in one revision.
+    pub(crate) fn revoke(&mut self, lease: LeaseId) -> Result<(), Error> {
+        let lease = self.leases.remove(&lease).ok_or(Error::LeaseLapsed)?;
+        let revision = StoreRevision(self.revision.0 + 1);
+        for key in &lease.keys {
+            self.delete(key, revision);
+        }
+        Ok(())
+    }
+
+    /// Ends the leases whose time is over, in the order in which they lapsed.
+    pub(crate) fn lapse(&mut self, now: Instant) {
+        let over = self.leases.iter().filter(|(_, lease)| lease.lapses <= now);
+        let mut over: Vec<_> = over.map(|(&id, lease)| (lease.lapses, id)).collect();
+        over.sort_unstable();
+        for (_, id) in over {
+            // Each id was just read from the same table.
+            let _ = self.revoke(id);
+        }
+    }
+
+    /// Forgets the history below `oldest`, at most up to the present revision.
+    pub(crate) fn compact(&mut self, oldest: StoreRevision) {
+        self.history.compact(oldest.min(self.revision));
+    }
+
+    /// Returns the changes under `prefix` from revision `from` on.
+    pub(crate) fn since(&self, prefix: &Key, from: StoreRevision) -> Result<WatchBatch, Error> {
+        let batch = self.history.since(prefix, from)?;
+        Ok(WatchBatch { revision: self.revision, ..batch })
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        self.entries.get(&compare.key).map(|entry| entry.modified) == compare.modified
+    }
+
+    fn found(&self, compares: &[Compare]) -> Vec<Entry> {
+        compares.iter().filter_map(|each| self.get(&each.key)).collect()
+    }
+
+    fn check_leases(&self, changes: &[Change]) -> Result<(), Error> {
+        let known = |change: &Change| match change {
+            Change::Put(Put { lease: Some(lease), .. }) => self.leases.contains_key(lease),
+            _ => true,
+        };
+        if changes.iter().all(known) { Ok(()) } else { Err(Error::LeaseLapsed) }
+    }
+
+    fn put(&mut self, put: Put, revision: StoreRevision) {
+        self.detach(&put.key);
+        if let Some(lease) = put.lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.keys.insert(put.key.clone());
+        }
+        let entry =
+            Entry { key: put.key.clone(), value: put.value, modified: revision, lease: put.lease };
+        self.entries.insert(put.key.clone(), entry.clone());
+        self.record(revision, put.key, Some(entry));
+    }
+
+    fn delete(&mut self, key: &Key, revision: StoreRevision) {
+        self.detach(key);
+        if self.entries.remove(key).is_some() {
+            self.record(revision, key.clone(), None);
+        }
+    }
+
+    fn detach(&mut self, key: &Key) {
+        let lease = self.entries.get(key).and_then(|entry| entry.lease);
+        if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.keys.remove(key);
+        }
+    }
+
+    fn record(&mut self, revision: StoreRevision, key: Key, entry: Option<Entry>) {
+        self.revision = revision;
+        self.history.push(revision, key, entry);
+    }
+}
