--- /dev/null
+++ b/crates/share/src/rules.rs
@@ -0,0 +1,55 @@
+//! What the operators' lists say about one pool's waiting work.
+
+use std::collections::BTreeMap;
+
+use vg_base::prelude::*;
+use vg_conf::{Access, Class, Lists};
+
+/// Part of the pool's slots, in percent, that background work may always use.
+const BACKGROUND_FLOOR_PERCENT: u32 = 5;
+
+/// How one queue's work waits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QueueRule {
+    /// Urgent or background.
+    pub class: Class,
+    /// Longest time from receipt to the end of the answer.
+    pub deadline: Duration,
+    /// Most items that wait at once.
+    pub bound: u32,
+    /// Whether more than one team may send to it.
+    pub common: bool,
+}
+
+/// The teams and queues of one pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Rules {
+    /// Shares by team.
+    pub teams: BTreeMap<TeamId, Share>,
+    /// The pool's queues.
+    pub queues: BTreeMap<QueueId, QueueRule>,
+    /// Part of the pool's slots, in percent, that background work may always
+    /// use.
+    pub floor_percent: u32,
+}
+
+impl Rules {
+    /// Reads the rules of `pool` out of the lists.
+    pub fn of_pool(lists: &Lists, pool: &PoolId) -> Rules {
+        let teams = lists.plans.values().map(|plan| (plan.team.clone(), plan.share)).collect();
+        let queues = lists.queues.values().filter(|queue| queue.pool == *pool);
+        let queues = queues.map(|queue| {
+            let rule = QueueRule {
+                class: queue.class,
+                deadline: queue.deadline,
+                bound: queue.bound,
+                common: match &queue.access {
+                    Access::Open { .. } => true,
+                    Access::Plans(plans) => plans.len() > 1,
+                },
+            };
+            (queue.id.clone(), rule)
+        });
+        Rules { teams, queues: queues.collect(), floor_percent: BACKGROUND_FLOOR_PERCENT }
+    }
+}
