Read, check, render and compare the two lists

Cause: nodes and operators need the lists `plans` and `uses` as checked types. Change: an INI scanner over rust-ini that keeps lines and duplicates; typed readers that report every fault at once with its place, what is wrong and what is accepted; rendering, differences in words, and the stored value with its revision, change id and author.

--- /dev/null
+++ b/crates/conf/src/ini/fault.rs
@@ -0,0 +1,112 @@
+//! What is wrong with a text, and where.
+
+use std::fmt;
+
+use smol_str::SmolStr;
+
+/// Most faults that are kept; the rest are only counted.
+const MOST_FAULTS: usize = 100;
+
+/// Most characters of a refused text that are repeated in a fault.
+const MOST_QUOTED: usize = 60;
+
+/// One thing that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The list or file.
+    pub source: SmolStr,
+    /// Line, from 1; 0: the text as a whole.
+    pub line: u32,
+    /// Section header without brackets; empty: outside of any.
+    pub section: SmolStr,
+    /// Key; empty: the section as a whole.
+    pub key: SmolStr,
+    /// What is wrong.
+    pub wrong: String,
+    /// What is accepted in its place.
+    pub accepted: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.source)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        f.write_str(": ")?;
+        if !self.section.is_empty() {
+            write!(f, "[{}] ", self.section)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        write!(f, "{}; accepted: {}", self.wrong, self.accepted)
+    }
+}
+
+/// All faults of a text, in the order of their lines.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Faults {
+    found: Vec<Fault>,
+    omitted: usize,
+}
+
+impl Faults {
+    /// Adds a fault, or only counts it when there are many already.
+    pub fn push(&mut self, fault: Fault) {
+        if self.found.len() < MOST_FAULTS {
+            self.found.push(fault);
+        } else {
+            self.omitted += 1;
+        }
+    }
+
+    /// Returns the faults.
+    pub fn found(&self) -> &[Fault] {
+        &self.found
+    }
+
+    /// Returns how many more there were.
+    pub fn omitted(&self) -> usize {
+        self.omitted
+    }
+
+    /// Returns `value` if there are no faults.
+    ///
+    /// # Errors
+    ///
+    /// The faults, sorted by text and line.
+    pub fn or<T>(mut self, value: T) -> Result<T, Faults> {
+        if self.found.is_empty() {
+            return Ok(value);
+        }
+        self.found.sort_by(|a, b| (&a.source, a.line).cmp(&(&b.source, b.line)));
+        Err(self)
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, fault) in self.found.iter().enumerate() {
+            if at > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{fault}")?;
+        }
+        if self.omitted > 0 {
+            write!(f, "\nand {} more", self.omitted)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// Quotes a refused text on one line, cut to a bounded length.
+pub(crate) fn quoted(text: &str) -> String {
+    let mut shown: String = text.chars().take(MOST_QUOTED).flat_map(char::escape_debug).collect();
+    if text.chars().nth(MOST_QUOTED).is_some() {
+        shown.push('…');
+    }
+    format!("`{shown}`")
+}
--- /dev/null
+++ b/crates/conf/src/ini/mod.rs
@@ -0,0 +1,32 @@
+//! Reading of INI text with the line of everything in it.
+//!
+//! `rust-ini` parses a whole text, stops at the first error and keeps no line
+//! numbers. Operators get all faults at once with their lines, so the text is
+//! cut into logical lines here and `rust-ini` gives each its meaning.
+
+mod fault;
+mod kind;
+mod reader;
+mod scan;
+mod section;
+
+pub use fault::{Fault, Faults};
+pub use kind::Kind;
+pub(crate) use kind::{items, number, one_of, span, words};
+pub(crate) use reader::Reader;
+pub(crate) use scan::scan;
+pub(crate) use section::{Entry, Section};
+
+/// Returns the known word nearest to `word`, if one is near enough to be meant.
+pub fn nearest<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    const NEAR_ENOUGH: f64 = 0.6;
+    // Comparing costs the product of the lengths; long words are no typing errors.
+    const LONGEST_BYTES: usize = 64;
+    if word.len() > LONGEST_BYTES {
+        return None;
+    }
+    let scored =
+        known.into_iter().map(|each| (strsim::normalized_damerau_levenshtein(word, each), each));
+    let best = scored.max_by(|a, b| a.0.total_cmp(&b.0))?;
+    (best.0 >= NEAR_ENOUGH).then_some(best.1)
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,5 +1,14 @@
 //! Settings of a process and the two lists of the operators.
+//!
+//! Everything here is text in and checked types out, or the other way round;
+//! files and the store are read by the callers. All faults of a text are
+//! reported at once, each with its place and what is accepted there.
 
+pub mod ini;
 pub mod lists;
+pub mod span;
+pub mod stored;
 
+pub use ini::{Fault, Faults};
 pub use lists::{Access, Class, KeyDigest, Lists, Plan, Pool, Queue};
+pub use stored::{ChangeId, Stored};
--- /dev/null
+++ b/crates/conf/src/lists/headers.rs
@@ -0,0 +1,84 @@
+//! Section headers of a list: `[KIND NAME]`.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::ini::{Faults, Section, nearest};
+
+/// The sections of one list by kind and name.
+///
+/// Names are known here even when the section under them has faults, so that a
+/// reference to one gives no fault of its own.
+#[derive(Debug, Default)]
+pub(crate) struct Headers<'a> {
+    found: BTreeMap<(&'static str, SmolStr), &'a Section>,
+}
+
+impl<'a> Headers<'a> {
+    /// Sorts sections by kind and name, and records faulty and doubled headers.
+    pub(crate) fn new(
+        kinds: &[&'static str],
+        sections: &'a [Section],
+        faults: &mut Faults,
+    ) -> Headers<'a> {
+        let mut headers = Headers::default();
+        for section in sections {
+            if let Some(id) = split(kinds, section, faults) {
+                headers.insert(id, section, faults);
+            }
+        }
+        headers
+    }
+
+    /// Returns the sections of a kind with their names.
+    pub(crate) fn of(&self, kind: &'static str) -> impl Iterator<Item = (&str, &'a Section)> {
+        let same = move |each: &(&(&'static str, SmolStr), &&'a Section)| each.0.0 == kind;
+        self.found.iter().filter(same).map(|((_, name), section)| (name.as_str(), *section))
+    }
+
+    /// Says what is wrong with a reference, if the name is not there.
+    pub(crate) fn missing(&self, kind: &'static str, name: &str) -> Option<String> {
+        if self.found.contains_key(&(kind, name.into())) {
+            return None;
+        }
+        let near = nearest(name, self.of(kind).map(|(each, _)| each));
+        let hint = near.map(|word| format!(", did you mean `{word}`?")).unwrap_or_default();
+        Some(format!("there is no {kind} `{name}`{hint}"))
+    }
+
+    fn insert(&mut self, id: (&'static str, SmolStr), section: &'a Section, faults: &mut Faults) {
+        if let Some(first) = self.found.get(&id) {
+            let wrong = format!("the section is given twice, first in line {}", first.line);
+            faults.push(section.fault_at(section.line, "", wrong, "one section for each name"));
+            return;
+        }
+        self.found.insert(id, section);
+    }
+}
+
+fn split(
+    kinds: &[&'static str],
+    section: &Section,
+    faults: &mut Faults,
+) -> Option<(&'static str, SmolStr)> {
+    let mut fault = |wrong: String| {
+        let headers: Vec<String> = kinds.iter().map(|kind| format!("[{kind} NAME]")).collect();
+        faults.push(section.fault_at(section.line, "", wrong, headers.join(" or ")));
+    };
+    let (word, name) = section.header.split_once(' ').unwrap_or((&section.header, ""));
+    let Some(kind) = kinds.iter().find(|kind| **kind == word) else {
+        let near = nearest(word, kinds.iter().copied());
+        let hint = near.map(|each| format!(", did you mean `{each}`?")).unwrap_or_default();
+        fault(format!("the section is not known{hint}"));
+        return None;
+    };
+    // Any id type checks a name alike.
+    match name.parse::<vg_base::PlanId>() {
+        Ok(_) => Some((*kind, name.into())),
+        Err(e) => {
+            fault(format!("the name is refused: {e}"));
+            None
+        }
+    }
+}
--- a/crates/conf/src/lists/mod.rs
+++ b/crates/conf/src/lists/mod.rs
@@ -1,19 +1,28 @@
 //! The two lists that operators edit: `plans` and `uses`.
 
+mod diff;
 mod digest;
+mod headers;
+mod kinds;
+mod parse;
 mod plan;
 mod pool;
 mod queue;
+mod render;
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
+pub use crate::ini::Faults as ListErrors;
+pub use diff::{Difference, Effect, Subject, diff};
 pub use digest::KeyDigest;
+pub use parse::{MAX_LIST_BYTES, PLANS, USES, parse};
 pub use plan::Plan;
 pub use pool::Pool;
 pub use queue::{Access, Class, Queue};
+pub use render::render;
 
 /// Both lists, checked as a whole.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/conf/src/lists/parse.rs
@@ -0,0 +1,194 @@
+//! Checked reading of both lists.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use vg_base::prelude::*;
+
+use crate::ini::{Fault, Faults, Reader, Section, scan};
+use crate::lists::headers::Headers;
+use crate::lists::{Access, KeyDigest, Lists, Plan, Pool, Queue, kinds};
+
+/// Name of the list of customers' plans, in faults and files.
+pub const PLANS: &str = "plans";
+/// Name of the list of what each plan may use, in faults and files.
+pub const USES: &str = "uses";
+
+/// Longest accepted list. Both together stay under the store's megabyte.
+pub const MAX_LIST_BYTES: usize = 400 * 1024;
+
+/// Each host is maintained once in this time unless its pool says otherwise.
+const DEFAULT_PERIOD: Duration = Duration::from_secs(6 * 7 * 24 * 60 * 60);
+/// Most waiting requests of a queue unless it says otherwise.
+const DEFAULT_BOUND: u32 = 1000;
+
+/// Reads both lists and checks them as a whole.
+///
+/// # Errors
+///
+/// All faults of both lists.
+pub fn parse(plans: &str, uses: &str) -> Result<Lists, Faults> {
+    let mut faults = Faults::default();
+    let plans = sections(PLANS, plans, &mut faults);
+    let uses = sections(USES, uses, &mut faults);
+    let plan_headers = Headers::new(&["plan"], &plans, &mut faults);
+    let use_headers = Headers::new(&["pool", "queue"], &uses, &mut faults);
+    let lists = Lists {
+        plans: read_plans(&plan_headers, &mut faults),
+        pools: collect(use_headers.of("pool"), |id, section| read_pool(id, section, &mut faults)),
+        queues: collect(use_headers.of("queue"), |id, section| {
+            let queue = read_queue(id, section, &mut faults)?;
+            check_references(&queue, section, &plan_headers, &use_headers, &mut faults);
+            Some(queue)
+        }),
+    };
+    faults.or(lists)
+}
+
+fn sections(source: &'static str, text: &str, faults: &mut Faults) -> Vec<Section> {
+    if text.len() <= MAX_LIST_BYTES {
+        return scan(source, text, faults);
+    }
+    faults.push(Fault {
+        source: source.into(),
+        line: 0,
+        section: SmolStr::default(),
+        key: SmolStr::default(),
+        wrong: format!("the list has {} bytes", text.len()),
+        accepted: format!("at most {MAX_LIST_BYTES} bytes"),
+    });
+    Vec::new()
+}
+
+fn collect<'a, K: FromStr + Ord + Clone, V>(
+    sections: impl Iterator<Item = (&'a str, &'a Section)>,
+    mut read: impl FnMut(K, &'a Section) -> Option<V>,
+) -> BTreeMap<K, V> {
+    let mut found = BTreeMap::new();
+    for (name, section) in sections {
+        // The headers have checked the name already.
+        let Ok(id) = name.parse::<K>() else { continue };
+        if let Some(value) = read(id.clone(), section) {
+            found.insert(id, value);
+        }
+    }
+    found
+}
+
+fn read_plans(headers: &Headers<'_>, faults: &mut Faults) -> BTreeMap<PlanId, Plan> {
+    let mut teams: BTreeMap<TeamId, PlanId> = BTreeMap::new();
+    let mut digests: BTreeMap<KeyDigest, PlanId> = BTreeMap::new();
+    collect(headers.of("plan"), |id: PlanId, section| {
+        let plan = read_plan(id.clone(), section, faults)?;
+        if let Some(other) = teams.insert(plan.team.clone(), id.clone()) {
+            let wrong = format!("the team `{}` has the plan `{other}` already", plan.team);
+            faults.push(section.fault("team", wrong, "one plan for each team"));
+        }
+        for digest in &plan.keys {
+            if let Some(other) = digests.insert(*digest, id.clone()) {
+                let wrong = format!("{digest} is a key of the plan `{other}` too");
+                faults.push(section.fault("keys", wrong, "each key in one plan"));
+            }
+        }
+        Some(plan)
+    })
+}
+
+fn read_plan(id: PlanId, section: &Section, faults: &mut Faults) -> Option<Plan> {
+    let mut reader = Reader::new(section, faults);
+    let team = reader.required("team", &kinds::TEAM);
+    let keys = reader.optional("keys", Vec::new(), &kinds::KEYS);
+    let share = reader.required("share", &kinds::SHARE);
+    let limit = reader.required("limit", &kinds::LIMIT);
+    reader.finish();
+    Some(Plan { id, team: team?, keys: keys?, share: share?, limit: limit? })
+}
+
+fn read_pool(id: PoolId, section: &Section, faults: &mut Faults) -> Option<Pool> {
+    let mut reader = Reader::new(section, faults);
+    let hosts = reader.required("hosts", &kinds::COUNT);
+    let zones = reader.optional("zones", Vec::new(), &kinds::ZONES);
+    let budget = reader.required("budget", &kinds::BUDGET);
+    let zone_spare = reader.optional("zone-spare", false, &kinds::FLAG);
+    let period = reader.optional("period", DEFAULT_PERIOD, &kinds::SPAN);
+    let spare = reader.optional("spare", false, &kinds::FLAG);
+    let hold = reader.optional("hold", false, &kinds::FLAG);
+    if let (Some(hosts), Some(budget)) = (hosts, budget)
+        && budget >= hosts
+    {
+        let wrong = format!("the budget {budget} would let all {hosts} hosts be away");
+        reader.fault("budget", wrong, kinds::BUDGET.accepted);
+    }
+    reader.finish();
+    Some(Pool {
+        id,
+        hosts: hosts?,
+        zones: zones?,
+        budget: budget?,
+        zone_spare: zone_spare?,
+        period: period?,
+        spare: spare?,
+        hold: hold?,
+    })
+}
+
+fn read_queue(id: QueueId, section: &Section, faults: &mut Faults) -> Option<Queue> {
+    let mut reader = Reader::new(section, faults);
+    let pool = reader.required("pool", &kinds::POOL);
+    let access = read_access(&mut reader);
+    let class = reader.required("class", &kinds::CLASS);
+    let deadline = reader.required("deadline", &kinds::SPAN);
+    let idempotent = reader.optional("idempotent", false, &kinds::FLAG);
+    let bound = reader.optional("bound", DEFAULT_BOUND, &kinds::COUNT);
+    reader.finish();
+    Some(Queue {
+        id,
+        pool: pool?,
+        access: access?,
+        class: class?,
+        deadline: deadline?,
+        idempotent: idempotent?,
+        bound: bound?,
+    })
+}
+
+fn read_access(reader: &mut Reader<'_>) -> Option<Access> {
+    const ACCEPTED: &str = "either `plans = PLAN, PLAN` or `open = PLAN`";
+    let named = reader.has("plans");
+    let open = reader.has("open");
+    let plans = reader.optional("plans", Vec::new(), &kinds::PLANS);
+    let plan = reader.optional("open", None, &kinds::OPEN);
+    match (named, open) {
+        (true, false) => plans.map(Access::Plans),
+        (false, true) => plan.flatten().map(|plan| Access::Open { plan }),
+        (true, true) => {
+            reader.fault("open", "the queue is both open and for named plans", ACCEPTED);
+            None
+        }
+        (false, false) => {
+            reader.fault("plans", "nobody may send to the queue", ACCEPTED);
+            None
+        }
+    }
+}
+
+fn check_references(
+    queue: &Queue,
+    section: &Section,
+    plans: &Headers<'_>,
+    uses: &Headers<'_>,
+    faults: &mut Faults,
+) {
+    if let Some(wrong) = uses.missing("pool", queue.pool.as_str()) {
+        faults.push(section.fault("pool", wrong, "a pool of the list `uses`"));
+    }
+    let (key, named) = match &queue.access {
+        Access::Open { plan } => ("open", std::slice::from_ref(plan)),
+        Access::Plans(named) => ("plans", named.as_slice()),
+    };
+    for plan in named {
+        if let Some(wrong) = plans.missing("plan", plan.as_str()) {
+            faults.push(section.fault(key, wrong, "a plan of the list `plans`"));
+        }
+    }
+}
