conf: find a plan by its key's digest

Cause: the pool's owner checks a call's key again by its own lists, and gets only the digest from the ingress. Change: plan_of_digest beside plan_of_key, with the same constant-time pass. Conclusion: a withdrawn key can be stopped at either node.

--- a/crates/conf/src/lists/mod.rs
+++ b/crates/conf/src/lists/mod.rs
@@ -41,11 +41,15 @@
     /// Compares with every digest in constant time, so that the time taken
     /// tells nothing about the keys.
     pub fn plan_of_key(&self, key: &str) -> Option<&Plan> {
-        let digest = KeyDigest::of(key);
+        self.plan_of_digest(&KeyDigest::of(key))
+    }
+
+    /// Returns the plan that the key of a digest belongs to, in constant time.
+    pub fn plan_of_digest(&self, digest: &KeyDigest) -> Option<&Plan> {
         let mut found = None;
         for plan in self.plans.values() {
             for each in &plan.keys {
-                if each.matches(&digest) {
+                if each.matches(digest) {
                     found = Some(plan);
                 }
             }
