store: FaultyStore, faults between one node and its store

Cause: tests have to cut off, slow down and confuse one node alone. Change: FaultyStore with a Faults handle (down, slow, stale, silent watch, scripted and random faults), counts of calls by kind.

--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -190,6 +190,8 @@
 pub trait Watch: Send {
     /// Waits for the next changes. Empty batches may come as signs of life.
     ///
+    /// The future can be dropped before it is ready; no change is lost by it.
+    ///
     /// # Errors
     ///
     /// Any error ends the watch; after [`Error::Compacted`] list anew.
--- /dev/null
+++ b/crates/store/src/faulty/call.rs
@@ -0,0 +1,33 @@
+//! Kinds of store calls.
+
+use derive_more::Display;
+
+/// A kind of call, as the platform's service counts them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub enum Call {
+    /// Reading one key.
+    #[display("get")]
+    Get,
+    /// Reading the keys under a prefix.
+    #[display("range")]
+    Range,
+    /// A transaction.
+    #[display("txn")]
+    Txn,
+    /// Granting, renewing or revoking a lease.
+    #[display("lease")]
+    Lease,
+    /// Opening a watch.
+    #[display("watch")]
+    Watch,
+}
+
+impl Call {
+    /// All kinds.
+    pub const ALL: [Call; 5] = [Call::Get, Call::Range, Call::Txn, Call::Lease, Call::Watch];
+
+    /// Whether the call can change the store.
+    pub fn is_write(self) -> bool {
+        matches!(self, Call::Txn | Call::Lease)
+    }
+}
--- /dev/null
+++ b/crates/store/src/faulty/fault.rs
@@ -0,0 +1,26 @@
+//! What can go wrong with one call.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A fault of one call.
+///
+/// A lost answer of a read is told as [`Error::Unavailable`], since a read has
+/// no effect that could be in doubt.
+///
+/// [`Error::Unavailable`]: crate::Error::Unavailable
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fault {
+    /// The store is not reached.
+    Unavailable,
+    /// The call is lost on its way; nobody can tell.
+    LostBefore,
+    /// The call takes effect and its answer is lost.
+    LostAfter,
+    /// The answer counts as lost, and the call takes effect after this time.
+    Late(Duration),
+    /// The call's lease lapses just before it; other calls are not affected.
+    Lapse,
+}
--- /dev/null
+++ b/crates/store/src/faulty/faults.rs
@@ -0,0 +1,148 @@
+//! The handle that steers the faults.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::watch;
+
+use crate::StoreRevision;
+use crate::faulty::signal::Signal;
+use crate::faulty::{Call, Counts, Fault, Odds};
+
+/// Steers the faults between one node and its store; clones steer the same.
+///
+/// Give each node of a test its own, so that one can be cut off alone.
+/// Scripted faults come first, then random ones.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    signal: watch::Sender<Signal>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    down: bool,
+    delay: Duration,
+    stale: bool,
+    script: BTreeMap<Call, VecDeque<Fault>>,
+    odds: Option<(SmallRng, Odds)>,
+    counts: Counts,
+}
+
+/// What shall happen to one call.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fate {
+    pub(crate) delay: Duration,
+    pub(crate) fault: Option<Fault>,
+    pub(crate) stale: bool,
+}
+
+impl Faults {
+    /// Makes a handle with no fault.
+    pub fn new() -> Faults {
+        Faults::default()
+    }
+
+    /// Cuts the node off from the store, watches included, or ends that.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+        if down {
+            self.cut_watches();
+        }
+    }
+
+    /// Delays each call.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Answers reads with what the node was told when it last read the same,
+    /// as a follower that lags does.
+    pub fn set_stale(&self, stale: bool) {
+        self.lock().stale = stale;
+    }
+
+    /// Lets running watches deliver nothing, without an error, or ends that.
+    pub fn set_silent(&self, silent: bool) {
+        self.shared.signal.send_modify(|signal| signal.silent = silent);
+    }
+
+    /// Lets the next `times` calls of a kind meet a fault, after those that
+    /// are already scripted.
+    pub fn script(&self, call: Call, fault: Fault, times: usize) {
+        let mut state = self.lock();
+        state.script.entry(call).or_default().extend(std::iter::repeat_n(fault, times));
+    }
+
+    /// Lets calls meet faults at random.
+    pub fn set_odds(&self, seed: u64, odds: Odds) {
+        self.lock().odds = Some((SmallRng::seed_from_u64(seed), odds));
+    }
+
+    /// Ends all faults; what was scripted and not met is forgotten.
+    pub fn clear(&self) {
+        let mut state = self.lock();
+        *state = State { counts: state.counts, ..State::default() };
+        drop(state);
+        self.set_silent(false);
+    }
+
+    /// Ends all running watches, as a torn connection does.
+    pub fn cut_watches(&self) {
+        self.end_watches(None);
+    }
+
+    /// Ends all running watches as compacted below `oldest`.
+    pub fn compact_watches(&self, oldest: StoreRevision) {
+        self.end_watches(Some(oldest));
+    }
+
+    /// Returns the calls made so far, also those that met a fault.
+    pub fn counts(&self) -> Counts {
+        self.lock().counts
+    }
+
+    /// Counts a call and decides what happens to it.
+    pub(crate) fn next(&self, call: Call) -> Fate {
+        let mut state = self.lock();
+        state.counts.add(call);
+        Fate { delay: state.delay, fault: state.next_fault(call), stale: state.stale }
+    }
+
+    /// Returns what running watches follow.
+    pub(crate) fn signal(&self) -> watch::Receiver<Signal> {
+        self.shared.signal.subscribe()
+    }
+
+    fn end_watches(&self, compacted: Option<StoreRevision>) {
+        self.shared.signal.send_modify(|signal| {
+            signal.ends += 1;
+            signal.compacted = compacted;
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn next_fault(&mut self, call: Call) -> Option<Fault> {
+        if self.down {
+            return Some(Fault::Unavailable);
+        }
+        let scripted = self.script.get_mut(&call).and_then(VecDeque::pop_front);
+        scripted.or_else(|| {
+            let (rng, odds) = self.odds.as_mut()?;
+            odds.draw(rng)
+        })
+    }
+}
--- /dev/null
+++ b/crates/store/src/faulty/odds.rs
@@ -0,0 +1,50 @@
+//! Faults at random, from a seed.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
+
+use crate::faulty::Fault;
+
+/// Longest delay of a late effect.
+const LATE_MAX_MS: u64 = 20;
+
+/// How many of a thousand calls meet each fault.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Odds {
+    /// [`Fault::Unavailable`].
+    pub unavailable: u32,
+    /// [`Fault::LostBefore`].
+    pub before: u32,
+    /// [`Fault::LostAfter`].
+    pub after: u32,
+    /// [`Fault::Late`] with a random delay.
+    pub late: u32,
+    /// [`Fault::Lapse`].
+    pub lapse: u32,
+}
+
+impl Odds {
+    /// Draws the fault of the next call.
+    pub(crate) fn draw(&self, rng: &mut SmallRng) -> Option<Fault> {
+        let late = Fault::Late(Duration::from_millis(rng.random_range(0..=LATE_MAX_MS)));
+        let mut left = rng.random_range(0..1000);
+        let odds = [
+            (self.unavailable, Fault::Unavailable),
+            (self.before, Fault::LostBefore),
+            (self.after, Fault::LostAfter),
+            (self.late, late),
+            (self.lapse, Fault::Lapse),
+        ];
+        for (odds, fault) in odds {
+            if left < odds {
+                return Some(fault);
+            }
+            left -= odds;
+        }
+        None
+    }
+}
