store: EtcdStore, adapter to the etcd v3 JSON gateway

Cause: the platform's service is reached over HTTP. Change: wire messages, transport over several addresses, exact error classes, watch that reopens an idle stream. Conclusion: not yet run against a server; conformance tests follow.

--- /dev/null
+++ b/crates/store/src/etcd/wire/kv.rs
@@ -0,0 +1,89 @@
+//! Keys and reads.
+
+use serde::{Deserialize, Serialize};
+
+use crate::etcd::wire::{Base64, Int64};
+use crate::{Entry, Error, Key, LeaseId, StoreRevision};
+
+/// Head of each answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Header {
+    /// Revision of the store when the call was answered.
+    pub revision: Int64,
+}
+
+/// A key with its value.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct KeyValue {
+    /// The key.
+    pub key: Base64,
+    /// The value.
+    #[serde(skip_serializing_if = "Base64::is_empty")]
+    pub value: Base64,
+    /// Revision of the last write.
+    #[serde(alias = "modRevision", skip_serializing_if = "Int64::is_zero")]
+    pub mod_revision: Int64,
+    /// Lease that holds the key.
+    #[serde(skip_serializing_if = "Int64::is_zero")]
+    pub lease: Int64,
+}
+
+impl KeyValue {
+    /// Returns the key as text.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] if it is not UTF-8.
+    pub fn text(&self) -> Result<Key, Error> {
+        let text = std::str::from_utf8(&self.key.0);
+        text.map(Key::from).map_err(|e| Error::Malformed { reason: format!("a key: {e}") })
+    }
+}
+
+impl From<Entry> for KeyValue {
+    fn from(entry: Entry) -> KeyValue {
+        KeyValue {
+            key: Base64::text(&entry.key.0),
+            value: Base64(entry.value),
+            mod_revision: Int64(entry.modified.0),
+            lease: Int64(entry.lease.map_or(0, |lease| lease.0)),
+        }
+    }
+}
+
+impl TryFrom<KeyValue> for Entry {
+    type Error = Error;
+
+    fn try_from(kv: KeyValue) -> Result<Entry, Error> {
+        let key = kv.text()?;
+        let lease = (!kv.lease.is_zero()).then_some(LeaseId(kv.lease.0));
+        Ok(Entry { key, value: kv.value.0, modified: StoreRevision(kv.mod_revision.0), lease })
+    }
+}
+
+/// `POST /v3/kv/range`
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RangeRequest {
+    /// The key, or the first one.
+    pub key: Base64,
+    /// First key after the range; empty for one key.
+    #[serde(alias = "rangeEnd", skip_serializing_if = "Base64::is_empty")]
+    pub range_end: Base64,
+}
+
+/// Answer to a [`RangeRequest`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RangeResponse {
+    /// Head.
+    pub header: Header,
+    /// The keys found.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub kvs: Vec<KeyValue>,
+    /// Whether keys are missing from the answer.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub more: bool,
+}
--- /dev/null
+++ b/crates/store/src/etcd/wire/mod.rs
@@ -0,0 +1,24 @@
+//! Messages of the etcd v3 JSON gateway, as far as this crate uses them.
+//!
+//! The gateway writes 64-bit numbers as strings and bytes in base64, leaves
+//! out fields with their default value, and takes field names in snake case
+//! and in camel case.
+
+mod error;
+mod kv;
+mod lease;
+mod scalar;
+mod txn;
+mod watch;
+
+pub use error::{Code, ErrorBody, StreamError};
+pub use kv::{Header, KeyValue, RangeRequest, RangeResponse};
+pub use lease::{
+    GrantRequest, GrantResponse, KeepAliveRequest, KeepAliveResponse, RevokeRequest, RevokeResponse,
+};
+pub use scalar::{Base64, Int64};
+pub use txn::{
+    CompareRequest, CompareResult, CompareTarget, DeleteRequest, PutRequest, RequestOp, ResponseOp,
+    TxnRequest, TxnResponse,
+};
+pub use watch::{CreateRequest, EventKind, StreamItem, WatchEvent, WatchRequest, WatchResponse};
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod api;
 mod error;
+mod etcd;
 mod faulty;
 mod limits;
 mod mem;
@@ -15,6 +16,7 @@
     Value, Watch, WatchBatch,
 };
 pub use error::Error;
+pub use etcd::{EtcdSettings, EtcdStore, EtcdWatch, wire};
 pub use faulty::{Call, Counts, Fault, Faults, FaultyStore, FaultyWatch, Odds};
 pub use limits::{TXN_MAX_BYTES, TXN_MAX_OPS, VALUE_MAX_BYTES};
 pub use mem::{MemStore, MemWatch};
