standin: store server, endpoint, host list and the record of runs

Cause: tests and the demo need the platform on loopback, with faults. Change: StoreServer (etcd JSON subset), Endpoint (slots, modes, deadlines), HostListServer (lag, down), RunLog. vg-net: a Gate that closes new connections and ServerHandle::kill, which frees the address.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod codec;
 mod error;
+mod gate;
 mod limits;
 mod server;
 
@@ -15,5 +16,6 @@
 pub use client::{Client, Reply};
 pub use codec::{from_msgpack, to_msgpack};
 pub use error::Error;
+pub use gate::Gate;
 pub use limits::Limits;
 pub use server::{Server, ServerHandle};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 
 use crate::error::{BindSnafu, Error};
+use crate::gate::Gate;
 use crate::limits::Limits;
 
 const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
@@ -35,6 +36,7 @@
     listener: TcpListener,
     addr: SocketAddr,
     limits: Limits,
+    gate: Gate,
 }
 
 impl Server {
@@ -46,7 +48,13 @@
     pub async fn bind(addr: SocketAddr, limits: Limits) -> Result<Server, Error> {
         let listener = TcpListener::bind(addr).await.context(BindSnafu { addr })?;
         let addr = listener.local_addr().context(BindSnafu { addr })?;
-        Ok(Server { listener, addr, limits })
+        Ok(Server { listener, addr, limits, gate: Gate::default() })
+    }
+
+    /// Serves accepted connections only while `gate` is open.
+    #[must_use]
+    pub fn with_gate(self, gate: Gate) -> Server {
+        Server { gate, ..self }
     }
 
     /// Returns the bound address.
@@ -90,6 +98,13 @@
     pub fn abort(self) {
         self.task.abort();
     }
+
+    /// Cuts every connection and returns when the address can be bound anew.
+    pub async fn kill(mut self) {
+        self.task.abort();
+        // An aborted task ends with an error by design.
+        let _ = (&mut self.task).await;
+    }
 }
 
 impl Drop for ServerHandle {
@@ -120,6 +135,9 @@
                 continue;
             }
         };
+        if server.gate.is_shut() {
+            continue;
+        }
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             connections.spawn(refuse(socket));
             continue;
--- /dev/null
+++ b/crates/standin/src/endpoint/mod.rs
@@ -0,0 +1,17 @@
+//! Stand-in of an endpoint instance.
+
+mod answer;
+mod counts;
+mod faults;
+mod mode;
+mod serve;
+mod server;
+mod settings;
+mod slots;
+mod state;
+
+pub use counts::EndpointCounts;
+pub use faults::{EndpointFaults, EndpointFaultsRequest};
+pub use mode::Mode;
+pub use server::Endpoint;
+pub use settings::EndpointSettings;
--- /dev/null
+++ b/crates/standin/src/headers.rs
@@ -0,0 +1,28 @@
+//! Header fields that the stand-ins read and write.
+
+use http::HeaderMap;
+
+/// Id of the request, the same for each attempt to run it.
+pub const REQUEST_ID: &str = "vg-request-id";
+
+/// Team that the request counts against.
+pub const TEAM: &str = "vg-team";
+
+/// Absolute deadline, in milliseconds since the Unix epoch.
+pub const DEADLINE: &str = "vg-deadline-ms";
+
+/// How long the request shall run, in milliseconds.
+pub const RUN_MS: &str = "vg-stand-in-run-ms";
+
+/// How a refused request ended.
+pub const OUTCOME: &str = "vg-outcome";
+
+/// Returns a header field as text.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns a header field as a number.
+pub(crate) fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/standin/src/hosts/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-in of the platform's host list.
+
+mod host;
+mod lagging;
+mod server;
+
+pub use host::{Host, HostKind, HostState, HostsResponse};
+pub use server::HostListServer;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,21 @@
 //! Stand-ins of the platform: store, host list, endpoints and workers.
+//!
+//! All of them run in process on loopback, for tests and the demo, and as a
+//! program for trials. Each has a handle that steers its faults. A [`RunLog`]
+//! records what really ran, which is what tests compare promises with.
+
+mod endpoint;
+mod error;
+pub mod headers;
+mod hosts;
+mod runs;
+mod store;
+mod web;
+
+pub use endpoint::{
+    Endpoint, EndpointCounts, EndpointFaults, EndpointFaultsRequest, EndpointSettings, Mode,
+};
+pub use error::Error;
+pub use hosts::{Host, HostKind, HostListServer, HostState, HostsResponse};
+pub use runs::{Run, RunGuard, RunLog};
+pub use store::{FaultKind, FaultsRequest, ScriptRequest, StoreServer};
--- /dev/null
+++ b/crates/standin/src/store/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-in of the platform's key-value service.
+
+mod convert;
+mod faults;
+mod handlers;
+mod server;
+mod stream;
+
+pub use faults::{FaultKind, FaultsRequest, ScriptRequest};
+pub use server::StoreServer;
--- /dev/null
+++ b/crates/standin/src/web/context.rs
@@ -0,0 +1,39 @@
+//! State that all requests of one server share.
+
+use std::ops::Deref;
+use std::panic::{RefUnwindSafe, UnwindSafe};
+use std::sync::Arc;
+
+use gotham::state::StateData;
+
+/// Shared state of a server; clones share it.
+#[derive(Debug)]
+pub(crate) struct Context<T>(Arc<T>);
+
+impl<T> Context<T> {
+    /// Shares `value`.
+    pub(crate) fn new(value: T) -> Context<T> {
+        Context(Arc::new(value))
+    }
+}
+
+impl<T> Clone for Context<T> {
+    fn clone(&self) -> Context<T> {
+        Context(Arc::clone(&self.0))
+    }
+}
+
+impl<T> Deref for Context<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.0
+    }
+}
+
+// A panic of one request leaves the shared state usable: its locks ignore
+// poisoning, and each change is made in one step under a lock.
+impl<T> RefUnwindSafe for Context<T> {}
+impl<T> UnwindSafe for Context<T> {}
+
+impl<T: Send + Sync + 'static> StateData for Context<T> {}
--- /dev/null
+++ b/crates/standin/src/web/reply.rs
@@ -0,0 +1,43 @@
+//! Responses.
+
+use std::io;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::Serialize;
+use vg_net::{Body, full};
+
+use crate::web::Problem;
+
+/// How a handler ends.
+pub(crate) type Reply = Result<Response<Body>, Problem>;
+
+/// Answers 200 with a JSON message.
+pub(crate) fn json<A: Serialize>(message: &A) -> Reply {
+    json_as(StatusCode::OK, message)
+}
+
+/// Answers with a status and a JSON message.
+pub(crate) fn json_as<A: Serialize>(status: StatusCode, message: &A) -> Reply {
+    let body = serde_json::to_vec(message).map_err(|e| {
+        Problem::new(StatusCode::INTERNAL_SERVER_ERROR, "unrepresentable-answer", e)
+    })?;
+    let mut response = Response::new(full(body));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(response)
+}
+
+/// Sends `start` and then tears the connection, so that no whole answer comes.
+pub(crate) fn torn(start: Bytes) -> Response<Body> {
+    let frames = stream::iter([
+        Ok(Frame::data(start)),
+        Err(io::Error::new(io::ErrorKind::ConnectionReset, "torn on purpose")),
+    ]);
+    Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)))
+}
--- a/crates/store/src/faulty/call.rs
+++ b/crates/store/src/faulty/call.rs
@@ -1,9 +1,13 @@
 //! Kinds of store calls.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 /// A kind of call, as the platform's service counts them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "lowercase")]
 pub enum Call {
     /// Reading one key.
     #[display("get")]
--- a/crates/store/src/faulty/fault.rs
+++ b/crates/store/src/faulty/fault.rs
@@ -2,16 +2,13 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 /// A fault of one call.
 ///
 /// A lost answer of a read is told as [`Error::Unavailable`], since a read has
 /// no effect that could be in doubt.
 ///
 /// [`Error::Unavailable`]: crate::Error::Unavailable
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     /// The store is not reached.
     Unavailable,
--- a/crates/store/src/faulty/odds.rs
+++ b/crates/store/src/faulty/odds.rs
@@ -28,6 +28,12 @@
 }
 
 impl Odds {
+    /// Returns how many of a thousand calls meet any fault.
+    pub fn total(&self) -> u32 {
+        let odds = [self.unavailable, self.before, self.after, self.late, self.lapse];
+        odds.into_iter().fold(0, u32::saturating_add)
+    }
+
     /// Draws the fault of the next call.
     pub(crate) fn draw(&self, rng: &mut SmallRng) -> Option<Fault> {
         let late = Fault::Late(Duration::from_millis(rng.random_range(0..=LATE_MAX_MS)));
