Read a process's settings from one table

Cause: a daemon learns its addresses and zone from its settings, which must be checked as a whole before anything starts. Change: one table of settings gives file keys, flags, help and the operators' page; raw texts are lowered to checked settings with all faults at once.

--- a/crates/conf/src/ini/kind.rs
+++ b/crates/conf/src/ini/kind.rs
@@ -50,8 +50,7 @@
     if let Some((_, value)) = known.iter().find(|(word, _)| *word == text) {
         return Ok(*value);
     }
-    let near = super::nearest(text, known.iter().map(|(word, _)| *word));
-    let hint = near.map(|word| format!(", did you mean `{word}`?")).unwrap_or_default();
+    let hint = super::hint(text, known.iter().map(|(word, _)| *word));
     Err(format!("{} is not known{hint}", quoted(text)))
 }
 
--- a/crates/conf/src/ini/mod.rs
+++ b/crates/conf/src/ini/mod.rs
@@ -30,3 +30,8 @@
     let best = scored.max_by(|a, b| a.0.total_cmp(&b.0))?;
     (best.0 >= NEAR_ENOUGH).then_some(best.1)
 }
+
+/// Returns the end of a message that names the nearest known word, or nothing.
+pub(crate) fn hint<'a>(word: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+    nearest(word, known).map(|near| format!(", did you mean `{near}`?")).unwrap_or_default()
+}
--- a/crates/conf/src/ini/reader.rs
+++ b/crates/conf/src/ini/reader.rs
@@ -1,7 +1,7 @@
 //! Typed reading of one section's keys.
 
 use crate::ini::fault::quoted;
-use crate::ini::{Faults, Kind, Section, nearest};
+use crate::ini::{Faults, Kind, Section, hint};
 
 /// Reads the keys of one section and collects its faults.
 ///
@@ -65,8 +65,7 @@
         for (at, entry) in self.section.entries.iter().enumerate() {
             let key = entry.key.as_str();
             if !self.known.contains(&key) {
-                let near = nearest(key, self.known.iter().copied());
-                let hint = near.map(|word| format!(", did you mean `{word}`?")).unwrap_or_default();
+                let hint = hint(key, self.known.iter().copied());
                 let wrong = format!("the key {} is not known{hint}", quoted(key));
                 let accepted = self.known.join(", ");
                 self.faults.push(self.section.fault_at(entry.line, "", wrong, accepted));
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod ini;
 pub mod lists;
+pub mod settings;
 pub mod span;
 pub mod stored;
 
 pub use ini::{Fault, Faults};
 pub use lists::{Access, Class, KeyDigest, Lists, Plan, Pool, Queue};
+pub use settings::{Settings, SettingsError};
 pub use stored::{ChangeId, Stored};
--- a/crates/conf/src/lists/headers.rs
+++ b/crates/conf/src/lists/headers.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use crate::ini::{Faults, Section, nearest};
+use crate::ini::{Faults, Section, hint};
 
 /// The sections of one list by kind and name.
 ///
@@ -42,8 +42,7 @@
         if self.found.contains_key(&(kind, name.into())) {
             return None;
         }
-        let near = nearest(name, self.of(kind).map(|(each, _)| each));
-        let hint = near.map(|word| format!(", did you mean `{word}`?")).unwrap_or_default();
+        let hint = hint(name, self.of(kind).map(|(each, _)| each));
         Some(format!("there is no {kind} `{name}`{hint}"))
     }
 
@@ -68,8 +67,7 @@
     };
     let (word, name) = section.header.split_once(' ').unwrap_or((&section.header, ""));
     let Some(kind) = kinds.iter().find(|kind| **kind == word) else {
-        let near = nearest(word, kinds.iter().copied());
-        let hint = near.map(|each| format!(", did you mean `{each}`?")).unwrap_or_default();
+        let hint = hint(word, kinds.iter().copied());
         fault(format!("the section is not known{hint}"));
         return None;
     };
--- /dev/null
+++ b/crates/conf/tests/settings.rs
@@ -0,0 +1,122 @@
+//! Settings from a file and flags, and the operators' page made from the table.
+
+use std::path::Path;
+
+use clap::Command;
+use vg_base::prelude::*;
+use vg_conf::settings::{LogFormat, Raw, Settings, TABLE, command, load, page};
+
+const FILE: &str = "[node]\nname = e1\nzone = a\n[listen]\ncallers = 0.0.0.0:7400\n\
+    peers = 10.0.0.1:7401\n[platform]\nstore = 10.0.0.9:2379, 10.0.0.8:2379\n\
+    host-list = 10.0.0.9:80\n[times]\nlease = 8s\n";
+
+fn lower(file: &str, flags: &[(&str, &str)]) -> Result<Settings, String> {
+    let mut raw = Raw::default();
+    raw.add_file("e1.ini", file);
+    flags.iter().for_each(|(name, text)| raw.add_flag(name, text));
+    Settings::lower(raw).map_err(|e| e.to_string())
+}
+
+#[test]
+fn a_flag_goes_before_the_file_and_the_file_before_the_default() {
+    let settings = lower(FILE, &[("zone", "b"), ("log-format", "json")]).unwrap();
+    assert_eq!(settings.zone.as_str(), "b");
+    assert_eq!(settings.lease, Duration::from_secs(8));
+    assert_eq!(settings.heartbeat, Duration::from_millis(500));
+    assert_eq!(settings.log_format, LogFormat::Json);
+    assert_eq!(settings.store.len(), 2);
+}
+
+#[test]
+fn each_fault_names_its_place_and_what_is_accepted() {
+    let cases: [(&str, &str, &str); 9] = [
+        (
+            "name = e1",
+            "name = E1",
+            "e1.ini:2: [node] name: `E1` is refused: `E1` has `E`: a name has a-z, 0-9, `.`, `_` and `-`, and starts with a letter or digit; accepted: a name",
+        ),
+        (
+            "name = e1\n",
+            "",
+            "settings: [node] name: the setting is missing, also as the flag --node; accepted: a name",
+        ),
+        (
+            "zone =",
+            "zoen =",
+            "e1.ini:3: [node] zoen: the key is not known, did you mean `zone`?; accepted: name, zone, region",
+        ),
+        (
+            "[times]",
+            "[time]",
+            "e1.ini:10: [time] the section is not known, did you mean `times`?; accepted: node, listen, platform, times, limits, log, events",
+        ),
+        (
+            "lease = 8s",
+            "lease = 1s",
+            "e1.ini:11: [times] lease: the lease is shorter than 4 heartbeats; accepted: at least 2s",
+        ),
+        (
+            "lease = 8s",
+            "lease = 8s\nlease = 9s",
+            "e1.ini:12: [times] lease: the key is given twice, first in line 11; accepted: one value",
+        ),
+        (
+            "10.0.0.1:7401",
+            "0.0.0.0:7401",
+            "e1.ini:6: [listen] peers: `0.0.0.0:7401` names no host that others could reach; accepted: an IP number of this host and a port, not 0.0.0.0",
+        ),
+        (
+            "10.0.0.9:80",
+            "store.example:80",
+            "e1.ini:9: [platform] host-list: `store.example:80` is refused: invalid socket address syntax; accepted: an IP number and port such as 10.0.0.5:7400",
+        ),
+        (
+            "[times]",
+            "[node]",
+            "e1.ini:10: [node] the section is given twice, first in line 1; accepted: one section of each name",
+        ),
+    ];
+    for (from, to, expected) in cases {
+        let found = lower(&FILE.replace(from, to), &[]).unwrap_err();
+        // A misspelt key leaves its setting missing, too.
+        assert!(found.lines().any(|line| line == expected), "{found}\nexpected: {expected}");
+    }
+}
+
+#[test]
+fn a_faulty_flag_is_named_as_a_flag() {
+    let found = lower(FILE, &[("heartbeat", "soon")]).unwrap_err();
+    let expected = "command line: --heartbeat: `soon` is no time; accepted: a time of at least 1ms such as 500ms, 5s or 2m";
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn every_setting_is_a_flag() {
+    let built = command(Command::new("verbenagapd"));
+    let args = ["verbenagapd", "--node", "e1", "--zone", "a", "--listen", "127.0.0.1:1"];
+    let more = ["--peer-listen", "127.0.0.1:2", "--store", "127.0.0.1:3"];
+    let last = ["--host-list", "127.0.0.1:4", "--idle", "5s"];
+    let matches = built.clone().get_matches_from(args.iter().chain(&more).chain(&last));
+    assert_eq!(load(&matches).unwrap().idle, Duration::from_secs(5));
+    for setting in TABLE {
+        assert!(built.get_arguments().any(|arg| arg.get_long() == Some(setting.name)));
+        assert!(!setting.help().is_empty());
+    }
+}
+
+#[test]
+fn an_unreadable_file_is_named() {
+    let args = ["verbenagapd", "--config", "/nowhere/e1.ini"];
+    let matches = command(Command::new("verbenagapd")).get_matches_from(args);
+    let found = load(&matches).unwrap_err().to_string();
+    assert!(found.starts_with("the settings file /nowhere/e1.ini can't be read"), "{found}");
+}
+
+#[test]
+fn the_operators_page_is_the_table() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators/settings.md");
+    if std::env::var_os("VERBENAGAP_REGENERATE").is_some() {
+        std::fs::write(&path, page()).unwrap();
+    }
+    assert_eq!(std::fs::read_to_string(path).unwrap(), page());
+}
