Edit keys in the text, add the example lists, fuzz all of it

Cause: keys come and go by edits of `plans`, which operators comment; the demo and measurements need the first users' lists. Change: grant and withdraw as text edits that keep comments and order; two example pairs as constants; property tests of lists, settings, differences and key edits.

--- a/crates/conf/src/ini/scan.rs
+++ b/crates/conf/src/ini/scan.rs
@@ -37,7 +37,8 @@
         if trimmed.is_empty() || trimmed.starts_with([';', '#']) {
             return;
         }
-        if line.starts_with([' ', '\t']) && !trimmed.starts_with('[') && self.go_on(trimmed) {
+        if line.starts_with([' ', '\t']) && !trimmed.starts_with('[') && self.go_on(number, trimmed)
+        {
             return;
         }
         match meaning(trimmed) {
@@ -48,9 +49,10 @@
     }
 
     /// Joins a continuation line to the value before it, if there is one.
-    fn go_on(&mut self, more: &str) -> bool {
+    fn go_on(&mut self, line: u32, more: &str) -> bool {
         let entry = self.sections.last_mut().and_then(|each| each.entries.last_mut());
         let Some(entry) = entry else { return false };
+        entry.last = line;
         entry.value.push('\n');
         entry.value.push_str(more);
         true
@@ -63,7 +65,7 @@
 
     fn add(&mut self, line: u32, key: SmolStr, value: String) {
         match self.sections.last_mut() {
-            Some(section) => section.entries.push(Entry { line, key, value }),
+            Some(section) => section.entries.push(Entry { line, last: line, key, value }),
             None => self.fault(line, format!("{} stands before any section", quoted(&key))),
         }
     }
--- a/crates/conf/src/ini/section.rs
+++ b/crates/conf/src/ini/section.rs
@@ -9,6 +9,8 @@
 pub(crate) struct Entry {
     /// Line of the key, from 1.
     pub(crate) line: u32,
+    /// Last line of the value.
+    pub(crate) last: u32,
     /// The key.
     pub(crate) key: SmolStr,
     /// The value; continuation lines are joined by line breaks.
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,6 +4,7 @@
 //! files and the store are read by the callers. All faults of a text are
 //! reported at once, each with its place and what is accepted there.
 
+pub mod examples;
 pub mod ini;
 pub mod lists;
 pub mod settings;
--- a/crates/conf/src/lists/mod.rs
+++ b/crates/conf/src/lists/mod.rs
@@ -2,6 +2,7 @@
 
 mod diff;
 mod digest;
+mod edit;
 mod headers;
 mod kinds;
 mod parse;
@@ -18,6 +19,7 @@
 pub use crate::ini::Faults as ListErrors;
 pub use diff::{Difference, Effect, Subject, diff};
 pub use digest::KeyDigest;
+pub use edit::{EditError, grant, withdraw};
 pub use parse::{MAX_LIST_BYTES, PLANS, USES, parse};
 pub use plan::Plan;
 pub use pool::Pool;
