--- /dev/null
+++ b/crates/limit/src/ledger/runs.rs
@@ -0,0 +1,58 @@
+//! Starting and finishing runs.
+
+use vg_base::prelude::*;
+
+use crate::faults::UnitFaults;
+use crate::{Ledger, LimitRefusal, Run, RunKey};
+
+impl<F: UnitFaults> Ledger<F> {
+    /// Takes one idle unit for a run.
+    ///
+    /// # Errors
+    ///
+    /// See [`Ledger::try_start_many`].
+    pub fn try_start(&mut self, team: &TeamId) -> Result<RunKey, LimitRefusal> {
+        self.try_start_many(team, Units(1))
+    }
+
+    /// Takes idle units for a run, all or none.
+    ///
+    /// # Errors
+    ///
+    /// [`LimitRefusal`] tells what is missing; nothing was taken.
+    pub fn try_start_many(&mut self, team: &TeamId, weight: Units) -> Result<RunKey, LimitRefusal> {
+        if !self.open {
+            return Err(LimitRefusal::NotMember);
+        }
+        let holding = self.holdings.get_mut(team);
+        let holding = holding.filter(|each| each.limit.is_some_and(|limit| limit > Units::ZERO));
+        let Some(holding) = holding else {
+            return Err(LimitRefusal::NoLimit { team: team.clone() });
+        };
+        if holding.over && !F::START_OVER_LIMIT {
+            return Err(LimitRefusal::OverLimit { team: team.clone() });
+        }
+        let idle = holding.idle();
+        if idle < weight {
+            return Err(LimitRefusal::NoUnits { team: team.clone(), wanted: weight, idle });
+        }
+        holding.running += weight;
+        Ok(self.runs.insert(Run { team: team.clone(), weight }))
+    }
+
+    /// Puts back the units of a run that is proved to be over.
+    ///
+    /// Returns `None` if the run was finished before.
+    pub fn finish(&mut self, key: RunKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        if let Some(holding) = self.holdings.get_mut(&run.team) {
+            holding.running = holding.running.saturating_sub(run.weight);
+        }
+        Some(run)
+    }
+
+    /// Returns the number of runs that are not finished.
+    pub fn runs(&self) -> usize {
+        self.runs.len()
+    }
+}
