--- /dev/null
+++ b/crates/route/src/endpoints/change.rs
@@ -0,0 +1,25 @@
+//! What a host list changed.
+
+use vg_base::prelude::*;
+
+/// Whether a host list was taken in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// The list is not newer than the one in use, and was ignored.
+    Stale,
+    /// The list is in use now.
+    Current(Vec<Change>),
+}
+
+/// What a host list changed about one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// It is listed for the first time.
+    Joined(HostId),
+    /// It gets nothing new; what runs there ends.
+    Leaving(HostId),
+    /// It was leaving and takes calls again.
+    Returned(HostId),
+    /// It is not listed any more.
+    Gone(HostId),
+}
--- /dev/null
+++ b/crates/route/src/endpoints/mod.rs
@@ -0,0 +1,20 @@
+//! The instances of one pool and who of them gets the next call.
+
+mod busy;
+mod change;
+mod health;
+mod info;
+mod instance;
+mod result;
+mod slot;
+mod stats;
+mod table;
+
+pub use busy::Busy;
+pub use change::{Applied, Change};
+pub use health::Health;
+pub use info::{EndpointInfo, ListRevision};
+pub use result::CallResult;
+pub use slot::{EndpointKey, Probing, Slot, SlotKey};
+pub use stats::EndpointStats;
+pub use table::Endpoints;
--- /dev/null
+++ b/crates/route/src/receipts/answer.rs
@@ -0,0 +1,79 @@
+//! An endpoint's whole answer, kept for repeated keys.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Memory that an answer takes besides its text, in bytes.
+const OVERHEAD_BYTES: usize = 96;
+
+/// A header field of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Name in lower case.
+    pub name: SmolStr,
+    /// Value as it came.
+    #[serde(with = "octets")]
+    pub value: Vec<u8>,
+}
+
+/// An endpoint's whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header fields that belong to the answer.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    #[serde(with = "octets")]
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Returns the memory that it takes.
+    pub fn bytes(&self) -> usize {
+        let headers = self.headers.iter().map(|each| each.name.len() + each.value.len() + 48);
+        OVERHEAD_BYTES + self.body.len() + headers.sum::<usize>()
+    }
+}
+
+/// Octets as one binary value, where the codec has such a thing.
+mod octets {
+    use std::fmt;
+
+    use serde::de::{SeqAccess, Visitor};
+    use serde::{Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(octets: &[u8], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(octets)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
+        from.deserialize_byte_buf(Octets)
+    }
+
+    struct Octets;
+
+    impl<'de> Visitor<'de> for Octets {
+        type Value = Vec<u8>;
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            f.write_str("octets")
+        }
+
+        fn visit_bytes<E>(self, octets: &[u8]) -> Result<Vec<u8>, E> {
+            Ok(octets.to_vec())
+        }
+
+        fn visit_byte_buf<E>(self, octets: Vec<u8>) -> Result<Vec<u8>, E> {
+            Ok(octets)
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Vec<u8>, A::Error> {
+            let mut octets = Vec::new();
+            while let Some(octet) = list.next_element()? {
+                octets.push(octet);
+            }
+            Ok(octets)
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/receipts/begin.rs
@@ -0,0 +1,26 @@
+//! Whether a request may run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Answer, ReceiptKey};
+
+/// Whether a request may run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begin {
+    /// It may, and this is its receipt, to be finished in any case.
+    Run(ReceiptKey),
+    /// It ran before: this is its answer.
+    Replay(Arc<Answer>),
+    /// It runs now under another attempt.
+    Running,
+    /// The key was used for another request.
+    Mismatch,
+    /// It may have run before.
+    Unknown,
+    /// There is no room for its receipt: it is not run.
+    Full {
+        /// When the oldest receipt is forgotten.
+        retry_after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/route/src/receipts/bounds.rs
@@ -0,0 +1,32 @@
+//! Bounds on the memory of receipts.
+
+use std::time::Duration;
+
+/// Bounds on the memory of receipts.
+///
+/// A receipt is never forgotten before its retention is over. When there is
+/// no room, further keyed work is refused as *not run*: the bounds must carry
+/// the keyed requests of one retention.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Most receipts.
+    pub count: usize,
+    /// Most memory for receipts and answers, in bytes.
+    pub bytes: usize,
+    /// Longest answer that is kept, in bytes. Repeats of a longer one are
+    /// answered as *unknown*.
+    pub answer_bytes: usize,
+    /// Time for which a receipt is kept after its end.
+    pub retention: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            count: 100_000,
+            bytes: 48 * 1024 * 1024,
+            answer_bytes: 64 * 1024,
+            retention: Duration::from_secs(10 * 60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/receipts/mod.rs
@@ -0,0 +1,23 @@
+//! Receipts: what is known of the one run of each key.
+//!
+//! A receipt is made before a call may be written to an endpoint, and ends as
+//! the whole answer, or as *unknown*. Only a call that is proved *not run*
+//! gives its receipt up. The pool's owner decides by its receipts; the entry
+//! host that a call came through keeps a copy from before it forwards the call,
+//! so that the loss of either does not lose the knowledge.
+
+mod answer;
+mod begin;
+mod bounds;
+mod name;
+mod receipt;
+mod request;
+mod table;
+
+pub use answer::{Answer, Header};
+pub use begin::Begin;
+pub use bounds::Bounds;
+pub use name::{Fingerprint, KeyName, Name};
+pub use receipt::{Attempts, Receipt, ReceiptKey, ReceiptState};
+pub use request::Request;
+pub use table::Receipts;
--- /dev/null
+++ b/crates/route/src/receipts/request.rs
@@ -0,0 +1,20 @@
+//! A request that asks to run under its key.
+
+use vg_base::prelude::*;
+
+use super::{Fingerprint, Name};
+
+/// A request that asks to run under its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Team, queue and key.
+    pub name: Name,
+    /// The pool that serves the queue.
+    pub pool: PoolId,
+    /// This attempt, as the entry host received it.
+    pub attempt: RequestId,
+    /// Digest of what is asked.
+    pub fingerprint: Fingerprint,
+    /// Whether the work may run more than once without harm.
+    pub idempotent: bool,
+}
