--- /dev/null
+++ b/crates/peer/src/view/acks.rs
@@ -0,0 +1,99 @@
+//! What a majority of the voters is known to know.
+
+use vg_base::prelude::*;
+
+use super::View;
+use crate::faults::PeerFaults;
+use crate::{MemberState, Statement};
+
+/// From this many voters on, the node of a fenced member doesn't count among
+/// those that acknowledge its fence: it might be the fenced process itself.
+const EXCLUDE_OWN_VOTERS: usize = 3;
+
+impl<F: PeerFaults> View<F> {
+    /// Takes in what a peer states of its knowledge.
+    pub fn note_statement(&mut self, now: Instant, from: &Member, statement: &Statement) {
+        self.note_ack(from, statement.book);
+        self.note_revision(from, statement.revision);
+        self.refresh_passing(now);
+    }
+
+    /// Notes the revision that a member has in force, this one included.
+    pub fn note_revision(&mut self, member: &Member, revision: Revision) {
+        let known = self.revisions.entry(member.clone()).or_default();
+        *known = revision.max(*known);
+    }
+
+    pub(super) fn note_ack(&mut self, from: &Member, epoch: Epoch) {
+        let known = self.acks.entry(from.node.clone()).or_default();
+        *known = epoch.max(*known);
+    }
+
+    /// Whether a majority of the voters has a revision: it may be announced
+    /// as accepted, since no later outage can bring back an earlier one.
+    pub fn is_accepted(&self, revision: Revision) -> bool {
+        let has = |node: &&NodeId| {
+            let mut known = self.revisions.iter().filter(|(member, _)| member.node == **node);
+            known.any(|(_, known)| *known >= revision)
+        };
+        self.book.voters.iter().filter(has).count() >= self.book.majority()
+    }
+
+    /// Returns the members that hold rights and have not stated a revision.
+    pub fn not_in_force(&self, revision: Revision) -> Vec<Member> {
+        let behind =
+            |member: &&Member| self.revisions.get(member).is_none_or(|known| *known < revision);
+        self.book.active().filter(behind).cloned().collect()
+    }
+
+    /// Whether a majority of the voters knows an epoch of the book.
+    pub(super) fn majority_knows(&self, epoch: Epoch, except: Option<&NodeId>) -> bool {
+        let except = except.filter(|_| self.book.voters.len() >= EXCLUDE_OWN_VOTERS);
+        let voters = self.book.voters.iter().filter(|node| Some(*node) != except);
+        let knows = |node: &&NodeId| self.acks.get(*node).is_some_and(|known| *known >= epoch);
+        voters.filter(knows).count() >= self.book.majority()
+    }
+
+    /// Whether the rights of a fenced member may pass to others: it can't act
+    /// on its lease, and no majority supports it any more.
+    pub fn may_pass(&self, now: Instant, dead: &Member) -> bool {
+        self.passes_at(dead).is_some_and(|at| now >= at)
+    }
+
+    /// Whether all that a fenced member may have started is over.
+    pub fn is_over(&self, now: Instant, dead: &Member) -> bool {
+        let stopped = MemberState::is_stopped;
+        if self.book.state(dead).is_some_and(stopped) {
+            return true;
+        }
+        let wait = if F::RECLAIM_EARLY { Duration::ZERO } else { self.timing.run_max };
+        self.passes_at(dead).is_some_and(|at| now >= at + wait)
+    }
+
+    fn passes_at(&self, dead: &Member) -> Option<Instant> {
+        let known = *self.fences.get(dead)?;
+        let alone = known + self.timing.pass_alone();
+        if F::PASS_UNACKNOWLEDGED {
+            return Some(known);
+        }
+        let wait = self.timing.grace + self.timing.margin;
+        let wait = if F::PASS_WITHOUT_GRACE { Duration::ZERO } else { wait };
+        let confirmed = self.passing.get(dead).map(|(_, since)| *since + wait);
+        Some(confirmed.map_or(alone, |at| at.min(alone)))
+    }
+
+    pub(super) fn refresh_passing(&mut self, now: Instant) {
+        for dead in self.fences.keys().cloned().collect::<Vec<_>>() {
+            let Some(epoch) = self.book.passing_epoch(&dead) else {
+                continue;
+            };
+            if self.passing.get(&dead).is_some_and(|(known, _)| *known == epoch) {
+                continue;
+            }
+            self.passing.remove(&dead);
+            if self.majority_knows(epoch, Some(&dead.node)) {
+                self.passing.insert(dead, (epoch, now));
+            }
+        }
+    }
+}
