--- /dev/null
+++ b/crates/jobs/src/action.rs
@@ -0,0 +1,106 @@
+//! What the shard asks its surroundings to do.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use vg_base::prelude::*;
+
+use crate::{Attempt, Cores, Fate, JobSpec, JobState, Site, Transition};
+
+/// One attempt on one worker.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Task {
+    /// The worker and its incarnation; another incarnation refuses.
+    pub site: Site,
+    /// Epoch of the owner; a worker refuses a lower one than it has seen.
+    pub epoch: Epoch,
+    /// The job.
+    pub job: JobId,
+    /// The attempt.
+    pub attempt: Attempt,
+}
+
+/// A start message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    /// The attempt and where it runs.
+    pub task: Task,
+    /// What to run.
+    pub spec: Arc<JobSpec>,
+    /// Checkpoint to resume from.
+    pub resume: Option<Bytes>,
+}
+
+/// Something to do, in this order. All of it may be lost and asked again but
+/// for what is marked as an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Answer: the job is durable.
+    Accepted {
+        /// The job.
+        job: JobId,
+    },
+    /// Answer: a cancellation is durable.
+    CancelTaken {
+        /// The job.
+        job: JobId,
+    },
+    /// Answer: the owner lost the pool before these were proved durable.
+    Withdrawn {
+        /// The jobs that were not accepted yet, with what is known of them.
+        jobs: Vec<(JobId, Fate)>,
+    },
+    /// Start an attempt.
+    Start(Start),
+    /// Ask what became of an attempt. The worker then never starts it later.
+    Query(Task),
+    /// Write a checkpoint, then stop.
+    Checkpoint(Task),
+    /// Stop an attempt.
+    Stop(Task),
+    /// Limit an attempt's processor time; `None` lifts the limit.
+    Throttle {
+        /// The attempt.
+        task: Task,
+        /// The limit.
+        limit: Option<Cores>,
+    },
+    /// The attempt's end is durable: the worker may forget how it ended. It
+    /// still refuses this attempt and lower ones of the job.
+    Release(Task),
+    /// A unit of the team that `may_start` took is free again.
+    UnitBack {
+        /// The team.
+        team: TeamId,
+    },
+    /// A job's state is durable and may be shown.
+    Shown {
+        /// The job.
+        job: JobId,
+        /// The state.
+        state: JobState,
+    },
+    /// A job took a step, for the time line.
+    Stepped {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: Attempt,
+        /// The step.
+        transition: Transition,
+    },
+    /// A worker fails unlike jobs and gets no more until `until`.
+    Quarantined {
+        /// The worker.
+        worker: HostId,
+        /// When it is probed.
+        until: Instant,
+    },
+    /// A quarantined worker ran its probes well.
+    Restored {
+        /// The worker.
+        worker: HostId,
+    },
+    /// Another owner has the pool; drop this shard.
+    Fenced,
+}
--- /dev/null
+++ b/crates/jobs/src/journal/mod.rs
@@ -0,0 +1,40 @@
+//! The durable record of one pool's jobs.
+//!
+//! A log of bounded segments under `vg/jobs/{pool}/log/`, and a head that names
+//! the owner. Every batch is one transaction on the head's revision, so that a
+//! fenced owner's batch fails and a batch that is sent again takes effect once.
+
+mod batch;
+mod error;
+mod frame;
+mod head;
+mod index;
+mod log;
+mod record;
+mod recover;
+mod segment;
+mod trace;
+
+pub use batch::{Batch, BatchId, Commit, Expect, Fate, Settlement, StageId, Stored, Write};
+pub use error::JournalError;
+pub use head::claim;
+pub use log::Journal;
+pub use record::Standing;
+pub use recover::{Recovered, RecoveredJob, RecoveryEvent, recover};
+
+pub(crate) use record::Record;
+
+use vg_base::prelude::*;
+
+/// Returns the prefix of all keys of a pool's journal.
+pub fn segment_prefix(pool: &PoolId) -> SmolStr {
+    smol_str::format_smolstr!("vg/jobs/{pool}/")
+}
+
+fn head_key(pool: &PoolId) -> SmolStr {
+    smol_str::format_smolstr!("vg/jobs/{pool}/head")
+}
+
+fn log_key(pool: &PoolId, seq: u64) -> SmolStr {
+    smol_str::format_smolstr!("vg/jobs/{pool}/log/{seq:016x}")
+}
--- /dev/null
+++ b/crates/jobs/src/resources.rs
@@ -0,0 +1,87 @@
+//! Amounts of processors, memory and accelerators.
+
+use derive_more::{Display, From, FromStr, Into};
+use serde::{Deserialize, Serialize};
+
+macro_rules! amounts {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+            Display, FromStr, From, Into,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+amounts! {
+    /// Processor time in thousandths of a core.
+    Cores(u32);
+    /// Memory in bytes.
+    Memory(u64);
+    /// Whole accelerators.
+    Accelerators(u16);
+}
+
+/// What a job needs or a worker has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor time.
+    pub cores: Cores,
+    /// Memory.
+    pub memory: Memory,
+    /// Accelerators.
+    pub accelerators: Accelerators,
+}
+
+impl Resources {
+    /// Nothing of each kind.
+    pub const ZERO: Resources = Resources::new(0, 0, 0);
+
+    /// Makes amounts from thousandths of a core, bytes and accelerators.
+    pub const fn new(millis: u32, bytes: u64, accelerators: u16) -> Resources {
+        Resources {
+            cores: Cores(millis),
+            memory: Memory(bytes),
+            accelerators: Accelerators(accelerators),
+        }
+    }
+
+    /// Whether each amount is at most that of `room`.
+    pub fn fits(&self, room: &Resources) -> bool {
+        self.cores <= room.cores
+            && self.memory <= room.memory
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Adds amount by amount, and stops at the ends of the ranges.
+    #[must_use]
+    pub fn plus(&self, other: &Resources) -> Resources {
+        Resources::new(
+            self.cores.0.saturating_add(other.cores.0),
+            self.memory.0.saturating_add(other.memory.0),
+            self.accelerators.0.saturating_add(other.accelerators.0),
+        )
+    }
+
+    /// Subtracts amount by amount, and stops at zero.
+    #[must_use]
+    pub fn minus(&self, other: &Resources) -> Resources {
+        Resources::new(
+            self.cores.0.saturating_sub(other.cores.0),
+            self.memory.0.saturating_sub(other.memory.0),
+            self.accelerators.0.saturating_sub(other.accelerators.0),
+        )
+    }
+
+    /// Returns the largest fraction that this is of `whole`, over the kinds
+    /// that `whole` has.
+    pub fn dominant(&self, whole: &Resources) -> f64 {
+        let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
+        let cores = part(f64::from(self.cores.0), f64::from(whole.cores.0));
+        let memory = part(self.memory.0 as f64, whole.memory.0 as f64);
+        let accelerators = part(f64::from(self.accelerators.0), f64::from(whole.accelerators.0));
+        cores.max(memory).max(accelerators)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/round.rs
@@ -0,0 +1,225 @@
+//! A round of placement.
+
+use std::collections::{HashMap, HashSet};
+
+use vg_base::prelude::*;
+
+use super::{Effect, Shard};
+use crate::job::JobKey;
+use crate::workers::{Need, WorkerKey};
+use crate::{Class, JobState, Lane, LaneView, Now, Order, Resources, Site};
+
+/// Most jobs of one lane that a round looks at.
+const LANE_MAX: usize = 4096;
+
+/// Jobs of a lane that may be passed over in a round because they don't fit.
+const LOOK_AHEAD: usize = 16;
+
+/// Most urgent jobs that a round makes room for.
+const PREEMPT_MAX: usize = 32;
+
+/// What a round did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RoundReport {
+    /// Jobs placed.
+    pub placed: usize,
+    /// Jobs looked at.
+    pub tried: usize,
+    /// Urgent jobs that room is being made for.
+    pub preempting: usize,
+}
+
+/// The jobs of a lane that are still to be tried.
+struct Cursor {
+    jobs: std::vec::IntoIter<JobKey>,
+    next: JobKey,
+    passed: usize,
+}
+
+/// A round under way.
+struct Round {
+    views: Vec<LaneView>,
+    cursors: Vec<Cursor>,
+    /// Sizes that fitted nowhere, by class and by whether a worker on trial
+    /// may take them.
+    unfit: Vec<(Class, bool, Resources)>,
+    /// Teams without a unit.
+    spent: HashSet<TeamId>,
+    stuck: Vec<JobKey>,
+    report: RoundReport,
+}
+
+impl Shard {
+    /// Places waiting jobs as far as there is room. `may_start` takes one unit
+    /// of a team, and is asked only for a job that has room.
+    pub fn place(
+        &mut self,
+        order: &mut impl Order,
+        mut may_start: impl FnMut(&TeamId) -> bool,
+        now: Now,
+    ) -> RoundReport {
+        if self.journal.is_fenced() || self.is_choked() {
+            return RoundReport::default();
+        }
+        let mut round = self.open_round(order);
+        while let Some(at) = order.pick(&round.views).filter(|&at| at < round.views.len()) {
+            let Some(part) = self.try_next(&mut round, at, &mut may_start, now) else { continue };
+            order.placed(&round.views[at], part);
+            round.charge(at, part);
+            round.advance(at, &self.jobs);
+        }
+        let stuck = std::mem::take(&mut round.stuck);
+        let stuck: Vec<JobKey> = stuck.into_iter().take(PREEMPT_MAX).collect();
+        round.report.preempting = self.make_room(&stuck, &mut may_start, now);
+        round.report
+    }
+
+    /// While the store does not take batches, more placements would only hold
+    /// room and units for starts that can't be sent.
+    fn is_choked(&self) -> bool {
+        self.journal.staged_bytes() >= self.limits.staged_bytes
+    }
+
+    fn parts(&self) -> HashMap<TeamId, f64> {
+        let total = self.workers.total();
+        self.held.iter().map(|(team, held)| (team.clone(), held.dominant(total))).collect()
+    }
+
+    fn open_round(&self, order: &impl Order) -> Round {
+        let parts = self.parts();
+        let mut round = Round {
+            views: Vec::new(),
+            cursors: Vec::new(),
+            unfit: Vec::new(),
+            spent: HashSet::new(),
+            stuck: Vec::new(),
+            report: RoundReport::default(),
+        };
+        for (lane, jobs) in self.lanes.heads(LANE_MAX) {
+            let mut jobs = jobs.into_iter();
+            let Some(next) = jobs.next() else { continue };
+            let start_by = self.jobs[next].spec.start_by;
+            let weight = order.weight(&lane.team).max(f64::MIN_POSITIVE);
+            let used = parts.get(&lane.team).copied().unwrap_or(0.0);
+            round.views.push(LaneView { lane, start_by, weight, used });
+            round.cursors.push(Cursor { jobs, next, passed: 0 });
+        }
+        round
+    }
+
+    /// Tries the next job of a lane. Gives the part of the pool that it took;
+    /// otherwise the round has moved on.
+    fn try_next(
+        &mut self,
+        round: &mut Round,
+        at: usize,
+        may_start: &mut impl FnMut(&TeamId) -> bool,
+        now: Now,
+    ) -> Option<f64> {
+        round.report.tried += 1;
+        let key = round.cursors[at].next;
+        let lane = round.views[at].lane.clone();
+        if round.spent.contains(&lane.team) {
+            round.close(at);
+            return None;
+        }
+        let size = self.planned(key, &lane);
+        let Some(worker) = self.seek(key, size, round, now) else {
+            round.pass(at, key, &self.jobs);
+            return None;
+        };
+        if !may_start(&lane.team) {
+            round.spent.insert(lane.team.clone());
+            round.close(at);
+            return None;
+        }
+        self.put(key, worker, size, now);
+        round.report.placed += 1;
+        Some(size.dominant(self.workers.total()))
+    }
+
+    /// Returns the size to plan with: the learned one, if a host can hold it.
+    pub(super) fn planned(&self, key: JobKey, lane: &Lane) -> Resources {
+        let declared = self.jobs[key].spec.size;
+        let learned = self.estimates.size(lane, &declared);
+        if self.workers.could_hold(&learned) { learned } else { declared }
+    }
+
+    fn seek(&self, key: JobKey, size: Resources, round: &mut Round, now: Now) -> Option<WorkerKey> {
+        let job = &self.jobs[key];
+        let (class, idempotent) = (job.spec.class, job.spec.idempotent);
+        let hopeless = |(c, i, unfit): &(Class, bool, Resources)| {
+            *c == class && *i == idempotent && unfit.fits(&size)
+        };
+        if round.unfit.iter().any(hopeless) {
+            return None;
+        }
+        let need = Need { size, class, idempotent, avoid: &job.failed_on };
+        let found = self.workers.seek(&need, now.mono);
+        // What one job avoids says nothing about others of its size.
+        if found.is_none() && job.failed_on.is_empty() {
+            round.unfit.push((class, idempotent, size));
+        }
+        found.or_else(|| self.seek_again(&need, now))
+    }
+
+    /// A job that has failed on every worker with room may try one again.
+    fn seek_again(&self, need: &Need<'_>, now: Now) -> Option<WorkerKey> {
+        if need.avoid.is_empty() {
+            return None;
+        }
+        self.workers.seek(&Need { avoid: &[], ..*need }, now.mono)
+    }
+
+    fn put(&mut self, key: JobKey, worker: WorkerKey, size: Resources, now: Now) {
+        let Some(held) = self.workers.get(worker) else { return };
+        let site = Site { worker: held.host.clone(), incarnation: held.incarnation };
+        let job = &mut self.jobs[key];
+        job.attempt = job.attempt.next();
+        job.site = Some(site);
+        job.sent = false;
+        let attempt = job.attempt;
+        self.assign(key, worker, size);
+        if self.step(key, JobState::Placed, now) {
+            self.persist(key, Some(Effect::Start(key, attempt)), now);
+        }
+    }
+}
+
+impl Round {
+    /// Counts a placement for all lanes of the team.
+    fn charge(&mut self, at: usize, part: f64) {
+        let team = self.views[at].lane.team.clone();
+        let same = self.views.iter_mut().filter(|view| view.lane.team == team);
+        same.for_each(|view| view.used += part);
+    }
+
+    /// Goes on to the lane's next job.
+    fn advance(&mut self, at: usize, jobs: &slotmap::SlotMap<JobKey, crate::Job>) {
+        match self.cursors[at].jobs.next() {
+            Some(next) => {
+                self.cursors[at].next = next;
+                self.views[at].start_by = jobs[next].spec.start_by;
+            }
+            None => self.close(at),
+        }
+    }
+
+    /// Passes over a job that fits nowhere.
+    fn pass(&mut self, at: usize, key: JobKey, jobs: &slotmap::SlotMap<JobKey, crate::Job>) {
+        if self.views[at].lane.class == Class::Urgent {
+            self.stuck.push(key);
+        }
+        self.cursors[at].passed += 1;
+        if self.cursors[at].passed >= LOOK_AHEAD {
+            self.close(at);
+        } else {
+            self.advance(at, jobs);
+        }
+    }
+
+    fn close(&mut self, at: usize) {
+        self.views.swap_remove(at);
+        self.cursors.swap_remove(at);
+    }
+}
