--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,11 +4,14 @@
 //! files and the store are read by the callers. All faults of a text are
 //! reported at once, each with its place and what is accepted there.
 
+pub mod examples;
 pub mod ini;
 pub mod lists;
+pub mod settings;
 pub mod span;
 pub mod stored;
 
 pub use ini::{Fault, Faults};
 pub use lists::{Access, Class, KeyDigest, Lists, Plan, Pool, Queue};
+pub use settings::{Settings, SettingsError};
 pub use stored::{ChangeId, Stored};
