--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod runs;
 mod store;
 mod web;
+mod worker;
 
 pub use endpoint::{
     Endpoint, EndpointCounts, EndpointFaults, EndpointFaultsRequest, EndpointSettings, Mode,
@@ -19,3 +20,7 @@
 pub use hosts::{Host, HostKind, HostListServer, HostState, HostsResponse};
 pub use runs::{Run, RunGuard, RunLog};
 pub use store::{FaultKind, FaultsRequest, ScriptRequest, StoreServer};
+pub use worker::{
+    Capacity, RenewRequest, TaskError, TaskSpec, TaskState, TaskStatus, TasksResponse,
+    ThrottleRequest, Worker, WorkerFaults, WorkerFaultsRequest, WorkerSettings,
+};
--- /dev/null
+++ b/crates/standin/src/worker/error.rs
@@ -0,0 +1,57 @@
+//! Refusals of a worker.
+
+use http::StatusCode;
+use snafu::Snafu;
+use vg_base::prelude::*;
+
+use crate::web::Problem;
+use crate::worker::Capacity;
+
+/// Why a worker did not do as it was told.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum TaskError {
+    /// The attempt is fenced.
+    #[snafu(display("attempt {seen} of job {job} was seen"))]
+    Stale {
+        /// The job.
+        job: JobId,
+        /// Highest attempt seen.
+        seen: u64,
+    },
+    /// The task does not fit beside those that run.
+    #[snafu(display("there is no room: free are {free:?}"))]
+    NoRoom {
+        /// What is free.
+        free: Capacity,
+    },
+    /// The message came after its latest time to start.
+    #[snafu(display("the latest time to start has passed"))]
+    TooLate,
+    /// The id belongs to another task.
+    #[snafu(display("the id is that of another task"))]
+    Taken,
+    /// There is no such task.
+    #[snafu(display("no task has this id"))]
+    NoTask,
+    /// The task has ended.
+    #[snafu(display("the task has ended"))]
+    Ended,
+    /// The task runs still.
+    #[snafu(display("the task runs"))]
+    Runs,
+}
+
+impl From<TaskError> for Problem {
+    fn from(error: TaskError) -> Problem {
+        let (status, code) = match error {
+            TaskError::Stale { .. } => (StatusCode::CONFLICT, "stale-attempt"),
+            TaskError::NoRoom { .. } => (StatusCode::CONFLICT, "no-room"),
+            TaskError::TooLate => (StatusCode::CONFLICT, "too-late"),
+            TaskError::Taken => (StatusCode::CONFLICT, "taken"),
+            TaskError::NoTask => (StatusCode::NOT_FOUND, "no-task"),
+            TaskError::Ended => (StatusCode::CONFLICT, "ended"),
+            TaskError::Runs => (StatusCode::CONFLICT, "runs"),
+        };
+        Problem::new(status, code, error)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker/handlers.rs
@@ -0,0 +1,95 @@
+//! Handlers of a worker.
+
+use http::StatusCode;
+use serde::Serialize;
+use vg_base::prelude::*;
+
+use crate::web::{Exchange, Reply, json, json_as};
+use crate::worker::server::WorkerState;
+use crate::worker::{RenewRequest, TaskSpec, TasksResponse, ThrottleRequest, WorkerFaultsRequest};
+
+/// `POST /tasks`
+pub(crate) async fn start<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = exchange.context.clone();
+    let spec: TaskSpec = exchange.json().await?;
+    state.faults.pass().await;
+    let (now, wall) = (state.clock.now(), state.clock.wall());
+    let status = state.table().start(spec, state.faults.fails(), now, wall)?;
+    json_as(StatusCode::CREATED, &status)
+}
+
+/// `POST /tasks/{id}/renew`
+pub(crate) async fn renew<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = exchange.context.clone();
+    let request: RenewRequest = exchange.json().await?;
+    state.faults.pass().await;
+    let ttl = Duration::from_millis(request.lease_ms);
+    let status = state.table().renew(&exchange.id, ttl, state.clock.now())?;
+    json(&status)
+}
+
+/// `POST /tasks/{id}/checkpoint`
+pub(crate) async fn checkpoint<C: Clock>(exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = &exchange.context;
+    state.faults.pass().await;
+    let status = state.table().save(&exchange.id, state.clock.now())?;
+    json(&status)
+}
+
+/// `POST /tasks/{id}/throttle`
+pub(crate) async fn throttle<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = exchange.context.clone();
+    let request: ThrottleRequest = exchange.json().await?;
+    state.faults.pass().await;
+    let status = state.table().throttle(&exchange.id, request.percent, state.clock.now())?;
+    json(&status)
+}
+
+/// `POST /tasks/{id}/stop`
+pub(crate) async fn stop<C: Clock>(exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = &exchange.context;
+    state.faults.pass().await;
+    let status = state.table().stop(&exchange.id, state.clock.now())?;
+    json(&status)
+}
+
+/// `DELETE /tasks/{id}`
+pub(crate) async fn forget<C: Clock>(exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = &exchange.context;
+    state.faults.pass().await;
+    state.table().forget(&exchange.id, state.clock.now())?;
+    json(&Forgotten { task: &exchange.id })
+}
+
+/// Answer to a task that was forgotten.
+#[derive(Serialize)]
+struct Forgotten<'a> {
+    task: &'a str,
+}
+
+/// `GET /tasks`
+pub(crate) async fn list<C: Clock>(exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = &exchange.context;
+    state.faults.pass().await;
+    json(&report(state))
+}
+
+fn report<C: Clock>(state: &WorkerState<C>) -> TasksResponse {
+    let now = state.clock.now();
+    let lag = state.faults.lag().unwrap_or(state.settings.lag);
+    let mut table = state.table();
+    table.advance(now);
+    TasksResponse {
+        worker: state.settings.id.clone(),
+        capacity: state.settings.capacity,
+        usage: table.usage(lag, now),
+        tasks: table.statuses(),
+    }
+}
+
+/// `PUT /faults`
+pub(crate) async fn set_faults<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
+    let request: WorkerFaultsRequest = exchange.json().await?;
+    exchange.context.faults.apply(request);
+    json(&request)
+}
--- /dev/null
+++ b/crates/standin/src/worker/table.rs
@@ -0,0 +1,193 @@
+//! The tasks of a worker and what may be done with them.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use vg_base::prelude::*;
+
+use crate::RunLog;
+use crate::worker::task::Task;
+use crate::worker::{Capacity, TaskError, TaskSpec, TaskState, TaskStatus, WorkerSettings};
+
+/// Exit status of a task that was killed because memory ran out.
+const EXIT_OUT_OF_MEMORY: i32 = 137;
+
+/// Exit status of each task while the worker fails everything.
+const EXIT_FAILED: i32 = 1;
+
+/// Most changes of usage that are kept for lagging reports.
+const USAGE_MAX_SAMPLES: usize = 1024;
+
+/// Tasks by id, fences by job and past usage.
+#[derive(Debug)]
+pub(crate) struct TaskTable {
+    settings: WorkerSettings,
+    log: RunLog,
+    tasks: BTreeMap<SmolStr, Task>,
+    fences: BTreeMap<JobId, u64>,
+    usage: VecDeque<(Instant, Capacity)>,
+}
+
+impl TaskTable {
+    /// Makes the table of a worker without tasks.
+    pub(crate) fn new(settings: WorkerSettings, log: RunLog) -> TaskTable {
+        TaskTable {
+            settings,
+            log,
+            tasks: BTreeMap::new(),
+            fences: BTreeMap::new(),
+            usage: VecDeque::new(),
+        }
+    }
+
+    /// Starts a task; `fails`: it fails at once.
+    pub(crate) fn start(
+        &mut self,
+        spec: TaskSpec,
+        fails: bool,
+        now: Instant,
+        wall: SystemTime,
+    ) -> Result<TaskStatus, TaskError> {
+        self.advance(now);
+        if let Some(task) = self.tasks.get(&spec.task) {
+            // A repeated message, perhaps because the first answer was lost.
+            return if task.spec == spec { Ok(task.status()) } else { Err(TaskError::Taken) };
+        }
+        self.check(&spec, wall)?;
+        self.fences.insert(spec.job, spec.attempt);
+        let run = self.log.start(&spec.job.to_string(), spec.team.as_str(), &self.settings.id);
+        let mut task = Task::start(spec, run, now);
+        if fails {
+            task.end(TaskState::Finished { exit: EXIT_FAILED });
+        } else if !(self.used() + task.spec.usage()).fits_memory(&self.settings.capacity) {
+            task.end(TaskState::Finished { exit: EXIT_OUT_OF_MEMORY });
+        }
+        let status = task.status();
+        self.tasks.insert(status.task.clone(), task);
+        self.sample(now);
+        Ok(status)
+    }
+
+    /// Renews the lease of a running task.
+    pub(crate) fn renew(
+        &mut self,
+        id: &str,
+        ttl: Duration,
+        now: Instant,
+    ) -> Result<TaskStatus, TaskError> {
+        self.with_running(id, now, |task| task.renew(ttl, now))
+    }
+
+    /// Makes a checkpoint of a running task.
+    pub(crate) fn save(&mut self, id: &str, now: Instant) -> Result<TaskStatus, TaskError> {
+        self.with_running(id, now, Task::save)
+    }
+
+    /// Sets the speed of a running task.
+    pub(crate) fn throttle(
+        &mut self,
+        id: &str,
+        percent: u32,
+        now: Instant,
+    ) -> Result<TaskStatus, TaskError> {
+        self.with_running(id, now, |task| task.throttle(percent))
+    }
+
+    /// Stops a task; one that has ended stays as it ended.
+    pub(crate) fn stop(&mut self, id: &str, now: Instant) -> Result<TaskStatus, TaskError> {
+        match self.with_running(id, now, |task| task.end(TaskState::Stopped)) {
+            Err(TaskError::Ended) => self.tasks.get(id).map(Task::status).ok_or(TaskError::NoTask),
+            other => other,
+        }
+    }
+
+    /// Forgets a task that has ended. Its job's fence stays.
+    pub(crate) fn forget(&mut self, id: &str, now: Instant) -> Result<(), TaskError> {
+        self.advance(now);
+        let task = self.tasks.get(id).ok_or(TaskError::NoTask)?;
+        if task.runs() {
+            return Err(TaskError::Runs);
+        }
+        self.tasks.remove(id);
+        Ok(())
+    }
+
+    /// Moves all tasks on to `now`.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        for task in self.tasks.values_mut() {
+            task.advance(now);
+        }
+        self.sample(now);
+    }
+
+    /// Returns all tasks in the order of their ids.
+    pub(crate) fn statuses(&self) -> Vec<TaskStatus> {
+        self.tasks.values().map(Task::status).collect()
+    }
+
+    /// Returns the usage as it was `lag` before `now`.
+    pub(crate) fn usage(&mut self, lag: Duration, now: Instant) -> Capacity {
+        let shown = |at: Instant| now.saturating_duration_since(at) >= lag;
+        let last = self.usage.iter().rev().find(|(at, _)| shown(*at));
+        last.map(|&(_, usage)| usage).unwrap_or_default()
+    }
+
+    /// Ends all tasks where they are, as a dying host does.
+    pub(crate) fn clear(&mut self) {
+        self.tasks.clear();
+    }
+
+    fn check(&self, spec: &TaskSpec, wall: SystemTime) -> Result<(), TaskError> {
+        if let Some(&seen) = self.fences.get(&spec.job).filter(|&&seen| spec.attempt <= seen) {
+            return Err(TaskError::Stale { job: spec.job, seen });
+        }
+        let latest = spec.start_by_ms.map(Duration::from_millis);
+        if latest.is_some_and(|latest| {
+            wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default() > latest
+        }) {
+            return Err(TaskError::TooLate);
+        }
+        let free = self.free();
+        if spec.declared().fits(&free) { Ok(()) } else { Err(TaskError::NoRoom { free }) }
+    }
+
+    fn with_running(
+        &mut self,
+        id: &str,
+        now: Instant,
+        action: impl FnOnce(&mut Task),
+    ) -> Result<TaskStatus, TaskError> {
+        self.advance(now);
+        let task = self.tasks.get_mut(id).ok_or(TaskError::NoTask)?;
+        if !task.runs() {
+            return Err(TaskError::Ended);
+        }
+        action(task);
+        let status = task.status();
+        self.sample(now);
+        Ok(status)
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.values().filter(|task| task.runs())
+    }
+
+    fn free(&self) -> Capacity {
+        let declared = self.running().map(|task| task.spec.declared()).sum();
+        self.settings.capacity.saturating_sub(&declared)
+    }
+
+    fn used(&self) -> Capacity {
+        self.running().map(|task| task.spec.usage()).sum()
+    }
+
+    /// Notes the present usage if it differs from the last one noted.
+    fn sample(&mut self, now: Instant) {
+        let used = self.used();
+        if self.usage.back().is_none_or(|&(_, last)| last != used) {
+            self.usage.push_back((now, used));
+        }
+        if self.usage.len() > USAGE_MAX_SAMPLES {
+            self.usage.pop_front();
+        }
+    }
+}
