--- /dev/null
+++ b/crates/entry/src/config.rs
@@ -0,0 +1,91 @@
+//! The two lists in force on this node.
+
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+
+use derive_more::From;
+use snafu::Snafu;
+use vg_base::prelude::*;
+use vg_conf::stored::StoredError;
+use vg_conf::{Lists, Stored};
+
+/// Lists with their revision.
+#[derive(Debug, Default)]
+pub struct Current {
+    /// The revision; zero before any lists came.
+    pub revision: Revision,
+    /// The lists.
+    pub lists: Lists,
+}
+
+/// Why lists were not put in force.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu, From)]
+#[snafu(display("{source}"))]
+pub struct ConfigError {
+    /// What is wrong with the value.
+    source: StoredError,
+}
+
+/// What became of lists that came from the store or a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offered {
+    /// They are in force now.
+    InForce,
+    /// They were in force already.
+    Known,
+}
+
+/// Holds the lists in force. Revisions only go forward.
+#[derive(Debug, Default)]
+pub struct ConfigTable {
+    current: RwLock<Arc<Current>>,
+    stored: Mutex<Option<Stored>>,
+    refused: Mutex<Vec<u8>>,
+}
+
+impl ConfigTable {
+    /// Returns the lists in force.
+    pub fn current(&self) -> Arc<Current> {
+        let current = self.current.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+        Arc::clone(&current)
+    }
+
+    /// Returns the value in force, to hand it to a peer that starts while the
+    /// store is out.
+    pub fn stored(&self) -> Option<Stored> {
+        self.lock().clone()
+    }
+
+    /// Checks a value and puts it in force if it is newer.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError`] for a value that is malformed, does not pass the checks
+    /// or goes back; the lists in force stay.
+    pub fn offer(&self, bytes: &[u8]) -> Result<Offered, ConfigError> {
+        let mut stored = self.lock();
+        let (value, lists) = Stored::decode(bytes, stored.as_ref())?;
+        if stored.as_ref().is_some_and(|known| known.revision == value.revision) {
+            return Ok(Offered::Known);
+        }
+        let current = Arc::new(Current { revision: value.revision, lists });
+        // Both change under the lock of `stored`, so that no reader of the one
+        // sees an older other.
+        *self.current.write().unwrap_or_else(|poisoned| poisoned.into_inner()) = current;
+        *stored = Some(value);
+        Ok(Offered::InForce)
+    }
+
+    /// Remembers a refused value; returns whether it is another than the last.
+    pub(crate) fn note_refused(&self, bytes: &[u8]) -> bool {
+        let mut refused = self.refused.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let new = *refused != bytes;
+        if new {
+            *refused = bytes.to_vec();
+        }
+        new
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Stored>> {
+        self.stored.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/book.rs
@@ -0,0 +1,254 @@
+//! The book: following it, and committing this member's changes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_limit::faults::Sound;
+use vg_peer::{Book, MemberRecord, Transition};
+use vg_store::{Entry, Key, LeaseId, Listing, Store, StoreRevision, Txn, TxnOutcome};
+
+use crate::control::keys::{BOOK, CONTROL_PREFIX, member_key, member_of};
+use crate::control::ownership;
+use crate::follow::{Observed, bounded, follow};
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Period in which the book and the members' keys are read anyway.
+const READ_PERIOD: Duration = Duration::from_millis(800);
+/// Period in which due changes are looked for.
+const CHANGE_PERIOD: Duration = Duration::from_millis(100);
+/// How long the first live member has to propose new lists alone.
+const LISTS_TURN: Duration = Duration::from_millis(700);
+/// Tries of one own transition against concurrent changes.
+const TRIES: u32 = 20;
+
+/// Follows the book and commits what is due.
+pub(super) async fn run<P: Platform>(node: Node<P>) {
+    let observe = |observed| match observed {
+        Observed::Listed { asked, listing } => {
+            node.metrics.store_called("book", true);
+            take_in(&node, asked, &listing);
+        }
+        Observed::Failed(error) => {
+            node.metrics.store_called("book", false);
+            log::debug!("following the book: {error}");
+        }
+    };
+    let prefix = Key::from(CONTROL_PREFIX);
+    let following = follow(&node.store, &node.clock, prefix, READ_PERIOD, observe);
+    tokio::join!(following, propose(&node));
+}
+
+fn take_in<P: Platform>(node: &Node<P>, asked: Instant, listing: &Listing) {
+    let present: BTreeSet<Member> =
+        listing.entries.iter().filter_map(|entry| member_of(&entry.key)).collect();
+    if let Some(entry) = listing.entries.iter().find(|entry| entry.key.0 == BOOK) {
+        apply_entry(node, entry);
+    }
+    node.roster.lock().note_leases(asked, &present);
+}
+
+fn apply_entry<P: Platform>(node: &Node<P>, entry: &Entry) {
+    match Book::decode(&entry.value) {
+        Ok(book) => apply(node, &book, entry.modified),
+        Err(error) => {
+            let fields = [Field::new("key", BOOK), Field::new("reason", error)];
+            node.events.record(Code::ValueUnreadable, fields);
+        }
+    }
+}
+
+fn apply<P: Platform>(node: &Node<P>, book: &Book, modified: StoreRevision) {
+    let now = node.clock.now();
+    let mut membership = node.roster.lock();
+    let before = membership.book().clone();
+    membership.apply(now, book, true);
+    drop(membership);
+    if book.epoch < before.epoch {
+        return;
+    }
+    *node.book_revision() = Some((book.epoch, modified));
+    if book.epoch > before.epoch {
+        record_members(node, &before, book);
+        ownership::refresh(node, &before);
+    }
+}
+
+fn record_members<P: Platform>(node: &Node<P>, before: &Book, book: &Book) {
+    for (member, record) in &book.members {
+        let known = before.state(member);
+        if known == Some(record.state) {
+            continue;
+        }
+        let code = match (known, record.state.is_fenced()) {
+            (_, true) => Code::MemberLost,
+            (None, false) => Code::MemberJoined,
+            (Some(_), false) => Code::MemberLeaving,
+        };
+        node.events.record(code, [Field::new("member", member)]);
+    }
+}
+
+/// Commits due changes, one compare-and-swap after the other.
+async fn propose<P: Platform>(node: &Node<P>) {
+    let mut lists_since = None;
+    loop {
+        tokio::time::sleep(CHANGE_PERIOD).await;
+        let now = node.clock.now();
+        let Some((epoch, modified)) = *node.book_revision() else { continue };
+        let lists = lists_change(node, &mut lists_since, now);
+        if let Some(book) = next_book(node, epoch, lists, now) {
+            commit(node, &book, Some(modified), None).await;
+        }
+    }
+}
+
+/// Returns the book of `epoch` with all changes that are due.
+fn next_book<P: Platform>(
+    node: &Node<P>,
+    epoch: Epoch,
+    lists: Option<Transition>,
+    now: Instant,
+) -> Option<Book> {
+    let mut membership = node.roster.lock();
+    if membership.book().epoch != epoch {
+        return None;
+    }
+    let mut changes: Vec<Transition> = lists.into_iter().collect();
+    changes.extend(membership.changes(now));
+    if changes.is_empty() {
+        return None;
+    }
+    membership.apply_changes(&changes)
+}
+
+/// Returns the change that brings newer lists into the book, if it is this
+/// member's turn.
+fn lists_change<P: Platform>(
+    node: &Node<P>,
+    since: &mut Option<Instant>,
+    now: Instant,
+) -> Option<Transition> {
+    let config = node.config.current();
+    let membership = node.roster.lock();
+    let book = membership.book();
+    if config.revision <= book.units.revision || !book.holds_rights(membership.me()) {
+        *since = None;
+        return None;
+    }
+    let first = book.live().next() == Some(membership.me());
+    let since = *since.get_or_insert(now);
+    if !first && now < since + LISTS_TURN {
+        return None;
+    }
+    let limits: BTreeMap<TeamId, Units> =
+        config.lists.plans.values().map(|plan| (plan.team.clone(), plan.limit)).collect();
+    let pools = config.lists.pools.keys().cloned().collect();
+    Some(Transition::SetLists { revision: config.revision, limits, pools })
+}
+
+/// Writes a book in place of the one last written at `modified`; takes in what
+/// the store has if that was not the latest. Returns whether it was written.
+async fn commit<P: Platform>(
+    node: &Node<P>,
+    book: &Book,
+    modified: Option<StoreRevision>,
+    lease: Option<LeaseId>,
+) -> bool {
+    let Ok(value) = book.encode() else { return false };
+    let mut txn = Txn::new().expect(BOOK, modified).put(BOOK, value);
+    if let Some(lease) = lease {
+        txn = txn.put_leased(member_key(&node.roster.me()), Vec::new(), lease);
+    }
+    let outcome = bounded(node.store.commit(txn)).await;
+    node.metrics.store_called("commit", outcome.is_ok());
+    match outcome {
+        Ok(TxnOutcome::Done { revision }) => {
+            apply(node, book, revision);
+            true
+        }
+        Ok(TxnOutcome::Conflict { found }) => {
+            found.iter().filter(|entry| entry.key.0 == BOOK).for_each(|e| apply_entry(node, e));
+            false
+        }
+        // In doubt: the next read of the book tells.
+        Err(_) => {
+            read(node).await;
+            false
+        }
+    }
+}
+
+async fn read<P: Platform>(node: &Node<P>) -> Option<Option<Entry>> {
+    let entry = bounded(node.store.get(&Key::from(BOOK))).await;
+    node.metrics.store_called("get", entry.is_ok());
+    let entry = entry.ok()?;
+    if let Some(entry) = &entry {
+        apply_entry(node, entry);
+    }
+    Some(entry)
+}
+
+/// Takes part, together with this member's leased key. Returns whether this
+/// member is in the book and its key is written.
+pub(super) async fn join<P: Platform>(
+    node: &Node<P>,
+    record: MemberRecord,
+    lease: LeaseId,
+) -> bool {
+    let me = node.roster.me();
+    for _ in 0..TRIES {
+        let Some(entry) = read(node).await else { return false };
+        let book = node.roster.lock().book().clone();
+        let modified = entry.map(|entry| entry.modified);
+        let known = book.state(&me);
+        if known.is_some_and(|state| state.is_fenced()) {
+            node.fenced.notify_one();
+            return false;
+        }
+        let changed = match known {
+            // Only the key is missing: its lease had lapsed.
+            Some(_) => Some(book),
+            None => {
+                let join = Transition::Join { member: me.clone(), record: record.clone() };
+                book.apply_allowed::<Sound>(&[join])
+            }
+        };
+        let Some(changed) = changed else { return false };
+        if commit(node, &changed, modified, Some(lease)).await {
+            return true;
+        }
+        tokio::time::sleep(CHANGE_PERIOD / 4).await;
+    }
+    false
+}
+
+/// Announces that this member leaves.
+pub(crate) async fn commit_leave<P: Platform>(node: &Node<P>) -> bool {
+    let member = node.roster.me();
+    commit_own(node, Transition::Leave { member }).await
+}
+
+/// Ends the membership of a member that has stopped.
+pub(crate) async fn commit_depart<P: Platform>(node: &Node<P>) -> bool {
+    let member = node.roster.me();
+    commit_own(node, Transition::Depart { member }).await
+}
+
+/// Commits a change of this member's own, against whatever else changes.
+pub(super) async fn commit_own<P: Platform>(node: &Node<P>, change: Transition) -> bool {
+    for _ in 0..TRIES {
+        let Some(Some(entry)) = read(node).await else {
+            tokio::time::sleep(CHANGE_PERIOD).await;
+            continue;
+        };
+        let changed = node.roster.lock().book().apply(&change);
+        // Not allowed (any more): done before, or overtaken by another change.
+        let Ok(book) = changed else { return false };
+        if commit(node, &book, Some(entry.modified), None).await {
+            return true;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/entry/src/control/heartbeats.rs
@@ -0,0 +1,63 @@
+//! Heartbeats between members.
+
+use std::net::SocketAddr;
+
+use vg_base::prelude::*;
+use vg_peer::Heartbeat;
+
+use crate::control::{lists, units};
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Period in which due heartbeats are looked for.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+/// Longest wait for the reply.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest reply that is read.
+const REPLY_MAX_BYTES: usize = 256 * 1024;
+
+/// Sends heartbeats when they are due.
+pub(super) async fn run<P: Platform>(node: Node<P>) {
+    loop {
+        tokio::time::sleep(LOOK_PERIOD).await;
+        let now = node.clock.now();
+        let due = node.roster.lock().heartbeats_due(now);
+        for to in due {
+            let Some(addr) = node.roster.peer_addr(&to) else { continue };
+            let stamp = node.events.clock().stamp();
+            let heartbeat = node.roster.lock().heartbeat(now, &to, stamp);
+            tokio::spawn(exchange(node.clone(), addr, heartbeat));
+        }
+    }
+}
+
+async fn exchange<P: Platform>(node: Node<P>, addr: SocketAddr, heartbeat: Heartbeat) {
+    let url = format!("http://{addr}/peer/heartbeat");
+    let reply = node.client.exchange(&url, &heartbeat, REPLY_TIMEOUT, REPLY_MAX_BYTES).await;
+    if let Ok(reply) = reply {
+        receive(&node, &reply).await;
+    }
+}
+
+/// Takes in a heartbeat or its reply.
+pub(crate) async fn receive<P: Platform>(node: &Node<P>, heartbeat: &Heartbeat) {
+    node.events.clock().witness(heartbeat.stamp);
+    let received = node.roster.lock().receive(node.clock.now(), heartbeat);
+    if !received.units.is_empty() {
+        units::pump_all(node);
+    }
+    if received.revision.is_some() {
+        fetch_lists(node, &heartbeat.from).await;
+    }
+}
+
+/// Takes newer lists from a peer: the store may be out of reach here.
+async fn fetch_lists<P: Platform>(node: &Node<P>, from: &Member) {
+    let Some(addr) = node.roster.peer_addr(from) else { return };
+    let url = format!("http://{addr}/peer/lists");
+    let value: Result<Vec<u8>, _> =
+        node.client.exchange(&url, &(), REPLY_TIMEOUT, vg_conf::stored::MAX_VALUE_BYTES * 2).await;
+    if let Ok(value) = value {
+        lists::offer(node, &value);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/hosts.rs
@@ -0,0 +1,50 @@
+//! Following the platform's host list.
+
+use std::sync::Arc;
+
+use vg_events::{Code, Field};
+use vg_route::{Applied, Change, EndpointInfo, ListRevision};
+
+use crate::dispatch::PoolDispatch;
+use crate::hosts::{HostKind, HostState, fetch};
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Reads the host list from time to time.
+pub(super) async fn run<P: Platform>(node: Node<P>) {
+    loop {
+        if let Ok(list) = fetch(&node.client, node.options.host_list).await
+            && node.hosts.offer(list)
+        {
+            node.pools.all().iter().for_each(|pool| apply(&node, pool));
+        }
+        tokio::time::sleep(node.options.host_period).await;
+    }
+}
+
+/// Gives a pool its part of the newest host list.
+pub(super) fn apply<P: Platform>(node: &Node<P>, pool: &Arc<PoolDispatch<P::Clock>>) {
+    let list = node.hosts.current();
+    let ours = list.hosts.iter().filter(|host| host.kind == HostKind::Endpoint);
+    let ours = ours.filter(|host| host.pool.as_ref() == Some(pool.pool()));
+    let endpoints: Vec<EndpointInfo> = ours
+        .map(|host| EndpointInfo {
+            id: host.id.clone(),
+            addr: host.addr,
+            zone: host.zone.clone(),
+            leaving: host.state == HostState::Leaving,
+        })
+        .collect();
+    let Applied::Current(changes) = pool.apply_hosts(ListRevision(list.revision), &endpoints)
+    else {
+        return;
+    };
+    for change in changes {
+        let (code, host) = match change {
+            Change::Leaving(host) => (Code::EndpointLeaving, host),
+            Change::Gone(host) => (Code::EndpointGone, host),
+            Change::Joined(host) | Change::Returned(host) => (Code::EndpointJoined, host),
+        };
+        node.events.record(code, [Field::new("host", host), Field::new("pool", pool.pool())]);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/lease.rs
@@ -0,0 +1,63 @@
+//! The node's lease in the store, and joining with it.
+
+use vg_base::prelude::*;
+use vg_peer::{MemberRecord, MemberState};
+use vg_store::{Error, LeaseId, Store};
+
+use crate::control::book;
+use crate::follow::bounded;
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Renewals in one time to live.
+const RENEWALS: u32 = 4;
+/// Wait after a failed call.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Keeps a lease and joins with it whenever this member is not in the book.
+pub(super) async fn run<P: Platform>(node: Node<P>) {
+    loop {
+        let Some(lease) = grant(&node).await else {
+            tokio::time::sleep(RETRY).await;
+            continue;
+        };
+        keep(&node, lease).await;
+        node.roster.lock().standing_mut().note_lapse();
+    }
+}
+
+/// Obtains a lease and puts this member's key under it.
+async fn grant<P: Platform>(node: &Node<P>) -> Option<LeaseId> {
+    let sent = node.clock.now();
+    let lease = bounded(node.store.grant(node.options.lease)).await;
+    node.metrics.store_called("grant", lease.is_ok());
+    let lease = lease.ok()?;
+    let record = MemberRecord {
+        peer_addr: node.peer_addr,
+        call_addr: node.call_addr,
+        zone: node.options.zone.clone(),
+        region: node.options.region.clone(),
+        state: MemberState::Live,
+    };
+    if !book::join(node, record, lease).await {
+        return None;
+    }
+    node.roster.lock().standing_mut().note_lease(sent, node.options.lease);
+    Some(lease)
+}
+
+/// Renews until the lease has lapsed.
+async fn keep<P: Platform>(node: &Node<P>, lease: LeaseId) {
+    loop {
+        tokio::time::sleep(node.options.lease / RENEWALS).await;
+        let sent = node.clock.now();
+        let renewed = bounded(node.store.renew(lease)).await;
+        node.metrics.store_called("renew", renewed.is_ok());
+        match renewed {
+            Ok(ttl) => node.roster.lock().standing_mut().note_lease(sent, ttl),
+            Err(Error::LeaseLapsed) => return,
+            // In doubt or out of reach: the lease may still hold.
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/lists.rs
@@ -0,0 +1,72 @@
+//! Following the operators' lists.
+
+use vg_base::prelude::*;
+use vg_conf::stored::LISTS_KEY;
+use vg_events::{Code, Field};
+use vg_share::Rules;
+use vg_store::{Key, Listing};
+
+use crate::config::Offered;
+use crate::follow::{Observed, follow};
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Period in which the lists are confirmed to be current. Well below the time
+/// for which a confirmation counts, so that one lost answer does no harm.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(800);
+
+/// Follows the lists in the store.
+pub(super) async fn run<P: Platform>(node: Node<P>) {
+    let observe = |observed| match observed {
+        Observed::Listed { asked, listing } => {
+            node.metrics.store_called("lists", true);
+            take_in(&node, asked, &listing);
+        }
+        Observed::Failed(error) => {
+            node.metrics.store_called("lists", false);
+            log::debug!("following the lists: {error}");
+        }
+    };
+    let prefix = Key::from(LISTS_KEY);
+    follow(&node.store, &node.clock, prefix, CONFIRM_PERIOD, observe).await;
+}
+
+fn take_in<P: Platform>(node: &Node<P>, asked: Instant, listing: &Listing) {
+    let entry = listing.entries.iter().find(|entry| entry.key.0 == LISTS_KEY);
+    let Some(entry) = entry else { return };
+    if offer(node, &entry.value) {
+        let revision = node.config.current().revision;
+        node.roster.lock().standing_mut().note_revision(asked, revision);
+    }
+}
+
+/// Puts lists in force if they are newer and sound. Returns whether what is in
+/// force is now at least as new as the offered value.
+pub(crate) fn offer<P: Platform>(node: &Node<P>, bytes: &[u8]) -> bool {
+    let before = node.config.current();
+    match node.config.offer(bytes) {
+        Ok(Offered::Known) => true,
+        Ok(Offered::InForce) => {
+            enforce(node, before.revision);
+            true
+        }
+        Err(error) => {
+            // Once for each bad value, not for each look at it.
+            if node.config.note_refused(bytes) {
+                let fields = [Field::new("reason", error), Field::new("in-force", before.revision)];
+                node.events.record(Code::ListsRefused, fields);
+            }
+            false
+        }
+    }
+}
+
+fn enforce<P: Platform>(node: &Node<P>, before: Revision) {
+    let config = node.config.current();
+    node.roster.lock().set_revision(config.revision);
+    for pool in node.pools.all() {
+        pool.configure(Rules::of_pool(&config.lists, pool.pool()));
+    }
+    let fields = [Field::new("revision", config.revision), Field::new("before", before)];
+    node.events.record(Code::RevisionInForce, fields);
+}
--- /dev/null
+++ b/crates/entry/src/control/ownership.rs
@@ -0,0 +1,75 @@
+//! Pools that come to this node and go from it.
+
+use std::sync::Arc;
+
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_peer::{Book, Ownership, Transition};
+use vg_share::Rules;
+
+use crate::control::{book, hosts, takeover};
+use crate::dispatch::PoolDispatch;
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Takes up pools that the book gives to this member, and hands over those
+/// that others shall have. `before` is the book known until now.
+pub(super) fn refresh<P: Platform>(node: &Node<P>, before: &Book) {
+    let membership = node.roster.lock();
+    let me = membership.me().clone();
+    let owners = membership.book().owners.clone();
+    let releases = membership.view().to_release();
+    drop(membership);
+    for (pool, held) in &owners {
+        if held.owner == me && node.pools.get(pool).is_none() && !releases.contains(pool) {
+            take_up(node, pool, held, before.owners.get(pool));
+        }
+    }
+    for pool in node.pools.names() {
+        let mine = owners.get(&pool).is_some_and(|held| held.owner == me);
+        if !mine || releases.contains(&pool) {
+            node.pools.retire(&pool);
+        }
+    }
+    for pool in releases {
+        let (node, by) = (node.clone(), me.clone());
+        tokio::spawn(async move {
+            book::commit_own(&node, Transition::Release { pool, by }).await;
+        });
+    }
+}
+
+/// Begins to dispatch a pool.
+fn take_up<P: Platform>(
+    node: &Node<P>,
+    pool: &PoolId,
+    held: &Ownership,
+    earlier: Option<&Ownership>,
+) {
+    let config = node.config.current();
+    let rules = Rules::of_pool(&config.lists, pool);
+    let dispatch = PoolDispatch::new(
+        pool.clone(),
+        node.options.zone.clone(),
+        node.clock.clone(),
+        node.roster.clone(),
+        rules,
+    );
+    let dispatch = Arc::new(dispatch);
+    hosts::apply(node, &dispatch);
+    let earlier = earlier.map(|earlier| earlier.owner.clone());
+    let fields = [
+        Field::new("pool", pool),
+        Field::new("epoch", held.epoch),
+        Field::new("earlier", earlier.as_ref().map(Member::to_string).unwrap_or_default()),
+    ];
+    node.events.record(Code::OwnerChanged, fields);
+    match earlier {
+        Some(earlier) => {
+            let node = node.clone();
+            tokio::spawn(async move { takeover::run(&node, dispatch, &earlier).await });
+        }
+        // Nobody has run anything of this pool before.
+        None => node.pools.add(dispatch),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/takeover.rs
@@ -0,0 +1,89 @@
+//! Taking a pool over from its earlier owner.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+use vg_route::{Busy, Receipt};
+
+use crate::dispatch::PoolDispatch;
+use crate::node::Node;
+use crate::options::Options;
+use crate::platform::Platform;
+use crate::roster::PoolOwner;
+
+/// Longest wait for a member's part of a pool.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest part of a pool that is read.
+const FETCH_MAX_BYTES: usize = 64 * 1024 * 1024;
+/// Time past the deadline of a lost owner's calls in which they may still run.
+const LOST_GRACE: Duration = Duration::from_millis(250);
+
+/// What a member knows of a pool that it doesn't own (any more).
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Handover {
+    /// Slots in use by calls that it started as the owner.
+    busy: Vec<Busy>,
+    /// Receipts of the pool's keys.
+    receipts: Vec<Receipt>,
+}
+
+/// Returns what this node knows of a pool.
+pub(crate) fn handover<P: Platform>(node: &Node<P>, pool: &PoolId) -> Handover {
+    let longest = longest_call(node);
+    let retired = node.pools.retired(pool);
+    let busy = retired.iter().flat_map(|each| each.busy(longest)).collect();
+    let receipts = node.receipts.lock().export(pool);
+    Handover { busy, receipts }
+}
+
+/// Learns what the earlier owner and the other members know, then begins to
+/// dispatch.
+pub(super) async fn run<P: Platform>(
+    node: &Node<P>,
+    dispatch: Arc<PoolDispatch<P::Clock>>,
+    earlier: &Member,
+) {
+    let pool = dispatch.pool().clone();
+    let lost = node.roster.lock().book().state(earlier).is_none_or(|state| state.is_fenced());
+    let mut complete = true;
+    let mut told = false;
+    for (member, addr) in node.roster.peers() {
+        let url = format!("http://{addr}/peer/pools/{pool}/handover");
+        let part: Result<Handover, _> =
+            node.client.exchange(&url, &(), FETCH_TIMEOUT, FETCH_MAX_BYTES).await;
+        match part {
+            Ok(part) => {
+                if member == *earlier {
+                    dispatch.import(&part.busy);
+                    told = true;
+                }
+                let left = node.receipts.lock().import(part.receipts, node.clock.now());
+                complete &= left == 0;
+            }
+            Err(_) => complete = false,
+        }
+    }
+    if lost || !told {
+        dispatch.adopt(node.clock.now() + longest_call(node) + LOST_GRACE);
+    }
+    let now = node.clock.now();
+    let mut receipts = node.receipts.lock();
+    receipts.give_up(&pool, now);
+    if !complete || node.lost_lately(now) {
+        receipts.open_gap(pool.clone(), now);
+    }
+    drop(receipts);
+    // It may have gone on to another owner meanwhile.
+    if node.roster.owner(&pool) == Some(PoolOwner::Me) {
+        node.pools.add(Arc::clone(&dispatch));
+        dispatch.pump();
+    }
+}
+
+/// Returns the longest time that a call may take.
+fn longest_call<P: Platform>(node: &Node<P>) -> Duration {
+    let config = node.config.current();
+    let longest = config.lists.queues.values().map(|queue| queue.deadline).max();
+    longest.unwrap_or_default().min(Options::CALL_MAX)
+}
--- /dev/null
+++ b/crates/entry/src/control/units.rs
@@ -0,0 +1,77 @@
+//! Units on their way to where the demand is.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use vg_base::prelude::*;
+use vg_limit::{UnitReply, UnitRequest};
+
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Shortest time between two looks at the demand.
+const LOOK_MIN: Duration = Duration::from_millis(20);
+/// Longest time between two looks at the demand.
+const LOOK_MAX: Duration = Duration::from_millis(200);
+/// Longest wait for a peer's units.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest reply that is read.
+const REPLY_MAX_BYTES: usize = 256 * 1024;
+
+/// States what waiting work wants and asks peers for it.
+pub(super) async fn run<P: Platform>(node: Node<P>) {
+    loop {
+        tokio::time::sleep(LOOK_MIN).await;
+        // Either way the demand is looked at.
+        let _ = tokio::time::timeout(LOOK_MAX, node.roster.missing()).await;
+        state_demand(&node);
+        let requests = node.roster.lock().unit_requests();
+        let asked = requests.into_iter().map(|request| ask(&node, request));
+        futures_util::future::join_all(asked).await;
+    }
+}
+
+/// Tells the ledger how many units the waiting work would use.
+fn state_demand<P: Platform>(node: &Node<P>) {
+    let mut wanted: BTreeMap<TeamId, Units> = BTreeMap::new();
+    for pool in node.pools.all() {
+        for team in pool.stats().teams {
+            let waiting = Units(u32::try_from(team.waiting).unwrap_or(u32::MAX));
+            *wanted.entry(team.team).or_default() += waiting;
+        }
+    }
+    let mut membership = node.roster.lock();
+    let known: Vec<TeamId> = membership.ledger().holdings().map(|(team, _)| team.clone()).collect();
+    for team in known {
+        wanted.entry(team).or_default();
+    }
+    for (team, units) in &wanted {
+        membership.ledger_mut().want(team, *units);
+    }
+}
+
+async fn ask<P: Platform>(node: &Node<P>, request: UnitRequest) {
+    let Some(addr) = node.roster.peer_addr(&request.to) else { return };
+    if let Ok(Some(reply)) = send(node, addr, &request).await {
+        let moved = node.roster.lock().receive_units(&reply);
+        if !moved.is_empty() {
+            pump_all(node);
+        }
+    }
+}
+
+async fn send<P: Platform>(
+    node: &Node<P>,
+    addr: SocketAddr,
+    request: &UnitRequest,
+) -> Result<Option<UnitReply>, vg_net::Error> {
+    let url = format!("http://{addr}/peer/units");
+    node.client.exchange(&url, request, REPLY_TIMEOUT, REPLY_MAX_BYTES).await
+}
+
+/// Lets all pools use units that have come in.
+pub(crate) fn pump_all<P: Platform>(node: &Node<P>) {
+    for pool in node.pools.all() {
+        pool.pump();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/handle.rs
@@ -0,0 +1,168 @@
+//! Starting and stopping a node.
+
+use std::sync::atomic::Ordering;
+
+use snafu::{ResultExt, Snafu};
+use tokio::task::JoinSet;
+use vg_base::prelude::*;
+use vg_events::{Code, Field, Recorder};
+use vg_net::{Client, Server, ServerHandle};
+use vg_peer::Timing;
+use vg_route::Bounds;
+
+use crate::config::ConfigTable;
+use crate::control;
+use crate::hosts::HostTable;
+use crate::metrics::Metrics;
+use crate::node::{Inner, Node};
+use crate::options::Options;
+use crate::platform::Platform;
+use crate::pools::PoolTable;
+use crate::receipts::ReceiptTable;
+use crate::roster::Roster;
+use crate::web;
+
+/// Longest time to connect to a peer or endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an unused connection is kept; below the servers' idle time.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+/// Period in which a stop looks whether all work is done.
+const STOP_PERIOD: Duration = Duration::from_millis(20);
+
+/// Why a node does not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[snafu(display("{source}"))]
+    Listen {
+        /// Cause.
+        source: vg_net::Error,
+    },
+    /// The metrics can't be registered.
+    #[snafu(display("metrics: {source}"))]
+    Metrics {
+        /// Cause.
+        source: prometheus::Error,
+    },
+    /// The times don't fit together.
+    #[snafu(display("settings: {source}"))]
+    Times {
+        /// Cause.
+        source: vg_peer::TimingError,
+    },
+}
+
+/// A running node. Dropping it ends it at once, as a crash would.
+#[derive(Debug)]
+pub struct NodeHandle<P: Platform> {
+    node: Node<P>,
+    callers: ServerHandle,
+    peers: ServerHandle,
+    tasks: JoinSet<()>,
+}
+
+impl<P: Platform> NodeHandle<P> {
+    /// Starts a node under a new incarnation.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] for addresses that are taken or settings that don't fit.
+    pub async fn start(
+        options: Options,
+        store: P::Store,
+        clock: P::Clock,
+        timing: Timing,
+    ) -> Result<NodeHandle<P>, StartError> {
+        timing.check().context(TimesSnafu)?;
+        let callers = Server::bind(options.listen, options.limits).await.context(ListenSnafu)?;
+        let peers = Server::bind(options.peer_listen, options.limits).await.context(ListenSnafu)?;
+        let me = Member { node: options.node.clone(), incarnation: incarnation(&clock) };
+        let events = Recorder::new(clock.clone(), me.to_string(), options.event_capacity);
+        let node = Node::new(Inner {
+            store,
+            client: Client::new(CONNECT_TIMEOUT, IDLE_TIME),
+            metrics: Metrics::new().context(MetricsSnafu)?,
+            config: ConfigTable::default(),
+            hosts: HostTable::default(),
+            roster: Roster::new(me, timing, clock.clone()),
+            pools: PoolTable::default(),
+            receipts: ReceiptTable::new(Bounds::default(), clock.clone()),
+            call_addr: callers.addr(),
+            peer_addr: peers.addr(),
+            book_revision: std::sync::Mutex::default(),
+            fenced: tokio::sync::Notify::new(),
+            draining: std::sync::atomic::AtomicBool::new(false),
+            stopping: std::sync::atomic::AtomicBool::new(false),
+            events,
+            options,
+            clock,
+        });
+        let fields = [Field::new("callers", node.call_addr), Field::new("peers", node.peer_addr)];
+        node.events.record(Code::ProcessStarted, fields);
+        let peers = peers.start(web::peer_router(&node));
+        let callers = callers.start(web::caller_router(&node));
+        let tasks = control::start(&node);
+        Ok(NodeHandle { node, callers, peers, tasks })
+    }
+
+    /// Returns the node's tables.
+    pub fn node(&self) -> &Node<P> {
+        &self.node
+    }
+
+    /// Waits until this member finds itself fenced and has to start anew.
+    pub async fn fenced(&self) {
+        self.node.fenced.notified().await;
+    }
+
+    /// Stops gracefully: the balancer check turns red, after `notice` nothing
+    /// new is taken, pools and units are handed over, and what runs is
+    /// finished, for at most the drain time of the settings.
+    ///
+    /// Returns whether all work was finished and handed over.
+    pub async fn stop(self, notice: Duration) -> bool {
+        let NodeHandle { node, callers, peers, mut tasks } = self;
+        let running = Field::new("running", node.pools.running());
+        node.events.record(Code::StopBegan, [running]);
+        node.draining.store(true, Ordering::Release);
+        tokio::time::sleep(notice).await;
+        node.stopping.store(true, Ordering::Release);
+        let limit = node.options.drain;
+        let departed = tokio::time::timeout(limit, depart(&node)).await.unwrap_or(false);
+        let finished = tokio::time::timeout(limit, callers.stop()).await.is_ok();
+        tasks.shutdown().await;
+        let finished = tokio::time::timeout(limit, peers.stop()).await.is_ok() && finished;
+        let fields = [Field::new("departed", departed), Field::new("finished", finished)];
+        node.events.record(Code::ProcessStopped, fields);
+        departed && finished
+    }
+
+    /// Ends the node at once and cuts all connections, as a crash would.
+    pub async fn kill(self) {
+        let NodeHandle { callers, peers, mut tasks, .. } = self;
+        tasks.shutdown().await;
+        callers.kill().await;
+        peers.kill().await;
+    }
+}
+
+/// Hands all rights over and leaves the book.
+async fn depart<P: Platform>(node: &Node<P>) -> bool {
+    node.roster.lock().leave();
+    control::commit_leave(node).await;
+    loop {
+        let done = node.roster.lock().may_depart() && node.pools.running() == 0;
+        if done {
+            return control::commit_depart(node).await;
+        }
+        tokio::time::sleep(STOP_PERIOD).await;
+    }
+}
+
+/// Returns a number that grows with each start: microseconds of wall time. A
+/// clock that was set back makes the new process wait for its predecessor's
+/// lease to lapse, it doesn't take its rights.
+fn incarnation(clock: &impl Clock) -> Incarnation {
+    let since = clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/entry/src/headers.rs
@@ -0,0 +1,140 @@
+//! Header fields of the callers' and the peers' interface.
+
+use http::{HeaderMap, HeaderName, header};
+use snafu::Snafu;
+use vg_base::prelude::*;
+
+/// The caller's time limit in milliseconds from the receipt of the request.
+pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("vg-deadline-ms");
+/// The absolute deadline in Unix milliseconds, told to endpoints.
+pub(crate) const DEADLINE_AT: HeaderName = HeaderName::from_static("vg-deadline-at-ms");
+/// Id of the request, unique over all entry hosts.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("vg-request-id");
+/// The team, as the ingress proved it from the key.
+pub(crate) const TEAM: HeaderName = HeaderName::from_static("vg-team");
+/// Epoch of the pool's ownership that the sender believes in.
+pub(crate) const OWNER_EPOCH: HeaderName = HeaderName::from_static("vg-owner-epoch");
+/// The entry host that forwards a call.
+pub(crate) const VIA_NODE: HeaderName = HeaderName::from_static("vg-via-node");
+/// Marks a repeated answer to an idempotency key.
+pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("vg-replayed");
+/// Digest of the caller's key, from the ingress to the owner.
+pub(crate) const KEY_DIGEST: HeaderName = HeaderName::from_static("vg-key-digest");
+/// Marks an answer between entry hosts as the owner's own verdict.
+pub(crate) const VERDICT: HeaderName = HeaderName::from_static("vg-verdict");
+/// The caller's key that makes a request repeatable.
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Longest idempotency key in bytes.
+pub(crate) const IDEMPOTENCY_KEY_MAX_BYTES: usize = 200;
+
+/// A header that can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub(crate) enum HeaderError {
+    /// Missing, twice, or not of the expected form.
+    #[snafu(display("header `{name}`: {expected}"))]
+    Malformed {
+        /// Name of the header.
+        name: &'static str,
+        /// What is accepted.
+        expected: &'static str,
+    },
+}
+
+/// Returns the text of a header that may stand at most once.
+///
+/// # Errors
+///
+/// [`HeaderError::Malformed`] if it stands twice or is not ASCII text.
+pub(crate) fn text<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<&'a str>, HeaderError> {
+    let malformed = HeaderError::Malformed {
+        name: static_name(name),
+        expected: "one line of ASCII text, once",
+    };
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(malformed);
+    }
+    value.to_str().map(Some).map_err(|_| malformed)
+}
+
+/// Returns a header as a value of a type.
+///
+/// # Errors
+///
+/// [`HeaderError::Malformed`] with what is accepted.
+pub(crate) fn parsed<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    expected: &'static str,
+) -> Result<Option<T>, HeaderError> {
+    let malformed = HeaderError::Malformed { name: static_name(name), expected };
+    let Some(text) = text(headers, name)? else { return Ok(None) };
+    text.parse().map(Some).map_err(|_| malformed)
+}
+
+/// Returns the caller's time limit.
+///
+/// # Errors
+///
+/// [`HeaderError::Malformed`] unless it is a whole number of at least 1.
+pub(crate) fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, HeaderError> {
+    let expected = "milliseconds, a whole number from 1 to 86400000";
+    let Some(ms) = parsed::<u64>(headers, &DEADLINE_MS, expected)? else { return Ok(None) };
+    if !(1..=86_400_000).contains(&ms) {
+        return Err(HeaderError::Malformed { name: "vg-deadline-ms", expected });
+    }
+    Ok(Some(Duration::from_millis(ms)))
+}
+
+/// Returns the caller's idempotency key.
+///
+/// # Errors
+///
+/// [`HeaderError::Malformed`] if it is empty or too long.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<SmolStr>, HeaderError> {
+    let Some(key) = text(headers, &IDEMPOTENCY_KEY)? else { return Ok(None) };
+    if key.is_empty() || key.len() > IDEMPOTENCY_KEY_MAX_BYTES {
+        let expected = "1 to 200 characters of ASCII";
+        return Err(HeaderError::Malformed { name: "idempotency-key", expected });
+    }
+    Ok(Some(key.into()))
+}
+
+/// Returns the caller's key from `Authorization: Bearer`.
+///
+/// # Errors
+///
+/// [`HeaderError::Malformed`] for another scheme.
+pub(crate) fn bearer(headers: &HeaderMap) -> Result<Option<&str>, HeaderError> {
+    let malformed =
+        HeaderError::Malformed { name: "authorization", expected: "`Bearer` and the team's key" };
+    let Some(value) = text(headers, &header::AUTHORIZATION).map_err(|_| malformed.clone())? else {
+        return Ok(None);
+    };
+    match value.split_once(' ') {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") && !key.trim().is_empty() => {
+            Ok(Some(key.trim()))
+        }
+        _ => Err(malformed),
+    }
+}
+
+fn static_name(name: &HeaderName) -> &'static str {
+    match name.as_str() {
+        "vg-deadline-ms" => "vg-deadline-ms",
+        "vg-deadline-at-ms" => "vg-deadline-at-ms",
+        "vg-request-id" => "vg-request-id",
+        "vg-team" => "vg-team",
+        "vg-owner-epoch" => "vg-owner-epoch",
+        "vg-via-node" => "vg-via-node",
+        "vg-key-digest" => "vg-key-digest",
+        "idempotency-key" => "idempotency-key",
+        "authorization" => "authorization",
+        _ => "(other)",
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,54 @@
-//! The entry host: HTTP, tables and wiring.
+//! The entry host: HTTP, tables and wiring of one node.
+//!
+//! Callers reach a node at one address, other entry hosts at another. All
+//! decisions are made by the decision crates; this crate carries messages and
+//! calls between them, the network and the store.
+//!
+//! # Lock order
+//!
+//! No lock is held across an await. Where two are held, they are taken in this
+//! order:
+//!
+//! 1. the table of owned pools (`pools`),
+//! 2. one pool's dispatch table (`dispatch`),
+//! 3. the roster (`roster`): membership, standing and units.
+//!
+//! The lists, the host list, the receipts, the events and the epoch of the
+//! book are locked alone, or as the last.
+
+mod admit;
+mod call;
+mod config;
+mod control;
+mod dispatch;
+mod follow;
+mod forward;
+mod handle;
+mod headers;
+mod hosts;
+mod ingress;
+mod metrics;
+mod node;
+mod options;
+mod pipe;
+mod platform;
+mod pools;
+mod problem;
+mod receipts;
+mod relay;
+mod roster;
+mod web;
+
+pub use admit::{Admission, AdmitError, admit, admit_digest};
+pub use call::Call;
+pub use config::{ConfigError, ConfigTable, Current, Offered};
+pub use handle::{NodeHandle, StartError};
+pub use hosts::{Host, HostKind, HostList, HostState, HostTable};
+pub use metrics::Metrics;
+pub use node::{Inner, Node, NodeState};
+pub use options::Options;
+pub use platform::{Platform, Real};
+pub use pools::PoolTable;
+pub use problem::{PROBLEM_TYPE, Problem, ProblemCode};
+pub use receipts::ReceiptTable;
+pub use roster::{Peer, PoolOwner, Roster, UnitGuard};
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,79 @@
+//! Metrics of a node, by `prometheus`.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use vg_base::prelude::*;
+
+/// Upper bounds of the latency histogram in seconds.
+const LATENCY_BOUNDS_SECS: [f64; 12] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.8, 30.0];
+
+/// The metrics of one node. Label values are names from the lists, so their
+/// number is bounded.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    calls: IntCounterVec,
+    latency: HistogramVec,
+    store: IntCounterVec,
+    state: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Makes and registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// A `prometheus` error for names that are malformed or taken.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new_custom(Some("verbenagap".to_owned()), None)?;
+        let calls = Opts::new("calls_total", "Calls that ended, by queue and outcome");
+        let calls = IntCounterVec::new(calls, &["queue", "outcome"])?;
+        let latency = HistogramOpts::new("call_seconds", "Time from receipt to the answer's start")
+            .buckets(LATENCY_BOUNDS_SECS.to_vec());
+        let latency = HistogramVec::new(latency, &["queue"])?;
+        let store = Opts::new("store_calls_total", "Store calls, by kind and result");
+        let store = IntCounterVec::new(store, &["kind", "result"])?;
+        let state = Opts::new("state", "Sizes of this node's tables");
+        let state = IntGaugeVec::new(state, &["what"])?;
+        registry.register(Box::new(calls.clone()))?;
+        registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(store.clone()))?;
+        registry.register(Box::new(state.clone()))?;
+        Ok(Metrics { registry, calls, latency, store, state })
+    }
+
+    /// Counts a call that ended. `queue` must be a name from the lists.
+    pub fn call_ended(&self, queue: &QueueId, outcome: Outcome, took: Duration) {
+        self.calls.with_label_values(&[queue.as_str(), &outcome.to_string()]).inc();
+        self.latency.with_label_values(&[queue.as_str()]).observe(took.as_secs_f64());
+    }
+
+    /// Counts a call that was refused before its queue was known.
+    pub fn call_refused(&self) {
+        self.calls.with_label_values(&["", "not-run"]).inc();
+    }
+
+    /// Counts a store call.
+    pub fn store_called(&self, kind: &str, succeeded: bool) {
+        let result = if succeeded { "done" } else { "failed" };
+        self.store.with_label_values(&[kind, result]).inc();
+    }
+
+    /// Sets the size of a table.
+    pub fn set_state(&self, what: &str, value: usize) {
+        self.state.with_label_values(&[what]).set(i64::try_from(value).unwrap_or(i64::MAX));
+    }
+
+    /// Returns the metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// A `prometheus` error if they can't be encoded.
+    pub fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,168 @@
+//! One entry host: its tables and tasks.
+
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use derive_more::Display;
+use serde::Serialize;
+use tokio::sync::Notify;
+use vg_base::prelude::*;
+use vg_events::Recorder;
+use vg_net::Client;
+use vg_store::StoreRevision;
+
+use crate::admit::admit_digest;
+use crate::call::Call;
+use crate::config::ConfigTable;
+use crate::hosts::HostTable;
+use crate::metrics::Metrics;
+use crate::options::Options;
+use crate::platform::Platform;
+use crate::pools::PoolTable;
+use crate::problem::{Problem, ProblemCode};
+use crate::receipts::ReceiptTable;
+use crate::roster::Roster;
+
+/// When callers of a stopping node should try another.
+const STOPPING_RETRY: Duration = Duration::from_millis(1);
+
+/// Whether a node takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Display)]
+#[serde(rename_all = "lowercase")]
+pub enum NodeState {
+    /// It takes work.
+    #[display("serving")]
+    Serving,
+    /// It can't show that it may act or that its configuration is current.
+    #[display("stale")]
+    Stale,
+    /// It finishes what it has and takes nothing new.
+    #[display("stopping")]
+    Stopping,
+}
+
+/// A node's shared tables. Clones share them.
+#[derive(Debug)]
+pub struct Node<P: Platform> {
+    inner: Arc<Inner<P>>,
+}
+
+impl<P: Platform> Clone for Node<P> {
+    fn clone(&self) -> Node<P> {
+        Node { inner: Arc::clone(&self.inner) }
+    }
+}
+
+impl<P: Platform> Deref for Node<P> {
+    type Target = Inner<P>;
+
+    fn deref(&self) -> &Inner<P> {
+        &self.inner
+    }
+}
+
+/// The tables of one node. The crate's documentation gives the lock order.
+#[derive(Debug)]
+pub struct Inner<P: Platform> {
+    /// Settings.
+    pub options: Options,
+    /// The clock.
+    pub clock: P::Clock,
+    /// The platform's key-value service.
+    pub store: P::Store,
+    /// HTTP client towards peers, endpoints, workers and the host list.
+    pub client: Client,
+    /// Events of this node.
+    pub events: Recorder<P::Clock>,
+    /// Metrics of this node.
+    pub metrics: Metrics,
+    /// The lists in force.
+    pub config: ConfigTable,
+    /// The platform's host list.
+    pub hosts: HostTable,
+    /// Membership, standing and units.
+    pub roster: Roster<P::Clock>,
+    /// Owned pools.
+    pub pools: PoolTable<P::Clock>,
+    /// Receipts of idempotency keys.
+    pub receipts: ReceiptTable<P::Clock>,
+    /// Address for callers.
+    pub call_addr: SocketAddr,
+    /// Address for peers.
+    pub peer_addr: SocketAddr,
+    /// Epoch of the latest book and the store's revision of its write.
+    pub(crate) book_revision: Mutex<Option<(Epoch, StoreRevision)>>,
+    /// Rings when this member finds itself fenced: it has to start anew.
+    pub(crate) fenced: Notify,
+    /// The balancer check is red; work is still taken.
+    pub(crate) draining: AtomicBool,
+    /// Nothing new is taken.
+    pub(crate) stopping: AtomicBool,
+}
+
+impl<P: Platform> Node<P> {
+    pub(crate) fn new(inner: Inner<P>) -> Node<P> {
+        Node { inner: Arc::new(inner) }
+    }
+}
+
+impl<P: Platform> Inner<P> {
+    /// Returns whether this node takes work.
+    pub fn state(&self) -> NodeState {
+        if self.draining.load(Ordering::Acquire) {
+            NodeState::Stopping
+        } else if self.roster.check_may_act().is_err() {
+            NodeState::Stale
+        } else {
+            NodeState::Serving
+        }
+    }
+
+    /// Checks that new work may be taken in.
+    ///
+    /// # Errors
+    ///
+    /// [`ProblemCode::Stopping`] or [`ProblemCode::StaleConfiguration`].
+    pub(crate) fn check_serving(&self) -> Result<(), Problem> {
+        if self.stopping.load(Ordering::Acquire) {
+            let detail = "this entry host stops; another one takes the work";
+            let problem = Problem::not_run(ProblemCode::Stopping, detail);
+            return Err(problem.retry_after(STOPPING_RETRY));
+        }
+        self.roster.check_may_act()
+    }
+
+    /// Locks the epoch and store revision of the latest book.
+    pub(crate) fn book_revision(&self) -> MutexGuard<'_, Option<(Epoch, StoreRevision)>> {
+        self.book_revision.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Whether more than one member was lost within the time for which
+    /// receipts are kept: then both keepers of a receipt may be gone.
+    pub(crate) fn lost_lately(&self, now: Instant) -> bool {
+        let _ = now;
+        let membership = self.roster.lock();
+        let book = membership.book();
+        let lost = book.members.values().filter(|record| record.state.is_fenced()).count();
+        lost > 1 || book.active().count() < 2
+    }
+
+    /// Checks again that the key of a call is in force, by the lists of now.
+    pub(crate) fn check_key(&self, call: &Call) -> Result<(), Problem> {
+        let config = self.config.current();
+        let admitted = admit_digest(&config.lists, call.queue.as_str(), call.digest)?;
+        if admitted.plan.team == call.team {
+            return Ok(());
+        }
+        Err(Problem::not_run(ProblemCode::UnknownKey, "the key changed its team"))
+    }
+
+    /// Returns a deadline in Unix milliseconds, for endpoints.
+    pub(crate) fn wall_deadline_ms(&self, deadline: Instant) -> u128 {
+        let left = deadline.saturating_duration_since(self.clock.now());
+        let at = self.clock.wall() + left;
+        at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/web/context.rs
@@ -0,0 +1,49 @@
+//! The node as handlers find it in `gotham`'s state.
+
+use std::panic::AssertUnwindSafe;
+
+use gotham::state::{FromState, State, StateData};
+use http::{HeaderMap, Response};
+use vg_net::Body;
+
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::problem::Problem;
+
+/// A shared node.
+///
+/// `gotham` wants its state to be unwind safe. The node's locks recover from
+/// poisoning and each guard restores what it holds, so this may be asserted.
+pub(crate) struct Context<P: Platform>(AssertUnwindSafe<Node<P>>);
+
+impl<P: Platform> Clone for Context<P> {
+    fn clone(&self) -> Context<P> {
+        Context(AssertUnwindSafe(self.0.0.clone()))
+    }
+}
+
+impl<P: Platform> StateData for Context<P> {}
+
+impl<P: Platform> Context<P> {
+    /// Wraps a node for `gotham`.
+    pub(crate) fn new(node: Node<P>) -> Context<P> {
+        Context(AssertUnwindSafe(node))
+    }
+}
+
+/// Returns the node that a request came to.
+pub(crate) fn node<P: Platform>(state: &State) -> Node<P> {
+    Context::<P>::borrow_from(state).0.0.clone()
+}
+
+/// Takes the request's headers and body out of the state.
+pub(crate) fn take_request(state: &mut State) -> (HeaderMap, Body) {
+    let headers = HeaderMap::take_from(state);
+    let body = Body::take_from(state);
+    (headers, body)
+}
+
+/// Turns a refusal into its response.
+pub(crate) fn respond(result: Result<Response<Body>, Problem>) -> Response<Body> {
+    result.unwrap_or_else(Problem::into_response)
+}
--- /dev/null
+++ b/crates/entry/src/web/peers.rs
@@ -0,0 +1,133 @@
+//! Messages from other entry hosts.
+
+use gotham::handler::HandlerResult;
+use gotham::state::{FromState, State};
+use http::{Response, header};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use vg_base::prelude::*;
+use vg_limit::UnitRequest;
+use vg_net::Body;
+use vg_peer::Heartbeat;
+
+use crate::control;
+use crate::dispatch;
+use crate::forward;
+use crate::platform::Platform;
+use crate::problem::{Problem, ProblemCode};
+use crate::receipts::{Mirror, Settled};
+use crate::web::context::{node, take_request};
+use crate::web::paths::{PoolPath, QueuePath};
+
+/// Longest message between entry hosts, forwarded calls aside.
+const MESSAGE_MAX_BYTES: usize = 1024 * 1024;
+
+/// `POST /peer/queues/{queue}/calls`
+pub(crate) async fn post_call<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let path = QueuePath::take_from(&mut state);
+    let (headers, body) = take_request(&mut state);
+    let result = match forward::receive(&node, &path.queue, &headers, body).await {
+        Ok(call) => dispatch::run(&node, call).await,
+        Err(problem) => Err(problem),
+    };
+    Ok((state, result.unwrap_or_else(forward::verdict)))
+}
+
+/// `POST /peer/heartbeat`
+pub(crate) async fn post_heartbeat<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let response = match read::<Heartbeat>(&mut state).await {
+        Ok(heartbeat) => {
+            control::receive(&node, &heartbeat).await;
+            let stamp = node.events.clock().stamp();
+            let now = node.clock.now();
+            let reply = node.roster.lock().heartbeat(now, &heartbeat.from, stamp);
+            reply_with(&reply)
+        }
+        Err(problem) => problem.into_response(),
+    };
+    Ok((state, response))
+}
+
+/// `POST /peer/units`
+pub(crate) async fn post_units<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let response = match read::<UnitRequest>(&mut state).await {
+        Ok(request) => {
+            let reply = node.roster.lock().answer_units(&request);
+            reply_with(&reply)
+        }
+        Err(problem) => problem.into_response(),
+    };
+    Ok((state, response))
+}
+
+/// `POST /peer/lists`
+pub(crate) async fn post_lists<P: Platform>(state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let value = node.config.stored().and_then(|stored| stored.encode().ok());
+    let response = match value {
+        Some(value) => reply_with(&value),
+        None => not_found("no lists are in force here").into_response(),
+    };
+    Ok((state, response))
+}
+
+/// `POST /peer/pools/{pool}/handover`
+pub(crate) async fn post_handover<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let path = PoolPath::take_from(&mut state);
+    let response = match path.pool.parse::<PoolId>() {
+        Ok(pool) => reply_with(&control::handover(&node, &pool)),
+        Err(e) => not_found(&e.to_string()).into_response(),
+    };
+    Ok((state, response))
+}
+
+/// `POST /peer/receipts`
+pub(crate) async fn post_receipt<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let response = match read::<Mirror>(&mut state).await {
+        Ok(mirror) => reply_with(&node.receipts.keep_mirror(mirror).is_ok()),
+        Err(problem) => problem.into_response(),
+    };
+    Ok((state, response))
+}
+
+/// `POST /peer/receipts/settled`
+pub(crate) async fn post_settled<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let response = match read::<Settled>(&mut state).await {
+        Ok(settled) => {
+            node.receipts.settle_mirror(&settled);
+            reply_with(&true)
+        }
+        Err(problem) => problem.into_response(),
+    };
+    Ok((state, response))
+}
+
+async fn read<T: DeserializeOwned>(state: &mut State) -> Result<T, Problem> {
+    let (_, body) = take_request(state);
+    let malformed =
+        |e: vg_net::Error| Problem::not_run(ProblemCode::MalformedRequest, e.to_string());
+    let bytes = vg_net::read_all(body, MESSAGE_MAX_BYTES).await.map_err(malformed)?;
+    vg_net::from_msgpack(&bytes).map_err(malformed)
+}
+
+fn reply_with<T: Serialize>(message: &T) -> Response<Body> {
+    match vg_net::to_msgpack(message) {
+        Ok(bytes) => {
+            let mut response = Response::new(vg_net::full(bytes));
+            let kind = http::HeaderValue::from_static("application/msgpack");
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            response
+        }
+        Err(e) => not_found(&e.to_string()).into_response(),
+    }
+}
+
+fn not_found(detail: &str) -> Problem {
+    Problem::not_run(ProblemCode::NotFound, detail)
+}
--- /dev/null
+++ b/crates/entry/src/web/status.rs
@@ -0,0 +1,162 @@
+//! Health checks, status, events and metrics.
+
+use gotham::handler::HandlerResult;
+use gotham::state::{FromState, State};
+use http::{Response, StatusCode, header};
+use serde::Serialize;
+use vg_base::prelude::*;
+use vg_net::Body;
+
+use crate::node::{Node, NodeState};
+use crate::platform::Platform;
+use crate::problem::{Problem, ProblemCode};
+use crate::web::context::node;
+use crate::web::paths::EventsQuery;
+
+/// Most events returned at once.
+const EVENTS_MAX: usize = 10_000;
+
+/// A node's state, for `config status` and operators.
+#[derive(Debug, Serialize)]
+struct Status {
+    node: NodeId,
+    incarnation: Incarnation,
+    zone: ZoneId,
+    revision: Revision,
+    /// Revision whose limits and pools the book has.
+    book_revision: Revision,
+    /// Whether a majority of members has this node's revision.
+    accepted: bool,
+    state: NodeState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<String>,
+    members: Vec<MemberStatus>,
+    pools: Vec<PoolId>,
+    running: usize,
+}
+
+#[derive(Debug, Serialize)]
+struct MemberStatus {
+    node: NodeId,
+    incarnation: Incarnation,
+    call_addr: std::net::SocketAddr,
+    state: String,
+}
+
+/// `GET /healthz`: the process answers.
+pub(crate) async fn get_health(state: State) -> HandlerResult {
+    Ok((state, text(StatusCode::OK, "ok\n")))
+}
+
+/// `GET /readyz`: the balancer may send calls here.
+pub(crate) async fn get_ready<P: Platform>(state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let response = match node.state() {
+        NodeState::Serving => text(StatusCode::OK, "serving\n"),
+        other => text(StatusCode::SERVICE_UNAVAILABLE, format!("{other}\n")),
+    };
+    Ok((state, response))
+}
+
+/// `GET /metrics`
+pub(crate) async fn get_metrics<P: Platform>(state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    node.metrics.set_state("pools", node.pools.names().len());
+    node.metrics.set_state("running", node.pools.running());
+    node.metrics.set_state("receipts", node.receipts.lock().len());
+    node.metrics.set_state("receipt-bytes", node.receipts.lock().bytes());
+    let response = match node.metrics.text() {
+        Ok(metrics) => text(StatusCode::OK, metrics),
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+    };
+    Ok((state, response))
+}
+
+/// `GET /v1/status`
+pub(crate) async fn get_status<P: Platform>(state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let response = json(&status(&node));
+    Ok((state, response))
+}
+
+/// `GET /v1/events`
+pub(crate) async fn get_events<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let query = EventsQuery::take_from(&mut state);
+    let most = query.most.unwrap_or(EVENTS_MAX).min(EVENTS_MAX);
+    let window = node.events.window(query.from.unwrap_or(0), most);
+    Ok((state, json(&window)))
+}
+
+/// Answers a path that leads nowhere.
+pub(crate) fn refuse_unknown(_: &mut State, response: &mut Response<Body>) {
+    if !response.headers().contains_key(header::CONTENT_TYPE) {
+        *response = Problem::not_run(ProblemCode::NotFound, "no such path").into_response();
+    }
+}
+
+/// Answers a method that a path doesn't have.
+pub(crate) fn refuse_method(_: &mut State, response: &mut Response<Body>) {
+    if !response.headers().contains_key(header::CONTENT_TYPE) {
+        let allow = response.headers().get(header::ALLOW).cloned();
+        let detail = "this path has other methods";
+        *response = Problem::not_run(ProblemCode::MethodNotAllowed, detail).into_response();
+        if let Some(allow) = allow {
+            response.headers_mut().insert(header::ALLOW, allow);
+        }
+    }
+}
+
+fn status<P: Platform>(node: &Node<P>) -> Status {
+    let revision = node.config.current().revision;
+    let reason = node.roster.check_may_act().err().map(|problem| problem.detail);
+    let state = node.state();
+    let membership = node.roster.lock();
+    let book = membership.book();
+    let members = book.members.iter().map(|(member, record)| MemberStatus {
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+        call_addr: record.call_addr,
+        state: match record.state {
+            vg_peer::MemberState::Live => "live".to_owned(),
+            vg_peer::MemberState::Leaving => "leaving".to_owned(),
+            vg_peer::MemberState::Fenced { .. } => "lost".to_owned(),
+        },
+    });
+    let (members, book_revision) = (members.collect(), book.units.revision);
+    let accepted = membership.view().is_accepted(revision);
+    let me = membership.me().clone();
+    drop(membership);
+    Status {
+        node: me.node,
+        incarnation: me.incarnation,
+        zone: node.options.zone.clone(),
+        revision,
+        book_revision,
+        accepted,
+        state,
+        reason,
+        members,
+        pools: node.pools.names(),
+        running: node.pools.running(),
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<bytes::Bytes>) -> Response<Body> {
+    typed(status, "text/plain; charset=utf-8", body)
+}
+
+fn json<T: Serialize>(value: &T) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(body) => typed(StatusCode::OK, "application/json", body),
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+    }
+}
+
+fn typed(status: StatusCode, kind: &'static str, body: impl Into<bytes::Bytes>) -> Response<Body> {
+    let mut response = Response::new(vg_net::full(body));
+    *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -111,6 +111,8 @@
     EndpointLeaving = 412, "endpoint-leaving", Info;
     /// An endpoint is gone from the host list.
     EndpointGone = 413, "endpoint-gone", Info;
+    /// The host list shows an endpoint as live.
+    EndpointJoined = 414, "endpoint-joined", Info;
 
     /// Units of a team moved to another entry host.
     UnitsMoved = 500, "units-moved", Debug;
--- /dev/null
+++ b/crates/verbenagap/src/site/caller.rs
@@ -0,0 +1,123 @@
+//! A caller, as a team's program would be.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use http::{Request, header};
+use vg_base::prelude::*;
+use vg_entry::{PROBLEM_TYPE, Problem};
+use vg_net::{Body, Client, Reply};
+
+use crate::site::Answer;
+
+/// Longest answer that is read.
+const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Time past a request's deadline after which a caller gives up.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Sends calls of one team to the entry hosts in turn.
+#[derive(Debug)]
+pub struct Caller {
+    client: Client,
+    addrs: Vec<SocketAddr>,
+    key: Option<String>,
+    turn: AtomicUsize,
+}
+
+/// One call to send.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    /// The queue.
+    pub queue: SmolStr,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Time limit.
+    pub deadline: Duration,
+    /// Idempotency key.
+    pub key: Option<SmolStr>,
+}
+
+impl CallRequest {
+    /// Makes a call without an idempotency key.
+    pub fn new(queue: &str, body: &[u8], deadline: Duration) -> CallRequest {
+        CallRequest { queue: queue.into(), body: body.to_vec(), deadline, key: None }
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn with_key(mut self, key: &str) -> CallRequest {
+        self.key = Some(key.into());
+        self
+    }
+}
+
+impl Caller {
+    /// Makes a caller with a key, or one without.
+    pub fn new(addrs: Vec<SocketAddr>, key: Option<&str>) -> Caller {
+        let (key, turn) = (key.map(str::to_owned), AtomicUsize::new(0));
+        Caller { client: Client::default(), addrs, key, turn }
+    }
+
+    /// Sends one call to the next entry host.
+    pub async fn call(&self, call: &CallRequest) -> Answer {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let addr = self.addrs[turn % self.addrs.len()];
+        self.call_at(addr, call).await
+    }
+
+    /// Sends one call to a certain entry host.
+    pub async fn call_at(&self, addr: SocketAddr, call: &CallRequest) -> Answer {
+        let began = Instant::now();
+        let limit = call.deadline + PATIENCE;
+        let reply = match self.request(addr, call) {
+            Ok(request) => self.client.call(request, limit, ANSWER_MAX_BYTES).await,
+            Err(source) => Err(vg_net::Error::Request { source }),
+        };
+        answer(reply, began.elapsed())
+    }
+
+    fn request(&self, addr: SocketAddr, call: &CallRequest) -> Result<Request<Body>, http::Error> {
+        let url = format!("http://{addr}/v1/queues/{}/calls", call.queue);
+        let mut request = Request::post(url)
+            .header(header::CONTENT_TYPE, "application/octet-stream")
+            .header("vg-deadline-ms", call.deadline.as_millis().to_string());
+        if let Some(key) = &self.key {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        if let Some(key) = &call.key {
+            request = request.header("idempotency-key", key.as_str());
+        }
+        request.body(vg_net::full(call.body.clone()))
+    }
+}
+
+fn answer(reply: Result<Reply, vg_net::Error>, took: Duration) -> Answer {
+    let none = |outcome| Answer {
+        outcome,
+        status: None,
+        problem: None,
+        request: None,
+        replayed: false,
+        body: bytes::Bytes::new(),
+        took,
+    };
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(e) if e.is_not_sent() => return none(Outcome::NotRun),
+        Err(_) => return none(Outcome::Unknown),
+    };
+    let header = |name: &str| reply.headers.get(name).and_then(|value| value.to_str().ok());
+    let ours = header("content-type") == Some(PROBLEM_TYPE);
+    let problem: Option<Problem> =
+        if ours { serde_json::from_slice(&reply.body).ok() } else { None };
+    Answer {
+        outcome: problem.as_ref().map_or(Outcome::Answered, |problem| problem.outcome),
+        status: Some(reply.status),
+        problem,
+        request: header("vg-request-id").and_then(|text| text.parse().ok()),
+        replayed: header("vg-replayed").is_some(),
+        body: reply.body.clone(),
+        took,
+    }
+}
--- /dev/null
+++ b/crates/verbenagap/src/site/mod.rs
@@ -0,0 +1,292 @@
+//! A whole site in one process: entry hosts, store, host list and endpoints on
+//! loopback. The demo and the tests of the whole path run on it.
+
+mod answer;
+mod caller;
+mod error;
+mod keys;
+mod plan;
+mod platform;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use snafu::ResultExt;
+use vg_base::SystemClock;
+use vg_base::prelude::*;
+use vg_conf::stored::LISTS_KEY;
+use vg_conf::{ChangeId, Lists, Stored};
+use vg_entry::{NodeHandle, Options};
+use vg_net::Limits;
+use vg_standin::{Endpoint, EndpointSettings, Host, HostKind, HostListServer, HostState, RunLog};
+use vg_store::{Faults, FaultyStore, Key, MemStore, Store, Txn, TxnOutcome};
+
+pub use answer::Answer;
+pub use caller::{CallRequest, Caller};
+pub use error::SiteError;
+pub use keys::TeamKeys;
+pub use plan::SitePlan;
+pub use platform::InProcess;
+
+use error::{NodeSnafu, StandinSnafu, StoreSnafu};
+
+/// Period in which [`Site::ready`] looks at the nodes.
+const READY_PERIOD: Duration = Duration::from_millis(20);
+/// Address on loopback with any free port.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// A running entry host with the faults of its way to the store.
+#[derive(Debug)]
+pub struct SiteNode {
+    /// The node.
+    pub handle: NodeHandle<InProcess>,
+    /// Faults of its store calls.
+    pub faults: Faults,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct Site {
+    plan: SitePlan,
+    store: MemStore<SystemClock>,
+    keys: TeamKeys,
+    log: RunLog,
+    hosts: HostListServer<SystemClock>,
+    endpoints: BTreeMap<HostId, Endpoint>,
+    nodes: BTreeMap<NodeId, SiteNode>,
+}
+
+impl Site {
+    /// Starts everything: the stand-ins, then the entry hosts.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError`] if an address can't be served or the lists don't pass.
+    pub async fn start(plan: SitePlan) -> Result<Site, SiteError> {
+        let clock = SystemClock;
+        let hosts = HostListServer::start(ANY, clock).await.context(StandinSnafu)?;
+        let mut site = Site {
+            keys: TeamKeys::generate(&plan.lists()?),
+            store: MemStore::new(clock),
+            log: RunLog::new(),
+            hosts,
+            endpoints: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            plan,
+        };
+        let (plans, uses) = site.texts()?;
+        site.write_lists(Revision(1), plans, uses).await?;
+        for pool in site.lists()?.pools.keys() {
+            site.start_endpoints(pool).await?;
+        }
+        for at in 0..site.plan.nodes {
+            site.start_node(&node_id(at)).await?;
+        }
+        Ok(site)
+    }
+
+    /// Returns the lists as they are in the plan.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::Lists`] if they don't pass the checks.
+    pub fn lists(&self) -> Result<Lists, SiteError> {
+        self.plan.lists()
+    }
+
+    /// Returns the record of what the endpoints have run.
+    pub fn log(&self) -> &RunLog {
+        &self.log
+    }
+
+    /// Returns the keys of the teams.
+    pub fn keys(&self) -> &TeamKeys {
+        &self.keys
+    }
+
+    /// Returns the store that all nodes share.
+    pub fn store(&self) -> &MemStore<SystemClock> {
+        &self.store
+    }
+
+    /// Returns the host list.
+    pub fn hosts(&self) -> &HostListServer<SystemClock> {
+        &self.hosts
+    }
+
+    /// Returns the endpoints by host.
+    pub fn endpoints(&self) -> &BTreeMap<HostId, Endpoint> {
+        &self.endpoints
+    }
+
+    /// Returns the running nodes.
+    pub fn nodes(&self) -> &BTreeMap<NodeId, SiteNode> {
+        &self.nodes
+    }
+
+    /// Makes a caller of a team that sends to all nodes in turn.
+    pub fn caller(&self, team: &TeamId) -> Caller {
+        let addrs = self.nodes.values().map(|each| each.handle.node().call_addr).collect();
+        Caller::new(addrs, self.keys.get(team))
+    }
+
+    /// Waits until every node serves, knows all others and every pool has an
+    /// owner. Returns false after `limit`.
+    pub async fn ready(&self, limit: Duration) -> bool {
+        let all = async {
+            while !self.is_ready() {
+                tokio::time::sleep(READY_PERIOD).await;
+            }
+        };
+        tokio::time::timeout(limit, all).await.is_ok()
+    }
+
+    fn is_ready(&self) -> bool {
+        let Ok(lists) = self.lists() else { return false };
+        let owned = |node: &SiteNode| {
+            let membership = node.handle.node().roster.lock();
+            let members = membership.book().live().count();
+            let view = membership.view();
+            members == self.nodes.len()
+                && lists
+                    .pools
+                    .keys()
+                    .all(|pool| view.owner(pool).is_some_and(|held| held.next.is_none()))
+        };
+        let serving = |node: &SiteNode| node.handle.node().roster.check_may_act().is_ok();
+        let pools: usize = self.nodes.values().map(|node| node.handle.node().pools.len()).sum();
+        self.nodes.values().all(|node| serving(node) && owned(node)) && pools == lists.pools.len()
+    }
+
+    /// Starts an entry host, under a new incarnation if it ran before.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::Node`] if it doesn't start.
+    pub async fn start_node(&mut self, node: &NodeId) -> Result<(), SiteError> {
+        let faults = Faults::new();
+        let store = FaultyStore::new(self.store.clone(), faults.clone());
+        let options = self.options(node);
+        let timing = self.plan.timing.clone();
+        let handle = NodeHandle::start(options, store, SystemClock, timing).await;
+        let handle = handle.context(NodeSnafu { node: node.clone() })?;
+        self.nodes.insert(node.clone(), SiteNode { handle, faults });
+        Ok(())
+    }
+
+    /// Takes a node out of the site, to stop or kill it.
+    pub fn take_node(&mut self, node: &NodeId) -> Option<SiteNode> {
+        self.nodes.remove(node)
+    }
+
+    /// Takes an endpoint out of the site, to stop or kill it.
+    pub fn take_endpoint(&mut self, host: &HostId) -> Option<Endpoint> {
+        self.endpoints.remove(host)
+    }
+
+    /// Writes lists as the next revision, as an operator's accepted change.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError`] if the store refuses or the lists can't be encoded.
+    pub async fn change_lists(&self, plans: String, uses: String) -> Result<Revision, SiteError> {
+        let entry = self.store.get(&Key::from(LISTS_KEY)).await.context(StoreSnafu)?;
+        let known = entry.and_then(|entry| Stored::decode_unchecked(&entry.value).ok());
+        let revision = known.map(|known| known.revision).unwrap_or_default().next();
+        self.write_lists(revision, plans, uses).await?;
+        Ok(revision)
+    }
+
+    /// Returns the texts of both lists with the teams' keys.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::Edit`] if a key can't be put in.
+    pub fn texts(&self) -> Result<(String, String), SiteError> {
+        let plans = self.keys.grant_all(&self.plan.plans)?;
+        Ok((plans, self.plan.uses.clone()))
+    }
+
+    async fn write_lists(
+        &self,
+        revision: Revision,
+        plans: String,
+        uses: String,
+    ) -> Result<(), SiteError> {
+        let stored = Stored {
+            revision,
+            plans,
+            uses,
+            change: ChangeId::new(u128::from(revision.get())),
+            author: SmolStr::new_static("site"),
+            at_ms: 0,
+        };
+        let value = stored.encode().context(error::EncodeSnafu)?;
+        let entry = self.store.get(&Key::from(LISTS_KEY)).await.context(StoreSnafu)?;
+        let modified = entry.map(|entry| entry.modified);
+        let txn = Txn::new().expect(LISTS_KEY, modified).put(LISTS_KEY, value);
+        match self.store.commit(txn).await.context(StoreSnafu)? {
+            TxnOutcome::Done { .. } => Ok(()),
+            TxnOutcome::Conflict { .. } => error::RacedSnafu.fail(),
+        }
+    }
+
+    async fn start_endpoints(&mut self, pool: &PoolId) -> Result<(), SiteError> {
+        for at in 0..self.plan.endpoints {
+            let zone = zone_id(at % self.plan.zones);
+            let id: HostId = name(&format!("{pool}-{at}"));
+            let settings = EndpointSettings {
+                service: self.plan.service,
+                ..EndpointSettings::new(id.clone())
+            };
+            let endpoint =
+                Endpoint::start(settings, self.log.clone()).await.context(StandinSnafu)?;
+            self.hosts.put(Host {
+                id: id.clone(),
+                pool: Some(pool.clone()),
+                rack: name(&format!("{zone}-r{}", at / self.plan.zones)),
+                zone,
+                addr: endpoint.addr(),
+                kind: HostKind::Endpoint,
+                state: HostState::Live,
+            });
+            self.endpoints.insert(id, endpoint);
+        }
+        Ok(())
+    }
+
+    fn options(&self, node: &NodeId) -> Options {
+        let at = self.nodes.len() as u32;
+        Options {
+            node: node.clone(),
+            zone: zone_id(at % self.plan.zones),
+            region: name("region-1"),
+            listen: ANY,
+            peer_listen: ANY,
+            host_list: self.hosts.addr(),
+            body_bytes: Options::BODY_BYTES,
+            limits: Limits::default(),
+            lease: self.plan.timing.lease,
+            host_period: Duration::from_millis(200),
+            drain: Options::DRAIN,
+            event_capacity: Options::EVENT_CAPACITY,
+        }
+    }
+}
+
+/// Returns the name of the entry host at a place, from 0.
+pub fn node_id(at: u32) -> NodeId {
+    name(&format!("entry-{at}"))
+}
+
+fn zone_id(at: u32) -> ZoneId {
+    name(&format!("zone-{}", (b'a' + (at % 26) as u8) as char))
+}
+
+/// Parses a name that is made here; it is always a valid one.
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap_or_else(|e| unreachable!("`{text}` is a valid name: {e:?}"))
+}
