store: tests under faults, an oracle, and refusal of headless answers

Cause: an answer of a stranger such as {} or [] passed for a conflict, an empty listing or a revoked lease, since all fields of the gateway's messages can be left out. Change: each answer must carry the store's revision.

--- a/crates/store/src/etcd/store.rs
+++ b/crates/store/src/etcd/store.rs
@@ -46,10 +46,8 @@
         if response.more {
             return Err(Error::Malformed { reason: "keys are missing".to_owned() });
         }
-        Ok(Listing {
-            revision: StoreRevision(response.header.revision.0),
-            entries: entries(response.kvs)?,
-        })
+        let revision = response.header.confirmed()?;
+        Ok(Listing { revision, entries: entries(response.kvs)? })
     }
 }
 
@@ -72,8 +70,9 @@
         let path = "/v3/kv/txn";
         let response: TxnResponse =
             self.transport.call(path, &request, Effect::Writes, RANGE_MAX_BYTES).await?;
+        let revision = response.header.confirmed()?;
         if response.succeeded {
-            return Ok(TxnOutcome::Done { revision: StoreRevision(response.header.revision.0) });
+            return Ok(TxnOutcome::Done { revision });
         }
         let ranges = response.responses.into_iter().filter_map(|each| each.response_range);
         Ok(TxnOutcome::Conflict { found: entries(ranges.flat_map(|range| range.kvs))? })
@@ -87,6 +86,7 @@
         if !response.error.is_empty() {
             return Err(Error::Refused { reason: response.error });
         }
+        response.header.confirmed()?;
         if response.id.is_zero() {
             return Err(Error::Malformed { reason: "the lease has no id".to_owned() });
         }
@@ -99,10 +99,13 @@
         let body = self.transport.post(path, &request, Effect::Writes, LEASE_MAX_BYTES).await?;
         let line = body.split(|&byte| byte == b'\n').next().unwrap_or_default();
         match decode::<StreamItem<KeepAliveResponse>>(line)? {
-            StreamItem::Result(response) => match u64::try_from(response.ttl.0) {
-                Ok(seconds @ 1..) => Ok(Duration::from_secs(seconds)),
-                _ => Err(Error::LeaseLapsed),
-            },
+            StreamItem::Result(response) => {
+                response.header.confirmed()?;
+                match u64::try_from(response.ttl.0) {
+                    Ok(seconds @ 1..) => Ok(Duration::from_secs(seconds)),
+                    _ => Err(Error::LeaseLapsed),
+                }
+            }
             StreamItem::Error(e) => Err(classify(e.grpc_code, &e.message, Effect::Writes)),
         }
     }
@@ -110,9 +113,9 @@
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
         let request = RevokeRequest { id: Int64(lease.0) };
         let path = "/v3/lease/revoke";
-        let _: RevokeResponse =
+        let response: RevokeResponse =
             self.transport.call(path, &request, Effect::Writes, LEASE_MAX_BYTES).await?;
-        Ok(())
+        response.header.confirmed().map(|_| ())
     }
 
     async fn watch(&self, prefix: &Key, from: StoreRevision) -> Result<EtcdWatch, Error> {
--- a/crates/store/src/etcd/watch.rs
+++ b/crates/store/src/etcd/watch.rs
@@ -89,7 +89,7 @@
         if !response.created {
             return Err(Error::Malformed { reason: "the watch was not confirmed".to_owned() });
         }
-        Ok((lines, StoreRevision(response.header.revision.0)))
+        Ok((lines, response.header.confirmed()?))
     };
     match timeout(transport.settings().call_timeout, opened).await {
         Ok(opened) => opened,
--- a/crates/store/src/etcd/wire/kv.rs
+++ b/crates/store/src/etcd/wire/kv.rs
@@ -13,6 +13,22 @@
     pub revision: Int64,
 }
 
+impl Header {
+    /// Returns the revision.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] if there is none. All other fields of an answer can
+    /// be left out, so without this any JSON object of a stranger would pass
+    /// for an answer, for instance for one that lists no keys.
+    pub fn confirmed(&self) -> Result<StoreRevision, Error> {
+        match self.revision {
+            Int64(revision @ 1..) => Ok(StoreRevision(revision)),
+            _ => Err(Error::Malformed { reason: "the answer has no revision".to_owned() }),
+        }
+    }
+}
+
 /// A key with its value.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- /dev/null
+++ b/crates/store/tests/faults.rs
@@ -0,0 +1,179 @@
+//! Faults between one node and its store.
+
+use std::time::Duration;
+
+use vg_base::ManualClock;
+use vg_store::{
+    Call, Error, Fault, Faults, FaultyStore, Key, MemStore, Odds, Store, StoreRevision, Txn,
+    TxnOutcome, Watch,
+};
+
+type Faulty = FaultyStore<MemStore<ManualClock>>;
+
+fn store() -> (Faulty, Faults) {
+    let faults = Faults::new();
+    (FaultyStore::new(MemStore::new(ManualClock::default()), faults.clone()), faults)
+}
+
+fn create() -> Txn {
+    Txn::new().expect("k/a", None).put("k/a", "mine")
+}
+
+fn prefix() -> Key {
+    Key::from("k/")
+}
+
+async fn value(store: &Faulty) -> Option<String> {
+    let entry = store.inner().get(&Key::from("k/a")).await.unwrap();
+    entry.map(|entry| String::from_utf8(entry.value.to_vec()).unwrap())
+}
+
+#[tokio::test]
+async fn a_lost_answer_leaves_the_write_in_effect_and_a_second_try_shows_it() {
+    let (store, faults) = store();
+    faults.script(Call::Txn, Fault::LostAfter, 1);
+    let error = store.commit(create()).await.unwrap_err();
+    assert!(matches!(error, Error::AnswerLost { .. }) && !error.is_without_effect());
+    // The same compare again settles it: the conflict shows our own value.
+    let TxnOutcome::Conflict { found } = store.commit(create()).await.unwrap() else {
+        panic!("the write took effect twice");
+    };
+    assert_eq!(found[0].value, "mine");
+}
+
+#[tokio::test]
+async fn a_lost_call_has_no_effect_and_a_second_try_does() {
+    let (store, faults) = store();
+    faults.script(Call::Txn, Fault::LostBefore, 1);
+    assert!(matches!(store.commit(create()).await, Err(Error::AnswerLost { .. })));
+    assert_eq!(value(&store).await, None);
+    assert!(matches!(store.commit(create()).await, Ok(TxnOutcome::Done { .. })));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_effect_cannot_overwrite_what_was_settled_by_a_compare() {
+    let (store, faults) = store();
+    faults.script(Call::Txn, Fault::Late(Duration::from_secs(5)), 1);
+    assert!(store.commit(create()).await.is_err());
+    // A read alone would wrongly settle it as lost.
+    assert_eq!(value(&store).await, None);
+    let other = Txn::new().expect("k/a", None).put("k/a", "other");
+    store.commit(other).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert_eq!(value(&store).await.as_deref(), Some("other"));
+}
+
+#[tokio::test]
+async fn one_node_is_cut_off_alone() {
+    let shared = MemStore::new(ManualClock::default());
+    let (left, right) = (Faults::new(), Faults::new());
+    let cut = FaultyStore::new(shared.clone(), left.clone());
+    let whole = FaultyStore::new(shared, right);
+    let mut watch = cut.watch(&prefix(), StoreRevision(1)).await.unwrap();
+    left.set_down(true);
+    assert!(watch.next().await.is_err());
+    assert!(matches!(cut.watch(&prefix(), StoreRevision(1)).await, Err(Error::Unavailable { .. })));
+    let error = cut.commit(create()).await.unwrap_err();
+    assert!(matches!(error, Error::Unavailable { .. }) && error.is_without_effect());
+    assert!(whole.commit(create()).await.is_ok());
+    left.set_down(false);
+    assert_eq!(cut.range(&prefix()).await.unwrap().entries.len(), 1);
+}
+
+#[tokio::test]
+async fn a_compacted_watch_is_told_so() {
+    let (store, faults) = store();
+    let mut running = store.watch(&prefix(), StoreRevision(1)).await.unwrap();
+    faults.compact_watches(StoreRevision(9));
+    assert_eq!(running.next().await, Err(Error::Compacted { oldest: StoreRevision(9) }));
+    store.commit(create()).await.unwrap();
+    let now = store.inner().revision();
+    store.inner().compact(now);
+    let behind = store.watch(&prefix(), StoreRevision(1)).await;
+    assert_eq!(behind.unwrap_err(), Error::Compacted { oldest: now });
+    let mut at = store.watch(&prefix(), now).await.unwrap();
+    assert_eq!(at.next().await.unwrap().changes.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_delivers_everything_later() {
+    let (store, faults) = store();
+    let mut watch = store.watch(&prefix(), StoreRevision(1)).await.unwrap();
+    faults.set_silent(true);
+    store.commit(create()).await.unwrap();
+    let silent = tokio::time::timeout(Duration::from_secs(60), watch.next()).await;
+    assert!(silent.is_err());
+    faults.set_silent(false);
+    assert_eq!(watch.next().await.unwrap().changes.len(), 1);
+}
+
+#[tokio::test]
+async fn a_forced_lapse_deletes_the_keys_and_wakes_the_watch() {
+    let (store, faults) = store();
+    let mut watch = store.watch(&prefix(), StoreRevision(1)).await.unwrap();
+    let lease = store.grant(Duration::from_secs(60)).await.unwrap();
+    store.commit(Txn::new().put_leased("k/a", "1", lease)).await.unwrap();
+    assert!(watch.next().await.unwrap().changes[0].1.is_some());
+    faults.script(Call::Lease, Fault::Lapse, 1);
+    assert_eq!(store.renew(lease).await, Err(Error::LeaseLapsed));
+    assert!(watch.next().await.unwrap().changes[0].1.is_none());
+
+    let lease = store.grant(Duration::from_secs(60)).await.unwrap();
+    store.lapse_leases().await;
+    assert_eq!(store.renew(lease).await, Err(Error::LeaseLapsed));
+}
+
+#[tokio::test]
+async fn a_stale_read_shows_what_was_told_before() {
+    let (store, faults) = store();
+    assert_eq!(store.get(&Key::from("k/a")).await.unwrap(), None);
+    let before = store.range(&prefix()).await.unwrap();
+    store.commit(create()).await.unwrap();
+    faults.set_stale(true);
+    assert_eq!(store.get(&Key::from("k/a")).await.unwrap(), None);
+    assert_eq!(store.range(&prefix()).await.unwrap(), before);
+    // A compare is never stale.
+    assert!(matches!(store.commit(create()).await, Ok(TxnOutcome::Conflict { .. })));
+    faults.set_stale(false);
+    assert!(store.get(&Key::from("k/a")).await.unwrap().is_some());
+}
+
+#[tokio::test]
+async fn random_faults_repeat_with_their_seed_and_calls_are_counted() {
+    let odds = Odds { unavailable: 200, before: 100, after: 100, late: 0, lapse: 0 };
+    let mut runs = Vec::new();
+    for _ in 0..2 {
+        let (store, faults) = store();
+        faults.set_odds(7, odds);
+        let mut run = Vec::new();
+        for at in 0..200 {
+            run.push(store.commit(Txn::new().put(format!("k/{at}"), "")).await.is_ok());
+        }
+        assert_eq!((faults.counts().txn, faults.counts().total()), (200, 200));
+        faults.clear();
+        assert!(store.get(&prefix()).await.is_ok());
+        assert_eq!((faults.counts().get, faults.counts().writes()), (1, 200));
+        runs.push(run);
+    }
+    assert_eq!(runs[0], runs[1]);
+    let failed = runs[0].iter().filter(|ok| !**ok).count();
+    assert!((1..200).contains(&failed));
+}
+
+#[tokio::test]
+async fn a_watch_far_behind_is_compacted_at_a_whole_revision() {
+    let store = MemStore::new(ManualClock::default());
+    let pair = || Txn::new().put("k/a", "").put("k/b", "");
+    let mut last = StoreRevision(0);
+    for _ in 0..6_000 {
+        if let TxnOutcome::Done { revision } = store.commit(pair()).await.unwrap() {
+            last = revision;
+        }
+    }
+    let Err(Error::Compacted { oldest }) = store.watch(&prefix(), StoreRevision(1)).await else {
+        panic!("the history is not bounded");
+    };
+    let mut watch = store.watch(&prefix(), oldest).await.unwrap();
+    let kept = usize::try_from(last.0 - oldest.0 + 1).unwrap();
+    assert_eq!(watch.next().await.unwrap().changes.len(), 2 * kept);
+}
--- /dev/null
+++ b/crates/store/tests/model.rs
@@ -0,0 +1,278 @@
+//! The store in memory against a simple oracle, and a watch that is folded
+//! into a copy of all keys.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use proptest::prelude::*;
+use proptest::sample::select;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use tokio::runtime::Runtime;
+use vg_base::ManualClock;
+use vg_store::{
+    Change, Compare, Entry, Error, Key, LeaseId, MemStore, MemWatch, Put, Store, StoreRevision,
+    Txn, TxnOutcome, Watch,
+};
+
+const KEYS: [&str; 4] = ["p/a", "p/b", "p/bc", "q"];
+
+#[derive(Debug, Clone, PartialEq)]
+enum Step {
+    Commit(Txn),
+    Grant(u64),
+    Renew(LeaseId),
+    Revoke(LeaseId),
+    Advance(u64),
+    Compact(i64),
+}
+
+/// What a step must give.
+#[derive(Debug, Clone, PartialEq)]
+enum Outcome {
+    Txn(Result<TxnOutcome, Error>),
+    Lease(Result<(), Error>),
+    Nothing,
+}
+
+#[derive(Debug, Clone)]
+struct Oracle {
+    now: u64,
+    revision: i64,
+    keys: BTreeMap<Key, Entry>,
+    /// Time to live and end of each lease, in milliseconds.
+    leases: BTreeMap<LeaseId, (u64, u64)>,
+    granted: i64,
+    outcome: Outcome,
+}
+
+impl Oracle {
+    fn drop_lease(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let before = self.keys.len();
+        self.keys.retain(|_, entry| entry.lease != Some(lease));
+        self.revision += i64::from(self.keys.len() < before);
+    }
+
+    fn advance(&mut self, step: u64) {
+        self.now += step;
+        let over: Vec<_> = self.leases.iter().filter(|(_, lease)| lease.1 <= self.now).collect();
+        let mut over: Vec<_> = over.into_iter().map(|(id, lease)| (lease.1, *id)).collect();
+        over.sort_unstable();
+        over.into_iter().for_each(|(_, id)| self.drop_lease(id));
+    }
+
+    fn commit(&mut self, txn: &Txn) -> Result<TxnOutcome, Error> {
+        let modified = |key: &Key| self.keys.get(key).map(|entry| entry.modified);
+        if txn.compares.iter().any(|each| modified(&each.key) != each.modified) {
+            let found = txn.compares.iter().filter_map(|each| self.keys.get(&each.key).cloned());
+            return Ok(TxnOutcome::Conflict { found: found.collect() });
+        }
+        let lapsed = |change: &Change| match change {
+            Change::Put(Put { lease: Some(lease), .. }) => !self.leases.contains_key(lease),
+            _ => false,
+        };
+        if txn.changes.iter().any(lapsed) {
+            return Err(Error::LeaseLapsed);
+        }
+        let next = StoreRevision(self.revision + 1);
+        let mut written = false;
+        for change in &txn.changes {
+            written |= match change.clone() {
+                Change::Delete(key) => self.keys.remove(&key).is_some(),
+                Change::Put(Put { key, value, lease }) => {
+                    let entry = Entry { key: key.clone(), value, modified: next, lease };
+                    self.keys.insert(key, entry);
+                    true
+                }
+            };
+        }
+        self.revision += i64::from(written);
+        Ok(TxnOutcome::Done { revision: StoreRevision(self.revision) })
+    }
+}
+
+fn any_txn(oracle: &Oracle) -> BoxedStrategy<Txn> {
+    let oracle = oracle.clone();
+    let keys = proptest::sample::subsequence(KEYS.to_vec(), 0..=KEYS.len());
+    let compares = proptest::sample::subsequence(KEYS.to_vec(), 0..=2);
+    let lease = proptest::option::weighted(0.4, 1..=oracle.granted.max(1) + 1);
+    (keys, compares, lease, 0..8u8, any::<u8>(), any::<u8>())
+        .prop_map(move |(keys, compares, lease, wrong, puts, value)| {
+            let compare = |key: &&str| {
+                let key = Key::from(*key);
+                let right = oracle.keys.get(&key).map(|entry| entry.modified);
+                let modified = if wrong == 0 { Some(StoreRevision(1)) } else { right };
+                Compare { key, modified }
+            };
+            let change = |(at, key): (usize, &&str)| {
+                let key = Key::from(*key);
+                if puts & (1 << at) == 0 {
+                    return Change::Delete(key);
+                }
+                let value = vec![value].into();
+                Change::Put(Put { key, value, lease: lease.map(LeaseId) })
+            };
+            Txn {
+                compares: compares.iter().map(compare).collect(),
+                changes: keys.iter().enumerate().map(change).collect(),
+            }
+        })
+        .boxed()
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Oracle;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Oracle> {
+        Just(Oracle {
+            now: 0,
+            revision: 1,
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            granted: 0,
+            outcome: Outcome::Nothing,
+        })
+        .boxed()
+    }
+
+    fn transitions(oracle: &Oracle) -> BoxedStrategy<Step> {
+        // One id past the last is never granted yet.
+        let lease = (1..=oracle.granted + 1).prop_map(LeaseId);
+        prop_oneof![
+            6 => any_txn(oracle).prop_map(Step::Commit),
+            2 => select(vec![50, 100, 150]).prop_map(Step::Grant),
+            2 => lease.clone().prop_map(Step::Renew),
+            1 => lease.prop_map(Step::Revoke),
+            2 => select(vec![1, 49, 50, 100]).prop_map(Step::Advance),
+            1 => (0..3i64).prop_map(Step::Compact),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut oracle: Oracle, step: &Step) -> Oracle {
+        let outcome = match step {
+            Step::Commit(txn) => Outcome::Txn(oracle.commit(txn)),
+            Step::Grant(ttl) => {
+                oracle.granted += 1;
+                oracle.leases.insert(LeaseId(oracle.granted), (*ttl, oracle.now + ttl));
+                Outcome::Nothing
+            }
+            Step::Renew(id) => {
+                let now = oracle.now;
+                let lease = oracle.leases.get_mut(id).ok_or(Error::LeaseLapsed);
+                Outcome::Lease(lease.map(|lease| lease.1 = now + lease.0))
+            }
+            Step::Revoke(id) if oracle.leases.contains_key(id) => {
+                oracle.drop_lease(*id);
+                Outcome::Lease(Ok(()))
+            }
+            Step::Revoke(_) => Outcome::Lease(Err(Error::LeaseLapsed)),
+            Step::Advance(step) => {
+                oracle.advance(*step);
+                Outcome::Nothing
+            }
+            Step::Compact(_) => Outcome::Nothing,
+        };
+        Oracle { outcome, ..oracle }
+    }
+}
+
+struct Real {
+    runtime: Runtime,
+    clock: ManualClock,
+    store: MemStore<ManualClock>,
+    watch: MemWatch<ManualClock>,
+    /// All keys as the watch tells them.
+    copy: BTreeMap<Key, Entry>,
+}
+
+impl Real {
+    /// Brings the copy up to date, by listing anew where the watch can't.
+    fn follow(&mut self) {
+        let entered = self.runtime.enter();
+        let next = self.watch.next().now_or_never();
+        drop(entered);
+        match next {
+            Some(Ok(batch)) => {
+                for (key, entry) in batch.changes {
+                    match entry {
+                        Some(entry) => self.copy.insert(key, entry),
+                        None => self.copy.remove(&key),
+                    };
+                }
+            }
+            Some(Err(Error::Compacted { oldest })) => {
+                let all = Key::from("");
+                let listing = self.runtime.block_on(self.store.range(&all)).unwrap();
+                assert!(oldest <= listing.revision);
+                let next = StoreRevision(listing.revision.0 + 1);
+                let watch = self.store.watch(&all, next);
+                self.watch = self.runtime.block_on(watch).unwrap();
+                self.copy = listing.entries.into_iter().map(|e| (e.key.clone(), e)).collect();
+            }
+            Some(Err(other)) => panic!("{other}"),
+            None => {}
+        }
+    }
+}
+
+struct MemStoreTest;
+
+impl StateMachineTest for MemStoreTest {
+    type SystemUnderTest = Real;
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> Real {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+        let clock = ManualClock::default();
+        let store = MemStore::new(clock.clone());
+        let watch = runtime.block_on(store.watch(&Key::from(""), StoreRevision(1))).unwrap();
+        Real { runtime, clock, store, watch, copy: BTreeMap::new() }
+    }
+
+    fn apply(mut real: Real, oracle: &Oracle, step: Step) -> Real {
+        let store = real.store.clone();
+        let outcome = match step {
+            Step::Commit(txn) => Outcome::Txn(real.runtime.block_on(store.commit(txn))),
+            Step::Grant(ttl) => {
+                let ttl = Duration::from_millis(ttl);
+                let lease = real.runtime.block_on(store.grant(ttl)).unwrap();
+                assert_eq!(lease, LeaseId(oracle.granted));
+                Outcome::Nothing
+            }
+            Step::Renew(id) => Outcome::Lease(real.runtime.block_on(store.renew(id)).map(|_| ())),
+            Step::Revoke(id) => Outcome::Lease(real.runtime.block_on(store.revoke(id))),
+            Step::Advance(ms) => {
+                real.clock.advance(Duration::from_millis(ms));
+                Outcome::Nothing
+            }
+            Step::Compact(back) => {
+                store.compact(StoreRevision(store.revision().0 - back));
+                Outcome::Nothing
+            }
+        };
+        assert_eq!(outcome, oracle.outcome);
+        real.follow();
+        real
+    }
+
+    fn check_invariants(real: &Real, oracle: &Oracle) {
+        for prefix in ["", "p/", "p/b", "none"] {
+            let prefix = Key::from(prefix);
+            let listing = real.runtime.block_on(real.store.range(&prefix)).unwrap();
+            let expected = oracle.keys.values().filter(|entry| entry.key.is_under(&prefix));
+            assert!(listing.entries.iter().eq(expected), "under {prefix}");
+            assert_eq!(listing.revision, StoreRevision(oracle.revision));
+        }
+        assert_eq!(real.copy, oracle.keys, "the watch's copy");
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_store_in_memory_follows_the_oracle(sequential 1..60 => MemStoreTest);
+}
