standin: a whole site in one process, and its command line

Cause: trials need a platform as a program of its own. Change: Site, SiteSettings, command() and run() for a thin program.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,21 +4,25 @@
 //! program for trials. Each has a handle that steers its faults. A [`RunLog`]
 //! records what really ran, which is what tests compare promises with.
 
+mod command;
 mod endpoint;
 mod error;
 pub mod headers;
 mod hosts;
 mod runs;
+mod site;
 mod store;
 mod web;
 mod worker;
 
+pub use command::{SiteSettings, command};
 pub use endpoint::{
     Endpoint, EndpointCounts, EndpointFaults, EndpointFaultsRequest, EndpointSettings, Mode,
 };
 pub use error::Error;
 pub use hosts::{Host, HostKind, HostListServer, HostState, HostsResponse};
 pub use runs::{Run, RunGuard, RunLog};
+pub use site::{Site, run};
 pub use store::{FaultKind, FaultsRequest, ScriptRequest, StoreServer};
 pub use worker::{
     Capacity, RenewRequest, TaskError, TaskSpec, TaskState, TaskStatus, TasksResponse,
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,141 @@
+//! All stand-ins of a platform in one process.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+
+use clap::ArgMatches;
+use snafu::ResultExt;
+use tokio::signal::unix::{SignalKind, signal};
+use vg_base::SystemClock;
+use vg_base::prelude::*;
+use vg_store::MemStore;
+
+use crate::error::{IdSnafu, OutputSnafu, SignalSnafu};
+use crate::{
+    Endpoint, EndpointSettings, Error, Host, HostKind, HostListServer, HostState, RunLog,
+    SiteSettings, StoreServer, Worker, WorkerSettings,
+};
+
+/// Hosts that share a rack.
+const RACK_HOSTS: u16 = 4;
+
+/// A store, a host list, endpoints and workers.
+#[derive(Debug)]
+pub struct Site {
+    /// The store.
+    pub store: StoreServer,
+    /// The host list, which shows all endpoints and workers.
+    pub hosts: HostListServer,
+    /// The endpoints.
+    pub endpoints: Vec<Endpoint>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// What ran at all of them.
+    pub log: RunLog,
+}
+
+impl Site {
+    /// Starts all stand-ins; endpoints and workers take free ports of loopback.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Start`] when an address can't be served.
+    pub async fn start(settings: &SiteSettings) -> Result<Site, Error> {
+        let store = StoreServer::start(settings.store, MemStore::new(SystemClock)).await?;
+        let hosts = HostListServer::start(settings.hosts, SystemClock).await?;
+        hosts.set_lag(settings.lag);
+        let log = RunLog::new();
+        let (endpoints, workers) = (Vec::new(), Vec::new());
+        let mut site = Site { store, hosts, endpoints, workers, log };
+        for at in 0..settings.endpoints {
+            site.add_endpoint(at, settings).await?;
+        }
+        for at in 0..settings.workers {
+            site.add_worker(at, settings).await?;
+        }
+        Ok(site)
+    }
+
+    async fn add_endpoint(&mut self, at: u16, settings: &SiteSettings) -> Result<(), Error> {
+        let id: HostId = format!("endpoint-{at}").parse().context(IdSnafu)?;
+        let service = settings.service;
+        let endpoint = EndpointSettings { service, ..EndpointSettings::new(id.clone()) };
+        let endpoint = Endpoint::start(endpoint, self.log.clone()).await?;
+        self.hosts.put(host(id, at, endpoint.addr(), HostKind::Endpoint, settings)?);
+        self.endpoints.push(endpoint);
+        Ok(())
+    }
+
+    async fn add_worker(&mut self, at: u16, settings: &SiteSettings) -> Result<(), Error> {
+        let id: HostId = format!("worker-{at}").parse().context(IdSnafu)?;
+        let worker = WorkerSettings::new(id.clone());
+        let worker = Worker::start(worker, self.log.clone(), SystemClock).await?;
+        self.hosts.put(host(id, at, worker.addr(), HostKind::Worker, settings)?);
+        self.workers.push(worker);
+        Ok(())
+    }
+
+    /// Writes the addresses, one a line.
+    fn describe(&self, out: &mut impl Write) -> io::Result<()> {
+        writeln!(out, "store {}", self.store.addr())?;
+        writeln!(out, "hosts {}", self.hosts.addr())?;
+        for endpoint in &self.endpoints {
+            writeln!(out, "{} {}", endpoint.id(), endpoint.addr())?;
+        }
+        for worker in &self.workers {
+            writeln!(out, "{} {}", worker.id(), worker.addr())?;
+        }
+        out.flush()
+    }
+
+    /// Stops all stand-ins; endpoints finish what runs.
+    pub async fn stop(self) {
+        for endpoint in self.endpoints {
+            endpoint.stop().await;
+        }
+        for worker in self.workers {
+            worker.stop().await;
+        }
+        self.hosts.kill().await;
+        self.store.kill().await;
+    }
+}
+
+/// Spreads hosts over zones, and the hosts of a zone over racks.
+fn host(
+    id: HostId,
+    at: u16,
+    addr: SocketAddr,
+    kind: HostKind,
+    settings: &SiteSettings,
+) -> Result<Host, Error> {
+    let zones = settings.zones.max(1);
+    let (zone, rack) = (at % zones, at / zones / RACK_HOSTS);
+    let (zone, rack) = (format!("zone-{zone}"), format!("zone-{zone}-rack-{rack}"));
+    Ok(Host {
+        id,
+        pool: None,
+        zone: zone.parse().context(IdSnafu)?,
+        rack: rack.parse().context(IdSnafu)?,
+        addr,
+        kind,
+        state: HostState::Live,
+    })
+}
+
+/// Runs the program `verbenagap-standin` until it is interrupted.
+///
+/// # Errors
+///
+/// Those of [`Site::start`]; [`Error::Signal`] if signals can't be received.
+pub async fn run(matches: &ArgMatches) -> Result<(), Error> {
+    let mut term = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let site = Site::start(&SiteSettings::from(matches)).await?;
+    site.describe(&mut io::stdout().lock()).context(OutputSnafu)?;
+    tokio::select! {
+        result = tokio::signal::ctrl_c() => result.context(SignalSnafu)?,
+        _ = term.recv() => {}
+    }
+    site.stop().await;
+    Ok(())
+}
