Add the command line of operators and callers

Cause: operators edit, compare, apply and follow the lists; callers send calls and jobs; all follow the time line. Change: `vg_cli::run` with config, key, call, job, timeline, completions and man; text tables or JSON; exit status 0, 1 or 2; failures say what is proved and what to do.

--- /dev/null
+++ b/crates/cli/src/config/apply.rs
@@ -0,0 +1,53 @@
+//! `config apply`: stores both lists as the next revision.
+
+use clap::{Arg, ArgMatches, Command};
+use vg_base::prelude::*;
+
+use super::change::Attempt;
+use super::force::WaitOptions;
+use super::pair::Pair;
+use crate::session::Session;
+use crate::{Error, Exit, Platform, System};
+
+pub(super) fn command() -> Command {
+    Command::new("apply")
+        .about("Stores both lists as the next revision and waits until it is in force")
+        .args(Pair::args())
+        .arg(
+            super::revision_arg("base", "The revision that was edited; 0 for the first lists")
+                .required(true),
+        )
+        .arg(author_arg())
+        .args(WaitOptions::args())
+}
+
+pub(super) async fn run<P: Platform, Y: System>(
+    session: &mut Session<'_, '_, P, Y>,
+    matches: &ArgMatches,
+) -> Result<Exit, Error> {
+    let attempt = Attempt {
+        base: super::revision(matches, "base").unwrap_or_default(),
+        pair: Pair::read(session, matches)?,
+        author: author(session, matches),
+        wait: WaitOptions::read(matches)?,
+    };
+    attempt.run(session).await
+}
+
+/// Returns the option that names the author.
+pub(crate) fn author_arg() -> Arg {
+    Arg::new("author")
+        .long("author")
+        .value_name("NAME")
+        .help("Who makes the change [default: the user's name]")
+}
+
+/// Returns the author of a change.
+pub(crate) fn author<P: Platform, Y: System>(
+    session: &Session<'_, '_, P, Y>,
+    matches: &ArgMatches,
+) -> SmolStr {
+    let given = matches.get_one::<String>("author").cloned();
+    let name = given.or_else(|| session.system.var("USER"));
+    name.unwrap_or_else(|| "unknown".to_owned()).into()
+}
--- /dev/null
+++ b/crates/cli/src/output/mod.rs
@@ -0,0 +1,11 @@
+//! Reports as text, tables and colours.
+
+mod report;
+mod style;
+mod table;
+mod time;
+
+pub(crate) use report::Report;
+pub(crate) use style::Style;
+pub(crate) use table::Table;
+pub(crate) use time::{utc, utc_micros};
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,6 +4,7 @@
 //! files and the store are read by the callers. All faults of a text are
 //! reported at once, each with its place and what is accepted there.
 
+mod content;
 pub mod examples;
 pub mod ini;
 pub mod lists;
@@ -11,6 +12,7 @@
 pub mod span;
 pub mod stored;
 
+pub use content::{Content, content_of};
 pub use ini::{Fault, Faults};
 pub use lists::{Access, Class, KeyDigest, Lists, Plan, Pool, Queue};
 pub use settings::{Settings, SettingsError};
