--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -16,13 +16,17 @@
     pub(crate) struct JobKey;
 }
 
-/// Where an attempt runs: one start of one worker.
+/// Where an attempt runs: one incarnation of one worker.
+///
+/// A worker has a new incarnation when its process starts and when its lease
+/// has lapsed: it has then stopped all its tasks, and a start that was sent
+/// before and comes late is refused.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
 #[display("{worker}/{incarnation}")]
 pub struct Site {
     /// The worker.
     pub worker: HostId,
-    /// The start of its process; another one knows nothing of the attempt.
+    /// Its incarnation; another one knows nothing of the attempt.
     pub incarnation: Incarnation,
 }
 
--- a/crates/jobs/src/journal/index.rs
+++ b/crates/jobs/src/journal/index.rs
@@ -12,9 +12,6 @@
 /// Bytes of current records that one segment is meant to hold on average.
 const SEGMENT_GOAL_BYTES: usize = 64 * 1024;
 
-/// Segments that a log may have whatever it holds.
-const SEGMENTS_FREE: usize = 32;
-
 /// Most bytes that one batch copies out of old segments.
 const COPY_MAX_BYTES: usize = 96 * 1024;
 
@@ -91,8 +88,8 @@
     }
 
     /// Chooses segments to clean when there are more than the log should have.
-    pub(crate) fn cleaning(&self) -> Cleaning {
-        let allowed = SEGMENTS_FREE + 2 * self.live / SEGMENT_GOAL_BYTES;
+    pub(crate) fn cleaning(&self, free: usize) -> Cleaning {
+        let allowed = free + 2 * self.live / SEGMENT_GOAL_BYTES;
         if self.segments.len() <= allowed {
             return Cleaning::default();
         }
--- a/crates/jobs/src/journal/log.rs
+++ b/crates/jobs/src/journal/log.rs
@@ -174,16 +174,16 @@
         if !waited && self.staged_bytes < BATCH_MAX_BYTES {
             return Ok(None);
         }
-        let flight = self.build()?;
+        let flight = self.build(limits)?;
         let batch = flight.batch.clone();
         self.flight = Some(flight);
         self.last_batch = Some(now);
         Ok(Some(batch))
     }
 
-    fn build(&self) -> Result<Flight, JournalError> {
+    fn build(&self, limits: &Limits) -> Result<Flight, JournalError> {
         let changes = self.fill();
-        let cleaning = self.index.cleaning();
+        let cleaning = self.index.cleaning(limits.segments);
         let id = BatchId { epoch: self.head.epoch, seq: self.head.batch.seq + 1 };
         let last = self.staged.get(changes.saturating_sub(1));
         let through = last.map_or(self.durable, |staged| staged.sealed.serial);
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -9,11 +9,14 @@
     pub batch_wait: Duration,
     /// Shortest time between two batches: what the store's budget allows.
     pub batch_gap: Duration,
+    /// Segments that the log may have whatever it holds.
+    pub segments: usize,
     /// Staged bytes at which submissions are refused.
     pub staged_bytes: usize,
     /// Open jobs at which submissions are refused.
     pub open_jobs: usize,
-    /// How long a worker's word holds.
+    /// How long a worker's word holds. Longer than it takes a lost owner's pool
+    /// to find its next one, or each such change would stop all tasks.
     pub worker_lease: Duration,
     /// Time after the lease in which a worker has surely stopped its tasks.
     pub lease_margin: Duration,
@@ -38,9 +41,10 @@
         Limits {
             batch_wait: Duration::from_millis(50),
             batch_gap: Duration::from_millis(250),
+            segments: 32,
             staged_bytes: 1024 * 1024,
             open_jobs: 200_000,
-            worker_lease: Duration::from_secs(10),
+            worker_lease: Duration::from_secs(20),
             lease_margin: Duration::from_secs(2),
             start_wait: Duration::from_secs(2),
             word_wait: Duration::from_secs(30),
--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// A restart ends what ran before it.
+    /// A new incarnation ends what ran before it.
     pub(super) fn lose_outdated(&mut self, worker: WorkerKey, now: Now) {
         let Some(worker) = self.workers.get(worker) else { return };
         let before = |key: &JobKey| {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -38,7 +38,7 @@
 pub struct Heartbeat {
     /// The host.
     pub host: HostId,
-    /// The start of its process.
+    /// Its incarnation, new after a start and after a lapsed lease.
     pub incarnation: Incarnation,
     /// When the renewal was sent: the lease counts from there.
     pub sent: Instant,
--- /dev/null
+++ b/crates/jobs/tests/support/oracle.rs
@@ -0,0 +1,65 @@
+//! What must hold, kept apart from the code under test.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use vg_base::prelude::*;
+use vg_jobs::{Cause, JobState, Start};
+
+#[derive(Debug, Default)]
+pub(crate) struct Oracle {
+    /// Jobs that were acknowledged.
+    pub(crate) accepted: BTreeSet<JobId>,
+    /// Jobs whose submitters were told that they were not taken.
+    pub(crate) refused: BTreeSet<JobId>,
+    pub(crate) idempotent: BTreeMap<JobId, bool>,
+    /// Starts on workers, by job and the checkpoint that they resumed from.
+    starts: BTreeMap<(JobId, Option<Bytes>), u32>,
+    checkpoints: BTreeMap<JobId, BTreeSet<Bytes>>,
+    exits: BTreeMap<JobId, BTreeSet<i32>>,
+    /// The end of each job, as it was first shown.
+    pub(crate) ends: BTreeMap<JobId, JobState>,
+}
+
+impl Oracle {
+    pub(crate) fn started(&mut self, start: &Start) {
+        let job = start.task.job;
+        assert!(!self.refused.contains(&job), "{job:?} was refused and runs");
+        assert!(self.accepted.contains(&job) || self.idempotent.contains_key(&job));
+        assert!(!self.ends.contains_key(&job), "{job:?} ended as {:?} and runs", self.ends[&job]);
+        if let Some(token) = &start.resume {
+            let known = self.checkpoints.get(&job).is_some_and(|tokens| tokens.contains(token));
+            assert!(known, "{job:?} resumes from a checkpoint it never wrote");
+        }
+        let count = self.starts.entry((job, start.resume.clone())).or_default();
+        *count += 1;
+        let once = *count == 1 || self.idempotent[&job];
+        assert!(once, "{job:?} is not idempotent and ran {count} times");
+    }
+
+    pub(crate) fn checkpointed(&mut self, job: JobId, token: Bytes) {
+        self.checkpoints.entry(job).or_default().insert(token);
+    }
+
+    pub(crate) fn exited(&mut self, job: JobId, exit: i32) {
+        self.exits.entry(job).or_default().insert(exit);
+    }
+
+    pub(crate) fn shown(&mut self, job: JobId, state: JobState, running: bool) {
+        if let Some(end) = self.ends.get(&job) {
+            assert_eq!(*end, state, "the end of {job:?} changed");
+        }
+        if !state.is_final() {
+            return;
+        }
+        assert!(!running, "{job:?} is shown as {state} and runs");
+        let exited = |exit: &i32| self.exits.get(&job).is_some_and(|exits| exits.contains(exit));
+        match state {
+            JobState::Done { exit } => assert!(exited(&exit), "{job:?} never exited with {exit}"),
+            JobState::Failed { cause: Cause::Exit(exit) } => assert!(exited(&exit)),
+            JobState::Unknown => assert!(!self.idempotent[&job], "{job:?} could run again"),
+            _ => {}
+        }
+        self.ends.insert(job, state);
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/support/store.rs
@@ -0,0 +1,49 @@
+//! A store in memory.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use vg_base::prelude::*;
+use vg_jobs::{Batch, Stored, Write, segment_prefix};
+
+#[derive(Debug, Default, Clone)]
+pub(crate) struct FakeStore {
+    pub(crate) values: BTreeMap<SmolStr, (Bytes, i64)>,
+    revision: i64,
+}
+
+impl FakeStore {
+    /// Commits a batch; gives the revision, or `None` on a conflict.
+    pub(crate) fn commit(&mut self, batch: &Batch) -> Option<i64> {
+        let held = |key: &SmolStr| self.values.get(key).map(|(_, revision)| *revision);
+        if batch.expects.iter().any(|expect| held(&expect.key) != expect.revision) {
+            return None;
+        }
+        self.revision += 1;
+        for write in &batch.writes {
+            match write {
+                Write::Put { key, value } => {
+                    assert!(value.len() < 256 * 1024, "{key} has {} bytes", value.len());
+                    self.values.insert(key.clone(), (value.clone(), self.revision));
+                }
+                Write::Delete { key } => {
+                    self.values.remove(key);
+                }
+            }
+        }
+        Some(self.revision)
+    }
+
+    pub(crate) fn get(&self, key: &str) -> Option<Stored> {
+        let (value, revision) = self.values.get(key)?;
+        Some(Stored { key: key.into(), value: value.clone(), revision: *revision })
+    }
+
+    pub(crate) fn head(&self, pool: &PoolId) -> Option<Stored> {
+        self.get(&format!("{}head", segment_prefix(pool)))
+    }
+
+    pub(crate) fn range(&self) -> Vec<Stored> {
+        self.values.keys().filter_map(|key| self.get(key)).collect()
+    }
+}
