verbenagap: daemon, stand-in program and the demo

Cause: nothing could be run by a user yet. Change: thin programs over the library; the demo runs a site in one process with rival teams, a withdrawn key, a leaving and a killed endpoint and a restarted entry host, and compares what callers were told with what ran. Conclusion: the path stands; jobs are still missing from it.

--- a/crates/entry/src/dispatch/exchange.rs
+++ b/crates/entry/src/dispatch/exchange.rs
@@ -162,6 +162,8 @@
     ) {
         let (mut parts, body) = response.into_parts();
         HOP_HEADERS.iter().for_each(|name| drop(parts.headers.remove(name)));
+        // An endpoint can't speak in the name of an entry host.
+        parts.headers.remove(headers::VERDICT);
         let failed = parts.status.is_server_error();
         let kept = self.receipt.is_some().then(|| kept_answer(parts.status, &parts.headers));
         let (writer, reader) = pipe();
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -20,6 +20,9 @@
 pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("vg-replayed");
 /// Digest of the caller's key, from the ingress to the owner.
 pub(crate) const KEY_DIGEST: HeaderName = HeaderName::from_static("vg-key-digest");
+/// How the request ended, on every answer to a caller: an endpoint may answer
+/// with a problem document of its own.
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("vg-outcome");
 /// Marks an answer between entry hosts as the owner's own verdict.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("vg-verdict");
 /// The caller's key that makes a request repeatable.
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -22,31 +22,30 @@
 /// Time that an owner change may take before the caller is told to come back.
 const OWNER_PATIENCE: Duration = Duration::from_millis(1500);
 
-/// Serves one call from a caller.
-///
-/// # Errors
-///
-/// A [`Problem`] with the proved outcome.
+/// Serves one call from a caller: its answer, or a [`Problem`] with the proved
+/// outcome.
 pub(crate) async fn call<P: Platform>(
     node: &Node<P>,
     queue: &str,
     headers: &HeaderMap,
     body: Body,
-) -> Result<Response<Body>, Problem> {
+) -> Response<Body> {
     let received = node.clock.now();
     let call = match accept(node, queue, headers, body, received).await {
         Ok(call) => call,
         Err(problem) => {
             node.metrics.call_refused();
-            return Err(problem);
+            return problem.into_response();
         }
     };
-    let queue = call.queue.clone();
+    let (id, queue) = (call.id, call.queue.clone());
     let result = serve(node, call).await;
     let outcome = result.as_ref().map_or_else(|problem| problem.outcome, |_| Outcome::Answered);
     let took = node.clock.now().saturating_duration_since(received);
     node.metrics.call_ended(&queue, outcome, took);
-    result
+    let mut response = result.unwrap_or_else(Problem::into_response);
+    tag(&mut response, id);
+    response
 }
 
 async fn serve<P: Platform>(node: &Node<P>, call: Call) -> Result<Response<Body>, Problem> {
@@ -59,7 +58,7 @@
     let id = call.id;
     let result = route(node, call).await;
     let result = match result {
-        Ok(response) => relay::buffer_start(response, id).await,
+        Ok(response) => relay::buffer_start(response).await,
         Err(problem) => Err(problem),
     };
     record_end(node, id, &result);
@@ -169,7 +168,7 @@
 }
 
 /// Sets the id of the request on its answer.
-pub(crate) fn tag(response: &mut Response<Body>, id: RequestId) {
+fn tag(response: &mut Response<Body>, id: RequestId) {
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
         response.headers_mut().insert(headers::REQUEST_ID, value);
     }
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -6,6 +6,17 @@
 use vg_base::prelude::*;
 use vg_net::Body;
 
+use crate::headers;
+
+/// Returns the value of the header that tells how a request ended.
+pub(crate) fn outcome_value(outcome: Outcome) -> HeaderValue {
+    HeaderValue::from_static(match outcome {
+        Outcome::Answered => "answered",
+        Outcome::NotRun => "not-run",
+        Outcome::Unknown => "unknown",
+    })
+}
+
 /// Media type of problem documents.
 pub const PROBLEM_TYPE: &str = "application/problem+json";
 
@@ -202,11 +213,12 @@
         let mut response = Response::new(vg_net::full(body));
         *response.status_mut() =
             StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let headers = response.headers_mut();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
+        let fields = response.headers_mut();
+        fields.insert(header::CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
+        fields.insert(headers::OUTCOME, outcome_value(self.outcome));
         if let Some(ms) = self.retry_after_ms {
             // The header has whole seconds; rounding up never invites too early.
-            headers.insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000).max(1)));
+            fields.insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000).max(1)));
         }
         response
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -6,9 +6,9 @@
 use vg_base::prelude::*;
 use vg_net::Body;
 
-use crate::ingress::tag;
+use crate::headers;
 use crate::pipe::pipe;
-use crate::problem::{Problem, ProblemCode};
+use crate::problem::{Problem, ProblemCode, outcome_value};
 
 /// Bytes of an answer that are held back until more follow or it ends. An
 /// answer that is cut within them can still be told as unknown.
@@ -21,26 +21,23 @@
 ///
 /// An unknown outcome if the answer is cut within its start. A longer answer
 /// that is cut makes the connection to the caller end before the body's end.
-pub(crate) async fn buffer_start(
-    response: Response<Body>,
-    id: RequestId,
-) -> Result<Response<Body>, Problem> {
+pub(crate) async fn buffer_start(response: Response<Body>) -> Result<Response<Body>, Problem> {
     let (head, mut body) = response.into_parts();
     let mut held = BytesMut::new();
     while held.len() < HELD_BYTES {
         match body.frame().await {
             Some(Ok(frame)) => held.extend(frame.into_data().ok()),
             Some(Err(_)) => return Err(cut(&head)),
-            None => return Ok(rebuild(head, vg_net::full(held.freeze()), id)),
+            None => return Ok(rebuild(head, vg_net::full(held.freeze()))),
         }
     }
     let rest = stream_rest(held.freeze(), body);
-    Ok(rebuild(head, rest, id))
+    Ok(rebuild(head, rest))
 }
 
-fn rebuild(head: http::response::Parts, body: Body, id: RequestId) -> Response<Body> {
+fn rebuild(head: http::response::Parts, body: Body) -> Response<Body> {
     let mut response = Response::from_parts(head, body);
-    tag(&mut response, id);
+    response.headers_mut().insert(headers::OUTCOME, outcome_value(Outcome::Answered));
     response
 }
 
--- a/crates/entry/src/web/calls.rs
+++ b/crates/entry/src/web/calls.rs
@@ -5,7 +5,7 @@
 
 use crate::ingress;
 use crate::platform::Platform;
-use crate::web::context::{node, respond, take_request};
+use crate::web::context::{node, take_request};
 use crate::web::paths::QueuePath;
 
 /// `POST /v1/queues/{queue}/calls`
@@ -13,6 +13,6 @@
     let node = node::<P>(&state);
     let path = QueuePath::take_from(&mut state);
     let (headers, body) = take_request(&mut state);
-    let result = ingress::call(&node, &path.queue, &headers, body).await;
-    Ok((state, respond(result)))
+    let response = ingress::call(&node, &path.queue, &headers, body).await;
+    Ok((state, response))
 }
--- a/crates/entry/src/web/context.rs
+++ b/crates/entry/src/web/context.rs
@@ -3,12 +3,11 @@
 use std::panic::AssertUnwindSafe;
 
 use gotham::state::{FromState, State, StateData};
-use http::{HeaderMap, Response};
+use http::HeaderMap;
 use vg_net::Body;
 
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::problem::Problem;
 
 /// A shared node.
 ///
@@ -42,8 +41,3 @@
     let body = Body::take_from(state);
     (headers, body)
 }
-
-/// Turns a refusal into its response.
-pub(crate) fn respond(result: Result<Response<Body>, Problem>) -> Response<Body> {
-    result.unwrap_or_else(Problem::into_response)
-}
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -12,9 +12,11 @@
     pub store: SocketAddr,
     /// Address of the host list.
     pub hosts: SocketAddr,
-    /// Number of endpoints.
+    /// Pools that the hosts are set up for.
+    pub pools: Vec<PoolId>,
+    /// Number of endpoints of each pool.
     pub endpoints: u16,
-    /// Number of workers.
+    /// Number of workers of each pool.
     pub workers: u16,
     /// Number of availability zones that the hosts are spread over.
     pub zones: u16,
@@ -30,6 +32,7 @@
         SiteSettings {
             store: any,
             hosts: any,
+            pools: Vec::new(),
             endpoints: 4,
             workers: 4,
             zones: 3,
@@ -48,6 +51,10 @@
         SiteSettings {
             store: addr("store").unwrap_or(usual.store),
             hosts: addr("hosts").unwrap_or(usual.hosts),
+            pools: matches
+                .get_many("pools")
+                .map(|pools| pools.cloned().collect())
+                .unwrap_or_default(),
             endpoints: number("endpoints").unwrap_or(usual.endpoints),
             workers: number("workers").unwrap_or(usual.workers),
             zones: number("zones").unwrap_or(usual.zones).max(1),
@@ -63,8 +70,9 @@
         .about("Stand-ins of the platform on loopback: store, host list, endpoints and workers")
         .arg(addr("store", "127.0.0.1:2379", "Address of the store"))
         .arg(addr("hosts", "127.0.0.1:2380", "Address of the host list"))
-        .arg(number("endpoints", "4", "Number of endpoints"))
-        .arg(number("workers", "4", "Number of workers"))
+        .arg(pools())
+        .arg(number("endpoints", "4", "Number of endpoints of each pool"))
+        .arg(number("workers", "4", "Number of workers of each pool"))
         .arg(number("zones", "3", "Number of availability zones"))
         .arg(time("lag-ms", "1000", "How late the host list shows changes"))
         .arg(time("service-ms", "20", "How long a request runs that does not say so itself"))
@@ -74,6 +82,15 @@
     arg(name, value, help).value_name("IP:PORT").value_parser(value_parser!(SocketAddr))
 }
 
+fn pools() -> Arg {
+    Arg::new("pools")
+        .long("pools")
+        .value_name("POOL,…")
+        .value_delimiter(',')
+        .value_parser(value_parser!(PoolId))
+        .help("Pools that the hosts are set up for; without it they belong to none")
+}
+
 fn number(name: &'static str, value: &'static str, help: &'static str) -> Arg {
     arg(name, value, help).value_name("N").value_parser(value_parser!(u16))
 }
--- a/crates/standin/src/headers.rs
+++ b/crates/standin/src/headers.rs
@@ -9,7 +9,7 @@
 pub const TEAM: &str = "vg-team";
 
 /// Absolute deadline, in milliseconds since the Unix epoch.
-pub const DEADLINE: &str = "vg-deadline-ms";
+pub const DEADLINE: &str = "vg-deadline-at-ms";
 
 /// How long the request shall run, in milliseconds.
 pub const RUN_MS: &str = "vg-stand-in-run-ms";
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -47,30 +47,49 @@
         let log = RunLog::new();
         let (endpoints, workers) = (Vec::new(), Vec::new());
         let mut site = Site { store, hosts, endpoints, workers, log };
-        for at in 0..settings.endpoints {
-            site.add_endpoint(at, settings).await?;
-        }
-        for at in 0..settings.workers {
-            site.add_worker(at, settings).await?;
+        let pools: Vec<Option<&PoolId>> = if settings.pools.is_empty() {
+            vec![None]
+        } else {
+            settings.pools.iter().map(Some).collect()
+        };
+        for pool in pools {
+            for at in 0..settings.endpoints {
+                site.add_endpoint(pool, at, settings).await?;
+            }
+            for at in 0..settings.workers {
+                site.add_worker(pool, at, settings).await?;
+            }
         }
         Ok(site)
     }
 
-    async fn add_endpoint(&mut self, at: u16, settings: &SiteSettings) -> Result<(), Error> {
-        let id: HostId = format!("endpoint-{at}").parse().context(IdSnafu)?;
+    async fn add_endpoint(
+        &mut self,
+        pool: Option<&PoolId>,
+        at: u16,
+        settings: &SiteSettings,
+    ) -> Result<(), Error> {
+        let id = host_id(pool, "endpoint", at)?;
         let service = settings.service;
         let endpoint = EndpointSettings { service, ..EndpointSettings::new(id.clone()) };
         let endpoint = Endpoint::start(endpoint, self.log.clone()).await?;
-        self.hosts.put(host(id, at, endpoint.addr(), HostKind::Endpoint, settings)?);
+        let host = host(id, at, endpoint.addr(), HostKind::Endpoint, settings)?;
+        self.hosts.put(Host { pool: pool.cloned(), ..host });
         self.endpoints.push(endpoint);
         Ok(())
     }
 
-    async fn add_worker(&mut self, at: u16, settings: &SiteSettings) -> Result<(), Error> {
-        let id: HostId = format!("worker-{at}").parse().context(IdSnafu)?;
+    async fn add_worker(
+        &mut self,
+        pool: Option<&PoolId>,
+        at: u16,
+        settings: &SiteSettings,
+    ) -> Result<(), Error> {
+        let id = host_id(pool, "worker", at)?;
         let worker = WorkerSettings::new(id.clone());
         let worker = Worker::start(worker, self.log.clone(), SystemClock).await?;
-        self.hosts.put(host(id, at, worker.addr(), HostKind::Worker, settings)?);
+        let host = host(id, at, worker.addr(), HostKind::Worker, settings)?;
+        self.hosts.put(Host { pool: pool.cloned(), ..host });
         self.workers.push(worker);
         Ok(())
     }
@@ -101,6 +120,15 @@
     }
 }
 
+/// Returns `KIND-N`, or `POOL-KIND-N` for a host of a pool.
+fn host_id(pool: Option<&PoolId>, kind: &str, at: u16) -> Result<HostId, Error> {
+    let name = match pool {
+        Some(pool) => format!("{pool}-{kind}-{at}"),
+        None => format!("{kind}-{at}"),
+    };
+    name.parse().context(IdSnafu)
+}
+
 /// Spreads hosts over zones, and the hosts of a zone over racks.
 fn host(
     id: HostId,
--- /dev/null
+++ b/crates/verbenagap/src/bin/verbenagapd.rs
@@ -0,0 +1,7 @@
+//! One entry host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    verbenagap::daemon::main()
+}
--- /dev/null
+++ b/crates/verbenagap/src/daemon/log.rs
@@ -0,0 +1,34 @@
+//! The log: events on standard error, as text or JSON.
+
+use std::io::{self, Write};
+
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use log::Record;
+use serde_json::json;
+use vg_conf::Settings;
+use vg_conf::settings::LogFormat;
+
+/// Starts logging; it ends when the handle is dropped.
+pub(super) fn start(settings: &Settings) -> Result<LoggerHandle, FlexiLoggerError> {
+    // Libraries say nothing below warnings: their lines are no numbered events.
+    let levels = format!("warn, events = {}", settings.log_level);
+    let logger = Logger::try_with_str(levels)?.log_to_stderr();
+    let logger = match settings.log_format {
+        LogFormat::Text => logger.format(text),
+        LogFormat::Json => logger.format(json_line),
+    };
+    logger.start()
+}
+
+fn text(out: &mut dyn Write, _: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+    write!(out, "{:5} {}", record.level(), record.args())
+}
+
+fn json_line(out: &mut dyn Write, _: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+    let line = json!({
+        "level": record.level().as_str().to_lowercase(),
+        "target": record.target(),
+        "event": record.args().to_string(),
+    });
+    write!(out, "{line}")
+}
--- /dev/null
+++ b/crates/verbenagap/src/daemon/mod.rs
@@ -0,0 +1,101 @@
+//! The program `verbenagapd`: one entry host.
+
+mod error;
+mod log;
+mod options;
+
+use std::io::Write;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use snafu::ResultExt;
+use tokio::signal::unix::{SignalKind, signal};
+use vg_base::SystemClock;
+use vg_base::prelude::*;
+use vg_conf::{Settings, settings};
+use vg_entry::{NodeHandle, Real};
+use vg_store::{EtcdSettings, EtcdStore};
+
+pub use error::DaemonError;
+pub use options::{options, timing};
+
+use error::{LogSnafu, NodeSnafu, RuntimeSnafu, SettingsSnafu, SignalSnafu};
+
+/// Time between the balancer's check turning red and the end of new work.
+const STOP_NOTICE: Duration = Duration::from_secs(2);
+/// Exit status for wrong settings.
+const USAGE: u8 = 2;
+
+type Handle = NodeHandle<Real<EtcdStore>>;
+
+/// Returns the command line.
+pub fn command() -> Command {
+    let command = Command::new("verbenagapd")
+        .about("One entry host: takes calls and jobs and hands them to the fleet")
+        .version(env!("CARGO_PKG_VERSION"))
+        .max_term_width(100)
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit; starts nothing"),
+        );
+    settings::command(command)
+}
+
+/// Runs the program.
+pub fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let mut stderr = std::io::stderr().lock();
+            for line in error.to_string().lines() {
+                // Without standard error the exit status still tells.
+                let _ = writeln!(stderr, "verbenagapd: {line}");
+            }
+            error.exit_code()
+        }
+    }
+}
+
+fn run(matches: &ArgMatches) -> Result<(), DaemonError> {
+    let settings = settings::load(matches).context(SettingsSnafu)?;
+    let timing = timing(&settings)?;
+    if matches.get_flag("check") {
+        return Ok(());
+    }
+    let _logger = log::start(&settings).context(LogSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.context(RuntimeSnafu)?.block_on(serve(&settings, timing))
+}
+
+/// Serves until a signal asks for a stop. A member that was fenced starts anew
+/// under another incarnation.
+async fn serve(settings: &Settings, timing: vg_peer::Timing) -> Result<(), DaemonError> {
+    let mut term = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+    loop {
+        let handle = start(settings, timing.clone()).await?;
+        tokio::select! {
+            _ = term.recv() => return stop(handle).await,
+            _ = interrupt.recv() => return stop(handle).await,
+            () = handle.fenced() => handle.kill().await,
+        }
+    }
+}
+
+async fn start(settings: &Settings, timing: vg_peer::Timing) -> Result<Handle, DaemonError> {
+    let store = EtcdStore::new(EtcdSettings::new(settings.store.clone()));
+    let handle = NodeHandle::start(options(settings), store, SystemClock, timing).await;
+    handle.context(NodeSnafu)
+}
+
+async fn stop(handle: Handle) -> Result<(), DaemonError> {
+    if handle.stop(STOP_NOTICE).await { Ok(()) } else { Err(DaemonError::Unfinished) }
+}
+
+/// Returns the exit status for wrong settings.
+pub(crate) const fn usage() -> u8 {
+    USAGE
+}
--- /dev/null
+++ b/crates/verbenagap/src/daemon/options.rs
@@ -0,0 +1,59 @@
+//! From the settings of the process to those of the node.
+
+use snafu::ResultExt;
+use vg_conf::Settings;
+use vg_entry::Options;
+use vg_net::Limits;
+use vg_peer::Timing;
+
+use super::DaemonError;
+use super::error::TimesSnafu;
+
+/// Heartbeats to a peer in another region, in periods of near ones.
+const FAR_PERIODS: u32 = 3;
+
+/// Returns the node's options.
+pub fn options(settings: &Settings) -> Options {
+    Options {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        listen: settings.listen,
+        peer_listen: settings.peer_listen,
+        host_list: settings.host_list,
+        body_bytes: settings.body_bytes,
+        limits: Limits {
+            connections: settings.connections,
+            header_bytes: settings.header_bytes,
+            idle_time: settings.idle,
+            ..Limits::default()
+        },
+        lease: settings.lease,
+        host_period: Options::HOST_PERIOD,
+        drain: settings.drain,
+        event_capacity: settings.event_capacity,
+    }
+}
+
+/// Returns the times of membership, derived from heartbeat and lease.
+///
+/// # Errors
+///
+/// [`DaemonError::Times`] if they don't fit together.
+pub fn timing(settings: &Settings) -> Result<Timing, DaemonError> {
+    let usual = Timing::default();
+    let near_period = settings.heartbeat;
+    let grace = usual.grace.max(near_period.mul_f64(2.5));
+    let timing = Timing {
+        lease: settings.lease,
+        margin: settings.lease / 10,
+        grace,
+        quiet: usual.quiet.max(settings.lease.saturating_sub(grace)),
+        near_period,
+        far_period: near_period * FAR_PERIODS,
+        suspect: usual.suspect.max(near_period.mul_f64(3.5)),
+        ..usual
+    };
+    timing.check().context(TimesSnafu)?;
+    Ok(timing)
+}
--- /dev/null
+++ b/crates/verbenagap/src/demo/report.rs
@@ -0,0 +1,48 @@
+//! The demo's report for people.
+
+use std::io::{self, Write};
+
+use vg_base::prelude::*;
+
+use crate::demo::scenario::DemoOutcome;
+use crate::demo::tally::Tally;
+
+/// Writes the report.
+pub(super) fn write(out: &mut dyn Write, outcome: &DemoOutcome) -> io::Result<()> {
+    writeln!(out, "site {}, seed {}", outcome.site, outcome.seed)?;
+    writeln!(out)?;
+    writeln!(
+        out,
+        "{:<18} {:<12} {:>8} {:>8} {:>8} {:>6} {:>9} {:>9}  refusals",
+        "queue", "team", "answered", "not run", "unknown", "late", "p50 ms", "p99 ms"
+    )?;
+    for ((queue, team), tally) in &outcome.tallies {
+        write_row(out, queue, team, tally)?;
+    }
+    writeln!(out)?;
+    writeln!(out, "{:<56} {:>8} {:>8}", "promise", "cases", "broken")?;
+    for promise in &outcome.promises {
+        writeln!(out, "{:<56} {:>8} {:>8}", promise.text, promise.cases, promise.broken)?;
+    }
+    writeln!(out)?;
+    writeln!(out, "time line: {} events in {}", outcome.events, outcome.timeline.display())
+}
+
+fn write_row(out: &mut dyn Write, queue: &str, team: &TeamId, tally: &Tally) -> io::Result<()> {
+    let ms = |part| match tally.quantile(part) {
+        Some(time) => format!("{:.1}", time.as_secs_f64() * 1000.0),
+        None => "-".to_owned(),
+    };
+    let codes = tally.codes.iter().map(|(code, count)| format!("{code} {count}"));
+    let codes = codes.collect::<Vec<_>>().join(", ");
+    let line = format!(
+        "{queue:<18} {team:<12} {:>8} {:>8} {:>8} {:>6} {:>9} {:>9}  {codes}",
+        tally.answered,
+        tally.not_run,
+        tally.unknown,
+        tally.late,
+        ms(0.5),
+        ms(0.99),
+    );
+    writeln!(out, "{}", line.trim_end())
+}
--- a/crates/verbenagap/src/lib.rs
+++ b/crates/verbenagap/src/lib.rs
@@ -4,7 +4,11 @@
 //! `verbenagap-standin` (stand-ins of the platform) are thin shells over this
 //! crate and those below it.
 
+pub mod daemon;
+pub mod demo;
+pub mod operator;
 pub mod site;
+pub mod standin;
 
 /// The types that most users of the library need.
 pub mod prelude {
--- a/crates/verbenagap/src/main.rs
+++ b/crates/verbenagap/src/main.rs
@@ -1,3 +1,7 @@
 //! Command line of operators and callers.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    verbenagap::operator::main()
+}
--- a/crates/verbenagap/src/site/answer.rs
+++ b/crates/verbenagap/src/site/answer.rs
@@ -23,3 +23,18 @@
     /// Time from sending to the end of the answer.
     pub took: Duration,
 }
+
+impl Answer {
+    /// Makes the answer of a caller that was told nothing.
+    pub(super) fn none(outcome: Outcome, took: Duration) -> Answer {
+        Answer {
+            outcome,
+            status: None,
+            problem: None,
+            request: None,
+            replayed: false,
+            body: Bytes::new(),
+            took,
+        }
+    }
+}
--- a/crates/verbenagap/src/site/caller.rs
+++ b/crates/verbenagap/src/site/caller.rs
@@ -9,7 +9,7 @@
 use vg_entry::{PROBLEM_TYPE, Problem};
 use vg_net::{Body, Client, Reply};
 
-use crate::site::Answer;
+use crate::site::{Answer, Balancer};
 
 /// Longest answer that is read.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct Caller {
     client: Client,
-    addrs: Vec<SocketAddr>,
+    balancer: Balancer,
     key: Option<String>,
     turn: AtomicUsize,
 }
@@ -54,16 +54,18 @@
 
 impl Caller {
     /// Makes a caller with a key, or one without.
-    pub fn new(addrs: Vec<SocketAddr>, key: Option<&str>) -> Caller {
+    pub fn new(balancer: Balancer, key: Option<&str>) -> Caller {
         let (key, turn) = (key.map(str::to_owned), AtomicUsize::new(0));
-        Caller { client: Client::default(), addrs, key, turn }
+        Caller { client: Client::default(), balancer, key, turn }
     }
 
     /// Sends one call to the next entry host.
     pub async fn call(&self, call: &CallRequest) -> Answer {
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        let addr = self.addrs[turn % self.addrs.len()];
-        self.call_at(addr, call).await
+        match self.balancer.pick(turn) {
+            Some(addr) => self.call_at(addr, call).await,
+            None => Answer::none(Outcome::NotRun, Duration::ZERO),
+        }
     }
 
     /// Sends one call to a certain entry host.
@@ -93,26 +95,18 @@
 }
 
 fn answer(reply: Result<Reply, vg_net::Error>, took: Duration) -> Answer {
-    let none = |outcome| Answer {
-        outcome,
-        status: None,
-        problem: None,
-        request: None,
-        replayed: false,
-        body: bytes::Bytes::new(),
-        took,
-    };
     let reply = match reply {
         Ok(reply) => reply,
-        Err(e) if e.is_not_sent() => return none(Outcome::NotRun),
-        Err(_) => return none(Outcome::Unknown),
+        Err(e) if e.is_not_sent() => return Answer::none(Outcome::NotRun, took),
+        Err(_) => return Answer::none(Outcome::Unknown, took),
     };
     let header = |name: &str| reply.headers.get(name).and_then(|value| value.to_str().ok());
-    let ours = header("content-type") == Some(PROBLEM_TYPE);
+    let told = header("vg-outcome").and_then(|text| text.parse::<Outcome>().ok());
+    let ours = told != Some(Outcome::Answered) && header("content-type") == Some(PROBLEM_TYPE);
     let problem: Option<Problem> =
         if ours { serde_json::from_slice(&reply.body).ok() } else { None };
     Answer {
-        outcome: problem.as_ref().map_or(Outcome::Answered, |problem| problem.outcome),
+        outcome: told.unwrap_or(Outcome::Unknown),
         status: Some(reply.status),
         problem,
         request: header("vg-request-id").and_then(|text| text.parse().ok()),
--- a/crates/verbenagap/src/site/mod.rs
+++ b/crates/verbenagap/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! loopback. The demo and the tests of the whole path run on it.
 
 mod answer;
+mod balancer;
 mod caller;
 mod error;
 mod keys;
@@ -22,6 +23,7 @@
 use vg_store::{Faults, FaultyStore, Key, MemStore, Store, Txn, TxnOutcome};
 
 pub use answer::Answer;
+pub use balancer::Balancer;
 pub use caller::{CallRequest, Caller};
 pub use error::SiteError;
 pub use keys::TeamKeys;
@@ -54,6 +56,7 @@
     hosts: HostListServer<SystemClock>,
     endpoints: BTreeMap<HostId, Endpoint>,
     nodes: BTreeMap<NodeId, SiteNode>,
+    balancer: Balancer,
 }
 
 impl Site {
@@ -72,6 +75,7 @@
             hosts,
             endpoints: BTreeMap::new(),
             nodes: BTreeMap::new(),
+            balancer: Balancer::default(),
             plan,
         };
         let (plans, uses) = site.texts()?;
@@ -94,6 +98,11 @@
         self.plan.lists()
     }
 
+    /// Returns the list `plans` without keys.
+    pub fn plans(&self) -> &str {
+        &self.plan.plans
+    }
+
     /// Returns the record of what the endpoints have run.
     pub fn log(&self) -> &RunLog {
         &self.log
@@ -126,8 +135,7 @@
 
     /// Makes a caller of a team that sends to all nodes in turn.
     pub fn caller(&self, team: &TeamId) -> Caller {
-        let addrs = self.nodes.values().map(|each| each.handle.node().call_addr).collect();
-        Caller::new(addrs, self.keys.get(team))
+        Caller::new(self.balancer.clone(), self.keys.get(team))
     }
 
     /// Waits until every node serves, knows all others and every pool has an
@@ -170,12 +178,15 @@
         let timing = self.plan.timing.clone();
         let handle = NodeHandle::start(options, store, SystemClock, timing).await;
         let handle = handle.context(NodeSnafu { node: node.clone() })?;
+        self.balancer.add(node.clone(), handle.node().call_addr);
         self.nodes.insert(node.clone(), SiteNode { handle, faults });
         Ok(())
     }
 
-    /// Takes a node out of the site, to stop or kill it.
+    /// Takes a node out of the site, to stop or kill it. The balancer, which
+    /// looks at its check, sends nothing more to it.
     pub fn take_node(&mut self, node: &NodeId) -> Option<SiteNode> {
+        self.balancer.remove(node);
         self.nodes.remove(node)
     }
 
--- a/crates/verbenagap/tests/calls.rs
+++ b/crates/verbenagap/tests/calls.rs
@@ -6,7 +6,7 @@
 
 use common::{name, small_site};
 use futures_util::future::join_all;
-use verbenagap::site::CallRequest;
+use verbenagap::site::{Answer, Balancer, CallRequest, Caller};
 use vg_base::prelude::*;
 use vg_entry::ProblemCode;
 
@@ -45,9 +45,9 @@
 async fn work_is_taken_only_for_the_team_of_the_key() {
     let site = small_site().await;
     let addr = site.nodes().values().next().unwrap().handle.node().call_addr;
-    let nobody = verbenagap::site::Caller::new(vec![addr], None);
-    let wrong = verbenagap::site::Caller::new(vec![addr], Some("wrong"));
-    let code = |answer: verbenagap::site::Answer| answer.problem.map(|problem| problem.code);
+    let nobody = Caller::new(Balancer::of(addr), None);
+    let wrong = Caller::new(Balancer::of(addr), Some("wrong"));
+    let code = |answer: Answer| answer.problem.map(|problem| problem.code);
     assert_eq!(code(nobody.call(&urgent()).await), Some(ProblemCode::MissingKey));
     assert_eq!(code(wrong.call(&urgent()).await), Some(ProblemCode::UnknownKey));
     let lookup = CallRequest::new("lookup", b"x", Duration::from_secs(3));
