--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use smol_str::SmolStr;
 use snafu::Snafu;
 
@@ -121,8 +121,7 @@
 macro_rules! hex_ids {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(transparent)]
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(u128);
 
         impl $name {
@@ -153,6 +152,23 @@
             }
         }
 
+        // Text formats such as JSON have no numbers of 128 bits.
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+                if to.is_human_readable() { to.collect_str(self) } else { to.serialize_u128(self.0) }
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(from: D) -> Result<$name, D::Error> {
+                if !from.is_human_readable() {
+                    return u128::deserialize(from).map($name);
+                }
+                let text = SmolStr::deserialize(from)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+
         impl fmt::Debug for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 write!(f, "{}({:x})", stringify!($name), self.0)
--- a/crates/standin/src/web/reply.rs
+++ b/crates/standin/src/web/reply.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -33,11 +33,18 @@
     Ok(response)
 }
 
-/// Sends `start` and then tears the connection, so that no whole answer comes.
+/// Sends `start` and then tears the connection, so that no whole answer comes;
+/// with nothing to send, not even the head does.
 pub(crate) fn torn(start: Bytes) -> Response<Body> {
-    let frames = stream::iter([
-        Ok(Frame::data(start)),
-        Err(io::Error::new(io::ErrorKind::ConnectionReset, "torn on purpose")),
-    ]);
+    let data = (!start.is_empty()).then_some(Ok(Frame::data(start)));
+    let written = data.is_some();
+    let tear = stream::once(async move {
+        if written {
+            // The connection writes out what it has while it waits.
+            tokio::task::yield_now().await;
+        }
+        Err(io::Error::other("torn on purpose"))
+    });
+    let frames = stream::iter(data).chain(tear);
     Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)))
 }
--- /dev/null
+++ b/crates/standin/tests/endpoint.rs
@@ -0,0 +1,169 @@
+//! Endpoints: slots, runs and faults over real sockets.
+
+use std::time::{Duration, SystemTime};
+
+use http::Request;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use vg_base::Slots;
+use vg_net::{Body, Client, Error, Reply, full};
+use vg_standin::{Endpoint, EndpointSettings, Mode, RunLog, headers};
+
+const LIMIT: Duration = Duration::from_secs(5);
+const MAX_BYTES: usize = 1024 * 1024;
+
+async fn start(slots: u32) -> Endpoint {
+    let settings = EndpointSettings::new("e1".parse().unwrap());
+    let settings = EndpointSettings { slots: Slots(slots), ..settings };
+    Endpoint::start(settings, RunLog::new()).await.unwrap()
+}
+
+fn request(endpoint: &Endpoint, id: &str, run_ms: u64) -> Request<Body> {
+    Request::post(format!("http://{}/queues/bread", endpoint.addr()))
+        .header(headers::REQUEST_ID, id)
+        .header(headers::TEAM, "bakery")
+        .header(headers::RUN_MS, run_ms)
+        .body(full("flour"))
+        .unwrap()
+}
+
+async fn call(endpoint: &Endpoint, id: &str, run_ms: u64) -> Result<Reply, Error> {
+    let request = request(endpoint, id, run_ms);
+    Client::default().call(request, LIMIT, MAX_BYTES).await
+}
+
+fn json(reply: &Reply) -> Value {
+    serde_json::from_slice(&reply.body).unwrap()
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_answer_belongs_to_its_request() {
+    let endpoint = start(8).await;
+    let reply = call(&endpoint, "r1", 1).await.unwrap();
+    assert_eq!(reply.headers[headers::REQUEST_ID], "r1");
+    assert_eq!(json(&reply)["body"], "flour");
+    assert_eq!(endpoint.log().runs_of("r1"), 1);
+    assert_eq!(call(&endpoint, "r1", 1).await.unwrap().status, 200);
+    assert_eq!(endpoint.log().repeated(), ["r1"]);
+}
+
+#[tokio::test]
+async fn one_request_over_the_slots_is_refused_and_counted() {
+    let endpoint = start(2).await;
+    let calls = (0..3).map(|at| {
+        let request = request(&endpoint, &format!("r{at}"), 300);
+        tokio::spawn(async move { Client::default().call(request, LIMIT, MAX_BYTES).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut statuses = Vec::new();
+    for call in calls {
+        statuses.push(call.await.unwrap().unwrap().status.as_u16());
+    }
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 503]);
+    assert_eq!(endpoint.counts().over_slots, 1);
+    assert_eq!(endpoint.log().peak_at(endpoint.id()), 2);
+    assert_eq!((endpoint.log().peak("bakery"), endpoint.log().running("bakery")), (2, 0));
+}
+
+#[tokio::test]
+async fn a_run_goes_on_without_its_caller() {
+    let endpoint = start(8).await;
+    let request = request(&endpoint, "r1", 200);
+    let gone = Client::default().call(request, Duration::from_millis(50), MAX_BYTES).await;
+    assert!(matches!(gone, Err(Error::Timeout { .. })));
+    assert_eq!(endpoint.log().running("bakery"), 1);
+    until(|| endpoint.log().running("bakery") == 0).await;
+}
+
+#[tokio::test]
+async fn nothing_runs_past_its_deadline() {
+    let endpoint = start(8).await;
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap();
+    let deadline = |ms: u128| (since.as_millis() + ms).to_string();
+    let mut late = request(&endpoint, "late", 1);
+    late.headers_mut().insert(headers::DEADLINE, "1000".parse().unwrap());
+    let reply = Client::default().call(late, LIMIT, MAX_BYTES).await.unwrap();
+    assert_eq!(
+        (reply.status.as_u16(), &reply.headers[headers::OUTCOME]),
+        (504, &"not-run".parse().unwrap())
+    );
+    assert_eq!((endpoint.log().total(), endpoint.counts().late), (0, 1));
+
+    let mut long = request(&endpoint, "long", 60_000);
+    long.headers_mut().insert(headers::DEADLINE, deadline(100).parse().unwrap());
+    let reply = Client::default().call(long, LIMIT, MAX_BYTES).await.unwrap();
+    assert_eq!((reply.status.as_u16(), json(&reply)["outcome"].as_str()), (504, Some("unknown")));
+    assert_eq!((endpoint.log().running("bakery"), endpoint.counts().overdue), (0, 1));
+}
+
+#[tokio::test]
+async fn each_fault_shows_as_it_is_named() {
+    let endpoint = start(8).await;
+    let faults = endpoint.faults();
+    faults.script(Mode::Fail, 1);
+    assert_eq!(call(&endpoint, "fail", 60_000).await.unwrap().status, 500);
+    faults.script(Mode::Cut, 1);
+    assert!(matches!(call(&endpoint, "cut", 1).await, Err(Error::Body { .. })));
+    faults.script(Mode::Oversized, 1);
+    assert!(matches!(call(&endpoint, "oversized", 1).await, Err(Error::TooLong { .. })));
+    faults.script(Mode::Trickle, 1);
+    assert_eq!(json(&call(&endpoint, "trickle", 1).await.unwrap())["request"], "trickle");
+    faults.script(Mode::Hang, 1);
+    let hung = request(&endpoint, "hang", 1);
+    let hung = Client::default().call(hung, Duration::from_millis(50), MAX_BYTES).await;
+    assert!(matches!(hung, Err(Error::Timeout { .. })));
+    assert_eq!(endpoint.log().running("bakery"), 1);
+    faults.set_shut(true);
+    assert!(matches!(call(&endpoint, "shut", 1).await, Err(Error::Exchange { .. })));
+    assert_eq!(endpoint.log().runs_of("shut"), 0);
+    faults.clear();
+    assert_eq!(call(&endpoint, "clear", 1).await.unwrap().status, 200);
+    // The one that hangs does not hold up a planned stop.
+    endpoint.stop().await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_finishes_what_runs_and_a_kill_does_not() {
+    for (kill, whole) in [(false, true), (true, false)] {
+        let endpoint = start(8).await;
+        let (addr, log) = (endpoint.addr(), endpoint.log().clone());
+        let request = request(&endpoint, "r1", 200);
+        let running =
+            tokio::spawn(async move { Client::default().call(request, LIMIT, MAX_BYTES).await });
+        until(|| log.running("bakery") == 1).await;
+        if kill {
+            endpoint.kill().await
+        } else {
+            endpoint.stop().await
+        }
+        assert_eq!(running.await.unwrap().is_ok(), whole);
+        until(|| log.running("bakery") == 0).await;
+        assert!(TcpStream::connect(addr).await.is_err());
+        // A host can come back under its address.
+        let settings = EndpointSettings { addr, ..EndpointSettings::new("e1".parse().unwrap()) };
+        let again = Endpoint::start(settings, log.clone()).await.unwrap();
+        assert_eq!(call(&again, "r2", 1).await.unwrap().status, 200);
+    }
+}
+
+#[tokio::test]
+async fn faults_are_adjusted_over_http() {
+    let endpoint = start(8).await;
+    let put = |body: &'static str| {
+        let url = format!("http://{}/vg-stand-in/faults", endpoint.addr());
+        let request = Request::put(url).body(full(body)).unwrap();
+        async move { Client::default().call(request, LIMIT, MAX_BYTES).await.unwrap().status }
+    };
+    assert_eq!(put(r#"{"mode":"fail"}"#).await, 200);
+    assert_eq!(call(&endpoint, "r1", 1).await.unwrap().status, 500);
+    assert_eq!(put(r#"{"mood":"fail"}"#).await, 400);
+    assert_eq!(put("{}").await, 200);
+    assert_eq!(call(&endpoint, "r2", 1).await.unwrap().status, 200);
+}
