share, measure: urgent work runs ahead of shares only on its last call

Cause: urgent work of a team over its share was late in a spike, and served at once it pulled shares apart. Change: urgent work follows the shares' order until 250 ms before its latest start, then may borrow up to 2 s of the pool, paid back later; vg-measure calls with baselines.

--- /dev/null
+++ b/crates/measure/src/calls/fcfs.rs
@@ -0,0 +1,71 @@
+//! Baseline: one queue for all, by arrival or by deadline.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use vg_base::prelude::*;
+
+use super::policy::Policy;
+use super::site::Site;
+use super::trace::Call;
+
+/// One queue for all teams. Calls are dropped when their deadline has passed.
+#[derive(Debug)]
+pub(crate) struct Fcfs {
+    bound: usize,
+    by_deadline: bool,
+    waiting: BinaryHeap<Reverse<(Instant, usize)>>,
+    deadlines: std::collections::HashMap<usize, Instant>,
+    expired: Vec<usize>,
+}
+
+impl Fcfs {
+    /// Orders by arrival.
+    pub(crate) fn by_arrival(site: &Site) -> Fcfs {
+        Fcfs::new(site, false)
+    }
+
+    /// Orders by deadline.
+    pub(crate) fn by_deadline(site: &Site) -> Fcfs {
+        Fcfs::new(site, true)
+    }
+
+    fn new(site: &Site, by_deadline: bool) -> Fcfs {
+        Fcfs {
+            bound: site.queues.iter().map(|queue| queue.bound as usize).sum(),
+            by_deadline,
+            waiting: BinaryHeap::new(),
+            deadlines: std::collections::HashMap::new(),
+            expired: Vec::new(),
+        }
+    }
+}
+
+impl Policy for Fcfs {
+    fn offer(&mut self, call: &Call, now: Instant) -> bool {
+        if self.waiting.len() >= self.bound {
+            return false;
+        }
+        let deadline = now + call.deadline;
+        let rank = if self.by_deadline { deadline } else { now };
+        self.waiting.push(Reverse((rank, call.id)));
+        self.deadlines.insert(call.id, deadline);
+        true
+    }
+
+    fn next(&mut self, now: Instant) -> Option<usize> {
+        while let Some(Reverse((_, id))) = self.waiting.pop() {
+            match self.deadlines.remove(&id) {
+                Some(deadline) if deadline > now => return Some(id),
+                _ => self.expired.push(id),
+            }
+        }
+        None
+    }
+
+    fn finish(&mut self, _: &Call, _: Instant) {}
+
+    fn expire(&mut self, _: Instant) -> Vec<usize> {
+        std::mem::take(&mut self.expired)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/calls/site.rs
@@ -0,0 +1,154 @@
+//! The two deployments, one pool of each.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use vg_base::prelude::*;
+use vg_conf::Class;
+use vg_share::{QueueRule, Rules};
+
+/// Calls that run at an instance at once.
+const SLOTS_EACH: usize = 8;
+/// Calls that wait in a queue at once. Far off: shares and deadlines are to
+/// decide here, not the bound.
+const QUEUE_BOUND: u32 = 20_000;
+/// Part of the pool, in percent, that background work may always use.
+const FLOOR_PERCENT: u32 = 5;
+/// Time for which the pool may serve urgent work ahead of shares.
+const URGENT_CREDIT: Duration = Duration::from_secs(2);
+
+/// A team as it is modelled.
+#[derive(Debug, Clone)]
+pub(crate) struct Team {
+    pub(crate) id: TeamId,
+    pub(crate) share: u32,
+    /// Part of all calls that it sends.
+    pub(crate) volume: f64,
+}
+
+/// A queue as it is modelled.
+#[derive(Debug, Clone)]
+pub(crate) struct Queue {
+    pub(crate) id: QueueId,
+    pub(crate) class: Class,
+    pub(crate) deadline: Duration,
+    pub(crate) bound: u32,
+    /// Mean run time of its calls, in seconds.
+    pub(crate) service: f64,
+    /// Slot time that it asks for in a spike, in parts of the pool.
+    pub(crate) spike: f64,
+}
+
+/// One pool with its teams and queues.
+#[derive(Debug, Clone)]
+pub(crate) struct Site {
+    pub(crate) instances: usize,
+    pub(crate) zones: usize,
+    pub(crate) teams: Vec<Team>,
+    pub(crate) queues: Vec<Queue>,
+}
+
+impl Site {
+    /// Returns the site of that name.
+    pub(crate) fn named(name: &str) -> Option<Site> {
+        match name {
+            "recall" => Some(recall()),
+            "signbridge" => Some(signbridge()),
+            _ => None,
+        }
+    }
+
+    /// Returns the same site with the urgent queues first, so that their spikes
+    /// come back to back.
+    pub(crate) fn urgent_first(&self) -> Site {
+        let mut site = self.clone();
+        site.queues.sort_by_key(|queue| queue.class);
+        site
+    }
+
+    /// Returns the slots of the pool.
+    pub(crate) fn slots(&self) -> usize {
+        self.instances * SLOTS_EACH
+    }
+
+    /// Returns the rules that the scheduler goes by.
+    pub(crate) fn rules(&self) -> Rules {
+        let teams = self.teams.iter().map(|team| (team.id.clone(), Share(team.share)));
+        let queues = self.queues.iter().map(|queue| {
+            let rule = QueueRule {
+                class: queue.class,
+                deadline: queue.deadline,
+                bound: queue.bound,
+                common: true,
+            };
+            (queue.id.clone(), rule)
+        });
+        let queues: BTreeMap<QueueId, QueueRule> = queues.collect();
+        Rules {
+            teams: teams.collect(),
+            queues,
+            floor_percent: FLOOR_PERCENT,
+            credit: URGENT_CREDIT,
+        }
+    }
+}
+
+fn recall() -> Site {
+    let teams = [
+        ("grocery", 4, 0.38),
+        ("bakery", 3, 0.22),
+        ("dairy", 3, 0.16),
+        ("meat", 3, 0.12),
+        ("admin", 2, 0.07),
+        ("council", 1, 0.05),
+    ];
+    let queues = [
+        ("notices", Class::Urgent, 3, 0.06, 1.2),
+        ("traces", Class::Background, 10, 0.10, 1.2),
+        ("withdrawals", Class::Urgent, 3, 0.08, 1.2),
+        ("supplier-sync", Class::Background, 30, 0.20, 1.3),
+        ("feeds", Class::Background, 60, 0.15, 1.2),
+    ];
+    site(10, 3, &teams, &queues)
+}
+
+fn signbridge() -> Site {
+    let teams = [
+        ("hospitals", 5, 0.40),
+        ("courts", 3, 0.22),
+        ("schools", 3, 0.18),
+        ("clinics", 2, 0.10),
+        ("individuals", 2, 0.06),
+        ("back-office", 1, 0.04),
+    ];
+    let queues = [
+        ("confirmations", Class::Urgent, 4, 0.10, 1.2),
+        ("bookings", Class::Background, 15, 0.15, 1.2),
+        ("requests", Class::Urgent, 4, 0.12, 1.2),
+        ("billing", Class::Background, 60, 0.25, 1.3),
+        ("reports", Class::Background, 60, 0.30, 1.2),
+    ];
+    site(12, 4, &teams, &queues)
+}
+
+fn site(
+    instances: usize,
+    zones: usize,
+    teams: &[(&str, u32, f64)],
+    queues: &[(&str, Class, u64, f64, f64)],
+) -> Site {
+    let teams = teams.iter().filter_map(|&(name, share, volume)| {
+        Some(Team { id: TeamId::from_str(name).ok()?, share, volume })
+    });
+    let queues = queues.iter().filter_map(|&(name, class, deadline, service, spike)| {
+        Some(Queue {
+            id: QueueId::from_str(name).ok()?,
+            class,
+            deadline: Duration::from_secs(deadline),
+            bound: QUEUE_BOUND,
+            service,
+            spike,
+        })
+    });
+    Site { instances, zones, teams: teams.collect(), queues: queues.collect() }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,11 @@
 //! Measurements of the decisions against baselines.
+//!
+//! Each subcommand of `vg-measure` drives decision code on model time, with a
+//! seed, and prints figures with their units. Each measurement has a module
+//! with a `command` that describes it and a `run` that prints its report.
+
+pub mod calls;
+mod error;
+pub mod report;
+
+pub use error::Error;
--- a/crates/share/src/choice.rs
+++ b/crates/share/src/choice.rs
@@ -2,8 +2,8 @@
 //!
 //! 1. While background work has less than its floor: the background work of
 //!    the team that has had the least for it.
-//! 2. Urgent work by latest start, of teams that are not ahead of their share
-//!    by more than the credit.
+//! 2. Urgent work that is about to miss its latest start, earliest first, of
+//!    teams that are not ahead of their share by more than the credit.
 //! 3. The team that is furthest behind its share: its urgent work first, then
 //!    its background work.
 
@@ -19,7 +19,7 @@
 pub(crate) enum Rank {
     /// Background work below its floor, by weighted slot time had for it.
     Floor(f64),
-    /// Urgent work within the team's credit, by latest start.
+    /// Urgent work on its last call, by latest start.
     Urgent(Instant),
     /// Any work, by the team's position on the pool's clock.
     Fair(f64),
--- a/crates/share/src/credit.rs
+++ b/crates/share/src/credit.rs
@@ -2,13 +2,9 @@
 
 use vg_base::prelude::*;
 
-/// Time for which the whole pool may serve one team's urgent work ahead of the
-/// team's share, and for which a team that was idle may be served ahead of
-/// others.
-///
-/// It bounds what urgent marks can gain: work served ahead is paid back from
-/// the team's later turns.
-const WINDOW: Duration = Duration::from_millis(150);
+/// Time for which the whole pool may serve a team ahead of others when it comes
+/// back from idling.
+const IDLE_CREDIT: Duration = Duration::from_millis(150);
 
 /// Bounds on the distance between a team's clock and the pool's, in
 /// slot-seconds.
@@ -23,9 +19,12 @@
 }
 
 impl Credit {
-    /// Makes the bounds for a pool of `slots`.
-    pub(crate) fn of_pool(slots: Slots) -> Credit {
-        let window = f64::from(slots.get()) * WINDOW.as_secs_f64();
-        Credit { ahead: window, behind: window, debt: 2.0 * window }
+    /// Makes the bounds for a pool of `slots`, of which urgent work may use all
+    /// ahead of its team's share for the time `urgent`.
+    pub(crate) fn of_pool(slots: Slots, urgent: Duration) -> Credit {
+        let slots = f64::from(slots.get());
+        let ahead = slots * urgent.as_secs_f64();
+        let behind = slots * IDLE_CREDIT.as_secs_f64();
+        Credit { ahead, behind, debt: ahead + behind }
     }
 }
--- a/crates/share/src/rules.rs
+++ b/crates/share/src/rules.rs
@@ -7,6 +7,8 @@
 
 /// Part of the pool's slots, in percent, that background work may always use.
 const BACKGROUND_FLOOR_PERCENT: u32 = 5;
+/// Time for which the whole pool may serve urgent work ahead of shares.
+const URGENT_CREDIT: Duration = Duration::from_secs(2);
 
 /// How one queue's work waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +33,11 @@
     /// Part of the pool's slots, in percent, that background work may always
     /// use.
     pub floor_percent: u32,
+    /// Time for which the whole pool may serve one team's urgent work ahead of
+    /// the team's share. What was lent is paid back from the team's later
+    /// turns, so a longer time trades nearness to shares for urgent work on
+    /// time, and never changes what a team gets in the long run.
+    pub credit: Duration,
 }
 
 impl Rules {
@@ -50,6 +57,11 @@
             };
             (queue.id.clone(), rule)
         });
-        Rules { teams, queues: queues.collect(), floor_percent: BACKGROUND_FLOOR_PERCENT }
+        Rules {
+            teams,
+            queues: queues.collect(),
+            floor_percent: BACKGROUND_FLOOR_PERCENT,
+            credit: URGENT_CREDIT,
+        }
     }
 }
--- a/crates/share/src/scheduler.rs
+++ b/crates/share/src/scheduler.rs
@@ -20,6 +20,10 @@
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Longest time that a refused sender is told to wait.
 const RETRY_MAX: Duration = Duration::from_secs(30);
+/// Time before its latest start from which urgent work may run ahead of its
+/// team's share. Longer, and teams stray from their shares without need;
+/// shorter, and a burst finds too few slots before it is too late.
+const LAST_CALL: Duration = Duration::from_millis(250);
 /// How much faster than at its share a team may be served before an offer
 /// counts as impossible: other teams may stop sending.
 const OPTIMISM: f64 = 2.0;
@@ -32,6 +36,7 @@
 pub struct Scheduler {
     floor_percent: u32,
     slots: Slots,
+    urgent_credit: Duration,
     credit: Credit,
     teams: SlotMap<TeamKey, Team>,
     names: BTreeMap<TeamId, TeamKey>,
@@ -61,7 +66,8 @@
         let mut scheduler = Scheduler {
             floor_percent: 0,
             slots: Slots::ZERO,
-            credit: Credit::of_pool(Slots::ZERO),
+            urgent_credit: Duration::ZERO,
+            credit: Credit::of_pool(Slots::ZERO, Duration::ZERO),
             teams: SlotMap::with_key(),
             names: BTreeMap::new(),
             queues: BTreeMap::new(),
@@ -88,6 +94,8 @@
     /// team or queue is no longer named.
     pub fn configure(&mut self, rules: Rules) {
         self.floor_percent = rules.floor_percent;
+        self.urgent_credit = rules.credit;
+        self.credit = Credit::of_pool(self.slots, self.urgent_credit);
         self.teams.values_mut().for_each(|team| team.listed = false);
         for (id, share) in rules.teams {
             let key = self.names.entry(id.clone()).or_insert_with(|| {
@@ -113,7 +121,7 @@
     /// Sets the number of the pool's slots that are in use or free.
     pub fn resize(&mut self, slots: Slots) {
         self.slots = slots;
-        self.credit = Credit::of_pool(slots);
+        self.credit = Credit::of_pool(slots, self.urgent_credit);
     }
 
     /// Refuses all further offers. What waits is still served.
@@ -150,7 +158,7 @@
         if self.waiting == 0 {
             return None;
         }
-        self.rank();
+        self.rank(now);
         let mut chosen = None;
         let mut candidates = std::mem::take(&mut self.candidates);
         for each in &candidates {
@@ -336,13 +344,14 @@
     }
 
     /// Fills the candidates, best first.
-    fn rank(&mut self) {
+    fn rank(&mut self, now: Instant) {
         let typical = self.typical();
         self.advance_clocks(typical);
         let floor_slots = (self.slots.get() * self.floor_percent).div_ceil(100) as usize;
         let below_floor = self.background < floor_slots;
         let credit = self.credit;
         let clock = self.clock;
+        let soon = now + LAST_CALL;
         for (key, team) in &mut self.teams {
             team.asked = false;
             if team.waiting == 0 {
@@ -358,7 +367,8 @@
             }
             let position = team.position(typical);
             let ahead = (position - clock) * team.weight();
-            if let Some(place) = urgent.filter(|_| ahead <= credit.ahead) {
+            let may_borrow = ahead <= credit.ahead;
+            if let Some(place) = urgent.filter(|(order, _)| may_borrow && order.start_by <= soon) {
                 push(Rank::Urgent(place.0.start_by), place);
             }
             if let Some(place) = urgent.or(patient) {
