jobs: bound the life of a start message

Cause: a worker that keeps neither fences nor an incarnation forgets a start with its restart, so a start that comes late could run a job twice. Change: an attempt expires; a start is sent within that time or the job waits for another attempt; a worker without a trace of an expired attempt is told apart from one that proves it never started. Jobs that are not idempotent are never moved off a worker.

--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -18,6 +18,9 @@
     pub job: JobId,
     /// The attempt.
     pub attempt: Attempt,
+    /// Wall time from which on no start of the attempt is valid. A worker
+    /// refuses a start that comes later, whoever sent it.
+    pub expires: SystemTime,
 }
 
 /// A start message.
@@ -50,9 +53,13 @@
         /// The jobs that were not accepted yet, with what is known of them.
         jobs: Vec<(JobId, Fate)>,
     },
-    /// Start an attempt.
+    /// Start an attempt. Unless the job is idempotent this is sent once, and
+    /// written to a connection at most once.
     Start(Start),
-    /// Ask what became of an attempt. The worker then never starts it later.
+    /// Ask what became of an attempt that the worker may not have seen. That it
+    /// [`NeverStarted`](crate::Report::NeverStarted) may only be said where it
+    /// is sure that it never will: the worker keeps a fence, or the attempt has
+    /// expired.
     Query(Task),
     /// Write a checkpoint, then stop.
     Checkpoint(Task),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -44,6 +44,8 @@
     pub(crate) worker: Option<WorkerKey>,
     /// Whether a start of the attempt may have left for the worker.
     pub(crate) sent: bool,
+    /// End of the attempt's [`Limits::start_life`](crate::Limits::start_life).
+    pub(crate) expires: SystemTime,
     pub(crate) failures: u8,
     pub(crate) failed_on: Vec<HostId>,
     pub(crate) cancel: bool,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -20,11 +20,14 @@
     pub worker_lease: Duration,
     /// Time after the lease in which a worker has surely stopped its tasks.
     pub lease_margin: Duration,
+    /// How long after its placement an attempt may be started. Shorter than the
+    /// lease, so that no start is valid after a lapse; longer than a batch.
+    pub start_life: Duration,
     /// Wait for a worker's word on a start before it is asked.
     pub start_wait: Duration,
     /// Wait for any word on a running attempt before its worker is asked.
     pub word_wait: Duration,
-    /// Wait for a checkpoint before an idempotent job is stopped without one.
+    /// Wait for a checkpoint before a job is stopped without one.
     pub checkpoint_wait: Duration,
     /// How long finished jobs are kept for questions.
     pub retention: Duration,
@@ -46,7 +49,8 @@
             open_jobs: 200_000,
             worker_lease: Duration::from_secs(20),
             lease_margin: Duration::from_secs(2),
-            start_wait: Duration::from_secs(2),
+            start_life: Duration::from_secs(5),
+            start_wait: Duration::from_secs(1),
             word_wait: Duration::from_secs(30),
             checkpoint_wait: Duration::from_secs(1),
             retention: Duration::from_secs(3600),
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -12,6 +12,9 @@
     Running,
     /// The attempt was never started here and, from now on, never will be.
     NeverStarted,
+    /// The worker has no trace of the attempt, which has expired, and can't
+    /// prove that it never ran: it may have restarted since.
+    Vanished,
     /// The start failed before any of the task ran.
     StartFailed,
     /// The task ran to its end.
--- a/crates/jobs/src/shard/commit.rs
+++ b/crates/jobs/src/shard/commit.rs
@@ -91,12 +91,11 @@
         if job.attempt != attempt || job.state != JobState::Placed {
             return;
         }
-        let start = self.task(key).map(|task| Start {
-            task,
-            spec: self.jobs[key].spec.clone(),
-            resume: self.jobs[key].checkpoint.clone(),
-        });
-        let Some(start) = start else { return };
+        // The store was slow: a worker would refuse the start by now.
+        if now.wall >= job.expires {
+            return self.requeue(key, now);
+        }
+        let Some(start) = self.start_of(key) else { return };
         self.step(key, JobState::Starting, now);
         let job = &mut self.jobs[key];
         job.sent = true;
@@ -104,6 +103,13 @@
         self.actions.push(Action::Start(start));
     }
 
+    /// Returns the start message of a job's current attempt.
+    pub(super) fn start_of(&self, key: JobKey) -> Option<Start> {
+        let job = self.jobs.get(key)?;
+        let (spec, resume) = (job.spec.clone(), job.checkpoint.clone());
+        Some(Start { task: self.task(key)?, spec, resume })
+    }
+
     fn send_stop(&mut self, key: JobKey, attempt: Attempt, now: Now) {
         let Some(job) = self.jobs.get_mut(key) else { return };
         if job.attempt != attempt || !job.state.is_live() {
--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -99,8 +99,8 @@
         bad.map(|(_, worker)| worker.host.clone()).collect()
     }
 
-    /// Asks for a checkpoint of each job on a leaving worker that can be moved
-    /// without being run twice.
+    /// Asks for a checkpoint of each idempotent job on a leaving worker. Others
+    /// run to their end there.
     pub(super) fn clear_leaving(&mut self, now: Now) {
         let leaving: Vec<JobKey> = self
             .workers
@@ -110,7 +110,7 @@
             .collect();
         for key in leaving {
             let job = &self.jobs[key];
-            if job.state == JobState::Running && !job.no_checkpoint {
+            if job.state == JobState::Running && job.spec.idempotent && !job.no_checkpoint {
                 self.ask_checkpoint(key, now);
             }
         }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -243,6 +243,7 @@
             epoch: self.journal.epoch(),
             job: job.id,
             attempt: job.attempt,
+            expires: job.expires,
         })
     }
 
--- a/crates/jobs/src/shard/preempt.rs
+++ b/crates/jobs/src/shard/preempt.rs
@@ -89,25 +89,18 @@
         self.jobs[key].state == JobState::Checkpointing || self.is_cancelled(key)
     }
 
-    /// Whether a background job may be asked to leave: it can write a
-    /// checkpoint, or it may start anew.
+    /// Whether a background job may be asked to leave.
+    ///
+    /// One that is not idempotent never is: what it did between its checkpoint
+    /// and its stop would be done twice. It can only be throttled.
     pub(super) fn may_move(&self, key: JobKey) -> bool {
         let job = &self.jobs[key];
-        let movable = !job.no_checkpoint || job.spec.idempotent;
-        job.state == JobState::Running && job.spec.class == Class::Background && movable
-    }
-
-    /// Whether a job may be stopped without a checkpoint.
-    pub(super) fn may_stop(&self, key: JobKey) -> bool {
-        self.jobs[key].spec.idempotent
+        job.state == JobState::Running && job.spec.class == Class::Background && job.spec.idempotent
     }
 
     /// Asks a running job to write a checkpoint and stop.
     pub(super) fn ask_checkpoint(&mut self, key: JobKey, now: Now) {
         let hopeless = self.jobs[key].no_checkpoint;
-        if hopeless && !self.may_stop(key) {
-            return;
-        }
         let Some(task) = self.task(key) else { return };
         if self.step(key, JobState::Checkpointing, now) {
             self.jobs[key].heard = now.mono;
--- a/crates/jobs/src/shard/report.rs
+++ b/crates/jobs/src/shard/report.rs
@@ -39,6 +39,7 @@
         match report {
             Report::Running => self.running(key, now),
             Report::NeverStarted => self.never_started(key, now),
+            Report::Vanished => self.lose(key, now),
             Report::StartFailed => self.start_failed(key, now),
             Report::Exited { exit } => self.exited(key, exit, now),
             Report::Stopped { checkpoint } => self.stopped(key, checkpoint, now),
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -66,6 +66,7 @@
             worker: None,
             // Whether the owner before sent it can't be known.
             sent: standing.state.is_live(),
+            expires: standing.changed + self.limits.start_life,
             failures: standing.failures,
             failed_on: Vec::new(),
             cancel: standing.cancel,
--- a/crates/jobs/src/shard/round.rs
+++ b/crates/jobs/src/shard/round.rs
@@ -178,6 +178,7 @@
         job.attempt = job.attempt.next();
         job.site = Some(site);
         job.sent = false;
+        job.expires = now.wall + self.limits.start_life;
         let attempt = job.attempt;
         self.assign(key, worker, size);
         if self.step(key, JobState::Placed, now) {
--- a/crates/jobs/src/shard/submit.rs
+++ b/crates/jobs/src/shard/submit.rs
@@ -76,6 +76,7 @@
             site: None,
             worker: None,
             sent: false,
+            expires: now.wall,
             failures: 0,
             failed_on: Vec::new(),
             cancel: false,
--- a/crates/jobs/src/shard/tick.rs
+++ b/crates/jobs/src/shard/tick.rs
@@ -53,8 +53,10 @@
             let state = job.state;
             let action = match state {
                 _ if self.is_cancelled(key) => Action::Stop(task),
-                JobState::Checkpointing if self.may_stop(key) => Action::Stop(task),
-                JobState::Checkpointing => Action::Checkpoint(task),
+                JobState::Checkpointing => Action::Stop(task),
+                JobState::Starting if self.may_resend(key, now) => {
+                    self.start_of(key).map_or(Action::Query(task), Action::Start)
+                }
                 _ => Action::Query(task),
             };
             self.jobs[key].heard = now.mono;
@@ -62,6 +64,13 @@
         }
     }
 
+    /// Whether a start that got no answer may be sent again: it is the same
+    /// attempt, and a second run of it does no harm.
+    fn may_resend(&self, key: JobKey, now: Now) -> bool {
+        let job = &self.jobs[key];
+        job.spec.idempotent && now.wall < job.expires
+    }
+
     /// Returns how long a worker may stay silent on an attempt.
     fn silence(&self, key: JobKey) -> Duration {
         match self.jobs[key].state {
--- a/crates/jobs/tests/support/worker.rs
+++ b/crates/jobs/tests/support/worker.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use vg_base::prelude::*;
-use vg_jobs::{Action, Attempt, Report, Site, Start, Task};
+use vg_jobs::{Action, Attempt, Now, Report, Site, Start, Task};
 
 use super::oracle::Oracle;
 
@@ -18,6 +18,9 @@
 pub(crate) struct FakeWorker {
     pub(crate) host: HostId,
     pub(crate) incarnation: Incarnation,
+    /// Whether it shows restarts by its incarnation and keeps fences; a plain
+    /// one forgets all, and only refuses what has expired.
+    fenced: bool,
     pub(crate) lease: Option<Instant>,
     pub(crate) tasks: BTreeMap<(JobId, Attempt), Phase>,
     fences: BTreeMap<JobId, Attempt>,
@@ -29,9 +32,10 @@
 pub(crate) type Sent = (Site, JobId, Attempt, Report);
 
 impl FakeWorker {
-    pub(crate) fn new(host: HostId) -> FakeWorker {
+    pub(crate) fn new(host: HostId, fenced: bool) -> FakeWorker {
         FakeWorker {
             host,
+            fenced,
             incarnation: Incarnation(1),
             lease: None,
             tasks: BTreeMap::new(),
@@ -51,16 +55,19 @@
 
     /// Stops all tasks when the worker's own lease has lapsed.
     pub(crate) fn lapse(&mut self, now: Instant) {
-        if self.lease.is_some_and(|until| now >= until) {
-            self.restart();
+        if self.lease.is_none_or(|until| now < until) {
+            return;
         }
+        if self.fenced {
+            return self.restart();
+        }
+        self.running().into_iter().for_each(|key| self.finish(key, stopped(None)));
     }
 
     pub(crate) fn restart(&mut self) {
-        *self = FakeWorker {
-            incarnation: self.incarnation.next(),
-            ..FakeWorker::new(self.host.clone())
-        };
+        let next = if self.fenced { self.incarnation.next() } else { self.incarnation };
+        let fresh = FakeWorker::new(self.host.clone(), self.fenced);
+        *self = FakeWorker { incarnation: next, ..fresh };
     }
 
     pub(crate) fn running(&self) -> Vec<(JobId, Attempt)> {
@@ -85,7 +92,7 @@
         &mut self,
         action: &Action,
         can_checkpoint: bool,
-        now: Instant,
+        now: Now,
         oracle: &mut Oracle,
     ) -> Option<Sent> {
         let task = task_of(action)?;
@@ -96,13 +103,13 @@
         let key = (task.job, task.attempt);
         match action {
             Action::Start(start) => self.start(start, now, oracle),
-            Action::Query(_) => self.fence(key),
-            Action::Checkpoint(_) => self.checkpoint(key, can_checkpoint, oracle),
+            Action::Query(_) => self.answer(task, now),
+            Action::Checkpoint(_) => self.checkpoint(task, can_checkpoint, now, oracle),
             Action::Stop(_) => {
                 if self.tasks.get(&key) == Some(&Phase::Running) {
                     self.finish(key, stopped(None));
                 }
-                self.fence(key)
+                self.answer(task, now)
             }
             Action::Release(_) => {
                 self.tasks.remove(&key);
@@ -112,10 +119,11 @@
         }
     }
 
-    fn start(&mut self, start: &Start, now: Instant, oracle: &mut Oracle) -> Option<Sent> {
+    fn start(&mut self, start: &Start, now: Now, oracle: &mut Oracle) -> Option<Sent> {
         let key = (start.task.job, start.task.attempt);
         let fence = self.fences.entry(key.0).or_default();
-        if *fence >= key.1 || self.lease.is_none_or(|until| now >= until) {
+        let expired = now.wall >= start.task.expires;
+        if *fence >= key.1 || expired || self.lease.is_none_or(|until| now.mono >= until) {
             return None;
         }
         *fence = key.1;
@@ -124,6 +132,16 @@
         self.word(key)
     }
 
+    /// Answers for an attempt as far as the worker can.
+    fn answer(&mut self, task: &Task, now: Now) -> Option<Sent> {
+        let key = (task.job, task.attempt);
+        if self.fenced || self.tasks.contains_key(&key) {
+            return self.fence(key);
+        }
+        let expired = now.wall >= task.expires;
+        expired.then(|| (self.site(), key.0, key.1, Report::Vanished))
+    }
+
     /// Answers for an attempt, and never starts it from now on.
     fn fence(&mut self, key: (JobId, Attempt)) -> Option<Sent> {
         if self.tasks.contains_key(&key) {
@@ -141,12 +159,14 @@
 
     fn checkpoint(
         &mut self,
-        key: (JobId, Attempt),
+        task: &Task,
         can: bool,
+        now: Now,
         oracle: &mut Oracle,
     ) -> Option<Sent> {
+        let key = (task.job, task.attempt);
         if self.tasks.get(&key) != Some(&Phase::Running) {
-            return self.fence(key);
+            return self.answer(task, now);
         }
         if !can {
             return Some((self.site(), key.0, key.1, Report::CheckpointFailed));
--- a/crates/jobs/tests/support/world.rs
+++ b/crates/jobs/tests/support/world.rs
@@ -57,7 +57,8 @@
         let time = Time::new();
         let pool = name("wards");
         let mut store = FakeStore::default();
-        let workers = (0..WORKERS).map(|at| FakeWorker::new(name(&format!("w{at}")))).collect();
+        let workers =
+            (0..WORKERS).map(|at| FakeWorker::new(name(&format!("w{at}")), at % 2 == 0)).collect();
         let owner = take_over(&mut store, &pool, 1, &time);
         World {
             time,
@@ -196,7 +197,14 @@
             match action {
                 Action::Withdrawn { jobs } => self.withdrawn(jobs),
                 Action::Accepted { job } => panic!("a fenced owner acknowledged {job:?}"),
-                Action::Start(start) => panic!("a fenced owner started {start:?}"),
+                // It may send a durable start of an idempotent job again, until
+                // it knows better; nothing else.
+                Action::Start(start) => {
+                    assert!(start.spec.idempotent, "a fenced owner started {start:?}");
+                    let stored = self.stored_attempt(start.task.job);
+                    assert!(stored >= Some(start.task.attempt), "a start came before its record");
+                    self.messages.push(Action::Start(start));
+                }
                 other if task_of(&other).is_some() => self.messages.push(other),
                 _ => {}
             }
@@ -243,11 +251,13 @@
         }
         let at = at % self.messages.len();
         let action = self.messages[at].clone();
-        if !keep {
+        // A start that is not idempotent is written to a connection once.
+        let once = matches!(&action, Action::Start(start) if !start.spec.idempotent);
+        if once || !keep {
             self.messages.remove(at);
         }
         let Some(task) = task_of(&action).cloned() else { return };
-        let now = self.time.now().mono;
+        let now = self.time.now();
         let worker = self.workers.iter_mut().find(|worker| worker.host == task.site.worker);
         let Some(worker) = worker else { return };
         let answer = worker.receive(&action, can_checkpoint, now, &mut self.oracle);
@@ -330,7 +340,7 @@
     }
 
     fn is_running(&self, job: JobId) -> bool {
-        self.running().iter().any(|each| *each == job)
+        self.running().contains(&job)
     }
 
     fn running(&self) -> Vec<JobId> {
