--- a/crates/cli/src/caller/call.rs
+++ b/crates/cli/src/caller/call.rs
@@ -19,5 +19,9 @@
     let ask = Ask::work(session, matches, "calls")?;
     let reply = ask.send(session).await?;
     session.print(&reply.body)?;
-    Ok(Exit::Done)
+    if reply.status.is_success() {
+        return Ok(Exit::Done);
+    }
+    session.note(&format!("the endpoint answered with status {}", reply.status.as_u16()))?;
+    Ok(Exit::Failed)
 }
--- a/crates/cli/src/caller/job.rs
+++ b/crates/cli/src/caller/job.rs
@@ -139,6 +139,10 @@
 }
 
 fn answer(reply: &Reply) -> Result<JobView, Error> {
+    if !reply.status.is_success() {
+        let status = reply.status.as_u16();
+        return Err(Error::failed(format!("answered {status}; is --entry an entry host?")));
+    }
     serde_json::from_slice(&reply.body).map(JobView).map_err(|e| {
         Error::failed(format!("malformed answer: {e}; ask with `verbenagap job show`"))
     })
--- a/crates/cli/src/caller/problem.rs
+++ b/crates/cli/src/caller/problem.rs
@@ -1,5 +1,6 @@
 //! Refusals and failures of a caller's request.
 
+use http::header::CONTENT_TYPE;
 use serde::Deserialize;
 use vg_base::prelude::*;
 use vg_net::Reply;
@@ -17,13 +18,15 @@
     retry_after_ms: Option<u64>,
 }
 
-/// Turns an answer that is no success into an error that says what is proved.
-///
-/// Without the system's own word for it nothing is proved: an answer of an
-/// endpoint with this status may follow a run.
-pub(super) fn refusal(reply: &Reply, key: Option<&str>) -> Error {
-    let problem: Problem = serde_json::from_slice(&reply.body).unwrap_or_default();
-    let outcome = problem.outcome.unwrap_or(Outcome::Unknown);
+/// Turns the system's refusal into an error that says what is proved; `None`:
+/// the answer is an endpoint's own, whatever its status.
+pub(super) fn refusal(reply: &Reply, key: Option<&str>) -> Option<Error> {
+    let kind = reply.headers.get(CONTENT_TYPE)?;
+    if kind != "application/problem+json" {
+        return None;
+    }
+    let problem: Problem = serde_json::from_slice(&reply.body).ok()?;
+    let outcome = problem.outcome?;
     let text = [&problem.detail, &problem.title].into_iter().find(|text| !text.is_empty());
     let text = text.map_or("the answer does not say why", String::as_str);
     let code = if problem.code.is_empty() { String::new() } else { format!(" {}", problem.code) };
@@ -33,7 +36,7 @@
         (Outcome::NotRun, None) => "mend what is said, then it is safe to try again".to_owned(),
         _ => unknown_advice(key),
     };
-    Error::failed(format!("{}:{code} ({status}): {text}\n{advice}", words(outcome)))
+    Some(Error::failed(format!("{}:{code} ({status}): {text}\n{advice}", words(outcome))))
 }
 
 /// Turns a failed exchange into an error that says what is proved.
--- a/crates/cli/src/caller/request.rs
+++ b/crates/cli/src/caller/request.rs
@@ -17,6 +17,9 @@
 /// Time beyond the deadline in which an answer may still arrive.
 const ANSWER_GRACE: Duration = Duration::from_secs(1);
 
+/// Longest time for an answer without a deadline; the queue's own is not known here.
+const LONGEST_ANSWER: Duration = Duration::from_secs(120);
+
 /// One request of a caller.
 #[derive(Clone)]
 pub(super) struct Ask {
@@ -56,7 +59,7 @@
             Some(mark) => mark,
             None => format!("{:032x}", session.random()?),
         };
-        let limit = deadline.map_or(session.options.timeout, |deadline| deadline + ANSWER_GRACE);
+        let limit = deadline.map_or(LONGEST_ANSWER, |deadline| deadline + ANSWER_GRACE);
         let path = format!("/v1/queues/{queue}/{kind}");
         Ok(Ask { method: Method::POST, path, body, mark: Some(mark), deadline, limit })
     }
@@ -75,7 +78,9 @@
         ]
     }
 
-    /// Sends the request and returns a successful answer.
+    /// Sends the request and returns the whole answer, whatever its status.
+    ///
+    /// A refusal of the system itself is an error.
     pub(super) async fn send<P: Platform, Y: System>(
         &self,
         session: &Session<'_, '_, P, Y>,
@@ -85,7 +90,10 @@
         let mark = self.mark.as_deref();
         let reply = session.nodes()?.send(make, self.limit).await;
         let reply = reply.map_err(|error| failure(&error, mark))?;
-        if reply.status.is_success() { Ok(reply) } else { Err(refusal(&reply, mark)) }
+        if reply.status.is_success() {
+            return Ok(reply);
+        }
+        refusal(&reply, mark).map_or(Ok(reply), Err)
     }
 
     fn request(&self, base: &str, key: Option<&str>) -> Result<Request<Body>, http::Error> {
--- a/crates/cli/src/config/change.rs
+++ b/crates/cli/src/config/change.rs
@@ -78,7 +78,7 @@
                 let before = lists_of(&current);
                 self.report(session, revision, proposal.change, diff(&before, &after)).await
             }
-            Verdict::Conflict { newest } => Err(conflict(&self, &newest, &after)?),
+            Verdict::Conflict { newest } => Err(self.conflict(session, *newest, &after).await?),
             Verdict::NotStored => Err(Error::failed(
                 "the change is not stored and never will be: its answer was lost before it took \
                  effect; nothing was changed, run the command again",
@@ -101,6 +101,30 @@
         })
     }
 
+    /// Tells what other operators changed since the base, and what these files
+    /// would change now.
+    async fn conflict<P: Platform, Y: System>(
+        &self,
+        session: &Session<'_, '_, P, Y>,
+        newest: Stored,
+        after: &Lists,
+    ) -> Result<Error, Error> {
+        let lists = newest.lists().context(StoredSnafu)?;
+        // Without the base the other operators' part can't be told apart.
+        let base = session.revisions()?.at(self.base).await.ok().flatten();
+        let theirs = match base.and_then(|base| base.lists().ok()) {
+            Some(base) => lines(&diff(&base, &lists)),
+            None => format!("  revision {} is not kept", self.base),
+        };
+        Ok(Error::Conflict {
+            base: self.base,
+            newest: newest.revision,
+            author: newest.author,
+            theirs,
+            yours: lines(&diff(&lists, after)),
+        })
+    }
+
     async fn report<P: Platform, Y: System>(
         &self,
         session: &mut Session<'_, '_, P, Y>,
@@ -121,8 +145,8 @@
             return Ok(Exit::Done);
         }
         session.note(
-            "the change stays in the store but is not yet in force on all live nodes; follow it \
-             with `verbenagap config status`",
+            "the change stays in the store but is not yet in force on all live entry hosts; follow \
+             it with `verbenagap config status`",
         )?;
         Ok(Exit::Failed)
     }
@@ -157,15 +181,9 @@
     current.stored.as_ref().and_then(|stored| stored.lists().ok()).unwrap_or_default()
 }
 
-fn conflict(attempt: &Attempt, newest: &Stored, after: &Lists) -> Result<Error, Error> {
-    let differences = diff(&newest.lists().context(StoredSnafu)?, after);
+fn lines(differences: &[Difference]) -> String {
     let lines: Vec<String> = differences.iter().map(|each| format!("  {each}")).collect();
-    Ok(Error::Conflict {
-        base: attempt.base,
-        newest: newest.revision,
-        author: newest.author.clone(),
-        differences: lines.join("\n"),
-    })
+    if lines.is_empty() { "  nothing".to_owned() } else { lines.join("\n") }
 }
 
 fn unknown(proposal: &Proposal, reason: &str) -> Error {
--- a/crates/cli/src/config/check.rs
+++ b/crates/cli/src/config/check.rs
@@ -43,11 +43,11 @@
         let mut lines = String::new();
         if self.plans + self.pools + self.queues > 0 {
             let counts =
-                format!("{} plans, {} pools, {} queues", self.plans, self.pools, self.queues);
-            lines += &format!("{}: lists with {counts}\n", style.good("ok"));
+                format!("plans {}, pools {}, queues {}", self.plans, self.pools, self.queues);
+            lines += &format!("{}: lists ({counts})\n", style.good("ok"));
         }
         if self.settings > 0 {
-            lines += &format!("{}: settings of {} processes\n", style.good("ok"), self.settings);
+            lines += &format!("{}: settings (files {})\n", style.good("ok"), self.settings);
         }
         lines
     }
--- a/crates/cli/src/config/status.rs
+++ b/crates/cli/src/config/status.rs
@@ -43,7 +43,7 @@
 
 impl Report for Statuses {
     fn text(&self, style: Style) -> String {
-        let mut table = Table::new(&["address", "node", "incarnation", "revision", "state"]);
+        let mut table = Table::new(&["node", "incarnation", "revision", "state", "address"]);
         for row in &self.nodes {
             table.row(cells(row));
         }
@@ -67,14 +67,15 @@
     let Progress { revision, live, have, .. } = progress;
     if progress.is_in_force() {
         let done = style.good("in force");
-        return format!("revision {revision} is {done} on all {live} live nodes\n");
+        return format!("revision {revision} is {done} on all {live} live entry hosts\n");
     }
-    let head = match (live, progress.is_accepted()) {
-        (0, _) => style.bad("no node answered"),
-        (_, true) => style.warn("accepted"),
-        (_, false) => style.bad("not accepted"),
-    };
-    let mut text = format!("revision {revision}: {head}, on {have} of {live} live nodes\n");
+    if *live == 0 {
+        let unknown = style.bad("not known to be in force");
+        return format!("revision {revision} is {unknown}: no entry host answered\n");
+    }
+    let head =
+        if progress.is_accepted() { style.warn("accepted") } else { style.bad("not accepted") };
+    let mut text = format!("revision {revision}: {head}, on {have} of {live} live entry hosts\n");
     for each in &progress.waiting {
         text += &format!("  waiting for {}: {}\n", each.node, each.reason);
     }
@@ -94,18 +95,17 @@
 }
 
 fn cells(row: &Row) -> [String; 5] {
-    let addr = row.addr.to_string();
     match (&row.status, &row.error) {
         (Some(status), _) => [
-            addr,
             status.node.to_string(),
             status.incarnation.to_string(),
             status.revision.to_string(),
             status.state.to_string(),
+            row.addr.to_string(),
         ],
         (None, error) => {
             let error = error.clone().unwrap_or_default();
-            [addr, "-".into(), "-".into(), "-".into(), error]
+            ["-".into(), "-".into(), "-".into(), "-".into(), format!("{} ({error})", row.addr)]
         }
     }
 }
--- a/crates/cli/src/docs.rs
+++ b/crates/cli/src/docs.rs
@@ -33,9 +33,10 @@
     mut command: Command,
 ) -> Result<Exit, Error> {
     let mut page = Vec::new();
-    match matches.get_one::<Shell>("shell").filter(|_| name == "completions") {
-        Some(&shell) => clap_complete::generate(shell, &mut command, PROGRAM, &mut page),
-        None => man(matches, command)?.render(&mut page).context(StreamSnafu)?,
+    if name == "man" {
+        man(matches, command)?.render(&mut page).context(StreamSnafu)?;
+    } else if let Some(&shell) = matches.get_one::<Shell>("shell") {
+        clap_complete::generate(shell, &mut command, PROGRAM, &mut page);
     }
     session.print(&page)?;
     Ok(Exit::Done)
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -37,7 +37,7 @@
         faults: Faults,
     },
     /// The lists were not read or not changed.
-    #[snafu(display("{source}\nnothing was changed; try again when the store answers"))]
+    #[snafu(display("{source}\nnothing was changed; {}", revise_advice(source)))]
     Revise {
         /// Cause.
         source: ReviseError,
@@ -58,7 +58,8 @@
     #[snafu(display(
         "conflict: the change was made from revision {base}, the newest is {newest} by {author}; \
          nothing was changed\n\
-         your files against revision {newest}:\n{differences}\n\
+         changed since revision {base}:\n{theirs}\n\
+         your files would change in revision {newest}:\n{yours}\n\
          take it in with `verbenagap config show` and apply with --base {newest}"
     ))]
     Conflict {
@@ -68,8 +69,10 @@
         newest: Revision,
         /// Who made the newest revision.
         author: SmolStr,
+        /// What the other operators changed.
+        theirs: String,
         /// What the files would change in the newest revision.
-        differences: String,
+        yours: String,
     },
     /// Something failed after which the operator has to act.
     #[snafu(display("{message}"))]
@@ -113,3 +116,11 @@
         }
     }
 }
+
+fn revise_advice(error: &ReviseError) -> &'static str {
+    match error {
+        ReviseError::Store { .. } => "try again when the store answers",
+        ReviseError::Backwards { .. } => "see `verbenagap config history` for the right base",
+        ReviseError::Value { .. } | ReviseError::Faulty { .. } => "mend what is said and try again",
+    }
+}
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -71,7 +71,8 @@
             let message = "no store is given; name its addresses by --store or VERBENAGAP_STORE";
             return Err(Error::usage(message));
         }
-        Ok(Revisions::new(self.platform.store(&self.options.store)))
+        let store = self.platform.store(&self.options.store, self.options.timeout);
+        Ok(Revisions::new(store))
     }
 
     /// Returns the access to the entry hosts.
--- a/crates/cli/src/timeline/html.rs
+++ b/crates/cli/src/timeline/html.rs
@@ -30,7 +30,7 @@
     let mut page = HEAD.to_owned();
     let sources: BTreeSet<&str> = line.events.iter().map(|event| event.source.as_str()).collect();
     // Writing to a String can't fail.
-    let _ = writeln!(page, "<p>{} events of {} processes</p>", line.events.len(), sources.len());
+    let _ = writeln!(page, "<p>events {}, processes {}</p>", line.events.len(), sources.len());
     for missing in &line.missing {
         let _ =
             writeln!(page, "<p class=\"missing\">missing: {}</p>", escape(&missing.to_string()));
--- a/crates/cli/tests/revise.rs
+++ b/crates/cli/tests/suite/revise.rs
@@ -1,16 +1,12 @@
 //! Changes of the lists against a store that loses answers, delays writes and
 //! serves racing operators.
 
-#![allow(missing_docs, unreachable_pub)]
-
-mod support;
-
 use std::collections::BTreeMap;
 
+use crate::support::faulty::{Fault, FaultyStore};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::select;
-use support::faulty::{Fault, FaultyStore};
 use vg_base::prelude::{Duration, Revision};
 use vg_cli::revise::{Proposal, ReviseError, Revisions, Settlement, Verdict};
 use vg_conf::stored::{HISTORY_KEPT, HISTORY_PREFIX, LISTS_KEY};
--- a/crates/cli/tests/support/faulty.rs
+++ b/crates/cli/tests/suite/support/faulty.rs
@@ -10,7 +10,7 @@
 
 /// What happens to one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fault {
+pub(crate) enum Fault {
     /// Nothing.
     None,
     /// The call does not reach the store, and the caller knows.
@@ -27,8 +27,8 @@
 
 /// A store in memory with one fault for each call, then none.
 #[derive(Debug, Clone)]
-pub struct FaultyStore {
-    pub inner: MemStore,
+pub(crate) struct FaultyStore {
+    pub(crate) inner: MemStore,
     state: Arc<Mutex<State>>,
 }
 
@@ -39,7 +39,7 @@
 }
 
 impl FaultyStore {
-    pub fn new(faults: impl IntoIterator<Item = Fault>) -> FaultyStore {
+    pub(crate) fn new(faults: impl IntoIterator<Item = Fault>) -> FaultyStore {
         let state = State { faults: faults.into_iter().collect(), delayed: Vec::new() };
         FaultyStore {
             inner: MemStore::new(vg_base::SystemClock),
@@ -48,12 +48,12 @@
     }
 
     /// Sets the faults of the next calls.
-    pub fn plan(&self, faults: impl IntoIterator<Item = Fault>) {
+    pub(crate) fn plan(&self, faults: impl IntoIterator<Item = Fault>) {
         self.lock().faults = faults.into_iter().collect();
     }
 
     /// Lets all delayed calls take effect.
-    pub async fn flush(&self) {
+    pub(crate) async fn flush(&self) {
         let delayed = std::mem::take(&mut self.lock().delayed);
         for txn in delayed {
             let _ = self.inner.commit(txn).await;
--- a/crates/cli/tests/support/mod.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Fakes shared by the tests.
-
-pub mod faulty;
--- a/crates/conf/src/lists/parse.rs
+++ b/crates/conf/src/lists/parse.rs
@@ -76,30 +76,46 @@
 }
 
 fn read_plans(headers: &Headers<'_>, faults: &mut Faults) -> BTreeMap<PlanId, Plan> {
-    let mut teams: BTreeMap<TeamId, PlanId> = BTreeMap::new();
-    let mut digests: BTreeMap<KeyDigest, PlanId> = BTreeMap::new();
-    collect(headers.of("plan"), |id: PlanId, section| {
-        let plan = read_plan(id.clone(), section, faults)?;
-        if let Some(other) = teams.insert(plan.team.clone(), id.clone()) {
-            let wrong = format!("the team `{}` has the plan `{other}` already", plan.team);
-            faults.push(section.fault("team", wrong, "one plan for each team"));
+    let mut taken = Taken::default();
+    collect(headers.of("plan"), |id, section| read_plan(id, section, &mut taken, faults))
+}
+
+/// What only one plan may have. Plans with other faults take theirs, too.
+#[derive(Debug, Default)]
+struct Taken {
+    teams: BTreeMap<TeamId, PlanId>,
+    digests: BTreeMap<KeyDigest, PlanId>,
+}
+
+impl Taken {
+    fn team(&mut self, team: &TeamId, plan: &PlanId, reader: &mut Reader<'_>) {
+        if let Some(other) = self.teams.insert(team.clone(), plan.clone()) {
+            let wrong = format!("the team `{team}` has the plan `{other}` already");
+            reader.fault("team", wrong, "one plan for each team");
         }
-        for digest in &plan.keys {
-            if let Some(other) = digests.insert(*digest, id.clone()) {
-                let wrong = format!("{digest} is a key of the plan `{other}` too");
-                faults.push(section.fault("keys", wrong, "each key in one plan"));
-            }
+    }
+
+    fn digest(&mut self, digest: KeyDigest, plan: &PlanId, reader: &mut Reader<'_>) {
+        if let Some(other) = self.digests.insert(digest, plan.clone()) {
+            let wrong = format!("{digest} is a key of the plan `{other}` too");
+            reader.fault("keys", wrong, "each key in one plan");
         }
-        Some(plan)
-    })
+    }
 }
 
-fn read_plan(id: PlanId, section: &Section, faults: &mut Faults) -> Option<Plan> {
+fn read_plan(
+    id: PlanId,
+    section: &Section,
+    taken: &mut Taken,
+    faults: &mut Faults,
+) -> Option<Plan> {
     let mut reader = Reader::new(section, faults);
     let team = reader.required("team", &kinds::TEAM);
     let keys = reader.optional("keys", Vec::new(), &kinds::KEYS);
     let share = reader.required("share", &kinds::SHARE);
     let limit = reader.required("limit", &kinds::LIMIT);
+    team.iter().for_each(|team| taken.team(team, &id, &mut reader));
+    keys.iter().flatten().for_each(|&digest| taken.digest(digest, &id, &mut reader));
     reader.finish();
     Some(Plan { id, team: team?, keys: keys?, share: share?, limit: limit? })
 }
