peer, entry: no refusals when the whole store goes and comes back

Cause: in an outage of 8 s a node refused work in two gaps: between the lapse of its lease and its peers' word that the store is out, and between the store's return and its next lease; a lost owner's slots counted as in use for the longest deadline of all queues from the takeover on. Ruled out: stale lists (they were confirmed in time), the fence rules.

--- a/crates/entry/src/control/lease.rs
+++ b/crates/entry/src/control/lease.rs
@@ -10,9 +10,9 @@
 use crate::platform::Platform;
 
 /// Renewals in one time to live.
-const RENEWALS: u32 = 4;
+const RENEWALS: u32 = 6;
 /// Wait after a failed call.
-const RETRY: Duration = Duration::from_millis(100);
+const RETRY: Duration = Duration::from_millis(200);
 
 /// Keeps a lease and joins with it whenever this member is not in the book.
 pub(super) async fn run<P: Platform>(node: Node<P>) {
@@ -48,16 +48,19 @@
 
 /// Renews until the lease has lapsed.
 async fn keep<P: Platform>(node: &Node<P>, lease: LeaseId) {
+    let mut pause = node.options.lease / RENEWALS;
     loop {
-        tokio::time::sleep(node.options.lease / RENEWALS).await;
+        tokio::time::sleep(pause).await;
+        pause = node.options.lease / RENEWALS;
         let sent = node.clock.now();
         let renewed = bounded(node.store.renew(lease)).await;
         node.metrics.store_called("renew", renewed.is_ok());
         match renewed {
             Ok(ttl) => node.roster.lock().standing_mut().note_lease(sent, ttl),
             Err(Error::LeaseLapsed) => return,
-            // In doubt or out of reach: the lease may still hold.
-            Err(_) => {}
+            // In doubt or out of reach: the lease may still hold. When the
+            // store is back, a lapsed lease has to be replaced soon.
+            Err(_) => pause = RETRY,
         }
     }
 }
--- a/crates/entry/src/control/lists.rs
+++ b/crates/entry/src/control/lists.rs
@@ -13,7 +13,7 @@
 
 /// Period in which the lists are confirmed to be current. Well below the time
 /// for which a confirmation counts, so that one lost answer does no harm.
-const CONFIRM_PERIOD: Duration = Duration::from_millis(800);
+const CONFIRM_PERIOD: Duration = Duration::from_millis(500);
 
 /// Follows the lists in the store.
 pub(super) async fn run<P: Platform>(node: Node<P>) {
--- a/crates/entry/src/control/takeover.rs
+++ b/crates/entry/src/control/takeover.rs
@@ -18,6 +18,8 @@
 const FETCH_MAX_BYTES: usize = 64 * 1024 * 1024;
 /// Time past the deadline of a lost owner's calls in which they may still run.
 const LOST_GRACE: Duration = Duration::from_millis(250);
+/// Longest time after a fence for which a lost owner's slots count as in use.
+const ADOPT_MAX: Duration = Duration::from_secs(4);
 
 /// What a member knows of a pool that it doesn't own (any more).
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -30,7 +32,7 @@
 
 /// Returns what this node knows of a pool.
 pub(crate) fn handover<P: Platform>(node: &Node<P>, pool: &PoolId) -> Handover {
-    let longest = longest_call(node);
+    let longest = longest_call(node, pool);
     let retired = node.pools.retired(pool);
     let busy = retired.iter().flat_map(|each| each.busy(longest)).collect();
     let receipts = node.receipts.lock().export(pool);
@@ -65,7 +67,7 @@
         }
     }
     if lost || !told {
-        dispatch.adopt(node.clock.now() + longest_call(node) + LOST_GRACE);
+        dispatch.adopt(quiet_at(node, earlier, &pool));
     }
     let now = node.clock.now();
     let mut receipts = node.receipts.lock();
@@ -81,9 +83,21 @@
     }
 }
 
-/// Returns the longest time that a call may take.
-fn longest_call<P: Platform>(node: &Node<P>) -> Duration {
+/// Returns when the calls of a lost owner are over.
+///
+/// It has started none since it was fenced. Calls that take longer than
+/// [`ADOPT_MAX`] are not waited for: the pool would stand still for them, while
+/// at worst an endpoint gets a ninth call, which it refuses or holds.
+fn quiet_at<P: Platform>(node: &Node<P>, lost: &Member, pool: &PoolId) -> Instant {
+    let fenced = node.roster.lock().view().fenced_at(lost);
+    let longest = longest_call(node, pool).min(ADOPT_MAX);
+    fenced.unwrap_or_else(|| node.clock.now()) + longest + LOST_GRACE
+}
+
+/// Returns the longest time that a call of a pool may take.
+fn longest_call<P: Platform>(node: &Node<P>, pool: &PoolId) -> Duration {
     let config = node.config.current();
-    let longest = config.lists.queues.values().map(|queue| queue.deadline).max();
+    let queues = config.lists.queues.values().filter(|queue| queue.pool == *pool);
+    let longest = queues.map(|queue| queue.deadline).max();
     longest.unwrap_or_default().min(Options::CALL_MAX)
 }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -14,7 +14,7 @@
 /// First wait after a failed call; doubles up to [`RETRY_MAX`].
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// Longest wait after a failed call.
-const RETRY_MAX: Duration = Duration::from_millis(800);
+const RETRY_MAX: Duration = Duration::from_millis(400);
 
 /// What a follower learns.
 #[derive(Debug)]
--- a/crates/peer/src/standing.rs
+++ b/crates/peer/src/standing.rs
@@ -178,14 +178,13 @@
         if now + self.timing.margin < until {
             return Ok(());
         }
-        if self.has_contact(now) {
-            // The store answers: the lease has lapsed in truth.
-            return Err(StandingRefusal::Lapsed);
-        }
         if now >= renewed + self.timing.outage_max {
             return Err(StandingRefusal::OutageTooLong);
         }
-        self.check_outage(now)
+        // When the store comes back, the peers' statements carry this member
+        // over the time in which it obtains another lease.
+        let outage = self.check_outage(now);
+        if self.has_contact(now) { outage.map_err(|_| StandingRefusal::Lapsed) } else { outage }
     }
 
     /// Whether the lists in force here are shown to be the latest.
@@ -198,10 +197,15 @@
             return Ok(());
         }
         let stale = StandingRefusal::Stale { revision: self.revision };
-        if self.has_contact(now) || self.coming.is_some() {
+        if self.coming.is_some() {
             return Err(stale);
         }
-        self.check_outage(now)?;
+        let outage = self.check_outage(now);
+        if self.has_contact(now) {
+            outage.map_err(|_| stale.clone())?;
+        } else {
+            outage?;
+        }
         let behind = |heard: &Heard| heard.statement.revision > self.revision;
         if self.supporters(now).any(behind) { Err(stale) } else { Ok(()) }
     }
@@ -231,7 +235,7 @@
         if F::SKIP_QUORUM {
             return Ok(());
         }
-        let own = self.voters.contains(&self.me.node) && self.read;
+        let own = self.voters.contains(&self.me.node) && self.read && !self.has_contact(now);
         let support = self.supporters(now).count() + usize::from(own);
         let needed = self.voters.len() / 2 + 1;
         if support >= needed { Ok(()) } else { Err(StandingRefusal::CutOff { support, needed }) }
--- a/crates/peer/src/view/acks.rs
+++ b/crates/peer/src/view/acks.rs
@@ -54,6 +54,12 @@
         voters.filter(knows).count() >= self.book.majority()
     }
 
+    /// Returns when the fence of a lost member became known here. Unless it
+    /// acted under the outage rule, it has started nothing since.
+    pub fn fenced_at(&self, dead: &Member) -> Option<Instant> {
+        self.fences.get(dead).copied()
+    }
+
     /// Whether the rights of a fenced member may pass to others: it can't act
     /// on its lease, and no majority supports it any more.
     pub fn may_pass(&self, now: Instant, dead: &Member) -> bool {
--- a/crates/peer/src/view/health.rs
+++ b/crates/peer/src/view/health.rs
@@ -42,11 +42,15 @@
         due.map(|(member, _)| member.clone()).collect()
     }
 
-    /// Without the store, statements of all voters are needed often.
+    /// Without the store, statements of all voters are needed often, and
+    /// before the leases lapse.
     fn period(&self, peer: &MemberRecord, contact: bool) -> Duration {
+        if !contact {
+            return self.timing.near_period / 2;
+        }
         let own = self.book.members.get(&self.me);
         let near = own.is_none_or(|own| own.region == peer.region);
-        if near || !contact { self.timing.near_period } else { self.timing.far_period }
+        if near { self.timing.near_period } else { self.timing.far_period }
     }
 
     fn is_due(&self, now: Instant, peer: &Member, period: Duration) -> bool {
