standin: runs are told apart by the caller's own id of the work

Cause: an entry host gives each request a fresh id, so two runs of one idempotency key looked like two requests; it also passes few header fields on.

--- a/crates/standin/src/endpoint/mod.rs
+++ b/crates/standin/src/endpoint/mod.rs
@@ -9,6 +9,7 @@
 mod settings;
 mod slots;
 mod state;
+mod work;
 
 pub use counts::EndpointCounts;
 pub use faults::{EndpointFaults, EndpointFaultsRequest};
--- a/crates/standin/src/headers.rs
+++ b/crates/standin/src/headers.rs
@@ -2,14 +2,17 @@
 
 use http::HeaderMap;
 
-/// Id of the request, the same for each attempt to run it.
+/// Id of the request, given by the entry host that received it.
 pub const REQUEST_ID: &str = "vg-request-id";
 
 /// Team that the request counts against.
 pub const TEAM: &str = "vg-team";
 
 /// Absolute deadline, in milliseconds since the Unix epoch.
-pub const DEADLINE: &str = "vg-deadline-ms";
+pub const DEADLINE: &str = "vg-deadline-at-ms";
+
+/// The caller's key, the same for each try of one piece of work.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 /// How long the request shall run, in milliseconds.
 pub const RUN_MS: &str = "vg-stand-in-run-ms";
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -21,7 +21,7 @@
 };
 pub use error::Error;
 pub use hosts::{Host, HostKind, HostListServer, HostState, HostsResponse};
-pub use runs::{Run, RunGuard, RunLog};
+pub use runs::{Run, RunGuard, RunLabel, RunLog};
 pub use site::{Site, run};
 pub use store::{FaultKind, FaultsRequest, ScriptRequest, StoreServer};
 pub use worker::{
--- a/crates/standin/src/runs/mod.rs
+++ b/crates/standin/src/runs/mod.rs
@@ -6,4 +6,4 @@
 
 pub use guard::RunGuard;
 pub use log::RunLog;
-pub use run::Run;
+pub use run::{Run, RunLabel};
--- a/crates/standin/src/runs/run.rs
+++ b/crates/standin/src/runs/run.rs
@@ -2,13 +2,22 @@
 
 use vg_base::prelude::*;
 
-/// One run of a request or task at a host.
+/// Whose run it is.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Run {
-    /// Id of the request, or of the job.
+pub struct RunLabel {
+    /// Id that the entry host gave the request, or id of the job.
     pub request: SmolStr,
+    /// The caller's own id of the work, the same for each try.
+    pub key: Option<SmolStr>,
     /// Team that it counts against.
     pub team: SmolStr,
+}
+
+/// One run of a request or task at a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// Whose run it is.
+    pub label: RunLabel,
     /// Where it ran.
     pub host: HostId,
     /// When it began.
--- a/crates/standin/src/worker/table.rs
+++ b/crates/standin/src/worker/table.rs
@@ -4,7 +4,7 @@
 
 use vg_base::prelude::*;
 
-use crate::RunLog;
+use crate::runs::{RunLabel, RunLog};
 use crate::worker::task::Task;
 use crate::worker::{Capacity, TaskError, TaskSpec, TaskState, TaskStatus, WorkerSettings};
 
@@ -54,7 +54,12 @@
         }
         self.check(&spec, wall)?;
         self.fences.insert(spec.job, spec.attempt);
-        let run = self.log.start(&spec.job.to_string(), spec.team.as_str(), &self.settings.id);
+        let label = RunLabel {
+            request: SmolStr::new(spec.job.to_string()),
+            key: None,
+            team: SmolStr::new(spec.team.as_str()),
+        };
+        let run = self.log.start(label, &self.settings.id);
         let mut task = Task::start(spec, run, now);
         if fails {
             task.end(TaskState::Finished { exit: EXIT_FAILED });
