store: the oracle also checks the order of what a watch delivers

Cause: a trial without the order of lapses passed the tests. Change: the watch must deliver exactly the changes of each step, in order; leases lapse together more often.

--- a/crates/store/tests/model.rs
+++ b/crates/store/tests/model.rs
@@ -44,14 +44,18 @@
     leases: BTreeMap<LeaseId, (u64, u64)>,
     granted: i64,
     outcome: Outcome,
+    /// Changes of the last step in their order.
+    changes: Vec<(Key, Option<Entry>)>,
 }
 
 impl Oracle {
     fn drop_lease(&mut self, lease: LeaseId) {
         self.leases.remove(&lease);
-        let before = self.keys.len();
+        let held = self.keys.values().filter(|entry| entry.lease == Some(lease));
+        let deleted: Vec<_> = held.map(|entry| (entry.key.clone(), None)).collect();
         self.keys.retain(|_, entry| entry.lease != Some(lease));
-        self.revision += i64::from(self.keys.len() < before);
+        self.revision += i64::from(!deleted.is_empty());
+        self.changes.extend(deleted);
     }
 
     fn advance(&mut self, step: u64) {
@@ -76,18 +80,21 @@
             return Err(Error::LeaseLapsed);
         }
         let next = StoreRevision(self.revision + 1);
-        let mut written = false;
         for change in &txn.changes {
-            written |= match change.clone() {
-                Change::Delete(key) => self.keys.remove(&key).is_some(),
+            match change.clone() {
+                Change::Delete(key) => {
+                    if self.keys.remove(&key).is_some() {
+                        self.changes.push((key, None));
+                    }
+                }
                 Change::Put(Put { key, value, lease }) => {
                     let entry = Entry { key: key.clone(), value, modified: next, lease };
-                    self.keys.insert(key, entry);
-                    true
+                    self.keys.insert(key.clone(), entry.clone());
+                    self.changes.push((key, Some(entry)));
                 }
-            };
+            }
         }
-        self.revision += i64::from(written);
+        self.revision += i64::from(!self.changes.is_empty());
         Ok(TxnOutcome::Done { revision: StoreRevision(self.revision) })
     }
 }
@@ -133,6 +140,7 @@
             leases: BTreeMap::new(),
             granted: 0,
             outcome: Outcome::Nothing,
+            changes: Vec::new(),
         })
         .boxed()
     }
@@ -145,13 +153,14 @@
             2 => select(vec![50, 100, 150]).prop_map(Step::Grant),
             2 => lease.clone().prop_map(Step::Renew),
             1 => lease.prop_map(Step::Revoke),
-            2 => select(vec![1, 49, 50, 100]).prop_map(Step::Advance),
+            2 => select(vec![1, 49, 50, 200]).prop_map(Step::Advance),
             1 => (0..3i64).prop_map(Step::Compact),
         ]
         .boxed()
     }
 
     fn apply(mut oracle: Oracle, step: &Step) -> Oracle {
+        oracle.changes.clear();
         let outcome = match step {
             Step::Commit(txn) => Outcome::Txn(oracle.commit(txn)),
             Step::Grant(ttl) => {
@@ -190,12 +199,13 @@
 
 impl Real {
     /// Brings the copy up to date, by listing anew where the watch can't.
-    fn follow(&mut self) {
+    fn follow(&mut self, expected: &[(Key, Option<Entry>)]) {
         let entered = self.runtime.enter();
         let next = self.watch.next().now_or_never();
         drop(entered);
         match next {
             Some(Ok(batch)) => {
+                assert_eq!(batch.changes, expected, "what the watch delivers");
                 for (key, entry) in batch.changes {
                     match entry {
                         Some(entry) => self.copy.insert(key, entry),
@@ -213,7 +223,7 @@
                 self.copy = listing.entries.into_iter().map(|e| (e.key.clone(), e)).collect();
             }
             Some(Err(other)) => panic!("{other}"),
-            None => {}
+            None => assert!(expected.is_empty(), "the watch misses {expected:?}"),
         }
     }
 }
@@ -254,7 +264,7 @@
             }
         };
         assert_eq!(outcome, oracle.outcome);
-        real.follow();
+        real.follow(&oracle.changes);
         real
     }
 
