Learn the entry hosts from one address, and read events page by page

Cause: operators should not have to name each entry host, and a node gives at most a page of events at once. Change: status, apply and timeline add the live members that answering entry hosts know; lost members no longer count; settings' defaults match membership's times.

--- a/crates/cli/src/config/change.rs
+++ b/crates/cli/src/config/change.rs
@@ -135,7 +135,7 @@
         let progress = self.wait.wait(session, revision).await?;
         let stage = match &progress {
             Some(progress) if progress.is_in_force() => Stage::InForce,
-            Some(progress) if progress.is_accepted() => Stage::Accepted,
+            Some(progress) if progress.accepted => Stage::Accepted,
             _ => Stage::Stored,
         };
         // Without a wait, to be stored is all that was asked for.
--- a/crates/cli/src/config/force.rs
+++ b/crates/cli/src/config/force.rs
@@ -61,7 +61,8 @@
         let nodes = session.nodes()?;
         let start = Instant::now();
         loop {
-            let progress = Progress::new(revision, &nodes.statuses().await);
+            let views = nodes.clone().discover().await.statuses().await;
+            let progress = Progress::new(revision, &views);
             if progress.is_in_force() || start.elapsed() + PAUSE > limit {
                 return Ok(Some(progress));
             }
--- a/crates/cli/src/config/status.rs
+++ b/crates/cli/src/config/status.rs
@@ -54,7 +54,7 @@
 pub(super) async fn run<P: Platform, Y: System>(
     session: &mut Session<'_, '_, P, Y>,
 ) -> Result<Exit, Error> {
-    let views = session.nodes()?.statuses().await;
+    let views = session.nodes()?.discover().await.statuses().await;
     let revision = newest(session, &views).await?;
     let progress = Progress::new(revision, &views);
     let in_force = progress.is_in_force();
@@ -73,8 +73,7 @@
         let unknown = style.bad("not known to be in force");
         return format!("revision {revision} is {unknown}: no entry host answered\n");
     }
-    let head =
-        if progress.is_accepted() { style.warn("accepted") } else { style.bad("not accepted") };
+    let head = if progress.accepted { style.warn("accepted") } else { style.bad("not accepted") };
     let mut text = format!("revision {revision}: {head}, on {have} of {live} live entry hosts\n");
     for each in &progress.waiting {
         text += &format!("  waiting for {}: {}\n", each.node, each.reason);
--- a/crates/cli/src/node/nodes.rs
+++ b/crates/cli/src/node/nodes.rs
@@ -1,15 +1,20 @@
 //! Requests to entry hosts.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use futures_util::future::join_all;
 use http::Request;
 use serde::de::DeserializeOwned;
 use vg_base::prelude::*;
+use vg_events::Window;
 use vg_net::{Body, Client, Reply, empty};
 
 use crate::node::Status;
 
+/// Most events that are taken from one process.
+const MOST_EVENTS: usize = 1_000_000;
+
 /// Longest accepted answer.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -42,15 +47,26 @@
         Nodes { client: Client::new(CONNECT_TIMEOUT, IDLE_TIME), addrs, timeout }
     }
 
-    /// Asks every entry host for its status, all at once.
-    pub(crate) async fn statuses(&self) -> Vec<View<Status>> {
-        self.each("/v1/status").await
+    /// Adds the live entry hosts that these know, so that one address is enough.
+    pub(crate) async fn discover(mut self) -> Nodes {
+        let views = self.statuses().await;
+        let answers = views.iter().filter_map(|view| view.answer.as_ref().ok());
+        let answered: BTreeSet<&NodeId> = answers.clone().map(|status| &status.node).collect();
+        for member in answers.flat_map(Status::live) {
+            let Some(addr) = member.call_addr.filter(|addr| !addr.ip().is_unspecified()) else {
+                continue;
+            };
+            if !answered.contains(&member.node) && !self.addrs.contains(&addr) {
+                self.addrs.push(addr);
+            }
+        }
+        self
     }
 
-    /// Asks every entry host for the JSON at a path, all at once.
-    pub(crate) async fn each<T: DeserializeOwned>(&self, path: &str) -> Vec<View<T>> {
+    /// Asks every entry host for its status, all at once.
+    pub(crate) async fn statuses(&self) -> Vec<View<Status>> {
         let asked = self.addrs.iter().map(async |&addr| {
-            let answer = self.json(addr, path).await;
+            let answer = self.json(addr, "/v1/status").await;
             View { addr, answer }
         });
         join_all(asked).await
@@ -76,6 +92,27 @@
         Err(last.unwrap_or(vg_net::Error::Decode { reason: "no address is given".to_owned() }))
     }
 
+    /// Asks every entry host for its events, all at once, page after page.
+    pub(crate) async fn windows(&self) -> Vec<View<Window>> {
+        let asked = self.addrs.iter().map(async |&addr| {
+            let answer = self.window(addr).await;
+            View { addr, answer }
+        });
+        join_all(asked).await
+    }
+
+    async fn window(&self, addr: SocketAddr) -> Result<Window, String> {
+        let mut whole: Window = self.json(addr, "/v1/events?from=0").await?;
+        let mut page = whole.events.len();
+        while page > 0 && whole.events.len() < MOST_EVENTS {
+            let next = whole.events.last().map_or(0, |event| event.serial.saturating_add(1));
+            let more: Window = self.json(addr, &format!("/v1/events?from={next}")).await?;
+            page = more.events.len();
+            whole.events.extend(more.events);
+        }
+        Ok(whole)
+    }
+
     async fn json<T: DeserializeOwned>(&self, addr: SocketAddr, path: &str) -> Result<T, String> {
         let request = Request::get(format!("http://{addr}{path}")).body(empty());
         let request = request.map_err(|e| e.to_string())?;
--- a/crates/cli/src/node/progress.rs
+++ b/crates/cli/src/node/progress.rs
@@ -28,6 +28,9 @@
     pub(crate) live: usize,
     /// Live entry hosts that have it, or a later one.
     pub(crate) have: usize,
+    /// Whether a majority has it, so that none of the rest can go on without it
+    /// in an outage of the store.
+    pub(crate) accepted: bool,
     /// The others.
     pub(crate) waiting: Vec<Waiting>,
 }
@@ -39,17 +42,15 @@
         for status in views.iter().filter_map(|view| view.answer.as_ref().ok()) {
             answered.insert(status.node.as_str(), status);
         }
-        let named = answered.values().flat_map(|status| &status.members).map(|each| each.node());
+        let named = answered.values().flat_map(|status| status.live());
+        let named = named.map(|member| member.node.as_str());
         let live: BTreeSet<&str> = answered.keys().copied().chain(named).collect();
         let waits = |node: &&str| waiting(node, answered.get(node).copied(), revision);
         let waiting: Vec<Waiting> = live.iter().filter_map(waits).collect();
-        Progress { revision, live: live.len(), have: live.len() - waiting.len(), waiting }
-    }
-
-    /// Whether a majority of the live entry hosts has the revision, so that
-    /// none of the rest can go on without it in an outage of the store.
-    pub(crate) fn is_accepted(&self) -> bool {
-        2 * self.have > self.live
+        let have = live.len() - waiting.len();
+        let told = answered.values().any(|each| each.revision == revision && each.accepted);
+        let accepted = told || 2 * have > live.len();
+        Progress { revision, live: live.len(), have, accepted, waiting }
     }
 
     /// Whether every live entry host has the revision.
@@ -62,7 +63,7 @@
     let reason = match status {
         Some(status) if status.revision >= revision => return None,
         Some(status) => format!("has revision {}", status.revision),
-        None => "gave no answer, or --entry does not name it".to_owned(),
+        None => "gave no answer".to_owned(),
     };
     Some(Waiting { node: node.into(), reason })
 }
--- a/crates/cli/src/node/status.rs
+++ b/crates/cli/src/node/status.rs
@@ -1,9 +1,11 @@
 //! What an entry host says about itself.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
-/// The answer to `GET /v1/status`.
+/// The answer to `GET /v1/status`, as far as it concerns the command line.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Status {
     /// The entry host.
@@ -12,30 +14,31 @@
     pub(crate) incarnation: Incarnation,
     /// The revision of the lists that is in force on it.
     pub(crate) revision: Revision,
+    /// Whether it knows a majority of the members to have this revision.
+    #[serde(default)]
+    pub(crate) accepted: bool,
     /// `serving`, `stale` or `stopping`.
     pub(crate) state: SmolStr,
-    /// Entry hosts whose leases it holds to be in force, itself among them.
+    /// Entry hosts that it knows, itself among them.
     #[serde(default)]
-    pub(crate) members: Vec<MemberName>,
+    pub(crate) members: Vec<KnownMember>,
 }
 
-/// A member, as `node/incarnation` or as an object with the key `node`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(untagged)]
-pub(crate) enum MemberName {
-    /// As text.
-    Text(SmolStr),
-    /// As an object.
-    Object {
-        /// The entry host.
-        node: SmolStr,
-    },
+impl Status {
+    /// Returns the members whose leases are not known to have lapsed.
+    pub(crate) fn live(&self) -> impl Iterator<Item = &KnownMember> {
+        self.members.iter().filter(|member| member.state != "lost")
+    }
 }
 
-impl MemberName {
-    /// Returns the entry host's name.
-    pub(crate) fn node(&self) -> &str {
-        let (MemberName::Text(text) | MemberName::Object { node: text }) = self;
-        text.split('/').next().unwrap_or(text)
-    }
+/// A member as another one knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KnownMember {
+    /// The entry host.
+    pub(crate) node: NodeId,
+    /// Its callers' address.
+    #[serde(default)]
+    pub(crate) call_addr: Option<SocketAddr>,
+    /// `live`, `leaving` or `lost`.
+    pub(crate) state: SmolStr,
 }
--- a/crates/cli/src/timeline/missing.rs
+++ b/crates/cli/src/timeline/missing.rs
@@ -64,8 +64,8 @@
     let asked: BTreeSet<SmolStr> = windows.iter().filter_map(node).collect();
     let answers = statuses.iter().filter_map(|view| view.answer.as_ref().ok());
     let live =
-        answers.flat_map(|status| &status.members).map(|member| SmolStr::from(member.node()));
+        answers.flat_map(|status| status.live()).map(|member| SmolStr::from(member.node.as_str()));
     let unknown: BTreeSet<SmolStr> = live.filter(|name| !asked.contains(name)).collect();
-    let reason = "a live entry host that gave no events; name it by --entry";
+    let reason = "a live entry host that gave no events";
     unknown.iter().map(|name| Missing::process(name.as_str(), reason)).collect()
 }
--- a/crates/cli/src/timeline/mod.rs
+++ b/crates/cli/src/timeline/mod.rs
@@ -17,9 +17,6 @@
 pub(crate) use line::TimeLine;
 pub(crate) use missing::Missing;
 
-/// Most events that one process is asked for.
-const MOST_EVENTS: usize = 100_000;
-
 /// Makes the command.
 pub(crate) fn command() -> Command {
     let option = |name: &'static str, help: &'static str| {
@@ -83,9 +80,8 @@
 async fn asked<P: Platform, Y: System>(
     session: &Session<'_, '_, P, Y>,
 ) -> Result<(Vec<Window>, Vec<Missing>), Error> {
-    let nodes = session.nodes()?;
-    let path = format!("/v1/events?from=0&most={MOST_EVENTS}");
-    let views = nodes.each::<Window>(&path).await;
+    let nodes = session.nodes()?.discover().await;
+    let views = nodes.windows().await;
     let statuses = nodes.statuses().await;
     let mut windows = Vec::new();
     let mut missing = Vec::new();
--- a/crates/conf/src/settings/check.rs
+++ b/crates/conf/src/settings/check.rs
@@ -4,7 +4,7 @@
 use crate::span;
 
 /// Heartbeats that may be lost in a row before an entry host counts as lost.
-const HEARTBEATS_A_LEASE: u32 = 4;
+const HEARTBEATS_A_LEASE: u32 = 3;
 
 /// Records what is wrong between settings that are each right alone.
 pub(crate) fn check(settings: &Settings, raw: &mut Raw) {
--- a/crates/conf/src/settings/kinds.rs
+++ b/crates/conf/src/settings/kinds.rs
@@ -20,7 +20,7 @@
 pub(crate) const SPAN: Kind<Duration> =
     Kind { accepted: "a time of at least 1ms such as 500ms, 5s or 2m", parse: span };
 pub(crate) const LEASE: Kind<Duration> =
-    Kind { accepted: "a time of at least four heartbeats", parse: span };
+    Kind { accepted: "a time of at least three heartbeats", parse: span };
 pub(crate) const BODY: Kind<usize> = Kind {
     accepted: "a whole number from 1 to 67108864",
     parse: |text| number(text, 1..=64 * 1024 * 1024),
--- a/crates/conf/src/settings/table.rs
+++ b/crates/conf/src/settings/table.rs
@@ -67,12 +67,12 @@
     /// and workers alike.
     host_list: SocketAddr = "host-list" in ["platform"] "host-list", None, kinds::ADDR;
     /// Time between two heartbeats to each other entry host.
-    heartbeat: Duration = "heartbeat" in ["times"] "heartbeat", Some("500ms"), kinds::SPAN;
+    heartbeat: Duration = "heartbeat" in ["times"] "heartbeat", Some("1s"), kinds::SPAN;
     /// Time after which a silent entry host counts as lost and its rights
-    /// may pass to others. At least four heartbeats.
-    lease: Duration = "lease" in ["times"] "lease", Some("5s"), kinds::LEASE;
+    /// may pass to others. At least three heartbeats.
+    lease: Duration = "lease" in ["times"] "lease", Some("3s"), kinds::LEASE;
     /// Longest time that a planned stop waits for running work.
-    drain: Duration = "drain" in ["times"] "drain", Some("60s"), kinds::SPAN;
+    drain: Duration = "drain" in ["times"] "drain", Some("40s"), kinds::SPAN;
     /// Largest accepted body of a call or job, in bytes.
     body_bytes: usize = "body-bytes" in ["limits"] "body-bytes", Some("1048576"), kinds::BODY;
     /// Most bytes of a request's line and headers.
@@ -88,5 +88,5 @@
     log_format: LogFormat = "log-format" in ["log"] "format", Some("text"), kinds::FORMAT;
     /// Events that are kept in memory for the time line.
     event_capacity: usize =
-        "event-capacity" in ["events"] "capacity", Some("8192"), kinds::COUNT;
+        "event-capacity" in ["events"] "capacity", Some("20000"), kinds::COUNT;
 }
