--- a/crates/cli/src/timeline/filter.rs
+++ b/crates/cli/src/timeline/filter.rs
@@ -28,8 +28,10 @@
     }
 }
 
+/// Fields that name a host, or an entry host with its incarnation.
+const HOST_FIELDS: [&str; 5] = ["host", "node", "member", "endpoint", "worker"];
+
 fn is_of(event: &Event, host: &str) -> bool {
-    let node = event.source.split('/').next();
-    let named = |name| event.field(name) == Some(host);
-    node == Some(host) || ["host", "node", "endpoint", "worker"].into_iter().any(named)
+    let is_host = |text: &str| text.split('/').next() == Some(host);
+    is_host(&event.source) || HOST_FIELDS.into_iter().filter_map(|f| event.field(f)).any(is_host)
 }
