Tell an endpoint's own answer from the system's by its mark

Cause: an endpoint may send a problem document, and something before the entry hosts may make up an answer; neither is a refusal that proves "not run".

--- a/crates/cli/tests/suite/support/node.rs
+++ b/crates/cli/tests/suite/support/node.rs
@@ -46,6 +46,16 @@
     knobs: Arc<Mutex<Knobs>>,
 }
 
+/// Returns the mark of an answer; that of `odd` has none.
+fn outcome_of(path: &str, body: &Value) -> Option<&'static str> {
+    match body.get("outcome").and_then(Value::as_str) {
+        Some("not-run") => Some("not-run"),
+        Some(_) => Some("unknown"),
+        None if path.contains("/odd/") => None,
+        None => Some("answered"),
+    }
+}
+
 type Answer = Result<(State, Response<Body>), (State, HandlerError)>;
 
 impl Node {
@@ -62,9 +72,8 @@
             };
             let mut response = Response::new(full(body.to_string()));
             *response.status_mut() = StatusCode::from_u16(status).unwrap();
-            if body.get("outcome").is_some() {
-                let problem = HeaderValue::from_static("application/problem+json");
-                response.headers_mut().insert("content-type", problem);
+            if let Some(outcome) = outcome_of(&path, &body) {
+                response.headers_mut().insert("vg-outcome", HeaderValue::from_static(outcome));
             }
             Ok((state, response))
         })
@@ -114,7 +123,8 @@
                 json!({"code": "answer-cut",
                 "detail": "the endpoint closed the connection", "outcome": "unknown"}),
             ),
-            ("POST", "/v1/queues/odd/calls") => (500, json!("endpoint's own page")),
+            ("POST", "/v1/queues/odd/calls") => (502, json!("a page of something before us")),
+            ("POST", "/v1/queues/own/calls") => (409, json!({"title": "endpoint's own problem"})),
             ("POST", "/v1/queues/urgent/jobs") => (202, json!({"id": id, "state": "queued"})),
             ("DELETE", _) => (200, json!({"id": id, "state": "cancelled"})),
             ("GET", _) => (200, json!({"id": id, "state": self.job_state()})),
