--- a/crates/cli/tests/suite/support/node.rs
+++ b/crates/cli/tests/suite/support/node.rs
@@ -22,8 +22,8 @@
 pub(crate) struct Knobs {
     /// Revisions that nodes stay at; the others follow the store.
     pub(crate) held: BTreeMap<String, u64>,
-    /// Members that all nodes know.
-    pub(crate) members: Vec<String>,
+    /// Members that all nodes know, with their states and addresses.
+    pub(crate) members: Vec<(String, String, SocketAddr)>,
     /// Times that the job was asked about.
     pub(crate) asked: u32,
 }
@@ -46,24 +46,34 @@
     knobs: Arc<Mutex<Knobs>>,
 }
 
+/// Returns the mark of an answer; that of `odd` has none.
+fn outcome_of(path: &str, body: &Value) -> Option<&'static str> {
+    match body.get("outcome").and_then(Value::as_str) {
+        Some("not-run") => Some("not-run"),
+        Some(_) => Some("unknown"),
+        None if path.contains("/odd/") => None,
+        None => Some("answered"),
+    }
+}
+
 type Answer = Result<(State, Response<Body>), (State, HandlerError)>;
 
 impl Node {
     fn answer(self, state: State) -> std::pin::Pin<Box<dyn Future<Output = Answer> + Send>> {
         let method = Method::borrow_from(&state).clone();
-        let path = Uri::borrow_from(&state).path().to_owned();
+        let uri = Uri::borrow_from(&state).clone();
+        let path = uri.path().to_owned();
         let has_key = HeaderMap::borrow_from(&state).contains_key("authorization");
         Box::pin(async move {
             let (status, body) = match path.as_str() {
                 "/v1/status" => (200, self.status().await),
-                "/v1/events" => (200, self.events()),
+                "/v1/events" => (200, self.events(uri.query().unwrap_or_default())),
                 _ => self.work(&method, &path, has_key),
             };
             let mut response = Response::new(full(body.to_string()));
             *response.status_mut() = StatusCode::from_u16(status).unwrap();
-            if body.get("outcome").is_some() {
-                let problem = HeaderValue::from_static("application/problem+json");
-                response.headers_mut().insert("content-type", problem);
+            if let Some(outcome) = outcome_of(&path, &body) {
+                response.headers_mut().insert("vg-outcome", HeaderValue::from_static(outcome));
             }
             Ok((state, response))
         })
@@ -75,11 +85,13 @@
         let newest = stored.map_or(0, |stored| stored.revision.get());
         let knobs = self.knobs.lock().unwrap();
         let revision = knobs.held.get(&self.name).copied().unwrap_or(newest);
+        let member = |(node, state, addr): &(String, String, SocketAddr)| json!({"node": node, "state": state, "call_addr": addr});
+        let members: Vec<Value> = knobs.members.iter().map(member).collect();
         json!({"node": self.name, "incarnation": 7, "revision": revision, "state": "serving",
-            "members": knobs.members})
+            "members": members})
     }
 
-    fn events(&self) -> Value {
+    fn events(&self, query: &str) -> Value {
         let clock = ManualClock::default();
         let recorder = Recorder::new(clock.clone(), format!("{}/7", self.name), 3);
         let steps = [Code::ProcessStarted, Code::CallReceived, Code::CallStarted, Code::CallNotRun];
@@ -88,7 +100,9 @@
             let team = Field::new("team", if at == 1 { "bakery" } else { "<dairy>" });
             recorder.record(code, [team, Field::new("request", at)]);
         }
-        serde_json::to_value(recorder.window(0, 100)).unwrap()
+        let from = query.strip_prefix("from=").unwrap().parse().unwrap();
+        // Pages of two, to see that the next ones are asked for.
+        serde_json::to_value(recorder.window(from, 2)).unwrap()
     }
 
     fn work(&self, method: &Method, path: &str, has_key: bool) -> (u16, Value) {
@@ -109,7 +123,8 @@
                 json!({"code": "answer-cut",
                 "detail": "the endpoint closed the connection", "outcome": "unknown"}),
             ),
-            ("POST", "/v1/queues/odd/calls") => (500, json!("endpoint's own page")),
+            ("POST", "/v1/queues/odd/calls") => (502, json!("a page of something before us")),
+            ("POST", "/v1/queues/own/calls") => (409, json!({"title": "endpoint's own problem"})),
             ("POST", "/v1/queues/urgent/jobs") => (202, json!({"id": id, "state": "queued"})),
             ("DELETE", _) => (200, json!({"id": id, "state": "cancelled"})),
             ("GET", _) => (200, json!({"id": id, "state": self.job_state()})),
