--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,7 +14,7 @@
     ListRevision, Probing, Slot, SlotKey,
 };
 pub use receipts::{
-    Answer, Attempts, Begin, Bounds, Fingerprint, Header, KeyName, Name, Receipt, ReceiptKey,
+    Answer, Attempts, Begin, Bounds, Fingerprint, Header, KeyName, Loss, Name, Receipt, ReceiptKey,
     ReceiptState, Receipts, Request,
 };
 pub use retry::{Retry, RetryBudget, RetryRequest};
--- a/crates/route/src/receipts/begin.rs
+++ b/crates/route/src/receipts/begin.rs
@@ -12,8 +12,13 @@
     Run(ReceiptKey),
     /// It ran before: this is its answer.
     Replay(Arc<Answer>),
-    /// It runs now under another attempt.
+    /// Its key runs now under another attempt. This attempt is not run.
     Running,
+    /// This very attempt came before. Whatever became of it was or will be
+    /// told: a second answer could contradict it, so none must be sent.
+    Doubled,
+    /// Its deadline has passed: it is not run.
+    Late,
     /// The key was used for another request.
     Mismatch,
     /// It may have run before.
--- a/crates/route/src/receipts/bounds.rs
+++ b/crates/route/src/receipts/bounds.rs
@@ -18,6 +18,17 @@
     pub answer_bytes: usize,
     /// Time for which a receipt is kept after its end.
     pub retention: Duration,
+    /// Longest time from a request's receipt to its deadline.
+    pub run_time: Duration,
+}
+
+impl Bounds {
+    /// Returns how long a receipt can matter after a member that held it was
+    /// lost: a call that ran at that moment ends by its deadline, and its
+    /// retention begins then.
+    pub fn memory_time(&self) -> Duration {
+        self.retention + self.run_time
+    }
 }
 
 impl Default for Bounds {
@@ -27,6 +38,7 @@
             bytes: 48 * 1024 * 1024,
             answer_bytes: 64 * 1024,
             retention: Duration::from_secs(10 * 60),
+            run_time: Duration::from_secs(60),
         }
     }
 }
--- a/crates/route/src/receipts/mod.rs
+++ b/crates/route/src/receipts/mod.rs
@@ -9,14 +9,17 @@
 mod answer;
 mod begin;
 mod bounds;
+mod loss;
 mod name;
 mod receipt;
 mod request;
+mod spent;
 mod table;
 
 pub use answer::{Answer, Header};
 pub use begin::Begin;
 pub use bounds::Bounds;
+pub use loss::Loss;
 pub use name::{Fingerprint, KeyName, Name};
 pub use receipt::{Attempts, Receipt, ReceiptKey, ReceiptState};
 pub use request::Request;
--- a/crates/route/src/receipts/request.rs
+++ b/crates/route/src/receipts/request.rs
@@ -13,6 +13,8 @@
     pub pool: PoolId,
     /// This attempt, as the entry host received it.
     pub attempt: RequestId,
+    /// When its answer must have ended. It never runs later.
+    pub deadline: Instant,
     /// Digest of what is asked.
     pub fingerprint: Fingerprint,
     /// Whether the work may run more than once without harm.
--- a/crates/route/src/receipts/table.rs
+++ b/crates/route/src/receipts/table.rs
@@ -6,10 +6,15 @@
 use slotmap::SlotMap;
 use vg_base::prelude::*;
 
-use super::{Answer, Begin, Bounds, KeyName, Name, Receipt, ReceiptKey, ReceiptState, Request};
+use super::spent::Spent;
+use super::{
+    Answer, Begin, Bounds, KeyName, Loss, Name, Receipt, ReceiptKey, ReceiptState, Request,
+};
 
 /// Attempts under one key that an entry host follows at once.
 const ATTEMPTS_MAX: usize = 8;
+/// Lost members from which on a receipt can be lost: each stands at two.
+const LOSSES_FOR_GAP: usize = 2;
 /// Shortest time that a sender is told to wait for room.
 const RETRY_MIN: Duration = Duration::from_secs(1);
 
@@ -23,6 +28,8 @@
     /// Ended receipts by when they may be forgotten.
     ends: BTreeSet<(Instant, ReceiptKey)>,
     gaps: HashMap<PoolId, Instant>,
+    losses: HashMap<Member, Instant>,
+    spent: Spent,
     bytes: usize,
 }
 
@@ -31,6 +38,8 @@
     receipt: Receipt,
     /// When it may be forgotten; a running one never.
     end: Option<Instant>,
+    /// Deadline of the run, if it is this table's own.
+    deadline: Option<Instant>,
     bytes: usize,
 }
 
@@ -43,16 +52,17 @@
     /// Decides, as the pool's owner, whether a request may run.
     pub fn begin(&mut self, request: &Request, now: Instant) -> Begin {
         self.expire(now);
-        if let Some(kept) = self.find(&request.name) {
-            return repeat(&kept.receipt, request);
+        if self.spent.contains(request.attempt) {
+            return Begin::Doubled;
         }
-        if self.is_in_gap(request, now) {
-            return Begin::Unknown;
+        if now > request.deadline {
+            return Begin::Late;
         }
-        match self.insert(Receipt::of_request(request), None) {
-            Some(key) => Begin::Run(key),
-            None => Begin::Full { retry_after: self.retry_after(now) },
+        let begin = self.begin_first(request, now);
+        if matches!(begin, Begin::Running | Begin::Mismatch | Begin::Full { .. }) {
+            self.spend(request.attempt, request.deadline);
         }
+        begin
     }
 
     /// Ends a run that [`Receipts::begin`] allowed.
@@ -67,7 +77,10 @@
         now: Instant,
     ) {
         match outcome {
-            Outcome::NotRun => self.remove_running(key),
+            Outcome::NotRun => {
+                self.spend_attempts(key);
+                self.remove_running(key);
+            }
             Outcome::Answered => self.settle_as(key, self.state_of(answer), now),
             Outcome::Unknown => self.settle_as(key, ReceiptState::Unknown, now),
         }
@@ -80,7 +93,7 @@
     pub fn mirror(&mut self, request: &Request, now: Instant) -> bool {
         self.expire(now);
         let Some(key) = self.names.get(&request.name).copied() else {
-            return self.insert(Receipt::of_request(request), None).is_some();
+            return self.insert(Receipt::of_request(request), None, None).is_some();
         };
         let Some(kept) = self.kept.get_mut(key) else { return false };
         if kept.receipt.state != ReceiptState::Running {
@@ -142,27 +155,57 @@
                 Some(key) => self.settle_as(key, receipt.state, now),
                 None => {
                     let end = now + self.bounds.retention;
-                    left += usize::from(self.insert(receipt, Some(end)).is_none());
+                    left += usize::from(self.insert(receipt, Some(end), None).is_none());
                 }
             }
         }
         left
     }
 
-    /// Makes the running receipts of a pool *unknown*: the owner that ran them
-    /// is lost, and no end will be told.
-    pub fn give_up(&mut self, pool: &PoolId, now: Instant) {
-        let running = self.kept.iter().filter(|(_, kept)| {
-            kept.receipt.pool == *pool && kept.receipt.state == ReceiptState::Running
-        });
-        let keys: Vec<ReceiptKey> = running.map(|(key, _)| key).collect();
-        keys.into_iter().for_each(|key| self.settle_as(key, ReceiptState::Unknown, now));
+    /// Notes that a member was lost, with the receipts that it held.
+    pub fn lost(&mut self, member: Member, now: Instant) {
+        self.losses.entry(member).or_insert(now);
+    }
+
+    /// Returns the losses that still matter, to tell them to a new member.
+    pub fn losses(&self, now: Instant) -> Vec<Loss> {
+        let losses = self.losses.iter();
+        losses
+            .map(|(member, at)| Loss {
+                member: member.clone(),
+                ago: now.saturating_duration_since(*at),
+            })
+            .collect()
+    }
+
+    /// Takes in losses that another member knows of.
+    pub fn import_losses(&mut self, losses: Vec<Loss>, now: Instant) {
+        for loss in losses {
+            let at = now.checked_sub(loss.ago).unwrap_or(now);
+            self.losses.entry(loss.member).or_insert(at);
+        }
+    }
+
+    /// Takes a pool over from an owner that was lost, before its receipts are
+    /// imported from all live members.
+    ///
+    /// What its lost owner ran becomes *unknown*. Returns whether a gap was
+    /// opened, because two lost members could both have held a receipt.
+    pub fn take_over(&mut self, pool: &PoolId, now: Instant) -> bool {
+        self.expire(now);
+        self.give_up(pool, now);
+        let gap = self.losses.len() >= LOSSES_FOR_GAP;
+        if gap {
+            self.open_gap(pool.clone(), now);
+        }
+        gap
     }
 
     /// Answers unknown keys of non-idempotent work in `pool` as *unknown* for
-    /// one retention: a member that could know of their runs is lost.
+    /// as long as a receipt can matter: members that could know of their runs
+    /// are lost.
     pub fn open_gap(&mut self, pool: PoolId, now: Instant) {
-        self.gaps.insert(pool, now + self.bounds.retention);
+        self.gaps.insert(pool, now + self.bounds.memory_time());
     }
 
     /// Forgets receipts whose retention is over.
@@ -174,6 +217,9 @@
             self.remove(key);
         }
         self.gaps.retain(|_, until| *until > now);
+        let memory = self.bounds.memory_time();
+        self.losses.retain(|_, at| *at + memory > now);
+        self.spent.expire(now);
     }
 
     /// Returns the number of receipts.
@@ -196,6 +242,40 @@
         self.find(name).map(|kept| &kept.receipt.state)
     }
 
+    fn begin_first(&mut self, request: &Request, now: Instant) -> Begin {
+        if let Some(kept) = self.find(&request.name) {
+            return repeat(&kept.receipt, request);
+        }
+        if self.is_in_gap(request, now) {
+            return Begin::Unknown;
+        }
+        match self.insert(Receipt::of_request(request), None, Some(request.deadline)) {
+            Some(key) => Begin::Run(key),
+            None => Begin::Full { retry_after: self.retry_after(now) },
+        }
+    }
+
+    /// Makes the running receipts of a pool *unknown*: no end will be told.
+    fn give_up(&mut self, pool: &PoolId, now: Instant) {
+        let running = self.kept.iter().filter(|(_, kept)| {
+            kept.receipt.pool == *pool && kept.receipt.state == ReceiptState::Running
+        });
+        let keys: Vec<ReceiptKey> = running.map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.settle_as(key, ReceiptState::Unknown, now));
+    }
+
+    fn spend(&mut self, attempt: RequestId, deadline: Instant) {
+        self.spent.insert(attempt, deadline, self.bounds.count);
+    }
+
+    fn spend_attempts(&mut self, key: ReceiptKey) {
+        let Some(kept) = self.kept.get(key) else { return };
+        let Some(deadline) = kept.deadline else { return };
+        for attempt in kept.receipt.attempts.clone() {
+            self.spend(attempt, deadline);
+        }
+    }
+
     fn find(&self, name: &Name) -> Option<&Kept> {
         self.names.get(name).and_then(|key| self.kept.get(*key))
     }
@@ -222,14 +302,19 @@
         }
     }
 
-    fn insert(&mut self, receipt: Receipt, end: Option<Instant>) -> Option<ReceiptKey> {
+    fn insert(
+        &mut self,
+        receipt: Receipt,
+        end: Option<Instant>,
+        deadline: Option<Instant>,
+    ) -> Option<ReceiptKey> {
         let bytes = receipt.bytes();
         if self.kept.len() >= self.bounds.count || self.bytes + bytes > self.bounds.bytes {
             return None;
         }
         self.bytes += bytes;
         let name = receipt.name.clone();
-        let key = self.kept.insert(Kept { receipt, end, bytes });
+        let key = self.kept.insert(Kept { receipt, end, deadline, bytes });
         self.names.insert(name, key);
         if let Some(end) = end {
             self.ends.insert((end, key));
@@ -284,6 +369,7 @@
         return Begin::Mismatch;
     }
     match &receipt.state {
+        ReceiptState::Running if receipt.attempts.contains(&request.attempt) => Begin::Doubled,
         ReceiptState::Running => Begin::Running,
         ReceiptState::Answered(answer) => Begin::Replay(Arc::clone(answer)),
         ReceiptState::Unknown => Begin::Unknown,
