--- a/crates/jobs/src/health.rs
+++ b/crates/jobs/src/health.rs
@@ -103,6 +103,10 @@
 
     /// Notes that a job failed whose lane does well elsewhere.
     pub fn fail(&mut self, job: JobId, lane: &Lane, now: Instant) -> Verdict {
+        // It was started before the quarantine and says nothing new.
+        if matches!(self.standing, Standing::Quarantined { until } if now < until) {
+            return Verdict::None;
+        }
         if !self.failures.iter().any(|(each, _)| *each == job) {
             self.failures.push((job, lane.clone()));
         }
--- a/crates/jobs/src/journal/index.rs
+++ b/crates/jobs/src/journal/index.rs
@@ -145,6 +145,7 @@
 
     fn delete(&mut self, victim: u64) {
         let Some(segment) = self.segments.remove(&victim) else { return };
+        self.live -= segment.live;
         for job in segment.jobs {
             self.edit(job, |trace| trace.segments.retain(|&each| each != victim));
             let gone = |trace: &Trace| trace.purged && trace.segments.is_empty();
--- a/crates/jobs/src/shard/round.rs
+++ b/crates/jobs/src/shard/round.rs
@@ -12,9 +12,13 @@
 /// Most jobs of one lane that a round looks at.
 const LANE_MAX: usize = 4096;
 
-/// Jobs of a lane that may be passed over in a round because they don't fit.
+/// Jobs of a lane that a round seeks a worker for in vain.
 const LOOK_AHEAD: usize = 16;
 
+/// Jobs of a lane that a round passes over in all, most of them because no
+/// smaller one fitted either.
+const PASS_MAX: usize = 256;
+
 /// Most urgent jobs that a round makes room for.
 const PREEMPT_MAX: usize = 32;
 
@@ -33,16 +37,38 @@
 struct Cursor {
     jobs: std::vec::IntoIter<JobKey>,
     next: JobKey,
+    sought: usize,
     passed: usize,
 }
 
+/// A job that fitted nowhere; larger ones like it need not be tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Unfit {
+    class: Class,
+    idempotent: bool,
+    /// Whether it needs accelerators: others may not take their hosts' room.
+    special: bool,
+    size: Resources,
+}
+
+impl Unfit {
+    fn new(need: &Need<'_>) -> Unfit {
+        let special = need.size.accelerators.0 > 0;
+        Unfit { class: need.class, idempotent: need.idempotent, special, size: need.size }
+    }
+
+    /// Whether `other` can't fit either.
+    fn rules_out(&self, other: &Unfit) -> bool {
+        self.size.fits(&other.size) && Unfit { size: other.size, ..*self } == *other
+    }
+}
+
 /// A round under way.
 struct Round {
     views: Vec<LaneView>,
     cursors: Vec<Cursor>,
-    /// Sizes that fitted nowhere, by class and by whether a worker on trial
-    /// may take them.
-    unfit: Vec<(Class, bool, Resources)>,
+    /// Jobs that fitted nowhere.
+    unfit: Vec<Unfit>,
     /// Teams without a unit.
     spent: HashSet<TeamId>,
     stuck: Vec<JobKey>,
@@ -102,7 +128,7 @@
             let weight = order.weight(&lane.team).max(f64::MIN_POSITIVE);
             let used = parts.get(&lane.team).copied().unwrap_or(0.0);
             round.views.push(LaneView { lane, start_by, weight, used });
-            round.cursors.push(Cursor { jobs, next, passed: 0 });
+            round.cursors.push(Cursor { jobs, next, sought: 0, passed: 0 });
         }
         round
     }
@@ -124,7 +150,7 @@
             return None;
         }
         let size = self.planned(key, &lane);
-        let Some(worker) = self.seek(key, size, round, now) else {
+        let Some(worker) = self.seek(key, size, round, at, now) else {
             round.pass(at, key, &self.jobs);
             return None;
         };
@@ -133,6 +159,7 @@
             round.close(at);
             return None;
         }
+        round.cursors[at].sought = 0;
         self.put(key, worker, size, now);
         round.report.placed += 1;
         Some(size.dominant(self.workers.total()))
@@ -145,20 +172,26 @@
         if self.workers.could_hold(&learned) { learned } else { declared }
     }
 
-    fn seek(&self, key: JobKey, size: Resources, round: &mut Round, now: Now) -> Option<WorkerKey> {
+    fn seek(
+        &self,
+        key: JobKey,
+        size: Resources,
+        round: &mut Round,
+        at: usize,
+        now: Now,
+    ) -> Option<WorkerKey> {
         let job = &self.jobs[key];
         let (class, idempotent) = (job.spec.class, job.spec.idempotent);
-        let hopeless = |(c, i, unfit): &(Class, bool, Resources)| {
-            *c == class && *i == idempotent && unfit.fits(&size)
-        };
-        if round.unfit.iter().any(hopeless) {
+        let need = Need { size, class, idempotent, avoid: &job.failed_on };
+        let shape = Unfit::new(&need);
+        if round.unfit.iter().any(|unfit| unfit.rules_out(&shape)) {
             return None;
         }
-        let need = Need { size, class, idempotent, avoid: &job.failed_on };
+        round.cursors[at].sought += 1;
         let found = self.workers.seek(&need, now.mono);
         // What one job avoids says nothing about others of its size.
         if found.is_none() && job.failed_on.is_empty() {
-            round.unfit.push((class, idempotent, size));
+            round.unfit.push(shape);
         }
         found.or_else(|| self.seek_again(&need, now))
     }
@@ -211,8 +244,9 @@
         if self.views[at].lane.class == Class::Urgent {
             self.stuck.push(key);
         }
-        self.cursors[at].passed += 1;
-        if self.cursors[at].passed >= LOOK_AHEAD {
+        let cursor = &mut self.cursors[at];
+        cursor.passed += 1;
+        if cursor.sought >= LOOK_AHEAD || cursor.passed >= PASS_MAX {
             self.close(at);
         } else {
             self.advance(at, jobs);
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -38,6 +38,9 @@
     }
 }
 
+/// Workers by their free cores, in thousandths.
+type ByCores = BTreeMap<u32, BTreeSet<WorkerKey>>;
+
 /// The workers of one pool.
 #[derive(Debug)]
 pub(crate) struct Workers {
@@ -49,8 +52,8 @@
     rack_urgent: Vec<u32>,
     zone_urgent: Vec<u32>,
     /// Workers by free cores, without and with accelerators.
-    plain: BTreeSet<(u32, WorkerKey)>,
-    special: BTreeSet<(u32, WorkerKey)>,
+    plain: ByCores,
+    special: ByCores,
     total: Resources,
     used: Resources,
 }
@@ -64,8 +67,8 @@
             zones: Names(HashMap::new()),
             rack_urgent: vec![0],
             zone_urgent: vec![0],
-            plain: BTreeSet::new(),
-            special: BTreeSet::new(),
+            plain: ByCores::new(),
+            special: ByCores::new(),
             total: Resources::ZERO,
             used: Resources::ZERO,
         }
@@ -208,9 +211,15 @@
 
     fn leave_index(&mut self, key: WorkerKey) {
         let Some(worker) = self.table.get(key) else { return };
-        let entry = (worker.room().cores.0, key);
-        self.plain.remove(&entry);
-        self.special.remove(&entry);
+        let special = worker.total.accelerators.0 > 0;
+        let index = if special { &mut self.special } else { &mut self.plain };
+        let cores = worker.room().cores.0;
+        if let Some(keys) = index.get_mut(&cores) {
+            keys.remove(&key);
+            if keys.is_empty() {
+                index.remove(&cores);
+            }
+        }
         self.rack_urgent[worker.rack] -= worker.urgent as u32;
         self.zone_urgent[worker.zone] -= worker.urgent as u32;
         if worker.listed {
@@ -223,7 +232,7 @@
         let Some(worker) = self.table.get(key) else { return };
         let special = worker.total.accelerators.0 > 0;
         let index = if special { &mut self.special } else { &mut self.plain };
-        index.insert((worker.room().cores.0, key));
+        index.entry(worker.room().cores.0).or_default().insert(key);
         self.rack_urgent[worker.rack] += worker.urgent as u32;
         self.zone_urgent[worker.zone] += worker.urgent as u32;
         if worker.listed {
@@ -263,13 +272,13 @@
 
     fn tightest(
         &self,
-        index: &BTreeSet<(u32, WorkerKey)>,
+        index: &ByCores,
         need: &Need<'_>,
         now: Instant,
         allowed: impl Fn(&Worker) -> bool,
     ) -> Option<WorkerKey> {
-        let from = (need.size.cores.0, WorkerKey::default());
-        let workers = index.range(from..).filter_map(|&(_, key)| Some((key, self.get(key)?)));
+        let keys = index.range(need.size.cores.0..).flat_map(|(_, keys)| keys);
+        let workers = keys.filter_map(|&key| Some((key, self.get(key)?)));
         let able = workers.filter(|(_, worker)| admits(worker, need, now) && allowed(worker));
         let left = |worker: &Worker| self.scarcest_left(worker, need);
         able.take(CANDIDATES).min_by(|a, b| left(a.1).total_cmp(&left(b.1))).map(|(key, _)| key)
--- /dev/null
+++ b/crates/jobs/tests/journal.rs
@@ -0,0 +1,154 @@
+//! Batches of the journal: bounded, grouped and fenced.
+
+mod support;
+
+use bytes::Bytes;
+use support::bench::{Bench, host, job};
+use support::{member, name, spec};
+use vg_base::prelude::*;
+use vg_jobs::{
+    Action, Class, Commit, Fate, JobSpec, JobState, Limits, PAYLOAD_MAX_BYTES, Refusal, Resources,
+    Settlement, SpecError, Submitted, claim,
+};
+
+fn bench() -> Bench {
+    Bench::new(vec![host(0, Resources::new(64_000, 64 << 30, 0))])
+}
+
+fn small() -> JobSpec {
+    spec("dairy", Class::Urgent, false, 100)
+}
+
+#[test]
+fn a_job_is_acknowledged_only_when_its_batch_is_durable() {
+    let mut bench = bench();
+    bench.submit(1, small());
+    assert_eq!(bench.job(1).shown(), None);
+    assert_eq!(bench.shard.submit(job(1), small(), bench.time.now()), Ok(Submitted::Pending));
+    let batch = bench.shard.next_batch(bench.time.now()).unwrap().unwrap();
+    assert!(!bench.shard.take_actions().contains(&Action::Accepted { job: job(1) }));
+    let revision = bench.store.commit(&batch).unwrap();
+    bench.shard.committed(batch.id, Commit::Done { revision }, bench.time.now());
+    assert!(bench.shard.take_actions().contains(&Action::Accepted { job: job(1) }));
+    let again = bench.shard.submit(job(1), small(), bench.time.now());
+    assert_eq!(again, Ok(Submitted::Known(JobState::Queued)));
+    let other = JobSpec { idempotent: true, ..small() };
+    assert_eq!(bench.shard.submit(job(1), other, bench.time.now()), Err(Refusal::IdTaken));
+}
+
+#[test]
+fn many_jobs_and_a_wave_of_cancellations_take_few_writes() {
+    let mut bench = bench();
+    (0..2000).for_each(|number| bench.submit(number, small()));
+    let writes = bench.commit();
+    assert!(writes <= 4, "2000 jobs took {writes} writes");
+    let all: Vec<JobId> = (0..2000).map(job).collect();
+    bench.shard.cancel(&all, bench.time.now());
+    let writes = bench.commit();
+    assert!(writes <= 4, "2000 cancellations took {writes} writes");
+    assert!(
+        all.iter().all(|&id| { bench.shard.job(id).unwrap().shown() == Some(JobState::Cancelled) })
+    );
+}
+
+#[test]
+fn large_payloads_stay_within_the_bounds_of_a_value() {
+    let mut bench = bench();
+    let payload = Bytes::from(vec![1; PAYLOAD_MAX_BYTES]);
+    for number in 0..40 {
+        // The store of the test refuses values of 256 KB.
+        bench.submit(number, JobSpec { payload: payload.clone(), ..small() });
+        bench.commit();
+    }
+    let payload = Bytes::from(vec![1; PAYLOAD_MAX_BYTES + 1]);
+    let refused = bench.shard.submit(job(99), JobSpec { payload, ..small() }, bench.time.now());
+    let source = SpecError::Payload { length: PAYLOAD_MAX_BYTES + 1 };
+    assert_eq!(refused, Err(Refusal::Malformed { source }));
+}
+
+#[test]
+fn batches_keep_to_the_gap_that_the_store_allows() {
+    let limits = Limits::default();
+    let mut bench = Bench::with_limits(Vec::new(), limits);
+    let mut writes = 0;
+    for number in 0..200 {
+        bench.submit(number, small());
+        bench.time.advance(Duration::from_millis(10));
+        writes += bench.commit();
+    }
+    assert!(writes <= 8, "{writes} writes in 2 s");
+}
+
+#[test]
+fn a_slow_store_refuses_submissions_and_placements() {
+    let mut bench =
+        Bench::with_limits(Vec::new(), Limits { staged_bytes: 2000, ..Limits::default() });
+    let refused = (0..100)
+        .map(|number| bench.shard.submit(job(number), small(), bench.time.now()))
+        .find(Result::is_err);
+    assert_eq!(refused, Some(Err(Refusal::StoreBusy)));
+    bench.hosts = vec![host(0, Resources::new(64_000, 64 << 30, 0))];
+    bench.join();
+    assert_eq!(bench.place().placed, 0);
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_the_head() {
+    let mut bench = bench();
+    for (number, takes_effect) in [(1, true), (2, false)] {
+        bench.submit(number, small());
+        let now = bench.time.now();
+        let batch = bench.shard.next_batch(now).unwrap().unwrap();
+        if takes_effect {
+            bench.store.commit(&batch);
+        }
+        assert_eq!(bench.shard.committed(batch.id, Commit::Lost, now), Settlement::ReadHead);
+        assert_eq!(bench.shard.next_batch(now), Ok(None), "the batch is not settled");
+        let head = bench.store.head(&name("wards"));
+        let settled = bench.shard.head_read(head.as_ref(), now).unwrap();
+        assert_eq!(settled == Settlement::Retry, !takes_effect);
+        if !takes_effect {
+            assert_eq!(bench.shard.next_batch(now), Ok(Some(batch)), "another batch was sent");
+        }
+    }
+}
+
+#[test]
+fn a_fenced_owner_says_what_it_knows_of_its_last_batch() {
+    for (takes_effect, fate) in [(true, Fate::Durable), (false, Fate::NotWritten)] {
+        let mut bench = bench();
+        bench.submit(1, small());
+        let now = bench.time.now();
+        let batch = bench.shard.next_batch(now).unwrap().unwrap();
+        bench.submit(2, small());
+        if takes_effect {
+            bench.store.commit(&batch);
+        }
+        let taken = claim(&name("wards"), &member(2), bench.store.head(&name("wards")).as_ref());
+        bench.store.commit(&taken.unwrap());
+        assert_eq!(bench.store.commit(&batch), None, "a fenced batch took effect");
+        bench.shard.committed(batch.id, Commit::Lost, now);
+        let head = bench.store.head(&name("wards"));
+        assert_eq!(bench.shard.head_read(head.as_ref(), now), Ok(Settlement::Fenced(fate)));
+        let jobs = vec![(job(1), fate), (job(2), Fate::NotWritten)];
+        assert!(bench.shard.take_actions().contains(&Action::Withdrawn { jobs }));
+        assert_eq!(bench.shard.submit(job(3), small(), now), Err(Refusal::NotOwner));
+        assert_eq!(bench.shard.next_batch(now), Ok(None));
+    }
+}
+
+#[test]
+fn segments_stay_few_whatever_comes_and_goes() {
+    let mut bench = bench();
+    for number in 0..600 {
+        bench.submit(number, small());
+        bench.commit();
+        bench.shard.cancel(&[job(number)], bench.time.now());
+        bench.commit();
+        bench.tick(Duration::from_secs(5));
+        bench.commit();
+    }
+    let journal = bench.shard.journal();
+    assert!(journal.segments() <= 5, "{} segments", journal.segments());
+    assert!(journal.live_bytes() < 16 * 1024, "{} bytes", journal.live_bytes());
+}
--- /dev/null
+++ b/crates/jobs/tests/support/bench.rs
@@ -0,0 +1,140 @@
+//! One shard with a store that always answers.
+
+use vg_base::prelude::*;
+use vg_jobs::{
+    Action, Attempt, Commit, Heartbeat, Job, JobSpec, Limits, Report, Resources, RoundReport,
+    Shard, Start, Weighted, WorkerSpec, claim, recover,
+};
+
+use super::store::FakeStore;
+use super::{Time, member, name, tight_limits};
+
+pub(crate) struct Bench {
+    pub(crate) time: Time,
+    pub(crate) store: FakeStore,
+    pub(crate) shard: Shard,
+    pub(crate) order: Weighted,
+    pub(crate) hosts: Vec<WorkerSpec>,
+    pub(crate) actions: Vec<Action>,
+    pool: PoolId,
+    owner: u64,
+    limits: Limits,
+}
+
+pub(crate) fn host(at: usize, total: Resources) -> WorkerSpec {
+    WorkerSpec {
+        host: name(&format!("w{at}")),
+        rack: name(&format!("r{}", at / 4)),
+        zone: name(&format!("z{}", at / 8)),
+        total,
+        leaving: false,
+    }
+}
+
+pub(crate) fn job(number: u128) -> JobId {
+    JobId::new(number)
+}
+
+impl Bench {
+    pub(crate) fn new(hosts: Vec<WorkerSpec>) -> Bench {
+        Bench::with_limits(hosts, tight_limits())
+    }
+
+    pub(crate) fn with_limits(hosts: Vec<WorkerSpec>, limits: Limits) -> Bench {
+        let time = Time::new();
+        let pool: PoolId = name("wards");
+        let mut store = FakeStore::default();
+        let shard = open(&mut store, &pool, 1, limits, &time);
+        let order = Weighted::default();
+        let mut bench =
+            Bench { time, store, shard, order, hosts, actions: Vec::new(), pool, owner: 1, limits };
+        bench.join();
+        bench
+    }
+
+    /// Lists all hosts and renews their leases.
+    pub(crate) fn join(&mut self) {
+        self.shard.list_workers(&self.hosts, self.time.now());
+        self.beat();
+    }
+
+    pub(crate) fn beat(&mut self) {
+        let now = self.time.now();
+        for host in &self.hosts {
+            let (host, sent) = (host.host.clone(), now.mono);
+            let heartbeat = Heartbeat { host, incarnation: Incarnation(1), sent, usage: None };
+            self.shard.heartbeat(heartbeat, now);
+        }
+    }
+
+    /// A next owner takes the pool over.
+    pub(crate) fn reopen(&mut self) {
+        self.owner += 1;
+        self.shard = open(&mut self.store, &self.pool, self.owner, self.limits, &self.time);
+        self.join();
+    }
+
+    pub(crate) fn submit(&mut self, number: u128, spec: JobSpec) {
+        self.shard.submit(job(number), spec, self.time.now()).unwrap();
+    }
+
+    pub(crate) fn place(&mut self) -> RoundReport {
+        self.shard.place(&mut self.order, |_| true, self.time.now())
+    }
+
+    /// Commits all that is staged; gives how many writes that took.
+    pub(crate) fn commit(&mut self) -> usize {
+        let mut writes = 0;
+        while let Some(batch) = self.shard.next_batch(self.time.now()).unwrap() {
+            let revision = self.store.commit(&batch).unwrap();
+            self.shard.committed(batch.id, Commit::Done { revision }, self.time.now());
+            writes += 1;
+        }
+        self.actions.extend(self.shard.take_actions());
+        writes
+    }
+
+    /// Places, commits and lets what was sent run; gives the starts.
+    pub(crate) fn run(&mut self) -> Vec<Start> {
+        self.actions.clear();
+        self.place();
+        self.commit();
+        let started = |action: &Action| match action {
+            Action::Start(start) => Some(start.clone()),
+            _ => None,
+        };
+        let starts: Vec<Start> = self.actions.iter().filter_map(started).collect();
+        for start in &starts {
+            self.report(start.task.job, Report::Running);
+        }
+        starts
+    }
+
+    /// Reports on the current attempt of a job.
+    pub(crate) fn report(&mut self, id: JobId, report: Report) {
+        let (site, attempt) = self.current(id);
+        self.shard.report(&site, id, attempt, report, self.time.now()).unwrap();
+    }
+
+    pub(crate) fn current(&self, id: JobId) -> (vg_jobs::Site, Attempt) {
+        let job = self.shard.job(id).unwrap();
+        (job.site().unwrap().clone(), job.attempt())
+    }
+
+    pub(crate) fn job(&self, number: u128) -> &Job {
+        self.shard.job(job(number)).unwrap()
+    }
+
+    pub(crate) fn tick(&mut self, step: Duration) {
+        self.time.advance(step);
+        self.shard.tick(self.time.now());
+        self.actions.extend(self.shard.take_actions());
+    }
+}
+
+fn open(store: &mut FakeStore, pool: &PoolId, owner: u64, limits: Limits, time: &Time) -> Shard {
+    let batch = claim(pool, &member(owner), store.head(pool).as_ref()).unwrap();
+    store.commit(&batch).unwrap();
+    let recovered = recover(pool, &member(owner), &store.range()).unwrap();
+    Shard::restore(recovered, limits, time.now())
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Small fakes of the store and the workers, and an oracle over them.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub(crate) mod bench;
 pub(crate) mod oracle;
 pub(crate) mod store;
 pub(crate) mod worker;
