Show entry hosts in an outage of the store; a team's whole requests

Cause: in an outage operators need to see the entry hosts most, and the last event of a request names no team. Change: `config status` says that a newer revision may exist in place of failing; the team filter of the time line shows all events of its requests.

--- a/crates/cli/src/config/status.rs
+++ b/crates/cli/src/config/status.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Serialize)]
 struct Statuses {
     nodes: Vec<Row>,
+    /// Why the store did not say what the newest revision is.
+    store: Option<String>,
     progress: Progress,
 }
 
@@ -47,7 +49,12 @@
         for row in &self.nodes {
             table.row(cells(row));
         }
-        table.text(style) + &progress_text(&self.progress, style)
+        let mut text = table.text(style) + &progress_text(&self.progress, style);
+        if let Some(error) = &self.store {
+            let note = style.bad("there may be a newer one");
+            text += &format!("{note}: {error}\n");
+        }
+        text
     }
 }
 
@@ -55,11 +62,12 @@
     session: &mut Session<'_, '_, P, Y>,
 ) -> Result<Exit, Error> {
     let views = session.nodes()?.discover().await.statuses().await;
-    let revision = newest(session, &views).await?;
+    let (revision, store) = newest(session, &views).await?;
     let progress = Progress::new(revision, &views);
-    let in_force = progress.is_in_force();
-    session.show(&Statuses { nodes: views.into_iter().map(Row::from).collect(), progress })?;
-    Ok(if in_force { Exit::Done } else { Exit::Failed })
+    let is_done = progress.is_in_force() && store.is_none();
+    let nodes = views.into_iter().map(Row::from).collect();
+    session.show(&Statuses { nodes, store, progress })?;
+    Ok(if is_done { Exit::Done } else { Exit::Failed })
 }
 
 /// Says in a line or more how far a revision has come.
@@ -81,16 +89,22 @@
     text
 }
 
-/// Returns the store's revision, or the nodes' newest without a store.
+/// Returns the store's revision. Without a store, or if it fails, returns the
+/// entry hosts' newest, and why the store gave none: an operator needs to see
+/// the entry hosts in an outage most of all.
 async fn newest<P: Platform, Y: System>(
     session: &Session<'_, '_, P, Y>,
     views: &[View<Status>],
-) -> Result<Revision, Error> {
-    if !session.options.store.is_empty() {
-        return Ok(session.revisions()?.current().await?.revision());
-    }
+) -> Result<(Revision, Option<String>), Error> {
     let known = views.iter().filter_map(|view| view.answer.as_ref().ok());
-    Ok(known.map(|status| status.revision).max().unwrap_or_default())
+    let known = known.map(|status| status.revision).max().unwrap_or_default();
+    if session.options.store.is_empty() {
+        return Ok((known, None));
+    }
+    Ok(match session.revisions()?.current().await {
+        Ok(current) => (current.revision(), None),
+        Err(error) => (known, Some(error.to_string())),
+    })
 }
 
 fn cells(row: &Row) -> [String; 5] {
--- a/crates/cli/src/timeline/filter.rs
+++ b/crates/cli/src/timeline/filter.rs
@@ -1,13 +1,20 @@
 //! Which events to show.
 
+use std::collections::BTreeSet;
+
 use clap::ArgMatches;
+use smol_str::SmolStr;
 use vg_events::Event;
 
+/// Fields that name a host, or an entry host with its incarnation.
+const HOST_FIELDS: [&str; 5] = ["host", "node", "member", "endpoint", "worker"];
+
 /// Conditions that all hold for a shown event.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Filter {
-    /// Fields with their values.
-    fields: Vec<(&'static str, String)>,
+    request: Option<String>,
+    team: Option<String>,
+    revision: Option<String>,
     /// Host or entry host.
     host: Option<String>,
 }
@@ -15,23 +22,41 @@
 impl Filter {
     /// Reads the conditions from the command line.
     pub(crate) fn read(matches: &ArgMatches) -> Filter {
-        let names = ["request", "team", "revision"];
-        let given = |name| matches.get_one::<String>(name).map(|text| (name, text.clone()));
-        let fields = names.into_iter().filter_map(given).collect();
-        Filter { fields, host: matches.get_one::<String>("host").cloned() }
+        let given = |name| matches.get_one::<String>(name).cloned();
+        Filter {
+            request: given("request"),
+            team: given("team"),
+            revision: given("revision"),
+            host: given("host"),
+        }
     }
 
-    /// Whether an event is shown.
-    pub(crate) fn takes(&self, event: &Event) -> bool {
-        let fits = |(name, value): &(&str, String)| event.field(name) == Some(value);
-        self.fields.iter().all(fits) && self.host.as_ref().is_none_or(|host| is_of(event, host))
+    /// Returns the requests of the team that is asked for. Only the first
+    /// events of a request name its team.
+    pub(crate) fn requests<'a>(
+        &self,
+        events: impl Iterator<Item = &'a Event>,
+    ) -> BTreeSet<SmolStr> {
+        let Some(team) = &self.team else { return BTreeSet::new() };
+        let of_team = events.filter(|event| event.field("team") == Some(team));
+        of_team.filter_map(|event| event.field("request").map(SmolStr::from)).collect()
     }
-}
 
-/// Fields that name a host, or an entry host with its incarnation.
-const HOST_FIELDS: [&str; 5] = ["host", "node", "member", "endpoint", "worker"];
+    /// Whether an event is shown; `requests` are those of the team.
+    pub(crate) fn takes(&self, event: &Event, requests: &BTreeSet<SmolStr>) -> bool {
+        let is = |name, wanted: &Option<String>| {
+            wanted.as_ref().is_none_or(|wanted| event.field(name) == Some(wanted))
+        };
+        let of_request = event.field("request").is_some_and(|id| requests.contains(id));
+        is("request", &self.request)
+            && is("revision", &self.revision)
+            && (is("team", &self.team) || of_request)
+            && self.host.as_ref().is_none_or(|host| concerns(event, host))
+    }
+}
 
-fn is_of(event: &Event, host: &str) -> bool {
+fn concerns(event: &Event, host: &str) -> bool {
     let is_host = |text: &str| text.split('/').next() == Some(host);
-    is_host(&event.source) || HOST_FIELDS.into_iter().filter_map(|f| event.field(f)).any(is_host)
+    let named = HOST_FIELDS.into_iter().filter_map(|name| event.field(name));
+    is_host(&event.source) || named.into_iter().any(is_host)
 }
--- a/crates/cli/src/timeline/line.rs
+++ b/crates/cli/src/timeline/line.rs
@@ -28,8 +28,10 @@
         for window in &windows {
             missing.extend(spans(window));
         }
+        let requests = filter.requests(windows.iter().flat_map(|window| &window.events));
         let events = windows.into_iter().flat_map(|window| window.events);
-        let mut events: Vec<Event> = events.filter(|event| filter.takes(event)).collect();
+        let mut events: Vec<Event> =
+            events.filter(|event| filter.takes(event, &requests)).collect();
         events.sort_by(|a, b| key(a).cmp(&key(b)));
         events.dedup_by(|a, b| a.source == b.source && a.serial == b.serial);
         TimeLine { events, missing }
--- a/crates/cli/tests/suite/support/node.rs
+++ b/crates/cli/tests/suite/support/node.rs
@@ -97,8 +97,10 @@
         let steps = [Code::ProcessStarted, Code::CallReceived, Code::CallStarted, Code::CallNotRun];
         for (at, code) in steps.into_iter().enumerate() {
             clock.advance(Duration::from_millis(if self.name == "e1" { 5 } else { 4 }));
-            let team = Field::new("team", if at == 1 { "bakery" } else { "<dairy>" });
-            recorder.record(code, [team, Field::new("request", at)]);
+            let (team, request) = if at == 1 { ("bakery", 7) } else { ("<dairy>", 8) };
+            // As at the daemon, the end of a request names no team.
+            let team = (at < 3).then(|| Field::new("team", team));
+            recorder.record(code, team.into_iter().chain([Field::new("request", request)]));
         }
         let from = query.strip_prefix("from=").unwrap().parse().unwrap();
         // Pages of two, to see that the next ones are asked for.
