--- a/crates/conf/src/ini/scan.rs
+++ b/crates/conf/src/ini/scan.rs
@@ -86,10 +86,6 @@
 fn meaning(line: &str) -> Option<Line> {
     let option =
         ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
-    // A header without its end would be accepted by `rust-ini`.
-    if line.starts_with('[') && !line.ends_with(']') {
-        return None;
-    }
     let parsed = Ini::load_from_str_opt(line, option).ok()?;
     let mut found = None;
     for (header, entries) in &parsed {
--- a/crates/conf/tests/lists.rs
+++ b/crates/conf/tests/lists.rs
@@ -137,6 +137,17 @@
     }
 }
 
+#[test]
+fn a_line_that_is_not_one_header_or_one_entry_is_refused() {
+    for line in ["[plan a", "plan a]", "[plan a] share = 1", "[plan a] ; text", "[a]b]", "= 1"] {
+        let found = parse(line, "").unwrap_err();
+        assert!(found.to_string().contains("can't be read"), "{line}: {found}");
+    }
+    // The next line is read by itself: an open header takes nothing with it.
+    let found = parse("[plan a\nteam = a\n[plan b]\n", "").unwrap_err();
+    assert_eq!(found.found()[1].line, 2, "{found}");
+}
+
 #[test]
 fn all_faults_come_at_once_in_the_order_of_lines() {
     let uses = USES.replace("hosts = 10", "hosts = many").replace("bound = 7", "bound = 0");
