--- a/crates/cli/tests/suite/support/session.rs
+++ b/crates/cli/tests/suite/support/session.rs
@@ -42,6 +42,11 @@
     assert_eq!(found, expected, "{name}");
 }
 
+/// Runs one command that needs nothing, and returns its output.
+pub(crate) fn run_words(words: &str) -> String {
+    Stage::new(PathBuf::new()).command(words)
+}
+
 /// Everything around the commands of a session.
 struct Stage {
     runtime: Runtime,
