peer: fuzz several nodes against an oracle, keep reclaimed members out

Change: the book keeps the latest incarnation of each node and refuses an earlier or equal one; a simulation of five nodes, a store and a lossy network with an oracle; faults that can be put in by a type parameter.

--- a/crates/peer/src/book/apply.rs
+++ b/crates/peer/src/book/apply.rs
@@ -38,7 +38,12 @@
         let mut book = self.clone();
         book.epoch = self.epoch.next();
         let mut changed = false;
-        for transition in transitions {
+        // New limits come first: no unit is granted under a limit that the same
+        // change lowers.
+        let is_lists = |each: &&Transition| matches!(each, Transition::SetLists { .. });
+        let lists = transitions.iter().filter(is_lists);
+        let others = transitions.iter().filter(|each| !is_lists(each));
+        for transition in lists.chain(others) {
             // A refused transition can leave a part of it behind.
             let mut copy = book.clone();
             if copy.change::<F>(transition).is_ok() {
@@ -77,10 +82,11 @@
     }
 
     fn join(&mut self, member: &Member, record: &MemberRecord) -> Result<(), BookError> {
-        let known = self.members.keys().filter(|each| each.node == member.node).max();
-        if let Some(known) = known.filter(|known| *known >= member) {
-            return Err(BookError::Superseded { member: member.clone(), known: known.clone() });
+        let known = self.latest.get(&member.node).copied();
+        if let Some(known) = known.filter(|known| *known >= member.incarnation) {
+            return Err(BookError::Superseded { member: member.clone(), known });
         }
+        self.latest.insert(member.node.clone(), member.incarnation);
         self.units.open(member)?;
         let record = MemberRecord { state: MemberState::Live, ..record.clone() };
         self.members.insert(member.clone(), record);
--- a/crates/peer/src/book/mod.rs
+++ b/crates/peer/src/book/mod.rs
@@ -23,6 +23,10 @@
     pub voters_epoch: Epoch,
     /// Members, also fenced ones until their units are reclaimed.
     pub members: BTreeMap<Member, MemberRecord>,
+    /// Latest incarnation of each node that ever joined: a reclaimed member
+    /// can't join again and bring back counters that are settled. One small
+    /// entry for each name that was ever in use.
+    pub latest: BTreeMap<NodeId, Incarnation>,
     /// Pools of the accepted lists.
     pub pools: BTreeSet<PoolId>,
     /// Owners of pools.
@@ -42,6 +46,13 @@
         self.state(member).is_some_and(|state| !state.is_fenced())
     }
 
+    /// Whether the member has no rights and never gets any again.
+    pub fn is_over(&self, member: &Member) -> bool {
+        let latest = self.latest.get(&member.node);
+        let known = latest.is_some_and(|latest| *latest >= member.incarnation);
+        known && !self.holds_rights(member)
+    }
+
     /// Returns the members that are not fenced.
     pub fn active(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().filter(|(_, record)| !record.state.is_fenced()).map(|(each, _)| each)
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -28,13 +28,13 @@
         /// The member.
         member: Member,
     },
-    /// The node has a member with this or a later incarnation.
-    #[snafu(display("{member} is not later than {known}"))]
+    /// This or a later incarnation of the node has joined before.
+    #[snafu(display("{member} is not later than incarnation {known}"))]
     Superseded {
         /// The member that wants to join.
         member: Member,
-        /// The member in the book.
-        known: Member,
+        /// The latest incarnation that joined.
+        known: Incarnation,
     },
     /// The member's state doesn't allow the transition.
     #[snafu(display("the state of {member} does not allow this"))]
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -10,22 +10,19 @@
 /// Serial numbers and times of the messages to and from one peer.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Link {
-    serial: u64,
     sent: VecDeque<(u64, Instant)>,
     received: Option<u64>,
     heard: Option<Instant>,
 }
 
 impl Link {
-    /// Numbers a message that is made now. Returns its serial and the latest
-    /// one received.
-    pub(crate) fn send(&mut self, now: Instant) -> (u64, Option<u64>) {
-        self.serial += 1;
-        self.sent.push_back((self.serial, now));
+    /// Notes a message that is made now. Returns the latest serial received.
+    pub(crate) fn send(&mut self, now: Instant, serial: u64) -> Option<u64> {
+        self.sent.push_back((serial, now));
         if self.sent.len() > SENT_KEPT {
             self.sent.pop_front();
         }
-        (self.serial, self.received)
+        self.received
     }
 
     /// Notes a message. Returns whether it is later than all before it.
--- a/crates/peer/src/node/messages.rs
+++ b/crates/peer/src/node/messages.rs
@@ -30,7 +30,7 @@
         self.ledger.spread(to);
         let fenced = self.book().state(to).is_some_and(|state| state.is_fenced());
         let statement = self.standing.statement(now, fenced);
-        let (serial, echo) = self.view.link(to).send(now);
+        let (serial, echo) = self.view.number(now, to);
         let book = self.view.book();
         self.advice.retain(|member| book.holds_rights(member));
         let transfers = self.ledger.transfers(to);
@@ -55,7 +55,7 @@
         let Heartbeat { from, to, .. } = heartbeat;
         let later = |other: &Member| other.node == self.me.node && *other > self.me;
         if later(from) || later(to) {
-            self.standing.note_superseded();
+            self.standing.end();
         }
         if *to != self.me || from.node == self.me.node {
             return Received::default();
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -3,14 +3,14 @@
 mod advice;
 mod messages;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use vg_base::prelude::*;
 use vg_limit::faults::Sound;
 use vg_limit::{Ledger, RunKey};
 
 use crate::faults::PeerFaults;
-use crate::{Book, Standing, StandingRefusal, Timing, Transition, View};
+use crate::{Book, MemberState, Standing, StandingRefusal, Timing, Transition, View};
 
 use advice::AdviceFeed;
 pub use messages::Received;
@@ -24,6 +24,10 @@
     ledger: Ledger<F>,
     advice: AdviceFeed,
     leaving: bool,
+    departing: bool,
+    /// Pools whose dispatch has stopped here, with the epoch of the ownership
+    /// that is handed over.
+    stopped: BTreeMap<PoolId, Epoch>,
 }
 
 /// Why work may not start here and now.
@@ -60,6 +64,8 @@
             ledger: Ledger::with_faults(me.clone()),
             advice: AdviceFeed::default(),
             leaving: false,
+            departing: false,
+            stopped: BTreeMap::new(),
             me,
         }
     }
@@ -104,6 +110,19 @@
         self.standing.apply(book, from_store);
         self.ledger.apply(book.epoch, &book.units);
         self.view.apply(now, book);
+        if self.book().is_over(&self.me) {
+            self.standing.end();
+        }
+        let same = |pool: &PoolId, epoch: &mut Epoch| {
+            self.view.owns(pool) && self.view.owner(pool).is_some_and(|held| held.epoch == *epoch)
+        };
+        self.stopped.retain(same);
+    }
+
+    /// Whether this member was fenced or superseded: it never acts again. Its
+    /// process has to go on as a new incarnation.
+    pub fn is_over(&self) -> bool {
+        self.book().is_over(&self.me)
     }
 
     /// Takes in which members' leased keys the store has, as read at `sent`.
@@ -121,12 +140,30 @@
     /// Returns the transitions to commit, as one compare-and-swap against
     /// exactly the book that was applied last.
     ///
-    /// If the outcome is in doubt, read the book, apply it and ask again.
+    /// The commit has to fail as well if the leased key of one of
+    /// [`Transition::guards`] exists. If the outcome is in doubt, read the book,
+    /// apply it and ask again.
     pub fn changes(&mut self, now: Instant) -> Vec<Transition> {
         let view = &mut self.view;
         let units = self.ledger.propose(view.book().epoch, &view.book().units);
         let mut changes: Vec<Transition> = units.into_iter().map(Transition::Units).collect();
         changes.extend(view.actions(now));
+        changes.extend(self.own_changes());
+        changes
+    }
+
+    fn own_changes(&self) -> Vec<Transition> {
+        let member = self.me.clone();
+        let release =
+            |pool: &PoolId| Transition::Release { pool: pool.clone(), by: member.clone() };
+        let mut changes: Vec<Transition> = self.stopped.keys().map(release).collect();
+        match self.book().state(&self.me) {
+            Some(MemberState::Live) if self.leaving => changes.push(Transition::Leave { member }),
+            Some(MemberState::Leaving) if self.departing => {
+                changes.push(Transition::Depart { member });
+            }
+            _ => {}
+        }
         changes
     }
 
@@ -152,20 +189,35 @@
 
     /// Whether this member dispatches a pool's work and may act now.
     pub fn may_dispatch(&self, now: Instant, pool: &PoolId) -> bool {
-        self.view.owns(pool) && self.standing.may_act(now).is_ok()
+        let held = self.view.owns(pool) && !self.stopped.contains_key(pool);
+        held && self.standing.may_act(now).is_ok()
+    }
+
+    /// Notes that dispatch of a pool of [`View::to_release`] has stopped here:
+    /// from now on the pool is being handed over.
+    pub fn stop_pool(&mut self, pool: &PoolId) {
+        let held = self.view.owner(pool).filter(|held| held.owner == self.me);
+        if let Some(epoch) = held.map(|held| held.epoch) {
+            self.stopped.insert(pool.clone(), epoch);
+        }
     }
 
-    /// Begins to leave: heartbeats say so, and idle units are given back.
-    /// Commit [`Transition::Leave`] as well.
+    /// Begins to leave: no new rights are taken, and idle units are given back.
     pub fn leave(&mut self) {
         self.leaving = true;
         self.ledger.leave();
     }
 
-    /// Whether a leaving member may commit [`Transition::Depart`] now: it runs
-    /// nothing and owns no pool.
-    pub fn may_depart(&self) -> bool {
+    /// Ends a leave, if this member runs nothing and owns no pool any more:
+    /// it acts no more, and its rest of rights becomes free at once.
+    ///
+    /// Returns whether it does so.
+    pub fn depart(&mut self) -> bool {
         let owns = self.book().owners.values().any(|held| held.owner == self.me);
-        self.leaving && !owns && self.ledger.runs() == 0
+        if self.leaving && !owns && self.ledger.runs() == 0 {
+            self.departing = true;
+            self.standing.end();
+        }
+        self.departing
     }
 }
--- a/crates/peer/src/standing.rs
+++ b/crates/peer/src/standing.rs
@@ -25,6 +25,7 @@
     /// Whether the book was read from the store, not only from a peer.
     read: bool,
     member: bool,
+    ended: bool,
     book: Epoch,
     voters: BTreeSet<NodeId>,
     voters_epoch: Epoch,
@@ -64,6 +65,7 @@
             contact: None,
             read: false,
             member: false,
+            ended: false,
             book: Epoch::ZERO,
             voters: BTreeSet::new(),
             voters_epoch: Epoch::ZERO,
@@ -139,10 +141,10 @@
         }
     }
 
-    /// Notes that a later incarnation of this node runs: this one is over.
-    pub fn note_superseded(&mut self) {
-        self.member = false;
-        self.book = Epoch(u64::MAX);
+    /// Ends this member's standing for good: it has stopped, or a later
+    /// incarnation of its node runs.
+    pub fn end(&mut self) {
+        self.ended = true;
     }
 
     /// Whether the store has answered lately.
@@ -169,7 +171,7 @@
         if F::IGNORE_LEASE {
             return Ok(());
         }
-        if !self.member {
+        if !self.member || self.ended {
             return Err(StandingRefusal::NotMember);
         }
         let Some((renewed, until)) = self.lease else {
@@ -211,7 +213,7 @@
         let age = self.confirmed.map(|at| now.saturating_duration_since(at).as_millis());
         Statement {
             contact: self.has_contact(now),
-            vote: (self.read || F::VOTE_UNREAD) && (!fenced || F::SUPPORT_FENCED),
+            vote: !self.ended && (self.read || F::VOTE_UNREAD) && (!fenced || F::SUPPORT_FENCED),
             book: self.book,
             voters: self.voters_epoch,
             revision: self.revision,
--- a/crates/peer/src/timing.rs
+++ b/crates/peer/src/timing.rs
@@ -41,7 +41,7 @@
             lease: Duration::from_secs(3),
             margin: Duration::from_millis(300),
             grace: Duration::from_millis(2500),
-            quiet: Duration::from_secs(1),
+            quiet: Duration::from_millis(1500),
             contact: Duration::from_secs(2),
             fresh: Duration::from_millis(2500),
             near_period: Duration::from_secs(1),
--- a/crates/peer/src/transition.rs
+++ b/crates/peer/src/transition.rs
@@ -80,6 +80,19 @@
     },
 }
 
+impl Transition {
+    /// Returns the members that a set of changes fences: their leased keys
+    /// must not exist when the changes are committed, since a member may have
+    /// come back in between.
+    pub fn guards(changes: &[Transition]) -> Vec<Member> {
+        let fences = changes.iter().filter_map(|change| match change {
+            Transition::Fence { dead } => Some(dead.clone()),
+            _ => None,
+        });
+        fences.collect()
+    }
+}
+
 /// A change of the voters by one node.
 ///
 /// Majorities of sets that differ by one node have a node in common.
--- a/crates/peer/src/view/acks.rs
+++ b/crates/peer/src/view/acks.rs
@@ -20,11 +20,19 @@
 
     /// Notes the revision that a member has in force, this one included.
     pub fn note_revision(&mut self, member: &Member, revision: Revision) {
+        if !self.book.members.contains_key(member) && *member != self.me {
+            return;
+        }
         let known = self.revisions.entry(member.clone()).or_default();
         *known = revision.max(*known);
     }
 
     pub(super) fn note_ack(&mut self, from: &Member, epoch: Epoch) {
+        // Keeps the memory bounded whatever names come.
+        let named = self.book.members.keys().any(|member| member.node == from.node);
+        if !named && !self.book.voters.contains(&from.node) {
+            return;
+        }
         let known = self.acks.entry(from.node.clone()).or_default();
         *known = epoch.max(*known);
     }
--- a/crates/peer/src/view/mod.rs
+++ b/crates/peer/src/view/mod.rs
@@ -16,6 +16,9 @@
 
 pub use health::Health;
 
+/// Links beyond this number are kept only for members of the book.
+const LINKS_MAX: usize = 256;
+
 /// The book together with what messages and the store's leases tell.
 #[derive(Debug, Clone)]
 pub struct View<F: PeerFaults = Sound> {
@@ -23,6 +26,8 @@
     timing: Timing,
     book: Book,
     links: BTreeMap<Member, Link>,
+    /// Number of the last message to any peer.
+    serial: u64,
     /// When the leased keys were read last.
     listed: Option<Instant>,
     /// Members whose leased key is away, since when.
@@ -57,6 +62,7 @@
             timing,
             book: Book::default(),
             links: BTreeMap::new(),
+            serial: 0,
             listed: None,
             absent: BTreeMap::new(),
             acks: BTreeMap::new(),
@@ -101,6 +107,10 @@
         }
         self.book = book.clone();
         self.note_ack(&self.me.clone(), book.epoch);
+        let named = |node: &NodeId| {
+            book.voters.contains(node) || book.members.keys().any(|member| member.node == *node)
+        };
+        self.acks.retain(|node, _| named(node));
         let (book, me) = (&self.book, &self.me);
         self.links.retain(|member, _| book.members.contains_key(member));
         self.absent.retain(|member, _| book.holds_rights(member));
@@ -124,7 +134,21 @@
         }
     }
 
+    /// Numbers a message to a peer that is made now. Returns its serial and
+    /// the latest one received.
+    pub(crate) fn number(&mut self, now: Instant, peer: &Member) -> (u64, Option<u64>) {
+        // One sequence for all peers: a number is never used twice, also if a
+        // link was dropped in between, so that an echo is never mistaken.
+        self.serial += 1;
+        let serial = self.serial;
+        (serial, self.link(peer).send(now, serial))
+    }
+
     pub(crate) fn link(&mut self, peer: &Member) -> &mut Link {
+        if self.links.len() >= LINKS_MAX {
+            let book = &self.book;
+            self.links.retain(|member, _| book.members.contains_key(member));
+        }
         self.links.entry(peer.clone()).or_default()
     }
 }
--- /dev/null
+++ b/crates/peer/tests/fuzz.rs
@@ -0,0 +1,57 @@
+//! Sequences of faults against a simple oracle.
+//!
+//! `VG_FUZZ_CASES` sets the number of sequences of each share, `VG_FUZZ_SEED`
+//! the first seed.
+
+mod sim;
+
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use vg_limit::faults::Sound;
+
+use sim::World;
+
+/// Sequences of a share in an ordinary run.
+const CASES: u32 = 64;
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok().and_then(|text| text.parse().ok())
+}
+
+/// Runs one share; shares run side by side, each with its own seed.
+fn run(share: u64) {
+    let cases = number("VG_FUZZ_CASES").and_then(|cases| u32::try_from(cases).ok());
+    let config = Config {
+        cases: cases.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(number("VG_FUZZ_SEED").unwrap_or(1) + share),
+        failure_persistence: None,
+        max_shrink_iters: 2000,
+        ..Config::default()
+    };
+    let outcome = TestRunner::new(config).run(&sim::op::sequence(), |ops| {
+        let mut world: World<Sound> = World::new();
+        world.run_all(&ops).map_err(|violation| sim::fail(&violation))
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn rights_are_conserved_share_0() {
+    run(0);
+}
+
+#[test]
+fn rights_are_conserved_share_1() {
+    run(1);
+}
+
+#[test]
+fn rights_are_conserved_share_2() {
+    run(2);
+}
+
+#[test]
+fn rights_are_conserved_share_3() {
+    run(3);
+}
