--- a/crates/entry/src/control/book.rs
+++ b/crates/entry/src/control/book.rs
@@ -86,6 +86,9 @@
             (None, false) => Code::MemberJoined,
             (Some(_), false) => Code::MemberLeaving,
         };
+        if code == Code::MemberLost {
+            node.receipts.lock().lost(member.clone(), node.clock.now());
+        }
         node.events.record(code, [Field::new("member", member)]);
     }
 }
--- a/crates/entry/src/control/takeover.rs
+++ b/crates/entry/src/control/takeover.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
-use vg_route::{Busy, Receipt};
+use vg_route::{Busy, Loss, Receipt};
 
 use crate::dispatch::PoolDispatch;
 use crate::node::Node;
@@ -28,6 +28,8 @@
     busy: Vec<Busy>,
     /// Receipts of the pool's keys.
     receipts: Vec<Receipt>,
+    /// Members that were lost with the receipts that they held.
+    losses: Vec<Loss>,
 }
 
 /// Returns what this node knows of a pool.
@@ -35,8 +37,10 @@
     let longest = longest_call(node, pool);
     let retired = node.pools.retired(pool);
     let busy = retired.iter().flat_map(|each| each.busy(longest)).collect();
-    let receipts = node.receipts.lock().export(pool);
-    Handover { busy, receipts }
+    let table = node.receipts.lock();
+    let (receipts, losses) = (table.export(pool), table.losses(node.clock.now()));
+    drop(table);
+    Handover { busy, receipts, losses }
 }
 
 /// Learns what the earlier owner and the other members know, then begins to
@@ -60,7 +64,11 @@
                     dispatch.import(&part.busy);
                     told = true;
                 }
-                let left = node.receipts.lock().import(part.receipts, node.clock.now());
+                let now = node.clock.now();
+                let mut receipts = node.receipts.lock();
+                receipts.import_losses(part.losses, now);
+                let left = receipts.import(part.receipts, now);
+                drop(receipts);
                 complete &= left == 0;
             }
             Err(_) => complete = false,
@@ -71,8 +79,8 @@
     }
     let now = node.clock.now();
     let mut receipts = node.receipts.lock();
-    receipts.give_up(&pool, now);
-    if !complete || node.lost_lately(now) {
+    receipts.take_over(&pool, now);
+    if !complete {
         receipts.open_gap(pool.clone(), now);
     }
     drop(receipts);
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -151,7 +151,7 @@
     node.roster.lock().leave();
     control::commit_leave(node).await;
     loop {
-        let done = node.roster.lock().may_depart() && node.pools.running() == 0;
+        let done = node.pools.running() == 0 && node.roster.lock().depart();
         if done {
             return control::commit_depart(node).await;
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -139,16 +139,6 @@
         self.book_revision.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Whether more than one member was lost within the time for which
-    /// receipts are kept: then both keepers of a receipt may be gone.
-    pub(crate) fn lost_lately(&self, now: Instant) -> bool {
-        let _ = now;
-        let membership = self.roster.lock();
-        let book = membership.book();
-        let lost = book.members.values().filter(|record| record.state.is_fenced()).count();
-        lost > 1 || book.active().count() < 2
-    }
-
     /// Checks again that the key of a call is in force, by the lists of now.
     pub(crate) fn check_key(&self, call: &Call) -> Result<(), Problem> {
         let config = self.config.current();
--- a/crates/entry/src/receipts.rs
+++ b/crates/entry/src/receipts.rs
@@ -18,6 +18,7 @@
 use crate::call::Call;
 use crate::headers;
 use crate::node::Node;
+use crate::options::Options;
 use crate::platform::Platform;
 use crate::problem::{Problem, ProblemCode};
 
@@ -143,14 +144,16 @@
     ///
     /// As [`ReceiptTable::keep`].
     pub(crate) fn keep_mirror(&self, mirror: Mirror) -> Result<(), Problem> {
+        let remaining = Duration::from_millis(mirror.remaining_ms).min(Options::CALL_MAX);
         let request = Request {
             name: mirror.receipt.name,
             pool: mirror.receipt.pool,
             attempt: mirror.attempt,
+            deadline: self.inner.clock.now() + remaining,
             fingerprint: mirror.receipt.fingerprint,
             idempotent: mirror.idempotent,
         };
-        self.keep_request(&request, Duration::from_millis(mirror.remaining_ms))
+        self.keep_request(&request, remaining)
     }
 
     /// Takes in how a forwarded or copied call ended.
@@ -190,6 +193,7 @@
         },
         pool: call.pool.clone(),
         attempt: call.id,
+        deadline: call.deadline,
         fingerprint: Fingerprint::of(&[content_type, &call.body]),
         idempotent: call.idempotent,
     })
@@ -240,6 +244,14 @@
             let detail = "there is no room for the receipt of the idempotency key";
             Problem::not_run(ProblemCode::QueueFull, detail).retry_after(*retry_after)
         }
+        Begin::Doubled => {
+            let detail = "this attempt was refused before; this copy of it has not run";
+            Problem::not_run(ProblemCode::NoOwner, detail)
+        }
+        Begin::Late => {
+            let detail = "the deadline passed before the call came to its entry host";
+            Problem::not_run(ProblemCode::DeadlineUnreachable, detail)
+        }
         Begin::Run(_) | Begin::Replay(_) | Begin::Unknown => {
             let detail = "a request with this idempotency key may have run before";
             Problem::unknown(ProblemCode::EarlierRunUnknown, detail)
--- a/crates/verbenagap/tests/faults.rs
+++ b/crates/verbenagap/tests/faults.rs
@@ -109,7 +109,7 @@
         let others = site.nodes().iter().filter(|(id, _)| **id != cut);
         others.clone().any(|(_, node)| {
             node.handle.node().roster.owner(&pool) == Some(PoolOwner::Me)
-                && node.handle.node().pools.len() > 0
+                && !node.handle.node().pools.is_empty()
         })
     };
     eventually("another node owns the pool", others).await;
@@ -221,14 +221,17 @@
         let mut repeats = JoinSet::new();
         for n in 0..20 {
             let (caller, call) = (Arc::clone(&caller), call(n));
-            repeats.spawn(async move { (n, caller.call(&call).await.outcome) });
+            repeats.spawn(async move { (n, caller.call(&call).await) });
+        }
+        for (n, answer) in repeats.join_all().await {
+            if n == 0 { println!("{:?} {:?}", Instant::now(), answer.problem.as_ref().map(|p| &p.detail)); }
+            told.insert(n, answer.outcome);
         }
-        told.extend(repeats.join_all().await);
     }
     // One run for each key at most, whichever request it came with.
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     for run in site.log().runs() {
-        *runs.entry(run.request.to_string()).or_default() += 1;
+        *runs.entry(run.label.request.to_string()).or_default() += 1;
     }
     assert!(site.log().total() <= 20, "{} runs of 20 keys: {runs:?}", site.log().total());
     assert!(!told.values().any(is_not_run), "{told:?}");
