store: rates of calls, and proof of how a write in doubt is settled

Cause: trials must show what happens when the service is asked too often; and every writer needs one sound way to settle a lost answer. Change: Faults::set_rates, refused calls as 429 over HTTP; a fuzz of three writers under lost, late and stale answers who commit the same transaction, with a receipt, until it is answered. Conclusion: each change takes effect once and its writer knows.

--- a/crates/standin/src/store/convert.rs
+++ b/crates/standin/src/store/convert.rs
@@ -2,8 +2,9 @@
 
 use http::StatusCode;
 use vg_store::wire::{
-    Base64, Code, CompareRequest, CompareTarget, ErrorBody, Header, Int64, KeyValue, RangeRequest,
-    RangeResponse, RequestOp, ResponseOp, TxnRequest, TxnResponse,
+    Base64, Code, CompareRequest, CompareTarget, ErrorBody, Header, Int64, KeyValue,
+    LEASE_NOT_FOUND, RangeRequest, RangeResponse, RequestOp, ResponseOp, TOO_MANY_REQUESTS,
+    TxnRequest, TxnResponse,
 };
 use vg_store::{Change, Compare, Entry, Error, Key, LeaseId, Put, StoreRevision, Txn};
 
@@ -102,6 +103,9 @@
 pub(crate) fn failed(error: &Error) -> Reply {
     let (status, code) = match error {
         Error::AnswerLost { .. } => return Ok(torn(bytes::Bytes::from_static(b"{"))),
+        Error::Unavailable { reason } if reason == TOO_MANY_REQUESTS => {
+            (StatusCode::TOO_MANY_REQUESTS, Code::RESOURCE_EXHAUSTED)
+        }
         Error::Unavailable { .. } | Error::Malformed { .. } => {
             (StatusCode::SERVICE_UNAVAILABLE, Code::UNAVAILABLE)
         }
@@ -110,7 +114,8 @@
         Error::Refused { .. } => (StatusCode::BAD_REQUEST, Code::INVALID_ARGUMENT),
     };
     let message = match error {
-        Error::LeaseLapsed => "etcdserver: requested lease not found".to_owned(),
+        Error::LeaseLapsed => LEASE_NOT_FOUND.to_owned(),
+        Error::Unavailable { reason } => reason.clone(),
         other => other.to_string(),
     };
     json_as(status, &ErrorBody { code, error: message.clone(), message })
--- a/crates/standin/src/store/faults.rs
+++ b/crates/standin/src/store/faults.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
-use vg_store::{Call, Fault, Faults, Odds, StoreRevision};
+use vg_store::{Call, Fault, Faults, Odds, Rates, StoreRevision};
 
 /// `PUT /faults`: replaces all faults; `{}` ends them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +20,8 @@
     pub cut_watches: bool,
     /// Whether running watches are ended as compacted below this, once.
     pub compacted: Option<i64>,
+    /// Most calls a second.
+    pub rates: Option<Rates>,
     /// Faults of the next calls.
     pub script: Vec<ScriptRequest>,
     /// Faults at random.
@@ -49,6 +51,8 @@
 pub enum FaultKind {
     /// [`Fault::Unavailable`].
     Unavailable,
+    /// [`Fault::Throttled`].
+    Throttled,
     /// [`Fault::LostBefore`].
     LostBefore,
     /// [`Fault::LostAfter`].
@@ -63,6 +67,7 @@
     fn fault(&self) -> Fault {
         match self.fault {
             FaultKind::Unavailable => Fault::Unavailable,
+            FaultKind::Throttled => Fault::Throttled,
             FaultKind::LostBefore => Fault::LostBefore,
             FaultKind::LostAfter => Fault::LostAfter,
             FaultKind::Late => Fault::Late(Duration::from_millis(self.late_ms)),
@@ -79,6 +84,7 @@
         faults.set_delay(Duration::from_millis(self.delay_ms));
         faults.set_stale(self.stale);
         faults.set_silent(self.silent);
+        faults.set_rates(self.rates);
         for each in &self.script {
             faults.script(each.call, each.fault(), each.times);
         }
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -115,8 +115,13 @@
     assert_eq!(send(Method::PUT, url("/faults"), json!({"odds": {"after": 1001}})).await.0, 400);
     assert_eq!(send(Method::PUT, url("/faults"), json!({})).await.0, 200);
     assert!(store.commit(create()).await.is_ok());
+    let rates = json!({"rates": {"reads": 1, "writes": 0}});
+    assert_eq!(send(Method::PUT, url("/faults"), rates).await.0, 200);
+    let error = store.commit(create()).await.unwrap_err();
+    assert!(error.is_without_effect(), "{error}");
     let counts = send(Method::GET, url("/counts"), Value::Null).await.1;
-    assert_eq!(counts, json!({"get": 0, "range": 1, "txn": 2, "lease": 0, "watch": 0}));
+    let expected = json!({"get": 0, "range": 1, "txn": 3, "lease": 0, "watch": 0, "throttled": 1});
+    assert_eq!(counts, expected);
 }
 
 fn host(id: &str) -> Host {
--- a/crates/store/src/etcd/fault.rs
+++ b/crates/store/src/etcd/fault.rs
@@ -1,7 +1,7 @@
 //! Which error an unwanted answer or a broken connection stands for.
 
 use crate::Error;
-use crate::etcd::wire::{Code, ErrorBody};
+use crate::etcd::wire::{Code, ErrorBody, LEASE_NOT_FOUND, TOO_MANY_REQUESTS};
 
 /// What a call can do to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,10 +31,8 @@
 pub(crate) fn classify(code: Code, message: &str, effect: Effect) -> Error {
     let reason = message.to_owned();
     match code {
-        Code::NOT_FOUND if message.contains("lease not found") => Error::LeaseLapsed,
-        Code::RESOURCE_EXHAUSTED if message.contains("too many requests") => {
-            Error::Unavailable { reason }
-        }
+        Code::NOT_FOUND if message == LEASE_NOT_FOUND => Error::LeaseLapsed,
+        Code::RESOURCE_EXHAUSTED if message == TOO_MANY_REQUESTS => Error::Unavailable { reason },
         Code::INVALID_ARGUMENT
         | Code::NOT_FOUND
         | Code::PERMISSION_DENIED
--- a/crates/store/src/etcd/wire/error.rs
+++ b/crates/store/src/etcd/wire/error.rs
@@ -31,6 +31,12 @@
     pub const UNAUTHENTICATED: Code = Code(16);
 }
 
+/// Message of a call that the store refuses before it takes it up.
+pub const TOO_MANY_REQUESTS: &str = "etcdserver: too many requests";
+
+/// Message of a lease that does not exist (any more).
+pub const LEASE_NOT_FOUND: &str = "etcdserver: requested lease not found";
+
 /// Body of an answer that is an error.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/store/src/etcd/wire/mod.rs
+++ b/crates/store/src/etcd/wire/mod.rs
@@ -11,7 +11,7 @@
 mod txn;
 mod watch;
 
-pub use error::{Code, ErrorBody, StreamError};
+pub use error::{Code, ErrorBody, LEASE_NOT_FOUND, StreamError, TOO_MANY_REQUESTS};
 pub use kv::{Header, KeyValue, RangeRequest, RangeResponse};
 pub use lease::{
     GrantRequest, GrantResponse, KeepAliveRequest, KeepAliveResponse, RevokeRequest, RevokeResponse,
--- a/crates/store/src/faulty/counts.rs
+++ b/crates/store/src/faulty/counts.rs
@@ -17,6 +17,8 @@
     pub lease: u64,
     /// Opened watches.
     pub watch: u64,
+    /// Calls refused as too many, which are counted by kind as well.
+    pub throttled: u64,
 }
 
 impl Counts {
--- a/crates/store/src/faulty/fault.rs
+++ b/crates/store/src/faulty/fault.rs
@@ -12,6 +12,8 @@
 pub enum Fault {
     /// The store is not reached.
     Unavailable,
+    /// The store refuses the call as one too many.
+    Throttled,
     /// The call is lost on its way; nobody can tell.
     LostBefore,
     /// The call takes effect and its answer is lost.
--- a/crates/store/src/faulty/faults.rs
+++ b/crates/store/src/faulty/faults.rs
@@ -7,10 +7,12 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::StoreRevision;
+use crate::faulty::rates::RateWindow;
 use crate::faulty::signal::Signal;
-use crate::faulty::{Call, Counts, Fault, Odds};
+use crate::faulty::{Call, Counts, Fault, Odds, Rates};
 
 /// Steers the faults between one node and its store; clones steer the same.
 ///
@@ -32,6 +34,7 @@
     down: bool,
     delay: Duration,
     stale: bool,
+    rates: Option<RateWindow>,
     script: BTreeMap<Call, VecDeque<Fault>>,
     odds: Option<(SmallRng, Odds)>,
     counts: Counts,
@@ -82,6 +85,11 @@
         state.script.entry(call).or_default().extend(std::iter::repeat_n(fault, times));
     }
 
+    /// Limits the rates of calls, or ends that.
+    pub fn set_rates(&self, rates: Option<Rates>) {
+        self.lock().rates = rates.map(|rates| RateWindow::new(rates, Instant::now()));
+    }
+
     /// Lets calls meet faults at random.
     pub fn set_odds(&self, seed: u64, odds: Odds) {
         self.lock().odds = Some((SmallRng::seed_from_u64(seed), odds));
@@ -139,6 +147,10 @@
         if self.down {
             return Some(Fault::Unavailable);
         }
+        if self.rates.as_mut().is_some_and(|rates| !rates.admit(call, Instant::now())) {
+            self.counts.throttled += 1;
+            return Some(Fault::Throttled);
+        }
         let scripted = self.script.get_mut(&call).and_then(VecDeque::pop_front);
         scripted.or_else(|| {
             let (rng, odds) = self.odds.as_mut()?;
--- a/crates/store/src/faulty/store.rs
+++ b/crates/store/src/faulty/store.rs
@@ -7,6 +7,7 @@
 
 use tokio::time::sleep;
 
+use crate::etcd::wire::TOO_MANY_REQUESTS;
 use crate::faulty::faults::Fate;
 use crate::faulty::{Call, Fault, Faults, FaultyWatch};
 use crate::{Entry, Error, Key, LeaseId, Listing, Store, StoreRevision, Txn, TxnOutcome};
@@ -81,6 +82,7 @@
     match fate.fault {
         None | Some(Fault::Lapse) => effect.await,
         Some(Fault::Unavailable) => Err(unavailable(call)),
+        Some(Fault::Throttled) => Err(Error::Unavailable { reason: TOO_MANY_REQUESTS.to_owned() }),
         Some(Fault::LostBefore) => Err(lost(call)),
         Some(Fault::LostAfter) => {
             let _ = effect.await;
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -4,7 +4,7 @@
 
 use vg_base::ManualClock;
 use vg_store::{
-    Call, Error, Fault, Faults, FaultyStore, Key, MemStore, Odds, Store, StoreRevision, Txn,
+    Call, Error, Fault, Faults, FaultyStore, Key, MemStore, Odds, Rates, Store, StoreRevision, Txn,
     TxnOutcome, Watch,
 };
 
@@ -177,3 +177,19 @@
     let kept = usize::try_from(last.0 - oldest.0 + 1).unwrap();
     assert_eq!(watch.next().await.unwrap().changes.len(), 2 * kept);
 }
+
+#[tokio::test(start_paused = true)]
+async fn calls_above_the_rate_are_refused_without_effect() {
+    let (store, faults) = store();
+    faults.set_rates(Some(Rates { reads: 2, writes: 1 }));
+    assert!(store.commit(create()).await.is_ok());
+    let error = store.commit(Txn::new().delete("k/a")).await.unwrap_err();
+    assert!(error.is_without_effect(), "{error}");
+    let _watch = store.watch(&prefix(), StoreRevision(1)).await.unwrap();
+    assert!(store.get(&prefix()).await.is_ok());
+    assert!(store.get(&prefix()).await.is_err());
+    assert_eq!((faults.counts().throttled, faults.counts().total()), (2, 5));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(store.get(&prefix()).await.is_ok());
+    assert!(value(&store).await.is_some());
+}
--- /dev/null
+++ b/crates/store/tests/settle.rs
@@ -0,0 +1,102 @@
+//! Writes in doubt are settled by the same transaction, with a receipt that is
+//! written together with the change: whatever is lost, late or crossed, each
+//! change takes effect exactly once and its writer knows.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tokio::runtime::Builder;
+use vg_base::ManualClock;
+use vg_store::{Error, Faults, FaultyStore, Key, MemStore, Odds, Store, Txn, TxnOutcome};
+
+type Faulty = FaultyStore<MemStore<ManualClock>>;
+
+const LIST: &str = "s/list";
+const NODES: u64 = 3;
+const CHANGES: usize = 8;
+
+/// Appends `id` to the list; returns when it is proved to be there.
+async fn append(store: &Faulty, id: &str) {
+    loop {
+        // Any answer will do: a stale one makes the compare fail.
+        let Ok(entry) = store.get(&Key::from(LIST)).await else { continue };
+        let before = entry.as_ref().map(|entry| entry.modified);
+        let mut list = entry.map(|entry| entry.value.to_vec()).unwrap_or_default();
+        list.extend_from_slice(format!("{id} ").as_bytes());
+        let receipt = format!("s/receipts/{id}");
+        let txn = Txn::new()
+            .expect(LIST, before)
+            .expect(receipt.as_str(), None)
+            .put(LIST, list)
+            .put(receipt.as_str(), "");
+        if settle(store, txn, &Key::from(receipt)).await {
+            return;
+        }
+        // A follower that lags catches up at last.
+        store.faults().set_stale(false);
+    }
+}
+
+/// Commits a transaction; returns whether it took effect. If not, it never
+/// will: a revision that a compare names does not come back.
+async fn settle(store: &Faulty, txn: Txn, receipt: &Key) -> bool {
+    loop {
+        match store.commit(txn.clone()).await {
+            Ok(TxnOutcome::Done { .. }) => return true,
+            Ok(TxnOutcome::Conflict { found }) => {
+                return found.iter().any(|entry| entry.key == *receipt);
+            }
+            Err(Error::Unavailable { .. } | Error::AnswerLost { .. }) => {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            Err(other) => panic!("{other}"),
+        }
+    }
+}
+
+async fn race(seed: u64, odds: Odds, stale: bool) -> Vec<String> {
+    let shared = MemStore::new(ManualClock::default());
+    let mut nodes = tokio::task::JoinSet::new();
+    for node in 0..NODES {
+        let faults = Faults::new();
+        faults.set_odds(seed ^ node, odds);
+        let store = FaultyStore::new(shared.clone(), faults.clone());
+        nodes.spawn(async move {
+            for at in 0..CHANGES {
+                faults.set_stale(stale && node == 0);
+                append(&store, &format!("{node}-{at}")).await;
+            }
+        });
+    }
+    nodes.join_all().await;
+    // Late effects of what has been settled come now.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let list = shared.get(&Key::from(LIST)).await.unwrap().unwrap().value;
+    let list = String::from_utf8(list.to_vec()).unwrap();
+    list.split_whitespace().map(str::to_owned).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_change_takes_effect_once_and_its_writer_knows(
+        seed in any::<u64>(),
+        unavailable in 0..150u32,
+        before in 0..150u32,
+        after in 0..150u32,
+        late in 0..300u32,
+        stale in any::<bool>(),
+    ) {
+        let odds = Odds { unavailable, before, after, late, lapse: 0 };
+        let runtime = Builder::new_current_thread().enable_time().start_paused(true).build()?;
+        let mut list = runtime.block_on(race(seed, odds, stale));
+        list.sort_unstable();
+        let expected = (0..NODES).flat_map(|node| (0..CHANGES).map(move |at| format!("{node}-{at}")));
+        prop_assert_eq!(list, expected.collect::<Vec<_>>());
+    }
+}
