--- a/crates/standin/src/store/convert.rs
+++ b/crates/standin/src/store/convert.rs
@@ -122,8 +122,11 @@
 }
 
 fn text(key: &Base64) -> Result<Key, Error> {
-    let text = std::str::from_utf8(&key.0).map_err(|_| refused("a key is not UTF-8"))?;
-    Ok(Key::from(text))
+    match std::str::from_utf8(&key.0) {
+        Ok("") => Err(refused("a key is empty")),
+        Ok(text) => Ok(Key::from(text)),
+        Err(_) => Err(refused("a key is not UTF-8")),
+    }
 }
 
 fn refused(reason: &str) -> Error {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -124,6 +124,37 @@
     assert_eq!(counts, expected);
 }
 
+#[tokio::test]
+async fn what_the_store_does_not_serve_is_refused_and_never_an_error_of_its_own() {
+    let server = StoreServer::start(any(), MemStore::new(SystemClock)).await.unwrap();
+    let op = |op: Value| json!({"success": [op]});
+    let bodies = [
+        Value::Null,
+        json!(7),
+        json!({"key": "%"}),
+        json!({"key": "/w=="}),
+        json!({"key": "Zm9v", "range_end": "Zm9z"}),
+        json!({"compare": [{"key": "Zm9v", "target": "VERSION", "version": "1"}]}),
+        json!({"compare": [{"key": "Zm9v", "target": "MOD", "mod_revision": "x"}]}),
+        op(json!({})),
+        op(json!({"request_put": {"key": "Zm9v"}, "request_range": {"key": "Zm9v"}})),
+        json!({"failure": [{"request_put": {"key": "Zm9v"}}]}),
+        json!({"TTL": "-1"}),
+        json!({"ID": "99999999999999999999"}),
+        json!({"create_request": {"key": "Zm9v"}}),
+    ];
+    let paths = ["kv/range", "kv/txn", "lease/grant", "lease/keepalive", "lease/revoke", "watch"];
+    for path in paths {
+        for body in &bodies {
+            let url = format!("http://{}/v3/{path}", server.addr());
+            let request = Request::post(url).body(full(body.to_string())).unwrap();
+            let response = Client::default().send(request, LIMIT).await.unwrap();
+            assert!(response.status().as_u16() < 500, "{path}: {body}");
+        }
+    }
+    assert_eq!(adapter(&server).range(&Key::from("")).await.unwrap().entries, []);
+}
+
 fn host(id: &str) -> Host {
     Host {
         id: id.parse().unwrap(),
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -178,6 +178,17 @@
     assert_eq!(watch.next().await.unwrap().changes.len(), 2 * kept);
 }
 
+#[tokio::test]
+async fn the_history_is_bounded_in_bytes_and_keeps_the_newest_change() {
+    let store = MemStore::new(ManualClock::default());
+    for _ in 0..80 {
+        store.commit(Txn::new().put("k/a", vec![0; 1024 * 1024])).await.unwrap();
+    }
+    assert!(matches!(store.watch(&prefix(), StoreRevision(2)).await, Err(Error::Compacted { .. })));
+    let mut watch = store.watch(&prefix(), store.revision()).await.unwrap();
+    assert_eq!(watch.next().await.unwrap().changes.len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn calls_above_the_rate_are_refused_without_effect() {
     let (store, faults) = store();
--- a/crates/store/tests/gateway.rs
+++ b/crates/store/tests/gateway.rs
@@ -22,6 +22,8 @@
     Part(String),
     /// Sends the start of an answer and keeps the connection open.
     Stream(String),
+    /// Sends the start of an answer in small pieces.
+    Pieces(String),
     /// Closes without an answer.
     Close,
     /// Keeps the connection open without an answer.
@@ -63,6 +65,15 @@
                     socket.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
                     open.push(socket);
                 }
+                Act::Pieces(body) => {
+                    socket.set_nodelay(true).unwrap();
+                    socket.write_all(b"HTTP/1.1 200 X\r\n\r\n").await.unwrap();
+                    for piece in body.as_bytes().chunks(5) {
+                        socket.write_all(piece).await.unwrap();
+                        tokio::task::yield_now().await;
+                    }
+                    open.push(socket);
+                }
                 Act::Close => {}
                 Act::Hang => open.push(socket),
             }
@@ -265,7 +276,7 @@
     let events = r#"{"result":{"header":{"revision":"9"},"events":[{"kv":{"key":"Zm9v","mod_revision":"6","value":"YmFy"}},{"type":"DELETE","kv":{"key":"Zm9vYg==","mod_revision":"7"}}]}}"#;
     let progress = r#"{"result":{"header":{"revision":"11"}}}"#;
     let stream = format!("{CREATED}\n{events}\n{progress}\n");
-    let (store, mut server) = one(Act::Stream(stream)).await;
+    let (store, mut server) = one(Act::Pieces(stream)).await;
     let mut watch = store.watch(&key(), StoreRevision(6)).await.unwrap();
     let batch = watch.next().await.unwrap();
     // The header runs ahead of a watch that catches up.
