--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -115,8 +115,44 @@
     assert_eq!(send(Method::PUT, url("/faults"), json!({"odds": {"after": 1001}})).await.0, 400);
     assert_eq!(send(Method::PUT, url("/faults"), json!({})).await.0, 200);
     assert!(store.commit(create()).await.is_ok());
+    let rates = json!({"rates": {"reads": 1, "writes": 0}});
+    assert_eq!(send(Method::PUT, url("/faults"), rates).await.0, 200);
+    let error = store.commit(create()).await.unwrap_err();
+    assert!(error.is_without_effect(), "{error}");
     let counts = send(Method::GET, url("/counts"), Value::Null).await.1;
-    assert_eq!(counts, json!({"get": 0, "range": 1, "txn": 2, "lease": 0, "watch": 0}));
+    let expected = json!({"get": 0, "range": 1, "txn": 3, "lease": 0, "watch": 0, "throttled": 1});
+    assert_eq!(counts, expected);
+}
+
+#[tokio::test]
+async fn what_the_store_does_not_serve_is_refused_and_never_an_error_of_its_own() {
+    let server = StoreServer::start(any(), MemStore::new(SystemClock)).await.unwrap();
+    let op = |op: Value| json!({"success": [op]});
+    let bodies = [
+        Value::Null,
+        json!(7),
+        json!({"key": "%"}),
+        json!({"key": "/w=="}),
+        json!({"key": "Zm9v", "range_end": "Zm9z"}),
+        json!({"compare": [{"key": "Zm9v", "target": "VERSION", "version": "1"}]}),
+        json!({"compare": [{"key": "Zm9v", "target": "MOD", "mod_revision": "x"}]}),
+        op(json!({})),
+        op(json!({"request_put": {"key": "Zm9v"}, "request_range": {"key": "Zm9v"}})),
+        json!({"failure": [{"request_put": {"key": "Zm9v"}}]}),
+        json!({"TTL": "-1"}),
+        json!({"ID": "99999999999999999999"}),
+        json!({"create_request": {"key": "Zm9v"}}),
+    ];
+    let paths = ["kv/range", "kv/txn", "lease/grant", "lease/keepalive", "lease/revoke", "watch"];
+    for path in paths {
+        for body in &bodies {
+            let url = format!("http://{}/v3/{path}", server.addr());
+            let request = Request::post(url).body(full(body.to_string())).unwrap();
+            let response = Client::default().send(request, LIMIT).await.unwrap();
+            assert!(response.status().as_u16() < 500, "{path}: {body}");
+        }
+    }
+    assert_eq!(adapter(&server).range(&Key::from("")).await.unwrap().entries, []);
 }
 
 fn host(id: &str) -> Host {
