Note what is seldom meant, bound the work on faulty lists, escape foreign text

Cause: a plan without keys or a budget of 0 passes the checks; a list with many unknown references was compared with every name each time; texts of other processes went to the terminal as they came. Change: `config check` prints notes; after 100 faults no further suggestions are sought; control characters are escaped; an author has at most 64 printable characters.

--- a/crates/cli/src/caller/problem.rs
+++ b/crates/cli/src/caller/problem.rs
@@ -5,6 +5,7 @@
 use vg_net::Reply;
 
 use crate::Error;
+use crate::output::Printable;
 
 /// Header that says how a request ended.
 const OUTCOME: &str = "vg-outcome";
@@ -33,7 +34,12 @@
     let problem: Problem = serde_json::from_slice(&reply.body).unwrap_or_default();
     let text = [&problem.detail, &problem.title].into_iter().find(|text| !text.is_empty());
     let text = text.map_or("the answer does not say why", String::as_str);
-    let code = if problem.code.is_empty() { String::new() } else { format!(" {}", problem.code) };
+    let text = Printable(text);
+    let code = if problem.code.is_empty() {
+        String::new()
+    } else {
+        format!(" {}", Printable(&problem.code))
+    };
     let status = reply.status.as_u16();
     let advice = match (outcome, problem.retry_after_ms) {
         (Outcome::NotRun, Some(wait)) => format!("it is safe to try again in {wait} ms"),
--- a/crates/cli/src/config/apply.rs
+++ b/crates/cli/src/config/apply.rs
@@ -9,6 +9,9 @@
 use crate::session::Session;
 use crate::{Error, Exit, Platform, System};
 
+/// Longest name of an author, in characters.
+const AUTHOR_MAX_CHARS: usize = 64;
+
 pub(super) fn command() -> Command {
     Command::new("apply")
         .about("Stores both lists as the next revision and waits until it is in force")
@@ -28,7 +31,7 @@
     let attempt = Attempt {
         base: super::revision(matches, "base").unwrap_or_default(),
         pair: Pair::read(session, matches)?,
-        author: author(session, matches),
+        author: author(session, matches)?,
         wait: WaitOptions::read(matches)?,
     };
     attempt.run(session).await
@@ -46,8 +49,13 @@
 pub(crate) fn author<P: Platform, Y: System>(
     session: &Session<'_, '_, P, Y>,
     matches: &ArgMatches,
-) -> SmolStr {
+) -> Result<SmolStr, Error> {
     let given = matches.get_one::<String>("author").cloned();
     let name = given.or_else(|| session.system.var("USER"));
-    name.unwrap_or_else(|| "unknown".to_owned()).into()
+    let name = name.unwrap_or_else(|| "unknown".to_owned());
+    if name.chars().count() > AUTHOR_MAX_CHARS || name.chars().any(char::is_control) {
+        let message = format!("--author: at most {AUTHOR_MAX_CHARS} printable characters");
+        return Err(Error::usage(message));
+    }
+    Ok(name.into())
 }
--- a/crates/cli/src/config/check.rs
+++ b/crates/cli/src/config/check.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde::Serialize;
-use vg_conf::lists::{self, Lists};
+use vg_conf::lists::{self, Advice, Lists, advice};
 use vg_conf::settings::{Raw, Settings, SettingsError};
 use vg_conf::{Content, content_of};
 
@@ -36,6 +36,7 @@
     pools: usize,
     queues: usize,
     settings: usize,
+    advice: Vec<Advice>,
 }
 
 impl Report for Checked {
@@ -49,6 +50,9 @@
         if self.settings > 0 {
             lines += &format!("{}: settings (files {})\n", style.good("ok"), self.settings);
         }
+        for each in &self.advice {
+            lines += &format!("{}: {each}\n", style.warn("note"));
+        }
         lines
     }
 }
@@ -74,7 +78,8 @@
     }
     let lists = check_lists(plans, uses)?;
     let (plans, pools) = (lists.plans.len(), lists.pools.len());
-    session.show(&Checked { plans, pools, queues: lists.queues.len(), settings })?;
+    let (queues, advice) = (lists.queues.len(), advice(&lists));
+    session.show(&Checked { plans, pools, queues, settings, advice })?;
     Ok(Exit::Done)
 }
 
--- a/crates/cli/src/key/grant.rs
+++ b/crates/cli/src/key/grant.rs
@@ -29,7 +29,7 @@
     matches: &ArgMatches,
 ) -> Result<Exit, Error> {
     let (team, digest) = read(matches)?;
-    let author = author(session, matches);
+    let author = author(session, matches)?;
     let wait = WaitOptions::read(matches)?;
     edit_plans(session, author, wait, |plans| grant(plans, &team, digest)).await
 }
@@ -39,7 +39,7 @@
     matches: &ArgMatches,
 ) -> Result<Exit, Error> {
     let (team, digest) = read(matches)?;
-    let author = author(session, matches);
+    let author = author(session, matches)?;
     let wait = WaitOptions::read(matches)?;
     edit_plans(session, author, wait, |plans| withdraw(plans, &team, digest)).await
 }
--- /dev/null
+++ b/crates/cli/src/output/printable.rs
@@ -0,0 +1,17 @@
+//! Texts of others made safe for a terminal.
+
+use std::fmt::{self, Write};
+
+/// Shows a text that came from another process with its control characters
+/// escaped, so that it can't steer the terminal or forge lines.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Printable<'a>(pub(crate) &'a str);
+
+impl fmt::Display for Printable<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for c in self.0.chars() {
+            if c.is_control() { write!(f, "{}", c.escape_default())? } else { f.write_char(c)? }
+        }
+        Ok(())
+    }
+}
--- a/crates/cli/src/output/table.rs
+++ b/crates/cli/src/output/table.rs
@@ -1,6 +1,6 @@
 //! Tables of text.
 
-use crate::output::Style;
+use crate::output::{Printable, Style};
 
 /// Blanks between two columns.
 const GAP: usize = 2;
@@ -20,7 +20,7 @@
 
     /// Adds a row.
     pub(crate) fn row(&mut self, cells: impl IntoIterator<Item = String>) {
-        self.rows.push(cells.into_iter().collect());
+        self.rows.push(cells.into_iter().map(|cell| Printable(&cell).to_string()).collect());
     }
 
     /// Returns the table as text.
--- a/crates/cli/src/timeline/line.rs
+++ b/crates/cli/src/timeline/line.rs
@@ -7,7 +7,7 @@
 
 use super::Filter;
 use super::missing::{Missing, spans};
-use crate::output::{Report, Style, utc_micros};
+use crate::output::{Printable, Report, Style, utc_micros};
 
 /// Events of several processes in one order, and what is missing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -54,9 +54,10 @@
                 Level::Info | Level::Debug => code,
             };
             // Writing to a String can't fail.
-            let _ = write!(text, "{time} {} {code}", event.source);
+            let _ = write!(text, "{time} {} {code}", Printable(&event.source));
             for field in &event.fields {
-                let _ = write!(text, " {}={}", field.name, field.value);
+                let (name, value) = (Printable(&field.name), Printable(&field.value));
+                let _ = write!(text, " {name}={value}");
             }
             text.push('\n');
         }
--- a/crates/conf/src/ini/fault.rs
+++ b/crates/conf/src/ini/fault.rs
@@ -54,19 +54,30 @@
 impl Faults {
     /// Adds a fault, or only counts it when there are many already.
     pub fn push(&mut self, fault: Fault) {
-        if self.found.len() < MOST_FAULTS {
-            self.found.push(fault);
-        } else {
+        self.push_with(|| fault);
+    }
+
+    /// Adds a fault that costs something to make, or only counts it.
+    pub(crate) fn push_with(&mut self, make: impl FnOnce() -> Fault) {
+        if self.is_full() {
             self.omitted += 1;
+        } else {
+            self.found.push(make());
         }
     }
 
+    /// Whether further faults are only counted, so that looking for more is
+    /// no use.
+    pub(crate) fn is_full(&self) -> bool {
+        self.found.len() >= MOST_FAULTS
+    }
+
     /// Returns the faults.
     pub fn found(&self) -> &[Fault] {
         &self.found
     }
 
-    /// Returns how many more there were.
+    /// Returns how many more were found before the search was given up.
     pub fn omitted(&self) -> usize {
         self.omitted
     }
@@ -94,7 +105,7 @@
             write!(f, "{fault}")?;
         }
         if self.omitted > 0 {
-            write!(f, "\nand {} more", self.omitted)?;
+            write!(f, "\nand at least {} more", self.omitted)?;
         }
         Ok(())
     }
--- a/crates/conf/src/ini/reader.rs
+++ b/crates/conf/src/ini/reader.rs
@@ -63,6 +63,9 @@
     /// Records the keys that were not asked for, and those given twice.
     pub(crate) fn finish(self) {
         for (at, entry) in self.section.entries.iter().enumerate() {
+            if self.faults.is_full() {
+                return;
+            }
             let key = entry.key.as_str();
             if !self.known.contains(&key) {
                 let hint = hint(key, self.known.iter().copied());
--- a/crates/conf/src/lists/headers.rs
+++ b/crates/conf/src/lists/headers.rs
@@ -37,13 +37,15 @@
         self.found.iter().filter(same).map(|((_, name), section)| (name.as_str(), *section))
     }
 
-    /// Says what is wrong with a reference, if the name is not there.
-    pub(crate) fn missing(&self, kind: &'static str, name: &str) -> Option<String> {
-        if self.found.contains_key(&(kind, name.into())) {
-            return None;
-        }
+    /// Whether there is a section of this kind and name.
+    pub(crate) fn has(&self, kind: &'static str, name: &str) -> bool {
+        self.found.contains_key(&(kind, name.into()))
+    }
+
+    /// Says that a name is not there. Compares with every name of the kind.
+    pub(crate) fn missing(&self, kind: &'static str, name: &str) -> String {
         let hint = hint(name, self.of(kind).map(|(each, _)| each));
-        Some(format!("there is no {kind} `{name}`{hint}"))
+        format!("there is no {kind} `{name}`{hint}")
     }
 
     fn insert(&mut self, id: (&'static str, SmolStr), section: &'a Section, faults: &mut Faults) {
--- a/crates/conf/src/lists/mod.rs
+++ b/crates/conf/src/lists/mod.rs
@@ -1,5 +1,6 @@
 //! The two lists that operators edit: `plans` and `uses`.
 
+mod advice;
 mod diff;
 mod digest;
 mod edit;
@@ -17,6 +18,7 @@
 use vg_base::prelude::*;
 
 pub use crate::ini::Faults as ListErrors;
+pub use advice::{Advice, advice};
 pub use diff::{Difference, Effect, Subject, diff};
 pub use digest::KeyDigest;
 pub use edit::{EditError, grant, withdraw};
--- a/crates/conf/src/lists/parse.rs
+++ b/crates/conf/src/lists/parse.rs
@@ -195,16 +195,17 @@
     uses: &Headers<'_>,
     faults: &mut Faults,
 ) {
-    if let Some(wrong) = uses.missing("pool", queue.pool.as_str()) {
-        faults.push(section.fault("pool", wrong, "a pool of the list `uses`"));
+    let pool = queue.pool.as_str();
+    if !uses.has("pool", pool) {
+        let wrong = || uses.missing("pool", pool);
+        faults.push_with(|| section.fault("pool", wrong(), "a pool of the list `uses`"));
     }
     let (key, named) = match &queue.access {
         Access::Open { plan } => ("open", std::slice::from_ref(plan)),
         Access::Plans(named) => ("plans", named.as_slice()),
     };
-    for plan in named {
-        if let Some(wrong) = plans.missing("plan", plan.as_str()) {
-            faults.push(section.fault(key, wrong, "a plan of the list `plans`"));
-        }
+    for plan in named.iter().map(PlanId::as_str).filter(|plan| !plans.has("plan", plan)) {
+        let wrong = || plans.missing("plan", plan);
+        faults.push_with(|| section.fault(key, wrong(), "a plan of the list `plans`"));
     }
 }
--- a/crates/conf/src/settings/raw.rs
+++ b/crates/conf/src/settings/raw.rs
@@ -39,6 +39,9 @@
         }
         let sections = scan(name, text, &mut self.faults);
         for (at, section) in sections.iter().enumerate() {
+            if self.faults.is_full() {
+                return;
+            }
             let before = sections[..at].iter().find(|each| each.header == section.header);
             self.add_section(section, before);
         }
