Ask each entry host once a round, and none longer than the wait

Cause: a round of waiting asked every entry host twice, and a silent one could hold it beyond the time of `--wait`.

--- a/crates/cli/src/config/force.rs
+++ b/crates/cli/src/config/force.rs
@@ -58,11 +58,11 @@
         let Some(limit) = self.limit.filter(|_| !session.options.entries.is_empty()) else {
             return Ok(None);
         };
-        let nodes = session.nodes()?;
+        let mut nodes = session.nodes()?;
+        nodes.limit(limit);
         let start = Instant::now();
         loop {
-            let views = nodes.clone().discover().await.statuses().await;
-            let progress = Progress::new(revision, &views);
+            let progress = Progress::new(revision, &nodes.survey().await);
             if progress.is_in_force() || start.elapsed() + PAUSE > limit {
                 return Ok(Some(progress));
             }
--- a/crates/cli/src/config/status.rs
+++ b/crates/cli/src/config/status.rs
@@ -24,6 +24,13 @@
     error: Option<String>,
 }
 
+impl Row {
+    /// Answers stand first, by name.
+    fn order(&self) -> (bool, Option<&NodeId>, SocketAddr) {
+        (self.status.is_none(), self.status.as_ref().map(|status| &status.node), self.addr)
+    }
+}
+
 impl From<View<Status>> for Row {
     fn from(view: View<Status>) -> Row {
         let addr = view.addr;
@@ -61,11 +68,12 @@
 pub(super) async fn run<P: Platform, Y: System>(
     session: &mut Session<'_, '_, P, Y>,
 ) -> Result<Exit, Error> {
-    let views = session.nodes()?.discover().await.statuses().await;
+    let views = session.nodes()?.survey().await;
     let (revision, store) = newest(session, &views).await?;
     let progress = Progress::new(revision, &views);
     let is_done = progress.is_in_force() && store.is_none();
-    let nodes = views.into_iter().map(Row::from).collect();
+    let mut nodes: Vec<Row> = views.into_iter().map(Row::from).collect();
+    nodes.sort_by(|a, b| a.order().cmp(&b.order()));
     session.show(&Statuses { nodes, store, progress })?;
     Ok(if is_done { Exit::Done } else { Exit::Failed })
 }
--- a/crates/cli/src/node/nodes.rs
+++ b/crates/cli/src/node/nodes.rs
@@ -47,25 +47,23 @@
         Nodes { client: Client::new(CONNECT_TIMEOUT, IDLE_TIME), addrs, timeout }
     }
 
-    /// Adds the live entry hosts that these know, so that one address is enough.
-    pub(crate) async fn discover(mut self) -> Nodes {
-        let views = self.statuses().await;
-        let answers = views.iter().filter_map(|view| view.answer.as_ref().ok());
-        let answered: BTreeSet<&NodeId> = answers.clone().map(|status| &status.node).collect();
-        for member in answers.flat_map(Status::live) {
-            let Some(addr) = member.call_addr.filter(|addr| !addr.ip().is_unspecified()) else {
-                continue;
-            };
-            if !answered.contains(&member.node) && !self.addrs.contains(&addr) {
-                self.addrs.push(addr);
-            }
-        }
-        self
+    /// Limits the time for each further exchange.
+    pub(crate) fn limit(&mut self, timeout: Duration) {
+        self.timeout = self.timeout.min(timeout);
     }
 
-    /// Asks every entry host for its status, all at once.
-    pub(crate) async fn statuses(&self) -> Vec<View<Status>> {
-        let asked = self.addrs.iter().map(async |&addr| {
+    /// Asks every entry host for its status, and then those that they know to
+    /// be live, so that one address is enough.
+    pub(crate) async fn survey(&mut self) -> Vec<View<Status>> {
+        let mut views = self.statuses(&self.addrs).await;
+        let more = unasked(&views, &self.addrs);
+        views.extend(self.statuses(&more).await);
+        self.addrs.extend(more);
+        views
+    }
+
+    async fn statuses(&self, addrs: &[SocketAddr]) -> Vec<View<Status>> {
+        let asked = addrs.iter().map(async |&addr| {
             let answer = self.json(addr, "/v1/status").await;
             View { addr, answer }
         });
@@ -124,3 +122,13 @@
         serde_json::from_slice(&reply.body).map_err(|e| format!("malformed answer: {e}"))
     }
 }
+
+/// Returns addresses of live entry hosts that gave no status themselves.
+fn unasked(views: &[View<Status>], asked: &[SocketAddr]) -> Vec<SocketAddr> {
+    let answers = views.iter().filter_map(|view| view.answer.as_ref().ok());
+    let answered: BTreeSet<&NodeId> = answers.clone().map(|status| &status.node).collect();
+    let silent = answers.flat_map(Status::live).filter(|each| !answered.contains(&each.node));
+    let addrs = silent.filter_map(|member| member.call_addr);
+    let usable = addrs.filter(|addr| !addr.ip().is_unspecified() && !asked.contains(addr));
+    usable.collect::<BTreeSet<_>>().into_iter().collect()
+}
--- a/crates/cli/src/node/progress.rs
+++ b/crates/cli/src/node/progress.rs
@@ -48,7 +48,7 @@
         let waits = |node: &&str| waiting(node, answered.get(node).copied(), revision);
         let waiting: Vec<Waiting> = live.iter().filter_map(waits).collect();
         let have = live.len() - waiting.len();
-        let told = answered.values().any(|each| each.revision == revision && each.accepted);
+        let told = answered.values().any(|each| each.revision >= revision && each.accepted);
         let accepted = told || 2 * have > live.len();
         Progress { revision, live: live.len(), have, accepted, waiting }
     }
--- a/crates/cli/src/timeline/mod.rs
+++ b/crates/cli/src/timeline/mod.rs
@@ -80,9 +80,9 @@
 async fn asked<P: Platform, Y: System>(
     session: &Session<'_, '_, P, Y>,
 ) -> Result<(Vec<Window>, Vec<Missing>), Error> {
-    let nodes = session.nodes()?.discover().await;
+    let mut nodes = session.nodes()?;
+    let statuses = nodes.survey().await;
     let views = nodes.windows().await;
-    let statuses = nodes.statuses().await;
     let mut windows = Vec::new();
     let mut missing = Vec::new();
     for view in views {
