Find out that the store has gone back, and store above the lost revisions

Cause: after a restore from an old copy entry hosts refuse the store's older revision, and so they would refuse the next ones until the numbers meet.

--- a/crates/cli/src/config/apply.rs
+++ b/crates/cli/src/config/apply.rs
@@ -9,6 +9,10 @@
 use crate::session::Session;
 use crate::{Error, Exit, Platform, System};
 
+/// Most revisions that `--above` may skip, so that a slip of the fingers does
+/// not use up all numbers.
+const FARTHEST_ABOVE: u64 = 10_000;
+
 /// Longest name of an author, in characters.
 const AUTHOR_MAX_CHARS: usize = 64;
 
@@ -20,6 +24,10 @@
             super::revision_arg("base", "The revision that was edited; 0 for the first lists")
                 .required(true),
         )
+        .arg(super::revision_arg(
+            "above",
+            "Become a revision later than this one, which the store has lost and entry hosts have",
+        ))
         .arg(author_arg())
         .args(WaitOptions::args())
 }
@@ -28,8 +36,15 @@
     session: &mut Session<'_, '_, P, Y>,
     matches: &ArgMatches,
 ) -> Result<Exit, Error> {
+    let base = super::revision(matches, "base").unwrap_or_default();
+    let above = super::revision(matches, "above").unwrap_or_default();
+    if above.get() > base.get().saturating_add(FARTHEST_ABOVE) {
+        let message = format!("--above: at most {FARTHEST_ABOVE} revisions later than --base");
+        return Err(Error::usage(message));
+    }
     let attempt = Attempt {
-        base: super::revision(matches, "base").unwrap_or_default(),
+        base,
+        above,
         pair: Pair::read(session, matches)?,
         author: author(session, matches)?,
         wait: WaitOptions::read(matches)?,
--- a/crates/cli/src/config/change.rs
+++ b/crates/cli/src/config/change.rs
@@ -59,6 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) base: Revision,
+    pub(crate) above: Revision,
     pub(crate) pair: Pair,
     pub(crate) author: SmolStr,
     pub(crate) wait: WaitOptions,
@@ -93,6 +94,7 @@
     ) -> Result<Proposal, Error> {
         Ok(Proposal {
             base: self.base,
+            above: self.above,
             plans: self.pair.plans.clone(),
             uses: self.pair.uses.clone(),
             change: ChangeId::new(session.random()?),
@@ -166,8 +168,9 @@
         let stored = current.stored.map(|stored| (stored.plans, stored.uses));
         let (plans, uses) = stored.unwrap_or_default();
         let pair = Pair { plans: edit(&plans).context(EditSnafu)?, uses };
-        let tried = Attempt { base, pair, author: author.clone(), wait }.run(session).await;
-        match tried {
+        let above = Revision::ZERO;
+        let edited = Attempt { base, above, pair, author: author.clone(), wait };
+        match edited.run(session).await {
             // Proved: nothing of this attempt is stored or will be.
             Err(Error::Conflict { .. }) if attempt < EDIT_ATTEMPTS => attempt += 1,
             done => return done,
--- a/crates/cli/src/config/status.rs
+++ b/crates/cli/src/config/status.rs
@@ -47,6 +47,8 @@
     nodes: Vec<Row>,
     /// Why the store did not say what the newest revision is.
     store: Option<String>,
+    /// The entry hosts' newest revision, if the store has lost it.
+    ahead: Option<Revision>,
     progress: Progress,
 }
 
@@ -61,6 +63,14 @@
             let note = style.bad("there may be a newer one");
             text += &format!("{note}: {error}\n");
         }
+        if let Some(ahead) = self.ahead {
+            let back = style.bad("the store has gone back");
+            let revision = self.progress.revision;
+            text += &format!(
+                "{back}: entry hosts have revision {ahead} and refuse {revision}; apply the lists \
+                 anew with --base {revision} --above {ahead}\n"
+            );
+        }
         text
     }
 }
@@ -70,11 +80,12 @@
 ) -> Result<Exit, Error> {
     let views = session.nodes()?.survey().await;
     let (revision, store) = newest(session, &views).await?;
+    let ahead = known(&views).filter(|&known| known > revision);
     let progress = Progress::new(revision, &views);
-    let is_done = progress.is_in_force() && store.is_none();
+    let is_done = progress.is_in_force() && store.is_none() && ahead.is_none();
     let mut nodes: Vec<Row> = views.into_iter().map(Row::from).collect();
     nodes.sort_by(|a, b| a.order().cmp(&b.order()));
-    session.show(&Statuses { nodes, store, progress })?;
+    session.show(&Statuses { nodes, store, ahead, progress })?;
     Ok(if is_done { Exit::Done } else { Exit::Failed })
 }
 
@@ -104,8 +115,7 @@
     session: &Session<'_, '_, P, Y>,
     views: &[View<Status>],
 ) -> Result<(Revision, Option<String>), Error> {
-    let known = views.iter().filter_map(|view| view.answer.as_ref().ok());
-    let known = known.map(|status| status.revision).max().unwrap_or_default();
+    let known = known(views).unwrap_or_default();
     if session.options.store.is_empty() {
         return Ok((known, None));
     }
@@ -115,6 +125,12 @@
     })
 }
 
+/// Returns the newest revision that an entry host has.
+fn known(views: &[View<Status>]) -> Option<Revision> {
+    let answers = views.iter().filter_map(|view| view.answer.as_ref().ok());
+    answers.map(|status| status.revision).max()
+}
+
 fn cells(row: &Row) -> [String; 5] {
     match (&row.status, &row.error) {
         (Some(status), _) => [
--- a/crates/cli/src/revise/proposal.rs
+++ b/crates/cli/src/revise/proposal.rs
@@ -8,6 +8,9 @@
 pub struct Proposal {
     /// The revision that was edited; 0: there was none.
     pub base: Revision,
+    /// A revision that entry hosts have and the store has lost; the change
+    /// becomes a later one. Usually 0.
+    pub above: Revision,
     /// New text of `plans`.
     pub plans: String,
     /// New text of `uses`.
@@ -21,10 +24,15 @@
 }
 
 impl Proposal {
+    /// Returns the revision that the change becomes.
+    pub fn revision(&self) -> Revision {
+        self.base.max(self.above).next()
+    }
+
     /// Returns the value to store.
     pub(crate) fn stored(&self) -> Stored {
         Stored {
-            revision: self.base.next(),
+            revision: self.revision(),
             plans: self.plans.clone(),
             uses: self.uses.clone(),
             change: self.change,
--- a/crates/cli/src/revise/revisions.rs
+++ b/crates/cli/src/revise/revisions.rs
@@ -85,7 +85,7 @@
             return conflict_or_backwards(current, proposal.base);
         }
         match self.store.commit(write(proposal, value, &current)).await {
-            Ok(TxnOutcome::Done { .. }) => Ok(Verdict::Stored { revision: proposal.base.next() }),
+            Ok(TxnOutcome::Done { .. }) => Ok(Verdict::Stored { revision: proposal.revision() }),
             // An adapter may have sent the transaction twice, and the second
             // found what the first had written.
             Ok(TxnOutcome::Conflict { .. }) => Ok(self.settle_now(proposal).await),
@@ -97,7 +97,8 @@
     /// Finds out whether a change is stored, and sees to it that it never will
     /// be if it is not.
     ///
-    /// With the change's `base` two reads do; without, the whole history is read.
+    /// With the change's `base` two reads usually do; without, the whole history
+    /// is read.
     ///
     /// # Errors
     ///
@@ -181,12 +182,27 @@
             return Ok(None);
         }
         let revision = base.next();
-        Ok(Some(match self.at(revision).await? {
-            Some(stored) if stored.change == change => Settlement::Stored { revision },
+        match self.at(revision).await? {
+            Some(stored) if stored.change == change => Ok(Some(Settlement::Stored { revision })),
             // Another change took this revision, and the lists never go back.
-            Some(_) => Settlement::NotStored,
-            None => Settlement::Forgotten,
-        }))
+            Some(_) => Ok(Some(Settlement::NotStored)),
+            // The next revision was a later one, or the history has lost it.
+            None => self.look_behind(change, base).await.map(Some),
+        }
+    }
+
+    async fn look_behind(
+        &self,
+        change: ChangeId,
+        base: Revision,
+    ) -> Result<Settlement, ReviseError> {
+        let history = self.history().await?;
+        if let Some(stored) = history.iter().find(|stored| stored.change == change) {
+            return Ok(Settlement::Stored { revision: stored.revision });
+        }
+        // With the base the change that followed it is kept, too.
+        let complete = history.iter().any(|stored| stored.revision == base);
+        Ok(if complete { Settlement::NotStored } else { Settlement::Forgotten })
     }
 
     async fn look_everywhere(
@@ -229,7 +245,7 @@
 /// Makes the transaction that stores a change and prunes the history.
 fn write(proposal: &Proposal, value: Vec<u8>, current: &Current) -> Txn {
     let value = Bytes::from(value);
-    let revision = proposal.base.next();
+    let revision = proposal.revision();
     let txn = Txn::new()
         .expect(LISTS_KEY, current.modified)
         .put(LISTS_KEY, value.clone())
--- a/crates/cli/tests/suite/revise.rs
+++ b/crates/cli/tests/suite/revise.rs
@@ -16,6 +16,7 @@
 fn proposal(base: u64, change: u128) -> Proposal {
     Proposal {
         base: Revision(base),
+        above: Revision::ZERO,
         plans: format!("[plan a]\nteam = a\nshare = 1\nlimit = {}\n", change + 1),
         uses: String::new(),
         change: ChangeId::new(change),
@@ -152,6 +153,27 @@
     });
 }
 
+#[test]
+fn a_store_that_went_back_gets_a_revision_later_than_the_lost_ones() {
+    let above = |change| Proposal { above: Revision(9), ..proposal(2, change) };
+    run(async {
+        let (store, _) = one_change(&[]).await;
+        store.plan([Fault::None, Fault::Delayed]);
+        assert_eq!(revisions(&store).apply(&above(3)).await.unwrap(), Verdict::NotStored);
+        store.plan([Fault::None, Fault::LostAfter]);
+        assert_eq!(revisions(&store).apply(&above(4)).await.unwrap(), stored(10));
+        store.flush().await;
+        let next = revisions(&store).apply(&proposal(10, 5)).await.unwrap();
+        assert_eq!(next, stored(11));
+        let settle = async |change| {
+            let settled = revisions(&store).settle(ChangeId::new(change), Some(Revision(2))).await;
+            settled.unwrap()
+        };
+        assert_eq!(settle(3).await, Settlement::NotStored);
+        assert_eq!(settle(4).await, Settlement::Stored { revision: Revision(10) });
+    });
+}
+
 /// Returns each value that the lists ever had, in the store's order.
 async fn values(store: &FaultyStore) -> Vec<Stored> {
     let mut watch = store.inner.watch(&LISTS_KEY.into(), StoreRevision(1)).await.unwrap();
