Test lost and late writes through the program and the etcd adapter

Cause: the adapter's view of a lost answer must meet the settlement's. Change: the stand-in of the store loses an answer after the write, and lets one write come late; a settlement trusts the history only if it reaches from the base to the newest revision.

--- a/crates/cli/src/revise/revisions.rs
+++ b/crates/cli/src/revise/revisions.rs
@@ -187,7 +187,7 @@
             // Another change took this revision, and the lists never go back.
             Some(_) => Ok(Some(Settlement::NotStored)),
             // The next revision was a later one, or the history has lost it.
-            None => self.look_behind(change, base).await.map(Some),
+            None => self.look_behind(change, base, found).await.map(Some),
         }
     }
 
@@ -195,14 +195,15 @@
         &self,
         change: ChangeId,
         base: Revision,
+        newest: Revision,
     ) -> Result<Settlement, ReviseError> {
         let history = self.history().await?;
         if let Some(stored) = history.iter().find(|stored| stored.change == change) {
             return Ok(Settlement::Stored { revision: stored.revision });
         }
-        // With the base the change that followed it is kept, too.
-        let complete = history.iter().any(|stored| stored.revision == base);
-        Ok(if complete { Settlement::NotStored } else { Settlement::Forgotten })
+        // From the base to the newest, so the change that followed is there, too.
+        let has = |revision| history.iter().any(|stored| stored.revision == revision);
+        Ok(if has(base) && has(newest) { Settlement::NotStored } else { Settlement::Forgotten })
     }
 
     async fn look_everywhere(
@@ -214,8 +215,11 @@
         if let Some(stored) = history.iter().find(|stored| stored.change == change) {
             return Ok(Some(Settlement::Stored { revision: stored.revision }));
         }
-        let complete = current.revision().get() <= HISTORY_KEPT;
-        Ok(if complete { None } else { Some(Settlement::Forgotten) })
+        let newest = current.revision();
+        let first = newest == Revision::ZERO;
+        let reaches = first || history.iter().any(|stored| stored.revision == newest);
+        let complete = newest.get() <= HISTORY_KEPT;
+        Ok(if complete && reaches { None } else { Some(Settlement::Forgotten) })
     }
 
     /// Writes the newest value once more, so that a delayed change that expects
--- a/crates/verbenagap/tests/program.rs
+++ b/crates/verbenagap/tests/program.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::time::Duration;
 
 use vg_base::SystemClock;
 use vg_standin::StoreServer;
-use vg_store::MemStore;
+use vg_store::{Call, Fault, MemStore};
 
 fn example(file: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(file)
@@ -58,3 +59,24 @@
     assert_eq!(exit, 2, "{text}");
     assert!(text.lines().all(|line| line.starts_with("verbenagap: ")), "{text}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_settled_and_a_late_write_has_no_effect() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let store = StoreServer::start(any, MemStore::new(SystemClock)).await.unwrap();
+    let addr = store.addr();
+    let recall = ["recall/plans.ini", "recall/uses.ini"];
+    store.faults().script(Call::Txn, Fault::LostAfter, 1);
+    let (exit, text) = verbenagap(addr, "config apply --base 0", &recall).await;
+    assert_eq!(exit, 0, "{text}");
+    assert!(text.contains("revision 1 is stored"), "{text}");
+    let signbridge = ["signbridge/plans.ini", "signbridge/uses.ini"];
+    let late = Duration::from_secs(2);
+    store.faults().script(Call::Txn, Fault::Late(late), 1);
+    let (exit, text) = verbenagap(addr, "config apply --base 1", &signbridge).await;
+    assert_eq!(exit, 1, "{text}");
+    assert!(text.contains("the change is not stored and never will be"), "{text}");
+    tokio::time::sleep(late + Duration::from_secs(1)).await;
+    let (exit, text) = verbenagap(addr, "config history", &[]).await;
+    assert_eq!((exit, text.lines().count()), (0, 2), "{text}");
+}
