--- a/crates/cli/src/config/status.rs
+++ b/crates/cli/src/config/status.rs
@@ -24,6 +24,13 @@
     error: Option<String>,
 }
 
+impl Row {
+    /// Answers stand first, by name.
+    fn order(&self) -> (bool, Option<&NodeId>, SocketAddr) {
+        (self.status.is_none(), self.status.as_ref().map(|status| &status.node), self.addr)
+    }
+}
+
 impl From<View<Status>> for Row {
     fn from(view: View<Status>) -> Row {
         let addr = view.addr;
@@ -40,6 +47,8 @@
     nodes: Vec<Row>,
     /// Why the store did not say what the newest revision is.
     store: Option<String>,
+    /// The entry hosts' newest revision, if the store has lost it.
+    ahead: Option<Revision>,
     progress: Progress,
 }
 
@@ -54,6 +63,14 @@
             let note = style.bad("there may be a newer one");
             text += &format!("{note}: {error}\n");
         }
+        if let Some(ahead) = self.ahead {
+            let back = style.bad("the store has gone back");
+            let revision = self.progress.revision;
+            text += &format!(
+                "{back}: entry hosts have revision {ahead} and refuse {revision}; apply the lists \
+                 anew with --base {revision} --above {ahead}\n"
+            );
+        }
         text
     }
 }
@@ -61,12 +78,14 @@
 pub(super) async fn run<P: Platform, Y: System>(
     session: &mut Session<'_, '_, P, Y>,
 ) -> Result<Exit, Error> {
-    let views = session.nodes()?.discover().await.statuses().await;
+    let views = session.nodes()?.survey().await;
     let (revision, store) = newest(session, &views).await?;
+    let ahead = known(&views).filter(|&known| known > revision);
     let progress = Progress::new(revision, &views);
-    let is_done = progress.is_in_force() && store.is_none();
-    let nodes = views.into_iter().map(Row::from).collect();
-    session.show(&Statuses { nodes, store, progress })?;
+    let is_done = progress.is_in_force() && store.is_none() && ahead.is_none();
+    let mut nodes: Vec<Row> = views.into_iter().map(Row::from).collect();
+    nodes.sort_by(|a, b| a.order().cmp(&b.order()));
+    session.show(&Statuses { nodes, store, ahead, progress })?;
     Ok(if is_done { Exit::Done } else { Exit::Failed })
 }
 
@@ -96,8 +115,7 @@
     session: &Session<'_, '_, P, Y>,
     views: &[View<Status>],
 ) -> Result<(Revision, Option<String>), Error> {
-    let known = views.iter().filter_map(|view| view.answer.as_ref().ok());
-    let known = known.map(|status| status.revision).max().unwrap_or_default();
+    let known = known(views).unwrap_or_default();
     if session.options.store.is_empty() {
         return Ok((known, None));
     }
@@ -107,6 +125,12 @@
     })
 }
 
+/// Returns the newest revision that an entry host has.
+fn known(views: &[View<Status>]) -> Option<Revision> {
+    let answers = views.iter().filter_map(|view| view.answer.as_ref().ok());
+    answers.map(|status| status.revision).max()
+}
+
 fn cells(row: &Row) -> [String; 5] {
     match (&row.status, &row.error) {
         (Some(status), _) => [
