--- /dev/null
+++ b/crates/route/tests/endpoints.rs
@@ -0,0 +1,232 @@
+//! Slots, leaving, ejection and change of owner, case by case.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use vg_base::prelude::*;
+use vg_route::{
+    Applied, CallResult, Change, EndpointInfo, Endpoints, Health, ListRevision, Probing, Slot,
+};
+
+fn info(at: u16) -> EndpointInfo {
+    EndpointInfo {
+        id: format!("host-{at}").parse().unwrap(),
+        addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + at)),
+        zone: format!("zone-{}", at % 3).parse().unwrap(),
+        leaving: false,
+    }
+}
+
+fn endpoints(count: u16, now: Instant) -> Endpoints {
+    let mut endpoints = Endpoints::new();
+    let list: Vec<EndpointInfo> = (0..count).map(info).collect();
+    endpoints.apply(ListRevision(1), &list, now);
+    endpoints
+}
+
+fn acquire(endpoints: &mut Endpoints, now: Instant) -> Option<Slot> {
+    endpoints.acquire(now, None, Probing::Allowed)
+}
+
+/// Fills the pool and ends its calls, those of `bad` as failed, until `bad` is
+/// ejected.
+fn eject(endpoints: &mut Endpoints, bad: &str, now: Instant) {
+    for _ in 0..20 {
+        let slots: Vec<Slot> = std::iter::from_fn(|| acquire(endpoints, now)).collect();
+        for slot in slots {
+            let failed = slot.host.as_str() == bad;
+            let result = if failed { CallResult::Failed } else { CallResult::Answered };
+            endpoints.release(slot, result, now);
+        }
+    }
+    let stats = endpoints.stats();
+    let found = stats.iter().find(|each| each.host.as_str() == bad).unwrap();
+    assert_ne!(found.health, Health::Good);
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn an_instance_runs_eight_calls_and_no_more() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(2, now);
+    let slots: Vec<Slot> = std::iter::from_fn(|| acquire(&mut endpoints, now)).collect();
+    assert_eq!(slots.len(), 16);
+    for at in [1000, 1001] {
+        assert_eq!(slots.iter().filter(|slot| slot.addr.port() == at).count(), 8);
+    }
+}
+
+#[test]
+fn a_lost_call_keeps_its_slot_until_its_deadline() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(1, now);
+    let mut slots: Vec<Slot> = std::iter::from_fn(|| acquire(&mut endpoints, now)).collect();
+    let until = now + ms(500);
+    endpoints.release(slots.remove(0), CallResult::Lost { until }, now);
+    assert!(acquire(&mut endpoints, now + ms(499)).is_none());
+    assert!(acquire(&mut endpoints, until).is_some());
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_and_ends_what_runs() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(2, now);
+    let running = acquire(&mut endpoints, now).unwrap();
+    let mut list = vec![info(0), info(1)];
+    list.iter_mut().find(|each| each.addr == running.addr).unwrap().leaving = true;
+    let applied = endpoints.apply(ListRevision(2), &list, now);
+    assert_eq!(applied, Applied::Current(vec![Change::Leaving(running.host.clone())]));
+    let given: Vec<Slot> = std::iter::from_fn(|| acquire(&mut endpoints, now)).collect();
+    assert!(given.len() == 8 && given.iter().all(|slot| slot.host != running.host));
+    endpoints.release(running, CallResult::Answered, now);
+}
+
+#[test]
+fn older_and_doubled_lists_are_ignored() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(2, now);
+    assert!(matches!(endpoints.apply(ListRevision(5), &[info(0)], now), Applied::Current(_)));
+    for revision in [5, 4] {
+        let applied = endpoints.apply(ListRevision(revision), &[info(0), info(1)], now);
+        assert_eq!(applied, Applied::Stale);
+    }
+    assert_eq!(endpoints.stats().len(), 1);
+}
+
+#[test]
+fn a_gone_endpoint_that_comes_back_keeps_its_running_calls_counted() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(1, now);
+    let slots: Vec<Slot> = std::iter::from_fn(|| acquire(&mut endpoints, now)).collect();
+    assert_eq!(slots.len(), 8);
+    endpoints.apply(ListRevision(2), &[], now);
+    endpoints.apply(ListRevision(3), &[info(0)], now);
+    assert!(acquire(&mut endpoints, now + ms(60_000)).is_none());
+}
+
+#[test]
+fn an_endpoint_that_fails_fast_does_not_draw_the_load() {
+    let mut now = Instant::now();
+    let mut endpoints = endpoints(6, now);
+    let mut slow: Vec<(Instant, Slot)> = Vec::new();
+    let mut failed = 0;
+    for _ in 0..2000 {
+        now += ms(5);
+        while let Some(at) = slow.iter().position(|(end, _)| *end <= now) {
+            endpoints.release(slow.swap_remove(at).1, CallResult::Answered, now);
+        }
+        let slot = acquire(&mut endpoints, now).unwrap();
+        if slot.host.as_str() == "host-3" {
+            failed += 1;
+            endpoints.release(slot, CallResult::Failed, now);
+        } else {
+            slow.push((now + ms(100), slot));
+        }
+    }
+    // Five in a row, then a probe after 2, 4 and so on seconds of ten.
+    assert!(failed <= 5 + 3, "{failed}");
+}
+
+#[test]
+fn no_more_than_a_third_is_ejected() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(9, now);
+    for _ in 0..40 {
+        let slots: Vec<Slot> = std::iter::from_fn(|| acquire(&mut endpoints, now)).collect();
+        for slot in slots {
+            let bad = slot.addr.port() < 1006;
+            let result = if bad { CallResult::Failed } else { CallResult::Answered };
+            endpoints.release(slot, result, now);
+        }
+    }
+    let ejected = endpoints.stats().iter().filter(|each| each.health != Health::Good).count();
+    assert_eq!(ejected, 3);
+}
+
+#[test]
+fn an_ejected_endpoint_is_probed_one_call_at_a_time_and_restored() {
+    let mut now = Instant::now();
+    let mut endpoints = endpoints(4, now);
+    eject(&mut endpoints, "host-0", now);
+    now += ms(2001);
+    let probe = acquire(&mut endpoints, now).unwrap();
+    assert_eq!(probe.host.as_str(), "host-0");
+    assert_ne!(acquire(&mut endpoints, now).unwrap().host, probe.host);
+    assert_eq!(endpoints.release(probe, CallResult::Answered, now), None);
+    let probe = acquire(&mut endpoints, now).unwrap();
+    assert_eq!(endpoints.release(probe, CallResult::Answered, now), Some(Health::Good));
+}
+
+#[test]
+fn a_call_that_must_run_once_is_no_early_probe() {
+    let mut now = Instant::now();
+    let mut endpoints = endpoints(4, now);
+    eject(&mut endpoints, "host-0", now);
+    now += ms(2001);
+    let slot = endpoints.acquire(now, None, Probing::Avoided).unwrap();
+    assert_ne!(slot.host.as_str(), "host-0");
+    now += ms(4000);
+    let slot = endpoints.acquire(now, None, Probing::Avoided).unwrap();
+    assert_eq!(slot.host.as_str(), "host-0", "not shut out for good either");
+}
+
+#[test]
+fn a_new_owner_takes_all_slots_as_in_use_until_proved_free() {
+    let now = Instant::now();
+    let until = now + ms(1000);
+    let mut endpoints = Endpoints::new();
+    endpoints.adopt(until);
+    endpoints.apply(ListRevision(1), &[info(0), info(1)], now);
+    assert!(acquire(&mut endpoints, now).is_none());
+    // The lost owner may have known this one from a newer list.
+    endpoints.apply(ListRevision(2), &[info(0), info(1), info(2)], now);
+    assert!(acquire(&mut endpoints, now).is_none());
+    endpoints.prove(&"host-0".parse().unwrap(), Slots(3));
+    let slots: Vec<Slot> = std::iter::from_fn(|| acquire(&mut endpoints, now)).collect();
+    assert!(slots.len() == 5 && slots.iter().all(|slot| slot.host.as_str() == "host-0"));
+    assert!(acquire(&mut endpoints, until).is_some());
+}
+
+#[test]
+fn a_planned_change_of_owner_hands_the_used_slots_over() {
+    let now = Instant::now();
+    let mut old = endpoints(2, now);
+    let slots: Vec<Slot> = (0..3).map(|_| acquire(&mut old, now).unwrap()).collect();
+    let mut new = endpoints(2, now);
+    new.import(&old.export(ms(700), now), now);
+    assert_eq!(new.free(now), Slots(16 - slots.len() as u32));
+    new.expire(now + ms(700));
+    assert_eq!(new.free(now + ms(700)), Slots(16));
+}
+
+#[test]
+fn the_same_zone_is_preferred_at_like_load() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(3, now);
+    let zone: ZoneId = "zone-2".parse().unwrap();
+    let first = endpoints.acquire(now, Some(&zone), Probing::Allowed).unwrap();
+    assert_eq!(first.host.as_str(), "host-2");
+    let slots = std::iter::from_fn(|| endpoints.acquire(now, Some(&zone), Probing::Allowed));
+    assert_eq!(slots.count(), 23, "but the others are used before any call waits");
+}
+
+#[test]
+fn a_new_endpoint_starts_slowly() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(1, now);
+    endpoints.apply(ListRevision(2), &[info(0), info(1)], now);
+    assert_eq!(endpoints.capacity(now), Slots(8 + 2));
+    assert_eq!(endpoints.capacity(now + Duration::from_secs(6)), Slots(16));
+}
+
+#[test]
+fn an_instance_has_sixty_four_connections_and_no_more() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(1, now);
+    let key = acquire(&mut endpoints, now).unwrap().endpoint;
+    assert_eq!((0..100).filter(|_| endpoints.connect(key)).count(), 64);
+    endpoints.disconnect(key);
+    assert!(endpoints.connect(key));
+}
