route: receipts by case, and fuzzing over changes of owner

Cause: at most once was unproved over crashes, lapses, and late or doubled messages. Change: an oracle counts the runs of each key while members are lost and messages come late, twice or never.

--- /dev/null
+++ b/crates/route/tests/fuzz_receipts.rs
@@ -0,0 +1,388 @@
+//! Stateful fuzzing of receipts over changes of owner, losses of members, and
+//! late, doubled and lost messages, against an oracle that counts runs.
+//!
+//! `VG_FUZZ_CASES` sets the number of cases; the seed is fixed.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use vg_base::prelude::*;
+use vg_route::{Answer, Begin, Bounds, Fingerprint, KeyName, Name, ReceiptKey, Receipts, Request};
+
+const NODES: usize = 4;
+const KEYS: usize = 3;
+const RUN_TIME: Duration = Duration::from_secs(5);
+const RETENTION: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A caller sends a key to an entry host, which forwards it.
+    Send {
+        ingress: usize,
+        key: usize,
+    },
+    /// The owner receives a forwarded call; the message may come again.
+    Receive {
+        at: usize,
+        again: bool,
+    },
+    /// A call that may run is written to an endpoint.
+    Write {
+        at: usize,
+    },
+    /// A call ends at the owner, which tells the ingress.
+    End {
+        at: usize,
+        known: bool,
+    },
+    /// The ingress receives how its call ended.
+    Learn {
+        at: usize,
+    },
+    /// A message is lost.
+    Lose {
+        at: usize,
+    },
+    /// A member is lost; another process starts in its place, with nothing.
+    Crash {
+        node: usize,
+    },
+    /// The owner is cut off or paused, and the next member takes its pool over.
+    Lapse,
+    Advance {
+        ms: u64,
+    },
+}
+
+/// Any step may come at any time, so the generator has no state.
+#[derive(Debug)]
+struct AnyOrder;
+
+impl ReferenceStateMachine for AnyOrder {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        let at = || any::<usize>();
+        prop_oneof![
+            6 => (0..NODES, 0..KEYS).prop_map(|(ingress, key)| Step::Send { ingress, key }),
+            6 => (at(), prop::bool::weighted(0.2))
+                .prop_map(|(at, again)| Step::Receive { at, again }),
+            6 => at().prop_map(|at| Step::Write { at }),
+            5 => (at(), prop::bool::weighted(0.7)).prop_map(|(at, known)| Step::End { at, known }),
+            5 => at().prop_map(|at| Step::Learn { at }),
+            1 => at().prop_map(|at| Step::Lose { at }),
+            1 => (0..NODES).prop_map(|node| Step::Crash { node }),
+            1 => Just(Step::Lapse),
+            2 => (0..4000u64).prop_map(|ms| Step::Advance { ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+/// One process.
+#[derive(Debug)]
+struct Node {
+    member: Member,
+    receipts: Receipts,
+}
+
+/// A forwarded call on its way to the node that was the owner when it was sent.
+#[derive(Debug, Clone)]
+struct Forward {
+    ingress: Member,
+    owner: Member,
+    term: u64,
+    key: usize,
+    request: Request,
+}
+
+/// A call that the owner may run, or runs.
+#[derive(Debug)]
+struct Run {
+    forward: Forward,
+    receipt: ReceiptKey,
+    written: Option<u64>,
+}
+
+/// How a call ended, on its way to the ingress.
+#[derive(Debug, Clone)]
+struct Reply {
+    ingress: Member,
+    request: Request,
+    outcome: Outcome,
+    answer: Option<Answer>,
+}
+
+/// What the oracle knows of a key's runs.
+#[derive(Debug, Default)]
+struct Truth {
+    /// Until when a second run is a fault, and the number of the last run.
+    last: Option<(Instant, u64)>,
+}
+
+#[derive(Debug)]
+struct Checked {
+    now: Instant,
+    nodes: Vec<Node>,
+    owner: usize,
+    term: u64,
+    forwards: Vec<Forward>,
+    runs: Vec<Run>,
+    replies: Vec<Reply>,
+    truths: BTreeMap<usize, Truth>,
+    /// Attempts whose callers were told *not run*.
+    refused: Vec<RequestId>,
+    serial: u64,
+}
+
+fn pool() -> PoolId {
+    "calls".parse().unwrap()
+}
+
+fn bounds() -> Bounds {
+    Bounds { retention: RETENTION, run_time: RUN_TIME, ..Bounds::default() }
+}
+
+fn member(node: usize, incarnation: u64) -> Member {
+    let node = format!("n{node}").parse().unwrap();
+    Member { node, incarnation: Incarnation(incarnation) }
+}
+
+fn answer(run: u64) -> Answer {
+    Answer { status: 200, headers: Vec::new(), body: run.to_be_bytes().to_vec() }
+}
+
+fn pick<T>(list: &[T], at: usize) -> Option<usize> {
+    (!list.is_empty()).then(|| at % list.len())
+}
+
+impl Checked {
+    fn node(&mut self, member: &Member) -> Option<&mut Node> {
+        self.nodes.iter_mut().find(|node| node.member == *member)
+    }
+
+    fn send(&mut self, ingress: usize, key: usize) {
+        self.serial += 1;
+        let request = Request {
+            name: Name {
+                team: "a".parse().unwrap(),
+                queue: "notices".parse().unwrap(),
+                key: KeyName::Caller(format!("k{key}").into()),
+            },
+            pool: pool(),
+            attempt: RequestId::new(self.serial.into()),
+            deadline: self.now + RUN_TIME,
+            fingerprint: Fingerprint(key as u128),
+            idempotent: false,
+        };
+        // The owner's own callers are mirrored to a peer instead.
+        let keeper = if ingress == self.owner { (ingress + 1) % NODES } else { ingress };
+        if !self.nodes[keeper].receipts.mirror(&request, self.now) {
+            return;
+        }
+        self.forwards.push(Forward {
+            ingress: self.nodes[keeper].member.clone(),
+            owner: self.nodes[self.owner].member.clone(),
+            term: self.term,
+            key,
+            request,
+        });
+    }
+
+    fn receive(&mut self, at: usize, again: bool) {
+        let Some(at) = pick(&self.forwards, at) else { return };
+        let forward = if again { self.forwards[at].clone() } else { self.forwards.swap_remove(at) };
+        let owns = forward.term == self.term;
+        let now = self.now;
+        let Some(node) = self.node(&forward.owner) else { return };
+        if !owns {
+            // Its lease has lapsed, and it knows. A doubled message of a run
+            // that it began before is told apart by its receipt.
+            let begin = node.receipts.begin(&forward.request, now);
+            if let Begin::Run(receipt) = begin {
+                node.receipts.finish(receipt, Outcome::NotRun, None, now);
+                self.reply(&forward, Outcome::NotRun, None);
+            }
+            return;
+        }
+        match node.receipts.begin(&forward.request, now) {
+            Begin::Run(receipt) => {
+                let refused = self.refused.contains(&forward.request.attempt);
+                assert!(!refused, "a call that was told not to run runs");
+                self.runs.push(Run { forward, receipt, written: None });
+            }
+            Begin::Replay(answer) => {
+                let run = self.truths.entry(forward.key).or_default().last;
+                let run = run.map(|(_, run)| self::answer(run));
+                assert_eq!(Some(&*answer), run.as_ref(), "the answer of the key's own run");
+                self.reply(&forward, Outcome::Answered, Some((*answer).clone()));
+            }
+            Begin::Running | Begin::Full { .. } | Begin::Late => {
+                self.reply(&forward, Outcome::NotRun, None);
+            }
+            Begin::Unknown => self.reply(&forward, Outcome::Unknown, None),
+            Begin::Doubled => {}
+            Begin::Mismatch => panic!("one fingerprint a key"),
+        }
+    }
+
+    fn write(&mut self, at: usize) {
+        let Some(at) = pick(&self.runs, at) else { return };
+        if self.runs[at].written.is_some() || self.now > self.runs[at].forward.request.deadline {
+            return;
+        }
+        self.serial += 1;
+        let truth = self.truths.entry(self.runs[at].forward.key).or_default();
+        if let Some((until, _)) = truth.last {
+            assert!(self.now > until, "a second run within the retention");
+        }
+        truth.last = Some((self.now + RETENTION, self.serial));
+        self.runs[at].written = Some(self.serial);
+    }
+
+    fn end(&mut self, at: usize, known: bool) {
+        let Some(at) = pick(&self.runs, at) else { return };
+        let run = self.runs.swap_remove(at);
+        let (outcome, answer) = match run.written {
+            None => (Outcome::NotRun, None),
+            Some(written) if known => (Outcome::Answered, Some(answer(written))),
+            Some(_) => (Outcome::Unknown, None),
+        };
+        let now = self.now;
+        if let Some(node) = self.node(&run.forward.owner) {
+            node.receipts.finish(run.receipt, outcome, answer.clone(), now);
+        }
+        self.reply(&run.forward, outcome, answer);
+    }
+
+    fn reply(&mut self, forward: &Forward, outcome: Outcome, answer: Option<Answer>) {
+        if outcome == Outcome::NotRun {
+            self.refused.push(forward.request.attempt);
+        }
+        self.replies.push(Reply {
+            ingress: forward.ingress.clone(),
+            request: forward.request.clone(),
+            outcome,
+            answer,
+        });
+    }
+
+    fn learn(&mut self, at: usize) {
+        let Some(at) = pick(&self.replies, at) else { return };
+        let Reply { ingress, request, outcome, answer, .. } = self.replies.swap_remove(at);
+        let now = self.now;
+        if let Some(node) = self.node(&ingress) {
+            node.receipts.settle(&request.name, request.attempt, outcome, answer, now);
+        }
+    }
+
+    /// The member is gone, its messages that are on their way are not.
+    fn crash(&mut self, node: usize) {
+        let lost = self.nodes[node].member.clone();
+        let mut new = Receipts::new(bounds());
+        let teller = (node + 1) % NODES;
+        new.import_losses(self.nodes[teller].receipts.losses(self.now), self.now);
+        let incarnation = lost.incarnation.next();
+        let member = Member { incarnation, ..lost.clone() };
+        self.nodes[node] = Node { member, receipts: new };
+        self.runs.retain(|run| run.forward.owner != lost);
+        self.tell_loss(&lost);
+        if node == self.owner {
+            self.take_over(None);
+        }
+    }
+
+    /// The owner goes on with what it began, but can't be asked.
+    fn lapse(&mut self) {
+        let lost = self.nodes[self.owner].member.clone();
+        self.tell_loss(&lost);
+        self.take_over(Some(self.owner));
+    }
+
+    fn tell_loss(&mut self, lost: &Member) {
+        let now = self.now;
+        self.nodes.iter_mut().for_each(|node| node.receipts.lost(lost.clone(), now));
+    }
+
+    fn take_over(&mut self, unreachable: Option<usize>) {
+        let next = (self.owner + 1) % NODES;
+        let now = self.now;
+        let others = (0..NODES).filter(|each| *each != next && Some(*each) != unreachable);
+        let receipts: Vec<_> =
+            others.flat_map(|each| self.nodes[each].receipts.export(&pool())).collect();
+        let owner = &mut self.nodes[next].receipts;
+        owner.take_over(&pool(), now);
+        assert_eq!(owner.import(receipts, now), 0);
+        self.owner = next;
+        self.term += 1;
+    }
+}
+
+impl StateMachineTest for Checked {
+    type SystemUnderTest = Checked;
+    type Reference = AnyOrder;
+
+    fn init_test((): &()) -> Checked {
+        let nodes = (0..NODES)
+            .map(|node| Node { member: member(node, 1), receipts: Receipts::new(bounds()) });
+        Checked {
+            now: Instant::now(),
+            nodes: nodes.collect(),
+            owner: 0,
+            term: 1,
+            forwards: Vec::new(),
+            runs: Vec::new(),
+            replies: Vec::new(),
+            truths: BTreeMap::new(),
+            refused: Vec::new(),
+            serial: 0,
+        }
+    }
+
+    fn apply(mut state: Checked, (): &(), step: Step) -> Checked {
+        match step {
+            Step::Send { ingress, key } => state.send(ingress, key),
+            Step::Receive { at, again } => state.receive(at, again),
+            Step::Write { at } => state.write(at),
+            Step::End { at, known } => state.end(at, known),
+            Step::Learn { at } => state.learn(at),
+            Step::Lose { at } => {
+                if let Some(at) = pick(&state.forwards, at) {
+                    state.forwards.swap_remove(at);
+                } else if let Some(at) = pick(&state.replies, at) {
+                    state.replies.swap_remove(at);
+                }
+            }
+            Step::Crash { node } => state.crash(node),
+            Step::Lapse => state.lapse(),
+            Step::Advance { ms } => state.now += Duration::from_millis(ms),
+        }
+        state
+    }
+}
+
+fn config() -> Config {
+    let cases = std::env::var("VG_FUZZ_CASES").ok().and_then(|text| text.parse().ok());
+    Config {
+        cases: cases.unwrap_or(256),
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_key_runs_at_most_once(sequential 1..150 => Checked);
+}
