measure: jobs; jobs: plan by the cheaper of two learned rules

Cause: with declared sizes far off, a quantile of used over declared plans twice as much as is declared for jobs that declare too much already. Change: vg-measure jobs with baselines; the learned size is a multiple of the declared one or one size for the lane, whichever plans less; lanes are read in chunks and a round keeps only the smallest sizes that did not fit.

--- a/crates/jobs/src/health.rs
+++ b/crates/jobs/src/health.rs
@@ -4,13 +4,7 @@
 
 use vg_base::prelude::*;
 
-use crate::Lane;
-
-/// Failures in a row, of unlike jobs, that quarantine a worker.
-const QUARANTINE_FAILURES: usize = 3;
-
-/// Failures in a row after which a worker gets one idempotent job at a time.
-const SUSPECT_FAILURES: usize = 2;
+use crate::{Lane, Limits};
 
 /// Successful probes that bring a quarantined worker back.
 const PROBES: u32 = 2;
@@ -65,9 +59,9 @@
 
 impl Health {
     /// Whether the worker may get a job, with `running` on it already.
-    pub fn admits(&self, idempotent: bool, running: usize, now: Instant) -> bool {
+    pub fn admits(&self, limits: &Limits, idempotent: bool, running: usize, now: Instant) -> bool {
         match self.standing {
-            Standing::Good if self.failures.len() < SUSPECT_FAILURES => true,
+            Standing::Good if self.failures.len() < limits.suspect_failures => true,
             Standing::Good | Standing::Probing { .. } => idempotent && running == 0,
             Standing::Quarantined { until } => now >= until && idempotent && running == 0,
         }
@@ -102,7 +96,7 @@
     }
 
     /// Notes that a job failed whose lane does well elsewhere.
-    pub fn fail(&mut self, job: JobId, lane: &Lane, now: Instant) -> Verdict {
+    pub fn fail(&mut self, limits: &Limits, job: JobId, lane: &Lane, now: Instant) -> Verdict {
         // It was started before the quarantine and says nothing new.
         if matches!(self.standing, Standing::Quarantined { until } if now < until) {
             return Verdict::None;
@@ -111,7 +105,7 @@
             self.failures.push((job, lane.clone()));
         }
         let probe = self.is_quarantined();
-        if !probe && !self.is_conclusive() {
+        if !probe && !self.is_conclusive(limits) {
             return Verdict::None;
         }
         let period = QUARANTINE_FIRST * 2_u32.saturating_pow(self.strikes.min(16));
@@ -123,10 +117,10 @@
     }
 
     /// Enough jobs failed in a row, and not all of one team's queue.
-    fn is_conclusive(&self) -> bool {
+    fn is_conclusive(&self, limits: &Limits) -> bool {
         let first = self.failures.first().map(|(_, lane)| lane);
         let unlike = self.failures.iter().any(|(_, lane)| Some(lane) != first);
-        self.failures.len() >= QUARANTINE_FAILURES && unlike
+        self.failures.len() >= limits.quarantine_failures && unlike
     }
 }
 
--- a/crates/jobs/src/lane.rs
+++ b/crates/jobs/src/lane.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
 
 use vg_base::prelude::*;
 
@@ -91,16 +92,24 @@
         self.waiting
     }
 
-    /// Returns each lane with its first `most` jobs, in a stable order.
-    pub(crate) fn heads(&self, most: usize) -> Vec<(Lane, Vec<JobKey>)> {
+    /// Returns each lane with its first job, in a stable order.
+    pub(crate) fn heads(&self) -> Vec<(Lane, JobKey)> {
         let head = |(lane, jobs): (&Lane, &BTreeMap<Place, JobKey>)| {
-            (lane.clone(), jobs.values().copied().take(most).collect())
+            let first = jobs.values().next().copied()?;
+            Some((lane.clone(), first))
         };
-        let mut heads: Vec<(Lane, Vec<JobKey>)> = self.lanes.iter().map(head).collect();
+        let mut heads: Vec<(Lane, JobKey)> = self.lanes.iter().filter_map(head).collect();
         heads.sort_unstable_by(|a, b| a.0.cmp(&b.0));
         heads
     }
 
+    /// Returns the next jobs of a lane behind a place, at most `most`.
+    pub(crate) fn after(&self, lane: &Lane, place: Place, most: usize) -> Vec<JobKey> {
+        let behind = (Bound::Excluded(place), Bound::Unbounded);
+        let jobs = self.lanes.get(lane).map(|jobs| jobs.range(behind).take(most));
+        jobs.into_iter().flatten().map(|(_, &key)| key).collect()
+    }
+
     /// Returns all waiting jobs.
     pub(crate) fn jobs(&self) -> impl Iterator<Item = JobKey> + '_ {
         self.lanes.values().flat_map(|lane| lane.values().copied())
--- a/crates/jobs/src/learn.rs
+++ b/crates/jobs/src/learn.rs
@@ -25,10 +25,17 @@
 /// throttled or moved when it turns out larger.
 const BACKGROUND_QUANTILE: f64 = 0.75;
 
+/// One amount of a job that ended.
+#[derive(Debug, Clone, Copy)]
+struct Amount {
+    declared: f64,
+    used: f64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Sample {
-    cores: f64,
-    memory: f64,
+    cores: Amount,
+    memory: Amount,
     run_time: Duration,
 }
 
@@ -41,10 +48,9 @@
 impl Estimates {
     /// Takes in a job that ended.
     pub fn learn(&mut self, lane: &Lane, declared: &Resources, peak: &Resources, ran: Duration) {
-        let ratio = |used: f64, declared: f64| if declared > 0.0 { used / declared } else { 1.0 };
         let sample = Sample {
-            cores: ratio(f64::from(peak.cores.0), f64::from(declared.cores.0)),
-            memory: ratio(peak.memory.0 as f64, declared.memory.0 as f64),
+            cores: Amount { declared: f64::from(declared.cores.0), used: f64::from(peak.cores.0) },
+            memory: Amount { declared: declared.memory.0 as f64, used: peak.memory.0 as f64 },
             run_time: ran,
         };
         let samples = self.samples.entry(lane.clone()).or_default();
@@ -62,12 +68,11 @@
             Class::Background => BACKGROUND_QUANTILE,
         };
         let Some(samples) = self.enough(lane) else { return *declared };
-        let ratio = |part: fn(&Sample) -> f64| {
-            let value = rank(samples.iter().map(part).collect(), quantile);
-            value.clamp(RATIO_MIN, RATIO_MAX)
+        let estimate = |part: fn(&Sample) -> Amount, declared: f64| {
+            estimate(samples.iter().map(part).collect(), declared, quantile)
         };
-        let cores = f64::from(declared.cores.0) * ratio(|sample| sample.cores);
-        let memory = declared.memory.0 as f64 * ratio(|sample| sample.memory);
+        let cores = estimate(|sample| sample.cores, f64::from(declared.cores.0));
+        let memory = estimate(|sample| sample.memory, declared.memory.0 as f64);
         Resources::new((cores as u32).max(1), memory as u64, declared.accelerators.0)
     }
 
@@ -83,6 +88,21 @@
     }
 }
 
+/// Returns what covers `quantile` of the samples, for a job that declares
+/// `declared`.
+///
+/// Two rules cover as many: a multiple of what is declared, which fits where
+/// declarations say something, and one size for all, which fits where they are
+/// noise. The one that plans less on the whole is taken.
+fn estimate(samples: Vec<Amount>, declared: f64, quantile: f64) -> f64 {
+    let ratio = |amount: &Amount| amount.used / amount.declared.max(1.0);
+    let ratio = rank(samples.iter().map(ratio).collect(), quantile);
+    let size = rank(samples.iter().map(|amount| amount.used).collect(), quantile);
+    let mean = samples.iter().map(|amount| amount.declared).sum::<f64>() / samples.len() as f64;
+    let planned = if ratio * mean <= size { ratio * declared } else { size };
+    planned.clamp(RATIO_MIN * declared, RATIO_MAX * declared)
+}
+
 /// Returns the value that `quantile` of the values stay at or below.
 fn rank(mut values: Vec<f64>, quantile: f64) -> f64 {
     values.sort_unstable_by(f64::total_cmp);
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -35,6 +35,10 @@
     pub misfit_wait: Duration,
     /// Failed attempts after which a job has failed for good.
     pub attempts: u8,
+    /// Failures in a row after which a worker gets one idempotent job at a time.
+    pub suspect_failures: usize,
+    /// Failures in a row, of unlike jobs, that quarantine a worker.
+    pub quarantine_failures: usize,
     /// Usage older than this is not acted upon.
     pub usage_age: Duration,
 }
@@ -56,6 +60,8 @@
             retention: Duration::from_secs(3600),
             misfit_wait: Duration::from_secs(600),
             attempts: 3,
+            suspect_failures: 2,
+            quarantine_failures: 3,
             usage_age: Duration::from_secs(30),
         }
     }
--- a/crates/jobs/src/shard/preempt.rs
+++ b/crates/jobs/src/shard/preempt.rs
@@ -49,7 +49,7 @@
         let job = &self.jobs[key];
         let size = self.planned(key, &job.lane());
         let (class, idempotent) = (job.spec.class, job.spec.idempotent);
-        let need = Need { size, class, idempotent, avoid: &[] };
+        let need = Need { size, class, idempotent, avoid: &[], limits: &self.limits };
         let able = self.workers.iter().filter(|(_, worker)| takes_work(worker, &need, now.mono));
         let plans = able.filter_map(|(at, worker)| {
             let taken = promised.get(&at).copied().unwrap_or_default();
--- a/crates/jobs/src/shard/report.rs
+++ b/crates/jobs/src/shard/report.rs
@@ -158,7 +158,9 @@
         if self.lane_health.is_bad(&lane) {
             return;
         }
-        if let Verdict::Quarantined { until } = worker.health.fail(id, &lane, now.mono) {
+        if let Verdict::Quarantined { until } =
+            worker.health.fail(&self.limits, id, &lane, now.mono)
+        {
             self.quarantined(at, until);
         }
     }
--- a/crates/jobs/src/shard/round.rs
+++ b/crates/jobs/src/shard/round.rs
@@ -9,15 +9,15 @@
 use crate::workers::{Need, WorkerKey};
 use crate::{Class, JobState, Lane, LaneView, Now, Order, Resources, Site};
 
-/// Most jobs of one lane that a round looks at.
-const LANE_MAX: usize = 4096;
+/// Jobs of a lane that are fetched at once.
+const LANE_CHUNK: usize = 32;
 
 /// Jobs of a lane that a round seeks a worker for in vain.
 const LOOK_AHEAD: usize = 16;
 
 /// Jobs of a lane that a round passes over in all, most of them because no
 /// smaller one fitted either.
-const PASS_MAX: usize = 256;
+const PASS_MAX: usize = 64;
 
 /// Most urgent jobs that a round makes room for.
 const PREEMPT_MAX: usize = 32;
@@ -92,7 +92,7 @@
             let Some(part) = self.try_next(&mut round, at, &mut may_start, now) else { continue };
             order.placed(&round.views[at], part);
             round.charge(at, part);
-            round.advance(at, &self.jobs);
+            self.advance(&mut round, at);
         }
         let stuck = std::mem::take(&mut round.stuck);
         let stuck: Vec<JobKey> = stuck.into_iter().take(PREEMPT_MAX).collect();
@@ -121,14 +121,12 @@
             stuck: Vec::new(),
             report: RoundReport::default(),
         };
-        for (lane, jobs) in self.lanes.heads(LANE_MAX) {
-            let mut jobs = jobs.into_iter();
-            let Some(next) = jobs.next() else { continue };
+        for (lane, next) in self.lanes.heads() {
             let start_by = self.jobs[next].spec.start_by;
             let weight = order.weight(&lane.team).max(f64::MIN_POSITIVE);
             let used = parts.get(&lane.team).copied().unwrap_or(0.0);
             round.views.push(LaneView { lane, start_by, weight, used });
-            round.cursors.push(Cursor { jobs, next, sought: 0, passed: 0 });
+            round.cursors.push(Cursor { jobs: Vec::new().into_iter(), next, sought: 0, passed: 0 });
         }
         round
     }
@@ -151,7 +149,7 @@
         }
         let size = self.planned(key, &lane);
         let Some(worker) = self.seek(key, size, round, at, now) else {
-            round.pass(at, key, &self.jobs);
+            self.pass(round, at);
             return None;
         };
         if !may_start(&lane.team) {
@@ -182,7 +180,7 @@
     ) -> Option<WorkerKey> {
         let job = &self.jobs[key];
         let (class, idempotent) = (job.spec.class, job.spec.idempotent);
-        let need = Need { size, class, idempotent, avoid: &job.failed_on };
+        let need = Need { size, class, idempotent, avoid: &job.failed_on, limits: &self.limits };
         let shape = Unfit::new(&need);
         if round.unfit.iter().any(|unfit| unfit.rules_out(&shape)) {
             return None;
@@ -191,6 +189,7 @@
         let found = self.workers.seek(&need, now.mono);
         // What one job avoids says nothing about others of its size.
         if found.is_none() && job.failed_on.is_empty() {
+            round.unfit.retain(|unfit| !shape.rules_out(unfit));
             round.unfit.push(shape);
         }
         found.or_else(|| self.seek_again(&need, now))
@@ -204,6 +203,37 @@
         self.workers.seek(&Need { avoid: &[], ..*need }, now.mono)
     }
 
+    /// Goes on to the lane's next job.
+    fn advance(&self, round: &mut Round, at: usize) {
+        let last = self.jobs[round.cursors[at].next].place();
+        let next = round.cursors[at].jobs.next().or_else(|| {
+            let chunk = self.lanes.after(&round.views[at].lane, last, LANE_CHUNK);
+            round.cursors[at].jobs = chunk.into_iter();
+            round.cursors[at].jobs.next()
+        });
+        match next {
+            Some(next) => {
+                round.cursors[at].next = next;
+                round.views[at].start_by = self.jobs[next].spec.start_by;
+            }
+            None => round.close(at),
+        }
+    }
+
+    /// Passes over a job that fits nowhere.
+    fn pass(&self, round: &mut Round, at: usize) {
+        let cursor = &mut round.cursors[at];
+        if round.views[at].lane.class == Class::Urgent {
+            round.stuck.push(cursor.next);
+        }
+        cursor.passed += 1;
+        if cursor.sought >= LOOK_AHEAD || cursor.passed >= PASS_MAX {
+            round.close(at);
+        } else {
+            self.advance(round, at);
+        }
+    }
+
     fn put(&mut self, key: JobKey, worker: WorkerKey, size: Resources, now: Now) {
         let Some(held) = self.workers.get(worker) else { return };
         let site = Site { worker: held.host.clone(), incarnation: held.incarnation };
@@ -228,31 +258,6 @@
         same.for_each(|view| view.used += part);
     }
 
-    /// Goes on to the lane's next job.
-    fn advance(&mut self, at: usize, jobs: &slotmap::SlotMap<JobKey, crate::Job>) {
-        match self.cursors[at].jobs.next() {
-            Some(next) => {
-                self.cursors[at].next = next;
-                self.views[at].start_by = jobs[next].spec.start_by;
-            }
-            None => self.close(at),
-        }
-    }
-
-    /// Passes over a job that fits nowhere.
-    fn pass(&mut self, at: usize, key: JobKey, jobs: &slotmap::SlotMap<JobKey, crate::Job>) {
-        if self.views[at].lane.class == Class::Urgent {
-            self.stuck.push(key);
-        }
-        let cursor = &mut self.cursors[at];
-        cursor.passed += 1;
-        if cursor.sought >= LOOK_AHEAD || cursor.passed >= PASS_MAX {
-            self.close(at);
-        } else {
-            self.advance(at, jobs);
-        }
-    }
-
     fn close(&mut self, at: usize) {
         self.views.swap_remove(at);
         self.cursors.swap_remove(at);
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -8,7 +8,7 @@
 
 use crate::job::JobKey;
 use crate::worker::Worker;
-use crate::{Class, Health, Resources, WorkerSpec, WorkerState};
+use crate::{Class, Health, Limits, Resources, WorkerSpec, WorkerState};
 
 slotmap::new_key_type! {
     /// Key of a worker in its table.
@@ -25,6 +25,7 @@
     pub(crate) class: Class,
     pub(crate) idempotent: bool,
     pub(crate) avoid: &'a [HostId],
+    pub(crate) limits: &'a Limits,
 }
 
 /// Numbers for names from 1 on, so that counts by rack and zone are vectors.
@@ -304,7 +305,7 @@
 /// Whether a worker may get the job, room aside.
 pub(crate) fn takes_work(worker: &Worker, need: &Need<'_>, now: Instant) -> bool {
     worker.state(now) == WorkerState::Up
-        && worker.health.admits(need.idempotent, worker.jobs.len(), now)
+        && worker.health.admits(need.limits, need.idempotent, worker.jobs.len(), now)
         && !need.avoid.contains(&worker.host)
 }
 
--- a/crates/measure/src/calls/mod.rs
+++ b/crates/measure/src/calls/mod.rs
@@ -1,6 +1,6 @@
 //! Calls: shares, deadlines, endpoints and retries of one pool.
 
-mod draw;
+pub(crate) mod draw;
 mod endpoints;
 mod fcfs;
 mod policy;
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod calls;
 mod error;
+pub mod jobs;
 pub mod report;
 
 pub use error::Error;
