jobs: keep learned sizes ready, seek urgent room by free cores

Cause: each look at a waiting job sorted its lane's samples anew, and urgent jobs looked at every worker. Cores were planned as tightly as memory, though they can be shared. Change: a lane's rules are found when a job ends; workers without enough free cores and those with accelerators are left out early; cores are planned at the 0.75 quantile for urgent and 0.6 for background jobs, memory at 0.95 and 0.9.

--- a/crates/jobs/src/learn.rs
+++ b/crates/jobs/src/learn.rs
@@ -18,12 +18,18 @@
 /// Greatest multiple of its declared size that a job is given.
 const RATIO_MAX: f64 = 4.0;
 
-/// Part of the samples that an urgent job's size covers.
-const URGENT_QUANTILE: f64 = 0.95;
+/// Part of the samples that a size covers.
+///
+/// Cores can be shared: tasks that use more are slowed down, background ones
+/// first. Memory can't: a worker that runs out kills a task.
+#[derive(Debug, Clone, Copy)]
+struct Coverage {
+    cores: f64,
+    memory: f64,
+}
 
-/// Part of the samples that a background job's size covers; it can be
-/// throttled or moved when it turns out larger.
-const BACKGROUND_QUANTILE: f64 = 0.75;
+const URGENT_COVERAGE: Coverage = Coverage { cores: 0.75, memory: 0.95 };
+const BACKGROUND_COVERAGE: Coverage = Coverage { cores: 0.6, memory: 0.9 };
 
 /// One amount of a job that ended.
 #[derive(Debug, Clone, Copy)]
@@ -39,10 +45,59 @@
     run_time: Duration,
 }
 
+/// How an amount is planned.
+#[derive(Debug, Clone, Copy)]
+enum Rule {
+    /// A multiple of what is declared.
+    Ratio(f64),
+    /// The same for all.
+    Size(f64),
+}
+
+impl Rule {
+    /// Finds the rule that covers `quantile` of the samples.
+    ///
+    /// A multiple fits where declarations say something, one size for all
+    /// where they are noise. The one that plans less on the whole is taken.
+    fn find(amounts: &[Amount], quantile: f64) -> Rule {
+        let ratio = |amount: &Amount| amount.used / amount.declared.max(1.0);
+        let ratio = rank(amounts.iter().map(ratio).collect(), quantile);
+        let size = rank(amounts.iter().map(|amount| amount.used).collect(), quantile);
+        let sum: f64 = amounts.iter().map(|amount| amount.declared).sum();
+        if ratio * sum <= size * amounts.len() as f64 {
+            Rule::Ratio(ratio)
+        } else {
+            Rule::Size(size)
+        }
+    }
+
+    fn plan(self, declared: f64) -> f64 {
+        let planned = match self {
+            Rule::Ratio(ratio) => ratio * declared,
+            Rule::Size(size) => size,
+        };
+        planned.clamp(RATIO_MIN * declared, RATIO_MAX * declared)
+    }
+}
+
+/// What the samples of a lane come to.
+#[derive(Debug, Clone, Copy)]
+struct Learned {
+    cores: Rule,
+    memory: Rule,
+    run_time: Duration,
+}
+
+#[derive(Debug, Clone, Default)]
+struct History {
+    samples: VecDeque<Sample>,
+    learned: Option<Learned>,
+}
+
 /// What ended jobs of each lane used, against what they declared.
 #[derive(Debug, Clone, Default)]
 pub struct Estimates {
-    samples: HashMap<Lane, VecDeque<Sample>>,
+    lanes: HashMap<Lane, History>,
 }
 
 impl Estimates {
@@ -53,54 +108,49 @@
             memory: Amount { declared: declared.memory.0 as f64, used: peak.memory.0 as f64 },
             run_time: ran,
         };
-        let samples = self.samples.entry(lane.clone()).or_default();
-        samples.push_back(sample);
-        if samples.len() > SAMPLES_MAX {
-            samples.pop_front();
+        let history = self.lanes.entry(lane.clone()).or_default();
+        history.samples.push_back(sample);
+        if history.samples.len() > SAMPLES_MAX {
+            history.samples.pop_front();
         }
+        history.learned = learn(lane.class, &history.samples);
     }
 
     /// Returns the size to plan with. Accelerators are as declared: they are
     /// whole and nobody else can use them.
     pub fn size(&self, lane: &Lane, declared: &Resources) -> Resources {
-        let quantile = match lane.class {
-            Class::Urgent => URGENT_QUANTILE,
-            Class::Background => BACKGROUND_QUANTILE,
-        };
-        let Some(samples) = self.enough(lane) else { return *declared };
-        let estimate = |part: fn(&Sample) -> Amount, declared: f64| {
-            estimate(samples.iter().map(part).collect(), declared, quantile)
-        };
-        let cores = estimate(|sample| sample.cores, f64::from(declared.cores.0));
-        let memory = estimate(|sample| sample.memory, declared.memory.0 as f64);
+        let Some(learned) = self.learned(lane) else { return *declared };
+        let cores = learned.cores.plan(f64::from(declared.cores.0));
+        let memory = learned.memory.plan(declared.memory.0 as f64);
         Resources::new((cores as u32).max(1), memory as u64, declared.accelerators.0)
     }
 
     /// Returns the run time that half of the lane's jobs stay below.
     pub fn run_time(&self, lane: &Lane) -> Option<Duration> {
-        let samples = self.enough(lane)?;
-        let seconds = samples.iter().map(|sample| sample.run_time.as_secs_f64()).collect();
-        Some(Duration::from_secs_f64(rank(seconds, 0.5)))
+        self.learned(lane).map(|learned| learned.run_time)
     }
 
-    fn enough(&self, lane: &Lane) -> Option<&VecDeque<Sample>> {
-        self.samples.get(lane).filter(|samples| samples.len() >= SAMPLES_MIN)
+    fn learned(&self, lane: &Lane) -> Option<&Learned> {
+        self.lanes.get(lane)?.learned.as_ref()
     }
 }
 
-/// Returns what covers `quantile` of the samples, for a job that declares
-/// `declared`.
-///
-/// Two rules cover as many: a multiple of what is declared, which fits where
-/// declarations say something, and one size for all, which fits where they are
-/// noise. The one that plans less on the whole is taken.
-fn estimate(samples: Vec<Amount>, declared: f64, quantile: f64) -> f64 {
-    let ratio = |amount: &Amount| amount.used / amount.declared.max(1.0);
-    let ratio = rank(samples.iter().map(ratio).collect(), quantile);
-    let size = rank(samples.iter().map(|amount| amount.used).collect(), quantile);
-    let mean = samples.iter().map(|amount| amount.declared).sum::<f64>() / samples.len() as f64;
-    let planned = if ratio * mean <= size { ratio * declared } else { size };
-    planned.clamp(RATIO_MIN * declared, RATIO_MAX * declared)
+fn learn(class: Class, samples: &VecDeque<Sample>) -> Option<Learned> {
+    if samples.len() < SAMPLES_MIN {
+        return None;
+    }
+    let coverage = match class {
+        Class::Urgent => URGENT_COVERAGE,
+        Class::Background => BACKGROUND_COVERAGE,
+    };
+    let cores: Vec<Amount> = samples.iter().map(|sample| sample.cores).collect();
+    let memory: Vec<Amount> = samples.iter().map(|sample| sample.memory).collect();
+    let seconds = samples.iter().map(|sample| sample.run_time.as_secs_f64()).collect();
+    Some(Learned {
+        cores: Rule::find(&cores, coverage.cores),
+        memory: Rule::find(&memory, coverage.memory),
+        run_time: Duration::from_secs_f64(rank(seconds, 0.5)),
+    })
 }
 
 /// Returns the value that `quantile` of the values stay at or below.
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -254,16 +254,31 @@
         }
     }
 
+    /// Hosts with accelerators come last for jobs that need none.
     fn seek_spread(&self, need: &Need<'_>, now: Instant) -> Option<WorkerKey> {
+        let plain = || self.most_apart(&self.plain, need, now);
+        let found = if need.size.accelerators.0 == 0 { plain() } else { None };
+        found.or_else(|| self.most_apart(&self.special, need, now))
+    }
+
+    fn most_apart(&self, index: &ByCores, need: &Need<'_>, now: Instant) -> Option<WorkerKey> {
         let rank = |worker: &Worker| {
-            let idle = worker.total.accelerators.0 > 0 && need.size.accelerators.0 == 0;
-            let left = worker.room().cores.0 - need.size.cores.0;
-            (idle, self.rack_urgent[worker.rack], self.zone_urgent[worker.zone], left)
+            (self.rack_urgent[worker.rack], self.zone_urgent[worker.zone], worker.room().cores)
         };
-        let able = self.table.iter().filter(|(_, worker)| admits(worker, need, now));
+        let able = self.roomy(index, need).filter(|(_, worker)| admits(worker, need, now));
         able.min_by_key(|(_, worker)| rank(worker)).map(|(key, _)| key)
     }
 
+    /// Returns the workers with enough free cores, fewest first.
+    fn roomy<'a>(
+        &'a self,
+        index: &'a ByCores,
+        need: &Need<'_>,
+    ) -> impl Iterator<Item = (WorkerKey, &'a Worker)> {
+        let keys = index.range(need.size.cores.0..).flat_map(|(_, keys)| keys);
+        keys.filter_map(|&key| Some((key, self.get(key)?)))
+    }
+
     fn seek_tight(&self, need: &Need<'_>, now: Instant) -> Option<WorkerKey> {
         let found = self.tightest(&self.plain, need, now, |_| need.size.accelerators.0 == 0);
         found.or_else(|| {
@@ -278,9 +293,9 @@
         now: Instant,
         allowed: impl Fn(&Worker) -> bool,
     ) -> Option<WorkerKey> {
-        let keys = index.range(need.size.cores.0..).flat_map(|(_, keys)| keys);
-        let workers = keys.filter_map(|&key| Some((key, self.get(key)?)));
-        let able = workers.filter(|(_, worker)| admits(worker, need, now) && allowed(worker));
+        let able = self
+            .roomy(index, need)
+            .filter(|(_, worker)| admits(worker, need, now) && allowed(worker));
         let left = |worker: &Worker| self.scarcest_left(worker, need);
         able.take(CANDIDATES).min_by(|a, b| left(a.1).total_cmp(&left(b.1))).map(|(key, _)| key)
     }
