entry: jobs made durable, placed on workers and recovered

Cause: the daemon had no jobs. Conclusion: jobs taken over for which no unit can be had within 20 s are left to lapse; the grant of a lost owner should pass with its jobs instead.

--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -9,6 +9,7 @@
 
 use crate::control::{book, hosts, takeover};
 use crate::dispatch::PoolDispatch;
+use crate::jobs::{self, PoolJobs};
 use crate::node::Node;
 use crate::platform::Platform;
 
@@ -30,6 +31,7 @@
         let mine = owners.get(&pool).is_some_and(|held| held.owner == me);
         if !mine || releases.contains(&pool) {
             node.pools.retire(&pool);
+            node.jobs.retire(&pool);
         }
     }
     for pool in releases {
@@ -65,6 +67,9 @@
         Field::new("earlier", earlier.as_ref().map(Member::to_string).unwrap_or_default()),
     ];
     node.events.record(Code::OwnerChanged, fields);
+    let jobs = Arc::new(PoolJobs::new(pool.clone()));
+    node.jobs.add(Arc::clone(&jobs));
+    tokio::spawn(jobs::keep(node.clone(), jobs, held.epoch, earlier.clone()));
     match earlier {
         Some(earlier) => {
             let node = node.clone();
--- a/crates/entry/src/control/units.rs
+++ b/crates/entry/src/control/units.rs
@@ -40,6 +40,11 @@
             *wanted.entry(team.team).or_default() += waiting;
         }
     }
+    for jobs in node.jobs.all() {
+        for (team, units) in &jobs.lock().blocked {
+            *wanted.entry(team.clone()).or_default() += *units;
+        }
+    }
     let mut membership = node.roster.lock();
     let known: Vec<TeamId> = membership.ledger().holdings().map(|(team, _)| team.clone()).collect();
     for team in known {
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -13,6 +13,7 @@
 use crate::config::ConfigTable;
 use crate::control;
 use crate::hosts::HostTable;
+use crate::jobs::JobTable;
 use crate::metrics::Metrics;
 use crate::node::{Inner, Node};
 use crate::options::Options;
@@ -90,6 +91,7 @@
             hosts: HostTable::default(),
             roster: Roster::new(me, timing, clock.clone()),
             pools: PoolTable::default(),
+            jobs: JobTable::default(),
             receipts: ReceiptTable::new(Bounds::default(), clock.clone()),
             call_addr: callers.addr(),
             peer_addr: peers.addr(),
@@ -157,6 +159,10 @@
     let told_by = node.clock.now() + TELL_TIME;
     loop {
         let now = node.clock.now();
+        if now >= told_by {
+            // Their next owners have not asked: their jobs' units become free.
+            node.jobs.take_retired(None);
+        }
         let done = node.pools.running() == 0 && (node.pools.is_told() || now >= told_by);
         if done && node.roster.lock().depart() {
             return control::commit_depart(node).await;
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -25,6 +25,14 @@
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("vg-outcome");
 /// Marks an answer between entry hosts as the owner's own verdict.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("vg-verdict");
+/// A job's processor time in thousandths of a core.
+pub(crate) const JOB_CORES: HeaderName = HeaderName::from_static("vg-job-cores");
+/// A job's memory in bytes.
+pub(crate) const JOB_MEMORY: HeaderName = HeaderName::from_static("vg-job-memory");
+/// A job's accelerators.
+pub(crate) const JOB_ACCELERATORS: HeaderName = HeaderName::from_static("vg-job-accelerators");
+/// A job's declared run time in milliseconds.
+pub(crate) const JOB_RUN_MS: HeaderName = HeaderName::from_static("vg-job-run-ms");
 /// The caller's key that makes a request repeatable.
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -136,6 +144,10 @@
         "vg-owner-epoch" => "vg-owner-epoch",
         "vg-via-node" => "vg-via-node",
         "vg-key-digest" => "vg-key-digest",
+        "vg-job-cores" => "vg-job-cores",
+        "vg-job-memory" => "vg-job-memory",
+        "vg-job-accelerators" => "vg-job-accelerators",
+        "vg-job-run-ms" => "vg-job-run-ms",
         "idempotency-key" => "idempotency-key",
         "authorization" => "authorization",
         _ => "(other)",
--- /dev/null
+++ b/crates/entry/src/jobs/open.rs
@@ -0,0 +1,118 @@
+//! Taking a pool's jobs over from the store.
+
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_jobs::{
+    Batch, Expect, JournalError, Limits, Now, Recovered, Shard, Stored, Write, claim, recover,
+    segment_prefix,
+};
+use vg_store::{Entry, Key, Store, StoreRevision, Txn, TxnOutcome};
+
+use crate::follow::bounded;
+use crate::jobs::PoolJobs;
+use crate::node::Node;
+use crate::platform::Platform;
+
+/// Pause between two tries.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Claims a pool's journal and recovers its jobs. Returns false if the pool
+/// has gone to another owner meanwhile.
+pub(super) async fn open<P: Platform>(
+    node: &Node<P>,
+    jobs: &PoolJobs<P::Clock>,
+    epoch: Epoch,
+) -> bool {
+    let mut told = None;
+    loop {
+        if jobs.lock().closed || node.roster.check_owner(jobs.pool(), epoch).is_err() {
+            return false;
+        }
+        match try_open(node, jobs.pool()).await {
+            Some(Ok(recovered)) => {
+                install(node, jobs, recovered);
+                return true;
+            }
+            Some(Err(error)) => {
+                let text = error.to_string();
+                if told.as_ref() != Some(&text) {
+                    let pool = Field::new("pool", jobs.pool());
+                    let fields = [pool, Field::new("reason", &text)];
+                    node.events.record(Code::ValueUnreadable, fields);
+                    told = Some(text);
+                }
+            }
+            // The store is out of reach.
+            None => {}
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+async fn try_open<P: Platform>(
+    node: &Node<P>,
+    pool: &PoolId,
+) -> Option<Result<Recovered, JournalError>> {
+    let me = node.roster.me();
+    let prefix = Key::from(segment_prefix(pool));
+    let listing = bounded(node.store.range(&prefix)).await;
+    node.metrics.store_called("jobs", listing.is_ok());
+    let values: Vec<Stored> = listing.ok()?.entries.iter().map(stored).collect();
+    let head = values.iter().find(|value| value.key.ends_with("/head"));
+    let batch = match claim(pool, &me, head) {
+        Ok(batch) => batch,
+        Err(error) => return Some(Err(error)),
+    };
+    let committed = bounded(node.store.commit(txn(&batch))).await;
+    node.metrics.store_called("commit", committed.is_ok());
+    // Whatever came of the claim, the head tells who holds the pool.
+    let listing = bounded(node.store.range(&prefix)).await;
+    node.metrics.store_called("jobs", listing.is_ok());
+    let values: Vec<Stored> = listing.ok()?.entries.iter().map(stored).collect();
+    Some(recover(pool, &me, &values))
+}
+
+fn install<P: Platform>(node: &Node<P>, jobs: &PoolJobs<P::Clock>, recovered: Recovered) {
+    for event in &recovered.events {
+        let fields = [Field::new("pool", jobs.pool()), Field::new("reason", event)];
+        node.events.record(Code::ValueUnreadable, fields);
+    }
+    let count = recovered.jobs.len();
+    if count > 0 {
+        let fields = [Field::new("pool", jobs.pool()), Field::new("jobs", count)];
+        node.events.record(Code::JobsRecovered, fields);
+    }
+    let shard = Shard::restore(recovered, Limits::default(), Now::read(&node.clock));
+    jobs.lock().shard = Some(shard);
+}
+
+/// Turns a batch into a transaction of the store.
+pub(super) fn txn(batch: &Batch) -> Txn {
+    let mut txn = Txn::new();
+    for Expect { key, revision } in &batch.expects {
+        txn = txn.expect(key.clone(), revision.map(StoreRevision));
+    }
+    for write in &batch.writes {
+        txn = match write {
+            Write::Put { key, value } => txn.put(key.clone(), value.clone()),
+            Write::Delete { key } => txn.delete(key.clone()),
+        };
+    }
+    txn
+}
+
+/// Turns an entry of the store into a value of the journal.
+pub(super) fn stored(entry: &Entry) -> Stored {
+    let (key, value) = (entry.key.0.clone(), entry.value.clone());
+    Stored { key, value, revision: entry.modified.0 }
+}
+
+/// Turns the store's answer to a batch into the journal's terms.
+pub(super) fn commit(outcome: Result<TxnOutcome, vg_store::Error>) -> vg_jobs::Commit {
+    match outcome {
+        Ok(TxnOutcome::Done { revision }) => vg_jobs::Commit::Done { revision: revision.0 },
+        Ok(TxnOutcome::Conflict { .. }) => vg_jobs::Commit::Conflict,
+        Err(error) if error.is_without_effect() => vg_jobs::Commit::Unreached,
+        Err(_) => vg_jobs::Commit::Lost,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/jobs/serve.rs
@@ -0,0 +1,218 @@
+//! Requests about jobs, at any entry host and at the pool's owner.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_jobs::{CancelOutcome, Fate, JobSpec, Now, Refusal, Submitted};
+
+use crate::jobs::pool::Settled;
+use crate::jobs::{JobReply, JobRequest, JobVerb, JobView, PoolJobs};
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::problem::{Problem, ProblemCode};
+use crate::roster::{Peer, PoolOwner};
+
+/// Longest wait for a job to become durable.
+const DURABLE_TIME: Duration = Duration::from_secs(5);
+/// Longest wait for a job's end in one request.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+/// Time beyond the owner's own limits for its answer.
+const ANSWER_GRACE: Duration = Duration::from_secs(2);
+/// Longest answer of an owner.
+const ANSWER_MAX_BYTES: usize = 64 * 1024;
+/// When to come back while the pool's jobs are being recovered.
+const RECOVERY_RETRY: Duration = Duration::from_millis(500);
+
+/// Has the pool's owner serve a request, wherever that is.
+///
+/// # Errors
+///
+/// A [`Problem`] with the proved outcome.
+pub(crate) async fn serve<P: Platform>(
+    node: &Node<P>,
+    request: JobRequest,
+) -> Result<JobView, Problem> {
+    match node.roster.owner(&request.pool) {
+        Some(PoolOwner::Me) => at_owner(node, request).await,
+        Some(PoolOwner::Peer(peer)) => ask(node, &peer, request).await,
+        None => Err(recovering("the pool has no entry host yet")),
+    }
+}
+
+async fn ask<P: Platform>(
+    node: &Node<P>,
+    owner: &Peer,
+    mut request: JobRequest,
+) -> Result<JobView, Problem> {
+    request.epoch = owner.epoch;
+    let limit = match request.verb {
+        JobVerb::Show { wait_ms } => Duration::from_millis(wait_ms).min(WAIT_MAX),
+        JobVerb::Submit(_) | JobVerb::Cancel => DURABLE_TIME,
+    };
+    let url = format!("http://{}/peer/jobs", owner.addr);
+    let reply: Result<JobReply, _> =
+        node.client.exchange(&url, &request, limit + ANSWER_GRACE, ANSWER_MAX_BYTES).await;
+    match reply {
+        Ok(JobReply::View(view)) => Ok(view),
+        Ok(JobReply::Problem(problem)) => Err(problem),
+        Err(e) if e.is_not_sent() => {
+            Err(recovering(&format!("entry host `{}` cannot be reached", owner.member.node)))
+        }
+        Err(_) => {
+            let detail = format!("entry host `{}` was lost with the request", owner.member.node);
+            Err(Problem::unknown(ProblemCode::OwnerLost, detail))
+        }
+    }
+}
+
+/// Serves a request at the pool's owner.
+///
+/// # Errors
+///
+/// A [`Problem`] with the proved outcome.
+pub(crate) async fn at_owner<P: Platform>(
+    node: &Node<P>,
+    request: JobRequest,
+) -> Result<JobView, Problem> {
+    let jobs = node.jobs.get(&request.pool);
+    let jobs = jobs.ok_or_else(|| recovering("the pool's jobs are being recovered"))?;
+    match request.verb {
+        JobVerb::Submit(spec) => submit(node, &jobs, request.job, spec).await,
+        JobVerb::Show { wait_ms } => {
+            let wait = Duration::from_millis(wait_ms).min(WAIT_MAX);
+            show(&jobs, request.job, &request.team, wait).await
+        }
+        JobVerb::Cancel => cancel(node, &jobs, request.job, &request.team).await,
+    }
+}
+
+async fn submit<P: Platform>(
+    node: &Node<P>,
+    jobs: &Arc<PoolJobs<P::Clock>>,
+    job: JobId,
+    mut spec: JobSpec,
+) -> Result<JobView, Problem> {
+    node.roster.check_may_act()?;
+    let team = spec.team.clone();
+    let settled = {
+        let mut state = jobs.lock();
+        if !state.known {
+            return Err(recovering("the pool's workers are not all known yet"));
+        }
+        let shard = state.shard.as_mut();
+        let shard = shard.ok_or_else(|| recovering("the pool's jobs are being recovered"))?;
+        if let Some(known) = shard.job(job) {
+            // A repeat comes later: the first one's time stands.
+            spec.start_by = known.spec().start_by;
+        }
+        let submitted = shard.submit(job, spec, Now::read(&node.clock)).map_err(refused)?;
+        match submitted {
+            Submitted::Known(_) => None,
+            Submitted::Staged | Submitted::Pending => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiting.entry(job).or_default().push(sender);
+                Some(receiver)
+            }
+        }
+    };
+    jobs.ring();
+    if let Some(settled) = settled {
+        durable(settled, "the job").await?;
+        node.events.record(Code::JobAccepted, [Field::new("job", job), Field::new("team", &team)]);
+    }
+    view(jobs, job, &team)
+}
+
+async fn show<C: Clock>(
+    jobs: &PoolJobs<C>,
+    job: JobId,
+    team: &TeamId,
+    wait: Duration,
+) -> Result<JobView, Problem> {
+    let mut changes = jobs.changes();
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        changes.mark_unchanged();
+        let view = view(jobs, job, team)?;
+        if view.ended {
+            return Ok(view);
+        }
+        if !matches!(tokio::time::timeout_at(until, changes.changed()).await, Ok(Ok(()))) {
+            return Ok(view);
+        }
+    }
+}
+
+async fn cancel<P: Platform>(
+    node: &Node<P>,
+    jobs: &Arc<PoolJobs<P::Clock>>,
+    job: JobId,
+    team: &TeamId,
+) -> Result<JobView, Problem> {
+    view(jobs, job, team)?;
+    let settled = {
+        let mut state = jobs.lock();
+        let shard = state.shard.as_mut();
+        let shard = shard.ok_or_else(|| recovering("the pool's jobs are being recovered"))?;
+        match shard.cancel(&[job], Now::read(&node.clock)).first() {
+            Some(CancelOutcome::Staged) => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiting.entry(job).or_default().push(sender);
+                Some(receiver)
+            }
+            Some(CancelOutcome::Ended(_)) => None,
+            Some(CancelOutcome::NoJob) | None => return Err(unknown_job()),
+        }
+    };
+    jobs.ring();
+    if let Some(settled) = settled {
+        durable(settled, "the cancellation").await?;
+    }
+    view(jobs, job, team)
+}
+
+/// Waits until a change is durable.
+async fn durable(settled: oneshot::Receiver<Settled>, what: &str) -> Result<(), Problem> {
+    let detail = match tokio::time::timeout(DURABLE_TIME, settled).await {
+        Ok(Ok(Settled::Durable)) => return Ok(()),
+        Ok(Ok(Settled::Withdrawn(Fate::NotWritten))) => {
+            return Err(recovering("the pool is moving to another entry host"));
+        }
+        Ok(Ok(Settled::Withdrawn(_))) | Ok(Err(_)) => "the pool moved to another entry host",
+        Err(_) => "the store does not answer",
+    };
+    let detail = format!("{detail}; {what} may be durable: ask again by the same idempotency key");
+    Err(Problem::unknown(ProblemCode::StoreUnavailable, detail))
+}
+
+fn view<C: Clock>(jobs: &PoolJobs<C>, job: JobId, team: &TeamId) -> Result<JobView, Problem> {
+    let state = jobs.lock();
+    let shard = state.shard.as_ref();
+    let shard = shard.ok_or_else(|| recovering("the pool's jobs are being recovered"))?;
+    // Another team's job looks like one that doesn't exist.
+    let job = shard.job(job).filter(|job| job.spec().team == *team);
+    job.and_then(JobView::of).ok_or_else(unknown_job)
+}
+
+fn unknown_job() -> Problem {
+    let detail = "no job of this team has this id, or it ended too long ago";
+    Problem::not_run(ProblemCode::UnknownJob, detail)
+}
+
+fn recovering(detail: &str) -> Problem {
+    Problem::not_run(ProblemCode::NoOwner, detail).retry_after(RECOVERY_RETRY)
+}
+
+fn refused(refusal: Refusal) -> Problem {
+    let code = match refusal {
+        Refusal::Malformed { .. } => ProblemCode::MalformedRequest,
+        Refusal::IdTaken => ProblemCode::KeyReused,
+        Refusal::CannotRun => ProblemCode::CannotRun,
+        Refusal::Full { .. } => ProblemCode::QueueFull,
+        Refusal::StoreBusy => ProblemCode::StoreUnavailable,
+        Refusal::NotOwner => ProblemCode::NoOwner,
+    };
+    Problem::not_run(code, refusal.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/jobs/table.rs
@@ -0,0 +1,64 @@
+//! The jobs of all pools of this node.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use vg_base::prelude::*;
+
+use crate::jobs::PoolJobs;
+
+/// The jobs of owned pools, and of handed over ones whose units are not handed
+/// over yet. Locked alone.
+#[derive(Debug)]
+pub struct JobTable<C: Clock> {
+    pools: Mutex<Pools<C>>,
+}
+
+#[derive(Debug)]
+struct Pools<C: Clock> {
+    owned: BTreeMap<PoolId, Arc<PoolJobs<C>>>,
+    retired: Vec<Arc<PoolJobs<C>>>,
+}
+
+impl<C: Clock> Default for JobTable<C> {
+    fn default() -> JobTable<C> {
+        JobTable { pools: Mutex::new(Pools { owned: BTreeMap::new(), retired: Vec::new() }) }
+    }
+}
+
+impl<C: Clock> JobTable<C> {
+    /// Returns the jobs of an owned pool.
+    pub(crate) fn get(&self, pool: &PoolId) -> Option<Arc<PoolJobs<C>>> {
+        self.lock().owned.get(pool).cloned()
+    }
+
+    /// Returns the jobs of all owned pools.
+    pub(crate) fn all(&self) -> Vec<Arc<PoolJobs<C>>> {
+        self.lock().owned.values().cloned().collect()
+    }
+
+    /// Adds the jobs of a pool that this node has come to own.
+    pub(crate) fn add(&self, jobs: Arc<PoolJobs<C>>) {
+        self.lock().owned.insert(jobs.pool().clone(), jobs);
+    }
+
+    /// Stops keeping a pool's jobs.
+    pub(crate) fn retire(&self, pool: &PoolId) {
+        let mut pools = self.lock();
+        let Some(jobs) = pools.owned.remove(pool) else { return };
+        pools.retired.push(Arc::clone(&jobs));
+        drop(pools);
+        jobs.close();
+    }
+
+    /// Takes the handed over jobs of a pool, or of all.
+    pub(crate) fn take_retired(&self, pool: Option<&PoolId>) -> Vec<Arc<PoolJobs<C>>> {
+        let mut pools = self.lock();
+        let wanted = |each: &mut Arc<PoolJobs<C>>| pool.is_none_or(|pool| each.pool() == pool);
+        pools.retired.extract_if(.., wanted).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pools<C>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,7 +10,7 @@
 //! order:
 //!
 //! 1. the table of owned pools (`pools`),
-//! 2. one pool's dispatch table (`dispatch`),
+//! 2. one pool's dispatch table (`dispatch`) or its jobs (`jobs`),
 //! 3. the roster (`roster`): membership, standing and units.
 //!
 //! The lists, the host list, the receipts, the events and the epoch of the
@@ -27,6 +27,7 @@
 mod headers;
 mod hosts;
 mod ingress;
+mod jobs;
 mod metrics;
 mod node;
 mod options;
@@ -44,6 +45,7 @@
 pub use config::{ConfigError, ConfigTable, Current, Offered};
 pub use handle::{NodeHandle, StartError};
 pub use hosts::{Host, HostKind, HostList, HostState, HostTable};
+pub use jobs::JobTable;
 pub use metrics::Metrics;
 pub use node::{Inner, Node, NodeState};
 pub use options::Options;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,6 +17,7 @@
 use crate::call::Call;
 use crate::config::ConfigTable;
 use crate::hosts::HostTable;
+use crate::jobs::JobTable;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::platform::Platform;
@@ -86,6 +87,8 @@
     pub roster: Roster<P::Clock>,
     /// Owned pools.
     pub pools: PoolTable<P::Clock>,
+    /// Jobs of owned pools.
+    pub jobs: JobTable<P::Clock>,
     /// Receipts of idempotency keys.
     pub receipts: ReceiptTable<P::Clock>,
     /// Address for callers.
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -1,11 +1,12 @@
 //! This node's membership, standing and units behind one lock.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::Notify;
 use vg_base::prelude::*;
-use vg_limit::RunKey;
+use vg_limit::{RunKey, UnitReply, UnitRequest};
 use vg_peer::{Node as Membership, StartRefusal, Timing};
 
 use crate::problem::{Problem, ProblemCode};
@@ -131,6 +132,42 @@
         }
     }
 
+    /// Frees units and sends them to a peer in one step, so that nothing else
+    /// here can use them in between.
+    pub(crate) fn hand_over(
+        &self,
+        guards: Vec<UnitGuard<C>>,
+        request: &UnitRequest,
+    ) -> Option<UnitReply> {
+        let mut membership = self.lock();
+        for mut guard in guards {
+            if let Some(run) = guard.run.take() {
+                membership.ledger_mut().finish(run);
+            }
+        }
+        membership.answer_units(request)
+    }
+
+    /// Takes in units from a peer and uses them for runs that go on, in one
+    /// step. Returns those that could be had.
+    pub(crate) fn take_over(
+        &self,
+        reply: &UnitReply,
+        needed: &BTreeMap<TeamId, Units>,
+    ) -> Vec<(TeamId, UnitGuard<C>)> {
+        let now = self.inner.clock.now();
+        let mut membership = self.lock();
+        membership.receive_units(reply);
+        let mut guards = Vec::new();
+        for (team, units) in needed {
+            for _ in 0..units.get() {
+                let Ok(run) = membership.try_start(now, team, Units(1)) else { break };
+                guards.push((team.clone(), UnitGuard { roster: self.clone(), run: Some(run) }));
+            }
+        }
+        guards
+    }
+
     /// Waits until a run has found too few units.
     pub async fn missing(&self) {
         self.inner.missing.notified().await;
--- /dev/null
+++ b/crates/entry/src/web/jobs.rs
@@ -0,0 +1,149 @@
+//! Jobs from callers.
+
+use gotham::handler::HandlerResult;
+use gotham::state::{FromState, State};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use vg_base::prelude::*;
+use vg_conf::{Access, Class as QueueClass, KeyDigest};
+use vg_jobs::{Class, JobSpec, PAYLOAD_MAX_BYTES, Resources};
+use vg_net::Body;
+
+use crate::admit::admit;
+use crate::headers;
+use crate::ingress::read_body;
+use crate::jobs::{JobRequest, JobVerb, JobView, job_id, keyed_job_id, pool_of, serve};
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::problem::{Problem, ProblemCode, outcome_value};
+use crate::web::context::{node, take_request};
+use crate::web::paths::{JobPath, QueuePath, WaitQuery};
+
+/// Size of a job that declares none: one core and half a gigabyte.
+const SIZE: Resources = Resources::new(1000, 512 * 1024 * 1024, 0);
+/// Longest time for a job's body to come.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// `POST /v1/queues/{queue}/jobs`
+pub(crate) async fn post_job<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let path = QueuePath::take_from(&mut state);
+    let (headers, body) = take_request(&mut state);
+    let result = submit(&node, &path.queue, &headers, body).await;
+    Ok((state, respond(result, StatusCode::ACCEPTED)))
+}
+
+/// `GET /v1/jobs/{job}`
+pub(crate) async fn get_job<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let wait = WaitQuery::take_from(&mut state).wait.unwrap_or(0);
+    let verb = JobVerb::Show { wait_ms: wait.saturating_mul(1000) };
+    let result = about(&node, &mut state, verb).await;
+    Ok((state, respond(result, StatusCode::OK)))
+}
+
+/// `DELETE /v1/jobs/{job}`
+pub(crate) async fn delete_job<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let result = about(&node, &mut state, JobVerb::Cancel).await;
+    Ok((state, respond(result, StatusCode::OK)))
+}
+
+async fn submit<P: Platform>(
+    node: &Node<P>,
+    queue: &str,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<JobView, Problem> {
+    node.check_serving()?;
+    let key = headers::idempotency_key(headers)?;
+    let deadline = headers::deadline(headers)?;
+    let size = size(headers)?;
+    let run_time = headers::parsed::<u64>(headers, &headers::JOB_RUN_MS, "milliseconds")?;
+    let config = node.config.current();
+    let admitted = admit(&config.lists, queue, headers::bearer(headers)?)?;
+    let payload = read_body(node, body, BODY_TIME).await?;
+    if payload.len() > PAYLOAD_MAX_BYTES {
+        let detail = format!("a job's body has at most {PAYLOAD_MAX_BYTES} bytes");
+        return Err(Problem::not_run(ProblemCode::BodyTooLong, detail));
+    }
+    let (queue, team) = (admitted.queue, &admitted.plan.team);
+    let wait = deadline.unwrap_or(queue.deadline).min(queue.deadline);
+    let job = match &key {
+        Some(key) => keyed_job_id(&queue.pool, team, &queue.id, key),
+        None => job_id(&queue.pool),
+    };
+    let spec = JobSpec {
+        queue: queue.id.clone(),
+        team: team.clone(),
+        class: match queue.class {
+            QueueClass::Urgent => Class::Urgent,
+            QueueClass::Background => Class::Background,
+        },
+        idempotent: queue.idempotent,
+        size,
+        run_time: run_time.map(Duration::from_millis),
+        start_by: Some(node.clock.wall() + wait),
+        payload,
+    };
+    let verb = JobVerb::Submit(spec);
+    let request =
+        JobRequest { pool: queue.pool.clone(), epoch: Epoch::ZERO, job, team: team.clone(), verb };
+    serve(node, request).await
+}
+
+fn size(headers: &HeaderMap) -> Result<Resources, Problem> {
+    let cores = headers::parsed(headers, &headers::JOB_CORES, "thousandths of a core")?;
+    let memory = headers::parsed(headers, &headers::JOB_MEMORY, "bytes")?;
+    let accelerators = headers::parsed(headers, &headers::JOB_ACCELERATORS, "a whole number")?;
+    Ok(Resources::new(
+        cores.unwrap_or(SIZE.cores.0),
+        memory.unwrap_or(SIZE.memory.0),
+        accelerators.unwrap_or(SIZE.accelerators.0),
+    ))
+}
+
+/// Serves a request about a job that was accepted before.
+async fn about<P: Platform>(
+    node: &Node<P>,
+    state: &mut State,
+    verb: JobVerb,
+) -> Result<JobView, Problem> {
+    node.check_serving()?;
+    let path = JobPath::take_from(state);
+    let headers = HeaderMap::take_from(state);
+    let no_job = || Problem::not_run(ProblemCode::UnknownJob, "no job has this id");
+    let job: JobId = path.job.parse().map_err(|_| no_job())?;
+    let config = node.config.current();
+    let pool = pool_of(&config.lists, job).ok_or_else(no_job)?.clone();
+    let team = match headers::bearer(&headers)? {
+        Some(key) => {
+            let plan = config.lists.plan_of_digest(&KeyDigest::of(key));
+            let unknown = || Problem::not_run(ProblemCode::UnknownKey, "the key is not in force");
+            plan.ok_or_else(unknown)?.team.clone()
+        }
+        None => {
+            // Without a key, the jobs of the pool's open queue can be seen.
+            let open = config.lists.queues.values().find_map(|queue| match &queue.access {
+                Access::Open { plan } if queue.pool == pool => config.lists.plans.get(plan),
+                _ => None,
+            });
+            let missing = || Problem::not_run(ProblemCode::MissingKey, "a key is needed");
+            open.ok_or_else(missing)?.team.clone()
+        }
+    };
+    serve(node, JobRequest { pool, epoch: Epoch::ZERO, job, team, verb }).await
+}
+
+fn respond(result: Result<JobView, Problem>, status: StatusCode) -> Response<Body> {
+    let view = match result {
+        Ok(view) => view,
+        Err(problem) => return problem.into_response(),
+    };
+    let body = serde_json::to_vec(&view).unwrap_or_default();
+    let mut response = Response::new(vg_net::full(body));
+    *response.status_mut() = status;
+    let fields = response.headers_mut();
+    fields.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    fields.insert(headers::OUTCOME, outcome_value(Outcome::Answered));
+    response
+}
--- a/crates/entry/src/web/mod.rs
+++ b/crates/entry/src/web/mod.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod context;
+mod jobs;
 mod paths;
 mod peers;
 mod routes;
--- a/crates/entry/src/web/peers.rs
+++ b/crates/entry/src/web/peers.rs
@@ -13,6 +13,7 @@
 use crate::control;
 use crate::dispatch;
 use crate::forward;
+use crate::jobs::{self, JobReply, JobRequest, UnitsHandover};
 use crate::platform::Platform;
 use crate::problem::{Problem, ProblemCode};
 use crate::receipts::{Mirror, Settled};
@@ -63,6 +64,29 @@
     Ok((state, response))
 }
 
+/// `POST /peer/jobs`
+pub(crate) async fn post_job<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let result = match read::<JobRequest>(&mut state).await {
+        Ok(request) => match node.roster.check_owner(&request.pool, request.epoch) {
+            Ok(()) => jobs::at_owner(&node, request).await,
+            Err(problem) => Err(problem),
+        },
+        Err(problem) => Err(problem),
+    };
+    Ok((state, reply_with(&JobReply::from(result))))
+}
+
+/// `POST /peer/jobs/units`
+pub(crate) async fn post_job_units<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let response = match read::<UnitsHandover>(&mut state).await {
+        Ok(ask) => reply_with(&jobs::hand_units(&node, &ask)),
+        Err(problem) => problem.into_response(),
+    };
+    Ok((state, response))
+}
+
 /// `POST /peer/lists`
 pub(crate) async fn post_lists<P: Platform>(state: State) -> HandlerResult {
     let node = node::<P>(&state);
--- a/crates/entry/src/web/routes.rs
+++ b/crates/entry/src/web/routes.rs
@@ -9,8 +9,8 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::web::context::Context;
-use crate::web::paths::{EventsQuery, PoolPath, QueuePath};
-use crate::web::{calls, peers, status};
+use crate::web::paths::{EventsQuery, JobPath, PoolPath, QueuePath, WaitQuery};
+use crate::web::{calls, jobs, peers, status};
 
 /// Makes the router of the callers' address.
 pub(crate) fn caller_router<P: Platform>(node: &Node<P>) -> Router {
@@ -31,6 +31,19 @@
             .post("/v1/queues/:queue/calls")
             .with_path_extractor::<QueuePath>()
             .to_async(calls::post_call::<P>);
+        route
+            .post("/v1/queues/:queue/jobs")
+            .with_path_extractor::<QueuePath>()
+            .to_async(jobs::post_job::<P>);
+        route
+            .get("/v1/jobs/:job")
+            .with_path_extractor::<JobPath>()
+            .with_query_string_extractor::<WaitQuery>()
+            .to_async(jobs::get_job::<P>);
+        route
+            .delete("/v1/jobs/:job")
+            .with_path_extractor::<JobPath>()
+            .to_async(jobs::delete_job::<P>);
     })
 }
 
@@ -51,6 +64,8 @@
             .to_async(peers::post_handover::<P>);
         route.post("/peer/heartbeat").to_async(peers::post_heartbeat::<P>);
         route.post("/peer/units").to_async(peers::post_units::<P>);
+        route.post("/peer/jobs").to_async(peers::post_job::<P>);
+        route.post("/peer/jobs/units").to_async(peers::post_job_units::<P>);
         route.post("/peer/lists").to_async(peers::post_lists::<P>);
         route.post("/peer/receipts").to_async(peers::post_receipt::<P>);
         route.post("/peer/receipts/settled").to_async(peers::post_settled::<P>);
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -143,6 +143,8 @@
     JobsRecovered = 608, "jobs-recovered", Info;
     /// A worker fails unlike jobs and gets no more.
     WorkerQuarantined = 610, "worker-quarantined", Warn;
+    /// A quarantined worker runs probes well and gets jobs again.
+    WorkerRestored = 611, "worker-restored", Info;
 
     /// A host's maintenance began.
     HostDraining = 700, "host-draining", Info;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -25,6 +25,6 @@
 pub use site::{Site, run};
 pub use store::{FaultKind, FaultsRequest, ScriptRequest, StoreServer};
 pub use worker::{
-    Capacity, RenewRequest, TaskError, TaskSpec, TaskState, TaskStatus, TasksResponse,
-    ThrottleRequest, Worker, WorkerFaults, WorkerFaultsRequest, WorkerSettings,
+    Capacity, LeaseRequest, QueryRequest, RenewRequest, TaskError, TaskSpec, TaskState, TaskStatus,
+    TasksResponse, ThrottleRequest, Worker, WorkerFaults, WorkerFaultsRequest, WorkerSettings,
 };
--- a/crates/standin/src/worker/error.rs
+++ b/crates/standin/src/worker/error.rs
@@ -18,6 +18,18 @@
         /// Highest attempt seen.
         seen: u64,
     },
+    /// A later owner has renewed the lease.
+    #[snafu(display("an owner of epoch {seen} was seen"))]
+    OldOwner {
+        /// Highest epoch seen.
+        seen: Epoch,
+    },
+    /// The message is meant for an earlier or later incarnation.
+    #[snafu(display("this is incarnation {now}"))]
+    OtherIncarnation {
+        /// The present one.
+        now: Incarnation,
+    },
     /// The task does not fit beside those that run.
     #[snafu(display("there is no room: free are {free:?}"))]
     NoRoom {
@@ -45,6 +57,8 @@
     fn from(error: TaskError) -> Problem {
         let (status, code) = match error {
             TaskError::Stale { .. } => (StatusCode::CONFLICT, "stale-attempt"),
+            TaskError::OldOwner { .. } => (StatusCode::CONFLICT, "old-owner"),
+            TaskError::OtherIncarnation { .. } => (StatusCode::CONFLICT, "other-incarnation"),
             TaskError::NoRoom { .. } => (StatusCode::CONFLICT, "no-room"),
             TaskError::TooLate => (StatusCode::CONFLICT, "too-late"),
             TaskError::Taken => (StatusCode::CONFLICT, "taken"),
--- a/crates/standin/src/worker/handlers.rs
+++ b/crates/standin/src/worker/handlers.rs
@@ -6,7 +6,10 @@
 
 use crate::web::{Exchange, Reply, json, json_as};
 use crate::worker::server::WorkerState;
-use crate::worker::{RenewRequest, TaskSpec, TasksResponse, ThrottleRequest, WorkerFaultsRequest};
+use crate::worker::{
+    LeaseRequest, QueryRequest, RenewRequest, TaskError, TaskSpec, TasksResponse, ThrottleRequest,
+    WorkerFaultsRequest,
+};
 
 /// `POST /tasks`
 pub(crate) async fn start<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
@@ -18,6 +21,26 @@
     json_as(StatusCode::CREATED, &status)
 }
 
+/// `POST /lease`
+pub(crate) async fn lease<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = exchange.context.clone();
+    let request: LeaseRequest = exchange.json().await?;
+    state.faults.pass().await;
+    let ttl = Duration::from_millis(request.lease_ms);
+    state.table().lease(request.epoch, ttl, state.clock.now())?;
+    json(&report(&state))
+}
+
+/// `POST /jobs/{id}/query`
+pub(crate) async fn query<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
+    let state = exchange.context.clone();
+    let request: QueryRequest = exchange.json().await?;
+    state.faults.pass().await;
+    let job = exchange.id.parse().map_err(|_| TaskError::NoTask)?;
+    let status = state.table().query(job, request.attempt, state.clock.now())?;
+    json(&status)
+}
+
 /// `POST /tasks/{id}/renew`
 pub(crate) async fn renew<C: Clock>(mut exchange: Exchange<WorkerState<C>>) -> Reply {
     let state = exchange.context.clone();
@@ -81,6 +104,7 @@
     table.advance(now);
     TasksResponse {
         worker: state.settings.id.clone(),
+        incarnation: table.incarnation(),
         capacity: state.settings.capacity,
         usage: table.usage(lag, now),
         tasks: table.statuses(),
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -16,5 +16,5 @@
 pub use faults::{WorkerFaults, WorkerFaultsRequest};
 pub use server::Worker;
 pub use settings::WorkerSettings;
-pub use spec::{RenewRequest, TaskSpec, ThrottleRequest};
+pub use spec::{LeaseRequest, QueryRequest, RenewRequest, TaskSpec, ThrottleRequest};
 pub use status::{TaskState, TaskStatus, TasksResponse};
--- a/crates/standin/src/worker/server.rs
+++ b/crates/standin/src/worker/server.rs
@@ -57,7 +57,7 @@
         clock: C,
     ) -> Result<Worker<C>, Error> {
         let server = Server::bind(settings.addr, Limits::default()).await.context(StartSnafu)?;
-        let table = Mutex::new(TaskTable::new(settings.clone(), log));
+        let table = Mutex::new(TaskTable::new(settings.clone(), log, clock.wall()));
         let faults = WorkerFaults::default();
         let server = server.with_gate(faults.gate().clone());
         let state = Context::new(WorkerState { settings, clock, faults, table });
@@ -146,6 +146,11 @@
             .post("/tasks/:id/stop")
             .with_path_extractor::<IdPath>()
             .to(handle(handlers::stop::<C>));
+        route.post("/lease").to(handle(handlers::lease::<C>));
+        route
+            .post("/jobs/:id/query")
+            .with_path_extractor::<IdPath>()
+            .to(handle(handlers::query::<C>));
         route.put("/faults").to(handle(handlers::set_faults::<C>));
     })
 }
--- a/crates/standin/src/worker/spec.rs
+++ b/crates/standin/src/worker/spec.rs
@@ -18,6 +18,12 @@
     /// Fence: a worker refuses attempts below the highest one it has seen of
     /// the job.
     pub attempt: u64,
+    /// Incarnation of the worker that the task is meant for.
+    #[serde(default)]
+    pub incarnation: Option<Incarnation>,
+    /// Epoch of the owner that starts it.
+    #[serde(default)]
+    pub epoch: Option<Epoch>,
     /// Team that the task counts against.
     pub team: TeamId,
     /// Declared number of cores.
@@ -58,6 +64,25 @@
     }
 }
 
+/// `POST /lease`: renews the lease of the worker and of all its tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseRequest {
+    /// Epoch of the owner; a lower one than seen is refused.
+    pub epoch: Epoch,
+    /// Time to live from now on.
+    pub lease_ms: u64,
+}
+
+/// `POST /jobs/{id}/query`: asks for an attempt, which is never started later
+/// if it is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueryRequest {
+    /// The attempt.
+    pub attempt: u64,
+}
+
 /// `POST /tasks/{id}/renew`
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/standin/src/worker/status.rs
+++ b/crates/standin/src/worker/status.rs
@@ -38,6 +38,8 @@
     pub progress_ms: u64,
     /// Progress at the last checkpoint.
     pub checkpoint_ms: u64,
+    /// What it takes while it runs.
+    pub usage: Capacity,
 }
 
 /// `GET /tasks`
@@ -45,6 +47,8 @@
 pub struct TasksResponse {
     /// Name of the host.
     pub worker: HostId,
+    /// Grows with each start of the worker and each lapse of its lease.
+    pub incarnation: Incarnation,
     /// What the worker has.
     pub capacity: Capacity,
     /// What the tasks took a while ago.
--- a/crates/standin/src/worker/table.rs
+++ b/crates/standin/src/worker/table.rs
@@ -25,12 +25,22 @@
     tasks: BTreeMap<SmolStr, Task>,
     fences: BTreeMap<JobId, u64>,
     usage: VecDeque<(Instant, Capacity)>,
+    /// Grows with each start of the worker and each lapse of its lease.
+    incarnation: Incarnation,
+    /// Highest epoch of an owner that renewed the lease.
+    epoch: Epoch,
+    /// End of the worker's lease; none before the first renewal.
+    lease: Option<Instant>,
 }
 
 impl TaskTable {
     /// Makes the table of a worker without tasks.
-    pub(crate) fn new(settings: WorkerSettings, log: RunLog) -> TaskTable {
+    pub(crate) fn new(settings: WorkerSettings, log: RunLog, wall: SystemTime) -> TaskTable {
+        let since = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         TaskTable {
+            incarnation: Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX)),
+            epoch: Epoch::ZERO,
+            lease: None,
             settings,
             log,
             tasks: BTreeMap::new(),
@@ -72,6 +82,47 @@
         Ok(status)
     }
 
+    /// Renews the lease of the worker and of all that runs on it. After a
+    /// lapse, in which all tasks were stopped, the worker is another one.
+    pub(crate) fn lease(
+        &mut self,
+        epoch: Epoch,
+        ttl: Duration,
+        now: Instant,
+    ) -> Result<Incarnation, TaskError> {
+        self.advance(now);
+        if epoch < self.epoch {
+            return Err(TaskError::OldOwner { seen: self.epoch });
+        }
+        self.epoch = epoch;
+        self.lease = Some(now + ttl);
+        self.tasks.values_mut().filter(|task| task.runs()).for_each(|task| task.renew(ttl, now));
+        Ok(self.incarnation)
+    }
+
+    /// Returns the incarnation.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns an attempt of a job. One that is not known is never started
+    /// from now on.
+    pub(crate) fn query(
+        &mut self,
+        job: JobId,
+        attempt: u64,
+        now: Instant,
+    ) -> Result<TaskStatus, TaskError> {
+        self.advance(now);
+        let same = |task: &&Task| task.spec.job == job && task.spec.attempt == attempt;
+        if let Some(task) = self.tasks.values().find(same) {
+            return Ok(task.status());
+        }
+        let seen = self.fences.entry(job).or_default();
+        *seen = attempt.max(*seen);
+        Err(TaskError::NoTask)
+    }
+
     /// Renews the lease of a running task.
     pub(crate) fn renew(
         &mut self,
@@ -118,6 +169,12 @@
 
     /// Moves all tasks on to `now`.
     pub(crate) fn advance(&mut self, now: Instant) {
+        if self.lease.take_if(|until| *until <= now).is_some() {
+            self.incarnation = self.incarnation.next();
+            self.tasks.values_mut().filter(|task| task.runs()).for_each(|task| {
+                task.end(TaskState::Lapsed);
+            });
+        }
         for task in self.tasks.values_mut() {
             task.advance(now);
         }
@@ -142,6 +199,12 @@
     }
 
     fn check(&self, spec: &TaskSpec, wall: SystemTime) -> Result<(), TaskError> {
+        if spec.epoch.is_some_and(|epoch| epoch < self.epoch) {
+            return Err(TaskError::OldOwner { seen: self.epoch });
+        }
+        if spec.incarnation.is_some_and(|meant| meant != self.incarnation) {
+            return Err(TaskError::OtherIncarnation { now: self.incarnation });
+        }
         if let Some(&seen) = self.fences.get(&spec.job).filter(|&&seen| spec.attempt <= seen) {
             return Err(TaskError::Stale { job: spec.job, seen });
         }
--- a/crates/standin/src/worker/task.rs
+++ b/crates/standin/src/worker/task.rs
@@ -3,7 +3,7 @@
 use vg_base::prelude::*;
 
 use crate::RunGuard;
-use crate::worker::{TaskSpec, TaskState, TaskStatus};
+use crate::worker::{Capacity, TaskSpec, TaskState, TaskStatus};
 
 /// Full speed, in percent.
 const FULL_SPEED: u32 = 100;
@@ -89,6 +89,7 @@
             state: self.state,
             progress_ms: millis(self.progress),
             checkpoint_ms: millis(self.checkpoint),
+            usage: if self.runs() { self.spec.usage() } else { Capacity::default() },
         }
     }
 }
--- a/crates/verbenagap/src/site/caller.rs
+++ b/crates/verbenagap/src/site/caller.rs
@@ -16,6 +16,9 @@
 /// Time past a request's deadline after which a caller gives up.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// Longest time for an answer about a job.
+const JOB_PATIENCE: Duration = Duration::from_secs(40);
+
 /// Sends calls of one team to the entry hosts in turn.
 #[derive(Debug)]
 pub struct Caller {
@@ -79,6 +82,51 @@
         answer(reply, began.elapsed())
     }
 
+    /// Submits a job, with how long it runs and, if it shall be repeatable, an
+    /// idempotency key.
+    pub async fn submit(&self, queue: &str, run: Duration, key: Option<&str>) -> Answer {
+        let mut request = Request::post(self.url(&format!("/v1/queues/{queue}/jobs")))
+            .header("vg-job-run-ms", run.as_millis().to_string());
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        self.send(request).await
+    }
+
+    /// Submits a job that needs `millis` thousandths of a core.
+    pub async fn submit_sized(&self, queue: &str, millis: u32) -> Answer {
+        let url = self.url(&format!("/v1/queues/{queue}/jobs"));
+        self.send(Request::post(url).header("vg-job-cores", millis.to_string())).await
+    }
+
+    /// Asks about a job, and waits for its end for at most some seconds.
+    pub async fn job(&self, id: &str, wait_secs: u64) -> Answer {
+        self.send(Request::get(self.url(&format!("/v1/jobs/{id}?wait={wait_secs}")))).await
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, id: &str) -> Answer {
+        self.send(Request::delete(self.url(&format!("/v1/jobs/{id}")))).await
+    }
+
+    fn url(&self, path: &str) -> String {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let addr = self.balancer.pick(turn).map(|addr| addr.to_string()).unwrap_or_default();
+        format!("http://{addr}{path}")
+    }
+
+    async fn send(&self, mut request: http::request::Builder) -> Answer {
+        let began = Instant::now();
+        if let Some(key) = &self.key {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        let reply = match request.body(vg_net::empty()) {
+            Ok(request) => self.client.call(request, JOB_PATIENCE, ANSWER_MAX_BYTES).await,
+            Err(source) => Err(vg_net::Error::Request { source }),
+        };
+        answer(reply, began.elapsed())
+    }
+
     fn request(&self, addr: SocketAddr, call: &CallRequest) -> Result<Request<Body>, http::Error> {
         let url = format!("http://{addr}/v1/queues/{}/calls", call.queue);
         let mut request = Request::post(url)
--- a/crates/verbenagap/src/site/mod.rs
+++ b/crates/verbenagap/src/site/mod.rs
@@ -19,7 +19,10 @@
 use vg_conf::{ChangeId, Lists, Stored};
 use vg_entry::{NodeHandle, Options};
 use vg_net::Limits;
-use vg_standin::{Endpoint, EndpointSettings, Host, HostKind, HostListServer, HostState, RunLog};
+use vg_standin::{
+    Endpoint, EndpointSettings, Host, HostKind, HostListServer, HostState, RunLog, Worker,
+    WorkerSettings,
+};
 use vg_store::{Faults, FaultyStore, Key, MemStore, Store, Txn, TxnOutcome};
 
 pub use answer::Answer;
@@ -55,6 +58,7 @@
     log: RunLog,
     hosts: HostListServer<SystemClock>,
     endpoints: BTreeMap<HostId, Endpoint>,
+    workers: BTreeMap<HostId, Worker>,
     nodes: BTreeMap<NodeId, SiteNode>,
     balancer: Balancer,
 }
@@ -74,6 +78,7 @@
             log: RunLog::new(),
             hosts,
             endpoints: BTreeMap::new(),
+            workers: BTreeMap::new(),
             nodes: BTreeMap::new(),
             balancer: Balancer::default(),
             plan,
@@ -82,6 +87,7 @@
         site.write_lists(Revision(1), plans, uses).await?;
         for pool in site.lists()?.pools.keys() {
             site.start_endpoints(pool).await?;
+            site.start_workers(pool).await?;
         }
         for at in 0..site.plan.nodes {
             site.start_node(&node_id(at)).await?;
@@ -128,6 +134,11 @@
         &self.endpoints
     }
 
+    /// Returns the workers by host.
+    pub fn workers(&self) -> &BTreeMap<HostId, Worker> {
+        &self.workers
+    }
+
     /// Returns the running nodes.
     pub fn nodes(&self) -> &BTreeMap<NodeId, SiteNode> {
         &self.nodes
@@ -266,6 +277,32 @@
         Ok(())
     }
 
+    async fn start_workers(&mut self, pool: &PoolId) -> Result<(), SiteError> {
+        for at in 0..self.plan.workers {
+            let zone = zone_id(at % self.plan.zones);
+            let id: HostId = name(&format!("{pool}-worker-{at}"));
+            let settings = WorkerSettings::new(id.clone());
+            let worker = Worker::start(settings, self.log.clone(), SystemClock).await;
+            let worker = worker.context(StandinSnafu)?;
+            self.hosts.put(Host {
+                id: id.clone(),
+                pool: Some(pool.clone()),
+                rack: name(&format!("{zone}-w{}", at / self.plan.zones)),
+                zone,
+                addr: worker.addr(),
+                kind: HostKind::Worker,
+                state: HostState::Live,
+            });
+            self.workers.insert(id, worker);
+        }
+        Ok(())
+    }
+
+    /// Takes a worker out of the site, to stop or kill it.
+    pub fn take_worker(&mut self, host: &HostId) -> Option<Worker> {
+        self.workers.remove(host)
+    }
+
     fn options(&self, node: &NodeId) -> Options {
         let at = self.nodes.len() as u32;
         Options {
--- a/crates/verbenagap/src/site/plan.rs
+++ b/crates/verbenagap/src/site/plan.rs
@@ -20,6 +20,8 @@
     pub nodes: u32,
     /// Endpoints of each pool.
     pub endpoints: u32,
+    /// Workers of each pool.
+    pub workers: u32,
     /// Availability zones.
     pub zones: u32,
     /// How long an endpoint takes for a call.
@@ -41,6 +43,7 @@
             uses: uses.to_owned(),
             nodes: 3,
             endpoints: 3,
+            workers: 2,
             zones: 3,
             service: Duration::from_millis(20),
             timing: Timing::default(),
