--- a/crates/cli/src/config/change.rs
+++ b/crates/cli/src/config/change.rs
@@ -6,6 +6,7 @@
 use vg_conf::lists::{Difference, EditError, diff};
 use vg_conf::{ChangeId, Lists, Stored};
 
+use super::diff::Differences;
 use super::force::WaitOptions;
 use super::pair::Pair;
 use super::status::progress_text;
@@ -73,6 +74,10 @@
     ) -> Result<Exit, Error> {
         let after = self.pair.lists()?;
         let current = session.revisions()?.current().await?;
+        if self.is_stored(&current) {
+            session.show(&Differences { base: self.base, differences: Vec::new() })?;
+            return Ok(Exit::Done);
+        }
         let proposal = self.proposal(session)?;
         match session.revisions()?.apply(&proposal).await? {
             Verdict::Stored { revision } => {
@@ -88,6 +93,16 @@
         }
     }
 
+    /// Whether the newest revision is the base and has these very texts.
+    fn is_stored(&self, current: &Current) -> bool {
+        let same = |stored: &Stored| {
+            stored.revision == self.base
+                && stored.plans == self.pair.plans
+                && stored.uses == self.pair.uses
+        };
+        self.above <= self.base && current.stored.as_ref().is_some_and(same)
+    }
+
     fn proposal<P: Platform, Y: System>(
         &self,
         session: &Session<'_, '_, P, Y>,
