--- a/crates/peer/src/node/messages.rs
+++ b/crates/peer/src/node/messages.rs
@@ -28,8 +28,9 @@
     /// Makes a heartbeat, or the reply to one.
     pub fn heartbeat(&mut self, now: Instant, to: &Member, stamp: Stamp) -> Heartbeat {
         self.ledger.spread(to);
-        let fenced = self.book().state(to).is_some_and(|state| state.is_fenced());
-        let statement = self.standing.statement(now, fenced);
+        // Also a member that was reclaimed and is gone from the book.
+        let over = self.book().is_over(to);
+        let statement = self.standing.statement(now, over);
         let (serial, echo) = self.view.number(now, to);
         let book = self.view.book();
         self.advice.retain(|member| book.holds_rights(member));
--- a/crates/peer/src/standing.rs
+++ b/crates/peer/src/standing.rs
@@ -212,7 +212,7 @@
         if self.supporters(now).any(behind) { Err(stale) } else { Ok(()) }
     }
 
-    /// Returns what to state to a peer, which the book fences or not.
+    /// Returns what to state to a peer, which is fenced for good or not.
     pub fn statement(&self, now: Instant, fenced: bool) -> Statement {
         let age = self.confirmed.map(|at| now.saturating_duration_since(at).as_millis());
         Statement {
--- /dev/null
+++ b/crates/peer/tests/book.rs
@@ -0,0 +1,124 @@
+//! Transitions, size and codec of the book.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use vg_base::prelude::*;
+use vg_limit::{Adjust, UnitChange};
+use vg_peer::{Book, BookError, MemberState, Transition, choose_owner};
+
+mod common;
+
+use common::{member, record};
+
+fn names<T: std::str::FromStr<Err: std::fmt::Debug>>(kind: &str, count: usize) -> Vec<T> {
+    (0..count).map(|i| format!("{kind}-{i:02}").parse().unwrap()).collect()
+}
+
+fn target(members: usize) -> Book {
+    let teams: Vec<TeamId> = names("team-of-some-name", 65);
+    let pools: Vec<PoolId> = names("pool-of-some-name", 54);
+    let limits: BTreeMap<TeamId, Units> =
+        teams.iter().cloned().map(|team| (team, Units(400))).collect();
+    let revision = Revision(1);
+    let lists = Transition::SetLists { revision, limits, pools: pools.into_iter().collect() };
+    let mut book = Book::default().apply(&lists).unwrap();
+    for index in 0..members {
+        let by = member(&format!("entry-{index:02}"), 1_790_000_000_000_000 + index as u64);
+        book = book.apply(&Transition::Join { member: by.clone(), record: record() }).unwrap();
+        let take = teams.iter().cloned().map(|team| (team, Units(20))).collect();
+        let adjust = Adjust { by, serial: 1, give: BTreeMap::new(), take };
+        book = book.apply(&Transition::Units(UnitChange::Adjust(adjust))).unwrap();
+    }
+    book.apply(&Transition::PlacePools).unwrap()
+}
+
+#[test]
+fn the_book_of_the_target_size_is_well_below_a_megabyte() {
+    let mut book = target(18);
+    // Twice the members: every one was just replaced.
+    for index in 0..18 {
+        let dead = member(&format!("entry-{index:02}"), 1_790_000_000_000_000 + index as u64);
+        book = book.apply(&Transition::Fence { dead }).unwrap();
+        let next = member(&format!("entry-{index:02}"), 1_800_000_000_000_000 + index as u64);
+        book = book.apply(&Transition::Join { member: next, record: record() }).unwrap();
+    }
+    let bytes = book.encode().unwrap();
+    assert!(bytes.len() < 256 * 1024, "{} bytes", bytes.len());
+    assert_eq!(Book::decode(&bytes).unwrap(), book);
+}
+
+#[test]
+fn a_book_of_a_newer_format_is_refused_and_so_is_what_is_no_book() {
+    let mut bytes = target(1).encode().unwrap();
+    bytes[0] = 2;
+    assert_eq!(Book::decode(&bytes), Err(BookError::Newer { found: 2, known: 1 }));
+    for bad in [&b""[..], b"\x01", b"\x01\xff\xff", b"{}"] {
+        assert!(Book::decode(bad).is_err());
+    }
+}
+
+#[test]
+fn a_reclaimed_member_does_not_join_again() {
+    let (a, b) = (member("a", 1), member("b", 1));
+    let join = |member: &Member| Transition::Join { member: member.clone(), record: record() };
+    let mut book = Book::default().apply(&join(&a)).unwrap().apply(&join(&b)).unwrap();
+    book = book.apply(&Transition::Fence { dead: a.clone() }).unwrap();
+    let settle = vg_limit::Settle { by: b, dead: a.clone(), nets: BTreeMap::new() };
+    book = book.apply(&Transition::Units(UnitChange::Settle(settle))).unwrap();
+    let reclaim =
+        Transition::Reclaim { dead: BTreeSet::from([a.clone()]), voters: book.voters_epoch };
+    book = book.apply(&reclaim).unwrap();
+    assert!(book.is_over(&a));
+    assert!(matches!(book.apply(&join(&a)), Err(BookError::Superseded { .. })));
+    assert!(book.apply(&join(&member("a", 2))).is_ok());
+}
+
+#[test]
+fn a_pool_passes_only_from_an_owner_that_releases_it_or_is_fenced() {
+    let book = target(3);
+    let (pool, held) = book.owners.iter().next().unwrap();
+    let other = book.active().find(|each| **each != held.owner).unwrap().clone();
+    let release = |by: &Member| Transition::Release { pool: pool.clone(), by: by.clone() };
+    let voters = book.voters_epoch;
+    assert!(matches!(book.apply(&release(&other)), Err(BookError::NotOwner { .. })));
+    let take = Transition::TakePools { dead: held.owner.clone(), voters };
+    assert!(matches!(book.apply(&take), Err(BookError::State { .. })));
+    let fenced = book.apply(&Transition::Fence { dead: held.owner.clone() }).unwrap();
+    assert_eq!(fenced.owners[pool].owner, held.owner, "not before it may pass");
+    let taken = fenced.apply(&take).unwrap();
+    assert_ne!(taken.owners[pool].owner, held.owner);
+    assert!(taken.owners[pool].epoch > held.epoch);
+}
+
+#[test]
+fn a_leaving_member_departs_only_without_pools() {
+    let book = target(3);
+    let owner = book.owners.values().next().unwrap().owner.clone();
+    let depart = Transition::Depart { member: owner.clone() };
+    assert!(matches!(book.apply(&depart), Err(BookError::State { .. })));
+    let mut book = book.apply(&Transition::Leave { member: owner.clone() }).unwrap();
+    assert!(matches!(book.apply(&depart), Err(BookError::Owns { .. })));
+    let held: Vec<PoolId> = book
+        .owners
+        .iter()
+        .filter(|(_, held)| held.owner == owner)
+        .map(|(pool, _)| pool.clone())
+        .collect();
+    for pool in held {
+        book = book.apply(&Transition::Release { pool, by: owner.clone() }).unwrap();
+    }
+    assert!(book.apply(&depart).unwrap().state(&owner).is_some_and(MemberState::is_stopped));
+}
+
+#[test]
+fn a_member_that_joins_moves_only_pools_to_itself() {
+    let pools: Vec<PoolId> = names("pool", 540);
+    let before: Vec<Member> = (0..9).map(|i| member(&format!("entry-{i}"), 1)).collect();
+    let mut after = before.clone();
+    after.push(member("entry-9", 1));
+    let moved =
+        pools.iter().filter(|pool| choose_owner(pool, &before) != choose_owner(pool, &after));
+    let moved: Vec<&PoolId> = moved.collect();
+    assert!(moved.iter().all(|pool| choose_owner(pool, &after) == after.last()));
+    assert!((30..90).contains(&moved.len()), "{} of 540 pools moved", moved.len());
+}
