peer: put the tests under faults into one target

Cause: three test targets shared the simulation, and each left parts unused. Change: one target, faults, with the fuzzing, the put-in faults and outages.

--- a/crates/peer/tests/fuzz.rs
+++ b/crates/peer/tests/faults/fuzz.rs
@@ -3,12 +3,10 @@
 //! `VG_FUZZ_CASES` sets the number of sequences of each share, `VG_FUZZ_SEED`
 //! the first seed.
 
-mod sim;
-
 use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
 use vg_limit::faults::Sound;
 
-use sim::world::World;
+use crate::sim::world::World;
 
 /// Sequences of a share in an ordinary run.
 const CASES: u32 = 64;
@@ -27,7 +25,7 @@
         max_shrink_iters: 2000,
         ..Config::default()
     };
-    let outcome = TestRunner::new(config).run(&sim::op::sequence(), |ops| {
+    let outcome = TestRunner::new(config).run(&crate::sim::op::sequence(), |ops| {
         let mut world: World<Sound> = World::new();
         world.run_all(&ops).map_err(|violation| TestCaseError::fail(format!("{violation:?}")))
     });
--- /dev/null
+++ b/crates/peer/tests/faults/main.rs
@@ -0,0 +1,6 @@
+//! Several nodes, a store and a network under faults, watched by an oracle.
+
+mod fuzz;
+mod mutants;
+mod outage;
+mod sim;
--- a/crates/peer/tests/mutants.rs
+++ b/crates/peer/tests/faults/mutants.rs
@@ -5,20 +5,18 @@
 //! `VG_MUTANT_SEARCH` to the number of seeds to try, and take over what is
 //! printed.
 
-mod sim;
-
 use proptest::strategy::{Strategy, ValueTree};
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use vg_limit::faults::{Sound, UnitFaults};
 use vg_peer::faults::PeerFaults;
 
-use sim::op::Op;
-use sim::oracle::Violation;
-use sim::world::World;
+use crate::sim::op::Op;
+use crate::sim::oracle::Violation;
+use crate::sim::world::World;
 
 fn sequence(seed: u64) -> Vec<Op> {
     let config = Config { rng_seed: RngSeed::Fixed(seed), ..Config::default() };
-    let tree = sim::op::sequence().new_tree(&mut TestRunner::new(config));
+    let tree = crate::sim::op::sequence().new_tree(&mut TestRunner::new(config));
     tree.expect("the strategy rejects nothing").current()
 }
 
--- a/crates/peer/tests/outage.rs
+++ b/crates/peer/tests/faults/outage.rs
@@ -1,12 +1,10 @@
 //! What an outage of the store does to membership.
 
-mod sim;
-
 use vg_limit::faults::{Sound, UnitFaults};
 use vg_peer::faults::PeerFaults;
 
-use sim::op::Op;
-use sim::world::World;
+use crate::sim::op::Op;
+use crate::sim::world::World;
 
 fn run(steps: u16) -> Op {
     Op::Run { steps, seed: 3, loss: 0, load: 10 }
