--- /dev/null
+++ b/crates/peer/tests/faults/mutants.rs
@@ -0,0 +1,85 @@
+//! Puts known faults in, one at a time, and shows that the oracle finds each.
+//!
+//! Each fault has the seed of a sequence that violates a promise with the
+//! fault and none without it. After a change of the sequences' generator, set
+//! `VG_MUTANT_SEARCH` to the number of seeds to try, and take over what is
+//! printed.
+
+use proptest::strategy::{Strategy, ValueTree};
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use vg_limit::faults::{Sound, UnitFaults};
+use vg_peer::faults::PeerFaults;
+
+use crate::sim::op::Op;
+use crate::sim::oracle::Violation;
+use crate::sim::world::World;
+
+fn sequence(seed: u64) -> Vec<Op> {
+    let config = Config { rng_seed: RngSeed::Fixed(seed), ..Config::default() };
+    let tree = crate::sim::op::sequence().new_tree(&mut TestRunner::new(config));
+    tree.expect("the strategy rejects nothing").current()
+}
+
+fn run<F: PeerFaults>(seed: u64) -> Result<(), Violation> {
+    World::<F>::new().run_all(&sequence(seed))
+}
+
+#[allow(clippy::print_stdout, reason = "the seeds to take over")]
+fn search<F: PeerFaults>(fault: &str, seeds: u64) {
+    let shows = |seed: &u64| run::<F>(*seed).is_err() && run::<Sound>(*seed).is_ok();
+    match (0..seeds).find(shows) {
+        Some(seed) => println!("{fault}={seed} {:?}", run::<F>(seed)),
+        None => println!("{fault} is not found with {seeds} seeds"),
+    }
+}
+
+fn check<F: PeerFaults>(fault: &str, seed: u64) {
+    let tried = std::env::var("VG_MUTANT_SEARCH").ok().and_then(|text| text.parse().ok());
+    if let Some(seeds) = tried {
+        return search::<F>(fault, seeds);
+    }
+    assert_eq!(run::<Sound>(seed), Ok(()), "without the fault");
+    assert!(run::<F>(seed).is_err(), "{fault} is not found with seed {seed}");
+}
+
+macro_rules! mutants {
+    ($($test:ident: $trait:ident::$fault:ident, $seed:literal;)*) => {$(
+        #[test]
+        fn $test() {
+            #[derive(Debug, Clone, Copy, Default)]
+            struct Fault;
+            mutants!(@impl Fault $trait $fault);
+            check::<Fault>(stringify!($fault), $seed);
+        }
+    )*};
+    (@impl $name:ident UnitFaults $fault:ident) => {
+        impl UnitFaults for $name {
+            const $fault: bool = true;
+        }
+        impl PeerFaults for $name {}
+    };
+    (@impl $name:ident PeerFaults $fault:ident) => {
+        impl UnitFaults for $name {}
+        impl PeerFaults for $name {
+            const $fault: bool = true;
+        }
+    };
+}
+
+mutants! {
+    credit_twice_is_found: UnitFaults::CREDIT_TWICE, 1;
+    keep_settled_is_found: UnitFaults::KEEP_SETTLED, 0;
+    return_running_is_found: UnitFaults::RETURN_RUNNING, 3;
+    forget_return_is_found: UnitFaults::FORGET_RETURN, 1064;
+    start_over_limit_is_found: UnitFaults::START_OVER_LIMIT, 3;
+    give_and_keep_is_found: UnitFaults::GIVE_AND_KEEP, 0;
+    reclaim_alone_is_found: UnitFaults::RECLAIM_ALONE, 933;
+    ignore_lease_is_found: PeerFaults::IGNORE_LEASE, 4;
+    skip_quorum_is_found: PeerFaults::SKIP_QUORUM, 0;
+    age_by_receipt_is_found: PeerFaults::AGE_BY_RECEIPT, 899;
+    support_fenced_is_found: PeerFaults::SUPPORT_FENCED, 51;
+    vote_unread_is_found: PeerFaults::VOTE_UNREAD, 5070;
+    pass_unacknowledged_is_found: PeerFaults::PASS_UNACKNOWLEDGED, 14;
+    pass_without_grace_is_found: PeerFaults::PASS_WITHOUT_GRACE, 146;
+    reclaim_early_is_found: PeerFaults::RECLAIM_EARLY, 0;
+}
