--- a/crates/verbenagap/src/demo/load.rs
+++ b/crates/verbenagap/src/demo/load.rs
@@ -4,6 +4,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde_json::Value;
 use tokio::task::JoinSet;
 use vg_base::prelude::*;
 use vg_conf::{Access, Class, Lists, Queue};
@@ -19,6 +20,13 @@
 /// Longest time that the demo's calls are given.
 const DEADLINE_MAX: Duration = Duration::from_secs(4);
 
+/// Jobs that each team sends to each of its queues.
+const JOBS_EACH: usize = 3;
+/// How long a job runs.
+const JOB_TIME: Duration = Duration::from_millis(150);
+/// Longest wait for a job's end, in seconds.
+const JOB_WAIT_SECS: u64 = 5;
+
 /// A call with what its caller was told.
 #[derive(Debug, Clone)]
 pub(super) struct Sent {
@@ -79,6 +87,58 @@
     (streams, log)
 }
 
+/// A job that was acknowledged.
+#[derive(Debug, Clone)]
+pub(super) struct SentJob {
+    /// Its id.
+    pub(super) id: String,
+    /// Whether it may run more than once.
+    pub(super) idempotent: bool,
+    /// The team.
+    pub(super) team: TeamId,
+}
+
+/// Submits a few jobs of each team to each of its queues; returns those that
+/// were acknowledged. Teams in `without` have no key any more.
+pub(super) async fn submit_jobs(site: &Site, lists: &Lists, without: &TeamId) -> Vec<SentJob> {
+    let mut tasks = JoinSet::new();
+    for queue in lists.queues.values() {
+        for team in teams_of(lists, queue).into_iter().filter(|team| team != without) {
+            let caller = site.caller(&team);
+            let (queue, idempotent) = (queue.id.clone(), queue.idempotent);
+            tasks.spawn(async move {
+                let mut jobs = Vec::new();
+                for _ in 0..JOBS_EACH {
+                    let answer = caller.submit(queue.as_str(), JOB_TIME, None).await;
+                    let told: Option<Value> = serde_json::from_slice(&answer.body).ok();
+                    let id = told.as_ref().and_then(|told| told["id"].as_str());
+                    if let (Some(id), Outcome::Answered) = (id, answer.outcome) {
+                        jobs.push(SentJob { id: id.to_owned(), idempotent, team: team.clone() });
+                    }
+                }
+                jobs
+            });
+        }
+    }
+    tasks.join_all().await.into_iter().flatten().collect()
+}
+
+/// Asks for the end of each job; returns the states of those that have ended.
+pub(super) async fn await_jobs(site: &Site, jobs: &[SentJob]) -> Vec<Option<String>> {
+    let asked = jobs.iter().map(|job| {
+        let caller = site.caller(&job.team);
+        async move {
+            let answer = caller.job(&job.id, JOB_WAIT_SECS).await;
+            let told: Value = serde_json::from_slice(&answer.body).ok()?;
+            if told["ended"] != true {
+                return None;
+            }
+            told["state"].as_str().map(str::to_owned)
+        }
+    });
+    futures_util::future::join_all(asked).await
+}
+
 fn teams_of(lists: &Lists, queue: &Queue) -> Vec<TeamId> {
     let plans = match &queue.access {
         Access::Open { plan } => std::slice::from_ref(plan),
--- a/crates/verbenagap/src/demo/promises.rs
+++ b/crates/verbenagap/src/demo/promises.rs
@@ -6,7 +6,7 @@
 use vg_base::prelude::*;
 use vg_conf::Lists;
 
-use crate::demo::load::Sent;
+use crate::demo::load::{Sent, SentJob};
 use crate::site::Site;
 
 /// Time after which a withdrawn key and a leaving endpoint get nothing more.
@@ -35,9 +35,21 @@
 }
 
 /// Checks all promises that the demo can check.
-pub(super) fn check(site: &Site, lists: &Lists, sent: &[Sent], deeds: &Deeds) -> Vec<Promise> {
+pub(super) fn check(
+    site: &Site,
+    lists: &Lists,
+    sent: &[Sent],
+    jobs: &[SentJob],
+    ends: &[Option<String>],
+    deeds: &Deeds,
+) -> Vec<Promise> {
     vec![
-        at_most_once(site, sent),
+        at_most_once(site, sent, jobs),
+        Promise {
+            text: "an acknowledged job is never lost",
+            cases: jobs.len(),
+            broken: ends.iter().filter(|end| end.is_none()).count(),
+        },
         true_refusals(site, sent),
         whole_answers(sent),
         upper_limits(site, lists),
@@ -52,12 +64,14 @@
     ]
 }
 
-fn at_most_once(site: &Site, sent: &[Sent]) -> Promise {
+fn at_most_once(site: &Site, sent: &[Sent], jobs: &[SentJob]) -> Promise {
+    let jobs = jobs.iter().filter(|job| !job.idempotent).map(|job| job.id.clone());
     let once: BTreeSet<String> = sent
         .iter()
         .filter(|each| !each.idempotent)
         .filter_map(|each| each.answer.request)
         .map(|request| request.to_string())
+        .chain(jobs)
         .collect();
     let runs = site.log().repeated();
     let broken = runs.iter().filter(|request| once.contains(request.as_str())).count();
--- a/crates/verbenagap/src/demo/report.rs
+++ b/crates/verbenagap/src/demo/report.rs
@@ -20,6 +20,10 @@
         write_row(out, queue, team, tally)?;
     }
     writeln!(out)?;
+    let jobs: Vec<String> =
+        outcome.jobs.iter().map(|(state, count)| format!("{count} {state}")).collect();
+    writeln!(out, "acknowledged jobs: {}", jobs.join(", "))?;
+    writeln!(out)?;
     writeln!(out, "{:<56} {:>8} {:>8}", "promise", "cases", "broken")?;
     for promise in &outcome.promises {
         writeln!(out, "{:<56} {:>8} {:>8}", promise.text, promise.cases, promise.broken)?;
--- a/crates/verbenagap/src/demo/scenario.rs
+++ b/crates/verbenagap/src/demo/scenario.rs
@@ -1,5 +1,6 @@
 //! What happens in the demo.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::PoisonError;
 
@@ -33,6 +34,8 @@
     pub(super) seed: u64,
     /// What callers were told.
     pub(super) tallies: Tallies,
+    /// Acknowledged jobs by the state that they ended in.
+    pub(super) jobs: BTreeMap<String, usize>,
     /// The promises.
     pub(super) promises: Vec<Promise>,
     /// Where the time line is.
@@ -80,7 +83,9 @@
     let (streams, log) = load::start(&site, &lists, options.seed, LOAD);
     let mut events = Vec::new();
     let deeds = act(&mut site, &mut events).await?;
+    let jobs = load::submit_jobs(&site, &lists, &deeds.withdrawn.0).await;
     streams.join_all().await;
+    let ends = load::await_jobs(&site, &jobs).await;
     let sent = log.lock().unwrap_or_else(PoisonError::into_inner).clone();
     for node in site.nodes().values() {
         events.extend(node.handle.node().events.window(0, usize::MAX).events);
@@ -91,7 +96,8 @@
         site: options.site.clone(),
         seed: options.seed,
         tallies: tally(&sent),
-        promises: promises::check(&site, &lists, &sent, &deeds),
+        jobs: count_ends(&ends),
+        promises: promises::check(&site, &lists, &sent, &jobs, &ends, &deeds),
         timeline: options.timeline.clone(),
         events: events.len(),
     })
@@ -141,6 +147,15 @@
     Ok(stopped)
 }
 
+fn count_ends(ends: &[Option<String>]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for end in ends {
+        let state = end.clone().unwrap_or_else(|| "not ended".to_owned());
+        *counts.entry(state).or_default() += 1;
+    }
+    counts
+}
+
 fn tally(sent: &[Sent]) -> Tallies {
     let mut tallies = Tallies::new();
     for each in sent {
--- /dev/null
+++ b/crates/verbenagap/tests/processes.rs
@@ -0,0 +1,251 @@
+//! A whole session over real processes: the stand-ins, three entry hosts and
+//! the command line. What is printed is compared with a golden file, with
+//! times, ids and ports normalised; `VG_GOLDEN=write` writes it anew.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use common::{PLANS, USES};
+
+/// A process of the project, killed when the test ends.
+struct Process(Child);
+
+impl Process {
+    fn start(program: &str, args: &[String]) -> Process {
+        let mut command = Command::new(program);
+        command.args(args).env_clear().stdout(Stdio::piped()).stderr(Stdio::null());
+        Process(command.spawn().unwrap())
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.0.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    fn wait(&mut self) -> i32 {
+        self.0.wait().unwrap().code().unwrap_or(-1)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Returns an address that was free a moment ago.
+fn free_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+struct Session {
+    dir: tempfile::TempDir,
+    store: SocketAddr,
+    entries: Vec<SocketAddr>,
+    key: String,
+    transcript: String,
+}
+
+impl Session {
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.dir.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn entries(&self) -> String {
+        self.entries.iter().map(|addr| addr.to_string()).collect::<Vec<_>>().join(",")
+    }
+
+    fn run(&self, words: &str) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_verbenagap"))
+            .args(["--store", &self.store.to_string(), "--entry", &self.entries()])
+            .args(words.split_whitespace())
+            .env_clear()
+            .env("VERBENAGAP_KEY", &self.key)
+            .current_dir(self.dir.path())
+            .output()
+            .unwrap()
+    }
+
+    /// Runs a command and notes it with its output.
+    fn tell(&mut self, words: &str) -> String {
+        let output = self.run(words);
+        let text = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        let status = output.status.code().unwrap();
+        self.transcript += &format!("$ {words}\n{text}[{status}]\n\n");
+        text
+    }
+
+    /// Runs a command until it succeeds; only that run is noted.
+    fn tell_when(&mut self, words: &str) -> String {
+        let until = Instant::now() + Duration::from_secs(40);
+        while !self.run(words).status.success() {
+            assert!(Instant::now() < until, "{words}: {:?}", self.run(words));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        self.tell(words)
+    }
+}
+
+fn daemon(at: usize, store: SocketAddr, hosts: SocketAddr, entry: SocketAddr) -> Process {
+    let args = [
+        "--node",
+        &format!("entry-{at}"),
+        "--zone",
+        "zone-0",
+        "--listen",
+        &entry.to_string(),
+        "--peer-listen",
+        &free_addr().to_string(),
+        "--store",
+        &store.to_string(),
+        "--host-list",
+        &hosts.to_string(),
+    ];
+    Process::start(env!("CARGO_BIN_EXE_verbenagapd"), &args.map(str::to_owned))
+}
+
+/// Replaces what differs from run to run.
+fn normalise(text: &str, session: &Session) -> String {
+    let mut text = text.to_owned();
+    for (at, addr) in session.entries.iter().enumerate() {
+        text = text.replace(&addr.to_string(), &format!("ENTRY-{at}"));
+    }
+    text = text.replace(&session.store.to_string(), "STORE");
+    let mut out = String::new();
+    let mut word = String::new();
+    for c in text.chars().chain(['\0']) {
+        if c.is_ascii_alphanumeric() {
+            word.push(c);
+            continue;
+        }
+        let digits = word.bytes().filter(|b| b.is_ascii_digit()).count();
+        let hex = word.bytes().all(|b| b.is_ascii_hexdigit());
+        match word.len() {
+            32 | 64 if hex => out += "ID",
+            5.. if digits == word.len() => out += "N",
+            _ => out += &word,
+        }
+        word.clear();
+        if c != '\0' {
+            out.push(c);
+        }
+    }
+    // Columns are as wide as what stood in them.
+    let lines = out.lines().map(|line| line.split_whitespace().collect::<Vec<_>>().join(" "));
+    lines.map(|line| line + "\n").collect()
+}
+
+fn compare(name: &str, text: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name);
+    if std::env::var_os("VG_GOLDEN").is_some_and(|value| value == "write") {
+        std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+        std::fs::File::create(&path).unwrap().write_all(text.as_bytes()).unwrap();
+    }
+    assert_eq!(text, std::fs::read_to_string(&path).unwrap(), "differs from {}", path.display());
+}
+
+#[test]
+fn a_session_over_processes_reads_as_the_golden_file() {
+    let (store, hosts) = (free_addr(), free_addr());
+    let args = [
+        "--store",
+        &store.to_string(),
+        "--hosts",
+        &hosts.to_string(),
+        "--pools",
+        "notices,feeds",
+        "--endpoints",
+        "2",
+        "--workers",
+        "1",
+        "--lag-ms",
+        "100",
+    ];
+    let mut standin =
+        Process::start(env!("CARGO_BIN_EXE_verbenagap-standin"), &args.map(str::to_owned));
+    let mut lines = BufReader::new(standin.0.stdout.take().unwrap()).lines();
+    assert!(lines.next().unwrap().unwrap().starts_with("store "));
+    let entries: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let mut daemons: Vec<Process> =
+        (0..3).map(|at| daemon(at, store, hosts, entries[at])).collect();
+    let mut session = Session {
+        dir: tempfile::tempdir().unwrap(),
+        store,
+        entries,
+        key: "a-key-for-this-session-only".to_owned(),
+        transcript: String::new(),
+    };
+    let digest = vg_conf::KeyDigest::of(&session.key);
+    let plans = PLANS.replacen("keys =", &format!("keys = {digest}"), 1);
+    session.file("plans.ini", &plans);
+    session.file("uses.ini", USES);
+
+    session.tell("config check plans.ini uses.ini");
+    session.tell_when("config apply --base 0 plans.ini uses.ini");
+    session.tell_when("call urgent --body notice --idempotency-key first");
+    session.tell("call urgent --body notice --idempotency-key first");
+    session.tell("call urgent --body other --idempotency-key first");
+    session.tell("call nowhere --body notice");
+    let text = session.tell_when("job submit urgent --body trace --idempotency-key second");
+    let id = text.split_whitespace().find(|word| word.len() == 32).unwrap().to_owned();
+    session.tell(&format!("job wait {id}"));
+
+    // The last entry host stops in order, the first one is killed.
+    daemons[2].signal("-TERM");
+    assert_eq!(daemons[2].wait(), 0, "the planned stop left work");
+    daemons[0].signal("-KILL");
+    daemons[0].wait();
+    session.tell_when("call urgent --body notice --idempotency-key first");
+    session.tell_when("call urgent --body third --idempotency-key third");
+
+    session.file("plans.ini", PLANS);
+    session.tell("config apply --base 1 plans.ini uses.ini");
+    session.tell("call urgent --body notice");
+    compare("processes.session", &normalise(&session.transcript, &session));
+}
+
+#[test]
+fn settings_are_checked_before_anything_starts() {
+    let run = |args: &[&str]| {
+        let output =
+            Command::new(env!("CARGO_BIN_EXE_verbenagapd")).args(args).env_clear().output();
+        let output = output.unwrap();
+        (output.status.code().unwrap(), String::from_utf8(output.stderr).unwrap())
+    };
+    let (status, text) = run(&["--check", "--node", "Not A Name", "--lease", "soon"]);
+    assert_eq!(status, 2, "{text}");
+    assert!(text.lines().all(|line| line.starts_with("verbenagapd: ")), "{text}");
+    for word in ["node", "zone", "lease", "store", "listen"] {
+        assert!(text.contains(word), "{word} is not named: {text}");
+    }
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = taken.local_addr().unwrap().to_string();
+    let good = [
+        "--node",
+        "a",
+        "--zone",
+        "z",
+        "--listen",
+        &taken,
+        "--peer-listen",
+        "127.0.0.1:0",
+        "--store",
+        "127.0.0.1:1",
+        "--host-list",
+        "127.0.0.1:1",
+    ];
+    let (status, text) = run(&[&["--check"], &good[..]].concat());
+    assert_eq!((status, text.as_str()), (0, ""));
+    let (status, text) = run(&good);
+    assert_eq!(status, 1, "{text}");
+    assert!(text.contains("cannot listen on"), "{text}");
+}
