tests: golden file of a session over real processes

Conclusion: lists, calls, jobs, keys and receipts hold over processes, and the operators' commands tell the truth about them.

--- a/crates/verbenagap/tests/processes.rs
+++ b/crates/verbenagap/tests/processes.rs
@@ -120,6 +120,9 @@
         text = text.replace(&addr.to_string(), &format!("ENTRY-{at}"));
     }
     text = text.replace(&session.store.to_string(), "STORE");
+    for at in 0..2 {
+        text = text.replace(&format!("notices-endpoint-{at}"), "ENDPOINT");
+    }
     let mut out = String::new();
     let mut word = String::new();
     for c in text.chars().chain(['\0']) {
@@ -189,8 +192,15 @@
     session.file("plans.ini", &plans);
     session.file("uses.ini", USES);
 
+    for entry in &session.entries {
+        let until = Instant::now() + Duration::from_secs(20);
+        while std::net::TcpStream::connect(entry).is_err() {
+            assert!(Instant::now() < until, "{entry} does not answer");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
     session.tell("config check plans.ini uses.ini");
-    session.tell_when("config apply --base 0 plans.ini uses.ini");
+    session.tell("config apply --base 0 plans.ini uses.ini");
     session.tell_when("call urgent --body notice --idempotency-key first");
     session.tell("call urgent --body notice --idempotency-key first");
     session.tell("call urgent --body other --idempotency-key first");
