measure: heartbeats and the book at 3, 9 and 18 members

Cause: a node may spend 10 KB/s on control at 18 nodes and 65 teams. Change: vg-measure members drives nodes on model time; at most 4 teams' advice a heartbeat in place of 8.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod calls;
 mod error;
 pub mod jobs;
+pub mod members;
 pub mod report;
 
 pub use error::Error;
--- a/crates/peer/src/node/advice.rs
+++ b/crates/peer/src/node/advice.rs
@@ -6,7 +6,7 @@
 use vg_limit::TeamAdvice;
 
 /// Most teams that one message tells of, which bounds the control traffic.
-const ADVICE_MAX: usize = 8;
+const ADVICE_MAX: usize = 4;
 
 /// Keeps what each peer has been told, so that only changes are sent.
 #[derive(Debug, Clone, Default)]
