--- a/crates/entry/src/control/takeover.rs
+++ b/crates/entry/src/control/takeover.rs
@@ -37,7 +37,8 @@
     let retired = node.pools.tell_retired(pool);
     let busy = retired.iter().flat_map(|each| each.busy(longest)).collect();
     let table = node.receipts.lock();
-    let (receipts, losses) = (table.export(pool), table.losses(node.clock.now()));
+    let now = node.clock.now();
+    let (receipts, losses) = (table.export(pool, now), table.losses(now));
     drop(table);
     Handover { busy, receipts, losses }
 }
--- a/crates/route/src/receipts/table.rs
+++ b/crates/route/src/receipts/table.rs
@@ -55,9 +55,6 @@
         if self.spent.contains(request.attempt) {
             return Begin::Doubled;
         }
-        if now > request.deadline {
-            return Begin::Late;
-        }
         let begin = self.begin_first(request, now);
         if matches!(begin, Begin::Running | Begin::Mismatch | Begin::Full { .. }) {
             self.spend(request.attempt, request.deadline);
@@ -134,8 +131,9 @@
     }
 
     /// Returns the receipts of a pool, for its next owner.
-    pub fn export(&self, pool: &PoolId) -> Vec<Receipt> {
+    pub fn export(&self, pool: &PoolId, now: Instant) -> Vec<Receipt> {
         let kept = self.kept.values().filter(|kept| kept.receipt.pool == *pool);
+        let kept = kept.filter(|kept| kept.end.is_none_or(|end| end > now));
         kept.map(|kept| kept.receipt.clone()).collect()
     }
 
@@ -244,8 +242,13 @@
 
     fn begin_first(&mut self, request: &Request, now: Instant) -> Begin {
         if let Some(kept) = self.find(&request.name) {
+            // Also past the deadline: a doubled message of a call that runs must
+            // not be answered as late, which would say that it never ran.
             return repeat(&kept.receipt, request);
         }
+        if now > request.deadline {
+            return Begin::Late;
+        }
         if self.is_in_gap(request, now) {
             return Begin::Unknown;
         }
