jobs: never send a start twice

Cause: at case 20,868 of 100,000 the fuzz found a copy of an idempotent job's start that came after the job had ended, on a worker that had restarted since: the job ran unseen, without a unit.

--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -34,8 +34,7 @@
     pub resume: Option<Bytes>,
 }
 
-/// Something to do, in this order. All of it may be lost and asked again but
-/// for what is marked as an answer.
+/// Something to do, in this order. Messages to workers may be lost.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// Answer: the job is durable.
@@ -53,8 +52,8 @@
         /// The jobs that were not accepted yet, with what is known of them.
         jobs: Vec<(JobId, Fate)>,
     },
-    /// Start an attempt. Unless the job is idempotent this is sent once, and
-    /// written to a connection at most once.
+    /// Start an attempt. This is given once, and is to be written to a
+    /// connection at most once.
     Start(Start),
     /// Ask what became of an attempt that the worker may not have seen. That it
     /// [`NeverStarted`](crate::Report::NeverStarted) may only be said where it
--- a/crates/jobs/src/shard/commit.rs
+++ b/crates/jobs/src/shard/commit.rs
@@ -95,7 +95,9 @@
         if now.wall >= job.expires {
             return self.requeue(key, now);
         }
-        let Some(start) = self.start_of(key) else { return };
+        let (spec, resume) = (job.spec.clone(), job.checkpoint.clone());
+        let Some(task) = self.task(key) else { return };
+        let start = Start { task, spec, resume };
         self.step(key, JobState::Starting, now);
         let job = &mut self.jobs[key];
         job.sent = true;
@@ -103,13 +105,6 @@
         self.actions.push(Action::Start(start));
     }
 
-    /// Returns the start message of a job's current attempt.
-    pub(super) fn start_of(&self, key: JobKey) -> Option<Start> {
-        let job = self.jobs.get(key)?;
-        let (spec, resume) = (job.spec.clone(), job.checkpoint.clone());
-        Some(Start { task: self.task(key)?, spec, resume })
-    }
-
     fn send_stop(&mut self, key: JobKey, attempt: Attempt, now: Now) {
         let Some(job) = self.jobs.get_mut(key) else { return };
         if job.attempt != attempt || !job.state.is_live() {
--- a/crates/jobs/src/shard/tick.rs
+++ b/crates/jobs/src/shard/tick.rs
@@ -40,7 +40,8 @@
         }
     }
 
-    /// Sends messages again that got no answer. All of them can be repeated.
+    /// Sends messages again that got no answer, but for starts: a second copy
+    /// could come after its job has ended on a worker that has restarted since.
     fn ask_silent(&mut self, now: Now) {
         let live: Vec<JobKey> = self.live.iter().copied().collect();
         for key in live {
@@ -54,9 +55,6 @@
             let action = match state {
                 _ if self.is_cancelled(key) => Action::Stop(task),
                 JobState::Checkpointing => Action::Stop(task),
-                JobState::Starting if self.may_resend(key, now) => {
-                    self.start_of(key).map_or(Action::Query(task), Action::Start)
-                }
                 _ => Action::Query(task),
             };
             self.jobs[key].heard = now.mono;
@@ -64,13 +62,6 @@
         }
     }
 
-    /// Whether a start that got no answer may be sent again: it is the same
-    /// attempt, and a second run of it does no harm.
-    fn may_resend(&self, key: JobKey, now: Now) -> bool {
-        let job = &self.jobs[key];
-        job.spec.idempotent && now.wall < job.expires
-    }
-
     /// Returns how long a worker may stay silent on an attempt.
     fn silence(&self, key: JobKey) -> Duration {
         match self.jobs[key].state {
--- a/crates/jobs/tests/health.rs
+++ b/crates/jobs/tests/health.rs
@@ -173,3 +173,19 @@
     assert!(JobState::Queued.step(JobState::Running).is_err());
     assert!(JobState::Queued.step(JobState::Placed).is_ok());
 }
+
+#[test]
+fn a_start_without_an_answer_is_asked_about_and_never_sent_again() {
+    let mut bench = bench(1);
+    bench.submit(1, of("dairy"));
+    bench.place();
+    bench.commit();
+    bench.actions.clear();
+    for _ in 0..6 {
+        bench.tick(Duration::from_secs(1));
+    }
+    assert!(!bench.actions.iter().any(|action| matches!(action, Action::Start(_))));
+    assert!(bench.actions.iter().any(|action| matches!(action, Action::Query(_))));
+    bench.report(job(1), Report::Vanished);
+    assert_eq!(bench.job(1).state(), JobState::Queued);
+}
--- a/crates/jobs/tests/support/world.rs
+++ b/crates/jobs/tests/support/world.rs
@@ -197,14 +197,7 @@
             match action {
                 Action::Withdrawn { jobs } => self.withdrawn(jobs),
                 Action::Accepted { job } => panic!("a fenced owner acknowledged {job:?}"),
-                // It may send a durable start of an idempotent job again, until
-                // it knows better; nothing else.
-                Action::Start(start) => {
-                    assert!(start.spec.idempotent, "a fenced owner started {start:?}");
-                    let stored = self.stored_attempt(start.task.job);
-                    assert!(stored >= Some(start.task.attempt), "a start came before its record");
-                    self.messages.push(Action::Start(start));
-                }
+                Action::Start(start) => panic!("a fenced owner started {start:?}"),
                 other if task_of(&other).is_some() => self.messages.push(other),
                 _ => {}
             }
@@ -251,9 +244,8 @@
         }
         let at = at % self.messages.len();
         let action = self.messages[at].clone();
-        // A start that is not idempotent is written to a connection once.
-        let once = matches!(&action, Action::Start(start) if !start.spec.idempotent);
-        if once || !keep {
+        // A start is written to a connection once.
+        if matches!(action, Action::Start(_)) || !keep {
             self.messages.remove(at);
         }
         let Some(task) = task_of(&action).cloned() else { return };
--- a/crates/measure/src/jobs/pool.rs
+++ b/crates/measure/src/jobs/pool.rs
@@ -167,7 +167,9 @@
         let Ok(batch) = claim(pool, &member, self.store.head().as_ref()) else { return };
         self.store.commit(&batch);
         let Ok(recovered) = recover(pool, &member, &self.store.range()) else { return };
-        let mut shard = Shard::restore(recovered, Limits::default(), self.time());
+        // Ended jobs are kept to be counted at the end of the run.
+        let limits = Limits { retention: Duration::from_secs(86_400), ..Limits::default() };
+        let mut shard = Shard::restore(recovered, limits, self.time());
         shard.list_workers(&self.site.hosts, self.time());
         self.due.retain(|(_, due)| matches!(due, Due::Checkpointed(_)));
         self.shard = Some(shard);
