limit: propose against the latest book more often in the fuzzing

Cause: proposals against an old book, which always fail, were most of them. Change: a step learns of the book first in half of the cases.

--- a/crates/limit/tests/ledger_fuzz.rs
+++ b/crates/limit/tests/ledger_fuzz.rs
@@ -33,9 +33,11 @@
     Lose {
         answer: usize,
     },
-    /// A member proposes; the commit may be lost, or its answer.
+    /// A member proposes against the book that it knows or the latest; the
+    /// commit may be lost, and its answer always is.
     Commit {
         at: usize,
+        latest: bool,
         done: bool,
     },
     /// A member learns of the book.
@@ -73,9 +75,10 @@
             4 => (0usize..4, any::<bool>())
                 .prop_map(|(answer, again)| Step::Arrive { answer, again }),
             1 => (0usize..4).prop_map(|answer| Step::Lose { answer }),
-            3 => (member(), any::<bool>()).prop_map(|(at, done)| Step::Commit { at, done }),
+            5 => (member(), any::<bool>(), any::<bool>())
+                .prop_map(|(at, latest, done)| Step::Commit { at, latest, done }),
             3 => member().prop_map(|at| Step::Learn { at }),
-            1 => (0u32..10).prop_map(Step::Limit),
+            2 => (0u32..10).prop_map(Step::Limit),
             1 => (member(), 0u32..5).prop_map(|(at, units)| Step::Want { at, units }),
         ]
         .boxed()
@@ -205,7 +208,12 @@
                     site.answers.remove(answer);
                 }
             }
-            Step::Commit { at, done } => site.commit(at, done),
+            Step::Commit { at, latest, done } => {
+                if latest {
+                    site.learn(at);
+                }
+                site.commit(at, done);
+            }
             Step::Learn { at } => site.learn(at),
             Step::Limit(limit) => site.set_limit(limit),
             Step::Want { at, units } => site.ledgers[at].want(&team(), Units(units)),
