--- a/crates/measure/src/calls/sim.rs
+++ b/crates/measure/src/calls/sim.rs
@@ -70,7 +70,6 @@
         self.count(&call).sent += 1;
         if call.class == Class::Urgent {
             self.tally.urgent_teams[call.team].sent += 1;
-            self.tally.urgent_sent.insert((call.at, call.team, call.queue));
         }
         // The trace without background work keeps its calls' numbers.
         let call = Call { id, ..call };
--- a/crates/measure/src/calls/tally.rs
+++ b/crates/measure/src/calls/tally.rs
@@ -38,8 +38,6 @@
     pub(crate) urgent_teams: Vec<Count>,
     /// Urgent calls answered on time, as places in time, team and queue.
     pub(crate) urgent_on_time: HashSet<CallName>,
-    /// All urgent calls.
-    pub(crate) urgent_sent: HashSet<CallName>,
     pub(crate) refused_early: usize,
     pub(crate) refused_waiting: usize,
     pub(crate) late: usize,
@@ -63,7 +61,6 @@
             background: Count::default(),
             urgent_teams: vec![Count::default(); site.teams.len()],
             urgent_on_time: HashSet::new(),
-            urgent_sent: HashSet::new(),
             refused_early: 0,
             refused_waiting: 0,
             late: 0,
--- a/crates/share/src/scheduler.rs
+++ b/crates/share/src/scheduler/mod.rs
@@ -1,12 +1,15 @@
 //! The scheduler of one pool.
 
+mod admit;
+mod rank;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use slotmap::SlotMap;
 use vg_base::prelude::*;
 use vg_conf::Class;
 
-use crate::choice::{Candidate, Rank};
+use crate::choice::Candidate;
 use crate::credit::Credit;
 use crate::entry::{Entry, State};
 use crate::lane::Order;
@@ -14,23 +17,7 @@
 use crate::team::{Team, TeamKey};
 use crate::{Item, Refusal, Rules, ServiceTimes, Stats, TeamStats, Ticket};
 
-/// Bounds on the typical run time, which a running item stands for.
-const TYPICAL_RANGE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_secs(2));
-/// Shortest time that a refused sender is told to wait.
-const RETRY_MIN: Duration = Duration::from_millis(100);
-/// Longest time that a refused sender is told to wait.
-const RETRY_MAX: Duration = Duration::from_secs(30);
-/// Time before its latest start from which urgent work may run ahead of its
-/// team's share. Longer, and teams stray from their shares without need;
-/// shorter, and a burst finds too few slots before it is too late.
-const LAST_CALL: Duration = Duration::from_millis(250);
-/// How much faster than at its share a team's urgent work may be served before
-/// an offer counts as impossible: other teams may stop sending, and it may run
-/// ahead of its share.
-const URGENT_SPEED: f64 = 2.0;
-/// The same for background work. Nearer to one, so that work that would only
-/// wait until it is too late is refused when it comes.
-const BACKGROUND_SPEED: f64 = 1.2;
+use admit::RETRY_MIN;
 
 /// Orders the waiting work of one pool.
 ///
@@ -291,27 +278,6 @@
         }
     }
 
-    fn admit(&self, item: &Item, key: TeamKey, now: Instant) -> Result<Instant, Refusal> {
-        let team = self.teams.get(key).filter(|team| team.listed);
-        let team = team.ok_or(Refusal::NotConfigured)?;
-        let queue = self.queues.get(&item.queue).filter(|queue| queue.listed);
-        let queue = queue.ok_or(Refusal::NotConfigured)?;
-        if !queue.has_place(team.waiting_in(&item.queue, item.class)) {
-            return Err(Refusal::QueueFull { retry_after: self.retry_after(team) });
-        }
-        let left = item.deadline.saturating_duration_since(now);
-        let late = || Refusal::CannotMeetDeadline { retry_after: self.retry_after(team) };
-        let within = queue.start_within(left, item.expected).ok_or_else(late)?;
-        let wait = match item.class {
-            Class::Urgent => self.wait_of(team, team.waiting_urgent(), URGENT_SPEED),
-            Class::Background => self.wait_of(team, team.waiting, BACKGROUND_SPEED),
-        };
-        if wait > within {
-            return Err(late());
-        }
-        Ok(now + within)
-    }
-
     fn insert(&mut self, item: Item, team: TeamKey, order: Order) -> Ticket {
         let (queue, class) = (item.queue.clone(), item.class);
         let ticket = self.entries.insert(Entry { item, team, order, state: State::Waiting });
@@ -361,55 +327,6 @@
         Some((ticket, entry.item.clone()))
     }
 
-    /// Fills the candidates, best first.
-    fn rank(&mut self, now: Instant) {
-        let typical = self.typical();
-        self.advance_clocks(typical);
-        let floor_slots = (self.slots.get() * self.floor_percent).div_ceil(100) as usize;
-        let below_floor = self.background < floor_slots;
-        let credit = self.credit;
-        let clock = self.clock;
-        let soon = now + LAST_CALL;
-        for (key, team) in &mut self.teams {
-            team.asked = false;
-            if team.waiting == 0 {
-                continue;
-            }
-            let urgent = team.first_urgent();
-            let patient = team.first_patient(typical);
-            let mut push = |rank, (_, ticket)| {
-                self.candidates.push(Candidate { rank, team: key, ticket });
-            };
-            if let (true, Some(place)) = (below_floor, patient) {
-                push(Rank::Floor(team.floor_position(typical)), place);
-            }
-            let position = team.position(typical);
-            let ahead = (position - clock) * team.weight();
-            let may_borrow = ahead <= credit.ahead;
-            if let Some(place) = urgent.filter(|(order, _)| may_borrow && order.start_by <= soon) {
-                push(Rank::Urgent(place.0.start_by), place);
-            }
-            if let Some(place) = urgent.or(patient) {
-                push(Rank::Fair(position), place);
-            }
-        }
-        self.candidates.sort_unstable_by(|a, b| a.rank.compare(&b.rank));
-    }
-
-    /// Moves the pool's clocks up to the least position of a waiting team, and
-    /// each waiting team's position into the bounds around them.
-    fn advance_clocks(&mut self, typical: f64) {
-        let ready = self.teams.values().filter(|team| team.waiting > 0 && !team.blocked);
-        let least = ready.clone().map(|team| team.position(typical)).min_by(f64::total_cmp);
-        self.clock = self.clock.max(least.unwrap_or(self.clock));
-        let least = ready.filter(|team| team.has_patient());
-        let least = least.map(|team| team.floor_position(typical)).min_by(f64::total_cmp);
-        self.floor = self.floor.max(least.unwrap_or(self.floor));
-        for team in self.teams.values_mut().filter(|team| team.waiting > 0) {
-            team.bound(self.clock, self.floor, typical, self.credit);
-        }
-    }
-
     /// Refuses what waits past its latest start.
     fn sweep(&mut self, now: Instant) {
         while let Some(&(start_by, ticket)) = self.expiry.first() {
@@ -440,27 +357,6 @@
         self.contended = self.teams.values().any(|team| team.waiting > 0 && !team.blocked);
     }
 
-    /// Returns the pool's typical run time in seconds.
-    fn typical(&self) -> f64 {
-        let mean = self.service.mean(TYPICAL_RANGE.0);
-        mean.clamp(TYPICAL_RANGE.0, TYPICAL_RANGE.1).as_secs_f64()
-    }
-
-    /// Returns how long `ahead` items of a team take when it is served
-    /// `speed` times as fast as its share gives.
-    fn wait_of(&self, team: &Team, ahead: usize, speed: f64) -> Duration {
-        let others = self.teams.values().filter(|each| each.waiting > 0 && each.id != team.id);
-        let weights: f64 = others.map(Team::weight).sum::<f64>() + team.weight();
-        let slots = f64::from(self.slots.get().max(1));
-        let rate = (slots * speed * team.weight() / weights).min(slots);
-        let work = ahead as f64 * self.service.mean(Duration::ZERO).as_secs_f64();
-        Duration::try_from_secs_f64(work / rate).unwrap_or(RETRY_MAX)
-    }
-
-    fn retry_after(&self, team: &Team) -> Duration {
-        self.wait_of(team, team.waiting, 1.0).clamp(RETRY_MIN, RETRY_MAX)
-    }
-
     fn forget_unlisted(&mut self) {
         let keys: Vec<TeamKey> = self.teams.keys().collect();
         keys.into_iter().for_each(|key| self.forget_if_unlisted(key));
