--- a/crates/route/src/endpoints/table.rs
+++ b/crates/route/src/endpoints/table/mod.rs
@@ -1,20 +1,18 @@
 //! The table of a pool's instances.
 
+mod judge;
+mod list;
+mod pick;
+
 use slotmap::SlotMap;
 use vg_base::prelude::*;
 
 use super::instance::{CONNECTIONS, Instance, SLOTS};
 use super::{
-    Applied, Busy, CallResult, Change, EndpointInfo, EndpointKey, EndpointStats, Health,
-    ListRevision, Probing, Slot, SlotKey,
+    Applied, Busy, CallResult, EndpointInfo, EndpointKey, EndpointStats, Health, ListRevision,
+    Probing, Slot, SlotKey,
 };
 
-/// Most endpoints of a pool, in percent, that are out of use after failures.
-const EJECTED_MAX_PERCENT: usize = 34;
-/// How much less loaded an endpoint in another zone must be to be preferred,
-/// in parts of what an endpoint carries.
-const ZONE_PREFERENCE: f64 = 0.26;
-
 /// The instances of one pool, at the pool's owner.
 #[derive(Debug, Default)]
 pub struct Endpoints {
@@ -27,7 +25,7 @@
 
 /// One call that runs.
 #[derive(Debug, Clone, Copy)]
-struct Use {
+pub(super) struct Use {
     endpoint: EndpointKey,
     probe: bool,
 }
@@ -218,115 +216,13 @@
             .collect()
     }
 
-    fn take(&mut self, endpoint: EndpointKey, probe: bool) -> Option<Slot> {
-        let instance = self.instances.get_mut(endpoint)?;
-        self.turn += 1;
-        instance.turn = self.turn;
-        instance.running += 1;
-        let key = self.uses.insert(Use { endpoint, probe });
-        let EndpointInfo { id, addr, .. } = &instance.info;
-        Some(Slot { key, endpoint, host: id.clone(), addr: *addr })
-    }
-
-    fn least_loaded(&self, now: Instant, zone: Option<&ZoneId>) -> Option<EndpointKey> {
-        let open = self.instances.iter().filter(|(_, each)| each.has_slot(now));
-        let cost = |each: &Instance| {
-            let away = zone.is_some_and(|zone| each.info.zone != *zone);
-            each.load(now) + if away { ZONE_PREFERENCE } else { 0.0 }
-        };
-        let least = open.min_by(|(_, a), (_, b)| {
-            // Equal loads take turns.
-            cost(a).total_cmp(&cost(b)).then(a.turn.cmp(&b.turn))
-        });
-        least.map(|(key, _)| key)
-    }
-
-    fn probe(&self, now: Instant, probing: Probing) -> Option<EndpointKey> {
-        let due = |each: &Instance| {
-            each.is_open() && each.used() == 0 && each.record.probe_due(now, probing)
-        };
-        self.instances.iter().find(|(_, each)| due(each)).map(|(key, _)| key)
-    }
-
-    fn judge(&mut self, used: Use, failed: bool, now: Instant) -> Option<Health> {
-        let may_eject = self.may_eject();
-        let peers = self.failure_rate_of_peers(used.endpoint);
-        let instance = self.instances.get_mut(used.endpoint)?;
-        if used.probe && instance.record.is_ejected() {
-            let restored = instance.record.probed(failed, now);
-            if restored {
-                instance.since = Some(now);
-            }
-            return restored.then_some(Health::Good);
-        }
-        instance.record.note(failed);
-        let eject = may_eject && !instance.record.is_ejected() && instance.record.is_suspect(peers);
-        if !eject {
-            return None;
-        }
-        instance.record.eject(now);
-        Some(instance.record.health)
-    }
-
-    /// Whether one more endpoint may be ejected.
-    fn may_eject(&self) -> bool {
-        let open = self.instances.values().filter(|each| each.is_open());
-        let ejected = open.clone().filter(|each| each.record.is_ejected()).count();
-        (ejected + 1) * 100 <= open.count() * EJECTED_MAX_PERCENT
-    }
-
-    fn failure_rate_of_peers(&self, endpoint: EndpointKey) -> f64 {
-        let peers = self.instances.iter().filter(|(key, each)| *key != endpoint && each.is_open());
-        let peers = peers.filter(|(_, each)| !each.record.is_ejected());
-        let count = peers.clone().count().max(1) as f64;
-        peers.map(|(_, each)| each.record.rate).sum::<f64>() / count
-    }
-
-    fn unlist(&mut self, list: &[EndpointInfo], changes: &mut Vec<Change>) {
-        for instance in self.instances.values_mut().filter(|each| each.listed) {
-            if !list.iter().any(|info| is_same(info, &instance.info)) {
-                instance.listed = false;
-                changes.push(Change::Gone(instance.info.id.clone()));
-            }
-        }
-    }
-
-    fn list(&mut self, info: &EndpointInfo, first: bool, now: Instant, changes: &mut Vec<Change>) {
-        let known = self.instances.values_mut().find(|each| is_same(info, &each.info));
-        if let Some(instance) = known {
-            let was_open = instance.is_open();
-            instance.listed = true;
-            instance.info = info.clone();
-            match (was_open, instance.is_open()) {
-                (true, false) => changes.push(Change::Leaving(info.id.clone())),
-                (false, true) => {
-                    instance.since = Some(now);
-                    changes.push(Change::Returned(info.id.clone()));
-                }
-                _ => {}
-            }
-            return;
-        }
-        let mut instance = Instance::new(info.clone(), (!first).then_some(now));
-        if let Some(until) = self.adopted.filter(|until| *until > now) {
-            fill(&mut instance, SLOTS, until);
-        }
-        self.instances.insert(instance);
-        changes.push(Change::Joined(info.id.clone()));
-    }
-
-    fn forget_unlisted(&mut self) {
+    pub(super) fn forget_unlisted(&mut self) {
         self.instances.retain(|_, each| each.listed || each.used() > 0 || each.connections > 0);
     }
 }
 
-/// A host with another address is another instance.
-fn is_same(a: &EndpointInfo, b: &EndpointInfo) -> bool {
-    a.id == b.id && a.addr == b.addr
-}
-
 /// Marks slots as in use until `until`, up to `most` in all.
-fn fill(instance: &mut Instance, most: u32, until: Instant) {
+pub(super) fn fill(instance: &mut Instance, most: u32, until: Instant) {
     let room = most.saturating_sub(instance.used());
     instance.lingering.iter_mut().for_each(|each| *each = (*each).max(until));
     instance.lingering.extend(std::iter::repeat_n(until, room as usize));
