jobs: tell a worker without room from a failing one

Cause: the daemon's worker adapter showed three gaps: a start carried the declared size, which a worker refuses where less was planned; that refusal counted as a failure of job and worker; and a cancelled job whose start was lost was only ever told to stop, which a worker that does not know it can't answer. Change: a start carries the planned size; NoRoom puts the worker aside for a second and blames nobody; every other unanswered message is a question; Weighted can take new shares without forgetting its background floor.

--- a/crates/entry/src/jobs/worker.rs
+++ b/crates/entry/src/jobs/worker.rs
@@ -120,7 +120,8 @@
     /// Starts an attempt. `None`: no answer came.
     pub(super) async fn start(&self, start: &Start, ttl: Duration) -> Option<Report> {
         let Task { site, epoch, job, attempt, expires } = &start.task;
-        let size = Capacity::from(&start.spec.size);
+        // What was planned, or a worker would refuse what its owner overcommits.
+        let size = Capacity::from(&start.planned);
         let expires = expires.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let body = json!({
             "task": task_id(&start.task),
@@ -142,7 +143,7 @@
         }
         // Any other refusal may have come after an earlier copy was taken: a
         // question about the attempt tells.
-        (code(&reply).as_deref() == Some("no-room")).then_some(Report::StartFailed)
+        (code(&reply).as_deref() == Some("no-room")).then_some(Report::NoRoom)
     }
 
     /// Asks what became of an attempt, which is never started from then on.
--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use vg_base::prelude::*;
 
-use crate::{Attempt, Cores, Fate, JobSpec, JobState, Site, Transition};
+use crate::{Attempt, Cores, Fate, JobSpec, JobState, Resources, Site, Transition};
 
 /// One attempt on one worker.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -30,6 +30,8 @@
     pub task: Task,
     /// What to run.
     pub spec: Arc<JobSpec>,
+    /// Room that was planned for it: learned where known, else as declared.
+    pub planned: Resources,
     /// Checkpoint to resume from.
     pub resume: Option<Bytes>,
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -61,6 +61,8 @@
     pub(crate) throttle: Option<Cores>,
     /// Time of the last step.
     pub(crate) since: Instant,
+    /// Messages about the attempt that got no answer.
+    pub(crate) unanswered: u32,
     /// Time of the last message about the attempt, sent or received.
     pub(crate) heard: Instant,
     pub(crate) changed: SystemTime,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -25,6 +25,8 @@
     pub start_life: Duration,
     /// Wait for a worker's word on a start before it is asked.
     pub start_wait: Duration,
+    /// How long a worker gets nothing after it had no room for a task.
+    pub crowded_wait: Duration,
     /// Wait for any word on a running attempt before its worker is asked.
     pub word_wait: Duration,
     /// Wait for a checkpoint before a job is stopped without one.
@@ -55,6 +57,7 @@
             lease_margin: Duration::from_secs(2),
             start_life: Duration::from_secs(5),
             start_wait: Duration::from_secs(1),
+            crowded_wait: Duration::from_secs(1),
             word_wait: Duration::from_secs(30),
             checkpoint_wait: Duration::from_secs(1),
             retention: Duration::from_secs(3600),
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -37,6 +37,11 @@
         Weighted { shares: shares.into_iter().collect(), ..Weighted::default() }
     }
 
+    /// Sets each team's share; a team without one counts as 1.
+    pub fn set_shares(&mut self, shares: impl IntoIterator<Item = (TeamId, Share)>) {
+        self.shares = shares.into_iter().collect();
+    }
+
     /// Of teams that are below the middle level the earliest deadline goes
     /// first; a team that claims tight deadlines can't pass that level by it.
     fn pick_urgent(&self, lanes: &[LaneView]) -> Option<usize> {
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -17,6 +17,8 @@
     Vanished,
     /// The start failed before any of the task ran.
     StartFailed,
+    /// The worker has no room for the task and did not start it.
+    NoRoom,
     /// The task ran to its end.
     Exited {
         /// Exit code.
--- a/crates/jobs/src/shard/commit.rs
+++ b/crates/jobs/src/shard/commit.rs
@@ -95,9 +95,9 @@
         if now.wall >= job.expires {
             return self.requeue(key, now);
         }
-        let (spec, resume) = (job.spec.clone(), job.checkpoint.clone());
+        let (spec, planned, resume) = (job.spec.clone(), job.held, job.checkpoint.clone());
         let Some(task) = self.task(key) else { return };
-        let start = Start { task, spec, resume };
+        let start = Start { task, spec, planned, resume };
         self.step(key, JobState::Starting, now);
         let job = &mut self.jobs[key];
         job.sent = true;
--- a/crates/jobs/src/shard/report.rs
+++ b/crates/jobs/src/shard/report.rs
@@ -36,11 +36,13 @@
             return LateSnafu { attempt }.fail();
         }
         job.heard = now.mono;
+        job.unanswered = 0;
         match report {
             Report::Running => self.running(key, now),
             Report::NeverStarted => self.never_started(key, now),
             Report::Vanished => self.lose(key, now),
             Report::StartFailed => self.start_failed(key, now),
+            Report::NoRoom => self.no_room(key, now),
             Report::Exited { exit } => self.exited(key, exit, now),
             Report::Stopped { checkpoint } => self.stopped(key, checkpoint, now),
             Report::CheckpointFailed => self.checkpoint_failed(key, now),
@@ -70,6 +72,20 @@
         }
     }
 
+    /// The worker counts its room otherwise than its owner: that is no fault of
+    /// the job or the worker, but neither fits for now.
+    fn no_room(&mut self, key: JobKey, now: Now) {
+        let job = &mut self.jobs[key];
+        let worker = job.worker.and_then(|worker| self.workers.get_mut(worker));
+        if let Some(worker) = worker {
+            worker.crowded = Some(now.mono + self.limits.crowded_wait);
+            if !job.failed_on.contains(&worker.host) {
+                job.failed_on.push(worker.host.clone());
+            }
+        }
+        self.never_started(key, now);
+    }
+
     fn start_failed(&mut self, key: JobKey, now: Now) {
         if !matches!(self.jobs[key].state, JobState::Placed | JobState::Starting) {
             return self.lose(key, now);
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -77,6 +77,7 @@
             peak: Resources::ZERO,
             throttle: None,
             since: now.mono,
+            unanswered: 0,
             heard: self.long_ago(now),
             changed: standing.changed,
         });
--- a/crates/jobs/src/shard/submit.rs
+++ b/crates/jobs/src/shard/submit.rs
@@ -87,6 +87,7 @@
             peak: Resources::ZERO,
             throttle: None,
             since: now.mono,
+            unanswered: 0,
             heard: now.mono,
             changed: now.wall,
         });
--- a/crates/jobs/src/shard/tick.rs
+++ b/crates/jobs/src/shard/tick.rs
@@ -53,11 +53,15 @@
             let Some(task) = self.task(key) else { continue };
             let state = job.state;
             let action = match state {
+                // A worker that does not know the attempt can't stop it: every
+                // other time it is asked.
+                _ if job.unanswered % 2 == 1 => Action::Query(task),
                 _ if self.is_cancelled(key) => Action::Stop(task),
                 JobState::Checkpointing => Action::Stop(task),
                 _ => Action::Query(task),
             };
             self.jobs[key].heard = now.mono;
+            self.jobs[key].unanswered += 1;
             self.actions.push(action);
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -74,6 +74,8 @@
     pub(crate) urgent: usize,
     pub(crate) health: Health,
     pub(crate) usage: Option<Usage>,
+    /// Until when it gets nothing, after it had no room for a task.
+    pub(crate) crowded: Option<Instant>,
     /// Time of the last relief; only later usage is acted upon.
     pub(crate) relieved: Option<Instant>,
 }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -175,6 +175,7 @@
             urgent: 0,
             health: Health::default(),
             usage: None,
+            crowded: None,
             relieved: None,
         });
         self.hosts.insert(host.clone(), key);
@@ -320,6 +321,7 @@
 /// Whether a worker may get the job, room aside.
 pub(crate) fn takes_work(worker: &Worker, need: &Need<'_>, now: Instant) -> bool {
     worker.state(now) == WorkerState::Up
+        && worker.crowded.is_none_or(|until| now >= until)
         && worker.health.admits(need.limits, need.idempotent, worker.jobs.len(), now)
         && !need.avoid.contains(&worker.host)
 }
--- a/crates/jobs/tests/fuzz.rs
+++ b/crates/jobs/tests/fuzz.rs
@@ -39,7 +39,7 @@
     Deliver {
         at: usize,
         keep: bool,
-        can_checkpoint: bool,
+        can: bool,
     },
     DropMessage(usize),
     Finish {
@@ -83,8 +83,8 @@
                 millis: size * 800,
             },
         );
-        let deliver = (0usize..16, prop::bool::weighted(0.2), any::<bool>())
-            .prop_map(|(at, keep, can_checkpoint)| Step::Deliver { at, keep, can_checkpoint });
+        let deliver = (0usize..16, prop::bool::weighted(0.2), prop::bool::weighted(0.75))
+            .prop_map(|(at, keep, can)| Step::Deliver { at, keep, can });
         let report = (0usize..16, prop::bool::weighted(0.2))
             .prop_map(|(at, keep)| Step::Report { at, keep });
         let finish = (0usize..16, prop_oneof![3 => Just(0), 1 => Just(1)])
@@ -140,7 +140,7 @@
             Step::Wake => world.wake(),
             Step::Heartbeat(at) => world.heartbeat(at),
             Step::Restart(at) => world.restart(at),
-            Step::Deliver { at, keep, can_checkpoint } => world.deliver(at, keep, can_checkpoint),
+            Step::Deliver { at, keep, can } => world.deliver(at, keep, can),
             Step::DropMessage(at) => world.drop_message(at),
             Step::Finish { at, exit } => world.finish(at, exit),
             Step::Report { at, keep } => world.report(at, keep),
--- a/crates/jobs/tests/health.rs
+++ b/crates/jobs/tests/health.rs
@@ -151,6 +151,47 @@
     assert_eq!(bench.run()[0].task.attempt.0, 2);
 }
 
+#[test]
+fn a_worker_without_room_is_left_alone_for_a_while_and_blamed_for_nothing() {
+    let mut bench = bench(1);
+    for team in ["dairy", "bakery", "meat", "grocery"] {
+        bench.submit(team.len() as u128, of(team));
+    }
+    for _ in 0..10 {
+        bench.place();
+        bench.commit();
+        let placed: Vec<JobId> = (4..8).map(job).collect();
+        for id in placed {
+            if bench.shard.job(id).is_some_and(|job| job.state() == JobState::Starting) {
+                bench.report(id, Report::NoRoom);
+            }
+        }
+        assert_eq!(bench.place().placed, 0, "the worker got more at once");
+        bench.tick(Duration::from_secs(1));
+        bench.beat();
+    }
+    assert_eq!(bench.shard.quarantined_workers(), Vec::<HostId>::new());
+    assert!(!bench.run().is_empty(), "the jobs are given up");
+}
+
+#[test]
+fn a_cancelled_job_whose_start_was_lost_does_not_hang_on_its_stop() {
+    let mut bench = bench(1);
+    bench.submit(1, of("dairy"));
+    bench.place();
+    bench.commit();
+    bench.shard.cancel(&[job(1)], bench.time.now());
+    bench.commit();
+    bench.actions.clear();
+    for _ in 0..3 {
+        bench.tick(Duration::from_secs(1));
+    }
+    assert!(bench.actions.iter().any(|action| matches!(action, Action::Stop(_))));
+    assert!(bench.actions.iter().any(|action| matches!(action, Action::Query(_))));
+    bench.report(job(1), Report::NeverStarted);
+    assert_eq!(bench.job(1).state(), JobState::Cancelled);
+}
+
 #[test]
 fn a_job_that_was_stopped_half_way_is_unknown_unless_it_may_repeat() {
     for (idempotent, state) in [(true, JobState::Queued), (false, JobState::Unknown)] {
--- a/crates/jobs/tests/support/worker.rs
+++ b/crates/jobs/tests/support/worker.rs
@@ -87,11 +87,12 @@
         Some((self.site(), key.0, key.1, report))
     }
 
-    /// Takes a message in; gives the answer.
+    /// Takes a message in; gives the answer. `can`: there is room to start a task,
+    /// or to write a checkpoint.
     pub(crate) fn receive(
         &mut self,
         action: &Action,
-        can_checkpoint: bool,
+        can: bool,
         now: Now,
         oracle: &mut Oracle,
     ) -> Option<Sent> {
@@ -102,9 +103,9 @@
         self.epoch = task.epoch;
         let key = (task.job, task.attempt);
         match action {
-            Action::Start(start) => self.start(start, now, oracle),
+            Action::Start(start) => self.start(start, can, now, oracle),
             Action::Query(_) => self.answer(task, now),
-            Action::Checkpoint(_) => self.checkpoint(task, can_checkpoint, now, oracle),
+            Action::Checkpoint(_) => self.checkpoint(task, can, now, oracle),
             Action::Stop(_) => {
                 if self.tasks.get(&key) == Some(&Phase::Running) {
                     self.finish(key, stopped(None));
@@ -119,7 +120,8 @@
         }
     }
 
-    fn start(&mut self, start: &Start, now: Now, oracle: &mut Oracle) -> Option<Sent> {
+    /// Starts a task if there is room (`can`).
+    fn start(&mut self, start: &Start, can: bool, now: Now, oracle: &mut Oracle) -> Option<Sent> {
         let key = (start.task.job, start.task.attempt);
         let fence = self.fences.entry(key.0).or_default();
         let expired = now.wall >= start.task.expires;
@@ -127,6 +129,10 @@
             return None;
         }
         *fence = key.1;
+        if !can {
+            self.finish(key, Report::NoRoom);
+            return self.word(key);
+        }
         oracle.started(start);
         self.tasks.insert(key, Phase::Running);
         self.word(key)
--- a/crates/jobs/tests/support/world.rs
+++ b/crates/jobs/tests/support/world.rs
@@ -238,7 +238,7 @@
     }
 
     /// Brings a message to its worker; a copy may stay under way.
-    pub(crate) fn deliver(&mut self, at: usize, keep: bool, can_checkpoint: bool) {
+    pub(crate) fn deliver(&mut self, at: usize, keep: bool, can: bool) {
         if self.messages.is_empty() {
             return;
         }
@@ -252,7 +252,7 @@
         let now = self.time.now();
         let worker = self.workers.iter_mut().find(|worker| worker.host == task.site.worker);
         let Some(worker) = worker else { return };
-        let answer = worker.receive(&action, can_checkpoint, now, &mut self.oracle);
+        let answer = worker.receive(&action, can, now, &mut self.oracle);
         self.reports.extend(answer);
     }
 
