--- a/crates/route/tests/receipts.rs
+++ b/crates/route/tests/receipts.rs
@@ -181,6 +181,18 @@
     assert!(matches!(owner.begin(&request("open", 5, now), now), Begin::Replay(_)));
 }
 
+#[test]
+fn a_receipt_whose_retention_is_over_is_not_handed_on() {
+    let now = Instant::now();
+    let pool = "calls".parse().unwrap();
+    let mut copies = Receipts::new(bounds());
+    let ended = request("ended", 1, now);
+    assert!(copies.mirror(&ended, now));
+    copies.settle(&ended.name, ended.attempt, Outcome::Answered, Some(answer("done")), now);
+    assert_eq!(copies.export(&pool, now + RETENTION - Duration::from_millis(1)).len(), 1);
+    assert!(copies.export(&pool, now + RETENTION).is_empty());
+}
+
 #[test]
 fn two_losses_open_a_gap_for_work_that_must_not_run_twice() {
     let now = Instant::now();
