entry: answer a doubled message as unknown, not as not run

Cause: a doubled message of an attempt that still ran was answered as not run; its ingress then gave its copy of the receipt up, and a lost owner would have left no trace of the run. Change: the answer is unknown; the type says why.

--- a/crates/entry/src/receipts.rs
+++ b/crates/entry/src/receipts.rs
@@ -245,8 +245,10 @@
             Problem::not_run(ProblemCode::QueueFull, detail).retry_after(*retry_after)
         }
         Begin::Doubled => {
-            let detail = "this attempt was refused before; this copy of it has not run";
-            Problem::not_run(ProblemCode::NoOwner, detail)
+            // The attempt may be running: to call it not run would let the ingress
+            // give its copy of the receipt up.
+            let detail = "this attempt came before; this copy of it tells nothing of its end";
+            Problem::unknown(ProblemCode::KeyInUse, detail).retry_after(RUNNING_RETRY)
         }
         Begin::Late => {
             let detail = "the deadline passed before the call came to its entry host";
--- a/crates/route/src/receipts/begin.rs
+++ b/crates/route/src/receipts/begin.rs
@@ -15,7 +15,9 @@
     /// Its key runs now under another attempt. This attempt is not run.
     Running,
     /// This very attempt came before. Whatever became of it was or will be
-    /// told: a second answer could contradict it, so none must be sent.
+    /// told: a second answer could contradict it, so none must be sent, or if
+    /// one must, then *unknown*. It is never *not run*: the attempt may be
+    /// running, and its ingress would give its copy of the receipt up.
     Doubled,
     /// Its deadline has passed: it is not run.
     Late,
