peer: let the lists raise the time after which lost runs are over

Cause: a queue's deadline longer than the built-in minute let a lost member's units come back while its runs could go on. Conclusion: the daemon has to call it with each revision; it doesn't yet.

--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -137,6 +137,12 @@
         self.view.note_revision(&self.me.clone(), revision);
     }
 
+    /// Notes that runs may last this long, by the lists in force: a lost
+    /// member's units stay out of use for as long.
+    pub fn cover_runs(&mut self, longest: Duration) {
+        self.view.cover_runs(longest);
+    }
+
     /// Returns the transitions to commit, as one compare-and-swap against
     /// exactly the book that was applied last.
     ///
--- a/crates/peer/src/view/acks.rs
+++ b/crates/peer/src/view/acks.rs
@@ -74,6 +74,12 @@
         self.passes_at(dead).is_some_and(|at| now >= at)
     }
 
+    /// Notes that runs may last this long, by the lists in force. Never takes
+    /// it back: runs that started by earlier lists may still go on.
+    pub fn cover_runs(&mut self, longest: Duration) {
+        self.timing.run_max = self.timing.run_max.max(longest);
+    }
+
     /// Whether all that a fenced member may have started is over.
     pub fn is_over(&self, now: Instant, dead: &Member) -> bool {
         let stopped = MemberState::is_stopped;
