--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -5,11 +5,13 @@
 //! each to the log; stamps from a hybrid clock order events of several
 //! processes so that a cause stands before its effect.
 
+mod catalogue;
 mod code;
 mod event;
 mod recorder;
 mod stamp;
 
+pub use catalogue::catalogue;
 pub use code::{Code, Level};
 pub use event::{Event, Field};
 pub use recorder::{Recorder, Window};
