entry, measure: count control bytes, and measure what a site at rest costs

Cause: nothing showed what a node spends on control. Change: counters of control bytes and messages by kind and way; `vg-measure capacity` measures a whole site at rest, changes of the lists, and memory.

--- a/crates/entry/src/control/book.rs
+++ b/crates/entry/src/control/book.rs
@@ -10,7 +10,8 @@
 
 use crate::control::keys::{BOOK, CONTROL_PREFIX, member_key, member_of};
 use crate::control::ownership;
-use crate::follow::{Observed, bounded, follow};
+use crate::follow::{Observed, bounded, follow, size};
+use crate::metrics::Direction;
 use crate::node::Node;
 use crate::platform::Platform;
 
@@ -28,6 +29,7 @@
     let observe = |observed| match observed {
         Observed::Listed { asked, listing } => {
             node.metrics.store_called("book", true);
+            node.metrics.control_moved("store-book", Direction::Received, size(&listing));
             take_in(&node, asked, &listing);
         }
         Observed::Failed(error) => {
@@ -161,6 +163,7 @@
     lease: Option<LeaseId>,
 ) -> bool {
     let Ok(value) = book.encode() else { return false };
+    node.metrics.control_moved("store-book", Direction::Sent, value.len());
     let mut txn = Txn::new().expect(BOOK, modified).put(BOOK, value);
     if let Some(lease) = lease {
         txn = txn.put_leased(member_key(&node.roster.me()), Vec::new(), lease);
--- a/crates/entry/src/control/heartbeats.rs
+++ b/crates/entry/src/control/heartbeats.rs
@@ -8,14 +8,27 @@
 
 use crate::control::{lists, units};
 use crate::node::Node;
+use crate::peer_link::{self, MessageKind};
 use crate::platform::Platform;
 
 /// Period in which due heartbeats are looked for.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 /// Longest wait for the reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest reply that is read.
-const REPLY_MAX_BYTES: usize = 256 * 1024;
+/// The heartbeat as a message.
+const HEARTBEAT: MessageKind = MessageKind {
+    name: "heartbeat",
+    path: "/peer/heartbeat",
+    limit: REPLY_TIMEOUT,
+    max_bytes: 256 * 1024,
+};
+/// Asking a peer for its lists.
+const LISTS: MessageKind = MessageKind {
+    name: "peer-lists",
+    path: "/peer/lists",
+    limit: REPLY_TIMEOUT,
+    max_bytes: vg_conf::stored::MAX_VALUE_BYTES * 2,
+};
 
 /// What peers wait for each other to know: fences and voters take effect only
 /// when a majority has stated that it knows them.
@@ -52,9 +65,7 @@
 }
 
 async fn exchange<P: Platform>(node: Node<P>, addr: SocketAddr, heartbeat: Heartbeat) {
-    let url = format!("http://{addr}/peer/heartbeat");
-    let reply = node.client.exchange(&url, &heartbeat, REPLY_TIMEOUT, REPLY_MAX_BYTES).await;
-    if let Ok(reply) = reply {
+    if let Ok(reply) = peer_link::exchange(&node, HEARTBEAT, addr, &heartbeat).await {
         receive(&node, &reply).await;
     }
 }
@@ -74,9 +85,7 @@
 /// Takes newer lists from a peer: the store may be out of reach here.
 async fn fetch_lists<P: Platform>(node: &Node<P>, from: &Member) {
     let Some(addr) = node.roster.peer_addr(from) else { return };
-    let url = format!("http://{addr}/peer/lists");
-    let value: Result<Vec<u8>, _> =
-        node.client.exchange(&url, &(), REPLY_TIMEOUT, vg_conf::stored::MAX_VALUE_BYTES * 2).await;
+    let value: Result<Vec<u8>, _> = peer_link::exchange(node, LISTS, addr, &()).await;
     if let Ok(value) = value {
         lists::offer(node, &value);
     }
--- a/crates/entry/src/control/hosts.rs
+++ b/crates/entry/src/control/hosts.rs
@@ -13,7 +13,7 @@
 /// Reads the host list from time to time.
 pub(super) async fn run<P: Platform>(node: Node<P>) {
     loop {
-        if let Ok(list) = fetch(&node.client, node.options.host_list).await
+        if let Ok(list) = fetch(&node.client, &node.metrics, node.options.host_list).await
             && node.hosts.offer(list)
         {
             node.pools.all().iter().for_each(|pool| apply(&node, pool));
--- a/crates/entry/src/control/lists.rs
+++ b/crates/entry/src/control/lists.rs
@@ -7,7 +7,8 @@
 use vg_store::{Key, Listing};
 
 use crate::config::Offered;
-use crate::follow::{Observed, follow};
+use crate::follow::{Observed, follow, size};
+use crate::metrics::Direction;
 use crate::node::Node;
 use crate::platform::Platform;
 
@@ -20,6 +21,7 @@
     let observe = |observed| match observed {
         Observed::Listed { asked, listing } => {
             node.metrics.store_called("lists", true);
+            node.metrics.control_moved("store-lists", Direction::Received, size(&listing));
             take_in(&node, asked, &listing);
         }
         Observed::Failed(error) => {
--- a/crates/entry/src/control/units.rs
+++ b/crates/entry/src/control/units.rs
@@ -7,16 +7,20 @@
 use vg_limit::{UnitReply, UnitRequest};
 
 use crate::node::Node;
+use crate::peer_link::{self, MessageKind};
 use crate::platform::Platform;
 
 /// Shortest time between two looks at the demand.
 const LOOK_MIN: Duration = Duration::from_millis(20);
 /// Longest time between two looks at the demand.
 const LOOK_MAX: Duration = Duration::from_millis(200);
-/// Longest wait for a peer's units.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest reply that is read.
-const REPLY_MAX_BYTES: usize = 256 * 1024;
+/// Asking a peer for units.
+const UNITS: MessageKind = MessageKind {
+    name: "units",
+    path: "/peer/units",
+    limit: Duration::from_millis(400),
+    max_bytes: 256 * 1024,
+};
 
 /// States what waiting work wants and asks peers for it.
 pub(super) async fn run<P: Platform>(node: Node<P>) {
@@ -70,8 +74,7 @@
     addr: SocketAddr,
     request: &UnitRequest,
 ) -> Result<Option<UnitReply>, vg_net::Error> {
-    let url = format!("http://{addr}/peer/units");
-    node.client.exchange(&url, request, REPLY_TIMEOUT, REPLY_MAX_BYTES).await
+    peer_link::exchange(node, UNITS, addr, request).await
 }
 
 /// Lets all pools use units that have come in.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -97,6 +97,11 @@
     }
 }
 
+/// Returns the bytes of all keys and values of a list.
+pub(crate) fn size(listing: &Listing) -> usize {
+    listing.entries.iter().map(|entry| entry.key.0.len() + entry.value.len()).sum()
+}
+
 /// Bounds a store call. A call that timed out may have taken effect.
 pub(crate) async fn bounded<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     match tokio::time::timeout(CALL_TIMEOUT, call).await {
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -8,6 +8,8 @@
 use vg_base::prelude::*;
 use vg_net::Client;
 
+use crate::metrics::{Direction, Metrics};
+
 /// Longest time for one request to the host list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest list that is read.
@@ -91,10 +93,15 @@
 /// # Errors
 ///
 /// Those of the HTTP layer; a malformed list is a decode error.
-pub(crate) async fn fetch(client: &Client, addr: SocketAddr) -> Result<HostList, vg_net::Error> {
+pub(crate) async fn fetch(
+    client: &Client,
+    metrics: &Metrics,
+    addr: SocketAddr,
+) -> Result<HostList, vg_net::Error> {
     let request = Request::get(format!("http://{addr}/hosts")).body(vg_net::empty());
     let request = request.map_err(|source| vg_net::Error::Request { source })?;
     let reply = client.call(request, LIST_TIMEOUT, LIST_MAX_BYTES).await?;
+    metrics.control_moved("host-list", Direction::Received, reply.body.len());
     if !reply.status.is_success() {
         return Err(vg_net::Error::Status { to: addr.to_string(), status: reply.status.as_u16() });
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a node, by `prometheus`.
 
+use derive_more::Display;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -17,9 +18,22 @@
     calls: IntCounterVec,
     latency: HistogramVec,
     store: IntCounterVec,
+    control_bytes: IntCounterVec,
+    control_messages: IntCounterVec,
     state: IntGaugeVec,
 }
 
+/// Which way a control message went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Direction {
+    /// This node sent it.
+    #[display("sent")]
+    Sent,
+    /// This node received it.
+    #[display("received")]
+    Received,
+}
+
 impl Metrics {
     /// Makes and registers the metrics.
     ///
@@ -35,13 +49,19 @@
         let latency = HistogramVec::new(latency, &["queue"])?;
         let store = Opts::new("store_calls_total", "Store calls, by kind and result");
         let store = IntCounterVec::new(store, &["kind", "result"])?;
+        let bytes = Opts::new("control_bytes_total", "Bytes of control content, by kind and way");
+        let control_bytes = IntCounterVec::new(bytes, &["kind", "direction"])?;
+        let messages = Opts::new("control_messages_total", "Control messages, by kind and way");
+        let control_messages = IntCounterVec::new(messages, &["kind", "direction"])?;
         let state = Opts::new("state", "Sizes of this node's tables");
         let state = IntGaugeVec::new(state, &["what"])?;
         registry.register(Box::new(calls.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(store.clone()))?;
+        registry.register(Box::new(control_bytes.clone()))?;
+        registry.register(Box::new(control_messages.clone()))?;
         registry.register(Box::new(state.clone()))?;
-        Ok(Metrics { registry, calls, latency, store, state })
+        Ok(Metrics { registry, calls, latency, store, control_bytes, control_messages, state })
     }
 
     /// Counts a call that ended. `queue` must be a name from the lists.
@@ -61,6 +81,14 @@
         self.store.with_label_values(&[kind, result]).inc();
     }
 
+    /// Counts a control message of which `bytes` of content were encoded or
+    /// decoded. Heads of HTTP and the store gateway's encoding come on top.
+    pub fn control_moved(&self, kind: &str, direction: Direction, bytes: usize) {
+        let labels = [kind, &direction.to_string()];
+        self.control_bytes.with_label_values(&labels).inc_by(bytes as u64);
+        self.control_messages.with_label_values(&labels).inc();
+    }
+
     /// Sets the size of a table.
     pub fn set_state(&self, what: &str, value: usize) {
         self.state.with_label_values(&[what]).set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/crates/entry/src/web/peers.rs
+++ b/crates/entry/src/web/peers.rs
@@ -1,5 +1,6 @@
 //! Messages from other entry hosts.
 
+use bytes::Bytes;
 use gotham::handler::HandlerResult;
 use gotham::state::{FromState, State};
 use http::{Response, header};
@@ -14,6 +15,8 @@
 use crate::dispatch;
 use crate::forward;
 use crate::jobs::{self, JobReply, JobRequest, UnitsHandover};
+use crate::metrics::Direction;
+use crate::node::Node;
 use crate::platform::Platform;
 use crate::problem::{Problem, ProblemCode};
 use crate::receipts::{Mirror, Settled};
@@ -38,13 +41,13 @@
 /// `POST /peer/heartbeat`
 pub(crate) async fn post_heartbeat<P: Platform>(mut state: State) -> HandlerResult {
     let node = node::<P>(&state);
-    let response = match read::<Heartbeat>(&mut state).await {
+    let response = match take::<P, Heartbeat>(&mut state, &node, "heartbeat").await {
         Ok(heartbeat) => {
             control::receive(&node, &heartbeat).await;
             let stamp = node.events.clock().stamp();
             let now = node.clock.now();
             let reply = node.roster.lock().heartbeat(now, &heartbeat.from, stamp);
-            reply_with(&reply)
+            counted(&node, "heartbeat", &reply)
         }
         Err(problem) => problem.into_response(),
     };
@@ -54,10 +57,10 @@
 /// `POST /peer/units`
 pub(crate) async fn post_units<P: Platform>(mut state: State) -> HandlerResult {
     let node = node::<P>(&state);
-    let response = match read::<UnitRequest>(&mut state).await {
+    let response = match take::<P, UnitRequest>(&mut state, &node, "units").await {
         Ok(request) => {
             let reply = node.roster.lock().answer_units(&request);
-            reply_with(&reply)
+            counted(&node, "units", &reply)
         }
         Err(problem) => problem.into_response(),
     };
@@ -92,7 +95,7 @@
     let node = node::<P>(&state);
     let value = node.config.stored().and_then(|stored| stored.encode().ok());
     let response = match value {
-        Some(value) => reply_with(&value),
+        Some(value) => counted(&node, "peer-lists", &value),
         None => not_found("no lists are in force here").into_response(),
     };
     Ok((state, response))
@@ -133,25 +136,55 @@
 }
 
 async fn read<T: DeserializeOwned>(state: &mut State) -> Result<T, Problem> {
-    let (_, body) = take_request(state);
-    let malformed =
-        |e: vg_net::Error| Problem::not_run(ProblemCode::MalformedRequest, e.to_string());
-    let bytes = vg_net::read_all(body, MESSAGE_MAX_BYTES).await.map_err(malformed)?;
+    let bytes = read_bytes(state).await?;
+    vg_net::from_msgpack(&bytes).map_err(malformed)
+}
+
+/// Reads a control message and counts its bytes.
+async fn take<P: Platform, T: DeserializeOwned>(
+    state: &mut State,
+    node: &Node<P>,
+    kind: &str,
+) -> Result<T, Problem> {
+    let bytes = read_bytes(state).await?;
+    node.metrics.control_moved(kind, Direction::Received, bytes.len());
     vg_net::from_msgpack(&bytes).map_err(malformed)
 }
 
+async fn read_bytes(state: &mut State) -> Result<Bytes, Problem> {
+    let (_, body) = take_request(state);
+    vg_net::read_all(body, MESSAGE_MAX_BYTES).await.map_err(malformed)
+}
+
+fn malformed(error: vg_net::Error) -> Problem {
+    Problem::not_run(ProblemCode::MalformedRequest, error.to_string())
+}
+
 fn reply_with<T: Serialize>(message: &T) -> Response<Body> {
+    match vg_net::to_msgpack(message) {
+        Ok(bytes) => respond(bytes),
+        Err(e) => not_found(&e.to_string()).into_response(),
+    }
+}
+
+/// Replies with a control message and counts its bytes.
+fn counted<P: Platform, T: Serialize>(node: &Node<P>, kind: &str, message: &T) -> Response<Body> {
     match vg_net::to_msgpack(message) {
         Ok(bytes) => {
-            let mut response = Response::new(vg_net::full(bytes));
-            let kind = http::HeaderValue::from_static("application/msgpack");
-            response.headers_mut().insert(header::CONTENT_TYPE, kind);
-            response
+            node.metrics.control_moved(kind, Direction::Sent, bytes.len());
+            respond(bytes)
         }
         Err(e) => not_found(&e.to_string()).into_response(),
     }
 }
 
+fn respond(bytes: Bytes) -> Response<Body> {
+    let mut response = Response::new(vg_net::full(bytes));
+    let kind = http::HeaderValue::from_static("application/msgpack");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
 fn not_found(detail: &str) -> Problem {
     Problem::not_run(ProblemCode::NotFound, detail)
 }
--- /dev/null
+++ b/crates/measure/src/capacity/counters.rs
@@ -0,0 +1,46 @@
+//! Counters of nodes, read from their metrics.
+
+use std::collections::BTreeMap;
+
+use verbenagap::site::Site;
+
+/// Counters of all nodes together by name with labels.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Counters {
+    values: BTreeMap<String, f64>,
+}
+
+impl Counters {
+    /// Reads the counters of all nodes of a site.
+    pub(super) fn read(site: &Site) -> Counters {
+        let mut values = BTreeMap::new();
+        for node in site.nodes().values() {
+            let text = node.handle.node().metrics.text().unwrap_or_default();
+            add(&mut values, &String::from_utf8_lossy(&text));
+        }
+        Counters { values }
+    }
+
+    /// Returns what was counted since an earlier reading, divided by `by`.
+    pub(super) fn since(&self, before: &Counters, by: f64) -> Counters {
+        let earlier = |name: &String| before.values.get(name).copied().unwrap_or(0.0);
+        let rates =
+            self.values.iter().map(|(name, now)| (name.clone(), (now - earlier(name)) / by));
+        Counters { values: rates.collect() }
+    }
+
+    /// Returns the sum over the counters whose name has all of these parts.
+    pub(super) fn sum(&self, parts: &[&str]) -> f64 {
+        let fits = |name: &str| parts.iter().all(|part| name.contains(part));
+        self.values.iter().filter(|(name, _)| fits(name)).map(|(_, value)| value).sum()
+    }
+}
+
+fn add(values: &mut BTreeMap<String, f64>, text: &str) {
+    for line in text.lines().filter(|line| !line.starts_with('#')) {
+        let Some((name, value)) = line.rsplit_once(' ') else { continue };
+        if let Ok(value) = value.parse::<f64>() {
+            *values.entry(name.to_owned()).or_default() += value;
+        }
+    }
+}
--- a/crates/measure/src/error.rs
+++ b/crates/measure/src/error.rs
@@ -20,4 +20,10 @@
         /// What is wrong, and what is accepted.
         what: String,
     },
+    /// A site on loopback does not start or work.
+    #[snafu(display("the site: {reason}"))]
+    Site {
+        /// Cause.
+        reason: String,
+    },
 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{ArgMatches, Command};
-use vg_measure::{Error, calls, jobs};
+use vg_measure::{Error, calls, capacity, jobs};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -27,11 +27,13 @@
         .arg_required_else_help(true)
         .subcommand(calls::command())
         .subcommand(jobs::command())
+        .subcommand(capacity::command())
 }
 
 fn run(matches: &ArgMatches, out: &mut impl Write) -> Result<(), Error> {
     match matches.subcommand() {
         Some((calls::NAME, matches)) => calls::run(matches, out),
+        Some((capacity::NAME, matches)) => capacity::run(matches, out),
         Some((jobs::NAME, matches)) => jobs::run(matches, out),
         _ => Ok(()),
     }
--- a/crates/verbenagap/src/site/mod.rs
+++ b/crates/verbenagap/src/site/mod.rs
@@ -315,7 +315,7 @@
             body_bytes: Options::BODY_BYTES,
             limits: Limits::default(),
             lease: self.plan.timing.lease,
-            host_period: Duration::from_millis(200),
+            host_period: self.plan.host_period,
             drain: Options::DRAIN,
             event_capacity: Options::EVENT_CAPACITY,
         }
--- a/crates/verbenagap/src/site/plan.rs
+++ b/crates/verbenagap/src/site/plan.rs
@@ -26,6 +26,8 @@
     pub zones: u32,
     /// How long an endpoint takes for a call.
     pub service: Duration,
+    /// Period in which entry hosts read the host list.
+    pub host_period: Duration,
     /// Times of membership.
     pub timing: Timing,
 }
@@ -46,6 +48,7 @@
             workers: 2,
             zones: 3,
             service: Duration::from_millis(20),
+            host_period: Duration::from_millis(200),
             timing: Timing::default(),
         }
     }
