entry: confirm lists, book and host list without reading them whole

Change: when no watch has rung for a period, a transaction without writes asks whether the entries are those of the last list; the host list is asked for with the tag of the last one, and the stand-in answers 304. Figures: before: 253,109 bytes/s, 2.04% of a core a node (5 s, load 15 to 19 on 10 cores). Conclusion: a confirmation proves as much as a list of the same moment; a platform without tags still sends the whole host list.

--- a/crates/entry/src/control/book.rs
+++ b/crates/entry/src/control/book.rs
@@ -10,7 +10,7 @@
 
 use crate::control::keys::{BOOK, CONTROL_PREFIX, member_key, member_of};
 use crate::control::ownership;
-use crate::follow::{Observed, bounded, follow, size};
+use crate::follow::{Observed, bounded, follow, question_size, size};
 use crate::metrics::Direction;
 use crate::node::Node;
 use crate::platform::Platform;
@@ -32,6 +32,11 @@
             node.metrics.control_moved("store-book", Direction::Received, size(&listing));
             take_in(&node, asked, &listing);
         }
+        Observed::Confirmed { asked, listing } => {
+            node.metrics.store_called("book-confirm", true);
+            node.metrics.control_moved("store-book", Direction::Sent, question_size(&listing));
+            take_in(&node, asked, &listing);
+        }
         Observed::Failed(error) => {
             node.metrics.store_called("book", false);
             log::debug!("following the book: {error}");
--- a/crates/entry/src/control/hosts.rs
+++ b/crates/entry/src/control/hosts.rs
@@ -12,8 +12,10 @@
 
 /// Reads the host list from time to time.
 pub(super) async fn run<P: Platform>(node: Node<P>) {
+    let mut tag = None;
     loop {
-        if let Ok(list) = fetch(&node.client, &node.metrics, node.options.host_list).await
+        let list = fetch(&node.client, &node.metrics, node.options.host_list, &mut tag).await;
+        if let Ok(Some(list)) = list
             && node.hosts.offer(list)
         {
             node.pools.all().iter().for_each(|pool| apply(&node, pool));
--- a/crates/entry/src/control/lists.rs
+++ b/crates/entry/src/control/lists.rs
@@ -7,7 +7,7 @@
 use vg_store::{Key, Listing};
 
 use crate::config::Offered;
-use crate::follow::{Observed, follow, size};
+use crate::follow::{Observed, follow, question_size, size};
 use crate::metrics::Direction;
 use crate::node::Node;
 use crate::platform::Platform;
@@ -24,6 +24,11 @@
             node.metrics.control_moved("store-lists", Direction::Received, size(&listing));
             take_in(&node, asked, &listing);
         }
+        Observed::Confirmed { asked, listing } => {
+            node.metrics.store_called("lists-confirm", true);
+            node.metrics.control_moved("store-lists", Direction::Sent, question_size(&listing));
+            take_in(&node, asked, &listing);
+        }
         Observed::Failed(error) => {
             node.metrics.store_called("lists", false);
             log::debug!("following the lists: {error}");
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -2,12 +2,17 @@
 //! tells of a change, and from time to time.
 //!
 //! The watch only rings. What is taken in is always a list as of one moment,
-//! which proves that it is current, as the content of a watch can't.
+//! which proves that it is current, as the content of a watch can't. When no
+//! watch has rung for a period, a transaction without writes asks whether the
+//! entries of the last list are still what they were: its answer proves as much
+//! as a list does, without their values.
 
 use std::future::Future;
 
 use vg_base::prelude::*;
-use vg_store::{Error, Key, Listing, Store, StoreRevision, Watch};
+use vg_store::{
+    Entry, Error, Key, Listing, Store, StoreRevision, TXN_MAX_OPS, Txn, TxnOutcome, Watch,
+};
 
 /// Longest time for one store call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -26,11 +31,22 @@
         /// The entries.
         listing: Listing,
     },
+    /// All entries are still those of the last list at some time after `asked`.
+    Confirmed {
+        /// Before the call was sent.
+        asked: Instant,
+        /// The entries.
+        listing: Listing,
+    },
     /// The store gave no answer.
     Failed(Error),
 }
 
-/// Follows `prefix` until the future is dropped, listing it every `period`.
+/// Follows `prefix` until the future is dropped, and confirms every `period`
+/// that the last list is current.
+///
+/// A key may appear under `prefix` only together with a write to one that is
+/// there: a confirmation asks for the known keys alone.
 pub(crate) async fn follow<S: Store, C: Clock>(
     store: &S,
     clock: &C,
@@ -44,9 +60,8 @@
         let error = match bounded(store.range(&prefix)).await {
             Ok(listing) => {
                 retry = RETRY_MIN;
-                let from = StoreRevision(listing.revision.0 + 1);
-                observe(Observed::Listed { asked, listing });
-                watch(store, clock, &prefix, from, period, &mut observe).await
+                observe(Observed::Listed { asked, listing: listing.clone() });
+                watch(store, clock, &prefix, listing, period, &mut observe).await
             }
             Err(error) => error,
         };
@@ -56,35 +71,52 @@
     }
 }
 
-/// Watches and lists until a call fails.
+/// Watches, lists and confirms until a call fails.
 async fn watch<S: Store, C: Clock>(
     store: &S,
     clock: &C,
     prefix: &Key,
-    from: StoreRevision,
+    mut listing: Listing,
     period: Duration,
     observe: &mut impl FnMut(Observed),
 ) -> Error {
-    let mut seen = from;
-    let mut watch = match bounded(store.watch(prefix, from)).await {
+    let next = |listing: &Listing| StoreRevision(listing.revision.0 + 1);
+    let mut watch = match bounded(store.watch(prefix, next(&listing))).await {
         Ok(watch) => watch,
         Err(error) => return error,
     };
     loop {
-        let rung = tokio::time::timeout(period, ring(&mut watch, seen)).await;
-        // Else there is a change, or the period is over.
-        if let Ok(Err(error)) = rung {
-            return error;
+        let rung = tokio::time::timeout(period, ring(&mut watch, next(&listing))).await;
+        let asked = clock.now();
+        let changed = match rung {
+            Ok(Err(error)) => return error,
+            Ok(Ok(())) => true,
+            Err(_) => match is_current(store, &listing).await {
+                Ok(current) => !current,
+                Err(error) => return error,
+            },
+        };
+        if !changed {
+            observe(Observed::Confirmed { asked, listing: listing.clone() });
+            continue;
         }
         let asked = clock.now();
-        match bounded(store.range(prefix)).await {
-            Ok(listing) => {
-                seen = StoreRevision(listing.revision.0 + 1);
-                observe(Observed::Listed { asked, listing });
-            }
+        listing = match bounded(store.range(prefix)).await {
+            Ok(listing) => listing,
             Err(error) => return error,
-        }
+        };
+        observe(Observed::Listed { asked, listing: listing.clone() });
+    }
+}
+
+/// Asks whether all entries are as listed; false if that can't be asked.
+async fn is_current<S: Store>(store: &S, listing: &Listing) -> Result<bool, Error> {
+    if listing.entries.is_empty() || listing.entries.len() > TXN_MAX_OPS {
+        return Ok(false);
     }
+    let expect = |txn: Txn, entry: &Entry| txn.expect(entry.key.clone(), Some(entry.modified));
+    let question = listing.entries.iter().fold(Txn::new(), expect);
+    Ok(matches!(bounded(store.commit(question)).await?, TxnOutcome::Done { .. }))
 }
 
 /// Waits until the watch tells of a change that the last list didn't have.
@@ -102,6 +134,12 @@
     listing.entries.iter().map(|entry| entry.key.0.len() + entry.value.len()).sum()
 }
 
+/// Returns the bytes of what a confirmation asks: keys and their revisions.
+pub(crate) fn question_size(listing: &Listing) -> usize {
+    let revision = std::mem::size_of::<StoreRevision>();
+    listing.entries.iter().map(|entry| entry.key.0.len() + revision).sum()
+}
+
 /// Bounds a store call. A call that timed out may have taken effect.
 pub(crate) async fn bounded<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     match tokio::time::timeout(CALL_TIMEOUT, call).await {
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, RwLock};
 
-use http::Request;
+use http::{HeaderValue, Request, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 use vg_net::Client;
@@ -88,7 +88,9 @@
     }
 }
 
-/// Reads the list once.
+/// Reads the list once; none if it is still the one of `tag`, which is set to
+/// the tag of the list that is returned. A platform that gives no tags sends
+/// the whole list each time.
 ///
 /// # Errors
 ///
@@ -97,13 +99,24 @@
     client: &Client,
     metrics: &Metrics,
     addr: SocketAddr,
-) -> Result<HostList, vg_net::Error> {
-    let request = Request::get(format!("http://{addr}/hosts")).body(vg_net::empty());
+    tag: &mut Option<HeaderValue>,
+) -> Result<Option<HostList>, vg_net::Error> {
+    let mut request = Request::get(format!("http://{addr}/hosts"));
+    if let Some(tag) = tag {
+        request = request.header(header::IF_NONE_MATCH, tag.clone());
+    }
+    let request = request.body(vg_net::empty());
     let request = request.map_err(|source| vg_net::Error::Request { source })?;
     let reply = client.call(request, LIST_TIMEOUT, LIST_MAX_BYTES).await?;
     metrics.control_moved("host-list", Direction::Received, reply.body.len());
+    if reply.status == StatusCode::NOT_MODIFIED {
+        return Ok(None);
+    }
     if !reply.status.is_success() {
         return Err(vg_net::Error::Status { to: addr.to_string(), status: reply.status.as_u16() });
     }
-    serde_json::from_slice(&reply.body).map_err(|e| vg_net::Error::Decode { reason: e.to_string() })
+    let list = serde_json::from_slice(&reply.body);
+    let list = list.map_err(|e| vg_net::Error::Decode { reason: e.to_string() })?;
+    *tag = reply.headers.get(header::ETAG).cloned();
+    Ok(Some(list))
 }
--- a/crates/standin/src/hosts/server.rs
+++ b/crates/standin/src/hosts/server.rs
@@ -6,7 +6,7 @@
 
 use gotham::prelude::*;
 use gotham::router::Router;
-use http::StatusCode;
+use http::{HeaderValue, Response, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use vg_base::SystemClock;
@@ -125,7 +125,22 @@
     }
     let now = state.clock.now();
     let list = state.lock().show(now);
-    json(&list)
+    let tag = format!("\"{}\"", list.revision);
+    let known = exchange.headers.get(header::IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return not_modified();
+    }
+    let mut response = json(&list)?;
+    if let Ok(tag) = HeaderValue::from_str(&tag) {
+        response.headers_mut().insert(header::ETAG, tag);
+    }
+    Ok(response)
+}
+
+fn not_modified() -> Reply {
+    let mut response = Response::new(vg_net::empty());
+    *response.status_mut() = StatusCode::NOT_MODIFIED;
+    Ok(response)
 }
 
 async fn put<C: Clock>(mut exchange: Exchange<State<C>>) -> Reply {
