--- a/crates/entry/src/control/book.rs
+++ b/crates/entry/src/control/book.rs
@@ -10,7 +10,8 @@
 
 use crate::control::keys::{BOOK, CONTROL_PREFIX, member_key, member_of};
 use crate::control::ownership;
-use crate::follow::{Observed, bounded, follow};
+use crate::follow::{Observed, bounded, follow, question_size, size};
+use crate::metrics::Direction;
 use crate::node::Node;
 use crate::platform::Platform;
 
@@ -28,6 +29,12 @@
     let observe = |observed| match observed {
         Observed::Listed { asked, listing } => {
             node.metrics.store_called("book", true);
+            node.metrics.control_moved("store-book", Direction::Received, size(&listing));
+            take_in(&node, asked, &listing);
+        }
+        Observed::Confirmed { asked, listing } => {
+            node.metrics.store_called("book-confirm", true);
+            node.metrics.control_moved("store-book", Direction::Sent, question_size(&listing));
             take_in(&node, asked, &listing);
         }
         Observed::Failed(error) => {
@@ -76,6 +83,9 @@
 }
 
 fn record_members<P: Platform>(node: &Node<P>, before: &Book, book: &Book) {
+    for member in before.members.keys().filter(|member| !book.members.contains_key(*member)) {
+        node.events.record(Code::UnitsReclaimed, [Field::new("member", member)]);
+    }
     for (member, record) in &book.members {
         let known = before.state(member);
         if known == Some(record.state) {
@@ -161,6 +171,7 @@
     lease: Option<LeaseId>,
 ) -> bool {
     let Ok(value) = book.encode() else { return false };
+    node.metrics.control_moved("store-book", Direction::Sent, value.len());
     let mut txn = Txn::new().expect(BOOK, modified).put(BOOK, value);
     if let Some(lease) = lease {
         txn = txn.put_leased(member_key(&node.roster.me()), Vec::new(), lease);
--- a/crates/entry/src/control/lists.rs
+++ b/crates/entry/src/control/lists.rs
@@ -1,13 +1,15 @@
 //! Following the operators' lists.
 
 use vg_base::prelude::*;
+use vg_conf::Lists;
 use vg_conf::stored::LISTS_KEY;
 use vg_events::{Code, Field};
 use vg_share::Rules;
 use vg_store::{Key, Listing};
 
-use crate::config::Offered;
-use crate::follow::{Observed, follow};
+use crate::config::{Current, Offered};
+use crate::follow::{Observed, follow, question_size, size};
+use crate::metrics::Direction;
 use crate::node::Node;
 use crate::platform::Platform;
 
@@ -20,6 +22,12 @@
     let observe = |observed| match observed {
         Observed::Listed { asked, listing } => {
             node.metrics.store_called("lists", true);
+            node.metrics.control_moved("store-lists", Direction::Received, size(&listing));
+            take_in(&node, asked, &listing);
+        }
+        Observed::Confirmed { asked, listing } => {
+            node.metrics.store_called("lists-confirm", true);
+            node.metrics.control_moved("store-lists", Direction::Sent, question_size(&listing));
             take_in(&node, asked, &listing);
         }
         Observed::Failed(error) => {
@@ -47,7 +55,7 @@
     match node.config.offer(bytes) {
         Ok(Offered::Known) => true,
         Ok(Offered::InForce) => {
-            enforce(node, before.revision);
+            enforce(node, &before);
             true
         }
         Err(error) => {
@@ -61,12 +69,24 @@
     }
 }
 
-fn enforce<P: Platform>(node: &Node<P>, before: Revision) {
+fn enforce<P: Platform>(node: &Node<P>, before: &Current) {
     let config = node.config.current();
+    record_withdrawn(node, &before.lists, &config.lists);
     node.roster.lock().set_revision(config.revision);
     for pool in node.pools.all() {
         pool.configure(Rules::of_pool(&config.lists, pool.pool()));
     }
-    let fields = [Field::new("revision", config.revision), Field::new("before", before)];
+    let fields = [Field::new("revision", config.revision), Field::new("before", before.revision)];
     node.events.record(Code::RevisionInForce, fields);
 }
+
+/// Records whose keys are not in force any more, never the keys themselves.
+fn record_withdrawn<P: Platform>(node: &Node<P>, before: &Lists, now: &Lists) {
+    for plan in before.plans.values() {
+        let gone = plan.keys.iter().filter(|key| now.plan_of_digest(key).is_none()).count();
+        if gone > 0 {
+            let fields = [Field::new("team", &plan.team), Field::new("keys", gone)];
+            node.events.record(Code::KeyWithdrawn, fields);
+        }
+    }
+}
--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -56,6 +56,7 @@
         node.options.zone.clone(),
         node.clock.clone(),
         node.roster.clone(),
+        node.events.clone(),
         rules,
     );
     let dispatch = Arc::new(dispatch);
--- a/crates/entry/src/dispatch/pool.rs
+++ b/crates/entry/src/dispatch/pool.rs
@@ -5,6 +5,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 use vg_base::prelude::*;
+use vg_events::{Code, Field, Recorder};
 use vg_route::{
     Applied, Busy, CallResult, EndpointInfo, Endpoints, Health, ListRevision, Probing, Retry,
     RetryBudget, RetryRequest, Slot,
@@ -25,6 +26,7 @@
     zone: ZoneId,
     clock: C,
     units: Roster<C>,
+    events: Recorder<C>,
     table: Mutex<Table<C>>,
 }
 
@@ -60,6 +62,7 @@
         zone: ZoneId,
         clock: C,
         units: Roster<C>,
+        events: Recorder<C>,
         rules: Rules,
     ) -> PoolDispatch<C> {
         let table = Table {
@@ -69,7 +72,7 @@
             waiting: SecondaryMap::new(),
             closed: false,
         };
-        PoolDispatch { pool, zone, clock, units, table: Mutex::new(table) }
+        PoolDispatch { pool, zone, clock, units, events, table: Mutex::new(table) }
     }
 
     /// Returns the pool's name.
@@ -187,20 +190,21 @@
     }
 
     /// Ends a run and gives its slot to the next call.
-    pub(super) fn release(
-        self: &Arc<Self>,
-        ticket: Ticket,
-        slot: Slot,
-        result: CallResult,
-    ) -> Option<Health> {
+    pub(super) fn release(self: &Arc<Self>, ticket: Ticket, slot: Slot, result: CallResult) {
         let now = self.clock.now();
+        let host = slot.host.clone();
         let mut table = self.lock();
         table.scheduler.finish(ticket, now);
         let health = table.endpoints.release(slot, result, now);
         let verdicts = self.pump_locked(&mut table, now);
         drop(table);
         send(verdicts);
-        health
+        let code = match health {
+            Some(Health::Ejected { .. }) => Code::EndpointEjected,
+            Some(_) => Code::EndpointRestored,
+            None => return,
+        };
+        self.events.record(code, [Field::new("host", host), Field::new("pool", &self.pool)]);
     }
 
     fn pump_locked(self: &Arc<Self>, table: &mut Table<C>, now: Instant) -> Verdicts<C> {
--- a/crates/entry/src/jobs/keeper.rs
+++ b/crates/entry/src/jobs/keeper.rs
@@ -315,7 +315,12 @@
                 }
             }
             Action::Shown { job, state } => self.show(job, state),
-            Action::Stepped { .. } => {}
+            Action::Stepped { job, attempt, transition } => {
+                if matches!(transition.to, JobState::Queued | JobState::Stopped) {
+                    let fields = [Field::new("job", job), Field::new("attempt", attempt)];
+                    self.node.events.record(Code::JobRequeued, fields);
+                }
+            }
             Action::Quarantined { worker, until } => {
                 let time = until.saturating_duration_since(now).as_secs();
                 let fields = [Field::new("host", worker), Field::new("seconds", time)];
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -120,8 +120,6 @@
     UnitsMoved = 500, "units-moved", Debug;
     /// Units of a lost member came back to the free ones.
     UnitsReclaimed = 501, "units-reclaimed", Info;
-    /// More runs than a team's limit were seen: a broken promise.
-    LimitExceeded = 502, "limit-exceeded", Error;
 
     /// A job was made durable and acknowledged.
     JobAccepted = 600, "job-accepted", Info;
@@ -146,22 +144,7 @@
     /// A quarantined worker runs probes well and gets jobs again.
     WorkerRestored = 611, "worker-restored", Info;
 
-    /// A host's maintenance began.
-    HostDraining = 700, "host-draining", Info;
-    /// A host runs nothing any more.
-    HostEmpty = 701, "host-empty", Info;
-    /// A host is back in its pool.
-    HostActive = 702, "host-active", Info;
-    /// A host moved to another pool.
-    HostMoved = 703, "host-moved", Info;
-    /// A host is lost.
-    HostLost = 704, "host-lost", Warn;
-    /// A maintenance wave waits, with the reason.
-    WaveWaits = 705, "wave-waits", Info;
-    /// This entry host is the planner.
-    PlannerElected = 710, "planner-elected", Info;
-
-    /// A store call failed or timed out.
+    /// The store gives no answer.
     StoreFailed = 800, "store-failed", Warn;
     /// The store answers again.
     StoreBack = 801, "store-back", Info;
