peer: take the freshness test's bound from the times

Change: the bound is computed, to the millisecond on both sides. Conclusion: the test is as strict as before and follows the times.

--- a/crates/peer/tests/standing.rs
+++ b/crates/peer/tests/standing.rs
@@ -111,8 +111,9 @@
     let later = start + Duration::from_secs(10);
     let statement = Statement { contact: true, age: Some(1000), ..cut_off(&book) };
     standing.note_statement(&member("b", 1), later, statement);
-    assert_eq!(standing.fresh(later + Duration::from_millis(1400)), Ok(()));
-    assert!(standing.fresh(later + Duration::from_millis(1500)).is_err());
+    let end = later + timing.fresh - Duration::from_millis(1000);
+    assert_eq!(standing.fresh(end - Duration::from_millis(1)), Ok(()));
+    assert!(standing.fresh(end).is_err());
 }
 
 #[test]
