--- a/crates/jobs/tests/health.rs
+++ b/crates/jobs/tests/health.rs
@@ -230,3 +230,11 @@
     bench.report(job(1), Report::Vanished);
     assert_eq!(bench.job(1).state(), JobState::Queued);
 }
+
+#[test]
+fn failures_of_one_queue_of_one_team_do_not_condemn_a_worker() {
+    let mut bench = bench(1);
+    (0..4).for_each(|number| bench.submit(number, of("dairy")));
+    turn(&mut bench, |_, _| true);
+    assert_eq!(bench.shard.quarantined_workers(), Vec::<HostId>::new());
+}
