--- a/crates/jobs/tests/health.rs
+++ b/crates/jobs/tests/health.rs
@@ -238,3 +238,15 @@
     turn(&mut bench, |_, _| true);
     assert_eq!(bench.shard.quarantined_workers(), Vec::<HostId>::new());
 }
+
+#[test]
+fn two_queues_that_fail_everywhere_quarantine_nobody() {
+    let mut bench = bench(4);
+    for (number, team) in (0..8).zip(["dairy", "bakery"].into_iter().cycle()) {
+        bench.submit(number, of(team));
+        for _ in 0..4 {
+            turn(&mut bench, |_, _| true);
+        }
+    }
+    assert_eq!(bench.shard.quarantined_workers(), Vec::<HostId>::new());
+}
