--- a/crates/entry/src/jobs/keeper.rs
+++ b/crates/entry/src/jobs/keeper.rs
@@ -268,7 +268,8 @@
                 continue;
             }
             (known.busy, known.asked) = (true, Some(now));
-            let client = WorkerClient::new(self.node.client.clone(), known.addr);
+            let client =
+                WorkerClient::new(self.node.client.clone(), self.node.metrics.clone(), known.addr);
             let (host, ttl) = (host.clone(), Limits::default().worker_lease);
             self.io.spawn(async move {
                 let answer = client.lease(epoch, ttl).await;
@@ -402,6 +403,6 @@
 
     fn client(&self, task: &Task) -> Option<WorkerClient> {
         let known = self.workers.get(&task.site.worker)?;
-        Some(WorkerClient::new(self.node.client.clone(), known.addr))
+        Some(WorkerClient::new(self.node.client.clone(), self.node.metrics.clone(), known.addr))
     }
 }
--- a/crates/entry/src/jobs/worker.rs
+++ b/crates/entry/src/jobs/worker.rs
@@ -9,6 +9,8 @@
 use vg_jobs::{Attempt, Report, Resources, Start, Task};
 use vg_net::{Client, Reply};
 
+use crate::metrics::{Direction, Metrics};
+
 /// Longest wait for a worker's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest answer of a worker.
@@ -102,12 +104,13 @@
 #[derive(Debug, Clone)]
 pub(super) struct WorkerClient {
     client: Client,
+    metrics: Metrics,
     addr: SocketAddr,
 }
 
 impl WorkerClient {
-    pub(super) fn new(client: Client, addr: SocketAddr) -> WorkerClient {
-        WorkerClient { client, addr }
+    pub(super) fn new(client: Client, metrics: Metrics, addr: SocketAddr) -> WorkerClient {
+        WorkerClient { client, metrics, addr }
     }
 
     /// Renews the worker's lease.
@@ -187,12 +190,16 @@
     }
 
     async fn send(&self, method: Method, path: String, body: &serde_json::Value) -> Option<Reply> {
+        let body = body.to_string();
+        self.metrics.control_moved("worker", Direction::Sent, body.len());
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.addr))
-            .body(vg_net::full(body.to_string()))
+            .body(vg_net::full(body))
             .ok()?;
-        self.client.call(request, ANSWER_TIMEOUT, ANSWER_MAX_BYTES).await.ok()
+        let reply = self.client.call(request, ANSWER_TIMEOUT, ANSWER_MAX_BYTES).await.ok()?;
+        self.metrics.control_moved("worker", Direction::Received, reply.body.len());
+        Some(reply)
     }
 }
 
--- a/crates/measure/src/capacity/idle.rs
+++ b/crates/measure/src/capacity/idle.rs
@@ -20,8 +20,8 @@
 /// The largest size that is planned for: 594 workers of 600.
 const TARGET: Size = Size { nodes: 18, pools: 54, teams: 65, workers: 11 };
 /// Kinds of control content.
-const KINDS: [&str; 6] =
-    ["heartbeat", "units", "peer-lists", "store-lists", "store-book", "host-list"];
+const KINDS: [&str; 7] =
+    ["heartbeat", "units", "peer-lists", "store-lists", "store-book", "host-list", "worker"];
 /// Kinds of store calls.
 const CALLS: [&str; 6] = ["lists", "book", "renew", "commit", "get", "jobs"];
 
--- a/crates/measure/src/capacity/mod.rs
+++ b/crates/measure/src/capacity/mod.rs
@@ -3,6 +3,7 @@
 
 mod change;
 mod counters;
+mod heads;
 mod idle;
 mod lists;
 mod memory;
@@ -31,7 +32,7 @@
                 .long("part")
                 .help("What is measured")
                 .default_value("idle")
-                .value_parser(["idle", "change", "memory"]),
+                .value_parser(["idle", "change", "memory", "heads"]),
         )
         .arg(
             Arg::new("size")
@@ -66,6 +67,7 @@
     let changes = matches.get_one::<u32>("changes").copied().unwrap_or(30);
     match matches.get_one::<String>("part").map(String::as_str) {
         Some("change") => change::report(size, changes, out),
+        Some("heads") => heads::report(out),
         Some("memory") => memory::report(out),
         _ => idle::report(size, Duration::from_secs(seconds), out),
     }
