entry, route: no stall when a pool changes hands; releases and leaves by the membership

Ruled out: units (the owner had eleven for five calls at once), lists. Change: slots of an earlier owner are kept apart and settled as it tells of the ends, every 25 ms; a peer that does not answer counts as one loss; fences are committed only if the leased key does not exist; releases, leaves and departures are proposed with the other changes; a node that has finished waits 5 s for the store. Conclusion: a move costs the time of a handover, not that of a deadline.

--- a/crates/entry/src/control/book.rs
+++ b/crates/entry/src/control/book.rs
@@ -108,23 +108,25 @@
 async fn propose<P: Platform>(node: &Node<P>) {
     let mut lists_since = None;
     loop {
-        tokio::time::sleep(CHANGE_PERIOD).await;
+        // Either way what is due is looked for.
+        let _ = tokio::time::timeout(CHANGE_PERIOD, node.due.notified()).await;
         let now = node.clock.now();
         let Some((epoch, modified)) = *node.book_revision() else { continue };
         let lists = lists_change(node, &mut lists_since, now);
-        if let Some(book) = next_book(node, epoch, lists, now) {
-            commit(node, &book, Some(modified), None).await;
+        if let Some((book, guards)) = next_book(node, epoch, lists, now) {
+            commit(node, &book, Some(modified), None, &guards).await;
         }
     }
 }
 
-/// Returns the book of `epoch` with all changes that are due.
+/// Returns the book of `epoch` with all changes that are due, and the members
+/// whose leased keys must not exist for it.
 fn next_book<P: Platform>(
     node: &Node<P>,
     epoch: Epoch,
     lists: Option<Transition>,
     now: Instant,
-) -> Option<Book> {
+) -> Option<(Book, Vec<Member>)> {
     let mut membership = node.roster.lock();
     if membership.book().epoch != epoch {
         return None;
@@ -134,7 +136,8 @@
     if changes.is_empty() {
         return None;
     }
-    membership.apply_changes(&changes)
+    let guards = Transition::guards(&changes);
+    membership.apply_changes(&changes).map(|book| (book, guards))
 }
 
 /// Returns the change that brings newer lists into the book, if it is this
@@ -163,16 +166,22 @@
 }
 
 /// Writes a book in place of the one last written at `modified`; takes in what
-/// the store has if that was not the latest. Returns whether it was written.
+/// the store has if that was not the latest. The leased keys of `guards` must
+/// not exist: a member that is back must not be fenced. Returns whether it was
+/// written.
 async fn commit<P: Platform>(
     node: &Node<P>,
     book: &Book,
     modified: Option<StoreRevision>,
     lease: Option<LeaseId>,
+    guards: &[Member],
 ) -> bool {
     let Ok(value) = book.encode() else { return false };
     node.metrics.control_moved("store-book", Direction::Sent, value.len());
     let mut txn = Txn::new().expect(BOOK, modified).put(BOOK, value);
+    for member in guards {
+        txn = txn.expect(member_key(member), None);
+    }
     if let Some(lease) = lease {
         txn = txn.put_leased(member_key(&node.roster.me()), Vec::new(), lease);
     }
@@ -218,7 +227,7 @@
         let book = node.roster.lock().book().clone();
         let modified = entry.map(|entry| entry.modified);
         let known = book.state(&me);
-        if known.is_some_and(|state| state.is_fenced()) {
+        if book.is_over(&me) {
             node.fenced.notify_one();
             return false;
         }
@@ -231,39 +240,10 @@
             }
         };
         let Some(changed) = changed else { return false };
-        if commit(node, &changed, modified, Some(lease)).await {
+        if commit(node, &changed, modified, Some(lease), &[]).await {
             return true;
         }
         tokio::time::sleep(CHANGE_PERIOD / 4).await;
     }
     false
 }
-
-/// Announces that this member leaves.
-pub(crate) async fn commit_leave<P: Platform>(node: &Node<P>) -> bool {
-    let member = node.roster.me();
-    commit_own(node, Transition::Leave { member }).await
-}
-
-/// Ends the membership of a member that has stopped.
-pub(crate) async fn commit_depart<P: Platform>(node: &Node<P>) -> bool {
-    let member = node.roster.me();
-    commit_own(node, Transition::Depart { member }).await
-}
-
-/// Commits a change of this member's own, against whatever else changes.
-pub(super) async fn commit_own<P: Platform>(node: &Node<P>, change: Transition) -> bool {
-    for _ in 0..TRIES {
-        let Some(Some(entry)) = read(node).await else {
-            tokio::time::sleep(CHANGE_PERIOD).await;
-            continue;
-        };
-        let changed = node.roster.lock().book().apply(&change);
-        // Not allowed (any more): done before, or overtaken by another change.
-        let Ok(book) = changed else { return false };
-        if commit(node, &book, Some(entry.modified), None).await {
-            return true;
-        }
-    }
-    false
-}
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -11,9 +11,8 @@
 mod tick;
 mod units;
 
-pub(crate) use book::{commit_depart, commit_leave};
 pub(crate) use heartbeats::receive;
-pub(crate) use takeover::handover;
+pub(crate) use takeover::{busy, handover};
 
 use tokio::task::JoinSet;
 
--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -4,10 +4,10 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_peer::{Book, Ownership, Transition};
+use vg_peer::{Book, Ownership};
 use vg_share::Rules;
 
-use crate::control::{book, hosts, takeover};
+use crate::control::{hosts, takeover};
 use crate::dispatch::PoolDispatch;
 use crate::jobs::{self, PoolJobs};
 use crate::node::Node;
@@ -34,11 +34,10 @@
             node.jobs.retire(&pool);
         }
     }
-    for pool in releases {
-        let (node, by) = (node.clone(), me.clone());
-        tokio::spawn(async move {
-            book::commit_own(&node, Transition::Release { pool, by }).await;
-        });
+    for pool in &releases {
+        // Dispatch has stopped: the release is proposed with the next changes.
+        node.roster.lock().stop_pool(pool);
+        node.due.notify_one();
     }
 }
 
--- a/crates/entry/src/control/takeover.rs
+++ b/crates/entry/src/control/takeover.rs
@@ -1,5 +1,6 @@
 //! Taking a pool over from its earlier owner.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest part of a pool that is read.
 const FETCH_MAX_BYTES: usize = 64 * 1024 * 1024;
+/// Period in which an earlier owner is asked for the ends of its calls.
+const ENDS_PERIOD: Duration = Duration::from_millis(25);
 /// Time past the deadline of a lost owner's calls in which they may still run.
 const LOST_GRACE: Duration = Duration::from_millis(250);
 /// Longest time after a fence for which a lost owner's slots count as in use.
@@ -33,9 +36,7 @@
 
 /// Returns what this node knows of a pool.
 pub(crate) fn handover<P: Platform>(node: &Node<P>, pool: &PoolId) -> Handover {
-    let longest = longest_call(node, pool);
-    let retired = node.pools.tell_retired(pool);
-    let busy = retired.iter().flat_map(|each| each.busy(longest)).collect();
+    let busy = busy(node, pool);
     let table = node.receipts.lock();
     let now = node.clock.now();
     let (receipts, losses) = (table.export(pool, now), table.losses(now));
@@ -64,6 +65,7 @@
                 if member == *earlier {
                     dispatch.import(&part.busy);
                     told = true;
+                    follow_ends(node, &dispatch, addr, part.busy.is_empty());
                 }
                 let now = node.clock.now();
                 let mut receipts = node.receipts.lock();
@@ -72,7 +74,8 @@
                 drop(receipts);
                 complete &= left == 0;
             }
-            Err(_) => complete = false,
+            // Whatever it holds may be missed, as if it were lost.
+            Err(_) => node.receipts.lock().lost(member, node.clock.now()),
         }
     }
     if !told {
@@ -98,6 +101,43 @@
     }
 }
 
+/// Follows the ends of an earlier owner's calls, so that their slots are used
+/// again at once and not only after the calls' deadlines.
+fn follow_ends<P: Platform>(
+    node: &Node<P>,
+    dispatch: &Arc<PoolDispatch<P::Clock>>,
+    addr: SocketAddr,
+    idle: bool,
+) {
+    if idle {
+        return;
+    }
+    let (node, dispatch) = (node.clone(), Arc::clone(dispatch));
+    tokio::spawn(async move {
+        let url = format!("http://{addr}/peer/pools/{}/busy", dispatch.pool());
+        let until = node.clock.now() + Options::CALL_MAX;
+        while node.clock.now() < until {
+            tokio::time::sleep(ENDS_PERIOD).await;
+            let busy: Result<Vec<Busy>, _> =
+                node.client.exchange(&url, &(), FETCH_TIMEOUT, FETCH_MAX_BYTES).await;
+            // Without its word, its calls' deadlines stand.
+            let Ok(busy) = busy else { return };
+            dispatch.settle_earlier(&busy);
+            if busy.is_empty() {
+                return;
+            }
+        }
+    });
+}
+
+/// Returns the slots in use by calls that this node started as a pool's owner
+/// before.
+pub(crate) fn busy<P: Platform>(node: &Node<P>, pool: &PoolId) -> Vec<Busy> {
+    let longest = longest_call(node, pool);
+    let retired = node.pools.tell_retired(pool);
+    retired.iter().flat_map(|each| each.busy(longest)).collect()
+}
+
 /// Returns when the calls of a lost owner are over.
 ///
 /// It has started none since it was fenced. Calls that take longer than
--- a/crates/entry/src/dispatch/pool.rs
+++ b/crates/entry/src/dispatch/pool.rs
@@ -140,6 +140,12 @@
         self.lock().endpoints.import(busy, self.clock.now());
     }
 
+    /// Takes in what an earlier owner's calls still use.
+    pub(crate) fn settle_earlier(self: &Arc<Self>, busy: &[Busy]) {
+        self.lock().endpoints.settle_earlier(busy);
+        self.pump();
+    }
+
     /// Asks whether a call whose try failed may be tried again.
     pub(crate) fn ask_retry(&self, request: &RetryRequest) -> Retry {
         self.lock().retries.ask(request, self.clock.now())
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -34,6 +34,9 @@
 /// what it knows of them.
 const TELL_TIME: Duration = Duration::from_secs(3);
 
+/// How long a node that has finished waits for the store to take its leave.
+const DEPART_TIME: Duration = Duration::from_secs(5);
+
 /// Why a node does not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -96,6 +99,7 @@
             call_addr: callers.addr(),
             peer_addr: peers.addr(),
             book_revision: std::sync::Mutex::default(),
+            due: tokio::sync::Notify::new(),
             fenced: tokio::sync::Notify::new(),
             draining: std::sync::atomic::AtomicBool::new(false),
             stopping: std::sync::atomic::AtomicBool::new(false),
@@ -152,11 +156,12 @@
     }
 }
 
-/// Hands all rights over and leaves the book.
+/// Hands all rights over and leaves the book. Returns whether the book says so.
 async fn depart<P: Platform>(node: &Node<P>) -> bool {
     node.roster.lock().leave();
-    control::commit_leave(node).await;
+    node.due.notify_one();
     let told_by = node.clock.now() + TELL_TIME;
+    let mut departing = None;
     loop {
         let now = node.clock.now();
         if now >= told_by {
@@ -165,12 +170,26 @@
         }
         let done = node.pools.running() == 0 && (node.pools.is_told() || now >= told_by);
         if done && node.roster.lock().depart() {
-            return control::commit_depart(node).await;
+            node.due.notify_one();
+            let since = *departing.get_or_insert(now);
+            if has_departed(node) {
+                return true;
+            }
+            // Nothing runs here any more: without the store, the lease's lapse
+            // tells the others.
+            if now >= since + DEPART_TIME {
+                return false;
+            }
         }
         tokio::time::sleep(STOP_PERIOD).await;
     }
 }
 
+fn has_departed<P: Platform>(node: &Node<P>) -> bool {
+    let membership = node.roster.lock();
+    !membership.book().holds_rights(membership.me())
+}
+
 /// Returns a number that grows with each start: microseconds of wall time. A
 /// clock that was set back makes the new process wait for its predecessor's
 /// lease to lapse, it doesn't take its rights.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -102,6 +102,8 @@
     pub peer_addr: SocketAddr,
     /// Epoch of the latest book and the store's revision of its write.
     pub(crate) book_revision: Mutex<Option<(Epoch, StoreRevision)>>,
+    /// Rings when there are changes of the book to propose.
+    pub(crate) due: Notify,
     /// Rings when this member finds itself fenced: it has to start anew.
     pub(crate) fenced: Notify,
     /// The balancer check is red; work is still taken.
--- a/crates/entry/src/web/paths.rs
+++ b/crates/entry/src/web/paths.rs
@@ -85,6 +85,6 @@
     type ResBody = Body;
 
     fn extend(_: &mut gotham::state::State, response: &mut Response<Body>) {
-        refuse(response, "the path is /peer/pools/POOL/handover");
+        refuse(response, "the path is /peer/pools/POOL/handover or /peer/pools/POOL/busy");
     }
 }
--- a/crates/entry/src/web/peers.rs
+++ b/crates/entry/src/web/peers.rs
@@ -112,6 +112,17 @@
     Ok((state, response))
 }
 
+/// `POST /peer/pools/{pool}/busy`
+pub(crate) async fn post_busy<P: Platform>(mut state: State) -> HandlerResult {
+    let node = node::<P>(&state);
+    let path = PoolPath::take_from(&mut state);
+    let response = match path.pool.parse::<PoolId>() {
+        Ok(pool) => reply_with(&control::busy(&node, &pool)),
+        Err(e) => not_found(&e.to_string()).into_response(),
+    };
+    Ok((state, response))
+}
+
 /// `POST /peer/receipts`
 pub(crate) async fn post_receipt<P: Platform>(mut state: State) -> HandlerResult {
     let node = node::<P>(&state);
--- a/crates/entry/src/web/routes.rs
+++ b/crates/entry/src/web/routes.rs
@@ -62,6 +62,10 @@
             .post("/peer/pools/:pool/handover")
             .with_path_extractor::<PoolPath>()
             .to_async(peers::post_handover::<P>);
+        route
+            .post("/peer/pools/:pool/busy")
+            .with_path_extractor::<PoolPath>()
+            .to_async(peers::post_busy::<P>);
         route.post("/peer/heartbeat").to_async(peers::post_heartbeat::<P>);
         route.post("/peer/units").to_async(peers::post_units::<P>);
         route.post("/peer/jobs").to_async(peers::post_job::<P>);
--- a/crates/route/src/endpoints/instance.rs
+++ b/crates/route/src/endpoints/instance.rs
@@ -24,8 +24,10 @@
     pub(crate) listed: bool,
     /// Calls that run there.
     pub(crate) running: u32,
-    /// Slots that may still be in use without a call of ours, and until when.
+    /// Slots of our own calls that were lost, and until when they count.
     pub(crate) lingering: Vec<Instant>,
+    /// Slots of an earlier owner's calls, and until when they count.
+    pub(crate) earlier: Vec<Instant>,
     pub(crate) connections: u32,
     pub(crate) record: Record,
     /// Since when it takes calls; nothing: it took calls before we knew it.
@@ -41,6 +43,7 @@
             listed: true,
             running: 0,
             lingering: Vec::new(),
+            earlier: Vec::new(),
             connections: 0,
             record: Record::default(),
             since,
@@ -50,7 +53,7 @@
 
     /// Slots in use.
     pub(crate) fn used(&self) -> u32 {
-        self.running + self.lingering.len() as u32
+        self.running + (self.lingering.len() + self.earlier.len()) as u32
     }
 
     /// Whether it may get new calls as far as the list goes.
@@ -81,5 +84,6 @@
     /// Frees the slots whose time is over.
     pub(crate) fn expire(&mut self, now: Instant) {
         self.lingering.retain(|until| *until > now);
+        self.earlier.retain(|until| *until > now);
     }
 }
--- a/crates/route/src/endpoints/table/mod.rs
+++ b/crates/route/src/endpoints/table/mod.rs
@@ -89,7 +89,7 @@
     pub fn export(&self, remaining: Duration, now: Instant) -> Vec<Busy> {
         let used = self.instances.values().filter(|instance| instance.used() > 0);
         used.map(|instance| {
-            let lingering = instance.lingering.iter().max();
+            let lingering = instance.lingering.iter().chain(&instance.earlier).max();
             let lingering =
                 lingering.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
             Busy {
@@ -106,8 +106,20 @@
         for instance in self.instances.values_mut().filter(|each| each.info.id == *host) {
             let left = used.get().saturating_sub(instance.running) as usize;
             instance.lingering.sort_unstable();
-            let surplus = instance.lingering.len().saturating_sub(left);
-            instance.lingering.drain(..surplus);
+            let surplus = (instance.lingering.len() + instance.earlier.len()).saturating_sub(left);
+            let kept = instance.earlier.len().saturating_sub(surplus);
+            let rest = surplus - (instance.earlier.len() - kept);
+            instance.earlier.truncate(kept);
+            instance.lingering.drain(..rest);
+        }
+    }
+
+    /// Notes what an earlier owner's calls still use, as it told just now.
+    pub fn settle_earlier(&mut self, busy: &[Busy]) {
+        for instance in self.instances.values_mut() {
+            let told = busy.iter().filter(|each| each.host == instance.info.id);
+            let used: u32 = told.map(|each| each.slots.get()).sum();
+            instance.earlier.truncate(used as usize);
         }
     }
 
@@ -178,7 +190,8 @@
 
     /// Returns when a slot comes free without a release, or a probe is due.
     pub fn next_change(&self) -> Option<Instant> {
-        let lingering = self.instances.values().flat_map(|each| each.lingering.iter().copied());
+        let held = |each: &Instance| each.lingering.iter().chain(&each.earlier).min().copied();
+        let lingering = self.instances.values().filter_map(held);
         let probes = self.instances.values().filter_map(|each| match each.record.health {
             Health::Ejected { until } if each.is_open() => Some(until),
             _ => None,
@@ -224,6 +237,6 @@
 /// Marks slots as in use until `until`, up to `most` in all.
 pub(super) fn fill(instance: &mut Instance, most: u32, until: Instant) {
     let room = most.saturating_sub(instance.used());
-    instance.lingering.iter_mut().for_each(|each| *each = (*each).max(until));
-    instance.lingering.extend(std::iter::repeat_n(until, room as usize));
+    instance.earlier.iter_mut().for_each(|each| *each = (*each).max(until));
+    instance.earlier.extend(std::iter::repeat_n(until, room as usize));
 }
--- a/crates/route/tests/endpoints.rs
+++ b/crates/route/tests/endpoints.rs
@@ -4,7 +4,7 @@
 
 use vg_base::prelude::*;
 use vg_route::{
-    Applied, CallResult, Change, EndpointInfo, Endpoints, Health, ListRevision, Probing, Slot,
+    Applied, Busy, CallResult, Change, EndpointInfo, Endpoints, Health, ListRevision, Probing, Slot,
 };
 
 fn info(at: u16) -> EndpointInfo {
@@ -230,3 +230,32 @@
     endpoints.disconnect(key);
     assert!(endpoints.connect(key));
 }
+
+#[test]
+fn slots_of_an_earlier_owner_come_free_as_it_tells_of_their_ends() {
+    let now = Instant::now();
+    let mut endpoints = Endpoints::new();
+    let info = EndpointInfo {
+        id: "host-0".parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+        leaving: false,
+    };
+    endpoints.apply(ListRevision(1), &[info], now);
+    let busy = |slots| Busy {
+        host: "host-0".parse().unwrap(),
+        slots: Slots(slots),
+        remaining: Duration::from_secs(5),
+    };
+    endpoints.import(&[busy(8)], now);
+    assert!(endpoints.acquire(now, None, Probing::Avoided).is_none());
+    endpoints.settle_earlier(&[busy(6)]);
+    let first = endpoints.acquire(now, None, Probing::Avoided).unwrap();
+    assert!(endpoints.acquire(now, None, Probing::Avoided).is_some());
+    assert!(endpoints.acquire(now, None, Probing::Avoided).is_none());
+    // A lost call of our own is not freed by what the earlier owner says.
+    let until = now + Duration::from_secs(9);
+    endpoints.release(first, CallResult::Lost { until }, now);
+    endpoints.settle_earlier(&[]);
+    assert_eq!(endpoints.free(now), Slots(6));
+}
