entry: keep the order of jobs over rounds, and resume from checkpoints

Cause: each look at a pool's jobs made a new order, so the floor of background jobs began anew; a checkpointed job was started from nothing. Change: one order for a pool's keeper; the progress of a checkpoint is kept with the job and sent with its next start. Conclusion: preempted jobs go on where they stopped.

--- a/crates/entry/src/jobs/keeper.rs
+++ b/crates/entry/src/jobs/keeper.rs
@@ -69,7 +69,8 @@
     }
     units::obtain(&node, &jobs, earlier.as_ref()).await;
     let began = node.clock.now();
-    let keeper = Keeper { node, jobs, began, workers: BTreeMap::new(), io: JoinSet::new() };
+    let (workers, order, io) = (BTreeMap::new(), Weighted::default(), JoinSet::new());
+    let keeper = Keeper { node, jobs, began, workers, order, io };
     keeper.run().await;
 }
 
@@ -78,6 +79,8 @@
     jobs: Arc<PoolJobs<P::Clock>>,
     began: Instant,
     workers: BTreeMap<HostId, KnownWorker>,
+    /// Kept over the rounds: the background floor counts over all of them.
+    order: Weighted,
     io: JoinSet<Done>,
 }
 
@@ -112,12 +115,12 @@
         if may_act {
             let config = self.node.config.current();
             let plans = config.lists.plans.values();
-            let mut order = Weighted::new(plans.map(|plan| (plan.team.clone(), plan.share)));
+            self.order.set_shares(plans.map(|plan| (plan.team.clone(), plan.share)));
             let roster = &self.node.roster;
             let wanted = Units(u32::try_from(shard.waiting()).unwrap_or(u32::MAX).min(WANTED_MAX));
             blocked.clear();
             shard.place(
-                &mut order,
+                &mut self.order,
                 |team| match roster.start(team, Units(1)) {
                     Ok(guard) => {
                         units.entry(team.clone()).or_default().push(guard);
--- a/crates/entry/src/jobs/worker.rs
+++ b/crates/entry/src/jobs/worker.rs
@@ -67,6 +67,8 @@
     attempt: u32,
     #[serde(flatten)]
     state: TaskState,
+    /// Progress at the last checkpoint, in milliseconds.
+    checkpoint_ms: u64,
     usage: Capacity,
 }
 
@@ -139,6 +141,7 @@
             "run_ms": millis(start.spec.run_time.unwrap_or(RUN_TIME)),
             "lease_ms": millis(ttl),
             "start_by_ms": millis(expires),
+            "resume_ms": start.resume.as_deref().map_or(0, progress),
         });
         let reply = self.send(Method::POST, "/tasks".to_owned(), &body).await?;
         if reply.status.is_success() {
@@ -171,8 +174,9 @@
         let reply = self.send(Method::POST, format!("{path}/stop"), &json!({})).await?;
         match report(&reply)? {
             Report::Stopped { .. } if checkpoint => {
-                let checkpoint = Some(bytes::Bytes::from(task_id(task)));
-                Some(Report::Stopped { checkpoint })
+                let saved: TaskStatus = serde_json::from_slice(&reply.body).ok()?;
+                let checkpoint = bytes::Bytes::from(saved.checkpoint_ms.to_string());
+                Some(Report::Stopped { checkpoint: Some(checkpoint) })
             }
             report => Some(report),
         }
@@ -203,6 +207,11 @@
     }
 }
 
+/// Returns the progress that a checkpoint of ours stands for.
+fn progress(checkpoint: &[u8]) -> u64 {
+    std::str::from_utf8(checkpoint).ok().and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 fn task_id(task: &Task) -> String {
     format!("{}-{}", task.job, task.attempt.0)
 }
