--- /dev/null
+++ b/crates/fleet/src/planner/reconcile.rs
@@ -0,0 +1,129 @@
+//! Compares the host list with the records.
+
+use vg_base::prelude::*;
+
+use super::{Planner, Scene};
+use crate::faults::FleetFaults;
+use crate::{Adoption, Change, HostRecord, HostState, ListedHost, Notice, Records, Stamp};
+
+impl<F: FleetFaults> Planner<F> {
+    pub(super) fn reconcile(&mut self, scene: &Scene<'_, F>, records: &mut Records, now: Stamp) {
+        for listed in scene.listed.values() {
+            if !records.hosts().contains_key(&listed.host) {
+                self.adopt(scene, records, listed, now);
+            }
+        }
+        let known: Vec<HostRecord> = records.hosts().values().cloned().collect();
+        self.away.retain(|host, _| records.hosts().contains_key(host));
+        self.unlisted.retain(|host, _| records.hosts().contains_key(host));
+        for record in &known {
+            self.compare(scene, record);
+            self.watch(scene, record, now);
+            self.lose_or_find(scene, records, record, now);
+        }
+    }
+
+    fn adopt(
+        &mut self,
+        scene: &Scene<'_, F>,
+        records: &mut Records,
+        listed: &ListedHost,
+        now: Stamp,
+    ) {
+        if listed.leaving {
+            return;
+        }
+        let host = listed.host.clone();
+        self.notices.insert(Notice::Unrecorded { host: host.clone() });
+        match choose_pool(scene, records, listed) {
+            Some(pool) => {
+                let adoption = Adoption::new(listed, pool);
+                self.stage(records, &host, Change::Adopt(adoption), now);
+            }
+            None => {
+                self.notices.insert(Notice::Unwanted { host });
+            }
+        }
+    }
+
+    fn compare(&mut self, scene: &Scene<'_, F>, record: &HostRecord) {
+        let host = record.host.clone();
+        if !scene.pools.contains_key(&record.pool) {
+            let pool = record.pool.clone();
+            self.notices.insert(Notice::UnknownPool { host: host.clone(), pool });
+        }
+        let Some(listed) = scene.listed.get(&record.host) else {
+            self.notices.insert(Notice::Unlisted { host });
+            return;
+        };
+        if let Some(pool) = listed.pool.as_ref().filter(|pool| **pool != record.home) {
+            let (recorded, listed) = (record.home.clone(), pool.clone());
+            self.notices.insert(Notice::OtherPool { host: host.clone(), recorded, listed });
+        }
+        if listed.zone != record.zone || listed.rack != record.rack {
+            self.notices.insert(Notice::OtherPlace { host });
+        }
+    }
+
+    fn watch(&mut self, scene: &Scene<'_, F>, record: &HostRecord, now: Stamp) {
+        if scene.is_present(&record.host) {
+            self.away.remove(&record.host);
+        } else {
+            self.away.entry(record.host.clone()).or_insert(now);
+        }
+        if scene.listed.contains_key(&record.host) {
+            self.unlisted.remove(&record.host);
+        } else {
+            self.unlisted.entry(record.host.clone()).or_insert(now);
+        }
+    }
+
+    fn lose_or_find(
+        &mut self,
+        scene: &Scene<'_, F>,
+        records: &mut Records,
+        record: &HostRecord,
+        now: Stamp,
+    ) {
+        if record.state == HostState::Lost {
+            if scene.is_present(&record.host) {
+                self.stage(records, &record.host, Change::Probe, now);
+            } else if self.is_gone(&record.host, now) {
+                self.stage(records, &record.host, Change::Forget, now);
+            }
+            return;
+        }
+        // A reboot and a move have a time limit of their own.
+        if matches!(record.state, HostState::Rebooting | HostState::Moving) {
+            return;
+        }
+        let away = self.away.get(&record.host).map_or(Duration::ZERO, |since| now.since(*since));
+        if away >= self.limits.lose_after {
+            self.rates.fail(1, now);
+            self.stage(records, &record.host, Change::Lose, now);
+        }
+    }
+
+    fn is_gone(&self, host: &HostId, now: Stamp) -> bool {
+        let since = if F::FORGET_LISTED { self.away.get(host) } else { self.unlisted.get(host) };
+        since.is_some_and(|since| now.since(*since) >= self.limits.forget_after)
+    }
+}
+
+/// Returns the pool that the platform names, or else the one that lacks most.
+fn choose_pool<F: FleetFaults>(
+    scene: &Scene<'_, F>,
+    records: &Records,
+    listed: &ListedHost,
+) -> Option<PoolId> {
+    if let Some(pool) = listed.pool.as_ref().filter(|pool| scene.pools.contains_key(pool)) {
+        return Some(pool.clone());
+    }
+    let lacks = scene.pools.values().filter_map(|pool| {
+        let allowed = pool.zones.is_empty() || pool.zones.contains(&listed.zone);
+        let homes = records.hosts().values().filter(|each| each.home == pool.id).count();
+        let lack = (pool.hosts as usize).saturating_sub(homes);
+        (allowed && lack > 0).then_some((lack, &pool.id))
+    });
+    lacks.max().map(|(_, pool)| pool.clone())
+}
--- /dev/null
+++ b/crates/fleet/src/planner/scene.rs
@@ -0,0 +1,69 @@
+//! What a round sees.
+
+use std::collections::BTreeMap;
+use std::marker::PhantomData;
+
+use vg_base::prelude::*;
+use vg_conf::Pool;
+
+use crate::faults::FleetFaults;
+use crate::{Budget, HostRecord, HostReport, HostState, ListedHost, Presence, Records};
+
+/// The inputs of a round, indexed.
+#[derive(Debug)]
+pub(crate) struct Scene<'a, F> {
+    pub(crate) pools: BTreeMap<&'a PoolId, &'a Pool>,
+    pub(crate) listed: BTreeMap<&'a HostId, &'a ListedHost>,
+    pub(crate) reports: BTreeMap<&'a HostId, &'a HostReport>,
+    faults: PhantomData<F>,
+}
+
+impl<'a, F: FleetFaults> Scene<'a, F> {
+    pub(crate) fn new(
+        pools: &'a [Pool],
+        listed: &'a [ListedHost],
+        reports: &'a [HostReport],
+    ) -> Scene<'a, F> {
+        Scene {
+            pools: pools.iter().map(|each| (&each.id, each)).collect(),
+            listed: listed.iter().map(|each| (&each.host, each)).collect(),
+            reports: reports.iter().map(|each| (&each.host, each)).collect(),
+            faults: PhantomData,
+        }
+    }
+
+    /// Whether a host answers and is listed.
+    pub(crate) fn is_present(&self, host: &HostId) -> bool {
+        let up = self.reports.get(host).is_some_and(|report| report.up);
+        up && self.listed.contains_key(host)
+    }
+
+    /// Whether a host counts as serving: planned, failed, unreachable, leaving
+    /// and unproved ones do not.
+    pub(crate) fn is_serving(&self, record: &HostRecord) -> bool {
+        let proved = record.state == HostState::Active
+            || (F::COUNT_UNPROVED && record.state == HostState::Probation);
+        let leaving = self.listed.get(&record.host).is_some_and(|each| each.leaving);
+        let present = F::COUNT_UNREACHABLE || self.is_present(&record.host);
+        proved && present && !leaving
+    }
+
+    /// Returns the serving hosts of a pool.
+    pub(crate) fn serving<'r>(&self, records: &'r Records, pool: &PoolId) -> Vec<&'r HostRecord> {
+        let members = records.hosts().values().filter(|each| each.pool == *pool);
+        members.filter(|each| self.is_serving(each)).collect()
+    }
+
+    /// Computes a pool's budget with these hosts serving.
+    pub(crate) fn budget(&self, pool: &Pool, serving: &[&HostRecord], failures: u32) -> Budget {
+        let at = |each: &&HostRecord| Presence { zone: each.zone.clone(), rack: each.rack.clone() };
+        let places: Vec<Presence> = serving.iter().map(at).collect();
+        let budget = Budget::of(pool, &places, failures);
+        if F::NO_RESERVE { Budget { reserve: 0, ..budget } } else { budget }
+    }
+
+    /// Returns the estimated time until a host could be empty.
+    pub(crate) fn remaining(&self, host: &HostId) -> Duration {
+        self.reports.get(host).map_or(Duration::MAX, |report| report.remaining)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/records/codec.rs
@@ -0,0 +1,38 @@
+//! The form of values: a version, a checksum and `MessagePack`.
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::error::{EncodeSnafu, UnreadableSnafu};
+use super::{RecordsError, Stored};
+
+const FORMAT_VERSION: u8 = 1;
+const CHECKSUM_BYTES: usize = 8;
+
+pub(crate) fn encode<T: Serialize>(key: &SmolStr, value: &T) -> Result<Bytes, RecordsError> {
+    let body = rmp_serde::to_vec(value)
+        .map_err(|error| EncodeSnafu { key: key.clone(), reason: error.to_string() }.build())?;
+    let mut bytes = vec![FORMAT_VERSION];
+    bytes.extend_from_slice(&xxh3_64(&body).to_le_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(bytes.into())
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(stored: &Stored) -> Result<T, RecordsError> {
+    let refuse = |reason: String| UnreadableSnafu { key: stored.key.clone(), reason }.build();
+    let (version, rest) =
+        stored.value.split_first().ok_or_else(|| refuse("it is empty".to_owned()))?;
+    if *version != FORMAT_VERSION {
+        return Err(refuse(format!("its form is version {version}")));
+    }
+    let (sum, body) = rest
+        .split_at_checked(CHECKSUM_BYTES)
+        .ok_or_else(|| refuse("it is cut short".to_owned()))?;
+    if sum != xxh3_64(body).to_le_bytes() {
+        return Err(refuse("its checksum does not hold".to_owned()));
+    }
+    rmp_serde::from_slice(body).map_err(|error| refuse(error.to_string()))
+}
--- /dev/null
+++ b/crates/fleet/src/step.rs
@@ -0,0 +1,178 @@
+//! Changes of host records.
+
+use derive_more::Display;
+use snafu::Snafu;
+use vg_base::prelude::*;
+
+use crate::{HostRecord, HostState, ListedHost, Purpose, Stamp};
+
+/// A host that gets its first record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Adoption {
+    /// The host.
+    pub host: HostId,
+    /// The pool that it will serve.
+    pub pool: PoolId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its rack.
+    pub rack: RackId,
+}
+
+impl Adoption {
+    pub(crate) fn new(listed: &ListedHost, pool: PoolId) -> Adoption {
+        let ListedHost { host, zone, rack, .. } = listed.clone();
+        Adoption { host, pool, zone, rack }
+    }
+}
+
+/// What changes in a record.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Change {
+    /// The host gets its first record.
+    #[display("adopt into {}", _0.pool)]
+    Adopt(Adoption),
+    /// It takes no new work from now on.
+    #[display("drain for {_0}")]
+    Drain(Purpose),
+    /// A drain is taken back.
+    #[display("cancel drain")]
+    CancelDrain,
+    /// It runs nothing any more.
+    #[display("emptied")]
+    Emptied,
+    /// It reboots; the start that must end.
+    #[display("reboot")]
+    Reboot(Incarnation),
+    /// It passes to the pool that it was drained for.
+    #[display("move")]
+    Move,
+    /// It is back and has to be proved.
+    #[display("probe")]
+    Probe,
+    /// It is proved and takes work.
+    #[display("activate")]
+    Activate,
+    /// It is lost.
+    #[display("lose")]
+    Lose,
+    /// Its record goes; the host is gone for good.
+    #[display("forget")]
+    Forget,
+}
+
+/// A change of one host's record.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{change} {host}")]
+pub struct Step {
+    /// The host.
+    pub host: HostId,
+    /// What changes.
+    pub change: Change,
+}
+
+/// A step that does not follow from the host's state.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("`{step}` does not follow from {state}"))]
+pub struct StepError {
+    /// The step.
+    step: String,
+    /// The state of the host.
+    state: String,
+}
+
+impl Step {
+    pub(crate) fn new(host: &HostId, change: Change) -> Step {
+        Step { host: host.clone(), change }
+    }
+
+    /// Returns the record after the step, or `None` when it goes.
+    ///
+    /// # Errors
+    ///
+    /// When the step does not follow from the state of `record`.
+    pub fn apply(
+        &self,
+        record: Option<&HostRecord>,
+        epoch: Epoch,
+        now: Stamp,
+    ) -> Result<Option<HostRecord>, StepError> {
+        let Some(record) = record else { return self.adopt(epoch, now) };
+        if self.change == Change::Forget && record.state == HostState::Lost {
+            return Ok(None);
+        }
+        let next = self.next(record, now).ok_or_else(|| self.refuse(Some(record)))?;
+        Ok(Some(HostRecord { epoch, version: record.version + 1, since: now, ..next }))
+    }
+
+    fn adopt(&self, epoch: Epoch, now: Stamp) -> Result<Option<HostRecord>, StepError> {
+        let Change::Adopt(adoption) = self.change.clone() else { return Err(self.refuse(None)) };
+        let Adoption { host, pool, zone, rack } = adoption;
+        let home = pool.clone();
+        let state = HostState::Probation;
+        let boot = Incarnation::ZERO;
+        let (version, since, maintained) = (1, now, now);
+        let record = HostRecord {
+            host,
+            pool,
+            home,
+            zone,
+            rack,
+            state,
+            epoch,
+            version,
+            boot,
+            since,
+            maintained,
+        };
+        Ok(Some(record))
+    }
+
+    fn next(&self, record: &HostRecord, now: Stamp) -> Option<HostRecord> {
+        use HostState as S;
+        let mut next = record.clone();
+        next.state = match (&record.state, &self.change) {
+            (S::Active, Change::Drain(purpose)) => S::Draining(purpose.clone()),
+            (S::Draining(_) | S::Empty(_), Change::CancelDrain) => S::Active,
+            (S::Draining(purpose), Change::Emptied) => S::Empty(purpose.clone()),
+            (S::Empty(Purpose::Maintain), Change::Reboot(boot)) => {
+                next.boot = *boot;
+                S::Rebooting
+            }
+            (S::Empty(purpose), Change::Move) => {
+                next.change_pool(purpose)?;
+                S::Moving
+            }
+            (S::Rebooting, Change::Probe) => {
+                next.maintained = now;
+                S::Probation
+            }
+            (S::Moving | S::Lost, Change::Probe) => S::Probation,
+            (S::Probation, Change::Activate) => S::Active,
+            (S::Lost, Change::Lose) => return None,
+            (_, Change::Lose) => S::Lost,
+            _ => return None,
+        };
+        Some(next)
+    }
+
+    fn refuse(&self, record: Option<&HostRecord>) -> StepError {
+        let state = record.map_or("no record".to_owned(), |record| record.state.to_string());
+        StepError { step: self.to_string(), state }
+    }
+}
+
+impl HostRecord {
+    fn change_pool(&mut self, purpose: &Purpose) -> Option<()> {
+        match purpose {
+            Purpose::Maintain => return None,
+            Purpose::Lend(pool) => self.pool = pool.clone(),
+            Purpose::Return => self.pool = self.home.clone(),
+            Purpose::Rehome(pool) => {
+                self.pool = pool.clone();
+                self.home = pool.clone();
+            }
+        }
+        Some(())
+    }
+}
