fleet: stateful fuzzing against an oracle, and known faults caught

Cause: nothing showed that budgets and records hold under faults. Change: a world of 18 hosts, a store that loses, delays and doubles writes, and two racing planners. It found that a record's version began anew after a host was forgotten, so that a dispatcher's word on an earlier drain could count or the drain never end; the version is now the number of the batch. A lost host with an unfulfilled order to reboot must reboot before it works.

--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -25,6 +25,8 @@
     const KEEP_DRAINS: bool = false;
     /// Forgets hosts that are still listed.
     const FORGET_LISTED: bool = false;
+    /// Lets a lost host take work though an order to reboot may be under way.
+    const FORGIVE_REBOOT: bool = false;
 }
 
 impl FleetFaults for Sound {}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,5 +37,5 @@
 };
 pub use report::HostReport;
 pub use state::{HostState, Purpose};
-pub use step::{Adoption, Change, Step, StepError};
+pub use step::{Adoption, Change, Mark, Step, StepError};
 pub use time::Stamp;
--- a/crates/fleet/src/planner/reconcile.rs
+++ b/crates/fleet/src/planner/reconcile.rs
@@ -1,6 +1,7 @@
 //! Compares the host list with the records.
 
 use vg_base::prelude::*;
+use vg_conf::Pool;
 
 use super::{Planner, Scene};
 use crate::faults::FleetFaults;
@@ -87,7 +88,7 @@
     ) {
         if record.state == HostState::Lost {
             if scene.is_present(&record.host) {
-                self.stage(records, &record.host, Change::Probe, now);
+                self.stage(records, &record.host, found::<F>(scene, record), now);
             } else if self.is_gone(&record.host, now) {
                 self.stage(records, &record.host, Change::Forget, now);
             }
@@ -110,7 +111,18 @@
     }
 }
 
-/// Returns the pool that the platform names, or else the one that lacks most.
+/// Returns what follows when a lost host is seen again.
+///
+/// An order to reboot may still be on its way to a host that never carried it
+/// out, so such a host has to reboot before it takes work.
+fn found<F: FleetFaults>(scene: &Scene<'_, F>, record: &HostRecord) -> Change {
+    let report = scene.reports.get(&record.host);
+    let same = report.is_some_and(|report| report.boot == record.boot);
+    if same && !F::FORGIVE_REBOOT { Change::Reboot(record.boot) } else { Change::Probe }
+}
+
+/// Returns the pool that the platform names, or else the one that lacks most, or
+/// else a spare one.
 fn choose_pool<F: FleetFaults>(
     scene: &Scene<'_, F>,
     records: &Records,
@@ -119,11 +131,13 @@
     if let Some(pool) = listed.pool.as_ref().filter(|pool| scene.pools.contains_key(pool)) {
         return Some(pool.clone());
     }
-    let lacks = scene.pools.values().filter_map(|pool| {
-        let allowed = pool.zones.is_empty() || pool.zones.contains(&listed.zone);
+    let allows = |pool: &&&Pool| pool.zones.is_empty() || pool.zones.contains(&listed.zone);
+    let lacks = scene.pools.values().filter(allows).filter_map(|pool| {
         let homes = records.hosts().values().filter(|each| each.home == pool.id).count();
         let lack = (pool.hosts as usize).saturating_sub(homes);
-        (allowed && lack > 0).then_some((lack, &pool.id))
+        (lack > 0).then_some((lack, &pool.id))
     });
-    lacks.max().map(|(_, pool)| pool.clone())
+    let lacking = lacks.max().map(|(_, pool)| pool);
+    let spare = || scene.pools.values().filter(allows).find(|pool| pool.spare).map(|pool| &pool.id);
+    lacking.or_else(spare).cloned()
 }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -24,9 +24,11 @@
     pub state: HostState,
     /// The planner that wrote it.
     pub epoch: Epoch,
-    /// Grows by one with each change; reports name it.
+    /// Number of the batch that wrote it. Reports name it; it grows even when a
+    /// host is forgotten and comes back, so that no report of an earlier state
+    /// passes for one of this.
     pub version: u64,
-    /// Start of the host before it was ordered to reboot.
+    /// The start that the last order to reboot ends; zero if there was none.
     pub boot: Incarnation,
     /// When it came into its state.
     pub since: Stamp,
--- a/crates/fleet/src/records/mod.rs
+++ b/crates/fleet/src/records/mod.rs
@@ -24,7 +24,7 @@
 use self::error::{BusySnafu, MissingSnafu, NotHeldSnafu};
 use self::flight::Flight;
 use self::head::Head;
-use crate::{HostRecord, Stamp, Step};
+use crate::{HostRecord, Mark, Stamp, Step};
 
 /// Key of the head.
 pub const HEAD_KEY: SmolStr = SmolStr::new_static("vg/fleet/head");
@@ -105,7 +105,7 @@
         if self.is_busy() {
             return BusySnafu.fail();
         }
-        let next = step.apply(self.staged.get(&step.host), self.head.epoch, now)?;
+        let next = step.apply(self.staged.get(&step.host), self.mark(now))?;
         match next {
             Some(record) => self.staged.insert(step.host.clone(), record),
             None => self.staged.remove(&step.host),
@@ -114,6 +114,11 @@
         Ok(())
     }
 
+    /// Returns what the steps of the next batch are marked with.
+    pub fn mark(&self, now: Stamp) -> Mark {
+        Mark { epoch: self.head.epoch, version: self.head.batch.seq + 1, now }
+    }
+
     /// Gives out the staged steps as one batch, or the one under way again.
     ///
     /// # Errors
--- a/crates/fleet/src/step.rs
+++ b/crates/fleet/src/step.rs
@@ -71,6 +71,17 @@
     pub change: Change,
 }
 
+/// What a planner writes into each record that it changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mark {
+    /// Epoch of the planner.
+    pub epoch: Epoch,
+    /// Number of the batch, which becomes the record's version.
+    pub version: u64,
+    /// The time.
+    pub now: Stamp,
+}
+
 /// A step that does not follow from the host's state.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display("`{step}` does not follow from {state}"))]
@@ -94,24 +105,25 @@
     pub fn apply(
         &self,
         record: Option<&HostRecord>,
-        epoch: Epoch,
-        now: Stamp,
+        mark: Mark,
     ) -> Result<Option<HostRecord>, StepError> {
-        let Some(record) = record else { return self.adopt(epoch, now) };
+        let Some(record) = record else { return self.adopt(mark) };
         if self.change == Change::Forget && record.state == HostState::Lost {
             return Ok(None);
         }
-        let next = self.next(record, now).ok_or_else(|| self.refuse(Some(record)))?;
-        Ok(Some(HostRecord { epoch, version: record.version + 1, since: now, ..next }))
+        let next = self.next(record, mark.now).ok_or_else(|| self.refuse(Some(record)))?;
+        let Mark { epoch, version, now } = mark;
+        Ok(Some(HostRecord { epoch, version, since: now, ..next }))
     }
 
-    fn adopt(&self, epoch: Epoch, now: Stamp) -> Result<Option<HostRecord>, StepError> {
+    fn adopt(&self, mark: Mark) -> Result<Option<HostRecord>, StepError> {
         let Change::Adopt(adoption) = self.change.clone() else { return Err(self.refuse(None)) };
         let Adoption { host, pool, zone, rack } = adoption;
         let home = pool.clone();
         let state = HostState::Probation;
         let boot = Incarnation::ZERO;
-        let (version, since, maintained) = (1, now, now);
+        let Mark { epoch, version, now } = mark;
+        let (since, maintained) = (now, now);
         let record = HostRecord {
             host,
             pool,
@@ -139,6 +151,7 @@
                 next.boot = *boot;
                 S::Rebooting
             }
+            (S::Lost, Change::Reboot(boot)) if *boot == record.boot => S::Rebooting,
             (S::Empty(purpose), Change::Move) => {
                 next.change_pool(purpose)?;
                 S::Moving
--- /dev/null
+++ b/crates/fleet/tests/faults/fuzz.rs
@@ -0,0 +1,70 @@
+//! Stateful fuzzing against the oracle; `VG_FUZZ_CASES` sets the cases.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use vg_fleet::faults::Sound;
+
+use crate::op::{Op, op};
+use crate::world::World;
+
+const CASES: u32 = 96;
+
+#[derive(Debug, Clone, Default)]
+struct AnyOrder;
+
+impl ReferenceStateMachine for AnyOrder {
+    type State = AnyOrder;
+    type Transition = Op;
+
+    fn init_state() -> BoxedStrategy<AnyOrder> {
+        Just(AnyOrder).boxed()
+    }
+
+    fn transitions(_: &AnyOrder) -> BoxedStrategy<Op> {
+        op().boxed()
+    }
+
+    fn apply(state: AnyOrder, _: &Op) -> AnyOrder {
+        state
+    }
+}
+
+struct Fleet;
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = World<Sound>;
+    type Reference = AnyOrder;
+
+    fn init_test(_: &AnyOrder) -> World<Sound> {
+        World::new()
+    }
+
+    fn apply(mut world: World<Sound>, _: &AnyOrder, op: Op) -> World<Sound> {
+        if let Err(violation) = world.run(&op) {
+            panic!("{violation}");
+        }
+        world
+    }
+
+    fn teardown(mut world: World<Sound>, _: AnyOrder) {
+        if let Err(violation) = world.heal() {
+            panic!("after all is healed: {violation}");
+        }
+    }
+}
+
+fn config() -> Config {
+    let cases = std::env::var("VG_FUZZ_CASES").ok().and_then(|text| text.parse().ok());
+    // Without a number of cases the seed is fixed, so that a run can be repeated.
+    let rng_seed = if cases.is_some() { RngSeed::Random } else { RngSeed::Fixed(7) };
+    let cases = cases.unwrap_or(CASES);
+    Config { cases, rng_seed, failure_persistence: None, ..Config::default() }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn promises_hold_under_faults(sequential 1..200 => Fleet);
+}
--- /dev/null
+++ b/crates/fleet/tests/faults/mutants.rs
@@ -0,0 +1,67 @@
+//! Puts known faults in, one at a time, and shows that the oracle finds each.
+//!
+//! Each fault has the seed of a sequence that violates a promise with the fault
+//! and none without it. After a change of the sequences' generator, set
+//! `VG_MUTANT_SEARCH` to the number of seeds to try, and take over what is
+//! printed.
+
+use proptest::collection::vec;
+use proptest::strategy::{Strategy, ValueTree};
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use vg_fleet::faults::{FleetFaults, Sound};
+
+use crate::op::{Op, op};
+use crate::oracle::Violation;
+use crate::world::World;
+
+fn sequence(seed: u64) -> Vec<Op> {
+    let config = Config { rng_seed: RngSeed::Fixed(seed), ..Config::default() };
+    let tree = vec(op(), 200).new_tree(&mut TestRunner::new(config));
+    tree.expect("the strategy rejects nothing").current()
+}
+
+fn run<F: FleetFaults>(seed: u64) -> Result<(), Violation> {
+    World::<F>::new().run_all(&sequence(seed))
+}
+
+#[allow(clippy::print_stdout, reason = "the seeds to take over")]
+fn search<F: FleetFaults>(fault: &str, seeds: u64) {
+    let shows = |seed: &u64| run::<F>(*seed).is_err() && run::<Sound>(*seed).is_ok();
+    match (0..seeds).find(shows) {
+        Some(seed) => println!("{fault}={seed} {:?}", run::<F>(seed)),
+        None => println!("{fault} is not found with {seeds} seeds"),
+    }
+}
+
+fn check<F: FleetFaults>(fault: &str, seed: u64) {
+    let tried = std::env::var("VG_MUTANT_SEARCH").ok().and_then(|text| text.parse().ok());
+    if let Some(seeds) = tried {
+        return search::<F>(fault, seeds);
+    }
+    assert_eq!(run::<Sound>(seed), Ok(()), "without the fault");
+    assert!(run::<F>(seed).is_err(), "{fault} is not found with seed {seed}");
+}
+
+macro_rules! mutants {
+    ($($test:ident: $fault:ident, $seed:literal;)*) => {$(
+        #[test]
+        fn $test() {
+            #[derive(Debug, Clone, Copy, Default)]
+            struct Fault;
+            impl FleetFaults for Fault {
+                const $fault: bool = true;
+            }
+            check::<Fault>(stringify!($fault), $seed);
+        }
+    )*};
+}
+
+mutants! {
+    no_reserve_is_found: NO_RESERVE, 0;
+    count_unproved_is_found: COUNT_UNPROVED, 0;
+    count_unreachable_is_found: COUNT_UNREACHABLE, 0;
+    empty_unclosed_is_found: EMPTY_UNCLOSED, 0;
+    any_version_is_found: ANY_VERSION, 143;
+    keep_drains_is_found: KEEP_DRAINS, 0;
+    forget_listed_is_found: FORGET_LISTED, 0;
+}
--- /dev/null
+++ b/crates/fleet/tests/faults/world.rs
@@ -0,0 +1,392 @@
+//! Hosts, dispatchers, a store and two entry hosts that race to be the planner.
+
+use std::collections::BTreeMap;
+
+use vg_base::prelude::*;
+use vg_conf::Pool;
+use vg_fleet::faults::FleetFaults;
+use vg_fleet::{
+    Change, HEAD_KEY, HostRecord, HostReport, HostState, Limits, ListedHost, Mark, Order, Planner,
+    Records, Settlement, Stamp, Step, claim, read_hosts,
+};
+
+use crate::op::{Answer, Op};
+use crate::oracle::{Told, Violation};
+use crate::store::FakeStore;
+
+const ZONES: usize = 3;
+const RACKS: usize = 9;
+const HOSTS: usize = 18;
+
+struct Host {
+    id: HostId,
+    zone: ZoneId,
+    rack: RackId,
+    up: bool,
+    listed: bool,
+    boot: u64,
+    running: u32,
+    closed: Option<u64>,
+    set_up: (u64, Option<PoolId>),
+    view: Option<HostRecord>,
+}
+
+struct Node<F> {
+    member: Member,
+    planner: Planner<F>,
+    records: Option<Records>,
+}
+
+pub(crate) struct World<F> {
+    store: FakeStore,
+    hosts: Vec<Host>,
+    pools: Vec<Pool>,
+    listed: Vec<ListedHost>,
+    reports: Vec<HostReport>,
+    nodes: [Node<F>; 2],
+    now: SystemTime,
+    seen: (i64, BTreeMap<HostId, HostRecord>),
+}
+
+impl<F: FleetFaults> World<F> {
+    pub(crate) fn new() -> World<F> {
+        let pools = [("bakery", 6, 3), ("dairy", 6, 3), ("admin", 6, 4)];
+        let mut world = World {
+            store: FakeStore::default(),
+            hosts: (0..HOSTS).map(new_host).collect(),
+            pools: pools.into_iter().map(new_pool).collect(),
+            listed: Vec::new(),
+            reports: Vec::new(),
+            nodes: [new_node("e1"), new_node("e2")],
+            now: SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000),
+            seen: (0, BTreeMap::new()),
+        };
+        world.list();
+        for _ in 0..6 {
+            world.elect(0, Answer::Given);
+            world.tick(0, 1, true).expect("no fault yet");
+        }
+        world
+    }
+
+    pub(crate) fn run_all(&mut self, ops: &[Op]) -> Result<(), Violation> {
+        ops.iter().try_for_each(|op| self.run(op))
+    }
+
+    pub(crate) fn run(&mut self, op: &Op) -> Result<(), Violation> {
+        self.step(op)?;
+        self.check_store()
+    }
+
+    /// Heals everything; then each listed host must come back to its pool.
+    pub(crate) fn heal(&mut self) -> Result<(), Violation> {
+        self.pools.iter_mut().for_each(|pool| pool.hold = false);
+        self.store.land();
+        for _ in 0..40 {
+            for host in &mut self.hosts {
+                (host.up, host.listed, host.running) = (true, true, 0);
+            }
+            self.list();
+            self.elect(0, Answer::Given);
+            self.tick(0, 10, true)?;
+            self.check_store()?;
+        }
+        let stored = self.stored();
+        for host in &self.hosts {
+            let Some(record) = stored.get(&host.id) else {
+                return Err(format!("{} is forgotten", host.id));
+            };
+            let stuck = Stamp::from(self.now).since(record.since) > Duration::from_secs(2 * 3600);
+            if record.state != HostState::Active && stuck {
+                return Err(format!("{} stays {}", host.id, record.state));
+            }
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, op: &Op) -> Result<(), Violation> {
+        match *op {
+            Op::Elect(at, answer) => self.elect(at, answer),
+            Op::Round(at, answer) => self.round(at, answer)?,
+            Op::Deliver(at) => self.deliver(at)?,
+            Op::Watch => self.watch(),
+            Op::Report => self.report(),
+            Op::List => self.list(),
+            Op::Start(at) => self.start(at % HOSTS)?,
+            Op::Finish(at) => self.hosts[at % HOSTS].running = 0,
+            Op::Fail(at) => self.fail(|index, _| index == at % HOSTS),
+            Op::FailRack(at) => self.fail(|index, _| index % RACKS == at % RACKS),
+            Op::FailZone(at) => self.fail(|index, _| index % ZONES == at % ZONES),
+            Op::Back => self.hosts.iter_mut().for_each(come_back),
+            Op::BackOne(at) => come_back(&mut self.hosts[at % HOSTS]),
+            Op::Remove(at) => {
+                let host = &mut self.hosts[at % HOSTS];
+                (host.listed, host.up, host.running) = (false, false, 0);
+            }
+            Op::Land => self.store.land(),
+            Op::Advance(minutes) => self.advance(minutes),
+            Op::Tick(at, minutes, deliver) => self.tick(at, minutes, deliver)?,
+            Op::Stale(at) => self.stale(at)?,
+            Op::Hold(at) => self.pools[at].hold ^= true,
+            Op::Hosts(at, hosts) => self.pools[at].hosts = hosts,
+        }
+        Ok(())
+    }
+
+    fn advance(&mut self, minutes: u64) {
+        self.now += Duration::from_secs(60 * minutes);
+    }
+
+    /// A planner goes on with old reports while dispatchers start work.
+    fn stale(&mut self, at: usize) -> Result<(), Violation> {
+        for _ in 0..3 {
+            self.round(at, Answer::Given)?;
+            (0..HOSTS).try_for_each(|host| self.start(host))?;
+        }
+        self.deliver(at)
+    }
+
+    fn tick(&mut self, at: usize, minutes: u64, deliver: bool) -> Result<(), Violation> {
+        self.advance(minutes);
+        self.watch();
+        self.report();
+        self.round(at, Answer::Given)?;
+        if deliver {
+            self.deliver(at)?;
+        }
+        for host in &mut self.hosts {
+            host.up |= host.listed;
+        }
+        Ok(())
+    }
+
+    fn elect(&mut self, at: usize, answer: Answer) {
+        let member = self.nodes[at].member.clone();
+        let head = self.store.get(&HEAD_KEY).cloned();
+        let batch = claim(&member, head.as_ref()).expect("the head can be read");
+        self.store.commit(&batch, answer);
+        self.nodes[at].records = Records::recover(&member, &self.store.all()).ok();
+    }
+
+    fn round(&mut self, at: usize, answer: Answer) -> Result<(), Violation> {
+        let node = &mut self.nodes[at];
+        let Some(records) = &mut node.records else { return Ok(()) };
+        if !records.is_busy() {
+            let before = records.hosts().clone();
+            let steps =
+                node.planner.round(&self.pools, &self.listed, &self.reports, records, self.now);
+            let told = Told { listed: &self.listed, reports: &self.reports };
+            let now = Stamp::from(self.now);
+            check_steps(&told, &self.pools, before, &steps, records.mark(now))?;
+        }
+        let Some(batch) = records.batch().expect("records can be encoded") else { return Ok(()) };
+        let commit = self.store.commit(&batch, answer);
+        let mut settlement = records.settle(batch.id, commit);
+        if settlement == Settlement::ReadHead && answer == Answer::Given {
+            let head = self.store.get(&HEAD_KEY).expect("a head was written");
+            settlement = records.settle_head(head).expect("the head can be read");
+        }
+        if settlement == Settlement::Fenced {
+            node.records = None;
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, at: usize) -> Result<(), Violation> {
+        let Some(records) = &self.nodes[at].records else { return Ok(()) };
+        for order in records.orders() {
+            match order {
+                Order::Close { host, version } => {
+                    let host = find(&mut self.hosts, &host);
+                    host.closed = host.closed.max(Some(version));
+                }
+                Order::Reboot { host, boot, .. } => {
+                    let host = find(&mut self.hosts, &host);
+                    if host.up && host.boot == boot.get() {
+                        if host.running > 0 {
+                            return Err(format!("{} was rebooted under work", host.id));
+                        }
+                        host.boot += 1;
+                        host.up = false;
+                    }
+                }
+                Order::SetUp { host, version, pool } => {
+                    let host = find(&mut self.hosts, &host);
+                    if version > host.set_up.0 {
+                        host.set_up = (version, Some(pool));
+                    }
+                }
+                Order::Probe { .. } => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// The dispatchers see the store's records.
+    fn watch(&mut self) {
+        let stored = self.stored();
+        for host in &mut self.hosts {
+            host.view = stored.get(&host.id).cloned();
+        }
+    }
+
+    fn report(&mut self) {
+        let report = |host: &Host| HostReport {
+            host: host.id.clone(),
+            up: host.up,
+            boot: Incarnation(host.boot),
+            running: host.running,
+            remaining: Duration::from_secs(60 * u64::from(host.running)),
+            closed: host.closed,
+            proved: host.view.as_ref().map(|view| view.version),
+            pool: host.set_up.1.clone(),
+        };
+        self.reports = self.hosts.iter().map(report).collect();
+    }
+
+    fn list(&mut self) {
+        let listed = |host: &Host| ListedHost {
+            host: host.id.clone(),
+            pool: None,
+            zone: host.zone.clone(),
+            rack: host.rack.clone(),
+            leaving: false,
+        };
+        self.listed = self.hosts.iter().filter(|host| host.listed).map(listed).collect();
+    }
+
+    /// A dispatcher starts work where its view, which may lag, lets it.
+    fn start(&mut self, at: usize) -> Result<(), Violation> {
+        let host = &mut self.hosts[at];
+        let Some(view) = host.view.clone().filter(|view| view.state == HostState::Active) else {
+            return Ok(());
+        };
+        if !host.up || host.closed.is_some_and(|closed| closed >= view.version) {
+            return Ok(());
+        }
+        host.running += 1;
+        let id = host.id.clone();
+        match self.stored().get(&id) {
+            Some(record) if record.pool != view.pool => {
+                Err(format!("{id} takes work of {} and is in {}", view.pool, record.pool))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn fail(&mut self, which: impl Fn(usize, &Host) -> bool) {
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            if which(index, host) {
+                (host.up, host.running) = (false, 0);
+            }
+        }
+    }
+
+    fn stored(&self) -> BTreeMap<HostId, HostRecord> {
+        read_hosts(&self.store.all()).expect("the records can be read")
+    }
+
+    fn check_store(&mut self) -> Result<(), Violation> {
+        if self.seen.0 == self.store.revision() {
+            return Ok(());
+        }
+        let after = self.stored();
+        for (id, old) in &self.seen.1 {
+            let Some(new) = after.get(id) else { continue };
+            if new.epoch < old.epoch || new.version < old.version {
+                return Err(format!("{id} went back"));
+            }
+            let host = self.hosts.iter().find(|host| host.id == *id);
+            if new.pool != old.pool && host.is_some_and(|host| host.running > 0) {
+                return Err(format!("{id} moved under work"));
+            }
+        }
+        self.seen = (self.store.revision(), after);
+        Ok(())
+    }
+}
+
+/// Each drain leaves room for the next loss, and without room none stays.
+fn check_steps(
+    told: &Told<'_>,
+    pools: &[Pool],
+    mut hosts: BTreeMap<HostId, HostRecord>,
+    steps: &[Step],
+    mark: Mark,
+) -> Result<(), Violation> {
+    for step in steps {
+        let old = hosts.get(&step.host).cloned();
+        let new = step.apply(old.as_ref(), mark).map_err(|error| error.to_string())?;
+        match new {
+            Some(record) => hosts.insert(step.host.clone(), record),
+            None => hosts.remove(&step.host),
+        };
+        if step.change == Change::Forget && told.is_listed(&step.host) {
+            return Err(format!("{} is listed and is forgotten", step.host));
+        }
+        let Change::Drain(_) = step.change else { continue };
+        let pool = old.and_then(|old| pools.iter().find(|pool| pool.id == old.pool));
+        if let Some(pool) = pool.filter(|pool| told.margin(&hosts, pool) < 0) {
+            return Err(format!("{step} leaves {} no margin", pool.id));
+        }
+    }
+    for pool in pools.iter().filter(|pool| told.margin(&hosts, pool) < 0) {
+        let open = |each: &&HostRecord| {
+            let draining = matches!(each.state, HostState::Draining(_) | HostState::Empty(_));
+            draining && each.pool == pool.id && told.is_present(&each.host)
+        };
+        if let Some(record) = hosts.values().find(open) {
+            return Err(format!("{} stays drained without margin", record.host));
+        }
+    }
+    Ok(())
+}
+
+fn come_back(host: &mut Host) {
+    if !host.up {
+        host.boot += 1;
+        (host.up, host.listed) = (true, true);
+    }
+}
+
+fn find<'a>(hosts: &'a mut [Host], id: &HostId) -> &'a mut Host {
+    hosts.iter_mut().find(|host| host.id == *id).expect("orders name known hosts")
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("the name is valid")
+}
+
+fn new_host(at: usize) -> Host {
+    Host {
+        id: name(&format!("h{at:02}")),
+        zone: name(&format!("z{}", at % ZONES)),
+        rack: name(&format!("r{}", at % RACKS)),
+        up: true,
+        listed: true,
+        boot: 1,
+        running: 0,
+        closed: None,
+        set_up: (0, None),
+        view: None,
+    }
+}
+
+fn new_pool((id, hosts, budget): (&str, u32, u32)) -> Pool {
+    Pool {
+        id: name(id),
+        hosts,
+        zones: Vec::new(),
+        budget,
+        zone_spare: id == "dairy",
+        period: Duration::from_secs(6 * 24 * 3600),
+        spare: id == "admin",
+        hold: false,
+    }
+}
+
+fn new_node<F: FleetFaults>(node: &str) -> Node<F> {
+    let member = Member { node: name(node), incarnation: Incarnation(1) };
+    let limits = Limits { brake: 0.5, ..Limits::default() };
+    Node { member, planner: Planner::with_faults(limits), records: None }
+}
