measure: maintenance and moves of the fleet against fixed waves

Cause: waves, loans and moves were not measured. Change: vg-measure fleet drives the planner on model time with failures of hosts, racks and a zone, next to fixed waves.

--- a/crates/fleet/tests/faults/world.rs
+++ b/crates/fleet/tests/faults/world.rs
@@ -387,6 +387,6 @@
 
 fn new_node<F: FleetFaults>(node: &str) -> Node<F> {
     let member = Member { node: name(node), incarnation: Incarnation(1) };
-    let limits = Limits { brake: 0.5, ..Limits::default() };
+    let limits = Limits { brake: 0.5, wave_start: 0.8, wave_floor: 0.3, ..Limits::default() };
     Node { member, planner: Planner::with_faults(limits), records: None }
 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod capacity;
 mod error;
+pub mod fleet;
 pub mod jobs;
 pub mod members;
 pub mod report;
