--- a/crates/fleet/src/planner/reconcile.rs
+++ b/crates/fleet/src/planner/reconcile.rs
@@ -121,23 +121,24 @@
     if same && !F::FORGIVE_REBOOT { Change::Reboot(record.boot) } else { Change::Probe }
 }
 
-/// Returns the pool that the platform names, or else the one that lacks most, or
-/// else a spare one.
+/// Returns the pool that a new host goes to: the one that the platform names if
+/// it lacks hosts, or else the one that lacks most, the one named, a spare one.
+///
+/// A host that comes new costs no drain, so it goes where one is missing.
 fn choose_pool<F: FleetFaults>(
     scene: &Scene<'_, F>,
     records: &Records,
     listed: &ListedHost,
 ) -> Option<PoolId> {
-    if let Some(pool) = listed.pool.as_ref().filter(|pool| scene.pools.contains_key(pool)) {
-        return Some(pool.clone());
-    }
     let allows = |pool: &&&Pool| pool.zones.is_empty() || pool.zones.contains(&listed.zone);
     let lacks = scene.pools.values().filter(allows).filter_map(|pool| {
         let homes = records.hosts().values().filter(|each| each.home == pool.id).count();
         let lack = (pool.hosts as usize).saturating_sub(homes);
-        (lack > 0).then_some((lack, &pool.id))
+        let named = listed.pool.as_ref() == Some(&pool.id);
+        (lack > 0).then_some((named, lack, &pool.id))
     });
-    let lacking = lacks.max().map(|(_, pool)| pool);
+    let lacking = lacks.max().map(|(_, _, pool)| pool);
+    let named = || listed.pool.as_ref().filter(|pool| scene.pools.contains_key(pool));
     let spare = || scene.pools.values().filter(allows).find(|pool| pool.spare).map(|pool| &pool.id);
-    lacking.or_else(spare).cloned()
+    lacking.or_else(named).or_else(spare).cloned()
 }
--- a/crates/fleet/src/step.rs
+++ b/crates/fleet/src/step.rs
@@ -17,12 +17,15 @@
     pub zone: ZoneId,
     /// Its rack.
     pub rack: RackId,
+    /// Whether it is set up for the pool.
+    pub ready: bool,
 }
 
 impl Adoption {
     pub(crate) fn new(listed: &ListedHost, pool: PoolId) -> Adoption {
+        let ready = listed.pool.as_ref() == Some(&pool);
         let ListedHost { host, zone, rack, .. } = listed.clone();
-        Adoption { host, pool, zone, rack }
+        Adoption { host, pool, zone, rack, ready }
     }
 }
 
@@ -118,9 +121,9 @@
 
     fn adopt(&self, mark: Mark) -> Result<Option<HostRecord>, StepError> {
         let Change::Adopt(adoption) = self.change.clone() else { return Err(self.refuse(None)) };
-        let Adoption { host, pool, zone, rack } = adoption;
+        let Adoption { host, pool, zone, rack, ready } = adoption;
         let home = pool.clone();
-        let state = HostState::Probation;
+        let state = if ready { HostState::Probation } else { HostState::Moving };
         let boot = Incarnation::ZERO;
         let Mark { epoch, version, now } = mark;
         let (since, maintained) = (now, now);
--- a/crates/fleet/tests/faults/world.rs
+++ b/crates/fleet/tests/faults/world.rs
@@ -62,7 +62,7 @@
             seen: (0, BTreeMap::new()),
         };
         world.list();
-        for _ in 0..6 {
+        for _ in 0..8 {
             world.elect(0, Answer::Given);
             world.tick(0, 1, true).expect("no fault yet");
         }
--- a/crates/measure/src/fleet/fixed.rs
+++ b/crates/measure/src/fleet/fixed.rs
@@ -60,7 +60,11 @@
             }
             let pool = each.pool.clone().expect("filtered above");
             let (host, zone, rack) = (each.host.clone(), each.zone.clone(), each.rack.clone());
-            self.apply(&each.host, Change::Adopt(Adoption { host, pool, zone, rack }), now);
+            self.apply(
+                &each.host,
+                Change::Adopt(Adoption { host, pool, zone, rack, ready: true }),
+                now,
+            );
         }
     }
 
