--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -11,6 +11,9 @@
     pub reboot_timeout: Duration,
     /// A lost host that is not listed for this time is forgotten.
     pub forget_after: Duration,
+    /// A lost host that is listed belongs to its pool for this time; it is then
+    /// replaced.
+    pub replace_after: Duration,
     /// Part of a period after which a pool's wave begins.
     pub wave_start: f64,
     /// Part of a period below which a host is left out of a wave.
@@ -43,6 +46,7 @@
             lose_after: 5 * MINUTE,
             reboot_timeout: 30 * MINUTE,
             forget_after: 6 * HOUR,
+            replace_after: DAY,
             wave_start: 0.85,
             wave_floor: 0.6,
             move_after: 15 * MINUTE,
--- a/crates/fleet/src/planner/moves.rs
+++ b/crates/fleet/src/planner/moves.rs
@@ -28,7 +28,7 @@
     /// Moves hosts for good from pools that have more than wanted to pools that
     /// lack some.
     fn rehome(&mut self, scene: &Scene<'_, F>, records: &mut Records, now: Stamp) {
-        let homes = count_homes(records);
+        let homes = self.count_homes(records, now);
         let excess = |pool: &PoolId| {
             let have = homes.get(pool).copied().unwrap_or(0);
             have - scene.pools.get(pool).map_or(0, |pool| i64::from(pool.hosts))
@@ -54,6 +54,29 @@
         }
     }
 
+    /// Counts the hosts that belong to each pool, or will when they arrive.
+    ///
+    /// A lost host counts for a while: most come back, and a move for it would
+    /// be followed by one the other way.
+    pub(super) fn count_homes(&self, records: &Records, now: Stamp) -> BTreeMap<PoolId, i64> {
+        let mut homes = BTreeMap::new();
+        for record in records.hosts().values() {
+            let home = match &record.state {
+                HostState::Draining(Purpose::Rehome(to))
+                | HostState::Empty(Purpose::Rehome(to)) => to,
+                HostState::Lost if self.is_replaced(record, now) => continue,
+                _ => &record.home,
+            };
+            *homes.entry(home.clone()).or_default() += 1;
+        }
+        homes
+    }
+
+    fn is_replaced(&self, record: &HostRecord, now: Stamp) -> bool {
+        let long = now.since(record.since) >= self.limits.replace_after;
+        long || self.unlisted.contains_key(&record.host)
+    }
+
     fn donor(
         &self,
         scene: &Scene<'_, F>,
@@ -182,19 +205,6 @@
     }
 }
 
-/// Counts the hosts that belong to each pool, or will when they arrive.
-fn count_homes(records: &Records) -> BTreeMap<PoolId, i64> {
-    let mut homes = BTreeMap::new();
-    for record in records.hosts().values().filter(|each| each.state != HostState::Lost) {
-        let home = match &record.state {
-            HostState::Draining(Purpose::Rehome(to)) | HostState::Empty(Purpose::Rehome(to)) => to,
-            _ => &record.home,
-        };
-        *homes.entry(home.clone()).or_default() += 1;
-    }
-    homes
-}
-
 /// Whether a condition has held for `span`.
 fn lasts(
     table: &mut BTreeMap<PoolId, Stamp>,
--- a/crates/fleet/src/planner/reconcile.rs
+++ b/crates/fleet/src/planner/reconcile.rs
@@ -1,5 +1,7 @@
 //! Compares the host list with the records.
 
+use std::collections::BTreeMap;
+
 use vg_base::prelude::*;
 use vg_conf::Pool;
 
@@ -36,7 +38,8 @@
         }
         let host = listed.host.clone();
         self.notices.insert(Notice::Unrecorded { host: host.clone() });
-        match choose_pool(scene, records, listed) {
+        let homes = self.count_homes(records, now);
+        match choose_pool(scene, &homes, listed) {
             Some(pool) => {
                 let adoption = Adoption::new(listed, pool);
                 self.stage(records, &host, Change::Adopt(adoption), now);
@@ -127,13 +130,12 @@
 /// A host that comes new costs no drain, so it goes where one is missing.
 fn choose_pool<F: FleetFaults>(
     scene: &Scene<'_, F>,
-    records: &Records,
+    homes: &BTreeMap<PoolId, i64>,
     listed: &ListedHost,
 ) -> Option<PoolId> {
     let allows = |pool: &&&Pool| pool.zones.is_empty() || pool.zones.contains(&listed.zone);
     let lacks = scene.pools.values().filter(allows).filter_map(|pool| {
-        let homes = records.hosts().values().filter(|each| each.home == pool.id).count();
-        let lack = (pool.hosts as usize).saturating_sub(homes);
+        let lack = i64::from(pool.hosts) - homes.get(&pool.id).copied().unwrap_or(0);
         let named = listed.pool.as_ref() == Some(&pool.id);
         (lack > 0).then_some((named, lack, &pool.id))
     });
