route: slots kept apart for an earlier owner still count as before

Cause: with an earlier owner's slots kept apart, a proof freed them first, also those that last longer than a lost call of ours, and slots whose time was over but that were not yet removed left too little room marked (both found by the endpoints' fuzzing: nine calls at one endpoint). Ruled out: the proof alone; the ordinary share still failed with it mended. Change: whichever ends first goes first; marking extends all that is there.

--- a/crates/route/src/endpoints/instance.rs
+++ b/crates/route/src/endpoints/instance.rs
@@ -81,6 +81,20 @@
         used / (1.0 - self.record.rate).max(LEAST_SUCCESS)
     }
 
+    /// Frees the slot without a call of ours whose time is over first.
+    pub(crate) fn drop_soonest(&mut self) {
+        let soonest = |list: &[Instant]| list.iter().copied().enumerate().min_by_key(|each| each.1);
+        let (own, earlier) = (soonest(&self.lingering), soonest(&self.earlier));
+        match (own, earlier) {
+            (Some((at, own)), Some((_, earlier))) if own <= earlier => {
+                self.lingering.swap_remove(at);
+            }
+            (_, Some((at, _))) => drop(self.earlier.swap_remove(at)),
+            (Some((at, _)), None) => drop(self.lingering.swap_remove(at)),
+            (None, None) => {}
+        }
+    }
+
     /// Frees the slots whose time is over.
     pub(crate) fn expire(&mut self, now: Instant) {
         self.lingering.retain(|until| *until > now);
--- a/crates/route/src/endpoints/table/mod.rs
+++ b/crates/route/src/endpoints/table/mod.rs
@@ -105,12 +105,9 @@
     pub fn prove(&mut self, host: &HostId, used: Slots) {
         for instance in self.instances.values_mut().filter(|each| each.info.id == *host) {
             let left = used.get().saturating_sub(instance.running) as usize;
-            instance.lingering.sort_unstable();
-            let surplus = (instance.lingering.len() + instance.earlier.len()).saturating_sub(left);
-            let kept = instance.earlier.len().saturating_sub(surplus);
-            let rest = surplus - (instance.earlier.len() - kept);
-            instance.earlier.truncate(kept);
-            instance.lingering.drain(..rest);
+            while instance.lingering.len() + instance.earlier.len() > left {
+                instance.drop_soonest();
+            }
         }
     }
 
@@ -237,6 +234,8 @@
 /// Marks slots as in use until `until`, up to `most` in all.
 pub(super) fn fill(instance: &mut Instance, most: u32, until: Instant) {
     let room = most.saturating_sub(instance.used());
-    instance.earlier.iter_mut().for_each(|each| *each = (*each).max(until));
+    // Those whose time is over have not been removed yet: they count again.
+    let held = instance.lingering.iter_mut().chain(&mut instance.earlier);
+    held.for_each(|each| *each = (*each).max(until));
     instance.earlier.extend(std::iter::repeat_n(until, room as usize));
 }
