--- a/crates/measure/src/capacity/heads.rs
+++ b/crates/measure/src/capacity/heads.rs
@@ -21,7 +21,7 @@
 
 /// Measures the head of a request and that of a reply.
 pub(super) fn report(out: &mut impl Write) -> Result<(), Error> {
-    let rig = Rig::start(Size { nodes: 1, pools: 1, teams: 1, workers: 1 })?;
+    let rig = Rig::start(Size { nodes: 1, pools: 1, teams: 3, workers: 1 })?;
     let addr = rig.site.nodes().values().next().map(|node| node.handle.node().peer_addr);
     let heads = rig.block_on(async { Ok((request_head().await?, reply_head(addr).await?)) });
     let (request, reply) = heads.map_err(|e: std::io::Error| failed(&e))?;
--- a/crates/measure/src/capacity/idle.rs
+++ b/crates/measure/src/capacity/idle.rs
@@ -25,6 +25,9 @@
 /// Kinds of store calls.
 const CALLS: [&str; 6] = ["lists", "book", "renew", "commit", "get", "jobs"];
 
+/// Reads one part of a size.
+type PartOf = fn(&Size) -> u32;
+
 /// Cost of a site at rest. Rates are for one node and one second.
 struct Cost {
     size: Size,
@@ -148,7 +151,7 @@
     writeln!(out, "\nslopes by least squares, other parts of the size as in `{MIDDLE}`")?;
     let mut table =
         Table::new(&["for one more", "core a node", "bytes/s a node", "book bytes", "lists bytes"]);
-    let parts: [(&str, fn(&Size) -> u32); 4] = [
+    let parts: [(&str, PartOf); 4] = [
         ("node", |size| size.nodes),
         ("pool", |size| size.pools),
         ("team", |size| size.teams),
@@ -181,7 +184,7 @@
 
 /// Whether a part of the size is as in the middle, but for the remainder of
 /// workers that do not divide among the pools.
-fn close(of: &fn(&Size) -> u32, cost: &Cost) -> bool {
+fn close(of: &PartOf, cost: &Cost) -> bool {
     of(&cost.size).abs_diff(of(&MIDDLE)) * 20 <= of(&MIDDLE)
 }
 
