--- a/crates/verbenagap/tests/processes.rs
+++ b/crates/verbenagap/tests/processes.rs
@@ -313,3 +313,28 @@
     assert_eq!(status, 1, "{text}");
     assert!(text.contains("cannot listen on"), "{text}");
 }
+
+#[test]
+fn an_entry_host_without_a_store_runs_nothing_and_says_so() {
+    let entry = free_addr();
+    let gone = free_addr();
+    let _daemon = daemon(0, gone, gone, entry);
+    let ask = |request: &str| {
+        let until = Instant::now() + Duration::from_secs(20);
+        let mut socket = loop {
+            match std::net::TcpStream::connect(entry) {
+                Ok(socket) => break socket,
+                Err(e) => assert!(Instant::now() < until, "{e}"),
+            }
+        };
+        write!(socket, "{request} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").unwrap();
+        let mut answer = String::new();
+        socket.read_to_string(&mut answer).unwrap();
+        answer
+    };
+    assert!(ask("GET /healthz").starts_with("HTTP/1.1 200"));
+    assert!(ask("GET /readyz").starts_with("HTTP/1.1 503"));
+    let answer = ask("POST /v1/queues/urgent/calls");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("\"outcome\":\"not-run\""), "{answer}");
+}
