measure: take the head of an accepted reply, not of a refusal

Cause: the head of a refused heartbeat has fields that an accepted one lacks. Change: the reply to a request for the lists is measured.

--- a/crates/measure/src/capacity/heads.rs
+++ b/crates/measure/src/capacity/heads.rs
@@ -16,8 +16,8 @@
 const WAIT_MAX: Duration = Duration::from_secs(5);
 /// End of a head.
 const END: &[u8] = b"\r\n\r\n";
-/// A heartbeat that is malformed, which has an answer all the same.
-const REQUEST: &[u8] = b"POST /peer/heartbeat HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+/// A request for the lists, whose reply has the head of any accepted message.
+const REQUEST: &[u8] = b"POST /peer/lists HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
 
 /// Measures the head of a request and that of a reply.
 pub(super) fn report(out: &mut impl Write) -> Result<(), Error> {
