fleet: no loans for a reserve that is used up

Cause: loans for each failure in a pool without spare margin. Change: a pool borrows only when it is below its floor or can't drain a host.

--- a/crates/fleet/src/planner/moves.rs
+++ b/crates/fleet/src/planner/moves.rs
@@ -125,10 +125,12 @@
         })
     }
 
-    /// Lends a host to a pool that can't drain a single one by itself.
+    /// Lends a host to a pool that is below its floor, or can't drain a single
+    /// host by itself. A reserve that is used up is left to repairs: most hosts
+    /// are back before a loan would have paid for its two drains.
     fn lend(&mut self, scene: &Scene<'_, F>, records: &mut Records, pool: &Pool, now: Stamp) {
         let serving = scene.serving(records, &pool.id);
-        let margin = scene.budget(pool, &serving, self.failures(pool, records)).margin();
+        let broken = scene.budget(pool, &serving, self.failures(pool, records)).is_broken();
         let members = records.hosts().values().filter(|each| each.pool == pool.id);
         let mut under_way =
             members.filter(|each| each.state.is_planned() || each.state == HostState::Probation);
@@ -137,7 +139,7 @@
             && !self.candidates(scene, records, pool, now).is_empty()
             && under_way.next().is_none()
             && !self.can_drain(scene, records, pool);
-        let need = (stuck && pool.budget > 0) || margin < 0;
+        let need = (stuck && pool.budget > 0) || broken;
         let lasting = lasts(&mut self.needs, &pool.id, need, now, self.limits.move_after);
         if !lasting || coming || pool.spare {
             return;
