entry: renew workers' leases every 5 s

Change: a renewal every 5 s; a lease lasts 20 s, so three may be lost. Workers with running tasks are asked four times a second as before. A worker that restarts while it runs nothing is noticed up to 5 s later.

--- a/crates/entry/src/jobs/keeper.rs
+++ b/crates/entry/src/jobs/keeper.rs
@@ -24,7 +24,7 @@
 /// Longest time between two looks at a pool's jobs.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 /// Period in which workers' leases are renewed. They last several periods.
-const RENEW_PERIOD: Duration = Duration::from_secs(2);
+const RENEW_PERIOD: Duration = Duration::from_secs(5);
 /// Period in which a worker with running tasks is asked for their ends.
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
 /// How long jobs taken over may run without a unit of this node. Well before
