--- /dev/null
+++ b/crates/entry/src/jobs/keeper/actions.rs
@@ -0,0 +1,140 @@
+//! What the shard asks for.
+
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_jobs::{Action, Cores, JobState, Limits, Report, Task};
+
+use super::{Done, Keeper};
+use crate::jobs::pool::Settled;
+use crate::jobs::worker::WorkerClient;
+use crate::platform::Platform;
+
+impl<P: Platform> Keeper<P> {
+    pub(super) fn act(&mut self, action: Action, now: Instant) {
+        match action {
+            Action::Accepted { job } | Action::CancelTaken { job } => {
+                self.tell(job, Settled::Durable);
+            }
+            Action::Withdrawn { jobs } => {
+                for (job, fate) in jobs {
+                    self.tell(job, Settled::Withdrawn(fate));
+                }
+            }
+            Action::Start(start) => {
+                let ttl = Limits::default().worker_lease;
+                let task = start.task.clone();
+                self.record(Code::JobStarted, &task);
+                self.send(task, |client| async move { client.start(&start, ttl).await });
+            }
+            Action::Query(task) => {
+                let asked = task.clone();
+                self.send(task, |client| async move { client.query(&asked).await });
+            }
+            Action::Checkpoint(task) => {
+                let asked = task.clone();
+                self.send(task, |client| async move { client.stop(&asked, true).await });
+            }
+            Action::Stop(task) => {
+                let asked = task.clone();
+                self.send(task, |client| async move { client.stop(&asked, false).await });
+            }
+            Action::Throttle { task, limit } => self.throttle(task, limit),
+            Action::Release(task) => self.release(task),
+            Action::UnitBack { team } => {
+                let mut state = self.jobs.lock();
+                // An attempt taken over without a unit has none to give back.
+                if state.units.get_mut(&team).and_then(Vec::pop).is_none() {
+                    state.debt.remove(&team);
+                }
+            }
+            Action::Shown { job, state } => self.show(job, state),
+            Action::Stepped { job, attempt, transition } => {
+                if matches!(transition.to, JobState::Queued | JobState::Stopped) {
+                    let fields = [Field::new("job", job), Field::new("attempt", attempt)];
+                    self.node.events.record(Code::JobRequeued, fields);
+                }
+            }
+            Action::Quarantined { worker, until } => {
+                let time = until.saturating_duration_since(now).as_secs();
+                let fields = [Field::new("host", worker), Field::new("seconds", time)];
+                self.node.events.record(Code::WorkerQuarantined, fields);
+            }
+            Action::Restored { worker } => {
+                self.node.events.record(Code::WorkerRestored, [Field::new("host", worker)]);
+            }
+            Action::Fenced => self.jobs.close(),
+        }
+    }
+
+    fn tell(&self, job: JobId, settled: Settled) {
+        let waiting = self.jobs.lock().waiting.remove(&job).unwrap_or_default();
+        for sender in waiting {
+            // Whoever went away is not told.
+            let _ = sender.send(settled);
+        }
+    }
+
+    fn show(&self, job: JobId, state: JobState) {
+        let code = match state {
+            JobState::Done { .. } => Some(Code::JobDone),
+            JobState::Failed { .. } => Some(Code::JobFailed),
+            JobState::Cancelled => Some(Code::JobCancelled),
+            JobState::Unknown => Some(Code::JobUnknown),
+            JobState::CannotRun => Some(Code::JobCannotRun),
+            _ => None,
+        };
+        if let Some(code) = code {
+            self.node.events.record(code, [Field::new("job", job)]);
+        }
+        self.jobs.note_change();
+    }
+
+    fn record(&self, code: Code, task: &Task) {
+        let fields = [
+            Field::new("job", task.job),
+            Field::new("attempt", task.attempt),
+            Field::new("host", &task.site.worker),
+        ];
+        self.node.events.record(code, fields);
+    }
+
+    /// Sends a message about a task to its worker, and takes in its word.
+    fn send<F, R>(&mut self, task: Task, message: F)
+    where
+        F: FnOnce(WorkerClient) -> R,
+        R: Future<Output = Option<Report>> + Send + 'static,
+    {
+        let Some(client) = self.client(&task) else { return };
+        let word = message(client);
+        self.io.spawn(async move {
+            let report = word.await;
+            Done::Word { task, report }
+        });
+    }
+
+    fn throttle(&mut self, task: Task, limit: Option<Cores>) {
+        let Some(client) = self.client(&task) else { return };
+        let state = self.jobs.lock();
+        let job = state.shard.as_ref().and_then(|shard| shard.job(task.job));
+        let declared = job.map_or(1, |job| job.spec().size.cores.0.max(1));
+        drop(state);
+        let percent = limit.map_or(100, |limit| limit.0.saturating_mul(100) / declared);
+        self.io.spawn(async move {
+            client.throttle(&task, percent.clamp(1, 100)).await;
+            Done::Sent
+        });
+    }
+
+    fn release(&mut self, task: Task) {
+        let Some(client) = self.client(&task) else { return };
+        self.io.spawn(async move {
+            client.release(&task).await;
+            Done::Sent
+        });
+    }
+
+    fn client(&self, task: &Task) -> Option<WorkerClient> {
+        let known = self.workers.get(&task.site.worker)?;
+        Some(WorkerClient::new(self.node.client.clone(), self.node.metrics.clone(), known.addr))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/receipts/guard.rs
@@ -0,0 +1,57 @@
+//! The receipt of a running call.
+
+use std::net::SocketAddr;
+
+use vg_base::prelude::*;
+use vg_route::{Answer, ReceiptKey, Request};
+
+use crate::receipts::{MIRROR_MAX_BYTES, MIRROR_TIMEOUT, ReceiptTable, Settled};
+
+/// The receipt of a call that runs at this owner.
+///
+/// Dropped before the call is written it says *not run*, after it *unknown*.
+#[derive(Debug)]
+pub(crate) struct ReceiptGuard<C: Clock> {
+    pub(super) table: ReceiptTable<C>,
+    pub(super) request: Request,
+    pub(super) key: Option<ReceiptKey>,
+    pub(super) written: bool,
+    pub(super) mirror: Option<SocketAddr>,
+    pub(super) client: vg_net::Client,
+}
+
+impl<C: Clock> ReceiptGuard<C> {
+    /// Notes that the call is about to be written to an endpoint.
+    pub(crate) fn set_written(&mut self, written: bool) {
+        self.written = written;
+    }
+
+    /// Ends the call with its whole answer; `None` if that was too long to
+    /// keep.
+    pub(crate) fn answered(mut self, answer: Option<Answer>) {
+        self.finish(Outcome::Answered, answer);
+    }
+
+    fn finish(&mut self, outcome: Outcome, answer: Option<Answer>) {
+        let Some(key) = self.key.take() else { return };
+        let now = self.table.now();
+        self.table.lock().finish(key, outcome, answer, now);
+        let Some(addr) = self.mirror else { return };
+        let (name, attempt) = (self.request.name.clone(), self.request.attempt);
+        let settled = Settled { name, attempt, outcome };
+        let client = self.client.clone();
+        // Best effort: the copy settles by itself after the deadline.
+        tokio::spawn(async move {
+            let url = format!("http://{addr}/peer/receipts/settled");
+            let _ =
+                client.exchange::<_, bool>(&url, &settled, MIRROR_TIMEOUT, MIRROR_MAX_BYTES).await;
+        });
+    }
+}
+
+impl<C: Clock> Drop for ReceiptGuard<C> {
+    fn drop(&mut self) {
+        let outcome = if self.written { Outcome::Unknown } else { Outcome::NotRun };
+        self.finish(outcome, None);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/receipts/mirror.rs
@@ -0,0 +1,62 @@
+//! Copies of receipts at a second entry host.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+use vg_route::{Name, Receipt, Request};
+
+use crate::call::Call;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::problem::{Problem, ProblemCode};
+use crate::receipts::{MIRROR_MAX_BYTES, MIRROR_TIMEOUT};
+
+/// A copy of a receipt for a peer to keep.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Mirror {
+    pub(super) receipt: Receipt,
+    pub(super) attempt: RequestId,
+    pub(super) idempotent: bool,
+    /// Milliseconds until the call's deadline.
+    pub(super) remaining_ms: u64,
+}
+
+/// How a copied call ended.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Settled {
+    pub(super) name: Name,
+    pub(super) attempt: RequestId,
+    pub(super) outcome: Outcome,
+}
+
+/// Has a peer keep a copy. `None` only if there is no other member at all.
+pub(super) async fn mirror<P: Platform>(
+    node: &Node<P>,
+    call: &Call,
+    request: &Request,
+) -> Result<Option<SocketAddr>, Problem> {
+    let peers = node.roster.peers();
+    let remaining = call.remaining(node.clock.now()).as_millis();
+    let message = Mirror {
+        receipt: Receipt::of_request(request),
+        attempt: request.attempt,
+        idempotent: request.idempotent,
+        remaining_ms: u64::try_from(remaining).unwrap_or(u64::MAX),
+    };
+    // Each call starts with another peer, which spreads the copies.
+    let first = call.id.value() as usize;
+    for at in 0..peers.len() {
+        let (_, addr) = &peers[first.wrapping_add(at) % peers.len()];
+        let url = format!("http://{addr}/peer/receipts");
+        let kept = node.client.exchange(&url, &message, MIRROR_TIMEOUT, MIRROR_MAX_BYTES).await;
+        if matches!(kept, Ok(true)) {
+            return Ok(Some(*addr));
+        }
+    }
+    if peers.is_empty() {
+        return Ok(None);
+    }
+    let detail = "no second entry host could keep the receipt of the idempotency key";
+    Err(Problem::not_run(ProblemCode::NoOwner, detail))
+}
--- a/crates/entry/src/receipts.rs
+++ b/crates/entry/src/receipts/mod.rs
@@ -4,24 +4,29 @@
 //! entry host has a copy, so that the loss of one can't make a key look unused:
 //! the ingress for calls that it forwards, else a peer that is asked.
 
-use std::net::SocketAddr;
+mod guard;
+mod mirror;
+mod refusal;
+
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use http::{HeaderName, HeaderValue, Response, StatusCode};
-use serde::{Deserialize, Serialize};
+use http::{HeaderValue, Response};
 use vg_base::prelude::*;
 use vg_net::Body;
-use vg_route::{
-    Answer, Begin, Bounds, Fingerprint, KeyName, Name, Receipt, ReceiptKey, Receipts, Request,
-};
+use vg_route::{Begin, Bounds, Fingerprint, KeyName, Name, Receipts, Request};
 
 use crate::call::Call;
-use crate::headers;
 use crate::node::Node;
 use crate::options::Options;
 use crate::platform::Platform;
 use crate::problem::{Problem, ProblemCode};
 
+pub(crate) use guard::ReceiptGuard;
+pub(crate) use mirror::{Mirror, Settled};
+
+use mirror::mirror;
+use refusal::{refusal, replay};
+
 /// Longest wait for a peer to take a copy.
 const MIRROR_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest answer of a peer to a copy.
@@ -29,26 +34,6 @@
 /// Time past a call's deadline after which a copy whose end was not told
 /// counts as unknown.
 const SETTLE_GRACE: Duration = Duration::from_secs(1);
-/// When a repeat of a key that is running should come back.
-const RUNNING_RETRY: Duration = Duration::from_millis(500);
-
-/// A copy of a receipt for a peer to keep.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Mirror {
-    receipt: Receipt,
-    attempt: RequestId,
-    idempotent: bool,
-    /// Milliseconds until the call's deadline.
-    remaining_ms: u64,
-}
-
-/// How a copied call ended.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Settled {
-    name: Name,
-    attempt: RequestId,
-    outcome: Outcome,
-}
 
 /// Whether a keyed call may run.
 #[derive(Debug)]
@@ -91,6 +76,10 @@
         self.inner.bounds.answer_bytes
     }
 
+    fn now(&self) -> Instant {
+        self.inner.clock.now()
+    }
+
     /// Locks the receipts.
     pub(crate) fn lock(&self) -> MutexGuard<'_, Receipts> {
         self.inner.receipts.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -198,128 +187,3 @@
         idempotent: call.idempotent,
     })
 }
-
-/// Has a peer keep a copy. `None` only if there is no other member at all.
-async fn mirror<P: Platform>(
-    node: &Node<P>,
-    call: &Call,
-    request: &Request,
-) -> Result<Option<SocketAddr>, Problem> {
-    let peers = node.roster.peers();
-    let remaining = call.remaining(node.clock.now()).as_millis();
-    let message = Mirror {
-        receipt: Receipt::of_request(request),
-        attempt: request.attempt,
-        idempotent: request.idempotent,
-        remaining_ms: u64::try_from(remaining).unwrap_or(u64::MAX),
-    };
-    // Each call starts with another peer, which spreads the copies.
-    let first = call.id.value() as usize;
-    for at in 0..peers.len() {
-        let (_, addr) = &peers[first.wrapping_add(at) % peers.len()];
-        let url = format!("http://{addr}/peer/receipts");
-        let kept = node.client.exchange(&url, &message, MIRROR_TIMEOUT, MIRROR_MAX_BYTES).await;
-        if matches!(kept, Ok(true)) {
-            return Ok(Some(*addr));
-        }
-    }
-    if peers.is_empty() {
-        return Ok(None);
-    }
-    let detail = "no second entry host could keep the receipt of the idempotency key";
-    Err(Problem::not_run(ProblemCode::NoOwner, detail))
-}
-
-fn refusal(begin: &Begin) -> Problem {
-    match begin {
-        Begin::Mismatch => {
-            let detail = "the idempotency key was used with another body or content type";
-            Problem::not_run(ProblemCode::KeyReused, detail)
-        }
-        Begin::Running => {
-            let detail = "a request with this idempotency key is running now";
-            Problem::unknown(ProblemCode::KeyInUse, detail).retry_after(RUNNING_RETRY)
-        }
-        Begin::Full { retry_after } => {
-            let detail = "there is no room for the receipt of the idempotency key";
-            Problem::not_run(ProblemCode::QueueFull, detail).retry_after(*retry_after)
-        }
-        Begin::Doubled => {
-            // The attempt may be running: to call it not run would let the ingress
-            // give its copy of the receipt up.
-            let detail = "this attempt came before; this copy of it tells nothing of its end";
-            Problem::unknown(ProblemCode::KeyInUse, detail).retry_after(RUNNING_RETRY)
-        }
-        Begin::Late => {
-            let detail = "the deadline passed before the call came to its entry host";
-            Problem::not_run(ProblemCode::DeadlineUnreachable, detail)
-        }
-        Begin::Run(_) | Begin::Replay(_) | Begin::Unknown => {
-            let detail = "a request with this idempotency key may have run before";
-            Problem::unknown(ProblemCode::EarlierRunUnknown, detail)
-        }
-    }
-}
-
-fn replay(answer: &Answer) -> Response<Body> {
-    let mut response = Response::new(vg_net::full(answer.body.clone()));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    for each in &answer.headers {
-        let name = HeaderName::from_bytes(each.name.as_bytes());
-        let value = HeaderValue::from_bytes(&each.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response.headers_mut().insert(headers::REPLAYED, HeaderValue::from_static("true"));
-    response
-}
-
-/// The receipt of a call that runs at this owner.
-///
-/// Dropped before the call is written it says *not run*, after it *unknown*.
-#[derive(Debug)]
-pub(crate) struct ReceiptGuard<C: Clock> {
-    table: ReceiptTable<C>,
-    request: Request,
-    key: Option<ReceiptKey>,
-    written: bool,
-    mirror: Option<SocketAddr>,
-    client: vg_net::Client,
-}
-
-impl<C: Clock> ReceiptGuard<C> {
-    /// Notes that the call is about to be written to an endpoint.
-    pub(crate) fn set_written(&mut self, written: bool) {
-        self.written = written;
-    }
-
-    /// Ends the call with its whole answer; `None` if that was too long to
-    /// keep.
-    pub(crate) fn answered(mut self, answer: Option<Answer>) {
-        self.finish(Outcome::Answered, answer);
-    }
-
-    fn finish(&mut self, outcome: Outcome, answer: Option<Answer>) {
-        let Some(key) = self.key.take() else { return };
-        let now = self.table.inner.clock.now();
-        self.table.lock().finish(key, outcome, answer, now);
-        let Some(addr) = self.mirror else { return };
-        let (name, attempt) = (self.request.name.clone(), self.request.attempt);
-        let settled = Settled { name, attempt, outcome };
-        let client = self.client.clone();
-        // Best effort: the copy settles by itself after the deadline.
-        tokio::spawn(async move {
-            let url = format!("http://{addr}/peer/receipts/settled");
-            let _ =
-                client.exchange::<_, bool>(&url, &settled, MIRROR_TIMEOUT, MIRROR_MAX_BYTES).await;
-        });
-    }
-}
-
-impl<C: Clock> Drop for ReceiptGuard<C> {
-    fn drop(&mut self) {
-        let outcome = if self.written { Outcome::Unknown } else { Outcome::NotRun };
-        self.finish(outcome, None);
-    }
-}
--- /dev/null
+++ b/crates/entry/src/receipts/refusal.rs
@@ -0,0 +1,59 @@
+//! Answers to keys that may not run.
+
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use vg_base::prelude::*;
+use vg_net::Body;
+use vg_route::{Answer, Begin};
+
+use crate::headers;
+use crate::problem::{Problem, ProblemCode};
+
+/// When a repeat of a key that is running should come back.
+const RUNNING_RETRY: Duration = Duration::from_millis(500);
+
+/// Returns what a request is told whose key may not run.
+pub(super) fn refusal(begin: &Begin) -> Problem {
+    match begin {
+        Begin::Mismatch => {
+            let detail = "the idempotency key was used with another body or content type";
+            Problem::not_run(ProblemCode::KeyReused, detail)
+        }
+        Begin::Running => {
+            let detail = "a request with this idempotency key is running now";
+            Problem::unknown(ProblemCode::KeyInUse, detail).retry_after(RUNNING_RETRY)
+        }
+        Begin::Full { retry_after } => {
+            let detail = "there is no room for the receipt of the idempotency key";
+            Problem::not_run(ProblemCode::QueueFull, detail).retry_after(*retry_after)
+        }
+        Begin::Doubled => {
+            // The attempt may be running: to call it not run would let the ingress
+            // give its copy of the receipt up.
+            let detail = "this attempt came before; this copy of it tells nothing of its end";
+            Problem::unknown(ProblemCode::KeyInUse, detail).retry_after(RUNNING_RETRY)
+        }
+        Begin::Late => {
+            let detail = "the deadline passed before the call came to its entry host";
+            Problem::not_run(ProblemCode::DeadlineUnreachable, detail)
+        }
+        Begin::Run(_) | Begin::Replay(_) | Begin::Unknown => {
+            let detail = "a request with this idempotency key may have run before";
+            Problem::unknown(ProblemCode::EarlierRunUnknown, detail)
+        }
+    }
+}
+
+/// Makes the response of an answer that was kept.
+pub(super) fn replay(answer: &Answer) -> Response<Body> {
+    let mut response = Response::new(vg_net::full(answer.body.clone()));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    for each in &answer.headers {
+        let name = HeaderName::from_bytes(each.name.as_bytes());
+        let value = HeaderValue::from_bytes(&each.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response.headers_mut().insert(headers::REPLAYED, HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/crates/verbenagap/src/site/change.rs
@@ -0,0 +1,59 @@
+//! Changes of the lists, as an operator would make them.
+
+use snafu::ResultExt;
+use vg_base::prelude::*;
+use vg_conf::stored::LISTS_KEY;
+use vg_conf::{ChangeId, Stored};
+use vg_store::{Key, Store, Txn, TxnOutcome};
+
+use crate::site::error::{self, StoreSnafu};
+use crate::site::{Site, SiteError};
+
+impl Site {
+    /// Writes lists as the next revision, as an operator's accepted change.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError`] if the store refuses or the lists can't be encoded.
+    pub async fn change_lists(&self, plans: String, uses: String) -> Result<Revision, SiteError> {
+        let entry = self.store.get(&Key::from(LISTS_KEY)).await.context(StoreSnafu)?;
+        let known = entry.and_then(|entry| Stored::decode_unchecked(&entry.value).ok());
+        let revision = known.map(|known| known.revision).unwrap_or_default().next();
+        self.write_lists(revision, plans, uses).await?;
+        Ok(revision)
+    }
+
+    /// Returns the texts of both lists with the teams' keys.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::Edit`] if a key can't be put in.
+    pub fn texts(&self) -> Result<(String, String), SiteError> {
+        let plans = self.keys.grant_all(&self.plan.plans)?;
+        Ok((plans, self.plan.uses.clone()))
+    }
+
+    pub(super) async fn write_lists(
+        &self,
+        revision: Revision,
+        plans: String,
+        uses: String,
+    ) -> Result<(), SiteError> {
+        let stored = Stored {
+            revision,
+            plans,
+            uses,
+            change: ChangeId::new(u128::from(revision.get())),
+            author: SmolStr::new_static("site"),
+            at_ms: 0,
+        };
+        let value = stored.encode().context(error::EncodeSnafu)?;
+        let entry = self.store.get(&Key::from(LISTS_KEY)).await.context(StoreSnafu)?;
+        let modified = entry.map(|entry| entry.modified);
+        let txn = Txn::new().expect(LISTS_KEY, modified).put(LISTS_KEY, value);
+        match self.store.commit(txn).await.context(StoreSnafu)? {
+            TxnOutcome::Done { .. } => Ok(()),
+            TxnOutcome::Conflict { .. } => error::RacedSnafu.fail(),
+        }
+    }
+}
--- a/crates/verbenagap/src/site/mod.rs
+++ b/crates/verbenagap/src/site/mod.rs
@@ -4,7 +4,9 @@
 mod answer;
 mod balancer;
 mod caller;
+mod change;
 mod error;
+mod hosts;
 mod keys;
 mod plan;
 mod platform;
@@ -15,15 +17,13 @@
 use snafu::ResultExt;
 use vg_base::SystemClock;
 use vg_base::prelude::*;
-use vg_conf::stored::LISTS_KEY;
-use vg_conf::{ChangeId, Lists, Stored};
+use vg_conf::Lists;
 use vg_entry::{NodeHandle, Options};
 use vg_net::Limits;
 use vg_standin::{
-    Endpoint, EndpointSettings, Host, HostKind, HostListServer, HostState, RunLog, Worker,
-    WorkerSettings,
+    Endpoint, HostListServer, RunLog, Worker,
 };
-use vg_store::{Faults, FaultyStore, Key, MemStore, Store, Txn, TxnOutcome};
+use vg_store::{Faults, FaultyStore, MemStore};
 
 pub use answer::Answer;
 pub use balancer::Balancer;
@@ -33,7 +33,7 @@
 pub use plan::SitePlan;
 pub use platform::InProcess;
 
-use error::{NodeSnafu, StandinSnafu, StoreSnafu};
+use error::{NodeSnafu, StandinSnafu};
 
 /// Period in which [`Site::ready`] looks at the nodes.
 const READY_PERIOD: Duration = Duration::from_millis(20);
@@ -206,98 +206,6 @@
         self.endpoints.remove(host)
     }
 
-    /// Writes lists as the next revision, as an operator's accepted change.
-    ///
-    /// # Errors
-    ///
-    /// [`SiteError`] if the store refuses or the lists can't be encoded.
-    pub async fn change_lists(&self, plans: String, uses: String) -> Result<Revision, SiteError> {
-        let entry = self.store.get(&Key::from(LISTS_KEY)).await.context(StoreSnafu)?;
-        let known = entry.and_then(|entry| Stored::decode_unchecked(&entry.value).ok());
-        let revision = known.map(|known| known.revision).unwrap_or_default().next();
-        self.write_lists(revision, plans, uses).await?;
-        Ok(revision)
-    }
-
-    /// Returns the texts of both lists with the teams' keys.
-    ///
-    /// # Errors
-    ///
-    /// [`SiteError::Edit`] if a key can't be put in.
-    pub fn texts(&self) -> Result<(String, String), SiteError> {
-        let plans = self.keys.grant_all(&self.plan.plans)?;
-        Ok((plans, self.plan.uses.clone()))
-    }
-
-    async fn write_lists(
-        &self,
-        revision: Revision,
-        plans: String,
-        uses: String,
-    ) -> Result<(), SiteError> {
-        let stored = Stored {
-            revision,
-            plans,
-            uses,
-            change: ChangeId::new(u128::from(revision.get())),
-            author: SmolStr::new_static("site"),
-            at_ms: 0,
-        };
-        let value = stored.encode().context(error::EncodeSnafu)?;
-        let entry = self.store.get(&Key::from(LISTS_KEY)).await.context(StoreSnafu)?;
-        let modified = entry.map(|entry| entry.modified);
-        let txn = Txn::new().expect(LISTS_KEY, modified).put(LISTS_KEY, value);
-        match self.store.commit(txn).await.context(StoreSnafu)? {
-            TxnOutcome::Done { .. } => Ok(()),
-            TxnOutcome::Conflict { .. } => error::RacedSnafu.fail(),
-        }
-    }
-
-    async fn start_endpoints(&mut self, pool: &PoolId) -> Result<(), SiteError> {
-        for at in 0..self.plan.endpoints {
-            let zone = zone_id(at % self.plan.zones);
-            let id: HostId = name(&format!("{pool}-{at}"));
-            let settings = EndpointSettings {
-                service: self.plan.service,
-                ..EndpointSettings::new(id.clone())
-            };
-            let endpoint =
-                Endpoint::start(settings, self.log.clone()).await.context(StandinSnafu)?;
-            self.hosts.put(Host {
-                id: id.clone(),
-                pool: Some(pool.clone()),
-                rack: name(&format!("{zone}-r{}", at / self.plan.zones)),
-                zone,
-                addr: endpoint.addr(),
-                kind: HostKind::Endpoint,
-                state: HostState::Live,
-            });
-            self.endpoints.insert(id, endpoint);
-        }
-        Ok(())
-    }
-
-    async fn start_workers(&mut self, pool: &PoolId) -> Result<(), SiteError> {
-        for at in 0..self.plan.workers {
-            let zone = zone_id(at % self.plan.zones);
-            let id: HostId = name(&format!("{pool}-worker-{at}"));
-            let settings = WorkerSettings::new(id.clone());
-            let worker = Worker::start(settings, self.log.clone(), SystemClock).await;
-            let worker = worker.context(StandinSnafu)?;
-            self.hosts.put(Host {
-                id: id.clone(),
-                pool: Some(pool.clone()),
-                rack: name(&format!("{zone}-w{}", at / self.plan.zones)),
-                zone,
-                addr: worker.addr(),
-                kind: HostKind::Worker,
-                state: HostState::Live,
-            });
-            self.workers.insert(id, worker);
-        }
-        Ok(())
-    }
-
     /// Takes a worker out of the site, to stop or kill it.
     pub fn take_worker(&mut self, host: &HostId) -> Option<Worker> {
         self.workers.remove(host)
