--- a/crates/verbenagap/src/site/mod.rs
+++ b/crates/verbenagap/src/site/mod.rs
@@ -20,9 +20,7 @@
 use vg_conf::Lists;
 use vg_entry::{NodeHandle, Options};
 use vg_net::Limits;
-use vg_standin::{
-    Endpoint, HostListServer, RunLog, Worker,
-};
+use vg_standin::{Endpoint, HostListServer, RunLog, Worker};
 use vg_store::{Faults, FaultyStore, MemStore};
 
 pub use answer::Answer;
