entry: a silent worker stops no submissions, an ended node keeps no jobs

Cause: submissions waited until every listed worker had answered, so one dead worker that the lagging list still shows refused all jobs of its pool; the keepers of a node that was fenced went on in the process of its successor. Change: after 3 s the workers that answer are enough; until all have answered no job is called impossible; keepers end with their node.

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -149,8 +149,11 @@
 
     /// Ends the node at once and cuts all connections, as a crash would.
     pub async fn kill(self) {
-        let NodeHandle { callers, peers, mut tasks, .. } = self;
+        let NodeHandle { node, callers, peers, mut tasks } = self;
         tasks.shutdown().await;
+        // The keepers run by themselves: another incarnation of this process
+        // must not find them at work.
+        node.jobs.all().iter().for_each(|jobs| jobs.close());
         callers.kill().await;
         peers.kill().await;
     }
--- a/crates/entry/src/jobs/keeper/mod.rs
+++ b/crates/entry/src/jobs/keeper/mod.rs
@@ -25,6 +25,8 @@
 const RENEW_PERIOD: Duration = Duration::from_secs(5);
 /// Period in which a worker with running tasks is asked for their ends.
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
+/// How long submissions wait for workers that do not answer.
+const KNOWN_TIME: Duration = Duration::from_secs(3);
 /// How long jobs taken over may run without a unit of this node. Well before
 /// the units of the lost owner become free for others.
 const DEBT_TIME: Duration = Duration::from_secs(8);
--- a/crates/entry/src/jobs/keeper/workers.rs
+++ b/crates/entry/src/jobs/keeper/workers.rs
@@ -3,7 +3,7 @@
 use vg_base::prelude::*;
 use vg_jobs::{Heartbeat, Limits, Now, Shard, Site, Usage, WorkerSpec};
 
-use super::{DEBT_TIME, Done, Keeper, KnownWorker, RENEW_PERIOD, WATCH_PERIOD};
+use super::{DEBT_TIME, Done, KNOWN_TIME, Keeper, KnownWorker, RENEW_PERIOD, WATCH_PERIOD};
 use crate::hosts::{Host, HostKind, HostList, HostState};
 use crate::jobs::worker::{LeaseAnswer, WorkerClient};
 use crate::platform::Platform;
@@ -23,7 +23,9 @@
         }
         let specs = self.specs(&list);
         let mut state = self.jobs.lock();
-        state.known = list.revision > 0 && specs.len() == ours.len();
+        state.complete = list.revision > 0 && specs.len() == ours.len();
+        let waited = now.mono >= self.began + KNOWN_TIME;
+        state.known = state.complete || (waited && !specs.is_empty());
         if let Some(shard) = &mut state.shard {
             shard.list_workers(&specs, now);
         }
--- a/crates/entry/src/jobs/pool.rs
+++ b/crates/entry/src/jobs/pool.rs
@@ -42,8 +42,11 @@
     pub(crate) debt: BTreeMap<TeamId, Units>,
     /// Teams whose jobs found no unit in the last round, with what they want.
     pub(crate) blocked: BTreeMap<TeamId, Units>,
-    /// Whether every listed worker has been heard of.
+    /// Whether the workers that answer have been heard of.
     pub(crate) known: bool,
+    /// Whether every listed worker has been heard of: only then is it proved
+    /// that none could hold a job.
+    pub(crate) complete: bool,
     /// Whether the pool is another owner's now.
     pub(crate) closed: bool,
 }
@@ -58,6 +61,7 @@
             debt: BTreeMap::new(),
             blocked: BTreeMap::new(),
             known: false,
+            complete: false,
             closed: false,
         };
         let (changes, _) = watch::channel(0);
--- a/crates/entry/src/jobs/serve.rs
+++ b/crates/entry/src/jobs/serve.rs
@@ -150,15 +150,22 @@
     let settled = {
         let mut state = jobs.lock();
         if !state.known {
-            return Err(recovering("the pool's workers are not all known yet"));
+            return Err(recovering("the pool's workers are not known yet"));
         }
+        let complete = state.complete;
         let shard = state.shard.as_mut();
         let shard = shard.ok_or_else(|| recovering("the pool's jobs are being recovered"))?;
         if let Some(known) = shard.job(job) {
             // A repeat comes later: the first one's time stands.
             spec.start_by = known.spec().start_by;
         }
-        let submitted = shard.submit(job, spec, Now::read(&node.clock)).map_err(refused)?;
+        let submitted = shard.submit(job, spec, Now::read(&node.clock));
+        let submitted = submitted.map_err(|refusal| match refusal {
+            Refusal::CannotRun if !complete => {
+                recovering("the workers that answer can't hold the job, others have not answered")
+            }
+            refusal => refused(refusal),
+        })?;
         match submitted {
             Submitted::Known(_) => None,
             Submitted::Staged | Submitted::Pending => {
--- a/crates/verbenagap/tests/jobs.rs
+++ b/crates/verbenagap/tests/jobs.rs
@@ -142,3 +142,21 @@
     let answer = caller.submit_sized("urgent", 64_000).await;
     assert_eq!(answer.problem.unwrap().code, ProblemCode::CannotRun);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_never_answers_does_not_stop_submissions() {
+    let mut site = small_site().await;
+    site.take_worker(&name("notices-worker-0")).unwrap().kill().await;
+    for at in 0..3 {
+        let node = site.take_node(&node_id(at)).unwrap();
+        assert!(node.handle.stop(Duration::from_millis(20)).await);
+        site.start_node(&node_id(at)).await.unwrap();
+        assert!(site.ready(common::PATIENCE).await);
+    }
+    let caller = site.caller(&name("dairy"));
+    let id = submit(&caller, "urgent", Duration::from_millis(20), None).await;
+    assert_eq!(end(&caller, &id).await, "done");
+    let answer = caller.submit_sized("urgent", 64_000).await;
+    assert_eq!(answer.outcome, Outcome::NotRun);
+    assert_ne!(answer.problem.unwrap().code, ProblemCode::CannotRun, "not proved");
+}
