--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -167,11 +167,13 @@
     let mut departing = None;
     loop {
         let now = node.clock.now();
-        if now >= told_by {
+        if now >= told_by || node.roster.peers().is_empty() {
             // Their next owners have not asked: their jobs' units become free.
             node.jobs.take_retired(None);
         }
-        let done = node.pools.running() == 0 && (node.pools.is_told() || now >= told_by);
+        let nobody = node.roster.peers().is_empty();
+        let told = nobody || node.pools.is_told() || now >= told_by;
+        let done = node.pools.running() == 0 && told;
         if done && node.roster.lock().depart() {
             node.due.notify_one();
             let since = *departing.get_or_insert(now);
