entry: a planned stop settles submissions and moves running jobs whole

Cause: a change of owner dropped submissions that were on their way to the store (told as unknown, though a planned stop cuts nothing); the next owner took the workers that it had not heard of yet for leaving ones and checkpointed their tasks away; a stopping node whose jobs' units nobody had taken freed them while the jobs ran on. Ruled out: the units' move (no run ended twice; the second start resumed from a checkpoint, as the time line showed). Change: what was taken in is still committed, or told by what the next owner's claim proves; upkeep waits until all workers have answered, for at most 3 s; such units are left to the lapse of the leases. Conclusion: the third cause has no test yet.

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -167,13 +167,13 @@
     let mut departing = None;
     loop {
         let now = node.clock.now();
-        if now >= told_by || node.roster.peers().is_empty() {
-            // Their next owners have not asked: their jobs' units become free.
-            node.jobs.take_retired(None);
+        let asked = now >= told_by || node.roster.peers().is_empty();
+        if asked && node.jobs.holds_units() {
+            // Their jobs run on, and nobody has taken their units: they must
+            // not become free before the workers' leases have lapsed.
+            return false;
         }
-        let nobody = node.roster.peers().is_empty();
-        let told = nobody || node.pools.is_told() || now >= told_by;
-        let done = node.pools.running() == 0 && told;
+        let done = node.pools.running() == 0 && (node.pools.is_told() || asked);
         if done && node.roster.lock().depart() {
             node.due.notify_one();
             let since = *departing.get_or_insert(now);
--- a/crates/entry/src/jobs/keeper/mod.rs
+++ b/crates/entry/src/jobs/keeper/mod.rs
@@ -9,7 +9,9 @@
 
 use tokio::task::JoinSet;
 use vg_base::prelude::*;
-use vg_jobs::{BatchId, Commit, Now, Report, Resources, Settlement, Shard, Stored, Task, Weighted};
+use vg_jobs::{
+    Action, BatchId, Commit, Now, Report, Resources, Settlement, Shard, Stored, Task, Weighted,
+};
 use vg_store::{Key, Store};
 
 use crate::follow::bounded;
@@ -25,6 +27,8 @@
 const RENEW_PERIOD: Duration = Duration::from_secs(5);
 /// Period in which a worker with running tasks is asked for their ends.
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
+/// Longest time after a change of owner in which work taken in is settled.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
 /// How long submissions wait for workers that do not answer.
 const KNOWN_TIME: Duration = Duration::from_secs(3);
 /// How long jobs taken over may run without a unit of this node. Well before
@@ -86,8 +90,17 @@
 
 impl<P: Platform> Keeper<P> {
     async fn run(mut self) {
-        while !self.jobs.lock().closed {
-            self.look();
+        let mut last = None;
+        loop {
+            if self.jobs.lock().closed {
+                let last = *last.get_or_insert(self.node.clock.now() + CLOSE_TIME);
+                if !self.jobs.is_awaited() || self.node.clock.now() >= last {
+                    break;
+                }
+                self.flush();
+            } else {
+                self.look();
+            }
             tokio::select! {
                 Some(done) = self.io.join_next() => {
                     // A task of ours that panicked has nothing to tell.
@@ -99,6 +112,28 @@
                 () = tokio::time::sleep(LOOK_PERIOD) => {}
             }
         }
+        self.jobs.lock().waiting.clear();
+    }
+
+    /// Makes durable what was taken in before the pool went to another owner.
+    /// Once that one has claimed the journal, it is told instead what became
+    /// of each.
+    fn flush(&mut self) {
+        let now = Now::read(&self.node.clock);
+        let jobs = Arc::clone(&self.jobs);
+        let mut state = jobs.lock();
+        let Some(shard) = &mut state.shard else { return };
+        self.commit_next(shard, now);
+        let actions = shard.take_actions();
+        drop(state);
+        for action in actions {
+            if matches!(
+                action,
+                Action::Accepted { .. } | Action::CancelTaken { .. } | Action::Withdrawn { .. }
+            ) {
+                self.act(action, now.mono);
+            }
+        }
     }
 
     /// Does all that is due.
@@ -110,8 +145,14 @@
         let may_act = self.node.roster.check_may_act().is_ok();
         let jobs = Arc::clone(&self.jobs);
         let mut state = jobs.lock();
-        let JobsState { shard: Some(shard), units, blocked, .. } = &mut *state else { return };
-        shard.tick(now);
+        let JobsState { shard: Some(shard), units, blocked, complete, .. } = &mut *state else {
+            return;
+        };
+        // A worker that is not listed yet looks like one that is leaving, and
+        // its tasks would be checkpointed away.
+        if *complete || now.mono >= self.began + KNOWN_TIME {
+            shard.tick(now);
+        }
         if may_act {
             let config = self.node.config.current();
             let plans = config.lists.plans.values();
--- a/crates/entry/src/jobs/pool.rs
+++ b/crates/entry/src/jobs/pool.rs
@@ -98,14 +98,17 @@
         self.changes.subscribe()
     }
 
-    /// Stops keeping the jobs. Their units stay in use until they are handed
-    /// to the next owner.
+    /// Stops keeping the jobs. What was taken in is still made durable, and
+    /// their units stay in use until they are handed to the next owner.
     pub(crate) fn close(&self) {
-        let mut state = self.lock();
-        state.closed = true;
-        // Requests that wait hear from the next owner.
-        state.waiting.clear();
-        drop(state);
+        self.lock().closed = true;
         self.ring();
     }
+
+    /// Whether a request still waits for its job to become durable.
+    pub(crate) fn is_awaited(&self) -> bool {
+        let state = self.lock();
+        let mut waiting = state.waiting.values().flatten();
+        waiting.any(|sender| !sender.is_closed())
+    }
 }
--- a/crates/entry/src/jobs/serve.rs
+++ b/crates/entry/src/jobs/serve.rs
@@ -149,6 +149,9 @@
     let team = spec.team.clone();
     let settled = {
         let mut state = jobs.lock();
+        if state.closed {
+            return Err(recovering("the pool is moving to another entry host"));
+        }
         if !state.known {
             return Err(recovering("the pool's workers are not known yet"));
         }
--- a/crates/entry/src/jobs/table.rs
+++ b/crates/entry/src/jobs/table.rs
@@ -51,11 +51,15 @@
         jobs.close();
     }
 
-    /// Takes the handed over jobs of a pool, or of all.
-    pub(crate) fn take_retired(&self, pool: Option<&PoolId>) -> Vec<Arc<PoolJobs<C>>> {
-        let mut pools = self.lock();
-        let wanted = |each: &mut Arc<PoolJobs<C>>| pool.is_none_or(|pool| each.pool() == pool);
-        pools.retired.extract_if(.., wanted).collect()
+    /// Takes the handed over jobs of a pool.
+    pub(crate) fn take_retired(&self, pool: &PoolId) -> Vec<Arc<PoolJobs<C>>> {
+        self.lock().retired.extract_if(.., |each| each.pool() == pool).collect()
+    }
+
+    /// Whether jobs that were handed over still hold units here.
+    pub(crate) fn holds_units(&self) -> bool {
+        let retired = self.lock().retired.clone();
+        retired.iter().any(|jobs| jobs.lock().units.values().any(|guards| !guards.is_empty()))
     }
 
     fn lock(&self) -> MutexGuard<'_, Pools<C>> {
--- a/crates/entry/src/jobs/units.rs
+++ b/crates/entry/src/jobs/units.rs
@@ -31,7 +31,7 @@
 
 /// Frees the units of handed over jobs and sends them to the next owner.
 pub(crate) fn hand_units<P: Platform>(node: &Node<P>, ask: &UnitsHandover) -> Option<UnitReply> {
-    let retired = node.jobs.take_retired(Some(&ask.pool));
+    let retired = node.jobs.take_retired(&ask.pool);
     let held = retired.iter().flat_map(|jobs| std::mem::take(&mut jobs.lock().units));
     let guards: Vec<UnitGuard<P::Clock>> = held.flat_map(|(_, guards)| guards).collect();
     node.roster.hand_over(guards, &ask.request)
--- a/crates/verbenagap/tests/jobs.rs
+++ b/crates/verbenagap/tests/jobs.rs
@@ -160,3 +160,29 @@
     assert_eq!(answer.outcome, Outcome::NotRun);
     assert_ne!(answer.problem.unwrap().code, ProblemCode::CannotRun, "not proved");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_hands_running_jobs_and_their_units_over() {
+    let mut site = small_site().await;
+    let team: TeamId = name("bakery");
+    let caller = site.caller(&team);
+    let mut ids = Vec::new();
+    for _ in 0..6 {
+        ids.push(submit(&caller, "feeds", Duration::from_secs(4), None).await);
+    }
+    eventually("all units run", || site.log().running("bakery") == 6).await;
+    for at in 0..3 {
+        let node = site.take_node(&node_id(at)).unwrap();
+        assert!(node.handle.stop(Duration::from_millis(20)).await, "work was left");
+        site.start_node(&node_id(at)).await.unwrap();
+        assert!(site.ready(common::PATIENCE).await);
+    }
+    for _ in 0..6 {
+        ids.push(submit(&caller, "feeds", Duration::from_millis(100), None).await);
+    }
+    for id in &ids {
+        assert_eq!(end(&caller, id).await, "done");
+        assert_eq!(runs(&site, id), 1);
+    }
+    assert!(site.log().peak("bakery") <= 6, "{} ran at once", site.log().peak("bakery"));
+}
