entry: do not repeat work on values and keys that were seen

Cause: read again as a whole, the change did the same work twice: each confirmation (twice a second for the lists) parsed and checked the value in force again, and decoded the book; a call's key was digested twice, and a forwarded keyed call's body as well; a wrapper checked for a key that the receipts check. Change: an unchanged value is told by its bytes, an unchanged book by its revision; the digest and the receipt's name are made once and handed on; admit() gives way to admit_digest(), which it only wrapped. Conclusion: no behaviour is changed; the idle cost should be measured again.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -52,7 +52,7 @@
     pub queue: &'a Queue,
 }
 
-/// Admits work for a queue with the key that came with it.
+/// Admits work for a queue by the digest of the key that came with it.
 ///
 /// A key that is not in force is refused on every queue, also on those open to
 /// all: a withdrawn key must stop working everywhere.
@@ -61,19 +61,6 @@
 ///
 /// [`AdmitError`] for a missing or unknown key, an unknown queue, or a queue
 /// that the key's plan may not use.
-pub fn admit<'a>(
-    lists: &'a Lists,
-    queue: &str,
-    key: Option<&str>,
-) -> Result<Admission<'a>, AdmitError> {
-    admit_digest(lists, queue, key.map(KeyDigest::of))
-}
-
-/// Admits work by the digest of its key, as [`admit`] does.
-///
-/// # Errors
-///
-/// As [`admit`].
 pub fn admit_digest<'a>(
     lists: &'a Lists,
     queue: &str,
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -34,11 +34,18 @@
     Known,
 }
 
+/// The value in force, and its bytes as they came.
+#[derive(Debug)]
+struct Accepted {
+    stored: Stored,
+    bytes: Vec<u8>,
+}
+
 /// Holds the lists in force. Revisions only go forward.
 #[derive(Debug, Default)]
 pub struct ConfigTable {
     current: RwLock<Arc<Current>>,
-    stored: Mutex<Option<Stored>>,
+    accepted: Mutex<Option<Accepted>>,
     refused: Mutex<Vec<u8>>,
 }
 
@@ -52,7 +59,7 @@
     /// Returns the value in force, to hand it to a peer that starts while the
     /// store is out.
     pub fn stored(&self) -> Option<Stored> {
-        self.lock().clone()
+        self.lock().as_ref().map(|accepted| accepted.stored.clone())
     }
 
     /// Checks a value and puts it in force if it is newer.
@@ -62,16 +69,21 @@
     /// [`ConfigError`] for a value that is malformed, does not pass the checks
     /// or goes back; the lists in force stay.
     pub fn offer(&self, bytes: &[u8]) -> Result<Offered, ConfigError> {
-        let mut stored = self.lock();
-        let (value, lists) = Stored::decode(bytes, stored.as_ref())?;
-        if stored.as_ref().is_some_and(|known| known.revision == value.revision) {
+        let mut accepted = self.lock();
+        // The same value comes with each confirmation; it was checked before.
+        if accepted.as_ref().is_some_and(|known| known.bytes == bytes) {
+            return Ok(Offered::Known);
+        }
+        let known = accepted.as_ref().map(|accepted| &accepted.stored);
+        let (stored, lists) = Stored::decode(bytes, known)?;
+        if known.is_some_and(|known| known.revision == stored.revision) {
             return Ok(Offered::Known);
         }
-        let current = Arc::new(Current { revision: value.revision, lists });
-        // Both change under the lock of `stored`, so that no reader of the one
-        // sees an older other.
+        let current = Arc::new(Current { revision: stored.revision, lists });
+        // Both change under the lock of `accepted`, so that no reader of the
+        // one sees an older other.
         *self.current.write().unwrap_or_else(|poisoned| poisoned.into_inner()) = current;
-        *stored = Some(value);
+        *accepted = Some(Accepted { stored, bytes: bytes.to_vec() });
         Ok(Offered::InForce)
     }
 
@@ -85,7 +97,7 @@
         new
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<Stored>> {
-        self.stored.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    fn lock(&self) -> MutexGuard<'_, Option<Accepted>> {
+        self.accepted.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
--- a/crates/entry/src/control/book.rs
+++ b/crates/entry/src/control/book.rs
@@ -57,6 +57,10 @@
 }
 
 fn apply_entry<P: Platform>(node: &Node<P>, entry: &Entry) {
+    // Each confirmation brings the same value; it was taken in before.
+    if node.book_revision().is_some_and(|(_, known)| known == entry.modified) {
+        return;
+    }
     match Book::decode(&entry.value) {
         Ok(book) => apply(node, &book, entry.modified),
         Err(error) => {
--- a/crates/entry/src/dispatch/run.rs
+++ b/crates/entry/src/dispatch/run.rs
@@ -33,7 +33,7 @@
     call: Call,
 ) -> Result<Response<Body>, Problem> {
     let pool = node.pools.get(&call.pool).ok_or_else(moved)?;
-    let mut receipt = match open_receipt(node, &call).await? {
+    let mut receipt = match node.receipts.open(node, &call).await? {
         Opened::Run(receipt) => receipt,
         Opened::Replay(response) => return Ok(*response),
     };
@@ -52,17 +52,6 @@
     }
 }
 
-/// Takes the call's receipt, and sees to it that a second node has it.
-async fn open_receipt<P: Platform>(
-    node: &Node<P>,
-    call: &Call,
-) -> Result<Opened<P::Clock>, Problem> {
-    if call.key.is_none() {
-        return Ok(Opened::Run(None));
-    }
-    node.receipts.open(node, call).await
-}
-
 /// Waits for the call's turn, slot and unit.
 async fn wait<C: Clock>(pool: &Arc<PoolDispatch<C>>, call: &Call) -> Result<Grant<C>, Problem> {
     let item = Item {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -30,11 +30,11 @@
     owner: &Peer,
     call: &Call,
 ) -> Result<Response<Body>, Problem> {
-    node.receipts.keep(call)?;
+    let receipt = node.receipts.keep(call)?;
     let result = exchange(node, owner, call).await;
     let outcome = result.as_ref().map_or_else(|problem| problem.outcome, |_| Outcome::Answered);
-    if let Some(request) = crate::receipts::request(call) {
-        node.receipts.settle(&request.name, call.id, outcome);
+    if let Some(name) = receipt {
+        node.receipts.settle(&name, call.id, outcome);
     }
     result
 }
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -8,7 +8,7 @@
 use vg_events::{Code, Field};
 use vg_net::Body;
 
-use crate::admit::admit;
+use crate::admit::admit_digest;
 use crate::call::Call;
 use crate::node::Node;
 use crate::options::Options;
@@ -76,9 +76,9 @@
     node.await_serving().await?;
     let asked = headers::deadline(headers)?;
     let key = headers::idempotency_key(headers)?;
-    let bearer = headers::bearer(headers)?;
+    let digest = headers::bearer(headers)?.map(KeyDigest::of);
     let config = node.config.current();
-    let admitted = admit(&config.lists, queue, bearer)?;
+    let admitted = admit_digest(&config.lists, queue, digest)?;
     let most = admitted.queue.deadline.min(Options::CALL_MAX);
     let limit = asked.unwrap_or(most).min(most);
     let body = read_body(node, body, limit).await?;
@@ -90,7 +90,7 @@
         class: admitted.queue.class,
         deadline: received + limit,
         idempotent: admitted.queue.idempotent,
-        digest: bearer.map(KeyDigest::of),
+        digest,
         key,
         via: None,
         content_type: headers.get(header::CONTENT_TYPE).cloned(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -41,7 +41,7 @@
 mod roster;
 mod web;
 
-pub use admit::{Admission, AdmitError, admit, admit_digest};
+pub use admit::{Admission, AdmitError, admit_digest};
 pub use call::Call;
 pub use config::{ConfigError, ConfigTable, Current, Offered};
 pub use handle::{NodeHandle, StartError};
--- a/crates/entry/src/receipts/mod.rs
+++ b/crates/entry/src/receipts/mod.rs
@@ -116,15 +116,17 @@
         Ok(Opened::Run(Some(guard)))
     }
 
-    /// Keeps a receipt at the ingress before the call is forwarded.
+    /// Keeps a receipt at the ingress before the call is forwarded. Returns its
+    /// name, to settle it by; none for a call without a key.
     ///
     /// # Errors
     ///
     /// [`ProblemCode::QueueFull`] if there is no room: nothing has run.
-    pub(crate) fn keep(&self, call: &Call) -> Result<(), Problem> {
-        let Some(request) = request(call) else { return Ok(()) };
+    pub(crate) fn keep(&self, call: &Call) -> Result<Option<Name>, Problem> {
+        let Some(request) = request(call) else { return Ok(None) };
         let remaining = call.remaining(self.inner.clock.now());
-        self.keep_request(&request, remaining)
+        self.keep_request(&request, remaining)?;
+        Ok(Some(request.name))
     }
 
     /// Keeps a copy for a peer.
@@ -171,7 +173,7 @@
 }
 
 /// Returns the request of a keyed call.
-pub(crate) fn request(call: &Call) -> Option<Request> {
+fn request(call: &Call) -> Option<Request> {
     let key = call.key.clone()?;
     let content_type = call.content_type.as_ref().map(HeaderValue::as_bytes).unwrap_or_default();
     Some(Request {
