--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -73,6 +73,11 @@
     /// The process has finished all work and exits.
     ProcessStopped = 102, "process-stopped", Info;
 
+    /// The settings were read again.
+    SettingsReloaded = 103, "settings-reloaded", Info;
+    /// The settings can't be read; the earlier ones stay in force.
+    SettingsRefused = 104, "settings-refused", Error;
+
     /// A revision of the two lists is in force on this node.
     RevisionInForce = 200, "revision-in-force", Info;
     /// The store holds lists that do not pass the checks; the last accepted ones stay.
@@ -95,6 +100,13 @@
     /// A leaving member has finished and handed over all its work.
     MemberStopped = 304, "member-stopped", Info;
 
+    /// This host leads: it decides for the whole fleet.
+    LeadershipTaken = 305, "leadership-taken", Info;
+    /// This host leads no more.
+    LeadershipLost = 306, "leadership-lost", Info;
+    /// This host can't prove that it leads, or another one does.
+    LeadershipDoubtful = 307, "leadership-doubtful", Warn;
+
     /// A call was accepted from a caller.
     CallReceived = 400, "call-received", Debug;
     /// A call's whole answer was handed to its caller.
@@ -144,6 +156,24 @@
     /// A quarantined worker runs probes well and gets jobs again.
     WorkerRestored = 611, "worker-restored", Info;
 
+    /// A job was not accepted, or its acceptance can't be proved.
+    JobRefused = 609, "job-refused", Warn;
+    /// A start of a task was given to a worker.
+    TaskStarted = 620, "task-started", Info;
+    /// A run of a task ended well.
+    TaskDone = 621, "task-done", Info;
+    /// A run of a task ended without a result.
+    TaskEnded = 622, "task-ended", Info;
+    /// A worker was told to stop a run.
+    TaskStopped = 623, "task-stopped", Info;
+    /// A worker was told to let a run work slower or faster.
+    TaskPaced = 624, "task-paced", Info;
+    /// The adviser was asked which workers may run a step.
+    StepAdvised = 625, "step-advised", Info;
+
+    /// A machine was told to move or to go into maintenance.
+    MachineOrdered = 700, "machine-ordered", Info;
+
     /// The store gives no answer.
     StoreFailed = 800, "store-failed", Warn;
     /// The store answers again.
--- /dev/null
+++ b/crates/flow/src/action.rs
@@ -0,0 +1,122 @@
+//! What the leader has to do.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use vg_base::prelude::*;
+
+use crate::{Life, Run, StepId, TaskId};
+
+/// Something to do. Messages may be lost; what became of them is told back.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Start a task. It is sent at most once.
+    Start(Start),
+    /// Stop a run. The answer is told by `Flow::stop_answered`.
+    Stop {
+        /// The life that the run is on.
+        life: Life,
+        /// The task.
+        task: TaskId,
+        /// The start.
+        run: Run,
+        /// Why.
+        reason: StopReason,
+    },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// The life that the run is on.
+        life: Life,
+        /// The task.
+        task: TaskId,
+        /// The start.
+        run: Run,
+        /// Share in percent.
+        percent: u8,
+    },
+    /// Ask the adviser which workers may run a step.
+    Ask {
+        /// The step.
+        step: StepId,
+        /// Workers to ask about, likeliest first.
+        workers: Vec<HostId>,
+    },
+    /// Give an order to a machine.
+    Machine(MachineOrder),
+}
+
+/// A start of a task.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    /// The life that shall run it; another one must refuse.
+    pub life: Life,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the start.
+    pub run: Run,
+    /// The job's text.
+    pub payload: Arc<str>,
+    /// Time on the worker's clock, in ms, after which it refuses the start.
+    pub deadline: u64,
+    /// Checkpoint to go on from; empty: from the beginning.
+    pub saved: SmolStr,
+    /// Permission of the adviser; empty where none is needed.
+    pub ticket: SmolStr,
+}
+
+/// Why a run is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum StopReason {
+    /// Its job was cancelled or has ended.
+    #[display("job-over")]
+    JobOver,
+    /// Another run of the task is done or goes on.
+    #[display("duplicate")]
+    Duplicate,
+    /// The start was not answered.
+    #[display("unanswered")]
+    Unanswered,
+    /// It makes no progress.
+    #[display("stalled")]
+    Stalled,
+    /// Its gang can't be complete.
+    #[display("gang-incomplete")]
+    GangIncomplete,
+    /// Its machine is to be maintained or moved.
+    #[display("machine-needed")]
+    MachineNeeded,
+    /// A task that has to run needs the room.
+    #[display("preempted")]
+    Preempted,
+}
+
+/// An order to a machine.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum MachineOrder {
+    /// Moves it to another pool.
+    #[display("move machine={machine} pool={pool}")]
+    Move {
+        /// The machine.
+        machine: SmolStr,
+        /// The pool that it joins.
+        pool: PoolId,
+    },
+    /// Takes it down for maintenance.
+    #[display("maintain machine={machine} wave={wave}")]
+    Maintain {
+        /// The machine.
+        machine: SmolStr,
+        /// The wave that asks for it.
+        wave: u64,
+    },
+}
+
+impl MachineOrder {
+    /// Returns the machine that it is for.
+    pub fn machine(&self) -> &SmolStr {
+        match self {
+            MachineOrder::Move { machine, .. } | MachineOrder::Maintain { machine, .. } => machine,
+        }
+    }
+}
+
--- /dev/null
+++ b/crates/flow/src/content.rs
@@ -0,0 +1,113 @@
+//! What operators edit: queues, pools and teams.
+
+use std::collections::HashMap;
+
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// One version of the operators' configuration.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Content {
+    /// Version; grows with each accepted change.
+    pub version: u64,
+    /// Queues by id.
+    pub queues: HashMap<QueueId, Queue>,
+    /// Pools by id.
+    pub pools: HashMap<PoolId, Pool>,
+    /// Teams by id.
+    pub teams: HashMap<TeamId, Team>,
+    /// Team of each key, by the key's digest.
+    pub keys: HashMap<u128, TeamId>,
+    /// Longest body of a submission in bytes.
+    pub body_bytes: usize,
+    /// Queues by host name, longest path prefix first.
+    pub paths: HashMap<SmolStr, Vec<(SmolStr, QueueId)>>,
+}
+
+/// Returns the digest by which a key is looked up, so that keys themselves are
+/// neither compared byte by byte nor kept.
+pub fn key_digest(key: &[u8]) -> u128 {
+    xxh3_128(key)
+}
+
+/// Where jobs of a kind wait.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Queue {
+    /// The pool whose workers run its tasks.
+    pub pool: PoolId,
+    /// Rank among the pool's queues; 0 comes first.
+    pub priority: u32,
+    /// Failed runs of a task that fail its job.
+    pub attempts: u32,
+    /// Objective of a job in its longest chain of work.
+    pub stretch: f64,
+    /// Added to the objective.
+    pub slack: Duration,
+    /// Whether callers need no key.
+    pub open: bool,
+    /// Set if only some workers may run a step, which an adviser knows.
+    pub advice: Option<Advice>,
+}
+
+/// Times of the adviser for a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Advice {
+    /// Fixed part of its answer's time.
+    pub base: Duration,
+    /// Part for each worker asked about.
+    pub each: Duration,
+    /// How long a permission holds.
+    pub valid: Duration,
+}
+
+/// A pool of workers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// Whether its workers refuse what does not fit.
+    pub guards: bool,
+    /// Whether its machines are switched off and wait for other pools.
+    pub spare: bool,
+}
+
+/// A team.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Team {
+    /// Its share when all is full.
+    pub share: Share,
+    /// Most that it may have running; zero means no limit.
+    pub limit: Resources,
+}
+
+impl Team {
+    /// Whether a team that uses `used` may also use `more`.
+    pub fn allows(&self, used: &Resources, more: &Resources) -> bool {
+        let sum = used.plus(more);
+        let below = |limit: u64, value: u64, added: u64| limit == 0 || added == 0 || value <= limit;
+        let limit = &self.limit;
+        below(limit.cores.0.into(), sum.cores.0.into(), more.cores.0.into())
+            && below(limit.memory.0, sum.memory.0, more.memory.0)
+            && below(
+                limit.accelerators.0.into(),
+                sum.accelerators.0.into(),
+                more.accelerators.0.into(),
+            )
+    }
+}
+
+impl Content {
+    /// Finds the queue of a host name and path: the longest prefix counts.
+    pub fn queue_of<'a>(&'a self, host: &str, path: &'a str) -> Option<(&'a QueueId, &'a str)> {
+        let prefixes = self.paths.get(host)?;
+        let found = prefixes.iter().find(|(prefix, _)| path.starts_with(prefix.as_str()));
+        found.map(|(prefix, queue)| (queue, &path[prefix.len()..]))
+    }
+
+    /// Adds a queue and the path prefix that leads to it.
+    pub fn add_queue(&mut self, id: QueueId, host: SmolStr, prefix: SmolStr, queue: Queue) {
+        let prefixes = self.paths.entry(host).or_default();
+        let at = prefixes.partition_point(|(each, _)| each.len() >= prefix.len());
+        prefixes.insert(at, (prefix, id.clone()));
+        self.queues.insert(id, queue);
+    }
+}
--- /dev/null
+++ b/crates/flow/src/durable.rs
@@ -0,0 +1,92 @@
+//! What has to be written to the store, and what follows when it is.
+
+use vg_base::prelude::*;
+
+use crate::worker::WorkerKey;
+use crate::{Final, Flow, Progress};
+
+/// A record to write for one job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Record {
+    /// The job.
+    pub job: JobId,
+    /// What to write.
+    pub kind: RecordKind,
+}
+
+/// What to write for a job.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RecordKind {
+    /// Its progress.
+    Progress(Progress),
+    /// Its end; its other records go.
+    End(Final),
+}
+
+/// All that is to be durable next. The ends that it covers are acknowledged to
+/// the workers afterwards.
+#[derive(Debug, Clone, Default)]
+pub struct Sweep {
+    /// The records.
+    pub records: Vec<Record>,
+    /// Ends that the records cover, by worker and its life.
+    pub(crate) ends: Vec<(WorkerKey, u64, u64)>,
+}
+
+impl Sweep {
+    /// Whether there is nothing to write or to acknowledge.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.ends.is_empty()
+    }
+}
+
+impl Flow {
+    /// Whether a caller waits for something to be durable.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
+    /// Whether anything waits to be durable.
+    pub fn has_changes(&self) -> bool {
+        !self.dirty.is_empty() || self.workers.values().any(|worker| worker.read > worker.seen)
+    }
+
+    /// Takes what is to be durable next. One sweep is under way at a time; it
+    /// is written whole before [`Flow::swept`].
+    pub fn sweep(&mut self) -> Sweep {
+        self.urgent = false;
+        let mut sweep = Sweep::default();
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get_mut(key) else { continue };
+            job.dirty = false;
+            if job.ended_durably {
+                continue;
+            }
+            let kind = match job.ended {
+                Some(end) => RecordKind::End(end),
+                None => RecordKind::Progress(job.progress()),
+            };
+            sweep.records.push(Record { job: job.id, kind });
+        }
+        let unseen = self.workers.iter().filter(|(_, worker)| worker.read > worker.seen);
+        sweep.ends = unseen.map(|(key, worker)| (key, worker.life.born, worker.read)).collect();
+        sweep
+    }
+
+    /// Notes that a sweep is durable.
+    pub fn swept(&mut self, sweep: &Sweep) {
+        for record in &sweep.records {
+            let RecordKind::End(end) = record.kind else { continue };
+            let Some(&key) = self.job_ids.get(&record.job) else { continue };
+            self.jobs[key].ended = Some(end);
+            self.jobs[key].ended_durably = true;
+            self.drop_if_over(key);
+        }
+        for &(key, born, read) in &sweep.ends {
+            let Some(worker) = self.workers.get_mut(key) else { continue };
+            if worker.life.born == born {
+                worker.seen = worker.seen.max(read);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/flow.rs
@@ -0,0 +1,293 @@
+//! The state of the leader and its small transitions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::doubt::Doubt;
+use crate::job::{Away, Job, JobKey};
+use crate::maintain::Machines;
+use crate::run::{Phase, RunKey, RunState};
+use crate::worker::{Worker, WorkerKey};
+use crate::{Action, Content, Fence, Final, Rules, Run, State, StopReason, TaskId};
+
+/// Time after a lost answer of a stop at which it is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(600);
+/// Pause of a task after a run that did not end well.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Pause of a lasting task after each failed run, times the failures.
+const LASTING_PAUSE: Duration = Duration::from_millis(50);
+
+/// State of the host that decides for the whole fleet.
+#[derive(Debug)]
+pub struct Flow {
+    pub(crate) rules: Rules,
+    pub(crate) fence: Fence,
+    pub(crate) content: Arc<Content>,
+    pub(crate) jobs: SlotMap<JobKey, Job>,
+    pub(crate) job_ids: HashMap<JobId, JobKey>,
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) worker_ids: HashMap<HostId, WorkerKey>,
+    pub(crate) runs: SlotMap<RunKey, RunState>,
+    pub(crate) run_ids: HashMap<(TaskId, Run), RunKey>,
+    pub(crate) used: HashMap<TeamId, Resources>,
+    pub(crate) doubt: Doubt,
+    pub(crate) dirty: Vec<JobKey>,
+    pub(crate) urgent: bool,
+    pub(crate) machines: Machines,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) counts: Counts,
+}
+
+/// Why a run left its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Removed {
+    /// Its work is done.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was never there.
+    NeverRan,
+    /// It ended without a result.
+    Lost,
+}
+
+/// Sizes and totals for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Jobs in memory.
+    pub jobs: usize,
+    /// Runs in memory.
+    pub runs: usize,
+    /// Workers in memory.
+    pub workers: usize,
+    /// Starts given.
+    pub starts: u64,
+    /// Starts refused for want of room.
+    pub no_room: u64,
+    /// Tasks that ended well.
+    pub done: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Runs that were lost with their worker or lease.
+    pub lost: u64,
+    /// Runs whose start was not answered.
+    pub unsure: u64,
+    /// Runs stopped for any reason.
+    pub stops: u64,
+}
+
+impl Flow {
+    /// Makes the state of a leader that has just taken over at `now`.
+    pub fn new(rules: Rules, fence: Fence, content: Arc<Content>, now: Instant) -> Flow {
+        Flow {
+            doubt: Doubt::default(),
+            machines: Machines::new(now + rules.machine_hold),
+            rules,
+            fence,
+            content,
+            jobs: SlotMap::with_key(),
+            job_ids: HashMap::new(),
+            workers: SlotMap::with_key(),
+            worker_ids: HashMap::new(),
+            runs: SlotMap::with_key(),
+            run_ids: HashMap::new(),
+            used: HashMap::new(),
+            dirty: Vec::new(),
+            urgent: false,
+            actions: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Returns the leader's fence.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Returns the operators' content in force.
+    pub fn content(&self) -> &Arc<Content> {
+        &self.content
+    }
+
+    /// Puts another version of the operators' content in force.
+    pub fn set_content(&mut self, content: Arc<Content>) {
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = content.queues.get(&job.spec.queue) {
+                job.pool = queue.pool.clone();
+            }
+        }
+        self.content = content;
+    }
+
+    /// Returns sizes and totals.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            jobs: self.jobs.len(),
+            runs: self.runs.len(),
+            workers: self.workers.len(),
+            ..self.counts
+        }
+    }
+
+    /// Returns the state of a job in memory.
+    pub fn state(&self, id: JobId) -> Option<State> {
+        self.job_ids.get(&id).map(|&key| self.jobs[key].state())
+    }
+
+    /// Returns the team of a job in memory.
+    pub fn team(&self, id: JobId) -> Option<Option<TeamId>> {
+        self.job_ids.get(&id).map(|&key| self.jobs[key].spec.team.clone())
+    }
+
+    /// Returns the number of accepted jobs of a queue for which no task has
+    /// started.
+    pub fn pending(&self, queue: &QueueId) -> usize {
+        let waits = |job: &&Job| job.spec.queue == *queue && !job.began && job.is_open();
+        self.jobs.values().filter(waits).count()
+    }
+
+    pub(crate) fn job_of(&self, task: TaskId) -> Option<&Job> {
+        self.job_ids.get(&task.step.job).map(|&key| &self.jobs[key])
+    }
+
+    pub(crate) fn mark_dirty(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        if !job.dirty {
+            job.dirty = true;
+            self.dirty.push(key);
+        }
+        self.urgent |= job.ended.is_some();
+    }
+
+    /// Enters a run: it takes room and counts against its team's limit.
+    pub(crate) fn insert_run(&mut self, state: RunState) -> RunKey {
+        let (task, run, worker) = (state.task, state.run, state.worker);
+        self.workers[worker].used = self.workers[worker].used.plus(&state.room);
+        if let Some(team) = &state.team {
+            let used = self.used.entry(team.clone()).or_default();
+            *used = used.plus(&state.need);
+        }
+        let key = self.runs.insert(state);
+        self.workers[worker].runs.push(key);
+        self.run_ids.insert((task, run), key);
+        if let Some(&job) = self.job_ids.get(&task.step.job) {
+            let job = &mut self.jobs[job];
+            job.live += 1;
+            if let Some(step) = job.step_mut(task.step) {
+                step.waiting.remove(&task.index);
+                let state = &mut step.tasks[task.index as usize];
+                state.runs.push(key);
+                state.last_run = state.last_run.max(run);
+            }
+        }
+        key
+    }
+
+    /// Takes a run out of all tables and settles its task.
+    pub(crate) fn remove_run(&mut self, key: RunKey, how: Removed, now: Instant) {
+        let Some(state) = self.runs.remove(key) else { return };
+        self.run_ids.remove(&(state.task, state.run));
+        let worker = &mut self.workers[state.worker];
+        worker.runs.retain(|&each| each != key);
+        worker.used = worker.used.minus(&state.room);
+        if let Some(team) = &state.team
+            && let Some(used) = self.used.get_mut(team)
+        {
+            *used = used.minus(&state.need);
+        }
+        let Some(&job_key) = self.job_ids.get(&state.task.step.job) else { return };
+        self.jobs[job_key].live -= 1;
+        self.release_task(job_key, key, &state, how, now);
+        if self.jobs[job_key].ended_durably {
+            self.drop_if_over(job_key);
+        }
+    }
+
+    /// Puts the task of a removed run back in the queue if nothing else of it
+    /// is left and it is not done.
+    fn release_task(
+        &mut self,
+        job: JobKey,
+        key: RunKey,
+        state: &RunState,
+        how: Removed,
+        now: Instant,
+    ) {
+        let job = &mut self.jobs[job];
+        let lasting = job
+            .spec
+            .steps
+            .get(usize::from(state.task.step.step))
+            .is_some_and(|step| step.lasting);
+        let Some(step) = job.step_mut(state.task.step) else { return };
+        let task = &mut step.tasks[state.task.index as usize];
+        task.runs.retain(|&each| each != key);
+        if !state.saved.is_empty() {
+            task.saved = state.saved.clone();
+        }
+        if task.done || !task.runs.is_empty() {
+            return;
+        }
+        if lasting {
+            task.away.get_or_insert(Away { since: now, ours: state.our_stop });
+        }
+        let pause = match (how, lasting) {
+            (Removed::NeverRan, _) => Duration::ZERO,
+            (_, true) => LASTING_PAUSE * (task.failed.len() as u32).min(4),
+            (_, false) => RETRY_PAUSE,
+        };
+        task.not_before = Some(now + pause);
+        step.waiting.insert(state.task.index);
+    }
+
+    /// Forgets a job whose end is durable when its last run is gone.
+    pub(crate) fn drop_if_over(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        if job.ended_durably && job.live == 0 {
+            let id = job.id;
+            self.jobs.remove(key);
+            self.job_ids.remove(&id);
+        }
+    }
+
+    /// Asks a worker to stop a run, again if the last order was lost.
+    pub(crate) fn stop_run(&mut self, key: RunKey, reason: StopReason, now: Instant) {
+        let run = &mut self.runs[key];
+        if run.stop_sent.is_some_and(|sent| now.saturating_duration_since(sent) < STOP_AGAIN) {
+            return;
+        }
+        if run.stop_answered.is_some() && !run.needs_stop && run.phase != Phase::Running {
+            return;
+        }
+        run.stop_sent = Some(now);
+        if run.phase == Phase::Running {
+            run.phase = Phase::Stopping;
+        }
+        self.counts.stops += 1;
+        let (task, number) = (run.task, run.run);
+        let life = self.workers[run.worker].life.clone();
+        self.actions.push(Action::Stop { life, task, run: number, reason });
+    }
+
+    /// Stops all runs of a task but one.
+    pub(crate) fn stop_others(&mut self, task: TaskId, keep: Option<RunKey>, now: Instant) {
+        let Some(job) = self.job_of(task) else { return };
+        let runs = job.task(task).map(|task| task.runs.clone()).unwrap_or_default();
+        for key in runs.into_iter().filter(|&key| Some(key) != keep) {
+            self.stop_run(key, StopReason::Duplicate, now);
+        }
+    }
+
+    /// Ends a job if it has not ended.
+    pub(crate) fn end_job(&mut self, key: JobKey, how: Final) {
+        let job = &mut self.jobs[key];
+        if job.ended.is_none() {
+            job.ended = Some(how);
+            self.mark_dirty(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/gangs.rs
@@ -0,0 +1,107 @@
+//! Tasks that work only while all of their step are present.
+
+use std::sync::Arc;
+
+use vg_base::prelude::*;
+
+use crate::job::JobKey;
+use crate::place::Sought;
+use crate::run::Phase;
+use crate::worker::WorkerKey;
+use crate::{Flow, Run, StepId, StopReason, TaskId};
+
+impl Flow {
+    /// Starts all tasks of a gang at once, or none.
+    pub(crate) fn place_gang(&mut self, key: JobKey, id: StepId, workers: &[WorkerKey], now: Instant) {
+        let spec = Arc::clone(&self.jobs[key].spec);
+        let step_spec = &spec.steps[usize::from(id.step)];
+        let advised = self.is_advised(key);
+        if advised {
+            self.ask(key, id, workers, now);
+        }
+        let job = &self.jobs[key];
+        let Some(step) = job.step(id.round, id.step) else { return };
+        let whole = step.waiting.len() == step.tasks.len();
+        let paused = step.tasks.iter().any(|task| task.not_before.is_some_and(|at| at > now));
+        if !whole || paused || !self.team_allows_all(key, step_spec) {
+            return;
+        }
+        let sought = Sought {
+            task: TaskId { step: id, index: 0 },
+            spec: step_spec,
+            step,
+            advised,
+            rack: None,
+        };
+        let Some(places) = self.gang_places(&sought, workers, now) else { return };
+        let last = step.tasks.iter().map(|task| task.last_run).max().unwrap_or_default();
+        let run = Run(last.0 + 1).max(self.fence.first_run());
+        for (index, worker) in places.into_iter().enumerate() {
+            let task = TaskId { step: id, index: index as u32 };
+            self.start(key, task, run, worker, now);
+        }
+    }
+
+    fn team_allows_all(&self, key: JobKey, step: &crate::StepSpec) -> bool {
+        let mut whole = step.clone();
+        whole.need = (0..step.count).fold(Default::default(), |sum: vg_jobs::Resources, _| {
+            sum.plus(&step.need)
+        });
+        self.team_allows(key, &whole)
+    }
+
+    /// Finds places for all members: on one rack where they need that.
+    fn gang_places(
+        &self,
+        sought: &Sought<'_>,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<Vec<WorkerKey>> {
+        if sought.spec.same_rack {
+            let mut racks: Vec<_> =
+                workers.iter().filter_map(|&each| self.workers[each].rack.as_ref()).collect();
+            racks.sort();
+            racks.dedup();
+            let on = |rack| self.places(&Sought { rack: Some(rack), ..*sought }, workers, now);
+            if let Some(places) = racks.into_iter().find_map(on) {
+                return Some(places);
+            }
+        }
+        self.places(sought, workers, now)
+    }
+
+    fn places(
+        &self,
+        sought: &Sought<'_>,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<Vec<WorkerKey>> {
+        let mut taken = Vec::new();
+        for index in 0..sought.spec.count {
+            let task = TaskId { index, ..sought.task };
+            let found = self.find_place(&Sought { task, ..*sought }, workers, &taken, now)?;
+            taken.push((found, sought.spec.room()));
+        }
+        Some(taken.into_iter().map(|(worker, _)| worker).collect())
+    }
+
+    /// Stops members whose gang can't become complete any more, before they
+    /// give up on the others.
+    pub(crate) fn hold_gangs_together(&mut self, now: Instant) {
+        let mut broken = Vec::new();
+        for (key, run) in &self.runs {
+            if matches!(run.phase, Phase::Stopping) {
+                continue;
+            }
+            let Some(job) = self.job_of(run.task) else { continue };
+            let id = run.task.step;
+            let gang = job.spec.steps.get(usize::from(id.step)).is_some_and(|step| step.gang);
+            if gang && job.step(id.round, id.step).is_some_and(|step| !step.waiting.is_empty()) {
+                broken.push(key);
+            }
+        }
+        for key in broken {
+            self.stop_run(key, StopReason::GangIncomplete, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/id.rs
@@ -0,0 +1,62 @@
+//! Ids of tasks and runs.
+
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+use vg_base::JobId;
+
+/// One step of one occurrence of a job.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
+#[display("{job}.{round}.{step}")]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence, from 0; always 0 for a job that does not repeat.
+    pub round: u32,
+    /// Position of the step in the job, from 0.
+    pub step: u16,
+}
+
+/// One task of a step.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
+#[display("{step}.{index}")]
+pub struct TaskId {
+    /// The step.
+    pub step: StepId,
+    /// Position of the task in its step, from 0.
+    pub index: u32,
+}
+
+/// Number of one start of a task; a later start has a higher one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+    From, Into,
+)]
+#[serde(transparent)]
+pub struct Run(pub u64);
+
+/// Fencing token of a leader: the store's revision at which it took over.
+///
+/// Workers ignore orders with a lower one than they have seen.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+    From, Into,
+)]
+#[serde(transparent)]
+pub struct Fence(pub u64);
+
+/// Bits of a run's number that count the starts under one leader.
+const RUN_BITS: u32 = 12;
+
+impl Fence {
+    /// Returns the lowest run number that a leader with this fence gives out.
+    ///
+    /// Fences rise from leader to leader, so that run numbers do too without
+    /// being stored.
+    pub const fn first_run(self) -> Run {
+        Run((self.0 << RUN_BITS) + 1)
+    }
+}
--- /dev/null
+++ b/crates/flow/src/intake.rs
@@ -0,0 +1,65 @@
+//! Jobs that are handed in, taken over and cancelled.
+
+use std::sync::Arc;
+
+use vg_base::prelude::*;
+
+use crate::job::Job;
+use crate::{Final, Flow, JobSpec, Progress, StopReason};
+
+impl Flow {
+    /// Adds a job that is durable in the store since `revision`; returns
+    /// whether it was new.
+    pub fn add(&mut self, id: JobId, spec: Arc<JobSpec>, revision: u64) -> bool {
+        if self.job_ids.contains_key(&id) {
+            return false;
+        }
+        // A queue that was removed keeps its jobs; without a pool they wait.
+        let pool = self.content.queues.get(&spec.queue).map(|queue| queue.pool.clone());
+        let pool = pool.unwrap_or_else(|| self.unknown_pool());
+        let key = self.jobs.insert(Job::new(id, spec, pool, revision));
+        self.job_ids.insert(id, key);
+        true
+    }
+
+    /// Takes over the durable progress of a job.
+    pub fn restore(&mut self, id: JobId, progress: &Progress) {
+        if let Some(&key) = self.job_ids.get(&id) {
+            self.jobs[key].restore(progress);
+            self.settle_job(key);
+        }
+    }
+
+    /// Cancels a job; the wish is durable in the store.
+    pub fn cancel(&mut self, id: JobId, now: Instant) {
+        let Some(&key) = self.job_ids.get(&id) else { return };
+        self.jobs[key].cancelled = true;
+        // An end that is decided and not durable loses against the wish.
+        if !self.jobs[key].ended_durably {
+            self.jobs[key].ended = Some(Final::Cancelled);
+            self.mark_dirty(key);
+        }
+        self.stop_job(key, now);
+    }
+
+    pub(crate) fn stop_job(&mut self, key: crate::job::JobKey, now: Instant) {
+        let job = &self.jobs[key];
+        let tasks = job.rounds.iter().flat_map(|round| &round.steps).flat_map(|step| &step.tasks);
+        let runs: Vec<_> = tasks.flat_map(|task| task.runs.iter().copied()).collect();
+        for run in runs {
+            self.stop_run(run, StopReason::JobOver, now);
+        }
+    }
+
+    /// Ends a job whose occurrences are all done.
+    pub(crate) fn settle_job(&mut self, key: crate::job::JobKey) {
+        if self.jobs[key].close_rounds() {
+            self.end_job(key, Final::Done);
+        }
+    }
+
+    /// A pool without workers, for jobs of queues that are gone.
+    fn unknown_pool(&self) -> PoolId {
+        "none".parse().unwrap_or_else(|_| unreachable!("`none` is a valid name"))
+    }
+}
--- /dev/null
+++ b/crates/flow/src/job.rs
@@ -0,0 +1,296 @@
+//! A job as the leader sees it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use derive_more::Display;
+use vg_base::prelude::*;
+
+use crate::run::RunKey;
+use crate::tickets::Tickets;
+use crate::worker::WorkerKey;
+use crate::{Final, JobSpec, Progress, RoundProgress, Run, StepId, TaskId};
+
+slotmap::new_key_type! {
+    /// Key of a job in its table.
+    pub struct JobKey;
+}
+
+/// State of a job as callers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum State {
+    /// No task has started.
+    #[display("queued")]
+    Queued,
+    /// Some task has started.
+    #[display("running")]
+    Running,
+    /// It has ended, durably.
+    #[display("{_0}")]
+    Ended(Final),
+}
+
+/// One job that has not ended, or has runs left.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) id: JobId,
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) pool: PoolId,
+    /// Revision of the store at which it was accepted.
+    pub(crate) revision: u64,
+    /// Estimated time from each step's start to the job's end.
+    pub(crate) tails: Vec<Duration>,
+    pub(crate) work: f64,
+    /// Occurrences below this one are done.
+    pub(crate) closed: u32,
+    /// Occurrences that are open, by number.
+    pub(crate) rounds: Vec<Round>,
+    /// The next occurrence to open.
+    pub(crate) next_round: u32,
+    /// Whether a task has ever started.
+    pub(crate) began: bool,
+    pub(crate) cancelled: bool,
+    pub(crate) ended: Option<Final>,
+    pub(crate) ended_durably: bool,
+    pub(crate) dirty: bool,
+    /// Runs of all its tasks.
+    pub(crate) live: u32,
+}
+
+/// One occurrence of a job's steps.
+#[derive(Debug, Clone)]
+pub(crate) struct Round {
+    pub(crate) number: u32,
+    pub(crate) steps: Vec<Step>,
+}
+
+/// One step of one occurrence.
+#[derive(Debug, Clone)]
+pub(crate) struct Step {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: u32,
+    /// Indexes of tasks that are not done and have no run.
+    pub(crate) waiting: BTreeSet<u32>,
+    pub(crate) tickets: Tickets,
+    /// Duration of the quickest task that is done.
+    pub(crate) quickest: Option<Duration>,
+}
+
+/// One task.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Task {
+    pub(crate) done: bool,
+    pub(crate) runs: Vec<RunKey>,
+    pub(crate) last_run: Run,
+    pub(crate) failed: Vec<Run>,
+    pub(crate) saved: SmolStr,
+    /// Workers that it failed or stalled on.
+    pub(crate) avoid: Vec<WorkerKey>,
+    /// No start before then.
+    pub(crate) not_before: Option<Instant>,
+    /// Since when it has been away by our doing, or for any cause.
+    pub(crate) away: Option<Away>,
+    /// Starts under this leader.
+    pub(crate) starts: u32,
+}
+
+/// Since when a lasting task is not at work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Away {
+    pub(crate) since: Instant,
+    pub(crate) ours: bool,
+}
+
+impl Job {
+    pub(crate) fn new(id: JobId, spec: Arc<JobSpec>, pool: PoolId, revision: u64) -> Job {
+        Job {
+            id,
+            pool,
+            revision,
+            tails: spec.tails(),
+            work: spec.work(),
+            spec,
+            closed: 0,
+            rounds: Vec::new(),
+            next_round: 0,
+            began: false,
+            cancelled: false,
+            ended: None,
+            ended_durably: false,
+            dirty: false,
+            live: 0,
+        }
+    }
+
+    /// Whether new tasks of it may start.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.cancelled && self.ended.is_none()
+    }
+
+    pub(crate) fn state(&self) -> State {
+        match self.ended {
+            Some(end) if self.ended_durably => State::Ended(end),
+            // The caller's wish is durable before the leader hears of it.
+            _ if self.cancelled => State::Ended(Final::Cancelled),
+            _ if self.began => State::Running,
+            _ => State::Queued,
+        }
+    }
+
+    /// Opens occurrences that are due at `wall`, or `early` before.
+    pub(crate) fn open_rounds(&mut self, wall: SystemTime, early: Duration) {
+        while self.next_round < self.spec.rounds() {
+            let due = self.spec.schedule.map(|schedule| schedule.due(self.next_round));
+            if due.is_some_and(|due| due > wall + early) {
+                break;
+            }
+            let number = self.next_round;
+            self.rounds.push(Round::new(number, &self.spec));
+            self.next_round += 1;
+        }
+    }
+
+    pub(crate) fn round(&self, number: u32) -> Option<&Round> {
+        self.rounds.iter().find(|round| round.number == number)
+    }
+
+    pub(crate) fn step(&self, round: u32, step: u16) -> Option<&Step> {
+        self.round(round)?.steps.get(usize::from(step))
+    }
+
+    pub(crate) fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
+        let round = self.rounds.iter_mut().find(|round| round.number == id.round)?;
+        round.steps.get_mut(usize::from(id.step))
+    }
+
+    pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
+        self.step(id.step.round, id.step.step)?.tasks.get(id.index as usize)
+    }
+
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        self.step_mut(id.step)?.tasks.get_mut(id.index as usize)
+    }
+
+    /// Closes occurrences that are done; returns whether all are.
+    pub(crate) fn close_rounds(&mut self) -> bool {
+        self.rounds.retain(|round| !round.is_done());
+        let open = self.rounds.first().map(|round| round.number);
+        self.closed = open.unwrap_or(self.next_round);
+        self.rounds.is_empty() && self.next_round >= self.spec.rounds()
+    }
+
+    pub(crate) fn progress(&self) -> Progress {
+        Progress { closed: self.closed, rounds: self.rounds.iter().map(Round::progress).collect() }
+    }
+
+    /// Takes over durable progress of an earlier leader.
+    pub(crate) fn restore(&mut self, progress: &Progress) {
+        self.closed = progress.closed;
+        self.next_round = progress.closed;
+        self.rounds.clear();
+        for each in &progress.rounds {
+            while self.next_round <= each.round && self.next_round < self.spec.rounds() {
+                self.rounds.push(Round::new(self.next_round, &self.spec));
+                self.next_round += 1;
+            }
+            if let Some(round) = self.rounds.iter_mut().find(|round| round.number == each.round) {
+                round.restore(each);
+            }
+        }
+        self.began = true;
+    }
+}
+
+impl Round {
+    fn new(number: u32, spec: &JobSpec) -> Round {
+        let step = |each: &crate::StepSpec| Step {
+            tasks: vec![Task::default(); each.count as usize],
+            done: 0,
+            waiting: (0..each.count).collect(),
+            tickets: Tickets::default(),
+            quickest: None,
+        };
+        Round { number, steps: spec.steps.iter().map(step).collect() }
+    }
+
+    fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+
+    /// Whether all steps that a step waits for are done.
+    pub(crate) fn is_ready(&self, spec: &JobSpec, step: usize) -> bool {
+        spec.steps[step].after.iter().all(|&each| self.steps[usize::from(each)].is_done())
+    }
+
+    fn progress(&self) -> RoundProgress {
+        let mut kept = RoundProgress { round: self.number, ..RoundProgress::default() };
+        for (at, step) in self.steps.iter().enumerate() {
+            let at = at as u16;
+            for (index, task) in step.tasks.iter().enumerate() {
+                let index = index as u32;
+                if task.done {
+                    kept.done.push((at, index));
+                    continue;
+                }
+                kept.failed.extend(task.failed.iter().map(|run| (at, index, run.0)));
+                if !task.saved.is_empty() {
+                    kept.saved.push((at, index, task.saved.clone()));
+                }
+            }
+        }
+        kept
+    }
+
+    fn restore(&mut self, kept: &RoundProgress) {
+        for &(step, index) in &kept.done {
+            if let Some(step) = self.steps.get_mut(usize::from(step)) {
+                step.set_done(index);
+            }
+        }
+        for &(step, index, run) in &kept.failed {
+            if let Some(task) = self.task_mut(step, index) {
+                task.note_failure(Run(run));
+            }
+        }
+        for (step, index, saved) in &kept.saved {
+            if let Some(task) = self.task_mut(*step, *index) {
+                task.saved = saved.clone();
+            }
+        }
+    }
+
+    fn task_mut(&mut self, step: u16, index: u32) -> Option<&mut Task> {
+        self.steps.get_mut(usize::from(step))?.tasks.get_mut(index as usize)
+    }
+}
+
+impl Step {
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Marks a task as done; returns whether it was not before.
+    pub(crate) fn set_done(&mut self, index: u32) -> bool {
+        let Some(task) = self.tasks.get_mut(index as usize) else { return false };
+        if task.done {
+            return false;
+        }
+        task.done = true;
+        task.away = None;
+        self.done += 1;
+        self.waiting.remove(&index);
+        true
+    }
+}
+
+impl Task {
+    /// Notes a failed run; returns whether it is a new one.
+    pub(crate) fn note_failure(&mut self, run: Run) -> bool {
+        if self.failed.contains(&run) {
+            return false;
+        }
+        self.failed.push(run);
+        self.last_run = self.last_run.max(run);
+        true
+    }
+}
--- /dev/null
+++ b/crates/flow/src/maintain.rs
@@ -0,0 +1,462 @@
+//! Waves of maintenance over machines.
+//!
+//! Load it answers: a wave asks for nearly half of the machines within less
+//! time than it takes to wait for each to be idle, while each queue in turn
+//! needs all of its pool. Only as many machines are out at once as the wave's
+//! end requires; those that cost least go first; lasting tasks leave one at a
+//! time within their steps' budgets before the machine goes.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::flow::Removed;
+use crate::worker::WorkerKey;
+use crate::{Action, Flow, MachineOrder, StopReason};
+
+/// Time within which short tasks on a machine may end before it goes.
+const DRAIN_TIME: Duration = Duration::from_millis(1800);
+/// Time from choosing a machine to its return, beside the maintenance itself.
+const CYCLE_EXTRA: Duration = Duration::from_millis(1800);
+/// Time that a wave shall end before it is due.
+const WAVE_MARGIN: Duration = Duration::from_secs(4);
+/// Added to the time that a machine is counted as down.
+const DOWN_MARGIN: Duration = Duration::from_millis(250);
+/// Pause before an order is sent again that was not carried out.
+const ORDER_AGAIN: Duration = Duration::from_millis(700);
+/// Time after which an order without an answer is sent again.
+const ORDER_LOST: Duration = Duration::from_secs(2);
+/// Time after an order was carried out at which the worker's silence shows.
+const LEAVING_TIME: Duration = Duration::from_millis(1500);
+
+/// A wave as operators ask for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// The machines.
+    pub machines: Vec<SmolStr>,
+    /// Time from its announcement to its end.
+    pub within: Duration,
+    /// Most machines that may be down at once.
+    pub at_once: u32,
+}
+
+/// How far a wave is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display)]
+pub enum WaveState {
+    /// Some machines still wait.
+    #[display("running")]
+    Running,
+    /// All machines that are left have had their maintenance.
+    #[display("complete")]
+    Complete,
+}
+
+/// State of a machine in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum MachineState {
+    /// Ready, or switched off in a spare pool.
+    #[display("up")]
+    Up,
+    /// On its way to another pool.
+    #[display("moving")]
+    Moving,
+    /// In maintenance.
+    #[display("maintenance")]
+    Maintenance,
+    /// Out of order.
+    #[display("down")]
+    Down,
+}
+
+/// A machine in the platform's list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Machine {
+    /// Its id, which outlives its workers.
+    pub id: SmolStr,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its state.
+    pub state: MachineState,
+    /// What it has.
+    pub capacity: Resources,
+}
+
+/// What became of an order to a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum MachineAnswer {
+    /// Carried out, now or before.
+    #[display("done")]
+    Done,
+    /// The machine is not up, or leaves.
+    #[display("busy")]
+    Busy,
+    /// There is no such machine, or it does not belong there.
+    #[display("unknown")]
+    Unknown,
+    /// Nothing was done; too many calls, or the platform can't now.
+    #[display("limited")]
+    Limited,
+    /// Another holder has a higher fence.
+    #[display("fence")]
+    Fence,
+    /// No answer came: it may have been carried out.
+    #[display("unanswered")]
+    Unanswered,
+}
+
+/// What is durable of a wave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRecord {
+    /// Its number.
+    pub number: u64,
+    /// When a leader first saw it.
+    pub seen: SystemTime,
+    /// Machines that have had their maintenance.
+    pub done: BTreeSet<SmolStr>,
+}
+
+#[derive(Debug)]
+pub(crate) struct WaveRun {
+    pub(crate) wave: Wave,
+    pub(crate) seen: SystemTime,
+    pub(crate) due: Instant,
+    pub(crate) done: BTreeSet<SmolStr>,
+    /// Machines that are down for it, and until when.
+    pub(crate) down: HashMap<SmolStr, Instant>,
+    /// Machines that are being emptied for it, and since when.
+    pub(crate) draining: BTreeMap<SmolStr, Instant>,
+}
+
+/// Machines, waves and orders.
+#[derive(Debug)]
+pub(crate) struct Machines {
+    /// No orders before then: an earlier holder's may still be on their way.
+    pub(crate) hold_until: Instant,
+    pub(crate) list: HashMap<SmolStr, Machine>,
+    pub(crate) waves: BTreeMap<u64, WaveRun>,
+    /// Orders without an answer yet, with when they were sent.
+    pub(crate) orders: HashMap<SmolStr, (MachineOrder, Instant)>,
+    /// Machines that get no order before then.
+    pub(crate) pauses: HashMap<SmolStr, Instant>,
+    pub(crate) changed: bool,
+    pub(crate) resize: crate::resize::Resize,
+}
+
+impl Machines {
+    pub(crate) fn new(hold_until: Instant) -> Machines {
+        Machines {
+            hold_until,
+            list: HashMap::new(),
+            waves: BTreeMap::new(),
+            orders: HashMap::new(),
+            pauses: HashMap::new(),
+            changed: false,
+            resize: crate::resize::Resize::default(),
+        }
+    }
+
+    pub(crate) fn may_order(&self, machine: &SmolStr, now: Instant) -> bool {
+        now >= self.hold_until
+            && !self.orders.contains_key(machine)
+            && self.pauses.get(machine).is_none_or(|&until| until <= now)
+    }
+}
+
+impl WaveRun {
+    fn is_left(&self, machine: &SmolStr) -> bool {
+        !self.done.contains(machine)
+    }
+
+    fn left(&self) -> usize {
+        self.wave.machines.iter().filter(|each| self.is_left(each)).count()
+    }
+
+    /// Returns how many machines have to be out at once for the wave to end in
+    /// time.
+    fn wanted_at_once(&self, cycle: Duration, now: Instant) -> usize {
+        let time = self.due.saturating_duration_since(now).saturating_sub(WAVE_MARGIN);
+        let time = time.as_secs_f64().max(0.5);
+        let wanted = (self.left() as f64 * cycle.as_secs_f64() / time).ceil() as usize;
+        wanted.clamp(1, self.wave.at_once.max(1) as usize)
+    }
+}
+
+impl Flow {
+    /// Takes a wave that operators ask for, or what is known of it from before.
+    pub fn add_wave(&mut self, wave: Wave, record: Option<&WaveRecord>, now: Instant, wall: SystemTime) {
+        if self.machines.waves.contains_key(&wave.number) {
+            return;
+        }
+        let seen = record.map_or(wall, |record| record.seen);
+        let due = seen + wave.within;
+        let run = WaveRun {
+            due: now + due.duration_since(wall).unwrap_or_default(),
+            seen,
+            done: record.map(|record| record.done.clone()).unwrap_or_default(),
+            down: HashMap::new(),
+            draining: BTreeMap::new(),
+            wave,
+        };
+        self.machines.waves.insert(run.wave.number, run);
+        self.machines.changed = true;
+    }
+
+    /// Returns what is to be durable of the waves if it has changed.
+    pub fn take_wave_changes(&mut self) -> Option<Vec<(WaveRecord, WaveState)>> {
+        if !std::mem::take(&mut self.machines.changed) {
+            return None;
+        }
+        let record = |run: &WaveRun| {
+            let state = if run.left() == 0 { WaveState::Complete } else { WaveState::Running };
+            let kept =
+                WaveRecord { number: run.wave.number, seen: run.seen, done: run.done.clone() };
+            (kept, state)
+        };
+        Some(self.machines.waves.values().map(record).collect())
+    }
+
+    /// Asks for the records of the waves again, after they could not be written.
+    pub fn renew_wave_changes(&mut self) {
+        self.machines.changed = true;
+    }
+
+    /// Whether the list of machines is needed now.
+    pub fn wants_machines(&self) -> bool {
+        self.machines.waves.values().any(|run| run.left() > 0) || self.wants_resize()
+    }
+
+    /// Takes the platform's list of machines.
+    pub fn set_machines(&mut self, list: Vec<Machine>) {
+        self.machines.list = list.into_iter().map(|each| (each.id.clone(), each)).collect();
+    }
+
+    pub(crate) fn worker_on(&self, machine: &SmolStr) -> Option<WorkerKey> {
+        let on = |(_, worker): &(WorkerKey, &crate::worker::Worker)| {
+            worker.machine.as_ref() == Some(machine) && worker.listed && !worker.leaving
+        };
+        self.workers.iter().find(on).map(|(key, _)| key)
+    }
+
+    pub(crate) fn maintain(&mut self, now: Instant) {
+        self.settle_orders(now);
+        let numbers: Vec<_> = self.machines.waves.keys().copied().collect();
+        for number in numbers {
+            self.choose_machines(number, now);
+            self.drain_machines(number, now);
+        }
+    }
+
+    /// Forgets orders whose answer is overdue, and machines that are back.
+    fn settle_orders(&mut self, now: Instant) {
+        self.machines.orders.retain(|_, (_, sent)| now.saturating_duration_since(*sent) < ORDER_LOST * 3);
+        for run in self.machines.waves.values_mut() {
+            run.down.retain(|_, until| now < *until);
+        }
+    }
+
+    fn choose_machines(&mut self, number: u64, now: Instant) {
+        let cycle = self.rules.maintain_time + CYCLE_EXTRA;
+        let run = &self.machines.waves[&number];
+        if now < self.machines.hold_until || run.left() == 0 {
+            return;
+        }
+        let wanted = run.wanted_at_once(cycle, now);
+        let out = run.draining.len() + run.down.len();
+        if out >= wanted {
+            return;
+        }
+        let mut candidates: Vec<_> = run
+            .wave
+            .machines
+            .iter()
+            .filter(|each| run.is_left(each) && !run.draining.contains_key(*each))
+            .filter(|each| self.machines.may_order(each, now))
+            .filter(|each| self.is_up(each))
+            .map(|each| (self.cost(each, now), each.clone()))
+            .collect();
+        candidates.sort();
+        for (_, machine) in candidates.into_iter().take(wanted - out) {
+            if let Some(key) = self.worker_on(&machine) {
+                self.workers[key].cordoned = true;
+            }
+            if let Some(run) = self.machines.waves.get_mut(&number) {
+                run.draining.insert(machine, now);
+            }
+        }
+    }
+
+    fn is_up(&self, machine: &SmolStr) -> bool {
+        self.machines.list.get(machine).is_some_and(|each| each.state == MachineState::Up)
+    }
+
+    /// Returns what taking a machine out now would cost: lasting tasks that
+    /// have to move, and how much waits for its pool.
+    fn cost(&self, machine: &SmolStr, now: Instant) -> (bool, usize, usize) {
+        let Some(key) = self.worker_on(machine) else { return (false, 0, 0) };
+        let worker = &self.workers[key];
+        let lasting = worker
+            .runs
+            .iter()
+            .filter(|&&run| self.spec_of(self.runs[run].task).is_some_and(|spec| spec.lasting))
+            .count();
+        (self.is_pressed(&worker.life.pool, now), lasting, worker.runs.len())
+    }
+
+    /// Whether tasks wait for a pool.
+    fn is_pressed(&self, pool: &PoolId, now: Instant) -> bool {
+        let waits = |job: &crate::job::Job| {
+            job.pool == *pool
+                && job.is_open()
+                && job.rounds.iter().any(|round| {
+                    round.steps.iter().enumerate().any(|(at, step)| {
+                        !step.waiting.is_empty() && round.is_ready(&job.spec, at)
+                    })
+                })
+        };
+        let _ = now;
+        self.jobs.values().any(waits)
+    }
+
+    fn drain_machines(&mut self, number: u64, now: Instant) {
+        let Some(run) = self.machines.waves.get(&number) else { return };
+        let draining: Vec<_> = run.draining.iter().map(|(m, &since)| (m.clone(), since)).collect();
+        let pressing = run.due.saturating_duration_since(now) < WAVE_MARGIN;
+        for (machine, since) in draining {
+            let key = self.worker_on(&machine);
+            if let Some(key) = key {
+                self.workers[key].cordoned = true;
+                self.evict_lasting(key, now);
+            }
+            let waited = now.saturating_duration_since(since) > DRAIN_TIME;
+            let empty = key.is_none_or(|key| self.is_drained(key, waited || pressing));
+            let run = &self.machines.waves[&number];
+            let in_flight = self.machines.orders.values();
+            let sent = in_flight
+                .filter(|(order, _)| {
+                    matches!(order, MachineOrder::Maintain { wave, .. } if *wave == number)
+                })
+                .count();
+            let out = run.down.len() + sent;
+            if empty && out < run.wave.at_once.max(1) as usize && self.machines.may_order(&machine, now)
+            {
+                self.order(MachineOrder::Maintain { machine, wave: number }, now);
+            }
+        }
+    }
+
+    /// Whether nothing is left on a worker that should end before it goes.
+    pub(crate) fn is_drained(&self, key: WorkerKey, only_lasting: bool) -> bool {
+        self.workers[key].runs.iter().all(|&run| {
+            let spec = self.spec_of(self.runs[run].task);
+            only_lasting && spec.is_some_and(|spec| !spec.lasting)
+        })
+    }
+
+    /// Moves lasting tasks off a worker, within the budgets of their steps.
+    pub(crate) fn evict_lasting(&mut self, key: WorkerKey, now: Instant) {
+        for run in self.workers[key].runs.clone() {
+            let state = &self.runs[run];
+            let task = state.task;
+            let Some(spec) = self.spec_of(task) else { continue };
+            if !spec.lasting || !state.is_running() || !self.may_take(run) {
+                continue;
+            }
+            self.runs[run].our_stop = true;
+            self.stop_run(run, StopReason::MachineNeeded, now);
+        }
+    }
+
+    /// Whether a lasting task may be ended by us now: fewer others of its step
+    /// are away than the step allows.
+    fn may_take(&self, run: crate::run::RunKey) -> bool {
+        let task = self.runs[run].task;
+        let Some(job) = self.job_of(task) else { return true };
+        let Some(spec) = self.spec_of(task) else { return true };
+        let Some(most) = spec.may_miss else { return true };
+        let Some(step) = job.step(task.step.round, task.step.step) else { return true };
+        let at_work = |task: &crate::job::Task| {
+            task.runs.iter().any(|&run| {
+                let run = &self.runs[run];
+                run.is_running() && run.percent >= 100 && self.workers[run.worker].silent.is_none()
+            })
+        };
+        let others = step.tasks.iter().enumerate().filter(|(at, _)| *at as u32 != task.index);
+        let away = others.filter(|(_, other)| !at_work(other)).count();
+        away < most as usize
+    }
+
+    pub(crate) fn order(&mut self, order: MachineOrder, now: Instant) {
+        self.machines.orders.insert(order.machine().clone(), (order.clone(), now));
+        self.actions.push(Action::Machine(order));
+    }
+
+    /// Notes what became of an order to a machine.
+    pub fn machine_answered(&mut self, order: &MachineOrder, answer: MachineAnswer, now: Instant) {
+        let sent = self.machines.orders.remove(order.machine());
+        let machine = order.machine().clone();
+        match answer {
+            MachineAnswer::Done => {
+                if sent.is_some() {
+                    self.leave(&machine, now);
+                }
+                match order {
+                    MachineOrder::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
+                    MachineOrder::Move { pool, .. } => self.moved(&machine, pool, now),
+                }
+            }
+            MachineAnswer::Unknown => {
+                if let MachineOrder::Maintain { wave, .. } = order {
+                    self.maintained(*wave, &machine, now);
+                }
+                self.uncordon(&machine);
+            }
+            MachineAnswer::Busy | MachineAnswer::Limited | MachineAnswer::Fence => {
+                self.machines.pauses.insert(machine, now + ORDER_AGAIN);
+            }
+            MachineAnswer::Unanswered => {
+                // It may be down from now on: counted so until it is settled.
+                let until = now + self.rules.maintain_time + DOWN_MARGIN;
+                if let MachineOrder::Maintain { wave, .. } = order
+                    && let Some(run) = self.machines.waves.get_mut(wave)
+                {
+                    run.down.insert(machine.clone(), until);
+                }
+                self.machines.pauses.insert(machine, until.max(now + ORDER_LOST));
+            }
+        }
+    }
+
+    fn maintained(&mut self, wave: u64, machine: &SmolStr, now: Instant) {
+        let until = now + self.rules.maintain_time + DOWN_MARGIN;
+        let Some(run) = self.machines.waves.get_mut(&wave) else { return };
+        run.done.insert(machine.clone());
+        run.draining.remove(machine);
+        run.down.insert(machine.clone(), until);
+        self.machines.changed = true;
+    }
+
+    fn uncordon(&mut self, machine: &SmolStr) {
+        if let Some(key) = self.worker_on(machine) {
+            self.workers[key].cordoned = false;
+        }
+    }
+
+    /// An order took a machine: all that ran on it has ended.
+    pub(crate) fn leave(&mut self, machine: &SmolStr, now: Instant) {
+        let Some(key) = self.worker_on(machine) else { return };
+        self.workers[key].leaving = true;
+        self.workers[key].cordoned = false;
+        self.workers[key].rest_until = Some(now + LEAVING_TIME);
+        for run in self.workers[key].runs.clone() {
+            if self.runs[run].confirmed.is_some() {
+                self.runs[run].our_stop = true;
+                self.remove_run(run, Removed::Lost, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/observe.rs
@@ -0,0 +1,261 @@
+//! What a look at a worker shows.
+
+use std::collections::HashSet;
+
+use vg_base::prelude::*;
+
+use crate::flow::Removed;
+use crate::run::{Phase, RunKey, RunState};
+use crate::worker::{WorkerClock, WorkerKey};
+use crate::{EndRow, Flow, How, Report, Run, RunRow, StopReason, TaskId};
+
+/// Ends that a worker lists at once.
+const ENDS_PAGE: usize = 500;
+
+impl Flow {
+    /// Takes a worker's answer to a look that was sent at `sent`. Returns
+    /// whether its life is new and has to be recorded before it gets work.
+    pub fn observe(&mut self, id: &HostId, report: &Report, sent: Instant, now: Instant) -> bool {
+        let Some(&key) = self.worker_ids.get(id) else { return false };
+        if let Some(born) = report.born
+            && born != self.workers[key].life.born
+        {
+            if born < self.workers[key].life.born {
+                return false;
+            }
+            self.begin_life(key, born, now);
+        }
+        self.clear_doubt(id);
+        let worker = &mut self.workers[key];
+        // The order that was to take its machine had been carried out before.
+        if worker.leaving && worker.rest_until.is_none_or(|until| until <= now) {
+            worker.leaving = false;
+        }
+        worker.heard = true;
+        worker.silent = None;
+        worker.answered = Some(now);
+        worker.clock = Some(WorkerClock { millis: report.clock, at: sent });
+        let recorded = worker.recorded;
+        for row in &report.ended {
+            self.take_end(key, row, now);
+        }
+        let there: HashSet<_> = report.running.iter().map(|row| (row.task, row.run)).collect();
+        for row in &report.running {
+            self.take_row(key, row, now);
+        }
+        // A full list of ends goes on in the next look: what is absent may have
+        // ended there.
+        if report.ended.len() < ENDS_PAGE {
+            self.settle_absent(key, &there, report.clock, sent, now);
+        }
+        !recorded
+    }
+
+    fn take_end(&mut self, worker: WorkerKey, row: &EndRow, now: Instant) {
+        if row.number <= self.workers[worker].read {
+            return;
+        }
+        self.workers[worker].read = row.number;
+        let mut key = self.run_ids.get(&(row.task, row.run)).copied();
+        if key.is_some_and(|key| self.runs[key].worker != worker) {
+            key = None;
+        }
+        if let Some(key) = key
+            && !row.saved.is_empty()
+        {
+            self.runs[key].saved = row.saved.clone();
+        }
+        match row.how {
+            How::Done => self.take_done(worker, row, key, now),
+            How::Failed => self.take_failed(worker, row, key, now),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {
+                self.keep_saved(row);
+                if let Some(key) = key {
+                    self.counts.lost += u64::from(row.how == How::Lapsed);
+                    self.remove_run(key, Removed::Lost, now);
+                }
+            }
+        }
+    }
+
+    fn take_done(&mut self, worker: WorkerKey, row: &EndRow, key: Option<RunKey>, now: Instant) {
+        self.counts.done += 1;
+        self.note_good(worker);
+        let took = key.map(|key| now.saturating_duration_since(self.runs[key].since));
+        let Some(&job_key) = self.job_ids.get(&row.task.step.job) else {
+            // The job has ended: nothing is left to note.
+            if let Some(key) = key {
+                self.remove_run(key, Removed::Done, now);
+            }
+            return;
+        };
+        let job = &mut self.jobs[job_key];
+        job.began = true;
+        let gang = job.spec.steps.get(usize::from(row.task.step.step)).is_some_and(|s| s.gang);
+        if let Some(step) = job.step_mut(row.task.step) {
+            if let Some(took) = took {
+                step.quickest = Some(step.quickest.map_or(took, |before| before.min(took)));
+            }
+            // One end of a gang stands for all of its members.
+            if gang {
+                (0..step.tasks.len() as u32).for_each(|index| _ = step.set_done(index));
+            } else {
+                step.set_done(row.task.index);
+            }
+        }
+        self.mark_dirty(job_key);
+        if let Some(key) = key {
+            self.remove_run(key, Removed::Done, now);
+        }
+        if !gang {
+            self.stop_others(row.task, None, now);
+        }
+        if let Some(&job_key) = self.job_ids.get(&row.task.step.job) {
+            self.settle_job(job_key);
+        }
+    }
+
+    fn take_failed(&mut self, worker: WorkerKey, row: &EndRow, key: Option<RunKey>, now: Instant) {
+        self.counts.failed += 1;
+        self.keep_saved(row);
+        self.note_failure(row.task, row.run);
+        self.note_bad(worker, row.task.step.job, now);
+        if let Some(&job) = self.job_ids.get(&row.task.step.job)
+            && let Some(task) = self.jobs[job].task_mut(row.task)
+            && !task.avoid.contains(&worker)
+        {
+            task.avoid.push(worker);
+        }
+        if let Some(key) = key {
+            self.remove_run(key, Removed::Failed, now);
+        }
+        if let Some(&job) = self.job_ids.get(&row.task.step.job)
+            && !self.jobs[job].is_open()
+        {
+            self.stop_job(job, now);
+        }
+    }
+
+    fn keep_saved(&mut self, row: &EndRow) {
+        if row.saved.is_empty() {
+            return;
+        }
+        if let Some(&job) = self.job_ids.get(&row.task.step.job)
+            && let Some(task) = self.jobs[job].task_mut(row.task)
+            && !task.done
+        {
+            task.saved = row.saved.clone();
+        }
+    }
+
+    fn take_row(&mut self, worker: WorkerKey, row: &RunRow, now: Instant) {
+        let found = self.run_ids.get(&(row.task, row.run)).copied();
+        let Some(key) = found.filter(|&key| self.runs[key].worker == worker) else {
+            self.adopt(worker, row, now);
+            return;
+        };
+        self.confirm(key, now);
+        let Some(run) = self.runs.get_mut(key) else { return };
+        if run.percent != row.percent {
+            run.percent = row.percent;
+            run.moved = now;
+        }
+        if !row.saved.is_empty() {
+            run.saved = row.saved.clone();
+        }
+        run.gauge = row.gauge;
+        if run.phase == Phase::Stopping {
+            // The answer to the stop, or the stop itself, was lost.
+            self.stop_run(key, StopReason::JobOver, now);
+            return;
+        }
+        if row.percent >= 100 {
+            self.note_at_work(row.task);
+        }
+    }
+
+    fn note_at_work(&mut self, task: TaskId) {
+        if let Some(&job) = self.job_ids.get(&task.step.job)
+            && let Some(task) = self.jobs[job].task_mut(task)
+        {
+            task.away = None;
+        }
+    }
+
+    /// Takes over a run of an earlier leader, or stops it if it isn't wanted.
+    fn adopt(&mut self, worker: WorkerKey, row: &RunRow, now: Instant) {
+        let state = self.adopted_state(worker, row, now);
+        let wanted = self.job_of(row.task).is_some_and(|job| {
+            let copies = job
+                .spec
+                .steps
+                .get(usize::from(row.task.step.step))
+                .is_some_and(|step| step.copies);
+            let task = job.task(row.task);
+            job.is_open() && task.is_some_and(|task| !task.done && (copies || task.runs.is_empty()))
+        });
+        let key = self.insert_run(state);
+        self.confirm(key, now);
+        if !wanted && self.runs.contains_key(key) {
+            self.stop_run(key, StopReason::JobOver, now);
+        } else if row.percent >= 100 {
+            self.note_at_work(row.task);
+        }
+    }
+
+    fn adopted_state(&self, worker: WorkerKey, row: &RunRow, now: Instant) -> RunState {
+        let job = self.job_of(row.task);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(row.task.step.step)));
+        RunState {
+            task: row.task,
+            run: row.run,
+            worker,
+            room: step.map(crate::StepSpec::room).unwrap_or_default(),
+            need: step.map(|step| step.need).unwrap_or_default(),
+            team: job.and_then(|job| job.spec.team.clone()),
+            phase: Phase::Running,
+            since: now,
+            expires: 0,
+            confirmed: Some(now),
+            stop_sent: None,
+            stop_answered: None,
+            needs_stop: false,
+            our_stop: false,
+            saved: row.saved.clone(),
+            percent: row.percent,
+            moved: now,
+            gauge: row.gauge,
+            pace: 100,
+            paced: None,
+        }
+    }
+
+    /// Settles runs that the worker does not list any more.
+    fn settle_absent(
+        &mut self,
+        worker: WorkerKey,
+        there: &HashSet<(TaskId, Run)>,
+        clock: u64,
+        sent: Instant,
+        now: Instant,
+    ) {
+        for key in self.workers[worker].runs.clone() {
+            let run = &self.runs[key];
+            if there.contains(&(run.task, run.run)) {
+                continue;
+            }
+            let stopped = run.stop_answered.is_some_and(|at| at < sent);
+            let known = run.confirmed.is_some_and(|at| at < sent);
+            let expired = !run.needs_stop && clock > run.expires;
+            let how = match run.phase {
+                Phase::Starting => continue,
+                Phase::Unsure if stopped || expired => Removed::NeverRan,
+                Phase::Unsure => continue,
+                // Its end was listed before, or it never came to be.
+                Phase::Running | Phase::Stopping if known || stopped => Removed::Lost,
+                Phase::Running | Phase::Stopping => continue,
+            };
+            self.remove_run(key, how, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/worker.rs
@@ -0,0 +1,154 @@
+//! Workers and their lives.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::run::RunKey;
+
+slotmap::new_key_type! {
+    /// Key of a worker in its table.
+    pub struct WorkerKey;
+}
+
+/// One life of a worker: from a start of its process to its end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
+#[display("{id}@{born}")]
+pub struct Life {
+    /// The worker.
+    pub id: HostId,
+    /// Wall time of the start in milliseconds since 1970, as the worker says it.
+    pub born: u64,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Where it takes orders.
+    pub addr: std::net::SocketAddr,
+}
+
+/// What a worker registers about itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// The life that it speaks for.
+    pub life: Life,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// What it has in all.
+    pub capacity: Resources,
+    /// Its kind, rack and other labels.
+    pub labels: Vec<SmolStr>,
+    /// The machine that it runs on.
+    pub machine: Option<SmolStr>,
+}
+
+/// Estimate of a worker's clock.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WorkerClock {
+    /// Its reading in milliseconds.
+    pub(crate) millis: u64,
+    /// When the call that brought it was sent: the true reading is not less.
+    pub(crate) at: Instant,
+}
+
+impl WorkerClock {
+    /// Returns a reading that the worker's clock has not passed by much.
+    pub(crate) fn reading(&self, now: Instant) -> u64 {
+        self.millis + now.saturating_duration_since(self.at).as_millis() as u64
+    }
+}
+
+/// A worker as the leader sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct Worker {
+    pub(crate) life: Life,
+    pub(crate) zone: ZoneId,
+    pub(crate) capacity: Resources,
+    pub(crate) labels: Vec<SmolStr>,
+    pub(crate) rack: Option<SmolStr>,
+    pub(crate) machine: Option<SmolStr>,
+    /// Registered in the store.
+    pub(crate) listed: bool,
+    pub(crate) draining: bool,
+    /// The life is durable, so that a next leader knows of it.
+    pub(crate) recorded: bool,
+    /// It answered this leader in this life.
+    pub(crate) heard: bool,
+    pub(crate) runs: Vec<RunKey>,
+    pub(crate) used: Resources,
+    pub(crate) clock: Option<WorkerClock>,
+    /// Time after which nothing that was told to it can still run.
+    pub(crate) lease_end: Instant,
+    /// Ends up to here are in memory.
+    pub(crate) read: u64,
+    /// Ends up to here are durable.
+    pub(crate) seen: u64,
+    /// When a look was last answered.
+    pub(crate) answered: Option<Instant>,
+    /// When looks began to fail without a break.
+    pub(crate) silent: Option<Instant>,
+    /// No new starts until then, after refusals or failures.
+    pub(crate) rest_until: Option<Instant>,
+    /// Failed runs of different jobs without a good one between them.
+    pub(crate) failures: Vec<JobId>,
+    /// How often it was put to rest for failures.
+    pub(crate) rests: u32,
+    /// It is being emptied for maintenance or a move.
+    pub(crate) cordoned: bool,
+    /// An order to its machine was sent: its runs end by it.
+    pub(crate) leaving: bool,
+}
+
+impl Worker {
+    pub(crate) fn new(entry: &Entry, now: Instant) -> Worker {
+        Worker {
+            life: entry.life.clone(),
+            zone: entry.zone.clone(),
+            capacity: entry.capacity,
+            labels: entry.labels.clone(),
+            rack: rack_of(&entry.labels),
+            machine: entry.machine.clone(),
+            listed: true,
+            draining: entry.draining,
+            recorded: false,
+            heard: false,
+            runs: Vec::new(),
+            used: Resources::ZERO,
+            clock: None,
+            lease_end: now,
+            read: 0,
+            seen: 0,
+            answered: None,
+            silent: None,
+            rest_until: None,
+            failures: Vec::new(),
+            rests: 0,
+            cordoned: false,
+            leaving: false,
+        }
+    }
+
+    /// Returns the room that is left.
+    pub(crate) fn free(&self) -> Resources {
+        self.capacity.minus(&self.used)
+    }
+
+    /// Whether new work can be given to it.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.listed
+            && !self.draining
+            && self.recorded
+            && self.heard
+            && !self.cordoned
+            && !self.leaving
+            && self.silent.is_none()
+            && self.clock.is_some()
+            && self.rest_until.is_none_or(|until| until <= now)
+    }
+}
+
+/// Returns the rack among a worker's labels: the last one, after its kind.
+fn rack_of(labels: &[SmolStr]) -> Option<SmolStr> {
+    labels.last().cloned()
+}
--- /dev/null
+++ b/crates/lead/src/ask.rs
@@ -0,0 +1,210 @@
+//! Questions about jobs and queues.
+
+use vg_base::prelude::*;
+use vg_flow::{Final, JobSpec, State};
+use vg_net::from_msgpack;
+use vg_store::Store;
+
+use crate::host::lock;
+use crate::keys::{self, EndValue};
+use crate::messages::{CancelDone, CountAnswer, CountQuery, Known, Query};
+use crate::{Host, Platform};
+
+/// Time before the caller's deadline at which the answer has to be ready.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Pause before a question is asked again.
+const PAUSE: Duration = Duration::from_millis(80);
+/// Longest time that a question waits for an answer that is true.
+const LONGEST: Duration = Duration::from_millis(1800);
+
+/// What is known of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// Accepted; no task has started. With the job's team.
+    Queued(Option<TeamId>),
+    /// A task has started.
+    Running(Option<TeamId>),
+    /// It has ended.
+    Ended(Option<TeamId>, Final),
+    /// There is no such job.
+    Absent,
+    /// Nothing can be said now.
+    Unknown,
+}
+
+/// What became of a cancellation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CancelAnswer {
+    /// It is durable: no task starts any more.
+    Cancelled,
+    /// There is no such job that could be cancelled.
+    Absent,
+    /// Nothing can be said now.
+    Unknown,
+}
+
+/// Number of a queue's jobs that have not begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pending {
+    /// The number.
+    Jobs(usize),
+    /// Nothing can be said now.
+    Unknown,
+}
+
+impl From<Known> for Answer {
+    fn from(known: Known) -> Answer {
+        match known {
+            Known::Queued(team) => Answer::Queued(team),
+            Known::Running(team) => Answer::Running(team),
+            Known::Ended(team, how) => Answer::Ended(team, how),
+            Known::Absent => Answer::Absent,
+            Known::Unknown => Answer::Unknown,
+        }
+    }
+}
+
+impl<P: Platform, C: Clock> Host<P, C> {
+    /// Returns the state of a job: what the leader knows, else what the store
+    /// has, else what a peer can tell.
+    pub async fn state(&self, job: JobId, deadline: Instant) -> Answer {
+        let deadline = self.limit(deadline);
+        loop {
+            let known = self.state_once(job, deadline).await;
+            if known != Known::Unknown || self.inner.clock.now() + PAUSE >= deadline {
+                return known.into();
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    fn limit(&self, deadline: Instant) -> Instant {
+        let own = self.inner.clock.now() + LONGEST;
+        deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline).min(own)
+    }
+
+    async fn state_once(&self, job: JobId, deadline: Instant) -> Known {
+        if let Some(known) = self.known_end(job) {
+            return known;
+        }
+        let mut asked = None;
+        if self.leading().is_none()
+            && let Some(addr) = self.leader_addr()
+        {
+            asked = Some(addr);
+            let known = self.ask_peer(addr, "state", &Query { job }).await;
+            if let Ok(known) = known
+                && known != Known::Unknown
+            {
+                return self.keep(job, known);
+            }
+        }
+        let known = self.own_state(job, deadline).await;
+        if known != Known::Unknown {
+            return self.keep(job, known);
+        }
+        for addr in self.some_peers(3) {
+            if Some(addr) == asked {
+                continue;
+            }
+            if let Ok(known) = self.ask_peer(addr, "state", &Query { job }).await
+                && known != Known::Unknown
+            {
+                return self.keep(job, known);
+            }
+        }
+        Known::Unknown
+    }
+
+    fn keep(&self, job: JobId, known: Known) -> Known {
+        if let Known::Ended(team, how) = &known {
+            lock(&self.inner.ends).set(job, team.clone(), *how);
+        }
+        known
+    }
+
+    /// Returns the state of a job from this host's memory and the store.
+    pub(crate) async fn own_state(&self, job: JobId, deadline: Instant) -> Known {
+        if let Some(known) = self.known_end(job) {
+            return known;
+        }
+        if let Some(leader) = self.leading()
+            && let Some((state, team)) = leader.state(job)
+        {
+            return match state {
+                State::Queued => Known::Queued(team),
+                State::Running => Known::Running(team),
+                State::Ended(how) => Known::Ended(team, how),
+            };
+        }
+        let _ = deadline;
+        self.stored_state(job).await.unwrap_or(Known::Unknown)
+    }
+
+    async fn stored_state(&self, job: JobId) -> Result<Known, vg_store::Error> {
+        let store = self.store();
+        // A job's end is written in the same change that removes the job, so
+        // that one of the two is found in this order.
+        if let Some(entry) = store.get(&keys::job(job)).await? {
+            let Ok(spec) = from_msgpack::<JobSpec>(&entry.value) else { return Ok(Known::Unknown) };
+            if store.get(&keys::cancel(job)).await?.is_some() {
+                return Ok(Known::Ended(spec.team, Final::Cancelled));
+            }
+            let began = store.get(&keys::progress(job)).await?.is_some();
+            return Ok(if began { Known::Running(spec.team) } else { Known::Queued(spec.team) });
+        }
+        let Some(entry) = store.get(&keys::end(job)).await? else { return Ok(Known::Absent) };
+        Ok(match from_msgpack::<EndValue>(&entry.value) {
+            Ok(value) => Known::Ended(value.team, value.how),
+            Err(_) => Known::Unknown,
+        })
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: JobId, deadline: Instant) -> CancelAnswer {
+        let deadline = deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline);
+        let own = deadline.min(self.inner.clock.now() + Duration::from_millis(900));
+        let mut done = self.write_cancel(job, own).await;
+        if done == CancelDone::Unknown {
+            for addr in self.some_peers(2) {
+                if let Ok(answer) = self.ask_peer(addr, "cancel", &Query { job }).await {
+                    done = answer;
+                }
+                if done != CancelDone::Unknown {
+                    break;
+                }
+            }
+        }
+        if done == CancelDone::Unknown {
+            done = self.write_cancel(job, deadline).await;
+        }
+        match done {
+            CancelDone::Durable => CancelAnswer::Cancelled,
+            CancelDone::Absent => CancelAnswer::Absent,
+            CancelDone::Unknown => CancelAnswer::Unknown,
+        }
+    }
+
+    /// Returns the number of a queue's jobs that have not begun, as the leader
+    /// knows it.
+    pub async fn pending(&self, queue: &QueueId, deadline: Instant) -> Pending {
+        let deadline = self.limit(deadline);
+        loop {
+            if let Some(leader) = self.leading() {
+                if let Some(pending) = leader.pending(queue) {
+                    return Pending::Jobs(pending);
+                }
+            } else if let Some(addr) = self.leader_addr() {
+                let query = CountQuery { queue: queue.clone() };
+                let answer: Result<CountAnswer, _> = self.ask_peer(addr, "pending", &query).await;
+                if let Ok(CountAnswer { pending: Some(pending) }) = answer {
+                    return Pending::Jobs(pending);
+                }
+            }
+            if self.inner.clock.now() + PAUSE >= deadline {
+                return Pending::Unknown;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lead/src/cancel.rs
@@ -0,0 +1,77 @@
+//! Jobs that callers cancel.
+
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_flow::Final;
+use vg_net::from_msgpack;
+use vg_store::{Store, Txn, TxnOutcome};
+
+use crate::host::lock;
+use crate::keys::{self, EndValue};
+use crate::messages::{CancelDone, Cancelled, Taken};
+use crate::retry::read;
+use crate::{Host, Platform};
+
+impl<P: Platform, C: Clock> Host<P, C> {
+    /// Makes a cancellation durable and tells the leader of it.
+    pub(crate) async fn write_cancel(&self, job: JobId, deadline: Instant) -> CancelDone {
+        while self.inner.clock.now() < deadline {
+            match self.try_cancel(job, deadline).await {
+                Ok(Some(done)) => {
+                    if done == CancelDone::Durable {
+                        self.tell_cancelled(job);
+                    }
+                    return done;
+                }
+                // The job changed in between, or the answer was lost.
+                Ok(None) => {}
+                Err(error) => log::debug!(target: "store", "cancel {job}: {error}"),
+            }
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+        CancelDone::Unknown
+    }
+
+    async fn try_cancel(
+        &self,
+        job: JobId,
+        deadline: Instant,
+    ) -> Result<Option<CancelDone>, vg_store::Error> {
+        let clock = &self.inner.clock;
+        let Some(entry) = read(self.store(), &keys::job(job), clock, deadline).await? else {
+            let end = read(self.store(), &keys::end(job), clock, deadline).await?;
+            let value = end.and_then(|end| from_msgpack::<EndValue>(&end.value).ok());
+            return Ok(Some(match value {
+                Some(EndValue { how: Final::Cancelled, .. }) => CancelDone::Durable,
+                _ => CancelDone::Absent,
+            }));
+        };
+        let txn = Txn::new()
+            .expect(keys::job(job), Some(entry.modified))
+            .put(keys::cancel(job), bytes::Bytes::new());
+        Ok(match self.store().commit(txn).await? {
+            TxnOutcome::Done { .. } => Some(CancelDone::Durable),
+            TxnOutcome::Conflict { .. } => None,
+        })
+    }
+
+    fn tell_cancelled(&self, job: JobId) {
+        self.record(Code::JobCancelled, [Field::new("job", job)]);
+        if let Some(leader) = self.leading() {
+            leader.take_cancel(job);
+            return;
+        }
+        let Some(addr) = self.leader_addr() else { return };
+        let host = self.clone();
+        tokio::spawn(async move {
+            let told: Result<Taken, _> = host.ask_peer(addr, "cancelled", &Cancelled { job }).await;
+            if let Err(error) = told {
+                log::debug!(target: "peers", "the leader was not told of {job}: {error}");
+            }
+        });
+    }
+
+    pub(crate) fn remember_end(&self, job: JobId, value: &EndValue) {
+        lock(&self.inner.ends).set(job, value.team.clone(), value.how);
+    }
+}
--- /dev/null
+++ b/crates/lead/src/leader/load.rs
@@ -0,0 +1,246 @@
+//! Taking over: what earlier leaders left in the store.
+
+use std::sync::Arc;
+
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_flow::{JobSpec, Life, Progress, WaveRecord};
+use vg_net::from_msgpack;
+use vg_store::{Entry, Error, Key, Listing, Store, StoreRevision, Watch};
+
+use super::{Leader, UNVERIFIED_MAX};
+use crate::follow::{Seen, follow};
+use crate::host::lock;
+use crate::keys::{self, IN, Incoming, LIVES, RUN, WAVES};
+use crate::Platform;
+
+/// Pause before the store is asked again.
+const RETRY: Duration = Duration::from_millis(100);
+/// Pause between two looks at new jobs: hosts tell the leader of each job, and
+/// the store is only the way that can't fail.
+const JOBS_GAP: Duration = Duration::from_millis(250);
+
+/// Revisions from which the leader follows the store.
+pub(super) struct Loaded {
+    pub(super) jobs: StoreRevision,
+    pub(super) lives: Option<StoreRevision>,
+}
+
+impl<P: Platform, C: Clock> Leader<P, C> {
+    /// Reads all that earlier leaders left; `None` if the leadership is lost
+    /// before the store answers.
+    pub(super) async fn load(self: &Arc<Self>) -> Option<Loaded> {
+        let started = self.host.inner.clock.now();
+        loop {
+            match self.try_load().await {
+                Ok(loaded) => {
+                    let took = self.host.inner.clock.now() - started;
+                    let jobs = self.flow().counts().jobs;
+                    let fields = [
+                        Field::new("fence", self.fence),
+                        Field::new("jobs", jobs),
+                        Field::new("ms", took.as_millis()),
+                    ];
+                    self.host.record(Code::JobsRecovered, fields);
+                    return Some(loaded);
+                }
+                Err(error) => {
+                    log::debug!(target: "store", "not loaded: {error}");
+                    if self.host.unverified_for() > UNVERIFIED_MAX {
+                        return None;
+                    }
+                    tokio::time::sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn try_load(&self) -> Result<Loaded, Error> {
+        let store = self.host.store();
+        let prefixes: [Key; 2] = [IN.into(), RUN.into()];
+        let single: [Key; 2] = [LIVES.into(), WAVES.into()];
+        let (jobs, progress, lives, waves) = futures_util::try_join!(
+            store.range(&prefixes[0]),
+            store.range(&prefixes[1]),
+            store.get(&single[0]),
+            store.get(&single[1]),
+        )?;
+        self.add_jobs(&jobs);
+        self.restore_progress(&progress);
+        self.suspect_lives(lives.as_ref());
+        self.restore_waves(waves.as_ref());
+        Ok(Loaded {
+            jobs: StoreRevision(jobs.revision.0 + 1),
+            lives: lives.map(|entry| entry.modified),
+        })
+    }
+
+    fn add_jobs(&self, listing: &Listing) {
+        let mut cancelled = Vec::new();
+        for entry in &listing.entries {
+            match keys::incoming(&entry.key) {
+                Some(Incoming::Job(job)) => self.add_job(job, entry),
+                Some(Incoming::Cancel(job)) => cancelled.push(job),
+                None => log::warn!(target: "store", "unknown key {}", entry.key),
+            }
+        }
+        let now = self.host.inner.clock.now();
+        let mut flow = self.flow();
+        cancelled.into_iter().for_each(|job| flow.cancel(job, now));
+    }
+
+    fn add_job(&self, job: JobId, entry: &Entry) {
+        match from_msgpack::<JobSpec>(&entry.value) {
+            Ok(spec) => {
+                let revision = entry.modified;
+                if self.flow().add(job, Arc::new(spec), revision.0 as u64) {
+                    lock(&self.committed).jobs.insert(job, revision);
+                }
+            }
+            Err(error) => {
+                let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
+                self.host.record(Code::ValueUnreadable, fields);
+            }
+        }
+    }
+
+    fn restore_progress(&self, listing: &Listing) {
+        for entry in &listing.entries {
+            let Some(job) = keys::job_under(&entry.key, RUN) else { continue };
+            match from_msgpack::<Progress>(&entry.value) {
+                Ok(progress) => {
+                    self.flow().restore(job, &progress);
+                    lock(&self.committed).progress.insert(job, entry.modified);
+                }
+                Err(error) => {
+                    let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
+                    self.host.record(Code::ValueUnreadable, fields);
+                }
+            }
+        }
+    }
+
+    /// Lives that an earlier leader may have given work. That leader may have
+    /// gone on without proof for a while, and what it gave holds for a lease.
+    fn suspect_lives(&self, entry: Option<&Entry>) {
+        let lives = entry.and_then(|entry| from_msgpack::<Vec<Life>>(&entry.value).ok());
+        let rules = &self.host.inner.options.rules;
+        let until = self.host.inner.clock.now() + UNVERIFIED_MAX + rules.lease_bound();
+        let mut flow = self.flow();
+        for life in lives.unwrap_or_default() {
+            flow.suspect(life, until);
+        }
+    }
+
+    fn restore_waves(&self, entry: Option<&Entry>) {
+        let records = entry.and_then(|entry| from_msgpack::<Vec<WaveRecord>>(&entry.value).ok());
+        lock(&self.committed).waves =
+            (entry.map(|entry| entry.modified), records.unwrap_or_default());
+        let waves = self.host.inner.waves.borrow().clone();
+        self.add_waves(&waves);
+    }
+
+    /// Follows jobs and cancellations in the store.
+    pub(super) async fn follow_jobs(self: Arc<Self>, from: StoreRevision) {
+        let prefix = Key::from(IN);
+        let mut next = from;
+        loop {
+            let error = self.watch_jobs(&prefix, &mut next).await;
+            if matches!(error, Error::Compacted { .. })
+                && let Ok(listing) = self.host.store().range(&prefix).await
+                && self.host.is_verified()
+            {
+                self.add_jobs(&listing);
+                next = StoreRevision(listing.revision.0 + 1);
+                self.wake.notify_one();
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    async fn watch_jobs(&self, prefix: &Key, next: &mut StoreRevision) -> Error {
+        let mut watch = match self.host.store().watch(prefix, *next).await {
+            Ok(watch) => watch,
+            Err(error) => return error,
+        };
+        loop {
+            let batch = match watch.next().await {
+                Ok(batch) => batch,
+                Err(error) => return error,
+            };
+            // While the lease may have lapsed, another host may lead and start
+            // these jobs. They are seen again later.
+            if !self.host.is_verified() {
+                let reason = "the lease is not proved".to_owned();
+                return Error::Unavailable { reason };
+            }
+            let entries = batch.changes.iter().filter_map(|(_, entry)| entry.clone());
+            self.add_jobs(&Listing { revision: batch.revision, entries: entries.collect() });
+            *next = StoreRevision(batch.revision.0 + 1);
+            self.wake.notify_one();
+            tokio::time::sleep(JOBS_GAP).await;
+        }
+    }
+
+    /// Follows the registrations of workers.
+    pub(super) async fn follow_workers(self: Arc<Self>) {
+        let prefix = self.host.inner.platform.layout().workers.clone();
+        let leader = Arc::clone(&self);
+        follow(&self.host, &prefix, move |seen| match seen {
+            Seen::Listed(listing) => leader.list_workers(&listing),
+            Seen::Changed(batch) => {
+                for (key, entry) in &batch.changes {
+                    match entry {
+                        Some(entry) => leader.see_worker(entry),
+                        None => leader.lose_worker(key),
+                    }
+                }
+            }
+        })
+        .await;
+    }
+
+    fn list_workers(self: &Arc<Self>, listing: &Listing) {
+        let listed: std::collections::HashSet<_> =
+            listing.entries.iter().map(|entry| entry.key.clone()).collect();
+        for entry in &listing.entries {
+            self.see_worker(entry);
+        }
+        let prefix = &self.host.inner.platform.layout().workers;
+        for id in self.flow().worker_ids() {
+            if !listed.contains(&Key(smol_str::format_smolstr!("{prefix}{id}"))) {
+                self.flow().deregister(&id);
+            }
+        }
+    }
+
+    fn lose_worker(self: &Arc<Self>, key: &Key) {
+        let prefix = &self.host.inner.platform.layout().workers;
+        let id = key.0.strip_prefix(prefix.0.as_str()).and_then(|id| id.parse().ok());
+        let Some(id) = id else { return };
+        self.flow().deregister(&id);
+        self.host.record(Code::EndpointGone, [Field::new("worker", &id)]);
+        self.wake.notify_one();
+    }
+
+    fn see_worker(self: &Arc<Self>, entry: &Entry) {
+        let read = self.host.inner.platform.read_worker(&entry.key, &entry.value);
+        let worker = match read {
+            Ok(worker) => worker,
+            Err(error) => {
+                let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
+                self.host.record(Code::ValueUnreadable, fields);
+                return;
+            }
+        };
+        let now = self.host.inner.clock.now();
+        if self.flow().register(&worker, now) {
+            self.lives.notify_one();
+        }
+        if worker.draining {
+            self.host.record(Code::EndpointLeaving, [Field::new("worker", &worker.life.id)]);
+        }
+        self.look_at(worker.life.id.clone());
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/lead/src/leader/mod.rs
@@ -0,0 +1,217 @@
+//! What the leading host does, from taking over to losing the leadership.
+
+mod commit;
+mod lives;
+mod load;
+mod machines;
+mod orders;
+mod workers;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_flow::{Fence, Flow, JobSpec, State};
+use vg_store::StoreRevision;
+
+use crate::host::lock;
+use crate::{Host, Platform};
+
+/// Time for which a leader without proof of its lease goes on with work that
+/// it knows: the store may be away for all.
+pub(crate) const UNVERIFIED_MAX: Duration = Duration::from_secs(6);
+/// Longest time between two rounds of decisions.
+const ROUND: Duration = Duration::from_millis(100);
+/// Shortest time between two rounds of decisions.
+const ROUND_GAP: Duration = Duration::from_millis(4);
+/// Longest time that a planned stop waits for what is being written.
+const HAND_OVER: Duration = Duration::from_millis(600);
+
+/// The leadership of one host.
+#[derive(Debug)]
+pub(crate) struct Leader<P: Platform, C: Clock> {
+    host: Host<P, C>,
+    fence: Fence,
+    flow: Mutex<Flow>,
+    /// Something has changed that may call for decisions.
+    wake: Notify,
+    /// Something has changed that is to be durable.
+    commit: Notify,
+    /// A life has to be recorded.
+    lives: Notify,
+    lost: watch::Sender<bool>,
+    loaded: AtomicBool,
+    /// Workers that are being looked at.
+    watched: Mutex<std::collections::HashSet<HostId>>,
+    tasks: Mutex<JoinSet<()>>,
+    committed: Mutex<commit::Versions>,
+}
+
+/// Leads until the leadership is lost or handed over.
+pub(crate) async fn lead<P: Platform, C: Clock>(host: &Host<P, C>, fence: Fence) {
+    let started = host.inner.clock.now();
+    host.record(Code::LeadershipTaken, [Field::new("fence", fence)]);
+    let Some(content) = host.content() else { return };
+    let rules = host.inner.options.rules.clone();
+    let leader = Arc::new(Leader {
+        host: host.clone(),
+        fence,
+        flow: Mutex::new(Flow::new(rules, fence, content, started)),
+        wake: Notify::new(),
+        commit: Notify::new(),
+        lives: Notify::new(),
+        lost: watch::Sender::new(false),
+        loaded: AtomicBool::new(false),
+        watched: Mutex::default(),
+        tasks: Mutex::new(JoinSet::new()),
+        committed: Mutex::default(),
+    });
+    *lock(&host.inner.leader) = Some(Arc::clone(&leader));
+    host.inner.metrics.set_leading(true);
+    let mut lost = leader.lost.subscribe();
+    tokio::select! {
+        () = leader.run() => {}
+        _ = lost.wait_for(|lost| *lost) => {}
+    }
+    *lock(&host.inner.leader) = None;
+    host.inner.metrics.set_leading(false);
+    lock(&leader.tasks).abort_all();
+    host.record(Code::LeadershipLost, [Field::new("fence", fence)]);
+}
+
+impl<P: Platform, C: Clock> Leader<P, C> {
+    async fn run(self: &Arc<Self>) {
+        let Some(started) = self.load().await else { return };
+        self.spawn(Arc::clone(self).follow_jobs(started.jobs));
+        self.spawn(Arc::clone(self).follow_workers());
+        self.spawn(Arc::clone(self).record_lives(started.lives));
+        self.spawn(Arc::clone(self).commit_changes());
+        self.spawn(Arc::clone(self).follow_machines());
+        self.spawn(Arc::clone(self).keep_shown());
+        self.spawn(Arc::clone(self).follow_content());
+        self.loaded.store(true, Ordering::Relaxed);
+        self.decide().await;
+    }
+
+    /// Decides again and again, as long as the host may act.
+    async fn decide(self: &Arc<Self>) {
+        let host = &self.host;
+        loop {
+            let woken = self.wake.notified();
+            if host.unverified_for() > UNVERIFIED_MAX {
+                host.record(Code::LeadershipDoubtful, [Field::new("fence", self.fence)]);
+                return;
+            }
+            let actions = self.flow().plan(host.inner.clock.now(), host.inner.clock.wall());
+            for action in actions {
+                self.carry_out(action);
+            }
+            if self.flow().has_changes() {
+                self.commit.notify_one();
+            }
+            tokio::time::sleep(ROUND_GAP).await;
+            let _ = tokio::time::timeout(ROUND, woken).await;
+        }
+    }
+
+    /// Shows again who leads if the key's lease has lapsed, and ends the
+    /// leadership if another host has taken it.
+    async fn keep_shown(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(self.host.inner.options.renewal_period()).await;
+            let shown = lock(&self.host.inner.members).leader.clone();
+            match shown {
+                Some((leader, _)) if leader.nonce == self.host.inner.nonce => {}
+                _ => match self.host.show_leader(self.fence).await {
+                    Ok(true) => {}
+                    Ok(false) => self.lose("another host has taken over"),
+                    Err(error) => log::debug!(target: "store", "leader not shown: {error}"),
+                },
+            }
+        }
+    }
+
+    async fn follow_content(self: Arc<Self>) {
+        let mut content = self.host.inner.content.subscribe();
+        let mut waves = self.host.inner.waves.subscribe();
+        loop {
+            if let Some(content) = content.borrow_and_update().clone() {
+                self.flow().set_content(content);
+            }
+            self.add_waves(&waves.borrow_and_update().clone());
+            self.wake.notify_one();
+            let changed = tokio::select! {
+                changed = content.changed() => changed,
+                changed = waves.changed() => changed,
+            };
+            if changed.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn flow(&self) -> MutexGuard<'_, Flow> {
+        lock(&self.flow)
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        lock(&self.tasks).spawn(task);
+    }
+
+    /// Ends the leadership.
+    fn lose(&self, reason: &str) {
+        let first = !self.lost.send_replace(true);
+        if first {
+            let fields = [Field::new("fence", self.fence), Field::new("reason", reason)];
+            self.host.record(Code::LeadershipDoubtful, fields);
+        }
+    }
+
+    /// Waits a little for what is being written, then ends the leadership.
+    pub(crate) async fn hand_over(&self) {
+        self.commit.notify_one();
+        let clock = &self.host.inner.clock;
+        let until = clock.now() + HAND_OVER;
+        while clock.now() < until && self.flow().has_changes() && !*self.lost.borrow() {
+            tokio::time::sleep(ROUND_GAP * 5).await;
+        }
+        self.lose("planned stop");
+    }
+
+    /// Takes a job that a host has made durable.
+    pub(crate) fn take_job(&self, job: JobId, spec: Arc<JobSpec>, revision: u64) {
+        // While the lease may have lapsed, another host may lead and start it.
+        if !self.is_loaded() || !self.host.is_verified() {
+            return;
+        }
+        if self.host.known_end(job).is_none() && self.flow().add(job, spec, revision) {
+            lock(&self.committed).jobs.insert(job, StoreRevision(revision as i64));
+            self.wake.notify_one();
+        }
+    }
+
+    /// Takes a cancellation that a host has made durable.
+    pub(crate) fn take_cancel(&self, job: JobId) {
+        let now = self.host.inner.clock.now();
+        self.flow().cancel(job, now);
+        self.wake.notify_one();
+    }
+
+    /// Returns the state of a job in memory, and its team.
+    pub(crate) fn state(&self, job: JobId) -> Option<(State, Option<TeamId>)> {
+        let flow = self.flow();
+        Some((flow.state(job)?, flow.team(job)?))
+    }
+
+    /// Returns the number of a queue's jobs that have not begun.
+    pub(crate) fn pending(&self, queue: &QueueId) -> Option<usize> {
+        self.is_loaded().then(|| self.flow().pending(queue))
+    }
+
+    fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/lead/src/leader/orders.rs
@@ -0,0 +1,123 @@
+//! Orders to workers, machines and the adviser.
+
+use std::sync::Arc;
+
+use vg_base::prelude::*;
+use vg_events::{Code, Field};
+use vg_flow::{Action, Life, MachineAnswer, MachineOrder, Refused, Run, Start, StartAnswer, StepId, TaskId};
+
+use super::Leader;
+use crate::{Platform, StopAnswer};
+
+/// Time for the adviser to answer, beside its own time for each worker.
+const ADVICE_LIMIT: Duration = Duration::from_millis(1500);
+
+impl<P: Platform, C: Clock> Leader<P, C> {
+    pub(super) fn carry_out(self: &Arc<Self>, action: Action) {
+        let leader = Arc::clone(self);
+        match action {
+            Action::Start(start) => self.spawn(leader.start(start)),
+            Action::Stop { life, task, run, reason } => {
+                let fields = [
+                    Field::new("task", task),
+                    Field::new("run", run),
+                    Field::new("worker", &life.id),
+                    Field::new("reason", reason),
+                ];
+                self.host.record(Code::TaskStopped, fields);
+                self.spawn(leader.stop(life, task, run));
+            }
+            Action::Pace { life, task, run, percent } => {
+                self.spawn(leader.pace(life, task, run, percent));
+            }
+            Action::Ask { step, workers } => self.spawn(leader.ask_adviser(step, workers)),
+            Action::Machine(order) => self.spawn(leader.order_machine(order)),
+        }
+    }
+
+    async fn start(self: Arc<Self>, start: Start) {
+        let answer = self.host.inner.platform.start(&start, self.fence).await;
+        let now = self.host.inner.clock.now();
+        let fields = [
+            Field::new("task", start.task),
+            Field::new("run", start.run),
+            Field::new("worker", &start.life.id),
+            Field::new("answer", answer),
+        ];
+        self.host.record(Code::TaskStarted, fields);
+        self.host.inner.metrics.ordered(match answer {
+            StartAnswer::Started => "started",
+            StartAnswer::Refused(_) => "refused",
+            StartAnswer::NotSent => "not-sent",
+            StartAnswer::Unanswered => "unanswered",
+        });
+        if answer == StartAnswer::Refused(Refused::Fence) {
+            self.lose("a worker has seen a higher fence");
+            return;
+        }
+        self.flow().start_answered(start.task, start.run, answer, now);
+        if answer != StartAnswer::Started {
+            self.wake.notify_one();
+        }
+    }
+
+    async fn stop(self: Arc<Self>, life: Life, task: TaskId, run: Run) {
+        let answer = self.host.inner.platform.stop(&life, task, run, self.fence).await;
+        match answer {
+            StopAnswer::Taken => {
+                let now = self.host.inner.clock.now();
+                self.flow().stop_answered(task, run, now);
+            }
+            StopAnswer::Fenced => self.lose("a worker has seen a higher fence"),
+            StopAnswer::Refused | StopAnswer::Unanswered => {
+                log::debug!(target: "orders", "stop of {task} at {life}: {answer}");
+            }
+        }
+    }
+
+    async fn pace(self: Arc<Self>, life: Life, task: TaskId, run: Run, percent: u8) {
+        let answer = self.host.inner.platform.pace(&life, task, run, percent, self.fence).await;
+        let fields = [
+            Field::new("task", task),
+            Field::new("run", run),
+            Field::new("worker", &life.id),
+            Field::new("percent", percent),
+            Field::new("answer", answer),
+        ];
+        self.host.record(Code::TaskPaced, fields);
+        match answer {
+            StopAnswer::Taken => {}
+            StopAnswer::Fenced => self.lose("a worker has seen a higher fence"),
+            StopAnswer::Refused | StopAnswer::Unanswered => self.flow().pace_lost(task, run),
+        }
+    }
+
+    async fn ask_adviser(self: Arc<Self>, step: StepId, workers: Vec<HostId>) {
+        let advised = self.host.inner.platform.advise(step, &workers, ADVICE_LIMIT).await;
+        let now = self.host.inner.clock.now();
+        let good = advised.as_ref().map(|advised| advised.good.as_slice());
+        let valid = advised.as_ref().map(|advised| advised.valid).unwrap_or_default();
+        let fields = [
+            Field::new("step", step),
+            Field::new("asked", workers.len()),
+            Field::new("good", good.map_or(-1, |good| good.len() as i64)),
+        ];
+        self.host.record(Code::StepAdvised, fields);
+        self.flow().advised(step, &workers, good, valid, now);
+        self.wake.notify_one();
+    }
+
+    async fn order_machine(self: Arc<Self>, order: MachineOrder) {
+        let host = &self.host;
+        // Two holders must not take turns: only one whose lease is proved.
+        let answer = if host.is_verified() {
+            host.inner.platform.order(&order, &host.inner.options.node, self.fence).await
+        } else {
+            MachineAnswer::Limited
+        };
+        let now = host.inner.clock.now();
+        host.record(Code::MachineOrdered, [Field::new("order", &order), Field::new("answer", answer)]);
+        self.flow().machine_answered(&order, answer, now);
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/lead/src/metrics.rs
@@ -0,0 +1,94 @@
+//! Counters and latency histograms of one host.
+
+use prometheus::{
+    Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+use vg_base::prelude::*;
+use vg_flow::Counts;
+
+/// Upper bounds of the latency histograms in seconds.
+const BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
+
+/// Counters and latency histograms of one host; clones are the same ones.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    submissions: IntCounterVec,
+    answers: IntCounterVec,
+    latency: HistogramVec,
+    orders: IntCounterVec,
+    commits: IntCounterVec,
+    leading: IntGauge,
+    flow: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    pub(crate) fn new() -> Result<Metrics, Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, Error>(counter)
+        };
+        let submissions =
+            counter("vg_submissions_total", "Jobs handed in, by outcome.", "outcome")?;
+        let answers = counter("vg_answers_total", "Answers to callers, by status.", "status")?;
+        let orders = counter("vg_orders_total", "Orders to workers, by answer.", "answer")?;
+        let commits = counter("vg_commits_total", "Commits of the leader, by outcome.", "outcome")?;
+        let options = HistogramOpts::new("vg_call_seconds", "Time to answer callers, by call.");
+        let latency = HistogramVec::new(options.buckets(BOUNDS.to_vec()), &["call"])?;
+        registry.register(Box::new(latency.clone()))?;
+        let leading = IntGauge::new("vg_leading", "1 while this host leads.")?;
+        registry.register(Box::new(leading.clone()))?;
+        let flow = IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
+        registry.register(Box::new(flow.clone()))?;
+        Ok(Metrics { registry, submissions, answers, latency, orders, commits, leading, flow })
+    }
+
+    pub(crate) fn submitted(&self, outcome: &str) {
+        self.submissions.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, call: &str, status: &str, took: Duration) {
+        self.answers.with_label_values(&[status]).inc();
+        self.latency.with_label_values(&[call]).observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn ordered(&self, answer: &str) {
+        self.orders.with_label_values(&[answer]).inc();
+    }
+
+    pub(crate) fn committed(&self, outcome: &str) {
+        self.commits.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn set_leading(&self, leading: bool) {
+        self.leading.set(leading.into());
+    }
+
+    pub(crate) fn set_flow(&self, counts: Counts) {
+        let set = |what: &str, value: i64| self.flow.with_label_values(&[what]).set(value);
+        set("jobs", counts.jobs as i64);
+        set("runs", counts.runs as i64);
+        set("workers", counts.workers as i64);
+        set("starts", counts.starts as i64);
+        set("no_room", counts.no_room as i64);
+        set("done", counts.done as i64);
+        set("failed", counts.failed as i64);
+        set("lost", counts.lost as i64);
+        set("unsure", counts.unsure as i64);
+        set("stops", counts.stops as i64);
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(target: "metrics", "the metrics can't be written: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/lead/src/peers.rs
@@ -0,0 +1,56 @@
+//! Calls to peers.
+
+use std::net::SocketAddr;
+
+use rand::seq::SliceRandom;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use vg_base::prelude::*;
+
+use crate::host::lock;
+use crate::mark::Mark;
+use crate::{Host, Platform};
+
+/// Time for a peer to answer.
+pub(crate) const PEER_LIMIT: Duration = Duration::from_millis(700);
+/// Longest message of a peer.
+pub(crate) const PEER_BYTES: usize = 2 * 1024 * 1024;
+
+impl<P: Platform, C: Clock> Host<P, C> {
+    /// Sends a message to a peer and reads its answer.
+    pub(crate) async fn ask_peer<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        name: &str,
+        message: &Q,
+    ) -> Result<A, vg_net::Error> {
+        let url = format!("http://{addr}/{name}");
+        let answer = self.inner.peers.exchange(&url, message, PEER_LIMIT, PEER_BYTES).await;
+        if answer.is_ok() {
+            lock(&self.inner.members).note_answer(Mark::now(&self.inner.clock));
+        }
+        answer
+    }
+
+    /// Returns the leader's address if another host leads.
+    pub(crate) fn leader_addr(&self) -> Option<SocketAddr> {
+        let members = lock(&self.inner.members);
+        let (leader, _) = members.leader.as_ref()?;
+        (leader.nonce != self.inner.nonce).then_some(leader.control)
+    }
+
+    /// Returns up to `most` peers, the leader first, others in random order.
+    pub(crate) fn some_peers(&self, most: usize) -> Vec<SocketAddr> {
+        let mut peers = lock(&self.inner.members).others(self.inner.options.control);
+        if let Some(leader) = self.leader_addr()
+            && let Some(at) = peers.iter().position(|&each| each == leader)
+        {
+            peers.swap(0, at);
+            peers[1..].shuffle(&mut rand::rng());
+        } else {
+            peers.shuffle(&mut rand::rng());
+        }
+        peers.truncate(most);
+        peers
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,4 +18,4 @@
 pub use error::Error;
 pub use gate::Gate;
 pub use limits::Limits;
-pub use server::{Server, ServerHandle};
+pub use server::{Server, ServerHandle, Service, ServiceError};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -7,7 +7,7 @@
 use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
-use http::Request;
+use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,6 +19,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::JoinHandle;
 
+use crate::Body;
 use crate::error::{BindSnafu, Error};
 use crate::gate::Gate;
 use crate::limits::Limits;
@@ -65,13 +66,58 @@
     /// Starts serving with `handler` (usually a `gotham` router) in tasks of
     /// the current runtime.
     pub fn start<H: NewHandler + 'static>(self, handler: H) -> ServerHandle {
+        self.serve(Routed(Arc::new(handler)))
+    }
+
+    /// Starts serving with a service of its own, without a router, in tasks of
+    /// the current runtime.
+    pub fn serve<S: Service>(self, service: S) -> ServerHandle {
         let (stop, stopped) = watch::channel(false);
         let addr = self.addr;
-        let task = tokio::spawn(accept_loop(self, Arc::new(handler), stopped));
+        let task = tokio::spawn(accept_loop(self, Arc::new(service), stopped));
         ServerHandle { addr, stop, task }
     }
 }
 
+/// Answers requests; used where paths are not known before they come.
+pub trait Service: Send + Sync + 'static {
+    /// Answers one request of a client. An error closes the connection.
+    fn call(
+        &self,
+        request: Request<Incoming>,
+        client: SocketAddr,
+    ) -> impl Future<Output = Result<Response<Body>, ServiceError>> + Send;
+}
+
+/// Why a service gives no answer at all.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(display("no answer: {reason}"))]
+pub struct ServiceError {
+    reason: String,
+}
+
+impl ServiceError {
+    /// Makes an error from its cause.
+    pub fn new(cause: impl std::fmt::Display) -> ServiceError {
+        ServiceError { reason: cause.to_string() }
+    }
+}
+
+/// A `gotham` handler as a service.
+struct Routed<H>(Arc<H>);
+
+impl<H: NewHandler + 'static> Service for Routed<H> {
+    async fn call(
+        &self,
+        request: Request<Incoming>,
+        client: SocketAddr,
+    ) -> Result<Response<Body>, ServiceError> {
+        let state = State::from_request(request, client);
+        let answer = call_handler(Arc::clone(&self.0), AssertUnwindSafe(state)).await;
+        answer.map_err(ServiceError::new)
+    }
+}
+
 /// A server that runs until it is stopped or dropped.
 #[derive(Debug)]
 pub struct ServerHandle {
@@ -113,9 +159,9 @@
     }
 }
 
-async fn accept_loop<H: NewHandler + 'static>(
+async fn accept_loop<S: Service>(
     server: Server,
-    handler: Arc<H>,
+    service: Arc<S>,
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
@@ -148,7 +194,7 @@
         connections.spawn(serve(
             socket,
             client,
-            Arc::clone(&handler),
+            Arc::clone(&service),
             server.limits,
             watcher,
             permit,
@@ -165,17 +211,17 @@
     let _ = socket.shutdown().await;
 }
 
-async fn serve<H: NewHandler + 'static>(
+async fn serve<S: Service>(
     socket: TcpStream,
     client: SocketAddr,
-    handler: Arc<H>,
+    service: Arc<S>,
     limits: Limits,
     watcher: hyper_util::server::graceful::Watcher,
     _permit: OwnedSemaphorePermit,
 ) {
     let service = service_fn(move |request: Request<Incoming>| {
-        let state = State::from_request(request, client);
-        call_handler(Arc::clone(&handler), AssertUnwindSafe(state))
+        let service = Arc::clone(&service);
+        async move { service.call(request, client).await }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
