flow, lead: no lease for silent workers, proved outages, fewer lives in doubt

Looks at a silent worker asked for a new lease each time, so that its lease never ended here; a machine whose maintenance an earlier leader had ordered was taken for ended though a new life with runs was on it. Ruled out: room (half of the pool was free), quota. Change: looks at silent workers renew nothing; lives whose lease has ended leave the record; a leader without proof of its lease goes on only while peers prove that the store is away for all; ends that are not durable are not read in a loop.

--- a/crates/flow/src/flow.rs
+++ b/crates/flow/src/flow.rs
@@ -37,6 +37,7 @@
     pub(crate) doubt: Doubt,
     pub(crate) dirty: Vec<JobKey>,
     pub(crate) urgent: bool,
+    pub(crate) lives_changed: bool,
     pub(crate) machines: Machines,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
@@ -98,6 +99,7 @@
             used: HashMap::new(),
             dirty: Vec::new(),
             urgent: false,
+            lives_changed: false,
             actions: Vec::new(),
             counts: Counts::default(),
         }
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -29,6 +29,8 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(700);
 /// Time after which an order without an answer is sent again.
 const ORDER_LOST: Duration = Duration::from_secs(2);
+/// Most by which clocks of workers and hosts differ.
+const CLOCKS_MARGIN: Duration = Duration::from_secs(1);
 /// Time after an order was carried out at which the worker's silence shows.
 const LEAVING_TIME: Duration = Duration::from_millis(1500);
 
@@ -124,6 +126,8 @@
 pub(crate) struct WaveRun {
     pub(crate) wave: Wave,
     pub(crate) seen: SystemTime,
+    /// A life that was born before then has not had its maintenance yet.
+    pub(crate) unknown_from: SystemTime,
     pub(crate) due: Instant,
     pub(crate) done: BTreeSet<SmolStr>,
     /// Machines that are down for it, and until when.
@@ -188,7 +192,15 @@
 
 impl Flow {
     /// Takes a wave that operators ask for, or what is known of it from before.
-    pub fn add_wave(&mut self, wave: Wave, record: Option<&WaveRecord>, now: Instant, wall: SystemTime) {
+    /// `old` tells that the wave was there before this leader.
+    pub fn add_wave(
+        &mut self,
+        wave: Wave,
+        record: Option<&WaveRecord>,
+        old: bool,
+        now: Instant,
+        wall: SystemTime,
+    ) {
         if self.machines.waves.contains_key(&wave.number) {
             return;
         }
@@ -196,6 +208,10 @@
         let due = seen + wave.within;
         let run = WaveRun {
             due: now + due.duration_since(wall).unwrap_or_default(),
+            unknown_from: match record {
+                None if old => SystemTime::UNIX_EPOCH,
+                _ => seen - CLOCKS_MARGIN,
+            },
             seen,
             done: record.map(|record| record.done.clone()).unwrap_or_default(),
             down: HashMap::new(),
@@ -401,7 +417,7 @@
         let machine = order.machine().clone();
         match answer {
             MachineAnswer::Done => {
-                if sent.is_some() {
+                if sent.is_some() && self.is_first_order(order) {
                     self.leave(&machine, now);
                 }
                 match order {
@@ -431,6 +447,15 @@
         }
     }
 
+    /// Whether an order that was carried out was not carried out before: it
+    /// then has ended the worker that is known here.
+    fn is_first_order(&self, order: &MachineOrder) -> bool {
+        let MachineOrder::Maintain { machine, wave } = order else { return true };
+        let born = self.worker_on(machine).map(|key| self.workers[key].life.born);
+        let born = SystemTime::UNIX_EPOCH + Duration::from_millis(born.unwrap_or(u64::MAX / 2));
+        self.machines.waves.get(wave).is_some_and(|run| born < run.unknown_from)
+    }
+
     fn maintained(&mut self, wave: u64, machine: &SmolStr, now: Instant) {
         let until = now + self.rules.maintain_time + DOWN_MARGIN;
         let Some(run) = self.machines.waves.get_mut(&wave) else { return };
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -20,6 +20,9 @@
     pub seen: u64,
     /// Whether it runs anything.
     pub busy: bool,
+    /// Number of the last end that it listed. It lists ends again until they
+    /// are durable.
+    pub read: u64,
 }
 
 impl Flow {
@@ -58,12 +61,19 @@
     }
 
     /// Returns the lives that may have been given work, to be recorded.
-    pub fn lives(&self) -> Vec<Life> {
-        let mut lives: Vec<_> = self.workers.values().map(|worker| worker.life.clone()).collect();
+    pub fn lives(&self, now: Instant) -> Vec<Life> {
+        let may_run = |worker: &&Worker| worker.silent.is_none() || now <= worker.lease_end;
+        let mut lives: Vec<_> =
+            self.workers.values().filter(may_run).map(|worker| worker.life.clone()).collect();
         lives.extend(self.doubt_lives());
         lives
     }
 
+    /// Whether the record of lives has to be written again.
+    pub fn take_lives_changed(&mut self) -> bool {
+        std::mem::take(&mut self.lives_changed)
+    }
+
     /// Notes that these lives are recorded and can be given work.
     pub fn recorded(&mut self, lives: &[Life]) {
         for life in lives {
@@ -87,7 +97,10 @@
         let bound = self.rules.lease_bound();
         let lease = self.rules.lease.as_millis() as u64;
         let worker = &mut self.workers[key];
-        let deadline = worker.clock.map(|clock| clock.reading(now) + lease);
+        // A look that fails may still renew the lease: what runs there would
+        // count for ever if each one asked for that.
+        let clock = worker.clock.filter(|_| worker.silent.is_none());
+        let deadline = clock.map(|clock| clock.reading(now) + lease);
         if deadline.is_some() {
             worker.lease_end = worker.lease_end.max(now + bound);
         }
@@ -97,6 +110,7 @@
             deadline,
             seen: worker.seen,
             busy: !worker.runs.is_empty(),
+            read: worker.read,
         })
     }
 
@@ -143,6 +157,12 @@
         for key in keys {
             let worker = &self.workers[key];
             let over = worker.silent.is_some() && now > worker.lease_end;
+            if over && worker.recorded {
+                // It is recorded again before it gets work again.
+                self.workers[key].recorded = false;
+                self.lives_changed = true;
+            }
+            let worker = &self.workers[key];
             if over && !worker.runs.is_empty() {
                 for run in worker.runs.clone() {
                     self.counts.lost += 1;
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -177,8 +177,13 @@
 
     /// Whether the store answered lately.
     pub(crate) fn hears_store(&self) -> bool {
+        self.store_silence() < STORE_FRESH
+    }
+
+    /// Returns the time since the store last answered.
+    pub(crate) fn store_silence(&self) -> Duration {
         let heard = *lock(&self.inner.store_heard);
-        heard.is_some_and(|mark| mark.age(&self.inner.clock) < STORE_FRESH)
+        heard.map_or(Duration::MAX, |mark| mark.age(&self.inner.clock))
     }
 
     /// Whether a peer answered lately.
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -15,7 +15,7 @@
 use crate::keys::{self, EndValue, TERM};
 
 /// Time in which changes gather that no caller waits for.
-const GATHER: Duration = Duration::from_millis(160);
+const GATHER: Duration = Duration::from_millis(50);
 /// Time in which changes gather that a caller waits for.
 const GATHER_URGENT: Duration = Duration::from_millis(8);
 /// Pause before a commit is tried again.
@@ -63,6 +63,7 @@
                 self.write_part(part, &mut lease).await;
             }
             self.flow().swept(&sweep);
+            self.swept.notify_waiters();
             let counts = self.flow().counts();
             self.host.inner.metrics.set_flow(counts);
             self.wake.notify_one();
--- a/crates/lead/src/leader/lives.rs
+++ b/crates/lead/src/leader/lives.rs
@@ -25,7 +25,7 @@
         loop {
             self.lives.notified().await;
             tokio::time::sleep(GATHER).await;
-            let lives = self.flow().lives();
+            let lives = self.flow().lives(self.host.inner.clock.now());
             self.write_lives(&lives, &mut revision).await;
             self.flow().recorded(&lives);
             self.wake.notify_one();
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -137,7 +137,7 @@
         lock(&self.committed).waves =
             (entry.map(|entry| entry.modified), records.unwrap_or_default());
         let waves = self.host.inner.waves.borrow().clone();
-        self.add_waves(&waves);
+        self.add_waves(&waves, true);
     }
 
     /// Follows jobs and cancellations in the store.
--- a/crates/lead/src/leader/machines.rs
+++ b/crates/lead/src/leader/machines.rs
@@ -19,13 +19,13 @@
 const LOOK: Duration = Duration::from_millis(250);
 
 impl<P: Platform, C: Clock> Leader<P, C> {
-    pub(super) fn add_waves(&self, waves: &BTreeMap<u64, Wave>) {
+    pub(super) fn add_waves(&self, waves: &BTreeMap<u64, Wave>, old: bool) {
         let records = lock(&self.committed).waves.1.clone();
         let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
         let mut flow = self.flow();
         for wave in waves.values() {
             let record = records.iter().find(|record| record.number == wave.number);
-            flow.add_wave(wave.clone(), record, now, wall);
+            flow.add_wave(wave.clone(), record, old, now, wall);
         }
     }
 
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -18,11 +18,16 @@
 use vg_store::StoreRevision;
 
 use crate::host::lock;
+use crate::mark::Mark;
 use crate::{Host, Platform};
 
 /// Time for which a leader without proof of its lease goes on with work that
-/// it knows: the store may be away for all.
-pub(crate) const UNVERIFIED_MAX: Duration = Duration::from_secs(6);
+/// it knows, unless peers say that the store is away for them too.
+pub(crate) const UNVERIFIED_MAX: Duration = Duration::from_millis(1500);
+/// Age of what peers said of the store from which it counts no more.
+const OUTAGE_FRESH: Duration = Duration::from_millis(1200);
+/// Time between two questions to peers about the store.
+const OUTAGE_ASK: Duration = Duration::from_millis(300);
 /// Longest time between two rounds of decisions.
 const ROUND: Duration = Duration::from_millis(100);
 /// Shortest time between two rounds of decisions.
@@ -40,10 +45,14 @@
     wake: Notify,
     /// Something has changed that is to be durable.
     commit: Notify,
+    /// Changes have become durable.
+    swept: Notify,
     /// A life has to be recorded.
     lives: Notify,
     lost: watch::Sender<bool>,
     loaded: AtomicBool,
+    /// When peers last said that the store is away for all of them.
+    outage: Mutex<Option<Mark>>,
     /// Workers that are being looked at.
     watched: Mutex<std::collections::HashSet<HostId>>,
     tasks: Mutex<JoinSet<()>>,
@@ -62,9 +71,11 @@
         flow: Mutex::new(Flow::new(rules, fence, content, started)),
         wake: Notify::new(),
         commit: Notify::new(),
+        swept: Notify::new(),
         lives: Notify::new(),
         lost: watch::Sender::new(false),
         loaded: AtomicBool::new(false),
+        outage: Mutex::default(),
         watched: Mutex::default(),
         tasks: Mutex::new(JoinSet::new()),
         committed: Mutex::default(),
@@ -91,6 +102,7 @@
         self.spawn(Arc::clone(self).commit_changes());
         self.spawn(Arc::clone(self).follow_machines());
         self.spawn(Arc::clone(self).keep_shown());
+        self.spawn(Arc::clone(self).follow_outage());
         self.spawn(Arc::clone(self).follow_content());
         self.loaded.store(true, Ordering::Relaxed);
         self.decide().await;
@@ -101,7 +113,7 @@
         let host = &self.host;
         loop {
             let woken = self.wake.notified();
-            if host.unverified_for() > UNVERIFIED_MAX {
+            if host.unverified_for() > UNVERIFIED_MAX && !self.is_outage() {
                 host.record(Code::LeadershipDoubtful, [Field::new("fence", self.fence)]);
                 return;
             }
@@ -112,6 +124,9 @@
             if self.flow().has_changes() {
                 self.commit.notify_one();
             }
+            if self.flow().take_lives_changed() {
+                self.lives.notify_one();
+            }
             tokio::time::sleep(ROUND_GAP).await;
             let _ = tokio::time::timeout(ROUND, woken).await;
         }
@@ -134,6 +149,29 @@
         }
     }
 
+    /// Whether peers say that the store is away for all of them.
+    ///
+    /// No other host can lead then, and this one goes on with what it knows.
+    fn is_outage(&self) -> bool {
+        let said = *lock(&self.outage);
+        said.is_some_and(|mark| mark.age(&self.host.inner.clock) < OUTAGE_FRESH)
+    }
+
+    /// Asks peers about the store while its answers are missing.
+    async fn follow_outage(self: Arc<Self>) {
+        let lease = self.host.inner.options.lease();
+        loop {
+            tokio::time::sleep(OUTAGE_ASK).await;
+            if self.host.unverified_for_lease(lease / 2).is_zero() {
+                continue;
+            }
+            let asked = Mark::now(&self.host.inner.clock);
+            if self.host.peers_lost_store().await {
+                *lock(&self.outage) = Some(asked);
+            }
+        }
+    }
+
     async fn follow_content(self: Arc<Self>) {
         let mut content = self.host.inner.content.subscribe();
         let mut waves = self.host.inner.waves.subscribe();
@@ -141,7 +179,7 @@
             if let Some(content) = content.borrow_and_update().clone() {
                 self.flow().set_content(content);
             }
-            self.add_waves(&waves.borrow_and_update().clone());
+            self.add_waves(&waves.borrow_and_update().clone(), false);
             self.wake.notify_one();
             let changed = tokio::select! {
                 changed = content.changed() => changed,
--- a/crates/lead/src/leader/workers.rs
+++ b/crates/lead/src/leader/workers.rs
@@ -16,6 +16,8 @@
 const WAIT_IDLE: Duration = Duration::from_millis(1500);
 /// Time between two looks, in which ends gather.
 const GAP: Duration = Duration::from_millis(15);
+/// Longest time that a look waits for ends to be durable.
+const SETTLE: Duration = Duration::from_millis(100);
 /// Pause after a look without an answer.
 const RETRY: Duration = Duration::from_millis(200);
 
@@ -31,8 +33,15 @@
         let mut known = false;
         let mut silent = false;
         loop {
-            let sent = self.host.inner.clock.now();
-            let Some(renewal) = self.flow().renewal(&id, sent) else { break };
+            let mut sent = self.host.inner.clock.now();
+            let Some(mut renewal) = self.flow().renewal(&id, sent) else { break };
+            if known && renewal.read > renewal.seen {
+                // The worker would list the same ends again at once.
+                let _ = tokio::time::timeout(SETTLE, self.swept.notified()).await;
+                sent = self.host.inner.clock.now();
+                let Some(again) = self.flow().renewal(&id, sent) else { break };
+                renewal = again;
+            }
             let wait = match (known, renewal.busy) {
                 (false, _) => Duration::ZERO,
                 (true, true) => WAIT_BUSY,
@@ -46,7 +55,7 @@
                     if std::mem::take(&mut silent) {
                         self.host.record(Code::EndpointRestored, [Field::new("worker", &id)]);
                     }
-                    self.log_ends(&id, &report.ended, renewal.seen);
+                    self.log_ends(&id, &report.ended, renewal.read);
                     if self.flow().observe(&id, &report, sent, now) {
                         self.lives.notify_one();
                     }
@@ -72,8 +81,8 @@
         lock(&self.watched).remove(&id);
     }
 
-    fn log_ends(&self, id: &HostId, ended: &[vg_flow::EndRow], seen: u64) {
-        for row in ended.iter().filter(|row| row.number > seen) {
+    fn log_ends(&self, id: &HostId, ended: &[vg_flow::EndRow], read: u64) {
+        for row in ended.iter().filter(|row| row.number > read) {
             let code = if row.how == How::Done { Code::TaskDone } else { Code::TaskEnded };
             let fields = [
                 Field::new("task", row.task),
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -96,6 +96,16 @@
     pub(crate) value: Option<bytes::Bytes>,
 }
 
+/// Asks when the store last answered a host.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct StoreQuery {}
+
+/// Time since the store last answered.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct StoreAnswer {
+    pub(crate) silent_for: Duration,
+}
+
 /// Nothing to say but that it was taken.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Taken {}
--- a/crates/lead/src/peers.rs
+++ b/crates/lead/src/peers.rs
@@ -9,10 +9,13 @@
 
 use crate::host::lock;
 use crate::mark::Mark;
+use crate::messages::{StoreAnswer, StoreQuery};
 use crate::{Host, Platform};
 
 /// Time for a peer to answer.
 pub(crate) const PEER_LIMIT: Duration = Duration::from_millis(700);
+/// Silence of the store after which it counts as away.
+const STORE_AWAY: Duration = Duration::from_millis(1500);
 /// Longest message of a peer.
 pub(crate) const PEER_BYTES: usize = 2 * 1024 * 1024;
 
@@ -32,6 +35,15 @@
         answer
     }
 
+    /// Whether some peers answer and all of those have lost the store.
+    pub(crate) async fn peers_lost_store(&self) -> bool {
+        let peers = self.some_peers(usize::MAX);
+        let asked = peers.iter().map(|&addr| self.ask_peer(addr, "store", &StoreQuery {}));
+        let answers: Vec<Result<StoreAnswer, _>> = futures_util::future::join_all(asked).await;
+        let mut heard = answers.into_iter().flatten().peekable();
+        heard.peek().is_some() && heard.all(|answer| answer.silent_for > STORE_AWAY)
+    }
+
     /// Returns the leader's address if another host leads.
     pub(crate) fn leader_addr(&self) -> Option<SocketAddr> {
         let members = lock(&self.inner.members);
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -12,7 +12,8 @@
 
 use crate::host::lock;
 use crate::messages::{
-    Cancelled, ContentAnswer, ContentQuery, CountAnswer, CountQuery, Handed, Query, Relay, Taken,
+    Cancelled, ContentAnswer, ContentQuery, CountAnswer, CountQuery, Handed, Query, Relay, StoreAnswer,
+    StoreQuery, Taken,
 };
 use crate::peers::{PEER_BYTES, PEER_LIMIT};
 use crate::{Host, Platform};
@@ -92,6 +93,10 @@
                 let message: ContentQuery = decode(bytes)?;
                 encode(&self.newer_content(message.version))
             }
+            "store" => {
+                let _: StoreQuery = decode(bytes)?;
+                encode(&StoreAnswer { silent_for: self.store_silence() })
+            }
             _ => Err(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/lead/src/session.rs
+++ b/crates/lead/src/session.rs
@@ -108,9 +108,14 @@
 
     /// Returns for how long the lease may have lapsed.
     pub(crate) fn unverified_for(&self) -> Duration {
+        self.unverified_for_lease(self.inner.options.lease())
+    }
+
+    /// Returns for how long a lease of `lease` would have lapsed.
+    pub(crate) fn unverified_for_lease(&self, lease: Duration) -> Duration {
         let verified = *lock(&self.inner.verified);
         let age = verified.map_or(Duration::MAX, |mark| mark.age(&self.inner.clock));
-        age.saturating_sub(self.inner.options.lease())
+        age.saturating_sub(lease)
     }
 
     /// Returns the leadership if nobody has it, or an earlier start of this
