lead, flow: conflicts settled by reading, worker clocks from the answer, no revived jobs

(1) A refused transaction names only some keys; a cancelled job in the same transaction made the others pass for written. (2) A worker's clock was taken as read when the look was sent, though a look waits up to 700 ms: leases ended later than counted. (3) A watch that lags showed jobs that had ended since, and they were added anew.

--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -34,7 +34,7 @@
         worker.heard = true;
         worker.silent = None;
         worker.answered = Some(now);
-        worker.clock = Some(WorkerClock { millis: report.clock, at: sent });
+        worker.clock = Some(WorkerClock { millis: report.clock, at: now });
         let recorded = worker.recorded;
         for row in &report.ended {
             self.take_end(key, row, now);
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -48,7 +48,8 @@
 pub(crate) struct WorkerClock {
     /// Its reading in milliseconds.
     pub(crate) millis: u64,
-    /// When the call that brought it was sent: the true reading is not less.
+    /// When the answer that brought it came: the true reading then was not
+    /// less. A look waits at the worker before the clock is read.
     pub(crate) at: Instant,
 }
 
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -7,7 +7,7 @@
 use vg_events::{Code, Field};
 use vg_flow::{Final, Record, RecordKind, WaveRecord};
 use vg_net::to_msgpack;
-use vg_store::{Entry, Error, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Entry, Error, Key, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
@@ -184,54 +184,81 @@
         }
     }
 
-    /// Finds out why a transaction met a conflict: it had taken effect before,
-    /// a job was cancelled meanwhile, or another host leads.
+    /// Finds out why a transaction met a conflict: a job was cancelled
+    /// meanwhile, the transaction had taken effect before, or another host
+    /// leads.
     async fn settle(&self, part: &mut Part<'_>, found: &[Entry]) {
-        let find = |key: &vg_store::Key| found.iter().find(|entry| entry.key == *key);
-        let term = find(&TERM.into());
-        if term.is_none_or(|term| term.modified.0 as u64 != self.fence.0) {
+        if let Some(term) = found.iter().find(|entry| entry.key.0 == TERM)
+            && term.modified.0 as u64 != self.fence.0
+        {
             self.lose("the term has changed");
             // The task ends with the leadership.
             std::future::pending::<()>().await;
         }
-        let applied = part.records.iter().any(|record| match &record.kind {
-            RecordKind::Progress(value) => {
-                let entry = find(&keys::progress(record.job));
-                let same = to_msgpack(value).ok();
-                entry.is_some_and(|entry| Some(&entry.value) == same.as_ref())
-                    && entry.map(|entry| entry.modified)
-                        != lock(&self.committed).progress.get(&record.job).copied()
-            }
-            RecordKind::End(_) => find(&keys::job(record.job)).is_none(),
-        });
-        if applied {
-            let revision = part
-                .records
-                .iter()
-                .find_map(|record| find(&keys::progress(record.job)))
-                .map_or(StoreRevision(0), |entry| entry.modified);
-            self.written(&part.records, revision);
-            part.records.clear();
-            return;
-        }
         let now = self.host.inner.clock.now();
+        let before = part.records.len();
         part.records.retain(|record| {
-            let cancelled = find(&keys::cancel(record.job)).is_some();
+            let cancelled = found.iter().any(|entry| entry.key == keys::cancel(record.job));
             if cancelled {
                 self.flow().cancel(record.job, now);
             }
             !cancelled
         });
-        // What is left is written with the revisions that the store has.
+        if part.records.len() < before {
+            return;
+        }
+        // The answer names some of the keys only, so each is read.
+        let mut stored = HashMap::new();
+        for record in &part.records {
+            for key in [keys::job(record.job), keys::progress(record.job)] {
+                let Ok(entry) = self.host.store().get(&key).await else { return };
+                stored.insert(key, entry);
+            }
+        }
+        self.settle_stored(part, &stored);
+    }
+
+    /// Compares a transaction that met a conflict with what is stored.
+    fn settle_stored(&self, part: &mut Part<'_>, stored: &HashMap<Key, Option<Entry>>) {
+        let entry = |key: Key| stored.get(&key).and_then(Option::as_ref);
+        let has_taken_effect = |record: &&Record| match &record.kind {
+            RecordKind::Progress(value) => {
+                let known = lock(&self.committed).progress.get(&record.job).copied();
+                let bytes = to_msgpack(value).ok();
+                entry(keys::progress(record.job)).is_some_and(|entry| {
+                    Some(entry.modified) != known && Some(&entry.value) == bytes.as_ref()
+                })
+            }
+            RecordKind::End(_) => entry(keys::job(record.job)).is_none(),
+        };
+        // A transaction takes effect as a whole.
+        if part.records.iter().all(has_taken_effect) {
+            for record in std::mem::take(&mut part.records) {
+                let revision = entry(keys::progress(record.job)).map(|entry| entry.modified);
+                self.written(&[record], revision.unwrap_or_default());
+            }
+            return;
+        }
+        let mut versions = lock(&self.committed);
         for record in &part.records {
-            if let RecordKind::Progress(_) = record.kind {
-                let revision = find(&keys::progress(record.job)).map(|entry| entry.modified);
-                let mut versions = lock(&self.committed);
-                match revision {
-                    Some(revision) => versions.progress.insert(record.job, revision),
-                    None => versions.progress.remove(&record.job),
-                };
+            match entry(keys::progress(record.job)) {
+                Some(entry) => versions.progress.insert(record.job, entry.modified),
+                None => versions.progress.remove(&record.job),
+            };
+            if let Some(entry) = entry(keys::job(record.job)) {
+                versions.jobs.insert(record.job, entry.modified);
             }
         }
+        let mut gone = Vec::new();
+        part.records.retain(|record| {
+            let there = entry(keys::job(record.job)).is_some();
+            if !there {
+                gone.push(record.job);
+            }
+            there
+        });
+        for job in gone {
+            log::warn!(target: "store", "job {job} is gone from the store and not written");
+        }
     }
 }
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -90,6 +90,10 @@
     }
 
     fn add_job(&self, job: JobId, entry: &Entry) {
+        // A watch that lags shows jobs that have ended since.
+        if self.host.known_end(job).is_some() {
+            return;
+        }
         match from_msgpack::<JobSpec>(&entry.value) {
             Ok(spec) => {
                 let revision = entry.modified;
