flow: machines move to the pools that need them

Cause: a queue's turn asks for about 250 cores for 8 s, its pool has 144 to 192, while the other pools and the spare one stand idle. Change: resize moves machines by what tasks need now and by the last second's arrivals; idle ones go to the spare pool; lasting tasks share few machines.

--- a/crates/flow/src/intake.rs
+++ b/crates/flow/src/intake.rs
@@ -10,13 +10,14 @@
 impl Flow {
     /// Adds a job that is durable in the store since `revision`; returns
     /// whether it was new.
-    pub fn add(&mut self, id: JobId, spec: Arc<JobSpec>, revision: u64) -> bool {
+    pub fn add(&mut self, id: JobId, spec: Arc<JobSpec>, revision: u64, now: Instant) -> bool {
         if self.job_ids.contains_key(&id) {
             return false;
         }
         // A queue that was removed keeps its jobs; without a pool they wait.
         let pool = self.content.queues.get(&spec.queue).map(|queue| queue.pool.clone());
         let pool = pool.unwrap_or_else(|| self.unknown_pool());
+        self.note_arrival(&pool, &spec, now);
         let key = self.jobs.insert(Job::new(id, spec, pool, revision));
         self.job_ids.insert(id, key);
         true
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -426,12 +426,17 @@
                 }
             }
             MachineAnswer::Unknown => {
-                if let MachineOrder::Maintain { wave, .. } = order {
-                    self.maintained(*wave, &machine, now);
+                match order {
+                    MachineOrder::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
+                    MachineOrder::Move { pool, .. } => self.not_moved(&machine, pool, true),
                 }
                 self.uncordon(&machine);
             }
             MachineAnswer::Busy | MachineAnswer::Limited | MachineAnswer::Fence => {
+                if let MachineOrder::Move { pool, .. } = order {
+                    self.not_moved(&machine, pool, false);
+                    self.uncordon(&machine);
+                }
                 self.machines.pauses.insert(machine, now + ORDER_AGAIN);
             }
             MachineAnswer::Unanswered => {
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -16,6 +16,8 @@
     far: bool,
     /// Serving and filling tasks would share the worker.
     disturbed: bool,
+    /// A lasting task would be the first one there.
+    apart: bool,
     /// Part of the worker that stays free.
     left: f64,
 }
@@ -94,17 +96,26 @@
         let spec = sought.spec;
         let left = free.minus(&spec.room());
         let task = &sought.step.tasks[sought.task.index as usize];
-        // Filling tasks and those that last are spread, others are packed.
-        let spread = spec.fills || spec.lasting;
+        // Tasks that disturb each other are spread, others are packed.
+        let spread = spec.fills || spec.target.is_some();
         let part = left.dominant(&worker.capacity);
         Fit {
             avoided: task.avoid.contains(&key),
             far: spec.rack.is_some() && spec.rack != worker.rack,
             disturbed: self.would_disturb(spec, worker),
+            // Lasting tasks share few machines, so that the others can move.
+            apart: spec.lasting && !self.has_lasting(worker),
             left: if spread { -part } else { part },
         }
     }
 
+    pub(crate) fn has_lasting(&self, worker: &Worker) -> bool {
+        let lasts = |&run: &crate::run::RunKey| {
+            self.spec_of(self.runs[run].task).is_some_and(|spec| spec.lasting)
+        };
+        worker.runs.iter().any(lasts)
+    }
+
     /// Whether the worker has tasks that this one would disturb, or that would
     /// disturb it.
     fn would_disturb(&self, spec: &StepSpec, worker: &Worker) -> bool {
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -12,7 +12,7 @@
 use crate::rules::START_LIFE;
 use crate::run::{Phase, RunState};
 use crate::worker::WorkerKey;
-use crate::{Action, Flow, Hope, Run, Start, StepId, StopReason, TaskId};
+use crate::{Action, Flow, Run, Start, StepId, StopReason, TaskId};
 
 /// Most workers that the adviser is asked about at once.
 const ASK_MAX: usize = 16;
@@ -41,7 +41,7 @@
         self.stop_stalled(now);
         self.hold_gangs_together(now);
         self.maintain(now);
-        self.resize(now, wall);
+        self.resize(now);
         self.place_all(now, wall);
         self.set_paces(now);
         std::mem::take(&mut self.actions)
@@ -396,8 +396,3 @@
         mean,
     }
 }
-
-/// Whether a rank is worth moving capacity for.
-pub(crate) fn is_wanted(rank: &Rank) -> bool {
-    rank.hope <= Hope::Late
-}
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -1,19 +1,298 @@
 //! Which pool each machine serves.
+//!
+//! Load it answers: each queue in turn asks for several times what its pool
+//! holds, while the pools of the others are nearly idle. Machines that a pool
+//! does not need wait in the spare pool, where they cost nothing. When a pool's
+//! demand rises, they are moved there before its queue is long.
+
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::worker::WorkerKey;
+use crate::{Flow, JobSpec, MachineOrder, MachineState};
 
-use crate::Flow;
+/// Time over which arrivals are counted.
+const WINDOW: Duration = Duration::from_millis(1000);
+/// Shortest time over which a rate is computed.
+const SPAN_MIN: Duration = Duration::from_millis(450);
+/// Fewest arrivals that make a rate: one large job is no rise.
+const ARRIVALS_MIN: usize = 3;
+/// Part of a machine that can be filled before tasks fit nowhere.
+const FILL: f64 = 0.85;
+/// Machines of a pool beyond what it needs.
+const HEADROOM: f64 = 1.0;
+/// Time that a machine is idle before it leaves its pool for the spare one.
+const IDLE: Duration = Duration::from_millis(1200);
+/// Time in which a moved machine's worker has to show up.
+const ARRIVAL: Duration = Duration::from_secs(4);
+/// Tasks that wait longer than this count for one full machine-second each.
+const TASK_SPAN: Duration = Duration::from_secs(1);
 
-/// What is known of the pools' demand.
+/// What is known of the pools' demand, and of machines on their way.
 #[derive(Debug, Default)]
-pub(crate) struct Resize {}
+pub(crate) struct Resize {
+    /// Work that came, in machine-seconds, by pool.
+    arrivals: HashMap<PoolId, VecDeque<(Instant, f64)>>,
+    /// Machines on their way to a pool, and when they have to be there.
+    coming: HashMap<SmolStr, (PoolId, Instant)>,
+    /// Moves that were refused for good.
+    refused: HashSet<(SmolStr, PoolId)>,
+    /// Since when a worker has had nothing to do.
+    idle: HashMap<WorkerKey, Instant>,
+}
+
+/// Sizes of one pool, in machines.
+#[derive(Debug, Clone, Copy, Default)]
+struct Size {
+    /// What its tasks need now.
+    need: f64,
+    /// What it has, or will soon have.
+    has: usize,
+}
+
+impl Size {
+    fn wanted(&self) -> usize {
+        (self.need + HEADROOM).ceil() as usize
+    }
+
+    fn lacks(&self) -> usize {
+        self.wanted().saturating_sub(self.has)
+    }
+
+    fn spares(&self) -> usize {
+        self.has.saturating_sub(self.wanted())
+    }
+}
 
 impl Flow {
     pub(crate) fn wants_resize(&self) -> bool {
-        false
+        self.content.pools.values().any(|pool| pool.spare)
+    }
+
+    /// Notes the work of a job that has come.
+    pub(crate) fn note_arrival(&mut self, pool: &PoolId, spec: &JobSpec, now: Instant) {
+        if spec.is_lasting() || spec.schedule.is_some() {
+            return;
+        }
+        let whole = self.machine_size(pool);
+        let work = spec.steps.iter().map(|step| {
+            f64::from(step.count) * step.room().dominant(&whole) * step.estimate.as_secs_f64()
+        });
+        let work = work.sum();
+        let arrivals = self.machines.resize.arrivals.entry(pool.clone()).or_default();
+        arrivals.push_back((now, work));
+    }
+
+    /// Returns what a usual machine of a pool has.
+    fn machine_size(&self, pool: &PoolId) -> Resources {
+        let of = self.workers.values().find(|worker| worker.life.pool == *pool);
+        let listed = self.machines.list.values().find(|machine| machine.pool == *pool);
+        of.map(|worker| worker.capacity).or(listed.map(|machine| machine.capacity)).unwrap_or_default()
+    }
+
+    /// Moves machines to where they are needed.
+    pub(crate) fn resize(&mut self, now: Instant) {
+        let spare = self.content.pools.iter().find(|(_, pool)| pool.spare);
+        let Some(spare) = spare.map(|(id, _)| id.clone()) else { return };
+        self.forget_old(now);
+        if now < self.machines.hold_until || self.machines.list.is_empty() {
+            return;
+        }
+        let sizes = self.sizes(&spare, now);
+        let mut free = self.spare_machines(&spare, now);
+        let mut lacking: Vec<_> = sizes.iter().filter(|(_, size)| size.lacks() > 0).collect();
+        lacking.sort_by(|a, b| b.1.lacks().cmp(&a.1.lacks()).then_with(|| a.0.cmp(b.0)));
+        let mut donors = self.idle_workers(&sizes, now);
+        for (pool, size) in lacking {
+            for _ in 0..size.lacks() {
+                let taken = take_allowed(&mut free, pool, &self.machines.resize.refused)
+                    .or_else(|| take_allowed(&mut donors, pool, &self.machines.resize.refused));
+                let Some((machine, _)) = taken else { break };
+                self.move_machine(machine, pool.clone(), now);
+            }
+        }
+        for (machine, since) in donors {
+            let long = since.is_some_and(|since| now.saturating_duration_since(since) >= IDLE);
+            if long && !self.machines.resize.refused.contains(&(machine.clone(), spare.clone())) {
+                self.move_machine(machine, spare.clone(), now);
+            }
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let resize = &mut self.machines.resize;
+        for arrivals in resize.arrivals.values_mut() {
+            let old = |at: &Instant| now.saturating_duration_since(*at) > WINDOW;
+            while arrivals.front().is_some_and(|(at, _)| old(at)) {
+                arrivals.pop_front();
+            }
+        }
+        let here: HashSet<_> = self
+            .workers
+            .values()
+            .filter(|worker| worker.listed && !worker.leaving)
+            .filter_map(|worker| Some((worker.machine.clone()?, worker.life.pool.clone())))
+            .collect();
+        resize.coming.retain(|machine, (pool, until)| {
+            now < *until && !here.contains(&(machine.clone(), pool.clone()))
+        });
+        let workers = &self.workers;
+        resize.idle.retain(|key, _| workers.get(*key).is_some_and(|worker| worker.runs.is_empty()));
+        for (key, worker) in workers {
+            if worker.runs.is_empty() {
+                resize.idle.entry(key).or_insert(now);
+            }
+        }
+    }
+
+    fn sizes(&self, spare: &PoolId, now: Instant) -> HashMap<PoolId, Size> {
+        let mut sizes: HashMap<PoolId, Size> = HashMap::new();
+        for id in self.content.pools.keys().filter(|id| *id != spare) {
+            sizes.insert(id.clone(), Size { need: self.rate(id, now), has: 0 });
+        }
+        for worker in self.workers.values() {
+            let works = worker.listed && !worker.draining && !worker.leaving && worker.silent.is_none();
+            if let Some(size) = sizes.get_mut(&worker.life.pool)
+                && works
+                && !worker.cordoned
+            {
+                size.has += 1;
+            }
+        }
+        for (pool, _) in self.machines.resize.coming.values() {
+            if let Some(size) = sizes.get_mut(pool) {
+                size.has += 1;
+            }
+        }
+        for (pool, need) in self.present_need() {
+            if let Some(size) = sizes.get_mut(&pool) {
+                size.need = size.need.max(need);
+            }
+        }
+        sizes
+    }
+
+    /// Returns the machines that the last arrivals would keep busy.
+    fn rate(&self, pool: &PoolId, now: Instant) -> f64 {
+        let Some(arrivals) = self.machines.resize.arrivals.get(pool) else { return 0.0 };
+        if arrivals.len() < ARRIVALS_MIN {
+            return 0.0;
+        }
+        let first = arrivals.front().map(|(at, _)| now.saturating_duration_since(*at));
+        let span = first.unwrap_or_default().max(SPAN_MIN);
+        let work: f64 = arrivals.iter().map(|(_, work)| work).sum();
+        work / span.as_secs_f64() / FILL
     }
 
-    pub(crate) fn resize(&mut self, _now: Instant, _wall: SystemTime) {}
+    /// Returns the machines that tasks need which run or could run now.
+    fn present_need(&self) -> HashMap<PoolId, f64> {
+        let mut need: HashMap<PoolId, f64> = HashMap::new();
+        let mut spread: HashMap<PoolId, u32> = HashMap::new();
+        for job in self.jobs.values().filter(|job| job.is_open()) {
+            let whole = self.machine_size(&job.pool);
+            for round in &job.rounds {
+                for (at, step) in round.steps.iter().enumerate() {
+                    if step.is_done() || !round.is_ready(&job.spec, at) {
+                        continue;
+                    }
+                    let spec = &job.spec.steps[at];
+                    let share = spec.room().dominant(&whole);
+                    let waiting = step.waiting.len() as f64;
+                    let running = (step.tasks.len() as f64) - f64::from(step.done) - waiting;
+                    let span = if spec.lasting { TASK_SPAN } else { spec.estimate.min(TASK_SPAN) };
+                    let waiting = waiting * span.as_secs_f64();
+                    *need.entry(job.pool.clone()).or_default() += (running + waiting) * share / FILL;
+                    if let Some(most) = spec.per_worker {
+                        let least = spread.entry(job.pool.clone()).or_default();
+                        *least = (*least).max(spec.count.div_ceil(most));
+                    }
+                }
+            }
+        }
+        for (pool, least) in spread {
+            let need = need.entry(pool).or_default();
+            *need = need.max(f64::from(least));
+        }
+        need
+    }
+
+    fn spare_machines(&self, spare: &PoolId, now: Instant) -> Vec<(SmolStr, Option<Instant>)> {
+        let list = self.machines.list.values();
+        let up = list.filter(|each| each.pool == *spare && each.state == MachineState::Up);
+        let free = up.filter(|each| self.is_movable(&each.id, now));
+        let mut free: Vec<_> = free.map(|each| (each.id.clone(), None)).collect();
+        free.sort();
+        free
+    }
+
+    /// Returns machines without work in pools that have more than they need.
+    fn idle_workers(
+        &self,
+        sizes: &HashMap<PoolId, Size>,
+        now: Instant,
+    ) -> Vec<(SmolStr, Option<Instant>)> {
+        let mut left: HashMap<&PoolId, usize> =
+            sizes.iter().map(|(pool, size)| (pool, size.spares())).collect();
+        let mut idle = Vec::new();
+        for (key, worker) in &self.workers {
+            let Some(machine) = &worker.machine else { continue };
+            let Some(left) = left.get_mut(&worker.life.pool) else { continue };
+            let since = self.machines.resize.idle.get(&key);
+            if *left > 0
+                && worker.runs.is_empty()
+                && worker.is_usable(now)
+                && self.is_movable(machine, now)
+                && let Some(&since) = since
+            {
+                *left -= 1;
+                idle.push((machine.clone(), Some(since)));
+            }
+        }
+        idle
+    }
+
+    fn is_movable(&self, machine: &SmolStr, now: Instant) -> bool {
+        self.machines.may_order(machine, now)
+            && !self.machines.resize.coming.contains_key(machine)
+            && !self.machines.waves.values().any(|run| {
+                run.draining.contains_key(machine) || run.down.contains_key(machine)
+            })
+    }
+
+    fn move_machine(&mut self, machine: SmolStr, pool: PoolId, now: Instant) {
+        if let Some(key) = self.worker_on(&machine) {
+            self.workers[key].cordoned = true;
+        }
+        self.machines.resize.coming.insert(machine.clone(), (pool.clone(), now + ARRIVAL));
+        self.order(MachineOrder::Move { machine, pool }, now);
+    }
+
+    /// Notes that a move was carried out.
+    pub(crate) fn moved(&mut self, machine: &SmolStr, pool: &PoolId, now: Instant) {
+        if let Some(listed) = self.machines.list.get_mut(machine) {
+            listed.pool = pool.clone();
+            listed.state = MachineState::Moving;
+        }
+        self.machines.resize.coming.insert(machine.clone(), (pool.clone(), now + ARRIVAL));
+    }
+
+    /// Notes that a move was not carried out.
+    pub(crate) fn not_moved(&mut self, machine: &SmolStr, pool: &PoolId, for_good: bool) {
+        self.machines.resize.coming.remove(machine);
+        if for_good {
+            self.machines.resize.refused.insert((machine.clone(), pool.clone()));
+        }
+    }
+}
 
-    pub(crate) fn moved(&mut self, _machine: &SmolStr, _pool: &PoolId, _now: Instant) {}
+/// Takes a machine that may be moved to a pool.
+fn take_allowed(
+    from: &mut Vec<(SmolStr, Option<Instant>)>,
+    pool: &PoolId,
+    refused: &HashSet<(SmolStr, PoolId)>,
+) -> Option<(SmolStr, Option<Instant>)> {
+    let at = from.iter().position(|(id, _)| !refused.contains(&(id.clone(), pool.clone())))?;
+    Some(from.remove(at))
 }
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -97,7 +97,8 @@
         match from_msgpack::<JobSpec>(&entry.value) {
             Ok(spec) => {
                 let revision = entry.modified;
-                if self.flow().add(job, Arc::new(spec), revision.0 as u64) {
+                let now = self.host.inner.clock.now();
+                if self.flow().add(job, Arc::new(spec), revision.0 as u64, now) {
                     lock(&self.committed).jobs.insert(job, revision);
                 }
             }
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -225,7 +225,8 @@
         if !self.is_loaded() || !self.host.is_verified() {
             return;
         }
-        if self.host.known_end(job).is_none() && self.flow().add(job, spec, revision) {
+        let now = self.host.inner.clock.now();
+        if self.host.known_end(job).is_none() && self.flow().add(job, spec, revision, now) {
             lock(&self.committed).jobs.insert(job, StoreRevision(revision as i64));
             self.wake.notify_one();
         }
