--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -14,9 +14,9 @@
 use crate::{Flow, JobSpec, MachineOrder, MachineState};
 
 /// Time over which arrivals are counted.
-const WINDOW: Duration = Duration::from_millis(1000);
+const WINDOW: Duration = Duration::from_millis(1500);
 /// Shortest time over which a rate is computed.
-const SPAN_MIN: Duration = Duration::from_millis(450);
+const SPAN_MIN: Duration = Duration::from_millis(800);
 /// Fewest arrivals that make a rate: one large job is no rise.
 const ARRIVALS_MIN: usize = 3;
 /// Part of a machine that can be filled before tasks fit nowhere.
@@ -168,7 +168,7 @@
         }
         for (pool, need) in self.present_need() {
             if let Some(size) = sizes.get_mut(&pool) {
-                size.need = size.need.max(need);
+                size.need = need.max((size.need + need) / 2.0);
             }
         }
         sizes
