flow, lead: need fades, orders to machines are recorded, hand-over ends the lease

Cause: machines left a surging pool in the pause between two large jobs; a new leader moved none for 3.6 s; a planned stop let its lease lapse (1.9 s without a leader), since the renewing task had forgotten it before it could be ended.

--- a/crates/flow/src/flow.rs
+++ b/crates/flow/src/flow.rs
@@ -26,6 +26,7 @@
 pub struct Flow {
     pub(crate) rules: Rules,
     pub(crate) fence: Fence,
+    pub(crate) started: Instant,
     pub(crate) content: Arc<Content>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) job_ids: HashMap<JobId, JobKey>,
@@ -89,6 +90,7 @@
             machines: Machines::new(now + rules.machine_hold),
             rules,
             fence,
+            started: now,
             content,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -29,6 +29,8 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(700);
 /// Time after which an order without an answer is sent again.
 const ORDER_LOST: Duration = Duration::from_secs(2);
+/// Time after which a machine whose worker has not shown up has none.
+const WORKERS_SHOWN: Duration = Duration::from_secs(8);
 /// Most by which clocks of workers and hosts differ.
 const CLOCKS_MARGIN: Duration = Duration::from_secs(1);
 /// Time after an order was carried out at which the worker's silence shows.
@@ -246,6 +248,17 @@
         self.machines.waves.values().any(|run| run.left() > 0) || self.wants_resize()
     }
 
+    /// Gives no order to a machine before `until`: an earlier leader has.
+    pub fn hold_machine(&mut self, machine: SmolStr, until: Instant) {
+        self.machines.pauses.insert(machine, until);
+    }
+
+    /// Gives orders at once to machines that are not held: it is known which
+    /// ones an earlier leader has ordered lately.
+    pub fn hold_no_machines(&mut self, now: Instant) {
+        self.machines.hold_until = now;
+    }
+
     /// Takes the platform's list of machines.
     pub fn set_machines(&mut self, list: Vec<Machine>) {
         self.machines.list = list.into_iter().map(|each| (each.id.clone(), each)).collect();
@@ -292,7 +305,7 @@
             .iter()
             .filter(|each| run.is_left(each) && !run.draining.contains_key(*each))
             .filter(|each| self.machines.may_order(each, now))
-            .filter(|each| self.is_up(each))
+            .filter(|each| self.is_up(each) && self.is_known(each, now))
             .map(|each| (self.cost(each, now), each.clone()))
             .collect();
         candidates.sort();
@@ -310,6 +323,20 @@
         self.machines.list.get(machine).is_some_and(|each| each.state == MachineState::Up)
     }
 
+    /// Whether all that runs on a machine is known here.
+    pub(crate) fn is_known(&self, machine: &SmolStr, now: Instant) -> bool {
+        if let Some(key) = self.worker_on(machine) {
+            let worker = &self.workers[key];
+            return match worker.silent {
+                None => worker.heard,
+                Some(_) => worker.runs.is_empty() && now > worker.lease_end,
+            };
+        }
+        let pool = self.machines.list.get(machine).map(|each| &each.pool);
+        let spare = pool.and_then(|pool| self.content.pools.get(pool)).is_some_and(|pool| pool.spare);
+        spare || now.saturating_duration_since(self.started) > WORKERS_SHOWN
+    }
+
     /// Returns what taking a machine out now would cost: lasting tasks that
     /// have to move, and how much waits for its pool.
     fn cost(&self, machine: &SmolStr, now: Instant) -> (bool, usize, usize) {
@@ -349,7 +376,8 @@
                 self.evict_lasting(key, now);
             }
             let waited = now.saturating_duration_since(since) > DRAIN_TIME;
-            let empty = key.is_none_or(|key| self.is_drained(key, waited || pressing));
+            let empty = self.is_known(&machine, now)
+                && key.is_none_or(|key| self.is_drained(key, waited || pressing));
             let run = &self.machines.waves[&number];
             let in_flight = self.machines.orders.values();
             let sent = in_flight
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -23,8 +23,13 @@
 const FILL: f64 = 0.85;
 /// Machines of a pool beyond what it needs.
 const HEADROOM: f64 = 1.0;
+/// Fewest machines of a pool: a rise finds some room before more arrive.
+const MACHINES_MIN: usize = 4;
 /// Time that a machine is idle before it leaves its pool for the spare one.
-const IDLE: Duration = Duration::from_millis(1200);
+const IDLE: Duration = Duration::from_millis(600);
+/// Time in which a pool's past need loses most of its weight: large jobs come
+/// with pauses between them.
+const NEED_FADE: Duration = Duration::from_millis(2500);
 /// Time in which a moved machine's worker has to show up.
 const ARRIVAL: Duration = Duration::from_secs(4);
 /// Tasks that wait longer than this count for one full machine-second each.
@@ -39,33 +44,55 @@
     coming: HashMap<SmolStr, (PoolId, Instant)>,
     /// Moves that were refused for good.
     refused: HashSet<(SmolStr, PoolId)>,
+    /// Recent need of each pool, which fades, and when it was taken.
+    held: HashMap<PoolId, (f64, Instant)>,
     /// Since when a worker has had nothing to do.
     idle: HashMap<WorkerKey, Instant>,
 }
 
+impl Resize {
+    /// Returns the need of a pool now, or what is left of its past need.
+    fn hold(&mut self, pool: &PoolId, need: f64, now: Instant) -> f64 {
+        let (before, at) = self.held.get(pool).copied().unwrap_or((need, now));
+        let passed = now.saturating_duration_since(at).as_secs_f64();
+        let left = before * (-passed / NEED_FADE.as_secs_f64()).exp();
+        let held = need.max(left);
+        self.held.insert(pool.clone(), (held, now));
+        held
+    }
+}
+
 /// Sizes of one pool, in machines.
 #[derive(Debug, Clone, Copy, Default)]
 struct Size {
     /// What its tasks need now.
     need: f64,
+    /// What they needed lately.
+    held: f64,
     /// What it has, or will soon have.
     has: usize,
 }
 
 impl Size {
-    fn wanted(&self) -> usize {
-        (self.need + HEADROOM).ceil() as usize
-    }
-
     fn lacks(&self) -> usize {
-        self.wanted().saturating_sub(self.has)
+        machines_for(self.need).saturating_sub(self.has)
     }
 
+    /// Machines that another pool can have at once.
     fn spares(&self) -> usize {
-        self.has.saturating_sub(self.wanted())
+        self.has.saturating_sub(machines_for(self.need))
+    }
+
+    /// Machines that can wait in the spare pool.
+    fn idles(&self) -> usize {
+        self.has.saturating_sub(machines_for(self.held))
     }
 }
 
+fn machines_for(need: f64) -> usize {
+    ((need + HEADROOM).ceil() as usize).max(MACHINES_MIN)
+}
+
 impl Flow {
     pub(crate) fn wants_resize(&self) -> bool {
         self.content.pools.values().any(|pool| pool.spare)
@@ -104,7 +131,7 @@
         let mut free = self.spare_machines(&spare, now);
         let mut lacking: Vec<_> = sizes.iter().filter(|(_, size)| size.lacks() > 0).collect();
         lacking.sort_by(|a, b| b.1.lacks().cmp(&a.1.lacks()).then_with(|| a.0.cmp(b.0)));
-        let mut donors = self.idle_workers(&sizes, now);
+        let mut donors = self.idle_workers(&sizes, Size::spares, now);
         for (pool, size) in lacking {
             for _ in 0..size.lacks() {
                 let taken = take_allowed(&mut free, pool, &self.machines.resize.refused)
@@ -113,7 +140,7 @@
                 self.move_machine(machine, pool.clone(), now);
             }
         }
-        for (machine, since) in donors {
+        for (machine, since) in self.idle_workers(&sizes, Size::idles, now) {
             let long = since.is_some_and(|since| now.saturating_duration_since(since) >= IDLE);
             if long && !self.machines.resize.refused.contains(&(machine.clone(), spare.clone())) {
                 self.move_machine(machine, spare.clone(), now);
@@ -147,10 +174,10 @@
         }
     }
 
-    fn sizes(&self, spare: &PoolId, now: Instant) -> HashMap<PoolId, Size> {
+    fn sizes(&mut self, spare: &PoolId, now: Instant) -> HashMap<PoolId, Size> {
         let mut sizes: HashMap<PoolId, Size> = HashMap::new();
         for id in self.content.pools.keys().filter(|id| *id != spare) {
-            sizes.insert(id.clone(), Size { need: self.rate(id, now), has: 0 });
+            sizes.insert(id.clone(), Size { need: self.rate(id, now), ..Size::default() });
         }
         for worker in self.workers.values() {
             let works = worker.listed && !worker.draining && !worker.leaving && worker.silent.is_none();
@@ -171,6 +198,9 @@
                 size.need = need.max((size.need + need) / 2.0);
             }
         }
+        for (pool, size) in &mut sizes {
+            size.held = self.machines.resize.hold(pool, size.need, now);
+        }
         sizes
     }
 
@@ -231,10 +261,11 @@
     fn idle_workers(
         &self,
         sizes: &HashMap<PoolId, Size>,
+        most: impl Fn(&Size) -> usize,
         now: Instant,
     ) -> Vec<(SmolStr, Option<Instant>)> {
         let mut left: HashMap<&PoolId, usize> =
-            sizes.iter().map(|(pool, size)| (pool, size.spares())).collect();
+            sizes.iter().map(|(pool, size)| (pool, most(size))).collect();
         let mut idle = Vec::new();
         for (key, worker) in &self.workers {
             let Some(machine) = &worker.machine else { continue };
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -210,12 +210,13 @@
 
     /// Begins a planned stop: the host is no longer ready and leads no more.
     pub async fn begin_stop(&self) {
+        // Taken first: the lease is forgotten when its renewals end.
+        let lease = lock(&self.inner.lease).take();
         self.inner.stopping.store(true, Ordering::Relaxed);
         self.record(Code::StopBegan, []);
         if let Some(leader) = self.leading() {
             leader.hand_over().await;
         }
-        let lease = lock(&self.inner.lease).take();
         if let Some(lease) = lease
             && let Err(error) = self.store().revoke(lease).await
         {
--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -11,6 +11,7 @@
 //! | `vg/end/JOB` | how it ended, leased | the leader |
 //! | `vg/lives` | lives of workers that may have been given work | the leader |
 //! | `vg/waves` | progress of maintenance waves | the leader |
+//! | `vg/orders` | machines that were ordered lately | the leader |
 
 use std::net::SocketAddr;
 
@@ -29,6 +30,7 @@
 pub(crate) const END: &str = "vg/end/";
 pub(crate) const LIVES: &str = "vg/lives";
 pub(crate) const WAVES: &str = "vg/waves";
+pub(crate) const ORDERS: &str = "vg/orders";
 const CANCEL: &str = "/cancel";
 
 /// A host that is alive.
@@ -47,6 +49,13 @@
     pub(crate) nonce: u64,
 }
 
+/// A machine that was given an order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Ordered {
+    pub(crate) machine: SmolStr,
+    pub(crate) at: SystemTime,
+}
+
 /// How a job ended, and whose it was.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EndValue {
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -12,7 +12,7 @@
 use super::Leader;
 use crate::Platform;
 use crate::host::lock;
-use crate::keys::{self, EndValue, TERM};
+use crate::keys::{self, EndValue, Ordered, TERM};
 
 /// Time in which changes gather that no caller waits for.
 const GATHER: Duration = Duration::from_millis(50);
@@ -33,6 +33,7 @@
     pub(super) jobs: HashMap<JobId, StoreRevision>,
     pub(super) progress: HashMap<JobId, StoreRevision>,
     pub(super) waves: (Option<StoreRevision>, Vec<WaveRecord>),
+    pub(super) orders: (Option<StoreRevision>, Vec<Ordered>),
 }
 
 /// One transaction and the records in it.
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -11,7 +11,7 @@
 use super::{Leader, UNVERIFIED_MAX};
 use crate::follow::{Seen, follow};
 use crate::host::lock;
-use crate::keys::{self, IN, Incoming, LIVES, RUN, WAVES};
+use crate::keys::{self, IN, Incoming, LIVES, ORDERS, Ordered, RUN, WAVES};
 use crate::Platform;
 
 /// Pause before the store is asked again.
@@ -58,17 +58,19 @@
     async fn try_load(&self) -> Result<Loaded, Error> {
         let store = self.host.store();
         let prefixes: [Key; 2] = [IN.into(), RUN.into()];
-        let single: [Key; 2] = [LIVES.into(), WAVES.into()];
-        let (jobs, progress, lives, waves) = futures_util::try_join!(
+        let single: [Key; 3] = [LIVES.into(), WAVES.into(), ORDERS.into()];
+        let (jobs, progress, lives, waves, orders) = futures_util::try_join!(
             store.range(&prefixes[0]),
             store.range(&prefixes[1]),
             store.get(&single[0]),
             store.get(&single[1]),
+            store.get(&single[2]),
         )?;
         self.add_jobs(&jobs);
         self.restore_progress(&progress);
         self.suspect_lives(lives.as_ref());
         self.restore_waves(waves.as_ref());
+        self.restore_orders(orders.as_ref());
         Ok(Loaded {
             jobs: StoreRevision(jobs.revision.0 + 1),
             lives: lives.map(|entry| entry.modified),
@@ -145,6 +147,31 @@
         self.add_waves(&waves, true);
     }
 
+    /// Holds the machines that an earlier leader has ordered lately. Orders are
+    /// recorded before they are sent, so that others can be ordered at once.
+    fn restore_orders(&self, entry: Option<&Entry>) {
+        let hold = self.host.inner.options.rules.machine_hold;
+        let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
+        let orders = match entry {
+            None => Vec::new(),
+            Some(entry) => match from_msgpack::<Vec<Ordered>>(&entry.value) {
+                Ok(orders) => orders,
+                Err(error) => {
+                    let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
+                    self.host.record(Code::ValueUnreadable, fields);
+                    return;
+                }
+            },
+        };
+        let mut flow = self.flow();
+        flow.hold_no_machines(now);
+        for order in &orders {
+            let left = hold.saturating_sub(wall.duration_since(order.at).unwrap_or_default());
+            flow.hold_machine(order.machine.clone(), now + left.min(hold));
+        }
+        lock(&self.committed).orders = (entry.map(|entry| entry.modified), orders);
+    }
+
     /// Follows jobs and cancellations in the store.
     pub(super) async fn follow_jobs(self: Arc<Self>, from: StoreRevision) {
         let prefix = Key::from(IN);
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{Fence, Flow, JobSpec, State};
+use vg_flow::{Fence, Flow, JobSpec, MachineOrder, State};
 use vg_store::StoreRevision;
 
 use crate::host::lock;
@@ -56,6 +56,10 @@
     /// Workers that are being looked at.
     watched: Mutex<std::collections::HashSet<HostId>>,
     tasks: Mutex<JoinSet<()>>,
+    /// Orders to machines that were decided in this round.
+    machine_orders: Mutex<Vec<MachineOrder>>,
+    /// Records of orders are written one after the other.
+    order_turn: tokio::sync::Mutex<()>,
     committed: Mutex<commit::Versions>,
 }
 
@@ -78,6 +82,8 @@
         outage: Mutex::default(),
         watched: Mutex::default(),
         tasks: Mutex::new(JoinSet::new()),
+        machine_orders: Mutex::default(),
+        order_turn: tokio::sync::Mutex::default(),
         committed: Mutex::default(),
     });
     *lock(&host.inner.leader) = Some(Arc::clone(&leader));
@@ -121,6 +127,7 @@
             for action in actions {
                 self.carry_out(action);
             }
+            self.send_machine_orders();
             if self.flow().has_changes() {
                 self.commit.notify_one();
             }
--- a/crates/lead/src/leader/orders.rs
+++ b/crates/lead/src/leader/orders.rs
@@ -6,7 +6,12 @@
 use vg_events::{Code, Field};
 use vg_flow::{Action, Life, MachineAnswer, MachineOrder, Refused, Run, Start, StartAnswer, StepId, TaskId};
 
+use vg_net::to_msgpack;
+use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
+
 use super::Leader;
+use crate::host::lock;
+use crate::keys::{ORDERS, Ordered, TERM};
 use crate::{Platform, StopAnswer};
 
 /// Time for the adviser to answer, beside its own time for each worker.
@@ -31,7 +36,7 @@
                 self.spawn(leader.pace(life, task, run, percent));
             }
             Action::Ask { step, workers } => self.spawn(leader.ask_adviser(step, workers)),
-            Action::Machine(order) => self.spawn(leader.order_machine(order)),
+            Action::Machine(order) => lock(&self.machine_orders).push(order),
         }
     }
 
@@ -107,10 +112,61 @@
         self.wake.notify_one();
     }
 
-    async fn order_machine(self: Arc<Self>, order: MachineOrder) {
+    /// Sends the orders to machines that have gathered, after the record of
+    /// them is durable: a next leader then knows which machines to leave alone
+    /// for a while.
+    pub(super) fn send_machine_orders(self: &Arc<Self>) {
+        let orders = std::mem::take(&mut *lock(&self.machine_orders));
+        if !orders.is_empty() {
+            let leader = Arc::clone(self);
+            self.spawn(async move {
+                let allowed = leader.record_orders(&orders).await;
+                for order in orders {
+                    leader.spawn(Arc::clone(&leader).order_machine(order, allowed));
+                }
+            });
+        }
+    }
+
+    /// Records orders; returns whether they may be sent.
+    async fn record_orders(&self, orders: &[MachineOrder]) -> bool {
+        let _turn = self.order_turn.lock().await;
+        let wall = self.host.inner.clock.wall();
+        let hold = self.host.inner.options.rules.machine_hold;
+        let (revision, mut recorded) = lock(&self.committed).orders.clone();
+        let is_recent = |each: &Ordered| wall.duration_since(each.at).is_ok_and(|age| age < hold);
+        recorded.retain(is_recent);
+        recorded.extend(orders.iter().map(|order| Ordered { machine: order.machine().clone(), at: wall }));
+        let Ok(value) = to_msgpack(&recorded) else { return false };
+        let txn = Txn::new()
+            .expect(TERM, Some(StoreRevision(self.fence.0 as i64)))
+            .expect(ORDERS, revision)
+            .put(ORDERS, value);
+        match self.host.store().commit(txn).await {
+            Ok(TxnOutcome::Done { revision }) => {
+                lock(&self.committed).orders = (Some(revision), recorded);
+                self.host.is_verified()
+            }
+            Ok(TxnOutcome::Conflict { found }) => {
+                let own = found.iter().find(|entry| entry.key.0 == ORDERS);
+                lock(&self.committed).orders.0 = own.map(|entry| entry.modified);
+                false
+            }
+            Err(error) => {
+                let fields = [Field::new("call", "orders"), Field::new("cause", error)];
+                self.host.record(Code::StoreFailed, fields);
+                // It may have taken effect: the revision is read with the next.
+                if let Ok(entry) = self.host.store().get(&ORDERS.into()).await {
+                    lock(&self.committed).orders.0 = entry.map(|entry| entry.modified);
+                }
+                false
+            }
+        }
+    }
+
+    async fn order_machine(self: Arc<Self>, order: MachineOrder, allowed: bool) {
         let host = &self.host;
-        // Two holders must not take turns: only one whose lease is proved.
-        let answer = if host.is_verified() {
+        let answer = if allowed {
             host.inner.platform.order(&order, &host.inner.options.node, self.fence).await
         } else {
             MachineAnswer::Limited
