--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -325,16 +325,19 @@
 
     /// Whether all that runs on a machine is known here.
     pub(crate) fn is_known(&self, machine: &SmolStr, now: Instant) -> bool {
+        // What an earlier leader started on a worker may run there unseen.
+        let settled = now.saturating_duration_since(self.started) > WORKERS_SHOWN;
         if let Some(key) = self.worker_on(machine) {
             let worker = &self.workers[key];
+            let over = worker.runs.is_empty() && now > worker.lease_end;
             return match worker.silent {
                 None => worker.heard,
-                Some(_) => worker.runs.is_empty() && now > worker.lease_end,
+                Some(_) => over && (worker.heard || settled),
             };
         }
         let pool = self.machines.list.get(machine).map(|each| &each.pool);
         let spare = pool.and_then(|pool| self.content.pools.get(pool)).is_some_and(|pool| pool.spare);
-        spare || now.saturating_duration_since(self.started) > WORKERS_SHOWN
+        spare || settled
     }
 
     /// Returns what taking a machine out now would cost: lasting tasks that
