--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -85,6 +85,9 @@
     /// Its machine is to be maintained or moved.
     #[display("machine-needed")]
     MachineNeeded,
+    /// Its worker is about to leave.
+    #[display("worker-leaves")]
+    WorkerLeaves,
     /// A task that has to run needs the room.
     #[display("preempted")]
     Preempted,
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -39,6 +39,7 @@
         self.expire_workers(now);
         self.chase_unsure(now);
         self.stop_stalled(now);
+        self.leave_draining(now);
         self.hold_gangs_together(now);
         self.maintain(now);
         self.resize(now);
@@ -47,6 +48,19 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Moves lasting tasks off workers that are about to leave; others may end
+    /// there in time.
+    fn leave_draining(&mut self, now: Instant) {
+        let draining = self.workers.values().filter(|worker| worker.draining);
+        let runs: Vec<_> = draining.flat_map(|worker| worker.runs.iter().copied()).collect();
+        for run in runs {
+            let lasts = self.spec_of(self.runs[run].task).is_some_and(|spec| spec.lasting);
+            if lasts && self.runs[run].is_running() {
+                self.stop_run(run, StopReason::WorkerLeaves, now);
+            }
+        }
+    }
+
     /// Sends stops again for runs that have not been settled.
     fn chase_unsure(&mut self, now: Instant) {
         let open = |phase| matches!(phase, Phase::Unsure | Phase::Stopping);
