lead, flow: shorter leases of hosts, fewer watch answers, tighter need of pools

Leases of 1.6 s shorten the time without a leader after a loss; changes of the store that come within 60 ms share a call.

--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -20,7 +20,7 @@
 /// Fewest arrivals that make a rate: one large job is no rise.
 const ARRIVALS_MIN: usize = 3;
 /// Part of a machine that can be filled before tasks fit nowhere.
-const FILL: f64 = 0.85;
+const FILL: f64 = 0.92;
 /// Machines of a pool beyond what it needs.
 const HEADROOM: f64 = 1.0;
 /// Fewest machines of a pool: a rise finds some room before more arrive.
@@ -29,7 +29,7 @@
 const IDLE: Duration = Duration::from_millis(600);
 /// Time in which a pool's past need loses most of its weight: large jobs come
 /// with pauses between them.
-const NEED_FADE: Duration = Duration::from_millis(2500);
+const NEED_FADE: Duration = Duration::from_millis(1500);
 /// Time in which a moved machine's worker has to show up.
 const ARRIVAL: Duration = Duration::from_secs(4);
 /// Tasks that wait longer than this count for one full machine-second each.
--- a/crates/lead/src/follow.rs
+++ b/crates/lead/src/follow.rs
@@ -15,6 +15,8 @@
 
 /// Pause before a prefix is listed again after an error.
 const RETRY: Duration = Duration::from_millis(150);
+/// Time in which changes gather after some have come.
+const GATHER: Duration = Duration::from_millis(60);
 /// Pause between two questions to peers while the store is lost.
 const ASK_PEERS: Duration = Duration::from_millis(400);
 
@@ -72,6 +74,9 @@
                 host.note_store();
                 if !batch.changes.is_empty() {
                     see(Seen::Changed(batch));
+                    // Each answer is a call: changes that come together share
+                    // one.
+                    tokio::time::sleep(GATHER).await;
                 }
             }
             Err(error) => return error,
--- a/crates/lead/src/leader/lives.rs
+++ b/crates/lead/src/leader/lives.rs
@@ -13,7 +13,7 @@
 use crate::keys::{LIVES, TERM};
 
 /// Time in which lives that come together are written together.
-const GATHER: Duration = Duration::from_millis(15);
+const GATHER: Duration = Duration::from_millis(30);
 /// Pause before the record is written again.
 const RETRY: Duration = Duration::from_millis(100);
 
--- a/crates/lead/src/options.rs
+++ b/crates/lead/src/options.rs
@@ -23,7 +23,7 @@
 }
 
 /// Lease of a host and of its leadership.
-const LEASE: Duration = Duration::from_millis(2500);
+const LEASE: Duration = Duration::from_millis(1600);
 /// Part of the lease after which it is renewed.
 const RENEWALS: u32 = 4;
 
