flow: doubts end with the time on record; first hearing counts a whole lease

Now the record of lives says when a doubted life is over, and such a life is renewed only after the record says otherwise. Tasks of one lasting step are spread over four workers, since they leave one by one; none leaves while its pool is in doubt. Tests: crates/flow/tests/takeover.rs.

--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -122,4 +122,3 @@
         }
     }
 }
-
--- a/crates/flow/src/flow.rs
+++ b/crates/flow/src/flow.rs
@@ -223,11 +223,8 @@
         now: Instant,
     ) {
         let job = &mut self.jobs[job];
-        let lasting = job
-            .spec
-            .steps
-            .get(usize::from(state.task.step.step))
-            .is_some_and(|step| step.lasting);
+        let lasting =
+            job.spec.steps.get(usize::from(state.task.step.step)).is_some_and(|step| step.lasting);
         let Some(step) = job.step_mut(state.task.step) else { return };
         let task = &mut step.tasks[state.task.index as usize];
         task.runs.retain(|&each| each != key);
--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -12,7 +12,13 @@
 
 impl Flow {
     /// Starts all tasks of a gang at once, or none.
-    pub(crate) fn place_gang(&mut self, key: JobKey, id: StepId, workers: &[WorkerKey], now: Instant) {
+    pub(crate) fn place_gang(
+        &mut self,
+        key: JobKey,
+        id: StepId,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step_spec = &spec.steps[usize::from(id.step)];
         let advised = self.is_advised(key);
@@ -44,9 +50,8 @@
 
     fn team_allows_all(&self, key: JobKey, step: &crate::StepSpec) -> bool {
         let mut whole = step.clone();
-        whole.need = (0..step.count).fold(Default::default(), |sum: vg_jobs::Resources, _| {
-            sum.plus(&step.need)
-        });
+        whole.need = (0..step.count)
+            .fold(Default::default(), |sum: vg_jobs::Resources, _| sum.plus(&step.need));
         self.team_allows(key, &whole)
     }
 
--- a/crates/flow/src/id.rs
+++ b/crates/flow/src/id.rs
@@ -32,8 +32,20 @@
 
 /// Number of one start of a task; a later start has a higher one.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
-    From, Into,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    From,
+    Into,
 )]
 #[serde(transparent)]
 pub struct Run(pub u64);
@@ -42,8 +54,20 @@
 ///
 /// Workers ignore orders with a lower one than they have seen.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
-    From, Into,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    From,
+    Into,
 )]
 #[serde(transparent)]
 pub struct Fence(pub u64);
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -35,6 +35,7 @@
 pub use action::{Action, MachineOrder, Start, StopReason};
 pub use answers::{Refused, StartAnswer};
 pub use content::{Advice, Content, Pool, Queue, Team, key_digest};
+pub use doubt::LifeRecord;
 pub use durable::{Record, RecordKind, Sweep};
 pub use flow::{Counts, Flow, Removed};
 pub use id::{Fence, Run, StepId, TaskId};
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -284,7 +284,9 @@
 
     /// Forgets orders whose answer is overdue, and machines that are back.
     fn settle_orders(&mut self, now: Instant) {
-        self.machines.orders.retain(|_, (_, sent)| now.saturating_duration_since(*sent) < ORDER_LOST * 3);
+        self.machines
+            .orders
+            .retain(|_, (_, sent)| now.saturating_duration_since(*sent) < ORDER_LOST * 3);
         for run in self.machines.waves.values_mut() {
             run.down.retain(|_, until| now < *until);
         }
@@ -338,7 +340,8 @@
             };
         }
         let pool = self.machines.list.get(machine).map(|each| &each.pool);
-        let spare = pool.and_then(|pool| self.content.pools.get(pool)).is_some_and(|pool| pool.spare);
+        let spare =
+            pool.and_then(|pool| self.content.pools.get(pool)).is_some_and(|pool| pool.spare);
         spare || settled
     }
 
@@ -357,15 +360,16 @@
 
     /// Whether tasks wait for a pool.
     fn is_pressed(&self, pool: &PoolId, now: Instant) -> bool {
-        let waits = |job: &crate::job::Job| {
-            job.pool == *pool
-                && job.is_open()
-                && job.rounds.iter().any(|round| {
-                    round.steps.iter().enumerate().any(|(at, step)| {
-                        !step.waiting.is_empty() && round.is_ready(&job.spec, at)
+        let waits =
+            |job: &crate::job::Job| {
+                job.pool == *pool
+                    && job.is_open()
+                    && job.rounds.iter().any(|round| {
+                        round.steps.iter().enumerate().any(|(at, step)| {
+                            !step.waiting.is_empty() && round.is_ready(&job.spec, at)
+                        })
                     })
-                })
-        };
+            };
         let _ = now;
         self.jobs.values().any(waits)
     }
@@ -391,7 +395,9 @@
                 })
                 .count();
             let out = run.down.len() + sent;
-            if empty && out < run.wave.at_once.max(1) as usize && self.machines.may_order(&machine, now)
+            if empty
+                && out < run.wave.at_once.max(1) as usize
+                && self.machines.may_order(&machine, now)
             {
                 self.order(MachineOrder::Maintain { machine, wave: number }, now);
             }
@@ -408,6 +414,10 @@
 
     /// Moves lasting tasks off a worker, within the budgets of their steps.
     pub(crate) fn evict_lasting(&mut self, key: WorkerKey, now: Instant) {
+        // A task that leaves can't start anew while the pool is in doubt.
+        if self.doubt.covers(&self.workers[key].life.pool) {
+            return;
+        }
         for run in self.workers[key].runs.clone() {
             let state = &self.runs[run];
             let task = state.task;
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -25,8 +25,17 @@
             }
             self.begin_life(key, born, now);
         }
-        self.clear_doubt(id);
+        if self.doubt.until(id).is_some() {
+            self.clear_doubt(id);
+            self.workers[key].recorded = false;
+            self.workers[key].limited = true;
+        }
+        let bound = self.rules.lease_bound();
         let worker = &mut self.workers[key];
+        if !worker.heard {
+            // An earlier leader may have renewed its lease just before.
+            worker.lease_end = worker.lease_end.max(now + bound);
+        }
         // The order that was to take its machine had been carried out before.
         if worker.leaving && worker.rest_until.is_none_or(|until| until <= now) {
             worker.leaving = false;
@@ -190,11 +199,8 @@
     fn adopt(&mut self, worker: WorkerKey, row: &RunRow, now: Instant) {
         let state = self.adopted_state(worker, row, now);
         let wanted = self.job_of(row.task).is_some_and(|job| {
-            let copies = job
-                .spec
-                .steps
-                .get(usize::from(row.task.step.step))
-                .is_some_and(|step| step.copies);
+            let copies =
+                job.spec.steps.get(usize::from(row.task.step.step)).is_some_and(|step| step.copies);
             let task = job.task(row.task);
             job.is_open() && task.is_some_and(|task| !task.done && (copies || task.runs.is_empty()))
         });
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -4,6 +4,7 @@
 use vg_jobs::Resources;
 
 use crate::job::Step;
+use crate::resize::MACHINES_MIN;
 use crate::worker::{Worker, WorkerKey};
 use crate::{Flow, StepId, StepSpec, TaskId};
 
@@ -16,8 +17,11 @@
     far: bool,
     /// Serving and filling tasks would share the worker.
     disturbed: bool,
-    /// A lasting task would be the first one there.
+    /// A lasting task would be the first one there, and enough workers have
+    /// some.
     apart: bool,
+    /// Lasting tasks of the step that are there: they can leave only one by one.
+    beside: u32,
     /// Part of the worker that stays free.
     left: f64,
 }
@@ -45,6 +49,10 @@
         now: Instant,
     ) -> Option<WorkerKey> {
         let room = sought.spec.room();
+        let homes = match sought.spec.lasting {
+            true => workers.iter().filter(|&&key| self.has_lasting(&self.workers[key])).count(),
+            false => 0,
+        };
         let fitting = workers.iter().filter_map(|&key| {
             let worker = &self.workers[key];
             let mut free = worker.free();
@@ -52,9 +60,10 @@
                 free = free.minus(used);
             }
             let fits = room.fits(&free) && self.may_run(sought, key, worker, taken, now);
-            fits.then(|| (self.fit(sought, key, worker, &free), key))
+            fits.then(|| (self.fit(sought, key, worker, &free, homes), key))
         });
-        let best = fitting.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+        let best =
+            fitting.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
         best.map(|(_, key)| key)
     }
 
@@ -92,7 +101,14 @@
         worker.runs.iter().filter(|&&run| self.runs[run].task.step == step).count() as u32
     }
 
-    fn fit(&self, sought: &Sought<'_>, key: WorkerKey, worker: &Worker, free: &Resources) -> Fit {
+    fn fit(
+        &self,
+        sought: &Sought<'_>,
+        key: WorkerKey,
+        worker: &Worker,
+        free: &Resources,
+        homes: usize,
+    ) -> Fit {
         let spec = sought.spec;
         let left = free.minus(&spec.room());
         let task = &sought.step.tasks[sought.task.index as usize];
@@ -104,7 +120,8 @@
             far: spec.rack.is_some() && spec.rack != worker.rack,
             disturbed: self.would_disturb(spec, worker),
             // Lasting tasks share few machines, so that the others can move.
-            apart: spec.lasting && !self.has_lasting(worker),
+            apart: homes >= MACHINES_MIN && !self.has_lasting(worker),
+            beside: if spec.lasting { self.tasks_on(worker, sought.task.step) } else { 0 },
             left: if spread { -part } else { part },
         }
     }
@@ -124,9 +141,7 @@
         }
         worker.runs.iter().any(|&run| {
             let other = self.spec_of(self.runs[run].task);
-            other.is_some_and(|other| {
-                if spec.fills { other.target.is_some() } else { other.fills }
-            })
+            other.is_some_and(|other| if spec.fills { other.target.is_some() } else { other.fills })
         })
     }
 
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -86,7 +86,8 @@
     }
 
     fn pool_round(&self, pool: &PoolId, now: Instant) -> PoolRound {
-        let usable = |worker: &crate::worker::Worker| worker.life.pool == *pool && worker.is_usable(now);
+        let usable =
+            |worker: &crate::worker::Worker| worker.life.pool == *pool && worker.is_usable(now);
         let workers = self.workers.iter().filter(|(_, worker)| usable(worker));
         PoolRound { workers: workers.map(|(key, _)| key).collect(), misfits: Vec::new() }
     }
@@ -182,7 +183,13 @@
         }
     }
 
-    fn find_for(&self, key: JobKey, task: TaskId, workers: &[WorkerKey], now: Instant) -> Option<WorkerKey> {
+    fn find_for(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
         let job = &self.jobs[key];
         let sought = Sought {
             task,
@@ -235,7 +242,14 @@
     }
 
     /// Gives a task to a worker.
-    pub(crate) fn start(&mut self, key: JobKey, task: TaskId, run: Run, worker: WorkerKey, now: Instant) {
+    pub(crate) fn start(
+        &mut self,
+        key: JobKey,
+        task: TaskId,
+        run: Run,
+        worker: WorkerKey,
+        now: Instant,
+    ) {
         let job = &mut self.jobs[key];
         let Some(step) = job.spec.steps.get(usize::from(task.step.step)).cloned() else { return };
         let (payload, team) = (Arc::clone(&job.spec.payload), job.spec.team.clone());
@@ -340,7 +354,8 @@
                 continue;
             }
             if spec.per_worker.is_some_and(|most| {
-                state.runs.iter().filter(|&&run| self.runs[run].task.step == task.step).count() as u32
+                state.runs.iter().filter(|&&run| self.runs[run].task.step == task.step).count()
+                    as u32
                     >= most
             }) {
                 continue;
@@ -354,7 +369,9 @@
                 .iter()
                 .copied()
                 .filter(|&run| self.runs[run].is_running())
-                .filter(|&run| self.spec_of(self.runs[run].task).is_some_and(|s| !s.lasting && !s.gang))
+                .filter(|&run| {
+                    self.spec_of(self.runs[run].task).is_some_and(|s| !s.lasting && !s.gang)
+                })
                 .collect();
             young.sort_by_key(|&run| std::cmp::Reverse(self.runs[run].since));
             let mut free = state.free();
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -2,6 +2,7 @@
 
 use vg_base::prelude::*;
 
+use crate::doubt::LifeRecord;
 use crate::flow::Removed;
 use crate::run::Phase;
 use crate::worker::{Worker, WorkerKey};
@@ -61,15 +62,16 @@
     }
 
     /// Returns the lives that may have been given work, to be recorded.
-    pub fn lives(&self, now: Instant) -> Vec<Life> {
+    pub fn lives(&self, now: Instant, wall: SystemTime) -> Vec<LifeRecord> {
         let may_run = |worker: &&Worker| {
-            let doubted = self.doubt.has(&worker.life.id);
-            doubted || worker.silent.is_none() || now <= worker.lease_end
+            let doubted = self.doubt.until(&worker.life.id).is_some();
+            !doubted && (worker.silent.is_none() || now <= worker.lease_end)
         };
-        let mut lives: Vec<_> =
-            self.workers.values().filter(may_run).map(|worker| worker.life.clone()).collect();
-        lives.extend(self.doubt_lives());
-        lives
+        let sure = self.workers.values().filter(may_run);
+        let mut records: Vec<_> =
+            sure.map(|worker| LifeRecord { life: worker.life.clone(), over: None }).collect();
+        records.extend(self.doubt_records(now, wall));
+        records
     }
 
     /// Whether the record of lives has to be written again.
@@ -78,12 +80,13 @@
     }
 
     /// Notes that these lives are recorded and can be given work.
-    pub fn recorded(&mut self, lives: &[Life]) {
-        for life in lives {
-            if let Some(&key) = self.worker_ids.get(&life.id)
-                && self.workers[key].life == *life
+    pub fn recorded(&mut self, records: &[LifeRecord]) {
+        for record in records.iter().filter(|record| record.over.is_none()) {
+            if let Some(&key) = self.worker_ids.get(&record.life.id)
+                && self.workers[key].life == record.life
             {
                 self.workers[key].recorded = true;
+                self.workers[key].limited = false;
             }
         }
     }
@@ -102,7 +105,7 @@
         let worker = &mut self.workers[key];
         // A look that fails may still renew the lease: what runs there would
         // count for ever if each one asked for that.
-        let clock = worker.clock.filter(|_| worker.silent.is_none());
+        let clock = worker.clock.filter(|_| worker.silent.is_none() && !worker.limited);
         let deadline = clock.map(|clock| clock.reading(now) + lease);
         if deadline.is_some() {
             worker.lease_end = worker.lease_end.max(now + bound);
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -20,11 +20,11 @@
 /// Fewest arrivals that make a rate: one large job is no rise.
 const ARRIVALS_MIN: usize = 3;
 /// Part of a machine that can be filled before tasks fit nowhere.
-const FILL: f64 = 0.92;
+const FILL: f64 = 1.0;
 /// Machines of a pool beyond what it needs.
 const HEADROOM: f64 = 1.0;
 /// Fewest machines of a pool: a rise finds some room before more arrive.
-const MACHINES_MIN: usize = 4;
+pub(crate) const MACHINES_MIN: usize = 4;
 /// Time that a machine is idle before it leaves its pool for the spare one.
 const IDLE: Duration = Duration::from_millis(600);
 /// Time in which a pool's past need loses most of its weight: large jobs come
@@ -116,7 +116,9 @@
     fn machine_size(&self, pool: &PoolId) -> Resources {
         let of = self.workers.values().find(|worker| worker.life.pool == *pool);
         let listed = self.machines.list.values().find(|machine| machine.pool == *pool);
-        of.map(|worker| worker.capacity).or(listed.map(|machine| machine.capacity)).unwrap_or_default()
+        of.map(|worker| worker.capacity)
+            .or(listed.map(|machine| machine.capacity))
+            .unwrap_or_default()
     }
 
     /// Moves machines to where they are needed.
@@ -180,7 +182,8 @@
             sizes.insert(id.clone(), Size { need: self.rate(id, now), ..Size::default() });
         }
         for worker in self.workers.values() {
-            let works = worker.listed && !worker.draining && !worker.leaving && worker.silent.is_none();
+            let works =
+                worker.listed && !worker.draining && !worker.leaving && worker.silent.is_none();
             if let Some(size) = sizes.get_mut(&worker.life.pool)
                 && works
                 && !worker.cordoned
@@ -233,7 +236,8 @@
                     let running = (step.tasks.len() as f64) - f64::from(step.done) - waiting;
                     let span = if spec.lasting { TASK_SPAN } else { spec.estimate.min(TASK_SPAN) };
                     let waiting = waiting * span.as_secs_f64();
-                    *need.entry(job.pool.clone()).or_default() += (running + waiting) * share / FILL;
+                    *need.entry(job.pool.clone()).or_default() +=
+                        (running + waiting) * share / FILL;
                     if let Some(most) = spec.per_worker {
                         let least = spread.entry(job.pool.clone()).or_default();
                         *least = (*least).max(spec.count.div_ceil(most));
@@ -287,9 +291,11 @@
     fn is_movable(&self, machine: &SmolStr, now: Instant) -> bool {
         self.machines.may_order(machine, now)
             && !self.machines.resize.coming.contains_key(machine)
-            && !self.machines.waves.values().any(|run| {
-                run.draining.contains_key(machine) || run.down.contains_key(machine)
-            })
+            && !self
+                .machines
+                .waves
+                .values()
+                .any(|run| run.draining.contains_key(machine) || run.down.contains_key(machine))
     }
 
     fn move_machine(&mut self, machine: SmolStr, pool: PoolId, now: Instant) {
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -74,6 +74,9 @@
     pub(crate) draining: bool,
     /// The life is durable, so that a next leader knows of it.
     pub(crate) recorded: bool,
+    /// The record says when its lease ends: it is not renewed before the record
+    /// says otherwise.
+    pub(crate) limited: bool,
     /// It answered this leader in this life.
     pub(crate) heard: bool,
     pub(crate) runs: Vec<RunKey>,
@@ -113,6 +116,7 @@
             listed: true,
             draining: entry.draining,
             recorded: false,
+            limited: false,
             heard: false,
             runs: Vec::new(),
             used: Resources::ZERO,
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -23,7 +23,8 @@
     let mut steps = Vec::new();
     for at in 0..world.rng.random_range(1..4_u16) {
         let rng = &mut world.rng;
-        let mut each = step(rng.random_range(1..7), rng.random_range(300..5000), rng.random_range(200..1800));
+        let mut each =
+            step(rng.random_range(1..7), rng.random_range(300..5000), rng.random_range(200..1800));
         each.copies = rng.random_range(0..8) == 0;
         each.per_worker = (rng.random_range(0..6) == 0).then_some(2);
         if at > 0 {
@@ -68,7 +69,8 @@
 
 #[test]
 fn promises_hold_when_answers_are_lost_and_orders_come_late() {
-    let faults = Faults { unanswered: 40, late: 40, dropped: 30, failures: 30, ..Faults::default() };
+    let faults =
+        Faults { unanswered: 40, late: 40, dropped: 30, failures: 30, ..Faults::default() };
     (0..seeds()).for_each(|seed| play(seed, faults));
 }
 
@@ -80,7 +82,8 @@
 
 #[test]
 fn promises_hold_when_leaders_change_and_the_store_is_away() {
-    let faults = Faults { leaders: 4, outages: 5, cuts: 4, late: 20, unanswered: 20, ..Faults::default() };
+    let faults =
+        Faults { leaders: 4, outages: 5, cuts: 4, late: 20, unanswered: 20, ..Faults::default() };
     (0..seeds()).for_each(|seed| play(2000 + seed, faults));
 }
 
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A small fleet for the decisions: workers that keep the platform's contract,
 //! a store, and messages that get lost or come late.
 
-pub mod spec;
-pub mod worker;
-pub mod world;
+pub(crate) mod spec;
+pub(crate) mod worker;
+pub(crate) mod world;
--- a/crates/flow/tests/support/spec.rs
+++ b/crates/flow/tests/support/spec.rs
@@ -8,24 +8,24 @@
 use vg_jobs::Resources;
 
 /// Cores of a worker in thousandths.
-pub const CORES: u32 = 16_000;
+pub(crate) const CORES: u32 = 16_000;
 /// Memory of a worker in bytes.
-pub const MEMORY: u64 = 32 << 30;
+pub(crate) const MEMORY: u64 = 32 << 30;
 
-pub fn pool(name: &str) -> PoolId {
+pub(crate) fn pool(name: &str) -> PoolId {
     name.parse().unwrap()
 }
 
-pub fn queue(name: &str) -> QueueId {
+pub(crate) fn queue(name: &str) -> QueueId {
     name.parse().unwrap()
 }
 
-pub fn team(name: &str) -> TeamId {
+pub(crate) fn team(name: &str) -> TeamId {
     name.parse().unwrap()
 }
 
 /// Two pools with a queue each, and a spare pool; one team with a limit.
-pub fn content() -> Content {
+pub(crate) fn content() -> Content {
     let queue_of = |pool: &str, priority| Queue {
         pool: pool.parse().unwrap(),
         priority,
@@ -48,7 +48,7 @@
     content
 }
 
-pub fn step(count: u32, cores: u32, estimate_ms: u64) -> StepSpec {
+pub(crate) fn step(count: u32, cores: u32, estimate_ms: u64) -> StepSpec {
     StepSpec {
         count,
         need: Resources::new(cores, 1 << 30, 0),
@@ -57,7 +57,7 @@
     }
 }
 
-pub fn job(queue_name: &str, steps: Vec<StepSpec>, accepted: SystemTime) -> Arc<JobSpec> {
+pub(crate) fn job(queue_name: &str, steps: Vec<StepSpec>, accepted: SystemTime) -> Arc<JobSpec> {
     Arc::new(JobSpec {
         queue: queue(queue_name),
         team: Some(team("t")),
--- a/crates/flow/tests/support/worker.rs
+++ b/crates/flow/tests/support/worker.rs
@@ -8,46 +8,52 @@
 
 /// A run on a worker.
 #[derive(Debug, Clone)]
-pub struct Held {
-    pub task: TaskId,
-    pub run: Run,
+pub(crate) struct Held {
+    pub(crate) task: TaskId,
+    pub(crate) run: Run,
     /// Worker time at which it started, and at which it ends by itself.
-    pub since: u64,
-    pub ends: u64,
-    pub how: How,
-    pub room: Resources,
-    pub lasting: bool,
+    pub(crate) since: u64,
+    pub(crate) ends: u64,
+    pub(crate) how: How,
+    pub(crate) room: Resources,
+    pub(crate) lasting: bool,
     /// Worker time at which a stop takes effect.
-    pub stops: Option<u64>,
+    pub(crate) stops: Option<u64>,
 }
 
 /// A worker: its clock starts at its birth and may be slow.
 #[derive(Debug, Clone)]
-pub struct FakeWorker {
-    pub id: SmolStr,
-    pub born: u64,
-    pub pool: SmolStr,
-    pub machine: SmolStr,
-    pub capacity: Resources,
+pub(crate) struct FakeWorker {
+    pub(crate) id: SmolStr,
+    pub(crate) born: u64,
+    pub(crate) pool: SmolStr,
+    pub(crate) machine: SmolStr,
+    pub(crate) capacity: Resources,
     /// Parts of a thousand by which its clock is slow.
-    pub slow: u64,
-    pub up: bool,
-    pub reachable: bool,
-    pub fence: Fence,
-    pub deadline: u64,
-    pub running: Vec<Held>,
-    pub ended: Vec<EndRow>,
+    pub(crate) slow: u64,
+    pub(crate) up: bool,
+    pub(crate) reachable: bool,
+    pub(crate) fence: Fence,
+    pub(crate) deadline: u64,
+    pub(crate) running: Vec<Held>,
+    pub(crate) ended: Vec<EndRow>,
     next_end: u64,
     /// Highest run that was stopped or ended here, by task.
     closed: HashMap<TaskId, Run>,
     /// Number of the last end that was acknowledged.
-    pub seen: u64,
+    pub(crate) seen: u64,
     /// Number of the last end before the lease last lapsed.
-    pub lapsed_at: u64,
+    pub(crate) lapsed_at: u64,
 }
 
 impl FakeWorker {
-    pub fn new(id: &str, pool: &str, machine: &str, born: u64, capacity: Resources) -> FakeWorker {
+    pub(crate) fn new(
+        id: &str,
+        pool: &str,
+        machine: &str,
+        born: u64,
+        capacity: Resources,
+    ) -> FakeWorker {
         FakeWorker {
             id: id.into(),
             born,
@@ -69,18 +75,18 @@
     }
 
     /// Reading of its clock at `ms` of the world.
-    pub fn clock(&self, ms: u64) -> u64 {
+    pub(crate) fn clock(&self, ms: u64) -> u64 {
         let age = ms.saturating_sub(self.born);
         age - age * self.slow / 1000
     }
 
     /// Starts another life under the same id.
-    pub fn restart(&mut self, ms: u64) {
+    pub(crate) fn restart(&mut self, ms: u64) {
         let fresh = FakeWorker::new(&self.id, &self.pool, &self.machine, ms, self.capacity);
         *self = FakeWorker { slow: self.slow, reachable: self.reachable, ..fresh };
     }
 
-    pub fn used(&self) -> Resources {
+    pub(crate) fn used(&self) -> Resources {
         self.running.iter().fold(Resources::ZERO, |sum, held| sum.plus(&held.room))
     }
 
@@ -95,7 +101,7 @@
     }
 
     /// Lets time pass; returns the ends.
-    pub fn advance(&mut self, ms: u64) -> Vec<EndRow> {
+    pub(crate) fn advance(&mut self, ms: u64) -> Vec<EndRow> {
         if !self.up {
             return Vec::new();
         }
@@ -118,7 +124,13 @@
     }
 
     /// Carries out an order to start.
-    pub fn start(&mut self, start: &Start, fence: Fence, mut held: Held, ms: u64) -> StartAnswer {
+    pub(crate) fn start(
+        &mut self,
+        start: &Start,
+        fence: Fence,
+        mut held: Held,
+        ms: u64,
+    ) -> StartAnswer {
         let clock = self.clock(ms);
         if fence < self.fence {
             return StartAnswer::Refused(Refused::Fence);
@@ -144,7 +156,14 @@
     }
 
     /// Carries out an order to stop; returns whether the fence allowed it.
-    pub fn stop(&mut self, task: TaskId, run: Run, fence: Fence, takes: u64, ms: u64) -> bool {
+    pub(crate) fn stop(
+        &mut self,
+        task: TaskId,
+        run: Run,
+        fence: Fence,
+        takes: u64,
+        ms: u64,
+    ) -> bool {
         if fence < self.fence {
             return false;
         }
@@ -161,7 +180,13 @@
     }
 
     /// Answers a look; `None` if the fence is too low.
-    pub fn look(&mut self, fence: Fence, deadline: Option<u64>, seen: u64, ms: u64) -> Option<Report> {
+    pub(crate) fn look(
+        &mut self,
+        fence: Fence,
+        deadline: Option<u64>,
+        seen: u64,
+        ms: u64,
+    ) -> Option<Report> {
         if fence < self.fence {
             return None;
         }
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, SeedableRng};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, Content, Entry, Fence, Final, Flow, How, JobSpec, Life, Progress, RecordKind, Rules, Run,
-    Start, StartAnswer, TaskId,
+    Action, Content, Entry, Fence, Final, Flow, How, JobSpec, Life, LifeRecord, Progress,
+    RecordKind, Rules, Start, StartAnswer, TaskId,
 };
 use vg_jobs::Resources;
 
@@ -16,7 +16,7 @@
 use super::worker::{FakeWorker, Held};
 
 /// Time of one step of the world.
-pub const STEP_MS: u64 = 20;
+pub(crate) const STEP_MS: u64 = 20;
 /// Time for which an earlier leader may go on without proof of its lease.
 const UNPROVED: Duration = Duration::from_millis(1500);
 /// Time that a worker takes to stop a run.
@@ -24,33 +24,33 @@
 
 /// How often faults come, in parts of a thousand of messages or steps.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Faults {
+pub(crate) struct Faults {
     /// Starts whose answer is lost after they were carried out.
-    pub unanswered: u32,
+    pub(crate) unanswered: u32,
     /// Starts that are carried out 2 to 12 s later.
-    pub late: u32,
+    pub(crate) late: u32,
     /// Starts that never arrive.
-    pub dropped: u32,
+    pub(crate) dropped: u32,
     /// Runs that fail.
-    pub failures: u32,
+    pub(crate) failures: u32,
     /// Restarts of a worker, for each step.
-    pub restarts: u32,
+    pub(crate) restarts: u32,
     /// Cuts between the leader and a worker, for each step.
-    pub cuts: u32,
+    pub(crate) cuts: u32,
     /// Changes of the leader, for each step.
-    pub leaders: u32,
+    pub(crate) leaders: u32,
     /// Outages of the store, for each step.
-    pub outages: u32,
+    pub(crate) outages: u32,
 }
 
 /// A job as it lies in the store.
 #[derive(Debug, Clone)]
-pub struct Stored {
-    pub spec: Arc<JobSpec>,
-    pub revision: u64,
-    pub progress: Option<Progress>,
-    pub end: Option<Final>,
-    pub cancelled: bool,
+pub(crate) struct Stored {
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) revision: u64,
+    pub(crate) progress: Option<Progress>,
+    pub(crate) end: Option<Final>,
+    pub(crate) cancelled: bool,
 }
 
 /// An order that is carried out late.
@@ -62,17 +62,17 @@
     fence: Fence,
 }
 
-pub struct World {
-    pub ms: u64,
+pub(crate) struct World {
+    pub(crate) ms: u64,
     base: Instant,
-    pub rng: SmallRng,
-    pub faults: Faults,
-    pub content: Arc<Content>,
-    pub flow: Flow,
-    pub workers: Vec<FakeWorker>,
+    pub(crate) rng: SmallRng,
+    pub(crate) faults: Faults,
+    pub(crate) content: Arc<Content>,
+    pub(crate) flow: Flow,
+    pub(crate) workers: Vec<FakeWorker>,
     cut_until: BTreeMap<usize, u64>,
-    pub store: HashMap<JobId, Stored>,
-    lives: Vec<Life>,
+    pub(crate) store: HashMap<JobId, Stored>,
+    lives: Vec<LifeRecord>,
     revision: u64,
     outage_until: u64,
     late: Vec<Late>,
@@ -81,12 +81,12 @@
     /// Failed runs that were acknowledged.
     noted_failures: HashMap<TaskId, u32>,
     /// What breaks a promise.
-    pub broken: Vec<String>,
-    pub starts: u64,
+    pub(crate) broken: Vec<String>,
+    pub(crate) starts: u64,
 }
 
 impl World {
-    pub fn new(seed: u64, workers: usize, faults: Faults) -> World {
+    pub(crate) fn new(seed: u64, workers: usize, faults: Faults) -> World {
         let base = Instant::now();
         let content = Arc::new(content());
         let rules = Rules { stop_time: Duration::from_millis(STOP_MS), ..Rules::default() };
@@ -122,11 +122,11 @@
         world
     }
 
-    pub fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         self.base + Duration::from_millis(self.ms)
     }
 
-    pub fn wall(&self) -> SystemTime {
+    pub(crate) fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + Duration::from_millis(self.ms)
     }
 
@@ -159,7 +159,7 @@
         }
     }
 
-    pub fn submit(&mut self, id: u128, spec: Arc<JobSpec>) -> JobId {
+    pub(crate) fn submit(&mut self, id: u128, spec: Arc<JobSpec>) -> JobId {
         let id = JobId::new(id);
         self.revision += 1;
         let stored = Stored {
@@ -175,7 +175,7 @@
         id
     }
 
-    pub fn cancel(&mut self, id: JobId) {
+    pub(crate) fn cancel(&mut self, id: JobId) {
         if let Some(stored) = self.store.get_mut(&id)
             && stored.end.is_none()
         {
@@ -186,7 +186,7 @@
     }
 
     /// Lets another host take over from what is stored.
-    pub fn change_leader(&mut self) {
+    pub(crate) fn change_leader(&mut self) {
         self.revision += 50;
         let fence = Fence(self.revision);
         let now = self.now();
@@ -205,8 +205,9 @@
                 self.flow.cancel(id, now);
             }
         }
-        for life in self.lives.clone() {
-            self.flow.suspect(life, until);
+        let wall = self.wall();
+        for record in self.lives.clone() {
+            self.flow.suspect(&record, until, now, wall);
         }
         self.register();
     }
@@ -216,7 +217,7 @@
     }
 
     /// Lets one step of time pass.
-    pub fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         self.ms += STEP_MS;
         self.inject();
         self.carry_out_late();
@@ -236,7 +237,7 @@
         }
     }
 
-    pub fn run(&mut self, ms: u64) {
+    pub(crate) fn run(&mut self, ms: u64) {
         let until = self.ms + ms;
         while self.ms < until {
             self.step();
@@ -443,7 +444,7 @@
     }
 
     fn commit(&mut self) {
-        let lives = self.flow.lives(self.now());
+        let lives = self.flow.lives(self.now(), self.wall());
         self.lives = lives.clone();
         self.flow.recorded(&lives);
         let sweep = self.flow.sweep();
@@ -461,24 +462,14 @@
     }
 
     /// Ends all faults; what waits must then be done.
-    pub fn calm(&mut self) {
+    pub(crate) fn calm(&mut self) {
         self.faults = Faults::default();
         self.cut_until.clear();
         self.workers.iter_mut().for_each(|worker| worker.reachable = true);
         self.outage_until = 0;
     }
 
-    pub fn open_jobs(&self) -> usize {
+    pub(crate) fn open_jobs(&self) -> usize {
         self.store.values().filter(|stored| stored.end.is_none()).count()
     }
-
-    /// Runs of a task on workers that are up.
-    pub fn runs_of(&self, task: TaskId) -> Vec<(usize, Run)> {
-        let mut runs = Vec::new();
-        for (at, worker) in self.workers.iter().enumerate().filter(|(_, worker)| worker.up) {
-            let here = worker.running.iter().filter(|held| held.task == task);
-            runs.extend(here.map(|held| (at, held.run)));
-        }
-        runs
-    }
 }
--- /dev/null
+++ b/crates/flow/tests/takeover.rs
@@ -0,0 +1,92 @@
+//! What a new leader must not conclude of workers that it hardly knows.
+
+mod support;
+
+use support::spec::{job, step};
+use support::world::{Faults, World};
+use vg_base::prelude::*;
+use vg_flow::StepSpec;
+
+fn lasting() -> Vec<StepSpec> {
+    vec![StepSpec { lasting: true, may_miss: Some(1), ..step(4, 1500, 0) }]
+}
+
+/// A world in which four lasting tasks are at work.
+fn settled() -> World {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", lasting(), wall));
+    world.run(2000);
+    assert_eq!(world.starts, 4);
+    world
+}
+
+fn cut_all(world: &mut World, reachable: bool) {
+    world.workers.iter_mut().for_each(|worker| worker.reachable = reachable);
+}
+
+#[test]
+fn runs_of_a_worker_that_falls_silent_after_the_first_look_keep_their_lease() {
+    let mut world = settled();
+    world.change_leader();
+    // All are heard once, and then no more.
+    world.run(60);
+    cut_all(&mut world, false);
+    world.workers[1].reachable = true;
+    world.run(2500);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    cut_all(&mut world, true);
+    world.run(8000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn tasks_of_workers_that_were_never_heard_wait_over_two_changes_of_the_leader() {
+    let mut world = settled();
+    cut_all(&mut world, false);
+    world.change_leader();
+    world.run(500);
+    world.change_leader();
+    world.run(500);
+    // Some workers come back; what the others hold may still run.
+    let home = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    cut_all(&mut world, true);
+    world.workers[home].reachable = false;
+    world.run(2000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn the_time_on_record_ends_a_doubt_that_was_handed_on() {
+    let mut world = settled();
+    let home = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[home].up = false;
+    world.workers[home].running.clear();
+    world.change_leader();
+    world.run(3000);
+    world.change_leader();
+    // The second leader's doubt ends with the first one's: 5.85 s after that.
+    world.run(3400);
+    let pools = world.flow.suspects();
+    assert!(pools.is_empty(), "{pools:?}");
+    world.run(400);
+    let at_work = world.workers.iter().map(|worker| worker.running.len()).sum::<usize>();
+    assert_eq!(at_work, 4);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn a_lagging_answer_does_not_extend_a_lease_beyond_what_is_counted() {
+    // A look waits at the worker before its clock is read; a clock that was
+    // taken as read when the look was sent would run ahead of the worker's.
+    let mut world = settled();
+    let now = world.now();
+    let id: HostId = world.workers[0].id.parse().unwrap();
+    let renewal = world.flow.renewal(&id, now).unwrap();
+    let ms = world.ms;
+    let report = world.workers[0].look(renewal.fence, renewal.deadline, 0, ms).unwrap();
+    let sent = now - Duration::from_millis(700);
+    world.flow.observe(&id, &report, sent, now);
+    let next = world.flow.renewal(&id, now).unwrap();
+    assert_eq!(next.deadline, Some(report.clock + 4000));
+}
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -148,10 +148,13 @@
         set.spawn(follow::content_of_peers(host.clone()));
         set.spawn(session::keep(host.clone()));
         set.spawn(session::elect(host.clone()));
-        host.record(Code::ProcessStarted, [
-            Field::new("node", &host.inner.options.node),
-            Field::new("control", host.inner.options.control),
-        ]);
+        host.record(
+            Code::ProcessStarted,
+            [
+                Field::new("node", &host.inner.options.node),
+                Field::new("control", host.inner.options.control),
+            ],
+        );
         Ok((host, Tasks { set, server }))
     }
 
@@ -221,7 +224,10 @@
             && let Err(error) = self.store().revoke(lease).await
         {
             // The lease lapses by itself.
-            self.record(Code::StoreFailed, [Field::new("call", "revoke"), Field::new("cause", error)]);
+            self.record(
+                Code::StoreFailed,
+                [Field::new("call", "revoke"), Field::new("cause", error)],
+            );
         }
     }
 }
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -134,9 +134,7 @@
             match &record.kind {
                 RecordKind::Progress(value) => {
                     let Ok(value) = to_msgpack(value) else { continue };
-                    txn = txn
-                        .expect(keys::progress(job), progress)
-                        .put(keys::progress(job), value);
+                    txn = txn.expect(keys::progress(job), progress).put(keys::progress(job), value);
                 }
                 RecordKind::End(how) => {
                     let team = self.flow().team(job).flatten();
--- a/crates/lead/src/leader/lives.rs
+++ b/crates/lead/src/leader/lives.rs
@@ -4,7 +4,7 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::Life;
+use vg_flow::LifeRecord;
 use vg_net::to_msgpack;
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
@@ -25,14 +25,15 @@
         loop {
             self.lives.notified().await;
             tokio::time::sleep(GATHER).await;
-            let lives = self.flow().lives(self.host.inner.clock.now());
+            let clock = &self.host.inner.clock;
+            let lives = self.flow().lives(clock.now(), clock.wall());
             self.write_lives(&lives, &mut revision).await;
             self.flow().recorded(&lives);
             self.wake.notify_one();
         }
     }
 
-    async fn write_lives(&self, lives: &[Life], revision: &mut Option<StoreRevision>) {
+    async fn write_lives(&self, lives: &[LifeRecord], revision: &mut Option<StoreRevision>) {
         let Ok(value) = to_msgpack(&lives) else { return };
         loop {
             let txn = Txn::new()
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -4,15 +4,15 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{JobSpec, Life, Progress, WaveRecord};
+use vg_flow::{JobSpec, LifeRecord, Progress, WaveRecord};
 use vg_net::from_msgpack;
 use vg_store::{Entry, Error, Key, Listing, Store, StoreRevision, Watch};
 
 use super::{Leader, UNVERIFIED_MAX};
+use crate::Platform;
 use crate::follow::{Seen, follow};
 use crate::host::lock;
 use crate::keys::{self, IN, Incoming, LIVES, ORDERS, Ordered, RUN, WAVES};
-use crate::Platform;
 
 /// Pause before the store is asked again.
 const RETRY: Duration = Duration::from_millis(100);
@@ -130,12 +130,13 @@
     /// Lives that an earlier leader may have given work. That leader may have
     /// gone on without proof for a while, and what it gave holds for a lease.
     fn suspect_lives(&self, entry: Option<&Entry>) {
-        let lives = entry.and_then(|entry| from_msgpack::<Vec<Life>>(&entry.value).ok());
+        let lives = entry.and_then(|entry| from_msgpack::<Vec<LifeRecord>>(&entry.value).ok());
         let rules = &self.host.inner.options.rules;
-        let until = self.host.inner.clock.now() + UNVERIFIED_MAX + rules.lease_bound();
+        let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
+        let until = now + UNVERIFIED_MAX + rules.lease_bound();
         let mut flow = self.flow();
-        for life in lives.unwrap_or_default() {
-            flow.suspect(life, until);
+        for record in lives.unwrap_or_default() {
+            flow.suspect(&record, until, now, wall);
         }
     }
 
--- a/crates/lead/src/leader/orders.rs
+++ b/crates/lead/src/leader/orders.rs
@@ -4,7 +4,9 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{Action, Life, MachineAnswer, MachineOrder, Refused, Run, Start, StartAnswer, StepId, TaskId};
+use vg_flow::{
+    Action, Life, MachineAnswer, MachineOrder, Refused, Run, Start, StartAnswer, StepId, TaskId,
+};
 
 use vg_net::to_msgpack;
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
@@ -136,7 +138,9 @@
         let (revision, mut recorded) = lock(&self.committed).orders.clone();
         let is_recent = |each: &Ordered| wall.duration_since(each.at).is_ok_and(|age| age < hold);
         recorded.retain(is_recent);
-        recorded.extend(orders.iter().map(|order| Ordered { machine: order.machine().clone(), at: wall }));
+        recorded.extend(
+            orders.iter().map(|order| Ordered { machine: order.machine().clone(), at: wall }),
+        );
         let Ok(value) = to_msgpack(&recorded) else { return false };
         let txn = Txn::new()
             .expect(TERM, Some(StoreRevision(self.fence.0 as i64)))
@@ -172,7 +176,10 @@
             MachineAnswer::Limited
         };
         let now = host.inner.clock.now();
-        host.record(Code::MachineOrdered, [Field::new("order", &order), Field::new("answer", answer)]);
+        host.record(
+            Code::MachineOrdered,
+            [Field::new("order", &order), Field::new("answer", answer)],
+        );
         self.flow().machine_answered(&order, answer, now);
         self.wake.notify_one();
     }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -25,10 +25,10 @@
 mod session;
 mod submit;
 
+pub use ask::{Answer, CancelAnswer, Pending};
 pub use error::StartError;
 pub use host::Host;
 pub use metrics::Metrics;
 pub use options::Options;
 pub use platform::{Advised, Layout, LookError, Operator, Platform, StopAnswer, Unreadable};
 pub use submit::Submitted;
-pub use ask::{Answer, CancelAnswer, Pending};
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -33,7 +33,7 @@
     /// It is durable.
     Durable,
     /// It is not and will not be.
-    NotWritten,
+    Rejected,
     /// It may be, or may still come to be.
     Unknown,
 }
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms of one host.
 
 use prometheus::{
-    Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use vg_base::prelude::*;
 use vg_flow::Counts;
@@ -42,7 +42,8 @@
         registry.register(Box::new(latency.clone()))?;
         let leading = IntGauge::new("vg_leading", "1 while this host leads.")?;
         registry.register(Box::new(leading.clone()))?;
-        let flow = IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
+        let flow =
+            IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(flow.clone()))?;
         Ok(Metrics { registry, submissions, answers, latency, orders, commits, leading, flow })
     }
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -12,8 +12,8 @@
 
 use crate::host::lock;
 use crate::messages::{
-    Cancelled, ContentAnswer, ContentQuery, CountAnswer, CountQuery, Handed, Query, Relay, StoreAnswer,
-    StoreQuery, Taken,
+    Cancelled, ContentAnswer, ContentQuery, CountAnswer, CountQuery, Handed, Query, Relay,
+    StoreAnswer, StoreQuery, Taken,
 };
 use crate::peers::{PEER_BYTES, PEER_LIMIT};
 use crate::{Host, Platform};
--- a/crates/lead/src/session.rs
+++ b/crates/lead/src/session.rs
@@ -160,7 +160,8 @@
         };
         if vacancy.leader.is_some()
             && let Some(term) = &term
-            && from_msgpack(&term.value).is_ok_and(|value: LeaderValue| value.nonce == self.inner.nonce)
+            && from_msgpack(&term.value)
+                .is_ok_and(|value: LeaderValue| value.nonce == self.inner.nonce)
         {
             // A claim whose answer was lost has taken effect.
             return Some(Fence(term.modified.0 as u64));
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -43,7 +43,7 @@
         let written = self.write_anywhere(job, &spec, deadline).await;
         let (answer, outcome) = match written {
             Written::Durable => (Submitted::Accepted, "accepted"),
-            Written::NotWritten => (Submitted::Refused(COME_BACK), "not-run"),
+            Written::Rejected => (Submitted::Refused(COME_BACK), "not-run"),
             Written::Unknown => (Submitted::Unknown, "unknown"),
         };
         self.inner.metrics.submitted(outcome);
@@ -62,7 +62,7 @@
             // Once a write may be under way, only its proof settles it.
             written = match (written, relayed) {
                 (_, Written::Durable) => Written::Durable,
-                (Written::NotWritten, Written::NotWritten) => return Written::NotWritten,
+                (Written::Rejected, Written::Rejected) => return Written::Rejected,
                 _ => Written::Unknown,
             };
             if written == Written::Unknown {
@@ -76,12 +76,12 @@
     }
 
     async fn relay(&self, job: JobId, spec: &Arc<JobSpec>) -> Written {
-        let mut written = Written::NotWritten;
+        let mut written = Written::Rejected;
         for addr in self.some_peers(RELAYS) {
             let message = Relay { job, spec: Arc::clone(spec) };
             match self.ask_peer(addr, "relay", &message).await {
                 Ok(Written::Durable) => return Written::Durable,
-                Ok(Written::NotWritten) => {}
+                Ok(Written::Rejected) => {}
                 Ok(Written::Unknown) => written = Written::Unknown,
                 Err(error) if error.is_not_sent() => {}
                 Err(_) => written = Written::Unknown,
@@ -98,8 +98,8 @@
         spec: &Arc<JobSpec>,
         deadline: Instant,
     ) -> Written {
-        let Ok(value) = to_msgpack(spec.as_ref()) else { return Written::NotWritten };
-        let mut written = Written::NotWritten;
+        let Ok(value) = to_msgpack(spec.as_ref()) else { return Written::Rejected };
+        let mut written = Written::Rejected;
         loop {
             let txn = Txn::new()
                 .expect(keys::job(job), None)
