lead: tests of hosts over one store; the stand-in worker has one home

Tests cause: a killed leader, a planned stop, a lost answer of the store, an outage, a host cut from the store, a cut leader, cancellations beside ends in one transaction, versions out of order.

--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -2,5 +2,4 @@
 //! a store, and messages that get lost or come late.
 
 pub(crate) mod spec;
-pub(crate) mod worker;
 pub(crate) mod world;
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -11,9 +11,9 @@
     RecordKind, Rules, Start, StartAnswer, TaskId,
 };
 use vg_jobs::Resources;
+use vg_standin::{FleetWorker, HeldRun};
 
 use super::spec::{CORES, MEMORY, content};
-use super::worker::{FakeWorker, Held};
 
 /// Time of one step of the world.
 pub(crate) const STEP_MS: u64 = 20;
@@ -69,7 +69,7 @@
     pub(crate) faults: Faults,
     pub(crate) content: Arc<Content>,
     pub(crate) flow: Flow,
-    pub(crate) workers: Vec<FakeWorker>,
+    pub(crate) workers: Vec<FleetWorker>,
     cut_until: BTreeMap<usize, u64>,
     pub(crate) store: HashMap<JobId, Stored>,
     lives: Vec<LifeRecord>,
@@ -85,6 +85,7 @@
     pub(crate) starts: u64,
 }
 
+#[allow(dead_code, reason = "each test uses a part")]
 impl World {
     pub(crate) fn new(seed: u64, workers: usize, faults: Faults) -> World {
         let base = Instant::now();
@@ -95,7 +96,7 @@
         let worker = |at: usize| {
             let pool = if at.is_multiple_of(2) { "a" } else { "b" };
             let (id, machine) = (format!("w{at}"), format!("m{at}"));
-            let mut worker = FakeWorker::new(&id, pool, &machine, 0, capacity);
+            let mut worker = FleetWorker::new(&id, pool, &machine, 0, capacity);
             worker.slow = (at as u64 % 3) * 10;
             worker
         };
@@ -373,7 +374,7 @@
         let ends = spec.estimate.as_millis() as u64;
         let fails = self.chance(self.faults.failures);
         let how = if fails { How::Failed } else { How::Done };
-        let held = Held {
+        let held = HeldRun {
             task: start.task,
             run: start.run,
             since: 0,
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -30,9 +30,14 @@
     let mut world = settled();
     world.change_leader();
     // All are heard once, and then no more.
-    world.run(60);
+    while !world.flow.suspects().is_empty() {
+        world.step();
+    }
     cut_all(&mut world, false);
-    world.workers[1].reachable = true;
+    world.run(400);
+    let home = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    cut_all(&mut world, true);
+    world.workers[home].reachable = false;
     world.run(2500);
     assert!(world.broken.is_empty(), "{:?}", world.broken);
     cut_all(&mut world, true);
@@ -90,3 +95,15 @@
     let next = world.flow.renewal(&id, now).unwrap();
     assert_eq!(next.deadline, Some(report.clock + 4000));
 }
+
+#[test]
+fn tasks_of_a_dead_worker_start_elsewhere_when_its_lease_has_ended() {
+    let mut world = settled();
+    let home = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[home].up = false;
+    world.workers[home].running.clear();
+    // The lease of 4 s, its margins, and a little for the start.
+    world.run(5000);
+    let at_work = world.workers.iter().map(|worker| worker.running.len()).sum::<usize>();
+    assert_eq!(at_work, 4);
+}
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -163,6 +163,11 @@
         self.inner.content.borrow().clone()
     }
 
+    /// Whether this host leads.
+    pub fn is_leading(&self) -> bool {
+        self.leading().is_some()
+    }
+
     /// Returns the counters of this host.
     pub fn metrics(&self) -> &Metrics {
         &self.inner.metrics
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use ask::{Answer, CancelAnswer, Pending};
 pub use error::StartError;
-pub use host::Host;
+pub use host::{Host, Tasks};
 pub use metrics::Metrics;
 pub use options::Options;
 pub use platform::{Advised, Layout, LookError, Operator, Platform, StopAnswer, Unreadable};
--- /dev/null
+++ b/crates/lead/tests/leader.rs
@@ -0,0 +1,189 @@
+//! Hosts that share a store: acceptance, takeover, outages and true answers.
+
+mod support;
+
+use support::{World, eventually, job, soon};
+use vg_base::prelude::*;
+use vg_flow::Final;
+use vg_lead::{Answer, CancelAnswer, Submitted};
+use vg_store::{Call, Fault};
+
+fn id(number: u128) -> JobId {
+    JobId::new(number)
+}
+
+fn is_done(answer: &Answer) -> bool {
+    matches!(answer, Answer::Ended(_, Final::Done))
+}
+
+#[tokio::test]
+async fn a_job_handed_to_one_host_runs_once_and_is_shown_at_another() {
+    let world = World::new().await;
+    let (a, b) = (world.node("a").await, world.node("b").await);
+    eventually(async || world.has_leader().await).await;
+    assert_eq!(a.host.submit(id(1), job(3), soon()).await, Submitted::Accepted);
+    // The same id is the same job, wherever it comes again.
+    assert_eq!(b.host.submit(id(1), job(3), soon()).await, Submitted::Accepted);
+    eventually(async || is_done(&b.host.state(id(1), soon()).await)).await;
+    assert_eq!(world.fleet.starts_of(id(1)), 6);
+    assert_eq!(a.host.submit(id(1), job(3), soon()).await, Submitted::Accepted);
+    assert_eq!(a.host.state(id(2), soon()).await, Answer::Absent);
+    assert_eq!(world.fleet.starts_of(id(1)), 6);
+}
+
+#[tokio::test]
+async fn what_was_acknowledged_goes_on_when_the_leader_is_gone() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    for number in 1..=8 {
+        assert_eq!(a.host.submit(id(number), job(4), soon()).await, Submitted::Accepted);
+    }
+    // As a killed process: nothing is handed over.
+    a.tasks.stop().await;
+    let b = world.node("b").await;
+    for number in 1..=8 {
+        eventually(async || is_done(&b.host.state(id(number), soon()).await)).await;
+        assert_eq!(world.fleet.starts_of(id(number)), 8, "job {number}");
+    }
+}
+
+#[tokio::test]
+async fn a_planned_stop_hands_the_leadership_over() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    let b = world.node("b").await;
+    assert_eq!(a.host.submit(id(1), job(4), soon()).await, Submitted::Accepted);
+    a.host.begin_stop().await;
+    assert!(!a.host.is_ready());
+    eventually(async || is_done(&b.host.state(id(1), soon()).await)).await;
+    // The stopping host still answers what it was asked.
+    assert!(is_done(&a.host.state(id(1), soon()).await));
+    assert_eq!(world.fleet.starts_of(id(1)), 8);
+}
+
+#[tokio::test]
+async fn a_lost_answer_of_the_store_is_settled_before_the_caller_is_told() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    a.faults.script(Call::Txn, Fault::LostAfter, 1);
+    assert_eq!(a.host.submit(id(1), job(2), soon()).await, Submitted::Accepted);
+    eventually(async || is_done(&a.host.state(id(1), soon()).await)).await;
+    assert_eq!(world.fleet.starts_of(id(1)), 4);
+}
+
+#[tokio::test]
+async fn a_job_refused_while_the_store_is_away_never_runs() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    a.faults.set_down(true);
+    let refused = a.host.submit(id(1), job(2), soon()).await;
+    assert!(matches!(refused, Submitted::Refused(_)), "{refused:?}");
+    a.faults.set_down(false);
+    eventually(async || a.host.is_ready()).await;
+    assert_eq!(a.host.submit(id(2), job(2), soon()).await, Submitted::Accepted);
+    eventually(async || is_done(&a.host.state(id(2), soon()).await)).await;
+    assert_eq!(world.fleet.starts_of(id(1)), 0);
+    assert_eq!(a.host.state(id(1), soon()).await, Answer::Absent);
+}
+
+#[tokio::test]
+async fn a_host_without_the_store_serves_through_its_peers() {
+    let world = World::new().await;
+    let (a, b) = (world.node("a").await, world.node("b").await);
+    eventually(async || world.has_leader().await).await;
+    // Both know each other before one is cut off.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let cut = if a.host.is_leading() { &b } else { &a };
+    cut.faults.set_down(true);
+    assert_eq!(cut.host.submit(id(1), job(2), soon()).await, Submitted::Accepted);
+    eventually(async || is_done(&cut.host.state(id(1), soon()).await)).await;
+    // A version that it can't read comes from a peer.
+    world.configure(2).await;
+    eventually(async || cut.host.content().is_some_and(|content| content.version == 2)).await;
+}
+
+#[tokio::test]
+async fn a_leader_cut_from_the_store_is_replaced_and_does_no_harm() {
+    let world = World::new().await;
+    let (a, b) = (world.node("a").await, world.node("b").await);
+    eventually(async || world.has_leader().await).await;
+    let (old, new) = if a.host.is_leading() { (&a, &b) } else { (&b, &a) };
+    for number in 1..=4 {
+        assert_eq!(new.host.submit(id(number), job(4), soon()).await, Submitted::Accepted);
+    }
+    old.faults.set_down(true);
+    for number in 5..=8 {
+        eventually(async || {
+            new.host.submit(id(number), job(4), soon()).await == Submitted::Accepted
+        })
+        .await;
+    }
+    for number in 1..=8 {
+        eventually(async || is_done(&new.host.state(id(number), soon()).await)).await;
+        assert_eq!(world.fleet.starts_of(id(number)), 8, "job {number}");
+    }
+}
+
+#[tokio::test]
+async fn a_cancelled_job_starts_nothing_more_and_stays_cancelled() {
+    let world = World::new().await;
+    let (a, b) = (world.node("a").await, world.node("b").await);
+    eventually(async || world.has_leader().await).await;
+    assert_eq!(a.host.submit(id(1), job(4), soon()).await, Submitted::Accepted);
+    assert_eq!(b.host.cancel(id(1), soon()).await, CancelAnswer::Cancelled);
+    let cancelled = Answer::Ended(None, Final::Cancelled);
+    eventually(async || a.host.state(id(1), soon()).await == cancelled).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let starts = world.fleet.starts_of(id(1));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(world.fleet.starts_of(id(1)), starts);
+    assert_eq!(b.host.state(id(1), soon()).await, cancelled);
+    assert_eq!(b.host.cancel(id(9), soon()).await, CancelAnswer::Absent);
+}
+
+#[tokio::test]
+async fn a_cancellation_beside_the_end_of_another_job_loses_no_end() {
+    // Records of several jobs share a transaction; a cancellation of one of
+    // them refuses all.
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    for round in 0..6_u128 {
+        let ids = [id(10 * round + 1), id(10 * round + 2), id(10 * round + 3)];
+        for each in ids {
+            assert_eq!(a.host.submit(each, job(1), soon()).await, Submitted::Accepted);
+        }
+        // The wish is written without the leader's knowledge.
+        tokio::time::sleep(Duration::from_millis(230 + 15 * round as u64)).await;
+        let wished = a.host.cancel(ids[0], soon()).await;
+        for each in &ids[1..] {
+            eventually(async || is_done(&a.host.state(*each, soon()).await)).await;
+            let key = format!("vg/in/{:x}", each.value());
+            assert!(!world.key(&key).await, "{key} is left though its end is shown");
+            assert_eq!(world.fleet.starts_of(*each), 2);
+        }
+        if wished == CancelAnswer::Cancelled {
+            let shown = a.host.state(ids[0], soon()).await;
+            assert_eq!(shown, Answer::Ended(None, Final::Cancelled));
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_version_never_goes_back_and_a_bad_one_changes_nothing() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    world.configure(5).await;
+    let version = || a.host.content().map(|content| content.version);
+    eventually(async || version() == Some(5)).await;
+    world.configure(3).await;
+    world.configure(6).await;
+    eventually(async || version() == Some(6)).await;
+    world.configure(4).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(version(), Some(6));
+}
--- /dev/null
+++ b/crates/lead/tests/support/mod.rs
@@ -0,0 +1,266 @@
+//! Hosts in one process over a store in memory and workers without I/O.
+
+use std::sync::{Arc, Mutex};
+use std::time::Instant as Mono;
+
+use vg_base::SystemClock;
+use vg_base::prelude::*;
+use vg_events::Recorder;
+use vg_flow::{
+    Content, Entry, Fence, How, JobSpec, Life, Machine, MachineAnswer, MachineOrder, Pool, Queue,
+    Renewal, Report, Rules, Run, Start, StartAnswer, StepId, StepSpec, TaskId, WaveState,
+};
+use vg_jobs::Resources;
+use vg_lead::{
+    Advised, Host, Layout, LookError, Operator, Options, Platform, StopAnswer, Tasks, Unreadable,
+};
+use vg_standin::{FleetWorker, HeldRun};
+use vg_store::{Faults, FaultyStore, Key, MemStore, Store, Txn, Value};
+
+/// Duration of a task.
+pub(crate) const WORK: Duration = Duration::from_millis(150);
+/// Time that a test waits for something at the most.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+type Shared = FaultyStore<MemStore>;
+
+/// Workers and what they were told.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    started: Mono,
+    workers: Mutex<Vec<FleetWorker>>,
+    /// Starts that were carried out.
+    pub(crate) starts: Mutex<Vec<(TaskId, Run)>>,
+}
+
+impl Fleet {
+    fn ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 + 1
+    }
+
+    fn with<T>(&self, id: &HostId, act: impl FnOnce(&mut FleetWorker, u64) -> T) -> Option<T> {
+        let ms = self.ms();
+        let mut workers = self.workers.lock().unwrap();
+        let worker = workers.iter_mut().find(|worker| worker.id == id.as_str())?;
+        worker.advance(ms);
+        worker.reachable.then(|| act(worker, ms))
+    }
+
+    pub(crate) fn starts_of(&self, job: JobId) -> usize {
+        self.starts.lock().unwrap().iter().filter(|(task, _)| task.step.job == job).count()
+    }
+}
+
+/// The surroundings of one host.
+#[derive(Debug, Clone)]
+pub(crate) struct Site {
+    pub(crate) store: Shared,
+    layout: Layout,
+    pub(crate) fleet: Arc<Fleet>,
+}
+
+/// A store and workers that several hosts share.
+#[derive(Debug, Clone)]
+pub(crate) struct World {
+    inner: MemStore,
+    pub(crate) fleet: Arc<Fleet>,
+}
+
+pub(crate) struct Node {
+    pub(crate) host: Host<Site, SystemClock>,
+    pub(crate) tasks: Tasks,
+    pub(crate) faults: Faults,
+}
+
+impl World {
+    /// Two workers, one queue, version 1 of the configuration.
+    pub(crate) async fn new() -> World {
+        let capacity = Resources::new(16_000, 32 << 30, 0);
+        let worker = |id: &str| FleetWorker::new(id, "p", id, 0, capacity);
+        let fleet = Fleet {
+            started: Mono::now(),
+            workers: Mutex::new(vec![worker("w1"), worker("w2")]),
+            starts: Mutex::default(),
+        };
+        let world = World { inner: MemStore::new(SystemClock), fleet: Arc::new(fleet) };
+        world.configure(1).await;
+        for id in ["w1", "w2"] {
+            let put = Txn::new().put(format!("workers/{id}").as_str(), Value::new());
+            world.inner.commit(put).await.unwrap();
+        }
+        world
+    }
+
+    pub(crate) async fn configure(&self, version: u64) {
+        let put = Txn::new().put("op/content", version.to_string());
+        self.inner.commit(put).await.unwrap();
+    }
+
+    pub(crate) async fn node(&self, name: &str) -> Node {
+        let faults = Faults::new();
+        let site = Site {
+            store: FaultyStore::new(self.inner.clone(), faults.clone()),
+            layout: Layout { operator: Key::from("op/"), workers: Key::from("workers/") },
+            fleet: Arc::clone(&self.fleet),
+        };
+        let options = Options {
+            node: name.parse().unwrap(),
+            zone: "z".parse().unwrap(),
+            control: ([127, 0, 0, 1], 0).into(),
+            shortest_lease: Duration::from_millis(500),
+            rules: Rules::default(),
+            keep_ends: Duration::from_secs(60),
+        };
+        let recorder = Recorder::new(SystemClock, name, 4000);
+        let started = Host::start(site, SystemClock, options, recorder).await;
+        let (host, tasks) = started.unwrap();
+        let node = Node { host, tasks, faults };
+        eventually(async || node.host.content().is_some()).await;
+        node
+    }
+
+    pub(crate) async fn key(&self, key: &str) -> bool {
+        self.inner.get(&Key::from(key)).await.unwrap().is_some()
+    }
+
+    pub(crate) async fn has_leader(&self) -> bool {
+        self.key("vg/live/leader").await
+    }
+}
+
+/// Waits until something holds.
+pub(crate) async fn eventually(mut holds: impl AsyncFnMut() -> bool) {
+    let until = Mono::now() + PATIENCE;
+    while !holds().await {
+        assert!(Mono::now() < until, "it does not come to hold within {PATIENCE:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub(crate) fn job(tasks: u32) -> JobSpec {
+    let step = |after| StepSpec {
+        count: tasks,
+        need: Resources::new(1000, 1 << 30, 0),
+        estimate: WORK,
+        after,
+        ..StepSpec::default()
+    };
+    JobSpec {
+        queue: "q".parse().unwrap(),
+        team: None,
+        payload: Arc::from("x"),
+        steps: vec![step(vec![]), step(vec![0])],
+        schedule: None,
+        accepted: SystemTime::now(),
+    }
+}
+
+pub(crate) fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(3)
+}
+
+impl Platform for Site {
+    type Store = Shared;
+
+    fn store(&self) -> &Shared {
+        &self.store
+    }
+
+    fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    fn read_operator(&self, _: &Key, value: &[u8]) -> Result<Operator, Unreadable> {
+        let text = std::str::from_utf8(value).unwrap_or_default();
+        let version = text.parse().map_err(|_| Unreadable { reason: "no number".into() })?;
+        let mut content = Content { version, body_bytes: 1 << 18, ..Content::default() };
+        let queue = Queue {
+            pool: "p".parse().unwrap(),
+            priority: 0,
+            attempts: 2,
+            stretch: 2.0,
+            slack: Duration::from_millis(500),
+            open: true,
+            advice: None,
+        };
+        content.add_queue("q".parse().unwrap(), "h".into(), "/q/".into(), queue);
+        content.pools.insert("p".parse().unwrap(), Pool { guards: true, spare: false });
+        Ok(Operator::Content(Box::new(content)))
+    }
+
+    fn read_worker(&self, key: &Key, _: &[u8]) -> Result<Entry, Unreadable> {
+        let id = key.0.strip_prefix("workers/").unwrap();
+        Ok(Entry {
+            life: Life {
+                id: id.parse().unwrap(),
+                born: 0,
+                pool: "p".parse().unwrap(),
+                addr: ([127, 0, 0, 1], 1).into(),
+            },
+            zone: "z".parse().unwrap(),
+            draining: false,
+            capacity: Resources::new(16_000, 32 << 30, 0),
+            labels: vec!["r1".into()],
+            machine: Some(id.into()),
+        })
+    }
+
+    fn wave_item(&self, number: u64, state: WaveState) -> (Key, Value) {
+        (Key::from(format!("status/{number}")), Value::from(state.to_string()))
+    }
+
+    async fn start(&self, start: &Start, fence: Fence) -> StartAnswer {
+        let held = HeldRun {
+            task: start.task,
+            run: start.run,
+            since: 0,
+            ends: WORK.as_millis() as u64,
+            how: How::Done,
+            room: Resources::new(1000, 1 << 30, 0),
+            lasting: false,
+            stops: None,
+        };
+        let answer =
+            self.fleet.with(&start.life.id, |worker, ms| worker.start(start, fence, held, ms));
+        if answer == Some(StartAnswer::Started) {
+            self.fleet.starts.lock().unwrap().push((start.task, start.run));
+        }
+        answer.unwrap_or(StartAnswer::Unanswered)
+    }
+
+    async fn stop(&self, life: &Life, task: TaskId, run: Run, fence: Fence) -> StopAnswer {
+        match self.fleet.with(&life.id, |worker, ms| worker.stop(task, run, fence, 50, ms)) {
+            Some(true) => StopAnswer::Taken,
+            Some(false) => StopAnswer::Fenced,
+            None => StopAnswer::Unanswered,
+        }
+    }
+
+    async fn pace(&self, _: &Life, _: TaskId, _: Run, _: u8, _: Fence) -> StopAnswer {
+        StopAnswer::Taken
+    }
+
+    async fn look(&self, renewal: &Renewal, wait: Duration) -> Result<Report, LookError> {
+        tokio::time::sleep(wait.min(Duration::from_millis(50))).await;
+        let look = |worker: &mut FleetWorker, ms| {
+            worker.look(renewal.fence, renewal.deadline, renewal.seen, ms)
+        };
+        match self.fleet.with(&renewal.life.id, look) {
+            Some(Some(report)) => Ok(Report { born: None, ..report }),
+            Some(None) => Err(LookError::Fenced),
+            None => Err(LookError::Unanswered),
+        }
+    }
+
+    async fn machines(&self) -> Option<Vec<Machine>> {
+        Some(Vec::new())
+    }
+
+    async fn order(&self, _: &MachineOrder, _: &NodeId, _: Fence) -> MachineAnswer {
+        MachineAnswer::Done
+    }
+
+    async fn advise(&self, _: StepId, _: &[HostId], _: Duration) -> Option<Advised> {
+        None
+    }
+}
--- a/crates/flow/tests/support/worker.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,4 +1,4 @@
-//! A worker that keeps the platform's contract.
+//! A worker that runs tasks under a lease and a fence, without I/O.
 
 use std::collections::HashMap;
 
@@ -8,53 +8,65 @@
 
 /// A run on a worker.
 #[derive(Debug, Clone)]
-pub(crate) struct Held {
-    pub(crate) task: TaskId,
-    pub(crate) run: Run,
-    /// Worker time at which it started, and at which it ends by itself.
-    pub(crate) since: u64,
-    pub(crate) ends: u64,
-    pub(crate) how: How,
-    pub(crate) room: Resources,
-    pub(crate) lasting: bool,
+pub struct HeldRun {
+    /// The task.
+    pub task: TaskId,
+    /// The start.
+    pub run: Run,
+    /// Worker time at which it started.
+    pub since: u64,
+    /// Worker time at which it ends by itself; before the start, its duration.
+    pub ends: u64,
+    /// How it ends by itself.
+    pub how: How,
+    /// Room that it takes.
+    pub room: Resources,
+    /// Whether it runs until it is stopped.
+    pub lasting: bool,
     /// Worker time at which a stop takes effect.
-    pub(crate) stops: Option<u64>,
+    pub stops: Option<u64>,
 }
 
 /// A worker: its clock starts at its birth and may be slow.
 #[derive(Debug, Clone)]
-pub(crate) struct FakeWorker {
-    pub(crate) id: SmolStr,
-    pub(crate) born: u64,
-    pub(crate) pool: SmolStr,
-    pub(crate) machine: SmolStr,
-    pub(crate) capacity: Resources,
+pub struct FleetWorker {
+    /// Its id.
+    pub id: SmolStr,
+    /// World time in ms at which this life began.
+    pub born: u64,
+    /// Its pool.
+    pub pool: SmolStr,
+    /// Its machine.
+    pub machine: SmolStr,
+    /// What it has.
+    pub capacity: Resources,
     /// Parts of a thousand by which its clock is slow.
-    pub(crate) slow: u64,
-    pub(crate) up: bool,
-    pub(crate) reachable: bool,
-    pub(crate) fence: Fence,
-    pub(crate) deadline: u64,
-    pub(crate) running: Vec<Held>,
-    pub(crate) ended: Vec<EndRow>,
+    pub slow: u64,
+    /// Whether its process runs.
+    pub up: bool,
+    /// Whether the leader reaches it.
+    pub reachable: bool,
+    /// Highest fence seen.
+    pub fence: Fence,
+    /// End of the lease on its clock.
+    pub deadline: u64,
+    /// What runs.
+    pub running: Vec<HeldRun>,
+    /// Ends that were not acknowledged.
+    pub ended: Vec<EndRow>,
     next_end: u64,
     /// Highest run that was stopped or ended here, by task.
     closed: HashMap<TaskId, Run>,
     /// Number of the last end that was acknowledged.
-    pub(crate) seen: u64,
+    pub seen: u64,
     /// Number of the last end before the lease last lapsed.
-    pub(crate) lapsed_at: u64,
+    pub lapsed_at: u64,
 }
 
-impl FakeWorker {
-    pub(crate) fn new(
-        id: &str,
-        pool: &str,
-        machine: &str,
-        born: u64,
-        capacity: Resources,
-    ) -> FakeWorker {
-        FakeWorker {
+impl FleetWorker {
+    /// Makes a worker that runs nothing.
+    pub fn new(id: &str, pool: &str, machine: &str, born: u64, capacity: Resources) -> FleetWorker {
+        FleetWorker {
             id: id.into(),
             born,
             pool: pool.into(),
@@ -75,22 +87,23 @@
     }
 
     /// Reading of its clock at `ms` of the world.
-    pub(crate) fn clock(&self, ms: u64) -> u64 {
+    pub fn clock(&self, ms: u64) -> u64 {
         let age = ms.saturating_sub(self.born);
         age - age * self.slow / 1000
     }
 
     /// Starts another life under the same id.
-    pub(crate) fn restart(&mut self, ms: u64) {
-        let fresh = FakeWorker::new(&self.id, &self.pool, &self.machine, ms, self.capacity);
-        *self = FakeWorker { slow: self.slow, reachable: self.reachable, ..fresh };
+    pub fn restart(&mut self, ms: u64) {
+        let fresh = FleetWorker::new(&self.id, &self.pool, &self.machine, ms, self.capacity);
+        *self = FleetWorker { slow: self.slow, reachable: self.reachable, ..fresh };
     }
 
-    pub(crate) fn used(&self) -> Resources {
+    /// Returns the room in use.
+    pub fn used(&self) -> Resources {
         self.running.iter().fold(Resources::ZERO, |sum, held| sum.plus(&held.room))
     }
 
-    fn end(&mut self, held: &Held, how: How) -> EndRow {
+    fn end(&mut self, held: &HeldRun, how: How) -> EndRow {
         let closed = self.closed.entry(held.task).or_default();
         *closed = (*closed).max(held.run);
         let number = self.next_end;
@@ -101,7 +114,7 @@
     }
 
     /// Lets time pass; returns the ends.
-    pub(crate) fn advance(&mut self, ms: u64) -> Vec<EndRow> {
+    pub fn advance(&mut self, ms: u64) -> Vec<EndRow> {
         if !self.up {
             return Vec::new();
         }
@@ -124,11 +137,11 @@
     }
 
     /// Carries out an order to start.
-    pub(crate) fn start(
+    pub fn start(
         &mut self,
         start: &Start,
         fence: Fence,
-        mut held: Held,
+        mut held: HeldRun,
         ms: u64,
     ) -> StartAnswer {
         let clock = self.clock(ms);
@@ -156,14 +169,7 @@
     }
 
     /// Carries out an order to stop; returns whether the fence allowed it.
-    pub(crate) fn stop(
-        &mut self,
-        task: TaskId,
-        run: Run,
-        fence: Fence,
-        takes: u64,
-        ms: u64,
-    ) -> bool {
+    pub fn stop(&mut self, task: TaskId, run: Run, fence: Fence, takes: u64, ms: u64) -> bool {
         if fence < self.fence {
             return false;
         }
@@ -180,7 +186,7 @@
     }
 
     /// Answers a look; `None` if the fence is too low.
-    pub(crate) fn look(
+    pub fn look(
         &mut self,
         fence: Fence,
         deadline: Option<u64>,
@@ -197,11 +203,11 @@
         self.seen = self.seen.max(seen);
         self.ended.retain(|row| row.number > seen);
         let clock = self.clock(ms);
-        let percent = |held: &Held| match held.lasting {
+        let percent = |held: &HeldRun| match held.lasting {
             true if clock >= held.since + 800 => 100,
             _ => ((clock - held.since) * 99 / (held.ends - held.since).max(1)).min(99) as u8,
         };
-        let row = |held: &Held| RunRow {
+        let row = |held: &HeldRun| RunRow {
             task: held.task,
             run: held.run,
             saved: SmolStr::default(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod command;
 mod endpoint;
 mod error;
+mod fleet;
 pub mod headers;
 mod hosts;
 mod runs;
@@ -20,6 +21,7 @@
     Endpoint, EndpointCounts, EndpointFaults, EndpointFaultsRequest, EndpointSettings, Mode,
 };
 pub use error::Error;
+pub use fleet::{FleetWorker, HeldRun};
 pub use hosts::{Host, HostKind, HostListServer, HostState, HostsResponse};
 pub use runs::{Run, RunGuard, RunLabel, RunLog};
 pub use site::{Site, run};
