--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -7,8 +7,9 @@
 use rand::{Rng, SeedableRng};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, Content, Entry, Fence, Final, Flow, How, JobSpec, Life, LifeRecord, Progress,
-    RecordKind, Rules, Start, StartAnswer, TaskId,
+    Action, Content, Entry, Fence, Final, Flow, How, JobSpec, Life, LifeRecord, Machine,
+    MachineAnswer, MachineOrder, MachineState, Progress, RecordKind, Rules, Start, StartAnswer,
+    TaskId,
 };
 use vg_jobs::Resources;
 use vg_standin::{FleetWorker, HeldRun};
@@ -83,6 +84,12 @@
     /// What breaks a promise.
     pub(crate) broken: Vec<String>,
     pub(crate) starts: u64,
+    /// Orders to machines, with their times.
+    pub(crate) orders: Vec<(u64, MachineOrder)>,
+    /// Machines and their pools; empty: orders to machines are ignored.
+    machines: Vec<Machine>,
+    /// Machines on their way, and when they arrive.
+    moving: Vec<(u64, Machine)>,
 }
 
 #[allow(dead_code, reason = "each test uses a part")]
@@ -118,6 +125,9 @@
             noted_failures: HashMap::new(),
             broken: Vec::new(),
             starts: 0,
+            orders: Vec::new(),
+            machines: Vec::new(),
+            moving: Vec::new(),
         };
         world.register();
         world
@@ -221,6 +231,7 @@
     pub(crate) fn step(&mut self) {
         self.ms += STEP_MS;
         self.inject();
+        self.arrive();
         self.carry_out_late();
         for at in 0..self.workers.len() {
             let ms = self.ms;
@@ -334,7 +345,65 @@
                     self.flow.stop_answered(task, run, now);
                 }
             }
-            Action::Pace { .. } | Action::Ask { .. } | Action::Machine(_) => {}
+            Action::Machine(order) => self.order(order),
+            Action::Pace { .. } | Action::Ask { .. } => {}
+        }
+    }
+
+    /// Adds machines that are switched off, and lists all of them.
+    pub(crate) fn add_spare(&mut self, count: usize) {
+        let listed = |id: &str, pool: &str| Machine {
+            id: id.into(),
+            pool: pool.parse().unwrap(),
+            state: MachineState::Up,
+            capacity: Resources::new(CORES, MEMORY, 0),
+        };
+        let of = |worker: &FleetWorker| listed(&worker.machine, &worker.pool);
+        self.machines = self.workers.iter().map(of).collect();
+        self.machines.extend((0..count).map(|at| listed(&format!("s{at}"), "spare")));
+        let now = self.now();
+        self.flow.hold_no_machines(now);
+        self.flow.set_machines(self.machines.clone());
+    }
+
+    /// Carries out an order to a machine: its worker ends at once.
+    fn order(&mut self, order: MachineOrder) {
+        self.orders.push((self.ms, order.clone()));
+        let MachineOrder::Move { machine, pool } = &order else { return };
+        let Some(at) = self.machines.iter().position(|each| each.id == *machine) else { return };
+        let mut moved = self.machines.remove(at);
+        moved.pool = pool.clone();
+        self.workers.iter_mut().filter(|each| each.machine == *machine).for_each(|each| {
+            each.up = false;
+            each.running.clear();
+        });
+        self.moving.push((self.ms + 1500, moved));
+        let now = self.now();
+        self.flow.machine_answered(&order, MachineAnswer::Done, now);
+    }
+
+    /// Lets machines arrive: a new worker joins the pool.
+    fn arrive(&mut self) {
+        let ms = self.ms;
+        let (here, moving): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.moving).into_iter().partition(|(at, _)| *at <= ms);
+        self.moving = moving;
+        let arrived = !here.is_empty();
+        for (_, machine) in here {
+            let id = format!("w{}", self.workers.len());
+            let pool = machine.pool.as_str();
+            if pool != "spare" {
+                let worker = FleetWorker::new(&id, pool, &machine.id, ms, machine.capacity);
+                self.workers.push(worker);
+            }
+            self.machines.push(machine);
+        }
+        if arrived {
+            self.flow.set_machines(self.machines.clone());
+            for worker in self.workers.iter().filter(|worker| !worker.up) {
+                self.flow.deregister(&worker.id.parse().unwrap());
+            }
+            self.register();
         }
     }
 
--- /dev/null
+++ b/crates/flow/tests/worst_load.rs
@@ -0,0 +1,123 @@
+//! Replays of the load at its worst: a turn in which a queue asks for several
+//! times what its pool holds.
+
+mod support;
+
+use std::collections::HashMap;
+
+use support::spec::{job, pool, step};
+use support::world::{Faults, World};
+use vg_base::prelude::*;
+use vg_flow::{Hope, MachineOrder, Standing, rank};
+
+/// Jobs of one turn: a small and a large kind by turns, 1.4 times the load that
+/// eight workers of 16 cores hold.
+const TURN_MS: u64 = 6000;
+/// Time between two jobs.
+const GAP_MS: u64 = 100;
+
+fn standing(age_ms: u64, left_ms: u64, work: f64, work_left: f64) -> Standing {
+    Standing {
+        lasting: false,
+        priority: 0,
+        age: Duration::from_millis(age_ms),
+        chain: Duration::from_millis(1000),
+        left: Duration::from_millis(left_ms),
+        stretch: 1.6,
+        slack: Duration::from_millis(600),
+        work,
+        work_left,
+        mean: 100.0,
+    }
+}
+
+#[test]
+fn jobs_that_can_be_on_time_go_before_those_that_can_not() {
+    let fresh = rank(&standing(0, 1000, 200.0, 200.0));
+    let late = rank(&standing(1500, 1000, 10.0, 10.0));
+    let hopeless = rank(&standing(9000, 1000, 10.0, 1.0));
+    assert_eq!((fresh.hope, late.hope, hopeless.hope), (Hope::OnTime, Hope::Late, Hope::None));
+    assert!(fresh < late && late < hopeless);
+}
+
+#[test]
+fn jobs_that_are_nearly_done_and_small_ones_go_first() {
+    let begun = rank(&standing(800, 500, 200.0, 20.0));
+    let small = rank(&standing(0, 1000, 40.0, 40.0));
+    let large = rank(&standing(0, 1000, 400.0, 400.0));
+    assert!(begun < small && small < large);
+}
+
+/// Plays one turn over the pool `a` and returns when each job ended.
+fn turn(later: bool) -> HashMap<JobId, u64> {
+    let mut world = World::new(7, 16, Faults::default());
+    world.run(200);
+    let start = world.ms;
+    let mut handed = HashMap::new();
+    let mut number = 0;
+    while world.ms < start + TURN_MS {
+        number += 1;
+        let tasks = if number % 2 == 0 { 4 } else { 14 };
+        // Jobs that seem to have waited long rank as they would when served in
+        // the order of arrival.
+        let accepted = if later { world.wall() - Duration::from_secs(60) } else { world.wall() };
+        let mut spec = (*job("q-a", vec![step(tasks, 2000, 1000)], accepted)).clone();
+        spec.team = None;
+        let id = world.submit(number, std::sync::Arc::new(spec));
+        handed.insert(id, world.ms);
+        world.run(GAP_MS);
+    }
+    let mut ended = HashMap::new();
+    while ended.len() < handed.len() && world.ms < start + 60_000 {
+        world.run(20);
+        for (&id, stored) in &world.store {
+            if stored.end.is_some() {
+                ended.entry(id).or_insert(world.ms - handed[&id]);
+            }
+        }
+    }
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    ended
+}
+
+fn on_time(ended: &HashMap<JobId, u64>) -> usize {
+    // Objective: 1.6 chains of 1 s, and 600 ms.
+    ended.values().filter(|&&ms| ms <= 2200).count()
+}
+
+#[test]
+fn more_jobs_are_on_time_in_a_turn_than_when_all_rank_alike() {
+    let ranked = turn(false);
+    let alike = turn(true);
+    assert_eq!(ranked.len(), alike.len());
+    let (ranked, alike) = (on_time(&ranked), on_time(&alike));
+    assert!(ranked * 10 >= alike * 12, "{ranked} against {alike} on time");
+}
+
+#[test]
+fn machines_come_to_a_pool_when_its_turn_begins_and_leave_after_it() {
+    let mut world = World::new(3, 8, Faults::default());
+    world.add_spare(8);
+    world.run(300);
+    let start = world.ms;
+    let mut number = 0;
+    while world.ms < start + 3000 {
+        number += 1;
+        let mut spec = (*job("q-a", vec![step(8, 2000, 1000)], world.wall())).clone();
+        spec.team = None;
+        world.submit(number, std::sync::Arc::new(spec));
+        world.run(50);
+    }
+    let to = |world: &World, name: &str| {
+        let moves = world.orders.iter().filter(
+            |(_, order)| matches!(order, MachineOrder::Move { pool: to, .. } if *to == pool(name)),
+        );
+        moves.map(|(ms, _)| *ms - start).collect::<Vec<_>>()
+    };
+    let came = to(&world, "a");
+    assert!(came.len() >= 6, "{came:?}");
+    // Long before the turn is over.
+    assert!(came.iter().filter(|&&ms| ms < 1200).count() >= 3, "{came:?}");
+    world.run(12_000);
+    assert!(to(&world, "spare").len() >= 4, "{:?}", to(&world, "spare"));
+}
