--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -117,6 +117,8 @@
     CallUnknown = 403, "call-unknown", Warn;
     /// A call was written to an endpoint.
     CallStarted = 404, "call-started", Debug;
+    /// A caller's request about a job or a queue was answered.
+    CallerAnswered = 405, "caller-answered", Info;
     /// An endpoint is out of use after failures.
     EndpointEjected = 410, "endpoint-ejected", Warn;
     /// An endpoint that was out of use answers again.
--- a/crates/lead/src/follow.rs
+++ b/crates/lead/src/follow.rs
@@ -152,7 +152,11 @@
     /// Puts a version in force unless a newer one is.
     fn set_content(&self, key: &Key, value: &bytes::Bytes, content: Content) {
         let version = content.version;
-        let fields = [Field::new("version", version), Field::new("queues", content.queues.len())];
+        let fields = [
+            Field::new("version", version),
+            Field::new("queues", content.queues.len()),
+            Field::new("keys", content.keys.len()),
+        ];
         let newer = self.inner.content.send_if_modified(|current| {
             let newer = current.as_ref().is_none_or(|current| current.version < version);
             if newer {
