--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -32,6 +32,8 @@
 const NEED_FADE: Duration = Duration::from_millis(1500);
 /// Time in which a moved machine's worker has to show up.
 const ARRIVAL: Duration = Duration::from_secs(4);
+/// Added to the time of a move before a machine counts as arrived.
+const ARRIVAL_MARGIN: Duration = Duration::from_millis(100);
 /// Tasks that wait longer than this count for one full machine-second each.
 const TASK_SPAN: Duration = Duration::from_secs(1);
 
@@ -126,6 +128,7 @@
         let spare = self.content.pools.iter().find(|(_, pool)| pool.spare);
         let Some(spare) = spare.map(|(id, _)| id.clone()) else { return };
         self.forget_old(now);
+        self.arrive_in_spare(&spare, now);
         if now < self.machines.hold_until || self.machines.list.is_empty() {
             return;
         }
@@ -176,6 +179,20 @@
         }
     }
 
+    /// Machines that have reached the spare pool can move again: no worker shows
+    /// their arrival, and the list is read only now and then.
+    fn arrive_in_spare(&mut self, spare: &PoolId, now: Instant) {
+        let moved = ARRIVAL.saturating_sub(self.rules.move_time + ARRIVAL_MARGIN);
+        let list = &mut self.machines.list;
+        self.machines.resize.coming.retain(|machine, (pool, until)| {
+            let arrived = *pool == *spare && now + moved >= *until;
+            if arrived && let Some(listed) = list.get_mut(machine) {
+                listed.state = MachineState::Up;
+            }
+            !arrived
+        });
+    }
+
     fn sizes(&mut self, spare: &PoolId, now: Instant) -> HashMap<PoolId, Size> {
         let mut sizes: HashMap<PoolId, Size> = HashMap::new();
         for id in self.content.pools.keys().filter(|id| *id != spare) {
