--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -29,7 +29,7 @@
 const IDLE: Duration = Duration::from_millis(600);
 /// Time in which a pool's past need loses most of its weight: large jobs come
 /// with pauses between them.
-const NEED_FADE: Duration = Duration::from_millis(1500);
+const NEED_FADE: Duration = Duration::from_millis(2000);
 /// Time in which a moved machine's worker has to show up.
 const ARRIVAL: Duration = Duration::from_secs(4);
 /// Added to the time of a move before a machine counts as arrived.
@@ -215,7 +215,7 @@
         }
         for (pool, need) in self.present_need() {
             if let Some(size) = sizes.get_mut(&pool) {
-                size.need = need.max((size.need + need) / 2.0);
+                size.need = need.max(size.need.min(need * 1.5 + 4.0));
             }
         }
         for (pool, size) in &mut sizes {
