--- /dev/null
+++ b/crates/flow/src/advise.rs
@@ -0,0 +1,72 @@
+//! Questions to the adviser: which workers may run a step.
+
+use vg_base::prelude::*;
+
+use crate::job::JobKey;
+use crate::worker::WorkerKey;
+use crate::{Action, Flow, StepId};
+
+/// Most workers that the adviser is asked about at once.
+const ASK_MAX: usize = 16;
+/// Added to the adviser's time before it is asked again.
+const ASK_MARGIN: Duration = Duration::from_millis(800);
+/// Pause after a question without an answer.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+
+impl Flow {
+    /// Whether the steps of a job need the adviser's permission.
+    pub(crate) fn is_advised(&self, key: JobKey) -> bool {
+        let queue = self.content.queues.get(&self.jobs[key].spec.queue);
+        queue.is_some_and(|queue| queue.advice.is_some())
+    }
+
+    /// Asks the adviser about workers that it has said nothing of.
+    pub(crate) fn ask(&mut self, key: JobKey, id: StepId, workers: &[WorkerKey], now: Instant) {
+        let queue = self.content.queues.get(&self.jobs[key].spec.queue);
+        let Some(advice) = queue.and_then(|queue| queue.advice) else { return };
+        let Some(step) = self.jobs[key].step(id.round, id.step) else { return };
+        if step.tickets.is_asking(now) {
+            return;
+        }
+        let need = self.jobs[key].spec.steps[usize::from(id.step)].room();
+        let mut open: Vec<_> =
+            workers.iter().copied().filter(|&each| step.tickets.is_open(each, now)).collect();
+        if open.is_empty() {
+            return;
+        }
+        // Workers with room come first.
+        open.sort_by_key(|&each| !need.fits(&self.workers[each].free()));
+        open.truncate(ASK_MAX);
+        let wait = advice.base + advice.each * open.len() as u32 + ASK_MARGIN;
+        let ids = open.iter().map(|&each| self.workers[each].life.id.clone()).collect();
+        if let Some(step) = self.jobs[key].step_mut(id) {
+            step.tickets.asked = Some(now + wait);
+        }
+        self.actions.push(Action::Ask { step: id, workers: ids });
+    }
+
+    /// Takes the adviser's answer; `good` has the workers that may run the step
+    /// with their permissions. `None` if no answer came.
+    pub fn advised(
+        &mut self,
+        id: StepId,
+        asked: &[HostId],
+        good: Option<&[(HostId, SmolStr)]>,
+        valid: Duration,
+        now: Instant,
+    ) {
+        let Some(&key) = self.job_ids.get(&id.job) else { return };
+        let keys: Vec<_> = asked.iter().map(|id| self.worker_ids.get(id).copied()).collect();
+        let Some(step) = self.jobs[key].step_mut(id) else { return };
+        step.tickets.asked = None;
+        let Some(good) = good else {
+            step.tickets.asked = Some(now + ASK_AGAIN);
+            return;
+        };
+        for (id, worker) in asked.iter().zip(keys) {
+            let Some(worker) = worker else { continue };
+            let ticket = good.iter().find(|(each, _)| each == id);
+            step.tickets.set(worker, ticket.map(|(_, ticket)| (ticket.clone(), now + valid)));
+        }
+    }
+}
--- a/crates/flow/src/flow.rs
+++ b/crates/flow/src/flow.rs
@@ -9,7 +9,7 @@
 
 use crate::doubt::Doubt;
 use crate::job::{Away, Job, JobKey};
-use crate::maintain::Machines;
+use crate::machines::Machines;
 use crate::run::{Phase, RunKey, RunState};
 use crate::worker::{Worker, WorkerKey};
 use crate::{Action, Content, Fence, Final, Rules, Run, State, StopReason, TaskId};
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -6,6 +6,7 @@
 //! acknowledged only when the records behind them are durable.
 
 mod action;
+mod advise;
 mod answers;
 mod content;
 mod doubt;
@@ -16,12 +17,14 @@
 mod id;
 mod intake;
 mod job;
+mod machines;
 mod maintain;
 mod observe;
 mod order;
 mod pace;
 mod place;
 mod plan;
+mod preempt;
 mod progress;
 mod register;
 mod report;
@@ -40,7 +43,8 @@
 pub use flow::{Counts, Flow, Removed};
 pub use id::{Fence, Run, StepId, TaskId};
 pub use job::State;
-pub use maintain::{Machine, MachineAnswer, MachineState, Wave, WaveRecord, WaveState};
+pub use machines::{Machine, MachineAnswer, MachineState};
+pub use maintain::{Wave, WaveRecord, WaveState};
 pub use order::{Hope, Rank, Standing, rank};
 pub use progress::{Final, Progress, RoundProgress};
 pub use register::Renewal;
--- /dev/null
+++ b/crates/flow/src/machines.rs
@@ -0,0 +1,209 @@
+//! Machines: their list, the orders to them, and what became of those.
+
+use std::collections::{BTreeMap, HashMap};
+
+use derive_more::Display;
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::flow::Removed;
+use crate::maintain::WaveRun;
+use crate::worker::WorkerKey;
+use crate::{Action, Flow, MachineOrder};
+
+/// Added to the time that a machine is counted as down.
+pub(crate) const DOWN_MARGIN: Duration = Duration::from_millis(250);
+/// Pause before an order is sent again that was not carried out.
+const ORDER_AGAIN: Duration = Duration::from_millis(700);
+/// Time after which an order without an answer is sent again.
+pub(crate) const ORDER_LOST: Duration = Duration::from_secs(2);
+/// Time after an order was carried out at which the worker's silence shows.
+const LEAVING_TIME: Duration = Duration::from_millis(1500);
+
+/// State of a machine in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum MachineState {
+    /// Ready, or switched off in a spare pool.
+    #[display("up")]
+    Up,
+    /// On its way to another pool.
+    #[display("moving")]
+    Moving,
+    /// In maintenance.
+    #[display("maintenance")]
+    Maintenance,
+    /// Out of order.
+    #[display("down")]
+    Down,
+}
+
+/// A machine in the platform's list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Machine {
+    /// Its id, which outlives its workers.
+    pub id: SmolStr,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its state.
+    pub state: MachineState,
+    /// What it has.
+    pub capacity: Resources,
+}
+
+/// What became of an order to a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum MachineAnswer {
+    /// Carried out, now or before.
+    #[display("done")]
+    Done,
+    /// The machine is not up, or leaves.
+    #[display("busy")]
+    Busy,
+    /// There is no such machine, or it does not belong there.
+    #[display("unknown")]
+    Unknown,
+    /// Nothing was done; too many calls, or the platform can't now.
+    #[display("limited")]
+    Limited,
+    /// Another holder has a higher fence.
+    #[display("fence")]
+    Fence,
+    /// No answer came: it may have been carried out.
+    #[display("unanswered")]
+    Unanswered,
+}
+
+/// Machines, waves and orders.
+#[derive(Debug)]
+pub(crate) struct Machines {
+    /// No orders before then: an earlier holder's may still be on their way.
+    pub(crate) hold_until: Instant,
+    pub(crate) list: HashMap<SmolStr, Machine>,
+    pub(crate) waves: BTreeMap<u64, WaveRun>,
+    /// Orders without an answer yet, with when they were sent.
+    pub(crate) orders: HashMap<SmolStr, (MachineOrder, Instant)>,
+    /// Machines that get no order before then.
+    pub(crate) pauses: HashMap<SmolStr, Instant>,
+    pub(crate) changed: bool,
+    pub(crate) resize: crate::resize::Resize,
+}
+
+impl Machines {
+    pub(crate) fn new(hold_until: Instant) -> Machines {
+        Machines {
+            hold_until,
+            list: HashMap::new(),
+            waves: BTreeMap::new(),
+            orders: HashMap::new(),
+            pauses: HashMap::new(),
+            changed: false,
+            resize: crate::resize::Resize::default(),
+        }
+    }
+
+    pub(crate) fn may_order(&self, machine: &SmolStr, now: Instant) -> bool {
+        now >= self.hold_until
+            && !self.orders.contains_key(machine)
+            && self.pauses.get(machine).is_none_or(|&until| until <= now)
+    }
+}
+
+impl Flow {
+    /// Gives no order to a machine before `until`: an earlier leader has.
+    pub fn hold_machine(&mut self, machine: SmolStr, until: Instant) {
+        self.machines.pauses.insert(machine, until);
+    }
+
+    /// Gives orders at once to machines that are not held: it is known which
+    /// ones an earlier leader has ordered lately.
+    pub fn hold_no_machines(&mut self, now: Instant) {
+        self.machines.hold_until = now;
+    }
+
+    /// Takes the platform's list of machines.
+    pub fn set_machines(&mut self, list: Vec<Machine>) {
+        self.machines.list = list.into_iter().map(|each| (each.id.clone(), each)).collect();
+    }
+
+    pub(crate) fn worker_on(&self, machine: &SmolStr) -> Option<WorkerKey> {
+        let on = |(_, worker): &(WorkerKey, &crate::worker::Worker)| {
+            worker.machine.as_ref() == Some(machine) && worker.listed && !worker.leaving
+        };
+        self.workers.iter().find(on).map(|(key, _)| key)
+    }
+
+    pub(crate) fn order(&mut self, order: MachineOrder, now: Instant) {
+        self.machines.orders.insert(order.machine().clone(), (order.clone(), now));
+        self.actions.push(Action::Machine(order));
+    }
+
+    /// Notes what became of an order to a machine.
+    pub fn machine_answered(&mut self, order: &MachineOrder, answer: MachineAnswer, now: Instant) {
+        let sent = self.machines.orders.remove(order.machine());
+        let machine = order.machine().clone();
+        match answer {
+            MachineAnswer::Done => {
+                if sent.is_some() && self.is_first_order(order) {
+                    self.leave(&machine, now);
+                }
+                match order {
+                    MachineOrder::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
+                    MachineOrder::Move { pool, .. } => self.moved(&machine, pool, now),
+                }
+            }
+            MachineAnswer::Unknown => {
+                match order {
+                    MachineOrder::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
+                    MachineOrder::Move { pool, .. } => self.not_moved(&machine, pool, true),
+                }
+                self.uncordon(&machine);
+            }
+            MachineAnswer::Busy | MachineAnswer::Limited | MachineAnswer::Fence => {
+                if let MachineOrder::Move { pool, .. } = order {
+                    self.not_moved(&machine, pool, false);
+                    self.uncordon(&machine);
+                }
+                self.machines.pauses.insert(machine, now + ORDER_AGAIN);
+            }
+            MachineAnswer::Unanswered => {
+                // It may be down from now on: counted so until it is settled.
+                let until = now + self.rules.maintain_time + DOWN_MARGIN;
+                if let MachineOrder::Maintain { wave, .. } = order
+                    && let Some(run) = self.machines.waves.get_mut(wave)
+                {
+                    run.down.insert(machine.clone(), until);
+                }
+                self.machines.pauses.insert(machine, until.max(now + ORDER_LOST));
+            }
+        }
+    }
+
+    /// Whether an order that was carried out was not carried out before: it
+    /// then has ended the worker that is known here.
+    fn is_first_order(&self, order: &MachineOrder) -> bool {
+        let MachineOrder::Maintain { machine, wave } = order else { return true };
+        let born = self.worker_on(machine).map(|key| self.workers[key].life.born);
+        let born = SystemTime::UNIX_EPOCH + Duration::from_millis(born.unwrap_or(u64::MAX / 2));
+        self.machines.waves.get(wave).is_some_and(|run| born < run.unknown_from)
+    }
+
+    fn uncordon(&mut self, machine: &SmolStr) {
+        if let Some(key) = self.worker_on(machine) {
+            self.workers[key].cordoned = false;
+        }
+    }
+
+    /// An order took a machine: all that ran on it has ended.
+    pub(crate) fn leave(&mut self, machine: &SmolStr, now: Instant) {
+        let Some(key) = self.worker_on(machine) else { return };
+        self.workers[key].leaving = true;
+        self.workers[key].cordoned = false;
+        self.workers[key].rest_until = Some(now + LEAVING_TIME);
+        for run in self.workers[key].runs.clone() {
+            if self.runs[run].confirmed.is_some() {
+                self.runs[run].our_stop = true;
+                self.remove_run(run, Removed::Lost, now);
+            }
+        }
+    }
+}
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -11,11 +11,10 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
-use vg_jobs::Resources;
 
-use crate::flow::Removed;
+use crate::machines::{DOWN_MARGIN, ORDER_LOST};
 use crate::worker::WorkerKey;
-use crate::{Action, Flow, MachineOrder, StopReason};
+use crate::{Flow, MachineOrder, MachineState, StopReason};
 
 /// Time within which short tasks on a machine may end before it goes.
 const DRAIN_TIME: Duration = Duration::from_millis(1800);
@@ -23,20 +22,12 @@
 const CYCLE_EXTRA: Duration = Duration::from_millis(1800);
 /// Time that a wave shall end before it is due.
 const WAVE_MARGIN: Duration = Duration::from_secs(4);
-/// Added to the time that a machine is counted as down.
-const DOWN_MARGIN: Duration = Duration::from_millis(250);
-/// Pause before an order is sent again that was not carried out.
-const ORDER_AGAIN: Duration = Duration::from_millis(700);
-/// Time after which an order without an answer is sent again.
-const ORDER_LOST: Duration = Duration::from_secs(2);
 /// Added to the time that a worker takes to stop a run.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time after which a machine whose worker has not shown up has none.
 const WORKERS_SHOWN: Duration = Duration::from_secs(8);
 /// Most by which clocks of workers and hosts differ.
 const CLOCKS_MARGIN: Duration = Duration::from_secs(1);
-/// Time after an order was carried out at which the worker's silence shows.
-const LEAVING_TIME: Duration = Duration::from_millis(1500);
 
 /// A wave as operators ask for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,59 +53,6 @@
     Complete,
 }
 
-/// State of a machine in the platform's list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum MachineState {
-    /// Ready, or switched off in a spare pool.
-    #[display("up")]
-    Up,
-    /// On its way to another pool.
-    #[display("moving")]
-    Moving,
-    /// In maintenance.
-    #[display("maintenance")]
-    Maintenance,
-    /// Out of order.
-    #[display("down")]
-    Down,
-}
-
-/// A machine in the platform's list.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Machine {
-    /// Its id, which outlives its workers.
-    pub id: SmolStr,
-    /// Its pool.
-    pub pool: PoolId,
-    /// Its state.
-    pub state: MachineState,
-    /// What it has.
-    pub capacity: Resources,
-}
-
-/// What became of an order to a machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum MachineAnswer {
-    /// Carried out, now or before.
-    #[display("done")]
-    Done,
-    /// The machine is not up, or leaves.
-    #[display("busy")]
-    Busy,
-    /// There is no such machine, or it does not belong there.
-    #[display("unknown")]
-    Unknown,
-    /// Nothing was done; too many calls, or the platform can't now.
-    #[display("limited")]
-    Limited,
-    /// Another holder has a higher fence.
-    #[display("fence")]
-    Fence,
-    /// No answer came: it may have been carried out.
-    #[display("unanswered")]
-    Unanswered,
-}
-
 /// What is durable of a wave.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveRecord {
@@ -140,41 +78,6 @@
     pub(crate) draining: BTreeMap<SmolStr, Instant>,
 }
 
-/// Machines, waves and orders.
-#[derive(Debug)]
-pub(crate) struct Machines {
-    /// No orders before then: an earlier holder's may still be on their way.
-    pub(crate) hold_until: Instant,
-    pub(crate) list: HashMap<SmolStr, Machine>,
-    pub(crate) waves: BTreeMap<u64, WaveRun>,
-    /// Orders without an answer yet, with when they were sent.
-    pub(crate) orders: HashMap<SmolStr, (MachineOrder, Instant)>,
-    /// Machines that get no order before then.
-    pub(crate) pauses: HashMap<SmolStr, Instant>,
-    pub(crate) changed: bool,
-    pub(crate) resize: crate::resize::Resize,
-}
-
-impl Machines {
-    pub(crate) fn new(hold_until: Instant) -> Machines {
-        Machines {
-            hold_until,
-            list: HashMap::new(),
-            waves: BTreeMap::new(),
-            orders: HashMap::new(),
-            pauses: HashMap::new(),
-            changed: false,
-            resize: crate::resize::Resize::default(),
-        }
-    }
-
-    pub(crate) fn may_order(&self, machine: &SmolStr, now: Instant) -> bool {
-        now >= self.hold_until
-            && !self.orders.contains_key(machine)
-            && self.pauses.get(machine).is_none_or(|&until| until <= now)
-    }
-}
-
 impl WaveRun {
     fn is_left(&self, machine: &SmolStr) -> bool {
         !self.done.contains(machine)
@@ -250,29 +153,6 @@
         self.machines.waves.values().any(|run| run.left() > 0) || self.wants_resize()
     }
 
-    /// Gives no order to a machine before `until`: an earlier leader has.
-    pub fn hold_machine(&mut self, machine: SmolStr, until: Instant) {
-        self.machines.pauses.insert(machine, until);
-    }
-
-    /// Gives orders at once to machines that are not held: it is known which
-    /// ones an earlier leader has ordered lately.
-    pub fn hold_no_machines(&mut self, now: Instant) {
-        self.machines.hold_until = now;
-    }
-
-    /// Takes the platform's list of machines.
-    pub fn set_machines(&mut self, list: Vec<Machine>) {
-        self.machines.list = list.into_iter().map(|each| (each.id.clone(), each)).collect();
-    }
-
-    pub(crate) fn worker_on(&self, machine: &SmolStr) -> Option<WorkerKey> {
-        let on = |(_, worker): &(WorkerKey, &crate::worker::Worker)| {
-            worker.machine.as_ref() == Some(machine) && worker.listed && !worker.leaving
-        };
-        self.workers.iter().find(on).map(|(key, _)| key)
-    }
-
     pub(crate) fn maintain(&mut self, now: Instant) {
         self.settle_orders(now);
         let numbers: Vec<_> = self.machines.waves.keys().copied().collect();
@@ -310,7 +190,7 @@
             .filter(|each| run.is_left(each) && !run.draining.contains_key(*each))
             .filter(|each| self.machines.may_order(each, now))
             .filter(|each| self.is_up(each) && self.is_known(each, now))
-            .map(|each| (self.cost(each, now), each.clone()))
+            .map(|each| (self.cost(each), each.clone()))
             .collect();
         candidates.sort();
         for (_, machine) in candidates.into_iter().take(wanted - out) {
@@ -347,7 +227,7 @@
 
     /// Returns what taking a machine out now would cost: lasting tasks that
     /// have to move, and how much waits for its pool.
-    fn cost(&self, machine: &SmolStr, now: Instant) -> (bool, usize, usize) {
+    fn cost(&self, machine: &SmolStr) -> (bool, usize, usize) {
         let Some(key) = self.worker_on(machine) else { return (false, 0, 0) };
         let worker = &self.workers[key];
         let lasting = worker
@@ -355,11 +235,11 @@
             .iter()
             .filter(|&&run| self.spec_of(self.runs[run].task).is_some_and(|spec| spec.lasting))
             .count();
-        (self.is_pressed(&worker.life.pool, now), lasting, worker.runs.len())
+        (self.is_pressed(&worker.life.pool), lasting, worker.runs.len())
     }
 
     /// Whether tasks wait for a pool.
-    fn is_pressed(&self, pool: &PoolId, now: Instant) -> bool {
+    fn is_pressed(&self, pool: &PoolId) -> bool {
         let waits =
             |job: &crate::job::Job| {
                 job.pool == *pool
@@ -370,7 +250,6 @@
                         })
                     })
             };
-        let _ = now;
         self.jobs.values().any(waits)
     }
 
@@ -454,62 +333,7 @@
         away < most as usize
     }
 
-    pub(crate) fn order(&mut self, order: MachineOrder, now: Instant) {
-        self.machines.orders.insert(order.machine().clone(), (order.clone(), now));
-        self.actions.push(Action::Machine(order));
-    }
-
-    /// Notes what became of an order to a machine.
-    pub fn machine_answered(&mut self, order: &MachineOrder, answer: MachineAnswer, now: Instant) {
-        let sent = self.machines.orders.remove(order.machine());
-        let machine = order.machine().clone();
-        match answer {
-            MachineAnswer::Done => {
-                if sent.is_some() && self.is_first_order(order) {
-                    self.leave(&machine, now);
-                }
-                match order {
-                    MachineOrder::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
-                    MachineOrder::Move { pool, .. } => self.moved(&machine, pool, now),
-                }
-            }
-            MachineAnswer::Unknown => {
-                match order {
-                    MachineOrder::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
-                    MachineOrder::Move { pool, .. } => self.not_moved(&machine, pool, true),
-                }
-                self.uncordon(&machine);
-            }
-            MachineAnswer::Busy | MachineAnswer::Limited | MachineAnswer::Fence => {
-                if let MachineOrder::Move { pool, .. } = order {
-                    self.not_moved(&machine, pool, false);
-                    self.uncordon(&machine);
-                }
-                self.machines.pauses.insert(machine, now + ORDER_AGAIN);
-            }
-            MachineAnswer::Unanswered => {
-                // It may be down from now on: counted so until it is settled.
-                let until = now + self.rules.maintain_time + DOWN_MARGIN;
-                if let MachineOrder::Maintain { wave, .. } = order
-                    && let Some(run) = self.machines.waves.get_mut(wave)
-                {
-                    run.down.insert(machine.clone(), until);
-                }
-                self.machines.pauses.insert(machine, until.max(now + ORDER_LOST));
-            }
-        }
-    }
-
-    /// Whether an order that was carried out was not carried out before: it
-    /// then has ended the worker that is known here.
-    fn is_first_order(&self, order: &MachineOrder) -> bool {
-        let MachineOrder::Maintain { machine, wave } = order else { return true };
-        let born = self.worker_on(machine).map(|key| self.workers[key].life.born);
-        let born = SystemTime::UNIX_EPOCH + Duration::from_millis(born.unwrap_or(u64::MAX / 2));
-        self.machines.waves.get(wave).is_some_and(|run| born < run.unknown_from)
-    }
-
-    fn maintained(&mut self, wave: u64, machine: &SmolStr, now: Instant) {
+    pub(crate) fn maintained(&mut self, wave: u64, machine: &SmolStr, now: Instant) {
         let until = now + self.rules.maintain_time + DOWN_MARGIN;
         let Some(run) = self.machines.waves.get_mut(&wave) else { return };
         run.done.insert(machine.clone());
@@ -517,24 +341,4 @@
         run.down.insert(machine.clone(), until);
         self.machines.changed = true;
     }
-
-    fn uncordon(&mut self, machine: &SmolStr) {
-        if let Some(key) = self.worker_on(machine) {
-            self.workers[key].cordoned = false;
-        }
-    }
-
-    /// An order took a machine: all that ran on it has ended.
-    pub(crate) fn leave(&mut self, machine: &SmolStr, now: Instant) {
-        let Some(key) = self.worker_on(machine) else { return };
-        self.workers[key].leaving = true;
-        self.workers[key].cordoned = false;
-        self.workers[key].rest_until = Some(now + LEAVING_TIME);
-        for run in self.workers[key].runs.clone() {
-            if self.runs[run].confirmed.is_some() {
-                self.runs[run].our_stop = true;
-                self.remove_run(run, Removed::Lost, now);
-            }
-        }
-    }
 }
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -97,7 +97,7 @@
         !sought.advised || sought.step.tickets.get(key, now).is_some()
     }
 
-    fn tasks_on(&self, worker: &Worker, step: StepId) -> u32 {
+    pub(crate) fn tasks_on(&self, worker: &Worker, step: StepId) -> u32 {
         worker.runs.iter().filter(|&&run| self.runs[run].task.step == step).count() as u32
     }
 
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -14,11 +14,6 @@
 use crate::worker::WorkerKey;
 use crate::{Action, Flow, Run, Start, StepId, StopReason, TaskId};
 
-/// Most workers that the adviser is asked about at once.
-const ASK_MAX: usize = 16;
-/// Added to the adviser's time before it is asked again.
-const ASK_MARGIN: Duration = Duration::from_millis(800);
-
 /// One round over one pool.
 struct PoolRound {
     workers: Vec<WorkerKey>,
@@ -75,7 +70,7 @@
     }
 
     fn place_all(&mut self, now: Instant, wall: SystemTime) {
-        let ranked = self.rank_jobs(wall, now);
+        let ranked = self.rank_jobs(wall);
         let mut pools = HashMap::new();
         for (_, key) in ranked {
             let pool = self.jobs[key].pool.clone();
@@ -93,7 +88,7 @@
     }
 
     /// Returns the jobs with waiting tasks, the first to serve first.
-    pub(crate) fn rank_jobs(&mut self, wall: SystemTime, now: Instant) -> Vec<(Rank, JobKey)> {
+    pub(crate) fn rank_jobs(&mut self, wall: SystemTime) -> Vec<(Rank, JobKey)> {
         let early = self.rules.early / 2;
         let mut ranked = Vec::new();
         let means = self.mean_work();
@@ -102,7 +97,7 @@
                 continue;
             }
             job.open_rounds(wall, early);
-            if !has_waiting(job, now) {
+            if !has_waiting(job) {
                 continue;
             }
             let Some(queue) = self.content.queues.get(&job.spec.queue) else { continue };
@@ -201,11 +196,6 @@
         self.find_place(&sought, workers, &[], now)
     }
 
-    pub(crate) fn is_advised(&self, key: JobKey) -> bool {
-        let queue = self.content.queues.get(&self.jobs[key].spec.queue);
-        queue.is_some_and(|queue| queue.advice.is_some())
-    }
-
     pub(crate) fn team_allows(&self, key: JobKey, step: &crate::StepSpec) -> bool {
         let Some(team) = &self.jobs[key].spec.team else { return true };
         let Some(limits) = self.content.teams.get(team) else { return true };
@@ -290,113 +280,9 @@
         let start = Start { life, task, run, payload, deadline, saved, ticket };
         self.actions.push(Action::Start(start));
     }
-
-    /// Asks the adviser about workers that it has said nothing of.
-    pub(crate) fn ask(&mut self, key: JobKey, id: StepId, workers: &[WorkerKey], now: Instant) {
-        let queue = self.content.queues.get(&self.jobs[key].spec.queue);
-        let Some(advice) = queue.and_then(|queue| queue.advice) else { return };
-        let Some(step) = self.jobs[key].step(id.round, id.step) else { return };
-        if step.tickets.is_asking(now) {
-            return;
-        }
-        let need = self.jobs[key].spec.steps[usize::from(id.step)].room();
-        let mut open: Vec<_> =
-            workers.iter().copied().filter(|&each| step.tickets.is_open(each, now)).collect();
-        if open.is_empty() {
-            return;
-        }
-        // Workers with room come first.
-        open.sort_by_key(|&each| !need.fits(&self.workers[each].free()));
-        open.truncate(ASK_MAX);
-        let wait = advice.base + advice.each * open.len() as u32 + ASK_MARGIN;
-        let ids = open.iter().map(|&each| self.workers[each].life.id.clone()).collect();
-        if let Some(step) = self.jobs[key].step_mut(id) {
-            step.tickets.asked = Some(now + wait);
-        }
-        self.actions.push(Action::Ask { step: id, workers: ids });
-    }
-
-    /// Takes the adviser's answer; `good` has the workers that may run the step
-    /// with their permissions. `None` if no answer came.
-    pub fn advised(
-        &mut self,
-        id: StepId,
-        asked: &[HostId],
-        good: Option<&[(HostId, SmolStr)]>,
-        valid: Duration,
-        now: Instant,
-    ) {
-        let Some(&key) = self.job_ids.get(&id.job) else { return };
-        let keys: Vec<_> = asked.iter().map(|id| self.worker_ids.get(id).copied()).collect();
-        let Some(step) = self.jobs[key].step_mut(id) else { return };
-        step.tickets.asked = None;
-        let Some(good) = good else {
-            step.tickets.asked = Some(now + ASK_MARGIN / 4);
-            return;
-        };
-        for (id, worker) in asked.iter().zip(keys) {
-            let Some(worker) = worker else { continue };
-            let ticket = good.iter().find(|(each, _)| each == id);
-            step.tickets.set(worker, ticket.map(|(_, ticket)| (ticket.clone(), now + valid)));
-        }
-    }
-
-    /// Stops work of less weight so that a task that has to run finds room.
-    fn make_room(&mut self, key: JobKey, task: TaskId, workers: &[WorkerKey], now: Instant) {
-        let Some(spec) = self.spec_of(task).cloned() else { return };
-        let Some(step) = self.jobs[key].step(task.step.round, task.step.step) else { return };
-        let advised = self.is_advised(key);
-        let room = spec.room();
-        let mut best: Option<(Duration, WorkerKey, Vec<crate::run::RunKey>)> = None;
-        for &worker in workers {
-            let state = &self.workers[worker];
-            if advised && step.tickets.get(worker, now).is_none() {
-                continue;
-            }
-            if spec.per_worker.is_some_and(|most| {
-                state.runs.iter().filter(|&&run| self.runs[run].task.step == task.step).count()
-                    as u32
-                    >= most
-            }) {
-                continue;
-            }
-            // Room that is already being made there is waited for.
-            if state.runs.iter().any(|&run| self.runs[run].phase == Phase::Stopping) {
-                return;
-            }
-            let mut young: Vec<_> = state
-                .runs
-                .iter()
-                .copied()
-                .filter(|&run| self.runs[run].is_running())
-                .filter(|&run| {
-                    self.spec_of(self.runs[run].task).is_some_and(|s| !s.lasting && !s.gang)
-                })
-                .collect();
-            young.sort_by_key(|&run| std::cmp::Reverse(self.runs[run].since));
-            let mut free = state.free();
-            let mut chosen = Vec::new();
-            let mut lost = Duration::ZERO;
-            for run in young {
-                if room.fits(&free) {
-                    break;
-                }
-                lost += now.saturating_duration_since(self.runs[run].since);
-                free = free.plus(&self.runs[run].room);
-                chosen.push(run);
-            }
-            if room.fits(&free) && best.as_ref().is_none_or(|(least, ..)| lost < *least) {
-                best = Some((lost, worker, chosen));
-            }
-        }
-        for run in best.map(|(.., runs)| runs).unwrap_or_default() {
-            self.stop_run(run, StopReason::Preempted, now);
-        }
-    }
 }
 
-fn has_waiting(job: &Job, now: Instant) -> bool {
-    let _ = now;
+fn has_waiting(job: &Job) -> bool {
     job.rounds.iter().any(|round| round.steps.iter().any(|step| !step.waiting.is_empty()))
 }
 
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::spec::{content, job, pool, queue, step, team};
+use support::spec::{content, job, pool, step};
 use vg_base::prelude::*;
 use vg_flow::{
     Action, Content, Entry, Fence, Flow, JobSpec, Life, Machine, MachineAnswer, MachineOrder,
@@ -246,5 +246,4 @@
     site.wave(1, 6, 1);
     site.run(5000);
     assert_eq!(site.maintained(), 0);
-    let _ = (queue("q-a"), team("t"));
 }
--- a/crates/lead/src/ask.rs
+++ b/crates/lead/src/ask.rs
@@ -70,7 +70,7 @@
     pub async fn state(&self, job: JobId, deadline: Instant) -> Answer {
         let deadline = self.limit(deadline);
         loop {
-            let known = self.state_once(job, deadline).await;
+            let known = self.state_once(job).await;
             if known != Known::Unknown || self.inner.clock.now() + PAUSE >= deadline {
                 return known.into();
             }
@@ -83,7 +83,7 @@
         deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline).min(own)
     }
 
-    async fn state_once(&self, job: JobId, deadline: Instant) -> Known {
+    async fn state_once(&self, job: JobId) -> Known {
         if let Some(known) = self.known_end(job) {
             return known;
         }
@@ -99,7 +99,7 @@
                 return self.keep(job, known);
             }
         }
-        let known = self.own_state(job, deadline).await;
+        let known = self.own_state(job).await;
         if known != Known::Unknown {
             return self.keep(job, known);
         }
@@ -124,7 +124,7 @@
     }
 
     /// Returns the state of a job from this host's memory and the store.
-    pub(crate) async fn own_state(&self, job: JobId, deadline: Instant) -> Known {
+    pub(crate) async fn own_state(&self, job: JobId) -> Known {
         if let Some(known) = self.known_end(job) {
             return known;
         }
@@ -137,7 +137,6 @@
                 State::Ended(how) => Known::Ended(team, how),
             };
         }
-        let _ = deadline;
         self.stored_state(job).await.unwrap_or(Known::Unknown)
     }
 
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -78,7 +78,7 @@
             }
             "state" => {
                 let message: Query = decode(bytes)?;
-                encode(&self.own_state(message.job, deadline).await)
+                encode(&self.own_state(message.job).await)
             }
             "cancel" => {
                 let message: Query = decode(bytes)?;
