lead: one way to tell whether the term has changed; revisions are read after a conflict

A refused transaction may name some keys only. Three places took a term that was not named for a changed one, which ended a leadership without cause.

--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -187,10 +187,7 @@
     /// meanwhile, the transaction had taken effect before, or another host
     /// leads.
     async fn settle(&self, part: &mut Part<'_>, found: &[Entry]) {
-        if let Some(term) = found.iter().find(|entry| entry.key.0 == TERM)
-            && term.modified.0 as u64 != self.fence.0
-        {
-            self.lose("the term has changed");
+        if !self.still_leads(found).await {
             // The task ends with the leadership.
             std::future::pending::<()>().await;
         }
--- a/crates/lead/src/leader/lives.rs
+++ b/crates/lead/src/leader/lives.rs
@@ -46,14 +46,13 @@
                     return;
                 }
                 Ok(TxnOutcome::Conflict { found }) => {
-                    let term = found.iter().find(|entry| entry.key.0 == TERM);
-                    if term.is_none_or(|term| term.modified.0 as u64 != self.fence.0) {
-                        self.lose("the term has changed");
+                    if !self.still_leads(&found).await {
                         return;
                     }
                     // A write whose answer was lost has taken effect.
-                    *revision =
-                        found.iter().find(|entry| entry.key.0 == LIVES).map(|entry| entry.modified);
+                    if let Ok(entry) = self.host.store().get(&LIVES.into()).await {
+                        *revision = entry.map(|entry| entry.modified);
+                    }
                 }
                 Err(error) => {
                     let fields = [Field::new("call", "lives"), Field::new("cause", error)];
--- a/crates/lead/src/leader/machines.rs
+++ b/crates/lead/src/leader/machines.rs
@@ -71,12 +71,11 @@
                 true
             }
             Ok(TxnOutcome::Conflict { found }) => {
-                let term = found.iter().find(|entry| entry.key.0 == TERM);
-                if term.is_none_or(|term| term.modified.0 as u64 != self.fence.0) {
-                    self.lose("the term has changed");
+                if self.still_leads(&found).await
+                    && let Ok(entry) = self.host.store().get(&WAVES.into()).await
+                {
+                    lock(&self.committed).waves.0 = entry.map(|entry| entry.modified);
                 }
-                let own = found.iter().find(|entry| entry.key.0 == WAVES);
-                lock(&self.committed).waves.0 = own.map(|entry| entry.modified);
                 false
             }
             Err(error) => {
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -15,9 +15,10 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{Fence, Flow, JobSpec, MachineOrder, State};
-use vg_store::StoreRevision;
+use vg_store::{Entry, Store, StoreRevision};
 
 use crate::host::lock;
+use crate::keys::TERM;
 use crate::mark::Mark;
 use crate::{Host, Platform};
 
@@ -148,8 +149,8 @@
             match shown {
                 Some((leader, _)) if leader.nonce == self.host.inner.nonce => {}
                 _ => match self.host.show_leader(self.fence).await {
-                    Ok(true) => {}
-                    Ok(false) => self.lose("another host has taken over"),
+                    Ok(None) => {}
+                    Ok(Some(found)) => _ = self.still_leads(&found).await,
                     Err(error) => log::debug!(target: "store", "leader not shown: {error}"),
                 },
             }
@@ -198,6 +199,25 @@
         }
     }
 
+    /// Whether the term is unchanged after a refused transaction that expected
+    /// it; if not, the leadership ends. The answer may name some keys only.
+    async fn still_leads(&self, found: &[Entry]) -> bool {
+        let named = found.iter().find(|entry| entry.key.0 == TERM).cloned();
+        let term = match named {
+            Some(term) => Some(term),
+            None => match self.host.store().get(&TERM.into()).await {
+                Ok(term) => term,
+                // Nothing is proved; the next transaction meets the same.
+                Err(_) => return true,
+            },
+        };
+        let leads = term.is_some_and(|term| term.modified.0 as u64 == self.fence.0);
+        if !leads {
+            self.lose("the term has changed");
+        }
+        leads
+    }
+
     fn flow(&self) -> MutexGuard<'_, Flow> {
         lock(&self.flow)
     }
--- a/crates/lead/src/leader/orders.rs
+++ b/crates/lead/src/leader/orders.rs
@@ -152,22 +152,28 @@
                 self.host.is_verified()
             }
             Ok(TxnOutcome::Conflict { found }) => {
-                let own = found.iter().find(|entry| entry.key.0 == ORDERS);
-                lock(&self.committed).orders.0 = own.map(|entry| entry.modified);
+                if self.still_leads(&found).await {
+                    self.read_orders().await;
+                }
                 false
             }
             Err(error) => {
                 let fields = [Field::new("call", "orders"), Field::new("cause", error)];
                 self.host.record(Code::StoreFailed, fields);
-                // It may have taken effect: the revision is read with the next.
-                if let Ok(entry) = self.host.store().get(&ORDERS.into()).await {
-                    lock(&self.committed).orders.0 = entry.map(|entry| entry.modified);
-                }
+                // It may have taken effect.
+                self.read_orders().await;
                 false
             }
         }
     }
 
+    /// Reads the revision of the record of orders, for the next one.
+    async fn read_orders(&self) {
+        if let Ok(entry) = self.host.store().get(&ORDERS.into()).await {
+            lock(&self.committed).orders.0 = entry.map(|entry| entry.modified);
+        }
+    }
+
     async fn order_machine(self: Arc<Self>, order: MachineOrder, allowed: bool) {
         let host = &self.host;
         let answer = if allowed {
--- a/crates/lead/src/session.rs
+++ b/crates/lead/src/session.rs
@@ -4,7 +4,7 @@
 use vg_events::{Code, Field};
 use vg_flow::Fence;
 use vg_net::{from_msgpack, to_msgpack};
-use vg_store::{Error, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Entry, Error, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
 
 use crate::host::lock;
 use crate::keys::{self, HostValue, LEADER, LeaderValue, TERM};
@@ -183,21 +183,18 @@
     }
 
     /// Shows again who leads, after the lease of the key has lapsed. Returns
-    /// whether nobody else has led meanwhile.
-    pub(crate) async fn show_leader(&self, fence: Fence) -> Result<bool, Error> {
+    /// what a refused transaction found: another host may lead.
+    pub(crate) async fn show_leader(&self, fence: Fence) -> Result<Option<Vec<Entry>>, Error> {
         let (Some(value), Some(lease)) = (self.leader_value(), *lock(&self.inner.lease)) else {
-            return Ok(true);
+            return Ok(None);
         };
         let txn = Txn::new()
             .expect(LEADER, None)
             .expect(TERM, Some(StoreRevision(fence.0 as i64)))
             .put_leased(LEADER, value, lease);
         match self.store().commit(txn).await? {
-            TxnOutcome::Done { .. } => Ok(true),
-            TxnOutcome::Conflict { found } => {
-                let term = found.iter().find(|entry| entry.key.0 == TERM);
-                Ok(term.is_some_and(|term| term.modified.0 as u64 == fence.0))
-            }
+            TxnOutcome::Done { .. } => Ok(None),
+            TxnOutcome::Conflict { found } => Ok(Some(found)),
         }
     }
 }
