--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -153,13 +153,13 @@
     JobRequeued = 607, "job-requeued", Info;
     /// Jobs of a lost member were taken over.
     JobsRecovered = 608, "jobs-recovered", Info;
+    /// A job was not accepted, or its acceptance can't be proved.
+    JobRefused = 609, "job-refused", Warn;
     /// A worker fails unlike jobs and gets no more.
     WorkerQuarantined = 610, "worker-quarantined", Warn;
     /// A quarantined worker runs probes well and gets jobs again.
     WorkerRestored = 611, "worker-restored", Info;
 
-    /// A job was not accepted, or its acceptance can't be proved.
-    JobRefused = 609, "job-refused", Warn;
     /// A start of a task was given to a worker.
     TaskStarted = 620, "task-started", Info;
     /// A run of a task ended well.
