flow: runs that a new leader finds open their occurrence first

Cause: a run found before the first round of decisions had no occurrence to belong to, so it counted as unwanted and was stopped. In the daemon the first round usually comes before the first answer of a worker, so it was rare. After: none within the time that a stop of the earlier leader takes.

--- a/crates/flow/src/flow.rs
+++ b/crates/flow/src/flow.rs
@@ -181,7 +181,6 @@
         if let Some(&job) = self.job_ids.get(&task.step.job) {
             let job = &mut self.jobs[job];
             job.live += 1;
-            job.open_through(task.step.round);
             if let Some(step) = job.step_mut(task.step) {
                 step.waiting.remove(&task.index);
                 let state = &mut step.tasks[task.index as usize];
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -65,10 +65,7 @@
             return;
         }
         self.workers[worker].read = row.number;
-        // An occurrence that has ends was due, whatever the clock here says.
-        if let Some(&job) = self.job_ids.get(&row.task.step.job) {
-            self.jobs[job].open_through(row.task.step.round);
-        }
+        self.open_occurrence(row.task);
         let mut key = self.run_ids.get(&(row.task, row.run)).copied();
         if key.is_some_and(|key| self.runs[key].worker != worker) {
             key = None;
@@ -91,6 +88,14 @@
         }
     }
 
+    /// Opens the occurrence of a task that runs or has ended on a worker: it was
+    /// due, whatever the clock here says.
+    fn open_occurrence(&mut self, task: TaskId) {
+        if let Some(&job) = self.job_ids.get(&task.step.job) {
+            self.jobs[job].open_through(task.step.round);
+        }
+    }
+
     fn take_done(&mut self, worker: WorkerKey, row: &EndRow, key: Option<RunKey>, now: Instant) {
         self.counts.done += 1;
         self.note_good(worker);
@@ -197,6 +202,7 @@
 
     /// Takes over a run of an earlier leader, or stops it if it isn't wanted.
     fn adopt(&mut self, worker: WorkerKey, row: &RunRow, now: Instant) {
+        self.open_occurrence(row.task);
         let state = self.adopted_state(worker, row, now);
         let wanted = self.job_of(row.task).is_some_and(|job| {
             let copies =
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -22,6 +22,8 @@
     running: HashMap<HostId, Vec<RunRow>>,
     /// Orders to machines that were given, with their times.
     orders: Vec<(Instant, MachineOrder)>,
+    /// When runs were told to stop.
+    stops: Vec<Instant>,
     /// Lasting tasks away at the same time, at most.
     most_away: usize,
     /// What becomes of the next orders to machines.
@@ -30,6 +32,31 @@
 
 const CAPACITY: Resources = Resources::new(16_000, 32 << 30, 0);
 
+fn entry(at: usize) -> Entry {
+    Entry {
+        life: Life {
+            id: format!("w{at}").parse().unwrap(),
+            born: 5,
+            pool: pool("a"),
+            addr: ([127, 0, 0, 1], 1).into(),
+        },
+        zone: "z".parse().unwrap(),
+        draining: false,
+        capacity: CAPACITY,
+        labels: vec!["r1".into()],
+        machine: Some(format!("m{at}").into()),
+    }
+}
+
+fn machine(at: usize) -> Machine {
+    Machine {
+        id: format!("m{at}").into(),
+        pool: pool("a"),
+        state: MachineState::Up,
+        capacity: CAPACITY,
+    }
+}
+
 impl Site {
     fn new(workers: usize) -> Site {
         let now = Instant::now();
@@ -42,34 +69,41 @@
         let mut running = HashMap::new();
         let mut machines = Vec::new();
         for at in 0..workers {
-            let id: HostId = format!("w{at}").parse().unwrap();
-            let entry = Entry {
-                life: Life {
-                    id: id.clone(),
-                    born: 5,
-                    pool: pool("a"),
-                    addr: ([127, 0, 0, 1], 1).into(),
-                },
-                zone: "z".parse().unwrap(),
-                draining: false,
-                capacity: CAPACITY,
-                labels: vec!["r1".into()],
-                machine: Some(format!("m{at}").into()),
-            };
+            let entry = entry(at);
             flow.register(&entry, now);
-            running.insert(id, Vec::new());
-            machines.push(Machine {
-                id: format!("m{at}").into(),
-                pool: pool("a"),
-                state: MachineState::Up,
-                capacity: CAPACITY,
-            });
+            running.insert(entry.life.id, Vec::new());
+            machines.push(machine(at));
         }
         flow.set_machines(machines);
         let lives = flow.lives(now, wall);
         flow.recorded(&lives);
         let answer = MachineAnswer::Done;
-        Site { flow, now, wall, running, orders: Vec::new(), most_away: 0, answer }
+        Site {
+            flow,
+            now,
+            wall,
+            running,
+            orders: Vec::new(),
+            stops: Vec::new(),
+            most_away: 0,
+            answer,
+        }
+    }
+
+    /// Lets another leader take over: it knows the jobs and no worker yet.
+    fn change_leader(&mut self, workers: usize) {
+        let old = std::mem::replace(&mut self.flow, Site::new(workers).flow);
+        let content = Arc::clone(old.content());
+        self.flow = Flow::new(Rules::default(), Fence(50), content, self.now);
+        self.flow.hold_no_machines(self.now);
+        let mut machines = Vec::new();
+        for at in 0..workers {
+            self.flow.register(&entry(at), self.now);
+            machines.push(machine(at));
+        }
+        self.flow.set_machines(machines);
+        let lives = self.flow.lives(self.now, self.wall);
+        self.flow.recorded(&lives);
     }
 
     fn lasting(&mut self, id: u128, count: u32, may_miss: u32) {
@@ -134,6 +168,7 @@
             Action::Stop { life, task, run, .. } => {
                 let rows = self.running.get_mut(&life.id).unwrap();
                 rows.retain(|row| row.task != task || row.run != run);
+                self.stops.push(self.now);
                 self.flow.stop_answered(task, run, self.now);
             }
             Action::Machine(order) => {
@@ -225,25 +260,29 @@
     let mut flow = Flow::new(Rules::default(), Fence(9), content, now);
     flow.hold_no_machines(now);
     let id: HostId = "w0".parse().unwrap();
-    let entry = Entry {
-        life: Life { id: id.clone(), born: 5, pool: pool("a"), addr: ([127, 0, 0, 1], 1).into() },
-        zone: "z".parse().unwrap(),
-        draining: false,
-        capacity: CAPACITY,
-        labels: Vec::new(),
-        machine: Some("m0".into()),
-    };
-    flow.register(&entry, now);
+    flow.register(&entry(0), now);
     flow.unreachable(&id, now);
     site.flow = flow;
-    site.flow.set_machines(vec![Machine {
-        id: "m0".into(),
-        pool: pool("a"),
-        state: MachineState::Up,
-        capacity: CAPACITY,
-    }]);
+    site.flow.set_machines(vec![machine(0)]);
     site.running.clear();
     site.wave(1, 6, 1);
     site.run(5000);
     assert_eq!(site.maintained(), 0);
 }
+
+#[test]
+fn a_new_leader_ends_no_lasting_task_beside_runs_that_may_be_stopping() {
+    let mut site = Site::new(6);
+    site.lasting(1, 5, 1);
+    site.run(3000);
+    site.change_leader(6);
+    let steps = vec![StepSpec { lasting: true, may_miss: Some(1), ..step(5, 1000, 0) }];
+    let spec: Arc<JobSpec> = job("q-a", steps, site.wall);
+    site.flow.add(JobId::new(1), spec, 10, site.now);
+    site.wave(6, 8, 6);
+    let taken_over = site.now;
+    site.run(3000);
+    // The earlier leader's stops are seen within the time that a stop takes.
+    let first = site.stops.first().copied().unwrap();
+    assert!(first - taken_over > Rules::default().stop_time, "{:?}", first - taken_over);
+}
