lead: tasks that have ended are taken out of the leader's set

Cause, found by reading: the set kept an entry for each order that was ever sent, about 110 a second, for as long as the host led. A task that panics is now logged.

--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -223,7 +223,14 @@
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        lock(&self.tasks).spawn(task);
+        let mut tasks = lock(&self.tasks);
+        // The set keeps tasks that have ended until they are taken out.
+        while let Some(ended) = tasks.try_join_next() {
+            if let Err(error) = ended {
+                log::error!(target: "leader", "a task of the leader failed: {error}");
+            }
+        }
+        tasks.spawn(task);
     }
 
     /// Ends the leadership.
