--- a/crates/flow/src/answers.rs
+++ b/crates/flow/src/answers.rs
@@ -130,8 +130,7 @@
         }
         self.remove_run(key, Removed::NeverRan, now);
         if why == Refused::Malformed
-            && let Some(&job) = self.job_ids.get(&task.step.job)
-            && let Some(task) = self.jobs[job].task_mut(task)
+            && let Some(task) = self.task_mut(task)
         {
             task.not_before = Some(now + MALFORMED_PAUSE);
         }
@@ -154,8 +153,8 @@
     /// Notes a failed run of a task, and the job's end if it was the last one.
     pub(crate) fn note_failure(&mut self, task: TaskId, run: Run) {
         let Some(&key) = self.job_ids.get(&task.step.job) else { return };
+        let lasting = self.spec_of(task).is_some_and(|spec| spec.lasting);
         let job = &mut self.jobs[key];
-        let lasting = job.spec.steps.get(usize::from(task.step.step)).is_some_and(|s| s.lasting);
         let attempts = self.content.queues.get(&job.spec.queue).map_or(u32::MAX, |q| q.attempts);
         let Some(state) = job.task_mut(task) else { return };
         if state.done || !state.note_failure(run) || lasting {
--- a/crates/flow/src/flow.rs
+++ b/crates/flow/src/flow.rs
@@ -8,7 +8,7 @@
 use vg_jobs::Resources;
 
 use crate::doubt::Doubt;
-use crate::job::{Away, Job, JobKey};
+use crate::job::{Job, JobKey, Task};
 use crate::machines::Machines;
 use crate::run::{Phase, RunKey, RunState};
 use crate::worker::{Worker, WorkerKey};
@@ -46,15 +46,11 @@
 
 /// Why a run left its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Removed {
-    /// Its work is done.
-    Done,
-    /// It failed.
-    Failed,
+pub(crate) enum Removed {
     /// It was never there.
     NeverRan,
-    /// It ended without a result.
-    Lost,
+    /// It has ended, or can't run any more.
+    Over,
 }
 
 /// Sizes and totals for metrics.
@@ -158,6 +154,20 @@
         self.job_ids.get(&task.step.job).map(|&key| &self.jobs[key])
     }
 
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let key = *self.job_ids.get(&id.step.job)?;
+        self.jobs[key].task_mut(id)
+    }
+
+    /// Prefers other workers for a task that failed or stalled on this one.
+    pub(crate) fn avoid(&mut self, task: TaskId, worker: WorkerKey) {
+        if let Some(task) = self.task_mut(task)
+            && !task.avoid.contains(&worker)
+        {
+            task.avoid.push(worker);
+        }
+    }
+
     pub(crate) fn mark_dirty(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
         if !job.dirty {
@@ -221,10 +231,8 @@
         how: Removed,
         now: Instant,
     ) {
-        let job = &mut self.jobs[job];
-        let lasting =
-            job.spec.steps.get(usize::from(state.task.step.step)).is_some_and(|step| step.lasting);
-        let Some(step) = job.step_mut(state.task.step) else { return };
+        let lasting = self.spec_of(state.task).is_some_and(|spec| spec.lasting);
+        let Some(step) = self.jobs[job].step_mut(state.task.step) else { return };
         let task = &mut step.tasks[state.task.index as usize];
         task.runs.retain(|&each| each != key);
         if !state.saved.is_empty() {
@@ -233,9 +241,6 @@
         if task.done || !task.runs.is_empty() {
             return;
         }
-        if lasting {
-            task.away.get_or_insert(Away { since: now, ours: state.our_stop });
-        }
         let pause = match (how, lasting) {
             (Removed::NeverRan, _) => Duration::ZERO,
             (_, true) => LASTING_PAUSE * (task.failed.len() as u32).min(4),
@@ -274,11 +279,11 @@
         self.actions.push(Action::Stop { life, task, run: number, reason });
     }
 
-    /// Stops all runs of a task but one.
-    pub(crate) fn stop_others(&mut self, task: TaskId, keep: Option<RunKey>, now: Instant) {
+    /// Stops all runs of a task that is done.
+    pub(crate) fn stop_copies(&mut self, task: TaskId, now: Instant) {
         let Some(job) = self.job_of(task) else { return };
         let runs = job.task(task).map(|task| task.runs.clone()).unwrap_or_default();
-        for key in runs.into_iter().filter(|&key| Some(key) != keep) {
+        for key in runs {
             self.stop_run(key, StopReason::Duplicate, now);
         }
     }
--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use vg_base::prelude::*;
+use vg_jobs::Resources;
 
 use crate::job::JobKey;
 use crate::place::Sought;
 use crate::run::Phase;
 use crate::worker::WorkerKey;
-use crate::{Flow, Run, StepId, StopReason, TaskId};
+use crate::{Flow, StepId, StepSpec, StopReason, TaskId};
 
 impl Flow {
     /// Starts all tasks of a gang at once, or none.
@@ -29,7 +30,7 @@
         let Some(step) = job.step(id.round, id.step) else { return };
         let whole = step.waiting.len() == step.tasks.len();
         let paused = step.tasks.iter().any(|task| task.not_before.is_some_and(|at| at > now));
-        if !whole || paused || !self.team_allows_all(key, step_spec) {
+        if !whole || paused || !self.team_allows(key, &whole_need(step_spec)) {
             return;
         }
         let sought = Sought {
@@ -41,20 +42,13 @@
         };
         let Some(places) = self.gang_places(&sought, workers, now) else { return };
         let last = step.tasks.iter().map(|task| task.last_run).max().unwrap_or_default();
-        let run = Run(last.0 + 1).max(self.fence.first_run());
+        let run = self.fence.run_after(last);
         for (index, worker) in places.into_iter().enumerate() {
             let task = TaskId { step: id, index: index as u32 };
             self.start(key, task, run, worker, now);
         }
     }
 
-    fn team_allows_all(&self, key: JobKey, step: &crate::StepSpec) -> bool {
-        let mut whole = step.clone();
-        whole.need = (0..step.count)
-            .fold(Default::default(), |sum: vg_jobs::Resources, _| sum.plus(&step.need));
-        self.team_allows(key, &whole)
-    }
-
     /// Finds places for all members: on one rack where they need that.
     fn gang_places(
         &self,
@@ -100,7 +94,7 @@
             }
             let Some(job) = self.job_of(run.task) else { continue };
             let id = run.task.step;
-            let gang = job.spec.steps.get(usize::from(id.step)).is_some_and(|step| step.gang);
+            let gang = self.spec_of(run.task).is_some_and(|spec| spec.gang);
             if gang && job.step(id.round, id.step).is_some_and(|step| !step.waiting.is_empty()) {
                 broken.push(key);
             }
@@ -110,3 +104,8 @@
         }
     }
 }
+
+/// Returns what all members need together.
+fn whole_need(step: &StepSpec) -> Resources {
+    (0..step.count).fold(Resources::ZERO, |sum, _| sum.plus(&step.need))
+}
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -53,21 +53,14 @@
             .map(|(key, run)| (key, run.task, run.worker))
             .collect();
         for (key, task, worker) in stalled {
-            if let Some(&job) = self.job_ids.get(&task.step.job)
-                && let Some(state) = self.jobs[job].task_mut(task)
-                && !state.avoid.contains(&worker)
-            {
-                state.avoid.push(worker);
-            }
+            self.avoid(task, worker);
             self.rest(worker, now + REST);
             self.stop_run(key, StopReason::Stalled, now);
         }
     }
 
     fn stall(&self, run: &crate::run::RunState) -> Duration {
-        let job = self.job_of(run.task);
-        let step = job.and_then(|job| job.spec.steps.get(usize::from(run.task.step.step)));
-        let Some(step) = step else { return Duration::MAX };
+        let Some(step) = self.spec_of(run.task) else { return Duration::MAX };
         if step.gang || step.fills {
             return Duration::MAX;
         }
--- a/crates/flow/src/id.rs
+++ b/crates/flow/src/id.rs
@@ -83,4 +83,9 @@
     pub const fn first_run(self) -> Run {
         Run((self.0 << RUN_BITS) + 1)
     }
+
+    /// Returns the number of the next run of a task whose last one is known.
+    pub(crate) fn run_after(self, last: Run) -> Run {
+        Run(last.0 + 1).max(self.first_run())
+    }
 }
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -72,8 +72,6 @@
     /// Indexes of tasks that are not done and have no run.
     pub(crate) waiting: BTreeSet<u32>,
     pub(crate) tickets: Tickets,
-    /// Duration of the quickest task that is done.
-    pub(crate) quickest: Option<Duration>,
 }
 
 /// One task.
@@ -88,17 +86,6 @@
     pub(crate) avoid: Vec<WorkerKey>,
     /// No start before then.
     pub(crate) not_before: Option<Instant>,
-    /// Since when it has been away by our doing, or for any cause.
-    pub(crate) away: Option<Away>,
-    /// Starts under this leader.
-    pub(crate) starts: u32,
-}
-
-/// Since when a lasting task is not at work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Away {
-    pub(crate) since: Instant,
-    pub(crate) ours: bool,
 }
 
 impl Job {
@@ -140,11 +127,15 @@
     /// Opens an occurrence that is found running, and those before it.
     pub(crate) fn open_through(&mut self, round: u32) {
         while self.next_round <= round && self.next_round < self.spec.rounds() {
-            self.rounds.push(Round::new(self.next_round, &self.spec));
-            self.next_round += 1;
+            self.open_next();
         }
     }
 
+    fn open_next(&mut self) {
+        self.rounds.push(Round::new(self.next_round, &self.spec));
+        self.next_round += 1;
+    }
+
     /// Opens occurrences that are due at `wall`, or `early` before.
     pub(crate) fn open_rounds(&mut self, wall: SystemTime, early: Duration) {
         while self.next_round < self.spec.rounds() {
@@ -152,9 +143,7 @@
             if due.is_some_and(|due| due > wall + early) {
                 break;
             }
-            let number = self.next_round;
-            self.rounds.push(Round::new(number, &self.spec));
-            self.next_round += 1;
+            self.open_next();
         }
     }
 
@@ -213,7 +202,6 @@
             done: 0,
             waiting: (0..each.count).collect(),
             tickets: Tickets::default(),
-            quickest: None,
         };
         Round { number, steps: spec.steps.iter().map(step).collect() }
     }
@@ -281,7 +269,6 @@
             return false;
         }
         task.done = true;
-        task.away = None;
         self.done += 1;
         self.waiting.remove(&index);
         true
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -40,7 +40,7 @@
 pub use content::{Advice, Content, Pool, Queue, Team, key_digest};
 pub use doubt::LifeRecord;
 pub use durable::{Record, RecordKind, Sweep};
-pub use flow::{Counts, Flow, Removed};
+pub use flow::{Counts, Flow};
 pub use id::{Fence, Run, StepId, TaskId};
 pub use job::State;
 pub use machines::{Machine, MachineAnswer, MachineState};
--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -201,8 +201,7 @@
         self.workers[key].rest_until = Some(now + LEAVING_TIME);
         for run in self.workers[key].runs.clone() {
             if self.runs[run].confirmed.is_some() {
-                self.runs[run].our_stop = true;
-                self.remove_run(run, Removed::Lost, now);
+                self.remove_run(run, Removed::Over, now);
             }
         }
     }
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -304,7 +304,6 @@
             if !spec.lasting || !state.is_running() || !self.may_take(run, now) {
                 continue;
             }
-            self.runs[run].our_stop = true;
             self.stop_run(run, StopReason::MachineNeeded, now);
         }
     }
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -82,7 +82,7 @@
                 self.keep_saved(row);
                 if let Some(key) = key {
                     self.counts.lost += u64::from(row.how == How::Lapsed);
-                    self.remove_run(key, Removed::Lost, now);
+                    self.remove_run(key, Removed::Over, now);
                 }
             }
         }
@@ -99,21 +99,17 @@
     fn take_done(&mut self, worker: WorkerKey, row: &EndRow, key: Option<RunKey>, now: Instant) {
         self.counts.done += 1;
         self.note_good(worker);
-        let took = key.map(|key| now.saturating_duration_since(self.runs[key].since));
         let Some(&job_key) = self.job_ids.get(&row.task.step.job) else {
             // The job has ended: nothing is left to note.
             if let Some(key) = key {
-                self.remove_run(key, Removed::Done, now);
+                self.remove_run(key, Removed::Over, now);
             }
             return;
         };
+        let gang = self.spec_of(row.task).is_some_and(|spec| spec.gang);
         let job = &mut self.jobs[job_key];
         job.began = true;
-        let gang = job.spec.steps.get(usize::from(row.task.step.step)).is_some_and(|s| s.gang);
         if let Some(step) = job.step_mut(row.task.step) {
-            if let Some(took) = took {
-                step.quickest = Some(step.quickest.map_or(took, |before| before.min(took)));
-            }
             // One end of a gang stands for all of its members.
             if gang {
                 (0..step.tasks.len() as u32).for_each(|index| _ = step.set_done(index));
@@ -123,10 +119,10 @@
         }
         self.mark_dirty(job_key);
         if let Some(key) = key {
-            self.remove_run(key, Removed::Done, now);
+            self.remove_run(key, Removed::Over, now);
         }
         if !gang {
-            self.stop_others(row.task, None, now);
+            self.stop_copies(row.task, now);
         }
         if let Some(&job_key) = self.job_ids.get(&row.task.step.job) {
             self.settle_job(job_key);
@@ -138,14 +134,9 @@
         self.keep_saved(row);
         self.note_failure(row.task, row.run);
         self.note_bad(worker, row.task.step.job, now);
-        if let Some(&job) = self.job_ids.get(&row.task.step.job)
-            && let Some(task) = self.jobs[job].task_mut(row.task)
-            && !task.avoid.contains(&worker)
-        {
-            task.avoid.push(worker);
-        }
+        self.avoid(row.task, worker);
         if let Some(key) = key {
-            self.remove_run(key, Removed::Failed, now);
+            self.remove_run(key, Removed::Over, now);
         }
         if let Some(&job) = self.job_ids.get(&row.task.step.job)
             && !self.jobs[job].is_open()
@@ -158,8 +149,7 @@
         if row.saved.is_empty() {
             return;
         }
-        if let Some(&job) = self.job_ids.get(&row.task.step.job)
-            && let Some(task) = self.jobs[job].task_mut(row.task)
+        if let Some(task) = self.task_mut(row.task)
             && !task.done
         {
             task.saved = row.saved.clone();
@@ -185,18 +175,6 @@
         if run.phase == Phase::Stopping {
             // The answer to the stop, or the stop itself, was lost.
             self.stop_run(key, StopReason::JobOver, now);
-            return;
-        }
-        if row.percent >= 100 {
-            self.note_at_work(row.task);
-        }
-    }
-
-    fn note_at_work(&mut self, task: TaskId) {
-        if let Some(&job) = self.job_ids.get(&task.step.job)
-            && let Some(task) = self.jobs[job].task_mut(task)
-        {
-            task.away = None;
         }
     }
 
@@ -205,8 +183,7 @@
         self.open_occurrence(row.task);
         let state = self.adopted_state(worker, row, now);
         let wanted = self.job_of(row.task).is_some_and(|job| {
-            let copies =
-                job.spec.steps.get(usize::from(row.task.step.step)).is_some_and(|step| step.copies);
+            let copies = self.spec_of(row.task).is_some_and(|spec| spec.copies);
             let task = job.task(row.task);
             job.is_open() && task.is_some_and(|task| !task.done && (copies || task.runs.is_empty()))
         });
@@ -214,14 +191,12 @@
         self.confirm(key, now);
         if !wanted && self.runs.contains_key(key) {
             self.stop_run(key, StopReason::JobOver, now);
-        } else if row.percent >= 100 {
-            self.note_at_work(row.task);
         }
     }
 
     fn adopted_state(&self, worker: WorkerKey, row: &RunRow, now: Instant) -> RunState {
         let job = self.job_of(row.task);
-        let step = job.and_then(|job| job.spec.steps.get(usize::from(row.task.step.step)));
+        let step = self.spec_of(row.task);
         RunState {
             task: row.task,
             run: row.run,
@@ -236,7 +211,6 @@
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
-            our_stop: false,
             saved: row.saved.clone(),
             percent: row.percent,
             moved: now,
@@ -268,7 +242,7 @@
                 Phase::Unsure if stopped || expired => Removed::NeverRan,
                 Phase::Unsure => continue,
                 // Its end was listed before, or it never came to be.
-                Phase::Running | Phase::Stopping if known || stopped => Removed::Lost,
+                Phase::Running | Phase::Stopping if known || stopped => Removed::Over,
                 Phase::Running | Phase::Stopping => continue,
             };
             self.remove_run(key, how, now);
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -9,7 +9,7 @@
 use crate::job::{Job, JobKey};
 use crate::order::{Rank, Standing, rank};
 use crate::place::Sought;
-use crate::rules::START_LIFE;
+use crate::rules::{CLOCK_MARGIN, START_LIFE, clock_bound};
 use crate::run::{Phase, RunState};
 use crate::worker::WorkerKey;
 use crate::{Action, Flow, Run, Start, StepId, StopReason, TaskId};
@@ -160,7 +160,7 @@
             if state.is_none_or(|task| task.not_before.is_some_and(|at| at > now)) {
                 continue;
             }
-            if (plain && round.is_misfit(&step.room())) || !self.team_allows(key, step) {
+            if (plain && round.is_misfit(&step.room())) || !self.team_allows(key, &step.need) {
                 return;
             }
             let found = self.find_for(key, task, &round.workers, now);
@@ -196,11 +196,11 @@
         self.find_place(&sought, workers, &[], now)
     }
 
-    pub(crate) fn team_allows(&self, key: JobKey, step: &crate::StepSpec) -> bool {
+    pub(crate) fn team_allows(&self, key: JobKey, need: &Resources) -> bool {
         let Some(team) = &self.jobs[key].spec.team else { return true };
         let Some(limits) = self.content.teams.get(team) else { return true };
         let used = self.used.get(team).copied().unwrap_or_default();
-        limits.allows(&used.plus(&self.doubtful_use(team)), &step.need)
+        limits.allows(&used.plus(&self.doubtful_use(team)), need)
     }
 
     /// Returns what a team may have running out of sight.
@@ -228,7 +228,7 @@
 
     pub(crate) fn next_run(&self, key: JobKey, task: TaskId) -> Run {
         let last = self.jobs[key].task(task).map(|task| task.last_run).unwrap_or_default();
-        Run(last.0 + 1).max(self.fence.first_run())
+        self.fence.run_after(last)
     }
 
     /// Gives a task to a worker.
@@ -246,11 +246,10 @@
         let Some(state) = job.step_mut(task.step) else { return };
         let ticket = state.tickets.get(worker, now).cloned().unwrap_or_default();
         let Some(state) = state.tasks.get_mut(task.index as usize) else { return };
-        state.starts += 1;
         let saved = state.saved.clone();
         let Some(clock) = self.workers[worker].clock else { return };
         let deadline = clock.reading(now) + START_LIFE.as_millis() as u64;
-        let bound = START_LIFE.mul_f64(crate::rules::CLOCK_DRIFT) + crate::rules::CLOCK_MARGIN;
+        let bound = clock_bound(START_LIFE);
         let target = &mut self.workers[worker];
         target.lease_end = target.lease_end.max(now + bound);
         let life = target.life.clone();
@@ -263,12 +262,11 @@
             team,
             phase: Phase::Starting,
             since: now,
-            expires: deadline + crate::rules::CLOCK_MARGIN.as_millis() as u64,
+            expires: deadline + CLOCK_MARGIN.as_millis() as u64,
             confirmed: None,
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
-            our_stop: false,
             saved: saved.clone(),
             percent: 0,
             moved: now,
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -47,7 +47,6 @@
         worker.listed = true;
         worker.draining = entry.draining;
         worker.capacity = entry.capacity;
-        worker.zone = entry.zone.clone();
         worker.machine = entry.machine.clone();
         worker.recorded &= !moved;
         !worker.recorded
@@ -149,7 +148,7 @@
                 }
                 Phase::Running | Phase::Stopping => {
                     self.counts.lost += 1;
-                    self.remove_run(run, Removed::Lost, now);
+                    self.remove_run(run, Removed::Over, now);
                 }
             }
         }
@@ -172,7 +171,7 @@
             if over && !worker.runs.is_empty() {
                 for run in worker.runs.clone() {
                     self.counts.lost += 1;
-                    self.remove_run(run, Removed::Lost, now);
+                    self.remove_run(run, Removed::Over, now);
                 }
             }
             let worker = &self.workers[key];
--- a/crates/flow/src/run.rs
+++ b/crates/flow/src/run.rs
@@ -48,8 +48,6 @@
     /// Whether it is settled only by an answered stop: the worker started anew
     /// and its clock no longer tells whether the start has expired.
     pub(crate) needs_stop: bool,
-    /// Whether we ended it while it was at work.
-    pub(crate) our_stop: bool,
     pub(crate) saved: SmolStr,
     /// Progress in percent and when it last changed.
     pub(crate) percent: u8,
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -64,7 +64,6 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
     pub(crate) life: Life,
-    pub(crate) zone: ZoneId,
     pub(crate) capacity: Resources,
     pub(crate) labels: Vec<SmolStr>,
     pub(crate) rack: Option<SmolStr>,
@@ -108,7 +107,6 @@
     pub(crate) fn new(entry: &Entry, now: Instant) -> Worker {
         Worker {
             life: entry.life.clone(),
-            zone: entry.zone.clone(),
             capacity: entry.capacity,
             labels: entry.labels.clone(),
             rack: rack_of(&entry.labels),
--- a/crates/lead/src/ask.rs
+++ b/crates/lead/src/ask.rs
@@ -5,13 +5,11 @@
 use vg_net::from_msgpack;
 use vg_store::Store;
 
-use crate::host::lock;
 use crate::keys::{self, EndValue};
 use crate::messages::{CancelDone, CountAnswer, CountQuery, Known, Query};
+use crate::retry::{OWN_TRIES, answer_by};
 use crate::{Host, Platform};
 
-/// Time before the caller's deadline at which the answer has to be ready.
-const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Pause before a question is asked again.
 const PAUSE: Duration = Duration::from_millis(80);
 /// Longest time that a question waits for an answer that is true.
@@ -80,7 +78,7 @@
 
     fn limit(&self, deadline: Instant) -> Instant {
         let own = self.inner.clock.now() + LONGEST;
-        deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline).min(own)
+        answer_by(deadline).min(own)
     }
 
     async fn state_once(&self, job: JobId) -> Known {
@@ -118,7 +116,7 @@
 
     fn keep(&self, job: JobId, known: Known) -> Known {
         if let Known::Ended(team, how) = &known {
-            lock(&self.inner.ends).set(job, team.clone(), *how);
+            self.remember_end(job, team.clone(), *how);
         }
         known
     }
@@ -161,8 +159,8 @@
 
     /// Cancels a job.
     pub async fn cancel(&self, job: JobId, deadline: Instant) -> CancelAnswer {
-        let deadline = deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline);
-        let own = deadline.min(self.inner.clock.now() + Duration::from_millis(900));
+        let deadline = answer_by(deadline);
+        let own = deadline.min(self.inner.clock.now() + OWN_TRIES);
         let mut done = self.write_cancel(job, own).await;
         if done == CancelDone::Unknown {
             for addr in self.some_peers(2) {
--- a/crates/lead/src/cancel.rs
+++ b/crates/lead/src/cancel.rs
@@ -8,7 +8,7 @@
 
 use crate::host::lock;
 use crate::keys::{self, EndValue};
-use crate::messages::{CancelDone, Cancelled, Taken};
+use crate::messages::{CancelDone, Cancelled};
 use crate::retry::read;
 use crate::{Host, Platform};
 
@@ -61,17 +61,10 @@
             leader.take_cancel(job);
             return;
         }
-        let Some(addr) = self.leader_addr() else { return };
-        let host = self.clone();
-        tokio::spawn(async move {
-            let told: Result<Taken, _> = host.ask_peer(addr, "cancelled", &Cancelled { job }).await;
-            if let Err(error) = told {
-                log::debug!(target: "peers", "the leader was not told of {job}: {error}");
-            }
-        });
+        self.tell_leader("cancelled", job, Cancelled { job });
     }
 
-    pub(crate) fn remember_end(&self, job: JobId, value: &EndValue) {
-        lock(&self.inner.ends).set(job, value.team.clone(), value.how);
+    pub(crate) fn remember_end(&self, job: JobId, team: Option<TeamId>, how: Final) {
+        lock(&self.inner.ends).set(job, team, how);
     }
 }
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -36,11 +36,6 @@
     pub(super) orders: (Option<StoreRevision>, Vec<Ordered>),
 }
 
-/// One transaction and the records in it.
-struct Part<'a> {
-    records: Vec<&'a Record>,
-}
-
 impl<P: Platform, C: Clock> Leader<P, C> {
     /// Writes changes as they come, several in one transaction.
     pub(super) async fn commit_changes(self: Arc<Self>) {
@@ -58,7 +53,7 @@
             let mut parts: Vec<_> = sweep
                 .records
                 .chunks(ENTRIES_MAX / RECORD_ENTRIES)
-                .map(|records| Part { records: records.iter().collect() })
+                .map(|records| records.iter().collect::<Vec<_>>())
                 .collect();
             for part in &mut parts {
                 self.write_part(part, &mut lease).await;
@@ -98,14 +93,14 @@
 
     /// Writes one transaction until it is proved durable or the leadership is
     /// lost.
-    async fn write_part(&self, part: &mut Part<'_>, lease: &mut Option<(LeaseId, Instant)>) {
-        while !part.records.is_empty() {
-            let txn = self.transaction(&part.records, lease.map(|(lease, _)| lease));
+    async fn write_part(&self, part: &mut Vec<&Record>, lease: &mut Option<(LeaseId, Instant)>) {
+        while !part.is_empty() {
+            let txn = self.transaction(part, lease.map(|(lease, _)| lease));
             match self.host.store().commit(txn).await {
                 Ok(TxnOutcome::Done { revision }) => {
                     self.host.note_store();
                     self.host.inner.metrics.committed("done");
-                    self.written(&part.records, revision);
+                    self.written(part, revision);
                     return;
                 }
                 Ok(TxnOutcome::Conflict { found }) => {
@@ -171,7 +166,7 @@
                     versions.jobs.remove(&record.job);
                     drop(versions);
                     let team = self.flow().team(record.job).flatten();
-                    self.host.remember_end(record.job, &EndValue { how, team });
+                    self.host.remember_end(record.job, team, how);
                     let code = match how {
                         Final::Done => Code::JobDone,
                         Final::Failed => Code::JobFailed,
@@ -186,26 +181,26 @@
     /// Finds out why a transaction met a conflict: a job was cancelled
     /// meanwhile, the transaction had taken effect before, or another host
     /// leads.
-    async fn settle(&self, part: &mut Part<'_>, found: &[Entry]) {
+    async fn settle(&self, part: &mut Vec<&Record>, found: &[Entry]) {
         if !self.still_leads(found).await {
             // The task ends with the leadership.
             std::future::pending::<()>().await;
         }
         let now = self.host.inner.clock.now();
-        let before = part.records.len();
-        part.records.retain(|record| {
+        let before = part.len();
+        part.retain(|record| {
             let cancelled = found.iter().any(|entry| entry.key == keys::cancel(record.job));
             if cancelled {
                 self.flow().cancel(record.job, now);
             }
             !cancelled
         });
-        if part.records.len() < before {
+        if part.len() < before {
             return;
         }
         // The answer names some of the keys only, so each is read.
         let mut stored = HashMap::new();
-        for record in &part.records {
+        for record in part.iter() {
             for key in [keys::job(record.job), keys::progress(record.job)] {
                 let Ok(entry) = self.host.store().get(&key).await else { return };
                 stored.insert(key, entry);
@@ -215,7 +210,7 @@
     }
 
     /// Compares a transaction that met a conflict with what is stored.
-    fn settle_stored(&self, part: &mut Part<'_>, stored: &HashMap<Key, Option<Entry>>) {
+    fn settle_stored(&self, part: &mut Vec<&Record>, stored: &HashMap<Key, Option<Entry>>) {
         let entry = |key: Key| stored.get(&key).and_then(Option::as_ref);
         let has_taken_effect = |record: &&Record| match &record.kind {
             RecordKind::Progress(value) => {
@@ -228,15 +223,15 @@
             RecordKind::End(_) => entry(keys::job(record.job)).is_none(),
         };
         // A transaction takes effect as a whole.
-        if part.records.iter().all(has_taken_effect) {
-            for record in std::mem::take(&mut part.records) {
+        if part.iter().all(has_taken_effect) {
+            for record in std::mem::take(part) {
                 let revision = entry(keys::progress(record.job)).map(|entry| entry.modified);
                 self.written(&[record], revision.unwrap_or_default());
             }
             return;
         }
         let mut versions = lock(&self.committed);
-        for record in &part.records {
+        for record in part.iter() {
             match entry(keys::progress(record.job)) {
                 Some(entry) => versions.progress.insert(record.job, entry.modified),
                 None => versions.progress.remove(&record.job),
@@ -246,7 +241,7 @@
             }
         }
         let mut gone = Vec::new();
-        part.records.retain(|record| {
+        part.retain(|record| {
             let there = entry(keys::job(record.job)).is_some();
             if !there {
                 gone.push(record.job);
--- a/crates/lead/src/peers.rs
+++ b/crates/lead/src/peers.rs
@@ -9,7 +9,7 @@
 
 use crate::host::lock;
 use crate::mark::Mark;
-use crate::messages::{StoreAnswer, StoreQuery};
+use crate::messages::{StoreAnswer, StoreQuery, Taken};
 use crate::{Host, Platform};
 
 /// Time for a peer to answer.
@@ -35,6 +35,24 @@
         answer
     }
 
+    /// Tells the leader of a job's change that is durable. If the message is
+    /// lost the leader sees the change in the store.
+    pub(crate) fn tell_leader<Q: Serialize + Send + Sync + 'static>(
+        &self,
+        name: &'static str,
+        job: JobId,
+        message: Q,
+    ) {
+        let Some(addr) = self.leader_addr() else { return };
+        let host = self.clone();
+        tokio::spawn(async move {
+            let told: Result<Taken, _> = host.ask_peer(addr, name, &message).await;
+            if let Err(error) = told {
+                log::debug!(target: "peers", "job {job}: `{name}` did not reach the leader: {error}");
+            }
+        });
+    }
+
     /// Whether some peers answer and all of those have lost the store.
     pub(crate) async fn peers_lost_store(&self) -> bool {
         let peers = self.some_peers(usize::MAX);
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -9,17 +9,14 @@
 use vg_store::{Error, Store, Txn, TxnOutcome};
 
 use crate::host::lock;
-use crate::messages::{Handed, Known, Relay, Taken, Written};
+use crate::messages::{Handed, Known, Relay, Written};
+use crate::retry::{OWN_TRIES, answer_by};
 use crate::{Host, Platform, keys};
 
 /// Pause before a write is tried again.
 const PAUSE: Duration = Duration::from_millis(50);
 /// Peers that are asked to write a job.
 const RELAYS: usize = 2;
-/// Time before the caller's deadline at which the answer has to be ready.
-const ANSWER_MARGIN: Duration = Duration::from_millis(150);
-/// Longest time that one host tries to write a job by itself.
-const OWN_TRIES: Duration = Duration::from_millis(900);
 
 /// What a caller is told of its job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,7 +36,7 @@
     /// Makes a job durable and tells the leader of it.
     pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: Instant) -> Submitted {
         let spec = Arc::new(spec);
-        let deadline = deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline);
+        let deadline = answer_by(deadline);
         let written = self.write_anywhere(job, &spec, deadline).await;
         let (answer, outcome) = match written {
             Written::Durable => (Submitted::Accepted, "accepted"),
@@ -148,16 +145,7 @@
             leader.take_job(job, Arc::clone(spec), revision);
             return;
         }
-        let Some(addr) = self.leader_addr() else { return };
-        let (host, spec) = (self.clone(), Arc::clone(spec));
-        tokio::spawn(async move {
-            // If it is lost the leader sees the job in the store.
-            let told: Result<Taken, _> =
-                host.ask_peer(addr, "handed", &Handed { job, revision, spec }).await;
-            if let Err(error) = told {
-                log::debug!(target: "peers", "job {job} was not handed to the leader: {error}");
-            }
-        });
+        self.tell_leader("handed", job, Handed { job, revision, spec: Arc::clone(spec) });
     }
 
     /// Returns a job's end if this host knows it.
