flow, lead: a silent worker's record says which tasks it has

The next leader was there at 14.70 s, and from then to 20.8 s nothing of the dark rack's pool was started: some 70 jobs waited 6 to 8 s. `vg/lives` only names the lives that may have work, so a new leader holds back every older job of a pool with a worker that it has not heard, for 5.85 s.

Ruled out: the change of the leader itself (0.86 s with a store 50 times slower), reading the jobs (7 ms), machines on their way (other pools went on), the order of jobs.

Change: a worker that has been silent for 0.3 s, and every worker at a planned stop, gets its record closed: end of its lease and all tasks that it may hold, among them those whose ends were read and are not durable. A takeover holds back just these. A closed worker gets nothing, nor a longer lease, until the record is open again. The leader decides no more once it hands over. The record is taken anew at each try to write it. `Job::ready_steps` replaces four copies of one loop.

Left: a leader killed within 0.3 s of a worker's silence still leaves the whole pool in doubt.

--- a/crates/flow/src/doubt.rs
+++ b/crates/flow/src/doubt.rs
@@ -1,11 +1,17 @@
 //! What an earlier leader may have left running out of sight.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
-use crate::{Flow, Life};
+use crate::worker::Worker;
+use crate::{Flow, Life, TaskId};
+
+/// Silence of a worker after which its record says what may run there.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Most by which the clocks of two hosts differ.
+const CLOCKS_MARGIN: Duration = Duration::from_millis(500);
 
 /// A life that may have been given work, as it is recorded for a next leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +21,10 @@
     /// Wall time after which nothing can run there; none while its lease may
     /// be renewed.
     pub over: Option<SystemTime>,
+    /// All tasks that may run there, or have an end there that is not durable;
+    /// none if that is not known.
+    #[serde(default)]
+    pub tasks: Option<Vec<TaskId>>,
 }
 
 /// Lives that have not answered since this leader took over. Tasks of jobs that
@@ -28,12 +38,21 @@
 struct Doubted {
     life: Life,
     until: Instant,
+    /// All tasks that it may hold; none: any task of its pool.
+    tasks: Option<HashSet<TaskId>>,
 }
 
 impl Doubt {
-    /// Whether a pool has such a life.
+    /// Whether any task of a pool may be on such a life.
     pub(crate) fn covers(&self, pool: &PoolId) -> bool {
-        self.lives.values().any(|doubted| doubted.life.pool == *pool)
+        let open = self.lives.values().filter(|doubted| doubted.tasks.is_none());
+        open.into_iter().any(|doubted| doubted.life.pool == *pool)
+    }
+
+    /// Whether this task is known to be on such a life.
+    pub(crate) fn holds(&self, task: TaskId) -> bool {
+        let known = self.lives.values().filter_map(|doubted| doubted.tasks.as_ref());
+        known.into_iter().any(|tasks| tasks.contains(&task))
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -51,9 +70,10 @@
     /// was given can run after `until`, or after the time on record.
     pub fn suspect(&mut self, record: &LifeRecord, until: Instant, now: Instant, wall: SystemTime) {
         let left = record.over.map(|over| over.duration_since(wall).unwrap_or_default());
-        let until = left.map_or(until, |left| until.min(now + left));
+        let until = left.map_or(until, |left| until.min(now + left + CLOCKS_MARGIN));
         let life = record.life.clone();
-        self.doubt.lives.insert(life.id.clone(), Doubted { life, until });
+        let tasks = record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect());
+        self.doubt.lives.insert(life.id.clone(), Doubted { life, until, tasks });
     }
 
     /// Returns the lives that have not answered yet.
@@ -66,10 +86,51 @@
         let record = |doubted: &Doubted| LifeRecord {
             life: doubted.life.clone(),
             over: Some(wall + doubted.until.saturating_duration_since(now)),
+            tasks: doubted.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
         };
         self.doubt.lives.values().map(record).collect()
     }
 
+    /// Closes the record of workers that have been silent for a while: they get
+    /// nothing before it is open again. A next leader then knows which tasks may
+    /// run there, and which may not.
+    pub fn close_silent(&mut self, now: Instant) {
+        for worker in self.workers.values_mut() {
+            let silent = worker.silent.map(|since| now.saturating_duration_since(since));
+            worker.closed |= silent.is_some_and(|silent| silent >= SILENCE);
+        }
+    }
+
+    /// Ends all decisions, so that the record of lives can say what each worker
+    /// may run from now on.
+    pub fn freeze(&mut self) {
+        self.frozen = true;
+        self.workers.values_mut().for_each(|worker| worker.closed = true);
+    }
+
+    /// Whether decisions have ended.
+    pub fn is_frozen(&self) -> bool {
+        self.frozen
+    }
+
+    pub(crate) fn life_record(
+        &self,
+        worker: &Worker,
+        now: Instant,
+        wall: SystemTime,
+    ) -> LifeRecord {
+        let life = worker.life.clone();
+        if !worker.closed {
+            return LifeRecord { life, over: None, tasks: None };
+        }
+        let over = wall + worker.lease_end.saturating_duration_since(now);
+        let held = worker.runs.iter().map(|&run| self.runs[run].task);
+        let ended = worker.unsettled.iter().map(|&(_, task)| task);
+        // Ends that the worker has not listed yet may be of any task.
+        let tasks = (!worker.more_ends).then(|| held.chain(ended).collect());
+        LifeRecord { life, over: Some(over), tasks }
+    }
+
     /// Clears a life that was heard, or whose id has a new life.
     pub(crate) fn clear_doubt(&mut self, id: &HostId) {
         self.doubt.lives.remove(id);
--- a/crates/flow/src/durable.rs
+++ b/crates/flow/src/durable.rs
@@ -86,6 +86,7 @@
             let Some(worker) = self.workers.get_mut(key) else { continue };
             if worker.life.born == born {
                 worker.seen = worker.seen.max(read);
+                worker.unsettled.retain(|&(number, _)| number > worker.seen);
             }
         }
     }
--- a/crates/flow/src/flow.rs
+++ b/crates/flow/src/flow.rs
@@ -39,6 +39,8 @@
     pub(crate) dirty: Vec<JobKey>,
     pub(crate) urgent: bool,
     pub(crate) lives_changed: bool,
+    /// Decisions have ended: another host is to lead.
+    pub(crate) frozen: bool,
     pub(crate) machines: Machines,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
@@ -98,6 +100,7 @@
             dirty: Vec::new(),
             urgent: false,
             lives_changed: false,
+            frozen: false,
             actions: Vec::new(),
             counts: Counts::default(),
         }
--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -30,7 +30,8 @@
         let Some(step) = job.step(id.round, id.step) else { return };
         let whole = step.waiting.len() == step.tasks.len();
         let paused = step.tasks.iter().any(|task| task.not_before.is_some_and(|at| at > now));
-        if !whole || paused || !self.team_allows(key, &whole_need(step_spec)) {
+        let held = (0..step_spec.count).any(|index| self.doubt.holds(TaskId { step: id, index }));
+        if !whole || paused || held || !self.team_allows(key, &whole_need(step_spec)) {
             return;
         }
         let sought = Sought {
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -9,7 +9,7 @@
 use crate::run::RunKey;
 use crate::tickets::Tickets;
 use crate::worker::WorkerKey;
-use crate::{Final, JobSpec, Progress, RoundProgress, Run, StepId, TaskId};
+use crate::{Final, JobSpec, Progress, RoundProgress, Run, StepId, StepSpec, TaskId};
 
 slotmap::new_key_type! {
     /// Key of a job in its table.
@@ -74,6 +74,14 @@
     pub(crate) tickets: Tickets,
 }
 
+/// A step whose turn has come and that is not done.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReadyStep<'a> {
+    pub(crate) id: StepId,
+    pub(crate) spec: &'a StepSpec,
+    pub(crate) step: &'a Step,
+}
+
 /// One task.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Task {
@@ -160,6 +168,20 @@
         round.steps.get_mut(usize::from(id.step))
     }
 
+    /// Returns the steps whose turn has come and that are not done.
+    pub(crate) fn ready_steps(&self) -> impl Iterator<Item = ReadyStep<'_>> {
+        self.rounds.iter().flat_map(|round| {
+            let steps = round.steps.iter().enumerate();
+            let ready =
+                steps.filter(|(at, step)| !step.is_done() && round.is_ready(&self.spec, *at));
+            ready.map(|(at, step)| ReadyStep {
+                id: StepId { job: self.id, round: round.number, step: at as u16 },
+                spec: &self.spec.steps[at],
+                step,
+            })
+        })
+    }
+
     pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
         self.step(id.step.round, id.step.step)?.tasks.get(id.index as usize)
     }
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -240,17 +240,8 @@
 
     /// Whether tasks wait for a pool.
     fn is_pressed(&self, pool: &PoolId) -> bool {
-        let waits =
-            |job: &crate::job::Job| {
-                job.pool == *pool
-                    && job.is_open()
-                    && job.rounds.iter().any(|round| {
-                        round.steps.iter().enumerate().any(|(at, step)| {
-                            !step.waiting.is_empty() && round.is_ready(&job.spec, at)
-                        })
-                    })
-            };
-        self.jobs.values().any(waits)
+        let mut open = self.jobs.values().filter(|job| job.pool == *pool && job.is_open());
+        open.any(|job| job.ready_steps().any(|ready| !ready.step.waiting.is_empty()))
     }
 
     fn drain_machines(&mut self, number: u64, now: Instant) {
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -30,6 +30,11 @@
             self.workers[key].recorded = false;
             self.workers[key].limited = true;
         }
+        if self.workers[key].closed && !self.frozen {
+            self.workers[key].closed = false;
+            self.workers[key].recorded = false;
+            self.workers[key].limited = true;
+        }
         let bound = self.rules.lease_bound();
         let worker = &mut self.workers[key];
         if !worker.heard {
@@ -43,6 +48,7 @@
         worker.heard = true;
         worker.silent = None;
         worker.answered = Some(now);
+        worker.more_ends = report.ended.len() >= ENDS_PAGE;
         worker.clock = Some(WorkerClock { millis: report.clock, at: now });
         let recorded = worker.recorded;
         for row in &report.ended {
@@ -54,7 +60,7 @@
         }
         // A full list of ends goes on in the next look: what is absent may have
         // ended there.
-        if report.ended.len() < ENDS_PAGE {
+        if !self.workers[key].more_ends {
             self.settle_absent(key, &there, report.clock, sent, now);
         }
         !recorded
@@ -65,6 +71,7 @@
             return;
         }
         self.workers[worker].read = row.number;
+        self.workers[worker].unsettled.push((row.number, row.task));
         self.open_occurrence(row.task);
         let mut key = self.run_ids.get(&(row.task, row.run)).copied();
         if key.is_some_and(|key| self.runs[key].worker != worker) {
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -30,6 +30,9 @@
 impl Flow {
     /// Decides what to do now, at monotonic time `now` and wall time `wall`.
     pub fn plan(&mut self, now: Instant, wall: SystemTime) -> Vec<Action> {
+        if self.frozen {
+            return Vec::new();
+        }
         self.expire_doubt(now);
         self.expire_workers(now);
         self.chase_unsure(now);
@@ -119,22 +122,13 @@
 
     fn place_job(&mut self, key: JobKey, round: &mut PoolRound, now: Instant) {
         let job = &self.jobs[key];
-        // An earlier leader may have started its tasks out of sight.
-        if job.revision <= self.fence.0 && self.doubt.covers(&job.pool) {
+        if self.is_in_doubt(job) {
             return;
         }
-        let id = job.id;
-        let spec = Arc::clone(&job.spec);
-        let mut ready = Vec::new();
-        for round in &job.rounds {
-            for (at, step) in round.steps.iter().enumerate() {
-                if !step.waiting.is_empty() && round.is_ready(&spec, at) {
-                    ready.push(StepId { job: id, round: round.number, step: at as u16 });
-                }
-            }
-        }
-        for step in ready {
-            if spec.steps[usize::from(step.step)].gang {
+        let waiting = job.ready_steps().filter(|ready| !ready.step.waiting.is_empty());
+        let steps: Vec<_> = waiting.map(|ready| (ready.id, ready.spec.gang)).collect();
+        for (step, gang) in steps {
+            if gang {
                 self.place_gang(key, step, &round.workers, now);
             } else {
                 self.place_step(key, step, round, now);
@@ -142,6 +136,12 @@
         }
     }
 
+    /// Whether an earlier leader may have started any task of a job out of
+    /// sight.
+    fn is_in_doubt(&self, job: &Job) -> bool {
+        job.revision <= self.fence.0 && self.doubt.covers(&job.pool)
+    }
+
     fn place_step(&mut self, key: JobKey, id: StepId, round: &mut PoolRound, now: Instant) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step = &spec.steps[usize::from(id.step)];
@@ -157,7 +157,8 @@
         for index in waiting {
             let task = TaskId { step: id, index };
             let state = self.jobs[key].task(task);
-            if state.is_none_or(|task| task.not_before.is_some_and(|at| at > now)) {
+            let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
+            if paused || self.doubt.holds(task) {
                 continue;
             }
             if (plain && round.is_misfit(&step.room())) || !self.team_allows(key, &step.need) {
@@ -210,17 +211,16 @@
             return sum;
         }
         for job in self.jobs.values() {
-            let old = job.revision <= self.fence.0 && self.doubt.covers(&job.pool);
-            if !old || job.spec.team.as_ref() != Some(team) || !job.is_open() {
+            if job.spec.team.as_ref() != Some(team) || !job.is_open() {
                 continue;
             }
-            for round in &job.rounds {
-                for (at, step) in round.steps.iter().enumerate() {
-                    if round.is_ready(&job.spec, at) {
-                        let need = job.spec.steps[at].need;
-                        sum = step.waiting.iter().fold(sum, |sum, _| sum.plus(&need));
-                    }
-                }
+            let old = self.is_in_doubt(job);
+            for ready in job.ready_steps() {
+                let hidden =
+                    ready.step.waiting.iter().filter(|&&index| {
+                        old || self.doubt.holds(TaskId { step: ready.id, index })
+                    });
+                sum = hidden.fold(sum, |sum, _| sum.plus(&ready.spec.need));
             }
         }
         sum
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -67,8 +67,7 @@
             !doubted && (worker.silent.is_none() || now <= worker.lease_end)
         };
         let sure = self.workers.values().filter(may_run);
-        let mut records: Vec<_> =
-            sure.map(|worker| LifeRecord { life: worker.life.clone(), over: None }).collect();
+        let mut records: Vec<_> = sure.map(|worker| self.life_record(worker, now, wall)).collect();
         records.extend(self.doubt_records(now, wall));
         records
     }
@@ -104,7 +103,8 @@
         let worker = &mut self.workers[key];
         // A look that fails may still renew the lease: what runs there would
         // count for ever if each one asked for that.
-        let clock = worker.clock.filter(|_| worker.silent.is_none() && !worker.limited);
+        let renewable = worker.silent.is_none() && !worker.limited && !worker.closed;
+        let clock = worker.clock.filter(|_| renewable);
         let deadline = clock.map(|clock| clock.reading(now) + lease);
         if deadline.is_some() {
             worker.lease_end = worker.lease_end.max(now + bound);
@@ -122,7 +122,11 @@
     /// Notes that a look at a worker failed.
     pub fn unreachable(&mut self, id: &HostId, now: Instant) {
         if let Some(&key) = self.worker_ids.get(id) {
-            self.workers[key].silent.get_or_insert(now);
+            let worker = &mut self.workers[key];
+            if worker.silent.replace(worker.silent.unwrap_or(now)).is_some() && !worker.closed {
+                // Its record is to say what may run there.
+                self.lives_changed = true;
+            }
         }
     }
 
@@ -135,6 +139,8 @@
         worker.clock = None;
         worker.read = 0;
         worker.seen = 0;
+        worker.unsettled.clear();
+        worker.more_ends = false;
         worker.failures.clear();
         worker.cordoned = false;
         worker.leaving = false;
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -10,6 +10,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::job::ReadyStep;
 use crate::worker::WorkerKey;
 use crate::{Flow, JobSpec, MachineOrder, MachineState};
 
@@ -242,23 +243,16 @@
         let mut spread: HashMap<PoolId, u32> = HashMap::new();
         for job in self.jobs.values().filter(|job| job.is_open()) {
             let whole = self.machine_size(&job.pool);
-            for round in &job.rounds {
-                for (at, step) in round.steps.iter().enumerate() {
-                    if step.is_done() || !round.is_ready(&job.spec, at) {
-                        continue;
-                    }
-                    let spec = &job.spec.steps[at];
-                    let share = spec.room().dominant(&whole);
-                    let waiting = step.waiting.len() as f64;
-                    let running = (step.tasks.len() as f64) - f64::from(step.done) - waiting;
-                    let span = if spec.lasting { TASK_SPAN } else { spec.estimate.min(TASK_SPAN) };
-                    let waiting = waiting * span.as_secs_f64();
-                    *need.entry(job.pool.clone()).or_default() +=
-                        (running + waiting) * share / FILL;
-                    if let Some(most) = spec.per_worker {
-                        let least = spread.entry(job.pool.clone()).or_default();
-                        *least = (*least).max(spec.count.div_ceil(most));
-                    }
+            for ReadyStep { spec, step, .. } in job.ready_steps() {
+                let share = spec.room().dominant(&whole);
+                let waiting = step.waiting.len() as f64;
+                let running = (step.tasks.len() as f64) - f64::from(step.done) - waiting;
+                let span = if spec.lasting { TASK_SPAN } else { spec.estimate.min(TASK_SPAN) };
+                let waiting = waiting * span.as_secs_f64();
+                *need.entry(job.pool.clone()).or_default() += (running + waiting) * share / FILL;
+                if let Some(most) = spec.per_worker {
+                    let least = spread.entry(job.pool.clone()).or_default();
+                    *least = (*least).max(spec.count.div_ceil(most));
                 }
             }
         }
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -5,6 +5,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::TaskId;
 use crate::run::RunKey;
 
 slotmap::new_key_type! {
@@ -76,6 +77,9 @@
     /// The record says when its lease ends: it is not renewed before the record
     /// says otherwise.
     pub(crate) limited: bool,
+    /// The record says, or is about to say, all that may run on it: it gets
+    /// nothing before the record is open again.
+    pub(crate) closed: bool,
     /// It answered this leader in this life.
     pub(crate) heard: bool,
     pub(crate) runs: Vec<RunKey>,
@@ -87,6 +91,10 @@
     pub(crate) read: u64,
     /// Ends up to here are durable.
     pub(crate) seen: u64,
+    /// Ends in memory that are not durable: number and task.
+    pub(crate) unsettled: Vec<(u64, TaskId)>,
+    /// Its last list of ends was not whole.
+    pub(crate) more_ends: bool,
     /// When a look was last answered.
     pub(crate) answered: Option<Instant>,
     /// When looks began to fail without a break.
@@ -115,6 +123,7 @@
             draining: entry.draining,
             recorded: false,
             limited: false,
+            closed: false,
             heard: false,
             runs: Vec::new(),
             used: Resources::ZERO,
@@ -122,6 +131,8 @@
             lease_end: now,
             read: 0,
             seen: 0,
+            unsettled: Vec::new(),
+            more_ends: false,
             answered: None,
             silent: None,
             rest_until: None,
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -74,6 +74,8 @@
     cut_until: BTreeMap<usize, u64>,
     pub(crate) store: HashMap<JobId, Stored>,
     lives: Vec<LifeRecord>,
+    /// Lives that are being written: they may become durable or not.
+    writing: Option<Vec<LifeRecord>>,
     revision: u64,
     outage_until: u64,
     late: Vec<Late>,
@@ -122,6 +124,7 @@
             cut_until: BTreeMap::new(),
             store: HashMap::new(),
             lives: Vec::new(),
+            writing: None,
             revision: 100,
             outage_until: 0,
             late: Vec::new(),
@@ -202,8 +205,23 @@
         }
     }
 
+    /// Lets another host take over after a planned stop: the leader tells what
+    /// each worker may run.
+    pub(crate) fn hand_over(&mut self) {
+        self.flow.freeze();
+        self.writing = None;
+        self.lives = self.flow.lives(self.now(), self.wall());
+        self.change_leader();
+    }
+
     /// Lets another host take over from what is stored.
     pub(crate) fn change_leader(&mut self) {
+        // A write whose answer was lost may have taken effect.
+        if let Some(lives) = self.writing.take()
+            && self.rng.random_bool(0.5)
+        {
+            self.lives = lives;
+        }
         self.revision += 50;
         let fence = Fence(self.revision);
         let now = self.now();
@@ -291,7 +309,10 @@
             self.outage_until = self.ms + self.rng.random_range(100..4000);
         }
         if self.chance(faults.leaders) && self.ms >= self.outage_until {
-            self.change_leader();
+            match self.rng.random_bool(0.5) {
+                true => self.hand_over(),
+                false => self.change_leader(),
+            }
         }
     }
 
@@ -542,9 +563,13 @@
     }
 
     fn commit(&mut self) {
-        let lives = self.flow.lives(self.now(), self.wall());
-        self.lives = lives.clone();
-        self.flow.recorded(&lives);
+        if let Some(lives) = self.writing.take() {
+            self.lives = lives.clone();
+            self.flow.recorded(&lives);
+        }
+        let now = self.now();
+        self.flow.close_silent(now);
+        self.writing = Some(self.flow.lives(now, self.wall()));
         let sweep = self.flow.sweep();
         if sweep.is_empty() {
             return;
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -11,6 +11,30 @@
     vec![StepSpec { lasting: true, may_miss: Some(1), ..step(4, 1500, 0) }]
 }
 
+fn short(count: u32, ms: u64) -> Vec<StepSpec> {
+    vec![step(count, 4000, ms)]
+}
+
+/// A world with four workers in one pool: one of them has tasks and is dark.
+/// Returns the place of that one.
+fn dark_worker(world: &mut World) -> usize {
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(2, 30_000), wall));
+    world.run(300);
+    let home = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[home].reachable = false;
+    world.run(700);
+    // It came while the worker was dark, and before the leader changed.
+    world.submit(2, job("q-a", short(2, 500), wall));
+    home
+}
+
+/// Whether all tasks of a job run or have run.
+fn has_begun(world: &World, id: u128, tasks: usize) -> bool {
+    let running = world.workers.iter().flat_map(|worker| &worker.running);
+    running.filter(|held| held.task.step.job == JobId::new(id)).count() == tasks
+}
+
 /// A world in which four lasting tasks are at work.
 fn settled() -> World {
     let mut world = World::new(1, 8, Faults::default());
@@ -109,3 +133,65 @@
     let at_work = world.workers.iter().map(|worker| worker.running.len()).sum::<usize>();
     assert_eq!(at_work, 4);
 }
+
+#[test]
+fn a_planned_stop_leaves_no_doubt_of_tasks_that_are_not_on_a_silent_worker() {
+    let mut world = World::new(1, 8, Faults::default());
+    let home = dark_worker(&mut world);
+    world.hand_over();
+    world.run(200);
+    assert!(has_begun(&world, 2, 2), "the job waits for a worker that does not have it");
+    // What the silent worker has is held until its lease has ended.
+    world.workers[home].reachable = true;
+    world.run(6000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn a_worker_that_was_silent_before_a_crash_of_the_leader_holds_only_its_tasks() {
+    let mut world = World::new(1, 8, Faults::default());
+    dark_worker(&mut world);
+    world.change_leader();
+    world.run(200);
+    assert!(has_begun(&world, 2, 2), "the job waits for a worker that does not have it");
+    world.run(8000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn a_worker_that_answers_again_gets_nothing_before_its_record_is_open() {
+    let mut world = World::new(1, 8, Faults::default());
+    let home = dark_worker(&mut world);
+    let before = world.workers[home].running.len();
+    world.lose_store(1500);
+    world.workers[home].reachable = true;
+    let wall = world.wall();
+    world.submit(3, job("q-a", short(16, 3000), wall));
+    world.run(1000);
+    assert_eq!(world.workers[home].running.len(), before);
+    world.run(1500);
+    assert!(world.workers[home].running.len() > before);
+}
+
+#[test]
+fn ends_that_are_not_durable_keep_their_tasks_on_a_silent_worker() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(1, 200), wall));
+    world.run(100);
+    let home = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    // The end is read, and can't be made durable.
+    world.lose_store(60_000);
+    world.run(400);
+    assert!(world.workers[home].running.is_empty());
+    world.workers[home].reachable = false;
+    world.run(400);
+    world.hand_over();
+    world.lose_store(0);
+    world.run(1000);
+    world.workers[home].reachable = true;
+    world.calm();
+    world.run(3000);
+    assert_eq!(world.starts, 1);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
--- a/crates/lead/src/leader/lives.rs
+++ b/crates/lead/src/leader/lives.rs
@@ -6,7 +6,7 @@
 use vg_events::{Code, Field};
 use vg_flow::LifeRecord;
 use vg_net::to_msgpack;
-use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Error, Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
@@ -24,42 +24,69 @@
         let mut revision = revision;
         loop {
             self.lives.notified().await;
-            tokio::time::sleep(GATHER).await;
-            let clock = &self.host.inner.clock;
-            let lives = self.flow().lives(clock.now(), clock.wall());
-            self.write_lives(&lives, &mut revision).await;
+            if !self.flow().is_frozen() {
+                tokio::time::sleep(GATHER).await;
+            }
+            let Some(lives) = self.write_lives(&mut revision).await else { return };
             self.flow().recorded(&lives);
             self.wake.notify_one();
+            if lives.iter().all(|life| life.over.is_some()) {
+                self.handed.notify_one();
+            }
         }
     }
 
-    async fn write_lives(&self, lives: &[LifeRecord], revision: &mut Option<StoreRevision>) {
-        let Ok(value) = to_msgpack(&lives) else { return };
+    /// Writes the lives as they are until that is durable; `None` if the
+    /// leadership is lost.
+    async fn write_lives(&self, revision: &mut Option<StoreRevision>) -> Option<Vec<LifeRecord>> {
         loop {
+            let lives = self.lives_now();
+            let value = match to_msgpack(&lives) {
+                Ok(value) => value,
+                Err(error) => {
+                    log::error!(target: "store", "lives can't be encoded: {error}");
+                    return None;
+                }
+            };
             let txn = Txn::new()
                 .expect(TERM, Some(StoreRevision(self.fence.0 as i64)))
                 .expect(LIVES, *revision)
-                .put(LIVES, value.clone());
+                .put(LIVES, value);
             match self.host.store().commit(txn).await {
                 Ok(TxnOutcome::Done { revision: written }) => {
                     *revision = Some(written);
-                    return;
+                    return Some(lives);
                 }
                 Ok(TxnOutcome::Conflict { found }) => {
                     if !self.still_leads(&found).await {
-                        return;
+                        return None;
                     }
                     // A write whose answer was lost has taken effect.
-                    if let Ok(entry) = self.host.store().get(&LIVES.into()).await {
-                        *revision = entry.map(|entry| entry.modified);
+                    match self.host.store().get(&LIVES.into()).await {
+                        Ok(entry) => *revision = entry.map(|entry| entry.modified),
+                        Err(error) => self.lives_failed(&error).await,
                     }
                 }
-                Err(error) => {
-                    let fields = [Field::new("call", "lives"), Field::new("cause", error)];
-                    self.host.record(Code::StoreFailed, fields);
-                    tokio::time::sleep(RETRY).await;
-                }
+                Err(error) => self.lives_failed(&error).await,
             }
         }
     }
+
+    /// Returns the lives to record. A worker whose record is closed gets nothing
+    /// until it is open again, so none is closed while the store may be away.
+    fn lives_now(&self) -> Vec<LifeRecord> {
+        let clock = &self.host.inner.clock;
+        let (now, wall) = (clock.now(), clock.wall());
+        let mut flow = self.flow();
+        if self.host.is_verified() {
+            flow.close_silent(now);
+        }
+        flow.lives(now, wall)
+    }
+
+    async fn lives_failed(&self, error: &Error) {
+        let fields = [Field::new("call", "lives"), Field::new("cause", error)];
+        self.host.record(Code::StoreFailed, fields);
+        tokio::time::sleep(RETRY).await;
+    }
 }
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -35,6 +35,8 @@
 const ROUND_GAP: Duration = Duration::from_millis(4);
 /// Longest time that a planned stop waits for what is being written.
 const HAND_OVER: Duration = Duration::from_millis(600);
+/// Of that at least for the record of what may run where.
+const HAND_OVER_LIVES: Duration = Duration::from_millis(300);
 
 /// The leadership of one host.
 #[derive(Debug)]
@@ -50,6 +52,8 @@
     swept: Notify,
     /// A life has to be recorded.
     lives: Notify,
+    /// What each worker may run after the last decision is durable.
+    handed: Notify,
     lost: watch::Sender<bool>,
     loaded: AtomicBool,
     /// When peers last said that the store is away for all of them.
@@ -78,6 +82,7 @@
         commit: Notify::new(),
         swept: Notify::new(),
         lives: Notify::new(),
+        handed: Notify::new(),
         lost: watch::Sender::new(false),
         loaded: AtomicBool::new(false),
         outage: Mutex::default(),
@@ -242,7 +247,8 @@
         }
     }
 
-    /// Waits a little for what is being written, then ends the leadership.
+    /// Waits a little for what is being written and tells the next leader what
+    /// may run where, then ends the leadership.
     pub(crate) async fn hand_over(&self) {
         self.commit.notify_one();
         let clock = &self.host.inner.clock;
@@ -250,7 +256,11 @@
         while clock.now() < until && self.flow().has_changes() && !*self.lost.borrow() {
             tokio::time::sleep(ROUND_GAP * 5).await;
         }
-        self.lose("planned stop");
+        self.flow().freeze();
+        self.lives.notify_one();
+        let left = until.saturating_duration_since(clock.now()).max(HAND_OVER_LIVES);
+        let handed = tokio::time::timeout(left, self.handed.notified()).await.is_ok();
+        self.lose(if handed { "planned stop" } else { "planned stop, not handed over" });
     }
 
     /// Takes a job that a host has made durable.
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -4,7 +4,7 @@
 
 use support::{World, eventually, job, soon};
 use vg_base::prelude::*;
-use vg_flow::Final;
+use vg_flow::{Final, LifeRecord};
 use vg_lead::{Answer, CancelAnswer, Submitted};
 use vg_store::{Call, Fault};
 
@@ -63,6 +63,30 @@
     assert_eq!(world.fleet.starts_of(id(1)), 8);
 }
 
+#[tokio::test]
+async fn a_planned_stop_records_all_that_each_worker_may_run() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    assert_eq!(a.host.submit(id(1), job(4), soon()).await, Submitted::Accepted);
+    eventually(async || world.fleet.starts_of(id(1)) == 4).await;
+    a.host.begin_stop().await;
+    let value = world.value("vg/lives").await.unwrap();
+    let lives: Vec<LifeRecord> = vg_net::from_msgpack(&value).unwrap();
+    assert_eq!(lives.len(), 2);
+    assert!(lives.iter().all(|life| life.over.is_some()), "{lives:?}");
+    let tasks: Vec<_> = lives.iter().flat_map(|life| life.tasks.as_ref().unwrap()).collect();
+    // The first step's tasks run or have just ended; the second may have begun.
+    assert!(tasks.iter().all(|task| task.step.job == id(1)), "{tasks:?}");
+    // This host gives nothing more, and the next one goes on.
+    let starts = world.fleet.starts_of(id(1));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(world.fleet.starts_of(id(1)), starts);
+    let b = world.node("b").await;
+    eventually(async || is_done(&b.host.state(id(1), soon()).await)).await;
+    assert_eq!(world.fleet.starts_of(id(1)), 8);
+}
+
 #[tokio::test]
 async fn a_lost_answer_of_the_store_is_settled_before_the_caller_is_told() {
     let world = World::new().await;
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -120,7 +120,11 @@
     }
 
     pub(crate) async fn key(&self, key: &str) -> bool {
-        self.inner.get(&Key::from(key)).await.unwrap().is_some()
+        self.value(key).await.is_some()
+    }
+
+    pub(crate) async fn value(&self, key: &str) -> Option<Value> {
+        self.inner.get(&Key::from(key)).await.unwrap().map(|entry| entry.value)
     }
 
     pub(crate) async fn has_leader(&self) -> bool {
