events, platform: the log is written in pieces of whole lines

Cause: of a loaded leader's log some lines were missing: 235 of 384 ends of jobs, 3,226 of 4,473 starts, and lines were cut in the middle. Each quarter of a second was written at once, up to 42 KB/s; of a longer write the reader kept some 8 KB. Nothing was counted as dropped, so an incomplete log read as complete.

Ruled out: the buffer's bound (no `dropped=` line), levels, the time line.

Change: writes of at most 4,096 bytes that end with a line, which a pipe moves as a whole.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -8,11 +8,13 @@
 mod catalogue;
 mod code;
 mod event;
+mod lines;
 mod recorder;
 mod stamp;
 
 pub use catalogue::catalogue;
 pub use code::{Code, Level};
 pub use event::{Event, Field};
+pub use lines::{ATOMIC_WRITE_BYTES, pieces};
 pub use recorder::{Recorder, Window};
 pub use stamp::{HybridClock, Stamp};
