--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{Final, Record, RecordKind, WaveRecord};
@@ -24,9 +26,15 @@
 const ENTRIES_MAX: usize = 30;
 /// Entries that a record takes at most.
 const RECORD_ENTRIES: usize = 6;
+/// Transactions that are under way at once: a slow store answers each of them as
+/// late as one.
+const PARTS_AT_ONCE: usize = 6;
 /// Time after which ends get another lease, so that each is kept long enough.
 const LEASE_PERIOD: Duration = Duration::from_secs(60);
 
+/// The lease of the ends that are written now, and when it was granted.
+type EndLease = tokio::sync::Mutex<Option<(LeaseId, Instant)>>;
+
 /// Revisions of what was written last.
 #[derive(Debug, Default)]
 pub(super) struct Versions {
@@ -39,25 +47,14 @@
 impl<P: Platform, C: Clock> Leader<P, C> {
     /// Writes changes as they come, several in one transaction.
     pub(super) async fn commit_changes(self: Arc<Self>) {
-        let mut lease: Option<(LeaseId, Instant)> = None;
+        let lease = EndLease::default();
         loop {
             self.gather().await;
             let sweep = self.flow().sweep();
             if sweep.is_empty() {
                 continue;
             }
-            let has_end = |record: &Record| matches!(record.kind, RecordKind::End(_));
-            if sweep.records.iter().any(has_end) {
-                self.renew_end_lease(&mut lease).await;
-            }
-            let mut parts: Vec<_> = sweep
-                .records
-                .chunks(ENTRIES_MAX / RECORD_ENTRIES)
-                .map(|records| records.iter().collect::<Vec<_>>())
-                .collect();
-            for part in &mut parts {
-                self.write_part(part, &mut lease).await;
-            }
+            self.write_all(&sweep.records, &lease).await;
             self.flow().swept(&sweep);
             self.swept.notify_waiters();
             let counts = self.flow().counts();
@@ -78,9 +75,16 @@
         tokio::time::sleep(GATHER_URGENT).await;
     }
 
-    async fn renew_end_lease(&self, lease: &mut Option<(LeaseId, Instant)>) {
+    /// Returns the lease for ends, a new one if there is none that is fresh.
+    async fn end_lease(&self, lease: &EndLease) -> LeaseId {
         let clock = &self.host.inner.clock;
-        while lease.is_none_or(|(_, at)| clock.now().saturating_duration_since(at) > LEASE_PERIOD) {
+        let mut lease = lease.lock().await;
+        loop {
+            if let Some((id, at)) = *lease
+                && clock.now().saturating_duration_since(at) <= LEASE_PERIOD
+            {
+                return id;
+            }
             match self.host.store().grant(self.host.inner.options.keep_ends).await {
                 Ok(granted) => *lease = Some((granted, clock.now())),
                 Err(error) => {
@@ -91,25 +95,39 @@
         }
     }
 
+    async fn write_all(&self, records: &[Record], lease: &EndLease) {
+        let mut writes = FuturesUnordered::new();
+        for part in parts(records) {
+            if writes.len() >= PARTS_AT_ONCE {
+                writes.next().await;
+            }
+            writes.push(self.write_part(part, lease));
+        }
+        while writes.next().await.is_some() {}
+    }
+
     /// Writes one transaction until it is proved durable or the leadership is
     /// lost.
-    async fn write_part(&self, part: &mut Vec<&Record>, lease: &mut Option<(LeaseId, Instant)>) {
+    async fn write_part(&self, mut part: Vec<&Record>, lease: &EndLease) {
         while !part.is_empty() {
-            let txn = self.transaction(part, lease.map(|(lease, _)| lease));
+            let id = match part.iter().any(|record| has_end(record)) {
+                true => Some(self.end_lease(lease).await),
+                false => None,
+            };
+            let txn = self.transaction(&part, id);
             match self.host.store().commit(txn).await {
                 Ok(TxnOutcome::Done { revision }) => {
                     self.host.note_store();
                     self.host.inner.metrics.committed("done");
-                    self.written(part, revision);
+                    self.written(&part, revision);
                     return;
                 }
                 Ok(TxnOutcome::Conflict { found }) => {
                     self.host.inner.metrics.committed("conflict");
-                    self.settle(part, &found).await;
+                    self.settle(&mut part, &found).await;
                 }
                 Err(Error::LeaseLapsed) => {
-                    *lease = None;
-                    self.renew_end_lease(lease).await;
+                    lease.lock().await.take_if(|(held, _)| Some(*held) == id);
                 }
                 Err(error) => {
                     self.host.inner.metrics.committed("failed");
@@ -253,3 +271,15 @@
         }
     }
 }
+
+fn has_end(record: &Record) -> bool {
+    matches!(record.kind, RecordKind::End(_))
+}
+
+/// Divides records into transactions. Callers wait for ends, which come first.
+fn parts(records: &[Record]) -> Vec<Vec<&Record>> {
+    let ends = records.iter().filter(|record| has_end(record));
+    let others = records.iter().filter(|record| !has_end(record));
+    let ordered: Vec<_> = ends.chain(others).collect();
+    ordered.chunks(ENTRIES_MAX / RECORD_ENTRIES).map(<[_]>::to_vec).collect()
+}
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -87,6 +87,26 @@
     assert_eq!(world.fleet.starts_of(id(1)), 8);
 }
 
+#[tokio::test]
+async fn ends_that_come_together_do_not_wait_for_each_other_at_a_slow_store() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    let b = world.node("b").await;
+    // The other host writes the jobs, so that the leader writes what becomes of
+    // them, and what it records of workers.
+    a.faults.set_delay(Duration::from_millis(60));
+    for number in 1..=30 {
+        assert_eq!(b.host.submit(id(number), job(1), soon()).await, Submitted::Accepted);
+    }
+    for number in 1..=30 {
+        eventually(async || is_done(&b.host.state(id(number), soon()).await)).await;
+        assert_eq!(world.fleet.starts_of(id(number)), 2, "job {number}");
+    }
+    let most = a.faults.most_txns();
+    assert!(most >= 4, "at most {most} transactions at once");
+}
+
 #[tokio::test]
 async fn a_lost_answer_of_the_store_is_settled_before_the_caller_is_told() {
     let world = World::new().await;
--- a/crates/store/src/faulty/faults.rs
+++ b/crates/store/src/faulty/faults.rs
@@ -38,6 +38,18 @@
     script: BTreeMap<Call, VecDeque<Fault>>,
     odds: Option<(SmallRng, Odds)>,
     counts: Counts,
+    /// Transactions that are under way, and the most that were at once.
+    txns: (usize, usize),
+}
+
+/// A transaction that is under way until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenTxn(Faults);
+
+impl Drop for OpenTxn {
+    fn drop(&mut self) {
+        self.0.lock().txns.0 -= 1;
+    }
 }
 
 /// What shall happen to one call.
@@ -118,6 +130,18 @@
         self.lock().counts
     }
 
+    /// Returns the most transactions that were under way at once.
+    pub fn most_txns(&self) -> usize {
+        self.lock().txns.1
+    }
+
+    pub(crate) fn open_txn(&self) -> OpenTxn {
+        let mut state = self.lock();
+        let open = state.txns.0 + 1;
+        state.txns = (open, state.txns.1.max(open));
+        OpenTxn(self.clone())
+    }
+
     /// Counts a call and decides what happens to it.
     pub(crate) fn next(&self, call: Call) -> Fate {
         let mut state = self.lock();
--- a/crates/store/src/faulty/store.rs
+++ b/crates/store/src/faulty/store.rs
@@ -132,6 +132,7 @@
     }
 
     async fn commit(&self, txn: Txn) -> Result<TxnOutcome, Error> {
+        let _open = self.faults.open_txn();
         let fate = self.faults.next(Call::Txn);
         let inner = self.inner.clone();
         run(Call::Txn, fate, async move { inner.commit(txn).await }).await
