flow: tasks on silent workers get a copy where their step allows one

Three of ten steps of two queues allow copies; none was ever started.

Ruled out: starting other tasks elsewhere sooner (it may run twice), proof of the worker's end (there is none before its lease).

Change: a task that may have copies and is on silent workers only is started elsewhere at once. One that a silent worker's record names at a takeover is started as well, and still counts against its team's limit.

--- a/crates/flow/src/doubt.rs
+++ b/crates/flow/src/doubt.rs
@@ -55,6 +55,11 @@
         known.into_iter().any(|tasks| tasks.contains(&task))
     }
 
+    /// Returns the tasks that are known to be on such lives.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = TaskId> {
+        self.lives.values().filter_map(|doubted| doubted.tasks.as_ref()).flatten().copied()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.lives.is_empty()
     }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,6 +9,7 @@
 mod advise;
 mod answers;
 mod content;
+mod copies;
 mod doubt;
 mod durable;
 mod flow;
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -41,6 +41,7 @@
         self.hold_gangs_together(now);
         self.maintain(now);
         self.resize(now);
+        self.start_copies(now);
         self.place_all(now, wall);
         self.set_paces(now);
         std::mem::take(&mut self.actions)
@@ -84,10 +85,15 @@
     }
 
     fn pool_round(&self, pool: &PoolId, now: Instant) -> PoolRound {
+        PoolRound { workers: self.usable_workers(pool, now), misfits: Vec::new() }
+    }
+
+    /// Returns the workers of a pool that can be given work now.
+    pub(crate) fn usable_workers(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
         let usable =
             |worker: &crate::worker::Worker| worker.life.pool == *pool && worker.is_usable(now);
         let workers = self.workers.iter().filter(|(_, worker)| usable(worker));
-        PoolRound { workers: workers.map(|(key, _)| key).collect(), misfits: Vec::new() }
+        workers.map(|(key, _)| key).collect()
     }
 
     /// Returns the jobs with waiting tasks, the first to serve first.
@@ -158,7 +164,7 @@
             let task = TaskId { step: id, index };
             let state = self.jobs[key].task(task);
             let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
-            if paused || self.doubt.holds(task) {
+            if paused || (self.doubt.holds(task) && !step.copies) {
                 continue;
             }
             if (plain && round.is_misfit(&step.room())) || !self.team_allows(key, &step.need) {
@@ -179,7 +185,7 @@
         }
     }
 
-    fn find_for(
+    pub(crate) fn find_for(
         &self,
         key: JobKey,
         task: TaskId,
@@ -210,17 +216,21 @@
         if self.doubt.is_empty() {
             return sum;
         }
+        for task in self.doubt.tasks() {
+            if self.job_of(task).is_some_and(|job| job.spec.team.as_ref() == Some(team))
+                && let Some(spec) = self.spec_of(task)
+            {
+                sum = sum.plus(&spec.need);
+            }
+        }
         for job in self.jobs.values() {
-            if job.spec.team.as_ref() != Some(team) || !job.is_open() {
+            if job.spec.team.as_ref() != Some(team) || !job.is_open() || !self.is_in_doubt(job) {
                 continue;
             }
-            let old = self.is_in_doubt(job);
             for ready in job.ready_steps() {
-                let hidden =
-                    ready.step.waiting.iter().filter(|&&index| {
-                        old || self.doubt.holds(TaskId { step: ready.id, index })
-                    });
-                sum = hidden.fold(sum, |sum, _| sum.plus(&ready.spec.need));
+                let held = |index| self.doubt.holds(TaskId { step: ready.id, index });
+                let unknown = ready.step.waiting.iter().filter(|&&index| !held(index));
+                sum = unknown.fold(sum, |sum, _| sum.plus(&ready.spec.need));
             }
         }
         sum
--- a/crates/flow/tests/worst_load.rs
+++ b/crates/flow/tests/worst_load.rs
@@ -8,7 +8,7 @@
 use support::spec::{job, pool, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Hope, MachineOrder, Standing, rank};
+use vg_flow::{Hope, MachineOrder, Standing, StepSpec, rank};
 
 /// Jobs of one turn: a small and a large kind by turns, 1.4 times the load that
 /// eight workers of 16 cores hold.
@@ -121,3 +121,46 @@
     world.run(12_000);
     assert!(to(&world, "spare").len() >= 4, "{:?}", to(&world, "spare"));
 }
+
+/// Plays a turn in which three of eight workers go dark, and returns when each
+/// job ended.
+fn turn_with_dark_rack(copies: bool) -> HashMap<JobId, u64> {
+    let mut world = World::new(5, 16, Faults::default());
+    world.run(200);
+    let start = world.ms;
+    let mut handed = HashMap::new();
+    for number in 1..=30 {
+        let steps = vec![StepSpec { copies, ..step(6, 1000, 1000) }];
+        let mut spec = (*job("q-a", steps, world.wall())).clone();
+        spec.team = None;
+        let id = world.submit(number, std::sync::Arc::new(spec));
+        handed.insert(id, world.ms);
+        if number == 15 {
+            let dark = [0, 2, 4];
+            dark.into_iter().for_each(|at| world.workers[at].reachable = false);
+        }
+        world.run(GAP_MS);
+    }
+    let mut ended = HashMap::new();
+    while ended.len() < handed.len() && world.ms < start + 30_000 {
+        world.run(20);
+        for (&id, stored) in &world.store {
+            if stored.end.is_some() {
+                ended.entry(id).or_insert(world.ms - handed[&id]);
+            }
+        }
+    }
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert_eq!(ended.len(), handed.len());
+    ended
+}
+
+#[test]
+fn jobs_that_allow_copies_do_not_wait_for_the_leases_of_a_dark_rack() {
+    let latest = |ended: &HashMap<JobId, u64>| ended.values().copied().max().unwrap();
+    let (copied, single) = (turn_with_dark_rack(true), turn_with_dark_rack(false));
+    // A lease of 4 s with its margins, and the task again.
+    assert!(latest(&single) > 4500, "{}", latest(&single));
+    assert!(latest(&copied) < 3500, "{}", latest(&copied));
+    assert!(on_time(&copied) > on_time(&single));
+}
