flow: what lasting tasks leave free counts as a pool's headroom

A pool whose lasting tasks have to be spread over four machines got a fifth as headroom, though the four stood nearly empty.

Change: a pool has room for its work and the headroom, or as many machines as its spread needs, whichever is more.

Test: a pool at rest has as many machines as its spread needs; fails before (seven instead of six).

--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -72,28 +72,32 @@
     need: f64,
     /// What they needed lately.
     held: f64,
+    /// Fewest machines over which its lasting tasks have to be spread.
+    spread: usize,
     /// What it has, or will soon have.
     has: usize,
 }
 
 impl Size {
     fn lacks(&self) -> usize {
-        machines_for(self.need).saturating_sub(self.has)
+        self.machines_for(self.need).saturating_sub(self.has)
     }
 
     /// Machines that another pool can have at once.
     fn spares(&self) -> usize {
-        self.has.saturating_sub(machines_for(self.need))
+        self.has.saturating_sub(self.machines_for(self.need))
     }
 
     /// Machines that can wait in the spare pool.
     fn idles(&self) -> usize {
-        self.has.saturating_sub(machines_for(self.held))
+        self.has.saturating_sub(self.machines_for(self.held))
     }
-}
 
-fn machines_for(need: f64) -> usize {
-    ((need + HEADROOM).ceil() as usize).max(MACHINES_MIN)
+    /// What lasting tasks leave free on the machines that they are spread over is
+    /// headroom too.
+    fn machines_for(&self, need: f64) -> usize {
+        ((need + HEADROOM).ceil() as usize).max(self.spread).max(MACHINES_MIN)
+    }
 }
 
 impl Flow {
@@ -214,11 +218,17 @@
                 size.has += 1;
             }
         }
-        for (pool, need) in self.present_need() {
+        let (need, spread) = self.present_need();
+        for (pool, need) in need {
             if let Some(size) = sizes.get_mut(&pool) {
                 size.need = need.max(size.need.min(need * 1.5 + 4.0));
             }
         }
+        for (pool, least) in spread {
+            if let Some(size) = sizes.get_mut(&pool) {
+                size.spread = least;
+            }
+        }
         for (pool, size) in &mut sizes {
             size.held = self.machines.resize.hold(pool, size.need, now);
         }
@@ -237,10 +247,11 @@
         work / span.as_secs_f64() / FILL
     }
 
-    /// Returns the machines that tasks need which run or could run now.
-    fn present_need(&self) -> HashMap<PoolId, f64> {
+    /// Returns the machines that tasks need which run or could run now, and the
+    /// fewest over which each pool's tasks have to be spread.
+    fn present_need(&self) -> (HashMap<PoolId, f64>, HashMap<PoolId, usize>) {
         let mut need: HashMap<PoolId, f64> = HashMap::new();
-        let mut spread: HashMap<PoolId, u32> = HashMap::new();
+        let mut spread: HashMap<PoolId, usize> = HashMap::new();
         for job in self.jobs.values().filter(|job| job.is_open()) {
             let whole = self.machine_size(&job.pool);
             for ReadyStep { spec, step, .. } in job.ready_steps() {
@@ -252,15 +263,11 @@
                 *need.entry(job.pool.clone()).or_default() += (running + waiting) * share / FILL;
                 if let Some(most) = spec.per_worker {
                     let least = spread.entry(job.pool.clone()).or_default();
-                    *least = (*least).max(spec.count.div_ceil(most));
+                    *least = (*least).max(spec.count.div_ceil(most) as usize);
                 }
             }
         }
-        for (pool, least) in spread {
-            let need = need.entry(pool).or_default();
-            *need = need.max(f64::from(least));
-        }
-        need
+        (need, spread)
     }
 
     fn spare_machines(&self, spare: &PoolId, now: Instant) -> Vec<(SmolStr, Option<Instant>)> {
--- a/crates/flow/tests/worst_load.rs
+++ b/crates/flow/tests/worst_load.rs
@@ -164,3 +164,29 @@
     assert!(latest(&copied) < 3500, "{}", latest(&copied));
     assert!(on_time(&copied) > on_time(&single));
 }
+
+/// Most machines that a pool of lasting tasks has while nothing else comes.
+fn machines_at_rest(per_worker: u32) -> usize {
+    let mut world = World::new(3, 24, Faults::default());
+    world.add_spare(2);
+    let lasting = StepSpec {
+        lasting: true,
+        per_worker: Some(per_worker),
+        may_miss: Some(1),
+        ..step(6, 1500, 0)
+    };
+    let mut spec = (*job("q-a", vec![lasting], world.wall())).clone();
+    spec.team = None;
+    world.submit(1, std::sync::Arc::new(spec));
+    world.run(12_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let here = world.workers.iter().filter(|worker| worker.up && worker.pool == "a");
+    here.count()
+}
+
+#[test]
+fn what_lasting_tasks_leave_free_is_headroom() {
+    // Six tasks of 1.5 cores apart from each other need six machines of 16 cores,
+    // which have room for all that comes first.
+    assert_eq!(machines_at_rest(1), 6);
+}
