lead: a store that is long silent gets no jobs; refusals are checked at all peers

Callers got no answer, or a late "unknown".

Ruled out: holding on until the store is back (a caller that is told to come back is served as soon), refusing without asking peers (some hosts may reach the store).

Change: a host that the store has not answered for 1.5 s sends it no job; if its peers can't write it either, the caller is told at once that it has not run, to come back in 1 to 2 s, spread.

Tests: two in lead/tests/leader.rs.

--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -18,6 +18,7 @@
 use crate::mark::Mark;
 use crate::members::Members;
 use crate::messages::Known;
+use crate::unsettled::Unsettled;
 use crate::{Metrics, Options, Platform, follow, serve, session};
 
 /// Time for a connection to a peer to be made.
@@ -64,6 +65,7 @@
     pub(crate) store_heard: Mutex<Option<Mark>>,
     pub(crate) leader: Mutex<Option<Arc<Leader<P, C>>>>,
     pub(crate) ends: Mutex<Ends>,
+    pub(crate) unsettled: Mutex<Unsettled>,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -138,6 +140,7 @@
             store_heard: Mutex::default(),
             leader: Mutex::default(),
             ends: Mutex::default(),
+            unsettled: Mutex::default(),
             stopping: AtomicBool::new(false),
         };
         let host = Host { inner: Arc::new(inner) };
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -24,6 +24,7 @@
 mod serve;
 mod session;
 mod submit;
+mod unsettled;
 
 pub use ask::{Answer, CancelAnswer, Pending};
 pub use error::StartError;
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -70,6 +70,12 @@
     Unknown,
 }
 
+/// Whether the asked host may have written a job.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct UnsettledAnswer {
+    pub(crate) unsettled: bool,
+}
+
 /// Asks for the number of a queue's jobs that have not begun.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct CountQuery {
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::host::lock;
 use crate::messages::{
     Cancelled, ContentAnswer, ContentQuery, CountAnswer, CountQuery, Handed, Query, Relay,
-    StoreAnswer, StoreQuery, Taken,
+    StoreAnswer, StoreQuery, Taken, UnsettledAnswer,
 };
 use crate::peers::{PEER_BYTES, PEER_LIMIT};
 use crate::{Host, Platform};
@@ -80,6 +80,10 @@
                 let message: Query = decode(bytes)?;
                 encode(&self.own_state(message.job).await)
             }
+            "unsettled" => {
+                let message: Query = decode(bytes)?;
+                encode(&UnsettledAnswer { unsettled: self.is_unsettled(message.job) })
+            }
             "cancel" => {
                 let message: Query = decode(bytes)?;
                 encode(&self.write_cancel(message.job, deadline).await)
--- a/crates/lead/src/session.rs
+++ b/crates/lead/src/session.rs
@@ -30,6 +30,7 @@
         match host.store().grant(host.inner.options.lease()).await {
             Ok(lease) => {
                 *lock(&host.inner.verified) = Some(sent);
+                host.note_store();
                 if host.join(lease).await.is_ok() {
                     *lock(&host.inner.lease) = Some(lease);
                     host.inner.members_changed.notify_waiters();
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use futures_util::future::join_all;
+use rand::Rng;
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::JobSpec;
@@ -9,12 +11,14 @@
 use vg_store::{Error, Store, Txn, TxnOutcome};
 
 use crate::host::lock;
-use crate::messages::{Handed, Known, Relay, Written};
+use crate::messages::{Handed, Known, Query, Relay, UnsettledAnswer, Written};
 use crate::retry::{OWN_TRIES, answer_by};
 use crate::{Host, Platform, keys};
 
 /// Pause before a write is tried again.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Silence of the store from which nothing more is sent to it for a caller.
+const SILENT: Duration = Duration::from_millis(1500);
 /// Peers that are asked to write a job.
 const RELAYS: usize = 2;
 
@@ -29,8 +33,9 @@
     Unknown,
 }
 
-/// Time after which a refused caller may come back.
-const COME_BACK: Duration = Duration::from_millis(1000);
+/// Times after which refused callers may come back: spread, so that they don't
+/// all come at once when the store is back.
+const COME_BACK_S: std::ops::RangeInclusive<u64> = 1..=2;
 
 impl<P: Platform, C: Clock> Host<P, C> {
     /// Makes a job durable and tells the leader of it.
@@ -40,7 +45,7 @@
         let written = self.write_anywhere(job, &spec, deadline).await;
         let (answer, outcome) = match written {
             Written::Durable => (Submitted::Accepted, "accepted"),
-            Written::Rejected => (Submitted::Refused(COME_BACK), "not-run"),
+            Written::Rejected => (Submitted::Refused(come_back()), "not-run"),
             Written::Unknown => (Submitted::Unknown, "unknown"),
         };
         self.inner.metrics.submitted(outcome);
@@ -51,7 +56,15 @@
         answer
     }
 
+    /// Writes a job by itself or through peers. What is not settled at
+    /// `deadline` may have been written.
     async fn write_anywhere(&self, job: JobId, spec: &Arc<JobSpec>, deadline: Instant) -> Written {
+        let left = deadline.saturating_duration_since(self.inner.clock.now());
+        let written = tokio::time::timeout(left, self.try_anywhere(job, spec, deadline)).await;
+        written.unwrap_or(Written::Unknown)
+    }
+
+    async fn try_anywhere(&self, job: JobId, spec: &Arc<JobSpec>, deadline: Instant) -> Written {
         let own = self.inner.clock.now() + OWN_TRIES;
         let mut written = self.write_job(job, spec, own.min(deadline)).await;
         while written != Written::Durable && self.inner.clock.now() < deadline {
@@ -59,10 +72,14 @@
             // Once a write may be under way, only its proof settles it.
             written = match (written, relayed) {
                 (_, Written::Durable) => Written::Durable,
-                (Written::Rejected, Written::Rejected) => return Written::Rejected,
+                (Written::Rejected, Written::Rejected) => return self.rejected(job).await,
                 _ => Written::Unknown,
             };
             if written == Written::Unknown {
+                // Neither this host nor its peers will learn more soon.
+                if self.is_store_silent() {
+                    return Written::Unknown;
+                }
                 tokio::time::sleep(PAUSE).await;
                 if self.write_job(job, spec, deadline).await == Written::Durable {
                     written = Written::Durable;
@@ -96,8 +113,16 @@
         deadline: Instant,
     ) -> Written {
         let Ok(value) = to_msgpack(spec.as_ref()) else { return Written::Rejected };
-        let mut written = Written::Rejected;
+        // An earlier try for the same job may still take effect.
+        let mut written = match self.is_unsettled(job) {
+            true => Written::Unknown,
+            false => Written::Rejected,
+        };
         loop {
+            if self.is_store_silent() {
+                return written;
+            }
+            lock(&self.inner.unsettled).insert(job, self.inner.clock.now());
             let txn = Txn::new()
                 .expect(keys::job(job), None)
                 .expect(keys::end(job), None)
@@ -105,12 +130,14 @@
             match self.store().commit(txn).await {
                 Ok(TxnOutcome::Done { revision }) => {
                     self.note_store();
+                    lock(&self.inner.unsettled).remove(job);
                     self.accepted(job, revision.0 as u64, spec);
                     return Written::Durable;
                 }
                 // The same id is the same job: it was written before.
                 Ok(TxnOutcome::Conflict { found }) => {
                     self.note_store();
+                    lock(&self.inner.unsettled).remove(job);
                     let entry = found.iter().find(|entry| entry.key == keys::job(job));
                     if let Some(entry) = entry
                         && written == Written::Unknown
@@ -121,10 +148,11 @@
                 }
                 Err(Error::Refused { reason }) => {
                     log::warn!(target: "store", "job {job} was refused: {reason}");
+                    self.note_rejected(job, written);
                     return written;
                 }
                 Err(error) if !error.is_without_effect() => written = Written::Unknown,
-                Err(_) => {}
+                Err(_) => self.note_rejected(job, written),
             }
             if self.inner.clock.now() + PAUSE >= deadline {
                 return written;
@@ -133,6 +161,38 @@
         }
     }
 
+    /// Notes that the last of a job's tries had no effect.
+    fn note_rejected(&self, job: JobId, written: Written) {
+        if written == Written::Rejected {
+            lock(&self.inner.unsettled).remove(job);
+        }
+    }
+
+    /// Whether this host may have written a job.
+    pub(crate) fn is_unsettled(&self, job: JobId) -> bool {
+        lock(&self.inner.unsettled).has(job, self.inner.clock.now())
+    }
+
+    /// Returns what is true of a job that this host and some peers have not
+    /// written: the same job may have come to another peer before.
+    async fn rejected(&self, job: JobId) -> Written {
+        let peers = self.some_peers(usize::MAX);
+        let query = Query { job };
+        let asked = peers.iter().map(|&addr| self.ask_peer(addr, "unsettled", &query));
+        let answers: Vec<Result<UnsettledAnswer, _>> = join_all(asked).await;
+        match answers.into_iter().flatten().any(|answer| answer.unsettled) {
+            true => Written::Unknown,
+            false => Written::Rejected,
+        }
+    }
+
+    /// Whether the store has not answered for so long that a write would only
+    /// leave its caller without a true answer. The renewals of the host's lease
+    /// show when it is back.
+    fn is_store_silent(&self) -> bool {
+        self.store_silence() > SILENT
+    }
+
     /// Tells the leader of a durable job.
     fn accepted(&self, job: JobId, revision: u64, spec: &Arc<JobSpec>) {
         let fields = [
@@ -153,3 +213,7 @@
         lock(&self.inner.ends).get(job)
     }
 }
+
+fn come_back() -> Duration {
+    Duration::from_secs(rand::rng().random_range(COME_BACK_S))
+}
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -134,6 +134,42 @@
     assert_eq!(a.host.state(id(1), soon()).await, Answer::Absent);
 }
 
+#[tokio::test]
+async fn nothing_is_sent_to_a_store_that_has_long_been_silent() {
+    let world = World::new().await;
+    let a = world.node("a").await;
+    eventually(async || world.has_leader().await).await;
+    a.faults.set_down(true);
+    eventually(async || !a.host.is_ready()).await;
+    let sent = a.faults.counts().txn;
+    let refused = a.host.submit(id(1), job(2), soon()).await;
+    assert!(matches!(refused, Submitted::Refused(_)), "{refused:?}");
+    // Its leader may have written its own records in between, a job's write is
+    // tried every 50 ms.
+    assert!(a.faults.counts().txn <= sent + 2);
+    a.faults.set_down(false);
+    eventually(async || a.host.submit(id(2), job(2), soon()).await == Submitted::Accepted).await;
+    eventually(async || is_done(&a.host.state(id(2), soon()).await)).await;
+    assert_eq!(world.fleet.starts_of(id(1)), 0);
+}
+
+#[tokio::test]
+async fn a_job_that_another_host_may_have_written_is_not_called_not_run() {
+    let world = World::new().await;
+    let (a, b) = (world.node("a").await, world.node("b").await);
+    eventually(async || world.has_leader().await).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // The write of the one host is lost on its way, and may still come.
+    b.faults.script(Call::Txn, Fault::LostBefore, 1000);
+    a.faults.set_down(true);
+    assert_eq!(b.host.submit(id(1), job(2), soon()).await, Submitted::Unknown);
+    b.faults.set_down(true);
+    eventually(async || !b.host.is_ready()).await;
+    assert_eq!(a.host.submit(id(1), job(2), soon()).await, Submitted::Unknown);
+    let refused = a.host.submit(id(2), job(2), soon()).await;
+    assert!(matches!(refused, Submitted::Refused(_)), "{refused:?}");
+}
+
 #[tokio::test]
 async fn a_host_without_the_store_serves_through_its_peers() {
     let world = World::new().await;
