--- a/crates/lead/src/leader/workers.rs
+++ b/crates/lead/src/leader/workers.rs
@@ -11,7 +11,7 @@
 use crate::{LookError, Platform};
 
 /// Longest time that a look waits for an end at a busy worker.
-const WAIT_BUSY: Duration = Duration::from_millis(700);
+const WAIT_BUSY: Duration = Duration::from_millis(500);
 /// Longest time that a look waits at an idle worker.
 const WAIT_IDLE: Duration = Duration::from_millis(1500);
 /// Time between two looks, in which ends gather.
