flow: machines that are ordered away leave no doubt at a takeover

It was a worker whose machine had just been moved to another pool: its life is on record until a look has missed it, up to 2.5 s later, and in a turn machines are moved all the time.

Ruled out: dark racks (closed long before), the order of jobs, room.

Change: a worker's record is closed when its machine is ordered away; it stays closed while the order is under way or the worker leaves, and opens when it answers after a refusal. Records name the machine: when a later life of it registers, the earlier one is over.

Tests: two in flow/tests/takeover.rs, each fails without its part of the change. A third fault put in by hand (an ordered worker is opened by an answer) is not found: it only brings the doubt back.

--- a/crates/flow/src/doubt.rs
+++ b/crates/flow/src/doubt.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
-use crate::worker::Worker;
+use crate::worker::{Worker, WorkerKey};
 use crate::{Flow, Life, TaskId};
 
 /// Silence of a worker after which its record says what may run there.
@@ -25,6 +25,9 @@
     /// none if that is not known.
     #[serde(default)]
     pub tasks: Option<Vec<TaskId>>,
+    /// The machine that it is a life of.
+    #[serde(default)]
+    pub machine: Option<SmolStr>,
 }
 
 /// Lives that have not answered since this leader took over. Tasks of jobs that
@@ -40,6 +43,7 @@
     until: Instant,
     /// All tasks that it may hold; none: any task of its pool.
     tasks: Option<HashSet<TaskId>>,
+    machine: Option<SmolStr>,
 }
 
 impl Doubt {
@@ -78,7 +82,8 @@
         let until = left.map_or(until, |left| until.min(now + left + CLOCKS_MARGIN));
         let life = record.life.clone();
         let tasks = record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect());
-        self.doubt.lives.insert(life.id.clone(), Doubted { life, until, tasks });
+        let machine = record.machine.clone();
+        self.doubt.lives.insert(life.id.clone(), Doubted { life, until, tasks, machine });
     }
 
     /// Returns the lives that have not answered yet.
@@ -92,6 +97,7 @@
             life: doubted.life.clone(),
             over: Some(wall + doubted.until.saturating_duration_since(now)),
             tasks: doubted.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
+            machine: doubted.machine.clone(),
         };
         self.doubt.lives.values().map(record).collect()
     }
@@ -124,16 +130,33 @@
         now: Instant,
         wall: SystemTime,
     ) -> LifeRecord {
-        let life = worker.life.clone();
+        let (life, machine) = (worker.life.clone(), worker.machine.clone());
         if !worker.closed {
-            return LifeRecord { life, over: None, tasks: None };
+            return LifeRecord { life, over: None, tasks: None, machine };
         }
         let over = wall + worker.lease_end.saturating_duration_since(now);
         let held = worker.runs.iter().map(|&run| self.runs[run].task);
         let ended = worker.unsettled.iter().map(|&(_, task)| task);
         // Ends that the worker has not listed yet may be of any task.
         let tasks = (!worker.more_ends).then(|| held.chain(ended).collect());
-        LifeRecord { life, over: Some(over), tasks }
+        LifeRecord { life, over: Some(over), tasks, machine }
+    }
+
+    /// Whether a worker that answers can be given work once its record is open.
+    pub(crate) fn may_open(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key];
+        let orders = &self.machines.orders;
+        let ordered = worker.machine.as_ref().is_some_and(|machine| orders.contains_key(machine));
+        worker.closed && !self.frozen && !worker.leaving && !ordered
+    }
+
+    /// Clears earlier lives of a machine, of which a later one has registered.
+    pub(crate) fn clear_earlier(&mut self, later: &Life, machine: Option<&SmolStr>) {
+        let Some(machine) = machine else { return };
+        self.doubt.lives.retain(|_, doubted| {
+            let same = doubted.machine.as_ref() == Some(machine);
+            !same || doubted.life.id == later.id || doubted.life.born >= later.born
+        });
     }
 
     /// Clears a life that was heard, or whose id has a new life.
--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -134,6 +134,11 @@
 
     pub(crate) fn order(&mut self, order: MachineOrder, now: Instant) {
         self.machines.orders.insert(order.machine().clone(), (order.clone(), now));
+        // It gets nothing more: a next leader need not wait for its lease.
+        if let Some(key) = self.worker_on(order.machine()) {
+            self.workers[key].closed = true;
+            self.lives_changed = true;
+        }
         self.actions.push(Action::Machine(order));
     }
 
@@ -197,6 +202,7 @@
     pub(crate) fn leave(&mut self, machine: &SmolStr, now: Instant) {
         let Some(key) = self.worker_on(machine) else { return };
         self.workers[key].leaving = true;
+        self.lives_changed = true;
         self.workers[key].cordoned = false;
         self.workers[key].rest_until = Some(now + LEAVING_TIME);
         for run in self.workers[key].runs.clone() {
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -30,7 +30,12 @@
             self.workers[key].recorded = false;
             self.workers[key].limited = true;
         }
-        if self.workers[key].closed && !self.frozen {
+        // The order that was to take its machine had been carried out before.
+        let worker = &mut self.workers[key];
+        if worker.leaving && worker.rest_until.is_none_or(|until| until <= now) {
+            worker.leaving = false;
+        }
+        if self.may_open(key) {
             self.workers[key].closed = false;
             self.workers[key].recorded = false;
             self.workers[key].limited = true;
@@ -41,10 +46,6 @@
             // An earlier leader may have renewed its lease just before.
             worker.lease_end = worker.lease_end.max(now + bound);
         }
-        // The order that was to take its machine had been carried out before.
-        if worker.leaving && worker.rest_until.is_none_or(|until| until <= now) {
-            worker.leaving = false;
-        }
         worker.heard = true;
         worker.silent = None;
         worker.answered = Some(now);
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -30,6 +30,7 @@
     /// Takes what a worker registered. Returns whether its life is new here and
     /// has to be recorded before it gets work.
     pub fn register(&mut self, entry: &Entry, now: Instant) -> bool {
+        self.clear_earlier(&entry.life, entry.machine.as_ref());
         let Some(&key) = self.worker_ids.get(&entry.life.id) else {
             let key = self.workers.insert(Worker::new(entry, now));
             self.worker_ids.insert(entry.life.id.clone(), key);
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -161,7 +161,7 @@
     }
 
     /// Shows all workers that are up to the leader.
-    fn register(&mut self) {
+    pub(crate) fn register(&mut self) {
         let now = self.now();
         for at in 0..self.workers.len() {
             if !self.workers[at].up {
@@ -562,7 +562,7 @@
         }
     }
 
-    fn commit(&mut self) {
+    pub(crate) fn commit(&mut self) {
         if let Some(lives) = self.writing.take() {
             self.lives = lives.clone();
             self.flow.recorded(&lives);
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -6,6 +6,7 @@
 use support::world::{Faults, World};
 use vg_base::prelude::*;
 use vg_flow::StepSpec;
+use vg_standin::FleetWorker;
 
 fn lasting() -> Vec<StepSpec> {
     vec![StepSpec { lasting: true, may_miss: Some(1), ..step(4, 1500, 0) }]
@@ -195,3 +196,50 @@
     assert_eq!(world.starts, 1);
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
+
+/// A world whose pool gives up a machine that has nothing to do, and a job that
+/// waits for more than the others have free.
+fn moved_machine(world: &mut World) {
+    world.add_spare(4);
+    let wall = world.wall();
+    // One task keeps one machine busy; idle machines are moved away.
+    world.submit(1, job("q-a", short(1, 30_000), wall));
+    while world.orders.is_empty() {
+        world.step();
+    }
+    // The order is out; its worker has not been missed by a look yet.
+    world.commit();
+    world.commit();
+    world.submit(2, job("q-a", short(2, 500), wall));
+}
+
+#[test]
+fn a_machine_that_was_ordered_away_leaves_no_doubt() {
+    let mut world = World::new(1, 16, Faults::default());
+    moved_machine(&mut world);
+    world.change_leader();
+    world.run(300);
+    assert!(has_begun(&world, 2, 2), "the job waits for a worker that is gone");
+    world.run(8000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn a_later_life_of_a_machine_ends_the_doubt_of_an_earlier_one() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(200);
+    let home = 0;
+    world.workers[home].up = false;
+    world.change_leader();
+    assert!(!world.flow.suspects().is_empty());
+    // Its machine has come back under another id.
+    let later = world.workers.len();
+    let machine = world.workers[home].machine.clone();
+    let capacity = world.workers[home].capacity;
+    world.workers.push(FleetWorker::new("later", "b", &machine, world.ms, capacity));
+    world.register();
+    world.run(200);
+    let left = world.flow.suspects();
+    assert!(left.is_empty(), "{left:?}");
+    assert!(world.workers[later].up);
+}
