flow: machines are ordered for what piles up until they arrive

The rate was the work of the last 1.5 s over at least the time since its first arrival, so half a second into a turn it was a third of what came; and it said what keeps up, not what also works off the queue of the 1.7 s until machines are there.

Ruled out: estimates of tasks (real work against estimates 0.98 to 1.11 a queue), the time of a move, machines that had just left for the spare pool.

Change: the rate is the higher one of the last 0.5 s and the last 1.5 s, from four jobs on. What it exceeds the pool by for the time of a move is to be worked off in 1.5 s and counts as need. The bound against noise is twice what is there to run and six machines, in place of 1.5 times and four.

Test: worst_load.rs, a turn of ten machine-seconds a second: 8 machines ordered in its first second before, 9 or more now.

--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -14,12 +14,17 @@
 use crate::worker::WorkerKey;
 use crate::{Flow, JobSpec, MachineOrder, MachineState};
 
-/// Time over which arrivals are counted.
-const WINDOW: Duration = Duration::from_millis(1500);
-/// Shortest time over which a rate is computed.
-const SPAN_MIN: Duration = Duration::from_millis(800);
+/// Times over which arrivals are counted: the short one shows a turn early, the
+/// long one carries queues of few large jobs.
+const WINDOWS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(1500)];
 /// Fewest arrivals that make a rate: one large job is no rise.
-const ARRIVALS_MIN: usize = 3;
+const ARRIVALS_MIN: usize = 4;
+/// Time in which what has piled up until machines arrive is to be worked off.
+const CATCH_UP: Duration = Duration::from_millis(1500);
+/// Most machines that arrivals call for: so many times what is there to run now,
+/// and this many more.
+const TRUST: f64 = 2.0;
+const TRUST_MACHINES: f64 = 6.0;
 /// Part of a machine that can be filled before tasks fit nowhere.
 const FILL: f64 = 1.0;
 /// Machines of a pool beyond what it needs.
@@ -161,7 +166,8 @@
     fn forget_old(&mut self, now: Instant) {
         let resize = &mut self.machines.resize;
         for arrivals in resize.arrivals.values_mut() {
-            let old = |at: &Instant| now.saturating_duration_since(*at) > WINDOW;
+            let longest = WINDOWS.into_iter().max().unwrap_or_default();
+            let old = |at: &Instant| now.saturating_duration_since(*at) > longest;
             while arrivals.front().is_some_and(|(at, _)| old(at)) {
                 arrivals.pop_front();
             }
@@ -221,7 +227,10 @@
         let (need, spread) = self.present_need();
         for (pool, need) in need {
             if let Some(size) = sizes.get_mut(&pool) {
-                size.need = need.max(size.need.min(need * 1.5 + 4.0));
+                let here = size.has as f64;
+                let late = (size.need - here).max(0.0) * self.rules.move_time.as_secs_f64();
+                let wanted = size.need + late / CATCH_UP.as_secs_f64();
+                size.need = need.max(wanted.min(need * TRUST + TRUST_MACHINES));
             }
         }
         for (pool, least) in spread {
@@ -238,13 +247,8 @@
     /// Returns the machines that the last arrivals would keep busy.
     fn rate(&self, pool: &PoolId, now: Instant) -> f64 {
         let Some(arrivals) = self.machines.resize.arrivals.get(pool) else { return 0.0 };
-        if arrivals.len() < ARRIVALS_MIN {
-            return 0.0;
-        }
-        let first = arrivals.front().map(|(at, _)| now.saturating_duration_since(*at));
-        let span = first.unwrap_or_default().max(SPAN_MIN);
-        let work: f64 = arrivals.iter().map(|(_, work)| work).sum();
-        work / span.as_secs_f64() / FILL
+        let rates = WINDOWS.into_iter().map(|window| rate_within(arrivals, window, now));
+        rates.fold(0.0, f64::max) / FILL
     }
 
     /// Returns the machines that tasks need which run or could run now, and the
@@ -342,6 +346,17 @@
     }
 }
 
+/// Returns the work that came a second within a window that ends now.
+fn rate_within(arrivals: &VecDeque<(Instant, f64)>, window: Duration, now: Instant) -> f64 {
+    let recent = |at: Instant| now.saturating_duration_since(at) <= window;
+    let works: Vec<_> =
+        arrivals.iter().filter(|(at, _)| recent(*at)).map(|(_, work)| work).collect();
+    match works.len() >= ARRIVALS_MIN {
+        true => works.into_iter().sum::<f64>() / window.as_secs_f64(),
+        false => 0.0,
+    }
+}
+
 /// Takes a machine that may be moved to a pool.
 fn take_allowed(
     from: &mut Vec<(SmolStr, Option<Instant>)>,
--- a/crates/flow/tests/worst_load.rs
+++ b/crates/flow/tests/worst_load.rs
@@ -190,3 +190,24 @@
     // which have room for all that comes first.
     assert_eq!(machines_at_rest(1), 6);
 }
+
+#[test]
+fn machines_for_a_turn_are_ordered_before_its_queue_is_long() {
+    let mut world = World::new(3, 8, Faults::default());
+    world.add_spare(24);
+    world.run(300);
+    let start = world.ms;
+    let mut number = 0;
+    // Ten machine-seconds of work a second, on four machines.
+    while world.ms < start + 1000 {
+        number += 1;
+        let mut spec = (*job("q-a", vec![step(8, 2000, 1000)], world.wall())).clone();
+        spec.team = None;
+        world.submit(number, std::sync::Arc::new(spec));
+        world.run(100);
+    }
+    let to_pool = |(_, order): &&(u64, MachineOrder)| matches!(order, MachineOrder::Move { pool: to, .. } if *to == pool("a"));
+    let ordered = world.orders.iter().filter(to_pool).count();
+    // Seven for the rate itself; the rest for what piles up while they move.
+    assert!(ordered >= 9, "{ordered}");
+}
