lead, flow: one codec for records; unreadable lives hold everything back

Cause: records that could not be read or encoded passed without a line in eight places (term and members, lives, waves, ends at a cancellation, specifications at a question, all encodings). One of them was unsafe: a leader that could not read the record of lives took no worker for one that may have work.

Change: `codec.rs` encodes and decodes records in one way, with an event or a log line when that fails.

Test: flow/tests/takeover.rs.

--- a/crates/flow/src/doubt.rs
+++ b/crates/flow/src/doubt.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Doubt {
     lives: HashMap<HostId, Doubted>,
+    /// Until then any task may run on any worker: the record could not be read.
+    all_until: Option<Instant>,
 }
 
 #[derive(Debug, Clone)]
@@ -49,14 +51,14 @@
 impl Doubt {
     /// Whether any task of a pool may be on such a life.
     pub(crate) fn covers(&self, pool: &PoolId) -> bool {
-        let open = self.lives.values().filter(|doubted| doubted.tasks.is_none());
-        open.into_iter().any(|doubted| doubted.life.pool == *pool)
+        let mut open = self.lives.values().filter(|doubted| doubted.tasks.is_none());
+        self.all_until.is_some() || open.any(|doubted| doubted.life.pool == *pool)
     }
 
     /// Whether this task is known to be on such a life.
     pub(crate) fn holds(&self, task: TaskId) -> bool {
-        let known = self.lives.values().filter_map(|doubted| doubted.tasks.as_ref());
-        known.into_iter().any(|tasks| tasks.contains(&task))
+        let mut known = self.lives.values().filter_map(|doubted| doubted.tasks.as_ref());
+        known.any(|tasks| tasks.contains(&task))
     }
 
     /// Returns the tasks that are known to be on such lives.
@@ -65,7 +67,7 @@
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.lives.is_empty()
+        self.lives.is_empty() && self.all_until.is_none()
     }
 
     /// Returns when nothing can run any more on a worker that is doubted.
@@ -86,6 +88,12 @@
         self.doubt.lives.insert(life.id.clone(), Doubted { life, until, tasks, machine });
     }
 
+    /// Takes any worker for one that may have been given work: the record of lives
+    /// can't be read.
+    pub fn suspect_all(&mut self, until: Instant) {
+        self.doubt.all_until = Some(until);
+    }
+
     /// Returns the lives that have not answered yet.
     pub fn suspects(&self) -> Vec<Life> {
         self.doubt.lives.values().map(|doubted| doubted.life.clone()).collect()
@@ -165,5 +173,6 @@
 
     pub(crate) fn expire_doubt(&mut self, now: Instant) {
         self.doubt.lives.retain(|_, doubted| now < doubted.until);
+        self.doubt.all_until = self.doubt.all_until.filter(|until| now < *until);
     }
 }
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -256,3 +256,17 @@
     assert_eq!(lives.len(), 9);
     assert!(lives.iter().all(|life| life.over.is_some() && life.tasks.is_some()), "{lives:?}");
 }
+
+#[test]
+fn a_record_of_lives_that_can_not_be_read_holds_everything_back_for_its_time() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(2, 500), wall));
+    world.change_leader();
+    let until = world.now() + Duration::from_millis(4000);
+    world.flow.suspect_all(until);
+    world.run(3900);
+    assert!(!has_begun(&world, 1, 2));
+    world.run(400);
+    assert!(has_begun(&world, 1, 2));
+}
--- a/crates/lead/src/ask.rs
+++ b/crates/lead/src/ask.rs
@@ -2,7 +2,6 @@
 
 use vg_base::prelude::*;
 use vg_flow::{Final, JobSpec, State};
-use vg_net::from_msgpack;
 use vg_store::Store;
 
 use crate::keys::{self, EndValue};
@@ -143,7 +142,7 @@
         // A job's end is written in the same change that removes the job, so
         // that one of the two is found in this order.
         if let Some(entry) = store.get(&keys::job(job)).await? {
-            let Ok(spec) = from_msgpack::<JobSpec>(&entry.value) else { return Ok(Known::Unknown) };
+            let Some(spec) = self.decode::<JobSpec>(&entry) else { return Ok(Known::Unknown) };
             if store.get(&keys::cancel(job)).await?.is_some() {
                 return Ok(Known::Ended(spec.team, Final::Cancelled));
             }
@@ -151,9 +150,9 @@
             return Ok(if began { Known::Running(spec.team) } else { Known::Queued(spec.team) });
         }
         let Some(entry) = store.get(&keys::end(job)).await? else { return Ok(Known::Absent) };
-        Ok(match from_msgpack::<EndValue>(&entry.value) {
-            Ok(value) => Known::Ended(value.team, value.how),
-            Err(_) => Known::Unknown,
+        Ok(match self.decode::<EndValue>(&entry) {
+            Some(value) => Known::Ended(value.team, value.how),
+            None => Known::Unknown,
         })
     }
 
--- a/crates/lead/src/cancel.rs
+++ b/crates/lead/src/cancel.rs
@@ -3,7 +3,6 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::Final;
-use vg_net::from_msgpack;
 use vg_store::{Store, Txn, TxnOutcome};
 
 use crate::host::lock;
@@ -40,7 +39,7 @@
         let clock = &self.inner.clock;
         let Some(entry) = read(self.store(), &keys::job(job), clock, deadline).await? else {
             let end = read(self.store(), &keys::end(job), clock, deadline).await?;
-            let value = end.and_then(|end| from_msgpack::<EndValue>(&end.value).ok());
+            let value = end.and_then(|end| self.decode::<EndValue>(&end));
             return Ok(Some(match value {
                 Some(EndValue { how: Final::Cancelled, .. }) => CancelDone::Durable,
                 _ => CancelDone::Absent,
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -8,11 +8,11 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{Final, Record, RecordKind, WaveRecord};
-use vg_net::to_msgpack;
 use vg_store::{Entry, Error, Key, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
+use crate::codec::encode;
 use crate::host::lock;
 use crate::keys::{self, EndValue, Ordered, TERM};
 
@@ -146,12 +146,12 @@
             let progress = versions.progress.get(&job).copied();
             match &record.kind {
                 RecordKind::Progress(value) => {
-                    let Ok(value) = to_msgpack(value) else { continue };
+                    let Some(value) = encode(value) else { continue };
                     txn = txn.expect(keys::progress(job), progress).put(keys::progress(job), value);
                 }
                 RecordKind::End(how) => {
                     let team = self.flow().team(job).flatten();
-                    let Ok(value) = to_msgpack(&EndValue { how: *how, team }) else { continue };
+                    let Some(value) = encode(&EndValue { how: *how, team }) else { continue };
                     txn = txn.expect(keys::job(job), versions.jobs.get(&job).copied());
                     txn = match lease {
                         Some(lease) => txn.put_leased(keys::end(job), value, lease),
@@ -233,7 +233,7 @@
         let has_taken_effect = |record: &&Record| match &record.kind {
             RecordKind::Progress(value) => {
                 let known = lock(&self.committed).progress.get(&record.job).copied();
-                let bytes = to_msgpack(value).ok();
+                let bytes = encode(value);
                 entry(keys::progress(record.job)).is_some_and(|entry| {
                     Some(entry.modified) != known && Some(&entry.value) == bytes.as_ref()
                 })
--- a/crates/lead/src/leader/lives.rs
+++ b/crates/lead/src/leader/lives.rs
@@ -5,11 +5,11 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::LifeRecord;
-use vg_net::to_msgpack;
 use vg_store::{Error, Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
+use crate::codec::encode;
 use crate::keys::{LEADER, LIVES, TERM};
 
 /// Time in which lives that come together are written together.
@@ -49,13 +49,7 @@
     async fn write_lives(&self, revision: &mut Option<StoreRevision>) -> Option<Snapshot> {
         loop {
             let Snapshot { lives, last } = self.snapshot();
-            let value = match to_msgpack(&lives) {
-                Ok(value) => value,
-                Err(error) => {
-                    log::error!(target: "store", "lives can't be encoded: {error}");
-                    return None;
-                }
-            };
+            let value = encode(&lives)?;
             let mut txn = Txn::new()
                 .expect(TERM, Some(StoreRevision(self.fence.0 as i64)))
                 .expect(LIVES, *revision)
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -5,7 +5,6 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{JobSpec, LifeRecord, Progress, WaveRecord};
-use vg_net::from_msgpack;
 use vg_store::{Entry, Error, Key, Listing, Store, StoreRevision, Watch};
 
 use super::{Leader, UNVERIFIED_MAX};
@@ -96,52 +95,40 @@
         if self.host.known_end(job).is_some() {
             return;
         }
-        match from_msgpack::<JobSpec>(&entry.value) {
-            Ok(spec) => {
-                let revision = entry.modified;
-                let now = self.host.inner.clock.now();
-                if self.flow().add(job, Arc::new(spec), revision.0 as u64, now) {
-                    lock(&self.committed).jobs.insert(job, revision);
-                }
-            }
-            Err(error) => {
-                let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
-                self.host.record(Code::ValueUnreadable, fields);
-            }
+        let Some(spec) = self.host.decode::<JobSpec>(entry) else { return };
+        let revision = entry.modified;
+        let now = self.host.inner.clock.now();
+        if self.flow().add(job, Arc::new(spec), revision.0 as u64, now) {
+            lock(&self.committed).jobs.insert(job, revision);
         }
     }
 
     fn restore_progress(&self, listing: &Listing) {
         for entry in &listing.entries {
             let Some(job) = keys::job_under(&entry.key, RUN) else { continue };
-            match from_msgpack::<Progress>(&entry.value) {
-                Ok(progress) => {
-                    self.flow().restore(job, &progress);
-                    lock(&self.committed).progress.insert(job, entry.modified);
-                }
-                Err(error) => {
-                    let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
-                    self.host.record(Code::ValueUnreadable, fields);
-                }
-            }
+            let Some(progress) = self.host.decode::<Progress>(entry) else { continue };
+            self.flow().restore(job, &progress);
+            lock(&self.committed).progress.insert(job, entry.modified);
         }
     }
 
     /// Lives that an earlier leader may have given work. That leader may have
     /// gone on without proof for a while, and what it gave holds for a lease.
     fn suspect_lives(&self, entry: Option<&Entry>) {
-        let lives = entry.and_then(|entry| from_msgpack::<Vec<LifeRecord>>(&entry.value).ok());
+        let Some(entry) = entry else { return };
+        let lives = self.host.decode::<Vec<LifeRecord>>(entry);
         let rules = &self.host.inner.options.rules;
         let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
         let until = now + UNVERIFIED_MAX + rules.lease_bound();
         let mut flow = self.flow();
-        for record in lives.unwrap_or_default() {
-            flow.suspect(&record, until, now, wall);
+        match lives {
+            Some(lives) => lives.iter().for_each(|life| flow.suspect(life, until, now, wall)),
+            None => flow.suspect_all(until),
         }
     }
 
     fn restore_waves(&self, entry: Option<&Entry>) {
-        let records = entry.and_then(|entry| from_msgpack::<Vec<WaveRecord>>(&entry.value).ok());
+        let records = entry.and_then(|entry| self.host.decode::<Vec<WaveRecord>>(entry));
         lock(&self.committed).waves =
             (entry.map(|entry| entry.modified), records.unwrap_or_default());
         let waves = self.host.inner.waves.borrow().clone();
@@ -155,13 +142,10 @@
         let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
         let orders = match entry {
             None => Vec::new(),
-            Some(entry) => match from_msgpack::<Vec<Ordered>>(&entry.value) {
-                Ok(orders) => orders,
-                Err(error) => {
-                    let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
-                    self.host.record(Code::ValueUnreadable, fields);
-                    return;
-                }
+            // No machine is ordered then before the hold has passed.
+            Some(entry) => match self.host.decode::<Vec<Ordered>>(entry) {
+                Some(orders) => orders,
+                None => return,
             },
         };
         let mut flow = self.flow();
--- a/crates/lead/src/leader/machines.rs
+++ b/crates/lead/src/leader/machines.rs
@@ -5,11 +5,11 @@
 
 use vg_base::prelude::*;
 use vg_flow::{Wave, WaveRecord, WaveState};
-use vg_net::to_msgpack;
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
+use crate::codec::encode;
 use crate::host::lock;
 use crate::keys::{TERM, WAVES};
 
@@ -55,7 +55,7 @@
 
     async fn write_waves(&self, changes: &[(WaveRecord, WaveState)]) -> bool {
         let records: Vec<_> = changes.iter().map(|(record, _)| record.clone()).collect();
-        let Ok(value) = to_msgpack(&records) else { return true };
+        let Some(value) = encode(&records) else { return true };
         let revision = lock(&self.committed).waves.0;
         let mut txn = Txn::new()
             .expect(TERM, Some(StoreRevision(self.fence.0 as i64)))
--- a/crates/lead/src/leader/orders.rs
+++ b/crates/lead/src/leader/orders.rs
@@ -8,10 +8,10 @@
     Action, Life, MachineAnswer, MachineOrder, Refused, Run, Start, StartAnswer, StepId, TaskId,
 };
 
-use vg_net::to_msgpack;
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
+use crate::codec::encode;
 use crate::host::lock;
 use crate::keys::{ORDERS, Ordered, TERM};
 use crate::{Platform, StopAnswer};
@@ -141,7 +141,7 @@
         recorded.extend(
             orders.iter().map(|order| Ordered { machine: order.machine().clone(), at: wall }),
         );
-        let Ok(value) = to_msgpack(&recorded) else { return false };
+        let Some(value) = encode(&recorded) else { return false };
         let txn = Txn::new()
             .expect(TERM, Some(StoreRevision(self.fence.0 as i64)))
             .expect(ORDERS, revision)
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod ask;
 mod cancel;
+mod codec;
 mod error;
 mod follow;
 mod host;
--- a/crates/lead/src/members.rs
+++ b/crates/lead/src/members.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use serde::de::DeserializeOwned;
 use vg_base::prelude::*;
 use vg_net::from_msgpack;
 use vg_store::{Entry, Key, Listing, StoreRevision, WatchBatch};
@@ -44,9 +45,9 @@
 
     fn put(&mut self, entry: &Entry) {
         if entry.key.0 == LEADER {
-            self.leader = from_msgpack(&entry.value).ok().map(|value| (value, entry.modified));
+            self.leader = read(entry).map(|value| (value, entry.modified));
         } else if let Some(node) = entry.key.0.strip_prefix(HOSTS)
-            && let Ok(value) = from_msgpack(&entry.value)
+            && let Some(value) = read(entry)
         {
             self.hosts.insert(node.into(), value);
         }
@@ -81,3 +82,11 @@
         self.answered.is_some_and(|mark| mark.age(clock) < within)
     }
 }
+
+fn read<T: DeserializeOwned>(entry: &Entry) -> Option<T> {
+    let value = from_msgpack(&entry.value);
+    if let Err(error) = &value {
+        log::warn!(target: "store", "the value of {} can't be read: {error}", entry.key);
+    }
+    value.ok()
+}
--- a/crates/lead/src/session.rs
+++ b/crates/lead/src/session.rs
@@ -3,9 +3,10 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::Fence;
-use vg_net::{from_msgpack, to_msgpack};
+use vg_net::from_msgpack;
 use vg_store::{Entry, Error, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
 
+use crate::codec::encode;
 use crate::host::lock;
 use crate::keys::{self, HostValue, LEADER, LeaderValue, TERM};
 use crate::leader::lead;
@@ -74,7 +75,7 @@
     async fn join(&self, lease: LeaseId) -> Result<(), Error> {
         let options = &self.inner.options;
         let value = HostValue { control: options.control, zone: options.zone.clone() };
-        let Ok(bytes) = to_msgpack(&value) else { return Ok(()) };
+        let Some(bytes) = encode(&value) else { return Ok(()) };
         let txn = Txn::new().put_leased(keys::host(&options.node), bytes, lease);
         self.store().commit(txn).await.map(|_| ())
     }
@@ -146,7 +147,7 @@
             control: options.control,
             nonce: self.inner.nonce,
         };
-        to_msgpack(&value).ok()
+        encode(&value)
     }
 
     /// Takes the leadership; the revision of the term is the fence.
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -7,9 +7,9 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::JobSpec;
-use vg_net::to_msgpack;
 use vg_store::{Error, Store, Txn, TxnOutcome};
 
+use crate::codec::encode;
 use crate::host::lock;
 use crate::messages::{Handed, Known, Query, Relay, UnsettledAnswer, Written};
 use crate::retry::{OWN_TRIES, answer_by};
@@ -112,7 +112,7 @@
         spec: &Arc<JobSpec>,
         deadline: Instant,
     ) -> Written {
-        let Ok(value) = to_msgpack(spec.as_ref()) else { return Written::Rejected };
+        let Some(value) = encode(spec.as_ref()) else { return Written::Rejected };
         // An earlier try for the same job may still take effect.
         let mut written = match self.is_unsettled(job) {
             true => Written::Unknown,
