--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -23,8 +23,8 @@
 const CATCH_UP: Duration = Duration::from_millis(1500);
 /// Most machines that arrivals call for: so many times what is there to run now,
 /// and this many more.
-const TRUST: f64 = 1.5;
-const TRUST_MACHINES: f64 = 4.0;
+const TRUST: f64 = 2.0;
+const TRUST_MACHINES: f64 = 6.0;
 /// Part of a machine that can be filled before tasks fit nowhere.
 const FILL: f64 = 1.0;
 /// Machines of a pool beyond what it needs.
