flow: a machine whose order was refused gets nothing before its record is open

Cause: since a worker's record is closed when its machine is ordered away: it says that the worker has no task. When the order is refused, the machine can be used again at once, but the record is opened only after the next look. In between the worker got tasks.

Ruled out: leases (all workers answered), doubts that had expired, two workers of one machine, tasks that may have copies.

Change: a worker whose record is closed is not usable, whatever the reason.

Tests: takeover.rs, fails before (four starts on the worker).

--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -153,6 +153,7 @@
         self.listed
             && !self.draining
             && self.recorded
+            && !self.closed
             && self.heard
             && !self.cordoned
             && !self.leaving
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -47,7 +47,10 @@
 }
 
 fn play(seed: u64, faults: Faults) {
-    let mut world = World::new(seed, 8, faults);
+    play_in(World::new(seed, 8, faults), seed);
+}
+
+fn play_in(mut world: World, seed: u64) {
     lasting_job(&mut world, 1_000_000);
     let mut number = 0;
     while world.ms < FAULTY_MS {
@@ -105,6 +108,25 @@
         cuts: 6,
         leaders: 4,
         outages: 4,
+        refusals: 0,
     };
     (0..seeds()).for_each(|seed| play(3000 + seed, faults));
 }
+
+#[test]
+fn promises_hold_when_machines_move_and_orders_are_refused() {
+    let faults = Faults {
+        unanswered: 10,
+        cuts: 3,
+        failures: 20,
+        leaders: 6,
+        outages: 6,
+        refusals: 400,
+        ..Faults::default()
+    };
+    for seed in 0..seeds() {
+        let mut world = World::new(4000 + seed, 8, faults);
+        world.add_spare(6);
+        play_in(world, 4000 + seed);
+    }
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -42,6 +42,8 @@
     pub(crate) leaders: u32,
     /// Outages of the store, for each step.
     pub(crate) outages: u32,
+    /// Orders to machines that are refused.
+    pub(crate) refusals: u32,
 }
 
 /// A job as it lies in the store.
@@ -94,6 +96,8 @@
     pub(crate) orders: Vec<(u64, MachineOrder)>,
     /// Machines and their pools; empty: orders to machines are ignored.
     machines: Vec<Machine>,
+    /// Orders that are refused, and when the answer comes.
+    pub(crate) refused: Vec<(u64, MachineOrder)>,
     /// Machines on their way, and when they arrive.
     moving: Vec<(u64, Machine)>,
 }
@@ -136,6 +140,7 @@
             starts: 0,
             orders: Vec::new(),
             machines: Vec::new(),
+            refused: Vec::new(),
             moving: Vec::new(),
         };
         world.register();
@@ -240,13 +245,33 @@
                 self.flow.cancel(id, now);
             }
         }
+        // Answers to the earlier leader don't reach this one.
+        self.refused.clear();
         let wall = self.wall();
         for record in self.lives.clone() {
             self.flow.suspect(&record, until, now, wall);
         }
+        self.tell_machines();
         self.register();
     }
 
+    /// Tells a new leader of the machines, and which ones were ordered lately.
+    fn tell_machines(&mut self) {
+        if self.machines.is_empty() {
+            return;
+        }
+        let now = self.now();
+        self.flow.hold_no_machines(now);
+        self.flow.set_machines(self.machines.clone());
+        let hold = Rules::default().machine_hold;
+        for (ms, order) in &self.orders {
+            let age = Duration::from_millis(self.ms - ms);
+            let (MachineOrder::Move { machine, .. } | MachineOrder::Maintain { machine, .. }) =
+                order;
+            self.flow.hold_machine(machine.clone(), now + hold.saturating_sub(age));
+        }
+    }
+
     fn chance(&mut self, parts: u32) -> bool {
         parts > 0 && self.rng.random_range(0..1000) < parts
     }
@@ -257,6 +282,7 @@
         self.inject();
         self.arrive();
         self.carry_out_late();
+        self.refuse_orders();
         for at in 0..self.workers.len() {
             let ms = self.ms;
             let ends = self.workers[at].advance(ms);
@@ -397,6 +423,11 @@
 
     /// Carries out an order to a machine: its worker ends at once.
     fn order(&mut self, order: MachineOrder) {
+        if self.chance(self.faults.refusals) {
+            let at = self.ms + self.rng.random_range(20..400);
+            self.refused.push((at, order));
+            return;
+        }
         self.orders.push((self.ms, order.clone()));
         let MachineOrder::Move { machine, pool } = &order else { return };
         let Some(at) = self.machines.iter().position(|each| each.id == *machine) else { return };
@@ -411,6 +442,16 @@
         self.flow.machine_answered(&order, MachineAnswer::Done, now);
     }
 
+    fn refuse_orders(&mut self) {
+        let (ms, now) = (self.ms, self.now());
+        let (due, left): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.refused).into_iter().partition(|(at, _)| *at <= ms);
+        self.refused = left;
+        for (_, order) in due {
+            self.flow.machine_answered(&order, MachineAnswer::Limited, now);
+        }
+    }
+
     /// Lets machines arrive: a new worker joins the pool.
     fn arrive(&mut self) {
         let ms = self.ms;
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -5,7 +5,7 @@
 use support::spec::{job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::StepSpec;
+use vg_flow::{Action, MachineAnswer, StepSpec};
 use vg_standin::FleetWorker;
 
 fn lasting() -> Vec<StepSpec> {
@@ -270,3 +270,30 @@
     world.run(400);
     assert!(has_begun(&world, 1, 2));
 }
+
+#[test]
+fn a_machine_whose_order_was_refused_gets_nothing_before_its_record_is_open() {
+    let faults = Faults { refusals: 1000, ..Faults::default() };
+    let mut world = World::new(1, 16, faults);
+    world.add_spare(4);
+    while world.refused.is_empty() {
+        world.step();
+    }
+    // The closed record is durable, and the refusal comes after it.
+    world.commit();
+    world.commit();
+    let (_, order) = world.refused.remove(0);
+    let (now, wall) = (world.now(), world.wall());
+    world.flow.machine_answered(&order, MachineAnswer::Limited, now);
+    world.submit(1, job("q-a", short(32, 30_000), wall));
+    world.submit(2, job("q-b", short(32, 30_000), wall));
+    let machine = order.machine();
+    let id = world.workers.iter().find(|worker| worker.machine == *machine).unwrap().id.clone();
+    let actions = world.flow.plan(now, wall);
+    let starts = actions.iter().filter_map(|action| match action {
+        Action::Start(start) => Some(start.life.id.as_str()),
+        _ => None,
+    });
+    let starts: Vec<_> = starts.collect();
+    assert!(!starts.is_empty() && !starts.contains(&id.as_str()), "{id}: {starts:?}");
+}
