lead: a takeover's line says how much may run out of sight

Cause: when jobs waited after a change of leader, the log did not tell whether the new leader held a pool back, or single tasks: it had to be concluded from `E410`.

Change: `E608 jobs-recovered` has `unknown-workers` and `held-tasks`.

--- a/crates/flow/src/doubt.rs
+++ b/crates/flow/src/doubt.rs
@@ -99,6 +99,14 @@
         self.doubt.lives.values().map(|doubted| doubted.life.clone()).collect()
     }
 
+    /// Returns the number of workers on which any task may run out of sight, and
+    /// of tasks that may run on others.
+    pub fn doubted(&self) -> (usize, usize) {
+        let lives = self.doubt.lives.values();
+        let open = lives.filter(|doubted| doubted.tasks.is_none()).count();
+        (open, self.doubt.tasks().count())
+    }
+
     /// Returns suspected lives as they are to be kept on record.
     pub(crate) fn doubt_records(&self, now: Instant, wall: SystemTime) -> Vec<LifeRecord> {
         let record = |doubted: &Doubted| LifeRecord {
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -35,9 +35,12 @@
                 Ok(loaded) => {
                     let took = self.host.inner.clock.now() - started;
                     let jobs = self.flow().counts().jobs;
+                    let (workers, tasks) = self.flow().doubted();
                     let fields = [
                         Field::new("fence", self.fence),
                         Field::new("jobs", jobs),
+                        Field::new("unknown-workers", workers),
+                        Field::new("held-tasks", tasks),
                         Field::new("ms", took.as_millis()),
                     ];
                     self.host.record(Code::JobsRecovered, fields);
