flow: tasks on workers that are several times slower are given to others

A run was only left when it made no progress at all, so each step with a task on such a worker was late.

Ruled out: comparing with the estimate, which is off by up to five times.

Change: progress is compared with the tasks of the same step on other workers, done or under way. A run that promises more than 2.5 times their median, and more than starting anew would take, is copied where the step allows it, else stopped; its worker gets nothing for 2 s. Each task is moved so once. Steps that are bound to a rack, gangs, lasting and filling tasks are left out.

--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -79,6 +79,9 @@
     /// It makes no progress.
     #[display("stalled")]
     Stalled,
+    /// Another worker would end the task well before.
+    #[display("slow")]
+    Slow,
     /// Its gang can't be complete.
     #[display("gang-incomplete")]
     GangIncomplete,
--- a/crates/flow/src/copies.rs
+++ b/crates/flow/src/copies.rs
@@ -1,4 +1,5 @@
-//! Second runs of tasks whose worker has fallen silent.
+//! Second runs of tasks whose worker has fallen silent or is much slower than
+//! others.
 //!
 //! Load it answers: a rack goes dark in the middle of a turn. What ran there
 //! counts as running until its lease has ended, which is later than most
@@ -8,10 +9,11 @@
 use vg_base::prelude::*;
 
 use crate::job::JobKey;
+use crate::run::{RunKey, RunState};
 use crate::{Flow, TaskId};
 
 impl Flow {
-    /// Starts copies of tasks that run on silent workers only.
+    /// Starts copies of tasks that run on silent or slow workers only.
     pub(crate) fn start_copies(&mut self, now: Instant) {
         for (key, task) in self.cut_off_tasks() {
             let need = match self.spec_of(task) {
@@ -30,24 +32,26 @@
         }
     }
 
-    /// Returns tasks that may have copies and are on silent workers only.
+    /// Returns tasks that may have copies and are on silent or slow workers only.
     fn cut_off_tasks(&self) -> Vec<(JobKey, TaskId)> {
-        let silent = self.workers.values().filter(|worker| worker.silent.is_some());
-        let runs = silent.flat_map(|worker| &worker.runs).map(|&run| self.runs[run].task);
-        let mut tasks: Vec<_> = runs.filter_map(|task| self.cut_off(task)).collect();
+        let runs = self.runs.values().filter(|run| self.is_held_up(run));
+        let mut tasks: Vec<_> = runs.filter_map(|run| self.cut_off(run.task)).collect();
         tasks.sort_unstable();
         tasks.dedup();
         tasks
     }
 
+    fn is_held_up(&self, run: &RunState) -> bool {
+        run.slow || self.workers[run.worker].silent.is_some()
+    }
+
     fn cut_off(&self, id: TaskId) -> Option<(JobKey, TaskId)> {
         let key = *self.job_ids.get(&id.step.job)?;
         let job = &self.jobs[key];
         let task = job.task(id)?;
         let spec = self.spec_of(id)?;
-        let silent =
-            |&run: &crate::run::RunKey| self.workers[self.runs[run].worker].silent.is_some();
+        let held_up = |&run: &RunKey| self.is_held_up(&self.runs[run]);
         let wanted = job.is_open() && !task.done && spec.copies && !spec.gang;
-        (wanted && task.runs.iter().all(silent)).then_some((key, id))
+        (wanted && task.runs.iter().all(held_up)).then_some((key, id))
     }
 }
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -90,6 +90,8 @@
     pub(crate) last_run: Run,
     pub(crate) failed: Vec<Run>,
     pub(crate) saved: SmolStr,
+    /// Where it was done, and the time from its start to its end.
+    pub(crate) took: Option<(WorkerKey, Duration)>,
     /// Workers that it failed or stalled on.
     pub(crate) avoid: Vec<WorkerKey>,
     /// No start before then.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -32,6 +32,7 @@
 mod resize;
 mod rules;
 mod run;
+mod slow;
 mod spec;
 mod tickets;
 mod worker;
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -107,6 +107,12 @@
     fn take_done(&mut self, worker: WorkerKey, row: &EndRow, key: Option<RunKey>, now: Instant) {
         self.counts.done += 1;
         self.note_good(worker);
+        if let Some(key) = key {
+            let took = now.saturating_duration_since(self.runs[key].since);
+            if let Some(task) = self.task_mut(row.task) {
+                task.took = Some((worker, took));
+            }
+        }
         let Some(&job_key) = self.job_ids.get(&row.task.step.job) else {
             // The job has ended: nothing is left to note.
             if let Some(key) = key {
@@ -222,6 +228,7 @@
             saved: row.saved.clone(),
             percent: row.percent,
             moved: now,
+            slow: false,
             gauge: row.gauge,
             pace: 100,
             paced: None,
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -37,6 +37,7 @@
         self.expire_workers(now);
         self.chase_unsure(now);
         self.stop_stalled(now);
+        self.leave_slow(now);
         self.leave_draining(now);
         self.hold_gangs_together(now);
         self.maintain(now);
@@ -280,6 +281,7 @@
             saved: saved.clone(),
             percent: 0,
             moved: now,
+            slow: false,
             gauge: 0.0,
             pace: 100,
             paced: None,
--- a/crates/flow/src/run.rs
+++ b/crates/flow/src/run.rs
@@ -52,6 +52,8 @@
     /// Progress in percent and when it last changed.
     pub(crate) percent: u8,
     pub(crate) moved: Instant,
+    /// It is several times slower than others of its step.
+    pub(crate) slow: bool,
     /// Rough figure of the worker: response tail in ms, or cores in use.
     pub(crate) gauge: f64,
     /// Share of its speed that it was told to keep to, in percent.
--- a/crates/flow/tests/worst_load.rs
+++ b/crates/flow/tests/worst_load.rs
@@ -122,37 +122,61 @@
     assert!(to(&world, "spare").len() >= 4, "{:?}", to(&world, "spare"));
 }
 
-/// Plays a turn in which three of eight workers go dark, and returns when each
-/// job ended.
-fn turn_with_dark_rack(copies: bool) -> HashMap<JobId, u64> {
-    let mut world = World::new(5, 16, Faults::default());
-    world.run(200);
+/// Hands in jobs of one step with a pause between them and returns when each
+/// ended. `event` is called before each with its number.
+fn serve(
+    world: &mut World,
+    count: u128,
+    pause_ms: u64,
+    spec: &StepSpec,
+    event: impl Fn(&mut World, u128),
+) -> HashMap<JobId, u64> {
     let start = world.ms;
-    let mut handed = HashMap::new();
-    for number in 1..=30 {
-        let steps = vec![StepSpec { copies, ..step(6, 1000, 1000) }];
-        let mut spec = (*job("q-a", steps, world.wall())).clone();
-        spec.team = None;
-        let id = world.submit(number, std::sync::Arc::new(spec));
+    let (mut handed, mut ended) = (HashMap::new(), HashMap::new());
+    for number in 1..=count {
+        event(world, number);
+        let mut whole = (*job("q-a", vec![spec.clone()], world.wall())).clone();
+        whole.team = None;
+        let id = world.submit(number, std::sync::Arc::new(whole));
         handed.insert(id, world.ms);
-        if number == 15 {
-            let dark = [0, 2, 4];
-            dark.into_iter().for_each(|at| world.workers[at].reachable = false);
-        }
-        world.run(GAP_MS);
+        note_ends(world, pause_ms, &handed, &mut ended);
     }
-    let mut ended = HashMap::new();
-    while ended.len() < handed.len() && world.ms < start + 30_000 {
-        world.run(20);
+    while ended.len() < handed.len() && world.ms < start + 60_000 {
+        note_ends(world, 100, &handed, &mut ended);
+    }
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert_eq!(ended.len(), handed.len());
+    ended
+}
+
+fn note_ends(
+    world: &mut World,
+    ms: u64,
+    handed: &HashMap<JobId, u64>,
+    ended: &mut HashMap<JobId, u64>,
+) {
+    let until = world.ms + ms;
+    while world.ms < until {
+        world.step();
         for (&id, stored) in &world.store {
             if stored.end.is_some() {
                 ended.entry(id).or_insert(world.ms - handed[&id]);
             }
         }
     }
-    assert!(world.broken.is_empty(), "{:?}", world.broken);
-    assert_eq!(ended.len(), handed.len());
-    ended
+}
+
+/// Plays a turn in which three of eight workers go dark.
+fn turn_with_dark_rack(copies: bool) -> HashMap<JobId, u64> {
+    let mut world = World::new(5, 16, Faults::default());
+    world.run(200);
+    let spec = StepSpec { copies, ..step(6, 1000, 1000) };
+    serve(&mut world, 30, GAP_MS, &spec, |world, number| {
+        if number == 16 {
+            let dark = [0, 2, 4];
+            dark.into_iter().for_each(|at| world.workers[at].reachable = false);
+        }
+    })
 }
 
 #[test]
@@ -211,3 +235,33 @@
     // Seven for the rate itself; the rest for what piles up while they move.
     assert!(ordered >= 9, "{ordered}");
 }
+
+/// Lets one of eight workers be several times slower; returns when each job
+/// ended, and how many tasks were started.
+fn with_slow_worker(copies: bool, drag: u64) -> (HashMap<JobId, u64>, u64) {
+    let mut world = World::new(5, 16, Faults::default());
+    world.workers[0].drag = drag;
+    world.run(200);
+    let spec = StepSpec { copies, ..step(6, 4000, 1000) };
+    let ended = serve(&mut world, 12, 400, &spec, |_, _| {});
+    (ended, world.starts)
+}
+
+#[test]
+fn tasks_on_a_slow_worker_are_given_to_others() {
+    for copies in [false, true] {
+        let (ended, starts) = with_slow_worker(copies, 6);
+        let latest = ended.values().copied().max().unwrap();
+        // 6 s on the slow worker. Elsewhere 1 s, after half a second in which the
+        // worker is found and the time of a stop.
+        assert!(latest < 2600, "copies {copies}: {latest}");
+        // Few are started twice.
+        assert!(starts <= 12 * 6 + 12, "copies {copies}: {starts}");
+    }
+}
+
+#[test]
+fn tasks_that_differ_a_little_are_left_where_they_are() {
+    let (_, starts) = with_slow_worker(false, 2);
+    assert_eq!(starts, 12 * 6);
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -42,6 +42,8 @@
     pub capacity: Resources,
     /// Parts of a thousand by which its clock is slow.
     pub slow: u64,
+    /// Times as long as usual that tasks take there.
+    pub drag: u64,
     /// Whether its process runs.
     pub up: bool,
     /// Whether the leader reaches it.
@@ -73,6 +75,7 @@
             machine: machine.into(),
             capacity,
             slow: 0,
+            drag: 1,
             up: true,
             reachable: true,
             fence: Fence(0),
@@ -163,7 +166,7 @@
             return StartAnswer::Refused(Refused::Room);
         }
         held.since = clock;
-        held.ends += clock;
+        held.ends = clock + held.ends * self.drag;
         self.running.push(held);
         StartAnswer::Started
     }
