--- a/crates/flow/src/doubt.rs
+++ b/crates/flow/src/doubt.rs
@@ -45,6 +45,7 @@
     until: Instant,
     /// All tasks that it may hold; none: any task of its pool.
     tasks: Option<HashSet<TaskId>>,
+    /// The machine that it is a life of.
     machine: Option<SmolStr>,
 }
 
