flow: one way to wait for a worker's record; usable workers once for all copies

Cause: read again, two places set the same two flags of a worker whose record has to be written anew, and the search for copies listed a pool's usable workers for each task that a dark rack holds.

Change: `Worker::await_record`; `start_copies` lists them once a pool.

--- a/crates/flow/src/copies.rs
+++ b/crates/flow/src/copies.rs
@@ -6,26 +6,28 @@
 //! objectives. Where a step allows copies, another worker begins at once, and
 //! the first run to end counts.
 
+use std::collections::HashMap;
+
 use vg_base::prelude::*;
 
 use crate::job::JobKey;
 use crate::run::{RunKey, RunState};
+use crate::worker::WorkerKey;
 use crate::{Flow, TaskId};
 
 impl Flow {
     /// Starts copies of tasks that run on silent or slow workers only.
     pub(crate) fn start_copies(&mut self, now: Instant) {
+        let mut usable: HashMap<PoolId, Vec<WorkerKey>> = HashMap::new();
         for (key, task) in self.cut_off_tasks() {
-            let need = match self.spec_of(task) {
-                Some(spec) => spec.need,
-                None => continue,
-            };
+            let Some(need) = self.spec_of(task).map(|spec| spec.need) else { continue };
             if !self.team_allows(key, &need) {
                 continue;
             }
-            let pool = self.jobs[key].pool.clone();
-            let workers = self.usable_workers(&pool, now);
-            if let Some(worker) = self.find_for(key, task, &workers, now) {
+            let pool = &self.jobs[key].pool;
+            let workers =
+                usable.entry(pool.clone()).or_insert_with(|| self.usable_workers(pool, now));
+            if let Some(worker) = self.find_for(key, task, workers, now) {
                 let run = self.next_run(key, task);
                 self.start(key, task, run, worker, now);
             }
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -27,8 +27,7 @@
         }
         if self.doubt.until(id).is_some() {
             self.clear_doubt(id);
-            self.workers[key].recorded = false;
-            self.workers[key].limited = true;
+            self.workers[key].await_record();
         }
         // The order that was to take its machine had been carried out before.
         let worker = &mut self.workers[key];
@@ -37,8 +36,7 @@
         }
         if self.may_open(key) {
             self.workers[key].closed = false;
-            self.workers[key].recorded = false;
-            self.workers[key].limited = true;
+            self.workers[key].await_record();
         }
         let bound = self.rules.lease_bound();
         let worker = &mut self.workers[key];
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -148,6 +148,13 @@
         self.capacity.minus(&self.used)
     }
 
+    /// Gives it nothing, and no longer lease, before it is recorded anew: the
+    /// record says when its lease ends.
+    pub(crate) fn await_record(&mut self) {
+        self.recorded = false;
+        self.limited = true;
+    }
+
     /// Whether new work can be given to it.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
         self.listed
