lead, flow: log what was known of a commanded machine, failed takeovers, and delay

A takeover that could not read the records left no trace: E800 call=recover says how long it took and why it failed. E105 and vg_loop_delay_ms show a process that runs late.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -77,6 +77,8 @@
     SettingsReloaded = 103, "settings-reloaded", Info;
     /// The settings can't be read; the previous settings stay in force.
     SettingsRefused = 104, "settings-refused", Error;
+    /// The process runs late: its processor is used up, or it was suspended.
+    ProcessDelayed = 105, "process-delayed", Warn;
 
     /// A revision of the two lists came into force on this node.
     RevisionInForce = 200, "revision-in-force", Info;
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -46,7 +46,7 @@
 pub use config::{AdviserTiming, OperatorConfig, Pool, Queue, Team, key_digest};
 pub use id::{AttemptNumber, FencingToken, StepId, TaskId};
 pub use job::JobState;
-pub use machines::{Machine, MachineAnswer, MachineState};
+pub use machines::{CommandTarget, Machine, MachineAnswer, MachineState};
 pub use maintain::{Wave, WaveRecord, WaveState};
 pub use progress::{JobOutcome, OccurrenceProgress, Progress};
 pub use rank::{Rank, RankInput, Timeliness, rank};
--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -75,6 +75,17 @@
     Unanswered,
 }
 
+/// What was known of a machine when a command to it was decided.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommandTarget {
+    /// The worker that is registered on it.
+    pub worker: Option<HostId>,
+    /// Number of attempts of that worker.
+    pub attempts: usize,
+    /// Time since the list of machines was asked for; `None` if there is none.
+    pub list_age: Option<Duration>,
+}
+
 /// Machines, waves and commands.
 #[derive(Debug)]
 pub(crate) struct Machines {
@@ -82,6 +93,8 @@
     /// still be in progress.
     pub(crate) hold_until: Instant,
     pub(crate) list: HashMap<SmolStr, Machine>,
+    /// When the list was asked for.
+    pub(crate) list_asked: Option<Instant>,
     pub(crate) waves: BTreeMap<u64, ActiveWave>,
     /// Commands without an answer yet, and when they were sent.
     pub(crate) commands: HashMap<SmolStr, (MachineCommand, Instant)>,
@@ -96,6 +109,7 @@
         Machines {
             hold_until,
             list: HashMap::new(),
+            list_asked: None,
             waves: BTreeMap::new(),
             commands: HashMap::new(),
             paused_until: HashMap::new(),
@@ -125,9 +139,22 @@
         self.machines.hold_until = now;
     }
 
-    /// Replaces the platform's list of machines.
-    pub fn set_machine_list(&mut self, list: Vec<Machine>) {
+    /// Replaces the platform's list of machines by one that was asked for at
+    /// `asked`.
+    pub fn set_machine_list(&mut self, list: Vec<Machine>, asked: Instant) {
         self.machines.list = list.into_iter().map(|each| (each.id.clone(), each)).collect();
+        self.machines.list_asked = Some(asked);
+    }
+
+    /// Returns what is known of the machine of a command.
+    pub fn command_target(&self, command: &MachineCommand, now: Instant) -> CommandTarget {
+        let worker = self.worker_on(command.machine()).map(|key| &self.workers[key]);
+        let asked = self.machines.list_asked;
+        CommandTarget {
+            worker: worker.map(|worker| worker.incarnation.id.clone()),
+            attempts: worker.map_or(0, |worker| worker.attempts.len()),
+            list_age: asked.map(|at| now.saturating_duration_since(at)),
+        }
     }
 
     pub(crate) fn worker_on(&self, machine: &SmolStr) -> Option<WorkerKey> {
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -78,7 +78,7 @@
             running.insert(registration.incarnation.id, Vec::new());
             machines.push(machine(at));
         }
-        scheduler.set_machine_list(machines);
+        scheduler.set_machine_list(machines, now);
         let records = scheduler.incarnation_records(now, wall);
         scheduler.records_written(&records);
         let answer = MachineAnswer::Done;
@@ -106,7 +106,7 @@
             self.scheduler.register(&registration(at), self.now);
             machines.push(machine(at));
         }
-        self.scheduler.set_machine_list(machines);
+        self.scheduler.set_machine_list(machines, self.now);
         let records = self.scheduler.incarnation_records(self.now, self.wall);
         self.scheduler.records_written(&records);
     }
@@ -292,7 +292,7 @@
     scheduler.register(&registration(0), now);
     scheduler.poll_failed(&id, now);
     fleet.scheduler = scheduler;
-    fleet.scheduler.set_machine_list(vec![machine(0)]);
+    fleet.scheduler.set_machine_list(vec![machine(0)], now);
     fleet.running.clear();
     fleet.add_wave(1, 6, 1);
     fleet.run(5000);
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -274,7 +274,7 @@
         }
         let now = self.now();
         self.scheduler.end_machine_hold(now);
-        self.scheduler.set_machine_list(self.machines.clone());
+        self.scheduler.set_machine_list(self.machines.clone(), now);
         let hold = SchedulingRules::default().machine_hold;
         for (ms, command) in &self.commands {
             let age = Duration::from_millis(self.ms - ms);
@@ -436,7 +436,7 @@
         self.machines.extend((0..count).map(|at| listed(&format!("s{at}"), "spare")));
         let now = self.now();
         self.scheduler.end_machine_hold(now);
-        self.scheduler.set_machine_list(self.machines.clone());
+        self.scheduler.set_machine_list(self.machines.clone(), now);
     }
 
     /// Executes a command to a machine, or refuses it later. A command to
@@ -489,7 +489,7 @@
             self.machines.push(machine);
         }
         if arrived {
-            self.scheduler.set_machine_list(self.machines.clone());
+            self.scheduler.set_machine_list(self.machines.clone(), self.now());
             for worker in self.workers.iter().filter(|worker| !worker.up) {
                 self.scheduler.deregister(&worker.id.parse().unwrap());
             }
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -19,7 +19,7 @@
 use crate::members::Members;
 use crate::messages::StatusReply;
 use crate::unresolved::UnresolvedWrites;
-use crate::{Metrics, Options, Platform, follow, serve, session};
+use crate::{Metrics, Options, Platform, delay, follow, serve, session};
 
 /// Time limit for connecting to a peer.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -159,6 +159,7 @@
         set.spawn(follow::fetch_peer_config(host.clone()));
         set.spawn(session::maintain_lease(host.clone()));
         set.spawn(session::run_election(host.clone()));
+        set.spawn(delay::measure(host.clone()));
         host.record(
             Code::ProcessStarted,
             [
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -6,8 +6,8 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{
-    Action, AttemptNumber, MachineAnswer, MachineCommand, RefusalReason, StartAnswer, StartCommand,
-    StepId, TaskId, WorkerIncarnation,
+    Action, AttemptNumber, CommandTarget, MachineAnswer, MachineCommand, RefusalReason,
+    StartAnswer, StartCommand, StepId, TaskId, WorkerIncarnation,
 };
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
@@ -42,7 +42,10 @@
                 self.spawn(leader.throttle(incarnation, task, attempt, percent));
             }
             Action::AskAdviser { step, workers } => self.spawn(leader.ask_adviser(step, workers)),
-            Action::Machine(command) => lock(&self.machine_commands).push(command),
+            Action::Machine(command) => {
+                let target = self.scheduler().command_target(&command, self.host.inner.clock.now());
+                lock(&self.machine_commands).push((command, target));
+            }
         }
     }
 
@@ -150,8 +153,9 @@
             let leader = Arc::clone(self);
             self.spawn(async move {
                 let allowed = leader.record_commands(&commands).await;
-                for command in commands {
-                    leader.spawn(Arc::clone(&leader).send_machine_command(command, allowed));
+                for (command, target) in commands {
+                    let send = Arc::clone(&leader).send_machine_command(command, target, allowed);
+                    leader.spawn(send);
                 }
             });
         }
@@ -160,7 +164,7 @@
     /// Makes the record of commands durable, without the entries that are older
     /// than the machine hold. Returns whether the commands may be sent: the
     /// record is durable and the lease is valid.
-    async fn record_commands(&self, commands: &[MachineCommand]) -> bool {
+    async fn record_commands(&self, commands: &[(MachineCommand, CommandTarget)]) -> bool {
         let _guard = self.record_lock.lock().await;
         let wall = self.host.inner.clock.wall();
         let hold = self.host.inner.options.rules.machine_hold;
@@ -171,7 +175,7 @@
         records.extend(
             commands
                 .iter()
-                .map(|command| CommandRecord { machine: command.machine().clone(), at: wall }),
+                .map(|(command, _)| CommandRecord { machine: command.machine().clone(), at: wall }),
         );
         let Some(value) = encode(&records) else { return false };
         let txn = Txn::new()
@@ -210,7 +214,12 @@
     /// Sends one command to a machine. If the command may not be sent, the
     /// scheduler is told that the platform takes no commands now
     /// ([`MachineAnswer::Limited`]), so that the scheduler decides again.
-    async fn send_machine_command(self: Arc<Self>, command: MachineCommand, allowed: bool) {
+    async fn send_machine_command(
+        self: Arc<Self>,
+        command: MachineCommand,
+        target: CommandTarget,
+        allowed: bool,
+    ) {
         let host = &self.host;
         let answer = if allowed {
             host.inner
@@ -221,10 +230,16 @@
             MachineAnswer::Limited
         };
         let now = host.inner.clock.now();
-        host.record(
-            Code::MachineCommandSent,
-            [Field::new("order", &command), Field::new("answer", answer)],
-        );
+        let worker = target.worker.as_ref().map_or("none", HostId::as_str);
+        let list_ms = target.list_age.map_or(-1, |age| age.as_millis() as i64);
+        let fields = [
+            Field::new("order", &command),
+            Field::new("answer", answer),
+            Field::new("worker", worker),
+            Field::new("runs", target.attempts),
+            Field::new("list-ms", list_ms),
+        ];
+        host.record(Code::MachineCommandSent, fields);
         self.scheduler().machine_answered(&command, answer, now);
         self.wake.notify_one();
     }
--- a/crates/lead/src/leader/machines.rs
+++ b/crates/lead/src/leader/machines.rs
@@ -42,7 +42,7 @@
             if due && self.scheduler().needs_machine_list() {
                 last_read = Some(now);
                 if let Some(list) = self.host.inner.platform.machines().await {
-                    self.scheduler().set_machine_list(list);
+                    self.scheduler().set_machine_list(list, now);
                     self.wake.notify_one();
                 }
             }
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{FencingToken, JobSpec, JobState, MachineCommand, Scheduler};
+use vg_flow::{CommandTarget, FencingToken, JobSpec, JobState, MachineCommand, Scheduler};
 use vg_store::{Entry, Store, StoreRevision};
 
 use crate::dual_instant::DualInstant;
@@ -66,8 +66,9 @@
     /// Workers that are being polled.
     polled_workers: Mutex<std::collections::HashSet<HostId>>,
     tasks: Mutex<JoinSet<()>>,
-    /// Commands to machines that were decided in the current round.
-    machine_commands: Mutex<Vec<MachineCommand>>,
+    /// Commands to machines that were decided in the current round, and what was
+    /// known of each machine then.
+    machine_commands: Mutex<Vec<(MachineCommand, CommandTarget)>>,
     /// Serializes the writes of the command record.
     record_lock: tokio::sync::Mutex<()>,
     revisions: Mutex<commit::Revisions>,
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -53,7 +53,13 @@
                     return Some(recovered);
                 }
                 Err(error) => {
-                    log::debug!(target: "store", "recovery failed: {error}");
+                    let took = self.host.inner.clock.now() - started;
+                    let fields = [
+                        Field::new("call", "recover"),
+                        Field::new("ms", took.as_millis()),
+                        Field::new("cause", error),
+                    ];
+                    self.host.record(Code::StoreFailed, fields);
                     if self.host.expired_for() > EXPIRED_LEASE_GRACE {
                         return None;
                     }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod cancel;
 mod codec;
+mod delay;
 mod dual_instant;
 mod error;
 mod follow;
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -20,6 +20,7 @@
     commands: IntCounterVec,
     commits: IntCounterVec,
     leading: IntGauge,
+    loop_delay: IntGauge,
     scheduler: IntGaugeVec,
 }
 
@@ -42,6 +43,9 @@
         registry.register(Box::new(latency.clone()))?;
         let leading = IntGauge::new("vg_leading", "1 while this host leads.")?;
         registry.register(Box::new(leading.clone()))?;
+        let loop_delay =
+            IntGauge::new("vg_loop_delay_ms", "Milliseconds by which a timer was late last.")?;
+        registry.register(Box::new(loop_delay.clone()))?;
         let scheduler =
             IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(scheduler.clone()))?;
@@ -53,6 +57,7 @@
             commands,
             commits,
             leading,
+            loop_delay,
             scheduler,
         })
     }
@@ -82,6 +87,11 @@
         self.leading.set(leading.into());
     }
 
+    /// Sets by how much a timer was late.
+    pub(crate) fn set_loop_delay(&self, delay: Duration) {
+        self.loop_delay.set(delay.as_millis() as i64);
+    }
+
     /// Sets the gauges for the sizes and totals of the leader.
     pub(crate) fn set_scheduler_counts(&self, counts: Counts) {
         let set = |what: &str, value: i64| self.scheduler.with_label_values(&[what]).set(value);
