--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -28,6 +28,12 @@
 }
 
 impl Scheduler {
+    /// Whether an incarnation is in memory and registered.
+    pub fn knows(&self, incarnation: &WorkerIncarnation) -> bool {
+        let worker = self.worker_ids.get(&incarnation.id).map(|&key| &self.workers[key]);
+        worker.is_some_and(|worker| worker.registered && worker.incarnation == *incarnation)
+    }
+
     /// Applies the registration of a worker. Returns whether its incarnation is
     /// not recorded and has to be recorded before the worker gets work; `false`
     /// if a later incarnation is known.
--- /dev/null
+++ b/crates/flow/tests/machines.rs
@@ -0,0 +1,200 @@
+//! Commands to machines: what the leader has to know of a machine before it takes
+//! the machine away.
+
+mod support;
+
+use support::spec::{config, job, pool, step};
+use vg_base::prelude::*;
+use vg_flow::{
+    Action, FencingToken, Machine, MachineAnswer, MachineCommand, MachineState, Report,
+    RunningAttempt, Scheduler, SchedulingRules, StartAnswer, StepSpec, WorkerIncarnation,
+    WorkerRegistration,
+};
+use vg_jobs::Resources;
+
+use std::sync::Arc;
+
+const CAPACITY: Resources = Resources::new(16_000, 32 << 30, 0);
+const TOKEN: FencingToken = FencingToken(20);
+
+/// A leader, the clock, and the commands to machines that it has decided.
+struct Fixture {
+    scheduler: Scheduler,
+    now: Instant,
+    commands: Vec<MachineCommand>,
+    /// Attempts that were started: worker and what it reports.
+    running: Vec<(HostId, RunningAttempt)>,
+    stops: usize,
+    start_answer: StartAnswer,
+}
+
+fn machine(id: &str, in_pool: &str) -> Machine {
+    Machine { id: id.into(), pool: pool(in_pool), state: MachineState::Up, capacity: CAPACITY }
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        let now = Instant::now();
+        let mut scheduler =
+            Scheduler::new(SchedulingRules::default(), TOKEN, Arc::new(config()), now);
+        scheduler.end_machine_hold(now);
+        Fixture {
+            scheduler,
+            now,
+            commands: Vec::new(),
+            running: Vec::new(),
+            stops: 0,
+            start_answer: StartAnswer::Started,
+        }
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(1000)
+    }
+
+    /// Registers a worker and makes it usable.
+    fn join(&mut self, id: &str, in_pool: &str, on: &str, start_ms: u64) {
+        let registration = WorkerRegistration {
+            incarnation: WorkerIncarnation {
+                id: id.parse().unwrap(),
+                start_ms,
+                pool: pool(in_pool),
+                addr: ([127, 0, 0, 1], 1).into(),
+            },
+            zone: "z".parse().unwrap(),
+            draining: false,
+            capacity: CAPACITY,
+            labels: vec!["r1".into()],
+            machine: Some(on.into()),
+        };
+        self.scheduler.register(&registration, self.now);
+        let records = self.scheduler.incarnation_records(self.now, self.wall());
+        self.scheduler.records_written(&records);
+        self.poll(id, start_ms);
+    }
+
+    /// Applies a report of what runs on a worker.
+    fn poll(&mut self, id: &str, start_ms: u64) {
+        let id: HostId = id.parse().unwrap();
+        self.scheduler.renewal(&id, self.now);
+        let here = self.running.iter().filter(|(on, _)| *on == id);
+        let report = Report {
+            start_ms: Some(start_ms),
+            clock_ms: 10_000,
+            running: here.map(|(_, attempt)| attempt.clone()).collect(),
+            ended: Vec::new(),
+        };
+        self.scheduler.apply_report(&id, &report, self.now, self.now);
+    }
+
+    fn submit(&mut self, number: u128, queue: &str, steps: Vec<StepSpec>) {
+        let mut spec = (*job(queue, steps, self.wall())).clone();
+        spec.team = None;
+        self.scheduler.add_job(JobId::new(number), Arc::new(spec), 100, self.now);
+    }
+
+    /// Makes one round of decisions after `ms`.
+    fn round(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        for action in self.scheduler.plan(self.now, self.wall()) {
+            match action {
+                Action::Start(start) => {
+                    let attempt = RunningAttempt {
+                        task: start.task,
+                        attempt: start.attempt,
+                        checkpoint: SmolStr::default(),
+                        percent: 100,
+                        gauge: 0.0,
+                    };
+                    self.running.push((start.incarnation.id, attempt));
+                    let answer = self.start_answer;
+                    self.scheduler.start_answered(start.task, start.attempt, answer, self.now);
+                }
+                Action::Machine(command) => {
+                    self.scheduler.machine_answered(&command, MachineAnswer::Done, self.now);
+                    self.commands.push(command);
+                }
+                Action::Stop { .. } => self.stops += 1,
+                Action::Throttle { .. } | Action::AskAdviser { .. } => {}
+            }
+        }
+    }
+
+    fn commands_to(&self, machine: &str) -> usize {
+        self.commands.iter().filter(|command| command.machine() == machine).count()
+    }
+}
+
+fn continuous(count: u32) -> StepSpec {
+    StepSpec { continuous: true, max_unavailable: Some(0), ..step(count, 12_000, 0) }
+}
+
+/// Guards against a machine that is taken from its tasks because a list of machines
+/// that was asked for before it moved still shows it in the spare pool.
+#[test]
+fn a_list_from_before_a_move_takes_no_machine_from_its_tasks() {
+    let mut fixture = Fixture::new();
+    let asked = fixture.now;
+    let list = vec![machine("m1", "spare")];
+    fixture.scheduler.set_machine_list(list.clone(), asked);
+    fixture.submit(1, "q-a", vec![continuous(1)]);
+    fixture.round(20);
+    assert_eq!(fixture.commands_to("m1"), 1, "{:?}", fixture.commands);
+    fixture.now += Duration::from_millis(1600);
+    fixture.join("w1", "a", "m1", 1600);
+    fixture.round(20);
+    assert_eq!(fixture.running.len(), 1);
+    fixture.poll("w1", 1600);
+    // The answer with the old list took this long.
+    fixture.scheduler.set_machine_list(list, asked);
+    fixture.submit(2, "q-b", vec![step(4, 8000, 2000)]);
+    for _ in 0..20 {
+        fixture.round(20);
+        fixture.poll("w1", 1600);
+    }
+    assert_eq!(fixture.commands_to("m1"), 1, "{:?}", fixture.commands);
+}
+
+/// Guards against a machine that is taken from its tasks because an earlier worker on
+/// it, whose registration has not lapsed yet, is idle.
+#[test]
+fn an_earlier_worker_on_a_machine_does_not_hide_the_tasks_of_the_later_one() {
+    let mut fixture = Fixture::new();
+    fixture.scheduler.set_machine_list(vec![machine("m1", "a")], fixture.now);
+    fixture.join("w-old", "a", "m1", 100);
+    fixture.scheduler.poll_failed(&"w-old".parse().unwrap(), fixture.now);
+    fixture.now += Duration::from_millis(5000);
+    fixture.join("w-new", "a", "m1", 5000);
+    fixture.submit(1, "q-a", vec![continuous(1)]);
+    fixture.round(20);
+    assert_eq!(fixture.running[0].0.as_str(), "w-new");
+    let wave = vg_flow::Wave {
+        number: 1,
+        machines: vec!["m1".into()],
+        time_limit: Duration::from_secs(8),
+        max_down: 1,
+    };
+    fixture.scheduler.add_wave(wave, None, false, fixture.now, fixture.wall());
+    for _ in 0..100 {
+        fixture.round(20);
+        fixture.poll("w-new", 5000);
+    }
+    assert_eq!(fixture.commands_to("m1"), 0, "{:?}", fixture.commands);
+}
+
+/// Guards against a continuous task that is stopped although it works, because the
+/// answer to its start was lost or came late.
+#[test]
+fn a_continuous_task_whose_start_was_not_answered_is_left_running() {
+    let mut fixture = Fixture::new();
+    fixture.join("w1", "a", "m1", 100);
+    fixture.start_answer = StartAnswer::Unanswered;
+    fixture.submit(1, "q-a", vec![continuous(1)]);
+    fixture.round(20);
+    assert_eq!(fixture.running.len(), 1);
+    for _ in 0..20 {
+        fixture.round(20);
+        fixture.poll("w1", 100);
+    }
+    assert_eq!((fixture.stops, fixture.running.len()), (0, 1));
+}
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -287,9 +287,19 @@
             }
         };
         let now = self.host.inner.clock.now();
+        let known = self.scheduler().knows(&worker.incarnation);
         if self.scheduler().register(&worker, now) {
             self.record_needed.notify_one();
         }
+        if !known {
+            let fields = [
+                Field::new("worker", &worker.incarnation.id),
+                Field::new("born", worker.incarnation.start_ms),
+                Field::new("pool", &worker.incarnation.pool),
+                Field::new("machine", worker.machine.as_deref().unwrap_or("none")),
+            ];
+            self.host.record(Code::EndpointJoined, fields);
+        }
         if worker.draining {
             self.host.record(Code::EndpointLeaving, [Field::new("worker", &worker.incarnation.id)]);
         }
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -306,3 +306,23 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(version(), Some(6));
 }
+
+/// Guards against a site that does not come back, because a host that can not read the
+/// records keeps the leadership.
+#[tokio::test]
+async fn a_leader_that_can_not_read_the_records_gives_way() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("n-a").await;
+    eventually(async || cluster.has_leader().await).await;
+    assert_eq!(a.host.submit(id(1), job(2), soon()).await, SubmitOutcome::Accepted);
+    let b = cluster.node("n-b").await;
+    // From here on it has listed the members.
+    eventually(async || is_done(&b.host.job_status(id(1), soon()).await)).await;
+    b.faults.script(CallKind::Range, Fault::Unavailable, 10_000);
+    a.tasks.stop().await;
+    eventually(async || b.host.is_leading()).await;
+    let c = cluster.node("n-c").await;
+    assert_eq!(c.host.submit(id(2), job(2), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&c.host.job_status(id(2), soon()).await)).await;
+    assert_eq!(cluster.fleet.starts_of(id(2)), 4);
+}
