--- /dev/null
+++ b/crates/lead/src/capacity.rs
@@ -0,0 +1,18 @@
+//! What a host can carry, by which a leader is chosen.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Processor and link of a host, as its settings state them.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display,
+)]
+#[display("{millicores} millicores, {link_mbps} Mbit/s")]
+pub struct HostCapacity {
+    /// Processor in thousandths of a core; zero if it is not known.
+    #[serde(rename = "cpu")]
+    pub millicores: u32,
+    /// Bandwidth of the link in Mbit/s; zero if it is not known.
+    #[serde(rename = "link")]
+    pub link_mbps: u32,
+}
--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -21,6 +21,8 @@
 use vg_flow::JobOutcome;
 use vg_store::Key;
 
+use crate::HostCapacity;
+
 /// Prefix of the leased keys of hosts and of the leader.
 pub(crate) const LIVE_PREFIX: &str = "vg/live/";
 pub(crate) const HOST_PREFIX: &str = "vg/live/host/";
@@ -40,6 +42,8 @@
     #[serde(rename = "control")]
     pub(crate) peer_addr: SocketAddr,
     pub(crate) zone: ZoneId,
+    #[serde(default)]
+    pub(crate) capacity: HostCapacity,
 }
 
 /// Record of the host that leads.
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -8,6 +8,7 @@
 //! docs/design/platform.md.
 
 mod cancel;
+mod capacity;
 mod codec;
 mod delay;
 mod dual_instant;
@@ -29,6 +30,7 @@
 mod submit;
 mod unresolved;
 
+pub use capacity::HostCapacity;
 pub use error::StartError;
 pub use host::{Host, HostTasks};
 pub use metrics::Metrics;
--- a/crates/lead/src/options.rs
+++ b/crates/lead/src/options.rs
@@ -5,6 +5,8 @@
 use vg_base::prelude::*;
 use vg_flow::SchedulingRules;
 
+use crate::HostCapacity;
+
 /// Options of a host, which the platform adapter derives from its settings.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -14,6 +16,8 @@
     pub zone: ZoneId,
     /// The address on which the host serves its peers.
     pub peer_addr: SocketAddr,
+    /// Processor and link of the host.
+    pub capacity: HostCapacity,
     /// Shortest lease that the store grants.
     pub min_lease: Duration,
     /// Time limits and rules for decisions.
--- a/crates/lead/src/session.rs
+++ b/crates/lead/src/session.rs
@@ -80,7 +80,11 @@
     /// Writes the record of this host under its lease.
     async fn register_host(&self, lease: LeaseId) -> Result<(), Error> {
         let options = &self.inner.options;
-        let value = HostValue { peer_addr: options.peer_addr, zone: options.zone.clone() };
+        let value = HostValue {
+            peer_addr: options.peer_addr,
+            zone: options.zone.clone(),
+            capacity: options.capacity,
+        };
         let Some(bytes) = encode(&value) else { return Ok(()) };
         let txn = Txn::new().put_leased(keys::host(&options.node), bytes, lease);
         self.store().commit(txn).await.map(|_| ())
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -6,7 +6,7 @@
 use support::{Cluster, eventually, job, soon};
 use vg_base::prelude::*;
 use vg_flow::{IncarnationRecord, JobOutcome};
-use vg_lead::{CancelOutcome, JobStatus, SubmitOutcome};
+use vg_lead::{CancelOutcome, HostCapacity, JobStatus, SubmitOutcome};
 use vg_store::{CallKind, Fault};
 
 fn id(number: u128) -> JobId {
@@ -326,3 +326,22 @@
     eventually(async || is_done(&c.host.job_status(id(2), soon()).await)).await;
     assert_eq!(cluster.fleet.starts_of(id(2)), 4);
 }
+
+const WEAK: HostCapacity = HostCapacity { millicores: 120, link_mbps: 10 };
+const STRONG: HostCapacity = HostCapacity { millicores: 500, link_mbps: 200 };
+
+/// Guards against a site that is decided for by a host without the processor and the
+/// link for it, while a larger host is idle.
+#[tokio::test]
+async fn a_weak_host_hands_the_leadership_over_to_a_strong_one() {
+    let cluster = Cluster::new().await;
+    let weak = cluster.node_with("n-a", WEAK).await;
+    // It serves as long as it is alone.
+    eventually(async || weak.host.is_leading()).await;
+    let strong = cluster.node_with("n-b", STRONG).await;
+    eventually(async || strong.host.is_leading() && !weak.host.is_leading()).await;
+    assert_eq!(weak.host.submit(id(1), job(2), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&weak.host.job_status(id(1), soon()).await)).await;
+    strong.tasks.stop().await;
+    eventually(async || weak.host.is_leading()).await;
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -13,8 +13,8 @@
 };
 use vg_jobs::Resources;
 use vg_lead::{
-    AdviserAnswer, CommandAnswer, Host, HostTasks, KeyLayout, OperatorItem, Options, ParseError,
-    Platform, PollError,
+    AdviserAnswer, CommandAnswer, Host, HostCapacity, HostTasks, KeyLayout, OperatorItem, Options,
+    ParseError, Platform, PollError,
 };
 use vg_standin::{SimulatedWorker, TaskAttempt};
 use vg_store::{FaultControl, FaultyStore, Key, MemStore, Store, Txn, Value};
@@ -100,6 +100,10 @@
     }
 
     pub(crate) async fn node(&self, name: &str) -> Node {
+        self.node_with(name, HostCapacity::default()).await
+    }
+
+    pub(crate) async fn node_with(&self, name: &str, capacity: HostCapacity) -> Node {
         let faults = FaultControl::new();
         let platform = TestPlatform {
             store: FaultyStore::new(self.inner.clone(), faults.clone()),
@@ -113,6 +117,7 @@
             node: name.parse().unwrap(),
             zone: "z".parse().unwrap(),
             peer_addr: ([127, 0, 0, 1], 0).into(),
+            capacity,
             min_lease: Duration::from_millis(500),
             rules: SchedulingRules::default(),
             outcome_retention: Duration::from_secs(60),
