net, platform: a listing may take as long as its bytes arrive

Cause: a call to the store was given up 900 ms after it was sent. A page of the records has up to 1 MB, a host's link 10 Mbit/s, so the page was given up while its bytes arrived and the whole load began again, for ever.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,8 +2,9 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
 use snafu::ResultExt;
 
@@ -53,3 +54,31 @@
         Err(e) => Err(io::Error::other(e)).context(TruncatedBodySnafu),
     }
 }
+
+/// Reads a complete body of at most `limit` bytes. Returns `None` if no bytes
+/// arrive for `stall`.
+///
+/// # Errors
+///
+/// The errors of [`read_body`].
+pub(crate) async fn read_flowing_body<B>(
+    mut body: B,
+    limit: usize,
+    stall: Duration,
+) -> Result<Option<Bytes>, Error>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut read = BytesMut::new();
+    loop {
+        let Ok(next) = tokio::time::timeout(stall, body.frame()).await else { return Ok(None) };
+        let Some(frame) = next else { return Ok(Some(read.freeze())) };
+        let frame = frame.map_err(io::Error::other).context(TruncatedBodySnafu)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if read.len() + data.len() > limit {
+            return Err(Error::BodyTooLong { limit });
+        }
+        read.extend_from_slice(&data);
+    }
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::body::{Body, full_body, read_body};
+use crate::body::{Body, full_body, read_body, read_flowing_body};
 use crate::codec::{from_msgpack, to_msgpack};
 use crate::error::Error;
 
@@ -102,6 +102,29 @@
         }
     }
 
+    /// Sends a request and reads the complete response. The exchange may take as
+    /// long as its bytes keep arriving: `stall` limits the time until the head and
+    /// the time between two pieces of the body, so that a large response over a slow
+    /// link is not given up.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`Client::call`].
+    pub async fn call_flowing(
+        &self,
+        request: Request<Body>,
+        stall: Duration,
+        max_bytes: usize,
+    ) -> Result<Reply, Error> {
+        let to = request.uri().authority().map(|each| each.to_string()).unwrap_or_default();
+        let response = self.send(request, stall).await?;
+        let (head, body) = response.into_parts();
+        match read_flowing_body(body, max_bytes, stall).await? {
+            Some(body) => Ok(Reply { status: head.status, headers: head.headers, body }),
+            None => Err(Error::Timeout { to, limit: stall }),
+        }
+    }
+
     /// Posts a message to a URL and decodes the response. Both are encoded as
     /// MessagePack.
     ///
