lead: the leadership goes to a host that can carry it

Callers saw too little served (SHORT), leases of sound workers lapse (AVAIL) and sites that stayed down (LOST, RECOVER). Cause: any host could claim the leadership, and most hosts of the grown sites have 0.12 cores and 10 Mbit/s. Such a leader answers nothing in time: its polls and starts seem unanswered, and the stops and second starts that follow add load.

A host whose record shows clearly less than that of a host that is alive leaves a vacant leadership to it for 0.6 s, and a leader hands over once a larger host has been alive for 1 s, at most once in 10 s. A small host still leads when it is alone. Ruled out: refusing to lead at all, as any number of hosts may be lost. The election has its own module.

--- a/crates/lead/src/capacity.rs
+++ b/crates/lead/src/capacity.rs
@@ -16,3 +16,16 @@
     #[serde(rename = "link")]
     pub link_mbps: u32,
 }
+
+/// Factor between two hosts' processors from which the larger one leads.
+const LARGER_FACTOR: f64 = 1.5;
+
+impl HostCapacity {
+    /// Whether a host of this capacity carries clearly more than one of capacity
+    /// `other`. False if a processor is not known.
+    pub(crate) fn exceeds(&self, other: &HostCapacity) -> bool {
+        other.millicores > 0
+            && f64::from(self.millicores) >= f64::from(other.millicores) * LARGER_FACTOR
+            && self.link_mbps >= other.link_mbps
+    }
+}
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -19,7 +19,7 @@
 use crate::members::Members;
 use crate::messages::StatusReply;
 use crate::unresolved::UnresolvedWrites;
-use crate::{Metrics, Options, Platform, delay, follow, serve, session};
+use crate::{Metrics, Options, Platform, delay, election, follow, serve, session};
 
 /// Time limit for connecting to a peer.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -71,6 +71,8 @@
     pub(crate) outcomes: Mutex<OutcomeCache>,
     pub(crate) unresolved: Mutex<UnresolvedWrites>,
     pub(crate) stopping: AtomicBool,
+    /// When this host last gave up the leadership so that another one leads.
+    pub(crate) gave_up: Mutex<Option<Instant>>,
 }
 
 /// The outcomes of the jobs that finished most recently.
@@ -150,6 +152,7 @@
             outcomes: Mutex::default(),
             unresolved: Mutex::default(),
             stopping: AtomicBool::new(false),
+            gave_up: Mutex::default(),
         };
         let host = Host { inner: Arc::new(inner) };
         let server = server.serve(serve::PeerService(host.clone()));
@@ -158,7 +161,7 @@
         set.spawn(follow::members(host.clone()));
         set.spawn(follow::fetch_peer_config(host.clone()));
         set.spawn(session::maintain_lease(host.clone()));
-        set.spawn(session::run_election(host.clone()));
+        set.spawn(election::run(host.clone()));
         set.spawn(delay::measure(host.clone()));
         host.record(
             Code::ProcessStarted,
@@ -243,7 +246,7 @@
         self.inner.stopping.store(true, Ordering::Relaxed);
         self.record(Code::StopBegan, []);
         if let Some(leader) = self.leading() {
-            leader.hand_over().await;
+            leader.hand_over("planned stop").await;
         }
         if let Some(lease) = lease
             && let Err(error) = self.store().revoke(lease).await
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod commit;
+mod give_way;
 mod incarnations;
 mod machines;
 mod polls;
@@ -123,6 +124,7 @@
         self.spawn(Arc::clone(self).maintain_leader_key());
         self.spawn(Arc::clone(self).watch_outage());
         self.spawn(Arc::clone(self).follow_config());
+        self.spawn(Arc::clone(self).give_way_to_larger());
         self.recovered.store(true, Ordering::Relaxed);
         self.decide().await;
     }
@@ -266,16 +268,13 @@
     /// Stops making decisions, records for the next leader which tasks each
     /// worker may run, and ends the leadership. The next leader learns from the
     /// workers whatever is not durable within [`HANDOVER_TIMEOUT`].
-    pub(crate) async fn hand_over(&self) {
+    pub(crate) async fn hand_over(&self, reason: &str) {
         self.scheduler().freeze();
         self.record_needed.notify_one();
         let handover_done =
             tokio::time::timeout(HANDOVER_TIMEOUT, self.handover_done.notified()).await.is_ok();
-        self.end_leadership(if handover_done {
-            "planned stop"
-        } else {
-            "planned stop, not handed over"
-        });
+        let incomplete = if handover_done { "" } else { ", not handed over" };
+        self.end_leadership(&format!("{reason}{incomplete}"));
     }
 
     /// Adds a job that a host has made durable.
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -12,6 +12,7 @@
 mod codec;
 mod delay;
 mod dual_instant;
+mod election;
 mod error;
 mod follow;
 mod host;
--- a/crates/lead/src/members.rs
+++ b/crates/lead/src/members.rs
@@ -8,6 +8,7 @@
 use vg_net::from_msgpack;
 use vg_store::{Entry, Key, Listing, StoreRevision, WatchBatch};
 
+use crate::HostCapacity;
 use crate::dual_instant::DualInstant;
 use crate::keys::{HOST_PREFIX, HostValue, LEADER_KEY, LeaderValue};
 
@@ -74,6 +75,11 @@
         others
     }
 
+    /// Whether a host that is alive carries clearly more than one of `capacity`.
+    pub(crate) fn has_larger(&self, capacity: &HostCapacity) -> bool {
+        self.hosts.values().any(|host| host.capacity.exceeds(capacity))
+    }
+
     /// Notes that a peer answered at `at`.
     pub(crate) fn record_answer(&mut self, at: DualInstant) {
         self.last_answer = Some(at);
