lead: a leader that can not read the records gives way

Callers saw a site that did not come back: a task started nowhere, and the host that led kept its lease (LOST, RECOVER). Cause: recovery was tried again for as long as the lease lasted, whatever the reason.

--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -19,6 +19,9 @@
 
 /// Delay before a failed call to the store is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time after which a leader that has not read the records gives way to another
+/// host.
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay between two batches of the watch for jobs. Hosts notify the leader of
 /// each job directly; the watch is only the path that cannot lose a job, so it
 /// may be slow.
@@ -33,27 +36,26 @@
 impl<P: Platform, C: Clock> Leader<P, C> {
     /// Reads the state that earlier leaders left. Returns `None` if this host's
     /// lease has been expired for longer than [`EXPIRED_LEASE_GRACE`] before
-    /// the store answers.
+    /// the store answers, or if it has given way after [`RECOVERY_TIMEOUT`].
     pub(super) async fn recover(self: &Arc<Self>) -> Option<RecoveredRevisions> {
         let started = self.host.inner.clock.now();
         loop {
-            match self.try_recover().await {
+            let elapsed = self.host.inner.clock.now().saturating_duration_since(started);
+            let remaining = RECOVERY_TIMEOUT.saturating_sub(elapsed);
+            if remaining.is_zero() {
+                self.release("the records could not be read in time").await;
+                return None;
+            }
+            let Ok(recovered) = tokio::time::timeout(remaining, self.try_recover()).await else {
+                continue;
+            };
+            let took = self.host.inner.clock.now().saturating_duration_since(started);
+            match recovered {
                 Ok(recovered) => {
-                    let took = self.host.inner.clock.now() - started;
-                    let jobs = self.scheduler().counts().jobs;
-                    let (workers, tasks) = self.scheduler().unresolved_counts();
-                    let fields = [
-                        Field::new("fence", self.token),
-                        Field::new("jobs", jobs),
-                        Field::new("unknown-workers", workers),
-                        Field::new("held-tasks", tasks),
-                        Field::new("ms", took.as_millis()),
-                    ];
-                    self.host.record(Code::JobsRecovered, fields);
+                    self.record_recovery(took);
                     return Some(recovered);
                 }
                 Err(error) => {
-                    let took = self.host.inner.clock.now() - started;
                     let fields = [
                         Field::new("call", "recover"),
                         Field::new("ms", took.as_millis()),
@@ -69,6 +71,20 @@
         }
     }
 
+    /// Records an event for a takeover that took `took`.
+    fn record_recovery(&self, took: Duration) {
+        let jobs = self.scheduler().counts().jobs;
+        let (workers, tasks) = self.scheduler().unresolved_counts();
+        let fields = [
+            Field::new("fence", self.token),
+            Field::new("jobs", jobs),
+            Field::new("unknown-workers", workers),
+            Field::new("held-tasks", tasks),
+            Field::new("ms", took.as_millis()),
+        ];
+        self.host.record(Code::JobsRecovered, fields);
+    }
+
     /// Reads and restores the state without retries.
     async fn try_recover(&self) -> Result<RecoveredRevisions, Error> {
         let store = self.host.store();
