flow: a machine is taken only if what the leader knows of it is current

Cause: a command to a machine was decided on an old state of it. A list of machines that was asked for before a move replaced what the move had changed, so that a machine in use counted as a spare one; and of two workers known on a machine the first found counted, often the one that an earlier command had ended, whose registration lapses only later.

A list no longer changes machines that were commanded after it was asked for. The worker on a machine is the one that started last; a later one ends the earlier ones, as it already did for those of an earlier leader. A machine whose worker answers or has attempts is no spare one, whatever the list says. Workers are found by machine without a search.

--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -95,12 +95,17 @@
     pub(crate) list: HashMap<SmolStr, Machine>,
     /// When the list was asked for.
     pub(crate) list_asked: Option<Instant>,
+    /// When a machine was last commanded or has arrived: a list that was asked for
+    /// before does not show its state.
+    changed: HashMap<SmolStr, Instant>,
     pub(crate) waves: BTreeMap<u64, ActiveWave>,
     /// Commands without an answer yet, and when they were sent.
     pub(crate) commands: HashMap<SmolStr, (MachineCommand, Instant)>,
     /// Machines that get no command before a time.
     pub(crate) paused_until: HashMap<SmolStr, Instant>,
     pub(crate) waves_changed: bool,
+    /// Workers by machine.
+    workers: HashMap<SmolStr, Vec<WorkerKey>>,
     pub(crate) resize: crate::resize::PoolSizing,
 }
 
@@ -110,14 +115,39 @@
             hold_until,
             list: HashMap::new(),
             list_asked: None,
+            changed: HashMap::new(),
             waves: BTreeMap::new(),
             commands: HashMap::new(),
             paused_until: HashMap::new(),
             waves_changed: false,
+            workers: HashMap::new(),
             resize: crate::resize::PoolSizing::default(),
         }
     }
 
+    /// Notes that the state of a machine changes now.
+    pub(crate) fn note_change(&mut self, machine: &SmolStr, now: Instant) {
+        self.changed.insert(machine.clone(), now);
+    }
+
+    /// Replaces the list by one that was asked for at `asked`, except for machines
+    /// that have changed since.
+    fn replace_list(&mut self, list: Vec<Machine>, asked: Instant) {
+        if self.list_asked.is_some_and(|newer| newer > asked) {
+            return;
+        }
+        self.list_asked = Some(asked);
+        self.changed.retain(|_, at| *at >= asked);
+        let mut known = std::mem::take(&mut self.list);
+        for machine in list {
+            let current = match self.changed.contains_key(&machine.id) {
+                true => known.remove(&machine.id).unwrap_or(machine),
+                false => machine,
+            };
+            self.list.insert(current.id.clone(), current);
+        }
+    }
+
     /// Whether a command may be sent to a machine now.
     pub(crate) fn may_command(&self, machine: &SmolStr, now: Instant) -> bool {
         now >= self.hold_until
@@ -140,10 +170,9 @@
     }
 
     /// Replaces the platform's list of machines by one that was asked for at
-    /// `asked`.
+    /// `asked`. Machines that have been commanded since keep their known state.
     pub fn set_machine_list(&mut self, list: Vec<Machine>, asked: Instant) {
-        self.machines.list = list.into_iter().map(|each| (each.id.clone(), each)).collect();
-        self.machines.list_asked = Some(asked);
+        self.machines.replace_list(list, asked);
     }
 
     /// Returns what is known of the machine of a command.
@@ -157,16 +186,65 @@
         }
     }
 
+    /// Returns the worker on a machine: the one that started last of those that are
+    /// registered there. The registrations of earlier ones lapse later.
     pub(crate) fn worker_on(&self, machine: &SmolStr) -> Option<WorkerKey> {
-        let on = |(_, worker): &(WorkerKey, &crate::worker::Worker)| {
-            worker.machine.as_ref() == Some(machine) && worker.registered && !worker.leaving
-        };
-        self.workers.iter().find(on).map(|(key, _)| key)
+        let here = self.machines.workers.get(machine)?.iter().copied();
+        let present =
+            here.filter(|&key| self.workers[key].registered && !self.workers[key].leaving);
+        present.max_by_key(|&key| self.workers[key].incarnation.start_ms)
+    }
+
+    /// Enters a worker under its machine, and removes it from an earlier one.
+    pub(crate) fn enter_machine(&mut self, key: WorkerKey, earlier: Option<SmolStr>) {
+        let machine = self.workers[key].machine.clone();
+        if machine == earlier {
+            return;
+        }
+        if let Some(earlier) = earlier {
+            self.leave_machine(key, &earlier);
+        }
+        if let Some(machine) = machine {
+            self.machines.workers.entry(machine).or_default().push(key);
+        }
+    }
+
+    pub(crate) fn leave_machine(&mut self, key: WorkerKey, machine: &SmolStr) {
+        if let Some(here) = self.machines.workers.get_mut(machine) {
+            here.retain(|&each| each != key);
+            if here.is_empty() {
+                self.machines.workers.remove(machine);
+            }
+        }
+    }
+
+    /// Marks earlier workers on a machine as gone: a later one has registered there.
+    /// What they ran has ended; what they were told to start is refused by the later
+    /// one.
+    pub(crate) fn end_earlier_workers(&mut self, later: WorkerKey, now: Instant) {
+        let Some(machine) = self.workers[later].machine.clone() else { return };
+        let start_ms = self.workers[later].incarnation.start_ms;
+        let here = self.machines.workers.get(&machine).cloned().unwrap_or_default();
+        for key in here.into_iter().filter(|&key| key != later) {
+            let worker = &mut self.workers[key];
+            if worker.leaving || worker.incarnation.start_ms >= start_ms {
+                continue;
+            }
+            worker.leaving = true;
+            worker.backoff_until = Some(now + LEAVING_TIME);
+            for attempt in worker.attempts.clone() {
+                if self.attempts[attempt].confirmed.is_some() {
+                    self.counts.lost += 1;
+                    self.remove_attempt(attempt, Removal::Ended, now);
+                }
+            }
+        }
     }
 
     /// Sends a command to a machine and seals the record of its worker.
     pub(crate) fn command_machine(&mut self, command: MachineCommand, now: Instant) {
         self.machines.commands.insert(command.machine().clone(), (command.clone(), now));
+        self.machines.note_change(command.machine(), now);
         // The worker gets no more work, so that the next leader need not wait
         // for its lease to expire.
         if let Some(key) = self.worker_on(command.machine()) {
@@ -185,6 +263,7 @@
     ) {
         let sent = self.machines.commands.remove(command.machine());
         let machine = command.machine().clone();
+        self.machines.note_change(&machine, now);
         match answer {
             MachineAnswer::Done => {
                 if sent.is_some() && self.ended_known_worker(command) {
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -42,6 +42,8 @@
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
             let key = self.workers.insert(Worker::new(registration, now));
             self.worker_ids.insert(registration.incarnation.id.clone(), key);
+            self.enter_machine(key, None);
+            self.end_earlier_workers(key, now);
             return true;
         };
         if self.workers[key].incarnation.start_ms != registration.incarnation.start_ms {
@@ -56,9 +58,12 @@
         worker.registered = true;
         worker.draining = registration.draining;
         worker.capacity = registration.capacity;
-        worker.machine = registration.machine.clone();
+        let earlier = std::mem::replace(&mut worker.machine, registration.machine.clone());
         worker.recorded &= !changed;
-        !worker.recorded
+        let recorded = worker.recorded;
+        self.enter_machine(key, earlier);
+        self.end_earlier_workers(key, now);
+        !recorded
     }
 
     /// Records that a worker's registration was removed. Its attempts count
@@ -200,7 +205,10 @@
             let removable = !worker.registered
                 && (worker.unreachable_since.is_some() || worker.attempts.is_empty());
             if removable && now > worker.lease_end && worker.attempts.is_empty() {
-                let id = worker.incarnation.id.clone();
+                let (id, machine) = (worker.incarnation.id.clone(), worker.machine.clone());
+                if let Some(machine) = machine {
+                    self.leave_machine(key, &machine);
+                }
                 self.workers.remove(key);
                 self.worker_ids.remove(&id);
             }
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -103,14 +103,20 @@
     /// time.
     fn complete_spare_arrivals(&mut self, spare: &PoolId, now: Instant) {
         let time_left = ARRIVAL_TIMEOUT.saturating_sub(self.rules.move_time + ARRIVAL_MARGIN);
-        let list = &mut self.machines.list;
+        let mut arrived = Vec::new();
         self.machines.resize.in_transit.retain(|machine, (pool, until)| {
-            let arrived = *pool == *spare && now + time_left >= *until;
-            if arrived && let Some(listed) = list.get_mut(machine) {
-                listed.state = MachineState::Up;
+            let is_there = *pool == *spare && now + time_left >= *until;
+            if is_there {
+                arrived.push(machine.clone());
             }
-            !arrived
+            !is_there
         });
+        for machine in arrived {
+            self.machines.note_change(&machine, now);
+            if let Some(listed) = self.machines.list.get_mut(&machine) {
+                listed.state = MachineState::Up;
+            }
+        }
     }
 
     /// Returns the machines of the spare pool that can be moved. The second
@@ -118,12 +124,21 @@
     fn spare_machines(&self, spare: &PoolId, now: Instant) -> Vec<(SmolStr, Option<Instant>)> {
         let list = self.machines.list.values();
         let up = list.filter(|each| each.pool == *spare && each.state == MachineState::Up);
-        let free = up.filter(|each| self.is_movable(&each.id, now));
+        let free = up.filter(|each| self.is_movable(&each.id, now) && !self.is_in_use(&each.id));
         let mut free: Vec<_> = free.map(|each| (each.id.clone(), None)).collect();
         free.sort();
         free
     }
 
+    /// Whether a worker on a machine answers or has attempts, whatever pool the list
+    /// of machines shows.
+    fn is_in_use(&self, machine: &SmolStr) -> bool {
+        self.worker_on(machine).is_some_and(|key| {
+            let worker = &self.workers[key];
+            worker.unreachable_since.is_none() || !worker.attempts.is_empty()
+        })
+    }
+
     /// Returns idle machines, at most `max_machines` of each pool, and since
     /// when each is idle.
     fn idle_workers(
