flow: an unanswered start of a continuous task is left running

Callers saw continuous tasks away beyond what their step allows (AVAIL). Cause: a start whose answer came late or was lost was stopped to resolve it. If it had taken effect, the stop ended a task at work, without regard to the step's disruption budget. The only attempt of a wanted continuous task is now left to the next polls, which confirm it or show that its start has expired. Others are stopped as before, as another attempt of theirs waits for it.

--- a/crates/flow/src/answers.rs
+++ b/crates/flow/src/answers.rs
@@ -110,7 +110,7 @@
     }
 
     /// Records that a start command was not answered, and stops the attempt in
-    /// case it has started.
+    /// case it has started, unless it is to go on then.
     fn mark_unresolved(&mut self, key: crate::attempt::AttemptKey, now: Instant) {
         if self.attempts[key].phase != Phase::Starting {
             return;
@@ -119,7 +119,21 @@
         self.attempts[key].phase = Phase::Unresolved;
         let worker = self.attempts[key].worker;
         self.back_off(worker, now + NO_CAPACITY_BACKOFF);
-        self.stop_attempt(key, StopReason::Unanswered, now);
+        if !self.may_go_on(key) {
+            self.stop_attempt(key, StopReason::Unanswered, now);
+        }
+    }
+
+    /// Whether an attempt whose start was not answered is to go on if it has
+    /// started: it is the only one of a continuous task, so a stop would make the
+    /// task unavailable. The next polls show what became of it.
+    pub(crate) fn may_go_on(&self, key: crate::attempt::AttemptKey) -> bool {
+        let attempt = &self.attempts[key];
+        let continuous = self.spec_of(attempt.task).is_some_and(|spec| spec.continuous);
+        let is_wanted = self.job_of(attempt.task).is_some_and(|job| {
+            job.is_open() && job.task(attempt.task).is_some_and(|task| task.attempts == [key])
+        });
+        continuous && is_wanted && attempt.phase == Phase::Unresolved && !attempt.needs_stop
     }
 
     fn refused(&mut self, key: crate::attempt::AttemptKey, reason: RefusalReason, now: Instant) {
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -76,6 +76,7 @@
             let attempt = &self.attempts[key];
             if attempt.stop_answered.is_none()
                 && self.workers[attempt.worker].unreachable_since.is_none()
+                && !self.may_go_on(key)
             {
                 self.stop_attempt(key, StopReason::Unanswered, now);
             }
