flow: passes over all attempts and machines are made at intervals, not in each round

At a takeover the use of each team was summed over all jobs for each job that was placed, and each waiting task was looked up in every unresolved worker.

Those passes are now made every 20 and 50 ms; the mean work of a queue is kept up to date; the use of unresolved work is summed once a round, and its tasks have one index.

--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -34,17 +34,22 @@
             return Vec::new();
         }
         self.expire_unresolved(now);
-        self.expire_workers(now);
-        self.resend_stops(now);
-        self.stop_stalled(now);
-        self.handle_slow_attempts(now);
-        self.evacuate_draining(now);
-        self.stop_broken_gangs(now);
-        self.maintain(now);
-        self.resize(now);
-        self.start_speculative(now);
+        self.unresolved_usage = self.measure_unresolved();
+        if self.cadence.is_attempt_check(now) {
+            self.resend_stops(now);
+            self.stop_stalled(now);
+            self.handle_slow_attempts(now);
+            self.evacuate_draining(now);
+            self.stop_broken_gangs(now);
+            self.throttle_best_effort(now);
+        }
+        if self.cadence.is_fleet_check(now) {
+            self.expire_workers(now);
+            self.maintain(now);
+            self.resize(now);
+            self.start_speculative(now);
+        }
         self.place_all(now, wall);
-        self.throttle_best_effort(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -113,7 +118,6 @@
     pub(crate) fn rank_jobs(&mut self, wall: SystemTime) -> Vec<(Rank, JobKey)> {
         let early = self.rules.early_start / 2;
         let mut ranked = Vec::new();
-        let means = self.mean_work();
         for (key, job) in &mut self.jobs {
             if !job.is_open() {
                 continue;
@@ -123,23 +127,13 @@
                 continue;
             }
             let Some(queue) = self.config.queues.get(&job.spec.queue) else { continue };
-            let mean_work = means.get(&job.spec.queue).copied().unwrap_or(job.work);
+            let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
             ranked.push((rank(&rank_input(job, queue, mean_work, wall)), key));
         }
         ranked.sort_unstable();
         ranked
     }
 
-    /// Returns the mean estimated work of the jobs of each queue.
-    fn mean_work(&self) -> HashMap<QueueId, f64> {
-        let mut sums: HashMap<QueueId, (f64, f64)> = HashMap::new();
-        for job in self.jobs.values() {
-            let sum = sums.entry(job.spec.queue.clone()).or_default();
-            *sum = (sum.0 + job.work, sum.1 + 1.0);
-        }
-        sums.into_iter().map(|(queue, (work, count))| (queue, work / count)).collect()
-    }
-
     /// Starts waiting tasks of the ready steps of a job.
     fn place_job(&mut self, key: JobKey, pass: &mut PoolPass, now: Instant) {
         let job = &self.jobs[key];
@@ -229,34 +223,39 @@
         let Some(team) = &self.jobs[key].spec.team else { return true };
         let Some(limits) = self.config.teams.get(team) else { return true };
         let used = self.team_usage.get(team).copied().unwrap_or_default();
-        limits.allows(&used.plus(&self.unresolved_use(team)), need)
+        let unresolved = self.unresolved_usage.get(team).copied().unwrap_or_default();
+        limits.allows(&used.plus(&unresolved), need)
     }
 
-    /// Returns the resources that a team may be using in attempts that an
+    /// Returns the resources that each team may be using in attempts that an
     /// earlier leader started and that this leader does not know.
-    fn unresolved_use(&self, team: &TeamId) -> Resources {
-        let mut sum = Resources::ZERO;
+    fn measure_unresolved(&self) -> HashMap<TeamId, Resources> {
+        let mut usage: HashMap<TeamId, Resources> = HashMap::new();
         if self.unresolved.is_empty() {
-            return sum;
+            return usage;
         }
+        let mut add = |job: &Job, need: &Resources| {
+            if let Some(team) = &job.spec.team {
+                let used = usage.entry(team.clone()).or_default();
+                *used = used.plus(need);
+            }
+        };
         for task in self.unresolved.tasks() {
-            if self.job_of(task).is_some_and(|job| job.spec.team.as_ref() == Some(team))
-                && let Some(spec) = self.spec_of(task)
-            {
-                sum = sum.plus(&spec.need);
+            if let (Some(job), Some(spec)) = (self.job_of(task), self.spec_of(task)) {
+                add(job, &spec.need);
             }
         }
         for job in self.jobs.values() {
-            if job.spec.team.as_ref() != Some(team) || !job.is_open() || !self.may_run_unseen(job) {
+            if !job.is_open() || !self.may_run_unseen(job) {
                 continue;
             }
             for ready in job.ready_steps() {
                 let recorded = |index| self.unresolved.includes(TaskId { step: ready.id, index });
                 let unknown = ready.step.waiting.iter().filter(|&&index| !recorded(index));
-                sum = unknown.fold(sum, |sum, _| sum.plus(&ready.spec.need));
+                unknown.for_each(|_| add(job, &ready.spec.need));
             }
         }
-        sum
+        usage
     }
 
     pub(crate) fn next_attempt(&self, key: JobKey, task: TaskId) -> AttemptNumber {
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -8,8 +8,10 @@
 use vg_jobs::Resources;
 
 use crate::attempt::{Attempt, AttemptKey, Phase};
+use crate::cadence::Cadence;
 use crate::job::{Job, JobKey, Task};
 use crate::machines::Machines;
+use crate::queue_work::QueueWork;
 use crate::unresolved::UnresolvedWork;
 use crate::worker::{Worker, WorkerKey};
 use crate::{
@@ -42,6 +44,10 @@
     /// Resources that count against the limit of each team.
     pub(crate) team_usage: HashMap<TeamId, Resources>,
     pub(crate) unresolved: UnresolvedWork,
+    /// What each team may be using in unresolved work, as of the current round.
+    pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
+    pub(crate) queue_work: QueueWork,
+    pub(crate) cadence: Cadence,
     /// Jobs with changes that are not in a batch yet.
     pub(crate) dirty: Vec<JobKey>,
     /// Whether a job has an outcome that is not in a batch yet: callers wait
@@ -100,6 +106,9 @@
     ) -> Scheduler {
         Scheduler {
             unresolved: UnresolvedWork::default(),
+            unresolved_usage: HashMap::new(),
+            queue_work: QueueWork::default(),
+            cadence: Cadence::default(),
             machines: Machines::new(now + rules.machine_hold),
             rules,
             token,
@@ -286,9 +295,9 @@
     pub(crate) fn forget_if_finished(&mut self, key: JobKey) {
         let job = &self.jobs[key];
         if job.ended_durably && job.attempt_count == 0 {
-            let id = job.id;
+            self.queue_work.remove(&job.spec.queue, job.work);
+            self.job_ids.remove(&job.id);
             self.jobs.remove(key);
-            self.job_ids.remove(&id);
         }
     }
 
--- a/crates/flow/src/unresolved.rs
+++ b/crates/flow/src/unresolved.rs
@@ -40,6 +40,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct UnresolvedWork {
     incarnations: HashMap<HostId, UnresolvedIncarnation>,
+    /// The tasks that are recorded on them.
+    listed: HashSet<TaskId>,
+    /// Pools of the incarnations whose tasks are not recorded.
+    unlisted_pools: HashSet<PoolId>,
     /// Until then any task may run on any worker, because the records could not
     /// be read.
     all_until: Option<Instant>,
@@ -59,19 +63,39 @@
     /// Whether any task of a pool may run on an unresolved incarnation, because
     /// the tasks that may run there are not recorded.
     pub(crate) fn affects_pool(&self, pool: &PoolId) -> bool {
-        let mut unlisted = self.incarnations.values().filter(|entry| entry.tasks.is_none());
-        self.all_until.is_some() || unlisted.any(|entry| entry.incarnation.pool == *pool)
+        self.all_until.is_some() || self.unlisted_pools.contains(pool)
     }
 
     /// Whether a task is recorded on an unresolved incarnation.
     pub(crate) fn includes(&self, task: TaskId) -> bool {
-        let mut listed = self.incarnations.values().filter_map(|entry| entry.tasks.as_ref());
-        listed.any(|tasks| tasks.contains(&task))
+        self.listed.contains(&task)
     }
 
     /// Returns the tasks that are recorded on unresolved incarnations.
     pub(crate) fn tasks(&self) -> impl Iterator<Item = TaskId> {
-        self.incarnations.values().filter_map(|entry| entry.tasks.as_ref()).flatten().copied()
+        self.listed.iter().copied()
+    }
+
+    fn insert(&mut self, entry: UnresolvedIncarnation) {
+        match &entry.tasks {
+            Some(tasks) => self.listed.extend(tasks),
+            None => _ = self.unlisted_pools.insert(entry.incarnation.pool.clone()),
+        }
+        self.incarnations.insert(entry.incarnation.id.clone(), entry);
+    }
+
+    /// Removes the incarnations that `keep` refuses.
+    fn retain(&mut self, keep: impl Fn(&UnresolvedIncarnation) -> bool) {
+        let before = self.incarnations.len();
+        self.incarnations.retain(|_, entry| keep(entry));
+        if self.incarnations.len() == before {
+            return;
+        }
+        let entries = self.incarnations.values();
+        self.listed =
+            entries.clone().filter_map(|entry| entry.tasks.as_ref()).flatten().copied().collect();
+        let unlisted = entries.filter(|entry| entry.tasks.is_none());
+        self.unlisted_pools = unlisted.map(|entry| entry.incarnation.pool.clone()).collect();
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -103,10 +127,7 @@
         let incarnation = record.incarnation.clone();
         let tasks = record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect());
         let machine = record.machine.clone();
-        self.unresolved.incarnations.insert(
-            incarnation.id.clone(),
-            UnresolvedIncarnation { incarnation, until, tasks, machine },
-        );
+        self.unresolved.insert(UnresolvedIncarnation { incarnation, until, tasks, machine });
     }
 
     /// Treats every worker as one that may have been given work until `until`,
@@ -201,7 +222,7 @@
     /// registered.
     pub(crate) fn clear_earlier(&mut self, later: &WorkerIncarnation, machine: Option<&SmolStr>) {
         let Some(machine) = machine else { return };
-        self.unresolved.incarnations.retain(|_, entry| {
+        self.unresolved.retain(|entry| {
             let same_machine = entry.machine.as_ref() == Some(machine);
             !same_machine
                 || entry.incarnation.id == later.id
@@ -212,12 +233,12 @@
     /// Removes an incarnation that answered, or whose worker has a new
     /// incarnation.
     pub(crate) fn clear_unresolved(&mut self, id: &HostId) {
-        self.unresolved.incarnations.remove(id);
+        self.unresolved.retain(|entry| entry.incarnation.id != *id);
     }
 
     /// Removes incarnations on which nothing can run any more.
     pub(crate) fn expire_unresolved(&mut self, now: Instant) {
-        self.unresolved.incarnations.retain(|_, entry| now < entry.until);
+        self.unresolved.retain(|entry| now < entry.until);
         self.unresolved.all_until = self.unresolved.all_until.filter(|until| now < *until);
     }
 }
