flow, lead: a leader that is slow lets tasks wait, and refuses what it can not start in time

Callers saw sites that collapsed when a small host led: 10 % of the work served, continuous tasks away, accepted jobs that ran nowhere (SHORT, AVAIL, LOST). Cause: all starts that the workers had capacity for were sent at once, however long their answers took. Beyond the limit of a command they counted as unanswered and were stopped and sent again; polls timed out, leases lapsed, and the added load kept the site there. A metastable overload: it does not end with the load that caused it. Evidence: E620 answer=unanswered and E623 reason=unanswered while the loop of the leader was late.

Unanswered starts now have a window that follows the time their answers take, so tasks wait in memory by rank, continuous ones first. While the window holds back more than 3 s of work, hosts refuse new jobs at once as not run, after asking the store and all hosts whether the job is known. A round pauses for three times what it took.

--- a/crates/flow/src/answers.rs
+++ b/crates/flow/src/answers.rs
@@ -74,6 +74,8 @@
         now: Instant,
     ) {
         let Some(&key) = self.attempt_ids.get(&(task, attempt)) else { return };
+        let sent = self.attempts[key].started;
+        self.start_window.record_answer(now.saturating_duration_since(sent));
         match answer {
             StartAnswer::Started => self.confirm(key, now),
             StartAnswer::Refused(reason) => self.refused(key, reason, now),
--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -43,6 +43,9 @@
             rack: None,
         };
         let Some(places) = self.gang_places(&request, workers, now) else { return };
+        if !self.start_window.allows(places.len()) {
+            return;
+        }
         let last = step.tasks.iter().map(|task| task.last_attempt).max().unwrap_or_default();
         let attempt = self.token.attempt_after(last);
         for (index, worker) in places.into_iter().enumerate() {
--- a/crates/flow/src/intake.rs
+++ b/crates/flow/src/intake.rs
@@ -26,6 +26,15 @@
         true
     }
 
+    /// Returns for how long new jobs should be refused, because this leader can not
+    /// start what waits already in time; `None` if it can.
+    pub fn refusal_time(&self, now: Instant) -> Option<Duration> {
+        let open = self.jobs.values().filter(|job| job.is_open());
+        let ready = open.flat_map(|job| job.ready_steps());
+        let waiting = ready.map(|ready| ready.step.waiting.len()).sum();
+        self.start_window.refusal_time(waiting, now)
+    }
+
     /// Restores the durable progress of a job.
     pub fn restore_progress(&mut self, id: JobId, progress: &Progress) {
         if let Some(&key) = self.job_ids.get(&id) {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -37,6 +37,7 @@
 mod slow;
 mod spec;
 mod speculative;
+mod start_window;
 mod throttle;
 mod tickets;
 mod unresolved;
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -49,6 +49,9 @@
             self.resize(now);
             self.start_speculative(now);
         }
+        let starting = |attempt: &&Attempt| attempt.phase == Phase::Starting;
+        let unanswered = self.attempts.values().filter(starting).count();
+        self.start_window.begin_round(unanswered, now);
         self.place_all(now, wall);
         std::mem::take(&mut self.actions)
     }
@@ -157,8 +160,8 @@
         job.revision <= self.token.0 && self.unresolved.affects_pool(&job.pool)
     }
 
-    /// Starts waiting tasks of a step until one finds no worker or the team's
-    /// limit is reached.
+    /// Starts waiting tasks of a step until one finds no worker, the team's limit is
+    /// reached, or too many starts are unanswered.
     fn place_step(&mut self, key: JobKey, id: StepId, pass: &mut PoolPass, now: Instant) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step = &spec.steps[usize::from(id.step)];
@@ -181,6 +184,7 @@
             }
             if (unrestricted && pass.is_misfit(&step.reservation()))
                 || !self.team_allows(key, &step.need)
+                || !self.start_window.allows(1)
             {
                 return;
             }
@@ -310,6 +314,7 @@
             speed_changed: None,
         });
         self.counts.starts += 1;
+        self.start_window.add();
         let start =
             StartCommand { incarnation, task, attempt, payload, deadline_ms, checkpoint, ticket };
         self.actions.push(Action::Start(start));
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::job::{Job, JobKey, Task};
 use crate::machines::Machines;
 use crate::queue_work::QueueWork;
+use crate::start_window::StartWindow;
 use crate::unresolved::UnresolvedWork;
 use crate::worker::{Worker, WorkerKey};
 use crate::{
@@ -48,6 +49,7 @@
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
     pub(crate) queue_work: QueueWork,
     pub(crate) cadence: Cadence,
+    pub(crate) start_window: StartWindow,
     /// Jobs with changes that are not in a batch yet.
     pub(crate) dirty: Vec<JobKey>,
     /// Whether a job has an outcome that is not in a batch yet: callers wait
@@ -109,6 +111,7 @@
             unresolved_usage: HashMap::new(),
             queue_work: QueueWork::default(),
             cadence: Cadence::default(),
+            start_window: StartWindow::default(),
             machines: Machines::new(now + rules.machine_hold),
             rules,
             token,
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -71,6 +71,9 @@
     pub(crate) outcomes: Mutex<OutcomeCache>,
     pub(crate) unresolved: Mutex<UnresolvedWrites>,
     pub(crate) stopping: AtomicBool,
+    /// Until when new jobs are refused, because the leader can not start them in
+    /// time.
+    pub(crate) refusing_until: Mutex<Option<Instant>>,
     /// When this host last gave up the leadership so that another one leads.
     pub(crate) gave_up: Mutex<Option<Instant>>,
 }
@@ -152,6 +155,7 @@
             outcomes: Mutex::default(),
             unresolved: Mutex::default(),
             stopping: AtomicBool::new(false),
+            refusing_until: Mutex::default(),
             gave_up: Mutex::default(),
         };
         let host = Host { inner: Arc::new(inner) };
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -36,6 +36,9 @@
 const ROUND_INTERVAL_MAX: Duration = Duration::from_millis(100);
 /// Minimum time between two rounds of decisions.
 const ROUND_INTERVAL_MIN: Duration = Duration::from_millis(4);
+/// Pause between two rounds as a multiple of the time that a round takes, so that
+/// calls get most of the processor.
+const ROUND_PAUSE_FACTOR: u32 = 3;
 /// Time limit for the final record of incarnations in a planned stop. With a
 /// slow store, a write that is already in progress has to complete before the
 /// final one.
@@ -139,7 +142,8 @@
                 host.record(Code::LeadershipUncertain, [Field::new("fence", self.token)]);
                 return;
             }
-            let actions = self.scheduler().plan(host.inner.clock.now(), host.inner.clock.wall());
+            let started = host.inner.clock.now();
+            let actions = self.scheduler().plan(started, host.inner.clock.wall());
             for action in actions {
                 self.execute(action);
             }
@@ -150,7 +154,8 @@
             if self.scheduler().take_records_changed() {
                 self.record_needed.notify_one();
             }
-            tokio::time::sleep(ROUND_INTERVAL_MIN).await;
+            let took = host.inner.clock.now().saturating_duration_since(started);
+            tokio::time::sleep(ROUND_INTERVAL_MIN.max(took * ROUND_PAUSE_FACTOR)).await;
             let _ = tokio::time::timeout(ROUND_INTERVAL_MAX, woken).await;
         }
     }
@@ -293,6 +298,13 @@
         }
     }
 
+    /// Returns for how long new jobs should be refused; `None` if they can be
+    /// started in time.
+    pub(crate) fn refusal_time(&self) -> Option<Duration> {
+        let now = self.host.inner.clock.now();
+        self.is_recovered().then(|| self.scheduler().refusal_time(now)).flatten()
+    }
+
     /// Cancels a job whose cancellation a host has made durable.
     pub(crate) fn apply_cancel(&self, job: JobId) {
         let now = self.host.inner.clock.now();
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -118,5 +118,10 @@
 }
 
 /// Acknowledges a message that needs no other answer.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Ack {}
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Ack {
+    /// For how long the leader asks hosts to refuse new jobs, because it can not
+    /// start them in time.
+    #[serde(default)]
+    pub(crate) refuse_for: Option<Duration>,
+}
--- a/crates/lead/src/peers.rs
+++ b/crates/lead/src/peers.rs
@@ -52,8 +52,11 @@
         let host = self.clone();
         tokio::spawn(async move {
             let sent: Result<Ack, _> = host.ask_peer(addr, name, &message).await;
-            if let Err(error) = sent {
-                log::debug!(target: "peers", "`{name}` of job {job} did not reach the leader: {error}");
+            match sent {
+                Ok(ack) => host.refuse_jobs_for(ack.refuse_for),
+                Err(error) => log::debug!(
+                    target: "peers", "`{name}` of job {job} did not reach the leader: {error}"
+                ),
             }
         });
     }
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -70,13 +70,13 @@
                 let message: DurableJob = decode(bytes)?;
                 let leader = self.leading().ok_or(StatusCode::CONFLICT)?;
                 leader.add_durable_job(message.job, message.spec, message.revision);
-                encode(&Ack {})
+                encode(&Ack { refuse_for: leader.refusal_time() })
             }
             "cancelled" => {
                 let message: DurableCancel = decode(bytes)?;
                 let leader = self.leading().ok_or(StatusCode::CONFLICT)?;
                 leader.apply_cancel(message.job);
-                encode(&Ack {})
+                encode(&Ack::default())
             }
             "relay" => {
                 let message: RelayRequest = decode(bytes)?;
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -46,7 +46,10 @@
     pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: Instant) -> SubmitOutcome {
         let spec = Arc::new(spec);
         let deadline = answer_deadline(deadline);
-        let write_outcome = self.write_or_relay(job, &spec, deadline).await;
+        let write_outcome = match self.refuses(&spec) && self.is_new(job).await {
+            true => WriteOutcome::Rejected,
+            false => self.write_or_relay(job, &spec, deadline).await,
+        };
         let (answer, label) = match write_outcome {
             WriteOutcome::Durable => (SubmitOutcome::Accepted, "accepted"),
             WriteOutcome::Rejected => (SubmitOutcome::Refused(random_retry_after()), "not-run"),
@@ -60,6 +63,37 @@
         answer
     }
 
+    /// Refuses new jobs for this time, as the leader asked.
+    pub(crate) fn refuse_jobs_for(&self, time: Option<Duration>) {
+        let Some(time) = time else { return };
+        let until = self.inner.clock.now() + time;
+        let mut refusing = lock(&self.inner.refusing_until);
+        if refusing.is_none_or(|before| before < until) {
+            *refusing = Some(until);
+        }
+    }
+
+    /// Whether a job is refused now, because the leader can not start it in time.
+    /// Jobs that run for long or at later times are accepted.
+    fn refuses(&self, spec: &JobSpec) -> bool {
+        let until = *lock(&self.inner.refusing_until);
+        until.is_some_and(|until| self.inner.clock.now() < until)
+            && !spec.is_continuous()
+            && spec.schedule.is_none()
+    }
+
+    /// Whether a job is in no record and no host has sent a write of it whose
+    /// outcome is not known, so that a refusal is true.
+    async fn is_new(&self, job: JobId) -> bool {
+        if self.is_unresolved(job) {
+            return false;
+        }
+        let (record, outcome) = (keys::job(job), keys::outcome(job));
+        let stored = futures_util::join!(self.store().get(&record), self.store().get(&outcome));
+        matches!(stored, (Ok(None), Ok(None)))
+            && self.confirm_rejected(job).await == WriteOutcome::Rejected
+    }
+
     /// Writes a job directly or through peers. Returns
     /// [`WriteOutcome::Unknown`] if the outcome is not known at `deadline`: the
     /// job may have been written.
@@ -232,6 +266,7 @@
         self.record(Code::JobAccepted, fields);
         if let Some(leader) = self.leading() {
             leader.add_durable_job(job, Arc::clone(spec), revision);
+            self.refuse_jobs_for(leader.refusal_time());
             return;
         }
         self.notify_leader("handed", job, DurableJob { job, revision, spec: Arc::clone(spec) });
