lead: the records of workers are written one shard at a time

Callers saw too little served (SHORT): the leading host's link and processor were used up. Cause: one record under vg/lives named all workers, and each change of one of them, some times a second while machines move, wrote it whole: about 70 KB for 350 workers.

The record of an earlier version counts until the shards hold its content; then its key gets a value that an earlier version can not decode, so that one which takes over waits for all workers.

--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -9,7 +9,8 @@
 //! | `vg/in/JOB/cancel` | empty | the host that accepted the cancellation |
 //! | `vg/run/JOB` | the job's progress | the leader |
 //! | `vg/end/JOB` | [`OutcomeRecord`], leased | the leader |
-//! | `vg/lives` | worker incarnations that may have received work | the leader |
+//! | `vg/lives/SHARD` | worker incarnations that may have received work | the leader |
+//! | `vg/lives` | [`INCARNATIONS_MOVED`]; earlier versions kept all incarnations there | the leader |
 //! | `vg/waves` | progress of maintenance waves | the leader |
 //! | `vg/orders` | [`CommandRecord`]s of machines that received a command recently | the leader |
 
@@ -31,7 +32,11 @@
 pub(crate) const JOB_PREFIX: &str = "vg/in/";
 pub(crate) const PROGRESS_PREFIX: &str = "vg/run/";
 pub(crate) const OUTCOME_PREFIX: &str = "vg/end/";
+pub(crate) const INCARNATIONS_PREFIX: &str = "vg/lives/";
 pub(crate) const INCARNATIONS_KEY: &str = "vg/lives";
+/// Value that a leader of an earlier version can not decode: it then treats every
+/// worker as one that may have received work.
+pub(crate) const INCARNATIONS_MOVED: &[u8] = b"moved to vg/lives/";
 pub(crate) const WAVES_KEY: &str = "vg/waves";
 pub(crate) const COMMANDS_KEY: &str = "vg/orders";
 const CANCEL_SUFFIX: &str = "/cancel";
@@ -91,6 +96,15 @@
     Key(format_smolstr!("{OUTCOME_PREFIX}{:x}", id.value()))
 }
 
+pub(crate) fn incarnation_shard(shard: usize) -> Key {
+    Key(format_smolstr!("{INCARNATIONS_PREFIX}{shard}"))
+}
+
+/// Parses the number of a shard of incarnations.
+pub(crate) fn parse_incarnation_shard(key: &Key) -> Option<usize> {
+    key.0.strip_prefix(INCARNATIONS_PREFIX)?.parse().ok()
+}
+
 /// The meaning of a key under [`JOB_PREFIX`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum JobKey {
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod commit;
 mod give_way;
+mod incarnation_shards;
 mod incarnations;
 mod machines;
 mod polls;
@@ -42,7 +43,7 @@
 /// Time limit for the final record of incarnations in a planned stop. With a
 /// slow store, a write that is already in progress has to complete before the
 /// final one.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(2000);
 
 /// The state of a host while it leads.
 #[derive(Debug)]
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -8,13 +8,14 @@
 use vg_flow::{IncarnationRecord, JobSpec, Progress, WaveRecord};
 use vg_store::{Entry, Error, Key, Listing, Store, StoreRevision, Watch};
 
+use super::incarnation_shards::IncarnationShards;
 use super::{EXPIRED_LEASE_GRACE, Leader};
 use crate::Platform;
 use crate::follow::{PrefixUpdate, follow};
 use crate::host::lock;
 use crate::keys::{
-    self, COMMANDS_KEY, CommandRecord, INCARNATIONS_KEY, JOB_PREFIX, JobKey, PROGRESS_PREFIX,
-    WAVES_KEY,
+    self, COMMANDS_KEY, CommandRecord, INCARNATIONS_KEY, INCARNATIONS_MOVED, INCARNATIONS_PREFIX,
+    JOB_PREFIX, JobKey, PROGRESS_PREFIX, WAVES_KEY,
 };
 
 /// Delay before a failed call to the store is retried.
@@ -30,7 +31,7 @@
 /// Store revisions from which the leader continues after recovery.
 pub(super) struct RecoveredRevisions {
     pub(super) jobs: StoreRevision,
-    pub(super) incarnations: Option<StoreRevision>,
+    pub(super) incarnations: IncarnationShards,
 }
 
 impl<P: Platform, C: Clock> Leader<P, C> {
@@ -88,24 +89,27 @@
     /// Reads and restores the state without retries.
     async fn try_recover(&self) -> Result<RecoveredRevisions, Error> {
         let store = self.host.store();
-        let prefixes: [Key; 2] = [JOB_PREFIX.into(), PROGRESS_PREFIX.into()];
+        let prefixes: [Key; 3] =
+            [JOB_PREFIX.into(), PROGRESS_PREFIX.into(), INCARNATIONS_PREFIX.into()];
         let record_keys: [Key; 3] =
             [INCARNATIONS_KEY.into(), WAVES_KEY.into(), COMMANDS_KEY.into()];
-        let (jobs, progress, incarnations, waves, commands) = futures_util::try_join!(
+        let (jobs, progress, shards, all, waves, commands) = futures_util::try_join!(
             store.range(&prefixes[0]),
             store.range(&prefixes[1]),
+            store.range(&prefixes[2]),
             store.get(&record_keys[0]),
             store.get(&record_keys[1]),
             store.get(&record_keys[2]),
         )?;
         self.add_jobs(&jobs);
         self.restore_progress(&progress);
-        self.restore_incarnations(incarnations.as_ref());
+        let single = all.iter().filter(|entry| entry.value != INCARNATIONS_MOVED);
+        shards.entries.iter().chain(single).for_each(|entry| self.restore_incarnations(entry));
         self.restore_waves(waves.as_ref());
         self.restore_machine_holds(commands.as_ref());
         Ok(RecoveredRevisions {
             jobs: StoreRevision(jobs.revision.0 + 1),
-            incarnations: incarnations.map(|entry| entry.modified),
+            incarnations: IncarnationShards::new(&shards.entries, all.as_ref()),
         })
     }
 
@@ -154,8 +158,7 @@
     /// leader may have continued for [`EXPIRED_LEASE_GRACE`] after its lease
     /// expired, and a worker lease that it granted then lasts for
     /// [`lease_bound`](vg_flow::SchedulingRules::lease_bound).
-    fn restore_incarnations(&self, entry: Option<&Entry>) {
-        let Some(entry) = entry else { return };
+    fn restore_incarnations(&self, entry: &Entry) {
         let incarnations = self.host.decode::<Vec<IncarnationRecord>>(entry);
         let rules = &self.host.inner.options.rules;
         let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
