lead: a failing test for a worker's record whose answer was lost

The shards, new today, compare what is to be written with what was written last, and a write without an answer left that unchanged.

--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -375,3 +375,28 @@
     assert!(vg_net::from_msgpack::<Vec<IncarnationRecord>>(&marker).is_err());
     assert_eq!(cluster.entries("vg/lives/").await.len(), 2);
 }
+
+/// Returns whether the record of a worker says that it gets no more work.
+async fn is_sealed(cluster: &Cluster, id: &str) -> bool {
+    let mut records = Vec::new();
+    for entry in cluster.entries("vg/lives/").await {
+        records.extend(vg_net::from_msgpack::<Vec<IncarnationRecord>>(&entry.value).unwrap());
+    }
+    let record = records.iter().find(|record| record.incarnation.id.as_str() == id);
+    record.is_some_and(|record| record.expires.is_some())
+}
+
+/// Guards against a task that is started twice after a takeover: the store's answer to the
+/// record that a worker gets no more work is lost, and the worker is back before the record
+/// is written again.
+#[tokio::test]
+async fn a_record_whose_answer_was_lost_is_written_again_before_its_worker_gets_work() {
+    let cluster = Cluster::new().await;
+    let node = cluster.node("n-a").await;
+    eventually(async || cluster.entries("vg/lives/").await.len() == 2).await;
+    node.faults.script(CallKind::Txn, Fault::AnswerLost, 6);
+    cluster.fleet.set_reachable("w2", false);
+    eventually(async || is_sealed(&cluster, "w2").await).await;
+    cluster.fleet.set_reachable("w2", true);
+    eventually(async || !is_sealed(&cluster, "w2").await).await;
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -48,6 +48,13 @@
         worker.reachable.then(|| act(worker, ms))
     }
 
+    /// Makes a worker reachable or unreachable.
+    pub(crate) fn set_reachable(&self, id: &str, reachable: bool) {
+        let mut workers = self.workers.lock().unwrap();
+        let worker = workers.iter_mut().find(|worker| worker.id == id).unwrap();
+        worker.reachable = reachable;
+    }
+
     pub(crate) fn starts_of(&self, job: JobId) -> usize {
         self.starts.lock().unwrap().iter().filter(|(task, _)| task.step.job == job).count()
     }
