lead: a shard whose write was not answered is written again

Cause: a worker's record was written as sealed and the answer was lost; the worker came back, so the next content equalled the one before that write, and nothing was written. The worker then got work although the store said which tasks it could run at most, and the next leader relied on that. A shard without an answer now counts as unknown and is always written; its condition fails if the earlier write took effect, and then it is read. Looked for elsewhere: the records of commands and waves are written whole each time.

--- a/crates/lead/src/leader/incarnation_shards.rs
+++ b/crates/lead/src/leader/incarnation_shards.rs
@@ -17,11 +17,13 @@
 /// write, beside those for the term and the leader key.
 pub(super) const SHARDS_PER_TXN: usize = 14;
 
-/// A shard as last written.
+/// A shard as it is in the store.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Shard {
-    pub(super) revision: Option<StoreRevision>,
-    pub(super) value: Value,
+struct Shard {
+    revision: Option<StoreRevision>,
+    /// `None` if the shard may have another content, because a write of it was not
+    /// answered.
+    value: Option<Value>,
 }
 
 /// All shards as last written.
@@ -39,7 +41,8 @@
     pub(super) fn new(entries: &[Entry], all: Option<&Entry>) -> IncarnationShards {
         let is_replaced = all.is_some_and(|entry| entry.value == INCARNATIONS_MOVED);
         let earlier = (!is_replaced).then(|| all.map(|entry| entry.modified));
-        let mut shards = IncarnationShards { shards: vec![Shard::default(); SHARDS], earlier };
+        let absent = Shard { revision: None, value: Some(Value::new()) };
+        let mut shards = IncarnationShards { shards: vec![absent; SHARDS], earlier };
         for entry in entries {
             if let Some(shard) = keys::parse_incarnation_shard(&entry.key) {
                 shards.set(shard, Some(entry.modified), entry.value.clone());
@@ -50,7 +53,15 @@
 
     pub(super) fn set(&mut self, shard: usize, revision: Option<StoreRevision>, value: Value) {
         if let Some(known) = self.shards.get_mut(shard) {
-            *known = Shard { revision, value };
+            *known = Shard { revision, value: Some(value) };
+        }
+    }
+
+    /// Notes that a write of a shard was not answered, so that the shard is written
+    /// again whatever its content is to be.
+    pub(super) fn mark_unknown(&mut self, shard: usize) {
+        if let Some(known) = self.shards.get_mut(shard) {
+            known.value = None;
         }
     }
 
@@ -67,12 +78,14 @@
         }
         let mut changed = Vec::new();
         for (at, mut records) in shards.into_iter().enumerate() {
-            if records.is_empty() && self.shards[at].revision.is_none() {
+            let known = &self.shards[at];
+            let is_absent = known.revision.is_none() && known.value.is_some();
+            if records.is_empty() && is_absent {
                 continue;
             }
             records.sort_unstable_by(|a, b| a.incarnation.id.cmp(&b.incarnation.id));
             let value = encode(&records)?;
-            if value != self.shards[at].value {
+            if known.value.as_ref() != Some(&value) {
                 changed.push((at, value));
             }
         }
--- a/crates/lead/src/leader/incarnations.rs
+++ b/crates/lead/src/leader/incarnations.rs
@@ -96,6 +96,7 @@
                 }
                 Err(error) => {
                     complete = false;
+                    chunk.iter().for_each(|(shard, _)| shards.mark_unknown(*shard));
                     self.record_write_failure(&error).await;
                 }
             }
@@ -130,7 +131,10 @@
             match self.host.store().get(&keys::incarnation_shard(*shard)).await {
                 Ok(Some(entry)) => shards.set(*shard, Some(entry.modified), entry.value),
                 Ok(None) => shards.set(*shard, None, Value::new()),
-                Err(error) => self.record_write_failure(&error).await,
+                Err(error) => {
+                    shards.mark_unknown(*shard);
+                    self.record_write_failure(&error).await;
+                }
             }
         }
     }
