lead, flow: overload shows in the metrics and in the refusal

E609 and vg_submissions_total say overload where a job was refused because the leader can not start it in time, and the caller is told to come back after the leader's time and one or two seconds, so that the returns spread. vg_flow{what=window} shows the window for starts.

--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -94,6 +94,8 @@
     pub lost: u64,
     /// Attempts whose start command was not answered.
     pub unresolved: u64,
+    /// Start commands that may be unanswered at once.
+    pub start_window: usize,
     /// Stop commands that were decided, for any reason and with repetitions.
     pub stops: u64,
 }
@@ -159,6 +161,7 @@
             jobs: self.jobs.len(),
             attempts: self.attempts.len(),
             workers: self.workers.len(),
+            start_window: self.start_window.size(),
             ..self.counts
         }
     }
--- a/crates/flow/src/start_window.rs
+++ b/crates/flow/src/start_window.rs
@@ -90,6 +90,10 @@
         self.adapted = Some(now);
     }
 
+    pub(crate) fn size(&self) -> usize {
+        self.size
+    }
+
     /// Whether `count` starts may be sent now. Notes that tasks are held back if
     /// not.
     pub(crate) fn allows(&mut self, count: usize) -> bool {
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -105,6 +105,7 @@
         set("lost", counts.lost as i64);
         set("unsure", counts.unresolved as i64);
         set("stops", counts.stops as i64);
+        set("window", counts.start_window as i64);
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -46,14 +46,13 @@
     pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: Instant) -> SubmitOutcome {
         let spec = Arc::new(spec);
         let deadline = answer_deadline(deadline);
-        let write_outcome = match self.refuses(&spec) && self.is_new(job).await {
-            true => WriteOutcome::Rejected,
-            false => self.write_or_relay(job, &spec, deadline).await,
-        };
-        let (answer, label) = match write_outcome {
-            WriteOutcome::Durable => (SubmitOutcome::Accepted, "accepted"),
-            WriteOutcome::Rejected => (SubmitOutcome::Refused(random_retry_after()), "not-run"),
-            WriteOutcome::Unknown => (SubmitOutcome::Unknown, "unknown"),
+        let (answer, label) = match self.overload_refusal(job, &spec).await {
+            Some(retry_after) => (SubmitOutcome::Refused(retry_after), "overload"),
+            None => match self.write_or_relay(job, &spec, deadline).await {
+                WriteOutcome::Durable => (SubmitOutcome::Accepted, "accepted"),
+                WriteOutcome::Rejected => (SubmitOutcome::Refused(random_retry_after()), "not-run"),
+                WriteOutcome::Unknown => (SubmitOutcome::Unknown, "unknown"),
+            },
         };
         self.inner.metrics.count_submission(label);
         if answer != SubmitOutcome::Accepted {
@@ -73,13 +72,17 @@
         }
     }
 
-    /// Whether a job is refused now, because the leader can not start it in time.
-    /// Jobs that run for long or at later times are accepted.
-    fn refuses(&self, spec: &JobSpec) -> bool {
-        let until = *lock(&self.inner.refusing_until);
-        until.is_some_and(|until| self.inner.clock.now() < until)
-            && !spec.is_continuous()
-            && spec.schedule.is_none()
+    /// Returns when the caller of a job may retry if the job is refused now, because
+    /// the leader can not start it in time. Jobs that run for long or at later times,
+    /// and jobs that may be known already, are not refused.
+    async fn overload_refusal(&self, job: JobId, spec: &JobSpec) -> Option<Duration> {
+        let until = (*lock(&self.inner.refusing_until))?;
+        let remaining = until.saturating_duration_since(self.inner.clock.now());
+        let may_wait = spec.is_continuous() || spec.schedule.is_some();
+        if remaining.is_zero() || may_wait || !self.is_new(job).await {
+            return None;
+        }
+        Some(remaining + random_retry_after())
     }
 
     /// Whether a job is in no record and no host has sent a write of it whose
