lead: polls and starts look at the lease themselves

While that loop was late, polls went on to renew leases of workers beyond the time that the next leader allows for, and a start that was decided before a suspension was sent after it. Both now check right before they send.

--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -52,7 +52,11 @@
     /// Commands a worker to start a task and passes the answer to the scheduler.
     /// Ends the leadership if the worker has seen a higher fencing token.
     async fn start(self: Arc<Self>, start: StartCommand) {
-        let answer = self.host.inner.platform.start(&start, self.token).await;
+        // The process may have been suspended since the decision.
+        let answer = match self.may_act() {
+            true => self.host.inner.platform.start(&start, self.token).await,
+            false => StartAnswer::NotSent,
+        };
         let now = self.host.inner.clock.now();
         let fields = [
             Field::new("task", start.task),
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -139,7 +139,7 @@
         let host = &self.host;
         loop {
             let woken = self.wake.notified();
-            if host.expired_for() > EXPIRED_LEASE_GRACE && !self.is_store_outage() {
+            if !self.may_act() {
                 host.record(Code::LeadershipUncertain, [Field::new("fence", self.token)]);
                 return;
             }
@@ -180,6 +180,13 @@
         }
     }
 
+    /// Whether this host may still send commands as the leader: its lease has not been
+    /// expired for longer than [`EXPIRED_LEASE_GRACE`], or no other host can take
+    /// over.
+    fn may_act(&self) -> bool {
+        self.host.expired_for() <= EXPIRED_LEASE_GRACE || self.is_store_outage()
+    }
+
     /// Whether peers recently reported that none of them reaches the store.
     ///
     /// No other host can take the leadership during such an outage, so this
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -35,6 +35,11 @@
         let mut has_answered = false;
         let mut unreachable = false;
         loop {
+            if !self.may_act() {
+                // The next leader counts on leases that this one no longer renews.
+                tokio::time::sleep(RETRY_DELAY).await;
+                continue;
+            }
             let mut sent = self.host.inner.clock.now();
             let Some(mut renewal) = self.scheduler().renewal(&id, sent) else { break };
             if has_answered && renewal.received > renewal.acknowledged {
