--- a/crates/flow/src/intake.rs
+++ b/crates/flow/src/intake.rs
@@ -29,10 +29,13 @@
     /// Returns for how long new jobs should be refused, because this leader can not
     /// start what waits already in time; `None` if it can.
     pub fn refusal_time(&self, now: Instant) -> Option<Duration> {
+        if !self.start_window.is_limiting(now) {
+            return None;
+        }
         let open = self.jobs.values().filter(|job| job.is_open());
         let ready = open.flat_map(|job| job.ready_steps());
         let waiting = ready.map(|ready| ready.step.waiting.len()).sum();
-        self.start_window.refusal_time(waiting, now)
+        self.start_window.refusal_time(waiting)
     }
 
     /// Restores the durable progress of a job.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -20,6 +20,7 @@
 mod id;
 mod intake;
 mod job;
+mod machine_workers;
 mod machines;
 mod maintain;
 mod observe;
--- /dev/null
+++ b/crates/flow/src/machine_workers.rs
@@ -0,0 +1,66 @@
+//! Which worker is on a machine: several may be registered there, as the
+//! registration of an earlier one lapses later.
+
+use vg_base::prelude::*;
+
+use crate::Scheduler;
+use crate::machines::LEAVING_TIME;
+use crate::scheduler::Removal;
+use crate::worker::WorkerKey;
+
+impl Scheduler {
+    /// Returns the worker on a machine: the one that started last of those that are
+    /// registered there. The registrations of earlier ones lapse later.
+    pub(crate) fn worker_on(&self, machine: &SmolStr) -> Option<WorkerKey> {
+        let here = self.machines.workers.get(machine)?.iter().copied();
+        let present =
+            here.filter(|&key| self.workers[key].registered && !self.workers[key].leaving);
+        present.max_by_key(|&key| self.workers[key].incarnation.start_ms)
+    }
+
+    /// Enters a worker under its machine, and removes it from an earlier one.
+    pub(crate) fn enter_machine(&mut self, key: WorkerKey, earlier: Option<SmolStr>) {
+        let machine = self.workers[key].machine.clone();
+        if machine == earlier {
+            return;
+        }
+        if let Some(earlier) = earlier {
+            self.leave_machine(key, &earlier);
+        }
+        if let Some(machine) = machine {
+            self.machines.workers.entry(machine).or_default().push(key);
+        }
+    }
+
+    pub(crate) fn leave_machine(&mut self, key: WorkerKey, machine: &SmolStr) {
+        if let Some(here) = self.machines.workers.get_mut(machine) {
+            here.retain(|&each| each != key);
+            if here.is_empty() {
+                self.machines.workers.remove(machine);
+            }
+        }
+    }
+
+    /// Marks earlier workers on a machine as gone: a later one has registered there.
+    /// What they ran has ended; what they were told to start is refused by the later
+    /// one.
+    pub(crate) fn end_earlier_workers(&mut self, later: WorkerKey, now: Instant) {
+        let Some(machine) = self.workers[later].machine.clone() else { return };
+        let start_ms = self.workers[later].incarnation.start_ms;
+        let here = self.machines.workers.get(&machine).cloned().unwrap_or_default();
+        for key in here.into_iter().filter(|&key| key != later) {
+            let worker = &mut self.workers[key];
+            if worker.leaving || worker.incarnation.start_ms >= start_ms {
+                continue;
+            }
+            worker.leaving = true;
+            worker.backoff_until = Some(now + LEAVING_TIME);
+            for attempt in worker.attempts.clone() {
+                if self.attempts[attempt].confirmed.is_some() {
+                    self.counts.lost += 1;
+                    self.remove_attempt(attempt, Removal::Ended, now);
+                }
+            }
+        }
+    }
+}
--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -20,7 +20,7 @@
 pub(crate) const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after a command was carried out within which polls of the machine's
 /// worker fail.
-const LEAVING_TIME: Duration = Duration::from_millis(1500);
+pub(crate) const LEAVING_TIME: Duration = Duration::from_millis(1500);
 
 /// State of a machine in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -105,7 +105,7 @@
     pub(crate) paused_until: HashMap<SmolStr, Instant>,
     pub(crate) waves_changed: bool,
     /// Workers by machine.
-    workers: HashMap<SmolStr, Vec<WorkerKey>>,
+    pub(crate) workers: HashMap<SmolStr, Vec<WorkerKey>>,
     pub(crate) resize: crate::resize::PoolSizing,
 }
 
@@ -186,61 +186,6 @@
         }
     }
 
-    /// Returns the worker on a machine: the one that started last of those that are
-    /// registered there. The registrations of earlier ones lapse later.
-    pub(crate) fn worker_on(&self, machine: &SmolStr) -> Option<WorkerKey> {
-        let here = self.machines.workers.get(machine)?.iter().copied();
-        let present =
-            here.filter(|&key| self.workers[key].registered && !self.workers[key].leaving);
-        present.max_by_key(|&key| self.workers[key].incarnation.start_ms)
-    }
-
-    /// Enters a worker under its machine, and removes it from an earlier one.
-    pub(crate) fn enter_machine(&mut self, key: WorkerKey, earlier: Option<SmolStr>) {
-        let machine = self.workers[key].machine.clone();
-        if machine == earlier {
-            return;
-        }
-        if let Some(earlier) = earlier {
-            self.leave_machine(key, &earlier);
-        }
-        if let Some(machine) = machine {
-            self.machines.workers.entry(machine).or_default().push(key);
-        }
-    }
-
-    pub(crate) fn leave_machine(&mut self, key: WorkerKey, machine: &SmolStr) {
-        if let Some(here) = self.machines.workers.get_mut(machine) {
-            here.retain(|&each| each != key);
-            if here.is_empty() {
-                self.machines.workers.remove(machine);
-            }
-        }
-    }
-
-    /// Marks earlier workers on a machine as gone: a later one has registered there.
-    /// What they ran has ended; what they were told to start is refused by the later
-    /// one.
-    pub(crate) fn end_earlier_workers(&mut self, later: WorkerKey, now: Instant) {
-        let Some(machine) = self.workers[later].machine.clone() else { return };
-        let start_ms = self.workers[later].incarnation.start_ms;
-        let here = self.machines.workers.get(&machine).cloned().unwrap_or_default();
-        for key in here.into_iter().filter(|&key| key != later) {
-            let worker = &mut self.workers[key];
-            if worker.leaving || worker.incarnation.start_ms >= start_ms {
-                continue;
-            }
-            worker.leaving = true;
-            worker.backoff_until = Some(now + LEAVING_TIME);
-            for attempt in worker.attempts.clone() {
-                if self.attempts[attempt].confirmed.is_some() {
-                    self.counts.lost += 1;
-                    self.remove_attempt(attempt, Removal::Ended, now);
-                }
-            }
-        }
-    }
-
     /// Sends a command to a machine and seals the record of its worker.
     pub(crate) fn command_machine(&mut self, command: MachineCommand, now: Instant) {
         self.machines.commands.insert(command.machine().clone(), (command.clone(), now));
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -156,7 +156,7 @@
 
     /// Whether an earlier leader may have started tasks of a job on workers
     /// that are unresolved and whose tasks are not recorded.
-    fn may_run_unseen(&self, job: &Job) -> bool {
+    pub(crate) fn may_run_unseen(&self, job: &Job) -> bool {
         job.revision <= self.token.0 && self.unresolved.affects_pool(&job.pool)
     }
 
@@ -231,37 +231,6 @@
         limits.allows(&used.plus(&unresolved), need)
     }
 
-    /// Returns the resources that each team may be using in attempts that an
-    /// earlier leader started and that this leader does not know.
-    fn measure_unresolved(&self) -> HashMap<TeamId, Resources> {
-        let mut usage: HashMap<TeamId, Resources> = HashMap::new();
-        if self.unresolved.is_empty() {
-            return usage;
-        }
-        let mut add = |job: &Job, need: &Resources| {
-            if let Some(team) = &job.spec.team {
-                let used = usage.entry(team.clone()).or_default();
-                *used = used.plus(need);
-            }
-        };
-        for task in self.unresolved.tasks() {
-            if let (Some(job), Some(spec)) = (self.job_of(task), self.spec_of(task)) {
-                add(job, &spec.need);
-            }
-        }
-        for job in self.jobs.values() {
-            if !job.is_open() || !self.may_run_unseen(job) {
-                continue;
-            }
-            for ready in job.ready_steps() {
-                let recorded = |index| self.unresolved.includes(TaskId { step: ready.id, index });
-                let unknown = ready.step.waiting.iter().filter(|&&index| !recorded(index));
-                unknown.for_each(|_| add(job, &ready.spec.need));
-            }
-        }
-        usage
-    }
-
     pub(crate) fn next_attempt(&self, key: JobKey, task: TaskId) -> AttemptNumber {
         let last = self.jobs[key].task(task).map(|task| task.last_attempt).unwrap_or_default();
         self.token.attempt_after(last)
--- a/crates/flow/src/start_window.rs
+++ b/crates/flow/src/start_window.rs
@@ -114,12 +114,16 @@
         self.slow += u32::from(took >= SLOW_ANSWER);
     }
 
-    /// Returns for how long new jobs should be refused; `None` if they can be
-    /// served in time. `waiting` tasks could start now.
-    pub(crate) fn refusal_time(&self, waiting: usize, now: Instant) -> Option<Duration> {
-        let full_for = now.saturating_duration_since(self.full_since?);
+    /// Whether it has held tasks back for [`LIMITED_TIME`].
+    pub(crate) fn is_limiting(&self, now: Instant) -> bool {
+        self.full_since.is_some_and(|at| now.saturating_duration_since(at) >= LIMITED_TIME)
+    }
+
+    /// Returns for how long new jobs should be refused while the window holds tasks
+    /// back; `None` if the `waiting` tasks, which could start now, start in time.
+    pub(crate) fn refusal_time(&self, waiting: usize) -> Option<Duration> {
         let backlog = waiting as f64 / self.rate.max(1.0);
-        (full_for >= LIMITED_TIME && backlog >= BACKLOG_TIME.as_secs_f64())
+        (backlog >= BACKLOG_TIME.as_secs_f64())
             .then(|| Duration::from_secs_f64(backlog.min(REFUSAL_MAX.as_secs_f64())))
     }
 }
--- a/crates/flow/src/unresolved.rs
+++ b/crates/flow/src/unresolved.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
+use vg_jobs::Resources;
 
+use crate::job::Job;
 use crate::worker::{Worker, WorkerKey};
 use crate::{Scheduler, TaskId, WorkerIncarnation};
 
@@ -241,4 +243,35 @@
         self.unresolved.retain(|entry| now < entry.until);
         self.unresolved.all_until = self.unresolved.all_until.filter(|until| now < *until);
     }
+
+    /// Returns the resources that each team may be using in attempts that an
+    /// earlier leader started and that this leader does not know.
+    pub(crate) fn measure_unresolved(&self) -> HashMap<TeamId, Resources> {
+        let mut usage: HashMap<TeamId, Resources> = HashMap::new();
+        if self.unresolved.is_empty() {
+            return usage;
+        }
+        let mut add = |job: &Job, need: &Resources| {
+            if let Some(team) = &job.spec.team {
+                let used = usage.entry(team.clone()).or_default();
+                *used = used.plus(need);
+            }
+        };
+        for task in self.unresolved.tasks() {
+            if let (Some(job), Some(spec)) = (self.job_of(task), self.spec_of(task)) {
+                add(job, &spec.need);
+            }
+        }
+        for job in self.jobs.values() {
+            if !job.is_open() || !self.may_run_unseen(job) {
+                continue;
+            }
+            for ready in job.ready_steps() {
+                let recorded = |index| self.unresolved.includes(TaskId { step: ready.id, index });
+                let unknown = ready.step.waiting.iter().filter(|&&index| !recorded(index));
+                unknown.for_each(|_| add(job, &ready.spec.need));
+            }
+        }
+        usage
+    }
 }
--- /dev/null
+++ b/crates/lead/src/leader/outage.rs
@@ -0,0 +1,49 @@
+//! Whether the leader may go on while its lease is not confirmed.
+
+use std::sync::Arc;
+
+use vg_base::prelude::*;
+
+use super::{EXPIRED_LEASE_GRACE, Leader};
+use crate::Platform;
+use crate::dual_instant::DualInstant;
+use crate::host::lock;
+
+/// Age from which the peers' last report of a store outage is ignored.
+const OUTAGE_REPORT_MAX_AGE: Duration = Duration::from_millis(1200);
+/// Interval at which peers are asked whether they reach the store.
+const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(300);
+
+impl<P: Platform, C: Clock> Leader<P, C> {
+    /// Whether this host may still send commands as the leader: its lease has not been
+    /// expired for longer than [`EXPIRED_LEASE_GRACE`], or no other host can take
+    /// over.
+    pub(super) fn may_act(&self) -> bool {
+        self.host.expired_for() <= EXPIRED_LEASE_GRACE || self.is_store_outage()
+    }
+
+    /// Whether peers recently reported that none of them reaches the store.
+    ///
+    /// No other host can take the leadership during such an outage, so this
+    /// host may continue with the work that it knows.
+    fn is_store_outage(&self) -> bool {
+        let reported = *lock(&self.outage_reported);
+        reported.is_some_and(|at| at.age(&self.host.inner.clock) < OUTAGE_REPORT_MAX_AGE)
+    }
+
+    /// Asks peers whether they reach the store, once half of the lease has
+    /// passed without a confirmed renewal.
+    pub(super) async fn watch_outage(self: Arc<Self>) {
+        let lease = self.host.inner.options.lease_ttl();
+        loop {
+            tokio::time::sleep(OUTAGE_POLL_INTERVAL).await;
+            if self.host.expired_for_ttl(lease / 2).is_zero() {
+                continue;
+            }
+            let asked = DualInstant::now(&self.host.inner.clock);
+            if self.host.peers_lost_store().await {
+                *lock(&self.outage_reported) = Some(asked);
+            }
+        }
+    }
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -7,14 +7,14 @@
 use vg_base::prelude::*;
 use vg_events::Recorder;
 use vg_flow::{
-    AttemptNumber, AttemptOutcome, FencingToken, JobSpec, Machine, MachineAnswer, MachineCommand,
-    OperatorConfig, Pool, Queue, Renewal, Report, SchedulingRules, StartAnswer, StartCommand,
-    StepId, StepSpec, TaskId, WaveState, WorkerIncarnation, WorkerRegistration,
+    AttemptNumber, AttemptOutcome, FencingToken, JobOutcome, JobSpec, Machine, MachineAnswer,
+    MachineCommand, OperatorConfig, Pool, Queue, Renewal, Report, SchedulingRules, StartAnswer,
+    StartCommand, StepId, StepSpec, TaskId, WaveState, WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
 use vg_lead::{
-    AdviserAnswer, CommandAnswer, Host, HostCapacity, HostTasks, KeyLayout, OperatorItem, Options,
-    ParseError, Platform, PollError,
+    AdviserAnswer, CommandAnswer, Host, HostCapacity, HostTasks, JobStatus, KeyLayout,
+    OperatorItem, Options, ParseError, Platform, PollError,
 };
 use vg_standin::{SimulatedWorker, TaskAttempt};
 use vg_store::{Entry, FaultControl, FaultyStore, Key, MemStore, Store, Txn, Value};
@@ -167,6 +167,14 @@
     }
 }
 
+pub(crate) fn id(number: u128) -> JobId {
+    JobId::new(number)
+}
+
+pub(crate) fn is_done(answer: &JobStatus) -> bool {
+    matches!(answer, JobStatus::Finished(_, JobOutcome::Done))
+}
+
 pub(crate) fn job(tasks: u32) -> JobSpec {
     let step = |after| StepSpec {
         count: tasks,
