flow: a failing test for a start on a worker whose lease is not being renewed

No E105: the leader was not late. The poll that was open had been sent while the record was sealed, without a new lease.

--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -26,6 +26,7 @@
     running: Vec<(HostId, RunningAttempt)>,
     stops: usize,
     start_answer: StartAnswer,
+    machine_answer: MachineAnswer,
 }
 
 fn machine(id: &str, in_pool: &str) -> Machine {
@@ -45,6 +46,7 @@
             running: Vec::new(),
             stops: 0,
             start_answer: StartAnswer::Started,
+            machine_answer: MachineAnswer::Done,
         }
     }
 
@@ -111,7 +113,7 @@
                     self.scheduler.start_answered(start.task, start.attempt, answer, self.now);
                 }
                 Action::Machine(command) => {
-                    self.scheduler.machine_answered(&command, MachineAnswer::Done, self.now);
+                    self.scheduler.machine_answered(&command, self.machine_answer, self.now);
                     self.commands.push(command);
                 }
                 Action::Stop { .. } => self.stops += 1,
@@ -198,3 +200,40 @@
     }
     assert_eq!((fixture.stops, fixture.running.len()), (0, 1));
 }
+
+/// Guards against a lease that lapses: after a refused command to its machine a worker
+/// has a poll open that renews nothing, and a task that starts then has only the short
+/// lease of its start.
+#[test]
+fn a_task_starts_only_on_a_worker_whose_lease_is_being_renewed() {
+    let mut fixture = Fixture::new();
+    fixture.machine_answer = MachineAnswer::Limited;
+    let workers = [("w1", "m1"), ("w2", "m2"), ("w3", "m3"), ("w4", "m4"), ("w5", "m5")];
+    for (id, on) in workers {
+        fixture.join(id, "a", on, 5);
+    }
+    let list = workers.map(|(_, on)| machine(on, "a"));
+    fixture.scheduler.set_machine_list(list.to_vec(), fixture.now);
+    (0..20).for_each(|_| fixture.round(100));
+    let commanded = fixture.commands.last().expect("a command to an idle machine").machine();
+    let (id, _) = workers.into_iter().find(|(_, on)| commanded == on).unwrap();
+
+    // The report allows the record to be written again. The poll that follows is sent
+    // before that is done, and stays open at the worker.
+    fixture.now += Duration::from_secs(1);
+    workers.iter().for_each(|(id, _)| fixture.poll(id, 5));
+    let worker: HostId = id.parse().unwrap();
+    let open = fixture.scheduler.renewal(&worker, fixture.now).unwrap();
+    assert_eq!(open.deadline_ms, None);
+    let records = fixture.scheduler.incarnation_records(fixture.now, fixture.wall());
+    fixture.scheduler.records_written(&records);
+
+    fixture.submit(1, "q-a", vec![continuous(5)]);
+    fixture.round(1);
+    let started = |fixture: &Fixture| fixture.running.iter().any(|(on, _)| *on == worker);
+    assert!(!started(&fixture), "started without a lease that is being renewed");
+    let renewal = fixture.scheduler.renewal(&worker, fixture.now).unwrap();
+    assert!(renewal.deadline_ms.is_some());
+    fixture.round(1);
+    assert!(started(&fixture));
+}
