flow, lead: a task starts only under a lease that is being renewed

Cause: a worker whose machine refused a move, or that was out of reach, has a sealed record. Until that is written again polls renew no lease, and an idle worker holds each back for 1.5 s. Once the record was durable the worker got tasks under the 1.5 s of the start command alone, while the open poll delayed the next renewal by as much. Ruled out: a late leader (no E105 in the logs), a slow start (answered in time). Change: a worker is usable only while the lease that the last renewal asked for has 1 s left. A poll that renews nothing is answered at once, and the next one waits for the record instead. Result: the tests fail without it.

--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -127,6 +127,7 @@
         if deadline_ms.is_some() {
             worker.lease_end = worker.lease_end.max(now + bound);
         }
+        worker.renewed_until = deadline_ms.map(|_| now + self.rules.lease);
         Some(Renewal {
             incarnation: worker.incarnation.clone(),
             token: self.token,
@@ -157,6 +158,7 @@
         worker.recorded = false;
         worker.polled = false;
         worker.clock = None;
+        worker.renewed_until = None;
         worker.received = 0;
         worker.acknowledged = 0;
         worker.uncommitted_ends.clear();
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -13,6 +13,9 @@
     pub struct WorkerKey;
 }
 
+/// Time that has to be left of a worker's lease for it to be given work.
+const MIN_LEASE_LEFT: Duration = Duration::from_secs(1);
+
 /// One incarnation of a worker: the time from the start of its process to its
 /// end.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
@@ -92,6 +95,9 @@
     pub(crate) clock: Option<WorkerClock>,
     /// Time after which nothing that it was told to run can still run.
     pub(crate) lease_end: Instant,
+    /// Until when the lease lasts that the last renewal asked for; `None` if that
+    /// renewal asked for none.
+    pub(crate) renewed_until: Option<Instant>,
     /// Number of the last end that is in memory.
     pub(crate) received: u64,
     /// Number of the last end that is durable.
@@ -135,6 +141,7 @@
             used: Resources::ZERO,
             clock: None,
             lease_end: now,
+            renewed_until: None,
             received: 0,
             acknowledged: 0,
             uncommitted_ends: Vec::new(),
@@ -161,6 +168,12 @@
         self.lease_capped = true;
     }
 
+    /// Whether its lease lasts until the next renewal is sent. A start gives a lease
+    /// that is shorter than the time for which a poll may stay open.
+    fn is_being_renewed(&self, now: Instant) -> bool {
+        self.renewed_until.is_some_and(|until| until >= now + MIN_LEASE_LEFT)
+    }
+
     /// Whether new work can be given to it.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
         self.registered
@@ -172,6 +185,7 @@
             && !self.leaving
             && self.unreachable_since.is_none()
             && self.clock.is_some()
+            && self.is_being_renewed(now)
             && self.backoff_until.is_none_or(|until| until <= now)
     }
 }
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -75,7 +75,7 @@
         self.poll(id, start_ms);
     }
 
-    /// Applies a report of what runs on a worker.
+    /// Applies a report of what runs on a worker, and sends the next poll.
     fn poll(&mut self, id: &str, start_ms: u64) {
         let id: HostId = id.parse().unwrap();
         self.scheduler.renewal(&id, self.now);
@@ -87,6 +87,7 @@
             ended: Vec::new(),
         };
         self.scheduler.apply_report(&id, &report, self.now, self.now);
+        self.scheduler.renewal(&id, self.now);
     }
 
     fn submit(&mut self, number: u128, queue: &str, steps: Vec<StepSpec>) {
@@ -223,8 +224,8 @@
     fixture.now += Duration::from_secs(1);
     workers.iter().for_each(|(id, _)| fixture.poll(id, 5));
     let worker: HostId = id.parse().unwrap();
-    let open = fixture.scheduler.renewal(&worker, fixture.now).unwrap();
-    assert_eq!(open.deadline_ms, None);
+    let open = fixture.scheduler.renewal(&worker, fixture.now);
+    assert!(open.is_some_and(|open| open.deadline_ms.is_none()));
     let records = fixture.scheduler.incarnation_records(fixture.now, fixture.wall());
     fixture.scheduler.records_written(&records);
 
--- a/crates/lead/src/leader/incarnations.rs
+++ b/crates/lead/src/leader/incarnations.rs
@@ -38,6 +38,7 @@
             }
             let Some(written) = self.write_incarnations(&mut shards).await else { return };
             self.scheduler().records_written(&written.incarnations);
+            self.recorded.notify_waiters();
             self.wake.notify_one();
             if written.is_final {
                 self.handover_done.notify_one();
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -56,6 +56,8 @@
     committed: Notify,
     /// Notified when the record of incarnations has to be written.
     record_needed: Notify,
+    /// Notified when records of incarnations have become durable.
+    recorded: Notify,
     /// Notified when the final record, which states what each worker may run,
     /// is durable.
     handover_done: Notify,
@@ -90,6 +92,7 @@
         commit_needed: Notify::new(),
         committed: Notify::new(),
         record_needed: Notify::new(),
+        recorded: Notify::new(),
         handover_done: Notify::new(),
         lost: watch::Sender::new(false),
         recovered: AtomicBool::new(false),
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -4,7 +4,7 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::AttemptOutcome;
+use vg_flow::{AttemptOutcome, Renewal};
 
 use super::Leader;
 use crate::host::lock;
@@ -19,6 +19,9 @@
 /// Maximum time for which a poll is delayed until the effects of reported ended
 /// attempts are durable.
 const COMMIT_WAIT_MAX: Duration = Duration::from_millis(100);
+/// Maximum time for which a poll is delayed until the worker's record permits a longer
+/// lease.
+const RECORD_WAIT_MAX: Duration = Duration::from_millis(200);
 /// Delay after a poll without an answer.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -34,24 +37,21 @@
     async fn poll_worker(self: Arc<Self>, id: HostId) {
         let mut has_answered = false;
         let mut unreachable = false;
+        let mut renewing = false;
         loop {
             if !self.may_act() {
                 // The next leader counts on leases that this one no longer renews.
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
-            let mut sent = self.host.inner.clock.now();
-            let Some(mut renewal) = self.scheduler().renewal(&id, sent) else { break };
-            if has_answered && renewal.received > renewal.acknowledged {
-                // The worker reports ended attempts again until they are
-                // acknowledged, which happens once their effects are durable.
-                // Without this wait the worker would repeat them at once.
-                let _ = tokio::time::timeout(COMMIT_WAIT_MAX, self.committed.notified()).await;
-                sent = self.host.inner.clock.now();
-                let Some(updated) = self.scheduler().renewal(&id, sent) else { break };
-                renewal = updated;
+            let Some((renewal, sent)) = self.next_renewal(&id, has_answered).await else { break };
+            let was_renewing = std::mem::replace(&mut renewing, renewal.deadline_ms.is_some());
+            if renewing && !was_renewing {
+                // The worker can be given work from now on.
+                self.wake.notify_one();
             }
-            let wait = match (has_answered, renewal.busy) {
+            let wait = match (has_answered && renewing, renewal.busy) {
+                // A poll that renews nothing must not delay the one that does.
                 (false, _) => Duration::ZERO,
                 (true, true) => BUSY_WAIT_MAX,
                 (true, false) => IDLE_WAIT_MAX,
@@ -60,7 +60,7 @@
             let now = self.host.inner.clock.now();
             match result {
                 Ok(report) => {
-                    has_answered = true;
+                    let is_first = !std::mem::replace(&mut has_answered, true);
                     if std::mem::take(&mut unreachable) {
                         self.host.record(Code::EndpointRestored, [Field::new("worker", &id)]);
                     }
@@ -69,7 +69,9 @@
                         self.record_needed.notify_one();
                     }
                     self.wake.notify_one();
-                    tokio::time::sleep(POLL_DELAY).await;
+                    if !is_first {
+                        tokio::time::sleep(POLL_DELAY).await;
+                    }
                 }
                 Err(PollError::StaleToken) => {
                     self.end_leadership("a worker has seen a higher fence");
@@ -90,6 +92,26 @@
         lock(&self.polled_workers).remove(&id);
     }
 
+    /// Returns what to send in the next poll of a worker, and when it is sent; `None`
+    /// if the scheduler has forgotten the worker. Waits for a short time for what the
+    /// last answer requires to be durable: the effects of ended attempts, or a record
+    /// that permits a longer lease.
+    async fn next_renewal(&self, id: &HostId, has_answered: bool) -> Option<(Renewal, Instant)> {
+        let (committed, recorded) = (self.committed.notified(), self.recorded.notified());
+        let sent = self.host.inner.clock.now();
+        let renewal = self.scheduler().renewal(id, sent)?;
+        if has_answered && renewal.received > renewal.acknowledged {
+            // The worker reports ended attempts again until they are acknowledged.
+            let _ = tokio::time::timeout(COMMIT_WAIT_MAX, committed).await;
+        } else if has_answered && renewal.deadline_ms.is_none() {
+            let _ = tokio::time::timeout(RECORD_WAIT_MAX, recorded).await;
+        } else {
+            return Some((renewal, sent));
+        }
+        let sent = self.host.inner.clock.now();
+        Some((self.scheduler().renewal(id, sent)?, sent))
+    }
+
     /// Records an event for each ended attempt that was not reported before;
     /// `received` is the number of the last ended attempt that was.
     fn record_ended_attempts(&self, id: &HostId, ended: &[vg_flow::EndedAttempt], received: u64) {
--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -179,6 +179,29 @@
     record.is_some_and(|record| record.expires.is_some())
 }
 
+/// Guards against a lease that is not renewed for longer than necessary: while a worker's
+/// record is sealed its polls renew nothing, and one that stays open delays the next.
+#[tokio::test]
+async fn a_poll_that_renews_no_lease_is_answered_at_once() {
+    let cluster = Cluster::new().await;
+    let node = cluster.node("n1").await;
+    eventually(async || node.host.is_leading()).await;
+    let renewals = |cluster: &Cluster| {
+        let polls = cluster.fleet.polls.lock().unwrap();
+        polls.iter().filter(|(id, renewed, _)| id.as_str() == "w1" && *renewed).count()
+    };
+    eventually(async || renewals(&cluster) > 1).await;
+    cluster.fleet.set_reachable("w1", false);
+    eventually(async || is_sealed(&cluster, "w1").await).await;
+    let before = renewals(&cluster);
+    cluster.fleet.set_reachable("w1", true);
+    eventually(async || renewals(&cluster) > before).await;
+    let polls = cluster.fleet.polls.lock().unwrap().clone();
+    let held: Vec<_> =
+        polls.iter().filter(|(_, renewed, wait)| !renewed && !wait.is_zero()).collect();
+    assert!(held.is_empty(), "{held:?}");
+}
+
 /// Guards against a task that is started twice after a takeover: the store's answer to the
 /// record that a worker gets no more work is lost, and the worker is back before the record
 /// is written again.
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -33,6 +33,9 @@
     workers: Mutex<Vec<SimulatedWorker>>,
     /// Starts that a worker has carried out.
     pub(crate) starts: Mutex<Vec<(TaskId, AttemptNumber)>>,
+    /// Polls: the worker, whether its lease was renewed, and for how long it could hold
+    /// back its answer.
+    pub(crate) polls: Mutex<Vec<(HostId, bool, Duration)>>,
 }
 
 impl Fleet {
@@ -91,6 +94,7 @@
             started: StdInstant::now(),
             workers: Mutex::new(vec![worker("w1"), worker("w2"), worker("w3")]),
             starts: Mutex::default(),
+            polls: Mutex::default(),
         };
         let cluster = Cluster { inner: MemStore::new(SystemClock), fleet: Arc::new(fleet) };
         cluster.configure(1).await;
@@ -297,6 +301,8 @@
     }
 
     async fn poll(&self, renewal: &Renewal, wait: Duration) -> Result<Report, PollError> {
+        let poll = (renewal.incarnation.id.clone(), renewal.deadline_ms.is_some(), wait);
+        self.fleet.polls.lock().unwrap().push(poll);
         tokio::time::sleep(wait.min(Duration::from_millis(50))).await;
         let poll = |worker: &mut SimulatedWorker, ms| {
             worker.poll(renewal.token, renewal.deadline_ms, renewal.acknowledged, ms)
