flow: continuous tasks leave the machines of a wave from its start

Cause: machines with continuous tasks cost most and went last. Ruled out: the list's rate, refused commands (none in 175), the pace of idle machines. Change: machines with and without continuous tasks are drained side by side, each at the rate that the deadline needs (wave_choice), and continuous tasks leave from the start, within their budgets, where a machine without maintenance ahead of it has room for them (evict). Continuous tasks start there first.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -15,6 +15,7 @@
 mod commit;
 mod config;
 mod demand;
+mod evict;
 mod gangs;
 mod health;
 mod id;
@@ -42,6 +43,7 @@
 mod throttle;
 mod tickets;
 mod unresolved;
+mod wave_choice;
 mod worker;
 
 pub use action::{Action, MachineCommand, StartCommand, StopReason};
--- a/crates/flow/src/maintain.rs
+++ b/crates/flow/src/maintain.rs
@@ -2,12 +2,11 @@
 //!
 //! Load that this module handles: a wave asks for nearly half of the machines
 //! within less time than it takes to wait for each to become idle, while each
-//! queue in turn needs all of its pool. Only as many machines are out of
-//! service at once as the wave's deadline requires. Those with the lowest cost
-//! go first. Continuous tasks leave a machine one at a time, within the
-//! disruption budgets of their steps, before the machine goes.
+//! queue in turn needs all of its pool. Which machines are drained, and when, is
+//! decided in [`crate::wave_choice`]. Continuous tasks leave a machine before it goes
+//! ([`crate::evict`]).
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -15,17 +14,12 @@
 
 use crate::machines::{COMMAND_TIMEOUT, DOWN_MARGIN};
 use crate::worker::WorkerKey;
-use crate::{MachineCommand, MachineState, Scheduler, StopReason};
+use crate::{MachineCommand, MachineState, Scheduler};
 
 /// Time within which short tasks on a machine may end before it goes.
 const DRAIN_TIME: Duration = Duration::from_millis(1800);
-/// Time from the choice of a machine to its return, without the maintenance
-/// itself.
-const CYCLE_OVERHEAD: Duration = Duration::from_millis(1800);
 /// Time before its due time at which a wave should end.
-const WAVE_MARGIN: Duration = Duration::from_secs(4);
-/// Added to the time that a worker takes to stop an attempt.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
+pub(crate) const WAVE_MARGIN: Duration = Duration::from_secs(4);
 /// Time after a takeover at which a machine without a registered worker counts
 /// as having no worker.
 const REGISTRATION_TIME: Duration = Duration::from_secs(8);
@@ -71,6 +65,8 @@
 #[derive(Debug)]
 pub(crate) struct ActiveWave {
     pub(crate) wave: Wave,
+    /// The machines of the wave.
+    listed: HashSet<SmolStr>,
     pub(crate) first_seen: SystemTime,
     /// Earliest time at which maintenance can have begun: an incarnation that
     /// started before has not had its maintenance yet.
@@ -81,26 +77,23 @@
     pub(crate) down: HashMap<SmolStr, Instant>,
     /// Machines that are being drained for it, and since when.
     pub(crate) draining: BTreeMap<SmolStr, Instant>,
+    /// When continuous tasks were last evicted from machines that are not drained yet.
+    pub(crate) evicted: Option<Instant>,
 }
 
 impl ActiveWave {
-    fn is_remaining(&self, machine: &SmolStr) -> bool {
-        !self.done.contains(machine)
+    /// Returns the machines that have not had their maintenance yet.
+    pub(crate) fn remaining(&self) -> impl Iterator<Item = &SmolStr> {
+        self.wave.machines.iter().filter(|each| !self.done.contains(*each))
     }
 
-    fn remaining(&self) -> usize {
-        self.wave.machines.iter().filter(|each| self.is_remaining(each)).count()
+    /// Whether a machine has not had its maintenance yet.
+    pub(crate) fn awaits(&self, machine: &SmolStr) -> bool {
+        self.listed.contains(machine) && !self.done.contains(machine)
     }
 
-    /// Returns how many machines have to be out of service at once for the wave
-    /// to end in time.
-    fn wanted_at_once(&self, cycle: Duration, now: Instant) -> usize {
-        let remaining_time = self.due.saturating_duration_since(now).saturating_sub(WAVE_MARGIN);
-        // At least half a second, also for a wave that is late, because the
-        // remaining work is divided by this time.
-        let remaining_s = remaining_time.as_secs_f64().max(0.5);
-        let wanted = (self.remaining() as f64 * cycle.as_secs_f64() / remaining_s).ceil() as usize;
-        wanted.clamp(1, self.wave.max_down.max(1) as usize)
+    fn is_complete(&self) -> bool {
+        self.remaining().next().is_none()
     }
 }
 
@@ -131,6 +124,8 @@
             done: record.map(|record| record.done.clone()).unwrap_or_default(),
             down: HashMap::new(),
             draining: BTreeMap::new(),
+            evicted: None,
+            listed: wave.machines.iter().cloned().collect(),
             wave,
         };
         self.machines.waves.insert(active.wave.number, active);
@@ -143,8 +138,7 @@
             return None;
         }
         let record = |active: &ActiveWave| {
-            let state =
-                if active.remaining() == 0 { WaveState::Complete } else { WaveState::Running };
+            let state = if active.is_complete() { WaveState::Complete } else { WaveState::Running };
             let durable = WaveRecord {
                 number: active.wave.number,
                 first_seen: active.first_seen,
@@ -163,7 +157,7 @@
 
     /// Whether an up-to-date list of machines is needed now.
     pub fn needs_machine_list(&self) -> bool {
-        self.machines.waves.values().any(|active| active.remaining() > 0) || self.uses_spare_pool()
+        self.machines.waves.values().any(|active| !active.is_complete()) || self.uses_spare_pool()
     }
 
     /// Advances all waves.
@@ -172,6 +166,7 @@
         let numbers: Vec<_> = self.machines.waves.keys().copied().collect();
         for number in numbers {
             self.choose_machines(number, now);
+            self.evict_for_wave(number, now);
             self.drain_machines(number, now);
         }
     }
@@ -187,40 +182,7 @@
         }
     }
 
-    /// Starts to drain machines of a wave, those with the lowest cost first,
-    /// until as many are out of service as its due time requires.
-    fn choose_machines(&mut self, number: u64, now: Instant) {
-        let cycle = self.rules.maintain_time + CYCLE_OVERHEAD;
-        let active = &self.machines.waves[&number];
-        if now < self.machines.hold_until || active.remaining() == 0 {
-            return;
-        }
-        let wanted = active.wanted_at_once(cycle, now);
-        let out = active.draining.len() + active.down.len();
-        if out >= wanted {
-            return;
-        }
-        let mut candidates: Vec<_> = active
-            .wave
-            .machines
-            .iter()
-            .filter(|each| active.is_remaining(each) && !active.draining.contains_key(*each))
-            .filter(|each| self.machines.may_command(each, now))
-            .filter(|each| self.is_up(each) && self.is_state_known(each, now))
-            .map(|each| (self.cost(each), each.clone()))
-            .collect();
-        candidates.sort();
-        for (_, machine) in candidates.into_iter().take(wanted - out) {
-            if let Some(key) = self.worker_on(&machine) {
-                self.workers[key].cordoned = true;
-            }
-            if let Some(active) = self.machines.waves.get_mut(&number) {
-                active.draining.insert(machine, now);
-            }
-        }
-    }
-
-    fn is_up(&self, machine: &SmolStr) -> bool {
+    pub(crate) fn is_up(&self, machine: &SmolStr) -> bool {
         self.machines.list.get(machine).is_some_and(|each| each.state == MachineState::Up)
     }
 
@@ -243,28 +205,6 @@
         spare || registered
     }
 
-    /// Returns the cost of taking a machine out of service now: whether tasks
-    /// wait for its pool, how many continuous tasks have to move, and how many
-    /// attempts it has.
-    fn cost(&self, machine: &SmolStr) -> (bool, usize, usize) {
-        let Some(key) = self.worker_on(machine) else { return (false, 0, 0) };
-        let worker = &self.workers[key];
-        let continuous = worker
-            .attempts
-            .iter()
-            .filter(|&&attempt| {
-                self.spec_of(self.attempts[attempt].task).is_some_and(|spec| spec.continuous)
-            })
-            .count();
-        (self.has_waiting_tasks(&worker.incarnation.pool), continuous, worker.attempts.len())
-    }
-
-    /// Whether tasks wait for capacity of a pool.
-    fn has_waiting_tasks(&self, pool: &PoolId) -> bool {
-        let mut open = self.jobs.values().filter(|job| job.pool == *pool && job.is_open());
-        open.any(|job| job.ready_steps().any(|ready| !ready.step.waiting.is_empty()))
-    }
-
     /// Evicts continuous tasks from the machines that are being drained, and
     /// commands maintenance of those that are empty. Other tasks get
     /// [`DRAIN_TIME`] to end unless the wave is due soon.
@@ -308,50 +248,6 @@
         })
     }
 
-    /// Stops continuous tasks on a worker so that they move, within the
-    /// disruption budgets of their steps.
-    pub(crate) fn evict_continuous(&mut self, key: WorkerKey, now: Instant) {
-        // A task that is stopped could not start again while the pool has
-        // unresolved work.
-        if self.unresolved.affects_pool(&self.workers[key].incarnation.pool) {
-            return;
-        }
-        for attempt in self.workers[key].attempts.clone() {
-            let state = &self.attempts[attempt];
-            let task = state.task;
-            let Some(spec) = self.spec_of(task) else { continue };
-            if !spec.continuous || !state.is_running() || !self.may_interrupt(attempt, now) {
-                continue;
-            }
-            self.stop_attempt(attempt, StopReason::MachineNeeded, now);
-        }
-    }
-
-    /// Whether the scheduler may stop an attempt of a continuous task now:
-    /// fewer other tasks of its step are unavailable than the step allows.
-    fn may_interrupt(&self, attempt: crate::attempt::AttemptKey, now: Instant) -> bool {
-        let task = self.attempts[attempt].task;
-        let Some(job) = self.job_of(task) else { return true };
-        let Some(spec) = self.spec_of(task) else { return true };
-        let Some(max_unavailable) = spec.max_unavailable else { return true };
-        let Some(step) = job.step(task.step.occurrence, task.step.step) else { return true };
-        let stop_window = self.rules.stop_time + STOP_MARGIN;
-        let available = |task: &crate::job::Task| {
-            task.attempts.iter().any(|&attempt| {
-                let attempt = &self.attempts[attempt];
-                // An attempt that was found just now may be stopping already,
-                // because of a command of an earlier leader.
-                let known = now.saturating_duration_since(attempt.started) > stop_window;
-                let healthy = attempt.is_running()
-                    && self.workers[attempt.worker].unreachable_since.is_none();
-                known && healthy && attempt.percent >= 100
-            })
-        };
-        let others = step.tasks.iter().enumerate().filter(|(at, _)| *at as u32 != task.index);
-        let unavailable = others.filter(|(_, other)| !available(other)).count();
-        unavailable < max_unavailable as usize
-    }
-
     /// Records that a machine gets its maintenance for a wave now, or needs
     /// none because it does not exist. It counts as down for as long as
     /// maintenance takes.
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -17,6 +17,9 @@
     remote: bool,
     /// Latency-sensitive and best-effort tasks would share the worker.
     interferes: bool,
+    /// A continuous task would have to move again, because the machine awaits its
+    /// maintenance.
+    moves_again: bool,
     /// A continuous task would be the first one there, although enough workers
     /// have some.
     opens_worker: bool,
@@ -128,6 +131,7 @@
             avoided: task.avoided.contains(&key),
             remote: spec.data_rack.is_some() && spec.data_rack != worker.rack,
             interferes: self.would_interfere(spec, worker),
+            moves_again: spec.continuous && self.awaits_maintenance(worker.machine.as_ref()),
             // Continuous tasks share few machines, so that the other machines
             // can be moved.
             opens_worker: continuous_workers >= MIN_POOL_MACHINES && !self.has_continuous(worker),
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -8,7 +8,7 @@
 use vg_flow::{
     Action, FencingToken, JobSpec, Machine, MachineAnswer, MachineCommand, MachineState,
     OperatorConfig, Report, RunningAttempt, Scheduler, SchedulingRules, StartAnswer, StepSpec,
-    Wave, WaveState, WorkerIncarnation, WorkerRegistration,
+    TaskId, Wave, WaveState, WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
 
@@ -26,13 +26,19 @@
     commands: Vec<(Instant, MachineCommand)>,
     /// When attempts were told to stop.
     stop_times: Vec<Instant>,
+    /// How often each task was told to stop.
+    stopped: HashMap<TaskId, usize>,
     /// Maximum number of continuous tasks that were unavailable at the same
     /// time.
     most_unavailable: usize,
     /// Answer to all commands to machines from now on.
     answer: MachineAnswer,
+    /// Time from the start of a continuous task until it is available.
+    startup: Duration,
 }
 
+/// Time between two polls of a worker, and between two rounds of decisions.
+const ROUND: Duration = Duration::from_millis(20);
 const CAPACITY: Resources = Resources::new(16_000, 32 << 30, 0);
 
 fn registration(at: usize) -> WorkerRegistration {
@@ -89,8 +95,10 @@
             running,
             commands: Vec::new(),
             stop_times: Vec::new(),
+            stopped: HashMap::new(),
             most_unavailable: 0,
             answer,
+            startup: Duration::from_millis(500),
         }
     }
 
@@ -112,13 +120,30 @@
     }
 
     fn continuous(&mut self, id: u128, count: u32, max_unavailable: u32) {
+        self.add_continuous(id, count, max_unavailable, None);
+    }
+
+    /// Adds a continuous job with at most one task on a worker.
+    fn spread(&mut self, id: u128, count: u32, max_unavailable: u32) {
+        self.add_continuous(id, count, max_unavailable, Some(1));
+    }
+
+    fn add_continuous(
+        &mut self,
+        id: u128,
+        count: u32,
+        max_unavailable: u32,
+        per_worker: Option<u32>,
+    ) {
         let steps = vec![StepSpec {
             continuous: true,
             max_unavailable: Some(max_unavailable),
+            per_worker,
             ..step(count, 1000, 0)
         }];
-        let spec: Arc<JobSpec> = job("q-a", steps, self.wall);
-        self.scheduler.add_job(JobId::new(id), spec, 10, self.now);
+        let mut spec: JobSpec = (*job("q-a", steps, self.wall)).clone();
+        spec.team = None;
+        self.scheduler.add_job(JobId::new(id), Arc::new(spec), 10, self.now);
     }
 
     fn add_wave(&mut self, machines: usize, limit_secs: u64, max_down: u32) {
@@ -129,9 +154,9 @@
     }
 
     fn run(&mut self, ms: u64) {
-        for _ in 0..ms / 20 {
-            self.now += Duration::from_millis(20);
-            self.wall += Duration::from_millis(20);
+        for _ in 0..ms / ROUND.as_millis() as u64 {
+            self.now += ROUND;
+            self.wall += ROUND;
             self.poll_workers();
             for action in self.scheduler.plan(self.now, self.wall) {
                 self.execute(action);
@@ -141,10 +166,12 @@
 
     fn poll_workers(&mut self) {
         let mut available = 0;
+        let mut unrecorded = false;
+        let percent_per_round = (100 * ROUND.as_millis() / self.startup.as_millis()) as u8;
         for (id, attempts) in &mut self.running {
             let Some(renewal) = self.scheduler.renewal(id, self.now) else { continue };
             for attempt in attempts.iter_mut() {
-                attempt.percent = (attempt.percent + 4).min(100);
+                attempt.percent = (attempt.percent + percent_per_round).min(100);
                 available += usize::from(attempt.percent == 100);
             }
             let report = Report {
@@ -154,7 +181,11 @@
                 ended: Vec::new(),
             };
             let sent = self.now - Duration::from_millis(1);
-            self.scheduler.apply_report(id, &report, sent, self.now);
+            unrecorded |= self.scheduler.apply_report(id, &report, sent, self.now);
+        }
+        if unrecorded {
+            let records = self.scheduler.incarnation_records(self.now, self.wall);
+            self.scheduler.records_written(&records);
         }
         let all: usize = self.running.values().map(Vec::len).sum();
         self.most_unavailable = self.most_unavailable.max(all.max(available) - available);
@@ -182,6 +213,7 @@
                 let attempts = self.running.get_mut(&incarnation.id).unwrap();
                 attempts.retain(|each| each.task != task || each.attempt != attempt);
                 self.stop_times.push(self.now);
+                *self.stopped.entry(task).or_default() += 1;
                 self.scheduler.stop_answered(task, attempt, self.now);
             }
             Action::Machine(command) => {
@@ -247,6 +279,59 @@
     assert_eq!(fleet.most_down(), 1);
 }
 
+/// Guards against a wave that leaves the machines of continuous tasks to the end: these
+/// tasks can leave only one at a time, so that the last machines are late.
+#[test]
+fn machines_of_continuous_tasks_are_drained_from_the_start_of_a_wave() {
+    let (due, limit_secs) = (60, 24);
+    let mut fleet = TestFleet::new(84);
+    for id in 1..=6 {
+        fleet.spread(id, 24, 1);
+    }
+    fleet.run(3000);
+    fleet.most_unavailable = 0;
+    fleet.add_wave(due, limit_secs, 20);
+    fleet.run(limit_secs * 1000 - 2000);
+    assert_eq!(fleet.maintenance_count(), due);
+    assert!(fleet.most_unavailable <= 6, "{} were unavailable", fleet.most_unavailable);
+    // Each task moves once, to a machine that has no maintenance ahead of it.
+    let stops = fleet.stop_times.len();
+    assert!(stops <= 6 * 24, "{stops} tasks were stopped");
+}
+
+/// Guards against a wave that is late because of one step: only one of its tasks may be
+/// away, and machines of other tasks are cheaper to drain and go first.
+#[test]
+fn tasks_of_a_step_with_a_small_budget_begin_to_leave_in_time() {
+    let (due, limit_secs) = (48, 27);
+    let mut fleet = TestFleet::new(100);
+    fleet.startup = Duration::from_secs(1);
+    fleet.spread(1, 48, 8);
+    fleet.spread(2, 24, 1);
+    fleet.run(3000);
+    fleet.add_wave(due, limit_secs, 20);
+    fleet.run(limit_secs * 1000 - 2000);
+    assert_eq!(fleet.maintenance_count(), due);
+}
+
+/// Guards against tasks that are evicted again and again: no machine without maintenance
+/// ahead of it has room for them, so that they start where they were.
+#[test]
+fn a_task_without_another_place_is_not_evicted_before_its_machine_is_drained() {
+    let mut fleet = TestFleet::new(9);
+    let mut spec: JobSpec = (*job("q-a", vec![step(9, 14_000, 1)], fleet.wall)).clone();
+    spec.team = None;
+    fleet.scheduler.add_job(JobId::new(1), Arc::new(spec), 10, fleet.now);
+    fleet.run(1000);
+    fleet.continuous(2, 18, 1);
+    fleet.run(3000);
+    fleet.add_wave(8, 60, 1);
+    fleet.run(4000);
+    // Once to a place that has become free, and once with the machine there.
+    let most = fleet.stopped.values().max();
+    assert!(most.is_none_or(|&times| times <= 2), "a task was stopped {most:?} times");
+}
+
 /// Guards against a wave that is reported complete too early, or again and
 /// again.
 #[test]
