flow: a pool whose continuous tasks find no place gets a machine

Cause: a pool's size follows the sum of what its tasks need. Free capacity that is spread over machines with too little each, or with the most tasks of the step already, counted as room. Change: a pool in which a continuous task found no place gets one machine at a time, if it has none that is free of continuous tasks. The same if tasks can not leave the machines of a wave. Result: the test fails without it.

--- a/crates/flow/src/demand.rs
+++ b/crates/flow/src/demand.rs
@@ -96,12 +96,18 @@
     spread: usize,
     /// What it has, or will have soon.
     present: usize,
+    /// How many of these are on their way.
+    arriving: usize,
+    /// Whether a continuous task finds no place in it.
+    cramped: bool,
 }
 
 impl PoolSize {
     /// Returns the machines that the pool lacks.
     pub(crate) fn shortfall(&self) -> usize {
-        self.machines_for(self.need).saturating_sub(self.present)
+        let lacking = self.machines_for(self.need).saturating_sub(self.present);
+        // Another machine, although the free capacity of all together is enough.
+        lacking.max(usize::from(self.cramped).saturating_sub(self.arriving))
     }
 
     /// Returns the machines that another pool can have at once.
@@ -172,6 +178,12 @@
         for (pool, _) in self.machines.resize.in_transit.values() {
             if let Some(size) = sizes.get_mut(pool) {
                 size.present += 1;
+                size.arriving += 1;
+            }
+        }
+        for pool in self.take_cramped_pools(now) {
+            if let Some(size) = sizes.get_mut(&pool) {
+                size.cramped = true;
             }
         }
         let (need, spread) = self.current_need();
@@ -197,6 +209,20 @@
         sizes
     }
 
+    /// Returns the pools in which a continuous task has found no place since the last
+    /// call, and which have no machine that is free of continuous tasks and awaits no
+    /// maintenance: where there is one, another would not help.
+    fn take_cramped_pools(&mut self, now: Instant) -> Vec<PoolId> {
+        let cramped = std::mem::take(&mut self.cramped);
+        let has_place = |pool: &PoolId| {
+            self.usable_workers(pool, now).into_iter().any(|key| {
+                let worker = &self.workers[key];
+                !self.has_continuous(worker) && !self.awaits_maintenance(worker.machine.as_ref())
+            })
+        };
+        cramped.into_iter().filter(|pool| !has_place(pool)).collect()
+    }
+
     /// Returns the machines needed by tasks that run or could run now, and the
     /// minimum number of machines over which each pool's tasks have to be
     /// spread.
--- a/crates/flow/src/evict.rs
+++ b/crates/flow/src/evict.rs
@@ -38,9 +38,12 @@
             }
             let worker = self.attempts[attempt].worker;
             let pool = self.workers[worker].incarnation.pool.clone();
-            let refuges = refuges.entry(pool).or_insert_with_key(|pool| self.refuges(pool, now));
-            if self.has_room(attempt, refuges, now) {
+            let known = refuges.entry(pool.clone());
+            let workers = known.or_insert_with_key(|pool| self.refuges(pool, now));
+            if self.has_room(attempt, workers, now) {
                 self.stop_attempt(attempt, StopReason::MachineNeeded, now);
+            } else {
+                self.cramped.insert(pool);
             }
         }
     }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -1,6 +1,6 @@
 //! The state of the leader and its elementary transitions.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use slotmap::SlotMap;
@@ -47,6 +47,9 @@
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
+    /// Pools in which a continuous task has found no place since their sizes were
+    /// last decided.
+    pub(crate) cramped: HashSet<PoolId>,
     pub(crate) queue_work: QueueWork,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
@@ -111,6 +114,7 @@
         Scheduler {
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
+            cramped: HashSet::new(),
             queue_work: QueueWork::default(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -238,3 +238,24 @@
     fixture.round(1);
     assert!(started(&fixture));
 }
+
+/// Guards against a continuous task that stays away: the free capacity of its pool is
+/// enough for it, but is spread over machines that each have too little.
+#[test]
+fn a_continuous_task_without_a_place_gets_a_machine() {
+    let mut fixture = Fixture::new();
+    let mut list = vec![machine("s1", "spare"), machine("s2", "spare")];
+    for at in 0..8 {
+        let (id, on, in_pool) =
+            (format!("w{at}"), format!("m{at}"), if at < 4 { "a" } else { "b" });
+        fixture.join(&id, in_pool, &on, 5);
+        list.push(machine(&on, in_pool));
+    }
+    fixture.scheduler.set_machine_list(list, fixture.now);
+    let step = StepSpec { continuous: true, ..step(5, 9000, 0) };
+    fixture.submit(1, "q-a", vec![step]);
+    (0..10).for_each(|_| fixture.round(50));
+    assert_eq!(fixture.running.len(), 4);
+    let moves: Vec<_> = fixture.commands.iter().map(|command| command.to_string()).collect();
+    assert_eq!(moves, ["move machine=s1 pool=a"]);
+}
