flow: machines that await maintenance stay in the spare pool

Operators saw: waves end late because machines that had been switched off were moved to pools, got tasks there, and had to be drained again. Cause: spare machines moved in the order of their names. Change: those without maintenance ahead of them move first. Result: the test fails without it.

--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -126,7 +126,8 @@
         let up = list.filter(|each| each.pool == *spare && each.state == MachineState::Up);
         let free = up.filter(|each| self.is_movable(&each.id, now) && !self.is_in_use(&each.id));
         let mut free: Vec<_> = free.map(|each| (each.id.clone(), None)).collect();
-        free.sort();
+        // Machines that await maintenance have it while they are not needed.
+        free.sort_by_cached_key(|(id, _)| (self.awaits_maintenance(Some(id)), id.clone()));
         free
     }
 
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -7,7 +7,7 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, FencingToken, Machine, MachineAnswer, MachineCommand, MachineState, Report,
-    RunningAttempt, Scheduler, SchedulingRules, StartAnswer, StepSpec, WorkerIncarnation,
+    RunningAttempt, Scheduler, SchedulingRules, StartAnswer, StepSpec, Wave, WorkerIncarnation,
     WorkerRegistration,
 };
 use vg_jobs::Resources;
@@ -259,3 +259,27 @@
     let moves: Vec<_> = fixture.commands.iter().map(|command| command.to_string()).collect();
     assert_eq!(moves, ["move machine=s1 pool=a"]);
 }
+
+/// Guards against a wave that takes machines from the pools that need them: while a
+/// wave runs, machines that await no maintenance move first, and the others have theirs
+/// in the spare pool.
+#[test]
+fn machines_that_await_maintenance_stay_in_the_spare_pool() {
+    let mut fixture = Fixture::new();
+    let names: Vec<String> = (0..12).map(|at| format!("s{at:02}")).collect();
+    let list = names.iter().map(|name| machine(name, "spare"));
+    fixture.scheduler.set_machine_list(list.collect(), fixture.now);
+    let due: Vec<SmolStr> = names[..6].iter().map(SmolStr::from).collect();
+    let wave =
+        Wave { number: 1, machines: due.clone(), time_limit: Duration::from_secs(60), max_down: 1 };
+    fixture.scheduler.add_wave(wave, None, false, fixture.now, fixture.wall());
+    fixture.round(50);
+    let moved: Vec<_> = fixture
+        .commands
+        .iter()
+        .filter(|command| matches!(command, MachineCommand::Move { .. }))
+        .map(|command| command.machine().clone())
+        .collect();
+    assert!(moved.len() >= 6, "{moved:?}");
+    assert!(moved[..6].iter().all(|machine| !due.contains(machine)), "{moved:?}");
+}
