flow: machines whose move was not answered come back to work

Cause: a worker is cordoned when a move of its machine is sent. After a lost answer nothing ended that: it answered polls, got no work, and was never moved again. Besides, all idle machines were commanded while the service was silent. Ruled out: the list of machines (read again each second), the record of commands (durable). A spare machine that a newer list shows where it was does not count as arriving. After an unanswered or refused command one at a time is sent until one succeeds. Result: both tests fail without it; the fuzz loses answers to moves.

--- a/crates/flow/src/demand.rs
+++ b/crates/flow/src/demand.rs
@@ -98,8 +98,8 @@
     present: usize,
     /// How many of these are on their way.
     arriving: usize,
-    /// Whether a continuous task finds no place in it.
-    cramped: bool,
+    /// Whether a continuous task found no place in it.
+    unplaced: bool,
 }
 
 impl PoolSize {
@@ -107,7 +107,7 @@
     pub(crate) fn shortfall(&self) -> usize {
         let lacking = self.machines_for(self.need).saturating_sub(self.present);
         // Another machine, although the free capacity of all together is enough.
-        lacking.max(usize::from(self.cramped).saturating_sub(self.arriving))
+        lacking.max(usize::from(self.unplaced).saturating_sub(self.arriving))
     }
 
     /// Returns the machines that another pool can have at once.
@@ -181,9 +181,9 @@
                 size.arriving += 1;
             }
         }
-        for pool in self.take_cramped_pools(now) {
+        for pool in self.take_unplaced_pools(now) {
             if let Some(size) = sizes.get_mut(&pool) {
-                size.cramped = true;
+                size.unplaced = true;
             }
         }
         let (need, spread) = self.current_need();
@@ -212,15 +212,15 @@
     /// Returns the pools in which a continuous task has found no place since the last
     /// call, and which have no machine that is free of continuous tasks and awaits no
     /// maintenance: where there is one, another would not help.
-    fn take_cramped_pools(&mut self, now: Instant) -> Vec<PoolId> {
-        let cramped = std::mem::take(&mut self.cramped);
+    fn take_unplaced_pools(&mut self, now: Instant) -> Vec<PoolId> {
+        let unplaced = std::mem::take(&mut self.unplaced_pools);
         let has_place = |pool: &PoolId| {
             self.usable_workers(pool, now).into_iter().any(|key| {
                 let worker = &self.workers[key];
                 !self.has_continuous(worker) && !self.awaits_maintenance(worker.machine.as_ref())
             })
         };
-        cramped.into_iter().filter(|pool| !has_place(pool)).collect()
+        unplaced.into_iter().filter(|pool| !has_place(pool)).collect()
     }
 
     /// Returns the machines needed by tasks that run or could run now, and the
--- a/crates/flow/src/evict.rs
+++ b/crates/flow/src/evict.rs
@@ -6,7 +6,7 @@
 //! came, the wave would be late. So they leave from the start of the wave on, whatever
 //! machines are drained now, to machines that await no maintenance.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use vg_base::prelude::*;
 
@@ -31,19 +31,21 @@
             return;
         }
         active.evicted = Some(now);
-        let mut refuges = HashMap::new();
+        let mut targets = HashMap::new();
+        let mut stuck_steps = HashSet::new();
         for attempt in self.tasks_to_evict(number) {
-            if !self.may_interrupt(attempt, now) {
+            let (step, worker) = (self.attempts[attempt].task.step, self.attempts[attempt].worker);
+            if stuck_steps.contains(&step) || !self.may_interrupt(attempt, now) {
                 continue;
             }
-            let worker = self.attempts[attempt].worker;
             let pool = self.workers[worker].incarnation.pool.clone();
-            let known = refuges.entry(pool.clone());
-            let workers = known.or_insert_with_key(|pool| self.refuges(pool, now));
+            let known = targets.entry(pool.clone());
+            let workers = known.or_insert_with_key(|pool| self.eviction_targets(pool, now));
             if self.has_room(attempt, workers, now) {
                 self.stop_attempt(attempt, StopReason::MachineNeeded, now);
             } else {
-                self.cramped.insert(pool);
+                stuck_steps.insert(step);
+                self.unplaced_pools.insert(pool);
             }
         }
     }
@@ -67,7 +69,7 @@
     /// Returns the workers of a pool that can be given work and whose machines await no
     /// maintenance. There are none while the pool has unresolved work, because a task
     /// that is stopped could not start again.
-    fn refuges(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
+    fn eviction_targets(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
         if self.unresolved.affects_pool(pool) {
             return Vec::new();
         }
--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -101,6 +101,12 @@
     pub(crate) waves: BTreeMap<u64, ActiveWave>,
     /// Commands without an answer yet, and when they were sent.
     pub(crate) commands: HashMap<SmolStr, (MachineCommand, Instant)>,
+    /// Machines whose last command to move was not answered, and since when that is
+    /// known.
+    unanswered_moves: HashMap<SmolStr, Instant>,
+    /// Whether the last command was not answered, or not taken because the platform
+    /// could not carry it out.
+    is_failing: bool,
     /// Machines that get no command before a time.
     pub(crate) paused_until: HashMap<SmolStr, Instant>,
     pub(crate) waves_changed: bool,
@@ -118,6 +124,8 @@
             changed: HashMap::new(),
             waves: BTreeMap::new(),
             commands: HashMap::new(),
+            unanswered_moves: HashMap::new(),
+            is_failing: false,
             paused_until: HashMap::new(),
             waves_changed: false,
             workers: HashMap::new(),
@@ -148,9 +156,35 @@
         }
     }
 
+    /// Drops moves that were not answered, where a list that was asked for since, at
+    /// `asked`, shows the machine where it was. Where a worker is known on it, the
+    /// worker's next answer shows whether it was moved.
+    fn drop_moves_not_made(&mut self, asked: Instant) {
+        let (in_transit, workers) = (&mut self.resize.in_transit, &self.workers);
+        let is_shown =
+            |machine: &SmolStr, at: &mut Instant| *at <= asked && !workers.contains_key(machine);
+        for (machine, _) in self.unanswered_moves.extract_if(is_shown) {
+            let listed = self.list.get(&machine);
+            let is_left = listed.is_some_and(|listed| {
+                let target = in_transit.get(&machine).map(|(pool, _)| pool);
+                listed.state == MachineState::Up && target != Some(&listed.pool)
+            });
+            if is_left {
+                in_transit.remove(&machine);
+            }
+        }
+    }
+
+    /// Whether the platform takes commands: while they fail, one at a time is sent, so
+    /// that machines are not withheld from their pools for nothing.
+    pub(crate) fn takes_commands(&self) -> bool {
+        !self.is_failing || self.commands.is_empty()
+    }
+
     /// Whether a command may be sent to a machine now.
     pub(crate) fn may_command(&self, machine: &SmolStr, now: Instant) -> bool {
         now >= self.hold_until
+            && self.takes_commands()
             && !self.commands.contains_key(machine)
             && self.paused_until.get(machine).is_none_or(|&until| until <= now)
     }
@@ -173,6 +207,7 @@
     /// `asked`. Machines that have been commanded since keep their known state.
     pub fn set_machine_list(&mut self, list: Vec<Machine>, asked: Instant) {
         self.machines.replace_list(list, asked);
+        self.machines.drop_moves_not_made(asked);
     }
 
     /// Returns what is known of the machine of a command.
@@ -189,6 +224,7 @@
     /// Sends a command to a machine and seals the record of its worker.
     pub(crate) fn command_machine(&mut self, command: MachineCommand, now: Instant) {
         self.machines.commands.insert(command.machine().clone(), (command.clone(), now));
+        self.machines.unanswered_moves.remove(command.machine());
         self.machines.note_change(command.machine(), now);
         // The worker gets no more work, so that the next leader need not wait
         // for its lease to expire.
@@ -209,6 +245,8 @@
         let sent = self.machines.commands.remove(command.machine());
         let machine = command.machine().clone();
         self.machines.note_change(&machine, now);
+        self.machines.is_failing =
+            matches!(answer, MachineAnswer::Unanswered | MachineAnswer::Limited);
         match answer {
             MachineAnswer::Done => {
                 if sent.is_some() && self.ended_known_worker(command) {
@@ -238,10 +276,15 @@
                 // long as maintenance takes, and gets no other command before
                 // that.
                 let until = now + self.rules.maintain_time + DOWN_MARGIN;
-                if let MachineCommand::Maintain { wave, .. } = command
-                    && let Some(active) = self.machines.waves.get_mut(wave)
-                {
-                    active.down.insert(machine.clone(), until);
+                match command {
+                    MachineCommand::Maintain { wave, .. } => {
+                        if let Some(active) = self.machines.waves.get_mut(wave) {
+                            active.down.insert(machine.clone(), until);
+                        }
+                    }
+                    MachineCommand::Move { .. } => {
+                        self.machines.unanswered_moves.insert(machine.clone(), now);
+                    }
                 }
                 self.machines.paused_until.insert(machine, until.max(now + COMMAND_TIMEOUT));
             }
@@ -266,6 +309,24 @@
         }
     }
 
+    /// Gives the worker on a machine work again if it answered a poll that was sent at
+    /// `sent`, [`COMMAND_TIMEOUT`] after it was known that a command to move the machine
+    /// was not answered: the command has not been carried out.
+    pub(crate) fn resolve_unanswered_move(&mut self, key: WorkerKey, sent: Instant) {
+        let Some(machine) = self.workers[key].machine.clone() else { return };
+        if self
+            .machines
+            .unanswered_moves
+            .get(&machine)
+            .is_none_or(|&at| sent < at + COMMAND_TIMEOUT)
+        {
+            return;
+        }
+        self.machines.unanswered_moves.remove(&machine);
+        self.machines.resize.in_transit.remove(&machine);
+        self.uncordon(&machine);
+    }
+
     /// Removes the confirmed attempts of a machine that a command took away:
     /// all that ran on it has ended.
     pub(crate) fn machine_left(&mut self, machine: &SmolStr, now: Instant) {
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -45,6 +45,7 @@
         if worker.leaving && worker.backoff_until.is_none_or(|until| until <= now) {
             worker.leaving = false;
         }
+        self.resolve_unanswered_move(key, sent);
         if self.may_unseal(key) {
             self.workers[key].sealed = false;
             self.workers[key].require_record();
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -194,7 +194,7 @@
                     pass.misfits.push(step.reservation());
                 }
                 if step.continuous {
-                    self.cramped.insert(self.jobs[key].pool.clone());
+                    self.unplaced_pools.insert(self.jobs[key].pool.clone());
                     self.preempt_for(key, task, &pass.workers, now);
                 }
                 return;
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -59,6 +59,9 @@
                 let taken = take_allowed(&mut free, pool, &self.machines.resize.refused)
                     .or_else(|| take_allowed(&mut donors, pool, &self.machines.resize.refused));
                 let Some((machine, _)) = taken else { break };
+                if !self.machines.takes_commands() {
+                    return;
+                }
                 self.move_machine(machine, pool.clone(), now);
             }
         }
@@ -66,6 +69,7 @@
             let is_long_idle =
                 since.is_some_and(|since| now.saturating_duration_since(since) >= IDLE_TIME);
             if is_long_idle
+                && self.machines.takes_commands()
                 && !self.machines.resize.refused.contains(&(machine.clone(), spare.clone()))
             {
                 self.move_machine(machine, spare.clone(), now);
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -49,7 +49,7 @@
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
     /// Pools in which a continuous task has found no place since their sizes were
     /// last decided.
-    pub(crate) cramped: HashSet<PoolId>,
+    pub(crate) unplaced_pools: HashSet<PoolId>,
     pub(crate) queue_work: QueueWork,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
@@ -114,7 +114,7 @@
         Scheduler {
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
-            cramped: HashSet::new(),
+            unplaced_pools: HashSet::new(),
             queue_work: QueueWork::default(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
--- a/crates/flow/src/wave_choice.rs
+++ b/crates/flow/src/wave_choice.rs
@@ -54,18 +54,19 @@
         let cycle = self.rules.maintain_time + CYCLE_OVERHEAD;
         let time = active.due.saturating_duration_since(now).saturating_sub(WAVE_MARGIN);
         let max_down = active.wave.max_down.max(1) as usize;
-        let (settled, others) = self.wave_shares(number);
+        let (continuous, others) = self.wave_shares(number);
         // Once their tasks have left, the machines still need their maintenance.
-        let settled = settled.missing(cycle, time.saturating_sub(cycle), max_down);
+        let continuous = continuous.missing(cycle, time.saturating_sub(cycle), max_down);
         let others = others.missing(cycle, time, max_down);
-        if settled + others == 0 {
+        if continuous + others == 0 {
             return;
         }
         let mut candidates = self.wave_candidates(number, now);
         candidates.sort();
         let (with_tasks, without): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|(cost, _)| cost.continuous > 0);
-        let chosen = with_tasks.into_iter().take(settled).chain(without.into_iter().take(others));
+        let chosen =
+            with_tasks.into_iter().take(continuous).chain(without.into_iter().take(others));
         for (_, machine) in chosen {
             self.start_draining(number, machine, now);
         }
@@ -74,16 +75,16 @@
     /// Returns the machines of a wave that have continuous tasks, and the others.
     fn wave_shares(&self, number: u64) -> (Share, Share) {
         let active = &self.machines.waves[&number];
-        let (mut settled, mut others) = (Share::default(), Share::default());
+        let (mut continuous, mut others) = (Share::default(), Share::default());
         for machine in active.remaining() {
             let worker = self.worker_on(machine).map(|key| &self.workers[key]);
-            let is_settled = worker.is_some_and(|worker| self.has_continuous(worker));
-            let share = if is_settled { &mut settled } else { &mut others };
+            let has_continuous = worker.is_some_and(|worker| self.has_continuous(worker));
+            let share = if has_continuous { &mut continuous } else { &mut others };
             share.remaining += 1;
             share.out += usize::from(active.draining.contains_key(machine));
         }
         others.out += active.down.len();
-        (settled, others)
+        (continuous, others)
     }
 
     /// Returns the machines of a wave that could be drained now, with their costs.
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -119,12 +119,13 @@
         takeovers: 4,
         outages: 4,
         refusals: 0,
+        lost_commands: 0,
     };
     (0..seeds()).for_each(|seed| run_seed(3000 + seed, faults));
 }
 
 /// Guards against attempts on machines that are being moved while takeovers
-/// happen and commands to machines are refused.
+/// happen and commands to machines are refused or not answered.
 #[test]
 fn invariants_hold_when_machines_move_and_commands_are_refused() {
     let faults = Faults {
@@ -133,7 +134,8 @@
         failures: 20,
         takeovers: 6,
         outages: 6,
-        refusals: 400,
+        refusals: 300,
+        lost_commands: 200,
         ..Faults::default()
     };
     for seed in 0..seeds() {
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -283,3 +283,56 @@
     assert!(moved.len() >= 6, "{moved:?}");
     assert!(moved[..6].iter().all(|machine| !due.contains(machine)), "{moved:?}");
 }
+
+/// Guards against machines that are lost to their pool: the service that moves machines
+/// did not answer, and their workers go on.
+#[test]
+fn a_worker_that_answers_after_an_unanswered_move_gets_work_again() {
+    let mut fixture = Fixture::new();
+    fixture.machine_answer = MachineAnswer::Unanswered;
+    let ids: Vec<String> = (0..8).map(|at| format!("w{at}")).collect();
+    let list = ids.iter().map(|id| machine(&id.replace('w', "m"), "a")).collect();
+    ids.iter().for_each(|id| fixture.join(id, "a", &id.replace('w', "m"), 5));
+    fixture.scheduler.set_machine_list(list, fixture.now);
+    (0..20).for_each(|_| fixture.round(50));
+    assert!(!fixture.commands.is_empty());
+    fixture.now += Duration::from_secs(3);
+    ids.iter().for_each(|id| fixture.poll(id, 5));
+    let records = fixture.scheduler.incarnation_records(fixture.now, fixture.wall());
+    fixture.scheduler.records_written(&records);
+    ids.iter().for_each(|id| fixture.poll(id, 5));
+    fixture.submit(1, "q-a", vec![continuous(6)]);
+    fixture.round(20);
+    assert_eq!(fixture.running.len(), 6);
+}
+
+/// Guards against machines that nobody can use while the service that moves them does
+/// not answer: until it does, only one command at a time is sent.
+#[test]
+fn one_command_at_a_time_is_sent_to_a_service_that_does_not_answer() {
+    for answer in [MachineAnswer::Unanswered, MachineAnswer::Limited] {
+        let mut fixture = Fixture::new();
+        let mut list: Vec<_> = (0..30).map(|at| machine(&format!("s{at}"), "spare")).collect();
+        for at in 0..8 {
+            let (on, in_pool) = (format!("m{at}"), if at < 4 { "a" } else { "b" });
+            fixture.join(&format!("w{at}"), in_pool, &on, 5);
+            list.push(machine(&on, in_pool));
+        }
+        fixture.scheduler.set_machine_list(list.clone(), fixture.now);
+        fixture.machine_answer = answer;
+        fixture.submit(1, "q-a", vec![step(60, 8000, 1000)]);
+        fixture.round(50);
+        fixture.round(50);
+        let first = fixture.commands.len();
+        assert!(first > 10, "{first}");
+        // The list shows that nothing has moved.
+        fixture.now += Duration::from_millis(20);
+        fixture.scheduler.set_machine_list(list, fixture.now);
+        fixture.round(50);
+        assert_eq!(fixture.commands.len(), first + 1, "{answer}");
+        fixture.machine_answer = MachineAnswer::Done;
+        fixture.round(3000);
+        fixture.round(50);
+        assert!(fixture.commands.len() > first + 10, "{answer}");
+    }
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -23,6 +23,8 @@
 /// Time for which an earlier leader may continue without proof of its
 /// leadership lease.
 const UNVERIFIED_LEASE: Duration = Duration::from_millis(1500);
+/// Time for which the leader waits for the answer to a command to a machine.
+const COMMAND_TIMEOUT_MS: u64 = 1000;
 /// Time that a worker takes to stop an attempt.
 const STOP_MS: u64 = 150;
 
@@ -47,6 +49,8 @@
     pub(crate) outages: u32,
     /// Commands to machines that are refused.
     pub(crate) refusals: u32,
+    /// Commands to machines that are not answered, half of which are carried out.
+    pub(crate) lost_commands: u32,
 }
 
 /// A job as stored.
@@ -103,6 +107,8 @@
     machines: Vec<Machine>,
     /// Commands that are refused, and when the answer arrives.
     pub(crate) pending_refusals: Vec<(u64, MachineCommand)>,
+    /// Commands without an answer, and when the leader stops waiting for one.
+    lost_commands: Vec<(u64, MachineCommand)>,
     /// Machines that are being moved, and when they arrive.
     in_transit: Vec<(u64, Machine)>,
 }
@@ -149,6 +155,7 @@
             commands: Vec::new(),
             machines: Vec::new(),
             pending_refusals: Vec::new(),
+            lost_commands: Vec::new(),
             in_transit: Vec::new(),
         };
         world.register();
@@ -258,6 +265,7 @@
         }
         // Answers to the earlier leader do not reach this one.
         self.pending_refusals.clear();
+        self.lost_commands.clear();
         let wall = self.wall();
         for record in self.records.clone() {
             self.scheduler.add_unresolved(&record, until, now, wall);
@@ -448,6 +456,13 @@
             self.pending_refusals.push((at, command));
             return;
         }
+        let is_lost = self.chance(self.faults.lost_commands);
+        if is_lost {
+            self.lost_commands.push((self.ms + COMMAND_TIMEOUT_MS, command.clone()));
+            if self.rng.random_bool(0.5) {
+                return;
+            }
+        }
         self.commands.push((self.ms, command.clone()));
         let MachineCommand::Move { machine, pool } = &command else { return };
         let Some(at) = self.machines.iter().position(|each| each.id == *machine) else { return };
@@ -458,8 +473,10 @@
             each.running.clear();
         });
         self.in_transit.push((self.ms + 1500, moved));
-        let now = self.now();
-        self.scheduler.machine_answered(&command, MachineAnswer::Done, now);
+        if !is_lost {
+            let now = self.now();
+            self.scheduler.machine_answered(&command, MachineAnswer::Done, now);
+        }
     }
 
     fn deliver_refusals(&mut self) {
@@ -470,6 +487,9 @@
         for (_, command) in due {
             self.scheduler.machine_answered(&command, MachineAnswer::Limited, now);
         }
+        for (_, command) in self.lost_commands.extract_if(.., |(at, _)| *at <= ms) {
+            self.scheduler.machine_answered(&command, MachineAnswer::Unanswered, now);
+        }
     }
 
     /// Finishes moves that are due: a new worker joins the pool.
