flow: only continuous tasks wait until an unanswered move can not take effect

Cause: the wait guards tasks that must not be ended by a move that is carried out late; tasks that end by themselves can be started again. Change: a worker gets work at its next answer, continuous tasks two seconds later. A continuous task that fits nowhere says nothing about other tasks with the same reservation any more.

--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -310,21 +310,25 @@
     }
 
     /// Gives the worker on a machine work again if it answered a poll that was sent at
-    /// `sent`, [`COMMAND_TIMEOUT`] after it was known that a command to move the machine
-    /// was not answered: the command has not been carried out.
+    /// `sent`, after a command to move the machine was not answered: the command has not
+    /// been carried out.
     pub(crate) fn resolve_unanswered_move(&mut self, key: WorkerKey, sent: Instant) {
         let Some(machine) = self.workers[key].machine.clone() else { return };
-        if self
-            .machines
-            .unanswered_moves
-            .get(&machine)
-            .is_none_or(|&at| sent < at + COMMAND_TIMEOUT)
-        {
+        let Some(&at) = self.machines.unanswered_moves.get(&machine) else { return };
+        if sent < at {
             return;
         }
-        self.machines.unanswered_moves.remove(&machine);
         self.machines.resize.in_transit.remove(&machine);
         self.uncordon(&machine);
+        if sent >= at + COMMAND_TIMEOUT {
+            self.machines.unanswered_moves.remove(&machine);
+        }
+    }
+
+    /// Whether a command to move a machine may still be carried out: it was not answered
+    /// a short time ago.
+    pub(crate) fn may_be_moved(&self, machine: Option<&SmolStr>) -> bool {
+        machine.is_some_and(|machine| self.machines.unanswered_moves.contains_key(machine))
     }
 
     /// Removes the confirmed attempts of a machine that a command took away:
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -73,8 +73,8 @@
     }
 
     /// Whether a worker meets the conditions of a task: its label and rack, the
-    /// maximum number of tasks of the step, no other attempt of the task, and a
-    /// valid ticket if one is needed.
+    /// maximum number of tasks of the step, no other attempt of the task, a valid
+    /// ticket if one is needed, and for a continuous task that its machine stays.
     fn may_run(
         &self,
         request: &PlacementRequest<'_>,
@@ -90,6 +90,9 @@
         if request.rack.is_some_and(|rack| worker.rack.as_ref() != Some(rack)) {
             return false;
         }
+        if spec.continuous && self.may_be_moved(worker.machine.as_ref()) {
+            return false;
+        }
         if let Some(max_tasks) = spec.per_worker {
             let here = self.tasks_on(worker, request.task.step);
             let planned = taken.iter().filter(|(each, _)| *each == key).count() as u32;
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -174,7 +174,8 @@
             self.ask_adviser(key, id, &pass.workers, now);
         }
         // Only such a step fits on no worker solely for lack of capacity.
-        let unrestricted = !advised && step.label.is_none() && step.per_worker.is_none();
+        let unrestricted =
+            !advised && !step.continuous && step.label.is_none() && step.per_worker.is_none();
         for index in waiting {
             let task = TaskId { step: id, index };
             let state = self.jobs[key].task(task);
