lead: tests for a suspended leader and for malformed values in the store

Two of the troubles that operators of similar systems report had no test of their own here: a process that acts on a permission that ran out while it was suspended, and one malformed value that stops a process. Both hold; the hosts of these tests have a clock that can be set forward.

--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -216,3 +216,48 @@
     cluster.fleet.set_reachable("w2", true);
     eventually(async || !is_sealed(&cluster, "w2").await).await;
 }
+
+/// Guards against a leader that was suspended and goes on with a lease that has run out
+/// meanwhile.
+#[tokio::test]
+async fn a_leader_that_was_suspended_starts_nothing_when_it_wakes() {
+    let cluster = Cluster::new().await;
+    let (a, b) = (cluster.node("a").await, cluster.node("b").await);
+    eventually(async || cluster.has_leader().await).await;
+    let (old, new) = if a.host.is_leading() { (&a, &b) } else { (&b, &a) };
+    assert_eq!(new.host.submit(id(1), job(4), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) > 0).await;
+    // It can not renew its lease when it wakes, and its job has a step left.
+    old.faults.set_down(true);
+    old.clock.suspend(Duration::from_secs(5));
+    eventually(async || !old.host.is_leading()).await;
+    let before = cluster.fleet.starts.lock().unwrap().clone();
+    assert!(before.len() < 8, "{before:?}");
+    eventually(async || is_done(&new.host.job_status(id(1), soon()).await)).await;
+    let starts = cluster.fleet.starts.lock().unwrap().clone();
+    assert_eq!(starts.len(), 8);
+    let last_run = before.iter().map(|(_, run)| *run).max();
+    let later = &starts[before.len()..];
+    assert!(later.iter().all(|(_, run)| Some(*run) > last_run), "{starts:?}");
+}
+
+/// Guards against one malformed value that stops a host, a takeover, or the work of
+/// others.
+#[tokio::test]
+async fn malformed_values_in_the_store_stop_neither_a_host_nor_a_takeover() {
+    let cluster = Cluster::new().await;
+    let first = cluster.node("n1").await;
+    eventually(async || first.host.is_leading()).await;
+    let keys = ["vg/in/x", "vg/in/4d", "vg/run/x", "vg/run/4d", "vg/live/host/x", "op/content"];
+    for key in keys {
+        cluster.put(key, &[0xc1, 0xff, 0x00]).await;
+    }
+    assert_eq!(first.host.submit(id(1), job(2), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&first.host.job_status(id(1), soon()).await)).await;
+    first.tasks.stop().await;
+    cluster.configure(2).await;
+    let second = cluster.node("n2").await;
+    eventually(async || second.host.is_leading()).await;
+    assert_eq!(second.host.submit(id(2), job(2), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&second.host.job_status(id(2), soon()).await)).await;
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -78,8 +78,32 @@
     pub(crate) fleet: Arc<Fleet>,
 }
 
+/// The clock of one host, which a test sets forward as if the process had been
+/// suspended.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct TestClock {
+    suspended: Arc<Mutex<Duration>>,
+}
+
+impl TestClock {
+    pub(crate) fn suspend(&self, time: Duration) {
+        *self.suspended.lock().unwrap() += time;
+    }
+}
+
+impl Clock for TestClock {
+    fn now(&self) -> Instant {
+        SystemClock.now() + *self.suspended.lock().unwrap()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemClock.wall() + *self.suspended.lock().unwrap()
+    }
+}
+
 pub(crate) struct Node {
-    pub(crate) host: Host<TestPlatform, SystemClock>,
+    pub(crate) host: Host<TestPlatform, TestClock>,
+    pub(crate) clock: TestClock,
     pub(crate) tasks: HostTasks,
     pub(crate) faults: FaultControl,
 }
@@ -132,14 +156,20 @@
             rules: SchedulingRules::default(),
             outcome_retention: Duration::from_secs(60),
         };
-        let recorder = Recorder::new(SystemClock, name, 4000);
-        let started = Host::start(platform, SystemClock, options, recorder).await;
+        let clock = TestClock::default();
+        let recorder = Recorder::new(clock.clone(), name, 4000);
+        let started = Host::start(platform, clock.clone(), options, recorder).await;
         let (host, tasks) = started.unwrap();
-        let node = Node { host, tasks, faults };
+        let node = Node { host, clock, tasks, faults };
         eventually(async || node.host.config().is_some()).await;
         node
     }
 
+    pub(crate) async fn put(&self, key: &str, value: &[u8]) {
+        let put = Txn::new().put(key, Value::copy_from_slice(value));
+        self.inner.commit(put).await.unwrap();
+    }
+
     pub(crate) async fn key(&self, key: &str) -> bool {
         self.value(key).await.is_some()
     }
