verbenagap: the tests of processes reserve their ports by number

Suspected, not proved: a port that was chosen by binding and releasing it went to a listener of another test before the daemon bound it. The checks are unchanged.

--- a/crates/verbenagap/tests/processes.rs
+++ b/crates/verbenagap/tests/processes.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use common::{PLANS, USES};
@@ -44,9 +45,24 @@
     }
 }
 
-/// Returns a loopback address with a port that is free at the time of the call.
+/// Lowest port that [`free_addr`] returns. Ports below 32768 are not given to sockets that
+/// ask for any port, so that no other socket takes one before its process binds it.
+const FIRST_PORT: u16 = 20_000;
+/// Number of ports that one test process uses at most.
+const PORTS_PER_PROCESS: u16 = 100;
+
+/// Returns a loopback address that no other call in this process returns, and with a port
+/// that is free.
 fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static CALLS: AtomicU16 = AtomicU16::new(0);
+    let own = FIRST_PORT + (std::process::id() % 100) as u16 * PORTS_PER_PROCESS;
+    loop {
+        let port = own + CALLS.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// The addresses of a site of processes, and the transcript of the commands run on it.
