lead: commands to machines of several rounds share one record

With a store that takes 250 ms a write, four machines moved a second where 50 to 190 were asked for, and jobs of that turn were late. Each round of decisions wrote its own record of commands, one after the other, although a round came every 20 ms.

A record now holds all commands that were decided while the record before it was being written.

--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -148,20 +148,27 @@
         self.wake.notify_one();
     }
 
-    /// Records the commands to machines that accumulated, and sends them once
-    /// the record is durable. The record tells the next leader which machines
-    /// must not receive another command for a while.
+    /// Records the commands to machines that accumulated, and sends them once the
+    /// record is durable. The record tells the next leader which machines must not
+    /// receive another command for a while.
     pub(super) fn send_machine_commands(self: &Arc<Self>) {
+        if !lock(&self.machine_commands).is_empty() {
+            self.spawn(Arc::clone(self).record_and_send_commands());
+        }
+    }
+
+    /// Writes one record for all commands that were decided while an earlier record was
+    /// being written: with a slow store, a record for each round would let only a few
+    /// machines move per second.
+    async fn record_and_send_commands(self: Arc<Self>) {
+        let _guard = self.record_lock.lock().await;
         let commands = std::mem::take(&mut *lock(&self.machine_commands));
-        if !commands.is_empty() {
-            let leader = Arc::clone(self);
-            self.spawn(async move {
-                let allowed = leader.record_commands(&commands).await;
-                for (command, target) in commands {
-                    let send = Arc::clone(&leader).send_machine_command(command, target, allowed);
-                    leader.spawn(send);
-                }
-            });
+        if commands.is_empty() {
+            return;
+        }
+        let allowed = self.record_commands(&commands).await;
+        for (command, target) in commands {
+            self.spawn(Arc::clone(&self).send_machine_command(command, target, allowed));
         }
     }
 
@@ -169,7 +176,6 @@
     /// than the machine hold. Returns whether the commands may be sent: the
     /// record is durable and the lease is valid.
     async fn record_commands(&self, commands: &[(MachineCommand, CommandTarget)]) -> bool {
-        let _guard = self.record_lock.lock().await;
         let wall = self.host.inner.clock.wall();
         let hold = self.host.inner.options.rules.machine_hold;
         let (revision, mut records) = lock(&self.revisions).commands.clone();
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -70,8 +70,8 @@
     /// Workers that are being polled.
     polled_workers: Mutex<std::collections::HashSet<HostId>>,
     tasks: Mutex<JoinSet<()>>,
-    /// Commands to machines that were decided in the current round, and what was
-    /// known of each machine then.
+    /// Commands to machines that were decided and are not in a record yet, and what
+    /// was known of each machine then.
     machine_commands: Mutex<Vec<(MachineCommand, CommandTarget)>>,
     /// Serializes the writes of the command record.
     record_lock: tokio::sync::Mutex<()>,
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -33,6 +33,8 @@
     workers: Mutex<Vec<SimulatedWorker>>,
     /// Starts that a worker has carried out.
     pub(crate) starts: Mutex<Vec<(TaskId, AttemptNumber)>>,
+    /// The platform's list of machines.
+    pub(crate) machines: Mutex<Vec<Machine>>,
     /// Polls: the worker, whether its lease was renewed, and for how long it could hold
     /// back its answer.
     pub(crate) polls: Mutex<Vec<(HostId, bool, Duration)>>,
@@ -118,6 +120,7 @@
             started: StdInstant::now(),
             workers: Mutex::new(vec![worker("w1"), worker("w2"), worker("w3")]),
             starts: Mutex::default(),
+            machines: Mutex::default(),
             polls: Mutex::default(),
         };
         let cluster = Cluster { inner: MemStore::new(SystemClock), fleet: Arc::new(fleet) };
@@ -258,6 +261,7 @@
         };
         config.add_queue("q".parse().unwrap(), "h".into(), "/q/".into(), queue);
         config.pools.insert("p".parse().unwrap(), Pool { rejects_overload: true, spare: false });
+        config.pools.insert("spare".parse().unwrap(), Pool { rejects_overload: true, spare: true });
         Ok(OperatorItem::Config(Box::new(config)))
     }
 
@@ -345,7 +349,7 @@
     }
 
     async fn machines(&self) -> Option<Vec<Machine>> {
-        Some(Vec::new())
+        Some(self.fleet.machines.lock().unwrap().clone())
     }
 
     async fn command_machine(
