--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -177,6 +177,12 @@
 
     /// A command to move a machine or to put it into maintenance was issued.
     MachineCommandSent = 700, "machine-ordered", Info;
+    /// Operators asked to drain an availability zone; nothing starts on its workers.
+    ZoneDrainRequested = 701, "zone-drain-requested", Info;
+    /// No task runs in a drained zone any more.
+    ZoneDrained = 702, "zone-drained", Info;
+    /// Operators withdrew the request to drain a zone; its workers take work again.
+    ZoneDrainEnded = 703, "zone-drain-ended", Info;
 
     /// The store does not answer, or a call to it failed.
     StoreFailed = 800, "store-failed", Warn;
--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -94,6 +94,9 @@
     /// Its machine is needed for maintenance or for another pool.
     #[display("machine-needed")]
     MachineNeeded,
+    /// Its zone is drained.
+    #[display("zone-drained")]
+    ZoneDrained,
     /// Its worker is about to leave.
     #[display("worker-leaves")]
     WorkerLeaves,
--- a/crates/flow/src/demand.rs
+++ b/crates/flow/src/demand.rs
@@ -120,6 +120,11 @@
         self.present.saturating_sub(self.machines_for(self.recent))
     }
 
+    /// Whether the pool has the machines that it has needed recently.
+    pub(crate) fn is_sufficient(&self) -> bool {
+        self.present >= self.machines_for(self.recent)
+    }
+
     /// Capacity that continuous tasks leave free on the machines over which
     /// they are spread counts as headroom too.
     fn machines_for(&self, need: f64) -> usize {
@@ -165,6 +170,7 @@
         }
         for worker in self.workers.values() {
             let is_available = worker.registered
+                && !worker.zone_drained
                 && !worker.draining
                 && !worker.leaving
                 && worker.unreachable_since.is_none();
@@ -175,8 +181,10 @@
                 size.present += 1;
             }
         }
-        for (pool, _) in self.machines.resize.in_transit.values() {
-            if let Some(size) = sizes.get_mut(pool) {
+        for (machine, (pool, _)) in &self.machines.resize.in_transit {
+            if let Some(size) = sizes.get_mut(pool)
+                && !self.is_in_drained_zone(machine)
+            {
                 size.present += 1;
                 size.arriving += 1;
             }
--- a/crates/flow/src/evict.rs
+++ b/crates/flow/src/evict.rs
@@ -4,7 +4,8 @@
 //! maintenance wave, and only a few of them may be unavailable at once, so that they
 //! need most of the wave's time to leave. If they left only when their machine's turn
 //! came, the wave would be late. So they leave from the start of the wave on, whatever
-//! machines are drained now, to machines that await no maintenance.
+//! machines are drained now, to machines that await no maintenance. Tasks in a drained
+//! zone ([`crate::zone_exit`]) leave it in the same way.
 
 use std::collections::{HashMap, HashSet};
 
@@ -13,13 +14,41 @@
 use crate::attempt::AttemptKey;
 use crate::job::Task;
 use crate::worker::WorkerKey;
-use crate::{Scheduler, StopReason};
+use crate::{Scheduler, StepId, StopReason};
 
 /// Added to the time that a worker takes to stop an attempt.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Interval between two passes over the tasks on the machines of a wave.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A pass over continuous tasks that have to leave their workers.
+#[derive(Debug, Default)]
+pub(crate) struct EvictionPass {
+    /// Workers that can take tasks, by pool.
+    targets: HashMap<PoolId, Vec<WorkerKey>>,
+    /// Steps that have a task without a place.
+    stuck_steps: HashSet<StepId>,
+    /// Steps that let no further available task stop.
+    exhausted_steps: HashSet<StepId>,
+}
+
+impl EvictionPass {
+    /// Whether a step has a task without a place.
+    pub(crate) fn is_stuck(&self, step: StepId) -> bool {
+        self.stuck_steps.contains(&step)
+    }
+
+    /// Returns the workers of a pool that can take tasks; `find` is called once for each
+    /// pool.
+    pub(crate) fn targets(
+        &mut self,
+        pool: &PoolId,
+        find: impl FnOnce(&PoolId) -> Vec<WorkerKey>,
+    ) -> &[WorkerKey] {
+        self.targets.entry(pool.clone()).or_insert_with_key(find)
+    }
+}
+
 impl Scheduler {
     /// Evicts continuous tasks from machines that await their maintenance, if there is a
     /// machine without maintenance ahead of it that has room for them.
@@ -31,23 +60,56 @@
             return;
         }
         active.evicted = Some(now);
-        let mut targets = HashMap::new();
-        let mut stuck_steps = HashSet::new();
+        let mut pass = EvictionPass::default();
         for attempt in self.tasks_to_evict(number) {
-            let (step, worker) = (self.attempts[attempt].task.step, self.attempts[attempt].worker);
-            if stuck_steps.contains(&step) || !self.may_interrupt(attempt, now) {
-                continue;
-            }
-            let pool = self.workers[worker].incarnation.pool.clone();
-            let known = targets.entry(pool.clone());
-            let workers = known.or_insert_with_key(|pool| self.eviction_targets(pool, now));
-            if self.has_room(attempt, workers, now) {
-                self.stop_attempt(attempt, StopReason::MachineNeeded, now);
-            } else {
-                stuck_steps.insert(step);
+            let find_target = |scheduler: &Scheduler, pass: &mut EvictionPass, pool: &PoolId| {
+                let workers = pass.targets(pool, |pool| scheduler.wave_targets(pool, now));
+                scheduler.eviction_target(attempt, workers, now)
+            };
+            self.evict(attempt, &mut pass, StopReason::MachineNeeded, find_target, now);
+        }
+    }
+
+    /// Stops an attempt of a continuous task so that it moves, if the budget of its step
+    /// allows it and `find_target` finds a worker for it. Otherwise its pool needs
+    /// another machine. Returns that worker.
+    pub(crate) fn evict(
+        &mut self,
+        attempt: AttemptKey,
+        pass: &mut EvictionPass,
+        reason: StopReason,
+        find_target: impl Fn(&Scheduler, &mut EvictionPass, &PoolId) -> Option<WorkerKey>,
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let (step, worker) = (self.attempts[attempt].task.step, self.attempts[attempt].worker);
+        if pass.is_stuck(step) || !self.budget_allows(attempt, pass, now) {
+            return None;
+        }
+        let pool = self.workers[worker].incarnation.pool.clone();
+        let target = find_target(self, pass, &pool);
+        match target {
+            Some(_) => self.stop_attempt(attempt, reason, now),
+            None => {
+                pass.stuck_steps.insert(step);
                 self.unplaced_pools.insert(pool);
             }
         }
+        target
+    }
+
+    /// Whether the budget of its step lets an attempt stop. The answer is the same for all
+    /// available tasks of a step.
+    fn budget_allows(&self, attempt: AttemptKey, pass: &mut EvictionPass, now: Instant) -> bool {
+        let step = self.attempts[attempt].task.step;
+        let is_available = self.is_available(attempt, now);
+        if is_available && pass.exhausted_steps.contains(&step) {
+            return false;
+        }
+        let allowed = self.may_interrupt(attempt, now);
+        if is_available && !allowed {
+            pass.exhausted_steps.insert(step);
+        }
+        allowed
     }
 
     /// Returns the attempts of continuous tasks on machines of a wave, those on machines
@@ -66,22 +128,34 @@
         found.into_iter().map(|(_, _, attempt)| attempt).collect()
     }
 
-    /// Returns the workers of a pool that can be given work and whose machines await no
-    /// maintenance. There are none while the pool has unresolved work, because a task
-    /// that is stopped could not start again.
-    fn eviction_targets(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
+    /// Returns the eviction targets of a pool whose machines await no maintenance.
+    fn wave_targets(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
+        let targets = self.eviction_targets(pool, now).into_iter();
+        targets
+            .filter(|&key| !self.awaits_maintenance(self.workers[key].machine.as_ref()))
+            .collect()
+    }
+
+    /// Returns the workers of a pool that can be given work. There are none while the
+    /// pool has unresolved work, because a task that is stopped could not start again.
+    pub(crate) fn eviction_targets(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
         if self.unresolved.affects_pool(pool) {
             return Vec::new();
         }
-        let usable = self.usable_workers(pool, now).into_iter();
-        usable.filter(|&key| !self.awaits_maintenance(self.workers[key].machine.as_ref())).collect()
+        self.usable_workers(pool, now)
     }
 
-    /// Whether one of `workers` has room for the task of an attempt.
-    fn has_room(&self, attempt: AttemptKey, workers: &[WorkerKey], now: Instant) -> bool {
+    /// Returns the one of `workers` that the task of an attempt would move to; `None` if
+    /// none has room.
+    fn eviction_target(
+        &self,
+        attempt: AttemptKey,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
         let task = self.attempts[attempt].task;
-        let job = self.job_ids.get(&task.step.job);
-        job.is_some_and(|&job| self.find_worker(job, task, workers, now).is_some())
+        let job = *self.job_ids.get(&task.step.job)?;
+        self.find_worker(job, task, workers, now)
     }
 
     /// Whether an attempt is of a continuous task and runs.
@@ -98,6 +172,9 @@
         if self.unresolved.affects_pool(&self.workers[key].incarnation.pool) {
             return;
         }
+        if !self.has_usable_alternative(key, now) {
+            return;
+        }
         for attempt in self.workers[key].attempts.clone() {
             if self.is_movable_task(attempt) && self.may_interrupt(attempt, now) {
                 self.stop_attempt(attempt, StopReason::MachineNeeded, now);
@@ -113,20 +190,22 @@
         let Some(spec) = self.spec_of(task) else { return true };
         let Some(max_unavailable) = spec.max_unavailable else { return true };
         let Some(step) = job.step(task.step.occurrence, task.step.step) else { return true };
-        let stop_window = self.rules.stop_time + STOP_MARGIN;
-        let available = |task: &Task| {
-            task.attempts.iter().any(|&attempt| {
-                let attempt = &self.attempts[attempt];
-                // An attempt that was found just now may be stopping already,
-                // because of a command of an earlier leader.
-                let known = now.saturating_duration_since(attempt.started) > stop_window;
-                let healthy = attempt.is_running()
-                    && self.workers[attempt.worker].unreachable_since.is_none();
-                known && healthy && attempt.percent >= 100
-            })
-        };
+        let available =
+            |task: &Task| task.attempts.iter().any(|&attempt| self.is_available(attempt, now));
         let others = step.tasks.iter().enumerate().filter(|(at, _)| *at as u32 != task.index);
         let unavailable = others.filter(|(_, other)| !available(other)).count();
         unavailable < max_unavailable as usize
     }
+
+    /// Whether an attempt of a continuous task serves.
+    fn is_available(&self, attempt: AttemptKey, now: Instant) -> bool {
+        let attempt = &self.attempts[attempt];
+        let stop_window = self.rules.stop_time + STOP_MARGIN;
+        // An attempt that was found just now may be stopping already, because of a
+        // command of an earlier leader.
+        let known = now.saturating_duration_since(attempt.started) > stop_window;
+        let healthy =
+            attempt.is_running() && self.workers[attempt.worker].unreachable_since.is_none();
+        known && healthy && attempt.percent >= 100
+    }
 }
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -54,9 +54,11 @@
             .filter(|(_, attempt)| {
                 let answered = self.workers[attempt.worker].last_poll;
                 answered.is_some_and(|at| {
-                    at.saturating_duration_since(attempt.last_progress) > self.stall_time(attempt)
+                    let since = self.warm_since(attempt.worker, attempt.last_progress);
+                    at.saturating_duration_since(since) > self.stall_time(attempt)
                 })
             })
+            .filter(|(key, _)| self.has_alternative(*key, now))
             .map(|(key, attempt)| (key, attempt.task, attempt.worker))
             .collect();
         for (key, task, worker) in stalled {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -46,6 +46,8 @@
 mod unresolved;
 mod wave_choice;
 mod worker;
+mod zone_drain;
+mod zone_exit;
 
 pub use action::{Action, MachineCommand, StartCommand, StopReason};
 pub use answers::{RefusalReason, StartAnswer};
@@ -65,3 +67,4 @@
 pub use spec::{JobSpec, Schedule, SpecError, StepSpec};
 pub use unresolved::IncarnationRecord;
 pub use worker::{WorkerIncarnation, WorkerRegistration};
+pub use zone_drain::ZoneDrainStatus;
--- a/crates/flow/src/machines.rs
+++ b/crates/flow/src/machines.rs
@@ -50,6 +50,8 @@
     pub state: MachineState,
     /// Its capacity.
     pub capacity: Resources,
+    /// Its availability zone, if known.
+    pub zone: Option<ZoneId>,
 }
 
 /// Result of a command to a machine.
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -26,6 +26,8 @@
     /// Continuous tasks of the same step on the worker: they can leave it only
     /// one at a time.
     siblings: u32,
+    /// The worker is slow for a while after a cold restart.
+    cold: bool,
     /// Fraction of the worker that stays free, negated for tasks that are
     /// spread.
     free_fraction: f64,
@@ -61,11 +63,14 @@
         let fitting = workers.iter().filter_map(|&key| {
             let worker = &self.workers[key];
             let mut free = worker.free();
+            if !request.spec.continuous {
+                free = free.minus(&worker.held);
+            }
             for (_, used) in taken.iter().filter(|(each, _)| *each == key) {
                 free = free.minus(used);
             }
             let fits = reservation.fits(&free) && self.may_run(request, key, worker, taken, now);
-            fits.then(|| (self.fit(request, key, worker, &free, continuous_workers), key))
+            fits.then(|| (self.fit(request, key, worker, &free, continuous_workers, now), key))
         });
         let best =
             fitting.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
@@ -123,6 +128,7 @@
         worker: &Worker,
         free: &Resources,
         continuous_workers: usize,
+        now: Instant,
     ) -> Fit {
         let spec = request.spec;
         let remaining = free.minus(&spec.reservation());
@@ -139,6 +145,7 @@
             // can be moved.
             opens_worker: continuous_workers >= MIN_POOL_MACHINES && !self.has_continuous(worker),
             siblings: if spec.continuous { self.tasks_on(worker, request.task.step) } else { 0 },
+            cold: self.is_cold(worker, now),
             free_fraction: if spread { -free_fraction } else { free_fraction },
         }
     }
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -49,6 +49,7 @@
             self.resize(now);
             self.start_speculative(now);
         }
+        self.evict_from_drained_zones(now);
         let starting = |attempt: &&Attempt| attempt.phase == Phase::Starting;
         let unanswered = self.attempts.values().filter(starting).count();
         self.start_window.begin_round(unanswered, now);
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -42,6 +42,7 @@
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
             let key = self.workers.insert(Worker::new(registration, now));
             self.worker_ids.insert(registration.incarnation.id.clone(), key);
+            self.enter_zone(key);
             self.enter_machine(key, None);
             self.end_earlier_workers(key, now);
             return true;
@@ -58,9 +59,12 @@
         worker.registered = true;
         worker.draining = registration.draining;
         worker.capacity = registration.capacity;
+        worker.zone = registration.zone.clone();
+        worker.set_cold(registration.cold_left, now);
         let earlier = std::mem::replace(&mut worker.machine, registration.machine.clone());
         worker.recorded &= !changed;
         let recorded = worker.recorded;
+        self.enter_zone(key);
         self.enter_machine(key, earlier);
         self.end_earlier_workers(key, now);
         !recorded
@@ -164,6 +168,7 @@
         worker.uncommitted_ends.clear();
         worker.ends_truncated = false;
         worker.failed_jobs.clear();
+        worker.cold_until = None;
         worker.cordoned = false;
         worker.leaving = false;
         let id = worker.incarnation.id.clone();
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -16,6 +16,9 @@
 
 /// Time for which a machine is idle before it is moved to the spare pool.
 const IDLE_TIME: Duration = Duration::from_millis(600);
+/// The same for a machine in a drained zone. After a short drain its worker is still
+/// there, so that it takes work at once.
+const DRAINED_IDLE_TIME: Duration = Duration::from_secs(15);
 /// Time within which the worker of a moved machine has to register.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Added to the time of a move before a machine counts as arrived.
@@ -75,6 +78,42 @@
                 self.move_machine(machine, spare.clone(), now);
             }
         }
+        for machine in self.idle_in_drained_zones(&sizes, now) {
+            if self.machines.takes_commands()
+                && !self.machines.resize.refused.contains(&(machine.clone(), spare.clone()))
+            {
+                self.move_machine(machine, spare.clone(), now);
+            }
+        }
+    }
+
+    /// Returns machines of drained zones that have been idle for a while and whose pool
+    /// has enough machines in other zones.
+    fn idle_in_drained_zones(
+        &self,
+        sizes: &HashMap<PoolId, PoolSize>,
+        now: Instant,
+    ) -> Vec<SmolStr> {
+        let drained = self.workers.iter().filter(|(_, worker)| worker.zone_drained);
+        let idle = drained.filter(|(key, worker)| {
+            let since = self.machines.resize.idle_since.get(key);
+            let is_long_idle = since
+                .is_some_and(|&since| now.saturating_duration_since(since) >= DRAINED_IDLE_TIME);
+            let size = sizes.get(&worker.incarnation.pool);
+            is_long_idle
+                && worker.attempts.is_empty()
+                && worker.is_ready(now)
+                && size.is_some_and(PoolSize::is_sufficient)
+        });
+        let machines = idle.filter_map(|(_, worker)| worker.machine.clone());
+        machines.filter(|machine| self.is_movable(machine, now)).collect()
+    }
+
+    /// Counts a worker as idle from `now` on at the earliest.
+    pub(crate) fn restart_idle_time(&mut self, key: WorkerKey, now: Instant) {
+        if let Some(since) = self.machines.resize.idle_since.get_mut(&key) {
+            *since = now;
+        }
     }
 
     /// Drops old arrivals and moves that are complete or overdue, and notes
@@ -129,6 +168,7 @@
         let list = self.machines.list.values();
         let up = list.filter(|each| each.pool == *spare && each.state == MachineState::Up);
         let free = up.filter(|each| self.is_movable(&each.id, now) && !self.is_in_use(&each.id));
+        let free = free.filter(|each| !self.is_in_drained_zone(&each.id));
         let mut free: Vec<_> = free.map(|each| (each.id.clone(), None)).collect();
         // Machines that await maintenance have it while they are not needed.
         free.sort_by_cached_key(|(id, _)| (self.awaits_maintenance(Some(id)), id.clone()));
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::start_window::StartWindow;
 use crate::unresolved::UnresolvedWork;
 use crate::worker::{Worker, WorkerKey};
+use crate::zone_drain::ZoneDrains;
 use crate::{
     Action, AttemptNumber, FencingToken, JobOutcome, JobState, OperatorConfig, SchedulingRules,
     StopReason, TaskId,
@@ -63,6 +64,7 @@
     /// Whether decisions have ended because another host is to lead.
     pub(crate) frozen: bool,
     pub(crate) machines: Machines,
+    pub(crate) zone_drains: ZoneDrains,
     pub(crate) actions: Vec<Action>,
     pub(crate) counts: Counts,
 }
@@ -119,6 +121,7 @@
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
             machines: Machines::new(now + rules.machine_hold),
+            zone_drains: ZoneDrains::default(),
             rules,
             token,
             leader_since: now,
--- a/crates/flow/src/slow.rs
+++ b/crates/flow/src/slow.rs
@@ -33,7 +33,8 @@
 impl Scheduler {
     /// Gives tasks on slow workers to other workers.
     pub(crate) fn handle_slow_attempts(&mut self, now: Instant) {
-        let slow: Vec<_> = self.attempts.keys().filter(|&key| self.is_slow(key, now)).collect();
+        let slow = self.attempts.keys().filter(|&key| self.is_slow(key, now));
+        let slow: Vec<_> = slow.filter(|&key| self.has_alternative(key, now)).collect();
         for key in slow {
             let (task, worker) = (self.attempts[key].task, self.attempts[key].worker);
             self.avoid_worker(task, worker);
@@ -78,6 +79,7 @@
             && attempt.percent <= MAX_PROGRESS_PERCENT;
         comparable
             && unaffected_by_rack
+            && !self.began_cold(attempt)
             && is_first_attempt
             && is_progressing
             && self.workers[attempt.worker].unreachable_since.is_none()
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -48,6 +48,8 @@
     pub labels: Vec<SmolStr>,
     /// The machine that it runs on, if known.
     pub machine: Option<SmolStr>,
+    /// Time for which it is still slow after a cold restart; zero if it is warm.
+    pub cold_left: Duration,
 }
 
 /// Estimate of a worker's clock.
@@ -76,6 +78,12 @@
     pub(crate) labels: Vec<SmolStr>,
     pub(crate) rack: Option<SmolStr>,
     pub(crate) machine: Option<SmolStr>,
+    /// Its availability zone.
+    pub(crate) zone: ZoneId,
+    /// Whether its zone is drained, so that nothing may start on it.
+    pub(crate) zone_drained: bool,
+    /// Until when it is, or was, slow after a cold restart.
+    pub(crate) cold_until: Option<Instant>,
     /// Whether it is registered in the store.
     pub(crate) registered: bool,
     pub(crate) draining: bool,
@@ -92,6 +100,8 @@
     pub(crate) polled: bool,
     pub(crate) attempts: Vec<AttemptKey>,
     pub(crate) used: Resources,
+    /// Free capacity that is kept for continuous tasks that leave drained zones.
+    pub(crate) held: Resources,
     pub(crate) clock: Option<WorkerClock>,
     /// Time after which nothing that it was told to run can still run.
     pub(crate) lease_end: Instant,
@@ -125,12 +135,15 @@
 
 impl Worker {
     pub(crate) fn new(registration: &WorkerRegistration, now: Instant) -> Worker {
-        Worker {
+        let mut worker = Worker {
             incarnation: registration.incarnation.clone(),
             capacity: registration.capacity,
             labels: registration.labels.clone(),
             rack: rack_of(&registration.labels),
             machine: registration.machine.clone(),
+            zone: registration.zone.clone(),
+            zone_drained: false,
+            cold_until: None,
             registered: true,
             draining: registration.draining,
             recorded: false,
@@ -139,6 +152,7 @@
             polled: false,
             attempts: Vec::new(),
             used: Resources::ZERO,
+            held: Resources::ZERO,
             clock: None,
             lease_end: now,
             renewed_until: None,
@@ -153,7 +167,19 @@
             backoffs: 0,
             cordoned: false,
             leaving: false,
-        }
+        };
+        worker.set_cold(registration.cold_left, now);
+        worker
+    }
+
+    /// Notes for how long it is still slow. A registration that is read again does not
+    /// extend that time.
+    pub(crate) fn set_cold(&mut self, left: Duration, now: Instant) {
+        let until = now + left;
+        self.cold_until = match self.cold_until {
+            Some(before) => Some(before.min(until)),
+            None => (!left.is_zero()).then_some(until),
+        };
     }
 
     /// Returns the free capacity.
@@ -176,6 +202,11 @@
 
     /// Whether new work can be given to it.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.is_ready(now) && !self.zone_drained
+    }
+
+    /// Whether it could be given new work if its zone is not drained.
+    pub(crate) fn is_ready(&self, now: Instant) -> bool {
         self.registered
             && !self.draining
             && self.recorded
--- /dev/null
+++ b/crates/flow/src/zone_exit.rs
@@ -0,0 +1,174 @@
+//! Moves continuous tasks out of drained zones.
+//!
+//! Load that this module handles: the other zones are full of short tasks when a zone is
+//! drained. Room elsewhere then appears only as single tasks end, and each round gives it
+//! to the next waiting task. So the continuous tasks of the zone are looked at in each
+//! round before waiting tasks are placed, and room that was found for one of them is kept
+//! from short tasks until it has stopped.
+
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::attempt::{AttemptKey, Phase};
+use crate::evict::EvictionPass;
+use crate::job::JobKey;
+use crate::worker::WorkerKey;
+use crate::{Scheduler, StepId, StopReason, TaskId};
+
+/// Largest number of tasks for which room is looked for in one round, which bounds its
+/// time.
+const MAX_TASKS_PER_ROUND: usize = 64;
+
+/// A continuous task that needs room outside of the drained zones.
+#[derive(Debug, Clone, Copy)]
+struct Mover {
+    job: JobKey,
+    task: TaskId,
+    reservation: Resources,
+    /// Whether the number of tasks of its step on a worker is limited.
+    limited: bool,
+}
+
+/// Where tasks go that leave drained zones.
+#[derive(Debug, Default)]
+struct Moves {
+    pass: EvictionPass,
+    /// Steps and the workers that tasks of them move to.
+    promised: Vec<(StepId, WorkerKey)>,
+}
+
+impl Scheduler {
+    /// Evicts continuous tasks from drained zones, each if there is room for it
+    /// elsewhere.
+    pub(crate) fn evict_from_drained_zones(&mut self, now: Instant) {
+        if self.zone_drains.zones.is_empty() {
+            return;
+        }
+        self.release_holds();
+        let leaving = self.attempts_in_drained_zones(Phase::Running);
+        let stopping = self.attempts_in_drained_zones(Phase::Stopping);
+        if leaving.is_empty() && stopping.is_empty() {
+            return;
+        }
+        let mut moves = Moves::default();
+        for mover in self.tasks_without_worker(&stopping) {
+            self.hold_room(mover, &mut moves, now);
+        }
+        let mut evictions = 0;
+        for attempt in leaving {
+            evictions += usize::from(self.evict_from_zone(attempt, &mut moves, now));
+            if evictions >= MAX_TASKS_PER_ROUND {
+                return;
+            }
+        }
+    }
+
+    /// Stops keeping room for tasks that leave drained zones.
+    pub(crate) fn release_holds(&mut self) {
+        self.workers.values_mut().for_each(|worker| worker.held = Resources::ZERO);
+    }
+
+    /// Returns the attempts of continuous tasks in drained zones that are in a phase.
+    /// A worker that is unreachable would not receive a command to stop them.
+    fn attempts_in_drained_zones(&self, phase: Phase) -> Vec<AttemptKey> {
+        let drained = self.workers.values();
+        let drained =
+            drained.filter(|worker| worker.zone_drained && worker.unreachable_since.is_none());
+        let attempts = drained.flat_map(|worker| worker.attempts.iter().copied());
+        attempts
+            .filter(|&each| self.attempts[each].phase == phase && self.is_continuous(each))
+            .collect()
+    }
+
+    /// Returns continuous tasks that wait, or whose attempt is `stopping` in a drained
+    /// zone: they take room before another task is stopped for it.
+    fn tasks_without_worker(&self, stopping: &[AttemptKey]) -> Vec<Mover> {
+        let open = self.jobs.iter().filter(|(_, job)| job.is_open() && job.spec.is_continuous());
+        let steps = open.flat_map(|(key, job)| job.ready_steps().map(move |ready| (key, ready)));
+        let waiting = steps.filter(|(_, ready)| ready.spec.continuous).flat_map(|(job, ready)| {
+            let mover = move |&index: &u32| Mover {
+                job,
+                task: TaskId { step: ready.id, index },
+                reservation: ready.spec.reservation(),
+                limited: ready.spec.per_worker.is_some(),
+            };
+            ready.step.waiting.iter().map(mover)
+        });
+        let stopping = stopping.iter().filter_map(|&attempt| self.mover(attempt));
+        waiting.chain(stopping).take(MAX_TASKS_PER_ROUND).collect()
+    }
+
+    /// Returns the task of an attempt if it is to start again elsewhere.
+    fn mover(&self, attempt: AttemptKey) -> Option<Mover> {
+        let state = &self.attempts[attempt];
+        let job = *self.job_ids.get(&state.task.step.job)?;
+        let limited = self.spec_of(state.task)?.per_worker.is_some();
+        let mover = Mover { job, task: state.task, reservation: state.reserved, limited };
+        self.jobs[job].is_open().then_some(mover)
+    }
+
+    /// Stops a continuous task in a drained zone if it can move. Returns whether it can.
+    fn evict_from_zone(&mut self, attempt: AttemptKey, moves: &mut Moves, now: Instant) -> bool {
+        let Some(mover) = self.mover(attempt) else { return false };
+        let step = mover.task.step;
+        let was_stuck = moves.pass.is_stuck(step);
+        let promised = &moves.promised;
+        let find_target = |scheduler: &Scheduler, pass: &mut EvictionPass, _: &PoolId| {
+            scheduler.zone_target(mover, pass, promised, now)
+        };
+        let reason = StopReason::ZoneDrained;
+        let target = self.evict(attempt, &mut moves.pass, reason, find_target, now);
+        if let Some(target) = target {
+            self.hold(mover, target, moves);
+        } else if !was_stuck && moves.pass.is_stuck(step) {
+            self.ask_about_exit(mover, now);
+        }
+        target.is_some()
+    }
+
+    /// Keeps room for a task that has no worker.
+    fn hold_room(&mut self, mover: Mover, moves: &mut Moves, now: Instant) {
+        let target = self.zone_target(mover, &mut moves.pass, &moves.promised, now);
+        if let Some(target) = target {
+            self.hold(mover, target, moves);
+        }
+    }
+
+    fn hold(&mut self, mover: Mover, target: WorkerKey, moves: &mut Moves) {
+        let worker = &mut self.workers[target];
+        worker.held = worker.held.plus(&mover.reservation);
+        moves.promised.push((mover.task.step, target));
+    }
+
+    /// Returns the worker that a task would move to, of those with room that is not kept
+    /// for another task.
+    fn zone_target(
+        &self,
+        mover: Mover,
+        pass: &mut EvictionPass,
+        promised: &[(StepId, WorkerKey)],
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let has_room = |key: &WorkerKey| {
+            let worker = &self.workers[*key];
+            let is_promised = mover.limited && promised.contains(&(mover.task.step, *key));
+            mover.reservation.fits(&worker.free().minus(&worker.held)) && !is_promised
+        };
+        let pool = &self.jobs[mover.job].pool;
+        let workers = pass.targets(pool, |pool| self.eviction_targets(pool, now));
+        let workers: Vec<_> = workers.iter().copied().filter(has_room).collect();
+        if workers.is_empty() {
+            return None;
+        }
+        self.find_worker(mover.job, mover.task, &workers, now)
+    }
+
+    /// Asks the adviser which workers elsewhere may run the step of a task that has to
+    /// move: it is asked about waiting tasks only, and this one runs.
+    fn ask_about_exit(&mut self, mover: Mover, now: Instant) {
+        if self.needs_adviser(mover.job) {
+            let workers = self.usable_workers(&self.jobs[mover.job].pool, now);
+            self.ask_adviser(mover.job, mover.task.step, &workers, now);
+        }
+    }
+}
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -49,6 +49,7 @@
                 capacity: Resources::new(16_000, 32 << 30, 0),
                 labels: vec![format!("kind-{}", at % 2).into(), format!("r{}", at / 2).into()],
                 machine: None,
+                cold_left: Duration::ZERO,
             };
             scheduler.register(&registration, now);
             running.insert(worker(at), Vec::new());
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -30,7 +30,13 @@
 }
 
 fn machine(id: &str, in_pool: &str) -> Machine {
-    Machine { id: id.into(), pool: pool(in_pool), state: MachineState::Up, capacity: CAPACITY }
+    Machine {
+        id: id.into(),
+        pool: pool(in_pool),
+        state: MachineState::Up,
+        capacity: CAPACITY,
+        zone: None,
+    }
 }
 
 impl Fixture {
@@ -68,6 +74,7 @@
             capacity: CAPACITY,
             labels: vec!["r1".into()],
             machine: Some(on.into()),
+            cold_left: Duration::ZERO,
         };
         self.scheduler.register(&registration, self.now);
         let records = self.scheduler.incarnation_records(self.now, self.wall());
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -54,6 +54,7 @@
         capacity: CAPACITY,
         labels: vec!["r1".into()],
         machine: Some(format!("m{at}").into()),
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -63,6 +64,7 @@
         pool: pool("a"),
         state: MachineState::Up,
         capacity: CAPACITY,
+        zone: None,
     }
 }
 
--- a/crates/flow/tests/overload.rs
+++ b/crates/flow/tests/overload.rs
@@ -53,6 +53,7 @@
                 capacity: CAPACITY,
                 labels: Vec::new(),
                 machine: None,
+                cold_left: Duration::ZERO,
             },
             now,
         );
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -28,6 +28,10 @@
 /// Time that a worker takes to stop an attempt.
 const STOP_MS: u64 = 150;
 
+/// Time after the request to drain a zone from which nothing may start there: a start
+/// command that was sent before is valid for that long, on a worker's slow clock.
+const START_LIMIT_MS: u64 = 1800;
+
 /// Fault rates, in thousandths of messages or of steps.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Faults {
@@ -72,6 +76,12 @@
     token: FencingToken,
 }
 
+/// Returns the zone of a machine: `z0`, `z1` or `z2`, by its number.
+pub(crate) fn zone_of(machine: &str) -> ZoneId {
+    let number: usize = machine[1..].parse().unwrap_or_default();
+    format!("z{}", number % 3).parse().unwrap()
+}
+
 /// A simulated fleet: its leader, workers, machines and store, the faults, and
 /// what the oracle knows.
 pub(crate) struct World {
@@ -111,6 +121,10 @@
     lost_commands: Vec<(u64, MachineCommand)>,
     /// Machines that are being moved, and when they arrive.
     in_transit: Vec<(u64, Machine)>,
+    /// Drained zones, and when the drain was requested.
+    drained: BTreeMap<ZoneId, u64>,
+    /// What workers of zone `z0` register as the time for which they are still cold.
+    pub(crate) cold_left: Duration,
 }
 
 #[allow(dead_code, reason = "each test uses a part")]
@@ -157,6 +171,8 @@
             pending_refusals: Vec::new(),
             lost_commands: Vec::new(),
             in_transit: Vec::new(),
+            drained: BTreeMap::new(),
+            cold_left: Duration::ZERO,
         };
         world.register();
         world
@@ -187,13 +203,16 @@
             if !self.workers[at].up {
                 continue;
             }
+            let zone = zone_of(&self.workers[at].machine);
+            let is_cold = zone.as_str() == "z0";
             let registration = WorkerRegistration {
                 incarnation: self.incarnation(at),
-                zone: "z".parse().unwrap(),
+                zone: zone.clone(),
                 draining: false,
                 capacity: self.workers[at].capacity,
                 labels: vec!["a".into(), format!("r{}", at / 4).into()],
                 machine: Some(self.workers[at].machine.clone()),
+                cold_left: if is_cold { self.cold_left } else { Duration::ZERO },
             };
             self.scheduler.register(&registration, now);
         }
@@ -270,10 +289,37 @@
         for record in self.records.clone() {
             self.scheduler.add_unresolved(&record, until, now, wall);
         }
+        self.pass_drained_zones();
         self.restore_machines();
         self.register();
     }
 
+    /// Requests the drain of a zone. The leader learns of it at once.
+    pub(crate) fn drain(&mut self, zone: &str) {
+        self.drained.insert(zone.parse().unwrap(), self.ms);
+        self.pass_drained_zones();
+    }
+
+    /// Withdraws the request to drain a zone.
+    pub(crate) fn end_drain(&mut self, zone: &str) {
+        self.drained.remove(&zone.parse().unwrap());
+        self.pass_drained_zones();
+    }
+
+    fn pass_drained_zones(&mut self) {
+        let now = self.now();
+        self.scheduler.set_drained_zones(self.drained.keys().cloned().collect(), now);
+    }
+
+    /// Returns the number of attempts that run in a zone.
+    pub(crate) fn running_in(&self, zone: &str) -> usize {
+        let here = self
+            .workers
+            .iter()
+            .filter(|worker| worker.up && zone_of(&worker.machine).as_str() == zone);
+        here.map(|worker| worker.running.len()).sum()
+    }
+
     /// Tells a new leader the machines, and which ones were sent commands
     /// recently.
     fn restore_machines(&mut self) {
@@ -438,6 +484,7 @@
             pool: pool.parse().unwrap(),
             state: MachineState::Up,
             capacity: Resources::new(CORES, MEMORY, 0),
+            zone: Some(zone_of(id)),
         };
         let machine_of = |worker: &SimulatedWorker| listed(&worker.machine, &worker.pool);
         self.machines = self.workers.iter().map(machine_of).collect();
@@ -601,6 +648,10 @@
         if failures >= 3 && !stored.spec.steps[usize::from(task.step.step)].continuous {
             self.violations.push(format!("{ms}: {task} started after {failures} failures"));
         }
+        let zone = zone_of(&self.workers[at].machine);
+        if self.drained.get(&zone).is_some_and(|&since| ms > since + START_LIMIT_MS) {
+            self.violations.push(format!("{ms}: {task} started in {zone}, which is drained"));
+        }
         let worker = &self.workers[at];
         if !worker.used().fits(&worker.capacity) {
             self.violations.push(format!("{ms}: {} uses more than its capacity", worker.id));
--- a/crates/lead/src/follow.rs
+++ b/crates/lead/src/follow.rs
@@ -1,7 +1,7 @@
 //! Watches key prefixes of the store and applies the changes to the host's
 //! memory.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use vg_base::prelude::*;
@@ -12,13 +12,14 @@
 use crate::host::lock;
 use crate::keys::LIVE_PREFIX;
 use crate::messages::{ConfigAnswer, ConfigQuery};
+use crate::zone_drains::DrainChange;
 use crate::{Host, OperatorItem, Platform};
 
 /// Delay before a prefix is listed again after an error.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay after a batch of changes, in which further changes accumulate.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
-/// Interval at which peers are asked for the configuration while the store is
+/// Interval at which peers are asked for the configuration and the drained zones while the store is
 /// unreachable.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -87,19 +88,13 @@
     }
 }
 
-/// Follows the items that operators write: the configuration and maintenance
-/// waves.
+/// Follows the items that operators write: the configuration, maintenance waves and
+/// requests to drain zones.
 pub(crate) async fn operator_items<P: Platform, C: Clock>(host: Host<P, C>) {
     let prefix = host.inner.platform.layout().operator_prefix.clone();
     follow(&host, &prefix, |update| match update {
-        PrefixUpdate::Listed(listing) => {
-            listing.entries.iter().for_each(|entry| host.apply_operator_entry(entry))
-        }
-        PrefixUpdate::Changed(batch) => {
-            batch.changes.iter().filter_map(|(_, entry)| entry.as_ref()).for_each(|entry| {
-                host.apply_operator_entry(entry);
-            });
-        }
+        PrefixUpdate::Listed(listing) => host.apply_operator_listing(&listing),
+        PrefixUpdate::Changed(batch) => host.apply_operator_changes(&batch),
     })
     .await;
 }
@@ -119,8 +114,8 @@
     .await;
 }
 
-/// Asks peers for the operators' configuration while the store is unreachable
-/// from this host: peers may still reach it.
+/// Asks peers for the operators' configuration and the drained zones while the store is
+/// unreachable from this host: peers may still reach it.
 pub(crate) async fn fetch_peer_config<P: Platform, C: Clock>(host: Host<P, C>) {
     loop {
         tokio::time::sleep(PEER_POLL_INTERVAL).await;
@@ -131,30 +126,54 @@
         for addr in host.pick_peers(2) {
             let answer: Result<ConfigAnswer, _> =
                 host.ask_peer(addr, "content", &ConfigQuery { version }).await;
-            if let Ok(ConfigAnswer { key, value: Some(value) }) = answer {
-                host.apply_operator_item(&Key(key), &value);
+            let Ok(answer) = answer else { continue };
+            if let Some(value) = answer.value {
+                host.apply_operator_item(&Key(answer.key), &value);
+            }
+            if let Some(drains) = answer.drains {
+                host.replace_drains(drains.zones, StoreRevision(drains.revision));
             }
         }
     }
 }
 
 impl<P: Platform, C: Clock> Host<P, C> {
-    fn apply_operator_entry(&self, entry: &Entry) {
-        self.apply_operator_item(&entry.key, &entry.value);
+    /// Applies all items that operators wrote.
+    fn apply_operator_listing(&self, listing: &Listing) {
+        let drained = listing.entries.iter().filter_map(|entry| self.apply_operator_entry(entry));
+        let drained: BTreeSet<_> = drained.collect();
+        self.replace_drains(drained, listing.revision);
+    }
+
+    /// Applies items that operators wrote or deleted.
+    fn apply_operator_changes(&self, batch: &WatchBatch) {
+        let drain_change = |(key, entry): &(Key, Option<Entry>)| match entry {
+            Some(entry) => self.apply_operator_entry(entry).map(DrainChange::Requested),
+            None => self.inner.platform.removed_drain(key).map(DrainChange::Withdrawn),
+        };
+        let changes: Vec<_> = batch.changes.iter().filter_map(drain_change).collect();
+        self.change_drains(&changes, batch.revision);
+    }
+
+    fn apply_operator_entry(&self, entry: &Entry) -> Option<ZoneId> {
+        self.apply_operator_item(&entry.key, &entry.value)
     }
 
     /// Applies an item that operators wrote. A malformed item is recorded and
-    /// otherwise ignored.
-    fn apply_operator_item(&self, key: &Key, value: &bytes::Bytes) {
+    /// otherwise ignored. If the item requests the drain of a zone, that zone is
+    /// returned: the caller knows the revision, which decides whether it is in force.
+    fn apply_operator_item(&self, key: &Key, value: &bytes::Bytes) -> Option<ZoneId> {
         match self.inner.platform.parse_operator_item(key, value) {
             Ok(OperatorItem::Config(config)) => self.set_config(key, value, *config),
             Ok(OperatorItem::Wave(wave)) => self.add_wave(wave),
+            Ok(OperatorItem::ZoneDrain(zone)) => return Some(zone),
             Ok(OperatorItem::Other) => {}
             Err(error) => {
                 let fields = [Field::new("key", key), Field::new("cause", error)];
                 self.record(Code::ValueUnreadable, fields);
             }
         }
+        None
     }
 
     /// Puts a version of the configuration in force unless the current one is
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -19,6 +19,7 @@
 use crate::members::Members;
 use crate::messages::StatusReply;
 use crate::unresolved::UnresolvedWrites;
+use crate::zone_drains::DrainedZones;
 use crate::{Metrics, Options, Platform, delay, election, follow, serve, session};
 
 /// Time limit for connecting to a peer.
@@ -59,6 +60,7 @@
     /// reach the store.
     pub(crate) raw_config: Mutex<Option<(SmolStr, bytes::Bytes)>>,
     pub(crate) waves: watch::Sender<BTreeMap<u64, Wave>>,
+    pub(crate) drained_zones: watch::Sender<DrainedZones>,
     pub(crate) members: Mutex<Members>,
     pub(crate) members_changed: Notify,
     pub(crate) lease: Mutex<Option<LeaseId>>,
@@ -146,6 +148,7 @@
             config: watch::Sender::new(None),
             raw_config: Mutex::default(),
             waves: watch::Sender::new(BTreeMap::new()),
+            drained_zones: watch::Sender::new(DrainedZones::default()),
             members: Mutex::default(),
             members_changed: Notify::new(),
             lease: Mutex::default(),
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod outage;
 mod polls;
 mod recovery;
+mod zone_drains;
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -113,6 +114,7 @@
     *lock(&host.inner.leader) = None;
     host.inner.metrics.set_leading(false);
     lock(&leader.tasks).abort_all();
+    host.inner.metrics.clear_zone_drains();
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
 
@@ -128,6 +130,8 @@
         self.spawn(Arc::clone(self).maintain_leader_key());
         self.spawn(Arc::clone(self).watch_outage());
         self.spawn(Arc::clone(self).follow_config());
+        self.spawn(Arc::clone(self).follow_drained_zones());
+        self.spawn(Arc::clone(self).list_drains());
         self.spawn(Arc::clone(self).give_way_to_larger());
         self.recovered.store(true, Ordering::Relaxed);
         self.decide().await;
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -93,7 +93,9 @@
             [JOB_PREFIX.into(), PROGRESS_PREFIX.into(), INCARNATIONS_PREFIX.into()];
         let record_keys: [Key; 3] =
             [INCARNATIONS_KEY.into(), WAVES_KEY.into(), COMMANDS_KEY.into()];
-        let (jobs, progress, shards, all, waves, commands) = futures_util::try_join!(
+        let drain_prefix = &self.host.inner.platform.layout().drain_prefix;
+        let (drains, jobs, progress, shards, all, waves, commands) = futures_util::try_join!(
+            store.range(drain_prefix),
             store.range(&prefixes[0]),
             store.range(&prefixes[1]),
             store.range(&prefixes[2]),
@@ -101,6 +103,9 @@
             store.get(&record_keys[1]),
             store.get(&record_keys[2]),
         )?;
+        // Before the first decision: this host may have just started.
+        self.host.apply_drain_listing(&drains);
+        self.apply_drained_zones();
         self.add_jobs(&jobs);
         self.restore_progress(&progress);
         let single = all.iter().filter(|entry| entry.value != INCARNATIONS_MOVED);
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -30,6 +30,7 @@
 mod session;
 mod submit;
 mod unresolved;
+mod zone_drains;
 
 pub use capacity::HostCapacity;
 pub use error::StartError;
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between hosts, encoded as MessagePack.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -105,6 +106,16 @@
 pub(crate) struct ConfigAnswer {
     pub(crate) key: SmolStr,
     pub(crate) value: Option<bytes::Bytes>,
+    /// The zones that are drained, if the answering host reaches the store.
+    #[serde(default)]
+    pub(crate) drains: Option<DrainAnswer>,
+}
+
+/// The zones that are drained as of a revision of the store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct DrainAnswer {
+    pub(crate) revision: i64,
+    pub(crate) zones: BTreeSet<ZoneId>,
 }
 
 /// Asks when the store last answered a peer.
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -5,7 +5,7 @@
     Registry, TextEncoder,
 };
 use vg_base::prelude::*;
-use vg_flow::Counts;
+use vg_flow::{Counts, ZoneDrainStatus};
 
 /// Upper bounds of the latency histogram buckets in seconds.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
@@ -22,6 +22,8 @@
     leading: IntGauge,
     loop_delay: IntGauge,
     scheduler: IntGaugeVec,
+    zone_tasks: IntGaugeVec,
+    zone_drain_time: IntGaugeVec,
 }
 
 impl Metrics {
@@ -49,6 +51,21 @@
         let scheduler =
             IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(scheduler.clone()))?;
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, Error>(gauges)
+        };
+        let zone_tasks = gauges(
+            "vg_zone_drain_tasks",
+            "Tasks that are left in a drained zone, by kind.",
+            &["zone", "kind"],
+        )?;
+        let zone_drain_time = gauges(
+            "vg_zone_drain_seconds",
+            "Seconds since the request to drain a zone was read.",
+            &["zone"],
+        )?;
         Ok(Metrics {
             registry,
             submissions,
@@ -59,6 +76,8 @@
             leading,
             loop_delay,
             scheduler,
+            zone_tasks,
+            zone_drain_time,
         })
     }
 
@@ -108,6 +127,24 @@
         set("window", counts.start_window as i64);
     }
 
+    /// Sets the gauges of a drained zone that was requested `age` ago. The number of
+    /// labels is bounded by the zones that operators drain at once.
+    pub(crate) fn set_zone_drain(&self, status: &ZoneDrainStatus, age: Duration) {
+        let zone = status.zone.as_str();
+        let set = |kind: &str, tasks: usize| {
+            self.zone_tasks.with_label_values(&[zone, kind]).set(tasks as i64);
+        };
+        set("continuous", status.continuous);
+        set("other", status.other);
+        self.zone_drain_time.with_label_values(&[zone]).set(age.as_secs() as i64);
+    }
+
+    /// Removes the gauges of all drained zones.
+    pub(crate) fn clear_zone_drains(&self) {
+        self.zone_tasks.reset();
+        self.zone_drain_time.reset();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/lead/src/platform.rs
+++ b/crates/lead/src/platform.rs
@@ -16,6 +16,8 @@
 pub struct KeyLayout {
     /// Prefix of the items that operators write.
     pub operator_prefix: Key,
+    /// Prefix of the requests to drain zones, which are such items.
+    pub drain_prefix: Key,
     /// Prefix of the workers' registrations.
     pub worker_prefix: Key,
 }
@@ -27,6 +29,8 @@
     Config(Box<OperatorConfig>),
     /// A maintenance wave.
     Wave(Wave),
+    /// A request to drain an availability zone, in force until the key is deleted.
+    ZoneDrain(ZoneId),
     /// An item that does not concern this product.
     Other,
 }
@@ -100,6 +104,10 @@
     /// [`ParseError`] if it is malformed.
     fn parse_operator_item(&self, key: &Key, value: &[u8]) -> Result<OperatorItem, ParseError>;
 
+    /// Returns the zone whose drain ends with the deletion of `key`; `None` if the key is
+    /// no request to drain a zone.
+    fn removed_drain(&self, key: &Key) -> Option<ZoneId>;
+
     /// Parses a worker's registration.
     ///
     /// # Errors
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -111,12 +111,13 @@
         }
     }
 
-    /// Returns the configuration if it is newer than `version`.
+    /// Returns the configuration if it is newer than `version`, and the drained zones.
     fn newer_config(&self, version: u64) -> ConfigAnswer {
         let newer = self.config().is_some_and(|config| config.version > version);
+        let drains = self.drain_answer();
         match lock(&self.inner.raw_config).clone().filter(|_| newer) {
-            Some((key, value)) => ConfigAnswer { key, value: Some(value) },
-            None => ConfigAnswer { key: SmolStr::default(), value: None },
+            Some((key, value)) => ConfigAnswer { key, value: Some(value), drains },
+            None => ConfigAnswer { key: SmolStr::default(), value: None, drains },
         }
     }
 }
--- a/crates/lead/tests/machine_commands.rs
+++ b/crates/lead/tests/machine_commands.rs
@@ -43,6 +43,7 @@
         pool: "spare".parse().unwrap(),
         state: MachineState::Up,
         capacity: Resources::new(16_000, 32 << 30, 0),
+        zone: None,
     };
     *cluster.fleet.machines.lock().unwrap() = (0..SPARE_MACHINES).map(machine).collect();
     let a = cluster.node("a").await;
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -21,6 +21,8 @@
 
 /// Duration of a task.
 pub(crate) const TASK_DURATION: Duration = Duration::from_millis(150);
+/// Prefix of the requests to drain zones.
+pub(crate) const DRAIN_PREFIX: &str = "op/drain/";
 /// Maximum time for which a test waits for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -33,6 +35,8 @@
     workers: Mutex<Vec<SimulatedWorker>>,
     /// Starts that a worker has carried out.
     pub(crate) starts: Mutex<Vec<(TaskId, AttemptNumber)>>,
+    /// The workers that have carried them out.
+    pub(crate) start_workers: Mutex<Vec<HostId>>,
     /// The platform's list of machines.
     pub(crate) machines: Mutex<Vec<Machine>>,
     /// Polls: the worker, whether its lease was renewed, and for how long it could hold
@@ -120,6 +124,7 @@
             started: StdInstant::now(),
             workers: Mutex::new(vec![worker("w1"), worker("w2"), worker("w3")]),
             starts: Mutex::default(),
+            start_workers: Mutex::default(),
             machines: Mutex::default(),
             polls: Mutex::default(),
         };
@@ -146,6 +151,7 @@
             store: FaultyStore::new(self.inner.clone(), faults.clone()),
             layout: KeyLayout {
                 operator_prefix: Key::from("op/"),
+                drain_prefix: Key::from(DRAIN_PREFIX),
                 worker_prefix: Key::from("workers/"),
             },
             fleet: Arc::clone(&self.fleet),
@@ -168,6 +174,15 @@
         node
     }
 
+    /// Requests the drain of a zone, or withdraws the request.
+    pub(crate) async fn set_drained(&self, zone: &str, drained: bool) {
+        let key = format!("{DRAIN_PREFIX}{zone}");
+        match drained {
+            true => self.put(&key, b"{}").await,
+            false => _ = self.inner.commit(Txn::new().delete(key.as_str())).await.unwrap(),
+        }
+    }
+
     pub(crate) async fn put(&self, key: &str, value: &[u8]) {
         let put = Txn::new().put(key, Value::copy_from_slice(value));
         self.inner.commit(put).await.unwrap();
@@ -245,7 +260,11 @@
         &self.layout
     }
 
-    fn parse_operator_item(&self, _: &Key, value: &[u8]) -> Result<OperatorItem, ParseError> {
+    fn parse_operator_item(&self, key: &Key, value: &[u8]) -> Result<OperatorItem, ParseError> {
+        if let Some(zone) = key.0.strip_prefix(DRAIN_PREFIX) {
+            let malformed = |_| ParseError { reason: "no zone".into() };
+            return zone.parse().map(OperatorItem::ZoneDrain).map_err(malformed);
+        }
         let text = std::str::from_utf8(value).unwrap_or_default();
         let version = text.parse().map_err(|_| ParseError { reason: "no number".into() })?;
         let mut config =
@@ -265,8 +284,14 @@
         Ok(OperatorItem::Config(Box::new(config)))
     }
 
-    fn parse_worker(&self, key: &Key, _: &[u8]) -> Result<WorkerRegistration, ParseError> {
+    fn removed_drain(&self, key: &Key) -> Option<ZoneId> {
+        key.0.strip_prefix(DRAIN_PREFIX)?.parse().ok()
+    }
+
+    /// The value is the worker's zone; `z` if it is empty.
+    fn parse_worker(&self, key: &Key, value: &[u8]) -> Result<WorkerRegistration, ParseError> {
         let id = key.0.strip_prefix("workers/").unwrap();
+        let zone = std::str::from_utf8(value).unwrap();
         Ok(WorkerRegistration {
             incarnation: WorkerIncarnation {
                 id: id.parse().unwrap(),
@@ -274,11 +299,12 @@
                 pool: "p".parse().unwrap(),
                 addr: ([127, 0, 0, 1], 1).into(),
             },
-            zone: "z".parse().unwrap(),
+            zone: if zone.is_empty() { "z" } else { zone }.parse().unwrap(),
             draining: false,
             capacity: Resources::new(16_000, 32 << 30, 0),
             labels: vec!["r1".into()],
             machine: Some(id.into()),
+            cold_left: Duration::ZERO,
         })
     }
 
@@ -302,6 +328,7 @@
             .with(&start.incarnation.id, |worker, ms| worker.start(start, token, task_attempt, ms));
         if answer == Some(StartAnswer::Started) {
             self.fleet.starts.lock().unwrap().push((start.task, start.attempt));
+            self.fleet.start_workers.lock().unwrap().push(start.incarnation.id.clone());
         }
         answer.unwrap_or(StartAnswer::Unanswered)
     }
