--- a/crates/flow/tests/zone_drain.rs
+++ b/crates/flow/tests/zone_drain.rs
@@ -93,6 +93,26 @@
     assert_valid(&world);
 }
 
+/// Guards against short tasks that are stopped for continuous ones, because others have
+/// taken the room that was found for these, and against a zone that does not become empty
+/// while the load lasts.
+#[test]
+fn room_for_tasks_that_leave_the_zone_is_kept_at_the_peak() {
+    let mut world = World::new(9, 18, Faults::default());
+    continuous_job(&mut world, 1);
+    world.run(3000);
+    run_peak(&mut world, 100, 2500);
+    let evicted = running(&world, 1, Some("z0"));
+    assert!(evicted > 0);
+    let stops = world.scheduler.counts().stops;
+    world.drain("z0");
+    run_peak(&mut world, 200, 6000);
+    assert_eq!(world.running_in("z0"), 0);
+    assert_eq!(running(&world, 1, None), CONTINUOUS_TASKS as usize);
+    assert_eq!((world.scheduler.counts().stops - stops) as usize, evicted);
+    assert_valid(&world);
+}
+
 /// Guards against a continuous task that is stopped although it can start nowhere.
 #[test]
 fn continuous_tasks_stay_while_no_other_zone_has_room() {
@@ -116,10 +136,12 @@
 /// against waves that stop a task that can start nowhere.
 #[test]
 fn nothing_starts_or_is_lost_while_all_zones_are_drained() {
-    let mut world = World::new(3, 8, Faults::default());
+    let mut world = World::new(3, 12, Faults::default());
+    world.add_spare(0);
     continuous_job(&mut world, 1);
-    submit(&mut world, 2, vec![step(4, 1000, 900)]);
-    world.run(400);
+    submit(&mut world, 2, vec![step(4, 1000, 3000)]);
+    world.run(1000);
+    assert_eq!(running(&world, 1, None), CONTINUOUS_TASKS as usize);
     ZONES.into_iter().for_each(|zone| world.drain(zone));
     let machines = world.workers.iter().map(|worker| worker.machine.clone()).collect();
     let time_limit = Duration::from_secs(10);
@@ -170,6 +192,21 @@
     }
 }
 
+/// Guards against a rise of the load that finds a pool without machines, because those in
+/// drained zones count.
+#[test]
+fn a_pool_gets_machines_of_other_zones_before_load_arrives() {
+    let mut world = World::new(8, 8, Faults::default());
+    world.add_spare(12);
+    world.run(200);
+    world.drain("z0");
+    world.run(2500);
+    let here = world.workers.iter().filter(|worker| {
+        worker.up && worker.pool == "a" && zone_of(&worker.machine).as_str() != "z0"
+    });
+    assert!(here.count() >= 4);
+}
+
 /// Guards against gangs and speculative attempts that bypass the drain.
 #[test]
 fn gangs_and_speculative_attempts_stay_out_of_the_zone() {
@@ -223,8 +260,9 @@
     world.drain("z0");
     world.end_drain("z0");
     let cold = world.workers.iter_mut().filter(|each| zone_of(&each.machine).as_str() == "z0");
-    cold.for_each(|worker| worker.slowness = 12);
-    submit(&mut world, 1, vec![step(24, 2500, 1000)]);
+    // A percent of progress takes 2 s.
+    cold.for_each(|worker| worker.slowness = 20);
+    submit(&mut world, 1, vec![step(24, 2500, 10_000)]);
     world.run(6000);
     assert_eq!(world.scheduler.counts().stops, 0);
 }
--- a/crates/lead/src/leader/zone_drains.rs
+++ b/crates/lead/src/leader/zone_drains.rs
@@ -90,6 +90,7 @@
             announced.zones.keys().filter(|zone| !is_drained(zone)).cloned().collect();
         for zone in ended {
             announced.zones.remove(&zone);
+            self.host.inner.metrics.remove_zone_drain(&zone);
             self.host.record(Code::ZoneDrainEnded, [Field::new("zone", zone)]);
         }
         if whole_fleet && !announced.whole_fleet {
@@ -103,7 +104,9 @@
     fn announce(&self, status: &ZoneDrainStatus, announced: &mut Announced) {
         let zone = &status.zone;
         if !announced.zones.contains_key(zone) {
-            announced.zones.insert(zone.clone(), false);
+            // A zone without workers is not reported as empty.
+            let is_void = status.workers == 0 && status.is_empty();
+            announced.zones.insert(zone.clone(), is_void);
             let fields = [
                 Field::new("zone", zone),
                 Field::new("workers", status.workers),
@@ -116,7 +119,7 @@
             }
         }
         let was_empty = announced.zones.insert(zone.clone(), status.is_empty());
-        if status.is_empty() && was_empty == Some(false) && status.workers > 0 {
+        if status.is_empty() && was_empty == Some(false) {
             self.host.record(Code::ZoneDrained, [Field::new("zone", zone)]);
         }
     }
@@ -125,7 +128,6 @@
         let now = self.host.inner.clock.now();
         let drained = self.host.inner.drained_zones.borrow();
         let metrics = &self.host.inner.metrics;
-        metrics.clear_zone_drains();
         for status in statuses {
             let since = drained.requests().get(&status.zone).copied().unwrap_or(now);
             metrics.set_zone_drain(status, now.saturating_duration_since(since));
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -10,6 +10,9 @@
 /// Upper bounds of the latency histogram buckets in seconds.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
 
+/// Kinds of tasks that are left in a drained zone.
+const DRAIN_TASK_KINDS: [&str; 2] = ["continuous", "other"];
+
 /// Counters, gauges and latency histograms of one host; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -131,14 +134,22 @@
     /// labels is bounded by the zones that operators drain at once.
     pub(crate) fn set_zone_drain(&self, status: &ZoneDrainStatus, age: Duration) {
         let zone = status.zone.as_str();
-        let set = |kind: &str, tasks: usize| {
+        let tasks = [status.continuous, status.other];
+        for (kind, tasks) in DRAIN_TASK_KINDS.into_iter().zip(tasks) {
             self.zone_tasks.with_label_values(&[zone, kind]).set(tasks as i64);
-        };
-        set("continuous", status.continuous);
-        set("other", status.other);
+        }
         self.zone_drain_time.with_label_values(&[zone]).set(age.as_secs() as i64);
     }
 
+    /// Removes the gauges of a zone whose drain has ended.
+    pub(crate) fn remove_zone_drain(&self, zone: &ZoneId) {
+        // Gauges that were never set can not be removed, which is no failure.
+        for kind in DRAIN_TASK_KINDS {
+            let _ = self.zone_tasks.remove_label_values(&[zone.as_str(), kind]);
+        }
+        let _ = self.zone_drain_time.remove_label_values(&[zone.as_str()]);
+    }
+
     /// Removes the gauges of all drained zones.
     pub(crate) fn clear_zone_drains(&self) {
         self.zone_tasks.reset();
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -145,12 +145,21 @@
         self.node_with(name, HostCapacity::default()).await
     }
 
+    /// Starts a host whose watch does not show requests to drain zones.
+    pub(crate) async fn node_without_drain_watch(&self, name: &str) -> Node {
+        self.start_node(name, HostCapacity::default(), "op/content").await
+    }
+
     pub(crate) async fn node_with(&self, name: &str, capacity: HostCapacity) -> Node {
+        self.start_node(name, capacity, "op/").await
+    }
+
+    async fn start_node(&self, name: &str, capacity: HostCapacity, watched: &str) -> Node {
         let faults = FaultControl::new();
         let platform = TestPlatform {
             store: FaultyStore::new(self.inner.clone(), faults.clone()),
             layout: KeyLayout {
-                operator_prefix: Key::from("op/"),
+                operator_prefix: Key::from(watched),
                 drain_prefix: Key::from(DRAIN_PREFIX),
                 worker_prefix: Key::from("workers/"),
             },
--- a/crates/lead/tests/zone_drain.rs
+++ b/crates/lead/tests/zone_drain.rs
@@ -72,7 +72,7 @@
     first.faults.script(CallKind::Range, Fault::Unavailable, 10_000);
     cluster.set_drained("z1", true).await;
     first.tasks.stop().await;
-    let second = cluster.node("n-b").await;
+    let second = cluster.node_without_drain_watch("n-b").await;
     assert!(runs_only_on(&cluster, &second, 1, "w2").await);
     // The request is withdrawn while a third host takes over.
     second.tasks.stop().await;
