flow: room for a task that leaves a drained zone is looked for among few workers

With 1,500 workers in a pool and 200 steps of continuous tasks, a round in which tasks left the zone took up to 31 ms for that alone: each task was compared with all workers with room, although any of them is enough. Sixteen are compared at once now.

--- a/crates/flow/src/zone_exit.rs
+++ b/crates/flow/src/zone_exit.rs
@@ -18,6 +18,9 @@
 /// Largest number of tasks for which room is looked for in one round, which bounds its
 /// time.
 const MAX_TASKS_PER_ROUND: usize = 64;
+/// Number of workers with room that are compared at once. That one of them may run the
+/// task is enough: the best one is chosen when the task starts again.
+const WORKERS_COMPARED: usize = 16;
 
 /// A continuous task that needs room outside of the drained zones.
 #[derive(Debug, Clone, Copy)]
@@ -151,16 +154,22 @@
     ) -> Option<WorkerKey> {
         let has_room = |key: &WorkerKey| {
             let worker = &self.workers[*key];
-            let is_promised = mover.limited && promised.contains(&(mover.task.step, *key));
-            mover.reservation.fits(&worker.free().minus(&worker.held)) && !is_promised
+            let is_promised = || mover.limited && promised.contains(&(mover.task.step, *key));
+            mover.reservation.fits(&worker.free().minus(&worker.held)) && !is_promised()
         };
         let pool = &self.jobs[mover.job].pool;
         let workers = pass.targets(pool, |pool| self.eviction_targets(pool, now));
-        let workers: Vec<_> = workers.iter().copied().filter(has_room).collect();
-        if workers.is_empty() {
-            return None;
+        let mut with_room = workers.iter().copied().filter(has_room);
+        loop {
+            let part: Vec<_> = with_room.by_ref().take(WORKERS_COMPARED).collect();
+            if part.is_empty() {
+                return None;
+            }
+            let found = self.find_worker(mover.job, mover.task, &part, now);
+            if found.is_some() {
+                return found;
+            }
         }
-        self.find_worker(mover.job, mover.task, &workers, now)
     }
 
     /// Asks the adviser which workers elsewhere may run the step of a task that has to
