lead, flow: tests of the events of a drain and of idle machines in the zone

The events for a request, an empty zone, the end and a malformed key were not checked, and neither was the time after which idle machines of the zone go to the spare pool.

--- a/crates/flow/tests/zone_drain.rs
+++ b/crates/flow/tests/zone_drain.rs
@@ -205,6 +205,16 @@
         worker.up && worker.pool == "a" && zone_of(&worker.machine).as_str() != "z0"
     });
     assert!(here.count() >= 4);
+    // Idle machines of the zone stay there for a while, so that a short drain costs nothing.
+    let left = |world: &World| {
+        let moves = world.commands.iter().map(|(_, command)| command.machine());
+        moves.filter(|machine| zone_of(machine).as_str() == "z0").count()
+    };
+    let before = left(&world);
+    world.run(10_000);
+    assert_eq!(left(&world), before);
+    world.run(5000);
+    assert!(left(&world) > before, "idle machines are not given back");
 }
 
 /// Guards against gangs and speculative attempts that bypass the drain.
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -111,6 +111,7 @@
     pub(crate) host: Host<TestPlatform, TestClock>,
     pub(crate) clock: TestClock,
     pub(crate) tasks: HostTasks,
+    pub(crate) recorder: Recorder<TestClock>,
     pub(crate) faults: FaultControl,
 }
 
@@ -176,9 +177,9 @@
         };
         let clock = TestClock::default();
         let recorder = Recorder::new(clock.clone(), name, 4000);
-        let started = Host::start(platform, clock.clone(), options, recorder).await;
+        let started = Host::start(platform, clock.clone(), options, recorder.clone()).await;
         let (host, tasks) = started.unwrap();
-        let node = Node { host, clock, tasks, faults };
+        let node = Node { host, clock, tasks, recorder, faults };
         eventually(async || node.host.config().is_some()).await;
         node
     }
--- a/crates/lead/tests/zone_drain.rs
+++ b/crates/lead/tests/zone_drain.rs
@@ -6,6 +6,7 @@
 
 use support::{Cluster, DRAIN_PREFIX, Node, eventually, id, is_done, job, soon};
 use vg_base::prelude::*;
+use vg_events::Code;
 use vg_lead::SubmitOutcome;
 use vg_store::{CallKind, Fault};
 
@@ -35,6 +36,18 @@
     run(cluster, node, number).await.iter().all(|each| each.as_str() == worker)
 }
 
+/// Returns the codes of events whose field has this value, repetitions in a row once.
+fn codes(node: &Node, field: &str, value: &str) -> Vec<Code> {
+    let events = node.recorder.window(0, usize::MAX).events;
+    let mut codes: Vec<_> = events
+        .iter()
+        .filter(|each| each.field(field) == Some(value))
+        .map(|each| each.code)
+        .collect();
+    codes.dedup();
+    codes
+}
+
 fn gauges(node: &Node) -> String {
     String::from_utf8(node.host.metrics().encode_text()).unwrap()
 }
@@ -60,6 +73,10 @@
     cluster.set_drained("z1", false).await;
     eventually(async || is_done(&node.host.job_status(id(2), soon()).await)).await;
     eventually(async || !gauges(&node).contains("vg_zone_drain")).await;
+    let drain = [Code::ZoneDrainRequested, Code::ZoneDrained, Code::ZoneDrainEnded];
+    assert_eq!(codes(&node, "zone", "z1"), drain);
+    let malformed = format!("{DRAIN_PREFIX}No Zone");
+    assert_eq!(codes(&node, "key", &malformed), [Code::ValueUnreadable]);
 }
 
 /// Guards against a host that has just started and starts tasks in a zone whose drain was
