flow: estimates are corrected by observed durations

What callers saw: jobs of an account whose estimates are ten times too low took the capacity of jobs that could be in time; jobs whose estimates are ten times too high counted as late while they could still be in time; a task that takes seven times as long as others of its step was stopped as slow, and its healthy worker got no work for 2 s.

Change: the leader keeps sketches of observed over estimated duration by queue, step position and account (at most 256, halved at 256 samples, used from 20 samples on). Their median corrects remaining path, remaining work and demand; the 99th percentile replaces the estimate in the time of a stall. An attempt is not stopped as slow while other attempts on its worker progress as expected.

--- a/crates/flow/src/attempt.rs
+++ b/crates/flow/src/attempt.rs
@@ -54,6 +54,9 @@
     /// Progress in percent, and when it last changed.
     pub(crate) percent: u8,
     pub(crate) last_progress: Instant,
+    /// Whether this leader started it and it began without a checkpoint, so that its
+    /// duration is that of the whole task.
+    pub(crate) complete_run: bool,
     /// Whether it is several times slower than others of its step.
     pub(crate) slow: bool,
     /// Rough load reported by the worker: tail of response times in
--- a/crates/flow/src/demand.rs
+++ b/crates/flow/src/demand.rs
@@ -135,10 +135,13 @@
             return;
         }
         let capacity = self.typical_capacity(pool);
-        let work = spec.steps.iter().map(|step| {
+        let learned = self.durations.of(&spec.queue);
+        let factor = |at| learned.map_or(1.0, |queue| queue.factor(at, &spec.team));
+        let work = spec.steps.iter().enumerate().map(|(at, step)| {
             f64::from(step.count)
                 * step.reservation().dominant_share(&capacity)
                 * step.estimate.as_secs_f64()
+                * factor(at)
         });
         let work = work.sum();
         self.machines.resize.demand.add_arrival(pool, work, now);
@@ -231,12 +234,14 @@
         let mut spread: HashMap<PoolId, usize> = HashMap::new();
         for job in self.jobs.values().filter(|job| job.is_open()) {
             let capacity = self.typical_capacity(&job.pool);
-            for ReadyStep { spec, step, .. } in job.ready_steps() {
+            for ReadyStep { id, spec, step } in job.ready_steps() {
                 let share = spec.reservation().dominant_share(&capacity);
                 let waiting = step.waiting.len() as f64;
                 let running = (step.tasks.len() as f64) - f64::from(step.done) - waiting;
-                let task_time =
-                    if spec.continuous { MAX_TASK_TIME } else { spec.estimate.min(MAX_TASK_TIME) };
+                let task_time = match spec.continuous {
+                    true => MAX_TASK_TIME,
+                    false => self.expected_time(job, usize::from(id.step)).min(MAX_TASK_TIME),
+                };
                 let waiting = waiting * task_time.as_secs_f64();
                 *need.entry(job.pool.clone()).or_default() +=
                     (running + waiting) * share / USABLE_FRACTION;
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -77,7 +77,7 @@
             if step.data_rack.is_some() || step.same_rack { self.rules.remote_factor } else { 1.0 };
         // A continuous task shows no progress while it starts up.
         let startup_time = if step.continuous { Duration::from_secs(3) } else { Duration::ZERO };
-        MIN_STALL_TIME.max(step.estimate.mul_f64(STALL_ESTIMATE_FRACTION * rack_factor))
-            + startup_time
+        let longest = self.longest_time(attempt.task, step);
+        MIN_STALL_TIME.max(longest.mul_f64(STALL_ESTIMATE_FRACTION * rack_factor)) + startup_time
     }
 }
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -129,7 +129,11 @@
         self.counts.done += 1;
         self.record_success(worker);
         if let Some(key) = key {
-            let took = now.saturating_duration_since(self.attempts[key].started);
+            let attempt = self.attempts[key].clone();
+            if let Some(ratio) = self.observe_duration(&attempt, now) {
+                self.workers[worker].health.record_duration(ratio, now);
+            }
+            let took = now.saturating_duration_since(attempt.started);
             if let Some(task) = self.task_mut(end.task) {
                 task.completion = Some((worker, took));
             }
@@ -259,6 +263,7 @@
             needs_stop: false,
             checkpoint: reported.checkpoint.clone(),
             percent: reported.percent,
+            complete_run: false,
             last_progress: now,
             slow: false,
             gauge: reported.gauge,
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -10,6 +10,7 @@
 use crate::job::{Job, JobKey};
 use crate::place::PlacementRequest;
 use crate::rank::{Rank, RankInput, rank};
+use crate::remaining::{Remaining, remaining};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
 use crate::worker::WorkerKey;
 use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
@@ -131,7 +132,8 @@
             }
             let Some(queue) = self.config.queues.get(&job.spec.queue) else { continue };
             let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
-            ranked.push((rank(&rank_input(job, queue, mean_work, wall)), key));
+            let left = remaining(job, self.durations.of(&job.spec.queue));
+            ranked.push((rank(&rank_input(job, queue, left, mean_work, wall)), key));
         }
         ranked.sort_unstable();
         ranked
@@ -278,6 +280,7 @@
             needs_stop: false,
             checkpoint: checkpoint.clone(),
             percent: 0,
+            complete_run: checkpoint.is_empty(),
             last_progress: now,
             slow: false,
             gauge: 0.0,
@@ -299,30 +302,29 @@
 }
 
 /// Returns the input of a job's rank, by its first open occurrence.
-fn rank_input(job: &Job, queue: &crate::Queue, mean_work: f64, wall: SystemTime) -> RankInput {
+pub(crate) fn rank_input(
+    job: &Job,
+    queue: &crate::Queue,
+    left: Remaining,
+    mean_work: f64,
+    wall: SystemTime,
+) -> RankInput {
     let occurrence = job.occurrences.first();
     let due = match (job.spec.schedule, occurrence) {
         (Some(schedule), Some(occurrence)) => schedule.due(occurrence.number),
         _ => job.spec.accepted,
     };
     let critical_path = job.critical_paths.iter().copied().max().unwrap_or_default();
-    let (mut remaining_path, mut remaining_work) = (Duration::ZERO, 0.0);
-    for (at, step) in occurrence.iter().flat_map(|occurrence| &occurrence.steps).enumerate() {
-        if !step.is_done() {
-            remaining_path = remaining_path.max(job.critical_paths[at]);
-        }
-        remaining_work += step.waiting.len() as f64 * job.spec.steps[at].task_work();
-    }
     RankInput {
         continuous: job.spec.is_continuous(),
         priority: queue.priority,
         age: wall.duration_since(due).unwrap_or_default(),
         critical_path,
-        remaining_path,
+        remaining_path: left.path,
         stretch: queue.stretch,
         slack: queue.slack,
         work: job.work,
-        remaining_work,
+        remaining_work: left.work,
         mean_work,
     }
 }
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -6,6 +6,7 @@
 use crate::scheduler::Removal;
 use crate::unresolved::IncarnationRecord;
 use crate::worker::{Worker, WorkerKey};
+use crate::worker_health::WorkerHealth;
 use crate::{FencingToken, Scheduler, WorkerIncarnation, WorkerRegistration};
 
 /// What to send to a worker in the next poll.
@@ -164,6 +165,7 @@
         worker.uncommitted_ends.clear();
         worker.ends_truncated = false;
         worker.failed_jobs.clear();
+        worker.health = WorkerHealth::default();
         worker.cordoned = false;
         worker.leaving = false;
         let id = worker.incarnation.id.clone();
--- a/crates/flow/src/slow.rs
+++ b/crates/flow/src/slow.rs
@@ -3,7 +3,8 @@
 //!
 //! Load that this module handles: some workers are several times slower for
 //! seconds. Tasks of a step are alike, so a task whose progress projects
-//! several times the duration of the others is on such a worker. A second
+//! several times the duration of the others is on such a worker, or it is a long one:
+//! then the other tasks on its worker progress as expected, and it is left to end. A second
 //! attempt is started where the step allows one. Otherwise the attempt is
 //! stopped if another worker would complete the task sooner.
 
@@ -16,6 +17,9 @@
 
 /// An attempt counts as slow from this multiple of the others' duration.
 const SLOW_FACTOR: f64 = 2.5;
+/// The other attempts on a worker progress normally up to this multiple of the
+/// expected duration, by their median.
+const NORMAL_RATIO: f64 = 1.5;
 /// Minimum number of tasks on other workers that an attempt is compared with.
 const MIN_COMPARED_TASKS: usize = 2;
 /// Progress in percent from which the duration of an attempt can be projected.
@@ -59,7 +63,33 @@
         };
         let remaining = projected.saturating_sub(now.saturating_duration_since(attempt.started));
         let restart_time = typical + RESTART_COST + self.rules.stop_time;
-        projected > typical.mul_f64(SLOW_FACTOR) && remaining > restart_time
+        projected > typical.mul_f64(SLOW_FACTOR)
+            && remaining > restart_time
+            && !self.is_speed_normal(key)
+    }
+
+    /// Whether the other attempts on an attempt's worker progress at normal speed, or
+    /// have done so since it started, so that it is the task that takes long. `false`
+    /// if nothing is known of them.
+    fn is_speed_normal(&self, key: AttemptKey) -> bool {
+        let worker = &self.workers[self.attempts[key].worker];
+        let others = worker.attempts.iter().filter(|&&other| other != key);
+        let running = others.filter_map(|&other| self.progress_ratio(&self.attempts[other]));
+        let completed = worker.health.ratios_since(self.attempts[key].started);
+        let mut ratios: Vec<_> = running.chain(completed).collect();
+        ratios.sort_unstable_by(f64::total_cmp);
+        ratios.get(ratios.len().saturating_sub(1) / 2).is_some_and(|&median| median <= NORMAL_RATIO)
+    }
+
+    /// Returns the duration that an attempt's progress projects relative to what is
+    /// expected; `None` before enough tasks of its kind were observed.
+    fn progress_ratio(&self, attempt: &Attempt) -> Option<f64> {
+        if !attempt.is_running() || !self.is_sample(attempt, attempt.worker) {
+            return None;
+        }
+        let expected = self.learned_time(attempt.task)?.as_secs_f64();
+        let projected = projected_duration(attempt)?.as_secs_f64();
+        (expected > 0.0).then(|| projected / expected)
     }
 
     /// Whether the progress of an attempt can be compared with others of its
--- a/crates/flow/src/spec.rs
+++ b/crates/flow/src/spec.rs
@@ -142,11 +142,20 @@
     /// Returns for each step the estimated time from its start to the job's end
     /// along the longest chain.
     pub fn critical_paths(&self) -> Vec<Duration> {
-        let mut critical_paths: Vec<_> = self.steps.iter().map(|step| step.estimate).collect();
+        self.critical_paths_by(|_| 1.0)
+    }
+
+    /// Returns the same as [`critical_paths`](JobSpec::critical_paths), with the
+    /// estimate of each step multiplied by a factor.
+    pub(crate) fn critical_paths_by(&self, factor: impl Fn(usize) -> f64) -> Vec<Duration> {
+        let own: Vec<_> = (self.steps.iter().enumerate())
+            .map(|(at, step)| step.estimate.mul_f64(factor(at)))
+            .collect();
+        let mut critical_paths = own.clone();
         for at in (0..self.steps.len()).rev() {
             for &before in &self.steps[at].after {
                 let before = usize::from(before);
-                let through = self.steps[before].estimate + critical_paths[at];
+                let through = own[before] + critical_paths[at];
                 critical_paths[before] = critical_paths[before].max(through);
             }
         }
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::TaskId;
 use crate::attempt::AttemptKey;
+use crate::worker_health::WorkerHealth;
 
 slotmap::new_key_type! {
     /// Key of a worker in its table.
@@ -117,6 +118,8 @@
     pub(crate) failed_jobs: Vec<JobId>,
     /// How often it was put into backoff because of failures.
     pub(crate) backoffs: u32,
+    /// What its attempts show about it.
+    pub(crate) health: WorkerHealth,
     /// Whether it is being drained for maintenance or a move.
     pub(crate) cordoned: bool,
     /// Whether a command has taken its machine away, which ends its attempts.
@@ -151,6 +154,7 @@
             backoff_until: None,
             failed_jobs: Vec::new(),
             backoffs: 0,
+            health: WorkerHealth::default(),
             cordoned: false,
             leaving: false,
         }
--- /dev/null
+++ b/crates/flow/tests/learning.rs
@@ -0,0 +1,208 @@
+//! Learned durations: estimates that are off, long tasks, and what is not a sample.
+
+mod support;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use support::spec::{job, queue, step, team};
+use support::world::{Faults, World};
+use vg_base::prelude::*;
+use vg_flow::{JobOutcome, StepId, StepSpec, TaskId};
+
+/// A world, and when each of its jobs was submitted and has ended.
+struct Replay {
+    world: World,
+    next: u128,
+    submitted: HashMap<JobId, u64>,
+    ended: HashMap<JobId, u64>,
+}
+
+impl Replay {
+    /// Half of the workers are in pool `a`.
+    fn new(seed: u64, workers: usize) -> Replay {
+        let mut world = World::new(seed, workers, Faults::default());
+        world.run(400);
+        Replay { world, next: 1, submitted: HashMap::new(), ended: HashMap::new() }
+    }
+
+    fn submit(&mut self, of: Option<&str>, steps: Vec<StepSpec>) -> JobId {
+        let mut spec = (*job("q-a", steps, self.world.wall())).clone();
+        spec.team = of.map(team);
+        let id = self.world.submit(self.next, Arc::new(spec));
+        self.next += 1;
+        self.submitted.insert(id, self.world.ms);
+        id
+    }
+
+    fn run(&mut self, ms: u64) {
+        let until = self.world.ms + ms;
+        while self.world.ms < until {
+            self.world.step();
+            for (&id, stored) in &self.world.store {
+                if stored.end == Some(JobOutcome::Done) {
+                    self.ended.entry(id).or_insert(self.world.ms);
+                }
+            }
+        }
+    }
+
+    /// Returns the fraction of the jobs of a team that ended within their objective.
+    fn in_time(&self, of: Option<&str>) -> f64 {
+        let (mut jobs, mut in_time) = (0.0, 0.0);
+        for (id, at) in &self.submitted {
+            let spec = &self.world.store[id].spec;
+            if spec.team != of.map(team) {
+                continue;
+            }
+            let path = spec.critical_paths().into_iter().max().unwrap_or_default();
+            let objective = path.mul_f64(1.6).as_millis() as u64 + 600;
+            jobs += 1.0;
+            in_time += f64::from(u8::from(
+                self.ended.get(id).is_some_and(|ended| ended - at <= objective),
+            ));
+        }
+        in_time / jobs
+    }
+
+    /// Returns the first start of a task.
+    fn first_start(&self, id: TaskId) -> Option<u64> {
+        let started = self.world.started.iter().find(|(.., task)| *task == id);
+        started.map(|(ms, ..)| *ms)
+    }
+
+    fn median(&self) -> Option<f64> {
+        let quantiles = self.world.scheduler.duration_quantiles();
+        quantiles.iter().find(|each| each.queue == queue("q-a")).map(|each| each.median)
+    }
+}
+
+/// Load: an account whose estimates are ten times too low sends as much work as the
+/// others, 1.6 times the capacity together. Guards against its jobs counting as in
+/// time, although none can be, and taking the capacity of those that can.
+#[test]
+fn jobs_with_estimates_ten_times_too_low_do_not_displace_others() {
+    let mut replay = Replay::new(1, 12);
+    replay.world.truth.ratios = HashMap::from([(team("low"), 10.0)]);
+    replay.world.truth.spread = 0.3;
+    for _ in 0..100 {
+        replay.submit(Some("low"), vec![step(4, 2000, 100)]);
+        replay.submit(None, vec![step(3, 4000, 500)]);
+        replay.run(100);
+    }
+    replay.run(20_000);
+    assert!(replay.in_time(None) > 0.7, "{}", replay.in_time(None));
+    assert_eq!(replay.ended.len(), 200, "accepted work is finished");
+}
+
+/// Load: 125 jobs of an account whose estimates are ten times too high arrive at once,
+/// beside others that request 0.8 of the capacity. Guards against jobs that can still
+/// be in time counting as late, so that others go first and make them late.
+#[test]
+fn jobs_with_estimates_ten_times_too_high_are_in_time() {
+    let mut replay = Replay::new(2, 12);
+    replay.world.truth.ratios = HashMap::from([(team("high"), 0.1)]);
+    for _ in 0..125 {
+        replay.submit(Some("high"), vec![step(2, 4000, 3000)]);
+    }
+    for _ in 0..15 {
+        replay.submit(None, vec![step(8, 4000, 2000)]);
+        replay.run(800);
+    }
+    replay.run(20_000);
+    assert!(replay.in_time(Some("high")) > 0.95, "{}", replay.in_time(Some("high")));
+}
+
+/// Guards against decisions that change before 20 tasks were observed: the order of
+/// two jobs follows the estimates after 19 samples (two are of the other jobs), and the
+/// observed durations after 20.
+#[test]
+fn estimates_are_used_until_twenty_tasks_were_observed() {
+    for (samples, low_first) in [(17, true), (20, false)] {
+        let mut replay = Replay::new(3, 2);
+        replay.world.truth.ratios = HashMap::from([(team("low"), 10.0)]);
+        replay.submit(Some("low"), vec![step(samples, 500, 100)]);
+        replay.run(2000);
+        assert_eq!(replay.median().is_some(), samples >= 20);
+        replay.submit(None, vec![step(1, 15_000, 300)]);
+        replay.run(100);
+        let low = replay.submit(Some("low"), vec![step(1, 16_000, 100)]);
+        // Nothing was observed at the position of its second step.
+        let second = StepSpec { after: vec![0], ..step(1, 16_000, 500) };
+        let other = replay.submit(None, vec![step(1, 100, 20), second]);
+        replay.run(4000);
+        let other = TaskId { step: StepId { job: other, occurrence: 0, step: 1 }, index: 0 };
+        let low = TaskId { step: StepId { job: low, occurrence: 0, step: 0 }, index: 0 };
+        assert_eq!(replay.first_start(low) < replay.first_start(other), low_first, "{samples}");
+    }
+}
+
+/// Guards against a correction that follows a long task, or a spread of durations
+/// around a true estimate.
+#[test]
+fn long_tasks_and_spread_do_not_move_the_correction() {
+    let mut replay = Replay::new(4, 12);
+    replay.world.truth.spread = 0.5;
+    replay.world.truth.long_tasks = 30;
+    for _ in 0..40 {
+        replay.submit(None, vec![step(8, 1000, 800)]);
+        replay.run(200);
+    }
+    replay.run(8000);
+    let median = replay.median().unwrap();
+    assert!((0.85..1.2).contains(&median), "{median}");
+}
+
+/// Guards against samples of tasks whose time says nothing about their estimate:
+/// far from their data, in gangs, continuous or best-effort.
+#[test]
+fn remote_gang_continuous_and_best_effort_tasks_are_no_samples() {
+    let mut replay = Replay::new(5, 12);
+    let spec = step(8, 500, 200);
+    replay.submit(None, vec![StepSpec { data_rack: Some("elsewhere".into()), ..spec.clone() }]);
+    replay.submit(None, vec![StepSpec { gang: true, ..spec.clone() }]);
+    replay.submit(None, vec![StepSpec { same_rack: true, ..spec.clone() }]);
+    replay.submit(None, vec![StepSpec { continuous: true, ..spec.clone() }]);
+    replay.submit(None, vec![StepSpec { best_effort: true, ..spec }]);
+    replay.run(3000);
+    assert!(replay.world.starts >= 40);
+    assert_eq!(replay.median(), None);
+}
+
+/// Guards against short tasks that seem to take as long as the time until the next
+/// poll: with 60 ms between polls, the error stays below that time, and below two
+/// percent where progress was reported.
+#[test]
+fn the_error_of_a_measured_time_is_bounded() {
+    for (estimate_ms, error) in [(100, 0.85), (1000, 0.025)] {
+        let mut replay = Replay::new(6, 12);
+        for _ in 0..8 {
+            replay.submit(None, vec![step(20, 500, estimate_ms)]);
+            replay.run(1300);
+        }
+        let median = replay.median().unwrap();
+        assert!((0.98..=1.0 + error).contains(&median), "{estimate_ms} ms: {median}");
+    }
+}
+
+/// Load: 3% of tasks take seven times as long. Guards against a long task that is
+/// stopped as slow or started twice although its worker is healthy.
+#[test]
+fn a_long_task_on_a_healthy_worker_is_neither_stopped_nor_started_twice() {
+    for speculative in [false, true] {
+        let mut replay = Replay::new(7, 12);
+        replay.world.truth.spread = 0.2;
+        replay.world.truth.long_tasks = 30;
+        // Until 20 tasks were observed, decisions are as without observations.
+        replay.submit(None, vec![step(30, 1000, 300)]);
+        replay.run(5000);
+        let (starts, stops) = (replay.world.starts, replay.world.stops.len());
+        for _ in 0..30 {
+            replay.submit(None, vec![StepSpec { speculative, ..step(10, 1000, 1000) }]);
+            replay.run(300);
+        }
+        replay.run(15_000);
+        assert_eq!(replay.world.stops.len(), stops);
+        assert_eq!(replay.world.starts, starts + 300);
+    }
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -10,8 +10,8 @@
 use vg_flow::{
     Action, AttemptNumber, AttemptOutcome, FencingToken, IncarnationRecord, JobOutcome, JobSpec,
     Machine, MachineAnswer, MachineCommand, MachineState, OperatorConfig, Progress, RecordKind,
-    Scheduler, SchedulingRules, StartAnswer, StartCommand, StepId, TaskId, WorkerIncarnation,
-    WorkerRegistration,
+    Scheduler, SchedulingRules, StartAnswer, StartCommand, StepId, StopReason, TaskId,
+    WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
 use vg_standin::{SimulatedWorker, TaskAttempt};
@@ -53,6 +53,39 @@
     pub(crate) lost_commands: u32,
 }
 
+/// How tasks and workers differ from what specifications and registrations say. The
+/// default is that they do not.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Truth {
+    /// True duration of a task over its estimate, by the job's team.
+    pub(crate) ratios: HashMap<TeamId, f64>,
+    /// Standard deviation of the logarithm of a task's duration.
+    pub(crate) spread: f64,
+    /// Tasks that take seven times as long as their kind, in thousandths.
+    pub(crate) long_tasks: u32,
+    /// Jobs of which every attempt fails.
+    pub(crate) doomed: HashSet<JobId>,
+    /// Attempts that fail on a worker, in thousandths.
+    pub(crate) failing: HashMap<usize, u32>,
+    /// Amount by which the wall clock is ahead, in milliseconds.
+    pub(crate) wall_ahead_ms: u64,
+}
+
+impl Truth {
+    /// Returns the true duration of a task over its estimate. It is the same for all
+    /// attempts of the task.
+    pub(crate) fn ratio(&self, task: TaskId, team: Option<&TeamId>) -> f64 {
+        let id = task.step.job.value() as u64;
+        let seed = id << 24 ^ u64::from(task.step.step) << 16 ^ u64::from(task.index);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // The sum of twelve uniform deviates is nearly normal, with variance 1.
+        let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+        let long = if rng.random_range(0..1000) < self.long_tasks { 7.0 } else { 1.0 };
+        let ratio = team.and_then(|team| self.ratios.get(team)).copied().unwrap_or(1.0);
+        ratio * long * (self.spread * normal).exp()
+    }
+}
+
 /// A job as stored.
 #[derive(Debug, Clone)]
 pub(crate) struct StoredJob {
@@ -79,6 +112,7 @@
     base: Instant,
     pub(crate) rng: SmallRng,
     pub(crate) faults: Faults,
+    pub(crate) truth: Truth,
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) scheduler: Scheduler,
     pub(crate) workers: Vec<SimulatedWorker>,
@@ -101,6 +135,10 @@
     /// Violations of the invariants.
     pub(crate) violations: Vec<String>,
     pub(crate) starts: u64,
+    /// Attempts that have started: when, on which worker, and of which task.
+    pub(crate) started: Vec<(u64, usize, TaskId)>,
+    /// Stop commands that were decided: when, for which task, and why.
+    pub(crate) stops: Vec<(u64, TaskId, StopReason)>,
     /// Commands to machines, and when they were sent.
     pub(crate) commands: Vec<(u64, MachineCommand)>,
     /// Machines and their pools; if empty, commands to machines are ignored.
@@ -136,6 +174,7 @@
             base,
             rng: SmallRng::seed_from_u64(seed),
             faults,
+            truth: Truth::default(),
             config,
             scheduler,
             workers: (0..workers).map(worker).collect(),
@@ -152,6 +191,8 @@
             acknowledged_failures: HashMap::new(),
             violations: Vec::new(),
             starts: 0,
+            started: Vec::new(),
+            stops: Vec::new(),
             commands: Vec::new(),
             machines: Vec::new(),
             pending_refusals: Vec::new(),
@@ -167,7 +208,7 @@
     }
 
     pub(crate) fn wall(&self) -> SystemTime {
-        SystemTime::UNIX_EPOCH + Duration::from_millis(self.ms)
+        SystemTime::UNIX_EPOCH + Duration::from_millis(self.ms + self.truth.wall_ahead_ms)
     }
 
     fn incarnation(&self, at: usize) -> WorkerIncarnation {
@@ -417,7 +458,8 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::Start(start) => self.send_start(start),
-            Action::Stop { incarnation, task, attempt, .. } => {
+            Action::Stop { incarnation, task, attempt, reason } => {
+                self.stops.push((self.ms, task, reason));
                 let Some(at) = self.worker_of(&incarnation.id) else { return };
                 let token = self.scheduler.token();
                 let (ms, now) = (self.ms, self.now());
@@ -556,8 +598,11 @@
         let spec = &stored.spec.steps[usize::from(start.task.step.step)];
         let (reservation, continuous, speculative) =
             (spec.reservation(), spec.continuous, spec.speculative);
-        let finish_ms = spec.estimate.as_millis() as u64;
-        let fails = self.chance(self.faults.failures);
+        let ratio = self.truth.ratio(start.task, stored.spec.team.as_ref());
+        let finish_ms = spec.estimate.mul_f64(ratio).as_millis() as u64;
+        let doomed = self.truth.doomed.contains(&start.task.step.job);
+        let failing = self.truth.failing.get(&at).copied().unwrap_or_default();
+        let fails = self.chance(self.faults.failures) || self.chance(failing) || doomed;
         let outcome = if fails { AttemptOutcome::Failed } else { AttemptOutcome::Done };
         let task_attempt = TaskAttempt {
             task: start.task,
@@ -577,6 +622,7 @@
         let answer = self.workers[at].start(start, token, task_attempt, ms);
         if answer == StartAnswer::Started && self.workers[at].running.len() > before {
             self.starts += 1;
+            self.started.push((ms, at, start.task));
             self.check_start(at, start, speculative);
         }
         answer
@@ -644,7 +690,10 @@
     /// worker.
     fn check_limit(&mut self, stored: &StoredJob) {
         let Some(team) = &stored.spec.team else { return };
-        let limit = self.config.teams[team].limit.cores.0;
+        // A team that is not configured has no limit.
+        let Some(limit) = self.config.teams.get(team).map(|team| team.limit.cores.0) else {
+            return;
+        };
         let running = self.workers.iter().filter(|worker| worker.up).flat_map(|w| &w.running);
         let mut cores = 0;
         for attempt in running {
