flow: doubtful workers get few tasks until they have proved themselves

What callers saw: a worker that fails half of its tasks across jobs got work like others, because one success clears three failures in a row; a worker at a third of its speed was not found slow when steps have one task each.

Change: the leader keeps for each worker the outcomes and durations of its last attempts. A worker is doubtful if more than half of at least 4 attempts, of 2 jobs, failed, or if its speed is below half of its pool's median. It gets one probe task at a time, of the job that loses least, then 2, 4 and then as many as fit. At most a third of a pool's usable workers are on probation. A failure counts only once another attempt of the step has succeeded, and not if the step fails on most workers. Backoff after 3 failed jobs in a row is as before. A full pool gets no second attempt of a slow task that takes more capacity than it saves.

--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -60,6 +60,8 @@
             .map(|(key, attempt)| (key, attempt.task, attempt.worker))
             .collect();
         for (key, task, worker) in stalled {
+            let attempt = self.attempts[key].clone();
+            self.record_evidence(&attempt, true, now);
             self.avoid_worker(task, worker);
             self.back_off(worker, now + FIRST_BACKOFF);
             self.stop_attempt(key, StopReason::Stalled, now);
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -130,9 +130,14 @@
         self.record_success(worker);
         if let Some(key) = key {
             let attempt = self.attempts[key].clone();
-            if let Some(ratio) = self.observe_duration(&attempt, now) {
-                self.workers[worker].health.record_duration(ratio, now);
+            // That of a slow attempt is known already.
+            if let Some(ratio) = self.observe_duration(&attempt, now)
+                && !attempt.slow
+            {
+                let health = &mut self.workers[worker].health;
+                health.record_duration(ratio, attempt.started, now);
             }
+            self.record_evidence(&attempt, false, now);
             let took = now.saturating_duration_since(attempt.started);
             if let Some(task) = self.task_mut(end.task) {
                 task.completion = Some((worker, took));
@@ -181,6 +186,8 @@
         self.record_worker_failure(worker, end.task.step.job, now);
         self.avoid_worker(end.task, worker);
         if let Some(key) = key {
+            let attempt = self.attempts[key].clone();
+            self.record_evidence(&attempt, true, now);
             self.remove_attempt(key, Removal::Ended, now);
         }
         if let Some(&job) = self.job_ids.get(&end.task.step.job)
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -15,6 +15,8 @@
     avoided: bool,
     /// The task's data is on another rack.
     remote: bool,
+    /// The worker is doubtful: many of its attempts fail, or it is slow.
+    doubtful: bool,
     /// Latency-sensitive and best-effort tasks would share the worker.
     interferes: bool,
     /// A continuous task would have to move again, because the machine awaits its
@@ -133,6 +135,7 @@
         Fit {
             avoided: task.avoided.contains(&key),
             remote: spec.data_rack.is_some() && spec.data_rack != worker.rack,
+            doubtful: worker.health.suspect || worker.health.probation.is_some(),
             interferes: self.would_interfere(spec, worker),
             moves_again: spec.continuous && self.awaits_maintenance(worker.machine.as_ref()),
             // Continuous tasks share few machines, so that the other machines
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::attempt::{Attempt, Phase};
 use crate::job::{Job, JobKey};
 use crate::place::PlacementRequest;
+use crate::probes::ProbeRule;
 use crate::rank::{Rank, RankInput, rank};
 use crate::remaining::{Remaining, remaining};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
@@ -46,6 +47,7 @@
         }
         if self.cadence.is_fleet_check(now) {
             self.expire_workers(now);
+            self.judge_workers(now);
             self.maintain(now);
             self.resize(now);
             self.start_speculative(now);
@@ -95,23 +97,30 @@
     /// Starts waiting tasks of all pools, in the order of their jobs' ranks.
     fn place_all(&mut self, now: Instant, wall: SystemTime) {
         let ranked = self.rank_jobs(wall);
+        let least_loss = ranked.iter().rev().map(|(_, key)| *key);
+        self.place_probes(least_loss.clone(), ProbeRule::Harmless, now, wall);
         let mut pools = HashMap::new();
-        for (_, key) in ranked {
+        for &(_, key) in &ranked {
             let pool = self.jobs[key].pool.clone();
             let mut pass = pools.remove(&pool).unwrap_or_else(|| self.pool_pass(&pool, now));
             self.place_job(key, &mut pass, now);
             pools.insert(pool, pass);
         }
+        self.place_probes(least_loss, ProbeRule::Unplaced, now, wall);
+        let full = pools.into_iter().filter(|(_, pass)| !pass.misfits.is_empty());
+        self.full_pools = full.map(|(pool, _)| pool).collect();
     }
 
     fn pool_pass(&self, pool: &PoolId, now: Instant) -> PoolPass {
         PoolPass { workers: self.usable_workers(pool, now), misfits: Vec::new() }
     }
 
-    /// Returns the workers of a pool that can be given work now.
+    /// Returns the workers of a pool that can be given work now and are not on probation.
     pub(crate) fn usable_workers(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
         let usable = |worker: &crate::worker::Worker| {
-            worker.incarnation.pool == *pool && worker.is_usable(now)
+            worker.incarnation.pool == *pool
+                && worker.health.probation.is_none()
+                && worker.is_usable(now)
         };
         let workers = self.workers.iter().filter(|(_, worker)| usable(worker));
         workers.map(|(key, _)| key).collect()
@@ -149,7 +158,10 @@
         let steps: Vec<_> = waiting.map(|ready| (ready.id, ready.spec.gang)).collect();
         for (step, gang) in steps {
             if gang {
-                self.place_gang(key, step, &pass.workers, now);
+                let (job, at) = (&self.jobs[key], usize::from(step.step));
+                let spec = &job.spec.steps[at];
+                let workers = self.workers_for_whole(&job.pool, spec, &pass.workers, now);
+                self.place_gang(key, step, &workers, now);
             } else {
                 self.place_step(key, step, pass, now);
             }
@@ -191,7 +203,12 @@
             {
                 return;
             }
-            let found = self.find_worker(key, task, &pass.workers, now);
+            let mut found = self.find_worker(key, task, &pass.workers, now);
+            if found.is_none() && step.continuous && self.quarantine.is_active {
+                let pool = &self.jobs[key].pool;
+                let workers = self.workers_for_whole(pool, step, &pass.workers, now);
+                found = self.find_worker(key, task, &workers, now);
+            }
             let Some(worker) = found else {
                 if unrestricted {
                     pass.misfits.push(step.reservation());
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::durations::Durations;
 use crate::job::{Job, JobKey, Task};
 use crate::machines::Machines;
+use crate::quarantine::Quarantine;
 use crate::queue_work::QueueWork;
 use crate::start_window::StartWindow;
 use crate::unresolved::UnresolvedWork;
@@ -53,6 +54,9 @@
     pub(crate) unplaced_pools: HashSet<PoolId>,
     pub(crate) queue_work: QueueWork,
     pub(crate) durations: Durations,
+    pub(crate) quarantine: Quarantine,
+    /// Pools in which tasks found no place in the last round.
+    pub(crate) full_pools: HashSet<PoolId>,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
     /// Jobs with changes that are not in a batch yet.
@@ -119,6 +123,8 @@
             unplaced_pools: HashSet::new(),
             queue_work: QueueWork::default(),
             durations: Durations::default(),
+            quarantine: Quarantine::default(),
+            full_pools: HashSet::new(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
             machines: Machines::new(now + rules.machine_hold),
--- a/crates/flow/src/slow.rs
+++ b/crates/flow/src/slow.rs
@@ -43,6 +43,10 @@
             self.avoid_worker(task, worker);
             self.back_off(worker, now + SLOW_WORKER_BACKOFF);
             self.attempts[key].slow = true;
+            if let Some(ratio) = self.progress_ratio(&self.attempts[key]) {
+                let started = self.attempts[key].started;
+                self.workers[worker].health.record_duration(ratio, started, now);
+            }
             if !self.spec_of(task).is_some_and(|spec| spec.speculative) {
                 self.stop_attempt(key, StopReason::Slow, now);
             }
@@ -68,6 +72,23 @@
             && !self.is_speed_normal(key)
     }
 
+    /// Whether another attempt of a task takes less capacity than the first one would
+    /// take to its end. `true` if that is not known.
+    pub(crate) fn saves_capacity(&self, key: AttemptKey, now: Instant) -> bool {
+        let attempt = &self.attempts[key];
+        if self.workers[attempt.worker].unreachable_since.is_some() {
+            return true;
+        }
+        let (Some(projected), Some(typical)) =
+            (projected_duration(attempt), self.learned_time(attempt.task))
+        else {
+            return true;
+        };
+        let remaining = projected.saturating_sub(now.saturating_duration_since(attempt.started));
+        // Both attempts run until the second one ends.
+        remaining > typical * 2 + RESTART_COST
+    }
+
     /// Whether the other attempts on an attempt's worker progress at normal speed, or
     /// have done so since it started, so that it is the task that takes long. `false`
     /// if nothing is known of them.
@@ -114,7 +135,8 @@
     }
 
     /// Returns the median duration of tasks of the same step on other workers,
-    /// actual or projected; `None` if too few are known.
+    /// actual or projected. If too few are known, returns the learned duration for an
+    /// attempt on a doubtful worker, else `None`.
     fn typical_duration(&self, attempt: &Attempt) -> Option<Duration> {
         let id = attempt.task.step;
         let step = self.job_of(attempt.task)?.step(id.occurrence, id.step)?;
@@ -126,7 +148,9 @@
             .map(|(_, duration)| duration)
             .collect();
         if durations.len() < MIN_COMPARED_TASKS {
-            return None;
+            let health = &self.workers[attempt.worker].health;
+            let doubtful = health.probation.is_some() || health.suspect;
+            return doubtful.then(|| self.learned_time(attempt.task)).flatten();
         }
         durations.sort_unstable();
         Some(durations[durations.len() / 2])
--- a/crates/flow/src/speculative.rs
+++ b/crates/flow/src/speculative.rs
@@ -4,7 +4,8 @@
 //! Load that this module handles: a rack becomes unreachable at peak load.
 //! Attempts there count as running until their lease has expired, which is
 //! later than most objectives. Where a step allows it, another worker starts a
-//! second attempt at once, and the first attempt to complete counts.
+//! second attempt at once, and the first attempt to complete counts. While the pool is
+//! full, one for a slow attempt is started only if it saves more capacity than it takes.
 
 use std::collections::HashMap;
 
@@ -26,6 +27,9 @@
                 continue;
             }
             let pool = &self.jobs[key].pool;
+            if self.full_pools.contains(pool) && !self.gains_by_attempt(task, now) {
+                continue;
+            }
             let workers =
                 usable.entry(pool.clone()).or_insert_with(|| self.usable_workers(pool, now));
             if let Some(worker) = self.find_worker(key, task, workers, now) {
@@ -46,6 +50,12 @@
         tasks
     }
 
+    /// Whether a further attempt of a task takes less capacity than it saves.
+    fn gains_by_attempt(&self, id: TaskId, now: Instant) -> bool {
+        let attempts = self.job_of(id).and_then(|job| job.task(id)).map(|task| &task.attempts);
+        attempts.is_none_or(|all| all.iter().all(|&each| self.saves_capacity(each, now)))
+    }
+
     fn is_held_up(&self, attempt: &Attempt) -> bool {
         attempt.slow || self.workers[attempt.worker].unreachable_since.is_some()
     }
--- a/crates/flow/tests/learning.rs
+++ b/crates/flow/tests/learning.rs
@@ -1,14 +1,15 @@
-//! Learned durations: estimates that are off, long tasks, and what is not a sample.
+//! Learned durations and workers that differ: estimates that are off, long tasks,
+//! workers that fail or are slow, and what shows nothing about them.
 
 mod support;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use support::spec::{job, queue, step, team};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{JobOutcome, StepId, StepSpec, TaskId};
+use vg_flow::{HealthChange, JobOutcome, StepId, StepSpec, TaskId};
 
 /// A world, and when each of its jobs was submitted and has ended.
 struct Replay {
@@ -16,6 +17,16 @@
     next: u128,
     submitted: HashMap<JobId, u64>,
     ended: HashMap<JobId, u64>,
+    /// Workers that were ever on probation, the most at a time, and those that returned.
+    quarantined: HashSet<HostId>,
+    most_quarantined: usize,
+    returned: HashSet<HostId>,
+    /// Racks that were reported, with their workers.
+    faulty_racks: Vec<(SmolStr, Vec<HostId>)>,
+}
+
+fn worker(at: usize) -> HostId {
+    format!("w{at}").parse().unwrap()
 }
 
 impl Replay {
@@ -23,7 +34,16 @@
     fn new(seed: u64, workers: usize) -> Replay {
         let mut world = World::new(seed, workers, Faults::default());
         world.run(400);
-        Replay { world, next: 1, submitted: HashMap::new(), ended: HashMap::new() }
+        Replay {
+            world,
+            next: 1,
+            submitted: HashMap::new(),
+            ended: HashMap::new(),
+            quarantined: HashSet::new(),
+            most_quarantined: 0,
+            returned: HashSet::new(),
+            faulty_racks: Vec::new(),
+        }
     }
 
     fn submit(&mut self, of: Option<&str>, steps: Vec<StepSpec>) -> JobId {
@@ -39,6 +59,7 @@
         let until = self.world.ms + ms;
         while self.world.ms < until {
             self.world.step();
+            self.note_health();
             for (&id, stored) in &self.world.store {
                 if stored.end == Some(JobOutcome::Done) {
                     self.ended.entry(id).or_insert(self.world.ms);
@@ -47,6 +68,38 @@
         }
     }
 
+    fn note_health(&mut self) {
+        for change in self.world.scheduler.take_health_changes() {
+            match change {
+                HealthChange::Quarantined { worker, .. } => _ = self.quarantined.insert(worker),
+                HealthChange::Returned { worker, .. } => _ = self.returned.insert(worker),
+                HealthChange::RackFault { rack, workers } => {
+                    self.faulty_racks.push((rack, workers));
+                }
+            }
+        }
+        self.most_quarantined = self.most_quarantined.max(self.on_probation().len());
+    }
+
+    /// Returns the workers that are on probation.
+    fn on_probation(&self) -> Vec<HostId> {
+        let worst = self.world.scheduler.worst_workers(self.world.now()).into_iter();
+        worst.filter(|each| each.quarantined).map(|each| each.worker).collect()
+    }
+
+    /// Submits jobs of `tasks` tasks of 200 ms and two cores at a fixed interval.
+    fn stream(&mut self, ms: u64, interval_ms: u64, tasks: u32) {
+        for _ in 0..ms / interval_ms {
+            self.submit(None, vec![step(tasks, 2000, 200)]);
+            self.run(interval_ms);
+        }
+    }
+
+    /// Returns how many attempts have started on a worker since `since`.
+    fn starts_on(&self, at: usize, since: u64) -> usize {
+        self.world.started.iter().filter(|(ms, worker, _)| *worker == at && *ms >= since).count()
+    }
+
     /// Returns the fraction of the jobs of a team that ended within their objective.
     fn in_time(&self, of: Option<&str>) -> f64 {
         let (mut jobs, mut in_time) = (0.0, 0.0);
@@ -206,3 +259,122 @@
         assert_eq!(replay.world.starts, starts + 300);
     }
 }
+
+/// Load: a worker fails half of its tasks, which are of many jobs. Guards against a
+/// worker that keeps getting tasks because every second one succeeds, and against one
+/// that gets no tasks any more after it has recovered.
+#[test]
+fn a_worker_that_fails_half_of_its_tasks_gets_few_until_it_has_recovered() {
+    let mut replay = Replay::new(8, 12);
+    replay.world.truth.failing = HashMap::from([(0, 500)]);
+    replay.stream(10_000, 40, 4);
+    let ms = replay.world.ms;
+    replay.stream(10_000, 40, 4);
+    assert_eq!(replay.quarantined, HashSet::from([worker(0)]));
+    let (bad, good) = (replay.starts_on(0, ms), replay.starts_on(2, ms));
+    assert!(bad * 10 < good, "{bad} of {good}");
+    replay.world.truth.failing.clear();
+    replay.stream(30_000, 40, 4);
+    assert!(replay.returned.contains(&worker(0)) && replay.on_probation().is_empty());
+    let ms = replay.world.ms;
+    replay.stream(4000, 40, 5);
+    assert!(replay.starts_on(0, ms) > 40, "{}", replay.starts_on(0, ms));
+}
+
+/// Load: a worker runs at a third of its speed, and each step has one task. Guards
+/// against a worker that is not found slow because no tasks of a step can be compared.
+#[test]
+fn a_worker_at_a_third_of_its_speed_gets_few_tasks() {
+    let mut replay = Replay::new(9, 12);
+    replay.world.truth.spread = 0.3;
+    replay.world.workers[0].slowness = 3;
+    let chain = || vec![step(1, 4000, 300), StepSpec { after: vec![0], ..step(1, 4000, 300) }];
+    for _ in 0..400 {
+        replay.submit(None, chain());
+        replay.run(40);
+    }
+    assert_eq!(replay.quarantined, HashSet::from([worker(0)]));
+    let (bad, good) = (replay.starts_on(0, 9000), replay.starts_on(2, 9000));
+    assert!(bad * 5 < good, "{bad} of {good}");
+}
+
+/// Load: every third job can never be done and fails on each worker. Guards against
+/// healthy workers that are put on probation for it.
+#[test]
+fn jobs_that_fail_everywhere_blame_no_worker() {
+    let mut replay = Replay::new(10, 12);
+    replay.world.truth.doomed = (1..3000).step_by(3).map(JobId::new).collect();
+    replay.stream(20_000, 40, 3);
+    assert_eq!(replay.quarantined, HashSet::new());
+}
+
+/// Load: all workers are slow, durations are spread, some tasks are long, and one
+/// attempt in twenty fails. Guards against workers that are put on probation though
+/// they are as good as the others.
+#[test]
+fn workers_that_are_alike_are_not_put_on_probation() {
+    let mut replay = Replay::new(11, 24);
+    replay.world.truth.spread = 0.5;
+    replay.world.truth.long_tasks = 30;
+    replay.world.faults.failures = 50;
+    replay.world.workers.iter_mut().for_each(|each| each.slowness = 3);
+    replay.stream(60_000, 60, 5);
+    assert_eq!(replay.quarantined, HashSet::new());
+}
+
+/// Load: most workers of a pool fail half of their tasks. Guards against a pool that
+/// loses more than a third of its workers.
+#[test]
+fn at_most_a_third_of_a_pool_is_on_probation() {
+    let mut replay = Replay::new(12, 12);
+    replay.world.truth.failing = (0..6).step_by(2).map(|at| (at, 600)).collect();
+    replay.stream(20_000, 40, 3);
+    assert_eq!(replay.most_quarantined, 2);
+}
+
+/// Load: all workers of a rack fail half of their tasks. Guards against a fault that is
+/// reported once for each worker or not at all.
+#[test]
+fn a_rack_that_fails_is_reported_once() {
+    let mut replay = Replay::new(13, 24);
+    replay.world.truth.failing = HashMap::from([(4, 700), (6, 700)]);
+    replay.stream(15_000, 40, 8);
+    assert_eq!(replay.quarantined, HashSet::from([worker(4), worker(6)]));
+    assert!(!replay.faulty_racks.is_empty());
+    assert!(replay.faulty_racks.iter().all(|(rack, workers)| rack == "r1" && workers.len() == 2));
+}
+
+/// Guards against a new leader that trusts what it has not seen, or that needs long to
+/// see it: it begins with no doubts and has learned within 2 s of starting tasks.
+#[test]
+fn a_new_leader_starts_neutral_and_learns_within_two_seconds() {
+    let mut replay = Replay::new(14, 12);
+    replay.world.truth.failing = HashMap::from([(0, 800)]);
+    replay.stream(10_000, 40, 4);
+    assert_eq!(replay.on_probation(), vec![worker(0)]);
+    replay.world.planned_handover();
+    assert_eq!(replay.on_probation(), Vec::new());
+    assert_eq!(replay.median(), None);
+    replay.quarantined.clear();
+    let first = replay.world.started.len();
+    while replay.world.started.len() == first {
+        replay.stream(40, 40, 4);
+    }
+    replay.stream(2000, 40, 4);
+    assert_eq!(replay.quarantined, HashSet::from([worker(0)]));
+    assert!(replay.median().is_some());
+    assert_eq!(replay.world.violations, Vec::<String>::new());
+}
+
+/// Guards against durations measured with the wall clock, which may jump.
+#[test]
+fn a_jump_of_the_wall_clock_changes_nothing_that_is_learned() {
+    let mut replay = Replay::new(15, 12);
+    for ahead_ms in [0, 3_600_000, 5000] {
+        replay.world.truth.wall_ahead_ms = ahead_ms;
+        replay.stream(3000, 40, 4);
+    }
+    let median = replay.median().unwrap();
+    assert!((0.95..1.3).contains(&median), "{median}");
+    assert_eq!(replay.quarantined, HashSet::new());
+}
