--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -174,6 +174,12 @@
     TaskThrottled = 624, "task-paced", Info;
     /// The adviser was asked which workers may run a step.
     AdviserAsked = 625, "step-advised", Info;
+    /// A worker fails or is slower than others of its pool; it gets a few tasks at a time.
+    WorkerDoubtful = 628, "worker-doubtful", Warn;
+    /// A doubtful worker has proved itself and gets tasks like others again.
+    WorkerTrusted = 629, "worker-trusted", Info;
+    /// Several workers of a rack are doubtful at the same time, probably for one cause.
+    RackDoubtful = 630, "rack-doubtful", Warn;
 
     /// A command to move a machine or to put it into maintenance was issued.
     MachineCommandSent = 700, "machine-ordered", Info;
--- a/crates/flow/src/durations.rs
+++ b/crates/flow/src/durations.rs
@@ -12,48 +12,23 @@
 
 use std::collections::HashMap;
 
-use hdrhistogram::Histogram;
 use vg_base::prelude::*;
 
 use crate::attempt::Attempt;
 use crate::job::Job;
+use crate::sketch::{Learned, MIN_SAMPLES, Sketch, empty_histogram, quantile};
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepSpec, TaskId};
 
 /// Maximum number of sketches; each takes about 7 kB.
 pub(crate) const MAX_SKETCHES: usize = 256;
-/// Number of samples from which a sketch is used.
-pub(crate) const MIN_SAMPLES: u64 = 20;
-/// Number of samples at which all counts of a sketch are halved.
-const MAX_SAMPLES: u64 = 256;
 /// Steps from this position on share one sketch.
 const MAX_POSITION: usize = 31;
 /// Time without a sample after which a sketch may be replaced by one of a team.
 const IDLE_TIME: Duration = Duration::from_secs(30);
-/// Ratios are counted in thousandths, up to 1000.
-const RATIO_SCALE: f64 = 1000.0;
-const MAX_SCALED_RATIO: u64 = 1_000_000;
-/// Significant digits of a ratio: the error is below one percent from 0.13 on.
-const RATIO_DIGITS: u8 = 2;
-/// Bounds of the factor by which an estimate is corrected.
-const MIN_FACTOR: f64 = 0.02;
-const MAX_FACTOR: f64 = 50.0;
-/// The end of the tail is at least this multiple of the median: a few samples may
-/// contain no long task. One percent of a task that takes seven times the median is
-/// then still reported within the time of a stall.
-const MIN_TAIL_FACTOR: f64 = 2.0;
 /// Progress in percent from which the duration of an attempt is projected.
 const MIN_PROJECTED_PERCENT: u8 = 10;
 
-/// What was learned about the tasks of one kind: observed over estimated duration.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Learned {
-    /// The median, by which estimates are corrected.
-    pub(crate) median: f64,
-    /// The 99th percentile.
-    pub(crate) tail: f64,
-}
-
 /// Quantiles of observed over estimated duration of the tasks of a queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DurationQuantiles {
@@ -69,58 +44,6 @@
     pub samples: u64,
 }
 
-/// Distribution of the observed over the estimated duration of tasks of one kind.
-#[derive(Debug)]
-struct Sketch {
-    ratios: Histogram<u32>,
-    learned: Option<Learned>,
-    updated: Instant,
-}
-
-impl Sketch {
-    fn new(now: Instant) -> Sketch {
-        Sketch { ratios: empty_histogram(), learned: None, updated: now }
-    }
-
-    fn record(&mut self, ratio: f64, now: Instant) {
-        let scaled = (ratio * RATIO_SCALE).round() as u64;
-        self.ratios.saturating_record(scaled.clamp(1, MAX_SCALED_RATIO));
-        if self.ratios.len() >= MAX_SAMPLES {
-            self.halve();
-        }
-        self.updated = now;
-        self.learned = (self.ratios.len() >= MIN_SAMPLES).then(|| self.summary());
-    }
-
-    fn summary(&self) -> Learned {
-        let median = quantile(&self.ratios, 0.5).clamp(MIN_FACTOR, MAX_FACTOR);
-        let tail = quantile(&self.ratios, 0.99).max(median * MIN_TAIL_FACTOR);
-        Learned { median, tail }
-    }
-
-    /// Halves all counts. What is left of an odd count goes to the next higher ratio,
-    /// so that ratios that occurred once do not all vanish.
-    fn halve(&mut self) {
-        let mut halved = empty_histogram();
-        let mut carry = 0;
-        for each in self.ratios.iter_recorded() {
-            let count = carry + each.count_at_value();
-            halved.saturating_record_n(each.value_iterated_to(), count / 2);
-            carry = count % 2;
-        }
-        self.ratios = halved;
-    }
-}
-
-fn empty_histogram() -> Histogram<u32> {
-    let histogram = Histogram::new_with_bounds(1, MAX_SCALED_RATIO, RATIO_DIGITS);
-    histogram.unwrap_or_else(|_| unreachable!("the bounds are valid"))
-}
-
-fn quantile(ratios: &Histogram<u32>, quantile: f64) -> f64 {
-    ratios.value_at_quantile(quantile) as f64 / RATIO_SCALE
-}
-
 /// Sketches of the tasks at one step position of a queue.
 #[derive(Debug, Default)]
 struct StepSketches {
@@ -139,6 +62,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct QueueDurations {
     steps: Vec<StepSketches>,
+    /// Number of changes of what was learned, of all teams and by team.
+    common_changes: u64,
+    team_changes: HashMap<Option<TeamId>, u64>,
 }
 
 impl QueueDurations {
@@ -156,6 +82,11 @@
         of_team.or_else(|| step.all.as_ref()?.learned)
     }
 
+    /// Returns the version of the factors of a team; it increases when one changes.
+    pub(crate) fn version(&self, team: &Option<TeamId>) -> u64 {
+        self.common_changes + self.team_changes.get(team).copied().unwrap_or_default()
+    }
+
     /// Returns the median of all teams' tasks of a step; 1 before there are enough.
     pub(crate) fn common_factor(&self, step: usize) -> f64 {
         let all = self.steps.get(step.min(MAX_POSITION)).and_then(|step| step.all.as_ref());
@@ -182,12 +113,14 @@
 
     /// Records that a task took `ratio` times its estimate.
     fn record(&mut self, kind: &TaskKind<'_>, ratio: f64, now: Instant) {
-        let sketch = self.sketch(kind, None, now);
-        if let Some(sketch) = sketch {
-            sketch.record(ratio, now);
-        }
-        if let Some(sketch) = self.sketch(kind, Some(kind.team), now) {
-            sketch.record(ratio, now);
+        let common = self.sketch(kind, None, now);
+        let common_changed = common.is_some_and(|sketch| sketch.record(ratio, now));
+        let of_team = self.sketch(kind, Some(kind.team), now);
+        let team_changed = of_team.is_some_and(|sketch| sketch.record(ratio, now));
+        let Some(queue) = self.queues.get_mut(kind.queue) else { return };
+        queue.common_changes += u64::from(common_changed);
+        if team_changed {
+            *queue.team_changes.entry(kind.team.clone()).or_default() += 1;
         }
     }
 
@@ -247,10 +180,14 @@
     }
 
     fn remove(&mut self, queue: &QueueId, at: usize, team: Option<&Option<TeamId>>) {
-        let Some(step) = self.queues.get_mut(queue).and_then(|queue| queue.steps.get_mut(at))
-        else {
-            return;
-        };
+        let Some(queue) = self.queues.get_mut(queue) else { return };
+        // The count of a team's changes is dropped, so that of all teams stands in.
+        queue.common_changes += 1;
+        if let Some(team) = team {
+            let changes = queue.team_changes.remove(team);
+            queue.common_changes += changes.unwrap_or_default();
+        }
+        let Some(step) = queue.steps.get_mut(at) else { return };
         match team {
             Some(team) => _ = step.teams.remove(team),
             None => step.all = None,
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -7,6 +7,7 @@
 use vg_base::prelude::*;
 
 use crate::attempt::AttemptKey;
+use crate::remaining::Corrected;
 use crate::tickets::Tickets;
 use crate::worker::WorkerKey;
 use crate::{
@@ -43,6 +44,8 @@
     /// Estimated time from each step's start to the job's end.
     pub(crate) critical_paths: Vec<Duration>,
     pub(crate) work: f64,
+    /// The estimates, corrected by what was learned; `None` if nothing was.
+    pub(crate) corrected: Option<Corrected>,
     /// All occurrences below this number are done.
     pub(crate) closed: u32,
     /// Open occurrences in the order of their numbers.
@@ -109,6 +112,7 @@
             revision,
             critical_paths: spec.critical_paths(),
             work: spec.work(),
+            corrected: None,
             spec,
             closed: 0,
             occurrences: Vec::new(),
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -43,6 +43,7 @@
 mod resize;
 mod rules;
 mod scheduler;
+mod sketch;
 mod slow;
 mod spec;
 mod speculative;
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -11,7 +11,6 @@
 use crate::place::PlacementRequest;
 use crate::probes::ProbeRule;
 use crate::rank::{Rank, RankInput, rank};
-use crate::remaining::{Remaining, remaining};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
 use crate::worker::WorkerKey;
 use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
@@ -141,8 +140,8 @@
             }
             let Some(queue) = self.config.queues.get(&job.spec.queue) else { continue };
             let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
-            let left = remaining(job, self.durations.of(&job.spec.queue));
-            ranked.push((rank(&rank_input(job, queue, left, mean_work, wall)), key));
+            job.correct(self.durations.of(&job.spec.queue));
+            ranked.push((rank(&rank_input(job, queue, mean_work, wall)), key));
         }
         ranked.sort_unstable();
         ranked
@@ -322,7 +321,6 @@
 pub(crate) fn rank_input(
     job: &Job,
     queue: &crate::Queue,
-    left: Remaining,
     mean_work: f64,
     wall: SystemTime,
 ) -> RankInput {
@@ -331,6 +329,7 @@
         (Some(schedule), Some(occurrence)) => schedule.due(occurrence.number),
         _ => job.spec.accepted,
     };
+    let left = job.remaining();
     let critical_path = job.critical_paths.iter().copied().max().unwrap_or_default();
     RankInput {
         continuous: job.spec.is_continuous(),
--- a/crates/flow/src/probes.rs
+++ b/crates/flow/src/probes.rs
@@ -9,7 +9,6 @@
 use crate::job::{Job, JobKey};
 use crate::plan::rank_input;
 use crate::rank::{Timeliness, rank};
-use crate::remaining::remaining;
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepSpec, TaskId};
 
@@ -100,8 +99,9 @@
             for &index in &ready.step.waiting {
                 let (id, task) =
                     (TaskId { step: ready.id, index }, &ready.step.tasks[index as usize]);
-                // One more failure must not end the job.
-                let may_fail = task.failed_attempts.len() + 1 < max_failures;
+                // One more failure must not end the job, unless each one does.
+                let may_fail = task.failed_attempts.len() + 1 < max_failures
+                    || (max_failures <= 1 && rule == ProbeRule::Unplaced);
                 let paused = task.not_before.is_some_and(|at| at > now);
                 let unknown = self.unresolved.includes(id) && !ready.spec.speculative;
                 if paused || unknown || !may_fail || task.avoided.contains(&worker) {
@@ -121,8 +121,7 @@
     /// it is late already, or has time to spare.
     fn is_harmless(&self, job: &Job, step: usize, wall: SystemTime) -> bool {
         let Some(queue) = self.config.queues.get(&job.spec.queue) else { return true };
-        let left = remaining(job, self.durations.of(&job.spec.queue));
-        let mut input = rank_input(job, queue, left, job.work, wall);
+        let mut input = rank_input(job, queue, job.work, wall);
         if rank(&input).timeliness > Timeliness::OnTime {
             return true;
         }
--- a/crates/flow/src/quarantine.rs
+++ b/crates/flow/src/quarantine.rs
@@ -40,6 +40,13 @@
 /// Maximum number of doublings of that backoff.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
+/// Time without a judged attempt after which a probation ends: what led to it is no
+/// longer known, and there may be no task that can be a probe.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
+/// A worker whose backoff ends within this time counts as usable in the limit: most
+/// backoffs are after a refused start.
+const SHORT_BACKOFF: Duration = Duration::from_millis(750);
+
 /// State of the judgement of workers.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
@@ -182,8 +189,11 @@
     /// limit allows. Releases some if the pool has become too small for all of them.
     fn judge_pool(&mut self, workers: &[WorkerKey], now: Instant) {
         let on_probation = |key: &WorkerKey| self.workers[*key].health.probation.is_some();
-        let usable =
-            workers.iter().filter(|key| on_probation(key) || self.workers[**key].is_usable(now));
+        let is_usable = |key: WorkerKey| {
+            let worker = &self.workers[key];
+            worker.is_usable(now) || worker.is_usable(now + SHORT_BACKOFF)
+        };
+        let usable = workers.iter().filter(|key| on_probation(key) || is_usable(**key));
         let limit = usable.count() / PROBATION_DIVISOR;
         let mut held: Vec<_> = workers.iter().copied().filter(on_probation).collect();
         held.sort_by_key(|&key| self.workers[key].health.probation.map(|each| each.since));
@@ -192,8 +202,9 @@
             self.release(key, now);
         }
         let mut free = limit - (held.len() - excess);
-        let others = workers.iter().copied().filter(|key| !held.contains(key));
+        let others = workers.iter().filter(|&&key| self.workers[key].health.probation.is_none());
         let mut doubtful: Vec<_> = others
+            .copied()
             .filter(|&key| self.workers[key].registered)
             .filter(|&key| self.is_doubtful(key, now))
             .map(|key| (self.evidence(key, now), key))
@@ -224,6 +235,11 @@
                 self.back_off(key, now + RELAPSE_BACKOFF * 2u32.pow(doublings));
             } else if rate.attempts >= PROBE_STAGES[probation.stage] {
                 self.pass_stage(key, probation.relapses, now);
+            } else if now.saturating_duration_since(probation.stage_since) >= MAX_IDLE_TIME
+                && rate.attempts == 0
+                && self.workers[key].attempts.is_empty()
+            {
+                self.release(key, now);
             }
         }
     }
@@ -233,7 +249,7 @@
         let evidence = WorkerEvidence { speed: speed.unwrap_or(1.0), ..self.evidence(key, now) };
         if evidence.speed < MIN_SPEED {
             self.workers[key].health.begin_probation(relapses, now);
-        } else if !self.workers[key].health.advance() {
+        } else if !self.workers[key].health.advance(now) {
             self.note_change(|id| HealthChange::Returned { worker: id, evidence }, key);
         }
     }
--- a/crates/flow/src/remaining.rs
+++ b/crates/flow/src/remaining.rs
@@ -3,7 +3,7 @@
 use vg_base::prelude::*;
 
 use crate::durations::QueueDurations;
-use crate::job::{Job, Step};
+use crate::job::Job;
 
 /// What is left of a job's first open occurrence.
 #[derive(Debug, Clone, Copy, Default)]
@@ -14,27 +14,60 @@
     pub(crate) work: f64,
 }
 
-/// Returns what is left of a job. `learned` are the sketches of its queue.
-pub(crate) fn remaining(job: &Job, learned: Option<&QueueDurations>) -> Remaining {
-    let steps = job.occurrences.first().map_or(&[][..], |occurrence| &occurrence.steps);
-    let team = &job.spec.team;
-    let Some(learned) = learned else {
-        return sum(job, steps, &job.critical_paths, |_| 1.0);
-    };
-    let paths = job.spec.critical_paths_by(|at| learned.factor(at, team));
-    let left = sum(job, steps, &paths, |at| learned.factor(at, team));
-    Remaining { work: left.work / queue_factor(job, learned), ..left }
+/// Estimates of a job's steps that are corrected by what was learned.
+#[derive(Debug, Clone)]
+pub(crate) struct Corrected {
+    /// Version of what was learned.
+    version: u64,
+    /// Time from each step's start to the job's end.
+    paths: Vec<Duration>,
+    /// Work of a task of each step, in millicores times seconds.
+    task_work: Vec<f64>,
 }
 
-fn sum(job: &Job, steps: &[Step], paths: &[Duration], factor: impl Fn(usize) -> f64) -> Remaining {
-    let mut left = Remaining::default();
-    for (at, step) in steps.iter().enumerate() {
-        if !step.is_done() {
-            left.path = left.path.max(paths[at]);
+impl Job {
+    /// Corrects the estimates if what was learned of its queue has changed.
+    pub(crate) fn correct(&mut self, learned: Option<&QueueDurations>) {
+        let Some(learned) = learned else {
+            self.corrected = None;
+            return;
+        };
+        let version = learned.version(&self.spec.team);
+        if self.corrected.as_ref().is_none_or(|corrected| corrected.version != version) {
+            self.corrected = Some(corrected(self, learned, version));
         }
-        left.work += step.waiting.len() as f64 * job.spec.steps[at].task_work() * factor(at);
     }
-    left
+
+    /// Returns what is left of the first open occurrence, by the estimates as they were
+    /// last corrected.
+    pub(crate) fn remaining(&self) -> Remaining {
+        let steps = self.occurrences.first().map_or(&[][..], |occurrence| &occurrence.steps);
+        let paths = self.corrected.as_ref().map_or(&self.critical_paths, |each| &each.paths);
+        let mut left = Remaining::default();
+        for (at, step) in steps.iter().enumerate() {
+            if !step.is_done() {
+                left.path = left.path.max(paths[at]);
+            }
+            let task_work = match &self.corrected {
+                Some(corrected) => corrected.task_work[at],
+                None => self.spec.steps[at].task_work(),
+            };
+            left.work += step.waiting.len() as f64 * task_work;
+        }
+        left
+    }
+}
+
+fn corrected(job: &Job, learned: &QueueDurations, version: u64) -> Corrected {
+    let spec = &job.spec;
+    let factors: Vec<_> = (0..spec.steps.len()).map(|at| learned.factor(at, &spec.team)).collect();
+    let queue_factor = queue_factor(job, learned);
+    let steps = spec.steps.iter().zip(&factors);
+    Corrected {
+        version,
+        paths: spec.critical_paths_by(|at| factors[at]),
+        task_work: steps.map(|(step, factor)| step.task_work() * factor / queue_factor).collect(),
+    }
 }
 
 /// Returns the factor by which the work of a job like this one is off on average in
--- a/crates/flow/src/worker_health.rs
+++ b/crates/flow/src/worker_health.rs
@@ -70,8 +70,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Probation {
     pub(crate) since: Instant,
-    /// Position in [`PROBE_STAGES`].
+    /// Position in [`PROBE_STAGES`], and when that stage began.
     pub(crate) stage: usize,
+    pub(crate) stage_since: Instant,
     /// How often it began anew after a failure.
     pub(crate) relapses: u32,
 }
@@ -172,16 +173,17 @@
     /// Puts the worker on probation, or back to its first stage.
     pub(crate) fn begin_probation(&mut self, relapses: u32, now: Instant) {
         self.forget();
-        self.probation = Some(Probation { since: now, stage: 0, relapses });
+        self.probation = Some(Probation { since: now, stage: 0, stage_since: now, relapses });
         self.suspect = false;
     }
 
     /// Enters the next stage of the probation; returns whether there was one. If not,
     /// the probation is over.
-    pub(crate) fn advance(&mut self) -> bool {
+    pub(crate) fn advance(&mut self, now: Instant) -> bool {
         self.outcomes.clear();
         let Some(probation) = &mut self.probation else { return false };
         probation.stage += 1;
+        probation.stage_since = now;
         if probation.stage < PROBE_STAGES.len() {
             return true;
         }
--- a/crates/flow/tests/learning.rs
+++ b/crates/flow/tests/learning.rs
@@ -378,3 +378,21 @@
     assert!((0.95..1.3).contains(&median), "{median}");
     assert_eq!(replay.quarantined, HashSet::new());
 }
+
+/// Guards against steps that never start because the only workers that can hold them
+/// are on probation.
+#[test]
+fn steps_that_only_doubtful_workers_can_hold_start_there() {
+    let mut replay = Replay::new(16, 12);
+    replay.world.truth.failing = HashMap::from([(0, 700), (2, 700)]);
+    replay.stream(8000, 40, 4);
+    assert_eq!(replay.on_probation().len(), 2);
+    let spec = StepSpec { label: Some("r0".into()), ..step(2, 1000, 200) };
+    let continuous = StepSpec { continuous: true, ..spec.clone() };
+    let gang = StepSpec { gang: true, ..spec.clone() };
+    let ids = [spec, continuous, gang].map(|spec| replay.submit(None, vec![spec]));
+    replay.run(5000);
+    for id in ids {
+        assert!(replay.world.started.iter().any(|(.., task)| task.step.job == id), "{id}");
+    }
+}
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod give_way;
 mod incarnation_shards;
 mod incarnations;
+mod learned;
 mod machines;
 mod outage;
 mod polls;
@@ -113,6 +114,7 @@
     *lock(&host.inner.leader) = None;
     host.inner.metrics.set_leading(false);
     lock(&leader.tasks).abort_all();
+    host.inner.metrics.clear_learned();
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
 
@@ -129,6 +131,7 @@
         self.spawn(Arc::clone(self).watch_outage());
         self.spawn(Arc::clone(self).follow_config());
         self.spawn(Arc::clone(self).give_way_to_larger());
+        self.spawn(Arc::clone(self).report_learned());
         self.recovered.store(true, Ordering::Relaxed);
         self.decide().await;
     }
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -1,15 +1,18 @@
 //! Prometheus metrics of one host.
 
 use prometheus::{
-    Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Error, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 use vg_base::prelude::*;
-use vg_flow::Counts;
+use vg_flow::{Counts, DoubtfulWorker, DurationQuantiles};
 
 /// Upper bounds of the latency histogram buckets in seconds.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
 
+/// Maximum number of queues with gauges of durations.
+const MAX_QUEUES: usize = 50;
+
 /// Counters, gauges and latency histograms of one host; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -22,6 +25,9 @@
     leading: IntGauge,
     loop_delay: IntGauge,
     scheduler: IntGaugeVec,
+    worker_speed: GaugeVec,
+    worker_failures: GaugeVec,
+    duration_ratio: GaugeVec,
 }
 
 impl Metrics {
@@ -49,6 +55,17 @@
         let scheduler =
             IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(scheduler.clone()))?;
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = GaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, Error>(gauges)
+        };
+        let help = "Speed of the ten worst workers, relative to the median of their pool.";
+        let worker_speed = gauges("vg_worker_speed", help, &["worker"])?;
+        let help = "Fraction of the last attempts that failed, of the ten worst workers.";
+        let worker_failures = gauges("vg_worker_failure_rate", help, &["worker"])?;
+        let help = "Observed over estimated duration of tasks, by queue and quantile.";
+        let duration_ratio = gauges("vg_duration_ratio", help, &["queue", "quantile"])?;
         Ok(Metrics {
             registry,
             submissions,
@@ -59,6 +76,9 @@
             leading,
             loop_delay,
             scheduler,
+            worker_speed,
+            worker_failures,
+            duration_ratio,
         })
     }
 
@@ -108,6 +128,34 @@
         set("window", counts.start_window as i64);
     }
 
+    /// Sets the gauges of the worst workers.
+    pub(crate) fn set_worst_workers(&self, workers: &[DoubtfulWorker]) {
+        self.worker_speed.reset();
+        self.worker_failures.reset();
+        for DoubtfulWorker { worker, evidence, .. } in workers {
+            self.worker_speed.with_label_values(&[worker.as_str()]).set(evidence.speed);
+            let failures = self.worker_failures.with_label_values(&[worker.as_str()]);
+            failures.set(evidence.failure_rate);
+        }
+    }
+
+    /// Sets the gauges of observed over estimated durations.
+    pub(crate) fn set_durations(&self, queues: &[DurationQuantiles]) {
+        self.duration_ratio.reset();
+        for each in queues.iter().take(MAX_QUEUES) {
+            for (quantile, ratio) in [("0.5", each.median), ("0.9", each.p90), ("0.99", each.p99)] {
+                let labels = [each.queue.as_str(), quantile];
+                self.duration_ratio.with_label_values(&labels).set(ratio);
+            }
+        }
+    }
+
+    /// Removes the gauges of workers and durations: this host no longer leads.
+    pub(crate) fn clear_learned(&self) {
+        self.set_worst_workers(&[]);
+        self.set_durations(&[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
