--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -9,8 +9,10 @@
 
 use crate::attempt::{Attempt, AttemptKey, Phase};
 use crate::cadence::Cadence;
+use crate::durations::Durations;
 use crate::job::{Job, JobKey, Task};
 use crate::machines::Machines;
+use crate::quarantine::Quarantine;
 use crate::queue_work::QueueWork;
 use crate::start_window::StartWindow;
 use crate::unresolved::UnresolvedWork;
@@ -52,6 +54,10 @@
     /// last decided.
     pub(crate) unplaced_pools: HashSet<PoolId>,
     pub(crate) queue_work: QueueWork,
+    pub(crate) durations: Durations,
+    pub(crate) quarantine: Quarantine,
+    /// Pools in which tasks found no place in the last round.
+    pub(crate) full_pools: HashSet<PoolId>,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
     /// Jobs with changes that are not in a batch yet.
@@ -118,6 +124,9 @@
             unresolved_usage: HashMap::new(),
             unplaced_pools: HashSet::new(),
             queue_work: QueueWork::default(),
+            durations: Durations::default(),
+            quarantine: Quarantine::default(),
+            full_pools: HashSet::new(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
             machines: Machines::new(now + rules.machine_hold),
--- a/crates/lead/src/leader/zone_drains.rs
+++ b/crates/lead/src/leader/zone_drains.rs
@@ -90,7 +90,7 @@
             announced.zones.keys().filter(|zone| !is_drained(zone)).cloned().collect();
         for zone in ended {
             announced.zones.remove(&zone);
-            self.host.inner.metrics.remove_zone_drain(&zone);
+            self.host.inner.metrics.zones.remove(&zone);
             self.host.record(Code::ZoneDrainEnded, [Field::new("zone", zone)]);
         }
         if whole_fleet && !announced.whole_fleet {
@@ -130,7 +130,7 @@
         let metrics = &self.host.inner.metrics;
         for status in statuses {
             let since = drained.requests().get(&status.zone).copied().unwrap_or(now);
-            metrics.set_zone_drain(status, now.saturating_duration_since(since));
+            metrics.zones.set(status, now.saturating_duration_since(since));
         }
     }
 }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -18,6 +18,7 @@
 mod host;
 mod keys;
 mod leader;
+mod learned_gauges;
 mod members;
 mod messages;
 mod metrics;
@@ -31,6 +32,7 @@
 mod submit;
 mod unresolved;
 mod zone_drains;
+mod zone_gauges;
 
 pub use capacity::HostCapacity;
 pub use error::StartError;
