flow: fair shares of teams in contended pools

An account that sent several times its usual load took the capacity of all: jobs of a pool were ranked together and Team.share was read by nothing. In a pool whose ready tasks do not fit into its free capacity, jobs of teams below their allocation (weighted max-min over the dominant resource) now go first among jobs of equal timeliness and priority. What is left goes by value, as before. Other pools are served as before.

--- a/crates/flow/src/attempt.rs
+++ b/crates/flow/src/attempt.rs
@@ -3,6 +3,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::teams::TeamIndex;
 use crate::worker::WorkerKey;
 use crate::{AttemptNumber, TaskId};
 
@@ -36,6 +37,8 @@
     /// Resources that count against the team's limit.
     pub(crate) need: Resources,
     pub(crate) team: Option<TeamId>,
+    /// The team to which it is charged in a contended pool.
+    pub(crate) team_index: TeamIndex,
     pub(crate) phase: Phase,
     /// When the start command was sent, or the running attempt was found.
     pub(crate) started: Instant,
--- a/crates/flow/src/config.rs
+++ b/crates/flow/src/config.rs
@@ -70,16 +70,31 @@
     pub spare: bool,
 }
 
+/// Share of a team of weight 1. Shares count only against each other; this unit leaves
+/// room for fractions.
+pub const SHARE_UNIT: u32 = 1000;
+
 /// A team.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Team {
-    /// Its share under contention.
+    /// Its share under contention, in units of 1 / [`SHARE_UNIT`].
     pub share: Share,
     /// Maximum resources that it may use at once; zero means no limit.
     pub limit: Resources,
 }
 
 impl Team {
+    /// Returns `amount`, or the team's limit where that is lower.
+    pub(crate) fn capped(&self, amount: &Resources) -> Resources {
+        let Resources { cores, memory, accelerators } = self.limit;
+        let capped = |limit: u64, value: u64| if limit == 0 { value } else { value.min(limit) };
+        Resources::new(
+            capped(cores.0.into(), amount.cores.0.into()) as u32,
+            capped(memory.0, amount.memory.0),
+            capped(accelerators.0.into(), amount.accelerators.0.into()) as u16,
+        )
+    }
+
     /// Whether a team that uses `used` may also use `more`.
     pub fn allows(&self, used: &Resources, more: &Resources) -> bool {
         let sum = used.plus(more);
--- a/crates/flow/src/intake.rs
+++ b/crates/flow/src/intake.rs
@@ -19,7 +19,8 @@
         let pool = self.config.queues.get(&spec.queue).map(|queue| queue.pool.clone());
         let pool = pool.unwrap_or_else(|| self.unknown_pool());
         self.record_arrival(&pool, &spec, now);
-        let job = Job::new(id, spec, pool, revision);
+        let team = self.teams.index(spec.team.as_ref());
+        let job = Job::new(id, spec, pool, team, revision);
         self.queue_work.add(&job.spec.queue, job.work);
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -7,6 +7,7 @@
 use vg_base::prelude::*;
 
 use crate::attempt::AttemptKey;
+use crate::teams::TeamIndex;
 use crate::tickets::Tickets;
 use crate::worker::WorkerKey;
 use crate::{
@@ -38,6 +39,7 @@
     pub(crate) id: JobId,
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) pool: PoolId,
+    pub(crate) team_index: TeamIndex,
     /// Revision of the store at which it was accepted.
     pub(crate) revision: u64,
     /// Estimated time from each step's start to the job's end.
@@ -102,10 +104,17 @@
 }
 
 impl Job {
-    pub(crate) fn new(id: JobId, spec: Arc<JobSpec>, pool: PoolId, revision: u64) -> Job {
+    pub(crate) fn new(
+        id: JobId,
+        spec: Arc<JobSpec>,
+        pool: PoolId,
+        team_index: TeamIndex,
+        revision: u64,
+    ) -> Job {
         Job {
             id,
             pool,
+            team_index,
             revision,
             critical_paths: spec.critical_paths(),
             work: spec.work(),
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -250,6 +250,7 @@
             reserved: step.map(crate::StepSpec::reservation).unwrap_or_default(),
             need: step.map(|step| step.need).unwrap_or_default(),
             team: job.and_then(|job| job.spec.team.clone()),
+            team_index: job.map(|job| job.team_index).unwrap_or_default(),
             phase: Phase::Running,
             started: now,
             expires_ms: 0,
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -1,6 +1,5 @@
 //! Scheduling passes, which assign waiting tasks to workers.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use vg_base::prelude::*;
@@ -11,17 +10,24 @@
 use crate::place::PlacementRequest;
 use crate::rank::{Rank, RankInput, rank};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
+use crate::share_order::Budget;
 use crate::worker::WorkerKey;
 use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
 
 /// A scheduling pass over one pool.
-struct PoolPass {
-    workers: Vec<WorkerKey>,
+pub(crate) struct PoolPass {
+    pub(crate) workers: Vec<WorkerKey>,
     /// Reservations that fit on no worker; larger ones are not tried.
     misfits: Vec<Resources>,
+    /// What the team of the current job may still use.
+    pub(crate) budget: Budget,
 }
 
 impl PoolPass {
+    pub(crate) fn new(workers: Vec<WorkerKey>) -> PoolPass {
+        PoolPass { workers, misfits: Vec::new(), budget: Budget::default() }
+    }
+
     fn is_misfit(&self, reservation: &Resources) -> bool {
         self.misfits.iter().any(|each| each.fits(reservation))
     }
@@ -91,22 +97,6 @@
         }
     }
 
-    /// Starts waiting tasks of all pools, in the order of their jobs' ranks.
-    fn place_all(&mut self, now: Instant, wall: SystemTime) {
-        let ranked = self.rank_jobs(wall);
-        let mut pools = HashMap::new();
-        for (_, key) in ranked {
-            let pool = self.jobs[key].pool.clone();
-            let mut pass = pools.remove(&pool).unwrap_or_else(|| self.pool_pass(&pool, now));
-            self.place_job(key, &mut pass, now);
-            pools.insert(pool, pass);
-        }
-    }
-
-    fn pool_pass(&self, pool: &PoolId, now: Instant) -> PoolPass {
-        PoolPass { workers: self.usable_workers(pool, now), misfits: Vec::new() }
-    }
-
     /// Returns the workers of a pool that can be given work now.
     pub(crate) fn usable_workers(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
         let usable = |worker: &crate::worker::Worker| {
@@ -138,7 +128,7 @@
     }
 
     /// Starts waiting tasks of the ready steps of a job.
-    fn place_job(&mut self, key: JobKey, pass: &mut PoolPass, now: Instant) {
+    pub(crate) fn place_job(&mut self, key: JobKey, pass: &mut PoolPass, now: Instant) {
         let job = &self.jobs[key];
         if self.may_run_unseen(job) {
             return;
@@ -146,9 +136,11 @@
         let waiting = job.ready_steps().filter(|ready| !ready.step.waiting.is_empty());
         let steps: Vec<_> = waiting.map(|ready| (ready.id, ready.spec.gang)).collect();
         for (step, gang) in steps {
-            if gang {
-                self.place_gang(key, step, &pass.workers, now);
-            } else {
+            if gang && !pass.budget.is_spent() {
+                let started = self.place_gang(key, step, &pass.workers, now);
+                let spec = &self.jobs[key].spec.steps[usize::from(step.step)];
+                pass.budget.add(&spec.reservation(), started);
+            } else if !gang {
                 self.place_step(key, step, pass, now);
             }
         }
@@ -160,8 +152,8 @@
         job.revision <= self.token.0 && self.unresolved.affects_pool(&job.pool)
     }
 
-    /// Starts waiting tasks of a step until one finds no worker, the team's limit is
-    /// reached, or too many starts are unanswered.
+    /// Starts waiting tasks of a step until one finds no worker, the team's limit or
+    /// budget is reached, or too many starts are unanswered.
     fn place_step(&mut self, key: JobKey, id: StepId, pass: &mut PoolPass, now: Instant) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step = &spec.steps[usize::from(id.step)];
@@ -183,7 +175,8 @@
             if paused || (self.unresolved.includes(task) && !step.speculative) {
                 continue;
             }
-            if (unrestricted && pass.is_misfit(&step.reservation()))
+            if pass.budget.is_spent()
+                || (unrestricted && pass.is_misfit(&step.reservation()))
                 || !self.team_allows(key, &step.need)
                 || !self.start_window.allows(1)
             {
@@ -202,6 +195,7 @@
             };
             let attempt = self.next_attempt(key, task);
             self.start(key, task, attempt, worker, now);
+            pass.budget.add(&step.reservation(), 1);
         }
     }
 
@@ -250,6 +244,7 @@
         let job = &mut self.jobs[key];
         let Some(step) = job.spec.steps.get(usize::from(task.step.step)).cloned() else { return };
         let (payload, team) = (Arc::clone(&job.spec.payload), job.spec.team.clone());
+        let team_index = job.team_index;
         let Some(state) = job.step_mut(task.step) else { return };
         let ticket = state.tickets.get(worker, now).cloned().unwrap_or_default();
         let Some(state) = state.tasks.get_mut(task.index as usize) else { return };
@@ -269,6 +264,7 @@
             reserved: step.reservation(),
             need: step.need,
             team,
+            team_index,
             phase: Phase::Starting,
             started: now,
             expires_ms: deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64,
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -9,10 +9,13 @@
 
 use crate::attempt::{Attempt, AttemptKey, Phase};
 use crate::cadence::Cadence;
+use crate::contention::ContendedPool;
 use crate::job::{Job, JobKey, Task};
 use crate::machines::Machines;
+use crate::overuse::Overuse;
 use crate::queue_work::QueueWork;
 use crate::start_window::StartWindow;
+use crate::teams::TeamTable;
 use crate::unresolved::UnresolvedWork;
 use crate::worker::{Worker, WorkerKey};
 use crate::{
@@ -44,6 +47,10 @@
     pub(crate) attempt_ids: HashMap<(TaskId, AttemptNumber), AttemptKey>,
     /// Resources that count against the limit of each team.
     pub(crate) team_usage: HashMap<TeamId, Resources>,
+    pub(crate) teams: TeamTable,
+    /// Pools that were contended in the last round.
+    pub(crate) contended: Vec<ContendedPool>,
+    pub(crate) overuse: HashMap<PoolId, Overuse>,
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
@@ -112,6 +119,9 @@
         now: Instant,
     ) -> Scheduler {
         Scheduler {
+            teams: TeamTable::default(),
+            contended: Vec::new(),
+            overuse: HashMap::new(),
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
             unplaced_pools: HashSet::new(),
--- /dev/null
+++ b/crates/flow/src/teams.rs
@@ -0,0 +1,52 @@
+//! Small numbers for teams, so that passes over all jobs and attempts neither copy nor
+//! compare team ids.
+
+use std::collections::HashMap;
+
+use vg_base::prelude::*;
+
+/// Number of a team; it is valid as long as the leader. The default stands for jobs
+/// without a team.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct TeamIndex(u32);
+
+impl TeamIndex {
+    /// Returns the position of the team in a list of all teams.
+    pub(crate) fn position(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// All teams that this leader has seen. Their number is bounded by that of the teams
+/// in the versions of the configuration.
+#[derive(Debug)]
+pub(crate) struct TeamTable {
+    ids: Vec<Option<TeamId>>,
+    indexes: HashMap<TeamId, TeamIndex>,
+}
+
+impl Default for TeamTable {
+    fn default() -> TeamTable {
+        TeamTable { ids: vec![None], indexes: HashMap::new() }
+    }
+}
+
+impl TeamTable {
+    /// Returns the number of a team.
+    pub(crate) fn index(&mut self, team: Option<&TeamId>) -> TeamIndex {
+        let Some(team) = team else { return TeamIndex::default() };
+        if let Some(&index) = self.indexes.get(team) {
+            return index;
+        }
+        let index = TeamIndex(self.ids.len() as u32);
+        self.ids.push(Some(team.clone()));
+        self.indexes.insert(team.clone(), index);
+        index
+    }
+
+    /// Returns all teams in the order of their numbers; `None` stands for jobs without
+    /// a team.
+    pub(crate) fn ids(&self) -> &[Option<TeamId>] {
+        &self.ids
+    }
+}
--- a/crates/flow/src/unresolved.rs
+++ b/crates/flow/src/unresolved.rs
@@ -9,7 +9,7 @@
 
 use crate::job::Job;
 use crate::worker::{Worker, WorkerKey};
-use crate::{Scheduler, TaskId, WorkerIncarnation};
+use crate::{Scheduler, StepSpec, TaskId, WorkerIncarnation};
 
 /// Time for which a worker is unreachable before its record is sealed, so that
 /// the record lists the tasks that may run there.
@@ -248,18 +248,24 @@
     /// earlier leader started and that this leader does not know.
     pub(crate) fn measure_unresolved(&self) -> HashMap<TeamId, Resources> {
         let mut usage: HashMap<TeamId, Resources> = HashMap::new();
-        if self.unresolved.is_empty() {
-            return usage;
-        }
-        let mut add = |job: &Job, need: &Resources| {
+        self.for_each_unresolved(|job, spec| {
             if let Some(team) = &job.spec.team {
                 let used = usage.entry(team.clone()).or_default();
-                *used = used.plus(need);
+                *used = used.plus(&spec.need);
             }
-        };
+        });
+        usage
+    }
+
+    /// Calls `add` for each task that an earlier leader may have started and that this
+    /// leader does not know as started.
+    pub(crate) fn for_each_unresolved(&self, mut add: impl FnMut(&Job, &StepSpec)) {
+        if self.unresolved.is_empty() {
+            return;
+        }
         for task in self.unresolved.tasks() {
             if let (Some(job), Some(spec)) = (self.job_of(task), self.spec_of(task)) {
-                add(job, &spec.need);
+                add(job, spec);
             }
         }
         for job in self.jobs.values() {
@@ -269,9 +275,8 @@
             for ready in job.ready_steps() {
                 let recorded = |index| self.unresolved.includes(TaskId { step: ready.id, index });
                 let unknown = ready.step.waiting.iter().filter(|&&index| !recorded(index));
-                unknown.for_each(|_| add(job, &ready.spec.need));
+                unknown.for_each(|_| add(job, ready.spec));
             }
         }
-        usage
     }
 }
