--- a/crates/flow/src/contention.rs
+++ b/crates/flow/src/contention.rs
@@ -13,6 +13,7 @@
 use crate::job::{Job, JobKey};
 use crate::rank::{Rank, Timeliness};
 use crate::teams::TeamIndex;
+use crate::turns::served_part;
 use crate::worker::WorkerKey;
 use crate::{Scheduler, SizeClass, WorkBySize};
 
@@ -69,6 +70,8 @@
     /// What its ready waiting tasks need that still have value.
     ready: Resources,
     waiting: WorkBySize,
+    /// Decayed work of its tasks that were started in the last seconds.
+    served: WorkBySize,
     /// Past usage beyond its allocation.
     overuse: f64,
     allocation: f64,
@@ -114,20 +117,33 @@
         state.used = used;
     }
 
+    /// Counts work of a team that was started.
+    pub(crate) fn serve(&mut self, team: TeamIndex, class: SizeClass, work: f64) {
+        let state = &mut self.teams[team.position()];
+        state.served.add(class, work);
+        state.waiting.add(class, -work);
+    }
+
+    /// Returns the part of a team's work of a size class that was served.
+    pub(crate) fn served_part(&self, team: TeamIndex, class: SizeClass) -> f64 {
+        let state = &self.teams[team.position()];
+        served_part(&state.served, &state.waiting, class)
+    }
+
     /// Returns the work of a task in machine-seconds.
     fn task_work(&self, need: &Resources, time: Duration) -> f64 {
         self.part(need) * self.machines as f64 * time.as_secs_f64()
     }
 
-    fn add_waiting(&mut self, job: &Job) {
+    fn add_waiting(&mut self, job: &Job, class: SizeClass) {
         let (team, work) = (job.team_index.position(), self.waiting_work(job));
         let state = &mut self.teams[team];
         state.ready = state.ready.plus(&ready_need(job));
-        state.waiting.add(SizeClass::Small, work);
+        state.waiting.add(class, work);
     }
 
     /// Returns the work of a job's tasks that have not started, in machine-seconds.
-    fn waiting_work(&self, job: &Job) -> f64 {
+    pub(crate) fn waiting_work(&self, job: &Job) -> f64 {
         let steps = job.occurrences.iter().flat_map(|each| each.steps.iter().zip(&job.spec.steps));
         let finite = steps.filter(|(_, spec)| !spec.continuous);
         let work = finite.map(|(step, spec)| {
@@ -227,10 +243,15 @@
         self.add_unresolved_usage(&mut pool);
         for (rank, key) in &load.jobs {
             if rank.timeliness != Timeliness::TooLate {
-                pool.add_waiting(&self.jobs[*key]);
+                pool.add_waiting(&self.jobs[*key], self.size_class(*key));
             }
         }
         self.allocate_pool(&mut pool);
+        if let Some(turns) = self.turns.get(id) {
+            for (at, state) in pool.teams.iter_mut().enumerate() {
+                state.served = turns.served(at);
+            }
+        }
         Some(pool)
     }
 
@@ -285,6 +306,30 @@
         }
     }
 
+    /// Returns the size class of a job.
+    pub(crate) fn size_class(&self, key: JobKey) -> SizeClass {
+        let job = &self.jobs[key];
+        self.job_sizes.class(&job.spec.queue, job.work)
+    }
+
+    /// Lets the work decay that was started in the last seconds.
+    pub(crate) fn begin_turns(&mut self, now: Instant) {
+        let teams = self.teams.ids().len();
+        self.turns.values_mut().for_each(|turns| turns.begin_round(teams, now));
+        self.turns.retain(|_, turns| !turns.is_negligible());
+    }
+
+    /// Keeps the work that was started in the contended pools.
+    pub(crate) fn record_turns(&mut self, now: Instant) {
+        for pool in &self.contended {
+            let turns = self.turns.entry(pool.id.clone()).or_default();
+            turns.begin_round(pool.teams.len(), now);
+            for (at, state) in pool.teams.iter().enumerate() {
+                turns.set_served(at, state.served);
+            }
+        }
+    }
+
     /// Charges each team for what it uses beyond its allocation in contended pools, and
     /// lets earlier charges decay.
     pub(crate) fn update_overuse(&mut self, now: Instant) {
--- a/crates/flow/src/intake.rs
+++ b/crates/flow/src/intake.rs
@@ -22,6 +22,7 @@
         let team = self.teams.index(spec.team.as_ref());
         let job = Job::new(id, spec, pool, team, revision);
         self.queue_work.add(&job.spec.queue, job.work);
+        self.job_sizes.add(&job.spec.queue, job.work);
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
         true
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -11,11 +11,13 @@
 use crate::cadence::Cadence;
 use crate::contention::ContendedPool;
 use crate::job::{Job, JobKey, Task};
+use crate::job_size::JobSizes;
 use crate::machines::Machines;
 use crate::overuse::Overuse;
 use crate::queue_work::QueueWork;
 use crate::start_window::StartWindow;
 use crate::teams::TeamTable;
+use crate::turns::Turns;
 use crate::unresolved::UnresolvedWork;
 use crate::worker::{Worker, WorkerKey};
 use crate::{
@@ -51,6 +53,8 @@
     /// Pools that were contended in the last round.
     pub(crate) contended: Vec<ContendedPool>,
     pub(crate) overuse: HashMap<PoolId, Overuse>,
+    pub(crate) turns: HashMap<PoolId, Turns>,
+    pub(crate) job_sizes: JobSizes,
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
@@ -122,6 +126,8 @@
             teams: TeamTable::default(),
             contended: Vec::new(),
             overuse: HashMap::new(),
+            turns: HashMap::new(),
+            job_sizes: JobSizes::default(),
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
             unplaced_pools: HashSet::new(),
--- a/crates/flow/src/share_order.rs
+++ b/crates/flow/src/share_order.rs
@@ -16,6 +16,7 @@
 use crate::job::JobKey;
 use crate::plan::PoolPass;
 use crate::rank::{Rank, Timeliness};
+use crate::team_turns::TeamTurns;
 
 /// What the team of a job may still use in a pool, and what it uses. Without a pool
 /// there is no bound.
@@ -60,6 +61,7 @@
     /// teams' allocations.
     pub(crate) fn place_all(&mut self, now: Instant, wall: SystemTime) {
         let ranked = self.rank_jobs(wall);
+        self.begin_turns(now);
         let loads = self.pool_loads(&ranked);
         let mut rounds = self.pool_rounds(loads, now);
         for tier in ranked.chunk_by(|(a, _), (b, _)| same_tier(a, b)) {
@@ -70,6 +72,7 @@
         }
         self.contended = rounds.into_values().filter_map(|round| round.contended).collect();
         self.update_overuse(now);
+        self.record_turns(now);
     }
 
     fn pool_rounds(
@@ -110,15 +113,30 @@
         }
         let jobs = round.take_tier(first);
         let Some(pool) = &mut round.contended else { return };
-        if first.timeliness != Timeliness::Continuous {
+        if first.timeliness == Timeliness::Continuous {
             for &key in &jobs {
-                let part = pool.entitled_part(self.jobs[key].team_index);
-                self.place_charged(key, Some(part), pool, &mut round.pass, now);
+                self.place_charged(key, None, pool, &mut round.pass, now);
+            }
+            return;
+        }
+        for below_allocation in [true, false] {
+            let mut turns = self.team_turns(&jobs, pool);
+            while let Some(key) = turns.next(pool) {
+                let team = self.jobs[key].team_index;
+                let part = below_allocation.then(|| pool.entitled_part(team));
+                self.place_charged(key, part, pool, &mut round.pass, now);
             }
         }
-        for &key in &jobs {
-            self.place_charged(key, None, pool, &mut round.pass, now);
+    }
+
+    /// Lists jobs by team and size class.
+    fn team_turns(&self, jobs: &[JobKey], pool: &ContendedPool) -> TeamTurns {
+        let mut turns = TeamTurns::new(self.teams.ids().len());
+        for &key in jobs {
+            turns.add(self.jobs[key].team_index, self.size_class(key), key);
         }
+        turns.begin(pool);
+        turns
     }
 
     /// Places a job until its team uses the given part of the pool, and charges the
@@ -137,8 +155,13 @@
         if pass.budget.is_spent() {
             return;
         }
+        let before = pool.waiting_work(&self.jobs[key]);
         self.place_job(key, pass, now);
         pool.charge(team, pass.budget.used);
+        let started = before - pool.waiting_work(&self.jobs[key]);
+        if started > 0.0 {
+            pool.serve(team, self.size_class(key), started);
+        }
     }
 }
 
--- a/crates/flow/src/teams.rs
+++ b/crates/flow/src/teams.rs
@@ -7,10 +7,15 @@
 
 /// Number of a team; it is valid as long as the leader. The default stands for jobs
 /// without a team.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct TeamIndex(u32);
 
 impl TeamIndex {
+    /// Returns the numbers of the first `count` teams.
+    pub(crate) fn all(count: usize) -> impl Iterator<Item = TeamIndex> {
+        (0..count as u32).map(TeamIndex)
+    }
+
     /// Returns the position of the team in a list of all teams.
     pub(crate) fn position(self) -> usize {
         self.0 as usize
