flow: shares and turns of size classes over some seconds

Within a team the size class goes next of which the smallest part was served. Teams that come above their allocation are reported, at most once a second each.

--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -12,14 +12,14 @@
 use crate::{Scheduler, StepId, StepSpec, StopReason, TaskId};
 
 impl Scheduler {
-    /// Starts all tasks of a gang at once, or none; returns how many were started.
+    /// Starts all tasks of a gang at once, or none.
     pub(crate) fn place_gang(
         &mut self,
         key: JobKey,
         id: StepId,
         workers: &[WorkerKey],
         now: Instant,
-    ) -> usize {
+    ) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step_spec = &spec.steps[usize::from(id.step)];
         let advised = self.needs_adviser(key);
@@ -27,13 +27,13 @@
             self.ask_adviser(key, id, workers, now);
         }
         let job = &self.jobs[key];
-        let Some(step) = job.step(id.occurrence, id.step) else { return 0 };
+        let Some(step) = job.step(id.occurrence, id.step) else { return };
         let all_waiting = step.waiting.len() == step.tasks.len();
         let paused = step.tasks.iter().any(|task| task.not_before.is_some_and(|at| at > now));
         let unresolved =
             (0..step_spec.count).any(|index| self.unresolved.includes(TaskId { step: id, index }));
         if !all_waiting || paused || unresolved || !self.team_allows(key, &gang_need(step_spec)) {
-            return 0;
+            return;
         }
         let request = PlacementRequest {
             task: TaskId { step: id, index: 0 },
@@ -42,10 +42,9 @@
             advised,
             rack: None,
         };
-        let Some(places) = self.gang_places(&request, workers, now) else { return 0 };
-        let count = places.len();
-        if !self.start_window.allows(count) {
-            return 0;
+        let Some(places) = self.gang_places(&request, workers, now) else { return };
+        if !self.start_window.allows(places.len()) {
+            return;
         }
         let last = step.tasks.iter().map(|task| task.last_attempt).max().unwrap_or_default();
         let attempt = self.token.attempt_after(last);
@@ -53,7 +52,6 @@
             let task = TaskId { step: id, index: index as u32 };
             self.start(key, task, attempt, worker, now);
         }
-        count
     }
 
     /// Finds workers for all members, on one rack if they should be on one.
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -10,7 +10,6 @@
 use crate::place::PlacementRequest;
 use crate::rank::{Rank, RankInput, rank};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
-use crate::share_order::Budget;
 use crate::worker::WorkerKey;
 use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
 
@@ -19,13 +18,11 @@
     pub(crate) workers: Vec<WorkerKey>,
     /// Reservations that fit on no worker; larger ones are not tried.
     misfits: Vec<Resources>,
-    /// What the team of the current job may still use.
-    pub(crate) budget: Budget,
 }
 
 impl PoolPass {
     pub(crate) fn new(workers: Vec<WorkerKey>) -> PoolPass {
-        PoolPass { workers, misfits: Vec::new(), budget: Budget::default() }
+        PoolPass { workers, misfits: Vec::new() }
     }
 
     fn is_misfit(&self, reservation: &Resources) -> bool {
@@ -136,11 +133,9 @@
         let waiting = job.ready_steps().filter(|ready| !ready.step.waiting.is_empty());
         let steps: Vec<_> = waiting.map(|ready| (ready.id, ready.spec.gang)).collect();
         for (step, gang) in steps {
-            if gang && !pass.budget.is_spent() {
-                let started = self.place_gang(key, step, &pass.workers, now);
-                let spec = &self.jobs[key].spec.steps[usize::from(step.step)];
-                pass.budget.add(&spec.reservation(), started);
-            } else if !gang {
+            if gang {
+                self.place_gang(key, step, &pass.workers, now);
+            } else {
                 self.place_step(key, step, pass, now);
             }
         }
@@ -152,8 +147,8 @@
         job.revision <= self.token.0 && self.unresolved.affects_pool(&job.pool)
     }
 
-    /// Starts waiting tasks of a step until one finds no worker, the team's limit or
-    /// budget is reached, or too many starts are unanswered.
+    /// Starts waiting tasks of a step until one finds no worker, the team's limit is
+    /// reached, or too many starts are unanswered.
     fn place_step(&mut self, key: JobKey, id: StepId, pass: &mut PoolPass, now: Instant) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step = &spec.steps[usize::from(id.step)];
@@ -175,8 +170,7 @@
             if paused || (self.unresolved.includes(task) && !step.speculative) {
                 continue;
             }
-            if pass.budget.is_spent()
-                || (unrestricted && pass.is_misfit(&step.reservation()))
+            if (unrestricted && pass.is_misfit(&step.reservation()))
                 || !self.team_allows(key, &step.need)
                 || !self.start_window.allows(1)
             {
@@ -195,7 +189,6 @@
             };
             let attempt = self.next_attempt(key, task);
             self.start(key, task, attempt, worker, now);
-            pass.budget.add(&step.reservation(), 1);
         }
     }
 
--- a/crates/flow/src/rank.rs
+++ b/crates/flow/src/rank.rs
@@ -41,6 +41,13 @@
     pub mean_work: f64,
 }
 
+impl RankInput {
+    /// Returns the time from acceptance within which the job has its full value.
+    pub(crate) fn objective(&self) -> Duration {
+        self.critical_path.mul_f64(self.stretch) + self.slack
+    }
+}
+
 /// Whether a job can end in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timeliness {
@@ -89,7 +96,7 @@
     if job.continuous {
         return Timeliness::Continuous;
     }
-    let objective = job.critical_path.mul_f64(job.stretch) + job.slack;
+    let objective = job.objective();
     let ends = job.age + job.remaining_path;
     if ends <= objective {
         Timeliness::OnTime
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -13,8 +13,9 @@
 use crate::job::{Job, JobKey, Task};
 use crate::job_size::JobSizes;
 use crate::machines::Machines;
-use crate::overuse::Overuse;
+use crate::past_usage::PastUsage;
 use crate::queue_work::QueueWork;
+use crate::share_changes::ReportedShares;
 use crate::start_window::StartWindow;
 use crate::teams::TeamTable;
 use crate::turns::Turns;
@@ -52,9 +53,10 @@
     pub(crate) teams: TeamTable,
     /// Pools that were contended in the last round.
     pub(crate) contended: Vec<ContendedPool>,
-    pub(crate) overuse: HashMap<PoolId, Overuse>,
+    pub(crate) past_usage: HashMap<PoolId, PastUsage>,
     pub(crate) turns: HashMap<PoolId, Turns>,
     pub(crate) job_sizes: JobSizes,
+    pub(crate) reported_shares: ReportedShares,
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
@@ -125,9 +127,10 @@
         Scheduler {
             teams: TeamTable::default(),
             contended: Vec::new(),
-            overuse: HashMap::new(),
+            past_usage: HashMap::new(),
             turns: HashMap::new(),
             job_sizes: JobSizes::default(),
+            reported_shares: ReportedShares::default(),
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
             unplaced_pools: HashSet::new(),
--- a/crates/flow/src/share_order.rs
+++ b/crates/flow/src/share_order.rs
@@ -1,10 +1,11 @@
 //! Order in which waiting jobs are given capacity, pool by pool.
 //!
 //! Load that this module handles: one team sends several times its usual load to a
-//! full pool. Jobs of equal timeliness and priority are served in two passes: first
-//! those of teams below their allocation, until each has reached it, then all others
-//! by value. So what a team leaves goes to whoever wants it, and a backlog costs only
-//! the team that has it. Pools that are not contended are served by rank alone.
+//! full pool. Jobs of equal timeliness and priority are served by the standing of
+//! their teams: teams that want no more than their allocation first, then those that
+//! have used no more than it, then the others. So a backlog costs only the team that
+//! has it, and what a team leaves goes to whoever wants it. Pools that are not
+//! contended are served by rank alone.
 
 use std::collections::BTreeMap;
 
@@ -12,33 +13,12 @@
 use vg_jobs::Resources;
 
 use crate::Scheduler;
-use crate::contention::{ContendedPool, PoolLoad, times};
+use crate::contention::{ContendedPool, PoolLoad, ready_need};
 use crate::job::JobKey;
 use crate::plan::PoolPass;
 use crate::rank::{Rank, Timeliness};
 use crate::team_turns::TeamTurns;
 
-/// What the team of a job may still use in a pool, and what it uses. Without a pool
-/// there is no bound.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Budget {
-    /// Part of the pool that it may use, and the pool's capacity.
-    bound: Option<(f64, Resources)>,
-    used: Resources,
-}
-
-impl Budget {
-    /// Whether nothing more may start.
-    pub(crate) fn is_spent(&self) -> bool {
-        self.bound.is_some_and(|(part, total)| self.used.dominant_share(&total) >= part)
-    }
-
-    /// Adds started tasks of equal reservation.
-    pub(crate) fn add(&mut self, reservation: &Resources, count: usize) {
-        self.used = self.used.plus(&times(reservation, count));
-    }
-}
-
 /// A pool in a round.
 struct PoolRound {
     pass: PoolPass,
@@ -58,7 +38,7 @@
 
 impl Scheduler {
     /// Starts waiting tasks of all pools, in the order of their jobs' ranks and of their
-    /// teams' allocations.
+    /// teams' standings.
     pub(crate) fn place_all(&mut self, now: Instant, wall: SystemTime) {
         let ranked = self.rank_jobs(wall);
         self.begin_turns(now);
@@ -71,8 +51,9 @@
             }
         }
         self.contended = rounds.into_values().filter_map(|round| round.contended).collect();
-        self.update_overuse(now);
+        self.update_past_usage(now);
         self.record_turns(now);
+        self.note_share_changes(now);
     }
 
     fn pool_rounds(
@@ -115,57 +96,49 @@
         let Some(pool) = &mut round.contended else { return };
         if first.timeliness == Timeliness::Continuous {
             for &key in &jobs {
-                self.place_charged(key, None, pool, &mut round.pass, now);
+                self.place_charged(key, pool, &mut round.pass, now);
             }
             return;
         }
-        for below_allocation in [true, false] {
-            let mut turns = self.team_turns(&jobs, pool);
-            while let Some(key) = turns.next(pool) {
-                let team = self.jobs[key].team_index;
-                let part = below_allocation.then(|| pool.entitled_part(team));
-                self.place_charged(key, part, pool, &mut round.pass, now);
-            }
+        let mut turns = self.team_turns(&jobs, pool);
+        while let Some(key) = turns.next(pool) {
+            self.place_charged(key, pool, &mut round.pass, now);
         }
     }
 
-    /// Lists jobs by team and size class.
+    /// Lists the jobs of a tier for the turns of their teams.
     fn team_turns(&self, jobs: &[JobKey], pool: &ContendedPool) -> TeamTurns {
         let mut turns = TeamTurns::new(self.teams.ids().len());
         for &key in jobs {
-            turns.add(self.jobs[key].team_index, self.size_class(key), key);
+            let team = self.jobs[key].team_index;
+            let class = self.size_class(key);
+            turns.add(team, pool.standing(team), class, key);
         }
         turns.begin(pool);
         turns
     }
 
-    /// Places a job until its team uses the given part of the pool, and charges the
-    /// team.
+    /// Places a job and charges its team.
     fn place_charged(
         &mut self,
         key: JobKey,
-        part: Option<f64>,
         pool: &mut ContendedPool,
         pass: &mut PoolPass,
         now: Instant,
     ) {
-        let team = self.jobs[key].team_index;
-        let bound = part.map(|part| (part, pool.total));
-        pass.budget = Budget { bound, used: pool.used(team) };
-        if pass.budget.is_spent() {
-            return;
-        }
-        let before = pool.waiting_work(&self.jobs[key]);
+        let job = &self.jobs[key];
+        let (team, need, work) = (job.team_index, ready_need(job), pool.waiting_work(job));
         self.place_job(key, pass, now);
-        pool.charge(team, pass.budget.used);
-        let started = before - pool.waiting_work(&self.jobs[key]);
-        if started > 0.0 {
-            pool.serve(team, self.size_class(key), started);
+        let job = &self.jobs[key];
+        let placed = need.minus(&ready_need(job));
+        if placed != Resources::ZERO {
+            pool.charge(team, &placed);
+            pool.serve(team, self.size_class(key), work - pool.waiting_work(job));
         }
     }
 }
 
-/// Whether jobs differ only in their value and in the usage of their teams.
+/// Whether jobs differ only in their value and in the standing of their teams.
 fn same_tier(a: &Rank, b: &Rank) -> bool {
     (a.timeliness, a.priority) == (b.timeliness, b.priority)
 }
--- a/crates/flow/src/team_turns.rs
+++ b/crates/flow/src/team_turns.rs
@@ -8,20 +8,34 @@
 use std::collections::{BinaryHeap, VecDeque};
 
 use crate::SizeClass;
-use crate::contention::ContendedPool;
+use crate::contention::{ContendedPool, Standing};
 use crate::job::JobKey;
 use crate::teams::TeamIndex;
 
-/// A job and its position by value.
+/// A job and its position: by its team's standing, then by value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
+    standing: Standing,
     position: usize,
     key: JobKey,
 }
 
-/// Jobs of a team that have not been tried, by size class, the most valuable first.
+/// Jobs of a team that have not been tried, the most valuable first.
 #[derive(Debug, Clone, Default)]
-struct TeamJobs([VecDeque<Candidate>; SizeClass::ALL.len()]);
+struct TeamJobs {
+    by_size: [VecDeque<Candidate>; SizeClass::ALL.len()],
+}
+
+impl TeamJobs {
+    /// Takes the first job of the size class of which the smallest part was served.
+    fn next_by_size(&mut self, team: TeamIndex, pool: &ContendedPool) -> Option<Candidate> {
+        let classes = SizeClass::ALL.into_iter();
+        let waiting = classes.filter(|class| !self.by_size[*class as usize].is_empty());
+        let served = |class: &SizeClass| pool.served_part(team, *class);
+        let next = waiting.min_by(|a, b| served(a).total_cmp(&served(b)))?;
+        self.by_size[next as usize].pop_front()
+    }
+}
 
 /// Jobs of a tier that have not been tried.
 #[derive(Debug)]
@@ -45,9 +59,17 @@
     }
 
     /// Adds a job; jobs are added in the order of their value.
-    pub(crate) fn add(&mut self, team: TeamIndex, class: SizeClass, key: JobKey) {
-        let candidate = Candidate { position: self.added, key };
-        self.teams[team.position()].0[class as usize].push_back(candidate);
+    pub(crate) fn add(
+        &mut self,
+        team: TeamIndex,
+        standing: Standing,
+        class: SizeClass,
+        key: JobKey,
+    ) {
+        let candidate = Candidate { standing, position: self.added, key };
+        let jobs = &mut self.teams[team.position()];
+        let list = &mut jobs.by_size[class as usize];
+        list.push_back(candidate);
         self.added += 1;
     }
 
@@ -70,11 +92,8 @@
     }
 
     fn offer(&mut self, team: TeamIndex, pool: &ContendedPool) {
-        let jobs = &mut self.teams[team.position()].0;
-        let waiting = SizeClass::ALL.into_iter().filter(|class| !jobs[*class as usize].is_empty());
-        let served = |class: &SizeClass| pool.served_part(team, *class);
-        let next = waiting.min_by(|a, b| served(a).total_cmp(&served(b)));
-        if let Some(candidate) = next.and_then(|class| jobs[class as usize].pop_front()) {
+        let jobs = &mut self.teams[team.position()];
+        if let Some(candidate) = jobs.next_by_size(team, pool) {
             self.offered.push(Reverse((candidate, team)));
         }
     }
--- a/crates/flow/src/turns.rs
+++ b/crates/flow/src/turns.rs
@@ -7,7 +7,8 @@
 
 use vg_base::prelude::*;
 
-use crate::{SizeClass, WorkBySize};
+use crate::contention::ContendedPool;
+use crate::{Scheduler, SizeClass, WorkBySize};
 
 /// Time constant with which served work decays. Pools are full for some seconds at
 /// each peak; turns of an earlier peak must not count.
@@ -18,35 +19,44 @@
 /// Decayed work that was started for each team of a pool.
 #[derive(Debug, Default)]
 pub(crate) struct Turns {
+    /// By team index.
     served: Vec<WorkBySize>,
     updated: Option<Instant>,
 }
 
 impl Turns {
-    /// Begins a round.
-    pub(crate) fn begin_round(&mut self, teams: usize, now: Instant) {
+    fn decay(&mut self, now: Instant) {
         let passed = self.updated.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.updated = Some(now);
         let kept = (-passed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
-        self.served.resize(teams.max(self.served.len()), WorkBySize::default());
         self.served.iter_mut().for_each(|work| work.scale(kept));
     }
 
-    /// Returns the work that was started for the team at a position.
-    pub(crate) fn served(&self, position: usize) -> WorkBySize {
-        self.served.get(position).copied().unwrap_or_default()
+    fn is_negligible(&self) -> bool {
+        self.served.iter().all(|work| work.total() < NEGLIGIBLE)
+    }
+}
+
+impl Scheduler {
+    /// Lets the work decay that was started in the last seconds.
+    pub(crate) fn begin_turns(&mut self, now: Instant) {
+        self.turns.values_mut().for_each(|turns| turns.decay(now));
+        self.turns.retain(|_, turns| !turns.is_negligible());
     }
 
-    /// Sets the work that was started for the team at a position.
-    pub(crate) fn set_served(&mut self, position: usize, work: WorkBySize) {
-        if let Some(served) = self.served.get_mut(position) {
-            *served = work;
+    /// Gives a pool the work of its teams that was started in earlier rounds.
+    pub(crate) fn restore_turns(&self, pool: &mut ContendedPool) {
+        if let Some(turns) = self.turns.get(&pool.id) {
+            pool.set_served(&turns.served);
         }
     }
 
-    /// Whether there is nothing to remember.
-    pub(crate) fn is_negligible(&self) -> bool {
-        self.served.iter().all(|work| work.total() < NEGLIGIBLE)
+    /// Keeps the work that was started in contended pools.
+    pub(crate) fn record_turns(&mut self, now: Instant) {
+        for pool in &self.contended {
+            let served = pool.served().collect();
+            self.turns.insert(pool.id.clone(), Turns { served, updated: Some(now) });
+        }
     }
 }
 
--- a/crates/flow/tests/contention.rs
+++ b/crates/flow/tests/contention.rs
@@ -5,7 +5,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use proptest::prelude::*;
 use rand::Rng;
 use support::spec::{job, queue, step, team};
 use support::world::{Faults, World};
@@ -26,7 +25,6 @@
     sizes: &'static [u32],
 }
 
-const SMALL: &[u32] = &[2, 3, 4];
 /// Ten jobs: seven small, two medium, one large.
 const MIXED: &[u32] = &[2, 2, 3, 3, 3, 4, 4, 10, 12, 40];
 
