flow: begun jobs are finished before new ones begin

In a contended pool, tasks of a team's begun jobs go before its new jobs. A large job that its team's allocation can't finish in time is not begun before other jobs of the team.

--- a/crates/flow/src/contention.rs
+++ b/crates/flow/src/contention.rs
@@ -122,6 +122,11 @@
         self.teams[team.position()].standing
     }
 
+    /// Returns the machines to which a team is entitled.
+    pub(crate) fn allocated_machines(&self, team: TeamIndex) -> f64 {
+        self.teams[team.position()].allocation * self.machines as f64
+    }
+
     /// Charges a team for tasks that were placed.
     pub(crate) fn charge(&mut self, team: TeamIndex, placed: &Resources) {
         let state = &mut self.teams[team.position()];
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -136,6 +136,11 @@
         !self.cancelled && self.ended.is_none()
     }
 
+    /// Whether a task of it has started or may have started.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.started || self.attempt_count > 0
+    }
+
     pub(crate) fn state(&self) -> JobState {
         match self.ended {
             Some(outcome) if self.ended_durably => JobState::Ended(outcome),
--- /dev/null
+++ b/crates/flow/src/job_group.rs
@@ -0,0 +1,66 @@
+//! Jobs that go before or after the turns of their team's size classes.
+//!
+//! Load that this module handles: a team has more jobs than can end in time, and a job
+//! has its value only if all its tasks end in time. A job that is begun is finished
+//! before a new one begins, and a large job that could not be finished in time is not
+//! begun before others.
+
+use vg_base::prelude::*;
+
+use crate::contention::ContendedPool;
+use crate::job::{Job, JobKey};
+use crate::plan::rank_input;
+use crate::{Scheduler, SizeClass};
+
+/// Whether a job goes before or after the turns of the size classes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum JobGroup {
+    /// Tasks of it have started.
+    Begun,
+    /// None has started.
+    Waiting,
+    /// None has started, and what its team gets is too little to finish it in time.
+    Unfinishable,
+}
+
+impl Scheduler {
+    /// Returns the group of a job whose team has begun jobs that need `begun_work`
+    /// machine-seconds more.
+    pub(crate) fn job_group(
+        &self,
+        key: JobKey,
+        class: SizeClass,
+        begun_work: f64,
+        pool: &ContendedPool,
+        wall: SystemTime,
+    ) -> JobGroup {
+        let job = &self.jobs[key];
+        if job.is_begun() {
+            return JobGroup::Begun;
+        }
+        if class != SizeClass::Large {
+            return JobGroup::Waiting;
+        }
+        let work = begun_work + pool.waiting_work(job);
+        let possible_work = self.spare_time(job, wall) * pool.allocated_machines(job.team_index);
+        if work > possible_work { JobGroup::Unfinishable } else { JobGroup::Waiting }
+    }
+
+    /// Returns for how many seconds the tasks of a job can wait so that it still ends in
+    /// time.
+    fn spare_time(&self, job: &Job, wall: SystemTime) -> f64 {
+        let Some(queue) = self.config.queues.get(&job.spec.queue) else { return 0.0 };
+        let input = rank_input(job, queue, job.work, wall);
+        let needed = input.age + input.remaining_path;
+        input.objective().saturating_sub(needed).as_secs_f64()
+    }
+
+    /// Returns the waiting work of each team's begun jobs, in machine-seconds.
+    pub(crate) fn begun_work(&self, jobs: &[JobKey], pool: &ContendedPool) -> Vec<f64> {
+        let mut work = vec![0.0; self.teams.ids().len()];
+        for job in jobs.iter().map(|&key| &self.jobs[key]).filter(|job| job.is_begun()) {
+            work[job.team_index.position()] += pool.waiting_work(job);
+        }
+        work
+    }
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -23,6 +23,7 @@
 mod id;
 mod intake;
 mod job;
+mod job_group;
 mod job_size;
 mod machine_workers;
 mod machines;
--- a/crates/flow/src/share_order.rs
+++ b/crates/flow/src/share_order.rs
@@ -47,7 +47,7 @@
         for tier in ranked.chunk_by(|(a, _), (b, _)| same_tier(a, b)) {
             self.place_uncontended(tier, &mut rounds, now);
             for round in rounds.values_mut() {
-                self.place_contended(&tier[0].0, round, now);
+                self.place_contended(&tier[0].0, round, now, wall);
             }
         }
         self.contended = rounds.into_values().filter_map(|round| round.contended).collect();
@@ -88,7 +88,13 @@
 
     /// Places the jobs of a contended pool that have the timeliness and priority of
     /// `first`.
-    fn place_contended(&mut self, first: &Rank, round: &mut PoolRound, now: Instant) {
+    fn place_contended(
+        &mut self,
+        first: &Rank,
+        round: &mut PoolRound,
+        now: Instant,
+        wall: SystemTime,
+    ) {
         if round.contended.is_none() {
             return;
         }
@@ -100,19 +106,21 @@
             }
             return;
         }
-        let mut turns = self.team_turns(&jobs, pool);
+        let mut turns = self.team_turns(&jobs, pool, wall);
         while let Some(key) = turns.next(pool) {
             self.place_charged(key, pool, &mut round.pass, now);
         }
     }
 
     /// Lists the jobs of a tier for the turns of their teams.
-    fn team_turns(&self, jobs: &[JobKey], pool: &ContendedPool) -> TeamTurns {
+    fn team_turns(&self, jobs: &[JobKey], pool: &ContendedPool, wall: SystemTime) -> TeamTurns {
+        let begun_work = self.begun_work(jobs, pool);
         let mut turns = TeamTurns::new(self.teams.ids().len());
         for &key in jobs {
             let team = self.jobs[key].team_index;
             let class = self.size_class(key);
-            turns.add(team, pool.standing(team), class, key);
+            let group = self.job_group(key, class, begun_work[team.position()], pool, wall);
+            turns.add(team, pool.standing(team), group, class, key);
         }
         turns.begin(pool);
         turns
--- a/crates/flow/src/team_turns.rs
+++ b/crates/flow/src/team_turns.rs
@@ -10,12 +10,14 @@
 use crate::SizeClass;
 use crate::contention::{ContendedPool, Standing};
 use crate::job::JobKey;
+use crate::job_group::JobGroup;
 use crate::teams::TeamIndex;
 
-/// A job and its position: by its team's standing, then by value.
+/// A job and its position: by its team's standing, begun jobs first, then by value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
     standing: Standing,
+    group: JobGroup,
     position: usize,
     key: JobKey,
 }
@@ -23,7 +25,9 @@
 /// Jobs of a team that have not been tried, the most valuable first.
 #[derive(Debug, Clone, Default)]
 struct TeamJobs {
+    begun: VecDeque<Candidate>,
     by_size: [VecDeque<Candidate>; SizeClass::ALL.len()],
+    unfinishable: VecDeque<Candidate>,
 }
 
 impl TeamJobs {
@@ -63,12 +67,17 @@
         &mut self,
         team: TeamIndex,
         standing: Standing,
+        group: JobGroup,
         class: SizeClass,
         key: JobKey,
     ) {
-        let candidate = Candidate { standing, position: self.added, key };
+        let candidate = Candidate { standing, group, position: self.added, key };
         let jobs = &mut self.teams[team.position()];
-        let list = &mut jobs.by_size[class as usize];
+        let list = match group {
+            JobGroup::Begun => &mut jobs.begun,
+            JobGroup::Waiting => &mut jobs.by_size[class as usize],
+            JobGroup::Unfinishable => &mut jobs.unfinishable,
+        };
         list.push_back(candidate);
         self.added += 1;
     }
@@ -93,7 +102,8 @@
 
     fn offer(&mut self, team: TeamIndex, pool: &ContendedPool) {
         let jobs = &mut self.teams[team.position()];
-        if let Some(candidate) = jobs.next_by_size(team, pool) {
+        let next = jobs.begun.pop_front().or_else(|| jobs.next_by_size(team, pool));
+        if let Some(candidate) = next.or_else(|| jobs.unfinishable.pop_front()) {
             self.offered.push(Reverse((candidate, team)));
         }
     }
