--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -175,6 +175,11 @@
     /// The adviser was asked which workers may run a step.
     AdviserAsked = 625, "step-advised", Info;
 
+    /// A team wants more than its allocation of a contended pool and has work waiting.
+    TeamAboveShare = 630, "team-above-share", Info;
+    /// A team has no more work waiting above its allocation.
+    TeamWithinShare = 631, "team-within-share", Info;
+
     /// A command to move a machine or to put it into maintenance was issued.
     MachineCommandSent = 700, "machine-ordered", Info;
 
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod commit;
+mod contention;
 mod give_way;
 mod incarnation_shards;
 mod incarnations;
@@ -113,6 +114,7 @@
     *lock(&host.inner.leader) = None;
     host.inner.metrics.set_leading(false);
     lock(&leader.tasks).abort_all();
+    host.inner.metrics.set_contention(&[]);
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
 
@@ -127,6 +129,7 @@
         self.spawn(Arc::clone(self).follow_machines());
         self.spawn(Arc::clone(self).maintain_leader_key());
         self.spawn(Arc::clone(self).watch_outage());
+        self.spawn(Arc::clone(self).show_contention());
         self.spawn(Arc::clone(self).follow_config());
         self.spawn(Arc::clone(self).give_way_to_larger());
         self.recovered.store(true, Ordering::Relaxed);
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -29,6 +29,7 @@
 mod serve;
 mod session;
 mod submit;
+mod team_gauges;
 mod unresolved;
 
 pub use capacity::HostCapacity;
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -5,7 +5,9 @@
     Registry, TextEncoder,
 };
 use vg_base::prelude::*;
-use vg_flow::Counts;
+use vg_flow::{Counts, PoolContention};
+
+use crate::team_gauges::TeamGauges;
 
 /// Upper bounds of the latency histogram buckets in seconds.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
@@ -22,6 +24,7 @@
     leading: IntGauge,
     loop_delay: IntGauge,
     scheduler: IntGaugeVec,
+    teams: TeamGauges,
 }
 
 impl Metrics {
@@ -49,6 +52,7 @@
         let scheduler =
             IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(scheduler.clone()))?;
+        let teams = TeamGauges::new(&registry)?;
         Ok(Metrics {
             registry,
             submissions,
@@ -59,6 +63,7 @@
             leading,
             loop_delay,
             scheduler,
+            teams,
         })
     }
 
@@ -92,6 +97,11 @@
         self.loop_delay.set(delay.as_millis() as i64);
     }
 
+    /// Sets the gauges of the teams in contended pools.
+    pub(crate) fn set_contention(&self, pools: &[PoolContention]) {
+        self.teams.set(pools);
+    }
+
     /// Sets the gauges for the sizes and totals of the leader.
     pub(crate) fn set_scheduler_counts(&self, counts: Counts) {
         let set = |what: &str, value: i64| self.scheduler.with_label_values(&[what]).set(value);
