flow: workers are kept free for larger tasks of teams within their share

After a quarter of the time that its job can wait, nothing else starts on the worker that lacks the least.

--- /dev/null
+++ b/crates/flow/src/hold.rs
@@ -0,0 +1,76 @@
+//! Workers that are kept free for tasks that fit on none yet.
+//!
+//! Load that this module handles: a pool is full of small tasks of one team, and a team
+//! within its share has larger ones. Whenever a part of a worker becomes free, a small
+//! task fits and a larger one does not, so that the larger one would wait for the whole
+//! peak. After it has waited for a while, nothing else starts on the worker that lacks
+//! the least capacity for it.
+
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::Scheduler;
+use crate::contention::{ContendedPool, Standing};
+use crate::job::JobKey;
+use crate::plan::PoolPass;
+use crate::worker::WorkerKey;
+
+/// Part of the time for which a job can wait, after which a worker is kept free for it.
+const PATIENCE: f64 = 0.25;
+/// Part of a pool's workers that may be kept free, but at least one: they run less than
+/// they could.
+const MAX_HELD: f64 = 0.25;
+
+impl Scheduler {
+    /// Keeps workers free in this round for waiting tasks of a job that fit on none.
+    pub(crate) fn hold_workers(
+        &self,
+        key: JobKey,
+        pool: &ContendedPool,
+        pass: &mut PoolPass,
+        wall: SystemTime,
+    ) {
+        let job = &self.jobs[key];
+        if pool.standing(job.team_index) != Standing::WithinShare {
+            return;
+        }
+        let ready = job.ready_steps().filter(|ready| !ready.step.waiting.is_empty());
+        let misfits = ready.filter(|ready| pass.is_misfit(&ready.spec.reservation()));
+        let misfits: Vec<_> =
+            misfits.map(|ready| (ready.spec.reservation(), ready.step.waiting.len())).collect();
+        if misfits.is_empty() || !self.has_waited(key, wall) {
+            return;
+        }
+        let max_held = ((pool.usable as f64 * MAX_HELD) as usize).max(1);
+        for (need, mut tasks) in misfits {
+            while tasks > 0 && pass.held < max_held {
+                let Some(worker) = self.nearest_fit(&need, &pass.workers) else { break };
+                pass.hold(worker);
+                tasks = tasks.saturating_sub(count_fitting(&need, &self.workers[worker].capacity));
+            }
+        }
+    }
+
+    /// Whether a job has waited for a part of the time for which it can wait.
+    fn has_waited(&self, key: JobKey, wall: SystemTime) -> bool {
+        let Some(input) = self.rank_input_of(key, wall) else { return false };
+        let patience = input.objective().saturating_sub(input.critical_path);
+        self.spare_time(key, wall) < patience.as_secs_f64() * (1.0 - PATIENCE)
+    }
+
+    /// Returns the worker that lacks the least capacity for a task.
+    fn nearest_fit(&self, need: &Resources, workers: &[WorkerKey]) -> Option<WorkerKey> {
+        let large = workers.iter().filter(|&&key| need.fits(&self.workers[key].capacity));
+        let lacking = large.map(|&key| {
+            let worker = &self.workers[key];
+            (need.minus(&worker.free()).dominant_share(&worker.capacity), key)
+        });
+        lacking.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+    }
+}
+
+/// Returns how many equal tasks fit on a worker.
+fn count_fitting(need: &Resources, capacity: &Resources) -> usize {
+    let part = need.dominant_share(capacity);
+    if part > 0.0 { ((1.0 / part) as usize).max(1) } else { usize::MAX }
+}
--- a/crates/flow/src/job_group.rs
+++ b/crates/flow/src/job_group.rs
@@ -8,8 +8,9 @@
 use vg_base::prelude::*;
 
 use crate::contention::ContendedPool;
-use crate::job::{Job, JobKey};
+use crate::job::JobKey;
 use crate::plan::rank_input;
+use crate::rank::RankInput;
 use crate::{Scheduler, SizeClass};
 
 /// Whether a job goes before or after the turns of the size classes.
@@ -42,19 +43,26 @@
             return JobGroup::Waiting;
         }
         let work = begun_work + pool.waiting_work(job);
-        let possible_work = self.spare_time(job, wall) * pool.allocated_machines(job.team_index);
+        let possible_work = self.spare_time(key, wall) * pool.allocated_machines(job.team_index);
         if work > possible_work { JobGroup::Unfinishable } else { JobGroup::Waiting }
     }
 
     /// Returns for how many seconds the tasks of a job can wait so that it still ends in
     /// time.
-    fn spare_time(&self, job: &Job, wall: SystemTime) -> f64 {
-        let Some(queue) = self.config.queues.get(&job.spec.queue) else { return 0.0 };
-        let input = rank_input(job, queue, job.work, wall);
+    pub(crate) fn spare_time(&self, key: JobKey, wall: SystemTime) -> f64 {
+        let Some(input) = self.rank_input_of(key, wall) else { return 0.0 };
         let needed = input.age + input.remaining_path;
         input.objective().saturating_sub(needed).as_secs_f64()
     }
 
+    /// Returns the input of a job's rank; `None` if its queue was removed. The value of
+    /// the job, which depends on its queue's mean work, is not meant to be used.
+    pub(crate) fn rank_input_of(&self, key: JobKey, wall: SystemTime) -> Option<RankInput> {
+        let job = &self.jobs[key];
+        let queue = self.config.queues.get(&job.spec.queue)?;
+        Some(rank_input(job, queue, job.work, wall))
+    }
+
     /// Returns the waiting work of each team's begun jobs, in machine-seconds.
     pub(crate) fn begun_work(&self, jobs: &[JobKey], pool: &ContendedPool) -> Vec<f64> {
         let mut work = vec![0.0; self.teams.ids().len()];
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -20,6 +20,7 @@
 mod fair_share;
 mod gangs;
 mod health;
+mod hold;
 mod id;
 mod intake;
 mod job;
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -18,16 +18,25 @@
     pub(crate) workers: Vec<WorkerKey>,
     /// Reservations that fit on no worker; larger ones are not tried.
     misfits: Vec<Resources>,
+    /// Number of workers that are kept free.
+    pub(crate) held: usize,
 }
 
 impl PoolPass {
     pub(crate) fn new(workers: Vec<WorkerKey>) -> PoolPass {
-        PoolPass { workers, misfits: Vec::new() }
+        PoolPass { workers, misfits: Vec::new(), held: 0 }
     }
 
-    fn is_misfit(&self, reservation: &Resources) -> bool {
+    /// Whether such a task fits on no worker.
+    pub(crate) fn is_misfit(&self, reservation: &Resources) -> bool {
         self.misfits.iter().any(|each| each.fits(reservation))
     }
+
+    /// Starts nothing more on a worker in this round.
+    pub(crate) fn hold(&mut self, worker: WorkerKey) {
+        self.workers.retain(|&each| each != worker);
+        self.held += 1;
+    }
 }
 
 impl Scheduler {
--- a/crates/flow/src/share_order.rs
+++ b/crates/flow/src/share_order.rs
@@ -109,6 +109,7 @@
         let mut turns = self.team_turns(&jobs, pool, wall);
         while let Some(key) = turns.next(pool) {
             self.place_charged(key, pool, &mut round.pass, now);
+            self.hold_workers(key, pool, &mut round.pass, wall);
         }
     }
 
