--- a/crates/flow/src/job_group.rs
+++ b/crates/flow/src/job_group.rs
@@ -1,9 +1,9 @@
 //! Jobs that go before or after the turns of their team's size classes.
 //!
 //! Load that this module handles: a team has more jobs than can end in time, and a job
-//! has its value only if all its tasks end in time. A job that is begun is finished
-//! before a new one begins, and a large job that could not be finished in time is not
-//! begun before others.
+//! has its value only if all its tasks end in time. A job that is begun and
+//! can be finished in time goes before new ones, and a large job that could not be
+//! finished in time is not begun before others.
 
 use vg_base::prelude::*;
 
@@ -16,9 +16,9 @@
 /// Whether a job goes before or after the turns of the size classes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum JobGroup {
-    /// Tasks of it have started.
+    /// Tasks of it have started, and what its team gets suffices to finish it in time.
     Begun,
-    /// None has started.
+    /// It has no precedence.
     Waiting,
     /// None has started, and what its team gets is too little to finish it in time.
     Unfinishable,
@@ -36,15 +36,16 @@
         wall: SystemTime,
     ) -> JobGroup {
         let job = &self.jobs[key];
-        if job.is_begun() {
-            return JobGroup::Begun;
-        }
-        if class != SizeClass::Large {
+        if !job.is_begun() && class != SizeClass::Large {
             return JobGroup::Waiting;
         }
-        let work = begun_work + pool.waiting_work(job);
+        let work = pool.waiting_work(job) + if job.is_begun() { 0.0 } else { begun_work };
         let possible_work = self.spare_time(key, wall) * pool.allocated_machines(job.team_index);
-        if work > possible_work { JobGroup::Unfinishable } else { JobGroup::Waiting }
+        match (job.is_begun(), work <= possible_work) {
+            (true, true) => JobGroup::Begun,
+            (false, false) => JobGroup::Unfinishable,
+            _ => JobGroup::Waiting,
+        }
     }
 
     /// Returns for how many seconds the tasks of a job can wait so that it still ends in
