--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -181,6 +181,11 @@
     /// Several workers of a rack are doubtful at the same time, probably for one cause.
     RackDoubtful = 630, "rack-doubtful", Warn;
 
+    /// A team wants more than its allocation of a contended pool and has work waiting.
+    TeamAboveShare = 632, "team-above-share", Info;
+    /// A team has no more work waiting above its allocation.
+    TeamWithinShare = 633, "team-within-share", Info;
+
     /// A command to move a machine or to put it into maintenance was issued.
     MachineCommandSent = 700, "machine-ordered", Info;
     /// Operators asked to drain an availability zone; nothing starts on its workers.
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::AttemptKey;
 use crate::remaining::Corrected;
+use crate::teams::TeamIndex;
 use crate::tickets::Tickets;
 use crate::worker::WorkerKey;
 use crate::{
@@ -39,6 +40,7 @@
     pub(crate) id: JobId,
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) pool: PoolId,
+    pub(crate) team_index: TeamIndex,
     /// Revision of the store at which it was accepted.
     pub(crate) revision: u64,
     /// Estimated time from each step's start to the job's end.
@@ -105,10 +107,17 @@
 }
 
 impl Job {
-    pub(crate) fn new(id: JobId, spec: Arc<JobSpec>, pool: PoolId, revision: u64) -> Job {
+    pub(crate) fn new(
+        id: JobId,
+        spec: Arc<JobSpec>,
+        pool: PoolId,
+        team_index: TeamIndex,
+        revision: u64,
+    ) -> Job {
         Job {
             id,
             pool,
+            team_index,
             revision,
             critical_paths: spec.critical_paths(),
             work: spec.work(),
@@ -131,6 +140,11 @@
         !self.cancelled && self.ended.is_none()
     }
 
+    /// Whether a task of it has started or may have started.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.started || self.attempt_count > 0
+    }
+
     pub(crate) fn state(&self) -> JobState {
         match self.ended {
             Some(outcome) if self.ended_durably => JobState::Ended(outcome),
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -1,6 +1,5 @@
 //! Scheduling passes, which assign waiting tasks to workers.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use vg_base::prelude::*;
@@ -9,23 +8,40 @@
 use crate::attempt::{Attempt, Phase};
 use crate::job::{Job, JobKey};
 use crate::place::PlacementRequest;
-use crate::probes::ProbeRule;
 use crate::rank::{Rank, RankInput, rank};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
 use crate::worker::WorkerKey;
 use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
 
 /// A scheduling pass over one pool.
-struct PoolPass {
-    workers: Vec<WorkerKey>,
+pub(crate) struct PoolPass {
+    pub(crate) workers: Vec<WorkerKey>,
     /// Reservations that fit on no worker; larger ones are not tried.
     misfits: Vec<Resources>,
+    /// Number of workers that are kept free.
+    pub(crate) held: usize,
 }
 
 impl PoolPass {
-    fn is_misfit(&self, reservation: &Resources) -> bool {
+    pub(crate) fn new(workers: Vec<WorkerKey>) -> PoolPass {
+        PoolPass { workers, misfits: Vec::new(), held: 0 }
+    }
+
+    /// Whether a task has found no worker with enough free capacity.
+    pub(crate) fn is_full(&self) -> bool {
+        !self.misfits.is_empty()
+    }
+
+    /// Whether such a task fits on no worker.
+    pub(crate) fn is_misfit(&self, reservation: &Resources) -> bool {
         self.misfits.iter().any(|each| each.fits(reservation))
     }
+
+    /// Starts nothing more on a worker in this round.
+    pub(crate) fn hold(&mut self, worker: WorkerKey) {
+        self.workers.retain(|&each| each != worker);
+        self.held += 1;
+    }
 }
 
 impl Scheduler {
@@ -94,27 +110,6 @@
         }
     }
 
-    /// Starts waiting tasks of all pools, in the order of their jobs' ranks.
-    fn place_all(&mut self, now: Instant, wall: SystemTime) {
-        let ranked = self.rank_jobs(wall);
-        let least_loss = ranked.iter().rev().map(|(_, key)| *key);
-        self.place_probes(least_loss.clone(), ProbeRule::Harmless, now, wall);
-        let mut pools = HashMap::new();
-        for &(_, key) in &ranked {
-            let pool = self.jobs[key].pool.clone();
-            let mut pass = pools.remove(&pool).unwrap_or_else(|| self.pool_pass(&pool, now));
-            self.place_job(key, &mut pass, now);
-            pools.insert(pool, pass);
-        }
-        self.place_probes(least_loss, ProbeRule::Unplaced, now, wall);
-        let full = pools.into_iter().filter(|(_, pass)| !pass.misfits.is_empty());
-        self.full_pools = full.map(|(pool, _)| pool).collect();
-    }
-
-    fn pool_pass(&self, pool: &PoolId, now: Instant) -> PoolPass {
-        PoolPass { workers: self.usable_workers(pool, now), misfits: Vec::new() }
-    }
-
     /// Returns the workers of a pool that can be given work now and are not on probation.
     pub(crate) fn usable_workers(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
         let usable = |worker: &crate::worker::Worker| {
@@ -149,7 +144,7 @@
     }
 
     /// Starts waiting tasks of the ready steps of a job.
-    fn place_job(&mut self, key: JobKey, pass: &mut PoolPass, now: Instant) {
+    pub(crate) fn place_job(&mut self, key: JobKey, pass: &mut PoolPass, now: Instant) {
         let job = &self.jobs[key];
         if self.may_run_unseen(job) {
             return;
@@ -269,6 +264,7 @@
         let job = &mut self.jobs[key];
         let Some(step) = job.spec.steps.get(usize::from(task.step.step)).cloned() else { return };
         let (payload, team) = (Arc::clone(&job.spec.payload), job.spec.team.clone());
+        let team_index = job.team_index;
         let Some(state) = job.step_mut(task.step) else { return };
         let ticket = state.tickets.get(worker, now).cloned().unwrap_or_default();
         let Some(state) = state.tasks.get_mut(task.index as usize) else { return };
@@ -288,6 +284,7 @@
             reserved: step.reservation(),
             need: step.need,
             team,
+            team_index,
             phase: Phase::Starting,
             started: now,
             expires_ms: deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64,
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -9,12 +9,18 @@
 
 use crate::attempt::{Attempt, AttemptKey, Phase};
 use crate::cadence::Cadence;
+use crate::contention::ContendedPool;
 use crate::durations::Durations;
 use crate::job::{Job, JobKey, Task};
+use crate::job_size::JobSizes;
 use crate::machines::Machines;
+use crate::past_usage::PastUsage;
 use crate::quarantine::Quarantine;
 use crate::queue_work::QueueWork;
+use crate::share_changes::ReportedShares;
 use crate::start_window::StartWindow;
+use crate::teams::TeamTable;
+use crate::turns::Turns;
 use crate::unresolved::UnresolvedWork;
 use crate::worker::{Worker, WorkerKey};
 use crate::zone_drain::ZoneDrains;
@@ -47,6 +53,13 @@
     pub(crate) attempt_ids: HashMap<(TaskId, AttemptNumber), AttemptKey>,
     /// Resources that count against the limit of each team.
     pub(crate) team_usage: HashMap<TeamId, Resources>,
+    pub(crate) teams: TeamTable,
+    /// Pools that were contended in the last round.
+    pub(crate) contended: Vec<ContendedPool>,
+    pub(crate) past_usage: HashMap<PoolId, PastUsage>,
+    pub(crate) turns: HashMap<PoolId, Turns>,
+    pub(crate) job_sizes: JobSizes,
+    pub(crate) reported_shares: ReportedShares,
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
@@ -120,6 +133,12 @@
         now: Instant,
     ) -> Scheduler {
         Scheduler {
+            teams: TeamTable::default(),
+            contended: Vec::new(),
+            past_usage: HashMap::new(),
+            turns: HashMap::new(),
+            job_sizes: JobSizes::default(),
+            reported_shares: ReportedShares::default(),
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
             unplaced_pools: HashSet::new(),
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod commit;
+mod contention;
 mod give_way;
 mod incarnation_shards;
 mod incarnations;
@@ -117,6 +118,7 @@
     lock(&leader.tasks).abort_all();
     host.inner.metrics.zones.clear();
     host.inner.metrics.learned.clear();
+    host.inner.metrics.set_contention(&[]);
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
 
@@ -131,6 +133,7 @@
         self.spawn(Arc::clone(self).follow_machines());
         self.spawn(Arc::clone(self).maintain_leader_key());
         self.spawn(Arc::clone(self).watch_outage());
+        self.spawn(Arc::clone(self).show_contention());
         self.spawn(Arc::clone(self).follow_config());
         self.spawn(Arc::clone(self).follow_drained_zones());
         self.spawn(Arc::clone(self).list_drains());
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -30,6 +30,7 @@
 mod serve;
 mod session;
 mod submit;
+mod team_gauges;
 mod unresolved;
 mod zone_drains;
 mod zone_gauges;
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -5,9 +5,10 @@
     Registry, TextEncoder,
 };
 use vg_base::prelude::*;
-use vg_flow::Counts;
+use vg_flow::{Counts, PoolContention};
 
 use crate::learned_gauges::LearnedGauges;
+use crate::team_gauges::TeamGauges;
 use crate::zone_gauges::ZoneGauges;
 
 /// Upper bounds of the latency histogram buckets in seconds.
@@ -27,6 +28,7 @@
     scheduler: IntGaugeVec,
     pub(crate) zones: ZoneGauges,
     pub(crate) learned: LearnedGauges,
+    teams: TeamGauges,
 }
 
 impl Metrics {
@@ -56,6 +58,7 @@
         registry.register(Box::new(scheduler.clone()))?;
         let zones = ZoneGauges::new(&registry)?;
         let learned = LearnedGauges::new(&registry)?;
+        let teams = TeamGauges::new(&registry)?;
         Ok(Metrics {
             registry,
             submissions,
@@ -68,6 +71,7 @@
             scheduler,
             zones,
             learned,
+            teams,
         })
     }
 
@@ -101,6 +105,11 @@
         self.loop_delay.set(delay.as_millis() as i64);
     }
 
+    /// Sets the gauges of the teams in contended pools.
+    pub(crate) fn set_contention(&self, pools: &[PoolContention]) {
+        self.teams.set(pools);
+    }
+
     /// Sets the gauges for the sizes and totals of the leader.
     pub(crate) fn set_scheduler_counts(&self, counts: Counts) {
         let set = |what: &str, value: i64| self.scheduler.with_label_values(&[what]).set(value);
