--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -175,6 +175,9 @@
     /// The adviser was asked which workers may run a step.
     AdviserAsked = 625, "step-advised", Info;
 
+    /// A job was rejected because it can't be done while it has value.
+    JobHopeless = 640, "job-hopeless", Info;
+
     /// A command to move a machine or to put it into maintenance was issued.
     MachineCommandSent = 700, "machine-ordered", Info;
 
--- a/crates/flow/src/demand.rs
+++ b/crates/flow/src/demand.rs
@@ -145,7 +145,7 @@
     }
 
     /// Returns the capacity of a typical machine of a pool.
-    fn typical_capacity(&self, pool: &PoolId) -> Resources {
+    pub(crate) fn typical_capacity(&self, pool: &PoolId) -> Resources {
         let worker = self.workers.values().find(|worker| worker.incarnation.pool == *pool);
         let listed = self.machines.list.values().find(|machine| machine.pool == *pool);
         worker
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -8,6 +8,7 @@
 //! its worker only when the records that depend on it are durable.
 
 mod action;
+mod admission;
 mod advise;
 mod answers;
 mod attempt;
@@ -24,6 +25,8 @@
 mod intake;
 mod job;
 mod job_size;
+mod load;
+mod load_digest;
 mod machine_workers;
 mod machines;
 mod maintain;
@@ -37,6 +40,7 @@
 mod register;
 mod report;
 mod resize;
+mod retry_slots;
 mod rules;
 mod scheduler;
 mod slow;
@@ -50,6 +54,7 @@
 mod worker;
 
 pub use action::{Action, MachineCommand, StartCommand, StopReason};
+pub use admission::{Admission, DIGEST_MAX_AGE, Rejection, decide, expected_wait};
 pub use answers::{RefusalReason, StartAnswer};
 pub use commit::{CommitBatch, Record, RecordKind};
 pub use config::{AdviserTiming, OperatorConfig, Pool, Queue, Team, key_digest};
@@ -58,12 +63,14 @@
 pub use id::{AttemptNumber, FencingToken, StepId, TaskId};
 pub use job::JobState;
 pub use job_size::{SizeClass, WorkBySize};
+pub use load::{Backlog, LoadDigest, MachineTime, MilliMachines, PoolLoad, QueueSizes, TeamLoad};
 pub use machines::{CommandTarget, Machine, MachineAnswer, MachineState};
 pub use maintain::{Wave, WaveRecord, WaveState};
 pub use progress::{JobOutcome, OccurrenceProgress, Progress};
 pub use rank::{Rank, RankInput, Timeliness, rank};
 pub use register::Renewal;
 pub use report::{AttemptOutcome, EndedAttempt, Report, RunningAttempt};
+pub use retry_slots::{PoolAccount, RETRY_MAX, RetrySlots};
 pub use rules::SchedulingRules;
 pub use scheduler::{Counts, Scheduler};
 pub use spec::{JobSpec, Schedule, SpecError, StepSpec};
--- /dev/null
+++ b/crates/flow/src/load.rs
@@ -0,0 +1,220 @@
+//! What the leader tells other hosts of the load of contended pools.
+//!
+//! Load that this module handles: several times the capacity is requested, and hosts
+//! have to decide at once which new jobs can still be done in time. The digest names
+//! contended pools only, and of these only the accounts that have a backlog, so that it
+//! is empty in normal operation and has an upper bound at a peak.
+
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+use vg_jobs::Resources;
+
+use crate::{FencingToken, JobSpec, SizeClass};
+
+/// Number of size classes.
+const CLASSES: usize = SizeClass::ALL.len();
+
+/// Work in hundredths of a machine-second: most backlogs of an account then take three
+/// bytes in a message.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MachineTime(pub u32);
+
+impl MachineTime {
+    /// Converts from machine-seconds.
+    pub fn from_secs(secs: f64) -> MachineTime {
+        MachineTime((secs * 100.0) as u32)
+    }
+
+    /// Returns the work in machine-seconds.
+    pub fn as_secs(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+/// Capacity in thousandths of a machine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MilliMachines(pub u32);
+
+impl MilliMachines {
+    /// Converts from machines.
+    pub fn from_machines(machines: f64) -> MilliMachines {
+        MilliMachines((machines * 1000.0).round() as u32)
+    }
+
+    /// Returns the capacity in machines.
+    pub fn as_machines(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+/// Load of the contended pools, as the leader sees it. Field names in messages are
+/// short, because a digest may name hundreds of accounts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadDigest {
+    /// Fencing token of the leader that computed it.
+    #[serde(rename = "f")]
+    pub token: FencingToken,
+    /// The contended pools.
+    #[serde(rename = "p")]
+    pub pools: Vec<PoolLoad>,
+}
+
+/// Load of a contended pool.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// The pool.
+    #[serde(rename = "p")]
+    pub pool: PoolId,
+    /// Capacity of a typical machine, in which work is expressed.
+    #[serde(rename = "m")]
+    pub machine: Resources,
+    /// Capacity of its workers and of the machines that arrive or could be moved there.
+    #[serde(rename = "c")]
+    pub capacity: MilliMachines,
+    /// For how long the pool has had no such machine; `None` if it has one.
+    #[serde(rename = "e", default)]
+    pub empty_for: Option<Duration>,
+    /// Limits of the size classes of its queues.
+    #[serde(rename = "q", default)]
+    pub queues: Vec<QueueSizes>,
+    /// Accounts that have a backlog.
+    #[serde(rename = "t", default)]
+    pub teams: Vec<TeamLoad>,
+}
+
+/// Limits of the size classes of a queue, in millicores times seconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QueueSizes {
+    /// The queue.
+    #[serde(rename = "q")]
+    pub queue: QueueId,
+    /// Largest work of a small job.
+    #[serde(rename = "s")]
+    pub small_max: f64,
+    /// Largest work of a medium job.
+    #[serde(rename = "m")]
+    pub medium_max: f64,
+}
+
+impl QueueSizes {
+    /// Returns the class of a job.
+    pub fn class(&self, work: f64) -> SizeClass {
+        if work <= self.small_max {
+            SizeClass::Small
+        } else if work <= self.medium_max {
+            SizeClass::Medium
+        } else {
+            SizeClass::Large
+        }
+    }
+}
+
+/// Load of one account in a contended pool.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TeamLoad {
+    /// The account; `None` stands for all jobs without one.
+    #[serde(rename = "t")]
+    pub team: Option<TeamId>,
+    /// What it is entitled to.
+    #[serde(rename = "a")]
+    pub allocation: MilliMachines,
+    /// Its waiting work by priority of the queue.
+    #[serde(rename = "b")]
+    pub backlogs: Vec<Backlog>,
+}
+
+/// Tasks of an account that could start now if there were capacity, and whose jobs can
+/// still be done while they have value. Arrays are by size class.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Backlog {
+    /// Priority of the queue; 0 comes first.
+    #[serde(rename = "p")]
+    pub priority: u32,
+    /// Work of jobs that can still meet their objective.
+    #[serde(rename = "o")]
+    pub on_time: [MachineTime; CLASSES],
+    /// Work of jobs that are late but still have value.
+    #[serde(rename = "l")]
+    pub late: [MachineTime; CLASSES],
+    /// Estimate of the longest task in milliseconds.
+    #[serde(rename = "d")]
+    pub longest_ms: [u32; CLASSES],
+}
+
+impl LoadDigest {
+    /// Returns the load of a pool if it is contended.
+    pub fn pool(&self, pool: &PoolId) -> Option<&PoolLoad> {
+        self.pools.iter().find(|load| load.pool == *pool)
+    }
+
+    /// Keeps the `count` accounts of each pool that have the largest backlog. Jobs of
+    /// the others are admitted.
+    pub fn keep_largest(&mut self, count: usize) {
+        for pool in &mut self.pools {
+            pool.teams.sort_by(|a, b| b.waiting().total_cmp(&a.waiting()));
+            pool.teams.truncate(count);
+        }
+    }
+}
+
+impl PoolLoad {
+    /// Returns the load of an account if it has a backlog.
+    pub fn team(&self, team: Option<&TeamId>) -> Option<&TeamLoad> {
+        self.teams.iter().find(|load| load.team.as_ref() == team)
+    }
+
+    /// Returns the size class of a job, or the smallest if its queue has no classes: the
+    /// least work then counts as waiting before it.
+    pub fn class(&self, spec: &JobSpec) -> SizeClass {
+        class_of(spec, &self.queues)
+    }
+
+    /// Returns the work of a job in machine-seconds.
+    pub fn job_work(&self, spec: &JobSpec) -> f64 {
+        let step_work = |step: &crate::StepSpec| {
+            let machines = f64::from(step.count) * step.reservation().dominant_share(&self.machine);
+            machines * step.estimate.as_secs_f64()
+        };
+        spec.steps.iter().map(step_work).sum()
+    }
+}
+
+impl TeamLoad {
+    /// Returns all its waiting work in machine-seconds.
+    pub fn waiting(&self) -> f64 {
+        self.backlogs.iter().map(|backlog| backlog.work(SizeClass::Large, true)).sum()
+    }
+}
+
+impl Backlog {
+    /// Adds tasks that wait; `work` is in machine-seconds.
+    pub(crate) fn add(&mut self, class: SizeClass, is_on_time: bool, work: f64, task: Duration) {
+        let at = class as usize;
+        let sum = if is_on_time { &mut self.on_time[at] } else { &mut self.late[at] };
+        sum.0 = sum.0.saturating_add(MachineTime::from_secs(work).0);
+        self.longest_ms[at] = self.longest_ms[at].max(task.as_millis() as u32);
+    }
+
+    /// Returns the work of a class and smaller ones in machine-seconds, with or without
+    /// that of late jobs.
+    pub fn work(&self, class: SizeClass, with_late: bool) -> f64 {
+        let classes = 0..=class as usize;
+        let on_time: f64 = classes.clone().map(|at| self.on_time[at].as_secs()).sum();
+        let late: f64 = classes.map(|at| self.late[at].as_secs()).sum();
+        if with_late { on_time + late } else { on_time }
+    }
+
+    /// Returns the estimate of the longest task of a class and smaller ones.
+    pub fn longest(&self, class: SizeClass) -> Duration {
+        let longest = self.longest_ms[..=class as usize].iter().max();
+        Duration::from_millis(longest.copied().unwrap_or_default().into())
+    }
+}
+
+/// Returns the size class of a job, or the smallest if its queue has no classes.
+pub(crate) fn class_of(spec: &JobSpec, queues: &[QueueSizes]) -> SizeClass {
+    let sizes = queues.iter().find(|sizes| sizes.queue == spec.queue);
+    sizes.map_or(SizeClass::Small, |sizes| sizes.class(spec.work()))
+}
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -299,7 +299,12 @@
 }
 
 /// Returns the input of a job's rank, by its first open occurrence.
-fn rank_input(job: &Job, queue: &crate::Queue, mean_work: f64, wall: SystemTime) -> RankInput {
+pub(crate) fn rank_input(
+    job: &Job,
+    queue: &crate::Queue,
+    mean_work: f64,
+    wall: SystemTime,
+) -> RankInput {
     let occurrence = job.occurrences.first();
     let due = match (job.spec.schedule, occurrence) {
         (Some(schedule), Some(occurrence)) => schedule.due(occurrence.number),
--- a/crates/flow/src/rank.rs
+++ b/crates/flow/src/rank.rs
@@ -12,7 +12,7 @@
 use vg_base::prelude::*;
 
 /// A late job still has value up to this multiple of its objective.
-const LATE_FACTOR: f64 = 3.0;
+pub(crate) const LATE_FACTOR: f64 = 3.0;
 /// Part of a job's value that does not depend on its size.
 const BASE_VALUE: f64 = 0.3;
 
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::attempt::{Attempt, AttemptKey, Phase};
 use crate::cadence::Cadence;
 use crate::job::{Job, JobKey, Task};
+use crate::load_digest::EmptyPools;
 use crate::machines::Machines;
 use crate::queue_work::QueueWork;
 use crate::start_window::StartWindow;
@@ -51,6 +52,7 @@
     /// last decided.
     pub(crate) unplaced_pools: HashSet<PoolId>,
     pub(crate) queue_work: QueueWork,
+    pub(crate) empty_pools: EmptyPools,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
     /// Jobs with changes that are not in a batch yet.
@@ -116,6 +118,7 @@
             unresolved_usage: HashMap::new(),
             unplaced_pools: HashSet::new(),
             queue_work: QueueWork::default(),
+            empty_pools: EmptyPools::default(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
             machines: Machines::new(now + rules.machine_hold),
--- /dev/null
+++ b/crates/flow/tests/admission.rs
@@ -0,0 +1,333 @@
+//! Tests of admission: which jobs are rejected, when their callers retry, and what is
+//! done in time when several times the capacity is offered.
+
+#![allow(clippy::print_stdout, reason = "measured figures are shown")]
+
+#[allow(dead_code, reason = "each test file uses a part")]
+mod support;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::spec::{config, job, pool, queue, step, team};
+use support::world::{Faults, STEP_MS, World};
+use vg_base::prelude::*;
+use vg_flow::{
+    Admission, Backlog, DIGEST_MAX_AGE, FencingToken, JobOutcome, JobSpec, LoadDigest, MachineTime,
+    MilliMachines, PoolAccount, PoolLoad, Queue, QueueSizes, RETRY_MAX, RetrySlots, TeamLoad,
+    decide,
+};
+use vg_jobs::Resources;
+
+/// Cores of the machines of the digests, in millicores.
+const MACHINE: u32 = 4000;
+
+fn backlog(on_time_s: [f64; 3], late_s: [f64; 3], longest_ms: u32) -> Backlog {
+    let times = |secs: [f64; 3]| secs.map(MachineTime::from_secs);
+    Backlog {
+        priority: 0,
+        on_time: times(on_time_s),
+        late: times(late_s),
+        longest_ms: [longest_ms; 3],
+    }
+}
+
+fn team_load(name: &str, machines: f64, backlog: Backlog) -> TeamLoad {
+    TeamLoad {
+        team: Some(team(name)),
+        allocation: MilliMachines::from_machines(machines),
+        backlogs: vec![backlog],
+    }
+}
+
+/// A digest of pool `a`. Jobs of up to 2 core-seconds are small, of up to 20 medium.
+fn digest(machines: f64, teams: Vec<TeamLoad>) -> LoadDigest {
+    let sizes = QueueSizes { queue: queue("q-a"), small_max: 2000.0, medium_max: 20_000.0 };
+    let load = PoolLoad {
+        pool: pool("a"),
+        machine: Resources::new(MACHINE, 0, 0),
+        capacity: MilliMachines::from_machines(machines),
+        empty_for: None,
+        queues: vec![sizes],
+        teams,
+    };
+    LoadDigest { token: FencingToken(1), pools: vec![load] }
+}
+
+fn queue_a() -> Queue {
+    config().queues[&queue("q-a")].clone()
+}
+
+/// A job of one task of 1 core: its objective is 1.6 times `ms` and 600 ms.
+fn one_task(ms: u64) -> Arc<JobSpec> {
+    job("q-a", vec![step(1, 1000, ms)], SystemTime::UNIX_EPOCH)
+}
+
+fn is_rejected(digest: &LoadDigest, spec: &JobSpec) -> bool {
+    matches!(decide(digest, Duration::ZERO, spec, &queue_a()), Admission::Reject(_))
+}
+
+/// Guards against work that a job does not wait for: late work of its account, larger
+/// jobs, and the capacity that other accounts leave.
+#[test]
+fn only_work_that_goes_before_a_job_counts() {
+    // A job of 500 ms must start within 0.9 s to be on time and 3.7 s to have value.
+    let small = one_task(500);
+    let with = |on_time, late| digest(2.0, vec![team_load("t", 1.0, backlog(on_time, late, 0))]);
+    let none = [0.0; 3];
+    assert!(!is_rejected(&with([3.6, 0.0, 0.0], none), &small));
+    // The other account has no backlog: both machines are available.
+    assert!(!is_rejected(&with([7.3, 0.0, 0.0], none), &small));
+    assert!(is_rejected(&with([7.5, 0.0, 0.0], none), &small));
+    assert!(!is_rejected(&with(none, [900.0, 0.0, 0.0]), &small));
+    assert!(!is_rejected(&with([0.0, 900.0, 900.0], none), &small));
+    let large = one_task(21_000);
+    assert!(is_rejected(&with([0.0, 0.0, 900.0], none), &large));
+    // The longest task before it may still run when the job starts.
+    let long = digest(2.0, vec![team_load("t", 1.0, backlog([9.0, 0.0, 0.0], none, 1000))]);
+    assert!(!is_rejected(&long, &small));
+    // An account with a backlog takes its part of the capacity.
+    let other = team_load("u", 1.0, backlog([900.0, 0.0, 0.0], none, 0));
+    let own = |secs| team_load("t", 1.0, backlog([secs, 0.0, 0.0], none, 0));
+    assert!(!is_rejected(&digest(2.0, vec![own(3.6), other.clone()]), &small));
+    assert!(is_rejected(&digest(2.0, vec![own(3.8), other]), &small));
+}
+
+/// Guards against rejections for which the digest gives no ground.
+#[test]
+fn jobs_are_admitted_where_the_load_is_unknown() {
+    let full = digest(1.0, vec![team_load("t", 1.0, backlog([900.0; 3], [0.0; 3], 0))]);
+    let spec = one_task(500);
+    assert!(is_rejected(&full, &spec));
+    let old = DIGEST_MAX_AGE + Duration::from_millis(1);
+    assert_eq!(decide(&full, old, &spec, &queue_a()), Admission::Admit);
+    let elsewhere = Queue { pool: pool("b"), ..queue_a() };
+    assert_eq!(decide(&full, Duration::ZERO, &spec, &elsewhere), Admission::Admit);
+    let other = JobSpec { team: Some(team("u")), ..JobSpec::clone(&spec) };
+    assert!(!is_rejected(&full, &other));
+    let mut continuous = JobSpec::clone(&spec);
+    continuous.steps[0].continuous = true;
+    assert!(!is_rejected(&full, &continuous));
+    let mut empty = digest(0.0, Vec::new());
+    empty.pools[0].empty_for = Some(Duration::from_millis(1900));
+    assert!(!is_rejected(&empty, &spec));
+    empty.pools[0].empty_for = Some(Duration::from_secs(2));
+    assert!(is_rejected(&empty, &spec));
+}
+
+/// Tasks of two accounts that wait for a number of machines.
+struct Machines {
+    /// When each machine is free, and which account has it.
+    free_at: Vec<(f64, usize)>,
+    allocation: [usize; 2],
+    waiting: [VecDeque<f64>; 2],
+}
+
+impl Machines {
+    /// Returns when the last task of account 0 starts. A free machine goes to an account
+    /// below its allocation first.
+    fn start_of_last(mut self) -> f64 {
+        let mut now = 0.0;
+        loop {
+            for at in 0..self.free_at.len() {
+                if self.free_at[at].0 > now {
+                    continue;
+                }
+                let used = |account| {
+                    let busy = self.free_at.iter().filter(|(until, _)| *until > now);
+                    busy.filter(|(_, by)| *by == account).count()
+                };
+                let below = [1, 0].map(|account| used(account) < self.allocation[account]);
+                let first = if below[0] && !self.waiting[1].is_empty() { 1 } else { 0 };
+                let account = if self.waiting[first].is_empty() { 1 - first } else { first };
+                let Some(length) = self.waiting[account].pop_front() else { continue };
+                self.free_at[at] = (now + length, account);
+                if account == 0 && self.waiting[0].is_empty() {
+                    return now;
+                }
+            }
+            let next = self.free_at.iter().map(|each| each.0).filter(|at| *at > now);
+            now = next.fold(f64::INFINITY, f64::min);
+        }
+    }
+}
+
+/// Guards against rejections of jobs that would have been done in time: compares the
+/// decision with the exact order in which random tasks start.
+#[test]
+fn job_that_can_be_done_is_never_rejected() {
+    let (mut rejected, mut hopeless) = (0, 0);
+    for seed in 0..20_000 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let allocation = [rng.random_range(1..5), rng.random_range(1..5)];
+        let machines: usize = allocation.iter().sum();
+        let longest = rng.random_range(1..30) as f64 / 10.0;
+        let mut tasks = |count: usize| -> VecDeque<f64> {
+            (0..count)
+                .map(|_| (rng.random_range(0.1..=longest) * 100.0_f64).ceil() / 100.0)
+                .collect()
+        };
+        let mut waiting = [tasks(seed as usize % 60), tasks(seed as usize / 7 % 60)];
+        let work = [0, 1].map(|account: usize| waiting[account].iter().sum::<f64>());
+        let longest = waiting[0].iter().copied().fold(0.0, f64::max);
+        let load = |name, account: usize| {
+            let backlog = backlog([work[account], 0.0, 0.0], [0.0; 3], (longest * 1000.0) as u32);
+            team_load(name, allocation[account] as f64, backlog)
+        };
+        let digest = digest(machines as f64, vec![load("t", 0), load("u", 1)]);
+        waiting[0].push_back(0.5);
+        let starts = Machines { free_at: vec![(0.0, 0); machines], allocation, waiting };
+        let is_hopeless = starts.start_of_last() + 0.5 > 4.2;
+        let is_rejected = is_rejected(&digest, &one_task(500));
+        assert!(!is_rejected || is_hopeless, "seed {seed}: a job that can be done is rejected");
+        hopeless += u32::from(is_hopeless);
+        rejected += u32::from(is_rejected);
+    }
+    println!("{rejected} of {hopeless} hopeless jobs are rejected");
+    assert!(rejected * 2 > hopeless);
+}
+
+/// Guards against retries that come all at once, or faster than the account's allocation
+/// takes them, and against delays without a bound.
+#[test]
+fn retries_come_at_the_rate_of_the_allocation() {
+    let digest = digest(1.0, vec![team_load("t", 1.0, backlog([10.0, 0.0, 0.0], [0.0; 3], 0))]);
+    let Admission::Reject(rejection) = decide(&digest, Duration::ZERO, &one_task(2000), &queue_a())
+    else {
+        panic!("the job is hopeless")
+    };
+    let (mut slots, now) = (RetrySlots::default(), Instant::now());
+    let account = PoolAccount { pool: pool("a"), team: Some(team("t")) };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut next = |hosts| {
+        slots.next_delay(account.clone(), &rejection, hosts, rng.random(), now).as_secs_f64()
+    };
+    // A job of 2 s on a quarter of a machine takes half a second of the allocation.
+    for number in 0..50 {
+        let from = 10.0 + 0.5 * f64::from(number);
+        let delay = next(1);
+        assert!((from..=from + 0.5).contains(&delay), "retry {number} after {delay}");
+    }
+    for _ in 0..500 {
+        assert!(next(4) <= RETRY_MAX.as_secs_f64());
+    }
+}
+
+/// Guards against a digest that takes too much of the leader's link.
+#[test]
+fn digest_of_200_accounts_and_5_pools_has_at_most_64_kb() {
+    let team = |at: usize| {
+        let backlog = backlog([300.0; 3], [300.0; 3], 20_000);
+        team_load(&format!("account-{at:03}"), 12.345, backlog)
+    };
+    let of_teams = |count: usize, pools: usize| {
+        let mut digest = digest(123.0, (0..count).map(team).collect());
+        digest.pools = vec![digest.pools[0].clone(); pools];
+        rmp_serde::to_vec_named(&digest).unwrap().len()
+    };
+    let (largest, usual) = (of_teams(200, 5), of_teams(20, 1));
+    println!("200 accounts in 5 pools: {largest} bytes; 20 accounts in 1 pool: {usual} bytes");
+    for (bytes, hosts) in [(largest, 300), (usual, 300)] {
+        println!("{hosts} hosts that ask each 250 ms: {} bytes per second", bytes * hosts * 4);
+    }
+    assert!(largest <= 64 * 1024);
+}
+
+/// Duration and cores of each task of the replay.
+const TASK_MS: u64 = 500;
+const TASK_CORES: u32 = 4000;
+/// Jobs per second that the workers of the replay could do without any delay.
+const JOBS_PER_S: f64 = 16.0;
+/// Time within which a job of the replay has value.
+const LIMIT_MS: u64 = 4200;
+const REPLAY_MS: u64 = 30_000;
+/// Time after which the replay counts.
+const WARM_UP_MS: u64 = 5000;
+
+/// What became of the jobs of a replay, per second.
+#[derive(Debug, Default)]
+struct Outcome {
+    offered: f64,
+    sent: f64,
+    admitted: f64,
+    goodput: f64,
+}
+
+/// A caller's job: when it is sent next, and how often it has been sent.
+type Arrival = (u64, u32);
+
+/// Offers a multiple of the capacity. Callers send rejected jobs again up to four times,
+/// after the time that they were told in whole seconds.
+fn replay(factor: f64) -> Outcome {
+    let mut world = World::new(1, 4, Faults::default());
+    world.run(1000);
+    let start = world.ms;
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut arrivals: Vec<Arrival> = Vec::new();
+    let mut at = 0.0;
+    while at < REPLAY_MS as f64 {
+        arrivals.push((start + at as u64, 0));
+        at += -f64::ln(rng.random_range(1e-9..1.0)) * 1000.0 / (JOBS_PER_S * factor);
+    }
+    let (mut slots, mut open, mut next_id) = (RetrySlots::default(), Vec::new(), 1);
+    let (mut digest, mut counts) = (None, Outcome::default());
+    let per_s = 1000.0 / (REPLAY_MS - WARM_UP_MS) as f64;
+    while world.ms < start + REPLAY_MS {
+        let counted = if world.ms >= start + WARM_UP_MS { per_s } else { 0.0 };
+        if world.ms.is_multiple_of(5 * STEP_MS) {
+            digest = world.scheduler.load_digest(world.now(), world.wall());
+        }
+        for (_, tries) in arrivals.extract_if(.., |(at, _)| *at <= world.ms).collect::<Vec<_>>() {
+            let spec = job("q-a", vec![step(1, TASK_CORES, TASK_MS)], world.wall());
+            counts.offered += if tries == 0 { counted } else { 0.0 };
+            counts.sent += counted;
+            let age = Duration::from_millis(50);
+            let decision = digest.as_ref().map(|digest| decide(digest, age, &spec, &queue_a()));
+            if let Some(Admission::Reject(rejection)) = decision {
+                let account = PoolAccount { pool: pool("a"), team: spec.team.clone() };
+                let delay = slots.next_delay(account, &rejection, 1, rng.random(), world.now());
+                if tries < 4 {
+                    let seconds = delay.as_secs_f64().ceil().max(1.0) as u64;
+                    arrivals.push((world.ms + seconds * 1000, tries + 1));
+                }
+                continue;
+            }
+            counts.admitted += counted;
+            open.push((world.submit(next_id, spec), world.ms));
+            next_id += 1;
+        }
+        world.step();
+        let is_done = |(id, _): &mut (JobId, u64)| world.store[id].end.is_some();
+        for (id, accepted) in open.extract_if(.., is_done).collect::<Vec<_>>() {
+            let in_time = world.ms - accepted <= LIMIT_MS;
+            if in_time && world.store[&id].end == Some(JobOutcome::Done) {
+                counts.goodput += counted;
+            }
+        }
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+    counts
+}
+
+/// Guards against work that is accepted and done too late, and against retries that
+/// amplify an overload: what is done in time per second must stay level.
+#[test]
+fn goodput_stays_level_beyond_the_capacity() {
+    let factors = [0.5, 1.0, 2.0, 5.0, 10.0];
+    let outcomes = factors.map(replay);
+    for (factor, outcome) in factors.iter().zip(&outcomes) {
+        println!(
+            "{factor:4}: offered {:5.1}, sent {:5.1}, admitted {:4.1}, goodput {:4.1} jobs/s",
+            outcome.offered, outcome.sent, outcome.admitted, outcome.goodput
+        );
+    }
+    assert_eq!(outcomes[0].sent, outcomes[0].offered, "jobs were rejected at half the capacity");
+    let at_capacity = outcomes[1].goodput;
+    for outcome in &outcomes[2..] {
+        assert!(outcome.goodput >= 0.95 * at_capacity, "{outcome:?}");
+        // On-time jobs overtake late ones, so that twice the capacity is not hopeless.
+        assert!(outcome.admitted <= 3.0 * outcome.goodput, "{outcome:?}");
+    }
+}
--- a/crates/lead/src/cancel.rs
+++ b/crates/lead/src/cancel.rs
@@ -73,7 +73,7 @@
             leader.apply_cancel(job);
             return;
         }
-        self.notify_leader("cancelled", job, DurableCancel { job });
+        self.notify_leader("cancelled", job, DurableCancel { job }, false);
     }
 
     /// Keeps the outcome of a finished job in memory.
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -9,13 +9,15 @@
 use tokio::task::JoinSet;
 use vg_base::prelude::*;
 use vg_events::{Code, Field, Recorder};
-use vg_flow::{JobOutcome, OperatorConfig, Wave};
+use vg_flow::{JobOutcome, OperatorConfig, RetrySlots, Wave};
 use vg_net::{Client, Limits, Server, ServerHandle};
 use vg_store::{LeaseId, Store};
 
+use crate::admit::EventLimit;
 use crate::dual_instant::DualInstant;
 use crate::error::StartError;
 use crate::leader::Leader;
+use crate::load::ReceivedLoad;
 use crate::members::Members;
 use crate::messages::StatusReply;
 use crate::unresolved::UnresolvedWrites;
@@ -74,6 +76,10 @@
     /// Until when new jobs are refused, because the leader can not start them in
     /// time.
     pub(crate) refusing_until: Mutex<Option<Instant>>,
+    /// The last digest of the load of contended pools.
+    pub(crate) load: Mutex<ReceivedLoad>,
+    pub(crate) retries: Mutex<RetrySlots>,
+    pub(crate) rejection_events: Mutex<EventLimit>,
     /// When this host last gave up the leadership so that another one leads.
     pub(crate) gave_up: Mutex<Option<Instant>>,
 }
@@ -156,6 +162,9 @@
             unresolved: Mutex::default(),
             stopping: AtomicBool::new(false),
             refusing_until: Mutex::default(),
+            load: Mutex::default(),
+            retries: Mutex::default(),
+            rejection_events: Mutex::default(),
             gave_up: Mutex::default(),
         };
         let host = Host { inner: Arc::new(inner) };
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod give_way;
 mod incarnation_shards;
 mod incarnations;
+mod load;
 mod machines;
 mod outage;
 mod polls;
@@ -23,6 +24,7 @@
 use crate::dual_instant::DualInstant;
 use crate::host::lock;
 use crate::keys::TERM_KEY;
+use crate::load::LeaderLoad;
 use crate::{Host, Platform};
 
 /// How long a leader continues with the work that it knows after its lease may
@@ -76,6 +78,7 @@
     /// Serializes the writes of the command record.
     record_lock: tokio::sync::Mutex<()>,
     revisions: Mutex<commit::Revisions>,
+    load: Mutex<LeaderLoad>,
 }
 
 /// Leads until the leadership is lost or handed over.
@@ -102,6 +105,7 @@
         machine_commands: Mutex::default(),
         record_lock: tokio::sync::Mutex::default(),
         revisions: Mutex::default(),
+        load: Mutex::default(),
     });
     *lock(&host.inner.leader) = Some(Arc::clone(&leader));
     host.inner.metrics.set_leading(true);
@@ -112,6 +116,7 @@
     }
     *lock(&host.inner.leader) = None;
     host.inner.metrics.set_leading(false);
+    host.inner.metrics.set_expected_waits(&[]);
     lock(&leader.tasks).abort_all();
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
@@ -149,6 +154,7 @@
                 self.execute(action);
             }
             self.send_machine_commands();
+            self.update_load();
             if self.scheduler().has_changes() {
                 self.commit_needed.notify_one();
             }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -7,6 +7,7 @@
 //! store revision at which the leadership was taken. Design:
 //! docs/design/platform.md.
 
+mod admit;
 mod cancel;
 mod capacity;
 mod codec;
@@ -18,6 +19,7 @@
 mod host;
 mod keys;
 mod leader;
+mod load;
 mod members;
 mod messages;
 mod metrics;
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
-use vg_flow::{JobOutcome, JobSpec};
+use vg_flow::{FencingToken, JobOutcome, JobSpec};
 
 /// Tells the leader of a job that has become durable, so that it need not wait
 /// for the watch to show it.
@@ -13,6 +13,13 @@
     pub(crate) job: JobId,
     pub(crate) revision: u64,
     pub(crate) spec: Arc<JobSpec>,
+    /// Whether the sender has a recent digest of the load and wants none.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(crate) has_load: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Tells the leader of a cancellation that has become durable.
@@ -124,4 +131,30 @@
     /// start them in time.
     #[serde(default)]
     pub(crate) refuse_for: Option<Duration>,
+    /// Load of the contended pools; `None` if there are none or the receiver has a
+    /// recent digest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) load: Option<LoadMessage>,
+}
+
+/// The leader's digest of the load of contended pools.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct LoadMessage {
+    /// Fencing token of the leader.
+    pub(crate) token: FencingToken,
+    /// Age of the digest when it was sent.
+    pub(crate) age: Duration,
+    /// The encoded [`LoadDigest`](vg_flow::LoadDigest).
+    pub(crate) digest: bytes::Bytes,
+}
+
+/// Asks the leader for the load of contended pools.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct LoadQuery {}
+
+/// The load of contended pools; `None` if there are none.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct LoadAnswer {
+    #[serde(default)]
+    pub(crate) load: Option<LoadMessage>,
 }
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of one host.
 
 use prometheus::{
-    Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Error, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 use vg_base::prelude::*;
 use vg_flow::Counts;
@@ -22,6 +22,18 @@
     leading: IntGauge,
     loop_delay: IntGauge,
     scheduler: IntGaugeVec,
+    expected_wait: GaugeVec,
+}
+
+/// Accounts whose expected wait is published; the others are left out.
+const EXPECTED_WAITS_MAX: usize = 50;
+
+/// Time that a large job of an account would wait in a contended pool.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct ExpectedWait {
+    pub(crate) pool: PoolId,
+    pub(crate) team: Option<TeamId>,
+    pub(crate) wait: Duration,
 }
 
 impl Metrics {
@@ -49,6 +61,11 @@
         let scheduler =
             IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(scheduler.clone()))?;
+        let expected_wait = GaugeVec::new(
+            Opts::new("vg_expected_wait_seconds", "Expected wait by contended pool and account."),
+            &["pool", "team"],
+        )?;
+        registry.register(Box::new(expected_wait.clone()))?;
         Ok(Metrics {
             registry,
             submissions,
@@ -59,6 +76,7 @@
             leading,
             loop_delay,
             scheduler,
+            expected_wait,
         })
     }
 
@@ -108,6 +126,18 @@
         set("window", counts.start_window as i64);
     }
 
+    /// Replaces the expected waits by the longest ones among these.
+    pub(crate) fn set_expected_waits(&self, waits: &[ExpectedWait]) {
+        self.expected_wait.reset();
+        let mut longest: Vec<_> = waits.iter().collect();
+        longest.sort_by_key(|each| std::cmp::Reverse(each.wait));
+        for each in longest.into_iter().take(EXPECTED_WAITS_MAX) {
+            let team = each.team.as_ref().map_or("none", TeamId::as_str);
+            let gauge = self.expected_wait.with_label_values(&[each.pool.as_str(), team]);
+            gauge.set(each.wait.as_secs_f64());
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/lead/src/peers.rs
+++ b/crates/lead/src/peers.rs
@@ -41,19 +41,27 @@
     }
 
     /// Notifies the leader of a durable change to a job. Does not wait for the
-    /// answer: if the message is lost, the leader sees the change in the store.
+    /// answer: if the message is lost, the leader sees the change in the store. The
+    /// answer tells the load of contended pools if `wants_load`.
     pub(crate) fn notify_leader<Q: Serialize + Send + Sync + 'static>(
         &self,
         name: &'static str,
         job: JobId,
         message: Q,
+        wants_load: bool,
     ) {
         let Some(addr) = self.leader_addr() else { return };
         let host = self.clone();
+        let sent_at = DualInstant::now(&self.inner.clock);
         tokio::spawn(async move {
             let sent: Result<Ack, _> = host.ask_peer(addr, name, &message).await;
             match sent {
-                Ok(ack) => host.refuse_jobs_for(ack.refuse_for),
+                Ok(ack) => {
+                    host.refuse_jobs_for(ack.refuse_for);
+                    if wants_load {
+                        lock(&host.inner.load).take(ack.load, sent_at);
+                    }
+                }
                 Err(error) => log::debug!(
                     target: "peers", "`{name}` of job {job} did not reach the leader: {error}"
                 ),
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::host::lock;
 use crate::messages::{
     Ack, ConfigAnswer, ConfigQuery, CountAnswer, CountQuery, DurableCancel, DurableJob, JobQuery,
-    RelayRequest, StoreAnswer, StoreQuery, UnresolvedAnswer,
+    LoadAnswer, LoadQuery, RelayRequest, StoreAnswer, StoreQuery, UnresolvedAnswer,
 };
 use crate::peers::{PEER_MESSAGE_MAX_BYTES, PEER_TIMEOUT};
 use crate::{Host, Platform};
@@ -70,7 +70,13 @@
                 let message: DurableJob = decode(bytes)?;
                 let leader = self.leading().ok_or(StatusCode::CONFLICT)?;
                 leader.add_durable_job(message.job, message.spec, message.revision);
-                encode(&Ack { refuse_for: leader.refusal_time() })
+                let load = if message.has_load { None } else { leader.load_message() };
+                encode(&Ack { refuse_for: leader.refusal_time(), load })
+            }
+            "load" => {
+                let _: LoadQuery = decode(bytes)?;
+                let leader = self.leading().ok_or(StatusCode::CONFLICT)?;
+                encode(&LoadAnswer { load: leader.load_message() })
             }
             "cancelled" => {
                 let message: DurableCancel = decode(bytes)?;
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -9,6 +9,7 @@
 use vg_flow::JobSpec;
 use vg_store::{Error, Store, Txn, TxnOutcome};
 
+use crate::admit::Refusal;
 use crate::codec::encode;
 use crate::host::lock;
 use crate::messages::{
@@ -22,6 +23,8 @@
 /// Time without an answer of the store after which no more writes are sent to
 /// it for callers.
 const STORE_SILENCE_MAX: Duration = Duration::from_millis(1500);
+/// Label of rejected jobs in the metrics.
+const HOPELESS: &str = "hopeless";
 /// Number of peers that are asked to write a job.
 const RELAY_PEERS_MAX: usize = 2;
 
@@ -46,8 +49,11 @@
     pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: Instant) -> SubmitOutcome {
         let spec = Arc::new(spec);
         let deadline = answer_deadline(deadline);
-        let (answer, label) = match self.overload_refusal(job, &spec).await {
-            Some(retry_after) => (SubmitOutcome::Refused(retry_after), "overload"),
+        let (answer, label) = match self.refusal(job, &spec).await {
+            Some(Refusal::Overload(retry_after)) => {
+                (SubmitOutcome::Refused(retry_after), "overload")
+            }
+            Some(Refusal::Hopeless(retry_after)) => (SubmitOutcome::Refused(retry_after), HOPELESS),
             None => match self.write_or_relay(job, &spec, deadline).await {
                 WriteOutcome::Durable => (SubmitOutcome::Accepted, "accepted"),
                 WriteOutcome::Rejected => (SubmitOutcome::Refused(random_retry_after()), "not-run"),
@@ -55,7 +61,8 @@
             },
         };
         self.inner.metrics.count_submission(label);
-        if answer != SubmitOutcome::Accepted {
+        // Rejections have an event of their own, whose rate is limited.
+        if answer != SubmitOutcome::Accepted && label != HOPELESS {
             let fields = [Field::new("job", job), Field::new("outcome", label)];
             self.record(Code::JobRefused, fields);
         }
@@ -72,31 +79,6 @@
         }
     }
 
-    /// Returns when the caller of a job may retry if the job is refused now, because
-    /// the leader can not start it in time. Jobs that run for long or at later times,
-    /// and jobs that may be known already, are not refused.
-    async fn overload_refusal(&self, job: JobId, spec: &JobSpec) -> Option<Duration> {
-        let until = (*lock(&self.inner.refusing_until))?;
-        let remaining = until.saturating_duration_since(self.inner.clock.now());
-        let may_wait = spec.is_continuous() || spec.schedule.is_some();
-        if remaining.is_zero() || may_wait || !self.is_new(job).await {
-            return None;
-        }
-        Some(remaining + random_retry_after())
-    }
-
-    /// Whether a job is in no record and no host has sent a write of it whose
-    /// outcome is not known, so that a refusal is true.
-    async fn is_new(&self, job: JobId) -> bool {
-        if self.is_unresolved(job) {
-            return false;
-        }
-        let (record, outcome) = (keys::job(job), keys::outcome(job));
-        let stored = futures_util::join!(self.store().get(&record), self.store().get(&outcome));
-        matches!(stored, (Ok(None), Ok(None)))
-            && self.confirm_rejected(job).await == WriteOutcome::Rejected
-    }
-
     /// Writes a job directly or through peers. Returns
     /// [`WriteOutcome::Unknown`] if the outcome is not known at `deadline`: the
     /// job may have been written.
@@ -241,7 +223,7 @@
     /// knows not to be written: the caller may have submitted the same job to
     /// another host before. Returns [`WriteOutcome::Rejected`] only if no peer
     /// that answers has sent one.
-    async fn confirm_rejected(&self, job: JobId) -> WriteOutcome {
+    pub(crate) async fn confirm_rejected(&self, job: JobId) -> WriteOutcome {
         let peers = self.pick_peers(usize::MAX);
         let query = JobQuery { job };
         let queries = peers.iter().map(|&addr| self.ask_peer(addr, "unsettled", &query));
@@ -272,7 +254,9 @@
             self.refuse_jobs_for(leader.refusal_time());
             return;
         }
-        self.notify_leader("handed", job, DurableJob { job, revision, spec: Arc::clone(spec) });
+        let has_load = lock(&self.inner.load).is_recent(&self.inner.clock);
+        let message = DurableJob { job, revision, spec: Arc::clone(spec), has_load };
+        self.notify_leader("handed", job, message, !has_load);
     }
 
     /// Returns the outcome of a finished job if it is in this host's cache.
@@ -281,6 +265,6 @@
     }
 }
 
-fn random_retry_after() -> Duration {
+pub(crate) fn random_retry_after() -> Duration {
     Duration::from_secs(rand::rng().random_range(RETRY_AFTER_S))
 }
