--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -84,29 +84,45 @@
     pub teams: Vec<TeamLoad>,
 }
 
-/// Limits of the size classes of a queue, in millicores times seconds.
+/// Limits of the size classes of a queue, in millicores times seconds: a class begins
+/// with the smallest waiting job of it. Where no job of a class waits, it does not matter
+/// whether a new job belongs to it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueueSizes {
     /// The queue.
     #[serde(rename = "q")]
     pub queue: QueueId,
-    /// Largest work of a small job.
-    #[serde(rename = "s")]
-    pub small_max: f64,
-    /// Largest work of a medium job.
+    /// Work of the smallest medium job.
     #[serde(rename = "m")]
-    pub medium_max: f64,
+    pub medium_from: f64,
+    /// Work of the smallest large job.
+    #[serde(rename = "l")]
+    pub large_from: f64,
 }
 
 impl QueueSizes {
+    /// Returns limits by which all jobs are small.
+    pub fn new(queue: QueueId) -> QueueSizes {
+        QueueSizes { queue, medium_from: f64::INFINITY, large_from: f64::INFINITY }
+    }
+
+    /// Adds a waiting job of a class.
+    pub(crate) fn add(&mut self, class: SizeClass, work: f64) {
+        match class {
+            SizeClass::Small => {}
+            SizeClass::Medium => self.medium_from = self.medium_from.min(work),
+            SizeClass::Large => self.large_from = self.large_from.min(work),
+        }
+    }
+
     /// Returns the class of a job.
     pub fn class(&self, work: f64) -> SizeClass {
-        if work <= self.small_max {
-            SizeClass::Small
-        } else if work <= self.medium_max {
+        if work >= self.large_from {
+            SizeClass::Large
+        } else if work >= self.medium_from {
             SizeClass::Medium
         } else {
-            SizeClass::Large
+            SizeClass::Small
         }
     }
 }
@@ -168,7 +184,8 @@
     /// Returns the size class of a job, or the smallest if its queue has no classes: the
     /// least work then counts as waiting before it.
     pub fn class(&self, spec: &JobSpec) -> SizeClass {
-        class_of(spec, &self.queues)
+        let sizes = self.queues.iter().find(|sizes| sizes.queue == spec.queue);
+        sizes.map_or(SizeClass::Small, |sizes| sizes.class(spec.work()))
     }
 
     /// Returns the work of a job in machine-seconds.
@@ -212,9 +229,3 @@
         Duration::from_millis(longest.copied().unwrap_or_default().into())
     }
 }
-
-/// Returns the size class of a job, or the smallest if its queue has no classes.
-pub(crate) fn class_of(spec: &JobSpec, queues: &[QueueSizes]) -> SizeClass {
-    let sizes = queues.iter().find(|sizes| sizes.queue == spec.queue);
-    sizes.map_or(SizeClass::Small, |sizes| sizes.class(spec.work()))
-}
--- a/crates/flow/src/load_digest.rs
+++ b/crates/flow/src/load_digest.rs
@@ -8,9 +8,9 @@
 use vg_base::prelude::*;
 
 use crate::job::Job;
-use crate::load::{Backlog, LoadDigest, MilliMachines, PoolLoad, QueueSizes, TeamLoad, class_of};
+use crate::load::{Backlog, LoadDigest, MilliMachines, PoolLoad, QueueSizes, TeamLoad};
 use crate::plan::rank_input;
-use crate::{MachineState, PoolContention, Scheduler, Timeliness, rank};
+use crate::{MachineState, PoolContention, Scheduler, SizeClass, TeamContention, Timeliness, rank};
 
 /// Since when contended pools have had no machine.
 #[derive(Debug, Default)]
@@ -33,13 +33,43 @@
     }
 }
 
-/// Waiting work of the accounts of a pool, by priority.
-type Backlogs = HashMap<Option<TeamId>, BTreeMap<u32, Backlog>>;
+/// Waiting work of a pool.
+#[derive(Debug, Default)]
+struct Backlogs {
+    /// By account and priority.
+    teams: HashMap<Option<TeamId>, BTreeMap<u32, Backlog>>,
+    queues: HashMap<QueueId, QueueSizes>,
+}
+
+impl Backlogs {
+    fn of(&mut self, team: &Option<TeamId>, priority: u32) -> &mut Backlog {
+        let team = self.teams.entry(team.clone()).or_default();
+        team.entry(priority).or_insert_with(|| Backlog { priority, ..Backlog::default() })
+    }
+
+    fn add_size(&mut self, queue: &QueueId, class: SizeClass, work: f64) {
+        let sizes = self.queues.entry(queue.clone());
+        sizes.or_insert_with(|| QueueSizes::new(queue.clone())).add(class, work);
+    }
+
+    /// Returns the load of the accounts that have work waiting.
+    fn team_loads(&mut self, teams: &[TeamContention]) -> Vec<TeamLoad> {
+        let loads = teams.iter().filter_map(|team| {
+            let backlogs = self.teams.remove(&team.team)?;
+            Some(TeamLoad {
+                team: team.team.clone(),
+                allocation: MilliMachines::from_machines(team.allocation),
+                backlogs: backlogs.into_values().collect(),
+            })
+        });
+        loads.collect()
+    }
+}
 
 impl Scheduler {
     /// Returns the load of the contended pools; `None` if no pool is contended.
     pub fn load_digest(&mut self, now: Instant, wall: SystemTime) -> Option<LoadDigest> {
-        let contended = self.contention_estimate(now);
+        let contended = self.contended_pools();
         self.empty_pools.keep(&contended);
         if contended.is_empty() {
             return None;
@@ -48,46 +78,6 @@
         Some(LoadDigest { token: self.token, pools })
     }
 
-    /// Stand-in until `contended_pools` is implemented.
-    fn contention_estimate(&self, now: Instant) -> Vec<PoolContention> {
-        let found = self.contended_pools();
-        if !found.is_empty() {
-            return found;
-        }
-        let pools = self.config.pools.keys().filter_map(|pool| {
-            let machine = self.typical_capacity(pool);
-            let usable = self.usable_workers(pool, now);
-            let free: f64 =
-                usable.iter().map(|&key| self.workers[key].free().dominant_share(&machine)).sum();
-            let mut wanted: BTreeMap<Option<TeamId>, f64> = BTreeMap::new();
-            for job in self.jobs.values().filter(|job| job.is_open() && job.pool == *pool) {
-                for ready in job.ready_steps() {
-                    *wanted.entry(job.spec.team.clone()).or_default() += ready.step.waiting.len()
-                        as f64
-                        * ready.spec.reservation().dominant_share(&machine);
-                }
-            }
-            if wanted.values().sum::<f64>() <= free {
-                return None;
-            }
-            let demands: Vec<_> =
-                wanted.values().map(|&wanted| crate::TeamDemand { weight: 1.0, wanted }).collect();
-            let parts = crate::allocate(usable.len() as f64, &demands);
-            let teams =
-                wanted.into_keys().zip(parts).map(|(team, allocation)| crate::TeamContention {
-                    team,
-                    share: Share(1),
-                    allocation,
-                    usage: 0.0,
-                    waiting: crate::WorkBySize::default(),
-                    is_above: false,
-                });
-            let teams = teams.collect();
-            Some(PoolContention { pool: pool.clone(), capacity: usable.len() as f64, teams })
-        });
-        pools.collect()
-    }
-
     fn pool_load(
         &mut self,
         contention: &PoolContention,
@@ -95,18 +85,18 @@
         wall: SystemTime,
     ) -> PoolLoad {
         let pool = &contention.pool;
-        let machine = self.typical_capacity(pool);
-        let capacity = self.reachable_machines(pool).max(contention.capacity)
-            + self.obtainable_machines(pool) as f64;
-        let queues = self.queue_sizes(pool);
-        let empty_for = self.empty_pools.update(pool, capacity <= 0.0, now);
+        let obtainable = self.obtainable_machines(pool);
+        let capacity = self.reachable_machines(pool).max(contention.capacity) + obtainable as f64;
+        let is_empty = contention.usable == 0 && obtainable == 0;
+        let empty_for = self.empty_pools.update(pool, is_empty, now);
+        let mut backlogs = self.backlogs(pool, wall);
         PoolLoad {
             pool: pool.clone(),
-            machine,
+            machine: self.typical_capacity(pool),
             capacity: MilliMachines::from_machines(capacity),
             empty_for,
-            teams: self.team_loads(contention, &queues, wall),
-            queues,
+            teams: backlogs.team_loads(&contention.teams),
+            queues: backlogs.queues.into_values().collect(),
         }
     }
 
@@ -137,48 +127,15 @@
         arriving + self.machines.list.values().filter(is_spare).count()
     }
 
-    /// Returns the limits of the size classes of a pool's queues, by the jobs in memory.
-    fn queue_sizes(&self, pool: &PoolId) -> Vec<QueueSizes> {
-        let mut works: HashMap<&QueueId, Vec<f64>> = HashMap::new();
-        for job in self.jobs.values().filter(|job| job.pool == *pool) {
-            works.entry(&job.spec.queue).or_default().push(job.work);
-        }
-        let sizes = works.into_iter().map(|(queue, mut works)| {
-            works.sort_by(f64::total_cmp);
-            let percentile = |part: f64| works[((works.len() - 1) as f64 * part) as usize];
-            QueueSizes {
-                queue: queue.clone(),
-                small_max: percentile(0.7),
-                medium_max: percentile(0.9),
-            }
-        });
-        sizes.collect()
-    }
-
-    fn team_loads(
-        &self,
-        contention: &PoolContention,
-        queues: &[QueueSizes],
-        wall: SystemTime,
-    ) -> Vec<TeamLoad> {
-        let mut backlogs = self.backlogs(&contention.pool, queues, wall);
-        let loads = contention.teams.iter().filter_map(|team| {
-            let backlogs = backlogs.remove(&team.team)?;
-            Some(TeamLoad {
-                team: team.team.clone(),
-                allocation: MilliMachines::from_machines(team.allocation),
-                backlogs: backlogs.into_values().collect(),
-            })
-        });
-        loads.collect()
-    }
-
     /// Returns the waiting work of a pool that goes before a new job. Work of jobs that
     /// end too late to have value, and steps that wait for earlier ones, do not.
-    fn backlogs(&self, pool: &PoolId, queues: &[QueueSizes], wall: SystemTime) -> Backlogs {
+    fn backlogs(&self, pool: &PoolId, wall: SystemTime) -> Backlogs {
         let machine = self.typical_capacity(pool);
-        let mut backlogs = Backlogs::new();
-        for job in self.jobs.values().filter(|job| job.is_open() && job.pool == *pool) {
+        let mut backlogs = Backlogs::default();
+        for (key, job) in &self.jobs {
+            if !job.is_open() || job.pool != *pool {
+                continue;
+            }
             let Some(queue) = self.config.queues.get(&job.spec.queue) else { continue };
             let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
             let rank = rank(&rank_input(job, queue, mean_work, wall));
@@ -187,11 +144,10 @@
                 Timeliness::Late => false,
                 Timeliness::Continuous | Timeliness::TooLate => continue,
             };
-            let class = class_of(&job.spec, queues);
+            let class = self.size_class(key);
             for (work, task) in waiting_work(job, &machine) {
-                let team = backlogs.entry(job.spec.team.clone()).or_default();
-                let backlog = team.entry(rank.priority).or_default();
-                backlog.priority = rank.priority;
+                backlogs.add_size(&job.spec.queue, class, job.work);
+                let backlog = backlogs.of(&job.spec.team, rank.priority);
                 backlog.add(class, is_on_time, work, task);
             }
         }
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -42,9 +42,9 @@
     }
 }
 
-/// A digest of pool `a`. Jobs of up to 2 core-seconds are small, of up to 20 medium.
+/// A digest of pool `a`. Jobs of 2 core-seconds are medium, of 20 large.
 fn digest(machines: f64, teams: Vec<TeamLoad>) -> LoadDigest {
-    let sizes = QueueSizes { queue: queue("q-a"), small_max: 2000.0, medium_max: 20_000.0 };
+    let sizes = QueueSizes { queue: queue("q-a"), medium_from: 2000.0, large_from: 20_000.0 };
     let load = PoolLoad {
         pool: pool("a"),
         machine: Resources::new(MACHINE, 0, 0),
