--- a/crates/lead/src/load.rs
+++ b/crates/lead/src/load.rs
@@ -24,9 +24,33 @@
 /// Maximum size of an encoded digest in bytes.
 pub(crate) const DIGEST_MAX_BYTES: usize = 64 * 1024;
 
+/// Maximum number of bytes of digests that the leader sends per second: 64 Mbit/s. 300
+/// hosts that each call every 250 ms for the largest digest would take 608 Mbit/s.
+const BYTES_PER_SECOND_MAX: usize = 8_000_000;
+
+/// Limits the bytes of digests that are sent.
+#[derive(Debug, Default)]
+struct SendLimit {
+    since: Option<Instant>,
+    sent: usize,
+}
+
+impl SendLimit {
+    /// Whether so many bytes may be sent now; notes that they are.
+    fn allows(&mut self, bytes: usize, now: Instant) -> bool {
+        if self.since.is_none_or(|at| now.saturating_duration_since(at) >= Duration::from_secs(1)) {
+            *self = SendLimit { since: Some(now), sent: 0 };
+        }
+        let allowed = self.sent + bytes <= BYTES_PER_SECOND_MAX;
+        self.sent += if allowed { bytes } else { 0 };
+        allowed
+    }
+}
+
 /// The last digest that the leader computed.
 #[derive(Debug, Default)]
 pub(crate) struct LeaderLoad {
+    limit: SendLimit,
     first: Option<Instant>,
     computed: Option<Instant>,
     digest: Option<Arc<LoadDigest>>,
@@ -58,10 +82,13 @@
         Some((Arc::clone(self.digest.as_ref()?), age)).filter(|_| is_settled)
     }
 
-    /// Returns the message for another host.
-    pub(crate) fn message(&self, now: Instant) -> Option<LoadMessage> {
+    /// Returns the message for another host. It has no digest if too much was sent in
+    /// this second.
+    pub(crate) fn message(&mut self, now: Instant) -> Option<LoadMessage> {
         let (digest, age) = self.digest(now)?;
-        Some(LoadMessage { token: digest.token, age, digest: self.encoded.clone()? })
+        let encoded = self.encoded.clone()?;
+        let allowed = self.limit.allows(encoded.len(), now);
+        Some(LoadMessage { token: digest.token, age, digest: allowed.then_some(encoded) })
     }
 }
 
@@ -114,7 +141,8 @@
             return;
         }
         self.token = load.token;
-        match from_msgpack(&load.digest) {
+        let Some(bytes) = load.digest else { return };
+        match from_msgpack(&bytes) {
             Ok(digest) => {
                 self.digest = Some(Arc::new(digest));
                 self.asked = Some((sent, load.age));
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -144,8 +144,9 @@
     pub(crate) token: FencingToken,
     /// Age of the digest when it was sent.
     pub(crate) age: Duration,
-    /// The encoded [`LoadDigest`](vg_flow::LoadDigest).
-    pub(crate) digest: bytes::Bytes,
+    /// The encoded [`LoadDigest`](vg_flow::LoadDigest); `None` if the receiver is to keep
+    /// the one that it has.
+    pub(crate) digest: Option<bytes::Bytes>,
 }
 
 /// Asks the leader for the load of contended pools.
