--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -11,12 +11,12 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use support::spec::{config, job, pool, queue, step, team};
+use support::spec::{CORES, config, job, pool, queue, step, team};
 use support::world::{Faults, STEP_MS, World};
 use vg_base::prelude::*;
 use vg_flow::{
     Admission, Backlog, DIGEST_MAX_AGE, FencingToken, JobOutcome, JobSpec, LoadDigest, MachineTime,
-    MilliMachines, PoolAccount, PoolLoad, Queue, QueueSizes, RETRY_MAX, RetrySlots, TeamLoad,
+    MilliMachines, PoolAccount, PoolLoad, Queue, QueueSizes, RETRY_MAX, RetrySlots, Team, TeamLoad,
     decide,
 };
 use vg_jobs::Resources;
@@ -235,6 +235,35 @@
     assert!(largest <= 64 * 1024);
 }
 
+/// A burst fills a pool for about two seconds, and machines that are switched off could
+/// be moved there. Guards against rejections of jobs that only wait for a short time.
+#[test]
+fn pool_that_is_briefly_full_rejects_nothing() {
+    for (spare, burst) in [(0, 40), (4, 100)] {
+        let mut world = World::new(1, 4, Faults::default());
+        world.run(1000);
+        if spare > 0 {
+            world.add_spare(spare);
+        }
+        let task = || vec![step(1, TASK_CORES, TASK_MS)];
+        for number in 1..=burst {
+            let spec = job("q-a", task(), world.wall());
+            world.submit(number, spec);
+        }
+        let mut contended = 0;
+        for _ in 0..100 {
+            world.step();
+            let Some(digest) = world.scheduler.load_digest(world.now(), world.wall()) else {
+                continue;
+            };
+            contended += 1;
+            let spec = job("q-a", task(), world.wall());
+            assert!(!is_rejected(&digest, &spec), "{spare} spare: {digest:?}");
+        }
+        assert!(contended > 20, "the pool was not full");
+    }
+}
+
 /// Duration and cores of each task of the replay.
 const TASK_MS: u64 = 500;
 const TASK_CORES: u32 = 4000;
@@ -331,3 +360,31 @@
         assert!(outcome.admitted <= 3.0 * outcome.goodput, "{outcome:?}");
     }
 }
+
+/// Guards against a digest that holds up the leader's rounds: 3,000 workers, 5,000
+/// waiting jobs of 200 accounts. The bound leaves room for a build without optimization.
+#[test]
+fn digest_of_a_large_fleet_is_computed_quickly() {
+    let mut world = World::new(1, 3000, Faults::default());
+    let mut config = config();
+    let accounts: Vec<_> = (0..200).map(|at| team(&format!("account-{at}"))).collect();
+    let limit = Resources::ZERO;
+    config.teams =
+        accounts.iter().map(|id| (id.clone(), Team { share: Share(1), limit })).collect();
+    world.config = Arc::new(config);
+    world.scheduler.set_config(Arc::clone(&world.config));
+    world.run(400);
+    for (number, account) in (1..=5000).zip(accounts.iter().cycle()) {
+        let mut spec = JobSpec::clone(&job("q-a", vec![step(1, CORES, 5000)], world.wall()));
+        spec.team = Some(account.clone());
+        world.submit(number, Arc::new(spec));
+    }
+    world.step();
+    let started = Instant::now();
+    let digest = world.scheduler.load_digest(world.now(), world.wall());
+    let took = started.elapsed();
+    let teams = digest.map(|digest| digest.pools[0].teams.len());
+    println!("a digest of {teams:?} accounts took {took:?}");
+    assert_eq!(teams, Some(200));
+    assert!(took < Duration::from_millis(500));
+}
--- a/crates/lead/tests/admission.rs
+++ b/crates/lead/tests/admission.rs
@@ -315,7 +315,10 @@
     assert_eq!(rejections(&leader), 1);
     leader.tasks.stop().await;
     eventually(async || other.host.is_leading()).await;
+    let leads_since = Instant::now();
     assert_eq!(send(&other).await, SubmitOutcome::Accepted);
     eventually(async || is_refused(send(&other).await)).await;
+    let after = leads_since.elapsed();
+    assert!(after >= Duration::from_millis(400), "rejected {after:?} after the takeover");
     assert_eq!(rejections(&other), 2);
 }
