--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -175,6 +175,10 @@
     /// The adviser was asked which workers may run a step.
     AdviserAsked = 625, "step-advised", Info;
 
+    /// A team wants more than its allocation of a contended pool and has work waiting.
+    TeamAboveShare = 630, "team-above-share", Info;
+    /// A team has no more work waiting above its allocation.
+    TeamWithinShare = 631, "team-within-share", Info;
     /// A job was rejected because it can't be done while it has value.
     JobHopeless = 640, "job-hopeless", Info;
 
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod commit;
+mod contention;
 mod give_way;
 mod incarnation_shards;
 mod incarnations;
@@ -118,6 +119,7 @@
     host.inner.metrics.set_leading(false);
     host.inner.metrics.set_expected_waits(&[]);
     lock(&leader.tasks).abort_all();
+    host.inner.metrics.set_contention(&[]);
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
 
@@ -132,6 +134,7 @@
         self.spawn(Arc::clone(self).follow_machines());
         self.spawn(Arc::clone(self).maintain_leader_key());
         self.spawn(Arc::clone(self).watch_outage());
+        self.spawn(Arc::clone(self).show_contention());
         self.spawn(Arc::clone(self).follow_config());
         self.spawn(Arc::clone(self).give_way_to_larger());
         self.recovered.store(true, Ordering::Relaxed);
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -31,6 +31,7 @@
 mod serve;
 mod session;
 mod submit;
+mod team_gauges;
 mod unresolved;
 
 pub use capacity::HostCapacity;
