--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -185,6 +185,8 @@
     TeamAboveShare = 632, "team-above-share", Info;
     /// A team has no more work waiting above its allocation.
     TeamWithinShare = 633, "team-within-share", Info;
+    /// A job was rejected because it can't be done while it has value.
+    JobHopeless = 640, "job-hopeless", Info;
 
     /// A command to move a machine or to put it into maintenance was issued.
     MachineCommandSent = 700, "machine-ordered", Info;
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -8,6 +8,7 @@
 //! its worker only when the records that depend on it are durable.
 
 mod action;
+mod admission;
 mod advise;
 mod answers;
 mod attempt;
@@ -29,6 +30,8 @@
 mod job;
 mod job_group;
 mod job_size;
+mod load;
+mod load_digest;
 mod machine_workers;
 mod machines;
 mod maintain;
@@ -47,6 +50,7 @@
 mod remaining;
 mod report;
 mod resize;
+mod retry_slots;
 mod rules;
 mod scheduler;
 mod share_changes;
@@ -69,6 +73,7 @@
 mod zone_exit;
 
 pub use action::{Action, MachineCommand, StartCommand, StopReason};
+pub use admission::{Admission, DIGEST_MAX_AGE, Rejection, decide, expected_wait};
 pub use answers::{RefusalReason, StartAnswer};
 pub use commit::{CommitBatch, Record, RecordKind};
 pub use config::{AdviserTiming, OperatorConfig, Pool, Queue, SHARE_UNIT, Team, key_digest};
@@ -79,6 +84,7 @@
 pub use id::{AttemptNumber, FencingToken, StepId, TaskId};
 pub use job::JobState;
 pub use job_size::{SizeClass, WorkBySize};
+pub use load::{Backlog, LoadDigest, MachineTime, MilliMachines, PoolLoad, QueueSizes, TeamLoad};
 pub use machines::{CommandTarget, Machine, MachineAnswer, MachineState};
 pub use maintain::{Wave, WaveRecord, WaveState};
 pub use progress::{JobOutcome, OccurrenceProgress, Progress};
@@ -86,6 +92,7 @@
 pub use rank::{Rank, RankInput, Timeliness, rank};
 pub use register::Renewal;
 pub use report::{AttemptOutcome, EndedAttempt, Report, RunningAttempt};
+pub use retry_slots::{PoolAccount, RETRY_MAX, RetrySlots};
 pub use rules::SchedulingRules;
 pub use scheduler::{Counts, Scheduler};
 pub use share_changes::ShareChange;
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::durations::Durations;
 use crate::job::{Job, JobKey, Task};
 use crate::job_size::JobSizes;
+use crate::load_digest::EmptyPools;
 use crate::machines::Machines;
 use crate::past_usage::PastUsage;
 use crate::quarantine::Quarantine;
@@ -71,6 +72,7 @@
     pub(crate) quarantine: Quarantine,
     /// Pools in which tasks found no place in the last round.
     pub(crate) full_pools: HashSet<PoolId>,
+    pub(crate) empty_pools: EmptyPools,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
     /// Jobs with changes that are not in a batch yet.
@@ -146,6 +148,7 @@
             durations: Durations::default(),
             quarantine: Quarantine::default(),
             full_pools: HashSet::new(),
+            empty_pools: EmptyPools::default(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
             machines: Machines::new(now + rules.machine_hold),
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -7,6 +7,7 @@
 //! store revision at which the leadership was taken. Design:
 //! docs/design/platform.md.
 
+mod admit;
 mod cancel;
 mod capacity;
 mod codec;
@@ -19,6 +20,7 @@
 mod keys;
 mod leader;
 mod learned_gauges;
+mod load;
 mod members;
 mod messages;
 mod metrics;
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of one host.
 
 use prometheus::{
-    Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Error, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 use vg_base::prelude::*;
 use vg_flow::{Counts, PoolContention};
@@ -29,6 +29,18 @@
     pub(crate) zones: ZoneGauges,
     pub(crate) learned: LearnedGauges,
     teams: TeamGauges,
+    expected_wait: GaugeVec,
+}
+
+/// Accounts whose expected wait is published; the others are left out.
+const EXPECTED_WAITS_MAX: usize = 50;
+
+/// Time that a large job of an account would wait in a contended pool.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct ExpectedWait {
+    pub(crate) pool: PoolId,
+    pub(crate) team: Option<TeamId>,
+    pub(crate) wait: Duration,
 }
 
 impl Metrics {
@@ -59,6 +71,11 @@
         let zones = ZoneGauges::new(&registry)?;
         let learned = LearnedGauges::new(&registry)?;
         let teams = TeamGauges::new(&registry)?;
+        let expected_wait = GaugeVec::new(
+            Opts::new("vg_expected_wait_seconds", "Expected wait by contended pool and account."),
+            &["pool", "team"],
+        )?;
+        registry.register(Box::new(expected_wait.clone()))?;
         Ok(Metrics {
             registry,
             submissions,
@@ -72,6 +89,7 @@
             zones,
             learned,
             teams,
+            expected_wait,
         })
     }
 
@@ -126,6 +144,18 @@
         set("window", counts.start_window as i64);
     }
 
+    /// Replaces the expected waits by the longest ones among these.
+    pub(crate) fn set_expected_waits(&self, waits: &[ExpectedWait]) {
+        self.expected_wait.reset();
+        let mut longest: Vec<_> = waits.iter().collect();
+        longest.sort_by_key(|each| std::cmp::Reverse(each.wait));
+        for each in longest.into_iter().take(EXPECTED_WAITS_MAX) {
+            let team = each.team.as_ref().map_or("none", TeamId::as_str);
+            let gauge = self.expected_wait.with_label_values(&[each.pool.as_str(), team]);
+            gauge.set(each.wait.as_secs_f64());
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
