flow: workers of a pool in which all fail alike are not put on probation

Cause: a failure rate was compared with the pool's median by a fixed difference, and with 0 while few workers had had attempts.

Change: the difference is also at least three standard deviations, and the failure rate of the other workers together stands in while there is no median.

--- a/crates/flow/src/quarantine.rs
+++ b/crates/flow/src/quarantine.rs
@@ -15,15 +15,18 @@
 use crate::attempt::Attempt;
 use crate::failed_steps::FailedSteps;
 use crate::health_report::HealthChange;
-use crate::worker::WorkerKey;
+use crate::worker::{Worker, WorkerKey};
 use crate::worker_health::{FailureRate, MIN_SPEED_SAMPLES, PROBE_STAGES};
 
 /// Interval between two judgements of the workers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// A worker is doubtful from this failure rate on.
 const MAX_FAILURE_RATE: f64 = 0.5;
-/// Minimum difference of that rate from the median of the pool.
+/// Minimum difference of that rate from the median of the pool, absolute and in standard
+/// deviations of the rate of a worker that is like the median: with 0.25 alone, a pool
+/// in which every second attempt fails had workers on probation by chance.
 const MIN_RATE_DIFFERENCE: f64 = 0.25;
+const MIN_RATE_DEVIATIONS: f64 = 3.0;
 /// Minimum number of attempts, and of jobs with failures, for a failure rate.
 const MIN_ATTEMPTS: u32 = 4;
 const MIN_FAILED_JOBS: u32 = 2;
@@ -52,7 +55,7 @@
 pub(crate) struct Quarantine {
     pub(crate) steps: FailedSteps,
     checked: Option<Instant>,
-    /// Median of the workers' slowness by pool, as of the last check.
+    /// Medians by pool, as of the last check.
     medians: HashMap<PoolId, PoolMedians>,
     /// Racks of which several workers are doubtful.
     faulty_racks: HashSet<SmolStr>,
@@ -61,13 +64,12 @@
     pub(crate) changes: Vec<HealthChange>,
 }
 
-/// Medians of the workers of a pool.
+/// Medians of the workers of a pool; `None` if too few of them are known.
 #[derive(Debug, Clone, Copy, Default)]
 struct PoolMedians {
-    /// Logarithm of observed over expected duration; `None` if it is known of too few
-    /// workers.
+    /// Logarithm of observed over expected duration.
     slowness: Option<f64>,
-    failure_rate: f64,
+    failure_rate: Option<f64>,
 }
 
 /// What is held against a worker, and for operators.
@@ -147,7 +149,7 @@
         }
         PoolMedians {
             slowness: lower_median(slowness, MIN_COMPARED_WORKERS),
-            failure_rate: lower_median(rates, MIN_COMPARED_WORKERS).unwrap_or_default(),
+            failure_rate: lower_median(rates, MIN_COMPARED_WORKERS),
         }
     }
 
@@ -174,15 +176,38 @@
 
     /// Whether what is known of a worker makes it doubtful.
     fn is_doubtful(&self, key: WorkerKey, now: Instant) -> bool {
+        let speed = self.relative_speed(key, MIN_SPEED_SAMPLES, now);
+        self.fails(key, now) || speed.is_some_and(|speed| speed < MIN_SPEED)
+    }
+
+    fn fails(&self, key: WorkerKey, now: Instant) -> bool {
         let rate = self.failure_rate(key, now);
+        if rate.attempts < MIN_ATTEMPTS
+            || rate.jobs < MIN_FAILED_JOBS
+            || rate.rate <= MAX_FAILURE_RATE
+        {
+            return false;
+        }
+        let medians = self.quarantine.medians.get(&self.workers[key].incarnation.pool);
+        let median = medians.and_then(|medians| medians.failure_rate);
+        let common = median.or_else(|| self.failure_rate_of_others(key, now));
+        common.is_some_and(|common| rate.rate >= common + min_difference(common, rate.attempts))
+    }
+
+    /// Returns the failure rate of the other workers of a pool together; `None` if it is
+    /// not known. It stands in for the median while few workers have had attempts.
+    fn failure_rate_of_others(&self, key: WorkerKey, now: Instant) -> Option<f64> {
         let pool = &self.workers[key].incarnation.pool;
-        let median = self.quarantine.medians.get(pool).map_or(0.0, |pool| pool.failure_rate);
-        let fails = rate.attempts >= MIN_ATTEMPTS
-            && rate.jobs >= MIN_FAILED_JOBS
-            && rate.rate > MAX_FAILURE_RATE
-            && rate.rate >= median + MIN_RATE_DIFFERENCE;
-        let speed = self.relative_speed(key, MIN_SPEED_SAMPLES, now);
-        fails || speed.is_some_and(|speed| speed < MIN_SPEED)
+        let is_other =
+            |other: WorkerKey, worker: &Worker| other != key && worker.incarnation.pool == *pool;
+        let others = self.workers.iter().filter(|(other, worker)| is_other(*other, worker));
+        let (mut failed, mut attempts) = (0, 0);
+        for (other, _) in others {
+            let rate = self.failure_rate(other, now);
+            failed += rate.failed;
+            attempts += rate.attempts;
+        }
+        (attempts >= MIN_ATTEMPTS).then(|| f64::from(failed) / f64::from(attempts))
     }
 
     /// Puts doubtful workers of a pool on probation, the worst first and as many as its
@@ -295,6 +320,12 @@
     }
 }
 
+/// Returns how much more of `attempts` than in the median of the pool must have failed.
+fn min_difference(median: f64, attempts: u32) -> f64 {
+    let deviation = (median * (1.0 - median) / f64::from(attempts.max(1))).sqrt();
+    MIN_RATE_DIFFERENCE.max(MIN_RATE_DEVIATIONS * deviation)
+}
+
 /// Returns the median, the lower one of two; `None` if there are fewer than `min`.
 fn lower_median(mut values: Vec<f64>, min: usize) -> Option<f64> {
     if values.len() < min {
