measure: replay of arrivals through the job scheduler, first version

Orders of waiting jobs could only be compared on a whole site. The new subcommand 'vg-measure flow' runs vg_flow::Scheduler in simulated time on a drawn or recorded list of arrivals with true durations, beside FCFS, EDF, the earlier rank and a bound.

--- a/crates/measure/src/calls/draw.rs
+++ b/crates/measure/src/calls/draw.rs
@@ -70,7 +70,7 @@
     }
 
     /// Returns a number with the standard normal distribution (Box-Muller transform).
-    fn normal(&mut self) -> f64 {
+    pub(crate) fn normal(&mut self) -> f64 {
         let radius = (-2.0 * (1.0 - self.unit()).ln()).sqrt();
         radius * (std::f64::consts::TAU * self.unit()).cos()
     }
--- /dev/null
+++ b/crates/measure/src/flow/arrivals.rs
@@ -0,0 +1,269 @@
+//! Lists of arrivals, recorded or drawn by a seed.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+
+use crate::Error;
+use crate::calls::draw::Draw;
+
+use super::drive::parse;
+
+/// Cores of a worker in millicores.
+pub const WORKER_CORES: u32 = 32_000;
+/// Objective of a job as a multiple of its longest chain.
+pub const STRETCH: f64 = 1.6;
+/// Constant that is added to the objective, in milliseconds.
+pub const SLACK_MS: u64 = 600;
+/// A late job has value up to this multiple of its objective.
+pub const LATE_FACTOR: u64 = 3;
+
+/// Time for which a queue sends five times its mean, and a twentieth of it in between.
+const TURN_MS: u64 = 4000;
+const QUIET_OVER_PEAK: f64 = 0.01;
+const QUEUES: u64 = 4;
+const MAX_TASKS: f64 = 32.0;
+const MEAN_TASKS: f64 = 8.0;
+/// Standard deviation of the logarithm of durations and of numbers of tasks.
+const SIGMA: f64 = 0.5;
+const ZIPF_EXPONENT: f64 = 1.2;
+/// Part of the tasks that take [`TAIL_FACTOR`] times as long.
+const TAIL_FRACTION: f64 = 0.03;
+const TAIL_FACTOR: f64 = 7.0;
+/// The account that sends [`HOT_FACTOR`] times its usual load: the second largest.
+const HOT_ACCOUNT: usize = 1;
+const HOT_FACTOR: f64 = 7.0;
+/// Work of a burst of large jobs, in seconds of the capacity of a pool.
+const BURST_SECONDS: f64 = 2.0;
+const BURST_MS: f64 = 1000.0;
+/// Jobs from which the mean work of a kind is estimated.
+const SAMPLE: usize = 4000;
+
+/// A kind of jobs: a chain of steps of equal tasks.
+struct Kind {
+    steps: f64,
+    task_ms: f64,
+    millicores: u32,
+}
+
+const LIGHT: Kind = Kind { steps: 1.6, task_ms: 700.0, millicores: 3000 };
+const HEAVY: Kind = Kind { steps: 2.0, task_ms: 1300.0, millicores: 6700 };
+
+/// A job that arrives. Each step starts when the one before it is done.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Arrival {
+    /// Time of the arrival in milliseconds from the start.
+    pub at_ms: u64,
+    /// The queue, which has a pool of its own.
+    pub queue: QueueId,
+    /// The account that sends it.
+    pub account: TeamId,
+    /// The steps.
+    pub steps: Vec<ArrivalStep>,
+}
+
+/// A step of a job.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ArrivalStep {
+    /// Millicores (thousandths of a core) that each task needs.
+    pub millicores: u32,
+    /// The caller's estimate of the duration of a task.
+    pub estimate_ms: u64,
+    /// The true duration of each task.
+    pub task_ms: Vec<u64>,
+}
+
+/// What to replay, and on how many workers.
+#[derive(Debug, Clone)]
+pub struct Workload {
+    /// Workers of the pool of each queue.
+    pub pool_workers: usize,
+    /// Shares of the accounts.
+    pub shares: BTreeMap<TeamId, f64>,
+    /// The jobs in the order of their arrival.
+    pub arrivals: Vec<Arrival>,
+}
+
+/// What differs between scenarios.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Each queue in turn sends five times its mean.
+    Turns,
+    /// The same, and one account sends seven times its usual load.
+    HotAccount,
+    /// The same as the first, and a burst of the largest jobs in the middle.
+    LargeBurst,
+}
+
+/// Settings of a scenario.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// Workers of all pools together.
+    pub workers: usize,
+    /// Number of accounts.
+    pub teams: usize,
+    /// Time in which jobs arrive.
+    pub seconds: u64,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// Work that a queue sends per second at its peak, over the capacity of its pool.
+    pub load: f64,
+}
+
+impl Arrival {
+    /// Returns the true work in millicores times seconds.
+    pub fn work(&self) -> f64 {
+        let work = |step: &ArrivalStep| {
+            f64::from(step.millicores) * step.task_ms.iter().sum::<u64>() as f64 / 1000.0
+        };
+        self.steps.iter().map(work).sum()
+    }
+
+    /// Returns the time within which the job has to end, by its true longest chain.
+    pub fn objective_ms(&self) -> u64 {
+        let longest = |step: &ArrivalStep| step.task_ms.iter().copied().max().unwrap_or(0);
+        objective_ms(self.steps.iter().map(longest).sum())
+    }
+}
+
+/// Returns the objective of a job whose longest chain takes `chain_ms`.
+pub fn objective_ms(chain_ms: u64) -> u64 {
+    (chain_ms as f64 * STRETCH) as u64 + SLACK_MS
+}
+
+impl Workload {
+    /// Draws the arrivals of a scenario.
+    pub fn draw(settings: &Settings) -> Workload {
+        let mut draw = Draw::new(settings.seed);
+        let usual: Vec<f64> =
+            (1..=settings.teams.max(1)).map(|at| (at as f64).powf(-ZIPF_EXPONENT)).collect();
+        let mut rates = usual.clone();
+        if let (Scenario::HotAccount, Some(rate)) = (settings.scenario, rates.get_mut(HOT_ACCOUNT))
+        {
+            *rate *= HOT_FACTOR;
+        }
+        let pool_workers = (settings.workers / QUEUES as usize).max(1);
+        let mut arrivals = Vec::new();
+        for queue in 0..QUEUES {
+            add_queue(&mut arrivals, queue, settings, &usual, &rates, &mut draw);
+        }
+        if settings.scenario == Scenario::LargeBurst {
+            add_burst(&mut arrivals, settings, &usual, &mut draw);
+        }
+        arrivals.sort_by_key(|each| each.at_ms);
+        let shares = usual.iter().enumerate().map(|(at, &rate)| (account(at), rate)).collect();
+        Workload { pool_workers, shares, arrivals }
+    }
+
+    /// Reads recorded arrivals, a JSON list. The accounts have equal shares.
+    ///
+    /// # Errors
+    ///
+    /// If the text is not such a list.
+    pub fn recorded(text: &str, workers: usize) -> Result<Workload, Error> {
+        let mut arrivals: Vec<Arrival> = serde_json::from_str(text)
+            .map_err(|error| Error::Argument { what: format!("the recorded arrivals: {error}") })?;
+        arrivals.sort_by_key(|each| each.at_ms);
+        let shares = arrivals.iter().map(|each| (each.account.clone(), 1.0)).collect();
+        let mut workload = Workload { pool_workers: 0, shares, arrivals };
+        workload.pool_workers = (workers / workload.queues().len().max(1)).max(1);
+        Ok(workload)
+    }
+
+    /// Returns the queues and the mean true work of their jobs.
+    pub fn queues(&self) -> BTreeMap<QueueId, f64> {
+        let mut sums: BTreeMap<QueueId, (f64, f64)> = BTreeMap::new();
+        for each in &self.arrivals {
+            let sum = sums.entry(each.queue.clone()).or_default();
+            *sum = (sum.0 + each.work(), sum.1 + 1.0);
+        }
+        sums.into_iter().map(|(queue, (work, jobs))| (queue, work / jobs)).collect()
+    }
+
+    /// Returns the time at which no job has value any more.
+    pub fn end_ms(&self) -> u64 {
+        let end = |each: &Arrival| each.at_ms + LATE_FACTOR * each.objective_ms();
+        self.arrivals.iter().map(end).max().unwrap_or(0)
+    }
+}
+
+fn account(at: usize) -> TeamId {
+    parse(&format!("t{at}"))
+}
+
+fn kind_of(queue: u64) -> &'static Kind {
+    if queue.is_multiple_of(2) { &LIGHT } else { &HEAVY }
+}
+
+fn lognormal(mean: f64, draw: &mut Draw) -> f64 {
+    mean * (SIGMA * draw.normal() - SIGMA * SIGMA / 2.0).exp()
+}
+
+fn draw_steps(kind: &Kind, draw: &mut Draw) -> Vec<ArrivalStep> {
+    let steps = kind.steps as usize + usize::from(draw.unit() < kind.steps.fract());
+    let step = |_| {
+        let tasks = lognormal(MEAN_TASKS, draw).round().clamp(1.0, MAX_TASKS);
+        draw_step(kind, tasks as usize, draw)
+    };
+    (0..steps).map(step).collect()
+}
+
+fn draw_step(kind: &Kind, tasks: usize, draw: &mut Draw) -> ArrivalStep {
+    let mean = lognormal(kind.task_ms, draw).max(10.0);
+    let estimate_ms = (mean * (0.5 + draw.unit())) as u64;
+    let factor = |draw: &mut Draw| if draw.unit() < TAIL_FRACTION { TAIL_FACTOR } else { 1.0 };
+    let task_ms = (0..tasks).map(|_| (mean * factor(draw)) as u64).collect();
+    ArrivalStep { millicores: kind.millicores, estimate_ms, task_ms }
+}
+
+fn arrival(at_ms: u64, queue: u64, account_at: usize, steps: Vec<ArrivalStep>) -> Arrival {
+    Arrival { at_ms, queue: parse(&format!("q{queue}")), account: account(account_at), steps }
+}
+
+/// Adds the jobs of a queue: a Poisson process of which a part is left out between peaks.
+fn add_queue(
+    arrivals: &mut Vec<Arrival>,
+    queue: u64,
+    settings: &Settings,
+    usual: &[f64],
+    rates: &[f64],
+    draw: &mut Draw,
+) {
+    let kind = kind_of(queue);
+    let mut sample = Draw::new(0);
+    let work: f64 =
+        (0..SAMPLE).map(|_| arrival(0, queue, 0, draw_steps(kind, &mut sample)).work()).sum();
+    let extra = rates.iter().sum::<f64>() / usual.iter().sum::<f64>();
+    let rate = settings.load * extra * pool_capacity(settings) / (work / SAMPLE as f64) / 1000.0;
+    let mut at = draw.pause(rate);
+    while (at as u64) < settings.seconds * 1000 {
+        let is_peak = at as u64 / TURN_MS % QUEUES == queue;
+        if is_peak || draw.unit() < QUIET_OVER_PEAK {
+            let account = draw.index(rates);
+            arrivals.push(arrival(at as u64, queue, account, draw_steps(kind, draw)));
+        }
+        at += draw.pause(rate);
+    }
+}
+
+/// Adds the largest jobs to the queue that has its peak in the middle of the time.
+fn add_burst(arrivals: &mut Vec<Arrival>, settings: &Settings, rates: &[f64], draw: &mut Draw) {
+    let start = settings.seconds * 500;
+    let queue = start / TURN_MS % QUEUES;
+    let mut left = BURST_SECONDS * pool_capacity(settings);
+    while left > 0.0 {
+        let steps = (0..2).map(|_| draw_step(kind_of(queue), MAX_TASKS as usize, draw)).collect();
+        let at = start + (draw.unit() * BURST_MS) as u64;
+        let job = arrival(at, queue, draw.index(rates), steps);
+        left -= job.work();
+        arrivals.push(job);
+    }
+}
+
+/// Returns the capacity of a pool in millicores.
+fn pool_capacity(settings: &Settings) -> f64 {
+    (settings.workers / QUEUES as usize).max(1) as f64 * f64::from(WORKER_CORES)
+}
--- /dev/null
+++ b/crates/measure/src/flow/mod.rs
@@ -0,0 +1,124 @@
+//! The subcommand `flow`: replays a list of arrivals through the scheduler of jobs and
+//! through simple orders, and compares what they serve in time.
+
+pub mod arrivals;
+pub mod baselines;
+pub mod bound;
+pub mod drive;
+pub mod rounds;
+pub mod table;
+
+use std::io::Write;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::Error;
+pub use arrivals::{Arrival, ArrivalStep, Scenario, Settings, Workload};
+pub use baselines::Order;
+pub use drive::Drive;
+pub use table::{Figure, Served};
+
+/// Name of the subcommand.
+pub const NAME: &str = "flow";
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    let number = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name).long(name).help(help).default_value(value)
+    };
+    let flag = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).help(help).action(ArgAction::SetTrue)
+    };
+    let whole = || value_parser!(u64).range(1..);
+    Command::new(NAME)
+        .about("Replays arrivals of jobs through the scheduler, simple orders and a bound")
+        .arg(number("scenario", "turns", "What arrives").value_parser([
+            "turns",
+            "hot-account",
+            "large-burst",
+        ]))
+        .arg(number("workers", "200", "Workers of all pools together").value_parser(whole()))
+        .arg(number("teams", "20", "Number of accounts").value_parser(whole()))
+        .arg(number("seconds", "48", "Time in which jobs arrive").value_parser(whole()))
+        .arg(number("seed", "1", "Seed of the random numbers").value_parser(value_parser!(u64)))
+        .arg(
+            number("load", "1.5", "Work that a queue sends at its peak over its pool's capacity")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(
+            Arg::new("recorded")
+                .long("recorded")
+                .value_name("FILE")
+                .help("JSON list of arrivals, instead of a scenario")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(flag("json", "Print the figures as JSON"))
+        .arg(flag("rounds", "Only measure the time of a round of decisions"))
+}
+
+/// Runs the replay and prints its report.
+///
+/// # Errors
+///
+/// If the recorded arrivals cannot be read or the report cannot be written.
+pub fn run(matches: &ArgMatches, out: &mut impl Write) -> Result<(), Error> {
+    let settings = settings(matches);
+    if matches.get_flag("rounds") {
+        return rounds::report(settings.seed, out);
+    }
+    let workload = match matches.get_one::<PathBuf>("recorded") {
+        Some(file) => Workload::recorded(&std::fs::read_to_string(file)?, settings.workers)?,
+        None => Workload::draw(&settings),
+    };
+    let policies = compare(&workload);
+    if matches.get_flag("json") {
+        writeln!(out, "{:#}", table::json(&policies))?;
+        return Ok(());
+    }
+    writeln!(
+        out,
+        "flow: {} jobs of {} accounts, {} workers in each of {} pools, seed {}",
+        workload.arrivals.len(),
+        workload.shares.len(),
+        workload.pool_workers,
+        workload.queues().len(),
+        settings.seed
+    )?;
+    Ok(table::write(&policies, out)?)
+}
+
+/// Replays a workload through all policies and returns their figures.
+pub fn compare(workload: &Workload) -> Vec<(&'static str, Vec<Figure>)> {
+    let drive = Drive::replay(workload);
+    let figures = |served: &Served| table::figures(workload, served);
+    let listed = |order| figures(&Served::from_ends(workload, &baselines::replay(workload, order)));
+    let mut scheduler = figures(&Served::from_ends(workload, &drive.ended_ms));
+    let longest = drive.rounds.iter().max().copied().unwrap_or_default();
+    let value = longest.as_secs_f64() * 1e3;
+    scheduler.push(Figure { name: "longest round, ms".into(), value });
+    vec![
+        ("scheduler", scheduler),
+        ("FCFS", listed(Order::Fcfs)),
+        ("EDF", listed(Order::Edf)),
+        ("earlier rank", listed(Order::Value)),
+        ("bound", figures(&bound::serve(workload))),
+    ]
+}
+
+fn settings(matches: &ArgMatches) -> Settings {
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let scenario = match matches.get_one::<String>("scenario").map(String::as_str) {
+        Some("hot-account") => Scenario::HotAccount,
+        Some("large-burst") => Scenario::LargeBurst,
+        _ => Scenario::Turns,
+    };
+    Settings {
+        scenario,
+        workers: number("workers") as usize,
+        teams: number("teams") as usize,
+        seconds: number("seconds"),
+        seed: number("seed"),
+        load: matches.get_one::<f64>("load").copied().unwrap_or(1.5),
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod capacity;
 mod error;
 pub mod fleet;
+pub mod flow;
 pub mod jobs;
 pub mod members;
 pub mod report;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{ArgMatches, Command};
-use vg_measure::{Error, calls, capacity, fleet, jobs, members};
+use vg_measure::{Error, calls, capacity, fleet, flow, jobs, members};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -27,6 +27,7 @@
         .arg_required_else_help(true)
         .subcommand(calls::command())
         .subcommand(fleet::command())
+        .subcommand(flow::command())
         .subcommand(jobs::command())
         .subcommand(members::command())
         .subcommand(capacity::command())
@@ -37,6 +38,7 @@
         Some((calls::NAME, matches)) => calls::run(matches, out),
         Some((capacity::NAME, matches)) => capacity::run(matches, out),
         Some((fleet::NAME, matches)) => fleet::run(matches, out),
+        Some((flow::NAME, matches)) => flow::run(matches, out),
         Some((jobs::NAME, matches)) => jobs::run(matches, out),
         Some((members::NAME, matches)) => members::run(matches, out),
         _ => Ok(()),
