--- a/crates/measure/src/flow/table.rs
+++ b/crates/measure/src/flow/table.rs
@@ -31,11 +31,11 @@
     pub fn from_ends(workload: &Workload, ended_ms: &[Option<u64>]) -> Served {
         let within = |factor: u64| {
             let jobs = workload.arrivals.iter().zip(ended_ms);
-            let is_within = |(job, end): (&super::Arrival, &Option<u64>)| {
-                let deadline = job.at_ms + factor * job.objective_ms();
-                f64::from(u8::from(end.is_some_and(|end| end <= deadline)))
+            let part = |(job, end): (&super::Arrival, &Option<u64>)| {
+                let is_within = end.is_some_and(|end| end <= job.deadline_ms(factor));
+                f64::from(u8::from(is_within))
             };
-            jobs.map(is_within).collect()
+            jobs.map(part).collect()
         };
         Served { in_time: within(1), valued: within(LATE_FACTOR) }
     }
