--- a/crates/measure/src/flow/arrivals.rs
+++ b/crates/measure/src/flow/arrivals.rs
@@ -142,6 +142,13 @@
         self.steps.iter().map(ArrivalStep::longest_ms).sum()
     }
 
+    /// Whether it has steps, all of them have tasks, and the tasks last and fit on a worker.
+    fn can_end(&self) -> bool {
+        let fits = |step: &ArrivalStep| (1..=WORKER_CORES).contains(&step.millicores);
+        let lasts = |step: &ArrivalStep| step.task_ms.iter().min().is_some_and(|ms| *ms > 0);
+        !self.steps.is_empty() && self.steps.iter().all(|step| fits(step) && lasts(step))
+    }
+
     /// Returns the time by which `factor` times its objective has passed.
     pub fn deadline_ms(&self, factor: u64) -> u64 {
         let objective = self.objective_ms.unwrap_or_else(|| objective_ms(self.chain_ms()));
@@ -180,10 +187,15 @@
     ///
     /// # Errors
     ///
-    /// If the text is not such a list.
+    /// If the text is not such a list, or a job can never end.
     pub fn recorded(text: &str, workers: usize) -> Result<Workload, Error> {
-        let mut arrivals: Vec<Arrival> = serde_json::from_str(text)
-            .map_err(|error| Error::Argument { what: format!("the recorded arrivals: {error}") })?;
+        let error = |problem: String| Error::Argument { what: format!("the arrivals: {problem}") };
+        let mut arrivals: Vec<Arrival> =
+            serde_json::from_str(text).map_err(|cause| error(cause.to_string()))?;
+        if let Some(at) = arrivals.iter().position(|each| !each.can_end()) {
+            let needs = "steps, tasks that last, and at most the cores of a worker";
+            return Err(error(format!("job {at} has to have {needs}")));
+        }
         arrivals.sort_by_key(|each| each.at_ms);
         let shares = arrivals.iter().map(|each| (each.account.clone(), 1.0)).collect();
         let mut workload = Workload { pool_workers: 0, shares, arrivals };
--- a/crates/measure/src/flow/mod.rs
+++ b/crates/measure/src/flow/mod.rs
@@ -44,7 +44,7 @@
         .arg(number("seed", "1", "Seed of the random numbers").value_parser(value_parser!(u64)))
         .arg(
             number("load", "2", "Work that a queue sends at its peak over its pool's capacity")
-                .value_parser(value_parser!(f64)),
+                .value_parser(parse_load),
         )
         .arg(
             Arg::new("recorded")
@@ -69,9 +69,17 @@
         return rounds::report(settings.seed, out);
     }
     let workload = match matches.get_one::<PathBuf>("recorded") {
-        Some(file) => Workload::recorded(&std::fs::read_to_string(file)?, settings.workers)?,
+        Some(file) => {
+            let text = std::fs::read_to_string(file).map_err(|error| Error::Argument {
+                what: format!("cannot read {}: {error}", file.display()),
+            })?;
+            Workload::recorded(&text, settings.workers)?
+        }
         None => Workload::draw(&settings),
     };
+    if workload.arrivals.is_empty() {
+        return Err(Error::Argument { what: "there are no arrivals".into() });
+    }
     let policies = compare(&workload);
     if matches.get_flag("json") {
         writeln!(out, "{:#}", table::json(&policies))?;
@@ -110,6 +118,15 @@
     ]
 }
 
+/// Largest load, beyond which a run takes hours.
+const MAX_LOAD: f64 = 100.0;
+
+fn parse_load(text: &str) -> Result<f64, String> {
+    let load = text.parse::<f64>().map_err(|error| error.to_string())?;
+    let is_valid = load > 0.0 && load <= MAX_LOAD;
+    is_valid.then_some(load).ok_or(format!("it has to be above 0 and at most {MAX_LOAD}"))
+}
+
 fn settings(matches: &ArgMatches) -> Settings {
     let number = |name| matches.get_one::<u64>(name).copied().unwrap_or(1);
     let scenario = match matches.get_one::<String>("scenario").map(String::as_str) {
--- a/crates/measure/src/flow/table.rs
+++ b/crates/measure/src/flow/table.rs
@@ -81,11 +81,15 @@
     by_account.truncate(by_account.len().div_ceil(10));
     add("  worst tenth of accounts".into(), self::mean(by_account.into_iter()));
     for (name, of) in size_classes(workload) {
-        add(format!("  {name}"), mean(&of));
+        if !of.is_empty() {
+            add(format!("  {name}"), mean(&of));
+        }
     }
     let windows = group(all(), |at| jobs[at].at_ms / WINDOW_MS);
     let counted = windows.values().filter(|of| of.len() >= MIN_WINDOW_JOBS);
-    add("  worst 2 s".into(), counted.map(|of| mean(of)).fold(1.0, f64::min));
+    if let Some(worst) = counted.map(|of| mean(of)).min_by(f64::total_cmp) {
+        add("  worst 2 s".into(), worst);
+    }
     let per_share = |(account, of): (&TeamId, &Vec<usize>)| {
         let value: f64 = of.iter().map(|&at| values[at] * served.in_time[at]).sum();
         value / workload.shares.get(account).copied().unwrap_or(1.0)
--- a/crates/measure/tests/flow.rs
+++ b/crates/measure/tests/flow.rs
@@ -74,7 +74,8 @@
     }
 }
 
-/// Guards against recorded lists that are read with another meaning than the drawn ones.
+/// Guards against recorded lists that are read with another meaning than the drawn ones, and
+/// against jobs in them that can never end.
 #[test]
 fn recorded_arrivals_replay_as_the_drawn_ones() {
     let drawn = Workload::draw(&settings(Scenario::Turns, 2.0));
@@ -84,4 +85,12 @@
     let earned = |workload| value(&compare(workload)[0].1, "value earned");
     assert_eq!(earned(&Workload { shares: drawn.shares.clone(), ..recorded }), earned(&drawn));
     assert!(Workload::recorded("{}", 16).is_err());
+    let endless = |steps: &str| {
+        format!(r#"[{{"at_ms": 0, "queue": "q", "account": "a", "steps": [{steps}]}}]"#)
+    };
+    let empty = r#"{"millicores": 1000, "estimate_ms": 5, "task_ms": []}"#;
+    let wide = r#"{"millicores": 33000, "estimate_ms": 5, "task_ms": [5]}"#;
+    for steps in ["", empty, wide] {
+        assert!(Workload::recorded(&endless(steps), 16).is_err(), "{steps}");
+    }
 }
