--- a/crates/measure/src/flow/drive.rs
+++ b/crates/measure/src/flow/drive.rs
@@ -119,6 +119,7 @@
             zone: parse("z"),
             draining: false,
             capacity,
+            cold_left: Duration::ZERO,
             labels: Vec::new(),
             machine: None,
         };
