--- a/crates/flow/tests/support/replay.rs
+++ b/crates/flow/tests/support/replay.rs
@@ -4,11 +4,19 @@
 use std::sync::Arc;
 
 use vg_base::prelude::*;
-use vg_flow::{HealthChange, JobOutcome, StepSpec, TaskId};
+use vg_flow::{HealthChange, JobOutcome, SHARE_UNIT, StepSpec, TaskId, Team};
 
 use super::spec::{job, queue, step, team};
 use super::world::{Faults, World};
 
+/// Teams and their weights; jobs without a team have weight 1. That of `high` is ample,
+/// so that its jobs are late or in time by their durations alone.
+const TEAMS: [(&str, u32); 2] = [("low", 1), ("high", 100)];
+
+fn with_share((name, weight): (&str, u32)) -> (TeamId, Team) {
+    (team(name), Team { share: Share(weight * SHARE_UNIT), ..Team::default() })
+}
+
 /// A world, and when each of its jobs was submitted and has ended.
 #[allow(dead_code, reason = "each test uses a part")]
 pub(crate) struct Replay {
@@ -34,6 +42,10 @@
     /// Half of the workers are in pool `a`.
     pub(crate) fn new(seed: u64, workers: usize) -> Replay {
         let mut world = World::new(seed, workers, Faults::default());
+        let mut config = (*world.config).clone();
+        config.teams = TEAMS.into_iter().map(with_share).collect();
+        world.config = Arc::new(config);
+        world.scheduler.set_config(Arc::clone(&world.config));
         world.run(400);
         Replay {
             world,
