--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of new jobs while their pool is contended.
 //!
-//! Load that this module handles: an account requests several times what it gets of a
+//! Load that this module handles: a team requests several times what it gets of a
 //! full pool. If all its jobs were accepted, some would end too late to have value, and
 //! their callers would learn it too late to go elsewhere. A job that can't be done while
 //! it has value is rejected at once. A job that can be done is never rejected: the wait
@@ -9,13 +9,13 @@
 use vg_base::prelude::*;
 
 use crate::load::{LoadDigest, PoolLoad, TeamLoad};
-use crate::rank::LATE_FACTOR;
+use crate::rank::{LATE_FACTOR, objective};
 use crate::{JobSpec, Queue, SizeClass};
 
 /// Age from which a digest is not used.
 pub const DIGEST_MAX_AGE: Duration = Duration::from_secs(1);
 /// Time for which a pool has had no machine from which its jobs are rejected.
-const EMPTY_MAX: Duration = Duration::from_secs(2);
+const MAX_EMPTY_TIME: Duration = Duration::from_secs(2);
 /// Time after which jobs for a pool without machines are to be sent again.
 const EMPTY_RETRY: Duration = Duration::from_secs(5);
 /// Smallest allocation in machines that is calculated with.
@@ -30,22 +30,23 @@
     Reject(Rejection),
 }
 
-/// Why a job is rejected, and when its account will have capacity.
+/// Why a job is rejected, and when its team will have capacity.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Rejection {
     /// Lower bound of the time until it could start; `None` if its pool has no machine.
     pub wait: Option<Duration>,
     /// Time within which it would have to start.
     pub limit: Duration,
-    /// Time that the account's allocation takes for the work before it.
+    /// Time that the team's allocation takes for the work before it.
     pub backlog: Duration,
-    /// Time that the account's allocation takes for its own work.
+    /// Time that the team's allocation takes for its own work.
     pub own: Duration,
 }
 
 /// Times of a job by which its admission is decided.
 #[derive(Debug, Clone, Copy)]
 struct JobTimes {
+    /// Estimated duration of the longest chain of steps.
     chain: Duration,
     objective: Duration,
 }
@@ -53,7 +54,7 @@
 impl JobTimes {
     fn new(spec: &JobSpec, queue: &Queue) -> JobTimes {
         let chain = spec.critical_paths().into_iter().max().unwrap_or_default();
-        JobTimes { chain, objective: chain.mul_f64(queue.stretch) + queue.slack }
+        JobTimes { chain, objective: objective(chain, queue.stretch, queue.slack) }
     }
 
     /// Returns the time until which it must have started to meet its objective.
@@ -99,7 +100,7 @@
 
 /// Decides on a job whose pool has had no machine for a time.
 fn decide_empty(empty_for: Duration, times: &JobTimes) -> Admission {
-    if empty_for < EMPTY_MAX {
+    if empty_for < MAX_EMPTY_TIME {
         return Admission::Admit;
     }
     let limit = times.last_start();
@@ -107,7 +108,7 @@
     Admission::Reject(Rejection { wait: None, limit, backlog: EMPTY_RETRY, own })
 }
 
-/// Returns the time until a new job of a class and priority of an account could start at
+/// Returns the time until a new job of a class and priority of a team could start at
 /// the earliest.
 pub fn expected_wait(
     pool: &PoolLoad,
@@ -127,12 +128,12 @@
 }
 
 impl Ahead<'_> {
-    /// Returns the account's allocation in machines.
+    /// Returns the team's allocation in machines.
     fn allocation(&self) -> f64 {
         self.team.allocation.as_machines().max(MIN_ALLOCATION)
     }
 
-    /// Returns the work of the same account that goes before the job, in machine-seconds.
+    /// Returns the work of the same team that goes before the job, in machine-seconds.
     fn own_work(&self, with_late: bool) -> f64 {
         self.work_of(self.team, self.class, with_late)
     }
@@ -144,9 +145,9 @@
 
     /// Returns a lower bound of the wait.
     ///
-    /// While the account works off what goes before the job, each other account gets
+    /// While the team works off what goes before the job, each other team gets
     /// capacity in the ratio of the allocations until its own backlog is done. The whole
-    /// pool takes the sum. If all others have a large backlog, this is the account's work
+    /// pool takes the sum. If all others have a large backlog, this is the team's work
     /// over its allocation; if none has, it is its work over the pool's capacity. When the
     /// last task before the job has started, the tasks before it have at most the longest
     /// one of them left to run, so that this much is subtracted.
--- a/crates/flow/src/contention.rs
+++ b/crates/flow/src/contention.rs
@@ -61,30 +61,34 @@
     pub(crate) teams: Vec<TeamState>,
 }
 
-/// Position of a team among the teams of a contended pool.
+/// What a team wants and uses of a contended pool, against its allocation. Teams are
+/// served in this order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Standing {
-    /// It wants no more than its allocation, and has not done so in the last seconds.
+pub(crate) enum ShareStatus {
+    /// It wants no more than its allocation, and has wanted no more in the last seconds.
     WithinShare,
-    /// It wants more, and has used no more than its allocation in the last seconds.
+    /// It wants more than its allocation, and has used no more in the last seconds.
     #[default]
-    Below,
-    /// It has used more.
-    Above,
+    BelowAllocation,
+    /// It wants more than its allocation, and has used more in the last seconds.
+    AboveAllocation,
 }
 
-/// What a team has and wants in a contended pool. Parts are of the whole pool.
+/// What a team has and wants in a contended pool in a round.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TeamState {
     /// What its attempts and possible attempts use; grows as tasks are placed.
     pub(crate) used: Resources,
     /// What its ready waiting tasks need that still have value.
     pub(crate) ready: Resources,
+    /// Work of its waiting tasks that still has value, in machine-seconds.
     pub(crate) waiting: WorkBySize,
-    /// Decayed work of its tasks that were started in the last seconds.
+    /// Decayed work of its tasks that were started in the last seconds, in
+    /// machine-seconds.
     pub(crate) served: WorkBySize,
+    /// What it is entitled to, as a part of the pool.
     pub(crate) allocation: f64,
-    pub(crate) standing: Standing,
+    pub(crate) status: ShareStatus,
     /// Its usage and wants at the beginning of the round.
     pub(crate) current: TeamUsage,
 }
@@ -96,15 +100,15 @@
     }
 }
 
-/// Load of a pool in a round, from which contention is seen.
+/// Jobs of a pool that wait in a round, by rank.
 #[derive(Debug, Default)]
-pub(crate) struct PoolLoad {
-    /// What its ready waiting tasks need.
+pub(crate) struct PoolJobs {
+    /// What their ready waiting tasks need.
     pub(crate) ready: Resources,
     pub(crate) jobs: Vec<(Rank, JobKey)>,
 }
 
-impl PoolLoad {
+impl PoolJobs {
     fn add(&mut self, job: &Job, rank: Rank, key: JobKey) {
         self.ready = self.ready.plus(&ready_need(job));
         self.jobs.push((rank, key));
@@ -117,9 +121,9 @@
         amount.dominant_share(&self.total)
     }
 
-    /// Returns the position of a team among the teams of the pool.
-    pub(crate) fn standing(&self, team: TeamIndex) -> Standing {
-        self.teams[team.position()].standing
+    /// Returns what a team wants and uses, against its allocation.
+    pub(crate) fn share_status(&self, team: TeamIndex) -> ShareStatus {
+        self.teams[team.position()].status
     }
 
     /// Returns the machines to which a team is entitled.
@@ -134,7 +138,8 @@
         state.used = state.used.plus(placed);
     }
 
-    /// Returns the work of each team that was started in the last seconds.
+    /// Returns the work of each team that was started in the last seconds, in
+    /// machine-seconds.
     pub(crate) fn served(&self) -> impl Iterator<Item = WorkBySize> {
         self.teams.iter().map(|state| state.served)
     }
@@ -146,7 +151,7 @@
         }
     }
 
-    /// Counts work of a team that was started.
+    /// Counts work of a team that was started, in machine-seconds.
     pub(crate) fn serve(&mut self, team: TeamIndex, class: SizeClass, work: f64) {
         let state = &mut self.teams[team.position()];
         state.served.add(class, work);
@@ -164,6 +169,7 @@
         self.part(need) * self.machines as f64 * time.as_secs_f64()
     }
 
+    /// Adds the waiting tasks of a job to what its team wants.
     pub(crate) fn add_waiting(&mut self, job: &Job, class: SizeClass) {
         let (team, work) = (job.team_index.position(), self.waiting_work(job));
         let state = &mut self.teams[team];
@@ -184,7 +190,7 @@
     /// Whether the team at a position wants more than its allocation and has work waiting.
     pub(crate) fn is_above(&self, position: usize) -> bool {
         let Some(state) = self.teams.get(position) else { return false };
-        state.ready != Resources::ZERO && state.standing != Standing::WithinShare
+        state.ready != Resources::ZERO && state.status != ShareStatus::WithinShare
     }
 }
 
@@ -236,16 +242,16 @@
     }
 
     /// Divides ranked jobs among their pools.
-    pub(crate) fn pool_loads(&self, ranked: &[(Rank, JobKey)]) -> BTreeMap<PoolId, PoolLoad> {
-        let mut loads: BTreeMap<PoolId, PoolLoad> = BTreeMap::new();
+    pub(crate) fn jobs_by_pool(&self, ranked: &[(Rank, JobKey)]) -> BTreeMap<PoolId, PoolJobs> {
+        let mut pools: BTreeMap<PoolId, PoolJobs> = BTreeMap::new();
         for &(rank, key) in ranked {
             let job = &self.jobs[key];
-            match loads.get_mut(&job.pool) {
-                Some(load) => load.add(job, rank, key),
-                None => loads.entry(job.pool.clone()).or_default().add(job, rank, key),
+            match pools.get_mut(&job.pool) {
+                Some(jobs) => jobs.add(job, rank, key),
+                None => pools.entry(job.pool.clone()).or_default().add(job, rank, key),
             }
         }
-        loads
+        pools
     }
 
     /// Returns the size class of a job.
--- a/crates/flow/src/failed_steps.rs
+++ b/crates/flow/src/failed_steps.rs
@@ -2,8 +2,8 @@
 //! something about a worker or about the job.
 //!
 //! Load that this module handles: jobs that can never be done fail on every worker
-//! that they are tried on. Were their failures held against these workers, the jobs
-//! would take the healthy ones out of use.
+//! that they are tried on. If these failures counted as evidence about the
+//! workers, the jobs would take healthy ones out of use.
 
 use std::collections::HashMap;
 
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Whether a failure in a step is held against a worker: another attempt of the
+    /// Whether a failure in a step counts as evidence about a worker: another attempt of the
     /// step has succeeded, and the step doesn't fail on most workers.
     pub(crate) fn blames(&self, step: StepId, worker: WorkerKey) -> bool {
         self.0.get(&step).is_some_and(|state| {
--- a/crates/flow/src/health_report.rs
+++ b/crates/flow/src/health_report.rs
@@ -1,4 +1,8 @@
-//! What operators see of the workers' health.
+//! Changes of the workers' health and the worst workers, for the operators.
+//!
+//! Load that this module handles: in a fleet of thousands of workers many change at once.
+//! Changes that wait to be taken are bounded in number, and only the worst workers are
+//! listed.
 
 use vg_base::prelude::*;
 
@@ -11,14 +15,14 @@
 /// Number of workers that are reported.
 const WORST_WORKERS: usize = 10;
 
-/// A change of what is thought of workers.
+/// A change of the workers' health.
 #[derive(Debug, Clone, PartialEq)]
 pub enum HealthChange {
     /// A worker gets only a few tasks at a time, because of the evidence.
     Quarantined {
         /// The worker.
         worker: HostId,
-        /// What is held against it.
+        /// What its last attempts show about it.
         evidence: WorkerEvidence,
     },
     /// A worker gets work like others again.
@@ -37,12 +41,12 @@
     },
 }
 
-/// A worker and what is held against it.
+/// A worker and what its last attempts show about it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DoubtfulWorker {
     /// The worker.
     pub worker: HostId,
-    /// What is held against it.
+    /// What its last attempts show about it.
     pub evidence: WorkerEvidence,
     /// Whether it gets only a few tasks at a time.
     pub quarantined: bool,
--- a/crates/flow/src/hold.rs
+++ b/crates/flow/src/hold.rs
@@ -10,16 +10,16 @@
 use vg_jobs::Resources;
 
 use crate::Scheduler;
-use crate::contention::{ContendedPool, Standing};
+use crate::contention::{ContendedPool, ShareStatus};
 use crate::job::JobKey;
 use crate::plan::PoolPass;
 use crate::worker::WorkerKey;
 
 /// Part of the time for which a job can wait, after which a worker is kept free for it.
-const PATIENCE: f64 = 0.25;
+const WAIT_FRACTION: f64 = 0.25;
 /// Part of a pool's workers that may be kept free, but at least one: they run less than
 /// they could.
-const MAX_HELD: f64 = 0.25;
+const MAX_HELD_FRACTION: f64 = 0.25;
 
 impl Scheduler {
     /// Keeps workers free in this round for waiting tasks of a job that fit on none.
@@ -31,7 +31,7 @@
         wall: SystemTime,
     ) {
         let job = &self.jobs[key];
-        if pool.standing(job.team_index) != Standing::WithinShare {
+        if pool.share_status(job.team_index) != ShareStatus::WithinShare {
             return;
         }
         let ready = job.ready_steps().filter(|ready| !ready.step.waiting.is_empty());
@@ -41,7 +41,7 @@
         if misfits.is_empty() || !self.has_waited(key, wall) {
             return;
         }
-        let max_held = ((pool.usable as f64 * MAX_HELD) as usize).max(1);
+        let max_held = ((pool.usable as f64 * MAX_HELD_FRACTION) as usize).max(1);
         for (need, mut tasks) in misfits {
             while tasks > 0 && pass.held < max_held {
                 let Some(worker) = self.nearest_fit(&need, &pass.workers) else { break };
@@ -54,8 +54,8 @@
     /// Whether a job has waited for a part of the time for which it can wait.
     fn has_waited(&self, key: JobKey, wall: SystemTime) -> bool {
         let Some(input) = self.rank_input_of(key, wall) else { return false };
-        let patience = input.objective().saturating_sub(input.critical_path);
-        self.spare_time(key, wall) < patience.as_secs_f64() * (1.0 - PATIENCE)
+        let longest_wait = input.objective().saturating_sub(input.critical_path);
+        self.spare_time(key, wall) < longest_wait.as_secs_f64() * (1.0 - WAIT_FRACTION)
     }
 
     /// Returns the worker that lacks the least capacity for a task.
--- a/crates/flow/src/job_group.rs
+++ b/crates/flow/src/job_group.rs
@@ -1,9 +1,9 @@
 //! Jobs that go before or after the turns of their team's size classes.
 //!
 //! Load that this module handles: a team has more jobs than can end in time, and a job
-//! has its value only if all its tasks end in time. A job that is begun and
-//! can be finished in time goes before new ones, and a large job that could not be
-//! finished in time is not begun before others.
+//! has its value only if all its tasks end in time. A job that is begun and can be
+//! finished in time goes before new ones, and a large job that could not be finished in
+//! time is not begun before others.
 
 use vg_base::prelude::*;
 
@@ -49,7 +49,7 @@
     }
 
     /// Returns for how many seconds the tasks of a job can wait so that it still ends in
-    /// time.
+    /// time; 0 if it can't.
     pub(crate) fn spare_time(&self, key: JobKey, wall: SystemTime) -> f64 {
         let Some(input) = self.rank_input_of(key, wall) else { return 0.0 };
         let needed = input.age + input.remaining_path;
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -92,7 +92,7 @@
 pub use rank::{Rank, RankInput, Timeliness, rank};
 pub use register::Renewal;
 pub use report::{AttemptOutcome, EndedAttempt, Report, RunningAttempt};
-pub use retry_slots::{PoolAccount, RETRY_MAX, RetrySlots};
+pub use retry_slots::{PoolTeam, RETRY_MAX, RetrySlots};
 pub use rules::SchedulingRules;
 pub use scheduler::{Counts, Scheduler};
 pub use share_changes::ShareChange;
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -2,7 +2,7 @@
 //!
 //! Load that this module handles: several times the capacity is requested, and hosts
 //! have to decide at once which new jobs can still be done in time. The digest names
-//! contended pools only, and of these only the accounts that have a backlog, so that it
+//! contended pools only, and of these only the teams that have a backlog, so that it
 //! is empty in normal operation and has an upper bound at a peak.
 
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
 /// Number of size classes.
 const CLASSES: usize = SizeClass::ALL.len();
 
-/// Work in hundredths of a machine-second: most backlogs of an account then take three
+/// Work in hundredths of a machine-second: most backlogs of a team then take three
 /// bytes in a message.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -50,7 +50,7 @@
 }
 
 /// Load of the contended pools, as the leader sees it. Field names in messages are
-/// short, because a digest may name hundreds of accounts.
+/// short, because a digest may name hundreds of teams.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadDigest {
     /// Fencing token of the leader that computed it.
@@ -79,7 +79,7 @@
     /// Limits of the size classes of its queues.
     #[serde(rename = "q", default)]
     pub queues: Vec<QueueSizes>,
-    /// Accounts that have a backlog.
+    /// Teams that have a backlog.
     #[serde(rename = "t", default)]
     pub teams: Vec<TeamLoad>,
 }
@@ -127,10 +127,10 @@
     }
 }
 
-/// Load of one account in a contended pool.
+/// Load of one team in a contended pool.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TeamLoad {
-    /// The account; `None` stands for all jobs without one.
+    /// The team; `None` stands for all jobs without one.
     #[serde(rename = "t")]
     pub team: Option<TeamId>,
     /// What it is entitled to.
@@ -141,7 +141,7 @@
     pub backlogs: Vec<Backlog>,
 }
 
-/// Tasks of an account that could start now if there were capacity, and whose jobs can
+/// Tasks of a team that could start now if there were capacity, and whose jobs can
 /// still be done while they have value. Arrays are by size class.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Backlog {
@@ -165,7 +165,7 @@
         self.pools.iter().find(|load| load.pool == *pool)
     }
 
-    /// Keeps the `count` accounts of each pool that have the largest backlog. Jobs of
+    /// Keeps the `count` teams of each pool that have the largest backlog. Jobs of
     /// the others are admitted.
     pub fn keep_largest(&mut self, count: usize) {
         for pool in &mut self.pools {
@@ -176,7 +176,7 @@
 }
 
 impl PoolLoad {
-    /// Returns the load of an account if it has a backlog.
+    /// Returns the load of a team if it has a backlog.
     pub fn team(&self, team: Option<&TeamId>) -> Option<&TeamLoad> {
         self.teams.iter().find(|load| load.team.as_ref() == team)
     }
--- a/crates/flow/src/load_digest.rs
+++ b/crates/flow/src/load_digest.rs
@@ -36,7 +36,7 @@
 /// Waiting work of a pool.
 #[derive(Debug, Default)]
 struct Backlogs {
-    /// By account and priority.
+    /// By team and priority.
     teams: HashMap<Option<TeamId>, BTreeMap<u32, Backlog>>,
     queues: HashMap<QueueId, QueueSizes>,
 }
@@ -52,7 +52,7 @@
         sizes.or_insert_with(|| QueueSizes::new(queue.clone())).add(class, work);
     }
 
-    /// Returns the load of the accounts that have work waiting.
+    /// Returns the load of the teams that have work waiting.
     fn team_loads(&mut self, teams: &[TeamContention]) -> Vec<TeamLoad> {
         let loads = teams.iter().filter_map(|team| {
             let backlogs = self.teams.remove(&team.team)?;
--- a/crates/flow/src/past_usage.rs
+++ b/crates/flow/src/past_usage.rs
@@ -41,9 +41,7 @@
     /// Averages in what each team uses, wants and gets now: nothing if the pool is not
     /// contended.
     pub(crate) fn update(&mut self, current: &[TeamUsage], now: Instant) {
-        let passed = self.updated.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.updated = Some(now);
-        let kept = (-passed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
+        let kept = decay(&mut self.updated, DECAY_TIME, now);
         let count = self.teams.len().max(current.len());
         self.teams.resize(count, TeamUsage::default());
         for (at, team) in self.teams.iter_mut().enumerate() {
@@ -60,3 +58,11 @@
         self.teams.iter().all(|team| team.used.max(team.wanted) < NEGLIGIBLE)
     }
 }
+
+/// Returns the part that is left of a value that decays with a time constant since it
+/// was last `updated`; it is updated now.
+pub(crate) fn decay(updated: &mut Option<Instant>, time_constant: Duration, now: Instant) -> f64 {
+    let passed = updated.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+    *updated = Some(now);
+    (-passed.as_secs_f64() / time_constant.as_secs_f64()).exp()
+}
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -66,7 +66,7 @@
             let worker = &self.workers[key];
             let mut free = worker.free();
             if !request.spec.continuous {
-                free = free.minus(&worker.held);
+                free = free.minus(&worker.drain_reserve);
             }
             for (_, used) in taken.iter().filter(|(each, _)| *each == key) {
                 free = free.minus(used);
@@ -141,7 +141,7 @@
         Fit {
             avoided: task.avoided.contains(&key),
             remote: spec.data_rack.is_some() && spec.data_rack != worker.rack,
-            doubtful: worker.health.suspect || worker.health.probation.is_some(),
+            doubtful: worker.health.is_doubtful(),
             interferes: self.would_interfere(spec, worker),
             moves_again: spec.continuous && self.awaits_maintenance(worker.machine.as_ref()),
             // Continuous tasks share few machines, so that the other machines
--- a/crates/flow/src/pool_measure.rs
+++ b/crates/flow/src/pool_measure.rs
@@ -10,7 +10,7 @@
 
 use crate::Scheduler;
 use crate::config::SHARE_UNIT;
-use crate::contention::{ContendedPool, PoolLoad, Standing, TeamState};
+use crate::contention::{ContendedPool, PoolJobs, ShareStatus, TeamState};
 use crate::fair_share::{TeamDemand, allocate};
 use crate::past_usage::TeamUsage;
 use crate::rank::Timeliness;
@@ -28,12 +28,12 @@
     pub(crate) fn contention(
         &self,
         id: &PoolId,
-        load: &PoolLoad,
+        waiting: &PoolJobs,
         usable: &[WorkerKey],
     ) -> Option<ContendedPool> {
         let free = usable.iter().map(|&key| self.workers[key].free());
         let free = free.fold(Resources::ZERO, |sum, each| sum.plus(&each));
-        if load.ready.fits(&free) {
+        if waiting.ready.fits(&free) {
             return None;
         }
         let teams = vec![TeamState::default(); self.teams.ids().len()];
@@ -46,7 +46,7 @@
         };
         self.add_attempts(&mut pool, usable);
         self.add_unresolved_usage(&mut pool);
-        for (rank, key) in &load.jobs {
+        for (rank, key) in &waiting.jobs {
             if rank.timeliness != Timeliness::TooLate {
                 pool.add_waiting(&self.jobs[*key], self.size_class(*key));
             }
@@ -118,12 +118,12 @@
                 wanted: demands[at].wanted,
                 allocated: recent_parts[at],
             };
-            state.standing = if recent[at].wanted <= recent_parts[at] + ROUNDING {
-                Standing::WithinShare
+            state.status = if recent[at].wanted <= recent_parts[at] + ROUNDING {
+                ShareStatus::WithinShare
             } else if past[at].used <= past[at].allocated * TOLERANCE + ROUNDING {
-                Standing::Below
+                ShareStatus::BelowAllocation
             } else {
-                Standing::Above
+                ShareStatus::AboveAllocation
             };
         }
     }
--- a/crates/flow/src/quarantine.rs
+++ b/crates/flow/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Which workers are doubtful and get only a few tasks at a time.
+//! Quarantine: which workers are doubtful and get only a few tasks at a time.
 //!
 //! Load that this module handles: a worker fails half of its tasks or runs at a third
 //! of its speed, and the tasks are of many jobs. Doubtful workers are put on probation:
@@ -42,7 +42,6 @@
 const RELAPSE_BACKOFF: Duration = Duration::from_secs(2);
 /// Maximum number of doublings of that backoff.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
-
 /// Time without a judged attempt after which a probation ends: what led to it is no
 /// longer known, and there may be no task that can be a probe.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
@@ -72,7 +71,7 @@
     failure_rate: Option<f64>,
 }
 
-/// What is held against a worker, and for operators.
+/// What a worker's last attempts show about it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WorkerEvidence {
     /// Fraction of its last attempts that failed.
@@ -157,7 +156,7 @@
         self.workers[key].health.failure_rate(key, &self.quarantine.steps, now)
     }
 
-    /// Returns what is held against a worker.
+    /// Returns what a worker's last attempts show about it.
     pub(crate) fn evidence(&self, key: WorkerKey, now: Instant) -> WorkerEvidence {
         let rate = self.failure_rate(key, now);
         WorkerEvidence {
@@ -220,27 +219,18 @@
         };
         let usable = workers.iter().filter(|key| on_probation(key) || is_usable(**key));
         let limit = usable.count() / PROBATION_DIVISOR;
-        let mut held: Vec<_> = workers.iter().copied().filter(on_probation).collect();
-        held.sort_by_key(|&key| self.workers[key].health.probation.map(|each| each.since));
-        let excess = held.len().saturating_sub(limit);
-        for &key in &held[..excess] {
+        let mut quarantined: Vec<_> = workers.iter().copied().filter(on_probation).collect();
+        quarantined.sort_by_key(|&key| self.workers[key].health.probation.map(|each| each.since));
+        let excess = quarantined.len().saturating_sub(limit);
+        for &key in &quarantined[..excess] {
             self.release(key, now);
         }
-        let mut free = limit - (held.len() - excess);
-        let others = workers.iter().filter(|&&key| self.workers[key].health.probation.is_none());
-        let mut doubtful: Vec<_> = others
-            .copied()
-            .filter(|&key| self.workers[key].registered)
-            .filter(|&key| self.is_doubtful(key, now))
-            .map(|key| (self.evidence(key, now), key))
-            .collect();
-        doubtful.sort_by(|(a, _), (b, _)| b.badness().total_cmp(&a.badness()));
+        let free = limit - (quarantined.len() - excess);
         for &key in workers {
             self.workers[key].health.suspect = false;
         }
-        for (evidence, key) in doubtful {
-            if free > 0 {
-                free -= 1;
+        for (at, (evidence, key)) in self.new_doubtful(workers, now).into_iter().enumerate() {
+            if at < free {
                 self.workers[key].health.begin_probation(0, now);
                 self.note_change(|id| HealthChange::Quarantined { worker: id, evidence }, key);
             } else {
@@ -249,6 +239,23 @@
         }
     }
 
+    /// Returns the doubtful ones of `workers` that are not on probation, the worst first.
+    fn new_doubtful(
+        &self,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Vec<(WorkerEvidence, WorkerKey)> {
+        let others = workers.iter().filter(|&&key| self.workers[key].health.probation.is_none());
+        let mut doubtful: Vec<_> = others
+            .copied()
+            .filter(|&key| self.workers[key].registered)
+            .filter(|&key| self.is_doubtful(key, now))
+            .map(|key| (self.evidence(key, now), key))
+            .collect();
+        doubtful.sort_by(|(a, _), (b, _)| b.badness().total_cmp(&a.badness()));
+        doubtful
+    }
+
     /// Moves workers on probation to their next stage, or back to the first one.
     fn review_probations(&mut self, workers: &[WorkerKey], now: Instant) {
         for &key in workers {
@@ -290,8 +297,10 @@
     fn report_racks(&mut self) {
         let mut racks: HashMap<SmolStr, Vec<HostId>> = HashMap::new();
         for worker in self.workers.values() {
-            let is_doubtful = worker.health.probation.is_some() || worker.health.suspect;
-            if let Some(rack) = worker.rack.as_ref().filter(|_| is_doubtful) {
+            if !worker.health.is_doubtful() {
+                continue;
+            }
+            if let Some(rack) = &worker.rack {
                 racks.entry(rack.clone()).or_default().push(worker.incarnation.id.clone());
             }
         }
--- a/crates/flow/src/rank.rs
+++ b/crates/flow/src/rank.rs
@@ -44,10 +44,15 @@
 impl RankInput {
     /// Returns the time from acceptance within which the job has its full value.
     pub(crate) fn objective(&self) -> Duration {
-        self.critical_path.mul_f64(self.stretch) + self.slack
+        objective(self.critical_path, self.stretch, self.slack)
     }
 }
 
+/// Returns the time from acceptance within which a job has its full value.
+pub(crate) fn objective(critical_path: Duration, stretch: f64, slack: Duration) -> Duration {
+    critical_path.mul_f64(stretch) + slack
+}
+
 /// Whether a job can end in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timeliness {
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -69,21 +69,20 @@
             }
         }
         for (machine, since) in self.idle_workers(&sizes, PoolSize::idle_surplus, now) {
-            let is_long_idle =
-                since.is_some_and(|since| now.saturating_duration_since(since) >= IDLE_TIME);
-            if is_long_idle
-                && self.machines.takes_commands()
-                && !self.machines.resize.refused.contains(&(machine.clone(), spare.clone()))
-            {
-                self.move_machine(machine, spare.clone(), now);
+            if since.is_some_and(|since| now.saturating_duration_since(since) >= IDLE_TIME) {
+                self.move_to_spare(machine, &spare, now);
             }
         }
         for machine in self.idle_in_drained_zones(&sizes, now) {
-            if self.machines.takes_commands()
-                && !self.machines.resize.refused.contains(&(machine.clone(), spare.clone()))
-            {
-                self.move_machine(machine, spare.clone(), now);
-            }
+            self.move_to_spare(machine, &spare, now);
+        }
+    }
+
+    /// Moves a machine to the spare pool unless the platform has refused that.
+    fn move_to_spare(&mut self, machine: SmolStr, spare: &PoolId, now: Instant) {
+        let is_refused = self.machines.resize.refused.contains(&(machine.clone(), spare.clone()));
+        if self.machines.takes_commands() && !is_refused {
+            self.move_machine(machine, spare.clone(), now);
         }
     }
 
--- a/crates/flow/src/share_order.rs
+++ b/crates/flow/src/share_order.rs
@@ -1,8 +1,8 @@
 //! Order in which waiting jobs are given capacity, pool by pool.
 //!
 //! Load that this module handles: one team sends several times its usual load to a
-//! full pool. Jobs of equal timeliness and priority are served by the standing of
-//! their teams: teams that want no more than their allocation first, then those that
+//! full pool. Jobs of equal timeliness and priority are served by the share
+//! status of their teams: teams that want no more than their allocation first, then those that
 //! have used no more than it, then the others. So a backlog costs only the team that
 //! has it, and what a team leaves goes to whoever wants it. Pools that are not
 //! contended are served by rank alone.
@@ -13,7 +13,7 @@
 use vg_jobs::Resources;
 
 use crate::Scheduler;
-use crate::contention::{ContendedPool, PoolLoad, ready_need};
+use crate::contention::{ContendedPool, PoolJobs, ready_need};
 use crate::job::JobKey;
 use crate::plan::PoolPass;
 use crate::probes::ProbeRule;
@@ -39,14 +39,14 @@
 
 impl Scheduler {
     /// Starts waiting tasks of all pools, in the order of their jobs' ranks and of their
-    /// teams' standings.
+    /// teams' share status.
     pub(crate) fn place_all(&mut self, now: Instant, wall: SystemTime) {
         let ranked = self.rank_jobs(wall);
         let least_loss = ranked.iter().rev().map(|(_, key)| *key);
         self.place_probes(least_loss.clone(), ProbeRule::Harmless, now, wall);
         self.begin_turns(now);
-        let loads = self.pool_loads(&ranked);
-        let mut rounds = self.pool_rounds(loads, now);
+        let jobs = self.jobs_by_pool(&ranked);
+        let mut rounds = self.pool_rounds(jobs, now);
         for tier in ranked.chunk_by(|(a, _), (b, _)| same_tier(a, b)) {
             self.place_uncontended(tier, &mut rounds, now);
             for round in rounds.values_mut() {
@@ -64,16 +64,16 @@
 
     fn pool_rounds(
         &self,
-        loads: BTreeMap<PoolId, PoolLoad>,
+        pools: BTreeMap<PoolId, PoolJobs>,
         now: Instant,
     ) -> BTreeMap<PoolId, PoolRound> {
-        let round = |(id, load): (PoolId, PoolLoad)| {
+        let round = |(id, waiting): (PoolId, PoolJobs)| {
             let pass = PoolPass::new(self.usable_workers(&id, now));
-            let contended = self.contention(&id, &load, &pass.workers);
-            let jobs = load.jobs.into_iter();
+            let contended = self.contention(&id, &waiting, &pass.workers);
+            let jobs = waiting.jobs.into_iter();
             (id, PoolRound { pass, contended, jobs })
         };
-        loads.into_iter().map(round).collect()
+        pools.into_iter().map(round).collect()
     }
 
     /// Places jobs of pools that are not contended, by rank.
@@ -127,7 +127,7 @@
             let team = self.jobs[key].team_index;
             let class = self.size_class(key);
             let group = self.job_group(key, class, begun_work[team.position()], pool, wall);
-            turns.add(team, pool.standing(team), group, class, key);
+            turns.add(team, pool.share_status(team), group, class, key);
         }
         turns.begin(pool);
         turns
@@ -153,7 +153,7 @@
     }
 }
 
-/// Whether jobs differ only in their value and in the standing of their teams.
+/// Whether jobs differ only in their value and in the share status of their teams.
 fn same_tier(a: &Rank, b: &Rank) -> bool {
     (a.timeliness, a.priority) == (b.timeliness, b.priority)
 }
--- a/crates/flow/src/team_turns.rs
+++ b/crates/flow/src/team_turns.rs
@@ -8,15 +8,15 @@
 use std::collections::{BinaryHeap, VecDeque};
 
 use crate::SizeClass;
-use crate::contention::{ContendedPool, Standing};
+use crate::contention::{ContendedPool, ShareStatus};
 use crate::job::JobKey;
 use crate::job_group::JobGroup;
 use crate::teams::TeamIndex;
 
-/// A job and its position: by its team's standing, begun jobs first, then by value.
+/// A job and its position: by its team's share status, begun jobs first, then by value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
-    standing: Standing,
+    status: ShareStatus,
     group: JobGroup,
     position: usize,
     key: JobKey,
@@ -47,6 +47,7 @@
     teams: Vec<TeamJobs>,
     /// The job that each team offers.
     offered: BinaryHeap<Reverse<(Candidate, TeamIndex)>>,
+    /// Number of jobs that were added.
     added: usize,
     /// Team whose job was taken last.
     pending: Option<TeamIndex>,
@@ -66,12 +67,12 @@
     pub(crate) fn add(
         &mut self,
         team: TeamIndex,
-        standing: Standing,
+        status: ShareStatus,
         group: JobGroup,
         class: SizeClass,
         key: JobKey,
     ) {
-        let candidate = Candidate { standing, group, position: self.added, key };
+        let candidate = Candidate { status, group, position: self.added, key };
         let jobs = &mut self.teams[team.position()];
         let list = match group {
             JobGroup::Begun => &mut jobs.begun,
--- a/crates/flow/src/turns.rs
+++ b/crates/flow/src/turns.rs
@@ -8,6 +8,7 @@
 use vg_base::prelude::*;
 
 use crate::contention::ContendedPool;
+use crate::past_usage::decay;
 use crate::{Scheduler, SizeClass, WorkBySize};
 
 /// Time constant with which served work decays. Pools are full for some seconds at
@@ -19,16 +20,14 @@
 /// Decayed work that was started for each team of a pool.
 #[derive(Debug, Default)]
 pub(crate) struct Turns {
-    /// By team index.
+    /// By team index, in machine-seconds.
     served: Vec<WorkBySize>,
     updated: Option<Instant>,
 }
 
 impl Turns {
     fn decay(&mut self, now: Instant) {
-        let passed = self.updated.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.updated = Some(now);
-        let kept = (-passed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
+        let kept = decay(&mut self.updated, DECAY_TIME, now);
         self.served.iter_mut().for_each(|work| work.scale(kept));
     }
 
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -101,8 +101,8 @@
     pub(crate) polled: bool,
     pub(crate) attempts: Vec<AttemptKey>,
     pub(crate) used: Resources,
-    /// Free capacity that is kept for continuous tasks that leave drained zones.
-    pub(crate) held: Resources,
+    /// Free capacity that is reserved for continuous tasks that leave drained zones.
+    pub(crate) drain_reserve: Resources,
     pub(crate) clock: Option<WorkerClock>,
     /// Time after which nothing that it was told to run can still run.
     pub(crate) lease_end: Instant,
@@ -155,7 +155,7 @@
             polled: false,
             attempts: Vec::new(),
             used: Resources::ZERO,
-            held: Resources::ZERO,
+            drain_reserve: Resources::ZERO,
             clock: None,
             lease_end: now,
             renewed_until: None,
--- a/crates/flow/src/worker_health.rs
+++ b/crates/flow/src/worker_health.rs
@@ -20,11 +20,11 @@
 const JUDGED_OUTCOMES: usize = 8;
 /// Time after which an ended attempt does not count any more: workers fail by turns.
 const OUTCOME_LIFETIME: Duration = Duration::from_secs(30);
-/// Weight of the newest duration in the mean, once there are enough of them, and the
-/// number of durations from which a worker's speed is judged. With 1/8 and 8, chance
-/// put a healthy worker on probation about once a minute in a pool of 12 whose
-/// durations had a spread of 0.5.
+/// Weight of the newest duration in the mean, once there are enough of them. With 1/8,
+/// and 8 samples, chance put a healthy worker on probation about once a minute in a pool
+/// of 12 whose durations had a spread of 0.5.
 const SPEED_WEIGHT: f64 = 1.0 / 16.0;
+/// Number of durations from which a worker's speed is judged.
 pub(crate) const MIN_SPEED_SAMPLES: u32 = 12;
 /// A duration counts as at most this multiple or fraction of what was expected, so
 /// that one task of seven times the duration does not make a worker slow.
@@ -92,6 +92,11 @@
 }
 
 impl WorkerHealth {
+    /// Whether others are preferred to it.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.suspect || self.probation.is_some()
+    }
+
     /// Returns the number of attempts that it may have at once; `None` if there is no
     /// such limit.
     pub(crate) fn allowance(&self) -> Option<u32> {
--- a/crates/flow/src/zone_drain.rs
+++ b/crates/flow/src/zone_drain.rs
@@ -59,7 +59,7 @@
         }
         self.zone_drains.drained_before.extend(zones.iter().cloned());
         self.zone_drains.zones = zones;
-        self.release_holds();
+        self.release_drain_reserves();
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let was_drained = self.workers[key].zone_drained;
--- a/crates/flow/src/zone_exit.rs
+++ b/crates/flow/src/zone_exit.rs
@@ -3,8 +3,8 @@
 //! Load that this module handles: the other zones are full of short tasks when a zone is
 //! drained. Room elsewhere then appears only as single tasks end, and each round gives it
 //! to the next waiting task. So the continuous tasks of the zone are looked at in each
-//! round before waiting tasks are placed, and room that was found for one of them is kept
-//! from short tasks until it has stopped.
+//! round before waiting tasks are placed, and room that was found for one of them is
+//! reserved until it has stopped.
 
 use vg_base::prelude::*;
 use vg_jobs::Resources;
@@ -24,7 +24,7 @@
 
 /// A continuous task that needs room outside of the drained zones.
 #[derive(Debug, Clone, Copy)]
-struct Mover {
+struct TaskToPlace {
     job: JobKey,
     task: TaskId,
     reservation: Resources,
@@ -47,15 +47,15 @@
         if self.zone_drains.zones.is_empty() {
             return;
         }
-        self.release_holds();
+        self.release_drain_reserves();
         let leaving = self.attempts_in_drained_zones(Phase::Running);
         let stopping = self.attempts_in_drained_zones(Phase::Stopping);
         if leaving.is_empty() && stopping.is_empty() {
             return;
         }
         let mut moves = Moves::default();
-        for mover in self.tasks_without_worker(&stopping) {
-            self.hold_room(mover, &mut moves, now);
+        for moving in self.tasks_without_worker(&stopping) {
+            self.reserve_room(moving, &mut moves, now);
         }
         let mut evictions = 0;
         for attempt in leaving {
@@ -66,9 +66,9 @@
         }
     }
 
-    /// Stops keeping room for tasks that leave drained zones.
-    pub(crate) fn release_holds(&mut self) {
-        self.workers.values_mut().for_each(|worker| worker.held = Resources::ZERO);
+    /// Gives up the room that is reserved for tasks that leave drained zones.
+    pub(crate) fn release_drain_reserves(&mut self) {
+        self.workers.values_mut().for_each(|worker| worker.drain_reserve = Resources::ZERO);
     }
 
     /// Returns the attempts of continuous tasks in drained zones that are in a phase.
@@ -85,79 +85,79 @@
 
     /// Returns continuous tasks that wait, or whose attempt is `stopping` in a drained
     /// zone: they take room before another task is stopped for it.
-    fn tasks_without_worker(&self, stopping: &[AttemptKey]) -> Vec<Mover> {
+    fn tasks_without_worker(&self, stopping: &[AttemptKey]) -> Vec<TaskToPlace> {
         let open = self.jobs.iter().filter(|(_, job)| job.is_open() && job.spec.is_continuous());
         let steps = open.flat_map(|(key, job)| job.ready_steps().map(move |ready| (key, ready)));
         let waiting = steps.filter(|(_, ready)| ready.spec.continuous).flat_map(|(job, ready)| {
-            let mover = move |&index: &u32| Mover {
+            let moving = move |&index: &u32| TaskToPlace {
                 job,
                 task: TaskId { step: ready.id, index },
                 reservation: ready.spec.reservation(),
                 limited: ready.spec.per_worker.is_some(),
             };
-            ready.step.waiting.iter().map(mover)
+            ready.step.waiting.iter().map(moving)
         });
-        let stopping = stopping.iter().filter_map(|&attempt| self.mover(attempt));
+        let stopping = stopping.iter().filter_map(|&attempt| self.task_to_place(attempt));
         waiting.chain(stopping).take(MAX_TASKS_PER_ROUND).collect()
     }
 
     /// Returns the task of an attempt if it is to start again elsewhere.
-    fn mover(&self, attempt: AttemptKey) -> Option<Mover> {
+    fn task_to_place(&self, attempt: AttemptKey) -> Option<TaskToPlace> {
         let state = &self.attempts[attempt];
         let job = *self.job_ids.get(&state.task.step.job)?;
         let limited = self.spec_of(state.task)?.per_worker.is_some();
-        let mover = Mover { job, task: state.task, reservation: state.reserved, limited };
-        self.jobs[job].is_open().then_some(mover)
+        let moving = TaskToPlace { job, task: state.task, reservation: state.reserved, limited };
+        self.jobs[job].is_open().then_some(moving)
     }
 
     /// Stops a continuous task in a drained zone if it can move. Returns whether it can.
     fn evict_from_zone(&mut self, attempt: AttemptKey, moves: &mut Moves, now: Instant) -> bool {
-        let Some(mover) = self.mover(attempt) else { return false };
-        let step = mover.task.step;
+        let Some(moving) = self.task_to_place(attempt) else { return false };
+        let step = moving.task.step;
         let was_stuck = moves.pass.is_stuck(step);
         let promised = &moves.promised;
         let find_target = |scheduler: &Scheduler, pass: &mut EvictionPass, _: &PoolId| {
-            scheduler.zone_target(mover, pass, promised, now)
+            scheduler.zone_target(moving, pass, promised, now)
         };
         let reason = StopReason::ZoneDrained;
         let target = self.evict(attempt, &mut moves.pass, reason, find_target, now);
         if let Some(target) = target {
-            self.hold(mover, target, moves);
+            self.reserve(moving, target, moves);
         } else if !was_stuck && moves.pass.is_stuck(step) {
-            self.ask_about_exit(mover, now);
+            self.ask_about_exit(moving, now);
         }
         target.is_some()
     }
 
-    /// Keeps room for a task that has no worker.
-    fn hold_room(&mut self, mover: Mover, moves: &mut Moves, now: Instant) {
-        let target = self.zone_target(mover, &mut moves.pass, &moves.promised, now);
+    /// Reserves room for a task that has no worker.
+    fn reserve_room(&mut self, moving: TaskToPlace, moves: &mut Moves, now: Instant) {
+        let target = self.zone_target(moving, &mut moves.pass, &moves.promised, now);
         if let Some(target) = target {
-            self.hold(mover, target, moves);
+            self.reserve(moving, target, moves);
         }
     }
 
-    fn hold(&mut self, mover: Mover, target: WorkerKey, moves: &mut Moves) {
+    fn reserve(&mut self, moving: TaskToPlace, target: WorkerKey, moves: &mut Moves) {
         let worker = &mut self.workers[target];
-        worker.held = worker.held.plus(&mover.reservation);
-        moves.promised.push((mover.task.step, target));
+        worker.drain_reserve = worker.drain_reserve.plus(&moving.reservation);
+        moves.promised.push((moving.task.step, target));
     }
 
-    /// Returns the worker that a task would move to, of those with room that is not kept
-    /// for another task.
+    /// Returns the worker that a task would move to, of those with room that is not
+    /// reserved for another task.
     fn zone_target(
         &self,
-        mover: Mover,
+        moving: TaskToPlace,
         pass: &mut EvictionPass,
         promised: &[(StepId, WorkerKey)],
         now: Instant,
     ) -> Option<WorkerKey> {
         let has_room = |key: &WorkerKey| {
             let worker = &self.workers[*key];
-            let is_promised = || mover.limited && promised.contains(&(mover.task.step, *key));
-            mover.reservation.fits(&worker.free().minus(&worker.held)) && !is_promised()
+            let is_promised = || moving.limited && promised.contains(&(moving.task.step, *key));
+            moving.reservation.fits(&worker.free().minus(&worker.drain_reserve)) && !is_promised()
         };
-        let pool = &self.jobs[mover.job].pool;
+        let pool = &self.jobs[moving.job].pool;
         let workers = pass.targets(pool, |pool| self.eviction_targets(pool, now));
         let mut with_room = workers.iter().copied().filter(has_room);
         loop {
@@ -165,7 +165,7 @@
             if part.is_empty() {
                 return None;
             }
-            let found = self.find_worker(mover.job, mover.task, &part, now);
+            let found = self.find_worker(moving.job, moving.task, &part, now);
             if found.is_some() {
                 return found;
             }
@@ -174,10 +174,10 @@
 
     /// Asks the adviser which workers elsewhere may run the step of a task that has to
     /// move: it is asked about waiting tasks only, and this one runs.
-    fn ask_about_exit(&mut self, mover: Mover, now: Instant) {
-        if self.needs_adviser(mover.job) {
-            let workers = self.usable_workers(&self.jobs[mover.job].pool, now);
-            self.ask_adviser(mover.job, mover.task.step, &workers, now);
+    fn ask_about_exit(&mut self, moving: TaskToPlace, now: Instant) {
+        if self.needs_adviser(moving.job) {
+            let workers = self.usable_workers(&self.jobs[moving.job].pool, now);
+            self.ask_adviser(moving.job, moving.task.step, &workers, now);
         }
     }
 }
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -16,7 +16,7 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Admission, Backlog, DIGEST_MAX_AGE, FencingToken, JobOutcome, JobSpec, LoadDigest, MachineTime,
-    MilliMachines, PoolAccount, PoolLoad, Queue, QueueSizes, RETRY_MAX, RetrySlots, StepSpec, Team,
+    MilliMachines, PoolLoad, PoolTeam, Queue, QueueSizes, RETRY_MAX, RetrySlots, StepSpec, Team,
     TeamLoad, decide,
 };
 use vg_jobs::Resources;
@@ -199,7 +199,7 @@
         panic!("the job is hopeless")
     };
     let (mut slots, now) = (RetrySlots::default(), Instant::now());
-    let account = PoolAccount { pool: pool("a"), team: Some(team("t")) };
+    let account = PoolTeam { pool: pool("a"), team: Some(team("t")) };
     let mut rng = SmallRng::seed_from_u64(1);
     let mut next = |hosts| {
         slots.next_delay(account.clone(), &rejection, hosts, rng.random(), now).as_secs_f64()
@@ -334,7 +334,7 @@
             let age = Duration::from_millis(50);
             let decision = digest.as_ref().map(|digest| decide(digest, age, &spec, &queue_a()));
             if let Some(Admission::Reject(rejection)) = decision {
-                let account = PoolAccount { pool: pool("a"), team: spec.team.clone() };
+                let account = PoolTeam { pool: pool("a"), team: spec.team.clone() };
                 let delay = slots.next_delay(account, &rejection, 1, rng.random(), world.now());
                 if tries < 4 {
                     let seconds = delay.as_secs_f64().ceil().max(1.0) as u64;
--- a/crates/lead/src/admit.rs
+++ b/crates/lead/src/admit.rs
@@ -1,6 +1,6 @@
 //! Rejection of jobs that can't be done in time.
 //!
-//! Load that this module handles: accounts send several times what their pools can do,
+//! Load that this module handles: teams send several times what their pools can do,
 //! and callers send rejected jobs again. A rejection takes at most
 //! [`REJECTION_TIMEOUT`]; what can't be checked within that time is admitted.
 
@@ -8,13 +8,14 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{Admission, DIGEST_MAX_AGE, JobSpec, LoadDigest, PoolAccount, Rejection, decide};
+use vg_flow::{Admission, DIGEST_MAX_AGE, JobSpec, LoadDigest, PoolTeam, Rejection, decide};
 use vg_store::Store;
 
 use crate::dual_instant::DualInstant;
 use crate::host::lock;
 use crate::messages::{LoadAnswer, LoadQuery, WriteOutcome};
 use crate::submit::random_retry_after;
+use crate::team_gauges::team_label;
 use crate::{Host, Platform, keys};
 
 /// Time within which a job is rejected or takes the normal path.
@@ -99,29 +100,22 @@
         if !self.is_new(job).await {
             return None;
         }
-        let account = PoolAccount { pool: queue.pool.clone(), team: spec.team.clone() };
-        self.record_rejection(job, &account, &rejection, age);
+        let team = PoolTeam { pool: queue.pool.clone(), team: spec.team.clone() };
+        self.record_rejection(job, &team, &rejection, age);
         let hosts = lock(&self.inner.members).others(self.inner.options.peer_addr).len() + 1;
         let (random, now) = (rand::random(), self.inner.clock.now());
-        let delay = lock(&self.inner.retries).next_delay(account, &rejection, hosts, random, now);
+        let delay = lock(&self.inner.retries).next_delay(team, &rejection, hosts, random, now);
         Some(delay)
     }
 
-    fn record_rejection(
-        &self,
-        job: JobId,
-        account: &PoolAccount,
-        rejection: &Rejection,
-        age: Duration,
-    ) {
+    fn record_rejection(&self, job: JobId, team: &PoolTeam, rejection: &Rejection, age: Duration) {
         let now = self.inner.clock.now();
         let Some(omitted) = lock(&self.inner.rejection_events).next(now) else { return };
         let wait = rejection.wait.map_or(-1, |wait| wait.as_millis() as i64);
-        let team = account.team.as_ref().map_or("none", TeamId::as_str);
         let fields = [
             Field::new("job", job),
-            Field::new("pool", &account.pool),
-            Field::new("team", team),
+            Field::new("pool", &team.pool),
+            Field::new("team", team_label(team.team.as_ref())),
             Field::new("wait-ms", wait),
             Field::new("limit-ms", rejection.limit.as_millis()),
             Field::new("load-ms", age.as_millis()),
--- a/crates/lead/src/follow.rs
+++ b/crates/lead/src/follow.rs
@@ -19,8 +19,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay after a batch of changes, in which further changes accumulate.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
-/// Interval at which peers are asked for the configuration and the drained zones while the store is
-/// unreachable.
+/// Interval at which peers are asked for the configuration and the drained zones while
+/// the store is unreachable.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// An update of a watched prefix.
--- a/crates/lead/src/leader/contention.rs
+++ b/crates/lead/src/leader/contention.rs
@@ -8,6 +8,7 @@
 
 use super::Leader;
 use crate::Platform;
+use crate::team_gauges::team_label;
 
 /// Interval at which gauges and events of contended pools are updated.
 const SHOW_INTERVAL: Duration = Duration::from_millis(500);
@@ -29,7 +30,7 @@
 
     fn record_share_change(&self, change: &ShareChange) {
         let code = if change.is_above { Code::TeamAboveShare } else { Code::TeamWithinShare };
-        let team = change.team.as_ref().map_or("none", TeamId::as_str);
+        let team = team_label(change.team.as_ref());
         let mut fields = vec![Field::new("pool", &change.pool), Field::new("team", team)];
         if let Some(now) = &change.now {
             fields.push(Field::new("share", now.share));
--- a/crates/lead/src/leader/load.rs
+++ b/crates/lead/src/leader/load.rs
@@ -9,7 +9,7 @@
 use crate::Platform;
 use crate::host::lock;
 use crate::messages::LoadMessage;
-use crate::metrics::ExpectedWait;
+use crate::wait_gauges::ExpectedWait;
 
 impl<P: Platform, C: Clock> Leader<P, C> {
     /// Computes the digest anew if that is due.
@@ -23,7 +23,7 @@
         load.compute(&mut self.scheduler(), now, clock.wall());
         let waits = load.digest(now).map(|(digest, _)| expected_waits(&digest));
         drop(load);
-        self.host.inner.metrics.set_expected_waits(&waits.unwrap_or_default());
+        self.host.inner.metrics.waits.set(&waits.unwrap_or_default());
     }
 
     /// Returns the digest and its age; `None` if no pool is contended, or this host may
@@ -40,7 +40,7 @@
     }
 }
 
-/// Returns the time that a large job of the lowest priority of each account waits.
+/// Returns the time that a large job of the lowest priority of each team waits.
 fn expected_waits(digest: &LoadDigest) -> Vec<ExpectedWait> {
     let pools = digest.pools.iter();
     let teams = pools.flat_map(|pool| pool.teams.iter().map(move |team| (pool, team)));
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -118,12 +118,8 @@
         _ = lost.wait_for(|lost| *lost) => {}
     }
     *lock(&host.inner.leader) = None;
-    host.inner.metrics.set_leading(false);
-    host.inner.metrics.set_expected_waits(&[]);
     lock(&leader.tasks).abort_all();
-    host.inner.metrics.zones.clear();
-    host.inner.metrics.learned.clear();
-    host.inner.metrics.set_contention(&[]);
+    host.inner.metrics.clear_leader();
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
 
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -34,6 +34,7 @@
 mod submit;
 mod team_gauges;
 mod unresolved;
+mod wait_gauges;
 mod zone_drains;
 mod zone_gauges;
 
--- a/crates/lead/src/load.rs
+++ b/crates/lead/src/load.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// Encodes a digest. Drops the accounts with the smallest backlogs if it is larger than
+/// Encodes a digest. Drops the teams with the smallest backlogs if it is larger than
 /// [`DIGEST_MAX_BYTES`].
 pub(crate) fn encode_digest(mut digest: LoadDigest) -> Option<(LoadDigest, Bytes)> {
     loop {
@@ -111,7 +111,7 @@
             log::error!(target: "leader", "the load of {} pools is too large", digest.pools.len());
             return None;
         }
-        log::debug!(target: "leader", "the load has {} bytes, accounts are left out", bytes.len());
+        log::debug!(target: "leader", "the load has {} bytes, teams are left out", bytes.len());
         digest.keep_largest(largest * 3 / 4);
     }
 }
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -1,14 +1,15 @@
 //! Prometheus metrics of one host.
 
 use prometheus::{
-    Encoder, Error, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use vg_base::prelude::*;
 use vg_flow::{Counts, PoolContention};
 
 use crate::learned_gauges::LearnedGauges;
 use crate::team_gauges::TeamGauges;
+use crate::wait_gauges::WaitGauges;
 use crate::zone_gauges::ZoneGauges;
 
 /// Upper bounds of the latency histogram buckets in seconds.
@@ -29,18 +30,7 @@
     pub(crate) zones: ZoneGauges,
     pub(crate) learned: LearnedGauges,
     teams: TeamGauges,
-    expected_wait: GaugeVec,
-}
-
-/// Accounts whose expected wait is published; the others are left out.
-const EXPECTED_WAITS_MAX: usize = 50;
-
-/// Time that a large job of an account would wait in a contended pool.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct ExpectedWait {
-    pub(crate) pool: PoolId,
-    pub(crate) team: Option<TeamId>,
-    pub(crate) wait: Duration,
+    pub(crate) waits: WaitGauges,
 }
 
 impl Metrics {
@@ -60,24 +50,18 @@
         let options = HistogramOpts::new("vg_call_seconds", "Time to answer callers, by call.");
         let latency = HistogramVec::new(options.buckets(LATENCY_BOUNDS_S.to_vec()), &["call"])?;
         registry.register(Box::new(latency.clone()))?;
-        let leading = IntGauge::new("vg_leading", "1 while this host leads.")?;
-        registry.register(Box::new(leading.clone()))?;
-        let loop_delay =
-            IntGauge::new("vg_loop_delay_ms", "Milliseconds by which a timer was late last.")?;
-        registry.register(Box::new(loop_delay.clone()))?;
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, Error>(gauge)
+        };
+        let leading = gauge("vg_leading", "1 while this host leads.")?;
+        let delay_help = "Milliseconds by which a timer was late last.";
+        let loop_delay = gauge("vg_loop_delay_ms", delay_help)?;
         let scheduler =
             IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(scheduler.clone()))?;
-        let zones = ZoneGauges::new(&registry)?;
-        let learned = LearnedGauges::new(&registry)?;
-        let teams = TeamGauges::new(&registry)?;
-        let expected_wait = GaugeVec::new(
-            Opts::new("vg_expected_wait_seconds", "Expected wait by contended pool and account."),
-            &["pool", "team"],
-        )?;
-        registry.register(Box::new(expected_wait.clone()))?;
         Ok(Metrics {
-            registry,
             submissions,
             answers,
             latency,
@@ -86,10 +70,11 @@
             leading,
             loop_delay,
             scheduler,
-            zones,
-            learned,
-            teams,
-            expected_wait,
+            zones: ZoneGauges::new(&registry)?,
+            learned: LearnedGauges::new(&registry)?,
+            teams: TeamGauges::new(&registry)?,
+            waits: WaitGauges::new(&registry)?,
+            registry,
         })
     }
 
@@ -123,6 +108,15 @@
         self.loop_delay.set(delay.as_millis() as i64);
     }
 
+    /// Removes what only the leader shows: this host no longer leads.
+    pub(crate) fn clear_leader(&self) {
+        self.set_leading(false);
+        self.waits.set(&[]);
+        self.zones.clear();
+        self.learned.clear();
+        self.teams.set(&[]);
+    }
+
     /// Sets the gauges of the teams in contended pools.
     pub(crate) fn set_contention(&self, pools: &[PoolContention]) {
         self.teams.set(pools);
@@ -144,18 +138,6 @@
         set("window", counts.start_window as i64);
     }
 
-    /// Replaces the expected waits by the longest ones among these.
-    pub(crate) fn set_expected_waits(&self, waits: &[ExpectedWait]) {
-        self.expected_wait.reset();
-        let mut longest: Vec<_> = waits.iter().collect();
-        longest.sort_by_key(|each| std::cmp::Reverse(each.wait));
-        for each in longest.into_iter().take(EXPECTED_WAITS_MAX) {
-            let team = each.team.as_ref().map_or("none", TeamId::as_str);
-            let gauge = self.expected_wait.with_label_values(&[each.pool.as_str(), team]);
-            gauge.set(each.wait.as_secs_f64());
-        }
-    }
-
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/lead/src/team_gauges.rs
+++ b/crates/lead/src/team_gauges.rs
@@ -11,11 +11,13 @@
 
 /// Teams of a pool with gauges of their own: those that use most. The others are summed.
 const MAX_TEAMS: usize = 50;
-/// Label of the sum of the other teams, and of jobs without a team.
+/// Label of the sum of the other teams.
 const OTHER_TEAMS: &str = "other";
+/// Label of jobs without a team.
 const NO_TEAM: &str = "none";
 
-/// Share, usage, allocation and waiting work of teams by pool.
+/// Share, allocation and usage (in machines) and waiting work (in machine-seconds) of
+/// teams by pool.
 #[derive(Debug, Clone)]
 pub(crate) struct TeamGauges {
     share: GaugeVec,
@@ -103,8 +105,9 @@
     let mut values: Vec<(SmolStr, TeamValues)> = Vec::new();
     for (at, team) in teams.into_iter().enumerate() {
         if at <= MAX_TEAMS {
-            let label = if at < MAX_TEAMS { team_label(team) } else { OTHER_TEAMS.into() };
-            values.push((label, TeamValues::default()));
+            let own = at < MAX_TEAMS;
+            let label = if own { team_label(team.team.as_ref()) } else { OTHER_TEAMS };
+            values.push((label.into(), TeamValues::default()));
         }
         if let Some((_, last)) = values.last_mut() {
             last.add(team);
@@ -113,6 +116,7 @@
     values
 }
 
-fn team_label(team: &TeamContention) -> SmolStr {
-    team.team.as_ref().map_or(NO_TEAM.into(), |team| team.as_str().into())
+/// Returns the name of a team in metrics and events; `none` for jobs without one.
+pub(crate) fn team_label(team: Option<&TeamId>) -> &str {
+    team.map_or(NO_TEAM, TeamId::as_str)
 }
