--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -129,19 +129,7 @@
         self.counts.done += 1;
         self.record_success(worker);
         if let Some(key) = key {
-            let attempt = self.attempts[key].clone();
-            // That of a slow attempt is known already.
-            if let Some(ratio) = self.observe_duration(&attempt, now)
-                && !attempt.slow
-            {
-                let health = &mut self.workers[worker].health;
-                health.record_duration(ratio, attempt.started, now);
-            }
-            self.record_evidence(&attempt, false, now);
-            let took = now.saturating_duration_since(attempt.started);
-            if let Some(task) = self.task_mut(end.task) {
-                task.completion = Some((worker, took));
-            }
+            self.record_completion(key, now);
         }
         let Some(&job_key) = self.job_ids.get(&end.task.step.job) else {
             // The job has ended, so there is nothing to record.
@@ -173,6 +161,24 @@
         }
     }
 
+    /// Records what an attempt that completed its task shows about its duration and its
+    /// worker.
+    fn record_completion(&mut self, key: AttemptKey, now: Instant) {
+        let attempt = self.attempts[key].clone();
+        // The duration of a slow attempt was recorded when it was found to be slow.
+        if let Some(ratio) = self.observe_duration(&attempt, now)
+            && !attempt.slow
+        {
+            let health = &mut self.workers[attempt.worker].health;
+            health.record_duration(ratio, attempt.started, now);
+        }
+        self.record_evidence(&attempt, false, now);
+        let took = now.saturating_duration_since(attempt.started);
+        if let Some(task) = self.task_mut(attempt.task) {
+            task.completion = Some((attempt.worker, took));
+        }
+    }
+
     fn apply_failed(
         &mut self,
         worker: WorkerKey,
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -153,8 +153,8 @@
         let steps: Vec<_> = waiting.map(|ready| (ready.id, ready.spec.gang)).collect();
         for (step, gang) in steps {
             if gang {
-                let (job, at) = (&self.jobs[key], usize::from(step.step));
-                let spec = &job.spec.steps[at];
+                let job = &self.jobs[key];
+                let spec = &job.spec.steps[usize::from(step.step)];
                 let workers = self.workers_for_whole(&job.pool, spec, &pass.workers, now);
                 self.place_gang(key, step, &workers, now);
             } else {
@@ -198,12 +198,8 @@
             {
                 return;
             }
-            let mut found = self.find_worker(key, task, &pass.workers, now);
-            if found.is_none() && step.continuous && self.quarantine.is_active {
-                let pool = &self.jobs[key].pool;
-                let workers = self.workers_for_whole(pool, step, &pass.workers, now);
-                found = self.find_worker(key, task, &workers, now);
-            }
+            let found = self.find_worker(key, task, &pass.workers, now);
+            let found = found.or_else(|| self.find_doubtful_worker(key, task, pass, now));
             let Some(worker) = found else {
                 if unrestricted {
                     pass.misfits.push(step.reservation());
@@ -219,6 +215,23 @@
         }
     }
 
+    /// Returns a worker for a continuous task that may be on probation, if the others
+    /// could not hold the task's step.
+    fn find_doubtful_worker(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        pass: &PoolPass,
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let step = self.spec_of(task).filter(|step| step.continuous)?;
+        if !self.quarantine.is_active {
+            return None;
+        }
+        let workers = self.workers_for_whole(&self.jobs[key].pool, step, &pass.workers, now);
+        self.find_worker(key, task, &workers, now)
+    }
+
     pub(crate) fn find_worker(
         &self,
         key: JobKey,
--- a/crates/flow/src/probes.rs
+++ b/crates/flow/src/probes.rs
@@ -6,7 +6,7 @@
 
 use vg_base::prelude::*;
 
-use crate::job::{Job, JobKey};
+use crate::job::{Job, JobKey, Task};
 use crate::plan::rank_input;
 use crate::rank::{Timeliness, rank};
 use crate::worker::WorkerKey;
@@ -96,22 +96,23 @@
             if rule == ProbeRule::Harmless && !self.is_harmless(job, step, wall) {
                 continue;
             }
-            for &index in &ready.step.waiting {
+            // One more failure must not end the job, unless each one does.
+            let may_fail = |task: &Task| {
+                task.failed_attempts.len() + 1 < max_failures
+                    || (max_failures <= 1 && rule == ProbeRule::Unplaced)
+            };
+            let may_start = |index: &u32| {
                 let (id, task) =
-                    (TaskId { step: ready.id, index }, &ready.step.tasks[index as usize]);
-                // One more failure must not end the job, unless each one does.
-                let may_fail = task.failed_attempts.len() + 1 < max_failures
-                    || (max_failures <= 1 && rule == ProbeRule::Unplaced);
+                    (TaskId { step: ready.id, index: *index }, &ready.step.tasks[*index as usize]);
                 let paused = task.not_before.is_some_and(|at| at > now);
                 let unknown = self.unresolved.includes(id) && !ready.spec.speculative;
-                if paused || unknown || !may_fail || task.avoided.contains(&worker) {
-                    continue;
-                }
-                match self.find_worker(key, id, &[worker], now) {
-                    Some(_) => return Some(id),
-                    // The other tasks of the step need the same.
-                    None => break,
-                }
+                !paused && !unknown && may_fail(task) && !task.avoided.contains(&worker)
+            };
+            // The other tasks of the step need the same: the first one decides for all.
+            let first = ready.step.waiting.iter().copied().find(may_start);
+            let id = first.map(|index| TaskId { step: ready.id, index });
+            if let Some(id) = id.filter(|&id| self.find_worker(key, id, &[worker], now).is_some()) {
+                return Some(id);
             }
         }
         None
