--- a/crates/measure/src/flow/arrivals.rs
+++ b/crates/measure/src/flow/arrivals.rs
@@ -8,7 +8,7 @@
 use crate::Error;
 use crate::calls::draw::Draw;
 
-use super::drive::parse;
+use super::simulation::parse;
 
 /// Cores of a worker in millicores.
 pub const WORKER_CORES: u32 = 32_000;
@@ -23,10 +23,12 @@
 const TURN_MS: u64 = 4000;
 const QUIET_OVER_PEAK: f64 = 0.01;
 const QUEUES: u64 = 4;
+/// Tasks of a step: at most, and on average.
 const MAX_TASKS: f64 = 32.0;
 const MEAN_TASKS: f64 = 8.0;
 /// Standard deviation of the logarithm of durations and of numbers of tasks.
 const SIGMA: f64 = 0.5;
+/// Exponent of Zipf's law, by which the accounts' usual rates differ.
 const ZIPF_EXPONENT: f64 = 1.2;
 /// Part of the tasks that take [`TAIL_FACTOR`] times as long.
 const TAIL_FRACTION: f64 = 0.03;
@@ -36,6 +38,7 @@
 const HOT_FACTOR: f64 = 7.0;
 /// Work of a burst of large jobs, in seconds of the capacity of a pool.
 const BURST_SECONDS: f64 = 2.0;
+/// Time in which that burst arrives, in milliseconds.
 const BURST_MS: f64 = 1000.0;
 /// Jobs from which the mean work of a kind is estimated.
 const SAMPLE: u32 = 4000;
@@ -61,7 +64,8 @@
     pub account: TeamId,
     /// The steps.
     pub steps: Vec<ArrivalStep>,
-    /// Time within which it has to end; by default from its true longest chain.
+    /// Time within which it has to end, in milliseconds from its arrival; by default it
+    /// follows from its true longest chain.
     #[serde(default)]
     pub objective_ms: Option<u64>,
 }
@@ -71,9 +75,9 @@
 pub struct ArrivalStep {
     /// Millicores (thousandths of a core) that each task needs.
     pub millicores: u32,
-    /// The caller's estimate of the duration of a task.
+    /// The caller's estimate of the duration of a task, in milliseconds.
     pub estimate_ms: u64,
-    /// The true duration of each task.
+    /// The true duration of each task, in milliseconds.
     pub task_ms: Vec<u64>,
 }
 
@@ -108,7 +112,7 @@
     pub workers: usize,
     /// Number of accounts.
     pub teams: usize,
-    /// Time in which jobs arrive.
+    /// Time in which jobs arrive, in seconds.
     pub seconds: u64,
     /// Seed of the random numbers.
     pub seed: u64,
@@ -125,7 +129,7 @@
         f64::from(self.millicores) * self.task_ms.iter().sum::<u64>() as f64 / 1000.0
     }
 
-    /// Returns the true duration of the longest task.
+    /// Returns the true duration of the longest task, in milliseconds.
     pub fn longest_ms(&self) -> u64 {
         self.task_ms.iter().copied().max().unwrap_or(0)
     }
@@ -137,7 +141,7 @@
         self.steps.iter().map(ArrivalStep::work).sum()
     }
 
-    /// Returns the true duration of the longest chain of tasks.
+    /// Returns the true duration of the longest chain of tasks, in milliseconds.
     pub fn chain_ms(&self) -> u64 {
         self.steps.iter().map(ArrivalStep::longest_ms).sum()
     }
@@ -149,14 +153,15 @@
         !self.steps.is_empty() && self.steps.iter().all(|step| fits(step) && lasts(step))
     }
 
-    /// Returns the time by which `factor` times its objective has passed.
+    /// Returns the time by which `factor` times its objective has passed, in milliseconds
+    /// from the start.
     pub fn deadline_ms(&self, factor: u64) -> u64 {
         let objective = self.objective_ms.unwrap_or_else(|| objective_ms(self.chain_ms()));
         self.at_ms + factor * objective
     }
 }
 
-/// Returns the objective of a job whose longest chain takes `chain_ms`.
+/// Returns the objective, in milliseconds, of a job whose longest chain takes `chain_ms`.
 pub fn objective_ms(chain_ms: u64) -> u64 {
     (chain_ms as f64 * STRETCH) as u64 + SLACK_MS
 }
@@ -168,16 +173,16 @@
         let usual: Vec<f64> = accounts.map(|at| (at as f64).powf(-ZIPF_EXPONENT)).collect();
         let shares = usual.iter().enumerate().map(|(at, &rate)| (account(at), rate)).collect();
         let (rates, draw) = (usual.clone(), Draw::new(settings.seed));
-        let mut scene = Scene { settings, usual, rates, draw, arrivals: Vec::new() };
+        let mut generator = ArrivalGenerator { settings, usual, rates, draw, arrivals: Vec::new() };
         if settings.scenario == Scenario::HotAccount {
-            let hot = HOT_ACCOUNT.min(scene.rates.len() - 1);
-            scene.rates[hot] *= HOT_FACTOR;
+            let hot = HOT_ACCOUNT.min(generator.rates.len() - 1);
+            generator.rates[hot] *= HOT_FACTOR;
         }
-        (0..QUEUES).for_each(|queue| scene.add_queue(queue));
+        (0..QUEUES).for_each(|queue| generator.add_queue(queue));
         if settings.scenario == Scenario::LargeBurst {
-            scene.add_burst();
+            generator.add_burst();
         }
-        let mut arrivals = scene.arrivals;
+        let mut arrivals = generator.arrivals;
         arrivals.sort_by_key(|each| each.at_ms);
         let pool_workers = pool_workers(settings.workers, QUEUES as usize);
         Workload { pool_workers, shares, arrivals }
@@ -203,7 +208,7 @@
         Ok(workload)
     }
 
-    /// Returns the queues and the mean true work of their jobs.
+    /// Returns the queues and the mean true work of their jobs, in millicores times seconds.
     pub fn queues(&self) -> BTreeMap<QueueId, f64> {
         let mut sums: BTreeMap<QueueId, (f64, f64)> = BTreeMap::new();
         for each in &self.arrivals {
@@ -213,7 +218,7 @@
         sums.into_iter().map(|(queue, (work, jobs))| (queue, work / jobs)).collect()
     }
 
-    /// Returns the time at which no job has value any more.
+    /// Returns the time at which no job has value any more, in milliseconds from the start.
     pub fn end_ms(&self) -> u64 {
         let deadlines = self.arrivals.iter().map(|each| each.deadline_ms(LATE_FACTOR));
         deadlines.max().unwrap_or(0)
@@ -250,7 +255,7 @@
 }
 
 /// A scenario while its arrivals are drawn.
-struct Scene<'a> {
+struct ArrivalGenerator<'a> {
     settings: &'a Settings,
     /// Rates of the accounts, usual and in this scenario.
     usual: Vec<f64>,
@@ -259,7 +264,8 @@
     arrivals: Vec<Arrival>,
 }
 
-impl Scene<'_> {
+impl ArrivalGenerator<'_> {
+    /// Adds a job that a random account sends.
     fn add(&mut self, at_ms: u64, queue: u64, steps: Vec<ArrivalStep>) {
         let account = account(self.draw.index(&self.rates));
         let estimate = || steps.iter().map(|step| step.estimate_ms).sum();
--- a/crates/measure/src/flow/baselines.rs
+++ b/crates/measure/src/flow/baselines.rs
@@ -6,7 +6,7 @@
 use vg_base::prelude::*;
 
 use super::arrivals::{Arrival, LATE_FACTOR, WORKER_CORES, Workload, objective_ms};
-use super::drive::ROUND_MS;
+use super::simulation::ROUND_MS;
 
 /// Part of a job's value that does not depend on its size.
 pub(crate) const BASE_VALUE: f64 = 0.3;
@@ -141,7 +141,7 @@
     }
 }
 
-/// Replays a workload; returns when each job has ended.
+/// Replays a workload; returns when each job has ended, in milliseconds from the start.
 pub fn replay(workload: &Workload, order: Order) -> Vec<Option<u64>> {
     let mut ended_ms = vec![None; workload.arrivals.len()];
     for queue in workload.queues().keys() {
--- a/crates/measure/src/flow/mod.rs
+++ b/crates/measure/src/flow/mod.rs
@@ -4,8 +4,9 @@
 pub mod arrivals;
 pub mod baselines;
 pub mod bound;
-pub mod drive;
+
 pub mod rounds;
+pub mod simulation;
 pub mod table;
 
 use std::io::Write;
@@ -16,7 +17,7 @@
 use crate::Error;
 pub use arrivals::{Arrival, ArrivalStep, Scenario, Settings, Workload};
 pub use baselines::Order;
-pub use drive::Drive;
+pub use simulation::Simulation;
 pub use table::{Figure, Served};
 
 /// Name of the subcommand.
@@ -99,14 +100,14 @@
 
 /// Replays a workload through all policies and returns their figures.
 pub fn compare(workload: &Workload) -> Vec<(&'static str, Vec<Figure>)> {
-    let drive = Drive::replay(workload);
+    let simulation = Simulation::replay(workload);
     let figures = |served: &Served| table::figures(workload, served);
     let listed = |order| figures(&Served::from_ends(workload, &baselines::replay(workload, order)));
-    let mut scheduler = figures(&Served::from_ends(workload, &drive.ended_ms));
-    let longest = drive.rounds.iter().max().copied().unwrap_or_default();
+    let mut scheduler = figures(&Served::from_ends(workload, &simulation.ended_ms));
+    let longest = simulation.rounds.iter().max().copied().unwrap_or_default();
     let value = longest.as_secs_f64() * 1e3;
     scheduler.push(Figure { name: "longest round, ms".into(), value });
-    let counts = drive.scheduler.counts();
+    let counts = simulation.scheduler.counts();
     let value = counts.stops as f64 / counts.starts.max(1) as f64;
     scheduler.push(Figure { name: "stop commands / starts".into(), value });
     vec![
--- a/crates/measure/src/flow/rounds.rs
+++ b/crates/measure/src/flow/rounds.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 
 use super::arrivals::{Arrival, ArrivalStep, Workload};
-use super::drive::{Drive, ROUND_MS, parse};
+use super::simulation::{ROUND_MS, Simulation, parse};
 use crate::Error;
 use crate::calls::draw::Draw;
 
@@ -28,20 +28,20 @@
     let arrivals = (0..QUEUES).map(|at| job(at, &mut draw)).collect();
     let pool_workers = WORKERS / QUEUES;
     let shares = (0..ACCOUNTS).map(|at| (parse(&format!("t{at}")), 1.0)).collect();
-    let mut drive = Drive::new(&Workload { pool_workers, shares, arrivals });
+    let mut simulation = Simulation::new(&Workload { pool_workers, shares, arrivals });
     let (mut jobs, mut next) = (0, 0);
     for _ in 0..FILL_ROUNDS + ROUNDS {
-        drive.advance();
-        while jobs * TASKS as u64 - drive.scheduler.counts().starts < WAITING_TASKS {
-            drive.submit(Arrival { at_ms: drive.ms, ..job(next, &mut draw) });
+        simulation.advance();
+        while jobs * TASKS as u64 - simulation.scheduler.counts().starts < WAITING_TASKS {
+            simulation.submit(Arrival { at_ms: simulation.ms, ..job(next, &mut draw) });
             (jobs, next) = (jobs + 1, (next + 1) % QUEUES);
         }
-        drive.decide();
+        simulation.decide();
     }
-    let mut times = drive.rounds.split_off(FILL_ROUNDS as usize);
+    let mut times = simulation.rounds.split_off(FILL_ROUNDS as usize);
     times.sort_unstable();
     let millis = |part: f64| times[((times.len() - 1) as f64 * part) as usize].as_secs_f64() * 1e3;
-    let counts = drive.scheduler.counts();
+    let counts = simulation.scheduler.counts();
     writeln!(
         out,
         "rounds: {} workers, {} running and {} waiting tasks, {ACCOUNTS} accounts; {ROUNDS} rounds, each after {ROUND_MS} ms",
--- a/crates/measure/src/flow/drive.rs
+++ b/crates/measure/src/flow/simulation.rs
@@ -7,7 +7,7 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, AttemptOutcome, FencingToken, JobSpec, OperatorConfig, Pool, Queue, RecordKind,
-    Scheduler, SchedulingRules, StartCommand, StepSpec, Team, WorkerIncarnation,
+    SHARE_UNIT, Scheduler, SchedulingRules, StartCommand, StepSpec, Team, WorkerIncarnation,
     WorkerRegistration,
 };
 use vg_jobs::Resources;
@@ -24,29 +24,29 @@
 /// Memory of a worker and of a task in bytes; it is never scarce.
 const WORKER_MEMORY: u64 = 64 << 30;
 const TASK_MEMORY: u64 = 1 << 20;
-/// Factor from shares to the integers of the configuration.
-const SHARE_UNIT: f64 = 1000.0;
 
 /// A scheduler, its workers and the jobs that were submitted.
-pub struct Drive {
+pub struct Simulation {
+    /// The time 0 of the run.
     base: Instant,
+    /// The present time in milliseconds from the start.
     pub(crate) ms: u64,
     pub(crate) scheduler: Scheduler,
     workers: Vec<SimulatedWorker>,
     worker_at: HashMap<HostId, usize>,
-    /// When a worker has to be looked at, because an attempt ends there.
+    /// When an attempt ends on a worker: the time in milliseconds and the worker.
     due: BinaryHeap<Reverse<(u64, usize)>>,
     jobs: Vec<Arrival>,
     job_at: HashMap<JobId, usize>,
-    /// When each job has ended.
+    /// When each job has ended, in milliseconds from the start.
     pub ended_ms: Vec<Option<u64>>,
     /// Real time that each round of decisions took.
     pub rounds: Vec<Duration>,
 }
 
-impl Drive {
+impl Simulation {
     /// Returns a run in which the workers of all pools are known and no job is.
-    pub fn new(workload: &Workload) -> Drive {
+    pub fn new(workload: &Workload) -> Simulation {
         let base = Instant::now();
         let config = Arc::new(config(workload));
         let rules = SchedulingRules {
@@ -54,7 +54,7 @@
             ..SchedulingRules::default()
         };
         let scheduler = Scheduler::new(rules, FencingToken(1), config, base);
-        let mut drive = Drive {
+        let mut simulation = Simulation {
             base,
             ms: 0,
             scheduler,
@@ -67,31 +67,31 @@
             rounds: Vec::new(),
         };
         for queue in workload.queues().keys() {
-            (0..workload.pool_workers).for_each(|_| drive.add_worker(queue.as_str()));
+            (0..workload.pool_workers).for_each(|_| simulation.add_worker(queue.as_str()));
         }
-        let records = drive.scheduler.incarnation_records(base, drive.wall());
-        drive.scheduler.records_written(&records);
+        let records = simulation.scheduler.incarnation_records(base, simulation.wall());
+        simulation.scheduler.records_written(&records);
         // The first poll tells the worker's clock, the second one renews its lease.
-        (0..2 * drive.workers.len()).for_each(|at| drive.poll(at / 2));
-        drive
+        (0..2 * simulation.workers.len()).for_each(|at| simulation.poll(at / 2));
+        simulation
     }
 
     /// Replays the arrivals of a workload until all jobs have ended or none has value.
-    pub fn replay(workload: &Workload) -> Drive {
-        let mut drive = Drive::new(workload);
+    pub fn replay(workload: &Workload) -> Simulation {
+        let mut simulation = Simulation::new(workload);
         let mut arrivals = workload.arrivals.iter().peekable();
         let end_ms = workload.end_ms();
-        while drive.ms <= end_ms
-            && (arrivals.peek().is_some() || drive.ended_ms.iter().any(Option::is_none))
+        while simulation.ms <= end_ms
+            && (arrivals.peek().is_some() || simulation.ended_ms.iter().any(Option::is_none))
         {
-            drive.advance();
-            while let Some(arrival) = arrivals.next_if(|each| each.at_ms <= drive.ms) {
-                drive.submit(arrival.clone());
+            simulation.advance();
+            while let Some(arrival) = arrivals.next_if(|each| each.at_ms <= simulation.ms) {
+                simulation.submit(arrival.clone());
             }
-            drive.decide();
+            simulation.decide();
         }
-        drive.ended_ms.resize(workload.arrivals.len(), None);
-        drive
+        simulation.ended_ms.resize(workload.arrivals.len(), None);
+        simulation
     }
 
     fn now(&self) -> Instant {
@@ -244,7 +244,7 @@
         config.queues.insert(id, queue);
     }
     let team = |share: f64| Team {
-        share: Share((share * SHARE_UNIT).round().max(1.0) as u32),
+        share: Share((share * f64::from(SHARE_UNIT)).round().max(1.0) as u32),
         limit: Resources::ZERO,
     };
     let shares: &BTreeMap<TeamId, f64> = &workload.shares;
