--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Hosts in one process that share an in-memory store and simulated workers.
 
+mod clock;
+
 use std::sync::{Arc, Mutex};
 use std::time::Instant as StdInstant;
 
@@ -19,6 +21,8 @@
 use vg_standin::{SimulatedWorker, TaskAttempt};
 use vg_store::{Entry, FaultControl, FaultyStore, Key, MemStore, Store, Txn, Value};
 
+pub(crate) use clock::TestClock;
+
 /// Duration of a task.
 pub(crate) const TASK_DURATION: Duration = Duration::from_millis(150);
 /// Prefix of the requests to drain zones.
@@ -84,29 +88,6 @@
     pub(crate) fleet: Arc<Fleet>,
 }
 
-/// The clock of one host, which a test sets forward as if the process had been
-/// suspended.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct TestClock {
-    suspended: Arc<Mutex<Duration>>,
-}
-
-impl TestClock {
-    pub(crate) fn suspend(&self, time: Duration) {
-        *self.suspended.lock().unwrap() += time;
-    }
-}
-
-impl Clock for TestClock {
-    fn now(&self) -> Instant {
-        SystemClock.now() + *self.suspended.lock().unwrap()
-    }
-
-    fn wall(&self) -> SystemTime {
-        SystemClock.wall() + *self.suspended.lock().unwrap()
-    }
-}
-
 pub(crate) struct Node {
     pub(crate) host: Host<TestPlatform, TestClock>,
     pub(crate) clock: TestClock,
