--- a/crates/flow/src/probes.rs
+++ b/crates/flow/src/probes.rs
@@ -6,8 +6,7 @@
 
 use vg_base::prelude::*;
 
-use crate::job::{Job, JobKey, Task};
-use crate::plan::rank_input;
+use crate::job::{JobKey, Task};
 use crate::rank::{Timeliness, rank};
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepSpec, TaskId};
@@ -93,7 +92,7 @@
                 continue;
             }
             let step = usize::from(ready.id.step);
-            if rule == ProbeRule::Harmless && !self.is_harmless(job, step, wall) {
+            if rule == ProbeRule::Harmless && !self.is_harmless(key, step, wall) {
                 continue;
             }
             // One more failure must not end the job, unless each one does.
@@ -120,13 +119,12 @@
 
     /// Whether a job loses nothing, or little, by a failed or slow attempt of a task:
     /// it is late already, or has time to spare.
-    fn is_harmless(&self, job: &Job, step: usize, wall: SystemTime) -> bool {
-        let Some(queue) = self.config.queues.get(&job.spec.queue) else { return true };
-        let mut input = rank_input(job, queue, job.work, wall);
+    fn is_harmless(&self, key: JobKey, step: usize, wall: SystemTime) -> bool {
+        let Some(mut input) = self.rank_input_of(key, wall) else { return true };
         if rank(&input).timeliness > Timeliness::OnTime {
             return true;
         }
-        input.age += self.expected_time(job, step) * MIN_SPARE_TIMES;
+        input.age += self.expected_time(&self.jobs[key], step) * MIN_SPARE_TIMES;
         rank(&input).timeliness == Timeliness::OnTime
     }
 
