--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -11,7 +11,7 @@
 use crate::rank::{Rank, RankInput, rank};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
 use crate::worker::WorkerKey;
-use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
+use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StepSpec, StopReason, TaskId};
 
 /// A scheduling pass over one pool.
 pub(crate) struct PoolPass {
@@ -187,9 +187,7 @@
             !advised && !step.continuous && step.label.is_none() && step.per_worker.is_none();
         for index in waiting {
             let task = TaskId { step: id, index };
-            let state = self.jobs[key].task(task);
-            let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
-            if paused || (self.unresolved.includes(task) && !step.speculative) {
+            if !self.is_startable(key, task, step, now) {
                 continue;
             }
             if (unrestricted && pass.is_misfit(&step.reservation()))
@@ -215,6 +213,20 @@
         }
     }
 
+    /// Whether a waiting task is not paused, and can't run already as an attempt of an
+    /// earlier leader.
+    pub(crate) fn is_startable(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        step: &StepSpec,
+        now: Instant,
+    ) -> bool {
+        let state = self.jobs[key].task(task);
+        let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
+        !paused && (step.speculative || !self.unresolved.includes(task))
+    }
+
     /// Returns a worker for a continuous task that may be on probation, if the others
     /// could not hold the task's step.
     fn find_doubtful_worker(
--- a/crates/flow/src/probes.rs
+++ b/crates/flow/src/probes.rs
@@ -9,7 +9,7 @@
 use crate::job::{JobKey, Task};
 use crate::rank::{Timeliness, rank};
 use crate::worker::WorkerKey;
-use crate::{Scheduler, StepSpec, TaskId};
+use crate::{Scheduler, StepId, StepSpec, TaskId};
 
 /// Maximum number of jobs that are considered for one worker in a round.
 const MAX_CANDIDATES: usize = 64;
@@ -91,8 +91,7 @@
             if !self.team_allows(key, &ready.spec.need) {
                 continue;
             }
-            let step = usize::from(ready.id.step);
-            if rule == ProbeRule::Harmless && !self.is_harmless(key, step, wall) {
+            if rule == ProbeRule::Harmless && !self.is_harmless(key, ready.id, wall) {
                 continue;
             }
             // One more failure must not end the job, unless each one does.
@@ -100,16 +99,15 @@
                 task.failed_attempts.len() + 1 < max_failures
                     || (max_failures <= 1 && rule == ProbeRule::Unplaced)
             };
-            let may_start = |index: &u32| {
-                let (id, task) =
-                    (TaskId { step: ready.id, index: *index }, &ready.step.tasks[*index as usize]);
-                let paused = task.not_before.is_some_and(|at| at > now);
-                let unknown = self.unresolved.includes(id) && !ready.spec.speculative;
-                !paused && !unknown && may_fail(task) && !task.avoided.contains(&worker)
+            let may_start = |id: &TaskId| {
+                let task = &ready.step.tasks[id.index as usize];
+                self.is_startable(key, *id, ready.spec, now)
+                    && may_fail(task)
+                    && !task.avoided.contains(&worker)
             };
+            let mut ids = ready.step.waiting.iter().map(|&index| TaskId { step: ready.id, index });
             // The other tasks of the step need the same: the first one decides for all.
-            let first = ready.step.waiting.iter().copied().find(may_start);
-            let id = first.map(|index| TaskId { step: ready.id, index });
+            let id = ids.find(may_start);
             if let Some(id) = id.filter(|&id| self.find_worker(key, id, &[worker], now).is_some()) {
                 return Some(id);
             }
@@ -119,12 +117,12 @@
 
     /// Whether a job loses nothing, or little, by a failed or slow attempt of a task:
     /// it is late already, or has time to spare.
-    fn is_harmless(&self, key: JobKey, step: usize, wall: SystemTime) -> bool {
+    fn is_harmless(&self, key: JobKey, step: StepId, wall: SystemTime) -> bool {
         let Some(mut input) = self.rank_input_of(key, wall) else { return true };
         if rank(&input).timeliness > Timeliness::OnTime {
             return true;
         }
-        input.age += self.expected_time(&self.jobs[key], step) * MIN_SPARE_TIMES;
+        input.age += self.expected_time(&self.jobs[key], usize::from(step.step)) * MIN_SPARE_TIMES;
         rank(&input).timeliness == Timeliness::OnTime
     }
 
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -109,19 +109,7 @@
 /// restarts, takeovers and outages coincide.
 #[test]
 fn invariants_hold_under_all_faults_together() {
-    let faults = Faults {
-        unanswered: 30,
-        delayed: 30,
-        dropped: 20,
-        failures: 30,
-        restarts: 3,
-        partitions: 6,
-        takeovers: 4,
-        outages: 4,
-        refusals: 0,
-        lost_commands: 0,
-    };
-    (0..seeds()).for_each(|seed| run_seed(3000 + seed, faults));
+    (0..seeds()).for_each(|seed| run_seed(3000 + seed, Faults::ALL));
 }
 
 /// Guards against attempts on machines that are being moved while takeovers
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -57,6 +57,23 @@
     pub(crate) lost_commands: u32,
 }
 
+#[allow(dead_code, reason = "each test uses a part")]
+impl Faults {
+    /// All faults of hosts, workers and links together.
+    pub(crate) const ALL: Faults = Faults {
+        unanswered: 30,
+        delayed: 30,
+        dropped: 20,
+        failures: 30,
+        restarts: 3,
+        partitions: 6,
+        takeovers: 4,
+        outages: 4,
+        refusals: 0,
+        lost_commands: 0,
+    };
+}
+
 /// How tasks and workers differ from what specifications and registrations say. The
 /// default is that they do not.
 #[derive(Debug, Clone, Default)]
--- a/crates/flow/tests/zone_drain.rs
+++ b/crates/flow/tests/zone_drain.rs
@@ -281,18 +281,7 @@
 /// while all faults coincide.
 #[test]
 fn invariants_hold_while_zones_are_drained_under_faults() {
-    let faults = Faults {
-        unanswered: 30,
-        delayed: 30,
-        dropped: 20,
-        failures: 30,
-        restarts: 3,
-        partitions: 6,
-        takeovers: 4,
-        outages: 4,
-        refusals: 100,
-        lost_commands: 60,
-    };
+    let faults = Faults { refusals: 100, lost_commands: 60, ..Faults::ALL };
     for seed in 0..30 {
         let mut world = World::new(5000 + seed, 9, faults);
         world.add_spare(6);
