--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -11,7 +11,7 @@
 use crate::rank::{Rank, RankInput, rank};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
 use crate::worker::WorkerKey;
-use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
+use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StepSpec, StopReason, TaskId};
 
 /// A scheduling pass over one pool.
 pub(crate) struct PoolPass {
@@ -153,8 +153,8 @@
         let steps: Vec<_> = waiting.map(|ready| (ready.id, ready.spec.gang)).collect();
         for (step, gang) in steps {
             if gang {
-                let (job, at) = (&self.jobs[key], usize::from(step.step));
-                let spec = &job.spec.steps[at];
+                let job = &self.jobs[key];
+                let spec = &job.spec.steps[usize::from(step.step)];
                 let workers = self.workers_for_whole(&job.pool, spec, &pass.workers, now);
                 self.place_gang(key, step, &workers, now);
             } else {
@@ -187,9 +187,7 @@
             !advised && !step.continuous && step.label.is_none() && step.per_worker.is_none();
         for index in waiting {
             let task = TaskId { step: id, index };
-            let state = self.jobs[key].task(task);
-            let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
-            if paused || (self.unresolved.includes(task) && !step.speculative) {
+            if !self.is_startable(key, task, step, now) {
                 continue;
             }
             if (unrestricted && pass.is_misfit(&step.reservation()))
@@ -198,12 +196,8 @@
             {
                 return;
             }
-            let mut found = self.find_worker(key, task, &pass.workers, now);
-            if found.is_none() && step.continuous && self.quarantine.is_active {
-                let pool = &self.jobs[key].pool;
-                let workers = self.workers_for_whole(pool, step, &pass.workers, now);
-                found = self.find_worker(key, task, &workers, now);
-            }
+            let found = self.find_worker(key, task, &pass.workers, now);
+            let found = found.or_else(|| self.find_doubtful_worker(key, task, pass, now));
             let Some(worker) = found else {
                 if unrestricted {
                     pass.misfits.push(step.reservation());
@@ -219,6 +213,37 @@
         }
     }
 
+    /// Whether a waiting task is not paused, and can't run already as an attempt of an
+    /// earlier leader.
+    pub(crate) fn is_startable(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        step: &StepSpec,
+        now: Instant,
+    ) -> bool {
+        let state = self.jobs[key].task(task);
+        let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
+        !paused && (step.speculative || !self.unresolved.includes(task))
+    }
+
+    /// Returns a worker for a continuous task that may be on probation, if the others
+    /// could not hold the task's step.
+    fn find_doubtful_worker(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        pass: &PoolPass,
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let step = self.spec_of(task).filter(|step| step.continuous)?;
+        if !self.quarantine.is_active {
+            return None;
+        }
+        let workers = self.workers_for_whole(&self.jobs[key].pool, step, &pass.workers, now);
+        self.find_worker(key, task, &workers, now)
+    }
+
     pub(crate) fn find_worker(
         &self,
         key: JobKey,
