flow: faults that a review of the parts found

- Jobs were rejected that would have been in time: a job was counted behind larger jobs of its size class, which go after it, and behind smaller classes, which take turns with its own.
Only work of its own class counts now, and only if no larger job of the class waits.
- A pool whose only worker was in backoff counted as empty, and its jobs were rejected.
- Workers were kept free for large tasks that could never fit beside their continuous tasks.
- A worker with a continuous task stayed on probation without end.
- A registration with an excessive cold time made every leader panic.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -8,7 +8,7 @@
 
 use vg_base::prelude::*;
 
-use crate::load::{LoadDigest, PoolLoad, TeamLoad};
+use crate::load::{Backlog, LoadDigest, PoolLoad, TeamLoad};
 use crate::rank::{LATE_FACTOR, objective};
 use crate::{JobSpec, Queue, SizeClass};
 
@@ -71,6 +71,9 @@
 /// Decides whether a new job of `queue` is accepted, by a digest whose content is `age`
 /// old.
 ///
+/// What certainly goes before a job is the work of its own size class, as the classes
+/// of a team take turns, and this only if no larger job of the class waits.
+///
 /// An on-time job is served before late ones. So it is rejected only if it can neither
 /// start behind the on-time work before it becomes late, nor behind all work that still
 /// has value before it becomes worthless.
@@ -84,6 +87,9 @@
         return decide_empty(empty_for, &times);
     }
     let Some(team) = pool.team(spec.team.as_ref()) else { return Admission::Admit };
+    if !pool.is_largest(spec) {
+        return Admission::Admit;
+    }
     let ahead = Ahead { pool, team, priority: queue.priority, class: pool.class(spec) };
     let wait = ahead.wait(true);
     if ahead.wait(false) <= times.on_time_start() || wait <= times.last_start() {
@@ -135,12 +141,13 @@
 
     /// Returns the work of the same team that goes before the job, in machine-seconds.
     fn own_work(&self, with_late: bool) -> f64 {
-        self.work_of(self.team, self.class, with_late)
+        self.backlogs_of(self.team).map(|backlog| backlog.work(self.class, with_late)).sum()
     }
 
-    fn work_of(&self, team: &TeamLoad, class: SizeClass, with_late: bool) -> f64 {
-        let backlogs = team.backlogs.iter().filter(|each| each.priority <= self.priority);
-        backlogs.map(|backlog| backlog.work(class, with_late)).sum()
+    /// Returns the backlogs of a team that have the priority of the job or a higher one.
+    fn backlogs_of<'b>(&self, team: &'b TeamLoad) -> impl Iterator<Item = &'b Backlog> {
+        let priority = self.priority;
+        team.backlogs.iter().filter(move |each| each.priority <= priority)
     }
 
     /// Returns a lower bound of the wait.
@@ -161,7 +168,8 @@
         let others = self.pool.teams.iter().filter(|each| each.team != self.team.team);
         let others = others.map(|each| {
             let served = each.allocation.as_machines() * time;
-            served.min(self.work_of(each, SizeClass::Large, with_late))
+            let waiting = self.backlogs_of(each).map(|backlog| backlog.total(with_late));
+            served.min(waiting.sum())
         });
         let bound = ((own + others.sum::<f64>()) / capacity).min(time);
         seconds(bound).saturating_sub(self.longest_task())
--- a/crates/flow/src/hold.rs
+++ b/crates/flow/src/hold.rs
@@ -46,7 +46,7 @@
             while tasks > 0 && pass.held < max_held {
                 let Some(worker) = self.nearest_fit(&need, &pass.workers) else { break };
                 pass.hold(worker);
-                tasks = tasks.saturating_sub(count_fitting(&need, &self.workers[worker].capacity));
+                tasks = tasks.saturating_sub(count_fitting(&need, &self.freeable(worker)));
             }
         }
     }
@@ -58,9 +58,18 @@
         self.spare_time(key, wall) < longest_wait.as_secs_f64() * (1.0 - WAIT_FRACTION)
     }
 
+    /// Returns the capacity of a worker that is free once its short tasks have ended:
+    /// continuous tasks stay.
+    fn freeable(&self, key: WorkerKey) -> Resources {
+        let worker = &self.workers[key];
+        let continuous = worker.attempts.iter().filter(|&&each| self.is_continuous(each));
+        let reserved = continuous.map(|&each| self.attempts[each].reserved);
+        reserved.fold(worker.capacity, |left, each| left.minus(&each))
+    }
+
     /// Returns the worker that lacks the least capacity for a task.
     fn nearest_fit(&self, need: &Resources, workers: &[WorkerKey]) -> Option<WorkerKey> {
-        let large = workers.iter().filter(|&&key| need.fits(&self.workers[key].capacity));
+        let large = workers.iter().filter(|&&key| need.fits(&self.freeable(key)));
         let lacking = large.map(|&key| {
             let worker = &self.workers[key];
             (need.minus(&worker.free()).dominant_share(&worker.capacity), key)
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -98,12 +98,16 @@
     /// Work of the smallest large job.
     #[serde(rename = "l")]
     pub large_from: f64,
+    /// Work of the largest waiting job of each class.
+    #[serde(rename = "x", default)]
+    pub largest: [f64; CLASSES],
 }
 
 impl QueueSizes {
     /// Returns limits by which all jobs are small.
     pub fn new(queue: QueueId) -> QueueSizes {
-        QueueSizes { queue, medium_from: f64::INFINITY, large_from: f64::INFINITY }
+        let largest = [0.0; CLASSES];
+        QueueSizes { queue, medium_from: f64::INFINITY, large_from: f64::INFINITY, largest }
     }
 
     /// Adds a waiting job of a class.
@@ -113,6 +117,8 @@
             SizeClass::Medium => self.medium_from = self.medium_from.min(work),
             SizeClass::Large => self.large_from = self.large_from.min(work),
         }
+        let largest = &mut self.largest[class as usize];
+        *largest = largest.max(work);
     }
 
     /// Returns the class of a job.
@@ -188,6 +194,16 @@
         sizes.map_or(SizeClass::Small, |sizes| sizes.class(spec.work()))
     }
 
+    /// Whether no job of the same class and queue waits that is larger: jobs of a class
+    /// are served by value for their work, so larger ones go after this job.
+    pub fn is_largest(&self, spec: &JobSpec) -> bool {
+        let Some(sizes) = self.queues.iter().find(|sizes| sizes.queue == spec.queue) else {
+            return true;
+        };
+        let work = spec.work();
+        work >= sizes.largest[sizes.class(work) as usize]
+    }
+
     /// Returns the work of a job in machine-seconds.
     pub fn job_work(&self, spec: &JobSpec) -> f64 {
         let step_work = |step: &crate::StepSpec| {
@@ -201,7 +217,7 @@
 impl TeamLoad {
     /// Returns all its waiting work in machine-seconds.
     pub fn waiting(&self) -> f64 {
-        self.backlogs.iter().map(|backlog| backlog.work(SizeClass::Large, true)).sum()
+        self.backlogs.iter().map(|backlog| backlog.total(true)).sum()
     }
 }
 
@@ -214,18 +230,19 @@
         self.longest_ms[at] = self.longest_ms[at].max(task.as_millis() as u32);
     }
 
-    /// Returns the work of a class and smaller ones in machine-seconds, with or without
-    /// that of late jobs.
+    /// Returns the work of a class in machine-seconds, with or without that of late jobs.
     pub fn work(&self, class: SizeClass, with_late: bool) -> f64 {
-        let classes = 0..=class as usize;
-        let on_time: f64 = classes.clone().map(|at| self.on_time[at].as_secs()).sum();
-        let late: f64 = classes.map(|at| self.late[at].as_secs()).sum();
-        if with_late { on_time + late } else { on_time }
+        let (on_time, late) = (self.on_time[class as usize], self.late[class as usize]);
+        if with_late { on_time.as_secs() + late.as_secs() } else { on_time.as_secs() }
+    }
+
+    /// Returns the work of all classes in machine-seconds.
+    pub fn total(&self, with_late: bool) -> f64 {
+        SizeClass::ALL.into_iter().map(|class| self.work(class, with_late)).sum()
     }
 
-    /// Returns the estimate of the longest task of a class and smaller ones.
+    /// Returns the estimate of the longest task of a class.
     pub fn longest(&self, class: SizeClass) -> Duration {
-        let longest = self.longest_ms[..=class as usize].iter().max();
-        Duration::from_millis(longest.copied().unwrap_or_default().into())
+        Duration::from_millis(self.longest_ms[class as usize].into())
     }
 }
--- a/crates/flow/src/load_digest.rs
+++ b/crates/flow/src/load_digest.rs
@@ -86,8 +86,9 @@
     ) -> PoolLoad {
         let pool = &contention.pool;
         let obtainable = self.obtainable_machines(pool);
-        let capacity = self.reachable_machines(pool).max(contention.capacity) + obtainable as f64;
-        let is_empty = contention.usable == 0 && obtainable == 0;
+        let reachable = self.reachable_machines(pool);
+        let capacity = reachable.max(contention.capacity) + obtainable as f64;
+        let is_empty = reachable <= 0.0 && obtainable == 0;
         let empty_for = self.empty_pools.update(pool, is_empty, now);
         let mut backlogs = self.backlogs(pool, wall);
         PoolLoad {
--- a/crates/flow/src/quarantine.rs
+++ b/crates/flow/src/quarantine.rs
@@ -269,13 +269,18 @@
                 self.pass_stage(key, probation.relapses, now);
             } else if now.saturating_duration_since(probation.stage_since) >= MAX_IDLE_TIME
                 && rate.attempts == 0
-                && self.workers[key].attempts.is_empty()
+                && self.has_only_continuous(key)
             {
                 self.release(key, now);
             }
         }
     }
 
+    /// Whether no attempt runs on a worker that ends by itself.
+    fn has_only_continuous(&self, key: WorkerKey) -> bool {
+        self.workers[key].attempts.iter().all(|&attempt| self.is_continuous(attempt))
+    }
+
     fn pass_stage(&mut self, key: WorkerKey, relapses: u32, now: Instant) {
         let speed = self.relative_speed(key, 1, now);
         let evidence = WorkerEvidence { speed: speed.unwrap_or(1.0), ..self.evidence(key, now) };
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -179,7 +179,8 @@
     /// Notes for how long it is still slow. A registration that is read again does not
     /// extend that time.
     pub(crate) fn set_cold(&mut self, left: Duration, now: Instant) {
-        let until = now + left;
+        // A time that can not be represented is malformed.
+        let until = now.checked_add(left).unwrap_or(now);
         self.cold_until = match self.cold_until {
             Some(before) => Some(before.min(until)),
             None => (!left.is_zero()).then_some(until),
