flow: the pass over all attempts takes a fraction of its time

Cause: for each attempt, the durations of all tasks of its step were collected and sorted, and the job was looked up by its id.

Attempts keep the key of their job, and jobs know which kinds of tasks they have. Decisions stay the same: what is checked first is necessary for what was checked before.

The bound of 10 ms is not shown to be kept yet.

--- a/crates/flow/src/attempt.rs
+++ b/crates/flow/src/attempt.rs
@@ -3,6 +3,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::job::JobKey;
 use crate::teams::TeamIndex;
 use crate::worker::WorkerKey;
 use crate::{AttemptNumber, TaskId};
@@ -31,6 +32,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
     pub(crate) task: TaskId,
+    /// Its job, if that was known when the attempt was added.
+    pub(crate) job: Option<JobKey>,
     pub(crate) attempt: AttemptNumber,
     pub(crate) worker: WorkerKey,
     pub(crate) reserved: Resources,
--- a/crates/flow/src/durations.rs
+++ b/crates/flow/src/durations.rs
@@ -18,7 +18,7 @@
 use crate::job::Job;
 use crate::sketch::{Learned, MIN_SAMPLES, Sketch, empty_histogram, quantile};
 use crate::worker::WorkerKey;
-use crate::{Scheduler, StepSpec, TaskId};
+use crate::{Scheduler, StepSpec};
 
 /// Maximum number of sketches; each takes about 7 kB.
 pub(crate) const MAX_SKETCHES: usize = 256;
@@ -243,19 +243,19 @@
         self.learned(job, step).map_or(estimate, |learned| estimate.mul_f64(learned.median))
     }
 
-    /// Returns the expected duration of a task; `None` before enough tasks of its kind
-    /// were observed.
-    pub(crate) fn learned_time(&self, task: TaskId) -> Option<Duration> {
-        let (job, step) = (self.job_of(task)?, usize::from(task.step.step));
+    /// Returns the expected duration of an attempt's task; `None` before enough tasks of
+    /// its kind were observed.
+    pub(crate) fn learned_time(&self, attempt: &Attempt) -> Option<Duration> {
+        let (job, step) = (self.job_of_attempt(attempt)?, usize::from(attempt.task.step.step));
         let learned = self.learned(job, step)?;
         Some(job.spec.steps.get(step)?.estimate.mul_f64(learned.median))
     }
 
     /// Returns the duration that nearly all tasks of a step stay below: the estimate,
     /// or the 99th percentile once enough tasks were observed.
-    pub(crate) fn longest_time(&self, task: TaskId, spec: &StepSpec) -> Duration {
-        let job = self.job_of(task);
-        let learned = job.and_then(|job| self.learned(job, usize::from(task.step.step)));
+    pub(crate) fn longest_time(&self, attempt: &Attempt, spec: &StepSpec) -> Duration {
+        let job = self.job_of_attempt(attempt);
+        let learned = job.and_then(|job| self.learned(job, usize::from(attempt.task.step.step)));
         learned.map_or(spec.estimate, |learned| spec.estimate.mul_f64(learned.tail))
     }
 
@@ -282,7 +282,7 @@
     /// gangs, continuous, best-effort and throttled tasks do not, nor do tasks far
     /// from their data, and attempts that began elsewhere or from a checkpoint.
     pub(crate) fn is_sample(&self, attempt: &Attempt, worker: WorkerKey) -> bool {
-        let Some(spec) = self.spec_of(attempt.task) else { return false };
+        let Some(spec) = self.spec_of_attempt(attempt) else { return false };
         let is_near = spec.data_rack.is_none() || spec.data_rack == self.workers[worker].rack;
         is_near
             && !spec.same_rack
--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -100,9 +100,13 @@
             if matches!(attempt.phase, Phase::Stopping) {
                 continue;
             }
-            let Some(job) = self.job_of(attempt.task) else { continue };
+            let Some(job) = self.job_of_attempt(attempt) else { continue };
+            if !job.kinds.gang {
+                continue;
+            }
             let id = attempt.task.step;
-            let gang = self.spec_of(attempt.task).is_some_and(|spec| spec.gang);
+            let spec = job.spec.steps.get(usize::from(id.step));
+            let gang = spec.is_some_and(|spec| spec.gang);
             if gang && job.step(id.occurrence, id.step).is_some_and(|step| !step.waiting.is_empty())
             {
                 broken.push(key);
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -54,6 +54,11 @@
             .filter(|(_, attempt)| {
                 let answered = self.workers[attempt.worker].last_poll;
                 answered.is_some_and(|at| {
+                    // Nearly all attempts have progressed within the minimum.
+                    let pause = at.saturating_duration_since(attempt.last_progress);
+                    if pause <= MIN_STALL_TIME {
+                        return false;
+                    }
                     let since = self.warm_since(attempt.worker, attempt.last_progress);
                     at.saturating_duration_since(since) > self.stall_time(attempt)
                 })
@@ -73,7 +78,7 @@
     /// Returns the time without progress after which an attempt counts as
     /// stalled; `Duration::MAX` for attempts that never do.
     fn stall_time(&self, attempt: &crate::attempt::Attempt) -> Duration {
-        let Some(step) = self.spec_of(attempt.task) else { return Duration::MAX };
+        let Some(step) = self.spec_of_attempt(attempt) else { return Duration::MAX };
         if step.gang || step.best_effort {
             return Duration::MAX;
         }
@@ -81,7 +86,7 @@
             if step.data_rack.is_some() || step.same_rack { self.rules.remote_factor } else { 1.0 };
         // A continuous task shows no progress while it starts up.
         let startup_time = if step.continuous { Duration::from_secs(3) } else { Duration::ZERO };
-        let longest = self.longest_time(attempt.task, step);
+        let longest = self.longest_time(attempt, step);
         MIN_STALL_TIME.max(longest.mul_f64(STALL_ESTIMATE_FRACTION * rack_factor)) + startup_time
     }
 }
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -46,6 +46,9 @@
     /// Estimated time from each step's start to the job's end.
     pub(crate) critical_paths: Vec<Duration>,
     pub(crate) work: f64,
+    pub(crate) kinds: TaskKinds,
+    /// Shortest time that a completed task of each step took.
+    pub(crate) shortest_runs: Vec<Option<Duration>>,
     /// The estimates, corrected by what was learned; `None` if nothing was.
     pub(crate) corrected: Option<Corrected>,
     /// All occurrences below this number are done.
@@ -64,6 +67,15 @@
     pub(crate) attempt_count: u32,
 }
 
+/// Kinds of tasks among those of a job, so that passes over all attempts need not look
+/// at the specifications of most of them.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct TaskKinds {
+    pub(crate) gang: bool,
+    pub(crate) best_effort: bool,
+    pub(crate) latency_sensitive: bool,
+}
+
 /// One occurrence of a job's steps.
 #[derive(Debug, Clone)]
 pub(crate) struct Occurrence {
@@ -121,6 +133,8 @@
             revision,
             critical_paths: spec.critical_paths(),
             work: spec.work(),
+            kinds: TaskKinds::of(&spec),
+            shortest_runs: vec![None; spec.steps.len()],
             corrected: None,
             spec,
             closed: 0,
@@ -211,6 +225,14 @@
         self.step(id.step.occurrence, id.step.step)?.tasks.get(id.index as usize)
     }
 
+    /// Records the worker and the duration of a task that was completed.
+    pub(crate) fn record_completion(&mut self, id: TaskId, worker: WorkerKey, took: Duration) {
+        let Some(task) = self.task_mut(id) else { return };
+        task.completion = Some((worker, took));
+        let shortest = &mut self.shortest_runs[usize::from(id.step.step)];
+        *shortest = Some(shortest.map_or(took, |shortest| shortest.min(took)));
+    }
+
     pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         self.step_mut(id.step)?.tasks.get_mut(id.index as usize)
     }
@@ -248,6 +270,16 @@
     }
 }
 
+impl TaskKinds {
+    fn of(spec: &JobSpec) -> TaskKinds {
+        TaskKinds {
+            gang: spec.steps.iter().any(|step| step.gang),
+            best_effort: spec.steps.iter().any(|step| step.best_effort),
+            latency_sensitive: spec.steps.iter().any(|step| step.latency_target.is_some()),
+        }
+    }
+}
+
 impl Occurrence {
     fn new(number: u32, spec: &JobSpec) -> Occurrence {
         let step = |each: &crate::StepSpec| Step {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -60,6 +60,7 @@
 mod spec;
 mod speculative;
 mod start_window;
+mod step_durations;
 mod team_turns;
 mod teams;
 mod throttle;
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -139,8 +139,8 @@
             }
             self.record_evidence(&attempt, false, now);
             let took = now.saturating_duration_since(attempt.started);
-            if let Some(task) = self.task_mut(end.task) {
-                task.completion = Some((worker, took));
+            if let Some(&job) = self.job_ids.get(&end.task.step.job) {
+                self.jobs[job].record_completion(end.task, worker, took);
             }
         }
         let Some(&job_key) = self.job_ids.get(&end.task.step.job) else {
@@ -256,6 +256,7 @@
         let step = self.spec_of(reported.task);
         Attempt {
             task: reported.task,
+            job: self.job_ids.get(&reported.task.step.job).copied(),
             attempt: reported.attempt,
             worker,
             reserved: step.map(crate::StepSpec::reservation).unwrap_or_default(),
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -3,6 +3,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::attempt::Attempt;
 use crate::demand::MIN_POOL_MACHINES;
 use crate::job::Step;
 use crate::worker::{Worker, WorkerKey};
@@ -174,6 +175,11 @@
     }
 
     /// Returns the specification of the step of a task.
+    /// Returns the specification of an attempt's step.
+    pub(crate) fn spec_of_attempt(&self, attempt: &Attempt) -> Option<&StepSpec> {
+        self.job_of_attempt(attempt)?.spec.steps.get(usize::from(attempt.task.step.step))
+    }
+
     pub(crate) fn spec_of(&self, task: TaskId) -> Option<&StepSpec> {
         self.job_of(task)?.spec.steps.get(usize::from(task.step.step))
     }
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -279,6 +279,7 @@
         let incarnation = chosen.incarnation.clone();
         self.insert_attempt(Attempt {
             task,
+            job: Some(key),
             attempt,
             worker,
             reserved: step.reservation(),
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -225,6 +225,14 @@
         self.job_ids.get(&task.step.job).map(|&key| &self.jobs[key])
     }
 
+    /// Returns the job of an attempt, without a lookup by id if possible: lookups were a
+    /// large part of a pass over all attempts. An attempt of an earlier leader may be
+    /// added before its job.
+    pub(crate) fn job_of_attempt(&self, attempt: &Attempt) -> Option<&Job> {
+        let known = attempt.job.and_then(|key| self.jobs.get(key));
+        known.or_else(|| self.job_of(attempt.task))
+    }
+
     pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         let key = *self.job_ids.get(&id.step.job)?;
         self.jobs[key].task_mut(id)
--- a/crates/flow/src/throttle.rs
+++ b/crates/flow/src/throttle.rs
@@ -3,6 +3,7 @@
 
 use vg_base::prelude::*;
 
+use crate::job::TaskKinds;
 use crate::worker::WorkerKey;
 use crate::{Action, Scheduler, TaskId};
 
@@ -23,6 +24,10 @@
 impl Scheduler {
     /// Chooses the speeds of best-effort tasks, worker by worker.
     pub(crate) fn throttle_best_effort(&mut self, now: Instant) {
+        let has = |kind: fn(TaskKinds) -> bool| self.jobs.values().any(|job| kind(job.kinds));
+        if !has(|kinds| kinds.best_effort) || !has(|kinds| kinds.latency_sensitive) {
+            return;
+        }
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let Some(load) = self.latency_load(key) else { continue };
@@ -37,7 +42,11 @@
         let mut best_effort = false;
         for &attempt in &self.workers[key].attempts {
             let state = &self.attempts[attempt];
-            let Some(spec) = self.spec_of(state.task) else { continue };
+            let Some(job) = self.job_of_attempt(state) else { continue };
+            if !job.kinds.best_effort && !job.kinds.latency_sensitive {
+                continue;
+            }
+            let Some(spec) = self.spec_of_attempt(state) else { continue };
             best_effort |= spec.best_effort;
             if let Some(latency_target) = spec.latency_target
                 && state.percent >= 100
@@ -58,7 +67,7 @@
             .copied()
             .filter(|&attempt| self.attempts[attempt].is_running())
             .filter(|&attempt| {
-                self.spec_of(self.attempts[attempt].task).is_some_and(|spec| spec.best_effort)
+                self.spec_of_attempt(&self.attempts[attempt]).is_some_and(|spec| spec.best_effort)
             })
             .collect();
         for attempt in best_effort {
