--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -174,8 +174,8 @@
         }
         self.record_evidence(&attempt, false, now);
         let took = now.saturating_duration_since(attempt.started);
-        if let Some(task) = self.task_mut(attempt.task) {
-            task.completion = Some((attempt.worker, took));
+        if let Some(&job) = self.job_ids.get(&attempt.task.step.job) {
+            self.jobs[job].record_completion(attempt.task, attempt.worker, took);
         }
     }
 
@@ -262,6 +262,7 @@
         let step = self.spec_of(reported.task);
         Attempt {
             task: reported.task,
+            job: self.job_ids.get(&reported.task.step.job).copied(),
             attempt: reported.attempt,
             worker,
             reserved: step.map(crate::StepSpec::reservation).unwrap_or_default(),
--- a/crates/flow/tests/zone_drain.rs
+++ b/crates/flow/tests/zone_drain.rs
@@ -308,3 +308,16 @@
         assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
     }
 }
+
+/// Guards against a leader that panics at a registration with an excessive cold time:
+/// the registration stays in the store, so that each further leader would panic too.
+#[test]
+fn an_excessive_cold_time_is_ignored() {
+    let mut world = World::new(7, 4, Faults::default());
+    world.cold_left = Duration::MAX;
+    world.register();
+    world.run(200);
+    submit(&mut world, 1, vec![step(1, 1000, 300)]);
+    world.run(100);
+    assert_eq!(running(&world, 1, None), 1);
+}
