--- a/crates/flow/src/attempt.rs
+++ b/crates/flow/src/attempt.rs
@@ -3,6 +3,8 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::job::JobKey;
+use crate::teams::TeamIndex;
 use crate::worker::WorkerKey;
 use crate::{AttemptNumber, TaskId};
 
@@ -30,12 +32,16 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
     pub(crate) task: TaskId,
+    /// Its job, if that was known when the attempt was added.
+    pub(crate) job: Option<JobKey>,
     pub(crate) attempt: AttemptNumber,
     pub(crate) worker: WorkerKey,
     pub(crate) reserved: Resources,
     /// Resources that count against the team's limit.
     pub(crate) need: Resources,
     pub(crate) team: Option<TeamId>,
+    /// The team to which it is charged in a contended pool.
+    pub(crate) team_index: TeamIndex,
     pub(crate) phase: Phase,
     /// When the start command was sent, or the running attempt was found.
     pub(crate) started: Instant,
@@ -54,6 +60,9 @@
     /// Progress in percent, and when it last changed.
     pub(crate) percent: u8,
     pub(crate) last_progress: Instant,
+    /// Whether this leader started it and it began without a checkpoint, so that its
+    /// duration is that of the whole task.
+    pub(crate) complete_run: bool,
     /// Whether it is several times slower than others of its step.
     pub(crate) slow: bool,
     /// Rough load reported by the worker: tail of response times in
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -129,10 +129,7 @@
         self.counts.done += 1;
         self.record_success(worker);
         if let Some(key) = key {
-            let took = now.saturating_duration_since(self.attempts[key].started);
-            if let Some(task) = self.task_mut(end.task) {
-                task.completion = Some((worker, took));
-            }
+            self.record_completion(key, now);
         }
         let Some(&job_key) = self.job_ids.get(&end.task.step.job) else {
             // The job has ended, so there is nothing to record.
@@ -164,6 +161,24 @@
         }
     }
 
+    /// Records what an attempt that completed its task shows about its duration and its
+    /// worker.
+    fn record_completion(&mut self, key: AttemptKey, now: Instant) {
+        let attempt = self.attempts[key].clone();
+        // The duration of a slow attempt was recorded when it was found to be slow.
+        if let Some(ratio) = self.observe_duration(&attempt, now)
+            && !attempt.slow
+        {
+            let health = &mut self.workers[attempt.worker].health;
+            health.record_duration(ratio, attempt.started, now);
+        }
+        self.record_evidence(&attempt, false, now);
+        let took = now.saturating_duration_since(attempt.started);
+        if let Some(&job) = self.job_ids.get(&attempt.task.step.job) {
+            self.jobs[job].record_completion(attempt.task, attempt.worker, took);
+        }
+    }
+
     fn apply_failed(
         &mut self,
         worker: WorkerKey,
@@ -177,6 +192,8 @@
         self.record_worker_failure(worker, end.task.step.job, now);
         self.avoid_worker(end.task, worker);
         if let Some(key) = key {
+            let attempt = self.attempts[key].clone();
+            self.record_evidence(&attempt, true, now);
             self.remove_attempt(key, Removal::Ended, now);
         }
         if let Some(&job) = self.job_ids.get(&end.task.step.job)
@@ -245,11 +262,13 @@
         let step = self.spec_of(reported.task);
         Attempt {
             task: reported.task,
+            job: self.job_ids.get(&reported.task.step.job).copied(),
             attempt: reported.attempt,
             worker,
             reserved: step.map(crate::StepSpec::reservation).unwrap_or_default(),
             need: step.map(|step| step.need).unwrap_or_default(),
             team: job.and_then(|job| job.spec.team.clone()),
+            team_index: job.map(|job| job.team_index).unwrap_or_default(),
             phase: Phase::Running,
             started: now,
             expires_ms: 0,
@@ -259,6 +278,7 @@
             needs_stop: false,
             checkpoint: reported.checkpoint.clone(),
             percent: reported.percent,
+            complete_run: false,
             last_progress: now,
             slow: false,
             gauge: reported.gauge,
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -3,6 +3,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::attempt::Attempt;
 use crate::demand::MIN_POOL_MACHINES;
 use crate::job::Step;
 use crate::worker::{Worker, WorkerKey};
@@ -15,6 +16,8 @@
     avoided: bool,
     /// The task's data is on another rack.
     remote: bool,
+    /// The worker is doubtful: many of its attempts fail, or it is slow.
+    doubtful: bool,
     /// Latency-sensitive and best-effort tasks would share the worker.
     interferes: bool,
     /// A continuous task would have to move again, because the machine awaits its
@@ -64,7 +67,7 @@
             let worker = &self.workers[key];
             let mut free = worker.free();
             if !request.spec.continuous {
-                free = free.minus(&worker.held);
+                free = free.minus(&worker.drain_reserve);
             }
             for (_, used) in taken.iter().filter(|(each, _)| *each == key) {
                 free = free.minus(used);
@@ -139,6 +142,7 @@
         Fit {
             avoided: task.avoided.contains(&key),
             remote: spec.data_rack.is_some() && spec.data_rack != worker.rack,
+            doubtful: worker.health.is_doubtful(),
             interferes: self.would_interfere(spec, worker),
             moves_again: spec.continuous && self.awaits_maintenance(worker.machine.as_ref()),
             // Continuous tasks share few machines, so that the other machines
@@ -171,6 +175,11 @@
     }
 
     /// Returns the specification of the step of a task.
+    /// Returns the specification of an attempt's step.
+    pub(crate) fn spec_of_attempt(&self, attempt: &Attempt) -> Option<&StepSpec> {
+        self.job_of_attempt(attempt)?.spec.steps.get(usize::from(attempt.task.step.step))
+    }
+
     pub(crate) fn spec_of(&self, task: TaskId) -> Option<&StepSpec> {
         self.job_of(task)?.spec.steps.get(usize::from(task.step.step))
     }
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -1,6 +1,5 @@
 //! Scheduling passes, which assign waiting tasks to workers.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use vg_base::prelude::*;
@@ -12,19 +11,37 @@
 use crate::rank::{Rank, RankInput, rank};
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
 use crate::worker::WorkerKey;
-use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StopReason, TaskId};
+use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StepSpec, StopReason, TaskId};
 
 /// A scheduling pass over one pool.
-struct PoolPass {
-    workers: Vec<WorkerKey>,
+pub(crate) struct PoolPass {
+    pub(crate) workers: Vec<WorkerKey>,
     /// Reservations that fit on no worker; larger ones are not tried.
     misfits: Vec<Resources>,
+    /// Number of workers that are kept free.
+    pub(crate) held: usize,
 }
 
 impl PoolPass {
-    fn is_misfit(&self, reservation: &Resources) -> bool {
+    pub(crate) fn new(workers: Vec<WorkerKey>) -> PoolPass {
+        PoolPass { workers, misfits: Vec::new(), held: 0 }
+    }
+
+    /// Whether a task has found no worker with enough free capacity.
+    pub(crate) fn is_full(&self) -> bool {
+        !self.misfits.is_empty()
+    }
+
+    /// Whether such a task fits on no worker.
+    pub(crate) fn is_misfit(&self, reservation: &Resources) -> bool {
         self.misfits.iter().any(|each| each.fits(reservation))
     }
+
+    /// Starts nothing more on a worker in this round.
+    pub(crate) fn hold(&mut self, worker: WorkerKey) {
+        self.workers.retain(|&each| each != worker);
+        self.held += 1;
+    }
 }
 
 impl Scheduler {
@@ -45,6 +62,7 @@
         }
         if self.cadence.is_fleet_check(now) {
             self.expire_workers(now);
+            self.judge_workers(now);
             self.maintain(now);
             self.resize(now);
             self.start_speculative(now);
@@ -92,26 +110,12 @@
         }
     }
 
-    /// Starts waiting tasks of all pools, in the order of their jobs' ranks.
-    fn place_all(&mut self, now: Instant, wall: SystemTime) {
-        let ranked = self.rank_jobs(wall);
-        let mut pools = HashMap::new();
-        for (_, key) in ranked {
-            let pool = self.jobs[key].pool.clone();
-            let mut pass = pools.remove(&pool).unwrap_or_else(|| self.pool_pass(&pool, now));
-            self.place_job(key, &mut pass, now);
-            pools.insert(pool, pass);
-        }
-    }
-
-    fn pool_pass(&self, pool: &PoolId, now: Instant) -> PoolPass {
-        PoolPass { workers: self.usable_workers(pool, now), misfits: Vec::new() }
-    }
-
-    /// Returns the workers of a pool that can be given work now.
+    /// Returns the workers of a pool that can be given work now and are not on probation.
     pub(crate) fn usable_workers(&self, pool: &PoolId, now: Instant) -> Vec<WorkerKey> {
         let usable = |worker: &crate::worker::Worker| {
-            worker.incarnation.pool == *pool && worker.is_usable(now)
+            worker.incarnation.pool == *pool
+                && worker.health.probation.is_none()
+                && worker.is_usable(now)
         };
         let workers = self.workers.iter().filter(|(_, worker)| usable(worker));
         workers.map(|(key, _)| key).collect()
@@ -132,6 +136,7 @@
             }
             let Some(queue) = self.config.queues.get(&job.spec.queue) else { continue };
             let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
+            job.correct(self.durations.of(&job.spec.queue));
             ranked.push((rank(&rank_input(job, queue, mean_work, wall)), key));
         }
         ranked.sort_unstable();
@@ -139,7 +144,7 @@
     }
 
     /// Starts waiting tasks of the ready steps of a job.
-    fn place_job(&mut self, key: JobKey, pass: &mut PoolPass, now: Instant) {
+    pub(crate) fn place_job(&mut self, key: JobKey, pass: &mut PoolPass, now: Instant) {
         let job = &self.jobs[key];
         if self.may_run_unseen(job) {
             return;
@@ -148,7 +153,10 @@
         let steps: Vec<_> = waiting.map(|ready| (ready.id, ready.spec.gang)).collect();
         for (step, gang) in steps {
             if gang {
-                self.place_gang(key, step, &pass.workers, now);
+                let job = &self.jobs[key];
+                let spec = &job.spec.steps[usize::from(step.step)];
+                let workers = self.workers_for_whole(&job.pool, spec, &pass.workers, now);
+                self.place_gang(key, step, &workers, now);
             } else {
                 self.place_step(key, step, pass, now);
             }
@@ -179,9 +187,7 @@
             !advised && !step.continuous && step.label.is_none() && step.per_worker.is_none();
         for index in waiting {
             let task = TaskId { step: id, index };
-            let state = self.jobs[key].task(task);
-            let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
-            if paused || (self.unresolved.includes(task) && !step.speculative) {
+            if !self.is_startable(key, task, step, now) {
                 continue;
             }
             if (unrestricted && pass.is_misfit(&step.reservation()))
@@ -191,6 +197,7 @@
                 return;
             }
             let found = self.find_worker(key, task, &pass.workers, now);
+            let found = found.or_else(|| self.find_doubtful_worker(key, task, pass, now));
             let Some(worker) = found else {
                 if unrestricted {
                     pass.misfits.push(step.reservation());
@@ -206,6 +213,37 @@
         }
     }
 
+    /// Whether a waiting task is not paused, and can't run already as an attempt of an
+    /// earlier leader.
+    pub(crate) fn is_startable(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        step: &StepSpec,
+        now: Instant,
+    ) -> bool {
+        let state = self.jobs[key].task(task);
+        let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
+        !paused && (step.speculative || !self.unresolved.includes(task))
+    }
+
+    /// Returns a worker for a continuous task that may be on probation, if the others
+    /// could not hold the task's step.
+    fn find_doubtful_worker(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        pass: &PoolPass,
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let step = self.spec_of(task).filter(|step| step.continuous)?;
+        if !self.quarantine.is_active {
+            return None;
+        }
+        let workers = self.workers_for_whole(&self.jobs[key].pool, step, &pass.workers, now);
+        self.find_worker(key, task, &workers, now)
+    }
+
     pub(crate) fn find_worker(
         &self,
         key: JobKey,
@@ -251,6 +289,7 @@
         let job = &mut self.jobs[key];
         let Some(step) = job.spec.steps.get(usize::from(task.step.step)).cloned() else { return };
         let (payload, team) = (Arc::clone(&job.spec.payload), job.spec.team.clone());
+        let team_index = job.team_index;
         let Some(state) = job.step_mut(task.step) else { return };
         let ticket = state.tickets.get(worker, now).cloned().unwrap_or_default();
         let Some(state) = state.tasks.get_mut(task.index as usize) else { return };
@@ -265,11 +304,13 @@
         let incarnation = chosen.incarnation.clone();
         self.insert_attempt(Attempt {
             task,
+            job: Some(key),
             attempt,
             worker,
             reserved: step.reservation(),
             need: step.need,
             team,
+            team_index,
             phase: Phase::Starting,
             started: now,
             expires_ms: deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64,
@@ -279,6 +320,7 @@
             needs_stop: false,
             checkpoint: checkpoint.clone(),
             percent: 0,
+            complete_run: checkpoint.is_empty(),
             last_progress: now,
             slow: false,
             gauge: 0.0,
@@ -300,30 +342,29 @@
 }
 
 /// Returns the input of a job's rank, by its first open occurrence.
-fn rank_input(job: &Job, queue: &crate::Queue, mean_work: f64, wall: SystemTime) -> RankInput {
+pub(crate) fn rank_input(
+    job: &Job,
+    queue: &crate::Queue,
+    mean_work: f64,
+    wall: SystemTime,
+) -> RankInput {
     let occurrence = job.occurrences.first();
     let due = match (job.spec.schedule, occurrence) {
         (Some(schedule), Some(occurrence)) => schedule.due(occurrence.number),
         _ => job.spec.accepted,
     };
+    let left = job.remaining();
     let critical_path = job.critical_paths.iter().copied().max().unwrap_or_default();
-    let (mut remaining_path, mut remaining_work) = (Duration::ZERO, 0.0);
-    for (at, step) in occurrence.iter().flat_map(|occurrence| &occurrence.steps).enumerate() {
-        if !step.is_done() {
-            remaining_path = remaining_path.max(job.critical_paths[at]);
-        }
-        remaining_work += step.waiting.len() as f64 * job.spec.steps[at].task_work();
-    }
     RankInput {
         continuous: job.spec.is_continuous(),
         priority: queue.priority,
         age: wall.duration_since(due).unwrap_or_default(),
         critical_path,
-        remaining_path,
+        remaining_path: left.path,
         stretch: queue.stretch,
         slack: queue.slack,
         work: job.work,
-        remaining_work,
+        remaining_work: left.work,
         mean_work,
     }
 }
--- a/crates/flow/src/rank.rs
+++ b/crates/flow/src/rank.rs
@@ -12,7 +12,7 @@
 use vg_base::prelude::*;
 
 /// A late job still has value up to this multiple of its objective.
-const LATE_FACTOR: f64 = 3.0;
+pub(crate) const LATE_FACTOR: f64 = 3.0;
 /// Part of a job's value that does not depend on its size.
 const BASE_VALUE: f64 = 0.3;
 
@@ -41,6 +41,18 @@
     pub mean_work: f64,
 }
 
+impl RankInput {
+    /// Returns the time from acceptance within which the job has its full value.
+    pub(crate) fn objective(&self) -> Duration {
+        objective(self.critical_path, self.stretch, self.slack)
+    }
+}
+
+/// Returns the time from acceptance within which a job has its full value.
+pub(crate) fn objective(critical_path: Duration, stretch: f64, slack: Duration) -> Duration {
+    critical_path.mul_f64(stretch) + slack
+}
+
 /// Whether a job can end in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timeliness {
@@ -89,7 +101,7 @@
     if job.continuous {
         return Timeliness::Continuous;
     }
-    let objective = job.critical_path.mul_f64(job.stretch) + job.slack;
+    let objective = job.objective();
     let ends = job.age + job.remaining_path;
     if ends <= objective {
         Timeliness::OnTime
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -9,10 +9,19 @@
 
 use crate::attempt::{Attempt, AttemptKey, Phase};
 use crate::cadence::Cadence;
+use crate::contention::ContendedPool;
+use crate::durations::Durations;
 use crate::job::{Job, JobKey, Task};
+use crate::job_size::JobSizes;
+use crate::load_digest::EmptyPools;
 use crate::machines::Machines;
+use crate::past_usage::PastUsage;
+use crate::quarantine::Quarantine;
 use crate::queue_work::QueueWork;
+use crate::share_changes::ReportedShares;
 use crate::start_window::StartWindow;
+use crate::teams::TeamTable;
+use crate::turns::Turns;
 use crate::unresolved::UnresolvedWork;
 use crate::worker::{Worker, WorkerKey};
 use crate::zone_drain::ZoneDrains;
@@ -45,6 +54,13 @@
     pub(crate) attempt_ids: HashMap<(TaskId, AttemptNumber), AttemptKey>,
     /// Resources that count against the limit of each team.
     pub(crate) team_usage: HashMap<TeamId, Resources>,
+    pub(crate) teams: TeamTable,
+    /// Pools that were contended in the last round.
+    pub(crate) contended: Vec<ContendedPool>,
+    pub(crate) past_usage: HashMap<PoolId, PastUsage>,
+    pub(crate) turns: HashMap<PoolId, Turns>,
+    pub(crate) job_sizes: JobSizes,
+    pub(crate) reported_shares: ReportedShares,
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
@@ -52,6 +68,11 @@
     /// last decided.
     pub(crate) unplaced_pools: HashSet<PoolId>,
     pub(crate) queue_work: QueueWork,
+    pub(crate) durations: Durations,
+    pub(crate) quarantine: Quarantine,
+    /// Pools in which tasks found no place in the last round.
+    pub(crate) full_pools: HashSet<PoolId>,
+    pub(crate) empty_pools: EmptyPools,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
     /// Jobs with changes that are not in a batch yet.
@@ -114,10 +135,20 @@
         now: Instant,
     ) -> Scheduler {
         Scheduler {
+            teams: TeamTable::default(),
+            contended: Vec::new(),
+            past_usage: HashMap::new(),
+            turns: HashMap::new(),
+            job_sizes: JobSizes::default(),
+            reported_shares: ReportedShares::default(),
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
             unplaced_pools: HashSet::new(),
             queue_work: QueueWork::default(),
+            durations: Durations::default(),
+            quarantine: Quarantine::default(),
+            full_pools: HashSet::new(),
+            empty_pools: EmptyPools::default(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
             machines: Machines::new(now + rules.machine_hold),
@@ -194,6 +225,14 @@
         self.job_ids.get(&task.step.job).map(|&key| &self.jobs[key])
     }
 
+    /// Returns the job of an attempt, without a lookup by id if possible: lookups were a
+    /// large part of a pass over all attempts. An attempt of an earlier leader may be
+    /// added before its job.
+    pub(crate) fn job_of_attempt(&self, attempt: &Attempt) -> Option<&Job> {
+        let known = attempt.job.and_then(|key| self.jobs.get(key));
+        known.or_else(|| self.job_of(attempt.task))
+    }
+
     pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         let key = *self.job_ids.get(&id.step.job)?;
         self.jobs[key].task_mut(id)
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::TaskId;
 use crate::attempt::AttemptKey;
+use crate::worker_health::WorkerHealth;
 
 slotmap::new_key_type! {
     /// Key of a worker in its table.
@@ -100,8 +101,8 @@
     pub(crate) polled: bool,
     pub(crate) attempts: Vec<AttemptKey>,
     pub(crate) used: Resources,
-    /// Free capacity that is kept for continuous tasks that leave drained zones.
-    pub(crate) held: Resources,
+    /// Free capacity that is reserved for continuous tasks that leave drained zones.
+    pub(crate) drain_reserve: Resources,
     pub(crate) clock: Option<WorkerClock>,
     /// Time after which nothing that it was told to run can still run.
     pub(crate) lease_end: Instant,
@@ -127,6 +128,8 @@
     pub(crate) failed_jobs: Vec<JobId>,
     /// How often it was put into backoff because of failures.
     pub(crate) backoffs: u32,
+    /// What its attempts show about it.
+    pub(crate) health: WorkerHealth,
     /// Whether it is being drained for maintenance or a move.
     pub(crate) cordoned: bool,
     /// Whether a command has taken its machine away, which ends its attempts.
@@ -152,7 +155,7 @@
             polled: false,
             attempts: Vec::new(),
             used: Resources::ZERO,
-            held: Resources::ZERO,
+            drain_reserve: Resources::ZERO,
             clock: None,
             lease_end: now,
             renewed_until: None,
@@ -165,6 +168,7 @@
             backoff_until: None,
             failed_jobs: Vec::new(),
             backoffs: 0,
+            health: WorkerHealth::default(),
             cordoned: false,
             leaving: false,
         };
@@ -175,7 +179,8 @@
     /// Notes for how long it is still slow. A registration that is read again does not
     /// extend that time.
     pub(crate) fn set_cold(&mut self, left: Duration, now: Instant) {
-        let until = now + left;
+        // A time that can not be represented is malformed.
+        let until = now.checked_add(left).unwrap_or(now);
         self.cold_until = match self.cold_until {
             Some(before) => Some(before.min(until)),
             None => (!left.is_zero()).then_some(until),
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -2,9 +2,12 @@
 
 mod commands;
 mod commit;
+mod contention;
 mod give_way;
 mod incarnation_shards;
 mod incarnations;
+mod learned;
+mod load;
 mod machines;
 mod outage;
 mod polls;
@@ -24,6 +27,7 @@
 use crate::dual_instant::DualInstant;
 use crate::host::lock;
 use crate::keys::TERM_KEY;
+use crate::load::LeaderLoad;
 use crate::{Host, Platform};
 
 /// How long a leader continues with the work that it knows after its lease may
@@ -77,6 +81,7 @@
     /// Serializes the writes of the command record.
     record_lock: tokio::sync::Mutex<()>,
     revisions: Mutex<commit::Revisions>,
+    load: Mutex<LeaderLoad>,
 }
 
 /// Leads until the leadership is lost or handed over.
@@ -103,6 +108,7 @@
         machine_commands: Mutex::default(),
         record_lock: tokio::sync::Mutex::default(),
         revisions: Mutex::default(),
+        load: Mutex::default(),
     });
     *lock(&host.inner.leader) = Some(Arc::clone(&leader));
     host.inner.metrics.set_leading(true);
@@ -112,9 +118,8 @@
         _ = lost.wait_for(|lost| *lost) => {}
     }
     *lock(&host.inner.leader) = None;
-    host.inner.metrics.set_leading(false);
     lock(&leader.tasks).abort_all();
-    host.inner.metrics.clear_zone_drains();
+    host.inner.metrics.clear_leader();
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
 
@@ -129,10 +134,12 @@
         self.spawn(Arc::clone(self).follow_machines());
         self.spawn(Arc::clone(self).maintain_leader_key());
         self.spawn(Arc::clone(self).watch_outage());
+        self.spawn(Arc::clone(self).show_contention());
         self.spawn(Arc::clone(self).follow_config());
         self.spawn(Arc::clone(self).follow_drained_zones());
         self.spawn(Arc::clone(self).list_drains());
         self.spawn(Arc::clone(self).give_way_to_larger());
+        self.spawn(Arc::clone(self).report_learned());
         self.recovered.store(true, Ordering::Relaxed);
         self.decide().await;
     }
@@ -153,6 +160,7 @@
                 self.execute(action);
             }
             self.send_machine_commands();
+            self.update_load();
             if self.scheduler().has_changes() {
                 self.commit_needed.notify_one();
             }
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -7,6 +7,7 @@
 //! store revision at which the leadership was taken. Design:
 //! docs/design/platform.md.
 
+mod admit;
 mod cancel;
 mod capacity;
 mod codec;
@@ -18,6 +19,8 @@
 mod host;
 mod keys;
 mod leader;
+mod learned_gauges;
+mod load;
 mod members;
 mod messages;
 mod metrics;
@@ -29,8 +32,11 @@
 mod serve;
 mod session;
 mod submit;
+mod team_gauges;
 mod unresolved;
+mod wait_gauges;
 mod zone_drains;
+mod zone_gauges;
 
 pub use capacity::HostCapacity;
 pub use error::StartError;
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -5,14 +5,16 @@
     Registry, TextEncoder,
 };
 use vg_base::prelude::*;
-use vg_flow::{Counts, ZoneDrainStatus};
+use vg_flow::{Counts, PoolContention};
+
+use crate::learned_gauges::LearnedGauges;
+use crate::team_gauges::TeamGauges;
+use crate::wait_gauges::WaitGauges;
+use crate::zone_gauges::ZoneGauges;
 
 /// Upper bounds of the latency histogram buckets in seconds.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
 
-/// Kinds of tasks that are left in a drained zone.
-const DRAIN_TASK_KINDS: [&str; 2] = ["continuous", "other"];
-
 /// Counters, gauges and latency histograms of one host; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -25,8 +27,10 @@
     leading: IntGauge,
     loop_delay: IntGauge,
     scheduler: IntGaugeVec,
-    zone_tasks: IntGaugeVec,
-    zone_drain_time: IntGaugeVec,
+    pub(crate) zones: ZoneGauges,
+    pub(crate) learned: LearnedGauges,
+    teams: TeamGauges,
+    pub(crate) waits: WaitGauges,
 }
 
 impl Metrics {
@@ -46,31 +50,18 @@
         let options = HistogramOpts::new("vg_call_seconds", "Time to answer callers, by call.");
         let latency = HistogramVec::new(options.buckets(LATENCY_BOUNDS_S.to_vec()), &["call"])?;
         registry.register(Box::new(latency.clone()))?;
-        let leading = IntGauge::new("vg_leading", "1 while this host leads.")?;
-        registry.register(Box::new(leading.clone()))?;
-        let loop_delay =
-            IntGauge::new("vg_loop_delay_ms", "Milliseconds by which a timer was late last.")?;
-        registry.register(Box::new(loop_delay.clone()))?;
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, Error>(gauge)
+        };
+        let leading = gauge("vg_leading", "1 while this host leads.")?;
+        let delay_help = "Milliseconds by which a timer was late last.";
+        let loop_delay = gauge("vg_loop_delay_ms", delay_help)?;
         let scheduler =
             IntGaugeVec::new(Opts::new("vg_flow", "The leader's tables and totals."), &["what"])?;
         registry.register(Box::new(scheduler.clone()))?;
-        let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(gauges.clone()))?;
-            Ok::<_, Error>(gauges)
-        };
-        let zone_tasks = gauges(
-            "vg_zone_drain_tasks",
-            "Tasks that are left in a drained zone, by kind.",
-            &["zone", "kind"],
-        )?;
-        let zone_drain_time = gauges(
-            "vg_zone_drain_seconds",
-            "Seconds since the request to drain a zone was read.",
-            &["zone"],
-        )?;
         Ok(Metrics {
-            registry,
             submissions,
             answers,
             latency,
@@ -79,8 +70,11 @@
             leading,
             loop_delay,
             scheduler,
-            zone_tasks,
-            zone_drain_time,
+            zones: ZoneGauges::new(&registry)?,
+            learned: LearnedGauges::new(&registry)?,
+            teams: TeamGauges::new(&registry)?,
+            waits: WaitGauges::new(&registry)?,
+            registry,
         })
     }
 
@@ -114,6 +108,20 @@
         self.loop_delay.set(delay.as_millis() as i64);
     }
 
+    /// Removes what only the leader shows: this host no longer leads.
+    pub(crate) fn clear_leader(&self) {
+        self.set_leading(false);
+        self.waits.set(&[]);
+        self.zones.clear();
+        self.learned.clear();
+        self.teams.set(&[]);
+    }
+
+    /// Sets the gauges of the teams in contended pools.
+    pub(crate) fn set_contention(&self, pools: &[PoolContention]) {
+        self.teams.set(pools);
+    }
+
     /// Sets the gauges for the sizes and totals of the leader.
     pub(crate) fn set_scheduler_counts(&self, counts: Counts) {
         let set = |what: &str, value: i64| self.scheduler.with_label_values(&[what]).set(value);
@@ -130,32 +138,6 @@
         set("window", counts.start_window as i64);
     }
 
-    /// Sets the gauges of a drained zone that was requested `age` ago. The number of
-    /// labels is bounded by the zones that operators drain at once.
-    pub(crate) fn set_zone_drain(&self, status: &ZoneDrainStatus, age: Duration) {
-        let zone = status.zone.as_str();
-        let tasks = [status.continuous, status.other];
-        for (kind, tasks) in DRAIN_TASK_KINDS.into_iter().zip(tasks) {
-            self.zone_tasks.with_label_values(&[zone, kind]).set(tasks as i64);
-        }
-        self.zone_drain_time.with_label_values(&[zone]).set(age.as_secs() as i64);
-    }
-
-    /// Removes the gauges of a zone whose drain has ended.
-    pub(crate) fn remove_zone_drain(&self, zone: &ZoneId) {
-        // Gauges that were never set can not be removed, which is no failure.
-        for kind in DRAIN_TASK_KINDS {
-            let _ = self.zone_tasks.remove_label_values(&[zone.as_str(), kind]);
-        }
-        let _ = self.zone_drain_time.remove_label_values(&[zone.as_str()]);
-    }
-
-    /// Removes the gauges of all drained zones.
-    pub(crate) fn clear_zone_drains(&self) {
-        self.zone_tasks.reset();
-        self.zone_drain_time.reset();
-    }
-
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
