lead: a late message does not start a job that has ended

A host accepted the job while the leader was cut off and told it so; the message arrived when that host led again, after the job had ended under another leader. The host knew no outcome of the job, and added it.

A job from before the leader's term is in its listing or has ended, so that such a message is ignored now. The test failed before.

--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -277,6 +277,12 @@
         if !self.is_recovered() || !self.host.is_lease_valid() {
             return;
         }
+        // A message that was under way for long, to a host that leads again now. A job
+        // from before this term was listed at the takeover, or has ended since it was
+        // accepted and would run again.
+        if revision <= self.token.0 {
+            return;
+        }
         let now = self.host.inner.clock.now();
         if self.host.cached_outcome(job).is_none()
             && self.scheduler().add_job(job, spec, revision, now)
--- /dev/null
+++ b/crates/lead/tests/late_messages.rs
@@ -0,0 +1,68 @@
+//! Messages between hosts that were under way for long.
+
+#[allow(dead_code, reason = "each test file uses a part")]
+mod support;
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use support::{Cluster, eventually, id, is_done, job, soon};
+use vg_base::prelude::*;
+use vg_flow::JobSpec;
+use vg_lead::SubmitOutcome;
+use vg_net::Client;
+
+/// Time limit for a call to the leader.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Tells the leader that a job has become durable.
+#[derive(Serialize)]
+struct DurableJob {
+    job: JobId,
+    revision: u64,
+    spec: JobSpec,
+}
+
+#[derive(Deserialize)]
+struct LeaderAddr {
+    control: SocketAddr,
+}
+
+/// An answer whose content does not matter.
+#[derive(Deserialize)]
+struct AnyAnswer {}
+
+async fn send_to_leader(cluster: &Cluster, message: &DurableJob) {
+    let leader = cluster.value("vg/live/leader").await.unwrap();
+    let LeaderAddr { control } = vg_net::from_msgpack(&leader).unwrap();
+    let url = format!("http://{control}/handed");
+    let client = Client::new(CALL_TIMEOUT, CALL_TIMEOUT);
+    let _: AnyAnswer = client.post_msgpack(&url, message, CALL_TIMEOUT, 1 << 20).await.unwrap();
+}
+
+/// Guards against a job that runs again: the message that it is durable was sent to a
+/// host that led then and could not be reached, and arrives after the job has ended
+/// under another leader, when the first host leads again.
+#[tokio::test]
+async fn a_late_message_does_not_start_a_job_that_has_ended() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || cluster.has_leader().await).await;
+    assert_eq!(a.host.submit(id(1), job(2), soon()).await, SubmitOutcome::Accepted);
+    let accepted = cluster.entries("vg/in/").await;
+    let revision = accepted.first().map_or(1, |entry| entry.modified.0 as u64);
+    eventually(async || is_done(&a.host.job_status(id(1), soon()).await)).await;
+    let starts = cluster.fleet.starts_of(id(1));
+    a.host.begin_stop().await;
+    a.tasks.stop().await;
+    // It has no outcome of the job in memory.
+    let b = cluster.node("b").await;
+    eventually(async || b.host.is_leading()).await;
+    // The leader accepts messages only once it has recovered.
+    assert_eq!(b.host.submit(id(2), job(2), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&b.host.job_status(id(2), soon()).await)).await;
+    send_to_leader(&cluster, &DurableJob { job: id(1), revision, spec: job(2) }).await;
+    assert_eq!(b.host.submit(id(3), job(2), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&b.host.job_status(id(3), soon()).await)).await;
+    assert_eq!(cluster.fleet.starts_of(id(1)), starts);
+}
