lead: how a poll ended, and the attempts that are lost with a worker, are logged

The logs of the incident couldn't tell an abrupt end of a worker from silence, nor which attempts it took with it and how old they were. E410 now has broken or unanswered as its cause and the number of attempts, E626 stands for each lost attempt with its age. No decision changes.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -174,6 +174,8 @@
     TaskThrottled = 624, "task-paced", Info;
     /// The adviser was asked which workers may run a step.
     AdviserAsked = 625, "step-advised", Info;
+    /// An attempt of a task was lost with its worker.
+    TaskLost = 626, "task-lost", Warn;
     /// A worker fails or is slower than others of its pool; it gets a few tasks at a time.
     WorkerDoubtful = 628, "worker-doubtful", Warn;
     /// A doubtful worker has proved itself and gets tasks like others again.
--- a/crates/flow/src/machine_workers.rs
+++ b/crates/flow/src/machine_workers.rs
@@ -3,10 +3,9 @@
 
 use vg_base::prelude::*;
 
-use crate::Scheduler;
 use crate::machines::LEAVING_TIME;
-use crate::scheduler::Removal;
 use crate::worker::WorkerKey;
+use crate::{LossCause, Scheduler};
 
 impl Scheduler {
     /// Returns the worker on a machine: the one that started last of those that are
@@ -57,8 +56,7 @@
             worker.backoff_until = Some(now + LEAVING_TIME);
             for attempt in worker.attempts.clone() {
                 if self.attempts[attempt].confirmed.is_some() {
-                    self.counts.lost += 1;
-                    self.remove_attempt(attempt, Removal::Ended, now);
+                    self.lose_attempt(attempt, LossCause::Restarted, now);
                 }
             }
         }
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -3,11 +3,10 @@
 use vg_base::prelude::*;
 
 use crate::attempt::Phase;
-use crate::scheduler::Removal;
 use crate::unresolved::IncarnationRecord;
 use crate::worker::{Worker, WorkerKey};
 use crate::worker_health::WorkerHealth;
-use crate::{FencingToken, Scheduler, WorkerIncarnation, WorkerRegistration};
+use crate::{FencingToken, LossCause, Scheduler, WorkerIncarnation, WorkerRegistration};
 
 /// What to send to a worker in the next poll.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,6 +27,16 @@
     pub received: u64,
 }
 
+/// How a poll of a worker failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PollFailure {
+    /// The connection ended before the answer, or was refused. A process that crashes
+    /// closes its connections; so may the network.
+    Broken,
+    /// No answer came in time, or it was malformed.
+    Silent,
+}
+
 impl Scheduler {
     /// Whether an incarnation is in memory and registered.
     pub fn knows(&self, incarnation: &WorkerIncarnation) -> bool {
@@ -111,6 +120,11 @@
         }
     }
 
+    /// Returns the number of attempts that may run on a worker.
+    pub fn attempts_on(&self, id: &HostId) -> usize {
+        self.worker_ids.get(id).map_or(0, |&key| self.workers[key].attempts.len())
+    }
+
     /// Returns the ids of all workers in memory.
     pub fn worker_ids(&self) -> Vec<HostId> {
         self.worker_ids.keys().cloned().collect()
@@ -144,7 +158,7 @@
     }
 
     /// Records that a poll of a worker failed.
-    pub fn poll_failed(&mut self, id: &HostId, now: Instant) {
+    pub fn poll_failed(&mut self, id: &HostId, _failure: PollFailure, now: Instant) {
         if let Some(&key) = self.worker_ids.get(id) {
             let worker = &mut self.workers[key];
             let repeated = worker.unreachable_since.is_some();
@@ -183,8 +197,7 @@
                     self.attempts[attempt].stop_answered = None;
                 }
                 Phase::Running | Phase::Stopping => {
-                    self.counts.lost += 1;
-                    self.remove_attempt(attempt, Removal::Ended, now);
+                    self.lose_attempt(attempt, LossCause::Restarted, now);
                 }
             }
         }
@@ -206,8 +219,7 @@
             let worker = &self.workers[key];
             if expired && !worker.attempts.is_empty() {
                 for attempt in worker.attempts.clone() {
-                    self.counts.lost += 1;
-                    self.remove_attempt(attempt, Removal::Ended, now);
+                    self.lose_attempt(attempt, LossCause::LeaseExpired, now);
                 }
             }
             let worker = &self.workers[key];
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -26,8 +26,8 @@
 use crate::worker::{Worker, WorkerKey};
 use crate::zone_drain::ZoneDrains;
 use crate::{
-    Action, AttemptNumber, FencingToken, JobOutcome, JobState, OperatorConfig, SchedulingRules,
-    StopReason, TaskId,
+    Action, AttemptNumber, FencingToken, JobOutcome, JobState, LostAttempt, OperatorConfig,
+    SchedulingRules, StopReason, TaskId,
 };
 
 /// Minimum time between two stop commands for one attempt: the answer to the
@@ -87,6 +87,8 @@
     pub(crate) machines: Machines,
     pub(crate) zone_drains: ZoneDrains,
     pub(crate) actions: Vec<Action>,
+    /// Attempts that were lost with their worker, until they are reported.
+    pub(crate) losses: Vec<LostAttempt>,
     pub(crate) counts: Counts,
 }
 
@@ -169,6 +171,7 @@
             records_changed: false,
             frozen: false,
             actions: Vec::new(),
+            losses: Vec::new(),
             counts: Counts::default(),
         }
     }
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -7,8 +7,8 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, FencingToken, JobSpec, Machine, MachineAnswer, MachineCommand, MachineState,
-    OperatorConfig, Report, RunningAttempt, Scheduler, SchedulingRules, StartAnswer, StepSpec,
-    TaskId, Wave, WaveState, WorkerIncarnation, WorkerRegistration,
+    OperatorConfig, PollFailure, Report, RunningAttempt, Scheduler, SchedulingRules, StartAnswer,
+    StepSpec, TaskId, Wave, WaveState, WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
 
@@ -377,7 +377,7 @@
     scheduler.end_machine_hold(now);
     let id: HostId = "w0".parse().unwrap();
     scheduler.register(&registration(0), now);
-    scheduler.poll_failed(&id, now);
+    scheduler.poll_failed(&id, PollFailure::Silent, now);
     fleet.scheduler = scheduler;
     fleet.scheduler.set_machine_list(vec![machine(0)], now);
     fleet.running.clear();
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -9,8 +9,8 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, AttemptNumber, AttemptOutcome, FencingToken, IncarnationRecord, JobOutcome, JobSpec,
-    Machine, MachineAnswer, MachineCommand, MachineState, OperatorConfig, Progress, RecordKind,
-    Scheduler, SchedulingRules, StartAnswer, StartCommand, StepId, StopReason, TaskId,
+    Machine, MachineAnswer, MachineCommand, MachineState, OperatorConfig, PollFailure, Progress,
+    RecordKind, Scheduler, SchedulingRules, StartAnswer, StartCommand, StepId, StopReason, TaskId,
     WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
@@ -489,7 +489,9 @@
             let ms = self.ms;
             let worker = &mut self.workers[at];
             if !worker.up || !worker.reachable {
-                self.scheduler.poll_failed(&id, now);
+                let failure =
+                    if worker.reachable { PollFailure::Broken } else { PollFailure::Silent };
+                self.scheduler.poll_failed(&id, failure, now);
                 continue;
             }
             let before = worker.acknowledged;
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -160,6 +160,7 @@
                 self.execute(action);
             }
             self.send_machine_commands();
+            self.record_losses();
             self.update_load();
             if self.scheduler().has_changes() {
                 self.commit_needed.notify_one();
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -80,10 +80,15 @@
                 Err(error) => {
                     has_answered = false;
                     if !std::mem::replace(&mut unreachable, true) {
-                        let fields = [Field::new("worker", &id), Field::new("cause", error)];
+                        let runs = self.scheduler().attempts_on(&id);
+                        let fields = [
+                            Field::new("worker", &id),
+                            Field::new("cause", error),
+                            Field::new("runs", runs),
+                        ];
                         self.host.record(Code::EndpointEjected, fields);
                     }
-                    self.scheduler().poll_failed(&id, now);
+                    self.scheduler().poll_failed(&id, error.into(), now);
                     self.wake.notify_one();
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
@@ -112,6 +117,21 @@
         Some((self.scheduler().renewal(id, sent)?, sent))
     }
 
+    /// Records an event for each attempt that was lost with its worker.
+    pub(super) fn record_losses(&self) {
+        let losses = self.scheduler().take_losses();
+        for lost in losses {
+            let fields = [
+                Field::new("task", lost.task),
+                Field::new("run", lost.attempt),
+                Field::new("worker", &lost.worker),
+                Field::new("age-ms", lost.age.as_millis()),
+                Field::new("how", lost.cause),
+            ];
+            self.host.record(Code::TaskLost, fields);
+        }
+    }
+
     /// Records an event for each ended attempt that was not reported before;
     /// `received` is the number of the last ended attempt that was.
     fn record_ended_attempts(&self, id: &HostId, ended: &[vg_flow::EndedAttempt], received: u64) {
--- a/crates/lead/src/platform.rs
+++ b/crates/lead/src/platform.rs
@@ -5,9 +5,9 @@
 use derive_more::Display;
 use vg_base::prelude::*;
 use vg_flow::{
-    AttemptNumber, FencingToken, Machine, MachineAnswer, MachineCommand, OperatorConfig, Renewal,
-    Report, StartAnswer, StartCommand, StepId, TaskId, Wave, WaveState, WorkerIncarnation,
-    WorkerRegistration,
+    AttemptNumber, FencingToken, Machine, MachineAnswer, MachineCommand, OperatorConfig,
+    PollFailure, Renewal, Report, StartAnswer, StartCommand, StepId, TaskId, Wave, WaveState,
+    WorkerIncarnation, WorkerRegistration,
 };
 use vg_store::{Key, Store, Value};
 
@@ -69,11 +69,25 @@
     /// Another incarnation of a worker answers at the address.
     #[display("other life")]
     OtherIncarnation,
-    /// No answer came, or it was malformed.
+    /// The connection ended before the answer, or was refused.
+    #[display("broken")]
+    Broken,
+    /// No answer came in time, or it was malformed.
     #[display("unanswered")]
     Unanswered,
 }
 
+impl From<PollError> for PollFailure {
+    fn from(error: PollError) -> PollFailure {
+        match error {
+            PollError::Broken => PollFailure::Broken,
+            PollError::StaleToken | PollError::OtherIncarnation | PollError::Unanswered => {
+                PollFailure::Silent
+            }
+        }
+    }
+}
+
 /// The adviser's answer for a step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdviserAnswer {
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -80,6 +80,26 @@
 }
 
 impl Error {
+    /// Returns whether the connection was refused: nothing listens at the address, or
+    /// the network says so.
+    pub fn is_refused(&self) -> bool {
+        let Error::Connect { source, .. } = self else { return false };
+        let causes =
+            std::iter::successors(std::error::Error::source(source), |cause| cause.source());
+        let mut kinds = causes.filter_map(|cause| cause.downcast_ref::<io::Error>());
+        kinds.any(|cause| {
+            matches!(
+                cause.kind(),
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+            )
+        })
+    }
+
+    /// Returns whether the connection ended while the response was awaited or read.
+    pub fn is_broken(&self) -> bool {
+        matches!(self, Error::IncompleteExchange { .. } | Error::TruncatedBody { .. })
+    }
+
     /// Returns whether it is certain that no byte of the request was written.
     pub fn is_not_sent(&self) -> bool {
         matches!(self, Error::Connect { .. } | Error::Request { .. })
