--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -16,6 +16,7 @@
 use vg_jobs::Resources;
 use vg_standin::{SimulatedWorker, TaskAttempt};
 
+use super::crash::Crashes;
 use super::spec::{CORES, MEMORY, config};
 
 /// Duration of one step of the simulation.
@@ -140,6 +141,7 @@
     pub(crate) rng: SmallRng,
     pub(crate) faults: Faults,
     pub(crate) truth: Truth,
+    pub(crate) crashes: Crashes,
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) scheduler: Scheduler,
     pub(crate) workers: Vec<SimulatedWorker>,
@@ -206,6 +208,7 @@
             rng: SmallRng::seed_from_u64(seed),
             faults,
             truth: Truth::default(),
+            crashes: Crashes::default(),
             config,
             scheduler,
             workers: (0..workers).map(worker).collect(),
@@ -407,6 +410,7 @@
         self.finish_moves();
         self.deliver_delayed_starts();
         self.deliver_refusals();
+        self.advance_crashes();
         for at in 0..self.workers.len() {
             let ms = self.ms;
             let ends = self.workers[at].advance(ms);
@@ -690,6 +694,7 @@
             self.starts += 1;
             self.started.push((ms, at, start.task));
             self.check_start(at, start, speculative);
+            self.note_deadly_start(at, start.task);
         }
         answer
     }
