flow: crashes under a task are counted, tried and end in a failed job

Cause: an attempt that is lost with its worker was evidence of nothing. It was put back to wait for 20 ms, whatever had happened, and a step that permits speculative attempts got one more in the next round. Change: when a worker's connection breaks, or a later incarnation shows that it restarted, the attempts that had started last are marked; marks are part of the job's durable progress and are withdrawn if the worker answers again. A marked task starts on trial only: where nothing else has started for 100 ms and the least work would be lost, a few trials a pool at a time, nothing beside it until it has outlasted the attempt that crashed. A crash on trial is proof: the job fails, with E627. Attempts that had run for longer are suspects from their second crash. Ends that were ordered or announced blame nobody.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -176,6 +176,8 @@
     AdviserAsked = 625, "step-advised", Info;
     /// An attempt of a task was lost with its worker.
     TaskLost = 626, "task-lost", Warn;
+    /// A task was given up, because workers crash under it; its job failed.
+    TaskDeadly = 627, "task-deadly", Warn;
     /// A worker fails or is slower than others of its pool; it gets a few tasks at a time.
     WorkerDoubtful = 628, "worker-doubtful", Warn;
     /// A doubtful worker has proved itself and gets tasks like others again.
--- /dev/null
+++ b/crates/flow/src/crashes.rs
@@ -0,0 +1,218 @@
+//! Tasks under which workers crash: on which task a crash is blamed, and when a task is
+//! given up.
+//!
+//! Load that this module handles: a few tasks of a class crash each worker that starts
+//! them, within milliseconds. A worker runs some twenty other tasks then, of which none
+//! has to do with it. Each crash takes the worker away for seconds and loses the work
+//! of the others, so that such a task must be found with few crashes; a task that is
+//! blamed wrongly can be done and must not be given up.
+//!
+//! A crash is blamed on the attempts that had started last. Such a task is a suspect: its
+//! next attempt is a trial (`trials.rs`), after which a second crash is proof. Tasks that
+//! had run for longer become suspects with their second crash only.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use vg_base::prelude::*;
+
+use crate::attempt::AttemptKey;
+use crate::job::{JobKey, Task};
+use crate::worker::WorkerKey;
+use crate::{AttemptNumber, JobOutcome, PollFailure, Scheduler, TaskId};
+
+/// Maximum age of the youngest attempt on a crashed worker at which the crash is blamed
+/// on the youngest ones.
+const RECENT_AGE: Duration = Duration::from_secs(1);
+/// Attempts that started within this time before the youngest one count as young too:
+/// start commands and the crash reach this host with different delays.
+const RECENT_MARGIN: Duration = Duration::from_millis(100);
+/// Crashes from which a task of a gang is given up: its members start together, so that
+/// none can be tried alone.
+const MAX_GANG_CRASHES: usize = 3;
+/// Crashes from which a task is given up although no trial has proved anything.
+const MAX_CRASHES: usize = 5;
+
+/// How much a crash says about a task that was on the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Suspicion {
+    /// Others had started later.
+    Bystander,
+    /// It was among those that had started last.
+    Recent,
+    /// It was on trial: nothing else had started there for a while.
+    Trial,
+}
+
+/// A worker that crashed under an attempt of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashMark {
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// Time from the start command until the crash was seen, in milliseconds.
+    pub age_ms: u64,
+    /// What the crash says about the task.
+    pub suspicion: Suspicion,
+}
+
+/// What may be done with a task, by the crashes under it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CrashState {
+    /// It may start like others.
+    Clear,
+    /// It may start on trial.
+    Suspect,
+    /// It is given up once its attempts are known to have ended.
+    Proven,
+}
+
+/// A task that is given up because workers crash under it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DeadlyTask {
+    /// The task.
+    pub task: TaskId,
+    /// Number of workers that crashed under it.
+    pub crashes: usize,
+}
+
+impl Task {
+    /// Returns what may be done with it by the crashes under it.
+    pub(crate) fn crash_state(&self, gang: bool) -> CrashState {
+        if self.crashes.is_empty() {
+            return CrashState::Clear;
+        }
+        let count =
+            |suspicion| self.crashes.iter().filter(|mark| mark.suspicion == suspicion).count();
+        let (recent, trials) = (count(Suspicion::Recent), count(Suspicion::Trial));
+        let proven = match gang {
+            true => recent >= MAX_GANG_CRASHES,
+            false => trials >= 2 || (trials == 1 && recent >= 1),
+        };
+        if proven || self.crashes.len() >= MAX_CRASHES {
+            CrashState::Proven
+        } else if !gang && (recent + trials >= 1 || self.crashes.len() >= 2) {
+            CrashState::Suspect
+        } else {
+            CrashState::Clear
+        }
+    }
+
+    /// Drops the mark of an attempt whose worker has not crashed.
+    pub(crate) fn withdraw_crash(&mut self, attempt: AttemptNumber) {
+        self.crashes.retain(|mark| mark.attempt != attempt);
+    }
+}
+
+impl Scheduler {
+    /// Returns the tasks that were given up since the last call because workers crash
+    /// under them.
+    pub fn take_deadly_tasks(&mut self) -> Vec<DeadlyTask> {
+        std::mem::take(&mut self.deadly)
+    }
+
+    pub(crate) fn crash_state(&self, id: TaskId) -> CrashState {
+        let gang = self.spec_of(id).is_some_and(|spec| spec.gang);
+        let task = self.job_of(id).and_then(|job| job.task(id));
+        task.map_or(CrashState::Clear, |task| task.crash_state(gang))
+    }
+
+    /// Notes on the tasks of a worker that it seems to have crashed, as its connection
+    /// has broken. The marks are withdrawn if it answers again.
+    pub(crate) fn note_lost_worker(&mut self, key: WorkerKey, failure: PollFailure, now: Instant) {
+        if failure == PollFailure::Broken && !self.ends_as_planned(key) {
+            self.blame_crash(key, now);
+        }
+    }
+
+    /// Notes on the tasks of a worker that it has crashed, as it has a later incarnation.
+    /// When it crashed is not known unless a connection broke.
+    pub(crate) fn note_restarted_worker(&mut self, key: WorkerKey, now: Instant) {
+        if self.workers[key].blamed || self.ends_as_planned(key) {
+            return;
+        }
+        if self.workers[key].unreachable_since.is_none() {
+            self.blame_crash(key, now);
+            return;
+        }
+        let since = self.workers[key].unreachable_since.unwrap_or(now);
+        for attempt in self.workers[key].attempts.clone() {
+            self.add_mark(attempt, Suspicion::Bystander, since);
+        }
+    }
+
+    /// Whether the end of a worker was ordered or announced.
+    fn ends_as_planned(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key];
+        let commands = &self.machines.commands;
+        let commanded =
+            worker.machine.as_ref().is_some_and(|machine| commands.contains_key(machine));
+        worker.leaving || worker.draining || commanded
+    }
+
+    /// Blames a crash at `now` on the attempt on trial, if there is one, and otherwise on
+    /// the attempts that started last.
+    fn blame_crash(&mut self, key: WorkerKey, now: Instant) {
+        self.workers[key].blamed = true;
+        let trial = self.workers[key].trial.take().and_then(|trial| trial.attempt);
+        if let Some(attempt) = trial.filter(|&attempt| self.attempts.contains_key(attempt)) {
+            self.add_mark(attempt, Suspicion::Trial, now);
+            return;
+        }
+        let attempts = self.workers[key].attempts.clone();
+        let age = |each: &AttemptKey| now.saturating_duration_since(self.attempts[*each].started);
+        let ages: HashMap<_, _> = attempts.iter().map(|each| (*each, age(each))).collect();
+        let Some(youngest) = ages.values().min().copied() else { return };
+        let recent = youngest + RECENT_MARGIN.max(youngest);
+        for attempt in attempts {
+            let is_recent = youngest <= RECENT_AGE && ages[&attempt] <= recent;
+            let suspicion = if is_recent { Suspicion::Recent } else { Suspicion::Bystander };
+            self.add_mark(attempt, suspicion, now);
+        }
+    }
+
+    fn add_mark(&mut self, key: AttemptKey, suspicion: Suspicion, at: Instant) {
+        let attempt = &self.attempts[key];
+        let (id, number) = (attempt.task, attempt.attempt);
+        let age_ms = at.saturating_duration_since(attempt.started).as_millis() as u64;
+        // A continuous task has run for long on most workers that crash.
+        let continuous = self.spec_of(id).is_some_and(|spec| spec.continuous);
+        if continuous && suspicion == Suspicion::Bystander {
+            return;
+        }
+        let Some(task) = self.task_mut(id).filter(|task| !task.done) else { return };
+        task.crashes.push(CrashMark { attempt: number, age_ms, suspicion });
+        // Bystanders' marks become durable with the next record of their job.
+        if suspicion != Suspicion::Bystander
+            && let Some(&job) = self.job_ids.get(&id.step.job)
+        {
+            self.mark_dirty(job);
+        }
+    }
+
+    /// Withdraws the marks of a worker that answers again.
+    pub(crate) fn withdraw_crash(&mut self, key: WorkerKey) {
+        if !std::mem::take(&mut self.workers[key].blamed) {
+            return;
+        }
+        for attempt in self.workers[key].attempts.clone() {
+            let (task, number) = (self.attempts[attempt].task, self.attempts[attempt].attempt);
+            self.withdraw_mark(task, number);
+        }
+    }
+
+    /// Withdraws the mark of one attempt: its worker has reported it.
+    pub(crate) fn withdraw_mark(&mut self, id: TaskId, attempt: AttemptNumber) {
+        if let Some(task) = self.task_mut(id) {
+            task.withdraw_crash(attempt);
+        }
+    }
+
+    /// Fails the job of a task under which workers crash. Its other attempts are stopped.
+    pub(crate) fn give_up(&mut self, key: JobKey, task: TaskId, now: Instant) {
+        let crashes = self.jobs[key].task(task).map_or(0, |task| task.crashes.len());
+        self.deadly.push(DeadlyTask { task, crashes });
+        self.end_job(key, JobOutcome::Failed);
+        self.stop_job_attempts(key, now);
+    }
+}
--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -6,6 +6,7 @@
 use vg_jobs::Resources;
 
 use crate::attempt::Phase;
+use crate::crashes::CrashState;
 use crate::job::JobKey;
 use crate::place::PlacementRequest;
 use crate::worker::WorkerKey;
@@ -22,6 +23,10 @@
     ) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step_spec = &spec.steps[usize::from(id.step)];
+        if let Some(deadly) = self.proven_member(key, id) {
+            self.give_up(key, deadly, now);
+            return;
+        }
         let advised = self.needs_adviser(key);
         if advised {
             self.ask_adviser(key, id, workers, now);
@@ -54,6 +59,15 @@
         }
     }
 
+    /// Returns a waiting member under which too many workers have crashed.
+    fn proven_member(&self, key: JobKey, id: StepId) -> Option<TaskId> {
+        let step = self.jobs[key].step(id.occurrence, id.step)?;
+        let is_proven =
+            |&&index: &&u32| step.tasks[index as usize].crash_state(true) == CrashState::Proven;
+        let index = step.waiting.iter().find(is_proven).copied()?;
+        Some(TaskId { step: id, index })
+    }
+
     /// Finds workers for all members, on one rack if they should be on one.
     fn gang_places(
         &self,
--- a/crates/flow/src/hold.rs
+++ b/crates/flow/src/hold.rs
@@ -60,7 +60,7 @@
 
     /// Returns the capacity of a worker that is free once its short tasks have ended:
     /// continuous tasks stay.
-    fn freeable(&self, key: WorkerKey) -> Resources {
+    pub(crate) fn freeable(&self, key: WorkerKey) -> Resources {
         let worker = &self.workers[key];
         let continuous = worker.attempts.iter().filter(|&&each| self.is_continuous(each));
         let reserved = continuous.map(|&each| self.attempts[each].reserved);
--- a/crates/flow/src/job.rs
+++ b/crates/flow/src/job.rs
@@ -12,7 +12,8 @@
 use crate::tickets::Tickets;
 use crate::worker::WorkerKey;
 use crate::{
-    AttemptNumber, JobOutcome, JobSpec, OccurrenceProgress, Progress, StepId, StepSpec, TaskId,
+    AttemptNumber, CrashMark, JobOutcome, JobSpec, OccurrenceProgress, Progress, StepId, StepSpec,
+    TaskId,
 };
 
 slotmap::new_key_type! {
@@ -114,6 +115,8 @@
     pub(crate) completion: Option<(WorkerKey, Duration)>,
     /// Workers on which it failed, stalled or was slow.
     pub(crate) avoided: Vec<WorkerKey>,
+    /// Workers that crashed under it.
+    pub(crate) crashes: Vec<CrashMark>,
     /// It does not start before this time.
     pub(crate) not_before: Option<Instant>,
 }
@@ -314,6 +317,8 @@
                 progress
                     .failed
                     .extend(task.failed_attempts.iter().map(|attempt| (at, index, attempt.0)));
+                let crashes = task.crashes.iter();
+                progress.crashes.extend(crashes.map(|mark| (at, index, *mark)));
                 if !task.checkpoint.is_empty() {
                     progress.checkpoints.push((at, index, task.checkpoint.clone()));
                 }
@@ -333,6 +338,12 @@
                 task.record_failure(AttemptNumber(attempt));
             }
         }
+        for &(step, index, mark) in &progress.crashes {
+            if let Some(task) = self.task_mut(step, index) {
+                task.crashes.push(mark);
+                task.last_attempt = task.last_attempt.max(mark.attempt);
+            }
+        }
         for (step, index, checkpoint) in &progress.checkpoints {
             if let Some(task) = self.task_mut(*step, *index) {
                 task.checkpoint = checkpoint.clone();
--- a/crates/flow/src/machine_workers.rs
+++ b/crates/flow/src/machine_workers.rs
@@ -48,10 +48,12 @@
         let start_ms = self.workers[later].incarnation.start_ms;
         let here = self.machines.workers.get(&machine).cloned().unwrap_or_default();
         for key in here.into_iter().filter(|&key| key != later) {
-            let worker = &mut self.workers[key];
+            let worker = &self.workers[key];
             if worker.leaving || worker.incarnation.start_ms >= start_ms {
                 continue;
             }
+            self.note_restarted_worker(key, now);
+            let worker = &mut self.workers[key];
             worker.leaving = true;
             worker.backoff_until = Some(now + LEAVING_TIME);
             for attempt in worker.attempts.clone() {
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -57,6 +57,8 @@
             worker.lease_end = worker.lease_end.max(now + bound);
         }
         worker.polled = true;
+        self.withdraw_crash(key);
+        let worker = &mut self.workers[key];
         worker.unreachable_since = None;
         worker.last_poll = Some(now);
         worker.ends_truncated = report.ended.len() >= MAX_ENDS_PER_REPORT;
@@ -86,6 +88,7 @@
         self.workers[worker].received = end.number;
         self.workers[worker].uncommitted_ends.push((end.number, end.task));
         self.open_occurrence(end.task);
+        self.withdraw_mark(end.task, end.attempt);
         let mut key = self.attempt_ids.get(&(end.task, end.attempt)).copied();
         if key.is_some_and(|key| self.attempts[key].worker != worker) {
             key = None;
@@ -243,6 +246,7 @@
     /// attempt and its step permits only one.
     fn adopt(&mut self, worker: WorkerKey, reported: &RunningAttempt, now: Instant) {
         self.open_occurrence(reported.task);
+        self.withdraw_mark(reported.task, reported.attempt);
         let state = self.adopted_state(worker, reported, now);
         let wanted = self.job_of(reported.task).is_some_and(|job| {
             let speculative = self.spec_of(reported.task).is_some_and(|spec| spec.speculative);
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -80,10 +80,10 @@
         best.map(|(_, key)| key)
     }
 
-    /// Whether a worker meets the conditions of a task: its label and rack, the
+    /// Whether a worker is kept for no trial and meets the conditions of a task: its label and rack, the
     /// maximum number of tasks of the step, no other attempt of the task, a valid
     /// ticket if one is needed, and for a continuous task that its machine stays.
-    fn may_run(
+    pub(crate) fn may_run(
         &self,
         request: &PlacementRequest<'_>,
         key: WorkerKey,
@@ -92,6 +92,9 @@
         now: Instant,
     ) -> bool {
         let spec = request.spec;
+        if worker.trial.is_some() {
+            return false;
+        }
         if spec.label.as_ref().is_some_and(|label| !worker.labels.contains(label)) {
             return false;
         }
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -6,6 +6,7 @@
 use vg_jobs::Resources;
 
 use crate::attempt::{Attempt, Phase};
+use crate::crashes::CrashState;
 use crate::job::{Job, JobKey};
 use crate::place::PlacementRequest;
 use crate::rank::{Rank, RankInput, rank};
@@ -67,6 +68,7 @@
             self.resize(now);
             self.start_speculative(now);
         }
+        self.review_trials(now);
         self.evict_from_drained_zones(now);
         let starting = |attempt: &&Attempt| attempt.phase == Phase::Starting;
         let unanswered = self.attempts.values().filter(starting).count();
@@ -182,6 +184,10 @@
         if advised {
             self.ask_adviser(key, id, &pass.workers, now);
         }
+        self.try_suspects(key, id, pass, now);
+        if !self.jobs[key].is_open() {
+            return;
+        }
         // Only such a step fits on no worker solely for lack of capacity.
         let unrestricted =
             !advised && !step.continuous && step.label.is_none() && step.per_worker.is_none();
@@ -213,14 +219,28 @@
         }
     }
 
-    /// Whether a waiting task is not paused, and can't run already as an attempt of an
-    /// earlier leader.
+    /// Whether a waiting task is not paused, no worker is thought to have crashed for it,
+    /// and it can't run already as an attempt of an earlier leader.
     pub(crate) fn is_startable(
         &self,
         key: JobKey,
         task: TaskId,
         step: &StepSpec,
         now: Instant,
+    ) -> bool {
+        self.may_start(key, task, step, now)
+            && self.jobs[key].task(task).is_some_and(|state| {
+                state.crashes.is_empty() || state.crash_state(step.gang) == CrashState::Clear
+            })
+    }
+
+    /// The same for a task that may be a suspect.
+    pub(crate) fn may_start(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        step: &StepSpec,
+        now: Instant,
     ) -> bool {
         let state = self.jobs[key].task(task);
         let paused = state.is_none_or(|task| task.not_before.is_some_and(|at| at > now));
--- a/crates/flow/src/progress.rs
+++ b/crates/flow/src/progress.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
+use crate::CrashMark;
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
 #[serde(rename_all = "kebab-case")]
@@ -11,7 +13,7 @@
     /// All its tasks are done.
     #[display("done")]
     Done,
-    /// A task failed as often as its queue allows.
+    /// A task failed as often as its queue allows, or workers crash under it.
     #[display("failed")]
     Failed,
     /// A caller cancelled it.
@@ -40,6 +42,9 @@
     /// Failed attempts by step, task index and attempt number. The number
     /// distinguishes a failure that is reported twice from a second failure.
     pub failed: Vec<(u16, u32, u64)>,
+    /// Workers that crashed under tasks that are not done, by step and task index.
+    #[serde(default)]
+    pub crashes: Vec<(u16, u32, CrashMark)>,
     /// Last checkpoints of tasks that are not done, by step and task index.
     #[serde(rename = "saved")]
     pub checkpoints: Vec<(u16, u32, SmolStr)>,
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -158,8 +158,11 @@
     }
 
     /// Records that a poll of a worker failed.
-    pub fn poll_failed(&mut self, id: &HostId, _failure: PollFailure, now: Instant) {
+    pub fn poll_failed(&mut self, id: &HostId, failure: PollFailure, now: Instant) {
         if let Some(&key) = self.worker_ids.get(id) {
+            if self.workers[key].unreachable_since.is_none() {
+                self.note_lost_worker(key, failure, now);
+            }
             let worker = &mut self.workers[key];
             let repeated = worker.unreachable_since.is_some();
             worker.unreachable_since.get_or_insert(now);
@@ -172,6 +175,7 @@
     /// Starts a new incarnation of a worker: attempts that ran in the previous
     /// one have ended.
     pub(crate) fn begin_incarnation(&mut self, key: WorkerKey, start_ms: u64, now: Instant) {
+        self.note_restarted_worker(key, now);
         let worker = &mut self.workers[key];
         worker.incarnation.start_ms = start_ms;
         worker.recorded = false;
@@ -187,6 +191,8 @@
         worker.health = WorkerHealth::default();
         worker.cordoned = false;
         worker.leaving = false;
+        worker.blamed = false;
+        worker.trial = None;
         let id = worker.incarnation.id.clone();
         for attempt in worker.attempts.clone() {
             match self.attempts[attempt].phase {
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -26,8 +26,8 @@
 use crate::worker::{Worker, WorkerKey};
 use crate::zone_drain::ZoneDrains;
 use crate::{
-    Action, AttemptNumber, FencingToken, JobOutcome, JobState, LostAttempt, OperatorConfig,
-    SchedulingRules, StopReason, TaskId,
+    Action, AttemptNumber, DeadlyTask, FencingToken, JobOutcome, JobState, LostAttempt,
+    OperatorConfig, SchedulingRules, StopReason, TaskId,
 };
 
 /// Minimum time between two stop commands for one attempt: the answer to the
@@ -87,6 +87,9 @@
     pub(crate) machines: Machines,
     pub(crate) zone_drains: ZoneDrains,
     pub(crate) actions: Vec<Action>,
+    /// Tasks that were given up because workers crash under them, until they are
+    /// reported.
+    pub(crate) deadly: Vec<DeadlyTask>,
     /// Attempts that were lost with their worker, until they are reported.
     pub(crate) losses: Vec<LostAttempt>,
     pub(crate) counts: Counts,
@@ -171,6 +174,7 @@
             records_changed: false,
             frozen: false,
             actions: Vec::new(),
+            deadly: Vec::new(),
             losses: Vec::new(),
             counts: Counts::default(),
         }
@@ -333,6 +337,9 @@
         if !state.checkpoint.is_empty() {
             task.checkpoint = state.checkpoint.clone();
         }
+        if removal == Removal::NeverRan {
+            task.withdraw_crash(state.attempt);
+        }
         if task.done || !task.attempts.is_empty() {
             return;
         }
--- a/crates/flow/src/speculative.rs
+++ b/crates/flow/src/speculative.rs
@@ -12,6 +12,7 @@
 use vg_base::prelude::*;
 
 use crate::attempt::{Attempt, AttemptKey};
+use crate::crashes::CrashState;
 use crate::job::JobKey;
 use crate::worker::WorkerKey;
 use crate::{Scheduler, TaskId};
@@ -32,6 +33,14 @@
             }
             let workers =
                 usable.entry(pool.clone()).or_insert_with(|| self.usable_workers(pool, now));
+            match self.crash_state(task) {
+                CrashState::Clear => {}
+                CrashState::Suspect => {
+                    self.try_suspect(key, task, workers, now);
+                    continue;
+                }
+                CrashState::Proven => continue,
+            }
             if let Some(worker) = self.find_worker(key, task, workers, now) {
                 let attempt = self.next_attempt(key, task);
                 self.start(key, task, attempt, worker, now);
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::TaskId;
 use crate::attempt::AttemptKey;
+use crate::trials::Trial;
 use crate::worker_health::WorkerHealth;
 
 slotmap::new_key_type! {
@@ -134,6 +135,10 @@
     pub(crate) cordoned: bool,
     /// Whether a command has taken its machine away, which ends its attempts.
     pub(crate) leaving: bool,
+    /// Whether its tasks are marked for a crash of it.
+    pub(crate) blamed: bool,
+    /// The trial that it holds or is kept for: nothing else starts there.
+    pub(crate) trial: Option<Trial>,
 }
 
 impl Worker {
@@ -171,6 +176,8 @@
             health: WorkerHealth::default(),
             cordoned: false,
             leaving: false,
+            blamed: false,
+            trial: None,
         };
         worker.set_cold(registration.cold_left, now);
         worker
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -4,7 +4,7 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{AttemptOutcome, Renewal};
+use vg_flow::{AttemptOutcome, DeadlyTask, Renewal};
 
 use super::Leader;
 use crate::host::lock;
@@ -117,8 +117,14 @@
         Some((self.scheduler().renewal(id, sent)?, sent))
     }
 
-    /// Records an event for each attempt that was lost with its worker.
+    /// Records an event for each attempt that was lost with its worker, and for each task
+    /// that was given up because workers crash under it.
     pub(super) fn record_losses(&self) {
+        let deadly = self.scheduler().take_deadly_tasks();
+        for DeadlyTask { task, crashes } in deadly {
+            let fields = [Field::new("task", task), Field::new("crashes", crashes)];
+            self.host.record(Code::TaskDeadly, fields);
+        }
         let losses = self.scheduler().take_losses();
         for lost in losses {
             let fields = [
