flow: where crashes are expected, a job's tasks stay together and trials wait

Cause: of what was left, most was lost by the callers beside a deadly task: its first crash took some eight tasks of as many jobs with it, which are known to be lost only when the machine is back, 3.1 s later; and each second crash took a worker away while the pool was full. Change: for 10 s after a crash under a task, tasks of that pool go where their own job runs already, else to the worker with the least on it, and not beside continuous ones, so that a crash hits few jobs. A trial waits for up to 5 s while the pool is full: its job is late already.

--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -33,6 +33,9 @@
 /// Crashes from which a task is given up although no trial has proved anything.
 const MAX_CRASHES: usize = 5;
 
+/// Time after a crash under a task for which its pool is expected to have more of them.
+const CRASH_MEMORY: Duration = Duration::from_secs(10);
+
 /// How much a crash says about a task that was on the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -187,9 +190,17 @@
             && let Some(&job) = self.job_ids.get(&id.step.job)
         {
             self.mark_dirty(job);
+            self.crash_times.insert(self.jobs[job].pool.clone(), at);
         }
     }
 
+    /// Whether workers of a pool have crashed under its tasks lately, so that the next
+    /// task may crash its worker too.
+    pub(crate) fn expects_crashes(&self, pool: &PoolId, now: Instant) -> bool {
+        let last = self.crash_times.get(pool);
+        last.is_some_and(|&last| now.saturating_duration_since(last) < CRASH_MEMORY)
+    }
+
     /// Withdraws the marks of a worker that answers again.
     pub(crate) fn withdraw_crash(&mut self, key: WorkerKey) {
         if !std::mem::take(&mut self.workers[key].blamed) {
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -26,6 +26,11 @@
     /// A continuous task would be the first one there, although enough workers
     /// have some.
     opens_worker: bool,
+    /// A worker with continuous tasks may crash under a task that ends by itself.
+    endangers: bool,
+    /// The worker may crash, and no task of the job runs there yet: the crash would hit
+    /// one job more.
+    apart: bool,
     /// Continuous tasks of the same step on the worker: they can leave it only
     /// one at a time.
     siblings: u32,
@@ -139,8 +144,10 @@
         let spec = request.spec;
         let remaining = free.minus(&spec.reservation());
         let task = &request.step.tasks[request.task.index as usize];
-        // Tasks that interfere with each other are spread, others are packed.
-        let spread = spec.best_effort || spec.latency_target.is_some();
+        // Tasks that interfere with each other are spread, others are packed. So are tasks
+        // that may crash their worker.
+        let at_risk = self.expects_crashes(&worker.incarnation.pool, now);
+        let spread = spec.best_effort || spec.latency_target.is_some() || at_risk;
         let free_fraction = remaining.dominant_share(&worker.capacity);
         Fit {
             avoided: task.avoided.contains(&key),
@@ -151,12 +158,18 @@
             // Continuous tasks share few machines, so that the other machines
             // can be moved.
             opens_worker: continuous_workers >= MIN_POOL_MACHINES && !self.has_continuous(worker),
+            endangers: at_risk && !spec.continuous && self.has_continuous(worker),
+            apart: at_risk && !spec.continuous && !self.has_job(worker, request.task.step.job),
             siblings: if spec.continuous { self.tasks_on(worker, request.task.step) } else { 0 },
             cold: self.is_cold(worker, now),
             free_fraction: if spread { -free_fraction } else { free_fraction },
         }
     }
 
+    fn has_job(&self, worker: &Worker, job: JobId) -> bool {
+        worker.attempts.iter().any(|&attempt| self.attempts[attempt].task.step.job == job)
+    }
+
     pub(crate) fn has_continuous(&self, worker: &Worker) -> bool {
         let continuous = |&attempt: &crate::attempt::AttemptKey| {
             self.spec_of(self.attempts[attempt].task).is_some_and(|spec| spec.continuous)
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -30,8 +30,8 @@
 /// How a poll of a worker failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PollFailure {
-    /// The connection ended before the answer, or was refused. A process that crashes
-    /// closes its connections; so may the network.
+    /// The connection ended before the answer, or was refused. The process has ended, or
+    /// the network cuts it off while it runs on.
     Broken,
     /// No answer came in time, or it was malformed.
     Silent,
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -87,6 +87,8 @@
     pub(crate) machines: Machines,
     pub(crate) zone_drains: ZoneDrains,
     pub(crate) actions: Vec<Action>,
+    /// When a worker of each pool last crashed under a task.
+    pub(crate) crash_times: HashMap<PoolId, Instant>,
     /// Tasks that were given up because workers crash under them, until they are
     /// reported.
     pub(crate) deadly: Vec<DeadlyTask>,
@@ -174,6 +176,7 @@
             records_changed: false,
             frozen: false,
             actions: Vec::new(),
+            crash_times: HashMap::new(),
             deadly: Vec::new(),
             losses: Vec::new(),
             counts: Counts::default(),
--- a/crates/flow/src/trials.rs
+++ b/crates/flow/src/trials.rs
@@ -29,6 +29,9 @@
 const MAX_TRIAL: Duration = Duration::from_secs(5);
 /// Time after which a worker that is kept for a trial is released.
 const MAX_RESERVATION: Duration = Duration::from_secs(3);
+/// Longest time for which a trial waits for its pool to have free capacity: a trial that
+/// ends in a crash takes a worker away, and the job is late already.
+const MAX_DEFERRAL: Duration = Duration::from_secs(5);
 /// Number of tasks that end by themselves, to which a continuous one is equal where it
 /// would be lost.
 const CONTINUOUS_WEIGHT: usize = 8;
@@ -167,6 +170,9 @@
         if let Some((worker, _)) = trials.iter().find(|(_, trial)| is_kept(trial)) {
             return Some(*worker);
         }
+        if self.is_deferred(key, task, now) {
+            return None;
+        }
         if trials.len() >= (workers.len() / TRIAL_DIVISOR).max(1) {
             return None;
         }
@@ -181,6 +187,14 @@
         Some(chosen)
     }
 
+    /// Whether a trial is to wait because its pool is full.
+    fn is_deferred(&self, key: JobKey, id: TaskId, now: Instant) -> bool {
+        let job = &self.jobs[key];
+        let waits_since = job.task(id).and_then(|task| task.not_before);
+        let waited = waits_since.map(|since| now.saturating_duration_since(since));
+        self.full_pools.contains(&job.pool) && waited.is_some_and(|waited| waited < MAX_DEFERRAL)
+    }
+
     /// Returns how much is lost if a worker crashes.
     fn work_at_risk(&self, key: WorkerKey) -> usize {
         let attempts = self.workers[key].attempts.iter();
