--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -72,3 +72,159 @@
     assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
     assert_short_jobs_done(&world, 100, 10);
 }
+
+/// Guards against an innocent task that is given up because it started together with one
+/// that crashes its workers, on the same workers.
+#[test]
+fn tasks_that_started_beside_a_deadly_one_are_done() {
+    let mut world = World::new(3, 4, Faults::default());
+    world.run(300);
+    let wall = world.wall();
+    world.make_deadly(first_task(1), 10);
+    for id in 1..9 {
+        world.submit(id, job("q-a", vec![step(2, 1000, 900)], wall));
+    }
+    world.run(25_000);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 2, 7);
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES, "{:?}", world.crashes.under);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against the loss of what is known of a task's crashes when another host leads.
+#[test]
+fn crashes_are_known_after_a_takeover() {
+    let mut world = busy_world(4);
+    run_deadly(&mut world, vec![step(4, 1000, 900)], 500);
+    assert_eq!(world.crashes_under(first_task(1)), 1);
+    world.change_leader();
+    world.run(25_000);
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 10);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a task that is started without end because each takeover comes before
+/// the crash is durable. One crash more is allowed for each.
+#[test]
+fn each_takeover_at_the_moment_of_a_crash_costs_at_most_one_more() {
+    let mut world = busy_world(5);
+    let wall = world.wall();
+    world.make_deadly(first_task(1), 10);
+    world.submit(1, job("q-a", vec![step(4, 1000, 900)], wall));
+    let mut seen = 0;
+    for _ in 0..2000 {
+        world.step();
+        if world.crashes_under(first_task(1)) > seen && seen < 2 {
+            seen += 1;
+            world.change_leader();
+        }
+    }
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES + 2, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 10);
+}
+
+/// Guards against crashes that are not seen because the worker comes back under its id.
+#[test]
+fn a_worker_that_comes_back_under_its_id_has_crashed() {
+    let mut world = busy_world(6);
+    world.crashes.keep_id = true;
+    run_deadly(&mut world, vec![step(4, 1000, 900)], 25_000);
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 10);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a crash that is not counted because the answer to the start was lost.
+#[test]
+fn a_start_without_an_answer_counts_when_the_worker_crashes() {
+    let mut world = busy_world(7);
+    world.faults.unanswered = 1000;
+    run_deadly(&mut world, vec![step(1, 1000, 900)], 30_000);
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+}
+
+/// Guards against a gang that is started without end: its members can't be tried alone.
+#[test]
+fn a_gang_with_a_deadly_member_is_given_up() {
+    let mut world = busy_world(8);
+    let gang = StepSpec { gang: true, ..step(4, 1000, 900) };
+    run_deadly(&mut world, vec![gang], 40_000);
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES + 1, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 10);
+}
+
+/// Guards against a continuous task that is restarted without end.
+#[test]
+fn a_continuous_task_that_crashes_its_workers_is_given_up() {
+    let mut world = busy_world(9);
+    let continuous = StepSpec { continuous: true, max_unavailable: Some(1), ..step(3, 1000, 0) };
+    run_deadly(&mut world, vec![continuous], 25_000);
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 10);
+}
+
+/// Guards against a task that crashes its workers only after a while, so that others have
+/// always started later.
+#[test]
+fn a_task_that_crashes_its_workers_late_is_given_up() {
+    let mut world = World::new(10, 8, Faults::default());
+    world.run(300);
+    let wall = world.wall();
+    world.make_deadly(first_task(1), 1500);
+    world.submit(1, job("q-a", vec![step(1, 1000, 3000)], wall));
+    for round in 0..60 {
+        submit_short_jobs(&mut world, 100 + round * 2, 2);
+        world.run(500);
+    }
+    world.run(10_000);
+    assert!(world.crashes_under(first_task(1)) <= 5, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 120);
+}
+
+/// Guards against tasks that are given up because workers crash for other causes: all
+/// workers of a rack, again and again, while the tasks start.
+#[test]
+fn tasks_on_racks_that_crash_are_not_given_up() {
+    let mut world = World::new(11, 16, Faults::default());
+    world.run(300);
+    for round in 0..12_u128 {
+        submit_short_jobs(&mut world, 100 + round * 8, 8);
+        world.run(200);
+        let rack = (round as usize % 4) * 4;
+        (rack..rack + 4)
+            .filter(|&at| world.workers[at].up)
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|at| world.crash(at));
+        world.run(1800);
+    }
+    world.run(20_000);
+    assert_short_jobs_done(&world, 100, 96);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against blame for workers that are cut off and run on: their tasks go on
+/// like others when they answer again.
+#[test]
+fn workers_that_are_cut_off_blame_nobody() {
+    let mut world = World::new(12, 8, Faults::default());
+    world.run(300);
+    submit_short_jobs(&mut world, 100, 10);
+    for round in 0..8 {
+        world.run(150);
+        world.workers[round].reachable = false;
+        world.run(1000);
+        world.workers[round].reachable = true;
+    }
+    world.run(10_000);
+    assert_short_jobs_done(&world, 100, 10);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/flow/tests/support/crash.rs
+++ b/crates/flow/tests/support/crash.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use vg_base::prelude::*;
-use vg_flow::TaskId;
+use vg_flow::{AttemptOutcome, TaskId};
 use vg_standin::SimulatedWorker;
 
 use super::world::World;
@@ -52,6 +52,21 @@
         self.crashes.down.push((self.ms + DOWN_MS, at));
     }
 
+    /// Ends the other members of a gang of which one was lost.
+    fn break_gang(&mut self, lost: TaskId) {
+        let spec = &self.store[&lost.step.job].spec.steps[usize::from(lost.step.step)];
+        if !spec.gang {
+            return;
+        }
+        for worker in &mut self.workers {
+            let members = worker.running.iter_mut().filter(|each| each.task.step == lost.step);
+            for member in members {
+                member.outcome = AttemptOutcome::GangBroken;
+                member.finish_ms = 0;
+            }
+        }
+    }
+
     /// Carries out the crashes and returns that are due.
     pub(crate) fn advance_crashes(&mut self) {
         let ms = self.ms;
@@ -62,6 +77,7 @@
                 self.crashes.bystanders += self.workers[at].running.len() - 1;
                 self.crashes.under.entry(task).or_default().push(ms);
                 self.crash(at);
+                self.break_gang(task);
             }
         }
         let back: Vec<_> = self.crashes.down.extract_if(.., |down| down.0 <= ms).collect();
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -36,7 +36,7 @@
     /// Polls a worker until the scheduler forgets it or the leadership ends.
     async fn poll_worker(self: Arc<Self>, id: HostId) {
         let mut has_answered = false;
-        let mut unreachable = false;
+        let mut unreachable = None;
         let mut renewing = false;
         loop {
             if !self.may_act() {
@@ -61,7 +61,7 @@
             match result {
                 Ok(report) => {
                     let is_first = !std::mem::replace(&mut has_answered, true);
-                    if std::mem::take(&mut unreachable) {
+                    if unreachable.take().is_some() {
                         self.host.record(Code::EndpointRestored, [Field::new("worker", &id)]);
                     }
                     self.record_ended_attempts(&id, &report.ended, renewal.received);
@@ -79,7 +79,7 @@
                 }
                 Err(error) => {
                     has_answered = false;
-                    if !std::mem::replace(&mut unreachable, true) {
+                    if unreachable.replace(error) != Some(error) {
                         let runs = self.scheduler().attempts_on(&id);
                         let fields = [
                             Field::new("worker", &id),
--- a/crates/lead/src/platform.rs
+++ b/crates/lead/src/platform.rs
@@ -69,7 +69,11 @@
     /// Another incarnation of a worker answers at the address.
     #[display("other life")]
     OtherIncarnation,
-    /// The connection ended before the answer, or was refused.
+    /// The connection was refused: nothing listens at the address, or the network
+    /// refuses on its behalf.
+    #[display("refused")]
+    Refused,
+    /// The connection ended before the answer.
     #[display("broken")]
     Broken,
     /// No answer came in time, or it was malformed.
@@ -80,7 +84,7 @@
 impl From<PollError> for PollFailure {
     fn from(error: PollError) -> PollFailure {
         match error {
-            PollError::Broken => PollFailure::Broken,
+            PollError::Refused | PollError::Broken => PollFailure::Broken,
             PollError::StaleToken | PollError::OtherIncarnation | PollError::Unanswered => {
                 PollFailure::Silent
             }
