flow: preemption counts what a worker uses beyond its capacity

Cause: free capacity ends at zero, so that a worker whose capacity has shrunk below what it runs seemed to gain all that was stopped on it. For a continuous task too little was stopped, on one worker after the other, and the task still fitted on none. Evidence: a new test, with four workers of a pool at half of their capacity: the continuous task had not started after 1.5 s; it starts now, with at most nine tasks stopped.

--- a/crates/flow/src/preempt.rs
+++ b/crates/flow/src/preempt.rs
@@ -72,17 +72,18 @@
     fn victims(&self, worker: WorkerKey, spec: &StepSpec, now: Instant) -> Option<Victims> {
         let reservation = spec.reservation();
         let state = &self.workers[worker];
-        let mut free = state.free();
+        // It may use more than its capacity, which has shrunk then.
+        let mut used = state.used;
         let mut victims = Victims { lost_work: Duration::ZERO, attempts: Vec::new() };
         for attempt in self.preemptible_attempts(worker) {
-            if reservation.fits(&free) {
+            if used.plus(&reservation).fits(&state.capacity) {
                 break;
             }
             victims.lost_work += now.saturating_duration_since(self.attempts[attempt].started);
-            free = free.plus(&self.attempts[attempt].reserved);
+            used = used.minus(&self.attempts[attempt].reserved);
             victims.attempts.push(attempt);
         }
-        reservation.fits(&free).then_some(victims)
+        used.plus(&reservation).fits(&state.capacity).then_some(victims)
     }
 
     /// Returns attempts of tasks that end by themselves and belong to no gang,
--- a/crates/standin/src/simulated.rs
+++ b/crates/standin/src/simulated.rs
@@ -49,6 +49,8 @@
     pub machine: SmolStr,
     /// Resources of the worker.
     pub capacity: Resources,
+    /// Whether the worker refuses attempts that do not fit into its free capacity.
+    pub guards_capacity: bool,
     /// Amount by which the worker's clock runs slow, in thousandths.
     pub clock_drift: u64,
     /// Factor on the duration of each attempt; 1 is normal speed.
@@ -91,6 +93,7 @@
             pool: pool.into(),
             machine: machine.into(),
             capacity,
+            guards_capacity: true,
             clock_drift: 0,
             slowness: 1,
             up: true,
@@ -119,8 +122,12 @@
     pub fn restart(&mut self, now_ms: u64) {
         let fresh =
             SimulatedWorker::new(&self.id, &self.pool, &self.machine, now_ms, self.capacity);
-        *self =
-            SimulatedWorker { clock_drift: self.clock_drift, reachable: self.reachable, ..fresh };
+        *self = SimulatedWorker {
+            clock_drift: self.clock_drift,
+            reachable: self.reachable,
+            guards_capacity: self.guards_capacity,
+            ..fresh
+        };
     }
 
     /// Returns the resources reserved by running attempts.
@@ -198,7 +205,8 @@
             return StartAnswer::Refused(RefusalReason::Expired);
         }
         self.deadline_ms = self.deadline_ms.max(start.deadline_ms);
-        if !attempt.reservation.fits(&self.capacity.minus(&self.used())) {
+        let fits = attempt.reservation.fits(&self.capacity.minus(&self.used()));
+        if self.guards_capacity && !fits {
             return StartAnswer::Refused(RefusalReason::InsufficientCapacity);
         }
         attempt.started_ms = clock;
