flow: a worker that shrinks is no typical one, and counts for what it has

Cause: a pool's typical machine was that of any of its workers, and each worker counted as one machine. With one worker at 500 or 0 thousandths of a core the need of the whole pool was measured by it. Change: the median of what the workers have had at most is typical; what a worker has less than that is added to its pool's need, and the load digest counts the part that is there. Without a worker that shrinks only the choice of the typical one differs.

--- a/crates/flow/src/demand.rs
+++ b/crates/flow/src/demand.rs
@@ -10,6 +10,7 @@
 use vg_jobs::Resources;
 
 use crate::job::ReadyStep;
+use crate::worker::WorkerKey;
 use crate::{JobSpec, Scheduler};
 
 /// Windows over which the arrival rate is measured: the short one shows a rise
@@ -98,6 +99,8 @@
     present: usize,
     /// How many of these are on their way.
     arriving: usize,
+    /// What workers have less than they had at most, in machines.
+    missing: f64,
     /// Whether a continuous task found no place in it.
     unplaced: bool,
 }
@@ -128,7 +131,9 @@
     /// Capacity that continuous tasks leave free on the machines over which
     /// they are spread counts as headroom too.
     fn machines_for(&self, need: f64) -> usize {
-        ((need + HEADROOM_MACHINES).ceil() as usize).max(self.spread).max(MIN_POOL_MACHINES)
+        ((need + self.missing + HEADROOM_MACHINES).ceil() as usize)
+            .max(self.spread)
+            .max(MIN_POOL_MACHINES)
     }
 }
 
@@ -152,12 +157,31 @@
         self.machines.resize.demand.add_arrival(pool, work, now);
     }
 
+    /// Measures the capacity of a typical machine of each pool: the median of what its
+    /// workers have at most, as they may have less for a while.
+    pub(crate) fn measure_capacities(&mut self, pools: &HashMap<PoolId, Vec<WorkerKey>>) {
+        let median = |workers: &Vec<WorkerKey>| {
+            let registered = workers.iter().filter(|&&key| self.workers[key].registered);
+            let mut all: Vec<_> = registered.map(|&key| self.workers[key].full_capacity).collect();
+            let middle = all.len() / 2;
+            let (_, median, _) = (!all.is_empty())
+                .then(|| all.select_nth_unstable_by_key(middle, |each| each.cores))?;
+            Some(*median)
+        };
+        let measured =
+            pools.iter().filter_map(|(id, workers)| Some((id.clone(), median(workers)?)));
+        self.machines.resize.capacities = measured.collect();
+    }
+
     /// Returns the capacity of a typical machine of a pool.
     pub(crate) fn typical_capacity(&self, pool: &PoolId) -> Resources {
+        if let Some(capacity) = self.machines.resize.capacities.get(pool) {
+            return *capacity;
+        }
         let worker = self.workers.values().find(|worker| worker.incarnation.pool == *pool);
         let listed = self.machines.list.values().find(|machine| machine.pool == *pool);
         worker
-            .map(|worker| worker.capacity)
+            .map(|worker| worker.full_capacity)
             .or(listed.map(|machine| machine.capacity))
             .unwrap_or_default()
     }
@@ -182,6 +206,7 @@
                 && !worker.cordoned
             {
                 size.present += 1;
+                size.missing += 1.0 - worker.present_share();
             }
         }
         for (machine, (pool, _)) in &self.machines.resize.in_transit {
--- a/crates/flow/src/load_digest.rs
+++ b/crates/flow/src/load_digest.rs
@@ -113,7 +113,10 @@
                 && worker.unreachable_since.is_none()
         };
         let reachable = self.workers.values().filter(is_reachable);
-        reachable.map(|worker| worker.capacity.dominant_share(&machine)).sum()
+        let share = |worker: &crate::worker::Worker| {
+            worker.full_capacity.dominant_share(&machine) * worker.present_share()
+        };
+        reachable.map(share).sum()
     }
 
     /// Returns the machines that are being moved to a pool, and those of the spare pool,
--- a/crates/flow/src/quarantine.rs
+++ b/crates/flow/src/quarantine.rs
@@ -124,6 +124,7 @@
         for (key, worker) in &self.workers {
             pools.entry(worker.incarnation.pool.clone()).or_default().push(key);
         }
+        self.measure_capacities(&pools);
         for (pool, workers) in &pools {
             let medians = self.pool_medians(workers, now);
             self.quarantine.medians.insert(pool.clone(), medians);
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -1,6 +1,7 @@
 //! Registration, polls and removal of workers.
 
 use vg_base::prelude::*;
+use vg_jobs::Resources;
 
 use crate::attempt::Phase;
 use crate::unresolved::IncarnationRecord;
@@ -68,7 +69,7 @@
         worker.incarnation = registration.incarnation.clone();
         worker.registered = true;
         worker.draining = registration.draining;
-        worker.capacity = registration.capacity;
+        worker.set_capacity(registration.capacity);
         worker.zone = registration.zone.clone();
         worker.set_cold(registration.cold_left, now);
         let earlier = std::mem::replace(&mut worker.machine, registration.machine.clone());
@@ -192,6 +193,7 @@
         worker.cordoned = false;
         worker.leaving = false;
         worker.blamed = false;
+        worker.full_capacity = Resources::ZERO;
         worker.trial = None;
         let id = worker.incarnation.id.clone();
         for attempt in worker.attempts.clone() {
--- a/crates/flow/src/resize.rs
+++ b/crates/flow/src/resize.rs
@@ -9,6 +9,7 @@
 use std::collections::{HashMap, HashSet};
 
 use vg_base::prelude::*;
+use vg_jobs::Resources;
 
 use crate::demand::{Demand, PoolSize};
 use crate::worker::WorkerKey;
@@ -28,6 +29,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PoolSizing {
     pub(crate) demand: Demand,
+    /// Capacity of a typical machine of each pool.
+    pub(crate) capacities: HashMap<PoolId, Resources>,
     /// Machines that are being moved to a pool, and when they have to be there.
     pub(crate) in_transit: HashMap<SmolStr, (PoolId, Instant)>,
     /// Moves that the platform cannot carry out, so that they are not tried
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -77,6 +77,8 @@
 pub(crate) struct Worker {
     pub(crate) incarnation: WorkerIncarnation,
     pub(crate) capacity: Resources,
+    /// The most that this incarnation has had: its capacity may shrink and grow again.
+    pub(crate) full_capacity: Resources,
     pub(crate) labels: Vec<SmolStr>,
     pub(crate) rack: Option<SmolStr>,
     pub(crate) machine: Option<SmolStr>,
@@ -146,6 +148,7 @@
         let mut worker = Worker {
             incarnation: registration.incarnation.clone(),
             capacity: registration.capacity,
+            full_capacity: registration.capacity,
             labels: registration.labels.clone(),
             rack: rack_of(&registration.labels),
             machine: registration.machine.clone(),
@@ -194,6 +197,17 @@
         };
     }
 
+    /// Sets its capacity, which its registration shows.
+    pub(crate) fn set_capacity(&mut self, capacity: Resources) {
+        self.capacity = capacity;
+        self.full_capacity = self.full_capacity.max(&capacity);
+    }
+
+    /// Returns the part of its full capacity that it has now.
+    pub(crate) fn present_share(&self) -> f64 {
+        self.capacity.scarcest_share(&self.full_capacity)
+    }
+
     /// Returns the free capacity.
     pub(crate) fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
--- a/crates/flow/tests/capacity.rs
+++ b/crates/flow/tests/capacity.rs
@@ -70,3 +70,36 @@
     let runs = |at: usize| &world.workers[at].running;
     assert!((0..8).any(|at| runs(at).iter().any(|each| each.task.step.job == JobId::new(2))));
 }
+
+/// Returns the mean number of workers of pool `a` under a constant load, while one of them
+/// has this many cores.
+fn mean_pool_size(cores: u32) -> f64 {
+    let mut world = World::new(1, 16, Faults::default());
+    world.add_spare(12);
+    world.run(300);
+    let mut present = Vec::new();
+    for round in 0..40_u128 {
+        let wall = world.wall();
+        world.submit(100 + round, job("q-a", vec![step(12, 2000, 900)], wall));
+        if round == 10 {
+            let first = world.workers.iter().position(|each| each.up && each.pool == "a");
+            set_cores(&mut world, first.unwrap(), cores);
+        }
+        world.run(300);
+        if round >= 15 {
+            present.push(world.workers.iter().filter(|each| each.up && each.pool == "a").count());
+        }
+    }
+    present.iter().sum::<usize>() as f64 / present.len() as f64
+}
+
+/// Guards against a pool that takes all spare machines, or gives its own away, because
+/// one of its workers has shrunk and was taken for a typical one.
+#[test]
+fn one_worker_that_shrinks_does_not_change_the_need_of_its_pool() {
+    let calm = mean_pool_size(CORES);
+    for cores in [0, 500] {
+        let size = mean_pool_size(cores);
+        assert!((size - calm).abs() <= 2.0, "{size} machines where {calm} are needed");
+    }
+}
--- a/crates/jobs/src/resources.rs
+++ b/crates/jobs/src/resources.rs
@@ -75,6 +75,26 @@
         )
     }
 
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub fn max(&self, other: &Resources) -> Resources {
+        Resources {
+            cores: self.cores.max(other.cores),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the smallest fraction of `whole` that this amount is, over the resources
+    /// that `whole` has; at most 1.
+    pub fn scarcest_share(&self, whole: &Resources) -> f64 {
+        let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 1.0 };
+        let cores = part(f64::from(self.cores.0), f64::from(whole.cores.0));
+        let memory = part(self.memory.0 as f64, whole.memory.0 as f64);
+        let accelerators = part(f64::from(self.accelerators.0), f64::from(whole.accelerators.0));
+        cores.min(memory).min(accelerators).min(1.0)
+    }
+
     /// Returns the largest fraction of `whole` that this amount takes, over the
     /// resources that `whole` has.
     pub fn dominant_share(&self, whole: &Resources) -> f64 {
