flow, lead, platform: input that would end each host that leads is rejected

A job with 1,000 steps of 10,000 tasks was accepted and needs gigabytes at each host that leads; one with millions of due occurrences had all of them opened in one round; an estimate, an interval, a stretch or an objective of 10^20 seconds overflows in the leader's decisions and ends them in each leader in turn. A panic in a background task of a host went unseen: it kept its lease and its share of callers. A worker's checkpoint of any length became part of a record that the store refuses, and a continuous task that fails without end made its record grow.

--- a/crates/flow/src/answers.rs
+++ b/crates/flow/src/answers.rs
@@ -17,6 +17,9 @@
 /// malformed.
 const MALFORMED_RETRY_DELAY: Duration = Duration::from_secs(2);
 
+/// Number of failed attempts that are kept of a continuous task.
+const MAX_KEPT_FAILURES: usize = 16;
+
 /// Result of a start command.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum StartAnswer {
@@ -192,7 +195,13 @@
         let max_failures =
             self.config.queues.get(&job.spec.queue).map_or(u32::MAX, |q| q.max_failures);
         let Some(state) = job.task_mut(task) else { return };
-        if state.done || !state.record_failure(attempt) || continuous {
+        let is_new = !state.done && state.record_failure(attempt);
+        if continuous {
+            // They fail without end, and each number is a part of the job's record.
+            let excess = state.failed_attempts.len().saturating_sub(MAX_KEPT_FAILURES);
+            state.failed_attempts.drain(..excess);
+        }
+        if !is_new || continuous {
             return;
         }
         let failures = state.failed_attempts.len() as u32;
--- a/crates/flow/src/observe.rs
+++ b/crates/flow/src/observe.rs
@@ -12,6 +12,9 @@
     TaskId,
 };
 
+/// Longest checkpoint that is kept, in bytes. Checkpoints are part of a job's record, and
+/// the store refuses records that are too large.
+const MAX_CHECKPOINT_BYTES: usize = 512;
 /// Number of ends at which a worker's report is full.
 const MAX_ENDS_PER_REPORT: usize = 500;
 
@@ -94,7 +97,7 @@
             key = None;
         }
         if let Some(key) = key
-            && !end.checkpoint.is_empty()
+            && is_usable(&end.checkpoint)
         {
             self.attempts[key].checkpoint = end.checkpoint.clone();
         }
@@ -118,7 +121,7 @@
     /// occurrence was due, even if the clock here says otherwise.
     fn open_occurrence(&mut self, task: TaskId) {
         if let Some(&job) = self.job_ids.get(&task.step.job) {
-            self.jobs[job].open_through(task.step.occurrence);
+            self.jobs[job].open_reported(task.step.occurrence);
         }
     }
 
@@ -209,7 +212,7 @@
     /// Keeps the last checkpoint of an ended attempt for the next attempt of
     /// its task.
     fn keep_checkpoint(&mut self, end: &EndedAttempt) {
-        if end.checkpoint.is_empty() {
+        if !is_usable(&end.checkpoint) {
             return;
         }
         if let Some(task) = self.task_mut(end.task)
@@ -231,7 +234,7 @@
             attempt.percent = reported.percent;
             attempt.last_progress = now;
         }
-        if !reported.checkpoint.is_empty() {
+        if is_usable(&reported.checkpoint) {
             attempt.checkpoint = reported.checkpoint.clone();
         }
         attempt.gauge = reported.gauge;
@@ -280,7 +283,10 @@
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
-            checkpoint: reported.checkpoint.clone(),
+            checkpoint: Some(&reported.checkpoint)
+                .filter(|each| is_usable(each))
+                .cloned()
+                .unwrap_or_default(),
             percent: reported.percent,
             complete_run: false,
             last_progress: now,
@@ -321,3 +327,9 @@
         }
     }
 }
+
+/// Whether a checkpoint is one, and is short enough to be kept. Without it the task starts
+/// from the beginning.
+fn is_usable(checkpoint: &SmolStr) -> bool {
+    !checkpoint.is_empty() && checkpoint.len() <= MAX_CHECKPOINT_BYTES
+}
--- a/crates/flow/src/spec.rs
+++ b/crates/flow/src/spec.rs
@@ -11,6 +11,13 @@
 const MAX_STEPS: usize = 1000;
 /// Maximum number of tasks of a step.
 const MAX_TASKS: u32 = 10_000;
+/// Maximum number of tasks of all steps of a job: each host that leads keeps them in
+/// memory.
+const MAX_JOB_TASKS: u32 = 10_000;
+/// Longest estimate of a task.
+const MAX_ESTIMATE: Duration = Duration::from_secs(366 * 24 * 3600);
+/// Latest time at which an occurrence can be due, since 1970: about 10,000 years.
+const LATEST_DUE: Duration = Duration::from_secs(316_000_000_000);
 
 /// A job: a graph of steps, each of which has identical tasks.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -44,7 +51,16 @@
 impl Schedule {
     /// Returns when an occurrence is due.
     pub fn due(&self, occurrence: u32) -> SystemTime {
-        self.first + self.interval.saturating_mul(occurrence)
+        let due = self.first.checked_add(self.interval.saturating_mul(occurrence));
+        due.unwrap_or(SystemTime::UNIX_EPOCH + LATEST_DUE)
+    }
+
+    /// Whether all occurrences are due at times that can be represented.
+    fn is_representable(&self) -> bool {
+        let latest = SystemTime::UNIX_EPOCH + LATEST_DUE;
+        let offset = self.interval.checked_mul(self.times);
+        let last = offset.and_then(|offset| self.first.checked_add(offset));
+        self.first <= latest && last.is_some_and(|last| last <= latest)
     }
 }
 
@@ -103,13 +119,23 @@
     /// A step has no task, or too many.
     #[display("a step has 1 to {MAX_TASKS} tasks")]
     TaskCount,
+    /// All steps together have too many tasks.
+    #[display("a job has at most {MAX_JOB_TASKS} tasks in all its steps")]
+    JobTasks,
+    /// A step's estimate is too long.
+    #[display("a task's estimate is at most 366 days")]
+    Estimate,
+    /// An occurrence is due too late.
+    #[display("the last run is due within 10,000 years")]
+    Schedule,
     /// A step depends on itself or a later one.
     #[display("a step can depend on earlier steps only")]
     DependencyOrder,
 }
 
 impl JobSpec {
-    /// Checks the shape of the graph.
+    /// Checks the shape of the graph, and that the leader can hold the job: a job that it
+    /// can't hold would end one leader after the other.
     ///
     /// # Errors
     ///
@@ -122,13 +148,27 @@
             if step.count == 0 || step.count > MAX_TASKS {
                 return Err(SpecError::TaskCount);
             }
+            if step.estimate > MAX_ESTIMATE {
+                return Err(SpecError::Estimate);
+            }
             if step.after.iter().any(|&each| usize::from(each) >= at) {
                 return Err(SpecError::DependencyOrder);
             }
         }
+        if self.task_count() > MAX_JOB_TASKS {
+            return Err(SpecError::JobTasks);
+        }
+        if self.schedule.is_some_and(|schedule| !schedule.is_representable()) {
+            return Err(SpecError::Schedule);
+        }
         Ok(())
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub(crate) fn task_count(&self) -> u32 {
+        self.steps.iter().map(|step| step.count).fold(0, u32::saturating_add)
+    }
+
     /// Returns how many times the steps run.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.times.max(1))
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -277,6 +277,17 @@
 }
 
 impl HostTasks {
+    /// Waits until a background task panics, and returns the reason. The process has to
+    /// end then, as it would go on without a part of its work.
+    pub async fn failed(&mut self) -> String {
+        while let Some(ended) = self.set.join_next().await {
+            if let Err(error) = ended {
+                return error.to_string();
+            }
+        }
+        std::future::pending().await
+    }
+
     /// Stops all background tasks and closes the port for peers.
     pub async fn stop(mut self) {
         self.set.shutdown().await;
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -245,6 +245,7 @@
         while let Some(finished) = tasks.try_join_next() {
             if let Err(error) = finished {
                 log::error!(target: "leader", "a background task of the leader failed: {error}");
+                self.end_leadership("a background task has failed");
             }
         }
         tasks.spawn(task);
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -142,6 +142,11 @@
             return;
         }
         let Some(spec) = self.host.decode::<JobSpec>(entry) else { return };
+        if let Err(error) = spec.validate() {
+            let fields = [Field::new("key", &entry.key), Field::new("cause", error)];
+            self.host.record(Code::ValueUnreadable, fields);
+            return;
+        }
         let revision = entry.modified;
         let now = self.host.inner.clock.now();
         if self.scheduler().add_job(job, Arc::new(spec), revision.0 as u64, now) {
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code, reason = "each test file uses a part")]
 mod support;
 
-use support::{Cluster, eventually, id, is_done, job, soon};
+use support::{Cluster, PANICS, eventually, id, is_done, job, soon};
 use vg_base::prelude::*;
 use vg_flow::JobOutcome;
 use vg_lead::{CancelOutcome, JobStatus, SubmitOutcome};
@@ -208,3 +208,17 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(version(), Some(6));
 }
+
+/// A background task that panics must end the process: a host that goes on without its
+/// election or its watches looks alive, and may hold the leadership.
+#[tokio::test]
+async fn a_background_task_that_panics_is_reported() {
+    let cluster = Cluster::new().await;
+    let mut a = cluster.node("a").await;
+    eventually(async || cluster.has_leader().await).await;
+    let waits = tokio::time::timeout(Duration::from_millis(200), a.tasks.failed()).await;
+    assert!(waits.is_err(), "{waits:?}");
+    cluster.put("op/x", PANICS).await;
+    let failed = tokio::time::timeout(Duration::from_secs(10), a.tasks.failed()).await;
+    assert!(failed.is_ok_and(|reason| reason.contains("panicked")));
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -25,6 +25,8 @@
 
 /// Duration of a task.
 pub(crate) const TASK_DURATION: Duration = Duration::from_millis(150);
+/// An operator's item at which the platform's parser panics.
+pub(crate) const PANICS: &[u8] = b"panics";
 /// Prefix of the requests to drain zones.
 pub(crate) const DRAIN_PREFIX: &str = "op/drain/";
 /// Maximum time for which a test waits for a condition.
@@ -252,6 +254,7 @@
     }
 
     fn parse_operator_item(&self, key: &Key, value: &[u8]) -> Result<OperatorItem, ParseError> {
+        assert_ne!(value, PANICS, "an item that makes the parser panic");
         if let Some(zone) = key.0.strip_prefix(DRAIN_PREFIX) {
             let malformed = |_| ParseError { reason: "no zone".into() };
             return zone.parse().map(OperatorItem::ZoneDrain).map_err(malformed);
