flow: suspects of one job are tried together, and a rack that crashes spreads nothing

Cause: what finding out costs callers whose tasks are innocent. Of four tasks of a job that had just started when a worker crashed, each was tried by itself, one at a time in a small pool; after crashes of whole racks (a test) 9 of 96 jobs waited for more than 20 s, and any crash under a task made its pool spread its load for 10 s. Change: tasks of one job are tried together, as the job fails whichever of them is the cause; a quarter of a pool's workers may hold trials; a trial outlasts the crash by 150 ms. Several workers that crash within 300 ms are one event, and a pool expects further crashes after a lone one or a second event only.

--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -35,6 +35,8 @@
 
 /// Time after a crash under a task for which its pool is expected to have more of them.
 const CRASH_MEMORY: Duration = Duration::from_secs(10);
+/// Time between two crashes within which they may have one cause, as those of a rack have.
+const COMMON_CAUSE_TIME: Duration = Duration::from_millis(300);
 
 /// How much a crash says about a task that was on the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +61,40 @@
     pub suspicion: Suspicion,
 }
 
+/// Crashes in a pool that follow each other within [`CRASH_MEMORY`]. Those within
+/// [`COMMON_CAUSE_TIME`] are one event.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CrashSeries {
+    last: Instant,
+    events: usize,
+    /// Workers that crashed in the last event.
+    workers: usize,
+}
+
+impl CrashSeries {
+    fn new(at: Instant) -> CrashSeries {
+        CrashSeries { last: at, events: 1, workers: 1 }
+    }
+
+    fn add(&mut self, at: Instant) {
+        let pause = at.saturating_duration_since(self.last);
+        if pause >= CRASH_MEMORY {
+            *self = CrashSeries::new(at);
+        } else if pause >= COMMON_CAUSE_TIME {
+            *self = CrashSeries { last: at, events: self.events + 1, workers: 1 };
+        } else {
+            *self = CrashSeries { last: at, workers: self.workers + 1, ..*self };
+        }
+    }
+
+    /// Whether the next task may crash its worker too: the crashes came one after another,
+    /// or of one worker alone.
+    fn goes_on(&self, now: Instant) -> bool {
+        let is_recent = now.saturating_duration_since(self.last) < CRASH_MEMORY;
+        is_recent && (self.events > 1 || self.workers == 1)
+    }
+}
+
 /// What may be done with a task, by the crashes under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CrashState {
@@ -157,9 +193,12 @@
     /// the attempts that started last.
     fn blame_crash(&mut self, key: WorkerKey, now: Instant) {
         self.workers[key].blamed = true;
-        let trial = self.workers[key].trial.take().and_then(|trial| trial.attempt);
-        if let Some(attempt) = trial.filter(|&attempt| self.attempts.contains_key(attempt)) {
-            self.add_mark(attempt, Suspicion::Trial, now);
+        let trial = self.workers[key].trial.take();
+        let mut tried = trial.map(|trial| trial.attempts).unwrap_or_default();
+        tried.retain(|&attempt| self.attempts.contains_key(attempt));
+        if !tried.is_empty() {
+            tried.into_iter().for_each(|each| self.add_mark(each, Suspicion::Trial, now));
+            self.note_crash(key, now);
             return;
         }
         let attempts = self.workers[key].attempts.clone();
@@ -167,6 +206,9 @@
         let ages: HashMap<_, _> = attempts.iter().map(|each| (*each, age(each))).collect();
         let Some(youngest) = ages.values().min().copied() else { return };
         let recent = youngest + RECENT_MARGIN.max(youngest);
+        if youngest <= RECENT_AGE {
+            self.note_crash(key, now);
+        }
         for attempt in attempts {
             let is_recent = youngest <= RECENT_AGE && ages[&attempt] <= recent;
             let suspicion = if is_recent { Suspicion::Recent } else { Suspicion::Bystander };
@@ -190,15 +232,18 @@
             && let Some(&job) = self.job_ids.get(&id.step.job)
         {
             self.mark_dirty(job);
-            self.crash_times.insert(self.jobs[job].pool.clone(), at);
         }
     }
 
-    /// Whether workers of a pool have crashed under its tasks lately, so that the next
-    /// task may crash its worker too.
+    fn note_crash(&mut self, key: WorkerKey, at: Instant) {
+        let pool = self.workers[key].incarnation.pool.clone();
+        let series = self.crash_series.entry(pool);
+        series.and_modify(|series| series.add(at)).or_insert_with(|| CrashSeries::new(at));
+    }
+
+    /// Whether the next task of a pool may crash its worker, as others did lately.
     pub(crate) fn expects_crashes(&self, pool: &PoolId, now: Instant) -> bool {
-        let last = self.crash_times.get(pool);
-        last.is_some_and(|&last| now.saturating_duration_since(last) < CRASH_MEMORY)
+        self.crash_series.get(pool).is_some_and(|series| series.goes_on(now))
     }
 
     /// Withdraws the marks of a worker that answers again.
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -85,10 +85,22 @@
         best.map(|(_, key)| key)
     }
 
-    /// Whether a worker is kept for no trial and meets the conditions of a task: its label and rack, the
-    /// maximum number of tasks of the step, no other attempt of the task, a valid
-    /// ticket if one is needed, and for a continuous task that its machine stays.
-    pub(crate) fn may_run(
+    /// Whether a worker is kept for no trial and meets the conditions of a task.
+    fn may_run(
+        &self,
+        request: &PlacementRequest<'_>,
+        key: WorkerKey,
+        worker: &Worker,
+        taken: &[(WorkerKey, Resources)],
+        now: Instant,
+    ) -> bool {
+        worker.trial.is_none() && self.meets_conditions(request, key, worker, taken, now)
+    }
+
+    /// Whether a worker meets the conditions of a task: its label and rack, the maximum
+    /// number of tasks of the step, no other attempt of the task, a valid ticket if one is
+    /// needed, and for a continuous task that its machine stays.
+    pub(crate) fn meets_conditions(
         &self,
         request: &PlacementRequest<'_>,
         key: WorkerKey,
@@ -97,9 +109,6 @@
         now: Instant,
     ) -> bool {
         let spec = request.spec;
-        if worker.trial.is_some() {
-            return false;
-        }
         if spec.label.as_ref().is_some_and(|label| !worker.labels.contains(label)) {
             return false;
         }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::attempt::{Attempt, AttemptKey, Phase};
 use crate::cadence::Cadence;
 use crate::contention::ContendedPool;
+use crate::crashes::CrashSeries;
 use crate::durations::Durations;
 use crate::job::{Job, JobKey, Task};
 use crate::job_size::JobSizes;
@@ -87,8 +88,8 @@
     pub(crate) machines: Machines,
     pub(crate) zone_drains: ZoneDrains,
     pub(crate) actions: Vec<Action>,
-    /// When a worker of each pool last crashed under a task.
-    pub(crate) crash_times: HashMap<PoolId, Instant>,
+    /// Crashes of workers under tasks, by pool.
+    pub(crate) crash_series: HashMap<PoolId, CrashSeries>,
     /// Tasks that were given up because workers crash under them, until they are
     /// reported.
     pub(crate) deadly: Vec<DeadlyTask>,
@@ -176,7 +177,7 @@
             records_changed: false,
             frozen: false,
             actions: Vec::new(),
-            crash_times: HashMap::new(),
+            crash_series: HashMap::new(),
             deadly: Vec::new(),
             losses: Vec::new(),
             counts: Counts::default(),
--- a/crates/flow/src/trials.rs
+++ b/crates/flow/src/trials.rs
@@ -12,7 +12,7 @@
 
 use crate::attempt::{AttemptKey, Phase};
 use crate::crashes::{CrashState, Suspicion};
-use crate::job::JobKey;
+use crate::job::{Job, JobKey};
 use crate::place::PlacementRequest;
 use crate::plan::PoolPass;
 use crate::worker::WorkerKey;
@@ -20,11 +20,11 @@
 
 /// A pool's usable workers divided by this number may hold trials at once, but at least
 /// one.
-const TRIAL_DIVISOR: usize = 8;
+const TRIAL_DIVISOR: usize = 4;
 /// Time after the last start on a worker from which a crash is not due to that start.
 const QUIET_TIME: Duration = Duration::from_millis(100);
 /// Time by which a trial outlasts the attempts that crashed.
-const TRIAL_MARGIN: Duration = Duration::from_millis(250);
+const TRIAL_MARGIN: Duration = Duration::from_millis(150);
 /// Longest trial.
 const MAX_TRIAL: Duration = Duration::from_secs(5);
 /// Time after which a worker that is kept for a trial is released.
@@ -37,11 +37,14 @@
 const CONTINUOUS_WEIGHT: usize = 8;
 
 /// A worker that is kept for a trial, or holds one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Trial {
-    pub(crate) task: TaskId,
-    /// The attempt, once it is started.
-    pub(crate) attempt: Option<AttemptKey>,
+    /// The job whose tasks are tried. They are tried together: if one of them crashes the
+    /// worker, the job fails, whichever it is.
+    pub(crate) job: JobId,
+    /// The attempts, once they are started.
+    pub(crate) attempts: Vec<AttemptKey>,
+    /// When the worker was chosen, or the attempts were started.
     pub(crate) since: Instant,
 }
 
@@ -51,45 +54,42 @@
         let on_trial = self.workers.iter().filter(|(_, worker)| worker.trial.is_some());
         let keys: Vec<_> = on_trial.map(|(key, _)| key).collect();
         for key in keys {
-            let Some(trial) = self.workers[key].trial else { continue };
-            let Some(attempt) = trial.attempt else {
-                if !self.is_wanted(trial, key, now) {
-                    self.workers[key].trial = None;
-                }
+            let Some(mut trial) = self.workers[key].trial.take() else { continue };
+            if trial.attempts.is_empty() {
+                self.workers[key].trial = self.is_wanted(&trial, key, now).then_some(trial);
                 continue;
-            };
-            let Some(state) = self.attempts.get(attempt) else {
-                self.workers[key].trial = None;
-                continue;
-            };
-            let since = state.confirmed.filter(|_| state.phase != Phase::Unresolved);
-            let lasted = since.map(|since| now.saturating_duration_since(since));
-            if lasted.is_some_and(|lasted| lasted >= self.trial_time(trial.task)) {
-                self.workers[key].trial = None;
-                self.pass_trial(trial.task);
+            }
+            trial.attempts.retain(|&each| self.attempts.contains_key(each));
+            if trial.attempts.iter().all(|&each| self.has_outlasted(each, now)) {
+                trial.attempts.iter().for_each(|&each| self.pass_trial(each));
+            } else {
+                self.workers[key].trial = Some(trial);
             }
         }
     }
 
     /// Whether a worker is still to be kept for a trial.
-    fn is_wanted(&self, trial: Trial, key: WorkerKey, now: Instant) -> bool {
+    fn is_wanted(&self, trial: &Trial, key: WorkerKey, now: Instant) -> bool {
         let in_time = now.saturating_duration_since(trial.since) < MAX_RESERVATION;
-        let job = self.job_of(trial.task).filter(|job| job.is_open());
-        let task = job.and_then(|job| job.task(trial.task));
-        let waits = task.is_some_and(|task| !task.done);
-        in_time && waits && self.workers[key].is_usable(now)
+        let job = self.job_ids.get(&trial.job).map(|&job| &self.jobs[job]);
+        in_time && job.is_some_and(Job::is_open) && self.workers[key].is_usable(now)
     }
 
-    /// Returns how long a trial of a task takes.
-    fn trial_time(&self, id: TaskId) -> Duration {
-        let marks = self.job_of(id).and_then(|job| job.task(id)).map(|task| &task.crashes);
-        let ages = marks.into_iter().flatten().map(|mark| mark.age_ms);
+    /// Whether an attempt on trial has lasted longer than those that crashed.
+    fn has_outlasted(&self, key: AttemptKey, now: Instant) -> bool {
+        let attempt = &self.attempts[key];
+        let task = self.job_of_attempt(attempt).and_then(|job| job.task(attempt.task));
+        let ages = task.into_iter().flat_map(|task| &task.crashes).map(|mark| mark.age_ms);
         let longest = Duration::from_millis(ages.max().unwrap_or_default());
-        (longest + TRIAL_MARGIN).min(MAX_TRIAL)
+        let since = attempt.confirmed.filter(|_| attempt.phase != Phase::Unresolved);
+        since.is_some_and(|since| {
+            now.saturating_duration_since(since) >= (longest + TRIAL_MARGIN).min(MAX_TRIAL)
+        })
     }
 
-    /// Notes that a task has outlasted a trial. The earlier crashes stay counted.
-    fn pass_trial(&mut self, id: TaskId) {
+    /// Notes that the task of an attempt has outlasted a trial. The crashes stay counted.
+    fn pass_trial(&mut self, key: AttemptKey) {
+        let id = self.attempts[key].task;
         if let Some(task) = self.task_mut(id) {
             for mark in &mut task.crashes {
                 mark.suspicion = Suspicion::Bystander;
@@ -117,46 +117,46 @@
             (state != CrashState::Clear).then_some((task, state))
         });
         let marked: Vec<_> = marked.collect();
-        for (task, state) in marked {
-            match state {
-                CrashState::Clear => {}
-                CrashState::Proven => {
-                    self.give_up(key, task, now);
-                    return;
-                }
-                CrashState::Suspect => _ = self.try_suspect(key, task, &pass.workers, now),
-            }
+        if let Some((deadly, _)) = marked.iter().find(|(_, state)| *state == CrashState::Proven) {
+            self.give_up(key, *deadly, now);
+            return;
+        }
+        for (task, _) in marked {
+            self.try_suspect(key, task, &pass.workers, now);
         }
     }
 
     /// Starts a suspect on trial if a worker is ready for it, and otherwise keeps one for
-    /// it. Returns whether it was started.
+    /// its job.
     pub(crate) fn try_suspect(
         &mut self,
         key: JobKey,
         task: TaskId,
         workers: &[WorkerKey],
         now: Instant,
-    ) -> bool {
+    ) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step = &spec.steps[usize::from(task.step.step)];
         let startable = self.may_start(key, task, step, now);
         if !startable || !self.team_allows(key, &step.need) || !self.start_window.allows(1) {
-            return false;
+            return;
         }
-        let Some(worker) = self.trial_worker(key, task, workers, now) else { return false };
+        let Some(worker) = self.trial_worker(key, task, workers, now) else { return };
         if !self.is_ready_for_trial(key, task, worker, now) {
-            return false;
+            return;
         }
         let attempt = self.next_attempt(key, task);
         self.start(key, task, attempt, worker, now);
         let started = self.attempt_ids.get(&(task, attempt)).copied();
-        self.workers[worker].trial = Some(Trial { task, attempt: started, since: now });
-        started.is_some()
+        if let Some(trial) = &mut self.workers[worker].trial {
+            trial.attempts.extend(started);
+            trial.since = now;
+        }
     }
 
-    /// Returns the worker that is kept for a task's trial, or chooses one: that on which
-    /// the least work would be lost. `None` if the pool holds as many trials as it may.
+    /// Returns the worker for a task's trial: that which is kept for its job, that on which
+    /// tasks of its job have just been started on trial, or one that is chosen now: that on
+    /// which the least work would be lost. `None` if the pool holds as many trials as it may.
     fn trial_worker(
         &mut self,
         key: JobKey,
@@ -164,26 +164,30 @@
         workers: &[WorkerKey],
         now: Instant,
     ) -> Option<WorkerKey> {
-        let trials = workers.iter().filter_map(|&each| Some((each, self.workers[each].trial?)));
-        let trials: Vec<_> = trials.collect();
-        let is_kept = |trial: &Trial| trial.task == task && trial.attempt.is_none();
-        if let Some((worker, _)) = trials.iter().find(|(_, trial)| is_kept(trial)) {
-            return Some(*worker);
-        }
-        if self.is_deferred(key, task, now) {
-            return None;
+        let of_job = |trial: &Trial| {
+            trial.job == task.step.job && (trial.attempts.is_empty() || trial.since == now)
+        };
+        let trials = workers.iter().filter(|&&each| self.workers[each].trial.is_some());
+        let count = trials.clone().count();
+        let mut kept =
+            trials.filter(|&&each| self.workers[each].trial.as_ref().is_some_and(of_job));
+        if let Some(&worker) = kept.next() {
+            return Some(worker);
         }
-        if trials.len() >= (workers.len() / TRIAL_DIVISOR).max(1) {
+        if count >= (workers.len() / TRIAL_DIVISOR).max(1) || self.is_deferred(key, task, now) {
             return None;
         }
         let request = self.placement_request(key, task)?;
         let reservation = request.spec.reservation();
         let suitable = workers.iter().copied().filter(|&each| {
             let worker = &self.workers[each];
-            reservation.fits(&self.freeable(each)) && self.may_run(&request, each, worker, &[], now)
+            worker.trial.is_none()
+                && reservation.fits(&self.freeable(each))
+                && self.meets_conditions(&request, each, worker, &[], now)
         });
         let chosen = suitable.min_by_key(|&each| self.work_at_risk(each))?;
-        self.workers[chosen].trial = Some(Trial { task, attempt: None, since: now });
+        let trial = Trial { job: task.step.job, attempts: Vec::new(), since: now };
+        self.workers[chosen].trial = Some(trial);
         Some(chosen)
     }
 
@@ -201,8 +205,8 @@
         attempts.map(|&each| if self.is_continuous(each) { CONTINUOUS_WEIGHT } else { 1 }).sum()
     }
 
-    /// Whether a trial can start on the worker that is kept for it: the task fits, and
-    /// nothing has started there for a moment.
+    /// Whether a trial can start on the worker that is kept for it: the task fits and may
+    /// run there, and nothing but tasks of its trial has started there for a moment.
     fn is_ready_for_trial(
         &self,
         key: JobKey,
@@ -212,12 +216,16 @@
     ) -> bool {
         let Some(request) = self.placement_request(key, task) else { return false };
         let state = &self.workers[worker];
-        let is_quiet = |&each: &AttemptKey| {
-            let attempt = &self.attempts[each];
+        let on_trial = state.trial.iter().flat_map(|trial| &trial.attempts);
+        let on_trial: Vec<_> = on_trial.collect();
+        let is_quiet = |each: &AttemptKey| {
+            let attempt = &self.attempts[*each];
             let age = now.saturating_duration_since(attempt.started);
-            attempt.phase != Phase::Starting && age >= QUIET_TIME
+            on_trial.contains(&each) || (attempt.phase != Phase::Starting && age >= QUIET_TIME)
         };
-        request.spec.reservation().fits(&state.free()) && state.attempts.iter().all(is_quiet)
+        request.spec.reservation().fits(&state.free())
+            && state.attempts.iter().all(is_quiet)
+            && self.meets_conditions(&request, worker, state, &[], now)
     }
 
     fn placement_request(&self, key: JobKey, task: TaskId) -> Option<PlacementRequest<'_>> {
