--- a/crates/flow/src/hold.rs
+++ b/crates/flow/src/hold.rs
@@ -4,7 +4,10 @@
 //! within its share has larger ones. Whenever a part of a worker becomes free, a small
 //! task fits and a larger one does not, so that the larger one would wait for the whole
 //! peak. After it has waited for a while, nothing else starts on the worker that lacks
-//! the least capacity for it.
+//! the least capacity for it, round after round: if another worker were chosen whenever it
+//! lacks less, what had become free on the first one would be filled again.
+
+use std::collections::HashMap;
 
 use vg_base::prelude::*;
 use vg_jobs::Resources;
@@ -21,10 +24,30 @@
 /// they could.
 const MAX_HELD_FRACTION: f64 = 0.25;
 
+/// Workers that are kept free, by the job that they are kept for.
+#[derive(Debug, Default)]
+pub(crate) struct Holds {
+    current: HashMap<JobKey, Vec<WorkerKey>>,
+    previous: HashMap<JobKey, Vec<WorkerKey>>,
+}
+
+impl Holds {
+    /// Begins a round, in which workers are kept free anew.
+    pub(crate) fn begin_round(&mut self) {
+        self.previous = std::mem::take(&mut self.current);
+    }
+
+    /// Returns a worker that was kept free for a job in the last round and satisfies
+    /// `suits`.
+    fn kept(&self, job: JobKey, suits: impl Fn(WorkerKey) -> bool) -> Option<WorkerKey> {
+        self.previous.get(&job)?.iter().copied().find(|&worker| suits(worker))
+    }
+}
+
 impl Scheduler {
     /// Keeps workers free in this round for waiting tasks of a job that fit on none.
     pub(crate) fn hold_workers(
-        &self,
+        &mut self,
         key: JobKey,
         pool: &ContendedPool,
         pass: &mut PoolPass,
@@ -44,8 +67,13 @@
         let max_held = ((pool.usable as f64 * MAX_HELD_FRACTION) as usize).max(1);
         for (need, mut tasks) in misfits {
             while tasks > 0 && pass.held < max_held {
-                let Some(worker) = self.nearest_fit(&need, &pass.workers) else { break };
+                let suits =
+                    |worker| pass.workers.contains(&worker) && need.fits(&self.freeable(worker));
+                let kept = self.holds.kept(key, suits);
+                let worker = kept.or_else(|| self.nearest_fit(&need, &pass.workers));
+                let Some(worker) = worker else { break };
                 pass.hold(worker);
+                self.holds.current.entry(key).or_default().push(worker);
                 tasks = tasks.saturating_sub(count_fitting(&need, &self.freeable(worker)));
             }
         }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::contention::ContendedPool;
 use crate::crashes::CrashSeries;
 use crate::durations::Durations;
+use crate::hold::Holds;
 use crate::job::{Job, JobKey, Task};
 use crate::job_size::JobSizes;
 use crate::load_digest::EmptyPools;
@@ -60,6 +61,7 @@
     pub(crate) contended: Vec<ContendedPool>,
     pub(crate) past_usage: HashMap<PoolId, PastUsage>,
     pub(crate) turns: HashMap<PoolId, Turns>,
+    pub(crate) holds: Holds,
     pub(crate) job_sizes: JobSizes,
     pub(crate) reported_shares: ReportedShares,
     pub(crate) unresolved: UnresolvedWork,
@@ -147,6 +149,7 @@
             contended: Vec::new(),
             past_usage: HashMap::new(),
             turns: HashMap::new(),
+            holds: Holds::default(),
             job_sizes: JobSizes::default(),
             reported_shares: ReportedShares::default(),
             unresolved: UnresolvedWork::default(),
--- a/crates/flow/src/share_order.rs
+++ b/crates/flow/src/share_order.rs
@@ -45,6 +45,7 @@
         let least_loss = ranked.iter().rev().map(|(_, key)| *key);
         self.place_probes(least_loss.clone(), ProbeRule::Harmless, now, wall);
         self.begin_turns(now);
+        self.holds.begin_round();
         let jobs = self.jobs_by_pool(&ranked);
         let mut rounds = self.pool_rounds(jobs, now);
         for tier in ranked.chunk_by(|(a, _), (b, _)| same_tier(a, b)) {
