--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -236,6 +236,7 @@
     }
 
     fn note_crash(&mut self, key: WorkerKey, at: Instant) {
+        self.counts.crashes += 1;
         let pool = self.workers[key].incarnation.pool.clone();
         let series = self.crash_series.entry(pool);
         series.and_modify(|series| series.add(at)).or_insert_with(|| CrashSeries::new(at));
@@ -267,6 +268,7 @@
     /// Fails the job of a task under which workers crash. Its other attempts are stopped.
     pub(crate) fn give_up(&mut self, key: JobKey, task: TaskId, now: Instant) {
         let crashes = self.jobs[key].task(task).map_or(0, |task| task.crashes.len());
+        self.counts.deadly += 1;
         self.deadly.push(DeadlyTask { task, crashes });
         self.end_job(key, JobOutcome::Failed);
         self.stop_job_attempts(key, now);
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -128,6 +128,10 @@
     pub failed: u64,
     /// Attempts lost because their worker restarted or its lease expired.
     pub lost: u64,
+    /// Workers that crashed under a task, as far as one could be blamed.
+    pub crashes: u64,
+    /// Tasks that were given up because workers crash under them.
+    pub deadly: u64,
     /// Attempts whose start command was not answered.
     pub unresolved: u64,
     /// Start commands that may be unanswered at once.
--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -138,6 +138,19 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against crashes that are not seen because no poll failed between.
+#[test]
+fn a_worker_that_restarts_between_two_polls_has_crashed() {
+    let mut world = busy_world(13);
+    world.crashes.keep_id = true;
+    world.crashes.back_at_once = true;
+    run_deadly(&mut world, vec![step(4, 1000, 900)], 25_000);
+    assert!(world.crashes_under(first_task(1)) <= MAX_CRASHES, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 10);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Guards against a crash that is not counted because the answer to the start was lost.
 #[test]
 fn a_start_without_an_answer_counts_when_the_worker_crashes() {
--- a/crates/flow/tests/support/crash.rs
+++ b/crates/flow/tests/support/crash.rs
@@ -15,6 +15,8 @@
     pub(crate) deadly: HashMap<TaskId, u64>,
     /// Whether a crashed worker comes back under its id.
     pub(crate) keep_id: bool,
+    /// Whether a crashed worker is back before it is polled again.
+    pub(crate) back_at_once: bool,
     /// Times of the crashes under each deadly task.
     pub(crate) under: HashMap<TaskId, Vec<u64>>,
     /// Attempts of other tasks that were lost with their worker.
@@ -49,7 +51,8 @@
         worker.up = false;
         worker.running.clear();
         worker.ended.clear();
-        self.crashes.down.push((self.ms + DOWN_MS, at));
+        let down_ms = if self.crashes.back_at_once { 0 } else { DOWN_MS };
+        self.crashes.down.push((self.ms + down_ms, at));
     }
 
     /// Ends the other members of a gang of which one was lost.
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -133,6 +133,8 @@
         set("done", counts.done as i64);
         set("failed", counts.failed as i64);
         set("lost", counts.lost as i64);
+        set("crashes", counts.crashes as i64);
+        set("deadly", counts.deadly as i64);
         set("unsure", counts.unresolved as i64);
         set("stops", counts.stops as i64);
         set("window", counts.start_window as i64);
