flow: a withdrawn crash mark leaves the record at once; tests of trials, silent links, cuts

Three mutants had passed the tests: starts beside a trial, no mark for a worker that restarted behind a silent link, marks that are never withdrawn. Each has a test now. The last showed that a withdrawn mark stayed in the job's record until the next change; a takeover meanwhile would have found it (and withdrawn it when the attempt was seen).

--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -137,9 +137,12 @@
         }
     }
 
-    /// Drops the mark of an attempt whose worker has not crashed.
-    pub(crate) fn withdraw_crash(&mut self, attempt: AttemptNumber) {
+    /// Drops the mark of an attempt whose worker has not crashed. Returns whether there
+    /// was one.
+    pub(crate) fn withdraw_crash(&mut self, attempt: AttemptNumber) -> bool {
+        let before = self.crashes.len();
         self.crashes.retain(|mark| mark.attempt != attempt);
+        self.crashes.len() < before
     }
 }
 
@@ -260,8 +263,9 @@
 
     /// Withdraws the mark of one attempt: its worker has reported it.
     pub(crate) fn withdraw_mark(&mut self, id: TaskId, attempt: AttemptNumber) {
-        if let Some(task) = self.task_mut(id) {
-            task.withdraw_crash(attempt);
+        let withdrawn = self.task_mut(id).is_some_and(|task| task.withdraw_crash(attempt));
+        if withdrawn && let Some(&job) = self.job_ids.get(&id.step.job) {
+            self.mark_dirty(job);
         }
     }
 
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -175,6 +175,7 @@
         }
     }
 
+    /// Whether a task of a job runs on a worker.
     fn has_job(&self, worker: &Worker, job: JobId) -> bool {
         worker.attempts.iter().any(|&attempt| self.attempts[attempt].task.step.job == job)
     }
@@ -199,12 +200,12 @@
         })
     }
 
-    /// Returns the specification of the step of a task.
     /// Returns the specification of an attempt's step.
     pub(crate) fn spec_of_attempt(&self, attempt: &Attempt) -> Option<&StepSpec> {
         self.job_of_attempt(attempt)?.spec.steps.get(usize::from(attempt.task.step.step))
     }
 
+    /// Returns the specification of a task's step.
     pub(crate) fn spec_of(&self, task: TaskId) -> Option<&StepSpec> {
         self.job_of(task)?.spec.steps.get(usize::from(task.step.step))
     }
--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -224,6 +224,70 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against starts beside a trial: a crash would have several possible causes, and
+/// take more with it.
+#[test]
+fn nothing_starts_beside_a_trial() {
+    let mut world = World::new(14, 8, Faults::default());
+    world.run(300);
+    let wall = world.wall();
+    world.make_deadly(first_task(1), 60);
+    world.submit(1, job("q-a", vec![step(1, 1000, 900)], wall));
+    for round in 0..120 {
+        submit_short_jobs(&mut world, 100 + round, 1);
+        world.run(100);
+    }
+    let crashes = world.crashes.under[&first_task(1)].clone();
+    assert_eq!(crashes.len(), 2, "{crashes:?}");
+    let (ms, at) = crashes[1];
+    let beside = |&&(started, worker, task): &&(u64, usize, TaskId)| {
+        worker == at && task != first_task(1) && started + 160 > ms && started <= ms
+    };
+    let beside: Vec<_> = world.started.iter().filter(beside).collect();
+    assert!(beside.is_empty(), "{beside:?}");
+}
+
+/// Guards against a task that is started without end because the links to its workers fall
+/// silent, so that nobody knows when they crashed.
+#[test]
+fn a_task_that_crashes_its_workers_behind_silent_links_is_given_up() {
+    let mut world = busy_world(15);
+    world.crashes.silent = true;
+    run_deadly(&mut world, vec![step(4, 1000, 900)], 40_000);
+    assert!(world.crashes_under(first_task(1)) <= 5, "{:?}", world.crashes.under);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
+    assert_short_jobs_done(&world, 100, 10);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against blame that stays although the worker has not crashed: a cut broke its
+/// connections, and it answers again.
+#[test]
+fn blame_is_withdrawn_when_the_worker_answers_again() {
+    let mut world = World::new(16, 8, Faults::default());
+    world.crashes.cuts_break = true;
+    world.run(300);
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(8, 1000, 20_000)], wall));
+    world.run(100);
+    for worker in &mut world.workers {
+        worker.reachable = false;
+    }
+    world.run(400);
+    let marks = |world: &World| {
+        let progress = world.store[&JobId::new(1)].progress.clone();
+        progress.map_or(0, |progress| progress.occurrences[0].crashes.len())
+    };
+    assert!(marks(&world) > 0, "nobody was blamed");
+    for worker in &mut world.workers {
+        worker.reachable = true;
+    }
+    world.run(400);
+    assert_eq!(marks(&world), 0);
+    world.run(21_000);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Done));
+}
+
 /// Guards against blame for workers that are cut off and run on: their tasks go on
 /// like others when they answer again.
 #[test]
--- a/crates/flow/tests/support/crash.rs
+++ b/crates/flow/tests/support/crash.rs
@@ -17,8 +17,12 @@
     pub(crate) keep_id: bool,
     /// Whether a crashed worker is back before it is polled again.
     pub(crate) back_at_once: bool,
-    /// Times of the crashes under each deadly task.
-    pub(crate) under: HashMap<TaskId, Vec<u64>>,
+    /// Whether links to a crashed worker fall silent instead of breaking.
+    pub(crate) silent: bool,
+    /// Whether links that are cut break instead of falling silent.
+    pub(crate) cuts_break: bool,
+    /// The crashes under each deadly task: when, and of which worker.
+    pub(crate) under: HashMap<TaskId, Vec<(u64, usize)>>,
     /// Attempts of other tasks that were lost with their worker.
     pub(crate) bystanders: usize,
     /// Crashes that are to come: when, which worker, and its start.
@@ -78,7 +82,7 @@
         {
             if self.workers[at].up && self.workers[at].start_ms == start_ms {
                 self.crashes.bystanders += self.workers[at].running.len() - 1;
-                self.crashes.under.entry(task).or_default().push(ms);
+                self.crashes.under.entry(task).or_default().push((ms, at));
                 self.crash(at);
                 self.break_gang(task);
             }
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -493,8 +493,11 @@
             let ms = self.ms;
             let worker = &mut self.workers[at];
             if !worker.up || !worker.reachable {
-                let failure =
-                    if worker.reachable { PollFailure::Broken } else { PollFailure::Silent };
+                let breaks = match worker.reachable {
+                    true => !self.crashes.silent,
+                    false => self.crashes.cuts_break,
+                };
+                let failure = if breaks { PollFailure::Broken } else { PollFailure::Silent };
                 self.scheduler.poll_failed(&id, failure, now);
                 continue;
             }
