--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -2,6 +2,8 @@
 //! contract, a store, and messages that are lost or arrive late.
 
 pub(crate) mod crash;
+mod machines;
+mod oracle;
 pub(crate) mod replay;
 pub(crate) mod spec;
 pub(crate) mod world;
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -9,9 +9,9 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, AttemptNumber, AttemptOutcome, FencingToken, IncarnationRecord, JobOutcome, JobSpec,
-    Machine, MachineAnswer, MachineCommand, MachineState, OperatorConfig, PollFailure, Progress,
-    RecordKind, Scheduler, SchedulingRules, StartAnswer, StartCommand, StepId, StopReason, TaskId,
-    WorkerIncarnation, WorkerRegistration,
+    Machine, MachineCommand, OperatorConfig, PollFailure, Progress, RecordKind, Scheduler,
+    SchedulingRules, StartAnswer, StartCommand, StopReason, TaskId, WorkerIncarnation,
+    WorkerRegistration,
 };
 use vg_jobs::Resources;
 use vg_standin::{SimulatedWorker, TaskAttempt};
@@ -25,13 +25,13 @@
 /// leadership lease.
 const UNVERIFIED_LEASE: Duration = Duration::from_millis(1500);
 /// Time for which the leader waits for the answer to a command to a machine.
-const COMMAND_TIMEOUT_MS: u64 = 1000;
+pub(super) const COMMAND_TIMEOUT_MS: u64 = 1000;
 /// Time that a worker takes to stop an attempt.
 const STOP_MS: u64 = 150;
 
 /// Time after the request to drain a zone from which nothing may start there: a start
 /// command that was sent before is valid for that long, on a worker's slow clock.
-const START_LIMIT_MS: u64 = 1800;
+pub(super) const START_LIMIT_MS: u64 = 1800;
 
 /// Fault rates, in thousandths of messages or of steps.
 #[derive(Debug, Clone, Copy, Default)]
@@ -120,7 +120,7 @@
 
 /// A start command that arrives late.
 #[derive(Debug, Clone)]
-struct DelayedStart {
+pub(super) struct DelayedStart {
     at: u64,
     worker: usize,
     start: StartCommand,
@@ -137,7 +137,7 @@
 /// what the oracle knows.
 pub(crate) struct World {
     pub(crate) ms: u64,
-    base: Instant,
+    pub(super) base: Instant,
     pub(crate) rng: SmallRng,
     pub(crate) faults: Faults,
     pub(crate) truth: Truth,
@@ -145,22 +145,22 @@
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) scheduler: Scheduler,
     pub(crate) workers: Vec<SimulatedWorker>,
-    unreachable_until: BTreeMap<usize, u64>,
+    pub(super) unreachable_until: BTreeMap<usize, u64>,
     pub(crate) store: HashMap<JobId, StoredJob>,
-    records: Vec<IncarnationRecord>,
+    pub(super) records: Vec<IncarnationRecord>,
     /// Records that are being written: they may become durable or not.
-    pending_records: Option<Vec<IncarnationRecord>>,
-    revision: u64,
-    outage_until: u64,
-    delayed_starts: Vec<DelayedStart>,
+    pub(super) pending_records: Option<Vec<IncarnationRecord>>,
+    pub(super) revision: u64,
+    pub(super) outage_until: u64,
+    pub(super) delayed_starts: Vec<DelayedStart>,
     /// Tasks whose end `done` was acknowledged to the worker.
-    acknowledged_done: HashSet<TaskId>,
+    pub(super) acknowledged_done: HashSet<TaskId>,
     /// Tasks that have ended `done` on a worker, acknowledged or not.
-    done: HashSet<TaskId>,
+    pub(super) done: HashSet<TaskId>,
     /// Highest attempt of each task that was started.
-    highest_attempts: HashMap<TaskId, AttemptNumber>,
+    pub(super) highest_attempts: HashMap<TaskId, AttemptNumber>,
     /// Number of acknowledged failed attempts of each task.
-    acknowledged_failures: HashMap<TaskId, u32>,
+    pub(super) acknowledged_failures: HashMap<TaskId, u32>,
     /// Violations of the invariants.
     pub(crate) violations: Vec<String>,
     pub(crate) starts: u64,
@@ -171,15 +171,15 @@
     /// Commands to machines, and when they were sent.
     pub(crate) commands: Vec<(u64, MachineCommand)>,
     /// Machines and their pools; if empty, commands to machines are ignored.
-    machines: Vec<Machine>,
+    pub(super) machines: Vec<Machine>,
     /// Commands that are refused, and when the answer arrives.
     pub(crate) pending_refusals: Vec<(u64, MachineCommand)>,
     /// Commands without an answer, and when the leader stops waiting for one.
-    lost_commands: Vec<(u64, MachineCommand)>,
+    pub(super) lost_commands: Vec<(u64, MachineCommand)>,
     /// Machines that are being moved, and when they arrive.
-    in_transit: Vec<(u64, Machine)>,
+    pub(super) in_transit: Vec<(u64, Machine)>,
     /// Drained zones, and when the drain was requested.
-    drained: BTreeMap<ZoneId, u64>,
+    pub(super) drained: BTreeMap<ZoneId, u64>,
     /// What workers of zone `z0` register as the time for which they are still cold.
     pub(crate) cold_left: Duration,
 }
@@ -247,7 +247,7 @@
         SystemTime::UNIX_EPOCH + Duration::from_millis(self.ms + self.truth.wall_ahead_ms)
     }
 
-    fn incarnation(&self, at: usize) -> WorkerIncarnation {
+    pub(super) fn incarnation(&self, at: usize) -> WorkerIncarnation {
         let worker = &self.workers[at];
         WorkerIncarnation {
             id: worker.id.parse().unwrap(),
@@ -381,25 +381,7 @@
         here.map(|worker| worker.running.len()).sum()
     }
 
-    /// Tells a new leader the machines, and which ones were sent commands
-    /// recently.
-    fn restore_machines(&mut self) {
-        if self.machines.is_empty() {
-            return;
-        }
-        let now = self.now();
-        self.scheduler.end_machine_hold(now);
-        self.scheduler.set_machine_list(self.machines.clone(), now);
-        let hold = SchedulingRules::default().machine_hold;
-        for (ms, command) in &self.commands {
-            let age = Duration::from_millis(self.ms - ms);
-            let (MachineCommand::Move { machine, .. } | MachineCommand::Maintain { machine, .. }) =
-                command;
-            self.scheduler.pause_machine(machine.clone(), now + hold.saturating_sub(age));
-        }
-    }
-
-    fn chance(&mut self, per_mille: u32) -> bool {
+    pub(super) fn chance(&mut self, per_mille: u32) -> bool {
         per_mille > 0 && self.rng.random_range(0..1000) < per_mille
     }
 
@@ -518,15 +500,6 @@
         }
     }
 
-    /// Records an acknowledged end.
-    fn record_end(&mut self, task: TaskId, outcome: AttemptOutcome, expired: bool) {
-        match outcome {
-            AttemptOutcome::Done if !expired => _ = self.acknowledged_done.insert(task),
-            AttemptOutcome::Failed => *self.acknowledged_failures.entry(task).or_default() += 1,
-            _ => {}
-        }
-    }
-
     fn execute(&mut self, action: Action) {
         match action {
             Action::Start(start) => self.send_start(start),
@@ -545,93 +518,6 @@
         }
     }
 
-    /// Adds machines that are switched off, and lists all machines.
-    pub(crate) fn add_spare(&mut self, count: usize) {
-        let listed = |id: &str, pool: &str| Machine {
-            id: id.into(),
-            pool: pool.parse().unwrap(),
-            state: MachineState::Up,
-            capacity: Resources::new(CORES, MEMORY, 0),
-            zone: Some(zone_of(id)),
-        };
-        let machine_of = |worker: &SimulatedWorker| listed(&worker.machine, &worker.pool);
-        self.machines = self.workers.iter().map(machine_of).collect();
-        self.machines.extend((0..count).map(|at| listed(&format!("s{at}"), "spare")));
-        let now = self.now();
-        self.scheduler.end_machine_hold(now);
-        self.scheduler.set_machine_list(self.machines.clone(), now);
-    }
-
-    /// Executes a command to a machine, or refuses it later. A command to
-    /// maintain a machine is only recorded; a move ends the machine's worker at
-    /// once.
-    fn execute_machine_command(&mut self, command: MachineCommand) {
-        if self.chance(self.faults.refusals) {
-            let at = self.ms + self.rng.random_range(20..400);
-            self.pending_refusals.push((at, command));
-            return;
-        }
-        let is_lost = self.chance(self.faults.lost_commands);
-        if is_lost {
-            self.lost_commands.push((self.ms + COMMAND_TIMEOUT_MS, command.clone()));
-            if self.rng.random_bool(0.5) {
-                return;
-            }
-        }
-        self.commands.push((self.ms, command.clone()));
-        let MachineCommand::Move { machine, pool } = &command else { return };
-        let Some(at) = self.machines.iter().position(|each| each.id == *machine) else { return };
-        let mut moved = self.machines.remove(at);
-        moved.pool = pool.clone();
-        self.workers.iter_mut().filter(|each| each.machine == *machine).for_each(|each| {
-            each.up = false;
-            each.running.clear();
-        });
-        self.in_transit.push((self.ms + 1500, moved));
-        if !is_lost {
-            let now = self.now();
-            self.scheduler.machine_answered(&command, MachineAnswer::Done, now);
-        }
-    }
-
-    fn deliver_refusals(&mut self) {
-        let (ms, now) = (self.ms, self.now());
-        let (due, left): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.pending_refusals).into_iter().partition(|(at, _)| *at <= ms);
-        self.pending_refusals = left;
-        for (_, command) in due {
-            self.scheduler.machine_answered(&command, MachineAnswer::Limited, now);
-        }
-        for (_, command) in self.lost_commands.extract_if(.., |(at, _)| *at <= ms) {
-            self.scheduler.machine_answered(&command, MachineAnswer::Unanswered, now);
-        }
-    }
-
-    /// Finishes moves that are due: a new worker joins the pool.
-    fn finish_moves(&mut self) {
-        let ms = self.ms;
-        let (here, in_transit): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.in_transit).into_iter().partition(|(at, _)| *at <= ms);
-        self.in_transit = in_transit;
-        let arrived = !here.is_empty();
-        for (_, machine) in here {
-            let id = format!("w{}", self.workers.len());
-            let pool = machine.pool.as_str();
-            if pool != "spare" {
-                let worker = SimulatedWorker::new(&id, pool, &machine.id, ms, machine.capacity);
-                self.workers.push(worker);
-            }
-            self.machines.push(machine);
-        }
-        if arrived {
-            self.scheduler.set_machine_list(self.machines.clone(), self.now());
-            for worker in self.workers.iter().filter(|worker| !worker.up) {
-                self.scheduler.deregister(&worker.id.parse().unwrap());
-            }
-            self.register();
-        }
-    }
-
     fn worker_of(&self, id: &HostId) -> Option<usize> {
         self.workers.iter().position(|worker| worker.id == id.as_str())
     }
@@ -702,87 +588,6 @@
         answer
     }
 
-    /// Checks the invariants of a start.
-    fn check_start(&mut self, at: usize, start: &StartCommand, speculative: bool) {
-        let task = start.task;
-        let stored = self.store[&task.step.job].clone();
-        let ms = self.ms;
-        let elsewhere = self.workers.iter().enumerate().any(|(other, worker)| {
-            other != at && worker.up && worker.running.iter().any(|attempt| attempt.task == task)
-        });
-        if elsewhere && !speculative {
-            self.violations.push(format!("{ms}: {task} runs twice"));
-        }
-        if self.acknowledged_done.contains(&task) && !speculative {
-            self.violations.push(format!("{ms}: {task} started after it was done"));
-        }
-        self.check_step_order(start);
-        let failures = self.acknowledged_failures.get(&task).copied().unwrap_or_default();
-        if failures >= 3 && !stored.spec.steps[usize::from(task.step.step)].continuous {
-            self.violations.push(format!("{ms}: {task} started after {failures} failures"));
-        }
-        let zone = zone_of(&self.workers[at].machine);
-        if self.drained.get(&zone).is_some_and(|&since| ms > since + START_LIMIT_MS) {
-            self.violations.push(format!("{ms}: {task} started in {zone}, which is drained"));
-        }
-        let worker = &self.workers[at];
-        if !worker.used().fits(&worker.capacity) {
-            self.violations.push(format!("{ms}: {} uses more than its capacity", worker.id));
-        }
-        let spec = &stored.spec.steps[usize::from(task.step.step)];
-        if let Some(max_tasks) = spec.per_worker {
-            let here =
-                worker.running.iter().filter(|attempt| attempt.task.step == task.step).count();
-            if here as u32 > max_tasks {
-                self.violations.push(format!("{ms}: {} has {here} of {}", worker.id, task.step));
-            }
-        }
-        self.check_limit(&stored);
-    }
-
-    /// Checks that the steps that the started task depends on are done, and
-    /// that the attempt's number is higher than those of all earlier attempts
-    /// of the task.
-    fn check_step_order(&mut self, start: &StartCommand) {
-        let task = start.task;
-        let spec = Arc::clone(&self.store[&task.step.job].spec);
-        for &before in &spec.steps[usize::from(task.step.step)].after {
-            let step = StepId { step: before, ..task.step };
-            let all = 0..spec.steps[usize::from(before)].count;
-            let left = all.filter(|&index| !self.done.contains(&TaskId { step, index })).count();
-            if left > 0 {
-                self.violations
-                    .push(format!("{}: {task} started before {left} of {step}", self.ms));
-            }
-        }
-        let highest = self.highest_attempts.entry(task).or_default();
-        if start.attempt <= *highest {
-            self.violations
-                .push(format!("{}: {task} attempt {} after {highest}", self.ms, start.attempt));
-        }
-        *highest = (*highest).max(start.attempt);
-    }
-
-    /// Checks the team's limit, with a tolerance of a tenth of the limit and of
-    /// one more task, as the platform allows. A task has at most the cores of a
-    /// worker.
-    fn check_limit(&mut self, stored: &StoredJob) {
-        let Some(team) = &stored.spec.team else { return };
-        // A team that is not configured has no limit.
-        let Some(limit) = self.config.teams.get(team).map(|team| team.limit.cores.0) else {
-            return;
-        };
-        let running = self.workers.iter().filter(|worker| worker.up).flat_map(|w| &w.running);
-        let mut cores = 0;
-        for attempt in running {
-            let spec = &self.store[&attempt.task.step.job].spec;
-            cores += spec.steps[usize::from(attempt.task.step.step)].need.cores.0;
-        }
-        if limit > 0 && cores > limit + limit / 10 + CORES {
-            self.violations.push(format!("{}: {team} has {cores} of {limit}", self.ms));
-        }
-    }
-
     pub(crate) fn commit(&mut self) {
         if let Some(records) = self.pending_records.take() {
             self.records = records.clone();
