--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -17,7 +17,8 @@
 use vg_base::prelude::*;
 
 use crate::attempt::AttemptKey;
-use crate::job::{JobKey, Task};
+use crate::job::JobKey;
+use crate::occurrence::Task;
 use crate::worker::WorkerKey;
 use crate::{AttemptNumber, JobOutcome, PollFailure, Scheduler, TaskId};
 
--- a/crates/flow/src/demand.rs
+++ b/crates/flow/src/demand.rs
@@ -9,7 +9,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
-use crate::job::ReadyStep;
+use crate::occurrence::ReadyStep;
 use crate::worker::WorkerKey;
 use crate::{JobSpec, Scheduler};
 
--- a/crates/flow/src/evict.rs
+++ b/crates/flow/src/evict.rs
@@ -12,7 +12,7 @@
 use vg_base::prelude::*;
 
 use crate::attempt::AttemptKey;
-use crate::job::Task;
+use crate::occurrence::Task;
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepId, StopReason};
 
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -5,7 +5,7 @@
 
 use crate::attempt::Attempt;
 use crate::demand::MIN_POOL_MACHINES;
-use crate::job::Step;
+use crate::occurrence::Step;
 use crate::worker::{Worker, WorkerKey};
 use crate::{Scheduler, StepId, StepSpec, TaskId};
 
--- a/crates/flow/src/probes.rs
+++ b/crates/flow/src/probes.rs
@@ -6,7 +6,8 @@
 
 use vg_base::prelude::*;
 
-use crate::job::{JobKey, Task};
+use crate::job::JobKey;
+use crate::occurrence::Task;
 use crate::rank::{Timeliness, rank};
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepId, StepSpec, TaskId};
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -13,10 +13,11 @@
 use crate::crashes::CrashSeries;
 use crate::durations::Durations;
 use crate::hold::Holds;
-use crate::job::{Job, JobKey, Task};
+use crate::job::{Job, JobKey};
 use crate::job_size::JobSizes;
 use crate::load_digest::EmptyPools;
 use crate::machines::Machines;
+use crate::occurrence::Task;
 use crate::past_usage::PastUsage;
 use crate::quarantine::Quarantine;
 use crate::queue_work::QueueWork;
@@ -28,7 +29,7 @@
 use crate::worker::{Worker, WorkerKey};
 use crate::zone_drain::ZoneDrains;
 use crate::{
-    Action, AttemptNumber, DeadlyTask, FencingToken, JobOutcome, JobState, LostAttempt,
+    Action, AttemptNumber, Counts, DeadlyTask, FencingToken, JobOutcome, JobState, LostAttempt,
     OperatorConfig, SchedulingRules, StopReason, TaskId,
 };
 
@@ -109,37 +110,6 @@
     Ended,
 }
 
-/// Table sizes and totals for metrics.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Jobs in memory.
-    pub jobs: usize,
-    /// Attempts in memory.
-    pub attempts: usize,
-    /// Workers in memory.
-    pub workers: usize,
-    /// Start commands that were decided, sent or not.
-    pub starts: u64,
-    /// Starts refused because of insufficient capacity.
-    pub no_capacity: u64,
-    /// Attempts that completed their task.
-    pub done: u64,
-    /// Attempts that failed.
-    pub failed: u64,
-    /// Attempts lost because their worker restarted or its lease expired.
-    pub lost: u64,
-    /// Workers that crashed under a task, as far as one could be blamed.
-    pub crashes: u64,
-    /// Tasks that were given up because workers crash under them.
-    pub deadly: u64,
-    /// Attempts whose start command was not answered.
-    pub unresolved: u64,
-    /// Start commands that may be unanswered at once.
-    pub start_window: usize,
-    /// Stop commands that were decided, for any reason and with repetitions.
-    pub stops: u64,
-}
-
 impl Scheduler {
     /// Creates the state of a leader that has taken over at `now`.
     pub fn new(
--- a/crates/flow/src/slow.rs
+++ b/crates/flow/src/slow.rs
@@ -11,7 +11,7 @@
 use vg_base::prelude::*;
 
 use crate::attempt::{Attempt, AttemptKey};
-use crate::job::Task;
+use crate::occurrence::Task;
 use crate::step_durations::{ShortestDurations, StepDurations};
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepId, StopReason};
