--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -49,6 +49,8 @@
     pub(crate) step: &'a Step,
     /// Whether the adviser's permission is needed.
     pub(crate) advised: bool,
+    /// Whether the next task of the pool may crash its worker.
+    pub(crate) at_risk: bool,
     /// Rack to which the choice is restricted.
     pub(crate) rack: Option<&'a SmolStr>,
 }
@@ -155,7 +157,7 @@
         let task = &request.step.tasks[request.task.index as usize];
         // Tasks that interfere with each other are spread, others are packed. So are tasks
         // that may crash their worker.
-        let at_risk = self.expects_crashes(&worker.incarnation.pool, now);
+        let at_risk = request.at_risk;
         let spread = spec.best_effort || spec.latency_target.is_some() || at_risk;
         let free_fraction = remaining.dominant_share(&worker.capacity);
         Fit {
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -271,15 +271,26 @@
         workers: &[WorkerKey],
         now: Instant,
     ) -> Option<WorkerKey> {
+        let request = self.placement_request(key, task, now)?;
+        self.find_place(&request, workers, &[], now)
+    }
+
+    /// Returns the request of one task for a worker.
+    pub(crate) fn placement_request(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        now: Instant,
+    ) -> Option<PlacementRequest<'_>> {
         let job = &self.jobs[key];
-        let request = PlacementRequest {
+        Some(PlacementRequest {
             task,
             spec: job.spec.steps.get(usize::from(task.step.step))?,
             step: job.step(task.step.occurrence, task.step.step)?,
             advised: self.needs_adviser(key),
+            at_risk: self.expects_crashes(&job.pool, now),
             rack: None,
-        };
-        self.find_place(&request, workers, &[], now)
+        })
     }
 
     /// Whether the team of a job may use `need` in addition to what it uses and
--- a/crates/flow/src/trials.rs
+++ b/crates/flow/src/trials.rs
@@ -13,7 +13,6 @@
 use crate::attempt::{AttemptKey, Phase};
 use crate::crashes::{CrashState, Suspicion};
 use crate::job::{Job, JobKey};
-use crate::place::PlacementRequest;
 use crate::plan::PoolPass;
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepId, TaskId};
@@ -177,7 +176,7 @@
         if count >= (workers.len() / TRIAL_DIVISOR).max(1) || self.is_deferred(key, task, now) {
             return None;
         }
-        let request = self.placement_request(key, task)?;
+        let request = self.placement_request(key, task, now)?;
         let reservation = request.spec.reservation();
         let suitable = workers.iter().copied().filter(|&each| {
             let worker = &self.workers[each];
@@ -214,7 +213,7 @@
         worker: WorkerKey,
         now: Instant,
     ) -> bool {
-        let Some(request) = self.placement_request(key, task) else { return false };
+        let Some(request) = self.placement_request(key, task, now) else { return false };
         let state = &self.workers[worker];
         let on_trial = state.trial.iter().flat_map(|trial| &trial.attempts);
         let on_trial: Vec<_> = on_trial.collect();
@@ -227,15 +226,4 @@
             && state.attempts.iter().all(is_quiet)
             && self.meets_conditions(&request, worker, state, &[], now)
     }
-
-    fn placement_request(&self, key: JobKey, task: TaskId) -> Option<PlacementRequest<'_>> {
-        let job = &self.jobs[key];
-        Some(PlacementRequest {
-            task,
-            spec: job.spec.steps.get(usize::from(task.step.step))?,
-            step: job.step(task.step.occurrence, task.step.step)?,
-            advised: self.needs_adviser(key),
-            rack: None,
-        })
-    }
 }
