flow: a task is given up when two crashes under it are certain

Cause: a start that was not answered counted as running on its worker when that crashed. It may never have reached it: another task, or all hosts' being killed, was the cause. With the crash on trial that made two. Change: a mark says whether the worker had confirmed the attempt, and on which machine that was. Only attempts that ran count as proof (on trial they do: nothing else had started there), and only once a later worker has been seen on the machine; until then, for up to 2 s, the task waits, then it is tried again. A lost answer to the first start costs one crash more.

--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -33,6 +33,11 @@
 const MAX_GANG_CRASHES: usize = 3;
 /// Crashes from which a task is given up although no trial has proved anything.
 const MAX_CRASHES: usize = 5;
+/// Crashes that have to be certain for a task to be given up.
+const MIN_CRASHES: usize = 2;
+/// Time for which a task that is to be given up waits until its crashes are certain, from
+/// when its last attempt is known to have ended. Then it is tried again.
+const MAX_DOUBT: Duration = Duration::from_secs(2);
 
 /// Time after a crash under a task for which its pool is expected to have more of them.
 const CRASH_MEMORY: Duration = Duration::from_secs(10);
@@ -51,11 +56,17 @@
     Trial,
 }
 
-/// A worker that crashed under an attempt of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// A worker that seems to have crashed under an attempt of a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashMark {
     /// The attempt.
     pub attempt: AttemptNumber,
+    /// The worker's machine, or the worker if that is not known.
+    pub home: SmolStr,
+    /// Wall time of the start of the worker's incarnation, in milliseconds since 1970.
+    pub start_ms: u64,
+    /// Whether the worker had confirmed the attempt, which may never have started otherwise.
+    pub confirmed: bool,
     /// Time from the start command until the crash was seen, in milliseconds.
     pub age_ms: u64,
     /// What the crash says about the task.
@@ -103,6 +114,8 @@
     Clear,
     /// It may start on trial.
     Suspect,
+    /// It is given up once its workers are known to have crashed.
+    Doomed,
     /// It is given up once its attempts are known to have ended.
     Proven,
 }
@@ -116,28 +129,14 @@
     pub crashes: usize,
 }
 
-impl Task {
-    /// Returns what may be done with it by the crashes under it.
-    pub(crate) fn crash_state(&self, gang: bool) -> CrashState {
-        if self.crashes.is_empty() {
-            return CrashState::Clear;
-        }
-        let count =
-            |suspicion| self.crashes.iter().filter(|mark| mark.suspicion == suspicion).count();
-        let (recent, trials) = (count(Suspicion::Recent), count(Suspicion::Trial));
-        let proven = match gang {
-            true => recent >= MAX_GANG_CRASHES,
-            false => trials >= 2 || (trials == 1 && recent >= 1),
-        };
-        if proven || self.crashes.len() >= MAX_CRASHES {
-            CrashState::Proven
-        } else if !gang && (recent + trials >= 1 || self.crashes.len() >= 2) {
-            CrashState::Suspect
-        } else {
-            CrashState::Clear
-        }
+impl CrashMark {
+    /// Whether the attempt has run: nothing else had started there if it was a trial.
+    fn has_run(&self) -> bool {
+        self.confirmed || self.suspicion == Suspicion::Trial
     }
+}
 
+impl Task {
     /// Drops the mark of an attempt whose worker has not crashed. Returns whether there
     /// was one.
     pub(crate) fn withdraw_crash(&mut self, attempt: AttemptNumber) -> bool {
@@ -147,6 +146,16 @@
     }
 }
 
+/// Whether these crashes prove that a task causes them.
+fn is_proof<'a>(marks: impl Iterator<Item = &'a CrashMark> + Clone, gang: bool) -> bool {
+    let count = |suspicion| marks.clone().filter(|mark| mark.suspicion == suspicion).count();
+    let (recent, trials) = (count(Suspicion::Recent), count(Suspicion::Trial));
+    match gang {
+        true => recent >= MAX_GANG_CRASHES,
+        false => trials >= 2 || (trials == 1 && recent >= 1),
+    }
+}
+
 impl Scheduler {
     /// Returns the tasks that were given up since the last call because workers crash
     /// under them.
@@ -154,10 +163,40 @@
         std::mem::take(&mut self.deadly)
     }
 
-    pub(crate) fn crash_state(&self, id: TaskId) -> CrashState {
-        let gang = self.spec_of(id).is_some_and(|spec| spec.gang);
-        let task = self.job_of(id).and_then(|job| job.task(id));
-        task.map_or(CrashState::Clear, |task| task.crash_state(gang))
+    /// Returns what may be done with a task by the crashes under it.
+    pub(crate) fn crash_state(&self, task: &Task, gang: bool, now: Instant) -> CrashState {
+        if task.crashes.is_empty() {
+            return CrashState::Clear;
+        }
+        let ran = || task.crashes.iter().filter(|mark| mark.has_run());
+        let certain = || ran().filter(|mark| self.is_certain(mark));
+        let many = task.crashes.len() >= MAX_CRASHES;
+        if is_proof(certain(), gang) || (many && certain().count() >= MIN_CRASHES) {
+            return CrashState::Proven;
+        }
+        let waits_since = task.not_before;
+        let waits = waits_since.is_none_or(|at| now < at + MAX_DOUBT);
+        if (is_proof(ran(), gang) && waits) || many {
+            return CrashState::Doomed;
+        }
+        let blamed = task.crashes.iter().any(|mark| mark.suspicion != Suspicion::Bystander);
+        match !gang && (blamed || task.crashes.len() >= MIN_CRASHES) {
+            true => CrashState::Suspect,
+            false => CrashState::Clear,
+        }
+    }
+
+    /// Whether the worker of a mark has crashed: a later one has been seen in its place.
+    fn is_certain(&self, mark: &CrashMark) -> bool {
+        self.latest_starts.get(&mark.home).is_some_and(|&start_ms| start_ms > mark.start_ms)
+    }
+
+    /// Notes the start of a worker.
+    pub(crate) fn note_start(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        let start_ms = worker.incarnation.start_ms;
+        let latest = self.latest_starts.entry(worker.home()).or_default();
+        *latest = start_ms.max(*latest);
     }
 
     /// Notes on the tasks of a worker that it seems to have crashed, as its connection
@@ -223,6 +262,9 @@
     fn add_mark(&mut self, key: AttemptKey, suspicion: Suspicion, at: Instant) {
         let attempt = &self.attempts[key];
         let (id, number) = (attempt.task, attempt.attempt);
+        let worker = &self.workers[attempt.worker];
+        let (home, start_ms) = (worker.home(), worker.incarnation.start_ms);
+        let confirmed = attempt.confirmed.is_some();
         let age_ms = at.saturating_duration_since(attempt.started).as_millis() as u64;
         // A continuous task has run for long on most workers that crash.
         let continuous = self.spec_of(id).is_some_and(|spec| spec.continuous);
@@ -230,7 +272,8 @@
             return;
         }
         let Some(task) = self.task_mut(id).filter(|task| !task.done) else { return };
-        task.crashes.push(CrashMark { attempt: number, age_ms, suspicion });
+        let mark = CrashMark { attempt: number, home, start_ms, confirmed, age_ms, suspicion };
+        task.crashes.push(mark);
         // Bystanders' marks become durable with the next record of their job.
         if suspicion != Suspicion::Bystander
             && let Some(&job) = self.job_ids.get(&id.step.job)
--- a/crates/flow/src/gangs.rs
+++ b/crates/flow/src/gangs.rs
@@ -23,7 +23,7 @@
     ) {
         let spec = Arc::clone(&self.jobs[key].spec);
         let step_spec = &spec.steps[usize::from(id.step)];
-        if let Some(deadly) = self.proven_member(key, id) {
+        if let Some(deadly) = self.proven_member(key, id, now) {
             self.give_up(key, deadly, now);
             return;
         }
@@ -61,10 +61,11 @@
     }
 
     /// Returns a waiting member under which too many workers have crashed.
-    fn proven_member(&self, key: JobKey, id: StepId) -> Option<TaskId> {
+    fn proven_member(&self, key: JobKey, id: StepId, now: Instant) -> Option<TaskId> {
         let step = self.jobs[key].step(id.occurrence, id.step)?;
-        let is_proven =
-            |&&index: &&u32| step.tasks[index as usize].crash_state(true) == CrashState::Proven;
+        let is_proven = |&&index: &&u32| {
+            self.crash_state(&step.tasks[index as usize], true, now) == CrashState::Proven
+        };
         let index = step.waiting.iter().find(is_proven).copied()?;
         Some(TaskId { step: id, index })
     }
--- a/crates/flow/src/occurrence.rs
+++ b/crates/flow/src/occurrence.rs
@@ -88,7 +88,7 @@
                     .failed
                     .extend(task.failed_attempts.iter().map(|attempt| (at, index, attempt.0)));
                 let crashes = task.crashes.iter();
-                progress.crashes.extend(crashes.map(|mark| (at, index, *mark)));
+                progress.crashes.extend(crashes.map(|mark| (at, index, mark.clone())));
                 if !task.checkpoint.is_empty() {
                     progress.checkpoints.push((at, index, task.checkpoint.clone()));
                 }
@@ -108,9 +108,9 @@
                 task.record_failure(AttemptNumber(attempt));
             }
         }
-        for &(step, index, mark) in &progress.crashes {
-            if let Some(task) = self.task_mut(step, index) {
-                task.crashes.push(mark);
+        for (step, index, mark) in &progress.crashes {
+            if let Some(task) = self.task_mut(*step, *index) {
+                task.crashes.push(mark.clone());
                 task.last_attempt = task.last_attempt.max(mark.attempt);
             }
         }
--- a/crates/flow/src/plan.rs
+++ b/crates/flow/src/plan.rs
@@ -229,9 +229,9 @@
         now: Instant,
     ) -> bool {
         self.may_start(key, task, step, now)
-            && self.jobs[key].task(task).is_some_and(|state| {
-                state.crashes.is_empty() || state.crash_state(step.gang) == CrashState::Clear
-            })
+            && self.jobs[key]
+                .task(task)
+                .is_some_and(|state| self.crash_state(state, step.gang, now) == CrashState::Clear)
     }
 
     /// The same for a task that may be a suspect.
--- a/crates/flow/src/register.rs
+++ b/crates/flow/src/register.rs
@@ -53,6 +53,7 @@
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
             let key = self.workers.insert(Worker::new(registration, now));
             self.worker_ids.insert(registration.incarnation.id.clone(), key);
+            self.note_start(key);
             self.enter_zone(key);
             self.enter_machine(key, None);
             self.end_earlier_workers(key, now);
@@ -75,6 +76,7 @@
         let earlier = std::mem::replace(&mut worker.machine, registration.machine.clone());
         worker.recorded &= !changed;
         let recorded = worker.recorded;
+        self.note_start(key);
         self.enter_zone(key);
         self.enter_machine(key, earlier);
         self.end_earlier_workers(key, now);
@@ -210,6 +212,7 @@
             }
         }
         self.clear_unresolved(&id);
+        self.note_start(key);
     }
 
     /// Removes the attempts of workers whose lease has expired, and drops
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -91,6 +91,9 @@
     pub(crate) machines: Machines,
     pub(crate) zone_drains: ZoneDrains,
     pub(crate) actions: Vec<Action>,
+    /// Start of the latest worker in each place ([`Worker::home`]), in milliseconds since
+    /// 1970.
+    pub(crate) latest_starts: HashMap<SmolStr, u64>,
     /// Crashes of workers under tasks, by pool.
     pub(crate) crash_series: HashMap<PoolId, CrashSeries>,
     /// Tasks that were given up because workers crash under them, until they are
@@ -154,6 +157,7 @@
             records_changed: false,
             frozen: false,
             actions: Vec::new(),
+            latest_starts: HashMap::new(),
             crash_series: HashMap::new(),
             deadly: Vec::new(),
             losses: Vec::new(),
--- a/crates/flow/src/speculative.rs
+++ b/crates/flow/src/speculative.rs
@@ -33,13 +33,14 @@
             }
             let workers =
                 usable.entry(pool.clone()).or_insert_with(|| self.usable_workers(pool, now));
-            match self.crash_state(task) {
+            let state = self.job_of(task).and_then(|job| job.task(task));
+            match state.map_or(CrashState::Clear, |task| self.crash_state(task, false, now)) {
                 CrashState::Clear => {}
                 CrashState::Suspect => {
                     self.try_suspect(key, task, workers, now);
                     continue;
                 }
-                CrashState::Proven => continue,
+                CrashState::Doomed | CrashState::Proven => continue,
             }
             if let Some(worker) = self.find_worker(key, task, workers, now) {
                 let attempt = self.next_attempt(key, task);
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -208,6 +208,12 @@
         self.capacity.scarcest_share(&self.full_capacity)
     }
 
+    /// Returns what stays when the worker is replaced: its machine, or its id if that is
+    /// not known.
+    pub(crate) fn home(&self) -> SmolStr {
+        self.machine.clone().unwrap_or_else(|| self.incarnation.id.as_str().into())
+    }
+
     /// Returns the free capacity.
     pub(crate) fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
