lead: a new lease is no proof of the leadership

A host led through an outage in which its lease ended. Change: a leader keeps the lease under which it was last proved to lead, takes new jobs under that one only, and writes the leader key again, which expects its term, as soon as the host has another.

--- a/crates/lead/src/election.rs
+++ b/crates/lead/src/election.rs
@@ -50,7 +50,7 @@
                 let jitter = rand::Rng::random_range(&mut rand::rng(), 0..=CLAIM_JITTER_MAX_MS);
                 tokio::time::sleep(Duration::from_millis(jitter)).await;
                 if let Some(token) = host.claim(vacancy).await {
-                    lead(&host, token).await;
+                    lead(&host, token, vacancy.lease).await;
                     vacant_since = None;
                     continue;
                 }
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -22,7 +22,7 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{CommandTarget, FencingToken, JobSpec, JobState, MachineCommand, Scheduler};
-use vg_store::{Entry, Store, StoreRevision};
+use vg_store::{Entry, LeaseId, Store, StoreRevision};
 
 use crate::dual_instant::DualInstant;
 use crate::host::lock;
@@ -52,6 +52,9 @@
 pub(crate) struct Leader<P: Platform, C: Clock> {
     host: Host<P, C>,
     token: FencingToken,
+    /// The host's lease under which the leadership was last proved. Under a later one
+    /// another host may have taken it meanwhile.
+    lease: Mutex<LeaseId>,
     scheduler: Mutex<Scheduler>,
     /// Wakes the decision loop after a change that may require decisions.
     wake: Notify,
@@ -84,8 +87,12 @@
     load: Mutex<LeaderLoad>,
 }
 
-/// Leads until the leadership is lost or handed over.
-pub(crate) async fn lead<P: Platform, C: Clock>(host: &Host<P, C>, token: FencingToken) {
+/// Leads until the leadership is lost or handed over. `lease` is that of the leader key.
+pub(crate) async fn lead<P: Platform, C: Clock>(
+    host: &Host<P, C>,
+    token: FencingToken,
+    lease: LeaseId,
+) {
     let started = host.inner.clock.now();
     host.record(Code::LeadershipTaken, [Field::new("fence", token)]);
     let Some(config) = host.config() else { return };
@@ -93,6 +100,7 @@
     let leader = Arc::new(Leader {
         host: host.clone(),
         token,
+        lease: Mutex::new(lease),
         scheduler: Mutex::new(Scheduler::new(rules, token, config, started)),
         wake: Notify::new(),
         commit_needed: Notify::new(),
@@ -174,25 +182,45 @@
         }
     }
 
-    /// Writes the leader key again after it expired with its lease. Ends the
-    /// leadership if another host has taken the leadership.
+    /// Writes the leader key again after it expired with its lease, or after the host got
+    /// another lease. Ends the leadership if another host has taken the leadership.
     async fn maintain_leader_key(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(self.host.inner.options.renewal_period()).await;
-            let published = lock(&self.host.inner.members).leader.clone();
-            match published {
-                Some((leader, _)) if leader.nonce == self.host.inner.nonce => {}
-                _ => match self.host.republish_leader(self.token).await {
-                    Ok(None) => {}
-                    Ok(Some(found)) => _ = self.still_leads(&found).await,
-                    Err(error) => {
-                        log::debug!(target: "store", "cannot write the leader key: {error}")
-                    }
-                },
+            let changed = self.host.inner.members_changed.notified();
+            let period = self.host.inner.options.renewal_period();
+            let _ = tokio::time::timeout(period, changed).await;
+            let Some(lease) = *lock(&self.host.inner.lease) else { continue };
+            if self.is_published() && *lock(&self.lease) == lease {
+                continue;
+            }
+            let proved = match self.host.republish_leader(self.token).await {
+                Ok(None) => true,
+                Ok(Some(found)) => self.still_leads(&found).await && self.is_published(),
+                Err(error) => {
+                    log::debug!(target: "store", "cannot write the leader key: {error}");
+                    false
+                }
+            };
+            if proved {
+                *lock(&self.lease) = lease;
+                self.wake.notify_one();
             }
         }
     }
 
+    /// Whether the leader key is that of this host, as far as it knows.
+    fn is_published(&self) -> bool {
+        let published = lock(&self.host.inner.members).leader.clone();
+        published.is_some_and(|(leader, _)| leader.nonce == self.host.inner.nonce)
+    }
+
+    /// Whether the host's lease is valid and the leadership was proved under it. A host
+    /// gets another lease after an outage in which its lease ended, and may not know yet
+    /// that another one leads.
+    fn holds_lease(&self) -> bool {
+        self.host.is_lease_valid() && *lock(&self.host.inner.lease) == Some(*lock(&self.lease))
+    }
+
     /// Passes new configurations and maintenance waves to the scheduler.
     async fn follow_config(self: Arc<Self>) {
         let mut config = self.host.inner.config.subscribe();
@@ -276,7 +304,7 @@
     pub(crate) fn add_durable_job(&self, job: JobId, spec: Arc<JobSpec>, revision: u64) {
         // While the lease may have expired, another host may lead and start the
         // job.
-        if !self.is_recovered() || !self.host.is_lease_valid() {
+        if !self.is_recovered() || !self.holds_lease() {
             return;
         }
         // A message that was under way for long, to a host that leads again now. A job
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -224,7 +224,7 @@
             let error = self.watch_jobs(&prefix, &mut next).await;
             if matches!(error, Error::Compacted { .. })
                 && let Ok(listing) = self.host.store().range(&prefix).await
-                && self.host.is_lease_valid()
+                && self.holds_lease()
             {
                 self.add_jobs(&listing);
                 next = StoreRevision(listing.revision.0 + 1);
@@ -248,7 +248,7 @@
             };
             // While the lease may have expired, another host may lead and start
             // these jobs. `next` is not advanced, so they are read again later.
-            if !self.host.is_lease_valid() {
+            if !self.holds_lease() {
                 let reason = "the lease is not proved".to_owned();
                 return Error::Unavailable { reason };
             }
--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -5,6 +5,7 @@
 
 use support::{Cluster, eventually, id, is_done, job, soon};
 use vg_base::prelude::*;
+use vg_events::Code;
 use vg_flow::IncarnationRecord;
 use vg_lead::{HostCapacity, SubmitOutcome};
 use vg_store::{CallKind, Fault};
@@ -261,3 +262,35 @@
     assert_eq!(second.host.submit(id(2), job(2), soon()).await, SubmitOutcome::Accepted);
     eventually(async || is_done(&second.host.job_status(id(2), soon()).await)).await;
 }
+
+/// Guards against two hosts that start the same job: the first one's lease ended, another
+/// host took the leadership, and the first one, which has not heard of it, took its next
+/// lease for a proof that it still leads.
+#[tokio::test]
+async fn a_new_lease_is_no_proof_of_the_leadership() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || cluster.has_leader().await).await;
+    let b = cluster.node("b").await;
+    let key = "vg/live/leader";
+    let first = cluster.value(key).await;
+    // Host `a` hears nothing more from the store, and its lease ends. It gets the next one
+    // when host `b` has taken the leadership, and before `b` has polled any worker.
+    let deafen = || {
+        a.faults.set_stale(true);
+        a.faults.set_silent(true);
+    };
+    deafen();
+    b.faults.set_delay(Duration::from_millis(350));
+    a.faults.script(CallKind::Lease, Fault::LeaseExpired, 1);
+    a.faults.script(CallKind::Lease, Fault::Unavailable, 100);
+    eventually(async || cluster.value(key).await.is_some_and(|value| Some(value) != first)).await;
+    a.faults.clear();
+    deafen();
+    eventually(async || cluster.key("vg/live/host/a").await).await;
+    assert_eq!(a.host.submit(id(1), job(3), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&b.host.job_status(id(1), soon()).await)).await;
+    let events = a.recorder.window(0, usize::MAX).events;
+    let starts = events.iter().filter(|event| event.code == Code::TaskStarted);
+    assert_eq!(starts.count(), 0, "the earlier leader sent start commands");
+}
