--- a/crates/flow/src/trials.rs
+++ b/crates/flow/src/trials.rs
@@ -13,7 +13,6 @@
 use crate::attempt::{AttemptKey, Phase};
 use crate::crashes::{CrashState, Suspicion};
 use crate::job::{Job, JobKey};
-use crate::place::PlacementRequest;
 use crate::plan::PoolPass;
 use crate::worker::WorkerKey;
 use crate::{Scheduler, StepId, TaskId};
@@ -113,7 +112,7 @@
         let gang = job.spec.steps[usize::from(id.step)].gang;
         let waiting = step.waiting.iter().map(|&index| TaskId { step: id, index });
         let marked = waiting.filter_map(|task| {
-            let state = job.task(task)?.crash_state(gang);
+            let state = self.crash_state(job.task(task)?, gang, now);
             (state != CrashState::Clear).then_some((task, state))
         });
         let marked: Vec<_> = marked.collect();
@@ -121,8 +120,10 @@
             self.give_up(key, *deadly, now);
             return;
         }
-        for (task, _) in marked {
-            self.try_suspect(key, task, &pass.workers, now);
+        for (task, state) in marked {
+            if state == CrashState::Suspect {
+                self.try_suspect(key, task, &pass.workers, now);
+            }
         }
     }
 
@@ -177,7 +178,7 @@
         if count >= (workers.len() / TRIAL_DIVISOR).max(1) || self.is_deferred(key, task, now) {
             return None;
         }
-        let request = self.placement_request(key, task)?;
+        let request = self.placement_request(key, task, now)?;
         let reservation = request.spec.reservation();
         let suitable = workers.iter().copied().filter(|&each| {
             let worker = &self.workers[each];
@@ -214,7 +215,7 @@
         worker: WorkerKey,
         now: Instant,
     ) -> bool {
-        let Some(request) = self.placement_request(key, task) else { return false };
+        let Some(request) = self.placement_request(key, task, now) else { return false };
         let state = &self.workers[worker];
         let on_trial = state.trial.iter().flat_map(|trial| &trial.attempts);
         let on_trial: Vec<_> = on_trial.collect();
@@ -227,15 +228,4 @@
             && state.attempts.iter().all(is_quiet)
             && self.meets_conditions(&request, worker, state, &[], now)
     }
-
-    fn placement_request(&self, key: JobKey, task: TaskId) -> Option<PlacementRequest<'_>> {
-        let job = &self.jobs[key];
-        Some(PlacementRequest {
-            task,
-            spec: job.spec.steps.get(usize::from(task.step.step))?,
-            step: job.step(task.step.occurrence, task.step.step)?,
-            advised: self.needs_adviser(key),
-            rack: None,
-        })
-    }
 }
