flow: a task whose crashes stay uncertain is tried again

Found by reading the change: after a takeover a task with the marks of a deadly one waited without end if no later worker was ever seen in place of those that it was lost with. a_task_whose_workers_never_come_back_is_tried_again failed before: the job never ended.

--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -174,9 +174,9 @@
         if is_proof(certain(), gang) || (many && certain().count() >= MIN_CRASHES) {
             return CrashState::Proven;
         }
-        let waits_since = task.not_before;
-        let waits = waits_since.is_none_or(|at| now < at + MAX_DOUBT);
-        if (is_proof(ran(), gang) && waits) || many {
+        let is_lost = task.not_before.is_some_and(|at| now < at + MAX_DOUBT);
+        let in_doubt = is_lost || !task.attempts.is_empty();
+        if in_doubt && (many || is_proof(ran(), gang)) {
             return CrashState::Doomed;
         }
         let blamed = task.crashes.iter().any(|mark| mark.suspicion != Suspicion::Bystander);
--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -151,6 +151,29 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a task that waits without end for proof that its workers have crashed:
+/// they never come back, and another host leads.
+#[test]
+fn a_task_whose_workers_never_come_back_is_tried_again() {
+    let mut world = World::new(18, 12, Faults::default());
+    world.crashes.gone = true;
+    world.run(300);
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(1, 1000, 900)], wall));
+    for starts in 1..=2 {
+        while world.starts < starts {
+            world.step();
+        }
+        world.run(40);
+        let at = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+        world.crash(at);
+    }
+    world.run(200);
+    world.change_leader();
+    world.run(15_000);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Done));
+}
+
 /// Guards against a crash that is not counted because the answer to the start was lost.
 /// The first one may have come before the start, so that two trials are needed.
 #[test]
--- a/crates/flow/tests/support/crash.rs
+++ b/crates/flow/tests/support/crash.rs
@@ -17,6 +17,8 @@
     pub(crate) keep_id: bool,
     /// Whether a crashed worker is back before it is polled again.
     pub(crate) back_at_once: bool,
+    /// Whether a crashed worker never comes back.
+    pub(crate) gone: bool,
     /// Whether links to a crashed worker fall silent instead of breaking.
     pub(crate) silent: bool,
     /// Whether links that are cut break instead of falling silent.
@@ -56,7 +58,9 @@
         worker.running.clear();
         worker.ended.clear();
         let down_ms = if self.crashes.back_at_once { 0 } else { DOWN_MS };
-        self.crashes.down.push((self.ms + down_ms, at));
+        if !self.crashes.gone {
+            self.crashes.down.push((self.ms + down_ms, at));
+        }
     }
 
     /// Ends the other members of a gang of which one was lost.
