--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -189,6 +189,10 @@
             let changed = self.host.inner.members_changed.notified();
             let period = self.host.inner.options.renewal_period();
             let _ = tokio::time::timeout(period, changed).await;
+            if self.scheduler().is_frozen() {
+                // The key was deleted for the next leader.
+                return;
+            }
             let Some(lease) = *lock(&self.host.inner.lease) else { continue };
             if self.is_published() && *lock(&self.lease) == lease {
                 continue;
