--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod late_polls;
 mod other_kind;
 mod overlapping;
+mod two_crashes;
 mod unanswered_submit;
 
 use crate::record::Record;
@@ -13,6 +14,7 @@
         "overlapping" => Some(overlapping::run(record, trouble)),
         "other-kind" => Some(other_kind::run(record, trouble)),
         "late-polls" => Some(late_polls::run(record, trouble)),
+        "two-crashes" => Some(two_crashes::run(record, trouble)),
         "unanswered-submit" => Some(unanswered_submit::run(record, trouble)),
         _ => None,
     }
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -273,6 +273,11 @@
         act(&found.1)
     }
 
+    /// Whether a task runs on any server.
+    pub fn is_running(&self, task: &str) -> bool {
+        self.workers.lock().unwrap().iter().any(|(_, worker)| worker.is_running(task))
+    }
+
     /// Ends a server like a crash. Returns its address.
     pub fn crash_worker(&self, id: &str) -> SocketAddr {
         let mut workers = self.workers.lock().unwrap();
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -19,6 +19,11 @@
 /// Duration of a task that has none set.
 const DEFAULT_TASK_MS: u64 = 500;
 
+/// Duration of a task that lasts until it is stopped.
+pub const LASTING_MS: u64 = 1 << 40;
+/// Time after which a task that lasts is at work.
+const STARTUP_MS: u64 = 300;
+
 /// Durations of tasks in milliseconds.
 pub type Durations = Arc<Mutex<HashMap<String, u64>>>;
 
@@ -28,6 +33,22 @@
     stopping: bool,
 }
 
+impl Run {
+    fn percent(&self, now: u64) -> u64 {
+        let (passed, whole) = (now - self.started_ms, self.ends_ms - self.started_ms);
+        match whole >= LASTING_MS {
+            true => {
+                if passed >= STARTUP_MS {
+                    100
+                } else {
+                    0
+                }
+            }
+            false => (passed * 99 / whole.max(1)).min(99),
+        }
+    }
+}
+
 /// What a worker knows in one life.
 #[derive(Default)]
 struct Life {
@@ -143,6 +164,11 @@
         self.inner.poll(&Json::parse(body));
     }
 
+    pub fn is_running(&self, task: &str) -> bool {
+        let state = self.inner.state.0.lock().unwrap();
+        state.running.keys().any(|(each, _)| each == task)
+    }
+
     /// Writes the registration.
     pub fn register(&self, store: &Store, seq: u64) {
         let inner = &self.inner;
@@ -315,8 +341,7 @@
         let seen = body.get("last-seen").number().unwrap_or(0);
         self.forget_ends(&mut state, seen);
         let running = state.running.iter().map(|((task, run), each)| {
-            let percent = (now - each.started_ms) * 99 / (each.ends_ms - each.started_ms).max(1);
-            let row = [task.as_str().into(), (*run).into(), "".into(), percent.min(99).into()];
+            let row = [task.as_str().into(), (*run).into(), "".into(), each.percent(now).into()];
             Json::List([&row[..], &[0.5.into()]].concat())
         });
         let running: Vec<_> = running.collect();
