--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -59,6 +59,8 @@
     pub durations: Durations,
     pub workers: Workers,
     pub hosts: Vec<Host>,
+    /// Whether servers write their registrations.
+    heartbeats: Arc<AtomicBool>,
     folder: PathBuf,
     /// Number of hosts that were started.
     started: u8,
@@ -111,10 +113,15 @@
             workers.lock().unwrap().push((kind.id.clone(), worker));
         }
         let (copy, all) = (store.clone(), Arc::clone(&workers));
+        let heartbeats = Arc::new(AtomicBool::new(true));
+        let beating = Arc::clone(&heartbeats);
         std::thread::spawn(move || {
             let seq = AtomicU64::new(2);
             loop {
                 std::thread::sleep(HEARTBEAT);
+                if !beating.load(Ordering::SeqCst) {
+                    continue;
+                }
                 let seq = seq.fetch_add(1, Ordering::Relaxed);
                 all.lock().unwrap().iter().for_each(|(_, worker)| worker.register(&copy, seq));
             }
@@ -127,6 +134,7 @@
             durations,
             workers,
             hosts: Vec::new(),
+            heartbeats,
             folder,
             started: 0,
         };
@@ -212,6 +220,32 @@
         self.record.line(format_args!("{} leads and is killed (SIGKILL)", host.name));
     }
 
+    /// Kills a host that does not lead.
+    pub fn kill_follower(&mut self) {
+        let leader = self.leader();
+        let Some(at) = (0..self.hosts.len()).find(|&at| Some(at) != leader) else { return };
+        let host = self.hosts.remove(at);
+        self.record.line(format_args!("{} is killed (SIGKILL) and stays away", host.name));
+    }
+
+    /// Lets the store be silent. The registrations of all servers lapse meanwhile, and each
+    /// server is back after the time that is given for it.
+    pub fn lose_store(&self, time: Duration, back: &[(&str, Duration)]) {
+        self.heartbeats.store(false, Ordering::SeqCst);
+        self.record.line(format_args!("the store is silent for {time:?}; leases pause"));
+        self.store.be_silent(time);
+        back.iter().for_each(|(id, _)| self.store.remove(&format!("servers/{id}")));
+        self.record.line("the store answers again; the registrations have lapsed");
+        let mut passed = Duration::ZERO;
+        for (id, after) in back {
+            std::thread::sleep(*after - passed);
+            passed = *after;
+            self.with_worker(id, |worker| worker.register(&self.store, 100));
+            self.record.line(format_args!("{id} has registered again"));
+        }
+        self.heartbeats.store(true, Ordering::SeqCst);
+    }
+
     fn quiet_call(
         &self,
         to: SocketAddr,
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -70,6 +70,33 @@
         events.iter().any(|(_, event)| is_done(event, task) && is_noted(event, &events))
     }
 
+    /// Returns the starts of tasks while another run of the same task runs (rule TWICE). No
+    /// server may have crashed.
+    pub fn overlaps(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        let mut running: Vec<(String, u64, String)> = Vec::new();
+        for (ms, event) in self.events() {
+            match event {
+                Event::Start { worker, task, run, .. } => {
+                    if let Some(other) = running.iter().find(|(each, ..)| *each == task) {
+                        let at = ms as f64 / 1000.0;
+                        found.push(format!(
+                            "{task} run {run} starts on {worker} at {at:.3} s while run {} runs \
+                             on {}",
+                            other.1, other.2
+                        ));
+                    }
+                    running.push((task, run, worker));
+                }
+                Event::End { worker, task, run, .. } => {
+                    running.retain(|each| *each != (task.clone(), run, worker.clone()));
+                }
+                Event::Noted { .. } => {}
+            }
+        }
+        found
+    }
+
     /// Returns the starts of tasks after a run of the same task has ended `done`, where that
     /// end was taken note of then or later (rule TWICE).
     pub fn starts_after_done(&self) -> Vec<String> {
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -47,13 +47,17 @@
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
     judge: Arc<Mutex<Option<Judge>>>,
+    down_until: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Store {
     pub fn start() -> std::io::Result<(Store, SocketAddr)> {
         let state = State { rev: 1, next_lease: 1, ..State::default() };
-        let store =
-            Store { state: Arc::new((Mutex::new(state), Condvar::new())), judge: Arc::default() };
+        let store = Store {
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+            judge: Arc::default(),
+            down_until: Arc::default(),
+        };
         let copy = store.clone();
         let server = Server::start((crate::deployment::own_ip(2), 0).into(), move |request| {
             copy.answer(request)
@@ -73,6 +77,23 @@
         *self.judge.lock().unwrap() = Some(Box::new(judge));
     }
 
+    /// Answers nothing for a time, in which leases pause. Returns at its end.
+    pub fn be_silent(&self, time: Duration) {
+        let until = Instant::now() + time;
+        *self.down_until.lock().unwrap() = Some(until);
+        for lease in self.state.0.lock().unwrap().leases.values_mut() {
+            lease.expires += time;
+        }
+        std::thread::sleep(time);
+        *self.down_until.lock().unwrap() = None;
+    }
+
+    /// Returns for how long the store answers nothing.
+    fn silent_for(&self) -> Option<Duration> {
+        let until = *self.down_until.lock().unwrap();
+        until.map(|until| until.saturating_duration_since(Instant::now()))
+    }
+
     /// Writes a key for the operator or a server.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.0.lock().unwrap();
@@ -81,6 +102,13 @@
         self.state.1.notify_all();
     }
 
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.rev += 1;
+        state.delete(key);
+        self.state.1.notify_all();
+    }
+
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         let state = self.state.0.lock().unwrap();
         state.items.get(key).map(|item| unbase64(&item.value))
@@ -97,7 +125,22 @@
         }
     }
 
+    /// Carries out a call. While the store is silent, nothing is done and the connection ends
+    /// without an answer.
     fn answer(&self, request: &Request) -> Answer {
+        if let Some(time) = self.silent_for() {
+            std::thread::sleep(time);
+            return None;
+        }
+        let answer = self.carry_out(request);
+        if let Some(time) = self.silent_for() {
+            std::thread::sleep(time);
+            return None;
+        }
+        answer
+    }
+
+    fn carry_out(&self, request: &Request) -> Answer {
         let body = Json::parse(&request.body);
         match (request.method.as_str(), request.route()) {
             ("GET", "/v1/kv-key") => {
