--- a/review/standin/src/cases/late_polls.rs
+++ b/review/standin/src/cases/late_polls.rs
@@ -1,5 +1,5 @@
-//! Rule TWICE: a server leaves calls unanswered, crashes, starts again under its id and
-//! carries the calls out late, in its next life.
+//! Rule TWICE: calls to a server get no answer, as they are delayed on their way; the server
+//! crashes and starts again under its id, and the calls arrive in its next life.
 
 use std::time::Duration;
 
@@ -47,7 +47,7 @@
     }
     send_for(Duration::from_secs(3));
     for body in kept {
-        deployment.with_worker("w-1", |worker| worker.carry_out_poll(&body));
+        deployment.with_worker("w-1", |worker| worker.deliver_late(&body));
         send_for(Duration::from_millis(700));
     }
     send_for(Duration::from_secs(1));
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
-use crate::http::{Answer, Request, Server};
+use crate::http::{self, Answer, Request, Server};
 use crate::json::Json;
 use crate::record::{Event, Record};
 use crate::store::Store;
@@ -160,11 +160,14 @@
         std::mem::take(&mut *self.inner.kept.lock().unwrap())
     }
 
-    /// Carries out a call to poll that was sent before.
-    pub fn carry_out_poll(&self, body: &[u8]) {
+    /// Delivers a call to poll that was sent before, as a delayed one arrives: with its header,
+    /// at the address that it was sent to. Nobody waits for its answer any more.
+    pub fn deliver_late(&self, body: &[u8]) {
         let text = String::from_utf8_lossy(body).into_owned();
-        self.inner.record.line(format_args!("{} carries out, late: {text}", self.inner.id));
-        self.inner.poll(&Json::parse(body));
+        self.inner.record.line(format_args!("a call arrives late at {}: {text}", self.inner.id));
+        let headers = [("x-verbenagap-expect-instance", self.inner.id.as_str())];
+        let wait = Duration::from_millis(50);
+        http::call(self.server.addr, "POST", "/v1/hold", &headers, &text, wait);
     }
 
     pub fn is_running(&self, task: &str) -> bool {
