lead: each claim of the leadership writes the term anew

Cause: a host that found its own leader key and its own term took that term's token again. It was meant for a claim whose answer was lost, and matched a leadership that the host had given up too. Jobs of the first leadership then looked newer than the second, so that nothing held their tasks back, and attempt numbers began again.

Evidence: in the host's log both leaderships have fence=7; the task starts on w-1 and 5 s later on w-2 as attempt 28673, w-1 being unregistered.

Change: each claim writes the term, so two leaderships never share a token. A late write of an unanswered claim is refused, as it expects the term before. So that this costs no service, a host keeps what may run on each worker when it gives up, after all tasks of that leadership have ended, and restores it if the term is still its own when it claims again: only what it has started waits for workers that don't answer. E608 says so (`retained`).

Paths looked at: a leader that outlasts the outage (same leadership, unchanged), lost and late claims, a handover that is not completed (the same fault, mended), a leader that can't read the records, a process that starts again, epochs of the own deployment (a new one in each claim).

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -54,5 +54,6 @@
 pub use workers::quarantine::WorkerEvidence;
 pub use workers::register::{PollFailure, Renewal};
 pub use workers::report::{AttemptOutcome, EndedAttempt, Report, RunningAttempt};
+pub use workers::retained::RetainedWork;
 pub use workers::unresolved::IncarnationRecord;
 pub use workers::worker::{WorkerIncarnation, WorkerRegistration};
--- a/crates/flow/src/workers/mod.rs
+++ b/crates/flow/src/workers/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod quarantine;
 pub(crate) mod register;
 pub(crate) mod report;
+pub(crate) mod retained;
 pub(crate) mod slow;
 pub(crate) mod unresolved;
 pub(crate) mod worker;
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -39,7 +39,7 @@
 
 /// Incarnations that have not answered since this leader took over. Tasks of
 /// jobs that were accepted before the takeover may be running on them.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct UnresolvedWork {
     incarnations: HashMap<HostId, UnresolvedIncarnation>,
     /// The tasks that are recorded on them.
@@ -73,6 +73,11 @@
         self.listed.contains(&task)
     }
 
+    /// Whether a worker has not answered, so that its own entry says nothing of its work.
+    fn includes_worker(&self, worker: &Worker) -> bool {
+        self.incarnations.contains_key(&worker.incarnation.id)
+    }
+
     /// Returns the tasks that are recorded on unresolved incarnations.
     pub(crate) fn tasks(&self) -> impl Iterator<Item = TaskId> {
         self.listed.iter().copied()
@@ -202,11 +207,34 @@
             return IncarnationRecord { incarnation, expires: None, tasks: None, machine };
         }
         let expires = wall + worker.lease_end.saturating_duration_since(now);
+        let tasks = self.unsettled_tasks(worker);
+        IncarnationRecord { incarnation, expires: Some(expires), tasks, machine }
+    }
+
+    /// Returns all tasks that may run on a worker or have an end there that is not
+    /// durable; `None` if they are not known.
+    fn unsettled_tasks<T: FromIterator<TaskId>>(&self, worker: &Worker) -> Option<T> {
         let running = worker.attempts.iter().map(|&attempt| self.attempts[attempt].task);
         let ended = worker.uncommitted_ends.iter().map(|&(_, task)| task);
         // An end that the truncated list omits may belong to any task.
-        let tasks = (!worker.ends_truncated).then(|| running.chain(ended).collect());
-        IncarnationRecord { incarnation, expires: Some(expires), tasks, machine }
+        (!worker.ends_truncated).then(|| running.chain(ended).collect())
+    }
+
+    /// Returns the work of earlier leaders that is unresolved, and that of this one, which
+    /// is unresolved for the next.
+    pub(super) fn all_unresolved(&self) -> UnresolvedWork {
+        let mut work = self.unresolved.clone();
+        let resolved = self.workers.values().filter(|worker| !work.includes_worker(worker));
+        let entries: Vec<_> = resolved
+            .map(|worker| UnresolvedIncarnation {
+                incarnation: worker.incarnation.clone(),
+                until: worker.lease_end,
+                tasks: self.unsettled_tasks(worker),
+                machine: worker.machine.clone(),
+            })
+            .collect();
+        entries.into_iter().for_each(|entry| work.insert(entry));
+        work
     }
 
     /// Whether the record of a worker that answers may be unsealed: decisions
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -105,6 +105,14 @@
     (0..seeds()).for_each(|seed| run_seed(2000 + seed, faults));
 }
 
+/// Guards against a leader that leads again, and starts again what it had started in its
+/// earlier leadership.
+#[test]
+fn invariants_hold_when_a_leader_gives_up_and_leads_again() {
+    let faults = Faults { returns: 6, ..Faults::ALL };
+    (0..seeds()).for_each(|seed| run_seed(6000 + seed, faults));
+}
+
 /// Guards against faults of the scheduler that show only when lost answers,
 /// restarts, takeovers and outages coincide.
 #[test]
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -50,6 +50,8 @@
     pub(crate) partitions: u32,
     /// Takeovers by another leader, per step.
     pub(crate) takeovers: u32,
+    /// Leaders that give up and lead again, per step.
+    pub(crate) returns: u32,
     /// Outages of the store, per step.
     pub(crate) outages: u32,
     /// Commands to machines that are refused.
@@ -69,6 +71,7 @@
         restarts: 3,
         partitions: 6,
         takeovers: 4,
+        returns: 0,
         outages: 4,
         refusals: 0,
         lost_commands: 0,
@@ -314,6 +317,17 @@
         self.change_leader();
     }
 
+    /// Lets the leader give up and lead again, as no other host has led meanwhile: it knows
+    /// what each worker may run without the records.
+    pub(crate) fn lead_again(&mut self) {
+        let earlier = self.scheduler.token();
+        let retained = self.scheduler.retain_work();
+        self.change_leader();
+        let retained = retained.succeed(earlier, self.scheduler.token()).unwrap();
+        self.scheduler.restore_work(retained, self.now());
+        self.register();
+    }
+
     /// Lets another leader take over from what is stored.
     pub(crate) fn change_leader(&mut self) {
         // A write whose answer was lost may have taken effect.
@@ -449,6 +463,9 @@
         if self.chance(faults.outages) {
             self.outage_until = self.ms + self.rng.random_range(100..4000);
         }
+        if self.chance(faults.returns) {
+            self.lead_again();
+        }
         if self.chance(faults.takeovers) && self.ms >= self.outage_until {
             match self.rng.random_bool(0.5) {
                 true => self.planned_handover(),
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -179,6 +179,40 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a leader that gave up, leads again before any other host, and holds back
+/// all jobs of a pool because of one worker, although it knows what it started there.
+#[test]
+fn a_leader_that_leads_again_holds_back_only_what_it_has_started() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(2, 30_000), wall));
+    world.run(300);
+    // The record of the worker is not sealed yet, and says nothing of its tasks.
+    let busy = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[busy].reachable = false;
+    world.submit(2, job("q-a", short(2, 500), wall));
+    world.lead_again();
+    world.run(200);
+    assert!(has_started(&world, 2, 2), "the job waits for a worker that does not have it");
+    world.run(8000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a leader that trusts what it knew although another host has led since.
+#[test]
+fn what_a_leader_knew_ends_with_the_leadership_of_another_host() {
+    let mut world = World::new(1, 8, Faults::default());
+    let first = world.scheduler.token();
+    let retained = world.scheduler.retain_work();
+    world.change_leader();
+    let second = world.scheduler.token();
+    world.change_leader();
+    let third = world.scheduler.token();
+    assert!(retained.clone().succeed(second, third).is_none());
+    let own = retained.succeed(first, second).and_then(|work| work.succeed(second, third));
+    assert_eq!(own.map(|work| work.token()), Some(third));
+}
+
 /// Guards against work on a worker whose durable record does not list that
 /// work: the store was unavailable when the worker answered again, so that the
 /// record could not be unsealed.
--- a/crates/lead/src/election.rs
+++ b/crates/lead/src/election.rs
@@ -3,7 +3,6 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::FencingToken;
-use vg_net::from_msgpack;
 use vg_store::{LeaseId, Store, StoreRevision, Txn, TxnOutcome};
 
 use crate::codec::encode;
@@ -135,7 +134,9 @@
         encode(&value)
     }
 
-    /// Claims the leadership. The fencing token is the revision of the term.
+    /// Claims the leadership. The fencing token is the revision of the term, which each
+    /// claim writes anew: two leaderships never have the same token, even if a claim whose
+    /// answer was lost has taken effect.
     async fn claim(&self, vacancy: Vacancy) -> Option<FencingToken> {
         let value = self.encode_leader()?;
         let term = match self.store().get(&TERM_KEY.into()).await {
@@ -145,21 +146,20 @@
                 return None;
             }
         };
-        if vacancy.leader.is_some()
-            && let Some(term) = &term
-            && from_msgpack(&term.value)
-                .is_ok_and(|value: LeaderValue| value.nonce == self.inner.nonce)
-        {
-            // An earlier claim whose answer was lost has taken effect.
-            return Some(FencingToken(term.modified.0 as u64));
-        }
+        let earlier = term.map(|term| term.modified);
         let txn = Txn::new()
             .expect(LEADER_KEY, vacancy.leader)
-            .expect(TERM_KEY, term.map(|term| term.modified))
+            .expect(TERM_KEY, earlier)
             .put_leased(LEADER_KEY, value.clone(), vacancy.lease)
             .put(TERM_KEY, value);
         match self.store().commit(txn).await {
-            Ok(TxnOutcome::Committed { revision }) => Some(FencingToken(revision.0 as u64)),
+            Ok(TxnOutcome::Committed { revision }) => {
+                let token = token_of(revision);
+                let earlier = earlier.map(token_of).unwrap_or_default();
+                let mut retained = lock(&self.inner.retained);
+                *retained = retained.take().and_then(|work| work.succeed(earlier, token));
+                Some(token)
+            }
             Ok(TxnOutcome::Conflict { .. }) => None,
             Err(error) => {
                 let fields = [Field::new("call", "claim"), Field::new("cause", error)];
@@ -169,3 +169,8 @@
         }
     }
 }
+
+/// Returns the fencing token of the leader that wrote the term at a revision.
+fn token_of(term: StoreRevision) -> FencingToken {
+    FencingToken(term.0 as u64)
+}
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 use vg_base::prelude::*;
 use vg_events::{Code, Field, Recorder};
-use vg_flow::{JobOutcome, OperatorConfig, RetrySlots, Wave};
+use vg_flow::{JobOutcome, OperatorConfig, RetainedWork, RetrySlots, Wave};
 use vg_net::{Client, Limits, Server, ServerHandle};
 use vg_store::monitor::MonitoredStore;
 use vg_store::{LeaseId, Store};
@@ -74,6 +74,9 @@
     pub(crate) lease_confirmed: Mutex<Option<DualInstant>>,
     /// The leader state while this host leads.
     pub(crate) leader: Mutex<Option<Arc<Leader<P, C>>>>,
+    /// The work on all workers as known when this host last gave the leadership up, until
+    /// it has been restored or another host has led.
+    pub(crate) retained: Mutex<Option<RetainedWork>>,
     pub(crate) outcomes: Mutex<OutcomeCache>,
     pub(crate) unresolved: Mutex<UnresolvedWrites>,
     /// Places for submissions that wait unsent while the store does not answer.
@@ -165,6 +168,7 @@
             lease: Mutex::default(),
             lease_confirmed: Mutex::default(),
             leader: Mutex::default(),
+            retained: Mutex::default(),
             outcomes: Mutex::default(),
             unresolved: Mutex::default(),
             unsent_places: Semaphore::new(UNSENT_MAX),
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -123,12 +123,15 @@
     *lock(&host.inner.leader) = Some(Arc::clone(&leader));
     host.inner.metrics.set_leading(true);
     let mut lost = leader.lost.subscribe();
-    tokio::select! {
-        () = leader.run() => {}
-        _ = lost.wait_for(|lost| *lost) => {}
-    }
+    let gave_up = tokio::select! {
+        () = leader.run() => true,
+        _ = lost.wait_for(|lost| *lost) => false,
+    };
     *lock(&host.inner.leader) = None;
-    lock(&leader.tasks).abort_all();
+    leader.end_tasks().await;
+    if gave_up && leader.is_recovered() {
+        *lock(&host.inner.retained) = Some(leader.scheduler().retain_work());
+    }
     host.inner.metrics.clear_leader();
     host.record(Code::LeadershipLost, [Field::new("fence", token)]);
 }
@@ -285,6 +288,18 @@
         tasks.spawn(task);
     }
 
+    /// Ends all background tasks, also those that they start meanwhile. Nothing is sent in
+    /// this leadership afterwards.
+    async fn end_tasks(&self) {
+        loop {
+            let mut tasks = std::mem::take(&mut *lock(&self.tasks));
+            if tasks.is_empty() {
+                return;
+            }
+            tasks.shutdown().await;
+        }
+    }
+
     /// Ends the leadership and records the reason.
     fn end_leadership(&self, reason: &str) {
         let first = !self.lost.send_replace(true);
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -5,7 +5,7 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{IncarnationRecord, JobSpec, Progress, WaveRecord};
+use vg_flow::{IncarnationRecord, JobSpec, Progress, RetainedWork, WaveRecord};
 use vg_store::{Entry, Error, Key, Listing, Store, StoreRevision, Watch};
 
 use super::incarnation_shards::IncarnationShards;
@@ -54,7 +54,8 @@
             let took = self.host.inner.clock.now().saturating_duration_since(started);
             match recovered {
                 Ok(recovered) => {
-                    self.record_recovery(took);
+                    let retained = lock(&self.host.inner.retained).take().is_some();
+                    self.record_recovery(took, retained);
                     return Some(recovered);
                 }
                 Err(error) => {
@@ -73,8 +74,9 @@
         }
     }
 
-    /// Records an event for a takeover that took `took`.
-    fn record_recovery(&self, took: Duration) {
+    /// Records an event for a takeover that took `took`. `retained` tells whether the work
+    /// on workers was known from this host's last leadership.
+    fn record_recovery(&self, took: Duration, retained: bool) {
         let jobs = self.scheduler().counts().jobs;
         let (workers, tasks) = self.scheduler().unresolved_counts();
         let fields = [
@@ -82,6 +84,7 @@
             Field::new("jobs", jobs),
             Field::new("unknown-workers", workers),
             Field::new("held-tasks", tasks),
+            Field::new("retained", retained),
             Field::new("ms", took.as_millis()),
         ];
         self.host.record(Code::JobsRecovered, fields);
@@ -109,8 +112,15 @@
         self.apply_drained_zones();
         self.add_jobs(&jobs);
         self.restore_progress(&progress);
-        let single = all.iter().filter(|entry| entry.value != INCARNATIONS_MOVED);
-        shards.entries.iter().chain(single).for_each(|entry| self.restore_incarnations(entry));
+        let retained = lock(&self.host.inner.retained).clone();
+        match retained.filter(|work| work.token() == self.token) {
+            Some(work) => self.restore_retained(work),
+            None => {
+                let single = all.iter().filter(|entry| entry.value != INCARNATIONS_MOVED);
+                let records = shards.entries.iter().chain(single);
+                records.for_each(|entry| self.restore_incarnations(entry));
+            }
+        }
         self.restore_waves(waves.as_ref());
         self.restore_machine_holds(commands.as_ref());
         Ok(RecoveredRevisions {
@@ -183,6 +193,12 @@
         }
     }
 
+    /// Restores the work on all workers as this process knew it when it gave the
+    /// leadership up. No other host has led since, and the records in the store tell less.
+    fn restore_retained(&self, work: RetainedWork) {
+        self.scheduler().restore_work(work, self.host.inner.clock.now());
+    }
+
     /// Restores the progress of the maintenance waves.
     fn restore_waves(&self, entry: Option<&Entry>) {
         let records = entry.and_then(|entry| self.host.decode::<Vec<WaveRecord>>(entry));
--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -294,3 +294,33 @@
     let starts = events.iter().filter(|event| event.code == Code::TaskStarted);
     assert_eq!(starts.count(), 0, "the earlier leader sent start commands");
 }
+
+/// Guards against a task that runs twice: the only host gives the leadership up during an
+/// outage of the store, finds its own leader key afterwards, and led again under the same
+/// token. It then took a job of its first leadership for one of which nothing has started.
+#[tokio::test]
+async fn a_host_that_leads_again_has_another_token_and_repeats_no_start() {
+    let cluster = Cluster::new().await;
+    let node = cluster.node("a").await;
+    eventually(async || node.host.is_leading()).await;
+    *cluster.fleet.task_duration.lock().unwrap() = Duration::from_secs(60);
+    assert_eq!(node.host.submit(id(1), job(1), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    let busy = cluster.fleet.start_workers.lock().unwrap()[0].clone();
+    node.faults.set_all_silent(true);
+    // The lease of the leader key pauses in this outage.
+    let key = "vg/live/leader";
+    cluster.put(key, &cluster.value(key).await.unwrap()).await;
+    eventually(async || node.has_recorded(Code::LeadershipLost)).await;
+    cluster.fleet.set_reachable(busy.as_str(), false);
+    node.faults.set_all_silent(false);
+    eventually(async || node.event_count(Code::JobsRecovered) == 2).await;
+    // This job is newer than both terms, and waits for nothing.
+    assert_eq!(node.host.submit(id(2), job(1), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(2)) == 1).await;
+    assert_eq!(cluster.fleet.starts_of(id(1)), 1, "the task may still run on {busy}");
+    let events = node.recorder.window(0, usize::MAX).events;
+    let terms = events.iter().filter(|event| event.code == Code::LeadershipTaken);
+    let [first, second] = terms.collect::<Vec<_>>()[..] else { panic!("not two leaderships") };
+    assert_ne!(first.fields, second.fields, "both leaderships have the same token");
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -23,7 +23,7 @@
 
 pub(crate) use clock::TestClock;
 
-/// Duration of a task.
+/// Duration of a task, unless a test sets another.
 pub(crate) const TASK_DURATION: Duration = Duration::from_millis(150);
 /// An operator's item at which the platform's parser panics.
 pub(crate) const PANICS: &[u8] = b"panics";
@@ -39,6 +39,8 @@
 pub(crate) struct Fleet {
     started: StdInstant,
     workers: Mutex<Vec<SimulatedWorker>>,
+    /// Duration of the tasks that are started from now on.
+    pub(crate) task_duration: Mutex<Duration>,
     /// Starts that a worker has carried out.
     pub(crate) starts: Mutex<Vec<(TaskId, AttemptNumber)>>,
     /// The workers that have carried them out.
@@ -119,6 +121,7 @@
         let fleet = Fleet {
             started: StdInstant::now(),
             workers: Mutex::new(vec![worker("w1"), worker("w2"), worker("w3")]),
+            task_duration: Mutex::new(TASK_DURATION),
             starts: Mutex::default(),
             start_workers: Mutex::default(),
             machines: Mutex::default(),
@@ -327,7 +330,7 @@
             task: start.task,
             attempt: start.attempt,
             started_ms: 0,
-            finish_ms: TASK_DURATION.as_millis() as u64,
+            finish_ms: self.fleet.task_duration.lock().unwrap().as_millis() as u64,
             outcome: AttemptOutcome::Done,
             reservation: Resources::new(1000, 1 << 30, 0),
             continuous: false,
