flow: occurrences that are done behind an open one stay done

Cause: a leader drops an occurrence when it is done. Durable progress held the number below which all are done, and the open ones. What is done behind an open one was in neither, and the next leader opened it anew.

Change: progress holds the number of the next occurrence to open. Below it, what is not listed is done. The record doesn't grow with what is done.

Paths looked at: crash, planned stop and return of a leader, each twice in a row; tasks, failures, crashes and checkpoints within an open occurrence (all listed); the outcome of a job in place of its progress; reports of closed occurrences; records of earlier versions.

--- a/crates/flow/src/jobs/job.rs
+++ b/crates/flow/src/jobs/job.rs
@@ -50,11 +50,9 @@
     pub(crate) shortest_runs: Vec<Option<Duration>>,
     /// The estimates, corrected by what was learned; `None` if nothing was.
     pub(crate) corrected: Option<Corrected>,
-    /// All occurrences below this number are done.
-    pub(crate) closed: u32,
     /// Open occurrences in the order of their numbers.
     pub(crate) occurrences: Vec<Occurrence>,
-    /// Number of the next occurrence to open.
+    /// Number of the next occurrence to open. Those below it that are not open are done.
     pub(crate) next_occurrence: u32,
     /// Whether a task has ever started.
     pub(crate) started: bool,
@@ -94,7 +92,6 @@
             shortest_runs: vec![None; spec.steps.len()],
             corrected: None,
             spec,
-            closed: 0,
             occurrences: Vec::new(),
             next_occurrence: 0,
             started: false,
@@ -126,14 +123,6 @@
         }
     }
 
-    /// Opens an occurrence that is known to have begun, and all before it that
-    /// are not open yet.
-    pub(crate) fn open_through(&mut self, occurrence: u32) {
-        while self.next_occurrence <= occurrence && self.next_occurrence < self.spec.occurrences() {
-            self.open_next();
-        }
-    }
-
     fn open_next(&mut self) {
         self.occurrences.push(Occurrence::new(self.next_occurrence, &self.spec));
         self.next_occurrence += 1;
@@ -214,31 +203,31 @@
     /// job are done.
     pub(crate) fn close_done(&mut self) -> bool {
         self.occurrences.retain(|occurrence| !occurrence.is_done());
-        let open = self.occurrences.first().map(|occurrence| occurrence.number);
-        self.closed = open.unwrap_or(self.next_occurrence);
         self.occurrences.is_empty() && self.next_occurrence >= self.spec.occurrences()
     }
 
     pub(crate) fn progress(&self) -> Progress {
+        let open = self.occurrences.first().map(|occurrence| occurrence.number);
         Progress {
-            closed: self.closed,
+            closed: open.unwrap_or(self.next_occurrence),
             occurrences: self.occurrences.iter().map(Occurrence::progress).collect(),
+            next: Some(self.next_occurrence),
         }
     }
 
-    /// Restores durable progress that an earlier leader wrote.
+    /// Restores durable progress that an earlier leader wrote. Occurrences may be done
+    /// behind one that is open; they are not opened again.
     pub(crate) fn restore(&mut self, progress: &Progress) {
-        self.closed = progress.closed;
-        self.next_occurrence = progress.closed;
+        let count = self.spec.occurrences();
+        self.next_occurrence = progress.next_occurrence().min(count);
         self.occurrences.clear();
-        for each in &progress.occurrences {
-            self.open_through(each.occurrence);
-            if let Some(occurrence) =
-                self.occurrences.iter_mut().find(|occurrence| occurrence.number == each.occurrence)
-            {
-                occurrence.restore(each);
-            }
+        for each in progress.occurrences.iter().filter(|each| each.occurrence < count) {
+            let mut occurrence = Occurrence::new(each.occurrence, &self.spec);
+            occurrence.restore(each);
+            self.occurrences.push(occurrence);
         }
+        self.occurrences.sort_unstable_by_key(|occurrence| occurrence.number);
+        self.occurrences.dedup_by_key(|occurrence| occurrence.number);
         self.started = true;
     }
 }
--- a/crates/flow/src/jobs/progress.rs
+++ b/crates/flow/src/jobs/progress.rs
@@ -26,9 +26,21 @@
 pub struct Progress {
     /// All occurrences below this number are done.
     pub closed: u32,
-    /// Occurrences that have begun.
+    /// Occurrences that were opened and are not done.
     #[serde(rename = "rounds")]
     pub occurrences: Vec<OccurrenceProgress>,
+    /// Number of the next occurrence to open. Occurrences below it that are not listed are
+    /// done. `None` in records of earlier versions: it then follows the last one listed.
+    #[serde(default)]
+    pub next: Option<u32>,
+}
+
+impl Progress {
+    /// Returns the number of the next occurrence to open.
+    pub(crate) fn next_occurrence(&self) -> u32 {
+        let listed = self.occurrences.iter().map(|each| each.occurrence.saturating_add(1));
+        listed.chain(self.next).chain([self.closed]).max().unwrap_or_default()
+    }
 }
 
 /// Durable progress of one occurrence.
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -4,9 +4,10 @@
 mod support;
 
 use rand::Rng;
-use support::spec::{job, step};
+use support::spec::{job, scheduled_job, step};
 use support::world::{Faults, World};
-use vg_flow::StepSpec;
+use vg_base::prelude::*;
+use vg_flow::{Schedule, StepSpec};
 
 /// Number of seeds of a run; `VG_SEEDS` sets another number.
 const SEEDS: u64 = 60;
@@ -113,6 +114,24 @@
     (0..seeds()).for_each(|seed| run_seed(6000 + seed, faults));
 }
 
+/// Guards against occurrences that run again after a takeover although they are done: they
+/// overlap, and some of them take much longer than those after them.
+#[test]
+fn invariants_hold_when_occurrences_overlap_over_takeovers() {
+    let faults = Faults { returns: 4, ..Faults::ALL };
+    for seed in (0..seeds()).map(|seed| 7000 + seed) {
+        let mut world = World::new(seed, 8, faults);
+        world.truth.long_tasks = 60;
+        for number in 0..4 {
+            let interval = Duration::from_millis(world.rng.random_range(300..1500));
+            let schedule = Schedule { first: world.wall(), interval, times: 12 };
+            let task = step(1, 1000, world.rng.random_range(300..1200));
+            world.submit(2_000_000 + number, scheduled_job(schedule, task));
+        }
+        run_world(world, seed);
+    }
+}
+
 /// Guards against faults of the scheduler that show only when lost answers,
 /// restarts, takeovers and outages coincide.
 #[test]
--- a/crates/flow/tests/support/spec.rs
+++ b/crates/flow/tests/support/spec.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use vg_base::prelude::*;
-use vg_flow::{JobSpec, OperatorConfig, Pool, Queue, StepSpec, Team};
+use vg_flow::{JobSpec, OperatorConfig, Pool, Queue, Schedule, StepSpec, Team};
 use vg_jobs::Resources;
 
 /// Cores of a worker in millicores (thousandths of a core).
@@ -69,3 +69,10 @@
         accepted,
     })
 }
+
+/// Returns a job that consists of one task and runs several times.
+#[allow(dead_code, reason = "each test uses a part")]
+pub(crate) fn scheduled_job(schedule: Schedule, task: StepSpec) -> Arc<JobSpec> {
+    let spec = JobSpec::clone(&job("q-a", vec![task], schedule.first));
+    Arc::new(JobSpec { schedule: Some(schedule), ..spec })
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -101,7 +101,9 @@
     /// attempts of the task.
     pub(crate) fn ratio(&self, task: TaskId, team: Option<&TeamId>) -> f64 {
         let id = task.step.job.value() as u64;
-        let seed = id << 24 ^ u64::from(task.step.step) << 16 ^ u64::from(task.index);
+        let occurrence = u64::from(task.step.occurrence);
+        let place = occurrence << 40 ^ u64::from(task.step.step) << 16 ^ u64::from(task.index);
+        let seed = id << 24 ^ place;
         let mut rng = SmallRng::seed_from_u64(seed);
         // The sum of twelve uniform deviates is nearly normal, with variance 1.
         let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use support::spec::{job, step};
+use support::spec::{job, scheduled_job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Action, MachineAnswer, StepSpec};
+use vg_flow::{Action, MachineAnswer, Schedule, StepSpec};
 use vg_standin::SimulatedWorker;
 
 fn continuous() -> Vec<StepSpec> {
@@ -369,3 +369,34 @@
     let starts: Vec<_> = starts.collect();
     assert!(!starts.is_empty() && !starts.contains(&id.as_str()), "{id}: {starts:?}");
 }
+
+/// Starts a job of which three occurrences overlap, and waits until the later ones are done
+/// while the first one runs on.
+fn overlapping_occurrences(world: &mut World) {
+    let schedule = Schedule { first: world.wall(), interval: Duration::from_secs(1), times: 3 };
+    world.submit(1, scheduled_job(schedule, step(1, 1000, 300)));
+    world.run(300);
+    let running = world.workers.iter_mut().flat_map(|worker| &mut worker.running);
+    running.for_each(|attempt| attempt.finish_ms += 9_000);
+    world.run(4000);
+    assert_eq!(world.starts, 3);
+    assert_eq!(world.workers.iter().map(|worker| worker.running.len()).sum::<usize>(), 1);
+}
+
+/// Guards against occurrences of a job that run again after a takeover: they were done while
+/// an earlier one was not, and the record named only those that were not.
+#[test]
+fn occurrences_that_are_done_behind_an_open_one_stay_done_over_takeovers() {
+    let changes = [World::change_leader, World::planned_handover, World::lead_again];
+    for change in changes {
+        let mut world = World::new(1, 8, Faults::default());
+        overlapping_occurrences(&mut world);
+        change(&mut world);
+        world.run(300);
+        // The next leader records the job again, and is followed by another one.
+        change(&mut world);
+        world.run(10_000);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+        assert_eq!((world.starts, world.open_jobs()), (3, 0));
+    }
+}
