flow: a new leader counts the machines that are down for a wave

Cause: which machines are down was in the leader's memory only. The next one kept commands away from those commanded lately, and did not count them.

Change: the record of a command names its wave and stays while the machine may be down. Machines that the list shows in maintenance count. A command without an answer counts until it is repeated and answered, or can't be on its way. What has begun counts until a later list shows the machine up. The lease is checked right before sending, and a changed limit counts at once.

Paths looked at: killed between deciding, recording, sending, the answer and the record of progress; after the list was read; planned stop; two changes within one maintenance; a frozen leader that wakes; the store away.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -37,6 +37,7 @@
 pub use order::rank::{Rank, RankInput, Timeliness, rank};
 pub use pools::machines::{CommandTarget, Machine, MachineAnswer, MachineState};
 pub use pools::maintain::{Wave, WaveRecord, WaveState};
+pub use pools::wave_limit::EarlierCommand;
 pub use pools::zone_drain::ZoneDrainStatus;
 pub use rules::SchedulingRules;
 pub use scheduler::Scheduler;
--- a/crates/flow/src/pools/machines.rs
+++ b/crates/flow/src/pools/machines.rs
@@ -11,8 +11,6 @@
 use crate::workers::worker::WorkerKey;
 use crate::{Action, MachineCommand, Scheduler};
 
-/// Added to the time for which a machine counts as down.
-pub(crate) const DOWN_MARGIN: Duration = Duration::from_millis(250);
 /// Delay before a command that was not carried out is sent again.
 const COMMAND_RETRY_DELAY: Duration = Duration::from_millis(700);
 /// Minimum time before a command whose answer was lost is sent again. A command
@@ -99,7 +97,7 @@
     pub(crate) list_asked: Option<Instant>,
     /// When a machine was last commanded or has arrived: a list that was asked for
     /// before does not show its state.
-    changed: HashMap<SmolStr, Instant>,
+    pub(crate) changed: HashMap<SmolStr, Instant>,
     pub(crate) waves: BTreeMap<u64, ActiveWave>,
     /// Commands without an answer yet, and when they were sent.
     pub(crate) commands: HashMap<SmolStr, (MachineCommand, Instant)>,
@@ -141,10 +139,10 @@
     }
 
     /// Replaces the list by one that was asked for at `asked`, except for machines
-    /// that have changed since.
-    fn replace_list(&mut self, list: Vec<Machine>, asked: Instant) {
+    /// that have changed since. Returns `false` if a newer one is known.
+    fn replace_list(&mut self, list: Vec<Machine>, asked: Instant) -> bool {
         if self.list_asked.is_some_and(|newer| newer > asked) {
-            return;
+            return false;
         }
         self.list_asked = Some(asked);
         self.changed.retain(|_, at| *at >= asked);
@@ -156,6 +154,7 @@
             };
             self.list.insert(current.id.clone(), current);
         }
+        true
     }
 
     /// Drops moves that were not answered, where a list that was asked for since, at
@@ -208,8 +207,10 @@
     /// Replaces the platform's list of machines by one that was asked for at
     /// `asked`. Machines that have been commanded since keep their known state.
     pub fn set_machine_list(&mut self, list: Vec<Machine>, asked: Instant) {
-        self.machines.replace_list(list, asked);
-        self.machines.drop_moves_not_made(asked);
+        if self.machines.replace_list(list, asked) {
+            self.machines.drop_moves_not_made(asked);
+            self.apply_list_to_waves(asked);
+        }
     }
 
     /// Returns what is known of the machine of a command.
@@ -274,15 +275,12 @@
                 self.machines.paused_until.insert(machine, now + COMMAND_RETRY_DELAY);
             }
             MachineAnswer::Unanswered => {
-                // The machine may be down from now on: it counts as down for as
-                // long as maintenance takes, and gets no other command before
-                // that.
-                let until = now + self.rules.maintain_time + DOWN_MARGIN;
+                // The machine may be down from now on, and gets no other command for as
+                // long as maintenance takes.
+                let until = now + self.down_time();
                 match command {
                     MachineCommand::Maintain { wave, .. } => {
-                        if let Some(active) = self.machines.waves.get_mut(wave) {
-                            active.down.insert(machine.clone(), until);
-                        }
+                        self.note_unanswered(*wave, &machine, now);
                     }
                     MachineCommand::Move { .. } => {
                         self.machines.unanswered_moves.insert(machine.clone(), now);
--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
-use crate::pools::machines::{COMMAND_TIMEOUT, DOWN_MARGIN};
+use crate::pools::machines::COMMAND_TIMEOUT;
+use crate::pools::wave_limit::Down;
 use crate::workers::worker::WorkerKey;
 use crate::{MachineCommand, MachineState, Scheduler};
 
@@ -24,7 +25,7 @@
 /// as having no worker.
 const REGISTRATION_TIME: Duration = Duration::from_secs(8);
 /// Maximum difference between the clocks of workers and hosts.
-const MAX_CLOCK_SKEW: Duration = Duration::from_secs(1);
+pub(crate) const MAX_CLOCK_SKEW: Duration = Duration::from_secs(1);
 
 /// A wave as requested by operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,8 +74,8 @@
     pub(crate) earliest_start: SystemTime,
     pub(crate) due: Instant,
     pub(crate) done: BTreeSet<SmolStr>,
-    /// Machines that are down for it, and until when they are assumed to be.
-    pub(crate) down: HashMap<SmolStr, Instant>,
+    /// Machines that are or were down for it.
+    pub(crate) down: HashMap<SmolStr, Down>,
     /// Machines that are being drained for it, and since when.
     pub(crate) draining: BTreeMap<SmolStr, Instant>,
     /// When continuous tasks were last evicted from machines that are not drained yet.
@@ -87,6 +88,10 @@
         self.wave.machines.iter().filter(|each| !self.done.contains(*each))
     }
 
+    pub(crate) fn includes(&self, machine: &SmolStr) -> bool {
+        self.listed.contains(machine)
+    }
+
     /// Whether a machine has not had its maintenance yet.
     pub(crate) fn awaits(&self, machine: &SmolStr) -> bool {
         self.listed.contains(machine) && !self.done.contains(machine)
@@ -100,7 +105,7 @@
 impl Scheduler {
     /// Adds a wave that operators requested, with its durable state if there is
     /// any. `old` means that the wave was requested before this leader took
-    /// over.
+    /// over. For a wave that is known, the limit that operators have set last counts.
     pub fn add_wave(
         &mut self,
         wave: Wave,
@@ -109,7 +114,8 @@
         now: Instant,
         wall: SystemTime,
     ) {
-        if self.machines.waves.contains_key(&wave.number) {
+        if let Some(active) = self.machines.waves.get_mut(&wave.number) {
+            active.wave.max_down = wave.max_down;
             return;
         }
         let first_seen = record.map_or(wall, |record| record.first_seen);
@@ -171,15 +177,11 @@
         }
     }
 
-    /// Drops commands whose answer is overdue, and machines that are assumed to
-    /// be back.
+    /// Drops commands whose answer is overdue.
     fn expire_commands(&mut self, now: Instant) {
         self.machines
             .commands
             .retain(|_, (_, sent)| now.saturating_duration_since(*sent) < COMMAND_TIMEOUT * 3);
-        for active in self.machines.waves.values_mut() {
-            active.down.retain(|_, until| now < *until);
-        }
     }
 
     pub(crate) fn is_up(&self, machine: &SmolStr) -> bool {
@@ -222,16 +224,8 @@
             let waited = now.saturating_duration_since(since) > DRAIN_TIME;
             let empty = self.is_state_known(&machine, now)
                 && key.is_none_or(|key| self.is_drained(key, waited || due_soon));
-            let active = &self.machines.waves[&number];
-            let in_flight = self.machines.commands.values();
-            let sent = in_flight
-                .filter(|(command, _)| {
-                    matches!(command, MachineCommand::Maintain { wave, .. } if *wave == number)
-                })
-                .count();
-            let out = active.down.len() + sent;
             if empty
-                && out < active.wave.max_down.max(1) as usize
+                && self.is_within_limit(number, &machine, now)
                 && self.machines.may_command(&machine, now)
             {
                 self.command_machine(MachineCommand::Maintain { machine, wave: number }, now);
@@ -252,11 +246,11 @@
     /// none because it does not exist. It counts as down for as long as
     /// maintenance takes.
     pub(crate) fn maintained(&mut self, wave: u64, machine: &SmolStr, now: Instant) {
-        let until = now + self.rules.maintain_time + DOWN_MARGIN;
+        let down = Down::begun(now, self.down_time());
         let Some(active) = self.machines.waves.get_mut(&wave) else { return };
         active.done.insert(machine.clone());
         active.draining.remove(machine);
-        active.down.insert(machine.clone(), until);
+        active.down.insert(machine.clone(), down);
         self.machines.waves_changed = true;
     }
 }
--- a/crates/flow/src/pools/mod.rs
+++ b/crates/flow/src/pools/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod maintain;
 pub(crate) mod resize;
 pub(crate) mod wave_choice;
+pub(crate) mod wave_limit;
 pub(crate) mod zone_drain;
 pub(crate) mod zone_exit;
--- a/crates/flow/src/pools/wave_choice.rs
+++ b/crates/flow/src/pools/wave_choice.rs
@@ -54,7 +54,7 @@
         let cycle = self.rules.maintain_time + CYCLE_OVERHEAD;
         let time = active.due.saturating_duration_since(now).saturating_sub(WAVE_MARGIN);
         let max_down = active.wave.max_down.max(1) as usize;
-        let (continuous, others) = self.wave_shares(number);
+        let (continuous, others) = self.wave_shares(number, now);
         // Once their tasks have left, the machines still need their maintenance.
         let continuous = continuous.missing(cycle, time.saturating_sub(cycle), max_down);
         let others = others.missing(cycle, time, max_down);
@@ -73,7 +73,7 @@
     }
 
     /// Returns the machines of a wave that have continuous tasks, and the others.
-    fn wave_shares(&self, number: u64) -> (Share, Share) {
+    fn wave_shares(&self, number: u64, now: Instant) -> (Share, Share) {
         let active = &self.machines.waves[&number];
         let (mut continuous, mut others) = (Share::default(), Share::default());
         for machine in active.remaining() {
@@ -83,7 +83,7 @@
             share.remaining += 1;
             share.out += usize::from(active.draining.contains_key(machine));
         }
-        others.out += active.down.len();
+        others.out += active.down_count(now);
         (continuous, others)
     }
 
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -6,9 +6,10 @@
 use support::spec::{config, job, pool, step};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, FencingToken, JobSpec, Machine, MachineAnswer, MachineCommand, MachineState,
-    OperatorConfig, PollFailure, Report, RunningAttempt, Scheduler, SchedulingRules, StartAnswer,
-    StepSpec, TaskId, Wave, WaveState, WorkerIncarnation, WorkerRegistration,
+    Action, EarlierCommand, FencingToken, JobSpec, Machine, MachineAnswer, MachineCommand,
+    MachineState, OperatorConfig, PollFailure, Report, RunningAttempt, Scheduler, SchedulingRules,
+    StartAnswer, StepSpec, TaskId, Wave, WaveRecord, WaveState, WorkerIncarnation,
+    WorkerRegistration,
 };
 use vg_jobs::Resources;
 
@@ -68,6 +69,11 @@
     }
 }
 
+fn wave(machines: usize, limit_secs: u64, max_down: u32) -> Wave {
+    let machines = (0..machines).map(|at| format!("m{at}").into()).collect();
+    Wave { number: 1, machines, time_limit: Duration::from_secs(limit_secs), max_down }
+}
+
 impl TestFleet {
     fn new(workers: usize) -> TestFleet {
         let now = Instant::now();
@@ -149,12 +155,30 @@
     }
 
     fn add_wave(&mut self, machines: usize, limit_secs: u64, max_down: u32) {
-        let machines = (0..machines).map(|at| format!("m{at}").into()).collect();
-        let time_limit = Duration::from_secs(limit_secs);
-        let wave = Wave { number: 1, machines, time_limit, max_down };
+        let wave = wave(machines, limit_secs, max_down);
         self.scheduler.add_wave(wave, None, false, self.now, self.wall);
     }
 
+    /// Runs until a machine is commanded.
+    fn run_to_command(&mut self) -> EarlierCommand {
+        let before = self.commands.len();
+        while self.commands.len() == before {
+            self.run(ROUND.as_millis() as u64);
+        }
+        let machine = self.commands[before].1.machine().clone();
+        EarlierCommand { machine, wave: Some(1), age: Duration::ZERO }
+    }
+
+    /// Lets another leader take over that knows the wave and what is recorded of it: the
+    /// command and, if it was answered, that the machine has had its maintenance.
+    fn change_wave_leader(&mut self, wave: Wave, earlier: &EarlierCommand, answered: bool) {
+        self.change_leader(wave.machines.len());
+        let done = answered.then(|| earlier.machine.clone()).into_iter().collect();
+        let record = WaveRecord { number: 1, first_seen: self.wall, done };
+        self.scheduler.add_wave(wave, Some(&record), true, self.now, self.wall);
+        self.scheduler.restore_command(earlier, self.now);
+    }
+
     fn run(&mut self, ms: u64) {
         for _ in 0..ms / ROUND.as_millis() as u64 {
             self.now += ROUND;
@@ -404,3 +428,68 @@
     let first = fleet.stop_times.first().copied().unwrap();
     assert!(first - taken_over > SchedulingRules::default().stop_time, "{:?}", first - taken_over);
 }
+
+/// Guards against more machines down at once than a wave allows after a takeover: the next
+/// leader did not count those that the earlier one had commanded.
+#[test]
+fn a_new_leader_counts_the_machine_that_is_down() {
+    for answered in [true, false] {
+        let mut fleet = TestFleet::new(6);
+        fleet.add_wave(6, 12, 1);
+        let earlier = fleet.run_to_command();
+        fleet.change_wave_leader(wave(6, 12, 1), &earlier, answered);
+        fleet.run(60_000);
+        let repeated = fleet.commands.iter().filter(|(_, each)| *each.machine() == earlier.machine);
+        assert_eq!(repeated.count(), 1 + usize::from(!answered), "answered: {answered}");
+        // The wave goes on, and ends.
+        assert_eq!(fleet.maintenance_count(), 6 + usize::from(!answered));
+        assert_eq!(fleet.most_down(), 1, "answered: {answered}");
+    }
+}
+
+/// Guards against the same for a command that is carried out after the next leader has read
+/// the record of it, and without an answer to either leader.
+#[test]
+fn a_command_that_may_be_on_its_way_counts_until_it_is_answered() {
+    let mut fleet = TestFleet::new(6);
+    fleet.add_wave(6, 12, 1);
+    fleet.answer = MachineAnswer::Unanswered;
+    let earlier = fleet.run_to_command();
+    fleet.change_wave_leader(wave(6, 12, 1), &earlier, false);
+    fleet.run(20_000);
+    let machines = |fleet: &TestFleet| -> Vec<_> {
+        fleet.commands.iter().map(|(_, each)| each.machine().clone()).collect()
+    };
+    assert!(machines(&fleet).len() > 2, "the command is repeated");
+    assert!(machines(&fleet).iter().all(|each| *each == earlier.machine));
+    fleet.answer = MachineAnswer::Done;
+    fleet.run(30_000);
+    assert!(machines(&fleet).iter().any(|each| *each != earlier.machine), "the wave goes on");
+}
+
+/// Guards against a machine that is not counted because the record of its command is gone:
+/// the platform's list shows it in maintenance.
+#[test]
+fn a_machine_that_is_listed_in_maintenance_counts_as_down() {
+    let mut fleet = TestFleet::new(3);
+    fleet.change_leader(3);
+    let mut machines: Vec<_> = (0..3).map(machine).collect();
+    machines[2].state = MachineState::Maintenance;
+    fleet.add_wave(3, 6, 1);
+    fleet.scheduler.set_machine_list(machines, fleet.now);
+    fleet.run(2000);
+    assert_eq!(fleet.maintenance_count(), 0);
+    fleet.run(2000);
+    assert_eq!(fleet.maintenance_count(), 1);
+}
+
+/// Guards against a limit that operators have lowered and that the leader does not know.
+#[test]
+fn the_limit_of_a_wave_that_was_set_last_counts() {
+    let mut fleet = TestFleet::new(12);
+    fleet.add_wave(12, 14, 6);
+    fleet.add_wave(12, 14, 1);
+    fleet.run(60_000);
+    assert_eq!(fleet.maintenance_count(), 12);
+    assert_eq!(fleet.most_down(), 1);
+}
--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::format_smolstr;
 use vg_base::prelude::*;
-use vg_flow::JobOutcome;
+use vg_flow::{EarlierCommand, JobOutcome, MachineCommand};
 use vg_store::Key;
 
 use crate::HostCapacity;
@@ -66,6 +66,25 @@
 pub(crate) struct CommandRecord {
     pub(crate) machine: SmolStr,
     pub(crate) at: SystemTime,
+    /// The wave for which the machine may be down. Earlier versions did not record it.
+    #[serde(default)]
+    pub(crate) wave: Option<u64>,
+}
+
+impl CommandRecord {
+    pub(crate) fn new(command: &MachineCommand, at: SystemTime) -> CommandRecord {
+        let wave = match command {
+            MachineCommand::Maintain { wave, .. } => Some(*wave),
+            MachineCommand::Move { .. } => None,
+        };
+        CommandRecord { machine: command.machine().clone(), at, wave }
+    }
+
+    /// Returns it for the leader that takes over at `wall`.
+    pub(crate) fn to_earlier(&self, wall: SystemTime) -> EarlierCommand {
+        let age = wall.duration_since(self.at).unwrap_or_default();
+        EarlierCommand { machine: self.machine.clone(), wave: self.wave, age }
+    }
 }
 
 /// The outcome of a job and the team that the job belongs to.
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -172,21 +172,11 @@
         }
     }
 
-    /// Makes the record of commands durable, without the entries that are older
-    /// than the machine hold. Returns whether the commands may be sent: the
+    /// Makes the record of commands durable. Returns whether the commands may be sent: the
     /// record is durable and the lease is valid.
     async fn record_commands(&self, commands: &[(MachineCommand, CommandTarget)]) -> bool {
-        let wall = self.host.inner.clock.wall();
-        let hold = self.host.inner.options.rules.machine_hold;
-        let (revision, mut records) = lock(&self.revisions).commands.clone();
-        let is_recent =
-            |each: &CommandRecord| wall.duration_since(each.at).is_ok_and(|age| age < hold);
-        records.retain(is_recent);
-        records.extend(
-            commands
-                .iter()
-                .map(|(command, _)| CommandRecord { machine: command.machine().clone(), at: wall }),
-        );
+        let revision = lock(&self.revisions).commands.0;
+        let records = self.command_records(commands);
         let Some(value) = encode(&records) else { return false };
         let txn = Txn::new()
             .expect(TERM_KEY, Some(StoreRevision(self.token.0 as i64)))
@@ -214,6 +204,25 @@
         }
     }
 
+    /// Returns the record of these commands and of the earlier ones that matter to the next
+    /// leader: those within the machine hold, and those for which a machine may be down.
+    fn command_records(&self, commands: &[(MachineCommand, CommandTarget)]) -> Vec<CommandRecord> {
+        let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
+        let hold = self.host.inner.options.rules.machine_hold;
+        let mut records = lock(&self.revisions).commands.1.clone();
+        records.retain(|each| commands.iter().all(|(new, _)| *new.machine() != each.machine));
+        let scheduler = self.scheduler();
+        for each in &mut records {
+            each.wave = each.wave.filter(|_| scheduler.may_be_maintained(&each.machine, now));
+        }
+        // The clock may have been set back since.
+        let is_recent =
+            |each: &CommandRecord| wall.duration_since(each.at).map_or(true, |age| age < hold);
+        records.retain(|each| each.wave.is_some() || is_recent(each));
+        records.extend(commands.iter().map(|(command, _)| CommandRecord::new(command, wall)));
+        records
+    }
+
     /// Reads the revision of the command record, which the next write expects.
     async fn reload_revision(&self) {
         if let Ok(entry) = self.host.store().get(&COMMANDS_KEY.into()).await {
@@ -231,7 +240,8 @@
         allowed: bool,
     ) {
         let host = &self.host;
-        let answer = if allowed {
+        // The process may have been suspended since the record was written.
+        let answer = if allowed && host.is_lease_valid() {
             host.inner
                 .platform
                 .command_machine(&command, &host.inner.options.node, self.token)
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -122,7 +122,7 @@
             }
         }
         self.restore_waves(waves.as_ref());
-        self.restore_machine_holds(commands.as_ref());
+        self.restore_machine_commands(commands.as_ref());
         Ok(RecoveredRevisions {
             jobs: StoreRevision(jobs.revision.0 + 1),
             incarnations: IncarnationShards::new(&shards.entries, all.as_ref()),
@@ -208,11 +208,10 @@
         self.add_waves(&waves, true);
     }
 
-    /// Blocks commands to the machines that an earlier leader commanded
-    /// recently. Commands are recorded before they are sent, so all other
-    /// machines can receive commands at once.
-    fn restore_machine_holds(&self, entry: Option<&Entry>) {
-        let hold = self.host.inner.options.rules.machine_hold;
+    /// Notes the machines that an earlier leader commanded recently: they receive no other
+    /// command for a while, and may be down for their maintenance. Commands are recorded
+    /// before they are sent, so all other machines can receive commands at once.
+    fn restore_machine_commands(&self, entry: Option<&Entry>) {
         let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
         let commands = match entry {
             None => Vec::new(),
@@ -226,9 +225,7 @@
         let mut scheduler = self.scheduler();
         scheduler.end_machine_hold(now);
         for command in &commands {
-            let remaining =
-                hold.saturating_sub(wall.duration_since(command.at).unwrap_or_default());
-            scheduler.pause_machine(command.machine.clone(), now + remaining.min(hold));
+            scheduler.restore_command(&command.to_earlier(wall), now);
         }
         lock(&self.revisions).commands = (entry.map(|entry| entry.modified), commands);
     }
