flow: a worker that starts again has the labels that it registers

Cause: a registration of a known worker replaced all fields but labels and rack; and a worker whose answer to a poll showed the new start kept the registration of the one before.

Change: labels and rack are set by each registration, and a worker counts as registered once that of its present start is read.

Paths looked at: the other fields of a registration (set before), full capacity, health and backoff (reset before), tickets of the adviser (refused by the worker).

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -72,6 +72,7 @@
         worker.draining = registration.draining;
         worker.set_capacity(registration.capacity);
         worker.zone = registration.zone.clone();
+        worker.set_labels(&registration.labels);
         worker.set_cold(registration.cold_left, now);
         let earlier = std::mem::replace(&mut worker.machine, registration.machine.clone());
         worker.recorded &= !changed;
@@ -181,6 +182,8 @@
         self.note_restarted_worker(key, now);
         let worker = &mut self.workers[key];
         worker.incarnation.start_ms = start_ms;
+        // What the previous one registered may not hold for this one.
+        worker.registered = false;
         worker.recorded = false;
         worker.polled = false;
         worker.clock = None;
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -88,7 +88,7 @@
     pub(crate) zone_drained: bool,
     /// Until when it is, or was, slow after a cold restart.
     pub(crate) cold_until: Option<Instant>,
-    /// Whether it is registered in the store.
+    /// Whether this incarnation is registered in the store.
     pub(crate) registered: bool,
     pub(crate) draining: bool,
     /// Whether the incarnation is durably recorded, so that the next leader
@@ -203,6 +203,12 @@
         self.full_capacity = self.full_capacity.max(&capacity);
     }
 
+    /// Sets its labels, which its registration shows, and its rack.
+    pub(crate) fn set_labels(&mut self, labels: &[SmolStr]) {
+        self.labels = labels.to_vec();
+        self.rack = rack_of(labels);
+    }
+
     /// Returns the part of its full capacity that it has now.
     pub(crate) fn present_share(&self) -> f64 {
         self.capacity.scarcest_share(&self.full_capacity)
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -19,6 +19,8 @@
     scheduler: Scheduler,
     now: Instant,
     wall: SystemTime,
+    /// Start of all workers.
+    start_ms: u64,
     running: HashMap<HostId, Vec<RunningAttempt>>,
     ends: HashMap<HostId, Vec<EndedAttempt>>,
 }
@@ -27,6 +29,23 @@
     format!("w{at}").parse().unwrap()
 }
 
+fn registration(at: usize, start_ms: u64, labels: [String; 2]) -> WorkerRegistration {
+    WorkerRegistration {
+        incarnation: WorkerIncarnation {
+            id: worker(at),
+            start_ms,
+            pool: pool("a"),
+            addr: ([127, 0, 0, 1], 1).into(),
+        },
+        zone: "z".parse().unwrap(),
+        draining: false,
+        capacity: Resources::new(16_000, 32 << 30, 0),
+        labels: labels.map(SmolStr::from).into(),
+        machine: None,
+        cold_left: Duration::ZERO,
+    }
+}
+
 impl Harness {
     /// Creates workers of pool `a`, two on each rack.
     fn new(workers: usize, config: OperatorConfig) -> Harness {
@@ -36,31 +55,30 @@
             Scheduler::new(SchedulingRules::default(), FencingToken(3), Arc::new(config), now);
         let mut running = HashMap::new();
         for at in 0..workers {
-            let incarnation = WorkerIncarnation {
-                id: worker(at),
-                start_ms: 1,
-                pool: pool("a"),
-                addr: ([127, 0, 0, 1], 1).into(),
-            };
-            let registration = WorkerRegistration {
-                incarnation,
-                zone: "z".parse().unwrap(),
-                draining: false,
-                capacity: Resources::new(16_000, 32 << 30, 0),
-                labels: vec![format!("kind-{}", at % 2).into(), format!("r{}", at / 2).into()],
-                machine: None,
-                cold_left: Duration::ZERO,
-            };
+            let labels = [format!("kind-{}", at % 2), format!("r{}", at / 2)];
+            let registration = registration(at, 1, labels);
             scheduler.register(&registration, now);
             running.insert(worker(at), Vec::new());
         }
-        let records = scheduler.incarnation_records(now, wall);
-        scheduler.records_written(&records);
-        let mut harness = Harness { scheduler, now, wall, running, ends: HashMap::new() };
+        let ends = HashMap::new();
+        let mut harness = Harness { scheduler, now, wall, start_ms: 1, running, ends };
+        harness.write_records();
         harness.poll_workers();
         harness
     }
 
+    fn write_records(&mut self) {
+        let records = self.scheduler.incarnation_records(self.now, self.wall);
+        self.scheduler.records_written(&records);
+    }
+
+    /// Starts all workers again under their ids, with nothing that runs or has ended.
+    fn restart_workers(&mut self) {
+        self.start_ms += 1;
+        self.running.values_mut().for_each(Vec::clear);
+        self.ends.clear();
+    }
+
     fn submit(&mut self, id: u128, steps: Vec<StepSpec>) -> JobId {
         let mut spec = (*job("q-a", steps, self.wall)).clone();
         spec.team = None;
@@ -74,7 +92,7 @@
                 continue;
             }
             let report = Report {
-                start_ms: Some(1),
+                start_ms: Some(self.start_ms),
                 clock_ms: 1000,
                 running: attempts.clone(),
                 ended: self.ends.get(id).cloned().unwrap_or_default(),
@@ -248,6 +266,29 @@
     );
 }
 
+/// Guards against tasks on a worker without the required label: it has started again under
+/// its id as one of another kind, and kept the labels that it had before.
+#[test]
+fn a_worker_that_starts_again_has_the_labels_that_it_registers() {
+    let mut harness = Harness::new(1, config());
+    harness.restart_workers();
+    harness.advance(10);
+    harness.write_records();
+    harness.submit(1, vec![StepSpec { label: Some("kind-0".into()), ..step(1, 1000, 500) }]);
+    // Its answers show that it has started again, and its registration isn't read yet.
+    assert!(harness.advance(100).is_empty());
+    let labels = ["kind-1", "r7"].map(String::from);
+    harness.scheduler.register(&registration(0, 2, labels), harness.now);
+    harness.write_records();
+    harness.advance(10);
+    let id =
+        harness.submit(2, vec![StepSpec { label: Some("kind-1".into()), ..step(1, 1000, 500) }]);
+    let actions = harness.advance(100);
+    let starts = harness.execute_starts(actions);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert_eq!(starts[0].task.step.job, id);
+}
+
 /// Guards against tasks on workers without the required label, or far from
 /// their data while workers on its rack are free.
 #[test]
