flow: no work for a restarted worker while earlier polls may arrive

Cause: polls of the earlier life arrive in the next one and acknowledge ends by that life's numbers. The worker forgets ends that the leader has not read, and the leader takes their attempts for ones without a result.

Change: such a worker gets no work for 12 s, the longest time for which a poll may be on its way, if polls of its earlier life acknowledged anything. Once an end is forgotten nothing tells how its attempt ended, so that the case has to be kept from arising.

Paths looked at: late starts, stops, throttles and leases; a second restart; a change of the leader (its token refuses earlier polls); workers under a new id.

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -188,6 +188,7 @@
         worker.polled = false;
         worker.clock = None;
         worker.renewed_until = None;
+        worker.expect_late_polls(now);
         worker.received = 0;
         worker.acknowledged = 0;
         worker.uncommitted_ends.clear();
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -17,6 +17,8 @@
 
 /// Time that has to be left of a worker's lease for it to be given work.
 const MIN_LEASE_LEFT: Duration = Duration::from_secs(1);
+/// Longest time after which a poll without an answer arrives at its worker.
+const POLL_DELAY_MAX: Duration = Duration::from_secs(12);
 
 /// One incarnation of a worker: the time from the start of its process to its
 /// end.
@@ -118,6 +120,9 @@
     pub(crate) acknowledged: u64,
     /// Ends in memory that are not durable: number and task.
     pub(crate) uncommitted_ends: Vec<(u64, TaskId)>,
+    /// Until when polls of its earlier life may arrive. They acknowledge ends by the numbers
+    /// of that life, and it would forget ends of this one that nobody has read.
+    pub(crate) late_polls: Option<Instant>,
     /// Whether its last list of ends was truncated.
     pub(crate) ends_truncated: bool,
     /// When a poll was last answered.
@@ -170,6 +175,7 @@
             received: 0,
             acknowledged: 0,
             uncommitted_ends: Vec::new(),
+            late_polls: None,
             ends_truncated: false,
             last_poll: None,
             unreachable_since: None,
@@ -220,6 +226,15 @@
         self.machine.clone().unwrap_or_else(|| self.incarnation.id.as_str().into())
     }
 
+    /// Notes that it has started again: polls that were sent before may still arrive. Those
+    /// that acknowledge nothing do no harm, nor do those of an earlier leader, which are
+    /// refused by their token.
+    pub(crate) fn expect_late_polls(&mut self, now: Instant) {
+        if self.acknowledged > 0 {
+            self.late_polls = Some(now + POLL_DELAY_MAX);
+        }
+    }
+
     /// Returns the free capacity.
     pub(crate) fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
@@ -255,6 +270,7 @@
             && self.unreachable_since.is_none()
             && self.clock.is_some()
             && self.is_being_renewed(now)
+            && self.late_polls.is_none_or(|until| until <= now)
             && self.backoff_until.is_none_or(|until| until <= now)
     }
 }
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -289,6 +289,36 @@
     assert_eq!(starts[0].task.step.job, id);
 }
 
+/// Guards against ends that nobody reads: polls of a worker's earlier life arrive in the next
+/// one, and it forgets ends up to the number that they acknowledge. The tasks would run again.
+#[test]
+fn a_worker_that_starts_again_gets_no_work_while_earlier_polls_may_arrive() {
+    for acknowledged in [false, true] {
+        let mut harness = Harness::new(1, config());
+        harness.submit(1, vec![step(1, 1000, 500)]);
+        let actions = harness.advance(10);
+        let starts = harness.execute_starts(actions);
+        harness.end_attempt(&starts[0], AttemptOutcome::Done);
+        harness.advance(10);
+        if acknowledged {
+            let batch = harness.scheduler.next_batch();
+            harness.scheduler.batch_committed(&batch);
+        }
+        harness.restart_workers();
+        let labels = ["kind-0", "r0"].map(String::from);
+        harness.scheduler.register(&registration(0, 2, labels), harness.now);
+        harness.submit(2, vec![step(1, 1000, 500)]);
+        let mut waited = 0;
+        while harness.advance(100).is_empty() {
+            harness.write_records();
+            waited += 1;
+        }
+        // A poll may be on its way for 12 s.
+        assert_eq!(waited >= 119, acknowledged, "{waited} rounds");
+        assert!(waited < 130, "{waited} rounds");
+    }
+}
+
 /// Guards against tasks on workers without the required label, or far from
 /// their data while workers on its rack are free.
 #[test]
