flow: the wait for earlier polls holds for a worker that was dropped

Cause: the leader drops such a worker, and with it the knowledge that polls of its earlier life acknowledge ends.

Result: a_worker_that_starts_again_gets_no_work_while_earlier_polls_may_arrive has this case; it fails without the change and passes.

--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -53,6 +53,8 @@
     pub(crate) job_ids: HashMap<JobId, JobKey>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) worker_ids: HashMap<HostId, WorkerKey>,
+    /// Until when polls may arrive at workers that were dropped, should they come back.
+    pub(crate) late_polls: HashMap<HostId, Instant>,
     pub(crate) attempts: SlotMap<AttemptKey, Attempt>,
     pub(crate) attempt_ids: HashMap<(TaskId, AttemptNumber), AttemptKey>,
     /// Resources that count against the limit of each team.
@@ -149,6 +151,7 @@
             job_ids: HashMap::new(),
             workers: SlotMap::with_key(),
             worker_ids: HashMap::new(),
+            late_polls: HashMap::new(),
             attempts: SlotMap::with_key(),
             attempt_ids: HashMap::new(),
             team_usage: HashMap::new(),
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -51,7 +51,9 @@
     pub fn register(&mut self, registration: &WorkerRegistration, now: Instant) -> bool {
         self.clear_earlier(&registration.incarnation, registration.machine.as_ref());
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
-            let key = self.workers.insert(Worker::new(registration, now));
+            let mut worker = Worker::new(registration, now);
+            worker.late_polls = self.late_polls.remove(&registration.incarnation.id);
+            let key = self.workers.insert(worker);
             self.worker_ids.insert(registration.incarnation.id.clone(), key);
             self.note_start(key);
             self.enter_zone(key);
@@ -245,7 +247,10 @@
                 if let Some(machine) = machine {
                     self.leave_machine(key, &machine);
                 }
-                self.workers.remove(key);
+                self.workers[key].expect_late_polls(now);
+                let late_polls = self.workers.remove(key).and_then(|worker| worker.late_polls);
+                self.late_polls.retain(|_, until| now < *until);
+                self.late_polls.extend(late_polls.map(|until| (id.clone(), until)));
                 self.worker_ids.remove(&id);
             }
         }
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -9,8 +9,9 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, AdviserTiming, AttemptNumber, AttemptOutcome, EndedAttempt, FencingToken, JobOutcome,
-    JobState, OperatorConfig, Report, RunningAttempt, Schedule, Scheduler, SchedulingRules,
-    StartAnswer, StartCommand, StepSpec, StopReason, TaskId, WorkerIncarnation, WorkerRegistration,
+    JobState, OperatorConfig, PollFailure, Report, RunningAttempt, Schedule, Scheduler,
+    SchedulingRules, StartAnswer, StartCommand, StepSpec, StopReason, TaskId, WorkerIncarnation,
+    WorkerRegistration,
 };
 use vg_jobs::Resources;
 
@@ -72,6 +73,18 @@
         self.scheduler.records_written(&records);
     }
 
+    /// Lets time pass without answers to polls until the leader has dropped all workers.
+    fn forget_workers(&mut self) {
+        while !self.scheduler.worker_ids().is_empty() {
+            self.now += Duration::from_millis(100);
+            self.wall += Duration::from_millis(100);
+            for id in self.running.keys() {
+                self.scheduler.poll_failed(id, PollFailure::Silent, self.now);
+            }
+            self.scheduler.plan(self.now, self.wall);
+        }
+    }
+
     /// Starts all workers again under their ids, with nothing that runs or has ended.
     fn restart_workers(&mut self) {
         self.start_ms += 1;
@@ -293,7 +306,7 @@
 /// one, and it forgets ends up to the number that they acknowledge. The tasks would run again.
 #[test]
 fn a_worker_that_starts_again_gets_no_work_while_earlier_polls_may_arrive() {
-    for acknowledged in [false, true] {
+    for (acknowledged, dropped) in [(false, false), (true, false), (true, true)] {
         let mut harness = Harness::new(1, config());
         harness.submit(1, vec![step(1, 1000, 500)]);
         let actions = harness.advance(10);
@@ -305,6 +318,11 @@
             harness.scheduler.batch_committed(&batch);
         }
         harness.restart_workers();
+        if dropped {
+            // It is away for so long that it is forgotten.
+            harness.scheduler.deregister(&worker(0));
+            harness.forget_workers();
+        }
         let labels = ["kind-0", "r0"].map(String::from);
         harness.scheduler.register(&registration(0, 2, labels), harness.now);
         harness.submit(2, vec![step(1, 1000, 500)]);
