--- a/crates/verbenagap/tests/processes.rs
+++ b/crates/verbenagap/tests/processes.rs
@@ -46,23 +46,18 @@
 }
 
 /// Lowest port that [`free_addr`] returns. Ports below 32768 are not given to sockets that
-/// ask for any port, so that no other socket takes one before its process binds it.
+/// ask for any port.
 const FIRST_PORT: u16 = 20_000;
-/// Number of ports that one test process uses at most.
-const PORTS_PER_PROCESS: u16 = 100;
 
-/// Returns a loopback address that no other call in this process returns, and with a port
-/// that is free.
+/// Returns a loopback address that nothing else uses: the id of this process, which no other
+/// one has, is part of it. No socket is opened to try it. A process that another test starts
+/// meanwhile would hold a copy of that socket until it runs its program, and connections to
+/// the address would end up there.
 fn free_addr() -> SocketAddr {
     static CALLS: AtomicU16 = AtomicU16::new(0);
-    let own = FIRST_PORT + (std::process::id() % 100) as u16 * PORTS_PER_PROCESS;
-    loop {
-        let port = own + CALLS.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(addr).is_ok() {
-            return addr;
-        }
-    }
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    let port = FIRST_PORT + CALLS.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, a, b, c], port))
 }
 
 /// The addresses of a site of processes, and the transcript of the commands run on it.
