flow: a machine that is back from its maintenance may move again

The sizes of pools read the table without the time, and machines that had had their maintenance were never moved again.

Change: the table is a type of its own that can only be asked for a time.

Result: the new test has no move without the change and passes.

--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -6,14 +6,14 @@
 //! decided in [`crate::pools::wave_choice`]. Continuous tasks leave a machine before it goes
 //! ([`crate::pools::evict`]).
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
 use crate::pools::machines::COMMAND_TIMEOUT;
-use crate::pools::wave_limit::Down;
+use crate::pools::wave_limit::{Down, DownMachines};
 use crate::workers::worker::WorkerKey;
 use crate::{MachineCommand, MachineState, Scheduler};
 
@@ -75,7 +75,7 @@
     pub(crate) due: Instant,
     pub(crate) done: BTreeSet<SmolStr>,
     /// Machines that are or were down for it.
-    pub(crate) down: HashMap<SmolStr, Down>,
+    pub(crate) down: DownMachines,
     /// Machines that are being drained for it, and since when.
     pub(crate) draining: BTreeMap<SmolStr, Instant>,
     /// When continuous tasks were last evicted from machines that are not drained yet.
@@ -128,7 +128,7 @@
             },
             first_seen,
             done: record.map(|record| record.done.clone()).unwrap_or_default(),
-            down: HashMap::new(),
+            down: DownMachines::default(),
             draining: BTreeMap::new(),
             evicted: None,
             listed: wave.machines.iter().cloned().collect(),
--- a/crates/flow/src/pools/resize.rs
+++ b/crates/flow/src/pools/resize.rs
@@ -219,9 +219,11 @@
     fn is_movable(&self, machine: &SmolStr, now: Instant) -> bool {
         self.machines.may_command(machine, now)
             && !self.machines.resize.in_transit.contains_key(machine)
-            && !self.machines.waves.values().any(|active| {
-                active.draining.contains_key(machine) || active.down.contains_key(machine)
-            })
+            && !self
+                .machines
+                .waves
+                .values()
+                .any(|active| active.draining.contains_key(machine) || active.is_down(machine, now))
     }
 
     fn move_machine(&mut self, machine: SmolStr, pool: PoolId, now: Instant) {
--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -9,11 +9,13 @@
 //! still ends in time, a machine whose maintenance has begun counts only until the list shows
 //! it up again.
 
+use std::collections::HashMap;
+
 use vg_base::prelude::*;
 
 use crate::pools::machines::COMMAND_TIMEOUT;
 use crate::pools::maintain::{ActiveWave, MAX_CLOCK_SKEW};
-use crate::{MachineCommand, MachineState, Scheduler};
+use crate::{Machine, MachineCommand, MachineState, Scheduler};
 
 /// Longest time after which a command without an answer is carried out.
 const COMMAND_DELAY_MAX: Duration = Duration::from_secs(12);
@@ -64,17 +66,49 @@
     }
 }
 
+/// The machines that are or were down for a wave. Those that were stay known, so that a list
+/// that was asked for before their return changes nothing.
+#[derive(Debug, Default)]
+pub(crate) struct DownMachines(HashMap<SmolStr, Down>);
+
+impl DownMachines {
+    pub(crate) fn insert(&mut self, machine: SmolStr, down: Down) {
+        self.0.insert(machine, down);
+    }
+
+    /// Returns the machines that may be down at `now`.
+    fn at(&self, now: Instant) -> impl Iterator<Item = &SmolStr> {
+        self.0.iter().filter(move |(_, down)| now < down.until).map(|(machine, _)| machine)
+    }
+
+    /// Applies the state of a machine in a list that was asked for at `asked`.
+    fn apply_listed(&mut self, machine: &Machine, asked: Instant, time: Duration) {
+        match machine.state {
+            MachineState::Maintenance => self
+                .0
+                .entry(machine.id.clone())
+                .or_insert_with(|| Down::begun(asked, time))
+                .listed_down(asked, time),
+            MachineState::Up => {
+                if let Some(down) = self.0.get_mut(&machine.id) {
+                    down.listed_up(asked);
+                }
+            }
+            MachineState::Moving | MachineState::Down => {}
+        }
+    }
+}
+
 impl ActiveWave {
     /// Whether a machine may be down for the wave.
-    fn is_down(&self, machine: &SmolStr, now: Instant) -> bool {
-        self.down.get(machine).is_some_and(|down| now < down.until)
+    pub(crate) fn is_down(&self, machine: &SmolStr, now: Instant) -> bool {
+        self.down.0.get(machine).is_some_and(|down| now < down.until)
     }
 
     /// Returns the number of machines that may be down and are not being drained for a
     /// command that is repeated.
     pub(crate) fn down_count(&self, now: Instant) -> usize {
-        let down = self.down.iter().filter(|(_, down)| now < down.until);
-        down.filter(|(machine, _)| !self.draining.contains_key(*machine)).count()
+        self.down.at(now).filter(|machine| !self.draining.contains_key(*machine)).count()
     }
 }
 
@@ -106,19 +140,7 @@
         for listed in machines.list.values().filter(|each| !machines.changed.contains_key(&each.id))
         {
             for active in machines.waves.values_mut().filter(|each| each.includes(&listed.id)) {
-                match listed.state {
-                    MachineState::Maintenance => active
-                        .down
-                        .entry(listed.id.clone())
-                        .or_insert_with(|| Down::begun(asked, time))
-                        .listed_down(asked, time),
-                    MachineState::Up => {
-                        if let Some(down) = active.down.get_mut(&listed.id) {
-                            down.listed_up(asked);
-                        }
-                    }
-                    MachineState::Moving | MachineState::Down => {}
-                }
+                active.down.apply_listed(listed, asked, time);
             }
         }
     }
@@ -136,7 +158,7 @@
     /// than the wave allows. It may be down itself.
     pub(crate) fn is_within_limit(&self, number: u64, machine: &SmolStr, now: Instant) -> bool {
         let active = &self.machines.waves[&number];
-        let down = active.down.iter().filter(|(each, down)| now < down.until && *each != machine);
+        let down = active.down.at(now).filter(|each| *each != machine);
         let in_flight = self.machines.commands.values().filter(|(command, _)| {
             let MachineCommand::Maintain { machine: each, wave } = command else { return false };
             *wave == number && each != machine && !active.is_down(each, now)
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -291,6 +291,26 @@
     assert!(moved[..6].iter().all(|machine| !due.contains(machine)), "{moved:?}");
 }
 
+/// Guards against machines that serve no pool any more once they have had their maintenance:
+/// they counted as down for good.
+#[test]
+fn machines_that_are_back_from_maintenance_move_to_the_pools_that_need_them() {
+    let mut fixture = Fixture::new();
+    let names: Vec<SmolStr> = (0..12).map(|at| format!("s{at:02}").into()).collect();
+    let list = names.iter().map(|name| machine(name, "spare"));
+    fixture.scheduler.set_machine_list(list.collect(), fixture.now);
+    let wave =
+        Wave { number: 1, machines: names, time_limit: Duration::from_secs(6), max_down: 12 };
+    fixture.scheduler.add_wave(wave, None, false, fixture.now, fixture.wall());
+    (0..200).for_each(|_| fixture.round(50));
+    let (maintained, moved): (Vec<_>, Vec<_>) = fixture
+        .commands
+        .iter()
+        .partition(|command| matches!(command, MachineCommand::Maintain { .. }));
+    assert_eq!(maintained.len(), 12);
+    assert!(!moved.is_empty(), "no machine goes to a pool");
+}
+
 /// Guards against machines that are lost to their pool: the service that moves machines
 /// did not answer, and their workers go on.
 #[test]
