lead: a job's outcome no longer hangs on a lease of the store

Cause: outcomes were written under a lease. The store's page says that leases pause or expire while the store is down, so an outage may end a lease whatever its time to live is, and all outcomes under it are gone. Hosts that had them in memory answer until they restart. The lease was also reused for 60 s whatever the retention is (with a required time below 60 s the last outcomes had too little left), the granted time to live was not read, a retention above the store's ten minutes was asked for, and the time was counted from the answer of the grant, not from its arrival at the store. That one of these is what the users saw is an inference: their record is cut short, and ends no lease that we can see.

Evidence: lead/tests/outcomes.rs, an_outcome_outlasts_an_outage_that_ends_all_leases failed on the code before (the new leader answers Absent), and passes now.

Change: outcomes are written without a lease and carry the time of writing. The leader deletes them after the retention, 30 with one transaction under the condition of its term; it counts on its steady clock. Outcomes of earlier leaders are listed in 16 parts, from an eighth of the retention after the takeover on; their age by the wall clock is reduced by an eighth of the retention, and one without a time counts from when it is seen. At most 50,000 are remembered, a later listing finds the others. The retention is at least 60 s longer than required.

Why it works: a key without a lease goes only when somebody deletes it, and only the leader of the present term can, after the retention.

Cost in store calls: one transaction for 30 outcomes (at 16 jobs a second one call in two seconds), and 16 listings (30 s after a takeover that lasts, at a required time of 120 s); the grant of a lease each minute is gone.

Versions: a record of an earlier version is read as before, is left to its lease, and so still can be lost in an outage for the time that it has left. An earlier version reads the new record; it doesn't delete it.

--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -8,7 +8,7 @@
 //! | `vg/in/JOB` | the job's specification | the host that accepted it |
 //! | `vg/in/JOB/cancel` | empty | the host that accepted the cancellation |
 //! | `vg/run/JOB` | the job's progress | the leader |
-//! | `vg/end/JOB` | [`OutcomeRecord`], leased | the leader |
+//! | `vg/end/JOB` | [`OutcomeRecord`], deleted after its retention | the leader |
 //! | `vg/lives/SHARD` | worker incarnations that may have received work | the leader |
 //! | `vg/lives` | [`INCARNATIONS_MOVED`]; earlier versions kept all incarnations there | the leader |
 //! | `vg/waves` | progress of maintenance waves | the leader |
@@ -93,6 +93,9 @@
     #[serde(rename = "how")]
     pub(crate) outcome: JobOutcome,
     pub(crate) team: Option<TeamId>,
+    /// When it was written. Earlier versions recorded no time and wrote it under a lease.
+    #[serde(default)]
+    pub(crate) at: Option<SystemTime>,
 }
 
 pub(crate) fn host(node: &NodeId) -> Key {
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -8,7 +8,7 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{JobOutcome, Record, RecordKind, WaveRecord};
-use vg_store::{Entry, Error, Key, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Entry, Key, Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
@@ -34,14 +34,6 @@
 /// Maximum number of transactions in flight. A slow store takes as long for one
 /// transaction as for several concurrent ones.
 const CONCURRENT_TXNS_MAX: usize = 6;
-/// Age of the lease for outcomes after which a new one is granted. All outcomes
-/// under one lease expire together, so a lease that was reused for longer would
-/// remove the later ones too early.
-const LEASE_REUSE_MAX: Duration = Duration::from_secs(60);
-
-/// The lease that new outcomes are written under, and when it was granted.
-type OutcomeLease = tokio::sync::Mutex<Option<(LeaseId, Instant)>>;
-
 /// Revisions and contents of the leader's records as last written.
 #[derive(Debug, Default)]
 pub(super) struct Revisions {
@@ -54,14 +46,13 @@
 impl<P: Platform, C: Clock> Leader<P, C> {
     /// Writes changes as they arrive, several per transaction.
     pub(super) async fn commit_changes(self: Arc<Self>) {
-        let lease = OutcomeLease::default();
         loop {
             self.collect_batch().await;
             let batch = self.scheduler().next_batch();
             if batch.is_empty() {
                 continue;
             }
-            self.write_all(&batch.records, &lease).await;
+            self.write_all(&batch.records).await;
             self.scheduler().batch_committed(&batch);
             self.committed.notify_waiters();
             let counts = self.scheduler().counts();
@@ -83,49 +74,23 @@
         tokio::time::sleep(URGENT_BATCH_DELAY).await;
     }
 
-    /// Returns the lease for outcomes. Grants a new one if there is none or if
-    /// it is older than [`LEASE_REUSE_MAX`].
-    async fn outcome_lease(&self, lease: &OutcomeLease) -> LeaseId {
-        let clock = &self.host.inner.clock;
-        let mut lease = lease.lock().await;
-        loop {
-            if let Some((id, at)) = *lease
-                && clock.now().saturating_duration_since(at) <= LEASE_REUSE_MAX
-            {
-                return id;
-            }
-            match self.host.store().grant(self.host.inner.options.outcome_retention).await {
-                Ok(granted) => *lease = Some((granted, clock.now())),
-                Err(error) => {
-                    log::debug!(target: "store", "no lease granted for outcomes: {error}");
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
     /// Writes all records, in several concurrent transactions.
-    async fn write_all(&self, records: &[Record], lease: &OutcomeLease) {
+    async fn write_all(&self, records: &[Record]) {
         let mut writes = FuturesUnordered::new();
         for batch in split_batches(records) {
             if writes.len() >= CONCURRENT_TXNS_MAX {
                 writes.next().await;
             }
-            writes.push(self.write_batch(batch, lease));
+            writes.push(self.write_batch(batch));
         }
         while writes.next().await.is_some() {}
     }
 
     /// Writes one transaction until it is known to be durable or the leadership
     /// is lost.
-    async fn write_batch(&self, mut batch: Vec<&Record>, lease: &OutcomeLease) {
+    async fn write_batch(&self, mut batch: Vec<&Record>) {
         while !batch.is_empty() {
-            let id = match batch.iter().any(|record| is_outcome(record)) {
-                true => Some(self.outcome_lease(lease).await),
-                false => None,
-            };
-            let txn = self.transaction(&batch, id);
-            match self.host.store().commit(txn).await {
+            match self.host.store().commit(self.transaction(&batch)).await {
                 Ok(TxnOutcome::Committed { revision }) => {
                     self.host.inner.metrics.count_commit("done");
                     self.mark_written(&batch, revision);
@@ -135,9 +100,6 @@
                     self.host.inner.metrics.count_commit("conflict");
                     self.resolve_conflict(&mut batch, &found).await;
                 }
-                Err(Error::LeaseExpired) => {
-                    lease.lock().await.take_if(|(granted, _)| Some(*granted) == id);
-                }
                 Err(error) => {
                     self.host.inner.metrics.count_commit("failed");
                     log::debug!(target: "store", "commit failed: {error}");
@@ -149,7 +111,7 @@
 
     /// Builds the transaction for a batch. It expects the term of this leader,
     /// so that a later leader makes it fail.
-    fn transaction(&self, records: &[&Record], lease: Option<LeaseId>) -> Txn {
+    fn transaction(&self, records: &[&Record]) -> Txn {
         let revisions = lock(&self.revisions);
         let mut txn = Txn::new().expect(TERM_KEY, Some(StoreRevision(self.token.0 as i64)));
         for record in records {
@@ -162,15 +124,11 @@
                 }
                 RecordKind::End(outcome) => {
                     let team = self.scheduler().job_team(job).flatten();
-                    let Some(value) = encode(&OutcomeRecord { outcome: *outcome, team }) else {
-                        continue;
-                    };
+                    let at = Some(self.host.inner.clock.wall());
+                    let value = OutcomeRecord { outcome: *outcome, team, at };
+                    let Some(value) = encode(&value) else { continue };
                     txn = txn.expect(keys::job(job), revisions.jobs.get(&job).copied());
-                    txn = match lease {
-                        Some(lease) => txn.put_leased(keys::outcome(job), value, lease),
-                        None => txn.put(keys::outcome(job), value),
-                    };
-                    txn = txn.delete(keys::job(job));
+                    txn = txn.put(keys::outcome(job), value).delete(keys::job(job));
                     if progress.is_some() {
                         txn = txn.delete(keys::progress(job));
                     }
@@ -203,6 +161,7 @@
                     drop(revisions);
                     let team = self.scheduler().job_team(record.job).flatten();
                     self.host.cache_outcome(record.job, team, outcome);
+                    self.remember_outcome(record.job);
                     let code = match outcome {
                         JobOutcome::Done => Code::JobDone,
                         JobOutcome::Failed => Code::JobFailed,
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod load;
 mod machines;
 mod outage;
+mod outcomes;
 mod polls;
 mod recovery;
 mod zone_drains;
@@ -85,6 +86,8 @@
     /// Serializes the writes of the command record.
     record_lock: tokio::sync::Mutex<()>,
     revisions: Mutex<commit::Revisions>,
+    /// The stored outcomes that are to be deleted.
+    outcomes: Mutex<outcomes::StoredOutcomes>,
     load: Mutex<LeaderLoad>,
 }
 
@@ -118,6 +121,7 @@
         machine_commands: Mutex::default(),
         record_lock: tokio::sync::Mutex::default(),
         revisions: Mutex::default(),
+        outcomes: Mutex::default(),
         load: Mutex::default(),
     });
     *lock(&host.inner.leader) = Some(Arc::clone(&leader));
@@ -153,6 +157,7 @@
         self.spawn(Arc::clone(self).list_drains());
         self.spawn(Arc::clone(self).give_way_to_larger());
         self.spawn(Arc::clone(self).report_learned());
+        self.spawn(Arc::clone(self).delete_outcomes());
         self.recovered.store(true, Ordering::Relaxed);
         self.decide().await;
     }
--- /dev/null
+++ b/crates/lead/tests/outcomes.rs
@@ -0,0 +1,84 @@
+//! Tests of the outcomes of jobs: what is shown as finished stands, whatever fails next.
+
+#[allow(dead_code, reason = "each test file uses a part")]
+mod support;
+
+use support::{Cluster, Node, eventually, id, is_done, job, soon};
+use vg_base::prelude::*;
+use vg_lead::{JobStatus, SubmitOutcome};
+
+/// Runs a job to its end and waits until the host shows it as done.
+async fn run_job(node: &Node, number: u128) {
+    assert_eq!(node.host.submit(id(number), job(1), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&node.host.job_status(id(number), soon()).await)).await;
+}
+
+/// Ends the process of a host.
+async fn kill(node: Node) {
+    node.tasks.stop().await;
+}
+
+/// Guards against a finished job that no host knows any more: the leases of the store ended
+/// in an outage, and the hosts that had the outcome in memory restart.
+#[tokio::test]
+async fn an_outcome_outlasts_an_outage_that_ends_all_leases() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    run_job(&a, 1).await;
+    a.faults.set_all_silent(true);
+    a.store.expire_leases().await;
+    kill(a).await;
+    let b = cluster.node("b").await;
+    eventually(async || b.host.is_leading()).await;
+    let status = b.host.job_status(id(1), soon()).await;
+    assert!(is_done(&status), "{status:?}");
+}
+
+/// Guards against outcomes that stay in the store for good, or go before their time.
+#[tokio::test]
+async fn outcomes_are_deleted_after_their_retention() {
+    let retention = Duration::from_secs(2);
+    let cluster = Cluster::with_retention(retention).await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    run_job(&a, 1).await;
+    let finished = Instant::now();
+    eventually(async || !cluster.key("vg/end/1").await).await;
+    assert!(finished.elapsed() > retention - Duration::from_millis(300));
+}
+
+/// Guards against outcomes of an earlier leader that stay in the store for good. Earlier
+/// versions recorded no time.
+#[tokio::test]
+async fn outcomes_of_earlier_leaders_are_deleted_after_their_retention() {
+    let retention = Duration::from_secs(2);
+    let cluster = Cluster::with_retention(retention).await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    futures_util::future::join_all((1..=40).map(|number| run_job(&a, number))).await;
+    kill(a).await;
+    put_untimed(&cluster, 0xffff).await;
+    let b = cluster.node("b").await;
+    eventually(async || b.host.is_leading()).await;
+    let taken = Instant::now();
+    assert!(is_done(&b.host.job_status(id(0xffff), soon()).await));
+    let calls = b.faults.counts();
+    eventually(async || cluster.entries("vg/end/").await.is_empty()).await;
+    assert!(taken.elapsed() > retention, "a record without a time counts from when it is seen");
+    assert_eq!(b.host.job_status(id(40), soon()).await, JobStatus::Absent);
+    let sent = b.faults.counts().txn - calls.txn;
+    assert!(sent < 20, "{sent} transactions for 41 outcomes");
+}
+
+/// Writes an outcome as earlier versions did.
+async fn put_untimed(cluster: &Cluster, number: u128) {
+    #[derive(serde::Serialize)]
+    struct UntimedRecord {
+        how: vg_flow::JobOutcome,
+        team: Option<TeamId>,
+    }
+    let record = UntimedRecord { how: vg_flow::JobOutcome::Done, team: None };
+    let key = format!("vg/end/{:x}", id(number).value());
+    cluster.put(&key, &vg_net::to_msgpack(&record).unwrap()).await;
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -90,10 +90,13 @@
 pub(crate) struct Cluster {
     inner: MemStore,
     pub(crate) fleet: Arc<Fleet>,
+    outcome_retention: Duration,
 }
 
 pub(crate) struct Node {
     pub(crate) host: Host<TestPlatform, TestClock>,
+    /// The store as this host reaches it.
+    pub(crate) store: SharedStore,
     pub(crate) clock: TestClock,
     pub(crate) tasks: HostTasks,
     pub(crate) recorder: Recorder<TestClock>,
@@ -127,7 +130,11 @@
             machines: Mutex::default(),
             polls: Mutex::default(),
         };
-        let cluster = Cluster { inner: MemStore::new(SystemClock), fleet: Arc::new(fleet) };
+        let cluster = Cluster {
+            inner: MemStore::new(SystemClock),
+            fleet: Arc::new(fleet),
+            outcome_retention: Duration::from_secs(60),
+        };
         cluster.configure(1).await;
         for id in ["w1", "w2"] {
             cluster.register_worker(id).await;
@@ -135,6 +142,11 @@
         cluster
     }
 
+    /// Creates a cluster whose hosts keep outcomes for this long.
+    pub(crate) async fn with_retention(outcome_retention: Duration) -> Cluster {
+        Cluster { outcome_retention, ..Cluster::new().await }
+    }
+
     pub(crate) async fn configure(&self, version: u64) {
         let put = Txn::new().put("op/content", version.to_string());
         self.inner.commit(put).await.unwrap();
@@ -171,13 +183,14 @@
             capacity,
             min_lease: Duration::from_millis(500),
             rules: SchedulingRules::default(),
-            outcome_retention: Duration::from_secs(60),
+            outcome_retention: self.outcome_retention,
         };
+        let store = platform.store.clone();
         let clock = TestClock::default();
         let recorder = Recorder::new(clock.clone(), name, 4000);
         let started = Host::start(platform, clock.clone(), options, recorder.clone()).await;
         let (host, tasks) = started.unwrap();
-        let node = Node { host, clock, tasks, recorder, faults };
+        let node = Node { host, store, clock, tasks, recorder, faults };
         eventually(async || node.host.config().is_some()).await;
         node
     }
