lead: a job cancelled while its outcome is being written ends as cancelled

A job whose cancelling is durable keeps its records in the store and gets no outcome until the next takeover, and while an attempt of it is still being stopped the leader shows it as complete after it was shown as cancelled.

Cause: when the write of an outcome meets a durable cancellation, the record was taken out of the transaction, but the whole batch, with the outcome that lost, was passed to `batch_committed` as durable.

Change: writing a batch returns the records that are durable, and only these are passed on.

Cost: no store call more.

--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -48,11 +48,11 @@
     pub(super) async fn commit_changes(self: Arc<Self>) {
         loop {
             self.collect_batch().await;
-            let batch = self.scheduler().next_batch();
+            let mut batch = self.scheduler().next_batch();
             if batch.is_empty() {
                 continue;
             }
-            self.write_all(&batch.records).await;
+            batch.records = self.write_all(std::mem::take(&mut batch.records)).await;
             self.scheduler().batch_committed(&batch);
             self.committed.notify_waiters();
             let counts = self.scheduler().counts();
@@ -74,31 +74,37 @@
         tokio::time::sleep(URGENT_BATCH_DELAY).await;
     }
 
-    /// Writes all records, in several concurrent transactions.
-    async fn write_all(&self, records: &[Record]) {
+    /// Writes records, in several concurrent transactions. Returns those that are durable;
+    /// the others were superseded in the store.
+    async fn write_all(&self, records: Vec<Record>) -> Vec<Record> {
         let mut writes = FuturesUnordered::new();
+        let mut written = Vec::new();
         for batch in split_batches(records) {
             if writes.len() >= CONCURRENT_TXNS_MAX {
-                writes.next().await;
+                written.extend(writes.next().await.unwrap_or_default());
             }
             writes.push(self.write_batch(batch));
         }
-        while writes.next().await.is_some() {}
+        while let Some(records) = writes.next().await {
+            written.extend(records);
+        }
+        written
     }
 
     /// Writes one transaction until it is known to be durable or the leadership
-    /// is lost.
-    async fn write_batch(&self, mut batch: Vec<&Record>) {
+    /// is lost. Returns the records that are durable.
+    async fn write_batch(&self, mut batch: Vec<Record>) -> Vec<Record> {
+        let mut written = Vec::new();
         while !batch.is_empty() {
             match self.host.store().commit(self.transaction(&batch)).await {
                 Ok(TxnOutcome::Committed { revision }) => {
                     self.host.inner.metrics.count_commit("done");
                     self.mark_written(&batch, revision);
-                    return;
+                    written.append(&mut batch);
                 }
                 Ok(TxnOutcome::Conflict { found }) => {
                     self.host.inner.metrics.count_commit("conflict");
-                    self.resolve_conflict(&mut batch, &found).await;
+                    written.append(&mut self.resolve_conflict(&mut batch, &found).await);
                 }
                 Err(error) => {
                     self.host.inner.metrics.count_commit("failed");
@@ -107,11 +113,12 @@
                 }
             }
         }
+        written
     }
 
     /// Builds the transaction for a batch. It expects the term of this leader,
     /// so that a later leader makes it fail.
-    fn transaction(&self, records: &[&Record]) -> Txn {
+    fn transaction(&self, records: &[Record]) -> Txn {
         let revisions = lock(&self.revisions);
         let mut txn = Txn::new().expect(TERM_KEY, Some(StoreRevision(self.token.0 as i64)));
         for record in records {
@@ -148,7 +155,7 @@
 
     /// Updates the known revisions after a batch became durable. Caches the
     /// outcomes in it and records an event for each.
-    fn mark_written(&self, records: &[&Record], revision: StoreRevision) {
+    fn mark_written(&self, records: &[Record], revision: StoreRevision) {
         for record in records {
             let mut revisions = lock(&self.revisions);
             match record.kind {
@@ -175,8 +182,8 @@
 
     /// Finds out why a transaction met a conflict: a job of the batch was
     /// cancelled meanwhile, the transaction had taken effect when it was sent
-    /// before, or another host leads.
-    async fn resolve_conflict(&self, batch: &mut Vec<&Record>, found: &[Entry]) {
+    /// before, or another host leads. Returns the records that are durable.
+    async fn resolve_conflict(&self, batch: &mut Vec<Record>, found: &[Entry]) -> Vec<Record> {
         if !self.still_leads(found).await {
             // The leadership is lost, and this task is aborted with it.
             std::future::pending::<()>().await;
@@ -191,26 +198,30 @@
             !cancelled
         });
         if batch.len() < before {
-            return;
+            return Vec::new();
         }
         // The store's answer names only some of the keys, so each key is read.
         let mut stored = HashMap::new();
         for record in batch.iter() {
             for key in [keys::job(record.job), keys::progress(record.job)] {
-                let Ok(entry) = self.host.store().get(&key).await else { return };
+                let Ok(entry) = self.host.store().get(&key).await else { return Vec::new() };
                 stored.insert(key, entry);
             }
         }
-        self.resolve_batch(batch, &stored);
+        self.resolve_batch(batch, &stored)
     }
 
     /// Compares a batch that met a conflict with the stored records. If the
     /// batch has taken effect, it is marked as written and emptied. Otherwise
     /// the known revisions are updated, and records of jobs that are missing
-    /// from the store are dropped.
-    fn resolve_batch(&self, batch: &mut Vec<&Record>, stored: &HashMap<Key, Option<Entry>>) {
+    /// from the store are dropped. Returns the records that are durable.
+    fn resolve_batch(
+        &self,
+        batch: &mut Vec<Record>,
+        stored: &HashMap<Key, Option<Entry>>,
+    ) -> Vec<Record> {
         let entry = |key: Key| stored.get(&key).and_then(Option::as_ref);
-        let has_taken_effect = |record: &&Record| match &record.kind {
+        let has_taken_effect = |record: &Record| match &record.kind {
             RecordKind::Progress(value) => {
                 let known = lock(&self.revisions).progress.get(&record.job).copied();
                 let bytes = encode(value);
@@ -222,11 +233,11 @@
         };
         // A transaction takes effect as a whole or not at all.
         if batch.iter().all(has_taken_effect) {
-            for record in std::mem::take(batch) {
+            for record in batch.iter() {
                 let revision = entry(keys::progress(record.job)).map(|entry| entry.modified);
-                self.mark_written(&[record], revision.unwrap_or_default());
+                self.mark_written(std::slice::from_ref(record), revision.unwrap_or_default());
             }
-            return;
+            return std::mem::take(batch);
         }
         let mut revisions = lock(&self.revisions);
         for record in batch.iter() {
@@ -249,6 +260,7 @@
         for job in missing {
             log::warn!(target: "store", "job {job} is missing from the store; not written");
         }
+        Vec::new()
     }
 }
 
@@ -258,9 +270,8 @@
 
 /// Divides records into batches of one transaction each. Outcomes come first,
 /// because callers wait for them.
-fn split_batches(records: &[Record]) -> Vec<Vec<&Record>> {
-    let outcomes = records.iter().filter(|record| is_outcome(record));
-    let others = records.iter().filter(|record| !is_outcome(record));
-    let ordered: Vec<_> = outcomes.chain(others).collect();
+fn split_batches(records: Vec<Record>) -> Vec<Vec<Record>> {
+    let (mut ordered, others): (Vec<_>, Vec<_>) = records.into_iter().partition(is_outcome);
+    ordered.extend(others);
     ordered.chunks(TXN_ENTRIES_MAX / RECORD_ENTRIES_MAX).map(<[_]>::to_vec).collect()
 }
--- a/crates/lead/tests/outcomes.rs
+++ b/crates/lead/tests/outcomes.rs
@@ -5,7 +5,9 @@
 
 use support::{Cluster, Node, eventually, id, is_done, job, soon};
 use vg_base::prelude::*;
-use vg_lead::{JobStatus, SubmitOutcome};
+use vg_flow::{JobOutcome, JobSpec};
+use vg_lead::{CancelOutcome, JobStatus, SubmitOutcome};
+use vg_store::{CallKind, Fault};
 
 /// Runs a job to its end and waits until the host shows it as done.
 async fn run_job(node: &Node, number: u128) {
@@ -58,7 +60,7 @@
     eventually(async || a.host.is_leading()).await;
     futures_util::future::join_all((1..=40).map(|number| run_job(&a, number))).await;
     kill(a).await;
-    put_untimed(&cluster, 0xffff).await;
+    put_untimed(&cluster, 0xffff, JobOutcome::Done).await;
     let b = cluster.node("b").await;
     eventually(async || b.host.is_leading()).await;
     let taken = Instant::now();
@@ -72,13 +74,43 @@
 }
 
 /// Writes an outcome as earlier versions did.
-async fn put_untimed(cluster: &Cluster, number: u128) {
+async fn put_untimed(cluster: &Cluster, number: u128, how: JobOutcome) {
     #[derive(serde::Serialize)]
     struct UntimedRecord {
-        how: vg_flow::JobOutcome,
+        how: JobOutcome,
         team: Option<TeamId>,
     }
-    let record = UntimedRecord { how: vg_flow::JobOutcome::Done, team: None };
+    let record = UntimedRecord { how, team: None };
     let key = format!("vg/end/{:x}", id(number).value());
     cluster.put(&key, &vg_net::to_msgpack(&record).unwrap()).await;
 }
+
+/// A job of one task.
+fn short_job() -> JobSpec {
+    let mut spec = job(1);
+    spec.steps.truncate(1);
+    spec
+}
+
+/// Guards against a cancelled job that has no outcome, or another one: its cancelling became
+/// durable while the leader was writing that it is done.
+#[tokio::test]
+async fn a_job_cancelled_while_its_outcome_is_being_written_ends_as_cancelled() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    assert_eq!(b.host.submit(id(1), short_job(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    a.faults.script(CallKind::Txn, Fault::Unavailable, 1000);
+    let sent = a.faults.counts().txn;
+    eventually(async || a.faults.counts().txn > sent + 3).await;
+    assert_eq!(b.host.cancel(id(1), soon()).await, CancelOutcome::Cancelled);
+    a.faults.clear();
+    eventually(async || cluster.key("vg/end/1").await).await;
+    for node in [&a, &b] {
+        let status = node.host.job_status(id(1), soon()).await;
+        assert_eq!(status, JobStatus::Finished(None, JobOutcome::Cancelled));
+    }
+    assert!(!cluster.key("vg/in/1").await);
+}
