lead: a conflict is resolved by what the store proves, not by a missing record

Cause: after a conflict, "the job's record is missing" counted as "the outcome was written", though nobody looked for the outcome. A record of progress whose job was missing was dropped as "not written", and the ends that it covers were acknowledged to workers all the same. An outcome that another leader had stored was shown as the one that this leader wanted to write. A write of progress that was carried out late, after the outcome, created the key again, as it expected only that the key is absent.

Evidence: lead/tests/outcomes.rs; on the code before, each failed: an_outcome_is_written_although_the_record_of_its_job_is_missing (shown as done, no outcome in the store), progress_is_durable_before_ends_are_acknowledged (the next leader doesn't know the job: not done within 20 s), a_stored_outcome_is_the_one_that_is_shown (Done shown, Cancelled stored). They take the job's record away by hand: that a record is missing without an outcome in the users' runs is only suspected.

Change (lead/src/leader/conflicts.rs): each record is judged by its own keys. The job is read first, its outcome after it. Outcome there and the same: written. Another outcome: the job ends as the store says, its attempts are stopped. Neither: the outcome, or the progress together with the job's specification, is written under the condition of the term and that both keys are absent. Every write of an outcome expects that there is none; every write of progress expects the job's record.

Why it works: only one transaction removes a job's record, and it writes the outcome; no submission writes the job while there is an outcome; outcomes are deleted minutes later. So a job that is missing at the first read has its outcome at the second, or both are lost. Ends are acknowledged only when the batch is durable, or a durable outcome or cancellation makes their progress void.

Cost: no call more without a conflict; after one, two or three reads a record (five records at most), two before.

--- a/crates/flow/src/jobs/intake.rs
+++ b/crates/flow/src/jobs/intake.rs
@@ -60,6 +60,15 @@
         self.stop_job_attempts(key, now);
     }
 
+    /// Ends a job whose outcome is durable in the store already, and stops its attempts.
+    pub fn end_durably(&mut self, id: JobId, outcome: JobOutcome, now: Instant) {
+        let Some(&key) = self.job_ids.get(&id) else { return };
+        self.jobs[key].ended = Some(outcome);
+        self.jobs[key].ended_durably = true;
+        self.stop_job_attempts(key, now);
+        self.forget_if_finished(key);
+    }
+
     pub(crate) fn stop_job_attempts(&mut self, key: crate::jobs::job::JobKey, now: Instant) {
         let job = &self.jobs[key];
         let tasks = job
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -29,8 +29,8 @@
 use crate::workers::unresolved::UnresolvedWork;
 use crate::workers::worker::{Worker, WorkerKey};
 use crate::{
-    Action, AttemptNumber, Counts, DeadlyTask, FencingToken, JobOutcome, JobState, LostAttempt,
-    OperatorConfig, SchedulingRules, StopReason, TaskId,
+    Action, AttemptNumber, Counts, DeadlyTask, FencingToken, JobOutcome, JobSpec, JobState,
+    LostAttempt, OperatorConfig, SchedulingRules, StopReason, TaskId,
 };
 
 /// Minimum time between two stop commands for one attempt: the answer to the
@@ -209,6 +209,11 @@
         self.job_ids.get(&id).map(|&key| self.jobs[key].spec.team.clone())
     }
 
+    /// Returns the specification of a job, or `None` if the job is not in memory.
+    pub fn job_spec(&self, id: JobId) -> Option<Arc<JobSpec>> {
+        self.job_ids.get(&id).map(|&key| Arc::clone(&self.jobs[key].spec))
+    }
+
     /// Returns the number of accepted jobs of a queue of which no task has
     /// started.
     pub fn pending_jobs(&self, queue: &QueueId) -> usize {
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -8,7 +8,7 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{JobOutcome, Record, RecordKind, WaveRecord};
-use vg_store::{Entry, Key, Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
@@ -28,7 +28,7 @@
 /// deletions.
 const TXN_ENTRIES_MAX: usize = 30;
 /// Number of transaction entries that are counted for one record, to divide
-/// records into transactions. A record needs at most five, and a transaction
+/// records into transactions. A record needs at most six, and a transaction
 /// one more for the term.
 const RECORD_ENTRIES_MAX: usize = 6;
 /// Maximum number of transactions in flight. A slow store takes as long for one
@@ -127,6 +127,10 @@
             match &record.kind {
                 RecordKind::Progress(value) => {
                     let Some(value) = encode(value) else { continue };
+                    txn = match revisions.jobs.get(&job) {
+                        Some(revision) => txn.expect(keys::job(job), Some(*revision)),
+                        None => self.restore_job(txn, job),
+                    };
                     txn = txn.expect(keys::progress(job), progress).put(keys::progress(job), value);
                 }
                 RecordKind::End(outcome) => {
@@ -134,8 +138,12 @@
                     let at = Some(self.host.inner.clock.wall());
                     let value = OutcomeRecord { outcome: *outcome, team, at };
                     let Some(value) = encode(&value) else { continue };
-                    txn = txn.expect(keys::job(job), revisions.jobs.get(&job).copied());
-                    txn = txn.put(keys::outcome(job), value).delete(keys::job(job));
+                    let stored = revisions.jobs.get(&job).copied();
+                    txn = txn.expect(keys::job(job), stored).expect(keys::outcome(job), None);
+                    txn = txn.put(keys::outcome(job), value);
+                    if stored.is_some() {
+                        txn = txn.delete(keys::job(job));
+                    }
                     if progress.is_some() {
                         txn = txn.delete(keys::progress(job));
                     }
@@ -153,14 +161,25 @@
         txn
     }
 
+    /// Adds the write of a job's record that is missing from the store.
+    fn restore_job(&self, txn: Txn, job: JobId) -> Txn {
+        let txn = txn.expect(keys::job(job), None).expect(keys::outcome(job), None);
+        let spec = self.scheduler().job_spec(job);
+        match spec.and_then(|spec| encode(spec.as_ref())) {
+            Some(value) => txn.put(keys::job(job), value),
+            None => txn,
+        }
+    }
+
     /// Updates the known revisions after a batch became durable. Caches the
     /// outcomes in it and records an event for each.
-    fn mark_written(&self, records: &[Record], revision: StoreRevision) {
+    pub(super) fn mark_written(&self, records: &[Record], revision: StoreRevision) {
         for record in records {
             let mut revisions = lock(&self.revisions);
             match record.kind {
                 RecordKind::Progress(_) => {
                     revisions.progress.insert(record.job, revision);
+                    revisions.jobs.entry(record.job).or_insert(revision);
                 }
                 RecordKind::End(outcome) => {
                     revisions.progress.remove(&record.job);
@@ -179,89 +198,6 @@
             }
         }
     }
-
-    /// Finds out why a transaction met a conflict: a job of the batch was
-    /// cancelled meanwhile, the transaction had taken effect when it was sent
-    /// before, or another host leads. Returns the records that are durable.
-    async fn resolve_conflict(&self, batch: &mut Vec<Record>, found: &[Entry]) -> Vec<Record> {
-        if !self.still_leads(found).await {
-            // The leadership is lost, and this task is aborted with it.
-            std::future::pending::<()>().await;
-        }
-        let now = self.host.inner.clock.now();
-        let before = batch.len();
-        batch.retain(|record| {
-            let cancelled = found.iter().any(|entry| entry.key == keys::cancel(record.job));
-            if cancelled {
-                self.scheduler().cancel_job(record.job, now);
-            }
-            !cancelled
-        });
-        if batch.len() < before {
-            return Vec::new();
-        }
-        // The store's answer names only some of the keys, so each key is read.
-        let mut stored = HashMap::new();
-        for record in batch.iter() {
-            for key in [keys::job(record.job), keys::progress(record.job)] {
-                let Ok(entry) = self.host.store().get(&key).await else { return Vec::new() };
-                stored.insert(key, entry);
-            }
-        }
-        self.resolve_batch(batch, &stored)
-    }
-
-    /// Compares a batch that met a conflict with the stored records. If the
-    /// batch has taken effect, it is marked as written and emptied. Otherwise
-    /// the known revisions are updated, and records of jobs that are missing
-    /// from the store are dropped. Returns the records that are durable.
-    fn resolve_batch(
-        &self,
-        batch: &mut Vec<Record>,
-        stored: &HashMap<Key, Option<Entry>>,
-    ) -> Vec<Record> {
-        let entry = |key: Key| stored.get(&key).and_then(Option::as_ref);
-        let has_taken_effect = |record: &Record| match &record.kind {
-            RecordKind::Progress(value) => {
-                let known = lock(&self.revisions).progress.get(&record.job).copied();
-                let bytes = encode(value);
-                entry(keys::progress(record.job)).is_some_and(|entry| {
-                    Some(entry.modified) != known && Some(&entry.value) == bytes.as_ref()
-                })
-            }
-            RecordKind::End(_) => entry(keys::job(record.job)).is_none(),
-        };
-        // A transaction takes effect as a whole or not at all.
-        if batch.iter().all(has_taken_effect) {
-            for record in batch.iter() {
-                let revision = entry(keys::progress(record.job)).map(|entry| entry.modified);
-                self.mark_written(std::slice::from_ref(record), revision.unwrap_or_default());
-            }
-            return std::mem::take(batch);
-        }
-        let mut revisions = lock(&self.revisions);
-        for record in batch.iter() {
-            match entry(keys::progress(record.job)) {
-                Some(entry) => revisions.progress.insert(record.job, entry.modified),
-                None => revisions.progress.remove(&record.job),
-            };
-            if let Some(entry) = entry(keys::job(record.job)) {
-                revisions.jobs.insert(record.job, entry.modified);
-            }
-        }
-        let mut missing = Vec::new();
-        batch.retain(|record| {
-            let is_stored = entry(keys::job(record.job)).is_some();
-            if !is_stored {
-                missing.push(record.job);
-            }
-            is_stored
-        });
-        for job in missing {
-            log::warn!(target: "store", "job {job} is missing from the store; not written");
-        }
-        Vec::new()
-    }
 }
 
 fn is_outcome(record: &Record) -> bool {
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod commit;
+mod conflicts;
 mod contention;
 mod give_way;
 mod incarnation_shards;
--- a/crates/lead/tests/outcomes.rs
+++ b/crates/lead/tests/outcomes.rs
@@ -92,6 +92,52 @@
     spec
 }
 
+/// Guards against an outcome that counts as written because the job's record is missing.
+#[tokio::test]
+async fn an_outcome_is_written_although_the_record_of_its_job_is_missing() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    assert_eq!(a.host.submit(id(1), short_job(), soon()).await, SubmitOutcome::Accepted);
+    cluster.remove("vg/in/1").await;
+    eventually(async || is_done(&a.host.job_status(id(1), soon()).await)).await;
+    assert!(cluster.key("vg/end/1").await, "shown as done before it is durable");
+}
+
+/// Guards against ends that are acknowledged to workers while nothing of them is durable,
+/// because the job's record is missing: the next leader starts the tasks again, or never.
+#[tokio::test]
+async fn progress_is_durable_before_ends_are_acknowledged() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    assert_eq!(a.host.submit(id(1), job(2), soon()).await, SubmitOutcome::Accepted);
+    cluster.remove("vg/in/1").await;
+    eventually(async || cluster.fleet.starts_of(id(1)) == 4).await;
+    // The first step's ends are acknowledged.
+    eventually(async || cluster.key("vg/run/1").await).await;
+    kill(a).await;
+    let b = cluster.node("b").await;
+    eventually(async || b.host.is_leading()).await;
+    eventually(async || is_done(&b.host.job_status(id(1), soon()).await)).await;
+    assert_eq!(cluster.fleet.starts_of(id(1)), 4);
+}
+
+/// Guards against two outcomes of a job: one in the store, and another that is shown.
+#[tokio::test]
+async fn a_stored_outcome_is_the_one_that_is_shown() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    assert_eq!(a.host.submit(id(1), short_job(), soon()).await, SubmitOutcome::Accepted);
+    cluster.remove("vg/in/1").await;
+    put_untimed(&cluster, 1, JobOutcome::Cancelled).await;
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let status = a.host.job_status(id(1), soon()).await;
+    assert_eq!(status, JobStatus::Finished(None, JobOutcome::Cancelled));
+}
+
 /// Guards against a cancelled job that has no outcome, or another one: its cancelling became
 /// durable while the leader was writing that it is done.
 #[tokio::test]
