--- a/crates/lead/tests/outcomes.rs
+++ b/crates/lead/tests/outcomes.rs
@@ -160,3 +160,65 @@
     }
     assert!(!cluster.key("vg/in/1").await);
 }
+
+/// Guards against a job that is said not to exist because nobody can be asked.
+#[tokio::test]
+async fn a_state_that_cannot_be_read_is_not_absent() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    let b = cluster.node("b").await;
+    eventually(async || cluster.has_leader().await).await;
+    for node in [&a, &b] {
+        node.faults.set_down(true);
+    }
+    for node in [&a, &b] {
+        assert_eq!(node.host.job_status(id(1), soon()).await, JobStatus::Unknown);
+        assert_eq!(node.host.cancel(id(1), soon()).await, CancelOutcome::Unknown);
+    }
+}
+
+/// Guards against progress that comes back after the job has ended: the store carries out
+/// its write late, when the key is absent again.
+#[tokio::test]
+async fn progress_that_is_written_late_does_not_come_back_after_the_end() {
+    let late = Duration::from_millis(2500);
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    run_job(&b, 2).await;
+    *cluster.fleet.task_duration.lock().unwrap() = Duration::from_millis(400);
+    assert_eq!(b.host.submit(id(1), job(1), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    a.faults.script(CallKind::Txn, Fault::DelayedEffect(late), 1);
+    eventually(async || is_done(&b.host.job_status(id(1), soon()).await)).await;
+    tokio::time::sleep(late).await;
+    assert!(!cluster.key("vg/run/1").await);
+}
+
+/// Guards against an outcome that changes: the store carries out the write of an earlier
+/// leader when the next one has ended the job otherwise.
+#[tokio::test]
+async fn an_outcome_that_an_earlier_leader_writes_late_has_no_effect() {
+    let late = Duration::from_millis(4000);
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    assert_eq!(b.host.submit(id(1), short_job(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    a.faults.script(CallKind::Txn, Fault::DelayedEffect(late), 1000);
+    let sent = a.faults.counts().txn;
+    eventually(async || a.faults.counts().txn > sent).await;
+    let sent_at = Instant::now();
+    assert_eq!(b.host.cancel(id(1), soon()).await, CancelOutcome::Cancelled);
+    kill(a).await;
+    let cancelled = JobStatus::Finished(None, JobOutcome::Cancelled);
+    eventually(async || cluster.key("vg/end/1").await).await;
+    assert!(sent_at.elapsed() < late, "the late write has to come after the outcome");
+    let stored = cluster.value("vg/end/1").await;
+    tokio::time::sleep(late).await;
+    assert_eq!(cluster.value("vg/end/1").await, stored);
+    assert_eq!(b.host.job_status(id(1), soon()).await, cancelled);
+}
