--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -8,7 +8,7 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{JobOutcome, Record, RecordKind, WaveRecord};
-use vg_store::{Entry, Error, Key, LeaseId, Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
@@ -28,20 +28,12 @@
 /// deletions.
 const TXN_ENTRIES_MAX: usize = 30;
 /// Number of transaction entries that are counted for one record, to divide
-/// records into transactions. A record needs at most five, and a transaction
+/// records into transactions. A record needs at most six, and a transaction
 /// one more for the term.
 const RECORD_ENTRIES_MAX: usize = 6;
 /// Maximum number of transactions in flight. A slow store takes as long for one
 /// transaction as for several concurrent ones.
 const CONCURRENT_TXNS_MAX: usize = 6;
-/// Age of the lease for outcomes after which a new one is granted. All outcomes
-/// under one lease expire together, so a lease that was reused for longer would
-/// remove the later ones too early.
-const LEASE_REUSE_MAX: Duration = Duration::from_secs(60);
-
-/// The lease that new outcomes are written under, and when it was granted.
-type OutcomeLease = tokio::sync::Mutex<Option<(LeaseId, Instant)>>;
-
 /// Revisions and contents of the leader's records as last written.
 #[derive(Debug, Default)]
 pub(super) struct Revisions {
@@ -54,14 +46,13 @@
 impl<P: Platform, C: Clock> Leader<P, C> {
     /// Writes changes as they arrive, several per transaction.
     pub(super) async fn commit_changes(self: Arc<Self>) {
-        let lease = OutcomeLease::default();
         loop {
             self.collect_batch().await;
-            let batch = self.scheduler().next_batch();
+            let mut batch = self.scheduler().next_batch();
             if batch.is_empty() {
                 continue;
             }
-            self.write_all(&batch.records, &lease).await;
+            batch.records = self.write_all(std::mem::take(&mut batch.records)).await;
             self.scheduler().batch_committed(&batch);
             self.committed.notify_waiters();
             let counts = self.scheduler().counts();
@@ -83,60 +74,37 @@
         tokio::time::sleep(URGENT_BATCH_DELAY).await;
     }
 
-    /// Returns the lease for outcomes. Grants a new one if there is none or if
-    /// it is older than [`LEASE_REUSE_MAX`].
-    async fn outcome_lease(&self, lease: &OutcomeLease) -> LeaseId {
-        let clock = &self.host.inner.clock;
-        let mut lease = lease.lock().await;
-        loop {
-            if let Some((id, at)) = *lease
-                && clock.now().saturating_duration_since(at) <= LEASE_REUSE_MAX
-            {
-                return id;
-            }
-            match self.host.store().grant(self.host.inner.options.outcome_retention).await {
-                Ok(granted) => *lease = Some((granted, clock.now())),
-                Err(error) => {
-                    log::debug!(target: "store", "no lease granted for outcomes: {error}");
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Writes all records, in several concurrent transactions.
-    async fn write_all(&self, records: &[Record], lease: &OutcomeLease) {
+    /// Writes records, in several concurrent transactions. Returns those that are durable;
+    /// the others were superseded in the store.
+    async fn write_all(&self, records: Vec<Record>) -> Vec<Record> {
         let mut writes = FuturesUnordered::new();
+        let mut written = Vec::new();
         for batch in split_batches(records) {
             if writes.len() >= CONCURRENT_TXNS_MAX {
-                writes.next().await;
+                written.extend(writes.next().await.unwrap_or_default());
             }
-            writes.push(self.write_batch(batch, lease));
+            writes.push(self.write_batch(batch));
+        }
+        while let Some(records) = writes.next().await {
+            written.extend(records);
         }
-        while writes.next().await.is_some() {}
+        written
     }
 
     /// Writes one transaction until it is known to be durable or the leadership
-    /// is lost.
-    async fn write_batch(&self, mut batch: Vec<&Record>, lease: &OutcomeLease) {
+    /// is lost. Returns the records that are durable.
+    async fn write_batch(&self, mut batch: Vec<Record>) -> Vec<Record> {
+        let mut written = Vec::new();
         while !batch.is_empty() {
-            let id = match batch.iter().any(|record| is_outcome(record)) {
-                true => Some(self.outcome_lease(lease).await),
-                false => None,
-            };
-            let txn = self.transaction(&batch, id);
-            match self.host.store().commit(txn).await {
+            match self.host.store().commit(self.transaction(&batch)).await {
                 Ok(TxnOutcome::Committed { revision }) => {
                     self.host.inner.metrics.count_commit("done");
                     self.mark_written(&batch, revision);
-                    return;
+                    written.append(&mut batch);
                 }
                 Ok(TxnOutcome::Conflict { found }) => {
                     self.host.inner.metrics.count_commit("conflict");
-                    self.resolve_conflict(&mut batch, &found).await;
-                }
-                Err(Error::LeaseExpired) => {
-                    lease.lock().await.take_if(|(granted, _)| Some(*granted) == id);
+                    written.append(&mut self.resolve_conflict(&mut batch, &found).await);
                 }
                 Err(error) => {
                     self.host.inner.metrics.count_commit("failed");
@@ -145,11 +113,12 @@
                 }
             }
         }
+        written
     }
 
     /// Builds the transaction for a batch. It expects the term of this leader,
     /// so that a later leader makes it fail.
-    fn transaction(&self, records: &[&Record], lease: Option<LeaseId>) -> Txn {
+    fn transaction(&self, records: &[Record]) -> Txn {
         let revisions = lock(&self.revisions);
         let mut txn = Txn::new().expect(TERM_KEY, Some(StoreRevision(self.token.0 as i64)));
         for record in records {
@@ -158,19 +127,23 @@
             match &record.kind {
                 RecordKind::Progress(value) => {
                     let Some(value) = encode(value) else { continue };
+                    txn = match revisions.jobs.get(&job) {
+                        Some(revision) => txn.expect(keys::job(job), Some(*revision)),
+                        None => self.restore_job(txn, job),
+                    };
                     txn = txn.expect(keys::progress(job), progress).put(keys::progress(job), value);
                 }
                 RecordKind::End(outcome) => {
                     let team = self.scheduler().job_team(job).flatten();
-                    let Some(value) = encode(&OutcomeRecord { outcome: *outcome, team }) else {
-                        continue;
-                    };
-                    txn = txn.expect(keys::job(job), revisions.jobs.get(&job).copied());
-                    txn = match lease {
-                        Some(lease) => txn.put_leased(keys::outcome(job), value, lease),
-                        None => txn.put(keys::outcome(job), value),
-                    };
-                    txn = txn.delete(keys::job(job));
+                    let at = Some(self.host.inner.clock.wall());
+                    let value = OutcomeRecord { outcome: *outcome, team, at };
+                    let Some(value) = encode(&value) else { continue };
+                    let stored = revisions.jobs.get(&job).copied();
+                    txn = txn.expect(keys::job(job), stored).expect(keys::outcome(job), None);
+                    txn = txn.put(keys::outcome(job), value);
+                    if stored.is_some() {
+                        txn = txn.delete(keys::job(job));
+                    }
                     if progress.is_some() {
                         txn = txn.delete(keys::progress(job));
                     }
@@ -188,14 +161,25 @@
         txn
     }
 
+    /// Adds the write of a job's record that is missing from the store.
+    fn restore_job(&self, txn: Txn, job: JobId) -> Txn {
+        let txn = txn.expect(keys::job(job), None).expect(keys::outcome(job), None);
+        let spec = self.scheduler().job_spec(job);
+        match spec.and_then(|spec| encode(spec.as_ref())) {
+            Some(value) => txn.put(keys::job(job), value),
+            None => txn,
+        }
+    }
+
     /// Updates the known revisions after a batch became durable. Caches the
     /// outcomes in it and records an event for each.
-    fn mark_written(&self, records: &[&Record], revision: StoreRevision) {
+    pub(super) fn mark_written(&self, records: &[Record], revision: StoreRevision) {
         for record in records {
             let mut revisions = lock(&self.revisions);
             match record.kind {
                 RecordKind::Progress(_) => {
                     revisions.progress.insert(record.job, revision);
+                    revisions.jobs.entry(record.job).or_insert(revision);
                 }
                 RecordKind::End(outcome) => {
                     revisions.progress.remove(&record.job);
@@ -203,6 +187,7 @@
                     drop(revisions);
                     let team = self.scheduler().job_team(record.job).flatten();
                     self.host.cache_outcome(record.job, team, outcome);
+                    self.remember_outcome(record.job);
                     let code = match outcome {
                         JobOutcome::Done => Code::JobDone,
                         JobOutcome::Failed => Code::JobFailed,
@@ -213,84 +198,6 @@
             }
         }
     }
-
-    /// Finds out why a transaction met a conflict: a job of the batch was
-    /// cancelled meanwhile, the transaction had taken effect when it was sent
-    /// before, or another host leads.
-    async fn resolve_conflict(&self, batch: &mut Vec<&Record>, found: &[Entry]) {
-        if !self.still_leads(found).await {
-            // The leadership is lost, and this task is aborted with it.
-            std::future::pending::<()>().await;
-        }
-        let now = self.host.inner.clock.now();
-        let before = batch.len();
-        batch.retain(|record| {
-            let cancelled = found.iter().any(|entry| entry.key == keys::cancel(record.job));
-            if cancelled {
-                self.scheduler().cancel_job(record.job, now);
-            }
-            !cancelled
-        });
-        if batch.len() < before {
-            return;
-        }
-        // The store's answer names only some of the keys, so each key is read.
-        let mut stored = HashMap::new();
-        for record in batch.iter() {
-            for key in [keys::job(record.job), keys::progress(record.job)] {
-                let Ok(entry) = self.host.store().get(&key).await else { return };
-                stored.insert(key, entry);
-            }
-        }
-        self.resolve_batch(batch, &stored);
-    }
-
-    /// Compares a batch that met a conflict with the stored records. If the
-    /// batch has taken effect, it is marked as written and emptied. Otherwise
-    /// the known revisions are updated, and records of jobs that are missing
-    /// from the store are dropped.
-    fn resolve_batch(&self, batch: &mut Vec<&Record>, stored: &HashMap<Key, Option<Entry>>) {
-        let entry = |key: Key| stored.get(&key).and_then(Option::as_ref);
-        let has_taken_effect = |record: &&Record| match &record.kind {
-            RecordKind::Progress(value) => {
-                let known = lock(&self.revisions).progress.get(&record.job).copied();
-                let bytes = encode(value);
-                entry(keys::progress(record.job)).is_some_and(|entry| {
-                    Some(entry.modified) != known && Some(&entry.value) == bytes.as_ref()
-                })
-            }
-            RecordKind::End(_) => entry(keys::job(record.job)).is_none(),
-        };
-        // A transaction takes effect as a whole or not at all.
-        if batch.iter().all(has_taken_effect) {
-            for record in std::mem::take(batch) {
-                let revision = entry(keys::progress(record.job)).map(|entry| entry.modified);
-                self.mark_written(&[record], revision.unwrap_or_default());
-            }
-            return;
-        }
-        let mut revisions = lock(&self.revisions);
-        for record in batch.iter() {
-            match entry(keys::progress(record.job)) {
-                Some(entry) => revisions.progress.insert(record.job, entry.modified),
-                None => revisions.progress.remove(&record.job),
-            };
-            if let Some(entry) = entry(keys::job(record.job)) {
-                revisions.jobs.insert(record.job, entry.modified);
-            }
-        }
-        let mut missing = Vec::new();
-        batch.retain(|record| {
-            let is_stored = entry(keys::job(record.job)).is_some();
-            if !is_stored {
-                missing.push(record.job);
-            }
-            is_stored
-        });
-        for job in missing {
-            log::warn!(target: "store", "job {job} is missing from the store; not written");
-        }
-    }
 }
 
 fn is_outcome(record: &Record) -> bool {
@@ -299,9 +206,8 @@
 
 /// Divides records into batches of one transaction each. Outcomes come first,
 /// because callers wait for them.
-fn split_batches(records: &[Record]) -> Vec<Vec<&Record>> {
-    let outcomes = records.iter().filter(|record| is_outcome(record));
-    let others = records.iter().filter(|record| !is_outcome(record));
-    let ordered: Vec<_> = outcomes.chain(others).collect();
+fn split_batches(records: Vec<Record>) -> Vec<Vec<Record>> {
+    let (mut ordered, others): (Vec<_>, Vec<_>) = records.into_iter().partition(is_outcome);
+    ordered.extend(others);
     ordered.chunks(TXN_ENTRIES_MAX / RECORD_ENTRIES_MAX).map(<[_]>::to_vec).collect()
 }
