flow: a stop that an earlier life of a worker answered stops nothing in the next

What callers saw.

The answer to a stop named the attempt, not the incarnation that answered. A worker that has started again marks its unanswered starts as `needs_stop`: the new life has seen no stop, so only one that it answers itself resolves them. The answer of the earlier life, read after the restart was noted, counted as that one. Besides, the stop to the new life waited for the retry delay (600 ms) of the one to the earlier life.

`stop_answered` takes the incarnation that the stop was sent to, and ignores the answer of another than the present one. A restart lets the stop be sent again without delay.

Why it works. A stop that was sent to the earlier life and answered by the present one, before that was known, costs one more stop.

Paths looked at: the answer `started` of the earlier life, read after the restart, marks the attempt as running until the next report, which does not list it, and it is then removed as ended. That is right, as a start is carried out once. Acknowledgements in `batch_committed` name the start of the incarnation.

--- a/crates/flow/src/workers/answers.rs
+++ b/crates/flow/src/workers/answers.rs
@@ -5,7 +5,7 @@
 
 use crate::jobs::attempt::Phase;
 use crate::scheduler::Removal;
-use crate::{AttemptNumber, JobOutcome, Scheduler, StopReason, TaskId};
+use crate::{AttemptNumber, JobOutcome, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
 /// Backoff of a worker that refused a start because it is unhealthy, that could
 /// not be reached, or that has restarted.
@@ -177,9 +177,18 @@
     }
 
     /// Records that a worker answered the command to stop an attempt: the
-    /// attempt is ending, has ended, or will never start there.
-    pub fn stop_answered(&mut self, task: TaskId, attempt: AttemptNumber, now: Instant) {
-        if let Some(&key) = self.attempt_ids.get(&(task, attempt)) {
+    /// attempt is ending, has ended, or will never start in that incarnation. The answer of
+    /// an earlier one says nothing about the present one.
+    pub fn stop_answered(
+        &mut self,
+        by: &WorkerIncarnation,
+        task: TaskId,
+        attempt: AttemptNumber,
+        now: Instant,
+    ) {
+        let Some(&key) = self.attempt_ids.get(&(task, attempt)) else { return };
+        let present = &self.workers[self.attempts[key].worker].incarnation;
+        if (&present.id, present.start_ms) == (&by.id, by.start_ms) {
             self.attempts[key].stop_answered = Some(now);
         }
     }
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -210,6 +210,7 @@
                 // may accept it.
                 Phase::Starting | Phase::Unresolved => {
                     self.attempts[attempt].needs_stop = true;
+                    self.attempts[attempt].stop_sent = None;
                     self.attempts[attempt].stop_answered = None;
                 }
                 Phase::Running | Phase::Stopping => {
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -436,7 +436,7 @@
     let stopped = stop_commands(&harness.advance(1500));
     assert_eq!(stopped, vec![(first.task, first.attempt, StopReason::Stalled)]);
     let now = harness.now;
-    harness.scheduler.stop_answered(first.task, first.attempt, now);
+    harness.scheduler.stop_answered(&first.incarnation, first.task, first.attempt, now);
     harness.end_attempt(&first, AttemptOutcome::Stopped);
     harness.advance(1);
     let actions = harness.advance(100);
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -240,7 +240,7 @@
                 attempts.retain(|each| each.task != task || each.attempt != attempt);
                 self.stop_times.push(self.now);
                 *self.stopped.entry(task).or_default() += 1;
-                self.scheduler.stop_answered(task, attempt, self.now);
+                self.scheduler.stop_answered(&incarnation, task, attempt, self.now);
             }
             Action::Machine(command) => {
                 self.commands.push((self.now, command.clone()));
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -439,11 +439,7 @@
         let faults = self.faults;
         if self.chance(faults.restarts) {
             let at = self.rng.random_range(0..self.workers.len());
-            let ms = self.ms;
-            self.workers[at].restart(ms);
-            // Commands that a worker process delays are lost with the process.
-            self.delayed_starts.retain(|delayed| delayed.worker != at);
-            self.register();
+            self.restart(at);
         }
         if self.chance(faults.partitions) {
             let at = self.rng.random_range(0..self.workers.len());
@@ -476,6 +472,15 @@
         }
     }
 
+    /// Starts a worker again under its id.
+    pub(crate) fn restart(&mut self, at: usize) {
+        let ms = self.ms;
+        self.workers[at].restart(ms);
+        // Commands that a worker process delays are lost with the process.
+        self.delayed_starts.retain(|delayed| delayed.worker != at);
+        self.register();
+    }
+
     fn deliver_delayed_starts(&mut self) {
         let ms = self.ms;
         let due: Vec<_> =
@@ -529,7 +534,7 @@
                 let (ms, now) = (self.ms, self.now());
                 let worker = &mut self.workers[at];
                 if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
-                    self.scheduler.stop_answered(task, attempt, now);
+                    self.scheduler.stop_answered(&incarnation, task, attempt, now);
                 }
             }
             Action::Machine(command) => self.execute_machine_command(command),
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -92,7 +92,7 @@
         match answer {
             CommandAnswer::Accepted => {
                 let now = self.host.inner.clock.now();
-                self.scheduler().stop_answered(task, attempt, now);
+                self.scheduler().stop_answered(&incarnation, task, attempt, now);
             }
             CommandAnswer::StaleToken => self.end_leadership("a worker has seen a higher fence"),
             CommandAnswer::Refused | CommandAnswer::Unanswered => {
--- a/crates/measure/src/flow/simulation.rs
+++ b/crates/measure/src/flow/simulation.rs
@@ -192,7 +192,7 @@
                     let token = self.scheduler.token();
                     self.workers[at].stop(task, attempt, token, STOP_MS, self.ms);
                     self.due.push(Reverse((self.ms + STOP_MS, at)));
-                    self.scheduler.stop_answered(task, attempt, now);
+                    self.scheduler.stop_answered(&incarnation, task, attempt, now);
                 }
                 Action::Machine(_) | Action::Throttle { .. } | Action::AskAdviser { .. } => {}
             }
