flow: starts without an answer are stopped in the next life of their worker

What callers saw. Its first start had no answer, was resolved, and the task was started elsewhere; the worker crashed, came back under its id, and carried the first start out.

A start without an answer is refused by its deadline on the worker's clock, or by the stop that the worker has answered. Both hold for one life. The next one has begun another clock, has seen no stop and no fencing token. `begin_incarnation` sent stops for attempts that were not resolved yet; those that were resolved and removed, and those of workers that were dropped from memory, were forgotten.

Each start without an answer is remembered for 12 s, the time that was there for polls (`MESSAGE_DELAY_MAX` for both), whatever becomes of its attempt or its worker. When a later incarnation is seen (registration or poll), the attempt is entered there again as one that only an answered stop resolves, and the stop is sent in the next round, again when it is lost, and at once when the worker answers again. Until then its capacity is not given away, and its task starts nowhere else; a task that runs elsewhere goes on. Other work goes to the worker. If the connection to a worker broke, a task that ends by itself and whose start there had no answer waits up to those 12 s for it to come back, instead of its lease (4.35 s); for a worker that is silent, and for continuous tasks, the lease decides as before.

A token that rises with each life of a worker would refuse late starts, polls and throttles with the first poll and save the 12 s without work after a restart; but workers would then refuse hosts of an earlier version after a rollback.

What remains. A start that is lost at 12 s or later.

Paths looked at: late stops name a number that is never given again; late throttles name an attempt that is gone, or one that has been stopped; commands to machines have their own holder and token and do not reach workers. A start that comes back to the same life after `lose_attempt` is refused by its deadline, which the worker compares on the clock that the report is read from, so that the drift of the two clocks does not enter; the lease bound (4.35 s) leaves 0.23 s over 4 s at 2% and a reading of 2 s ago. A worker under a new id answers 421.

--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -25,6 +25,7 @@
 use crate::shares::past_usage::PastUsage;
 use crate::shares::share_changes::ReportedShares;
 use crate::shares::teams::TeamTable;
+use crate::workers::late_starts::LateStarts;
 use crate::workers::quarantine::Quarantine;
 use crate::workers::unresolved::UnresolvedWork;
 use crate::workers::worker::{Worker, WorkerKey};
@@ -55,6 +56,8 @@
     pub(crate) worker_ids: HashMap<HostId, WorkerKey>,
     /// Until when polls may arrive at workers that were dropped, should they come back.
     pub(crate) late_polls: HashMap<HostId, Instant>,
+    /// Start commands without an answer.
+    pub(crate) late_starts: LateStarts,
     pub(crate) attempts: SlotMap<AttemptKey, Attempt>,
     pub(crate) attempt_ids: HashMap<(TaskId, AttemptNumber), AttemptKey>,
     /// Resources that count against the limit of each team.
@@ -152,6 +155,7 @@
             workers: SlotMap::with_key(),
             worker_ids: HashMap::new(),
             late_polls: HashMap::new(),
+            late_starts: LateStarts::default(),
             attempts: SlotMap::with_key(),
             attempt_ids: HashMap::new(),
             team_usage: HashMap::new(),
--- a/crates/flow/src/workers/answers.rs
+++ b/crates/flow/src/workers/answers.rs
@@ -79,6 +79,9 @@
         let Some(&key) = self.attempt_ids.get(&(task, attempt)) else { return };
         let sent = self.attempts[key].started;
         self.start_window.record_answer(now.saturating_duration_since(sent));
+        if answer != StartAnswer::Unanswered {
+            self.forget_late_start(key);
+        }
         match answer {
             StartAnswer::Started => self.confirm(key, now),
             StartAnswer::Refused(reason) => self.refused(key, reason, now),
@@ -122,6 +125,7 @@
         }
         self.counts.unresolved += 1;
         self.attempts[key].phase = Phase::Unresolved;
+        self.remember_start(key, now);
         let worker = self.attempts[key].worker;
         self.back_off(worker, now + NO_CAPACITY_BACKOFF);
         if !self.may_go_on(key) {
@@ -186,6 +190,7 @@
         attempt: AttemptNumber,
         now: Instant,
     ) {
+        self.late_starts.close(by, task, attempt);
         let Some(&key) = self.attempt_ids.get(&(task, attempt)) else { return };
         let present = &self.workers[self.attempts[key].worker].incarnation;
         if (&present.id, present.start_ms) == (&by.id, by.start_ms) {
--- a/crates/flow/src/workers/losses.rs
+++ b/crates/flow/src/workers/losses.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 use vg_base::prelude::*;
 
-use crate::jobs::attempt::AttemptKey;
+use crate::jobs::attempt::{AttemptKey, Phase};
 use crate::scheduler::Removal;
 use crate::{AttemptNumber, Scheduler, TaskId};
 
@@ -42,6 +42,10 @@
 
     /// Removes an attempt that was lost with its worker.
     pub(crate) fn lose_attempt(&mut self, key: AttemptKey, cause: LossCause, now: Instant) {
+        if self.attempts[key].phase == Phase::Starting {
+            // Its answer may come late or never.
+            self.remember_start(key, now);
+        }
         let attempt = &self.attempts[key];
         let worker = &self.workers[attempt.worker];
         let until = worker.unreachable_since.unwrap_or(now);
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -62,7 +62,7 @@
         worker.polled = true;
         self.withdraw_crash(key);
         let worker = &mut self.workers[key];
-        worker.unreachable_since = None;
+        let was_unreachable = worker.unreachable_since.take().is_some();
         worker.last_poll = Some(now);
         worker.ends_truncated = report.ended.len() >= MAX_ENDS_PER_REPORT;
         worker.clock = Some(WorkerClock { reading_ms: report.clock_ms, at: now });
@@ -80,6 +80,10 @@
         if !self.workers[key].ends_truncated {
             self.resolve_absent(key, &listed, report.clock_ms, sent, now);
         }
+        if was_unreachable {
+            self.repeat_late_stops(key);
+        }
+        self.stop_late_starts(key, now);
         !recorded
     }
 
@@ -92,6 +96,7 @@
         self.workers[worker].uncommitted_ends.push((end.number, end.task));
         self.open_occurrence(end.task);
         self.withdraw_mark(end.task, end.attempt);
+        self.late_starts.forget(&self.workers[worker].incarnation.id, end.task, end.attempt);
         let mut key = self.attempt_ids.get(&(end.task, end.attempt)).copied();
         if key.is_some_and(|key| self.attempts[key].worker != worker) {
             key = None;
@@ -223,6 +228,8 @@
     }
 
     fn apply_running(&mut self, worker: WorkerKey, reported: &RunningAttempt, now: Instant) {
+        let id = &self.workers[worker].incarnation.id;
+        self.late_starts.forget(id, reported.task, reported.attempt);
         let found = self.attempt_ids.get(&(reported.task, reported.attempt)).copied();
         let Some(key) = found.filter(|&key| self.attempts[key].worker == worker) else {
             self.adopt(worker, reported, now);
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -59,6 +59,7 @@
             self.enter_zone(key);
             self.enter_machine(key, None);
             self.end_earlier_workers(key, now);
+            self.stop_late_starts(key, now);
             return true;
         };
         if self.workers[key].incarnation.start_ms != registration.incarnation.start_ms {
@@ -83,6 +84,7 @@
         self.enter_zone(key);
         self.enter_machine(key, earlier);
         self.end_earlier_workers(key, now);
+        self.stop_late_starts(key, now);
         !recorded
     }
 
@@ -225,6 +227,7 @@
     /// Removes the attempts of workers whose lease has expired, and drops
     /// workers that are no longer registered.
     pub(crate) fn expire_workers(&mut self, now: Instant) {
+        self.late_starts.expire(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
@@ -236,7 +239,9 @@
             }
             let worker = &self.workers[key];
             if expired && !worker.attempts.is_empty() {
-                for attempt in worker.attempts.clone() {
+                let mut lost = worker.attempts.clone();
+                lost.retain(|&attempt| !self.may_start_late(attempt, now));
+                for attempt in lost {
                     self.lose_attempt(attempt, LossCause::LeaseExpired, now);
                 }
             }
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -17,8 +17,8 @@
 
 /// Time that has to be left of a worker's lease for it to be given work.
 const MIN_LEASE_LEFT: Duration = Duration::from_secs(1);
-/// Longest time after which a poll without an answer arrives at its worker.
-const POLL_DELAY_MAX: Duration = Duration::from_secs(12);
+/// Longest time after which a command or a poll without an answer arrives at its worker.
+pub(crate) const MESSAGE_DELAY_MAX: Duration = Duration::from_secs(12);
 
 /// One incarnation of a worker: the time from the start of its process to its
 /// end.
@@ -231,7 +231,7 @@
     /// refused by their token.
     pub(crate) fn expect_late_polls(&mut self, now: Instant) {
         if self.acknowledged > 0 {
-            self.late_polls = Some(now + POLL_DELAY_MAX);
+            self.late_polls = Some(now + MESSAGE_DELAY_MAX);
         }
     }
 
