flow: a failed poll of an earlier life says nothing of the next

What callers saw. A worker that has started again could be held to be unreachable for one more poll (200 ms), and its crash could count twice. Two crashes in one moment are taken for a common cause, and the marks of the first are withdrawn with those of the second, so that a task under which its worker had crashed was less of a suspect than it should be.

A poll names its worker by id. One that was sent to the earlier life and fails after the registration of the next one was applied to the present incarnation.

`a_failed_poll_of_an_earlier_life_says_nothing_of_the_next` (`flow/tests/restarts.rs`) failed without the comparison: two crashes. Found by reading; not seen in the records of the incident.

`poll_failed` takes the poll, which names the incarnation that it was sent to, and ignores it if that is not the present one. Three tests that reported failures by id pass the poll instead; what they check is unchanged.

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -165,9 +165,14 @@
         })
     }
 
-    /// Records that a poll of a worker failed.
-    pub fn poll_failed(&mut self, id: &HostId, failure: PollFailure, now: Instant) {
-        if let Some(&key) = self.worker_ids.get(id) {
+    /// Records that a poll of a worker failed. The failure of one that was sent to an earlier
+    /// incarnation says nothing about the present one.
+    pub fn poll_failed(&mut self, poll: &Renewal, failure: PollFailure, now: Instant) {
+        let to = &poll.incarnation;
+        let present = self.worker_ids.get(&to.id).copied();
+        if let Some(key) = present
+            && self.workers[key].incarnation.start_ms == to.start_ms
+        {
             if self.workers[key].unreachable_since.is_none() {
                 self.note_lost_worker(key, failure, now);
             }
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -79,7 +79,8 @@
             self.now += Duration::from_millis(100);
             self.wall += Duration::from_millis(100);
             for id in self.running.keys() {
-                self.scheduler.poll_failed(id, PollFailure::Silent, self.now);
+                let Some(renewal) = self.scheduler.renewal(id, self.now) else { continue };
+                self.scheduler.poll_failed(&renewal, PollFailure::Silent, self.now);
             }
             self.scheduler.plan(self.now, self.wall);
         }
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -172,7 +172,8 @@
     let mut fixture = Fixture::new();
     fixture.scheduler.set_machine_list(vec![machine("m1", "a")], fixture.now);
     fixture.join("w-old", "a", "m1", 100);
-    fixture.scheduler.poll_failed(&"w-old".parse().unwrap(), PollFailure::Silent, fixture.now);
+    let renewal = fixture.scheduler.renewal(&"w-old".parse().unwrap(), fixture.now).unwrap();
+    fixture.scheduler.poll_failed(&renewal, PollFailure::Silent, fixture.now);
     fixture.now += Duration::from_millis(5000);
     fixture.join("w-new", "a", "m1", 5000);
     fixture.submit(1, "q-a", vec![continuous(1)]);
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -401,7 +401,8 @@
     scheduler.end_machine_hold(now);
     let id: HostId = "w0".parse().unwrap();
     scheduler.register(&registration(0), now);
-    scheduler.poll_failed(&id, PollFailure::Silent, now);
+    let renewal = scheduler.renewal(&id, now).unwrap();
+    scheduler.poll_failed(&renewal, PollFailure::Silent, now);
     fleet.scheduler = scheduler;
     fleet.scheduler.set_machine_list(vec![machine(0)], now);
     fleet.running.clear();
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -5,7 +5,7 @@
 use support::spec::{job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Action, StartAnswer, StartCommand};
+use vg_flow::{Action, PollFailure, StartAnswer, StartCommand};
 
 /// When a late start arrives, after it was sent.
 const LATE_MS: u64 = 9000;
@@ -181,3 +181,22 @@
     world.run(200);
     assert_eq!((world.starts, running(&world)), (1, 1));
 }
+
+/// Guards against a crash that counts twice, and a worker that is taken for unreachable: a
+/// poll of its earlier life fails after the present one is known.
+#[test]
+fn a_failed_poll_of_an_earlier_life_says_nothing_of_the_next() {
+    let mut world = world();
+    let (now, wall) = (world.now(), world.wall());
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    let id = &start.incarnation.id;
+    let poll = world.scheduler.renewal(id, now).unwrap();
+    let at = world.workers.iter().position(|worker| worker.id == id.as_str()).unwrap();
+    world.ms += 20;
+    world.restart(at);
+    let now = world.now();
+    world.scheduler.poll_failed(&poll, PollFailure::Broken, now);
+    assert_eq!(world.scheduler.counts().crashes, 1);
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -518,7 +518,7 @@
                     false => self.crashes.cuts_break,
                 };
                 let failure = if breaks { PollFailure::Broken } else { PollFailure::Silent };
-                self.scheduler.poll_failed(&id, failure, now);
+                self.scheduler.poll_failed(&renewal, failure, now);
                 continue;
             }
             let before = worker.acknowledged;
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -88,7 +88,7 @@
                         ];
                         self.host.record(Code::EndpointEjected, fields);
                     }
-                    self.scheduler().poll_failed(&id, error.into(), now);
+                    self.scheduler().poll_failed(&renewal, error.into(), now);
                     self.wake.notify_one();
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
