--- a/crates/flow/src/workers/answers.rs
+++ b/crates/flow/src/workers/answers.rs
@@ -5,7 +5,7 @@
 
 use crate::jobs::attempt::Phase;
 use crate::scheduler::Removal;
-use crate::{AttemptNumber, JobOutcome, Scheduler, StopReason, TaskId};
+use crate::{AttemptNumber, JobOutcome, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
 /// Backoff of a worker that refused a start because it is unhealthy, that could
 /// not be reached, or that has restarted.
@@ -79,6 +79,9 @@
         let Some(&key) = self.attempt_ids.get(&(task, attempt)) else { return };
         let sent = self.attempts[key].started;
         self.start_window.record_answer(now.saturating_duration_since(sent));
+        if answer != StartAnswer::Unanswered {
+            self.forget_late_start(key);
+        }
         match answer {
             StartAnswer::Started => self.confirm(key, now),
             StartAnswer::Refused(reason) => self.refused(key, reason, now),
@@ -122,6 +125,7 @@
         }
         self.counts.unresolved += 1;
         self.attempts[key].phase = Phase::Unresolved;
+        self.remember_start(key, now);
         let worker = self.attempts[key].worker;
         self.back_off(worker, now + NO_CAPACITY_BACKOFF);
         if !self.may_go_on(key) {
@@ -177,9 +181,19 @@
     }
 
     /// Records that a worker answered the command to stop an attempt: the
-    /// attempt is ending, has ended, or will never start there.
-    pub fn stop_answered(&mut self, task: TaskId, attempt: AttemptNumber, now: Instant) {
-        if let Some(&key) = self.attempt_ids.get(&(task, attempt)) {
+    /// attempt is ending, has ended, or will never start in that incarnation. The answer of
+    /// an earlier one says nothing about the present one.
+    pub fn stop_answered(
+        &mut self,
+        by: &WorkerIncarnation,
+        task: TaskId,
+        attempt: AttemptNumber,
+        now: Instant,
+    ) {
+        self.late_starts.close(by, task, attempt);
+        let Some(&key) = self.attempt_ids.get(&(task, attempt)) else { return };
+        let present = &self.workers[self.attempts[key].worker].incarnation;
+        if (&present.id, present.start_ms) == (&by.id, by.start_ms) {
             self.attempts[key].stop_answered = Some(now);
         }
     }
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -59,6 +59,7 @@
             self.enter_zone(key);
             self.enter_machine(key, None);
             self.end_earlier_workers(key, now);
+            self.stop_late_starts(key, now);
             return true;
         };
         if self.workers[key].incarnation.start_ms != registration.incarnation.start_ms {
@@ -83,6 +84,7 @@
         self.enter_zone(key);
         self.enter_machine(key, earlier);
         self.end_earlier_workers(key, now);
+        self.stop_late_starts(key, now);
         !recorded
     }
 
@@ -163,9 +165,14 @@
         })
     }
 
-    /// Records that a poll of a worker failed.
-    pub fn poll_failed(&mut self, id: &HostId, failure: PollFailure, now: Instant) {
-        if let Some(&key) = self.worker_ids.get(id) {
+    /// Records that a poll of a worker failed. The failure of one that was sent to an earlier
+    /// incarnation says nothing about the present one.
+    pub fn poll_failed(&mut self, poll: &Renewal, failure: PollFailure, now: Instant) {
+        let to = &poll.incarnation;
+        let present = self.worker_ids.get(&to.id).copied();
+        if let Some(key) = present
+            && self.workers[key].incarnation.start_ms == to.start_ms
+        {
             if self.workers[key].unreachable_since.is_none() {
                 self.note_lost_worker(key, failure, now);
             }
@@ -210,6 +217,7 @@
                 // may accept it.
                 Phase::Starting | Phase::Unresolved => {
                     self.attempts[attempt].needs_stop = true;
+                    self.attempts[attempt].stop_sent = None;
                     self.attempts[attempt].stop_answered = None;
                 }
                 Phase::Running | Phase::Stopping => {
@@ -224,6 +232,7 @@
     /// Removes the attempts of workers whose lease has expired, and drops
     /// workers that are no longer registered.
     pub(crate) fn expire_workers(&mut self, now: Instant) {
+        self.late_starts.expire(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
@@ -235,7 +244,9 @@
             }
             let worker = &self.workers[key];
             if expired && !worker.attempts.is_empty() {
-                for attempt in worker.attempts.clone() {
+                let mut lost = worker.attempts.clone();
+                lost.retain(|&attempt| !self.may_start_late(attempt, now));
+                for attempt in lost {
                     self.lose_attempt(attempt, LossCause::LeaseExpired, now);
                 }
             }
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -79,7 +79,8 @@
             self.now += Duration::from_millis(100);
             self.wall += Duration::from_millis(100);
             for id in self.running.keys() {
-                self.scheduler.poll_failed(id, PollFailure::Silent, self.now);
+                let Some(renewal) = self.scheduler.renewal(id, self.now) else { continue };
+                self.scheduler.poll_failed(&renewal, PollFailure::Silent, self.now);
             }
             self.scheduler.plan(self.now, self.wall);
         }
@@ -436,7 +437,7 @@
     let stopped = stop_commands(&harness.advance(1500));
     assert_eq!(stopped, vec![(first.task, first.attempt, StopReason::Stalled)]);
     let now = harness.now;
-    harness.scheduler.stop_answered(first.task, first.attempt, now);
+    harness.scheduler.stop_answered(&first.incarnation, first.task, first.attempt, now);
     harness.end_attempt(&first, AttemptOutcome::Stopped);
     harness.advance(1);
     let actions = harness.advance(100);
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -240,7 +240,7 @@
                 attempts.retain(|each| each.task != task || each.attempt != attempt);
                 self.stop_times.push(self.now);
                 *self.stopped.entry(task).or_default() += 1;
-                self.scheduler.stop_answered(task, attempt, self.now);
+                self.scheduler.stop_answered(&incarnation, task, attempt, self.now);
             }
             Action::Machine(command) => {
                 self.commands.push((self.now, command.clone()));
@@ -401,7 +401,8 @@
     scheduler.end_machine_hold(now);
     let id: HostId = "w0".parse().unwrap();
     scheduler.register(&registration(0), now);
-    scheduler.poll_failed(&id, PollFailure::Silent, now);
+    let renewal = scheduler.renewal(&id, now).unwrap();
+    scheduler.poll_failed(&renewal, PollFailure::Silent, now);
     fleet.scheduler = scheduler;
     fleet.scheduler.set_machine_list(vec![machine(0)], now);
     fleet.running.clear();
