flow: an attempt whose job is unknown takes an unknown amount, not none

Cause: a leader adopts the attempts that workers report. One whose job is gone from the store, as it has ended, is stopped; but `adopted_state` gave it a reservation and a need of zero and no team (`unwrap_or_default`). Until its end was listed it took nothing of its worker and counted for no team, though it ran, or was being stopped.

Evidence: three tests in flow/tests/takeover.rs fail on, each over a crash, a planned handover and the same host leading again ("w0 uses more than its capacity"; "t has 120000 of 60000").

Change: `Attempt::usage` is an `Option<Usage>` (reservation, need, team). `Worker::free` is `None` while the usage of an attempt there is not known, so each reader has to say what that means: - placement, gangs, trials, probes, speculative attempts, targets of evictions and of drained zones: nothing starts there, as no amount fits; tasks that fill reserve memory and wait too; - preemption: no victims are chosen there; what is being freed is awaited; - moves, waves and idle machines: look at the attempts, which were and are there whatever they take; - capacity that is freeable, on which holds and trials decide: without it, as it is being stopped; - demand and the parts of contended pools: only what is known, which moves no limit; - limits of teams: it may belong to any team, and counts against each limit as much as its worker has. So do recorded tasks of unknown jobs on workers that have not answered. Teams without a limit, or with room for that much, go on.

Why it works: the earlier leader may have started anything on a worker, so what is free there follows from the list of its attempts only if all their sizes are known. The attempt is stopped at once, so the wait is a stop time.

Not changed: tasks on a worker whose record was not sealed, that has not answered, and whose jobs ended durably before the takeover: nothing names them, and they count for no team's limit until the worker answers or its lease ends (nothing starts on that worker meanwhile).

--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -28,6 +28,18 @@
     Stopping,
 }
 
+/// What an attempt takes, by the specification of its step.
+#[derive(Debug, Clone)]
+pub(crate) struct Usage {
+    /// Resources that it reserves on its worker.
+    pub(crate) reserved: Resources,
+    /// Resources that count against the team's limit.
+    pub(crate) need: Resources,
+    pub(crate) team: Option<TeamId>,
+    /// The team to which it is charged in a contended pool.
+    pub(crate) team_index: TeamIndex,
+}
+
 /// One execution of a task on one worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
@@ -36,12 +48,9 @@
     pub(crate) job: Option<JobKey>,
     pub(crate) attempt: AttemptNumber,
     pub(crate) worker: WorkerKey,
-    pub(crate) reserved: Resources,
-    /// Resources that count against the team's limit.
-    pub(crate) need: Resources,
-    pub(crate) team: Option<TeamId>,
-    /// The team to which it is charged in a contended pool.
-    pub(crate) team_index: TeamIndex,
+    /// What it takes; `None` if that is not known, as an earlier leader started it and
+    /// this one does not know its job or its step.
+    pub(crate) usage: Option<Usage>,
     pub(crate) phase: Phase,
     /// When the start command was sent, or the running attempt was found.
     pub(crate) started: Instant,
--- a/crates/flow/src/jobs/job.rs
+++ b/crates/flow/src/jobs/job.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 use vg_base::prelude::*;
 
+use crate::jobs::attempt::Usage;
 use crate::jobs::occurrence::{Occurrence, ReadyStep, Step, Task};
 use crate::jobs::remaining::Corrected;
 use crate::shares::teams::TeamIndex;
@@ -169,6 +170,17 @@
         occurrence.steps.get_mut(usize::from(id.step))
     }
 
+    /// Returns what an attempt of a step takes; `None` if there is no such step.
+    pub(crate) fn usage(&self, step: u16) -> Option<Usage> {
+        let step = self.spec.steps.get(usize::from(step))?;
+        Some(Usage {
+            reserved: step.reservation(),
+            need: step.need,
+            team: self.spec.team.clone(),
+            team_index: self.team_index,
+        })
+    }
+
     /// Returns the steps that are not done and whose dependencies are done.
     pub(crate) fn ready_steps(&self) -> impl Iterator<Item = ReadyStep<'_>> {
         self.occurrences.iter().flat_map(|occurrence| {
--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -224,7 +224,7 @@
             let age = now.saturating_duration_since(attempt.started);
             on_trial.contains(&each) || (attempt.phase != Phase::Starting && age >= QUIET_TIME)
         };
-        request.spec.reservation().fits(&state.free())
+        state.free().is_some_and(|free| request.spec.reservation().fits(&free))
             && state.attempts.iter().all(is_quiet)
             && self.meets_conditions(&request, worker, state, &[], now)
     }
--- a/crates/flow/src/placement/advise.rs
+++ b/crates/flow/src/placement/advise.rs
@@ -43,7 +43,8 @@
             return;
         }
         // Workers with sufficient free capacity come first.
-        candidates.sort_by_key(|&each| !need.fits(&self.workers[each].free()));
+        let has_room = |key| self.workers[key].free().is_some_and(|free| need.fits(&free));
+        candidates.sort_by_key(|&each| !has_room(each));
         candidates.truncate(MAX_WORKERS_PER_QUERY);
         let pause = timing.base + timing.per_worker * candidates.len() as u32 + QUERY_MARGIN;
         let ids =
--- a/crates/flow/src/placement/hold.rs
+++ b/crates/flow/src/placement/hold.rs
@@ -87,12 +87,12 @@
     }
 
     /// Returns the capacity of a worker that is free once its short tasks have ended:
-    /// continuous tasks stay.
+    /// continuous tasks stay. Attempts of unknown jobs are being stopped.
     pub(crate) fn freeable(&self, key: WorkerKey) -> Resources {
         let worker = &self.workers[key];
         let continuous = worker.attempts.iter().filter(|&&each| self.is_continuous(each));
-        let reserved = continuous.map(|&each| self.attempts[each].reserved);
-        reserved.fold(worker.capacity, |left, each| left.minus(&each))
+        let usage = continuous.filter_map(|&each| self.attempts[each].usage.as_ref());
+        usage.fold(worker.capacity, |left, each| left.minus(&each.reserved))
     }
 
     /// Returns the worker that lacks the least capacity for a task.
@@ -100,7 +100,8 @@
         let large = workers.iter().filter(|&&key| need.fits(&self.freeable(key)));
         let lacking = large.map(|&key| {
             let worker = &self.workers[key];
-            (need.minus(&worker.free()).dominant_share(&worker.capacity), key)
+            let free = worker.free().unwrap_or(Resources::ZERO);
+            (need.minus(&free).dominant_share(&worker.capacity), key)
         });
         lacking.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
     }
--- a/crates/flow/src/placement/place.rs
+++ b/crates/flow/src/placement/place.rs
@@ -72,7 +72,7 @@
         };
         let fitting = workers.iter().filter_map(|&key| {
             let worker = &self.workers[key];
-            let mut free = worker.free();
+            let mut free = worker.free()?;
             if !request.spec.continuous {
                 free = free.minus(&worker.drain_reserve);
             }
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -53,6 +53,7 @@
         }
         self.expire_unresolved(now);
         self.unresolved_usage = self.measure_unresolved();
+        self.unknown_usage = self.measure_unknown();
         if self.cadence.is_attempt_check(now) {
             self.resend_stops(now);
             self.stop_stalled(now);
@@ -294,13 +295,13 @@
     }
 
     /// Whether the team of a job may use `need` in addition to what it uses and
-    /// may be using.
+    /// may be using. Attempts of an unknown team may be those of this one.
     pub(crate) fn team_allows(&self, key: JobKey, need: &Resources) -> bool {
         let Some(team) = &self.jobs[key].spec.team else { return true };
         let Some(limits) = self.config.teams.get(team) else { return true };
         let used = self.team_usage.get(team).copied().unwrap_or_default();
         let unresolved = self.unresolved_usage.get(team).copied().unwrap_or_default();
-        limits.allows(&used.plus(&unresolved), need)
+        limits.allows(&used.plus(&unresolved).plus(&self.unknown_usage), need)
     }
 
     pub(crate) fn next_attempt(&self, key: JobKey, task: TaskId) -> AttemptNumber {
@@ -318,9 +319,8 @@
         now: Instant,
     ) {
         let job = &mut self.jobs[key];
-        let Some(step) = job.spec.steps.get(usize::from(task.step.step)).cloned() else { return };
-        let (payload, team) = (Arc::clone(&job.spec.payload), job.spec.team.clone());
-        let team_index = job.team_index;
+        let Some(usage) = job.usage(task.step.step) else { return };
+        let payload = Arc::clone(&job.spec.payload);
         let Some(state) = job.step_mut(task.step) else { return };
         let ticket = state.tickets.get(worker, now).cloned().unwrap_or_default();
         let Some(state) = state.tasks.get_mut(task.index as usize) else { return };
@@ -338,10 +338,7 @@
             job: Some(key),
             attempt,
             worker,
-            reserved: step.reservation(),
-            need: step.need,
-            team,
-            team_index,
+            usage: Some(usage),
             phase: Phase::Starting,
             started: now,
             expires_ms: deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64,
--- a/crates/flow/src/placement/preempt.rs
+++ b/crates/flow/src/placement/preempt.rs
@@ -73,14 +73,15 @@
         let reservation = spec.reservation();
         let state = &self.workers[worker];
         // It may use more than its capacity, which has shrunk then.
-        let mut used = state.used;
+        let mut used = state.used.total()?;
         let mut victims = Victims { lost_work: Duration::ZERO, attempts: Vec::new() };
         for attempt in self.preemptible_attempts(worker) {
             if used.plus(&reservation).fits(&state.capacity) {
                 break;
             }
             victims.lost_work += now.saturating_duration_since(self.attempts[attempt].started);
-            used = used.minus(&self.attempts[attempt].reserved);
+            let usage = self.attempts[attempt].usage.as_ref();
+            used = usage.map_or(used, |usage| used.minus(&usage.reserved));
             victims.attempts.push(attempt);
         }
         used.plus(&reservation).fits(&state.capacity).then_some(victims)
--- a/crates/flow/src/pools/zone_exit.rs
+++ b/crates/flow/src/pools/zone_exit.rs
@@ -106,7 +106,8 @@
         let state = &self.attempts[attempt];
         let job = *self.job_ids.get(&state.task.step.job)?;
         let limited = self.spec_of(state.task)?.per_worker.is_some();
-        let moving = TaskToPlace { job, task: state.task, reservation: state.reserved, limited };
+        let reservation = state.usage.as_ref()?.reserved;
+        let moving = TaskToPlace { job, task: state.task, reservation, limited };
         self.jobs[job].is_open().then_some(moving)
     }
 
@@ -155,7 +156,8 @@
         let has_room = |key: &WorkerKey| {
             let worker = &self.workers[*key];
             let is_promised = || moving.limited && promised.contains(&(moving.task.step, *key));
-            moving.reservation.fits(&worker.free().minus(&worker.drain_reserve)) && !is_promised()
+            let free = worker.free().map(|free| free.minus(&worker.drain_reserve));
+            free.is_some_and(|free| moving.reservation.fits(&free)) && !is_promised()
         };
         let pool = &self.jobs[moving.job].pool;
         let workers = pass.targets(pool, |pool| self.eviction_targets(pool, now));
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -8,7 +8,7 @@
 use vg_jobs::Resources;
 
 use crate::cadence::Cadence;
-use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
+use crate::jobs::attempt::{Attempt, AttemptKey, Phase, Usage};
 use crate::jobs::crashes::CrashSeries;
 use crate::jobs::job::{Job, JobKey};
 use crate::jobs::job_size::JobSizes;
@@ -70,6 +70,9 @@
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
+    /// What any team may be using in work whose team is not known, as of the current
+    /// round.
+    pub(crate) unknown_usage: Resources,
     /// Pools in which a continuous task has found no place since their sizes were
     /// last decided.
     pub(crate) unplaced_pools: HashSet<PoolId>,
@@ -133,6 +136,7 @@
             reported_shares: ReportedShares::default(),
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
+            unknown_usage: Resources::ZERO,
             unplaced_pools: HashSet::new(),
             queue_work: QueueWork::default(),
             durations: Durations::default(),
@@ -257,11 +261,8 @@
     /// counts against its team's limit.
     pub(crate) fn insert_attempt(&mut self, state: Attempt) -> AttemptKey {
         let (task, attempt, worker) = (state.task, state.attempt, state.worker);
-        self.workers[worker].used = self.workers[worker].used.plus(&state.reserved);
-        if let Some(team) = &state.team {
-            let used = self.team_usage.entry(team.clone()).or_default();
-            *used = used.plus(&state.need);
-        }
+        self.workers[worker].used.add(state.usage.as_ref());
+        self.charge_team(state.usage.as_ref());
         let key = self.attempts.insert(state);
         self.workers[worker].attempts.push(key);
         self.attempt_ids.insert((task, attempt), key);
@@ -285,12 +286,8 @@
         self.attempt_ids.remove(&(state.task, state.attempt));
         let worker = &mut self.workers[state.worker];
         worker.attempts.retain(|&each| each != key);
-        worker.used = worker.used.minus(&state.reserved);
-        if let Some(team) = &state.team
-            && let Some(used) = self.team_usage.get_mut(team)
-        {
-            *used = used.minus(&state.need);
-        }
+        worker.used.remove(state.usage.as_ref());
+        self.release_team(state.usage.as_ref());
         let Some(&job_key) = self.job_ids.get(&state.task.step.job) else { return };
         self.jobs[job_key].attempt_count -= 1;
         self.detach_attempt(job_key, key, &state, removal, now);
@@ -299,6 +296,23 @@
         }
     }
 
+    /// Counts an attempt against its team's limit.
+    fn charge_team(&mut self, usage: Option<&Usage>) {
+        let Some(usage) = usage else { return };
+        if let Some(team) = &usage.team {
+            let used = self.team_usage.entry(team.clone()).or_default();
+            *used = used.plus(&usage.need);
+        }
+    }
+
+    /// Ends that an attempt counts against its team's limit.
+    fn release_team(&mut self, usage: Option<&Usage>) {
+        let Some(usage) = usage else { return };
+        if let Some(used) = usage.team.as_ref().and_then(|team| self.team_usage.get_mut(team)) {
+            *used = used.minus(&usage.need);
+        }
+    }
+
     /// Removes an attempt from its task and keeps the attempt's checkpoint for the
     /// next attempt. Then returns the task to the waiting tasks, unless the task is
     /// done or has other attempts. The next attempt waits for [`TASK_RETRY_DELAY`],
--- a/crates/flow/src/shares/pool_measure.rs
+++ b/crates/flow/src/shares/pool_measure.rs
@@ -31,7 +31,7 @@
         waiting: &PoolJobs,
         usable: &[WorkerKey],
     ) -> Option<ContendedPool> {
-        let free = usable.iter().map(|&key| self.workers[key].free());
+        let free = usable.iter().filter_map(|&key| self.workers[key].free());
         let free = free.fold(Resources::ZERO, |sum, each| sum.plus(&each));
         if waiting.ready.fits(&free) {
             return None;
@@ -75,9 +75,10 @@
                 pool.machines += 1;
             }
             for &attempt in &worker.attempts {
-                let attempt = &self.attempts[attempt];
-                let state = &mut pool.teams[attempt.team_index.position()];
-                state.used = state.used.plus(&attempt.reserved);
+                // What is not known of an attempt only delays the order of teams.
+                let Some(usage) = &self.attempts[attempt].usage else { continue };
+                let state = &mut pool.teams[usage.team_index.position()];
+                state.used = state.used.plus(&usage.reserved);
             }
         }
     }
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -246,7 +246,8 @@
 
     /// Adds an attempt that an earlier leader started. Stops it if its job is
     /// unknown or has ended, if its task is done, or if the task has another
-    /// attempt and its step permits only one.
+    /// attempt and its step permits only one. Until it has ended it counts, even
+    /// if what it takes is not known.
     fn adopt(&mut self, worker: WorkerKey, reported: &RunningAttempt, now: Instant) {
         self.open_occurrence(reported.task);
         self.withdraw_mark(reported.task, reported.attempt);
@@ -266,16 +267,12 @@
 
     fn adopted_state(&self, worker: WorkerKey, reported: &RunningAttempt, now: Instant) -> Attempt {
         let job = self.job_of(reported.task);
-        let step = self.spec_of(reported.task);
         Attempt {
             task: reported.task,
             job: self.job_ids.get(&reported.task.step.job).copied(),
             attempt: reported.attempt,
             worker,
-            reserved: step.map(crate::StepSpec::reservation).unwrap_or_default(),
-            need: step.map(|step| step.need).unwrap_or_default(),
-            team: job.and_then(|job| job.spec.team.clone()),
-            team_index: job.map(|job| job.team_index).unwrap_or_default(),
+            usage: job.and_then(|job| job.usage(reported.task.step.step)),
             phase: Phase::Running,
             started: now,
             expires_ms: 0,
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -51,8 +51,9 @@
     all_until: Option<Instant>,
 }
 
+/// An incarnation that has not answered.
 #[derive(Debug, Clone)]
-struct UnresolvedIncarnation {
+pub(crate) struct UnresolvedIncarnation {
     incarnation: WorkerIncarnation,
     until: Instant,
     /// All tasks that it may run; `None`: any task of its pool.
@@ -61,7 +62,24 @@
     machine: Option<SmolStr>,
 }
 
+impl UnresolvedIncarnation {
+    /// Returns the id of its worker.
+    pub(crate) fn id(&self) -> &HostId {
+        &self.incarnation.id
+    }
+
+    /// Returns the tasks that are recorded on it.
+    pub(crate) fn recorded_tasks(&self) -> impl Iterator<Item = TaskId> {
+        self.tasks.iter().flatten().copied()
+    }
+}
+
 impl UnresolvedWork {
+    /// Returns the incarnations that have not answered.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &UnresolvedIncarnation> {
+        self.incarnations.values()
+    }
+
     /// Whether any task of a pool may run on an unresolved incarnation, because
     /// the tasks that may run there are not recorded.
     pub(crate) fn affects_pool(&self, pool: &PoolId) -> bool {
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -8,6 +8,7 @@
 use crate::TaskId;
 use crate::jobs::attempt::AttemptKey;
 use crate::jobs::trials::Trial;
+use crate::workers::occupancy::Occupancy;
 use crate::workers::worker_health::WorkerHealth;
 
 slotmap::new_key_type! {
@@ -105,7 +106,7 @@
     /// Whether it has answered a poll of this leader in this incarnation.
     pub(crate) polled: bool,
     pub(crate) attempts: Vec<AttemptKey>,
-    pub(crate) used: Resources,
+    pub(crate) used: Occupancy,
     /// Free capacity that is reserved for continuous tasks that leave drained zones.
     pub(crate) drain_reserve: Resources,
     pub(crate) clock: Option<WorkerClock>,
@@ -167,7 +168,7 @@
             sealed: false,
             polled: false,
             attempts: Vec::new(),
-            used: Resources::ZERO,
+            used: Occupancy::default(),
             drain_reserve: Resources::ZERO,
             clock: None,
             lease_end: now,
@@ -235,9 +236,10 @@
         }
     }
 
-    /// Returns the free capacity.
-    pub(crate) fn free(&self) -> Resources {
-        self.capacity.minus(&self.used)
+    /// Returns the free capacity; `None` if it is not known, so that nothing may start
+    /// that needs any.
+    pub(crate) fn free(&self) -> Option<Resources> {
+        self.used.total().map(|used| self.capacity.minus(&used))
     }
 
     /// Gives it no work and renews no lease before it is recorded again,
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -132,6 +132,25 @@
     }
 }
 
+/// Guards against a leader that does not count attempts of jobs that have ended: they were
+/// cancelled around its takeover, and some workers start whatever they are told to start.
+#[test]
+fn invariants_hold_when_jobs_are_cancelled_around_takeovers() {
+    let faults = Faults {
+        takeovers: 12,
+        returns: 4,
+        partitions: 12,
+        cancels: 40,
+        unanswered: 20,
+        ..Faults::default()
+    };
+    for seed in (0..seeds()).map(|seed| 8000 + seed) {
+        let mut world = World::new(seed, 8, faults);
+        world.workers.iter_mut().step_by(3).for_each(|worker| worker.guards_capacity = false);
+        run_world(world, seed);
+    }
+}
+
 /// Guards against faults of the scheduler that show only when lost answers,
 /// restarts, takeovers and outages coincide.
 #[test]
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -54,6 +54,8 @@
     pub(crate) returns: u32,
     /// Outages of the store, per step.
     pub(crate) outages: u32,
+    /// Cancellations of some open job, per step.
+    pub(crate) cancels: u32,
     /// Commands to machines that are refused.
     pub(crate) refusals: u32,
     /// Commands to machines that are not answered, half of which are carried out.
@@ -73,6 +75,7 @@
         takeovers: 4,
         returns: 0,
         outages: 4,
+        cancels: 0,
         refusals: 0,
         lost_commands: 0,
     };
@@ -310,6 +313,18 @@
         }
     }
 
+    /// Cancels one of the open jobs that are not continuous.
+    fn cancel_some_job(&mut self) {
+        let open = self.store.iter().filter(|(_, stored)| stored.end.is_none());
+        let open = open.filter(|(_, stored)| !stored.cancelled && !stored.spec.is_continuous());
+        let mut open: Vec<_> = open.map(|(&id, _)| id).collect();
+        open.sort_unstable();
+        if !open.is_empty() {
+            let at = self.rng.random_range(0..open.len());
+            self.cancel(open[at]);
+        }
+    }
+
     /// Lets another leader take over after a planned stop: the old leader
     /// records what each worker may run.
     pub(crate) fn planned_handover(&mut self) {
@@ -465,6 +480,9 @@
         if self.chance(faults.outages) {
             self.outage_until = self.ms + self.rng.random_range(100..4000);
         }
+        if self.chance(faults.cancels) {
+            self.cancel_some_job();
+        }
         if self.chance(faults.returns) {
             self.lead_again();
         }
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use support::spec::{job, scheduled_job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Action, MachineAnswer, Schedule, StepSpec};
+use vg_flow::{Action, JobSpec, MachineAnswer, Schedule, StepSpec};
 use vg_standin::SimulatedWorker;
 
 fn continuous() -> Vec<StepSpec> {
@@ -400,3 +402,88 @@
         assert_eq!((world.starts, world.open_jobs()), (3, 0));
     }
 }
+
+/// Lets workers start whatever they are told to start.
+fn without_guard(world: &mut World) {
+    world.workers.iter_mut().for_each(|worker| worker.guards_capacity = false);
+}
+
+/// Returns a job of short tasks of the queue `q-a` that no team's limit applies to.
+fn teamless(world: &World, count: u32, ms: u64) -> Arc<JobSpec> {
+    let spec = job("q-a", short(count, ms), world.wall());
+    Arc::new(JobSpec { team: None, ..JobSpec::clone(&spec) })
+}
+
+/// Cancels a job and waits until that is durable. No command to stop its attempts arrives.
+fn cancel_durably(world: &mut World, id: JobId) {
+    set_reachable(world, false);
+    world.cancel(id);
+    while world.store[&id].end.is_none() {
+        world.step();
+    }
+    set_reachable(world, true);
+}
+
+/// Guards against starts on workers that are full of attempts of a job that the new leader
+/// does not know: it has ended, and its record is gone.
+#[test]
+fn a_worker_with_attempts_of_an_unknown_job_gets_no_work_until_they_have_ended() {
+    let changes = [World::change_leader, World::planned_handover, World::lead_again];
+    for change in changes {
+        let mut world = World::new(1, 8, Faults::default());
+        without_guard(&mut world);
+        let id = world.submit(1, teamless(&world, 16, 30_000));
+        world.run(300);
+        assert_eq!(world.starts, 16);
+        cancel_durably(&mut world, id);
+        change(&mut world);
+        world.submit(2, teamless(&world, 16, 30_000));
+        world.run(600);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+        assert!(has_started(&world, 2, 16), "the capacity is free once the attempts have ended");
+    }
+}
+
+/// Guards against a team that exceeds its limit because attempts of a job that the new
+/// leader does not know count for no team.
+#[test]
+fn attempts_of_an_unknown_job_may_belong_to_any_team_with_a_limit() {
+    let changes = [World::change_leader, World::planned_handover, World::lead_again];
+    for change in changes {
+        let mut world = World::new(1, 8, Faults::default());
+        let wall = world.wall();
+        let id = world.submit(1, job("q-a", short(15, 30_000), wall));
+        world.run(300);
+        assert_eq!(world.starts, 15);
+        cancel_durably(&mut world, id);
+        change(&mut world);
+        world.submit(2, job("q-b", short(15, 30_000), wall));
+        world.run(600);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+        assert!(has_started(&world, 2, 15), "the limit is free once the attempts have ended");
+    }
+}
+
+/// Guards against the same while the workers that are recorded to have these attempts have
+/// not answered the new leader.
+#[test]
+fn recorded_tasks_of_an_unknown_job_may_belong_to_any_team_with_a_limit() {
+    let changes = [World::change_leader, World::planned_handover, World::lead_again];
+    for change in changes {
+        let mut world = World::new(1, 8, Faults::default());
+        let wall = world.wall();
+        let id = world.submit(1, job("q-a", short(15, 30_000), wall));
+        world.run(300);
+        // The records of the workers are sealed, and so they list the tasks.
+        (0..8).step_by(2).for_each(|at| world.workers[at].reachable = false);
+        world.run(600);
+        cancel_durably(&mut world, id);
+        (0..8).step_by(2).for_each(|at| world.workers[at].reachable = false);
+        change(&mut world);
+        world.submit(2, job("q-b", short(15, 30_000), wall));
+        world.run(1000);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+        world.run(6000);
+        assert!(has_started(&world, 2, 15), "the limit is free once the leases have expired");
+    }
+}
