flow: a job that was cancelled after a takeover counts until workers answer

Cause: a new leader reads a job, and the job is cancelled before all workers have answered. The job has no attempt that is known yet, so it was forgotten once its cancellation was durable; and `for_each_unresolved` left out jobs that aren't open. Its attempts, which an earlier leader had started, ran on workers that had not answered: they counted for no team meanwhile, and when the workers answered they were of an unknown job.

Evidence: the test fails on over a crash, a planned handover and the same host leading again ("t has 120000 of 60000" as soon as the job is cancelled).

Change: a job whose outcome is durable stays in memory while tasks of it may run on workers that have not answered (`may_be_unresolved`), as it did while it has attempts. Such tasks count for its team, whatever its state; its due occurrences are opened for that. `forget_resolved_jobs` drops it once the workers have answered or their leases have ended.

Why it works: the job's record is all that tells what its attempts take, so it may go only when none can be left. It is kept for the time of one lease after the takeover at most, and nothing else waits for it.

Test support: the oracle of a team's limit added up the tasks of all teams; now it counts those of the team. A test has jobs without a team.

--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -52,6 +52,8 @@
             return Vec::new();
         }
         self.expire_unresolved(now);
+        self.forget_resolved_jobs();
+        self.open_unresolved(wall);
         self.unresolved_usage = self.measure_unresolved();
         self.unknown_usage = self.measure_unknown();
         if self.cadence.is_attempt_check(now) {
@@ -124,10 +126,15 @@
         workers.map(|(key, _)| key).collect()
     }
 
+    /// Returns how long before it is due an occurrence opens.
+    pub(crate) fn early_opening(&self) -> Duration {
+        self.rules.early_start / 2
+    }
+
     /// Opens the occurrences that are due, and returns the open jobs with
     /// waiting tasks in the order in which they are served.
     pub(crate) fn rank_jobs(&mut self, wall: SystemTime) -> Vec<(Rank, JobKey)> {
-        let early = self.rules.early_start / 2;
+        let early = self.early_opening();
         let mut ranked = Vec::new();
         for (key, job) in &mut self.jobs {
             if !job.is_open() {
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -354,11 +354,12 @@
         step.waiting.insert(state.task.index);
     }
 
-    /// Drops a job from memory once its outcome is durable and its last attempt
-    /// is removed.
+    /// Drops a job from memory once its outcome is durable, its last attempt is
+    /// removed, and no earlier leader may have started others on workers that have
+    /// not answered: these count, and the job tells what they take.
     pub(crate) fn forget_if_finished(&mut self, key: JobKey) {
         let job = &self.jobs[key];
-        if job.ended_durably && job.attempt_count == 0 {
+        if job.ended_durably && job.attempt_count == 0 && !self.may_be_unresolved(job) {
             self.queue_work.remove(&job.spec.queue, job.work);
             self.job_ids.remove(&job.id);
             self.jobs.remove(key);
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -44,11 +44,15 @@
     incarnations: HashMap<HostId, UnresolvedIncarnation>,
     /// The tasks that are recorded on them.
     listed: HashSet<TaskId>,
+    /// The jobs of these tasks.
+    listed_jobs: HashSet<JobId>,
     /// Pools of the incarnations whose tasks are not recorded.
     unlisted_pools: HashSet<PoolId>,
     /// Until then any task may run on any worker, because the records could not
     /// be read.
     all_until: Option<Instant>,
+    /// Whether some of it was resolved since the last round.
+    has_shrunk: bool,
 }
 
 /// An incarnation that has not answered.
@@ -91,6 +95,11 @@
         self.listed.contains(&task)
     }
 
+    /// Whether tasks of a job are recorded on an unresolved incarnation.
+    fn includes_job(&self, job: JobId) -> bool {
+        self.listed_jobs.contains(&job)
+    }
+
     /// Whether a worker has not answered, so that its own entry says nothing of its work.
     fn includes_worker(&self, worker: &Worker) -> bool {
         self.incarnations.contains_key(&worker.incarnation.id)
@@ -103,7 +112,10 @@
 
     fn insert(&mut self, entry: UnresolvedIncarnation) {
         match &entry.tasks {
-            Some(tasks) => self.listed.extend(tasks),
+            Some(tasks) => {
+                self.listed.extend(tasks);
+                self.listed_jobs.extend(tasks.iter().map(|task| task.step.job));
+            }
             None => _ = self.unlisted_pools.insert(entry.incarnation.pool.clone()),
         }
         self.incarnations.insert(entry.incarnation.id.clone(), entry);
@@ -116,9 +128,11 @@
         if self.incarnations.len() == before {
             return;
         }
+        self.has_shrunk = true;
         let entries = self.incarnations.values();
         self.listed =
             entries.clone().filter_map(|entry| entry.tasks.as_ref()).flatten().copied().collect();
+        self.listed_jobs = self.listed.iter().map(|task| task.step.job).collect();
         let unlisted = entries.filter(|entry| entry.tasks.is_none());
         self.unlisted_pools = unlisted.map(|entry| entry.incarnation.pool.clone()).collect();
     }
@@ -286,8 +300,38 @@
 
     /// Removes incarnations on which nothing can run any more.
     pub(crate) fn expire_unresolved(&mut self, now: Instant) {
-        self.unresolved.retain(|entry| now < entry.until);
-        self.unresolved.all_until = self.unresolved.all_until.filter(|until| now < *until);
+        let unresolved = &mut self.unresolved;
+        unresolved.retain(|entry| now < entry.until);
+        let all_until = unresolved.all_until.filter(|until| now < *until);
+        unresolved.has_shrunk |= all_until != unresolved.all_until;
+        unresolved.all_until = all_until;
+    }
+
+    /// Whether an earlier leader may have started tasks of a job on workers that have not
+    /// answered.
+    pub(crate) fn may_be_unresolved(&self, job: &Job) -> bool {
+        self.may_run_unseen(job) || self.unresolved.includes_job(job.id)
+    }
+
+    /// Drops the finished jobs that were kept only for unresolved work that is resolved now.
+    pub(crate) fn forget_resolved_jobs(&mut self) {
+        if !std::mem::take(&mut self.unresolved.has_shrunk) {
+            return;
+        }
+        let finished = self.jobs.iter().filter(|(_, job)| job.ended_durably);
+        let finished: Vec<_> = finished.map(|(key, _)| key).collect();
+        finished.into_iter().for_each(|key| self.forget_if_finished(key));
+    }
+
+    /// Opens the due occurrences of jobs that an earlier leader may have started, so that
+    /// their tasks count. Jobs that have ended are not ranked, which opens those of others.
+    pub(crate) fn open_unresolved(&mut self, wall: SystemTime) {
+        if self.unresolved.is_empty() {
+            return;
+        }
+        let (token, early) = (self.token, self.early_opening());
+        let earlier = self.jobs.values_mut().filter(|job| job.revision <= token.0);
+        earlier.for_each(|job| job.open_due(wall, early));
     }
 
     /// Returns the resources that each team may be using in attempts that an
@@ -304,7 +348,7 @@
     }
 
     /// Calls `add` for each task that an earlier leader may have started and that this
-    /// leader does not know as started.
+    /// leader does not know as started, be its job open or ended.
     pub(crate) fn for_each_unresolved(&self, mut add: impl FnMut(&Job, &StepSpec)) {
         if self.unresolved.is_empty() {
             return;
@@ -315,7 +359,7 @@
             }
         }
         for job in self.jobs.values() {
-            if !job.is_open() || !self.may_run_unseen(job) {
+            if !self.may_run_unseen(job) {
                 continue;
             }
             for ready in job.ready_steps() {
--- a/crates/flow/tests/support/oracle.rs
+++ b/crates/flow/tests/support/oracle.rs
@@ -91,6 +91,9 @@
         let mut cores = 0;
         for attempt in running {
             let spec = &self.store[&attempt.task.step.job].spec;
+            if spec.team.as_ref() != Some(team) {
+                continue;
+            }
             cores += spec.steps[usize::from(attempt.task.step.step)].need.cores.0;
         }
         if limit > 0 && cores > limit + limit / 10 + CORES {
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -487,3 +487,31 @@
         assert!(has_started(&world, 2, 15), "the limit is free once the leases have expired");
     }
 }
+
+/// Guards against a job that is forgotten while its attempts may run on workers that have
+/// not answered the new leader: it was cancelled before they did.
+#[test]
+fn a_cancelled_job_counts_until_the_workers_that_may_run_it_have_answered() {
+    let changes = [World::change_leader, World::planned_handover, World::lead_again];
+    for change in changes {
+        let mut world = World::new(1, 8, Faults::default());
+        without_guard(&mut world);
+        let wall = world.wall();
+        let id = world.submit(1, job("q-a", short(15, 30_000), wall));
+        world.run(300);
+        assert_eq!(world.starts, 15);
+        (0..8).step_by(2).for_each(|at| world.workers[at].reachable = false);
+        change(&mut world);
+        world.cancel(id);
+        world.submit(2, job("q-b", short(15, 30_000), wall));
+        world.run(1000);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+        set_reachable(&mut world, true);
+        world.submit(3, teamless(&world, 16, 2000));
+        world.run(1000);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+        assert!(has_started(&world, 2, 15), "the limit is free once the attempts have ended");
+        world.run(6000);
+        assert_eq!(world.scheduler.counts().jobs, 1, "the cancelled job is forgotten");
+    }
+}
