--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -8,7 +8,7 @@
 use vg_jobs::Resources;
 
 use crate::cadence::Cadence;
-use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
+use crate::jobs::attempt::{Attempt, AttemptKey, Phase, Usage};
 use crate::jobs::crashes::CrashSeries;
 use crate::jobs::job::{Job, JobKey};
 use crate::jobs::job_size::JobSizes;
@@ -73,6 +73,9 @@
     pub(crate) unresolved: UnresolvedWork,
     /// What each team may be using in unresolved work, as of the current round.
     pub(crate) unresolved_usage: HashMap<TeamId, Resources>,
+    /// What any team may be using in work whose team is not known, as of the current
+    /// round.
+    pub(crate) unknown_usage: Resources,
     /// Pools in which a continuous task has found no place since their sizes were
     /// last decided.
     pub(crate) unplaced_pools: HashSet<PoolId>,
@@ -136,6 +139,7 @@
             reported_shares: ReportedShares::default(),
             unresolved: UnresolvedWork::default(),
             unresolved_usage: HashMap::new(),
+            unknown_usage: Resources::ZERO,
             unplaced_pools: HashSet::new(),
             queue_work: QueueWork::default(),
             durations: Durations::default(),
@@ -266,11 +270,8 @@
     /// counts against its team's limit.
     pub(crate) fn insert_attempt(&mut self, state: Attempt) -> AttemptKey {
         let (task, attempt, worker) = (state.task, state.attempt, state.worker);
-        self.workers[worker].used = self.workers[worker].used.plus(&state.reserved);
-        if let Some(team) = &state.team {
-            let used = self.team_usage.entry(team.clone()).or_default();
-            *used = used.plus(&state.need);
-        }
+        self.workers[worker].used.add(state.usage.as_ref());
+        self.charge_team(state.usage.as_ref());
         let key = self.attempts.insert(state);
         self.workers[worker].attempts.push(key);
         self.attempt_ids.insert((task, attempt), key);
@@ -294,12 +295,8 @@
         self.attempt_ids.remove(&(state.task, state.attempt));
         let worker = &mut self.workers[state.worker];
         worker.attempts.retain(|&each| each != key);
-        worker.used = worker.used.minus(&state.reserved);
-        if let Some(team) = &state.team
-            && let Some(used) = self.team_usage.get_mut(team)
-        {
-            *used = used.minus(&state.need);
-        }
+        worker.used.remove(state.usage.as_ref());
+        self.release_team(state.usage.as_ref());
         let Some(&job_key) = self.job_ids.get(&state.task.step.job) else { return };
         self.jobs[job_key].attempt_count -= 1;
         self.detach_attempt(job_key, key, &state, removal, now);
@@ -308,6 +305,23 @@
         }
     }
 
+    /// Counts an attempt against its team's limit.
+    fn charge_team(&mut self, usage: Option<&Usage>) {
+        let Some(usage) = usage else { return };
+        if let Some(team) = &usage.team {
+            let used = self.team_usage.entry(team.clone()).or_default();
+            *used = used.plus(&usage.need);
+        }
+    }
+
+    /// Ends that an attempt counts against its team's limit.
+    fn release_team(&mut self, usage: Option<&Usage>) {
+        let Some(usage) = usage else { return };
+        if let Some(used) = usage.team.as_ref().and_then(|team| self.team_usage.get_mut(team)) {
+            *used = used.minus(&usage.need);
+        }
+    }
+
     /// Removes an attempt from its task and keeps the attempt's checkpoint for the
     /// next attempt. Then returns the task to the waiting tasks, unless the task is
     /// done or has other attempts. The next attempt waits for [`TASK_RETRY_DELAY`],
@@ -349,11 +363,12 @@
         step.waiting.insert(state.task.index);
     }
 
-    /// Drops a job from memory once its outcome is durable and its last attempt
-    /// is removed.
+    /// Drops a job from memory once its outcome is durable, its last attempt is
+    /// removed, and no earlier leader may have started others on workers that have
+    /// not answered: these count, and the job tells what they take.
     pub(crate) fn forget_if_finished(&mut self, key: JobKey) {
         let job = &self.jobs[key];
-        if job.ended_durably && job.attempt_count == 0 {
+        if job.ended_durably && job.attempt_count == 0 && !self.may_be_unresolved(job) {
             self.queue_work.remove(&job.spec.queue, job.work);
             self.job_ids.remove(&job.id);
             self.jobs.remove(key);
