--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -282,6 +282,7 @@
             usage: job.and_then(|job| job.usage(reported.task.step.step)),
             phase: Phase::Running,
             started: now,
+            adopted: true,
             expires_ms: 0,
             confirmed: Some(now),
             stop_sent: None,
