lead: a late message doesn't start a job whose outcome left the memory

A job that has ended runs again (TWICE).

Cause: the leader refused a message that a job is durable only if the job is from before its term or its outcome is among the last 20,000 in memory. A message that is delayed while more jobs end, or more outcomes are asked for, adds the job again.

Change: a message is taken only if its job is newer than what the leader has read of the jobs in the store. What is older was read from there, and is known or has ended. This includes the jobs from before the term, which were listed after the claim.

Why it works: the watch delivers every job; the message is only faster. What remains: in the time by which the watch lags behind (250 ms, or an outage) the outcomes in memory have to tell, 20,000 of them.

Cost: no store call.

--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -16,7 +16,7 @@
 mod recovery;
 mod zone_drains;
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::{Notify, watch};
@@ -74,6 +74,8 @@
     lost: watch::Sender<bool>,
     /// Whether the state that earlier leaders left has been restored.
     recovered: AtomicBool,
+    /// Revision of the store up to which all jobs have been read from it.
+    jobs_read: AtomicU64,
     /// When peers last reported that none of them reaches the store.
     outage_reported: Mutex<Option<DualInstant>>,
     /// Workers whose registration was missing after an outage of the store.
@@ -115,6 +117,7 @@
         handover_done: Notify::new(),
         lost: watch::Sender::new(false),
         recovered: AtomicBool::new(false),
+        jobs_read: AtomicU64::new(token.0),
         outage_reported: Mutex::default(),
         lapsed_workers: Mutex::default(),
         polled_workers: Mutex::default(),
@@ -334,10 +337,9 @@
         if !self.is_recovered() || !self.holds_lease() {
             return;
         }
-        // A message that was under way for long, to a host that leads again now. A job
-        // from before this term was listed at the takeover, or has ended since it was
-        // accepted and would run again.
-        if revision <= self.token.0 {
+        // A message that was under way for long. The job was read from the store, or has
+        // ended since it was accepted and would run again.
+        if revision <= self.jobs_read.load(Ordering::Relaxed) {
             return;
         }
         let now = self.host.inner.clock.now();
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -2,6 +2,7 @@
 //! follows jobs and workers from there on.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
@@ -111,6 +112,7 @@
         self.host.apply_drain_listing(&drains);
         self.apply_drained_zones();
         self.add_jobs(&jobs);
+        self.note_jobs_read(jobs.revision);
         self.restore_progress(&progress);
         let retained = lock(&self.host.inner.retained).clone();
         match retained.filter(|work| work.token() == self.token) {
@@ -146,6 +148,11 @@
         cancelled.into_iter().for_each(|job| scheduler.cancel_job(job, now));
     }
 
+    /// Notes that all jobs up to a revision have been read from the store.
+    fn note_jobs_read(&self, revision: StoreRevision) {
+        self.jobs_read.fetch_max(revision.0 as u64, Ordering::Relaxed);
+    }
+
     /// Adds one job unless it has finished or is known already.
     fn add_job(&self, job: JobId, entry: &Entry) {
         // A watch that lags behind may show a job that has finished since.
@@ -241,6 +248,7 @@
                 && self.holds_lease()
             {
                 self.add_jobs(&listing);
+                self.note_jobs_read(listing.revision);
                 next = StoreRevision(listing.revision.0 + 1);
                 self.wake.notify_one();
             }
@@ -268,6 +276,7 @@
             }
             let entries = batch.changes.iter().filter_map(|(_, entry)| entry.clone());
             self.add_jobs(&Listing { revision: batch.revision, entries: entries.collect() });
+            self.note_jobs_read(batch.revision);
             *next = StoreRevision(batch.revision.0 + 1);
             self.wake.notify_one();
             tokio::time::sleep(BATCH_DELAY).await;
--- a/crates/lead/tests/late_messages.rs
+++ b/crates/lead/tests/late_messages.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use support::{Cluster, eventually, id, is_done, job, soon};
 use vg_base::prelude::*;
-use vg_flow::JobSpec;
+use vg_flow::{JobOutcome, JobSpec};
 use vg_lead::SubmitOutcome;
 use vg_net::Client;
 
@@ -66,3 +66,37 @@
     eventually(async || is_done(&b.host.job_status(id(3), soon()).await)).await;
     assert_eq!(cluster.fleet.starts_of(id(1)), starts);
 }
+
+/// Number of outcomes that are asked for: more than a host keeps in memory.
+const MANY_OUTCOMES: u128 = 20_100;
+
+/// An outcome as it is stored.
+#[derive(Serialize)]
+struct Outcome {
+    how: JobOutcome,
+    team: Option<TeamId>,
+}
+
+/// Guards against a job that runs again: the message that it is durable arrives when the
+/// leader has no outcome of it in memory any more.
+#[tokio::test]
+async fn a_late_message_does_not_start_a_job_whose_outcome_left_the_memory() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    assert_eq!(a.host.submit(id(1), job(1), soon()).await, SubmitOutcome::Accepted);
+    let revision = cluster.entries("vg/in/").await[0].modified.0 as u64;
+    eventually(async || is_done(&a.host.job_status(id(1), soon()).await)).await;
+    let outcome = Outcome { how: JobOutcome::Done, team: None };
+    let outcome = vg_net::to_msgpack(&outcome).unwrap();
+    for number in 1000..1000 + MANY_OUTCOMES {
+        cluster.put(&format!("vg/end/{number:x}"), &outcome).await;
+        assert!(is_done(&a.host.job_status(id(number), soon()).await));
+        // The leader's lease has to be renewed meanwhile.
+        tokio::task::yield_now().await;
+    }
+    let starts = cluster.fleet.starts_of(id(1));
+    send_to_leader(&cluster, &DurableJob { job: id(1), revision, spec: job(1) }).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(cluster.fleet.starts_of(id(1)), starts);
+}
