lead: a job doesn't run after its cancelling was answered with "no such job"

Cause: the store may carry a write out seconds after its answer was lost. Only the host that sent the write of the submission knows of it; the host that cancels finds neither the job nor an outcome, and answers 410 though the job may still come to be.

In lead/tests/outcomes.rs, a_job_cancelled_before_its_write_takes_effect_never_runs failed on the code before (1 start after the cancel), and passes.

Change: before it answers 410 for a job that doesn't exist, the host writes a record under the key of the outcome, if neither job nor outcome exists; every write of a submission expects that both are absent. The record shows no job (a query answers 410), and a submission that finds it is refused as not run. The leader lists the outcomes again after each retention, so that it deletes these records too.

Weighed: an answer other than 410 costs no write, but a caller that has left would ask until no write can come any more, and counts as one whose cancelling isn't acknowledged.

Cost in store calls: one transaction more for each cancel of a job that doesn't exist (an ended job costs none), and 16 listings each retention (4 minutes at a required time of 120 s).

Versions: a host of an earlier version shows such a job as cancelled, answers its submission with 200, and writes no such record itself, so the fault is there until all hosts are new.

--- a/crates/lead/src/cancel.rs
+++ b/crates/lead/src/cancel.rs
@@ -5,6 +5,7 @@
 use vg_flow::JobOutcome;
 use vg_store::{Store, Txn, TxnOutcome};
 
+use crate::codec::encode;
 use crate::host::lock;
 use crate::keys::{self, OutcomeRecord};
 use crate::messages::{CancelWriteOutcome, DurableCancel};
@@ -49,11 +50,11 @@
         else {
             let outcome =
                 read_with_retry(self.store(), &keys::outcome(job), clock, deadline).await?;
-            let value = outcome.and_then(|entry| self.decode::<OutcomeRecord>(&entry));
-            return Ok(Some(match value {
-                Some(OutcomeRecord { outcome: JobOutcome::Cancelled, .. }) => {
-                    CancelWriteOutcome::Durable
-                }
+            let Some(entry) = outcome else { return self.cancel_unaccepted(job).await };
+            return Ok(Some(match self.decode::<OutcomeRecord>(&entry) {
+                Some(OutcomeRecord {
+                    outcome: JobOutcome::Cancelled, unaccepted: false, ..
+                }) => CancelWriteOutcome::Durable,
                 _ => CancelWriteOutcome::Absent,
             }));
         };
@@ -66,6 +67,29 @@
         })
     }
 
+    /// Cancels a job that doesn't exist: its write may be on its way, here or at another
+    /// host, and must not take effect any more.
+    async fn cancel_unaccepted(
+        &self,
+        job: JobId,
+    ) -> Result<Option<CancelWriteOutcome>, vg_store::Error> {
+        let record = OutcomeRecord {
+            outcome: JobOutcome::Cancelled,
+            team: None,
+            at: Some(self.inner.clock.wall()),
+            unaccepted: true,
+        };
+        let Some(value) = encode(&record) else { return Ok(None) };
+        let txn = Txn::new()
+            .expect(keys::job(job), None)
+            .expect(keys::outcome(job), None)
+            .put(keys::outcome(job), value);
+        Ok(match self.store().commit(txn).await? {
+            TxnOutcome::Committed { .. } => Some(CancelWriteOutcome::Absent),
+            TxnOutcome::Conflict { .. } => None,
+        })
+    }
+
     /// Records that a cancellation is durable and notifies the leader.
     fn announce_cancelled(&self, job: JobId) {
         self.record(Code::JobCancelled, [Field::new("job", job)]);
--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -8,7 +8,7 @@
 //! | `vg/in/JOB` | the job's specification | the host that accepted it |
 //! | `vg/in/JOB/cancel` | empty | the host that accepted the cancellation |
 //! | `vg/run/JOB` | the job's progress | the leader |
-//! | `vg/end/JOB` | [`OutcomeRecord`], deleted after its retention | the leader |
+//! | `vg/end/JOB` | [`OutcomeRecord`], deleted after its retention | the leader; the host that accepted the cancellation of a job that doesn't exist |
 //! | `vg/lives/SHARD` | worker incarnations that may have received work | the leader |
 //! | `vg/lives` | [`INCARNATIONS_MOVED`]; earlier versions kept all incarnations there | the leader |
 //! | `vg/waves` | progress of maintenance waves | the leader |
@@ -23,6 +23,7 @@
 use vg_store::Key;
 
 use crate::HostCapacity;
+use crate::messages::is_false;
 
 /// Prefix of the leased keys of hosts and of the leader.
 pub(crate) const LIVE_PREFIX: &str = "vg/live/";
@@ -96,6 +97,11 @@
     /// When it was written. Earlier versions recorded no time and wrote it under a lease.
     #[serde(default)]
     pub(crate) at: Option<SystemTime>,
+    /// Whether the job was cancelled before it was accepted. No such job exists, and the
+    /// record keeps a write of it that is on its way from taking effect. Earlier versions
+    /// show the job as cancelled.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(crate) unaccepted: bool,
 }
 
 pub(crate) fn host(node: &NodeId) -> Key {
--- a/crates/lead/src/leader/outcomes.rs
+++ b/crates/lead/src/leader/outcomes.rs
@@ -4,7 +4,7 @@
 //! Load that this module handles: thousands of outcomes a minute, which are due in the order
 //! in which they were written. One transaction deletes up to [`DELETES_PER_TXN_MAX`].
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 
 use vg_base::prelude::*;
@@ -36,24 +36,29 @@
 #[derive(Debug, Default)]
 pub(super) struct StoredOutcomes {
     due: BTreeSet<(Instant, JobId)>,
-    /// Whether all outcomes in the store are remembered.
-    complete: bool,
+    jobs: HashSet<JobId>,
+    /// When a listing began since which all outcomes that this leader wrote or found are
+    /// remembered.
+    listed: Option<Instant>,
 }
 
 impl StoredOutcomes {
     /// Remembers an outcome that is due at `due`. Returns whether there was room for it.
     fn insert(&mut self, due: Instant, job: JobId) -> bool {
         let has_room = self.due.len() < REMEMBERED_MAX;
-        if has_room {
+        if !has_room {
+            self.listed = None;
+        } else if self.jobs.insert(job) {
             self.due.insert((due, job));
         }
-        self.complete &= has_room;
         has_room
     }
 
-    /// Whether outcomes have to be listed and there is room for many.
-    fn needs_listing(&self) -> bool {
-        !self.complete && self.due.len() < REMEMBERED_MAX / 2
+    /// Whether outcomes have to be listed and there is room for many. Other hosts write some
+    /// too, so they are listed again and again.
+    fn needs_listing(&self, now: Instant, interval: Duration) -> bool {
+        let is_listed = self.listed.is_some_and(|at| now.saturating_duration_since(at) < interval);
+        !is_listed && self.due.len() < REMEMBERED_MAX / 2
     }
 
     /// Returns the outcomes to delete next: as many as one transaction deletes, or fewer if
@@ -66,7 +71,10 @@
     }
 
     fn remove(&mut self, deleted: &[(Instant, JobId)]) {
-        deleted.iter().for_each(|each| _ = self.due.remove(each));
+        for each in deleted {
+            self.due.remove(each);
+            self.jobs.remove(&each.1);
+        }
     }
 }
 
@@ -82,7 +90,8 @@
         let retention = self.host.inner.options.outcome_retention;
         tokio::time::sleep(retention / LISTING_DELAY_PART).await;
         loop {
-            if lock(&self.outcomes).needs_listing()
+            let now = self.host.inner.clock.now();
+            if lock(&self.outcomes).needs_listing(now, retention)
                 && let Err(error) = self.list_outcomes().await
             {
                 log::debug!(target: "store", "cannot list the outcomes: {error}");
@@ -98,11 +107,11 @@
     /// Lists the outcomes in the store, part by part.
     async fn list_outcomes(&self) -> Result<(), Error> {
         let pause = self.host.inner.options.outcome_retention / LISTING_PAUSE_PART;
-        lock(&self.outcomes).complete = true;
+        lock(&self.outcomes).listed = Some(self.host.inner.clock.now());
         for digit in FIRST_DIGITS.chars() {
             let prefix = Key::from(format!("{OUTCOME_PREFIX}{digit}"));
             let listing = self.host.store().range(&prefix).await;
-            let listing = listing.inspect_err(|_| lock(&self.outcomes).complete = false)?;
+            let listing = listing.inspect_err(|_| lock(&self.outcomes).listed = None)?;
             if !listing.entries.iter().all(|entry| self.remember_listed(entry)) {
                 return Ok(());
             }
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -19,7 +19,8 @@
     pub(crate) has_load: bool,
 }
 
-fn is_false(value: &bool) -> bool {
+/// Whether a field is left out of a message or a record.
+pub(crate) fn is_false(value: &bool) -> bool {
     !value
 }
 
--- a/crates/lead/src/query.rs
+++ b/crates/lead/src/query.rs
@@ -166,6 +166,7 @@
             return Ok(StatusReply::Absent);
         };
         Ok(match self.decode::<OutcomeRecord>(&entry) {
+            Some(value) if value.unaccepted => StatusReply::Absent,
             Some(value) => StatusReply::Finished(value.team, value.outcome),
             None => StatusReply::Unknown,
         })
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -8,11 +8,12 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::JobSpec;
-use vg_store::{Error, Store, Txn, TxnOutcome};
+use vg_store::{Entry, Error, Store, Txn, TxnOutcome};
 
 use crate::admit::Refusal;
 use crate::codec::encode;
 use crate::host::lock;
+use crate::keys::OutcomeRecord;
 use crate::messages::{
     DurableJob, JobQuery, RelayRequest, StatusReply, UnresolvedAnswer, WriteOutcome,
 };
@@ -238,6 +239,9 @@
                 // means that the same job was written before.
                 Ok(TxnOutcome::Conflict { found }) => {
                     lock(&self.inner.unresolved).remove(job);
+                    if self.was_cancelled_before(job, &found) {
+                        return WriteOutcome::Rejected;
+                    }
                     let entry = found.iter().find(|entry| entry.key == keys::job(job));
                     if let Some(entry) = entry
                         && outcome == WriteOutcome::Unknown
@@ -261,6 +265,14 @@
         }
     }
 
+    /// Whether the entries that a submission found say that the job was cancelled before it
+    /// was accepted.
+    fn was_cancelled_before(&self, job: JobId, found: &[Entry]) -> bool {
+        let entry = found.iter().find(|entry| entry.key == keys::outcome(job));
+        let record = entry.and_then(|entry| self.decode::<OutcomeRecord>(entry));
+        record.is_some_and(|record| record.unaccepted)
+    }
+
     /// Removes a job from the unresolved writes if none of its writes had an
     /// effect.
     fn forget_rejected(&self, job: JobId, outcome: WriteOutcome) {
--- a/crates/lead/tests/outcomes.rs
+++ b/crates/lead/tests/outcomes.rs
@@ -222,3 +222,46 @@
     assert_eq!(cluster.value("vg/end/1").await, stored);
     assert_eq!(b.host.job_status(id(1), soon()).await, cancelled);
 }
+
+/// Guards against a job that runs although its cancelling was answered with "no such job":
+/// the write of its submission was on its way at another host.
+#[tokio::test]
+async fn a_job_cancelled_before_its_write_takes_effect_never_runs() {
+    let late = Duration::from_millis(1500);
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    run_job(&b, 2).await;
+    b.faults.script(CallKind::Txn, Fault::DelayedEffect(late), 1);
+    // The caller leaves before the write is sent again.
+    let submission = b.host.submit(id(1), short_job(), soon());
+    let left = tokio::time::timeout(Duration::from_millis(20), submission).await;
+    assert!(left.is_err());
+    assert_eq!(a.host.cancel(id(1), soon()).await, CancelOutcome::Absent);
+    tokio::time::sleep(late * 2).await;
+    assert_eq!(cluster.fleet.starts_of(id(1)), 0);
+    for node in [&a, &b] {
+        assert_eq!(node.host.job_status(id(1), soon()).await, JobStatus::Absent);
+        assert_eq!(node.host.cancel(id(1), soon()).await, CancelOutcome::Absent);
+        // Submitted again, it is truly refused.
+        let answer = node.host.submit(id(1), short_job(), soon()).await;
+        assert!(matches!(answer, SubmitOutcome::Refused(_)), "{answer:?}");
+    }
+    assert_eq!(cluster.fleet.starts_of(id(1)), 0);
+}
+
+/// Guards against cancellations of jobs that don't exist which stay in the store for good.
+#[tokio::test]
+async fn a_cancellation_without_a_job_is_deleted_after_the_retention() {
+    let cluster = Cluster::with_retention(Duration::from_secs(2)).await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    run_job(&a, 1).await;
+    // The outcomes have been listed once.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(a.host.cancel(id(9), soon()).await, CancelOutcome::Absent);
+    assert!(cluster.key("vg/end/9").await);
+    eventually(async || cluster.entries("vg/end/").await.is_empty()).await;
+    assert_eq!(a.host.submit(id(9), short_job(), soon()).await, SubmitOutcome::Accepted);
+}
