flow: a late message may lengthen the lease of the next life of its worker

What callers saw.

The deadline of a poll or start of the earlier life lies far ahead of the clock of the next one, which takes it up to `max-hold-ms` (10 s). The leader counted the lease that it had asked for itself (3 s in use, 4 s in tests, and the drift), and started the tasks elsewhere after that.

`a_late_start_may_lengthen_the_lease_of_the_next_life` (`flow/tests/restarts.rs`) failed on the code before: four tasks run twice. Found by reading; not seen in the records of the incident.

For the longest lease after the last late message (12 s and `max-hold-ms`, with its drift, from when the restart is seen), a worker that is silent counts as one that may run its tasks; so does its record. One whose connection broke, or that is draining or leaving, has ended, and its lease counts as before, as does that of all workers that have not started again.

What remains. A new leader doesn't know that a worker has started again under its id; a worker that was dropped from memory and had no unanswered start is taken for one without late messages. A cut that breaks connections is taken for the end of the process.

--- a/crates/flow/src/rules.rs
+++ b/crates/flow/src/rules.rs
@@ -8,6 +8,8 @@
 pub struct SchedulingRules {
     /// Lease that a renewal requests from a worker.
     pub lease: Duration,
+    /// Longest lease that a worker takes; it shortens a longer one.
+    pub lease_max: Duration,
     /// Maximum time that a worker takes to stop an attempt.
     pub stop_time: Duration,
     /// Time before its due time at which an occurrence may start.
@@ -26,6 +28,7 @@
     fn default() -> SchedulingRules {
         SchedulingRules {
             lease: Duration::from_secs(4),
+            lease_max: Duration::from_secs(10),
             stop_time: Duration::from_millis(400),
             early_start: Duration::from_millis(250),
             remote_factor: 3.0,
--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -14,6 +14,7 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
+use crate::rules::clock_bound;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, WorkerKey};
 use crate::{AttemptNumber, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
@@ -101,6 +102,10 @@
     /// counts as one that may run there.
     pub(crate) fn stop_late_starts(&mut self, worker: WorkerKey, now: Instant) {
         let open = self.late_starts.open_in(&self.workers[worker].incarnation, now);
+        if !open.is_empty() {
+            let until = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
+            self.workers[worker].late_lease.get_or_insert(until);
+        }
         for attempt in open {
             if !self.attempt_ids.contains_key(&(attempt.task, attempt.attempt)) {
                 self.insert_attempt(unresolved_in_later(attempt, worker));
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -4,8 +4,9 @@
 use vg_jobs::Resources;
 
 use crate::jobs::attempt::Phase;
+use crate::rules::clock_bound;
 use crate::workers::unresolved::IncarnationRecord;
-use crate::workers::worker::{Worker, WorkerKey};
+use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerKey};
 use crate::workers::worker_health::WorkerHealth;
 use crate::{FencingToken, LossCause, Scheduler, WorkerIncarnation, WorkerRegistration};
 
@@ -100,7 +101,7 @@
     pub fn incarnation_records(&self, now: Instant, wall: SystemTime) -> Vec<IncarnationRecord> {
         let may_run = |worker: &&Worker| {
             let unresolved = self.unresolved.expiry(&worker.incarnation.id).is_some();
-            !unresolved && (worker.unreachable_since.is_none() || now <= worker.lease_end)
+            !unresolved && (worker.unreachable_since.is_none() || now <= worker.last_lease_end())
         };
         let current = self.workers.values().filter(may_run);
         let mut records: Vec<_> =
@@ -189,6 +190,7 @@
     /// one have ended.
     pub(crate) fn begin_incarnation(&mut self, key: WorkerKey, start_ms: u64, now: Instant) {
         self.note_restarted_worker(key, now);
+        let late_lease = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
         let worker = &mut self.workers[key];
         worker.incarnation.start_ms = start_ms;
         // What the previous one registered may not hold for this one.
@@ -198,6 +200,7 @@
         worker.clock = None;
         worker.renewed_until = None;
         worker.expect_late_polls(now);
+        worker.late_lease = Some(late_lease);
         worker.received = 0;
         worker.acknowledged = 0;
         worker.uncommitted_ends.clear();
@@ -236,7 +239,7 @@
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
-            let expired = worker.unreachable_since.is_some() && now > worker.lease_end;
+            let expired = worker.unreachable_since.is_some() && now > worker.last_lease_end();
             if expired && worker.recorded {
                 // The incarnation has to be recorded again before it gets work.
                 self.workers[key].recorded = false;
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -206,7 +206,7 @@
         if !worker.sealed && !self.frozen {
             return IncarnationRecord { incarnation, expires: None, tasks: None, machine };
         }
-        let expires = wall + worker.lease_end.saturating_duration_since(now);
+        let expires = wall + worker.last_lease_end().saturating_duration_since(now);
         let tasks = self.unsettled_tasks(worker);
         IncarnationRecord { incarnation, expires: Some(expires), tasks, machine }
     }
@@ -228,7 +228,7 @@
         let entries: Vec<_> = resolved
             .map(|worker| UnresolvedIncarnation {
                 incarnation: worker.incarnation.clone(),
-                until: worker.lease_end,
+                until: worker.last_lease_end(),
                 tasks: self.unsettled_tasks(worker),
                 machine: worker.machine.clone(),
             })
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -111,6 +111,9 @@
     pub(crate) clock: Option<WorkerClock>,
     /// Time after which nothing that it was told to run can still run.
     pub(crate) lease_end: Instant,
+    /// Until when a lease may last that a late message to an earlier life has renewed: its
+    /// deadline is a time on the clock of that life, far ahead of the present one.
+    pub(crate) late_lease: Option<Instant>,
     /// Until when the lease lasts that the last renewal asked for; `None` if that
     /// renewal asked for none.
     pub(crate) renewed_until: Option<Instant>,
@@ -171,6 +174,7 @@
             drain_reserve: Resources::ZERO,
             clock: None,
             lease_end: now,
+            late_lease: None,
             renewed_until: None,
             received: 0,
             acknowledged: 0,
@@ -235,6 +239,14 @@
         }
     }
 
+    /// Returns the time after which nothing can run on it, as it does not answer. A process
+    /// that has ended runs nothing under a late lease.
+    pub(crate) fn last_lease_end(&self) -> Instant {
+        let has_ended = self.blamed || self.draining || self.leaving;
+        let late = self.late_lease.filter(|_| !has_ended);
+        late.map_or(self.lease_end, |late| self.lease_end.max(late))
+    }
+
     /// Returns the free capacity.
     pub(crate) fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -5,7 +5,7 @@
 use support::spec::{job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Action, PollFailure, StartAnswer, StartCommand};
+use vg_flow::{Action, PollFailure, StartAnswer, StartCommand, StepSpec};
 
 /// When a late start arrives, after it was sent.
 const LATE_MS: u64 = 9000;
@@ -200,3 +200,25 @@
     world.scheduler.poll_failed(&poll, PollFailure::Broken, now);
     assert_eq!(world.scheduler.counts().crashes, 1);
 }
+
+/// Guards against a task that runs twice: a late start of an earlier life is refused, but
+/// renews the lease of the present one for longer than the leader has asked for, and the
+/// worker is cut off then.
+#[test]
+fn a_late_start_may_lengthen_the_lease_of_the_next_life() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = start_late(&mut world, 60_000);
+    world.run(1500);
+    world.restart(at);
+    world.run(300);
+    // Such tasks are spread.
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(4, 5000, 60_000) };
+    world.submit(2, job("q-a", vec![spread], wall));
+    world.run(LATE_MS - 1700);
+    assert!(!world.workers[at].running.is_empty());
+    world.workers[at].reachable = false;
+    world.run(20_000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/standin/src/simulated.rs
+++ b/crates/standin/src/simulated.rs
@@ -10,6 +10,9 @@
 };
 use vg_jobs::Resources;
 
+/// Longest lease that a worker takes; a longer one is shortened.
+const LEASE_MAX_MS: u64 = 10_000;
+
 /// An attempt of a task on a simulated worker.
 #[derive(Debug, Clone)]
 pub struct TaskAttempt {
@@ -135,6 +138,11 @@
         self.running.iter().fold(Resources::ZERO, |sum, attempt| sum.plus(&attempt.reservation))
     }
 
+    /// Lets the lease last until `deadline` at least, or as long as a worker permits.
+    fn extend_lease(&mut self, deadline: u64, clock: u64) {
+        self.deadline_ms = self.deadline_ms.max(deadline.min(clock + LEASE_MAX_MS));
+    }
+
     /// Records the end of an attempt. The record is kept until the leader acknowledges it.
     fn finish(&mut self, attempt: &TaskAttempt, outcome: AttemptOutcome) -> EndedAttempt {
         let closed = self.closed_attempts.entry(attempt.task).or_default();
@@ -198,13 +206,14 @@
         {
             return StartAnswer::Started;
         }
-        if self.closed_attempts.get(&start.task).is_some_and(|&closed| start.attempt <= closed) {
-            return StartAnswer::Refused(RefusalReason::StaleAttempt);
-        }
         if start.deadline_ms < clock {
             return StartAnswer::Refused(RefusalReason::Expired);
         }
-        self.deadline_ms = self.deadline_ms.max(start.deadline_ms);
+        // A start that is refused below has renewed the lease too.
+        self.extend_lease(start.deadline_ms, clock);
+        if self.closed_attempts.get(&start.task).is_some_and(|&closed| start.attempt <= closed) {
+            return StartAnswer::Refused(RefusalReason::StaleAttempt);
+        }
         let fits = attempt.reservation.fits(&self.capacity.minus(&self.used()));
         if self.guards_capacity && !fits {
             return StartAnswer::Refused(RefusalReason::InsufficientCapacity);
@@ -255,12 +264,12 @@
             return None;
         }
         self.token = token;
+        let clock = self.clock(now_ms);
         if let Some(deadline) = deadline {
-            self.deadline_ms = self.deadline_ms.max(deadline);
+            self.extend_lease(deadline, clock);
         }
         self.acknowledged = self.acknowledged.max(acknowledged);
         self.ended.retain(|ended| ended.number > acknowledged);
-        let clock = self.clock(now_ms);
         // A continuous attempt reports 100 percent from 800 ms after its start, and any
         // other attempt at most 99 percent.
         let percent = |attempt: &TaskAttempt| match attempt.continuous {
