flow: a job that is read late owns the attempts reported before it

Cause: a leader before may go on for 1.5 s after its lease has expired. It can be told of a new job directly and start it, before the next leader has polled that worker; the next leader's watch shows the job up to 250 ms later. The worker's report then names a job that is not read yet. The attempt was added without its job, and `add_job` did not look for it: the task waited and was started elsewhere, while the attempt ran or was being stopped. When the attempt ended, `remove_attempt` found the job and counted down from zero: a panic in a debug build; in a release build the count wrapped around, so that the job was never forgotten.

Change: `add_job` gives a job the attempts that were reported before: their usage, team, count, and place at their tasks (`attach_reported`). Only workers with attempts of unknown usage are looked at. The attempts go on being stopped, and the tasks wait until they have ended.

Not changed: an end of such a job that is listed before the job is read is acknowledged and not kept; and a job whose revision is above the token starts at once, although the earlier leader may have started it on a worker that has not answered.

--- a/crates/flow/src/jobs/intake.rs
+++ b/crates/flow/src/jobs/intake.rs
@@ -25,6 +25,7 @@
         self.job_sizes.add(&job.spec.queue, job.work);
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
+        self.attach_reported(key);
         true
     }
 
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -267,18 +267,46 @@
         self.workers[worker].attempts.push(key);
         self.attempt_ids.insert((task, attempt), key);
         if let Some(&job) = self.job_ids.get(&task.step.job) {
-            let job = &mut self.jobs[job];
-            job.attempt_count += 1;
-            if let Some(step) = job.step_mut(task.step) {
-                step.waiting.remove(&task.index);
-                let state = &mut step.tasks[task.index as usize];
-                state.attempts.push(key);
-                state.last_attempt = state.last_attempt.max(attempt);
-            }
+            self.attach_attempt(job, key);
         }
         key
     }
 
+    /// Adds an attempt to its job and its task.
+    fn attach_attempt(&mut self, job: JobKey, key: AttemptKey) {
+        let (task, attempt) = (self.attempts[key].task, self.attempts[key].attempt);
+        let job = &mut self.jobs[job];
+        job.attempt_count += 1;
+        if let Some(step) = job.step_mut(task.step) {
+            step.waiting.remove(&task.index);
+            let state = &mut step.tasks[task.index as usize];
+            state.attempts.push(key);
+            state.last_attempt = state.last_attempt.max(attempt);
+        }
+    }
+
+    /// Adds the attempts to a new job that workers have reported before it was read. They
+    /// are being stopped, and its tasks wait for that.
+    pub(crate) fn attach_reported(&mut self, job: JobKey) {
+        let id = self.jobs[job].id;
+        let unknown = self.workers.values().filter(|worker| worker.used.unknown() > 0);
+        let unknown = unknown.flat_map(|worker| worker.attempts.iter().copied());
+        let reported: Vec<_> =
+            unknown.filter(|&key| self.attempts[key].task.step.job == id).collect();
+        for key in reported {
+            let attempt = &mut self.attempts[key];
+            let (task, worker) = (attempt.task, attempt.worker);
+            let usage = self.jobs[job].usage(task.step.step);
+            attempt.job = Some(job);
+            attempt.usage = usage.clone();
+            self.workers[worker].used.remove(None);
+            self.workers[worker].used.add(usage.as_ref());
+            self.charge_team(usage.as_ref());
+            self.jobs[job].open_reported(task.step.occurrence);
+            self.attach_attempt(job, key);
+        }
+    }
+
     /// Removes an attempt from all tables and returns its task to the waiting
     /// tasks if necessary.
     pub(crate) fn remove_attempt(&mut self, key: AttemptKey, removal: Removal, now: Instant) {
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -515,3 +515,25 @@
         assert_eq!(world.scheduler.counts().jobs, 1, "the cancelled job is forgotten");
     }
 }
+
+/// Guards against an attempt that is not counted for its job, because a worker reported it
+/// before the job was read: the task started twice, or the leader ended.
+#[test]
+fn a_job_that_is_read_after_its_attempts_were_reported_owns_them() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    let id = world.submit(1, job("q-a", short(4, 1500), wall));
+    world.run(300);
+    let stored = world.store.remove(&id).unwrap();
+    world.change_leader();
+    world.run(120);
+    assert!(has_started(&world, 1, 4), "the attempts are being stopped");
+    let (spec, revision) = (Arc::clone(&stored.spec), world.scheduler.token().0 + 1);
+    world.store.insert(id, stored);
+    let now = world.now();
+    world.scheduler.add_job(id, spec, revision, now);
+    world.run(5000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert_eq!(world.open_jobs(), 0);
+    assert_eq!(world.scheduler.counts().jobs, 0);
+}
