flow: a report of a task that its job doesn't have ends no leader

Cause: `insert_attempt` and `detach_attempt` indexed a step's tasks with the number that a worker reports for a job that is known.

Evidence: the test panics on the code before ("index out of bounds: the len is 2 but the index is 2").

Change: such an attempt counts for its job and on its worker, is stopped as unwanted, and belongs to no task. Its step tells what it takes; if the step is out of range too, that is not known, as of a job that is not.

Result: the tests of hostile.rs pass.

--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -277,12 +277,12 @@
         let (task, attempt) = (self.attempts[key].task, self.attempts[key].attempt);
         let job = &mut self.jobs[job];
         job.attempt_count += 1;
-        if let Some(step) = job.step_mut(task.step) {
-            step.waiting.remove(&task.index);
-            let state = &mut step.tasks[task.index as usize];
-            state.attempts.push(key);
-            state.last_attempt = state.last_attempt.max(attempt);
-        }
+        let Some(step) = job.step_mut(task.step) else { return };
+        // A worker may report any number.
+        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        state.attempts.push(key);
+        state.last_attempt = state.last_attempt.max(attempt);
+        step.waiting.remove(&task.index);
     }
 
     /// Adds the attempts to a new job that workers have reported before it was read. They
@@ -362,7 +362,7 @@
     ) {
         let continuous = self.spec_of(state.task).is_some_and(|spec| spec.continuous);
         let Some(step) = self.jobs[job].step_mut(state.task.step) else { return };
-        let task = &mut step.tasks[state.task.index as usize];
+        let Some(task) = step.tasks.get_mut(state.task.index as usize) else { return };
         task.attempts.retain(|&each| each != key);
         if !state.checkpoint.is_empty() {
             task.checkpoint = state.checkpoint.clone();
--- a/crates/flow/tests/hostile.rs
+++ b/crates/flow/tests/hostile.rs
@@ -89,3 +89,30 @@
     world.run(300);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against a report of a task that its job does not have, which would end each host
+/// that leads.
+#[test]
+fn a_report_of_a_task_that_its_job_does_not_have_is_harmless() {
+    let mut world = World::new(2, 8, Faults::default());
+    world.run(300);
+    let wall = world.wall();
+    let id = world.submit(1, job("q-a", vec![step(2, 1000, 3000)], wall));
+    let reported = |step, index| RunningAttempt {
+        task: TaskId { step: StepId { job: id, occurrence: 0, step }, index },
+        attempt: AttemptNumber(1),
+        checkpoint: SmolStr::default(),
+        percent: 1,
+        gauge: 0.0,
+    };
+    let running = vec![reported(0, 2), reported(0, u32::MAX), reported(7, 0)];
+    let (now, worker) = (world.now(), world.workers[0].id.parse().unwrap());
+    let report = Report { start_ms: Some(0), clock_ms: world.ms, running, ended: Vec::new() };
+    world.scheduler.apply_report(&worker, &report, now, now);
+    assert_eq!(world.scheduler.attempts_on(&worker), 3);
+    // The worker does not list them any more.
+    world.run(5000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert_eq!(world.open_jobs(), 0);
+    assert_eq!(world.scheduler.attempts_on(&worker), 0);
+}
