--- a/crates/flow/src/shares/pool_measure.rs
+++ b/crates/flow/src/shares/pool_measure.rs
@@ -75,7 +75,7 @@
                 pool.machines += 1;
             }
             for &attempt in &worker.attempts {
-                // What is not known of an attempt only delays the order of teams.
+                // Charged to no team if its job is unknown: this decides only the order of teams.
                 let Some(usage) = &self.attempts[attempt].usage else { continue };
                 let state = &mut pool.teams[usage.team_index.position()];
                 state.used = state.used.plus(&usage.reserved);
