flow: two crashes by chance don't end a job of continuous tasks

Cause: crashes were weighed alike under all tasks. Within a second of a start the first one makes a suspect, one more during the trial is proof, and a continuous task that is proven fails its job, although it has no limit of attempts. Crashes of any age stayed counted besides.

Change: for a continuous task two crashes are proof only if each came within 100 ms of its start, on two machines, the second on trial. Otherwise it is tried again, on trial as before, and given up at five. Its crashes are forgotten when an attempt ends that had run for 5 s.

Chance has to meet two windows of 100 ms in place of two of 1 s, or five starts in a row none of which lasts 5 s.

Of the new tests three fail on the code before: two_crashes_by_chance_do_not_end_a_continuous_job (with and without takeovers), a_machine_that_crashes_twice_does_not_end_a_continuous_job, crashes_before_a_long_run_do_not_count_under_a_continuous_task. The fourth, a_continuous_task_that_crashes_each_worker_later_is_given_up (200, 500 and 900 ms, at most five starts), passes before too and guards the bound: it fails with a bound of 50. Mutants of each part are found. All tests of vg-flow pass, those of crashes.rs unchanged.

--- a/crates/flow/src/jobs/crashes.rs
+++ b/crates/flow/src/jobs/crashes.rs
@@ -10,15 +10,19 @@
 //! A crash is blamed on the attempts that had started last. Such a task is a suspect: its
 //! next attempt is a trial (`trials.rs`), after which a second crash is proof. Tasks that
 //! had run for longer become suspects with their second crash only.
+//!
+//! A continuous task can't be left undone, so that crashes weigh less under it: two are
+//! proof only just after a start and on two machines, as chance rarely has them. Others
+//! are counted until it has run for a while.
 
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
-use crate::jobs::attempt::AttemptKey;
+use crate::jobs::attempt::{Attempt, AttemptKey};
 use crate::jobs::job::JobKey;
 use crate::jobs::occurrence::Task;
 use crate::workers::worker::WorkerKey;
-use crate::{AttemptNumber, JobOutcome, PollFailure, Scheduler, TaskId};
+use crate::{AttemptNumber, JobOutcome, PollFailure, Scheduler, StepSpec, TaskId};
 
 /// Maximum age of the youngest attempt on a crashed worker at which the crash is blamed
 /// on the youngest ones.
@@ -33,6 +37,10 @@
 const MAX_CRASHES: usize = 5;
 /// Crashes that have to be certain for a task to be given up.
 const MIN_CRASHES: usize = 2;
+/// Age of an attempt of a continuous task up to which a crash is proof.
+const IMMEDIATE_AGE: Duration = Duration::from_millis(100);
+/// Time for which a continuous task has to run for the crashes before to be forgotten.
+const SOUND_TIME: Duration = Duration::from_secs(5);
 /// Time for which a task that is to be given up waits until its crashes are certain, from
 /// when its last attempt is known to have ended. Then it is tried again.
 const MAX_DOUBT: Duration = Duration::from_secs(2);
@@ -133,6 +141,10 @@
     fn has_run(&self) -> bool {
         self.confirmed || self.suspicion == Suspicion::Trial
     }
+
+    fn is_immediate(&self) -> bool {
+        Duration::from_millis(self.age_ms) <= IMMEDIATE_AGE
+    }
 }
 
 impl Task {
@@ -143,16 +155,30 @@
         self.crashes.retain(|mark| mark.attempt != attempt);
         self.crashes.len() < before
     }
+
+    /// Drops all marks, unless there is one of this attempt. Returns whether there were any.
+    fn forget_crashes(&mut self, attempt: AttemptNumber) -> bool {
+        let crashed = self.crashes.iter().any(|mark| mark.attempt == attempt);
+        !crashed && !std::mem::take(&mut self.crashes).is_empty()
+    }
 }
 
-/// Whether these crashes prove that a task causes them.
-fn is_proof<'a>(marks: impl Iterator<Item = &'a CrashMark> + Clone, gang: bool) -> bool {
-    let count = |suspicion| marks.clone().filter(|mark| mark.suspicion == suspicion).count();
+/// Whether these crashes prove that a task of a step causes them.
+fn is_proof<'a>(marks: impl Iterator<Item = &'a CrashMark> + Clone, spec: &StepSpec) -> bool {
+    let blamed = marks.filter(|mark| mark.suspicion != Suspicion::Bystander);
+    let counted = blamed.filter(|mark| !spec.continuous || mark.is_immediate());
+    let count = |suspicion| counted.clone().filter(|mark| mark.suspicion == suspicion).count();
     let (recent, trials) = (count(Suspicion::Recent), count(Suspicion::Trial));
-    match gang {
+    let enough = match spec.gang {
         true => recent >= MAX_GANG_CRASHES,
         false => trials >= 2 || (trials == 1 && recent >= 1),
-    }
+    };
+    enough && (!spec.continuous || has_several_homes(counted))
+}
+
+fn has_several_homes<'a>(mut marks: impl Iterator<Item = &'a CrashMark>) -> bool {
+    let first = marks.next().map(|mark| &mark.home);
+    marks.any(|mark| Some(&mark.home) != first)
 }
 
 impl Scheduler {
@@ -163,28 +189,35 @@
     }
 
     /// Returns what may be done with a task by the crashes under it.
-    pub(crate) fn crash_state(&self, task: &Task, gang: bool, now: Instant) -> CrashState {
+    pub(crate) fn crash_state(&self, task: &Task, spec: &StepSpec, now: Instant) -> CrashState {
         if task.crashes.is_empty() {
             return CrashState::Clear;
         }
         let ran = || task.crashes.iter().filter(|mark| mark.has_run());
         let certain = || ran().filter(|mark| self.is_certain(mark));
         let many = task.crashes.len() >= MAX_CRASHES;
-        if is_proof(certain(), gang) || (many && certain().count() >= MIN_CRASHES) {
+        if is_proof(certain(), spec) || (many && certain().count() >= MIN_CRASHES) {
             return CrashState::Proven;
         }
         let is_lost = task.not_before.is_some_and(|at| now < at + MAX_DOUBT);
         let in_doubt = is_lost || !task.attempts.is_empty();
-        if in_doubt && (many || is_proof(ran(), gang)) {
+        if in_doubt && (many || is_proof(ran(), spec)) {
             return CrashState::Doomed;
         }
         let blamed = task.crashes.iter().any(|mark| mark.suspicion != Suspicion::Bystander);
-        match !gang && (blamed || task.crashes.len() >= MIN_CRASHES) {
+        match !spec.gang && (blamed || task.crashes.len() >= MIN_CRASHES) {
             true => CrashState::Suspect,
             false => CrashState::Clear,
         }
     }
 
+    /// Returns the same for a task that may be unknown.
+    pub(crate) fn crash_state_of(&self, id: TaskId, now: Instant) -> CrashState {
+        let task = self.job_of(id).and_then(|job| job.task(id));
+        let known = task.zip(self.spec_of(id));
+        known.map_or(CrashState::Clear, |(task, spec)| self.crash_state(task, spec, now))
+    }
+
     /// Whether the worker of a mark has crashed: a later one has been seen in its place.
     fn is_certain(&self, mark: &CrashMark) -> bool {
         self.latest_starts.get(&mark.home).is_some_and(|&start_ms| start_ms > mark.start_ms)
@@ -321,6 +354,19 @@
         }
     }
 
+    /// Drops the marks of a continuous task if an attempt that has ended had run for a while.
+    pub(crate) fn forget_crashes(&mut self, job: JobKey, ended: &Attempt, now: Instant) {
+        let until = self.workers[ended.worker].unreachable_since.unwrap_or(now);
+        let ran = ended.confirmed.map(|since| until.saturating_duration_since(since));
+        let continuous = self.spec_of(ended.task).is_some_and(|spec| spec.continuous);
+        if !continuous || ran.is_none_or(|ran| ran < SOUND_TIME) {
+            return;
+        }
+        if self.task_mut(ended.task).is_some_and(|task| task.forget_crashes(ended.attempt)) {
+            self.mark_dirty(job);
+        }
+    }
+
     /// Fails the job of a task under which workers crash. Its other attempts are stopped.
     pub(crate) fn give_up(&mut self, key: JobKey, task: TaskId, now: Instant) {
         let crashes = self.jobs[key].task(task).map_or(0, |task| task.crashes.len());
--- a/crates/flow/src/jobs/gangs.rs
+++ b/crates/flow/src/jobs/gangs.rs
@@ -62,9 +62,11 @@
 
     /// Returns a waiting member under which too many workers have crashed.
     fn proven_member(&self, key: JobKey, id: StepId, now: Instant) -> Option<TaskId> {
-        let step = self.jobs[key].step(id.occurrence, id.step)?;
+        let job = &self.jobs[key];
+        let (step, spec) =
+            (job.step(id.occurrence, id.step)?, &job.spec.steps[usize::from(id.step)]);
         let is_proven = |&&index: &&u32| {
-            self.crash_state(&step.tasks[index as usize], true, now) == CrashState::Proven
+            self.crash_state(&step.tasks[index as usize], spec, now) == CrashState::Proven
         };
         let index = step.waiting.iter().find(is_proven).copied()?;
         Some(TaskId { step: id, index })
--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -109,10 +109,10 @@
     ) {
         let job = &self.jobs[key];
         let Some(step) = job.step(id.occurrence, id.step) else { return };
-        let gang = job.spec.steps[usize::from(id.step)].gang;
+        let spec = &job.spec.steps[usize::from(id.step)];
         let waiting = step.waiting.iter().map(|&index| TaskId { step: id, index });
         let marked = waiting.filter_map(|task| {
-            let state = self.crash_state(job.task(task)?, gang, now);
+            let state = self.crash_state(job.task(task)?, spec, now);
             (state != CrashState::Clear).then_some((task, state))
         });
         let marked: Vec<_> = marked.collect();
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -231,7 +231,7 @@
         self.may_start(key, task, step, now)
             && self.jobs[key]
                 .task(task)
-                .is_some_and(|state| self.crash_state(state, step.gang, now) == CrashState::Clear)
+                .is_some_and(|state| self.crash_state(state, step, now) == CrashState::Clear)
     }
 
     /// The same for a task that may be a suspect.
--- a/crates/flow/src/placement/speculative.rs
+++ b/crates/flow/src/placement/speculative.rs
@@ -33,8 +33,7 @@
             }
             let workers =
                 usable.entry(pool.clone()).or_insert_with(|| self.usable_workers(pool, now));
-            let state = self.job_of(task).and_then(|job| job.task(task));
-            match state.map_or(CrashState::Clear, |task| self.crash_state(task, false, now)) {
+            match self.crash_state_of(task, now) {
                 CrashState::Clear => {}
                 CrashState::Suspect => {
                     self.try_suspect(key, task, workers, now);
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -293,6 +293,7 @@
         }
         let Some(&job_key) = self.job_ids.get(&state.task.step.job) else { return };
         self.jobs[job_key].attempt_count -= 1;
+        self.forget_crashes(job_key, &state, now);
         self.detach_attempt(job_key, key, &state, removal, now);
         if self.jobs[job_key].ended_durably {
             self.forget_if_finished(job_key);
--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -10,6 +10,8 @@
 /// Workers that may crash under a task that is then given up. The bench allows five;
 /// one more than two is left for what a takeover can't know.
 const MAX_CRASHES: usize = 2;
+/// Starts of a task under which each worker crashes.
+const MAX_STARTS: usize = 5;
 
 fn first_task(job: u128) -> TaskId {
     TaskId { step: StepId { job: JobId::new(job), occurrence: 0, step: 0 }, index: 0 }
@@ -256,6 +258,102 @@
     assert_short_jobs_done(&world, 100, 10);
 }
 
+/// Runs until `starts` attempts have started, or for 10 s.
+fn run_until_started(world: &mut World, starts: u64) {
+    let until = world.ms + 10_000;
+    while world.starts < starts && world.ms < until {
+        world.step();
+    }
+}
+
+fn submit_continuous(world: &mut World) {
+    let wall = world.wall();
+    let continuous = StepSpec { continuous: true, max_unavailable: Some(1), ..step(1, 1000, 0) };
+    world.submit(1, job("q-a", vec![continuous], wall));
+}
+
+fn is_at_work(world: &World) -> bool {
+    world.workers.iter().any(|worker| worker.up && !worker.running.is_empty())
+}
+
+/// Guards against a job of continuous tasks that is shown as failed after two crashes of
+/// workers that had other causes.
+#[test]
+fn two_crashes_by_chance_do_not_end_a_continuous_job() {
+    for takeover in [false, true] {
+        let mut world = World::new(20, 8, Faults::default());
+        world.run(300);
+        submit_continuous(&mut world);
+        for (starts, age_ms) in [(1, 600), (2, 250)] {
+            run_until_started(&mut world, starts);
+            world.run(age_ms);
+            crash_under_work(&mut world);
+            world.run(200);
+            if takeover {
+                world.change_leader();
+            }
+        }
+        world.run(12_000);
+        assert_eq!(outcome(&world, 1), None);
+        assert!(is_at_work(&world));
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+    }
+}
+
+/// Guards against a job of continuous tasks that is shown as failed because crashes are
+/// counted over days, although its task has run for long after each.
+#[test]
+fn crashes_before_a_long_run_do_not_count_under_a_continuous_task() {
+    let mut world = World::new(21, 8, Faults::default());
+    world.run(300);
+    submit_continuous(&mut world);
+    for round in 0..5 {
+        for (starts, age_ms) in [(1, 600), (2, 250), (3, 10_000)] {
+            run_until_started(&mut world, round * 3 + starts);
+            world.run(age_ms);
+            crash_under_work(&mut world);
+        }
+    }
+    run_until_started(&mut world, 16);
+    assert_eq!(outcome(&world, 1), None);
+    assert!(is_at_work(&world));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a continuous task that is started without end because it crashes its
+/// workers a while after their start, as workers that crash by chance do.
+#[test]
+fn a_continuous_task_that_crashes_each_worker_later_is_given_up() {
+    for (seed, after_ms) in [(22, 200), (23, 500), (24, 900)] {
+        let mut world = busy_world(seed);
+        world.make_deadly(first_task(1), after_ms);
+        submit_continuous(&mut world);
+        world.run(40_000);
+        let crashes = world.crashes_under(first_task(1));
+        assert!(crashes <= MAX_STARTS, "{after_ms} ms: {:?}", world.crashes.under);
+        assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed), "{after_ms} ms");
+        assert_short_jobs_done(&world, 100, 10);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+    }
+}
+
+/// Guards against a job of continuous tasks that is shown as failed because one machine has
+/// crashed twice, each time just after a start.
+#[test]
+fn a_machine_that_crashes_twice_does_not_end_a_continuous_job() {
+    let mut world = World::new(25, 1, Faults::default());
+    world.run(300);
+    submit_continuous(&mut world);
+    for starts in 1..=2 {
+        run_until_started(&mut world, starts);
+        world.run(40);
+        crash_under_work(&mut world);
+    }
+    world.run(12_000);
+    assert_eq!(outcome(&world, 1), None);
+    assert!(is_at_work(&world));
+}
+
 /// Guards against a task that crashes its workers only after a while, so that others have
 /// always started later.
 #[test]
