flow: crashes soon after the start of a continuous task count whatever their cause

A continuous task that crashes its workers is started without end if their links fall silent, or if it crashes them 1.5 or 3 s after the start: 20, 13 and 10 crashes in 60 s, where BUDGET allows five starts.

Cause: only crashes within a second of a start, seen by a broken poll, left a mark on a continuous task. Bystander marks were dropped, as it has run for long on most workers that crash; that doesn't hold for one that has just started.

Change: a bystander mark is dropped only if the attempt had run for 5 s, from when a crash says nothing about it and earlier ones are forgotten, or if its age is not known. Five marks end it, none is proof.

Price: an innocent continuous task whose workers crash twice within 5 s of its starts is tried on trial, and is given up after five such in a row.

Measured: crashes_of_unclear_cause_under_a_continuous_task_are_bounded fails before in each of its three cases alone and passes now. Tests of crashes.rs (24), takeover.rs (17), maintain.rs (14), features.rs (11) pass.

--- a/crates/flow/src/jobs/crashes.rs
+++ b/crates/flow/src/jobs/crashes.rs
@@ -39,7 +39,8 @@
 const MIN_CRASHES: usize = 2;
 /// Age of an attempt of a continuous task up to which a crash is proof.
 const IMMEDIATE_AGE: Duration = Duration::from_millis(100);
-/// Time for which a continuous task has to run for the crashes before to be forgotten.
+/// Time after the start of a continuous task from which a crash says nothing about it, and
+/// the crashes before are forgotten.
 const SOUND_TIME: Duration = Duration::from_secs(5);
 /// Time for which a task that is to be given up waits until its crashes are certain, from
 /// when its last attempt is known to have ended. Then it is tried again.
@@ -309,7 +310,8 @@
         let age_ms = at.saturating_duration_since(attempt.started).as_millis() as u64;
         // A continuous task has run for long on most workers that crash.
         let continuous = self.spec_of(id).is_some_and(|spec| spec.continuous);
-        if continuous && suspicion == Suspicion::Bystander {
+        let is_young = attempt.known_age(at).is_some_and(|age| age < SOUND_TIME);
+        if continuous && suspicion == Suspicion::Bystander && !is_young {
             return;
         }
         let Some(task) = self.task_mut(id).filter(|task| !task.done) else { return };
--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -337,6 +337,24 @@
     }
 }
 
+/// Guards against a continuous task that is started without end because its crashes aren't
+/// seen at once: its workers' links fall silent, or it has run for seconds.
+#[test]
+fn crashes_of_unclear_cause_under_a_continuous_task_are_bounded() {
+    for (seed, after_ms, silent) in [(26, 10, true), (27, 1500, false), (28, 3000, false)] {
+        let mut world = busy_world(seed);
+        world.crashes.silent = silent;
+        world.make_deadly(first_task(1), after_ms);
+        submit_continuous(&mut world);
+        world.run(60_000);
+        let crashes = world.crashes_under(first_task(1));
+        assert!(crashes <= MAX_STARTS, "{after_ms} ms: {:?}", world.crashes.under);
+        assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed), "{after_ms} ms");
+        assert_short_jobs_done(&world, 100, 10);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+    }
+}
+
 /// Guards against a job of continuous tasks that is shown as failed because one machine has
 /// crashed twice, each time just after a start.
 #[test]
