flow: an end of an occurrence that a worker reports counts however many tasks are open

Cause: a job has 1,000 open tasks at most, so occurrences wait for earlier ones to be done. An earlier leader had opened more, as it knew that others were done, which was not durable. The next leader opens what a worker reports only up to the same limit, and which worker answers first decides. An end of an occurrence that it has not opened was applied to nothing, and acknowledged; an attempt of it was stopped and belonged to no task.

Change: what a worker reports opens occurrences of up to 20,000 tasks in a job, twice those of the largest job.

Why it works: a worker reports what a leader has started, and that leader had opened it. What a malformed report opens is still bounded.

Open: a leader that ran through more than 20,000 tasks of one job with nothing durable.

--- a/crates/flow/src/jobs/job.rs
+++ b/crates/flow/src/jobs/job.rs
@@ -14,6 +14,9 @@
 
 /// Maximum number of tasks in the open occurrences of a job, unless one alone has more.
 const MAX_OPEN_TASKS: u32 = 1_000;
+/// The same when workers report an occurrence: an earlier leader had opened it, as it knew
+/// that others are done. Twice the tasks of the largest job.
+const MAX_REPORTED_TASKS: u32 = 20_000;
 
 slotmap::new_key_type! {
     /// Key of a job in its table.
@@ -132,22 +135,22 @@
     /// Opens the occurrences up to one that a worker reports, as far as there may be so
     /// many.
     pub(crate) fn open_reported(&mut self, occurrence: u32) {
-        while self.next_occurrence <= occurrence && self.may_open() {
+        while self.next_occurrence <= occurrence && self.may_open(MAX_REPORTED_TASKS) {
             self.open_next();
         }
     }
 
-    /// Whether there is another occurrence, and the tasks of all open ones are few enough.
-    fn may_open(&self) -> bool {
+    /// Whether there is another occurrence, and all open ones have at most `max_tasks`.
+    fn may_open(&self, max_tasks: u32) -> bool {
         let tasks = (self.occurrences.len() as u32 + 1).saturating_mul(self.spec.task_count());
-        let is_small = tasks <= MAX_OPEN_TASKS || self.occurrences.is_empty();
+        let is_small = tasks <= max_tasks || self.occurrences.is_empty();
         self.next_occurrence < self.spec.occurrences() && is_small
     }
 
     /// Opens occurrences that are due at `wall` or within `early` after it. While too many
     /// tasks are open, further ones wait for earlier ones to be done.
     pub(crate) fn open_due(&mut self, wall: SystemTime, early: Duration) {
-        while self.may_open() {
+        while self.may_open(MAX_OPEN_TASKS) {
             let due = self.spec.schedule.map(|schedule| schedule.due(self.next_occurrence));
             if due.is_some_and(|due| due > wall + early) {
                 break;
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -8,6 +8,7 @@
 use support::world::{Faults, World};
 use vg_base::prelude::*;
 use vg_flow::{Action, JobSpec, MachineAnswer, Schedule, StepSpec};
+use vg_jobs::Resources;
 use vg_standin::SimulatedWorker;
 
 fn continuous() -> Vec<StepSpec> {
@@ -515,3 +516,32 @@
         assert_eq!(world.scheduler.counts().jobs, 1, "the cancelled job is forgotten");
     }
 }
+
+/// Submits a job of four occurrences of 450 tasks, of which only two may be open at once.
+fn large_occurrences(world: &mut World) {
+    let schedule = Schedule { first: world.wall(), interval: Duration::from_millis(300), times: 4 };
+    let small = StepSpec { need: Resources::new(140, 1 << 20, 0), ..step(450, 140, 200) };
+    let spec = scheduled_job(schedule, small);
+    world.submit(1, Arc::new(JobSpec { team: None, ..JobSpec::clone(&spec) }));
+}
+
+/// Guards against tasks that run again, or twice, because a worker reports an occurrence that
+/// the new leader has not opened: too many tasks of earlier ones are open there.
+#[test]
+fn reported_occurrences_count_however_many_tasks_are_open() {
+    let changes = [World::change_leader, World::planned_handover, World::lead_again];
+    for change in changes {
+        let mut world = World::new(1, 8, Faults::default());
+        large_occurrences(&mut world);
+        // One occurrence is open and recorded; then nothing is recorded any more.
+        world.run(160);
+        world.start_store_outage(1400);
+        world.run(1000);
+        assert!(world.starts > 900, "{}", world.starts);
+        change(&mut world);
+        world.start_store_outage(0);
+        world.run(20_000);
+        assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+        assert_eq!((world.starts, world.open_jobs()), (1800, 0));
+    }
+}
