flow: an attempt that a later life of its worker runs goes on if it is the only one

What callers would see: a continuous task that is at work is stopped although nothing else runs it (rule AVAIL where its step has a budget, lost work else).

Cause: the next life of a worker may have carried out a start without an answer before its first report. The attempt is then known to run, and is the only one of its task. Each report sends a stop for all attempts that need one and have none answered, without regard to whether they run.

Evidence: flow/tests/restarts.rs, a_continuous_task_that_a_later_life_started_goes_on: on the code before, four stops in two seconds; now none.

Change: an attempt that runs there, and is the only one of a task of an open job, is not among those that may start late.

Why it works: a command is sent once, so an attempt that runs can't be started once more. One whose task has another attempt, or whose job has ended, is stopped as before.

--- a/crates/flow/src/workers/answers.rs
+++ b/crates/flow/src/workers/answers.rs
@@ -139,10 +139,18 @@
     pub(crate) fn may_go_on(&self, key: crate::jobs::attempt::AttemptKey) -> bool {
         let attempt = &self.attempts[key];
         let continuous = self.spec_of(attempt.task).is_some_and(|spec| spec.continuous);
-        let is_wanted = self.job_of(attempt.task).is_some_and(|job| {
-            job.is_open() && job.task(attempt.task).is_some_and(|task| task.attempts == [key])
-        });
-        continuous && is_wanted && attempt.phase == Phase::Unresolved && !attempt.needs_stop
+        continuous
+            && self.is_sole_attempt(key)
+            && attempt.phase == Phase::Unresolved
+            && !attempt.needs_stop
+    }
+
+    /// Whether an attempt is the only one of a task of an open job.
+    pub(crate) fn is_sole_attempt(&self, key: crate::jobs::attempt::AttemptKey) -> bool {
+        let task = self.attempts[key].task;
+        self.job_of(task).is_some_and(|job| {
+            job.is_open() && job.task(task).is_some_and(|task| task.attempts == [key])
+        })
     }
 
     fn refused(
--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -119,11 +119,13 @@
         }
     }
 
-    /// Returns the attempts that a worker may start late, as it has answered no stop.
+    /// Returns the attempts that a worker may start late, as it has answered no stop. One
+    /// that runs there and is the only one of its task goes on.
     fn late_attempts(&self, worker: WorkerKey) -> Vec<AttemptKey> {
         let is_late = |key: &AttemptKey| {
             let attempt = &self.attempts[*key];
-            attempt.needs_stop && attempt.stop_answered.is_none()
+            let goes_on = attempt.is_running() && self.is_sole_attempt(*key);
+            attempt.needs_stop && attempt.stop_answered.is_none() && !goes_on
         };
         self.workers[worker].attempts.iter().copied().filter(is_late).collect()
     }
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -5,7 +5,7 @@
 use support::spec::{job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Action, PollFailure, StartAnswer, StartCommand};
+use vg_flow::{Action, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand, StepSpec};
 
 /// When a late start arrives, after it was sent.
 const LATE_MS: u64 = 9000;
@@ -200,3 +200,33 @@
     world.scheduler.poll_failed(&poll, PollFailure::Broken, now);
     assert_eq!(world.scheduler.counts().crashes, 1);
 }
+
+/// Returns a continuous task.
+fn continuous_task() -> StepSpec {
+    StepSpec { continuous: true, max_unavailable: Some(1), ..step(1, 4000, 0) }
+}
+
+/// Guards against a task that is stopped although it is at work and the only attempt: its
+/// start had no answer, and the next life of its worker has carried it out.
+#[test]
+fn a_continuous_task_that_a_later_life_started_goes_on() {
+    let mut world = world();
+    let (now, wall) = (world.now(), world.wall());
+    world.submit(1, job("q-a", vec![continuous_task()], wall));
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    let (id, task, attempt) = (&start.incarnation.id, start.task, start.attempt);
+    world.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
+    let running =
+        vec![RunningAttempt { task, attempt, checkpoint: "".into(), percent: 100, gauge: 0.0 }];
+    let start_ms = Some(start.incarnation.start_ms + 19_000);
+    let report = Report { start_ms, clock_ms: 500, running, ended: Vec::new() };
+    let mut stops = Vec::new();
+    for wait in 1..=20 {
+        let now = now + Duration::from_millis(100 * wait);
+        world.scheduler.apply_report(id, &report, now, now);
+        stops.extend(commands(world.scheduler.plan(now, wall)).1);
+    }
+    assert!(stops.is_empty(), "{stops:?}");
+    assert_eq!(world.scheduler.attempts_on(id), 1);
+}
