flow: a start without an answer holds its task only as long as it can arrive

What callers would see: a task that never starts, and capacity that stays taken, on a worker that has started again, answers polls and refuses each stop. Found by reading.

Cause: an attempt that the next life of a worker may start late is resolved by an answered stop and by nothing else; the 12 s for which its start command is remembered bounded it only while the worker was unreachable.

Evidence: flow/tests/restarts.rs, a_task_starts_once_no_late_start_can_arrive_although_no_stop_is_answered: on the code before, nothing had started 13.5 s after the start; now it has.

Change: such an attempt that a report does not list never ran if its start command can't arrive after that poll was sent. Commands are remembered for 5 s more, so that a report to a poll that was sent before the 12 s were over does not count as one that was sent after.

Why it works: it is the bound that other holds of late starts have; a start that had arrived before the poll is in its report, as running or as ended.

--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -17,6 +17,9 @@
 use crate::workers::worker::{MESSAGE_DELAY_MAX, WorkerKey};
 use crate::{AttemptNumber, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
+/// Longest time from sending a poll until its report is applied.
+const POLL_TIME_MAX: Duration = Duration::from_secs(5);
+
 /// A start command without an answer.
 #[derive(Debug, Clone)]
 struct LateStart {
@@ -59,10 +62,10 @@
         }
     }
 
-    /// Forgets the starts that can't arrive any more.
+    /// Forgets the starts that can't arrive any more, and that each report to come shows.
     pub(crate) fn expire(&mut self, now: Instant) {
         self.starts.retain(|_, here| {
-            here.retain(|late| now < late.until);
+            here.retain(|late| now < late.until + POLL_TIME_MAX);
             !here.is_empty()
         });
     }
@@ -138,15 +141,21 @@
         let worker = &self.workers[attempt.worker];
         let continuous = || self.spec_of(attempt.task).is_some_and(|spec| spec.continuous);
         let may_return = worker.blamed && !worker.leaving && !continuous();
-        let here = self.late_starts.starts.get(&worker.incarnation.id);
+        attempt.phase == Phase::Unresolved
+            && (attempt.needs_stop || may_return)
+            && self.may_arrive(attempt, now)
+    }
+
+    /// Whether the start command of an attempt without an answer may arrive at its worker
+    /// after `at`.
+    pub(crate) fn may_arrive(&self, attempt: &Attempt, at: Instant) -> bool {
+        let id = &self.workers[attempt.worker].incarnation.id;
         let is_late = |late: &LateStart| {
-            now < late.until
+            at < late.until
                 && late.attempt.task == attempt.task
                 && late.attempt.attempt == attempt.attempt
         };
-        attempt.phase == Phase::Unresolved
-            && (attempt.needs_stop || may_return)
-            && here.is_some_and(|here| here.iter().any(is_late))
+        self.late_starts.starts.get(id).is_some_and(|here| here.iter().any(is_late))
     }
 }
 
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -318,7 +318,10 @@
             }
             let stopped = attempt.stop_answered.is_some_and(|at| at < sent);
             let known = attempt.confirmed.is_some_and(|at| at < sent);
-            let expired = !attempt.needs_stop && clock_ms > attempt.expires_ms;
+            let expired = match attempt.needs_stop {
+                true => !self.may_arrive(attempt, sent),
+                false => clock_ms > attempt.expires_ms,
+            };
             let removal = match attempt.phase {
                 Phase::Starting => continue,
                 Phase::Unresolved if stopped || expired => Removal::NeverRan,
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -230,3 +230,20 @@
     assert!(stops.is_empty(), "{stops:?}");
     assert_eq!(world.scheduler.attempts_on(id), 1);
 }
+
+/// Guards against a task that waits for ever, because the next life of its worker answers
+/// polls and refuses each stop.
+#[test]
+fn a_task_starts_once_no_late_start_can_arrive_although_no_stop_is_answered() {
+    let mut world = world();
+    let at = start_late(&mut world, 30_000);
+    // The command is lost.
+    world.delay_late_starts(60_000);
+    world.restart(at);
+    world.refuses_stops = true;
+    world.run(11_000);
+    assert_eq!(world.starts, 0);
+    world.run(2500);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -190,6 +190,8 @@
     pub(super) drained: BTreeMap<ZoneId, u64>,
     /// What workers of zone `z0` register as the time for which they are still cold.
     pub(crate) cold_left: Duration,
+    /// Whether workers refuse all stop commands, and answer polls.
+    pub(crate) refuses_stops: bool,
 }
 
 #[allow(dead_code, reason = "each test uses a part")]
@@ -242,6 +244,7 @@
             in_transit: Vec::new(),
             drained: BTreeMap::new(),
             cold_left: Duration::ZERO,
+            refuses_stops: false,
         };
         world.register();
         world
@@ -561,6 +564,9 @@
             Action::Start(start) => self.send_start(start),
             Action::Stop { incarnation, task, attempt, reason } => {
                 self.stops.push((self.ms, task, reason));
+                if self.refuses_stops {
+                    return;
+                }
                 let Some(at) = self.worker_of(&incarnation.id) else { return };
                 let token = self.scheduler.token();
                 let (ms, now) = (self.ms, self.now());
