lead: the end of a worker's lease does not depend on one host's wall clock

What callers would see: a task runs twice at once (rule TWICE) when a worker is cut off, the leader changes, and the wall clock of the next leader was set forward (or that of the earlier one back). The same for commands to machines: a machine gets one of a new leader at once (ONE), or counts as down for too short a time (LIMIT of a wave).

Cause: sealed records of workers, and records of commands, carry times of the writer's wall clock, which the next leader compares with its own and allows 0.5 s (commands: 1 s).

Evidence: lead/tests/leadership.rs, a_wall_clock_that_is_set_ends_no_lease_of_a_worker (5 s forward, planned stop): on the code before, the task starts while the lease of its worker is valid; now after it.

Change: a host takes the wall time by two sources, its wall clock, and its monotonic clock since its start (`WallBounds`). Times that pass to another host are written as the later and compared with the earlier.

Why it works: a clock that is set while a process runs moves one of the two only, and both directions lead to a longer wait, which is bounded as before (5.85 s after the takeover). Without a set clock both are the same, so nothing waits longer.

Open: a process that starts after its machine's clock was set, so that clocks of hosts differ from the beginning by more than these margins.

--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -207,7 +207,10 @@
     /// Returns the record of these commands and of the earlier ones that matter to the next
     /// leader: those within the machine hold, and those for which a machine may be down.
     fn command_records(&self, commands: &[(MachineCommand, CommandTarget)]) -> Vec<CommandRecord> {
-        let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
+        let clock = &self.host.inner.clock;
+        let now = clock.now();
+        let (earliest, latest) =
+            (self.host.inner.wall.earliest(clock), self.host.inner.wall.latest(clock));
         let hold = self.host.inner.options.rules.machine_hold;
         let mut records = lock(&self.revisions).commands.1.clone();
         records.retain(|each| commands.iter().all(|(new, _)| *new.machine() != each.machine));
@@ -217,9 +220,9 @@
         }
         // The clock may have been set back since.
         let is_recent =
-            |each: &CommandRecord| wall.duration_since(each.at).map_or(true, |age| age < hold);
+            |each: &CommandRecord| earliest.duration_since(each.at).map_or(true, |age| age < hold);
         records.retain(|each| each.wave.is_some() || is_recent(each));
-        records.extend(commands.iter().map(|(command, _)| CommandRecord::new(command, wall)));
+        records.extend(commands.iter().map(|(command, _)| CommandRecord::new(command, latest)));
         records
     }
 
--- a/crates/lead/src/leader/incarnations.rs
+++ b/crates/lead/src/leader/incarnations.rs
@@ -165,7 +165,7 @@
     /// may be unreachable.
     fn snapshot(&self) -> Snapshot {
         let clock = &self.host.inner.clock;
-        let (now, wall) = (clock.now(), clock.wall());
+        let (now, wall) = (clock.now(), self.host.inner.wall.latest(clock));
         let mut scheduler = self.scheduler();
         if self.host.is_lease_valid() {
             scheduler.seal_unreachable_workers(now);
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -182,7 +182,8 @@
     fn restore_incarnations(&self, entry: &Entry) {
         let incarnations = self.host.decode::<Vec<IncarnationRecord>>(entry);
         let rules = &self.host.inner.options.rules;
-        let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
+        let clock = &self.host.inner.clock;
+        let (now, wall) = (clock.now(), self.host.inner.wall.earliest(clock));
         let until = now + EXPIRED_LEASE_GRACE + rules.lease_bound();
         let mut scheduler = self.scheduler();
         match incarnations {
@@ -212,7 +213,8 @@
     /// command for a while, and may be down for their maintenance. Commands are recorded
     /// before they are sent, so all other machines can receive commands at once.
     fn restore_machine_commands(&self, entry: Option<&Entry>) {
-        let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
+        let clock = &self.host.inner.clock;
+        let (now, wall) = (clock.now(), self.host.inner.wall.earliest(clock));
         let commands = match entry {
             None => Vec::new(),
             // The record is malformed: no machine receives a command until the
--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -324,3 +324,23 @@
     let [first, second] = terms.collect::<Vec<_>>()[..] else { panic!("not two leaderships") };
     assert_ne!(first.fields, second.fields, "both leaderships have the same token");
 }
+
+/// Guards against a task that is started twice because the wall clock of a host was set: the
+/// time at which the lease of a cut-off worker ends passes from one leader to the next.
+#[tokio::test]
+async fn a_wall_clock_that_is_set_ends_no_lease_of_a_worker() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    *cluster.fleet.task_duration.lock().unwrap() = Duration::from_secs(60);
+    assert_eq!(a.host.submit(id(1), job(1), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    let worker = cluster.fleet.start_workers.lock().unwrap()[0].clone();
+    cluster.fleet.set_reachable(worker.as_str(), false);
+    eventually(async || is_sealed(&cluster, worker.as_str()).await).await;
+    b.clock.set_forward(Duration::from_secs(5));
+    a.host.begin_stop().await;
+    eventually(async || cluster.fleet.starts_of(id(1)) == 2).await;
+    assert!(cluster.fleet.has_lease_ended(&worker), "the task may still run there");
+}
--- a/crates/lead/tests/support/clock.rs
+++ b/crates/lead/tests/support/clock.rs
@@ -6,16 +6,22 @@
 use vg_base::prelude::*;
 
 /// The clock of one host, which a test sets forward as if the process had been
-/// suspended.
+/// suspended, or whose wall time alone it sets forward.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TestClock {
     suspended: Arc<Mutex<Duration>>,
+    ahead: Arc<Mutex<Duration>>,
 }
 
 impl TestClock {
     pub(crate) fn suspend(&self, time: Duration) {
         *self.suspended.lock().unwrap() += time;
     }
+
+    /// Sets the wall clock forward.
+    pub(crate) fn set_forward(&self, time: Duration) {
+        *self.ahead.lock().unwrap() += time;
+    }
 }
 
 impl Clock for TestClock {
@@ -24,6 +30,6 @@
     }
 
     fn wall(&self) -> SystemTime {
-        SystemClock.wall() + *self.suspended.lock().unwrap()
+        SystemClock.wall() + *self.suspended.lock().unwrap() + *self.ahead.lock().unwrap()
     }
 }
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -72,6 +72,14 @@
         worker.reachable = reachable;
     }
 
+    /// Whether the lease of a worker has ended by its own clock.
+    pub(crate) fn has_lease_ended(&self, id: &HostId) -> bool {
+        let ms = self.ms();
+        let workers = self.workers.lock().unwrap();
+        let worker = workers.iter().find(|worker| worker.id == id.as_str()).unwrap();
+        worker.clock(ms) > worker.deadline_ms
+    }
+
     pub(crate) fn starts_of(&self, job: JobId) -> usize {
         self.starts.lock().unwrap().iter().filter(|(task, _)| task.step.job == job).count()
     }
