--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -18,6 +18,9 @@
 use crate::workers::worker::{MESSAGE_DELAY_MAX, WorkerKey};
 use crate::{AttemptNumber, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
+/// Longest time from sending a poll until its report is applied.
+const POLL_TIME_MAX: Duration = Duration::from_secs(5);
+
 /// A start command without an answer.
 #[derive(Debug, Clone)]
 struct LateStart {
@@ -60,10 +63,10 @@
         }
     }
 
-    /// Forgets the starts that can't arrive any more.
+    /// Forgets the starts that can't arrive any more, and that each report to come shows.
     pub(crate) fn expire(&mut self, now: Instant) {
         self.starts.retain(|_, here| {
-            here.retain(|late| now < late.until);
+            here.retain(|late| now < late.until + POLL_TIME_MAX);
             !here.is_empty()
         });
     }
@@ -124,11 +127,13 @@
         }
     }
 
-    /// Returns the attempts that a worker may start late, as it has answered no stop.
+    /// Returns the attempts that a worker may start late, as it has answered no stop. One
+    /// that runs there and is the only one of its task goes on.
     fn late_attempts(&self, worker: WorkerKey) -> Vec<AttemptKey> {
         let is_late = |key: &AttemptKey| {
             let attempt = &self.attempts[*key];
-            attempt.needs_stop && attempt.stop_answered.is_none()
+            let goes_on = attempt.is_running() && self.is_sole_attempt(*key);
+            attempt.needs_stop && attempt.stop_answered.is_none() && !goes_on
         };
         self.workers[worker].attempts.iter().copied().filter(is_late).collect()
     }
@@ -141,15 +146,21 @@
         let worker = &self.workers[attempt.worker];
         let continuous = || self.spec_of(attempt.task).is_some_and(|spec| spec.continuous);
         let may_return = worker.blamed && !worker.leaving && !continuous();
-        let here = self.late_starts.starts.get(&worker.incarnation.id);
+        attempt.phase == Phase::Unresolved
+            && (attempt.needs_stop || may_return)
+            && self.may_arrive(attempt, now)
+    }
+
+    /// Whether the start command of an attempt without an answer may arrive at its worker
+    /// after `at`.
+    pub(crate) fn may_arrive(&self, attempt: &Attempt, at: Instant) -> bool {
+        let id = &self.workers[attempt.worker].incarnation.id;
         let is_late = |late: &LateStart| {
-            now < late.until
+            at < late.until
                 && late.attempt.task == attempt.task
                 && late.attempt.attempt == attempt.attempt
         };
-        attempt.phase == Phase::Unresolved
-            && (attempt.needs_stop || may_return)
-            && here.is_some_and(|here| here.iter().any(is_late))
+        self.late_starts.starts.get(id).is_some_and(|here| here.iter().any(is_late))
     }
 }
 
