red: takeover: a team's limit beside an ended job, and clocks of hosts that differ

- unrecorded_tasks_of_an_ended_job_may_belong_to_any_team_with_a_limit ("t has 84000 of 60000").
The leader writes the outcome of a cancelled job, and deletes its record, while its attempts are being stopped; then it crashes, and workers that have not answered the next leader run tasks that nothing names.
Proposed: `next_batch` leaves out the end of a cancelled job while it has attempts or `may_be_unresolved` (the cancellation is durable in its own key, and is what callers are shown); `remove_attempt` and `forget_resolved_jobs` mark it as changed again.
Then the next leader knows what its attempts take, and no worker is blocked whole.
- a_wall_clock_that_is_ahead_does_not_end_a_recorded_lease (a task runs twice; the clock is 5 s ahead).

--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -567,3 +567,32 @@
         assert_eq!((world.starts, world.open_jobs()), (1800, 0));
     }
 }
+
+/// Guards against a team that exceeds its limit because attempts of a job that has ended run
+/// on workers that have not answered the new leader, and whose records list no tasks.
+#[test]
+fn unrecorded_tasks_of_an_ended_job_may_belong_to_any_team_with_a_limit() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    let id = world.submit(1, job("q-a", short(15, 30_000), wall));
+    world.run(300);
+    assert_eq!(world.starts, 15);
+    cancel_durably(&mut world, id);
+    (0..8).step_by(2).for_each(|at| world.workers[at].reachable = false);
+    world.change_leader();
+    world.submit(2, job("q-b", short(15, 30_000), wall));
+    world.run(1000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
+/// Guards against a second attempt of tasks on a worker that is cut off and whose record
+/// states when its lease ends: the wall clock of the new leader is ahead.
+#[test]
+fn a_wall_clock_that_is_ahead_does_not_end_a_recorded_lease() {
+    let mut world = World::new(1, 8, Faults::default());
+    unreachable_worker(&mut world);
+    world.truth.wall_ahead_ms += 5000;
+    world.change_leader();
+    world.run(8000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
