lead, flow: no comparison of two hosts' wall clocks decides what still runs

Callers saw tasks run twice (TWICE) after a planned stop of the leader: the next one started what ran on workers that were cut off from it.

Cause: the record of a worker's incarnation named a wall time at which its lease ends, and the next leader compared it with its own wall clock. A host whose clock was ahead by more than half a second took leases for past and held nothing back. The record of commands to machines named a wall time as well. The class: a time that belongs to one host is believed by another.

Change: a record holds the time that is left when it is written, rounded up to half a second so that a shard is not written again each time that others change. The next leader counts it from when it has read the record, on its own monotonic clock. That is never too short: the record was written before it was read, and the lease is not renewed before the record says otherwise. As such a record would hold once more for each reader, it is written again when what it names is over. Commands carry their age. WallBounds has no use any more. A recorded time that is longer than an ordinary lease (late messages to an earlier life) holds as well; it was cut to the ordinary bound before.

Records of earlier versions hold for the ordinary bound of a lease.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,7 +12,6 @@
 mod number;
 mod outcome;
 pub mod prelude;
-mod wall_bounds;
 
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use dual_instant::DualInstant;
@@ -23,4 +22,3 @@
 pub use member::Member;
 pub use number::{Epoch, Incarnation, Permits, Revision, Share, Slots};
 pub use outcome::{Outcome, OutcomeError};
-pub use wall_bounds::WallBounds;
--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -25,7 +25,7 @@
 /// as having no worker.
 const REGISTRATION_TIME: Duration = Duration::from_secs(8);
 /// Maximum difference between the clocks of workers and hosts.
-pub(crate) const MAX_CLOCK_SKEW: Duration = Duration::from_secs(1);
+const MAX_CLOCK_SKEW: Duration = Duration::from_secs(1);
 
 /// A wave as requested by operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -14,7 +14,7 @@
 use vg_base::prelude::*;
 
 use crate::pools::machines::COMMAND_TIMEOUT;
-use crate::pools::maintain::{ActiveWave, MAX_CLOCK_SKEW};
+use crate::pools::maintain::ActiveWave;
 use crate::{Machine, MachineCommand, MachineState, Scheduler};
 
 /// Longest time after which a command without an answer is carried out.
@@ -30,7 +30,7 @@
     /// The wave for which the machine may be down; `None` if it was moved, or the command
     /// is known to have had no effect.
     pub wave: Option<u64>,
-    /// Time since it was recorded.
+    /// Least time since it was recorded.
     pub age: Duration,
 }
 
@@ -124,7 +124,7 @@
         let Some(active) = active else { return };
         let is_answered = active.done.contains(machine);
         let delay = if is_answered { COMMAND_TIMEOUT } else { COMMAND_DELAY_MAX };
-        let remaining = (delay + MAX_CLOCK_SKEW + down_time).saturating_sub(*age);
+        let remaining = (delay + down_time).saturating_sub(*age);
         let begun = is_answered.then_some(now);
         active.down.insert(machine.clone(), Down { until: now + remaining, begun });
         if !is_answered && active.awaits(machine) {
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -98,15 +98,15 @@
     }
 
     /// Returns the records of all incarnations that may have been given work.
-    pub fn incarnation_records(&self, now: Instant, wall: SystemTime) -> Vec<IncarnationRecord> {
+    pub fn incarnation_records(&self, now: Instant) -> Vec<IncarnationRecord> {
         let may_run = |worker: &&Worker| {
             let unresolved = self.unresolved.expiry(&worker.incarnation.id).is_some();
             !unresolved && (worker.unreachable_since.is_none() || now <= worker.last_lease_end())
         };
         let current = self.workers.values().filter(may_run);
         let mut records: Vec<_> =
-            current.map(|worker| self.incarnation_record(worker, now, wall)).collect();
-        records.extend(self.unresolved_records(now, wall));
+            current.map(|worker| self.incarnation_record(worker, now)).collect();
+        records.extend(self.unresolved_records(now));
         records
     }
 
@@ -119,7 +119,7 @@
     /// Marks the incarnations of these durable records as recorded, so that
     /// they can be given work.
     pub fn records_written(&mut self, records: &[IncarnationRecord]) {
-        for record in records.iter().filter(|record| record.expires.is_none()) {
+        for record in records.iter().filter(|record| record.remaining.is_none()) {
             if let Some(&key) = self.worker_ids.get(&record.incarnation.id)
                 && self.workers[key].incarnation == record.incarnation
             {
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -14,8 +14,9 @@
 /// Time for which a worker is unreachable before its record is sealed, so that
 /// the record lists the tasks that may run there.
 const SEAL_DELAY: Duration = Duration::from_millis(300);
-/// Maximum difference between the clocks of two hosts.
-const MAX_CLOCK_SKEW: Duration = Duration::from_millis(500);
+/// Unit of the remaining time in a record. It is coarse, so that the record of a worker is
+/// not written again each time that others change.
+const REMAINING_UNIT: Duration = Duration::from_millis(500);
 
 /// An incarnation that may have been given work, as recorded for the next
 /// leader.
@@ -24,10 +25,11 @@
     /// The incarnation.
     #[serde(rename = "life")]
     pub incarnation: WorkerIncarnation,
-    /// Wall time after which nothing can run there; `None` while its lease may
-    /// be renewed.
-    #[serde(rename = "over")]
-    pub expires: Option<SystemTime>,
+    /// Time from when the record is read, on the reader's monotonic clock, after which
+    /// nothing can run there; `None` while its lease may be renewed. The clocks of two
+    /// hosts are not compared. Earlier versions recorded a wall time, which is ignored.
+    #[serde(default)]
+    pub remaining: Option<Duration>,
     /// All tasks that may run there or have an end there that is not durable;
     /// `None` if they are not known.
     #[serde(default)]
@@ -149,20 +151,11 @@
 }
 
 impl Scheduler {
-    /// Adds an incarnation to which an earlier leader may have given work.
-    /// Nothing that was started there can run after `until`, nor after the
-    /// recorded expiry.
-    pub fn add_unresolved(
-        &mut self,
-        record: &IncarnationRecord,
-        until: Instant,
-        now: Instant,
-        wall: SystemTime,
-    ) {
-        let remaining =
-            record.expires.map(|expires| expires.duration_since(wall).unwrap_or_default());
-        let until =
-            remaining.map_or(until, |remaining| until.min(now + remaining + MAX_CLOCK_SKEW));
+    /// Adds an incarnation to which an earlier leader may have given work, from a record
+    /// that was read at `now` at the latest. Nothing that was started there can run after
+    /// the recorded time, or after `until` if none is recorded.
+    pub fn add_unresolved(&mut self, record: &IncarnationRecord, until: Instant, now: Instant) {
+        let until = record.remaining.map_or(until, |remaining| now + remaining);
         let incarnation = record.incarnation.clone();
         let tasks = record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect());
         let machine = record.machine.clone();
@@ -189,14 +182,10 @@
     }
 
     /// Returns the records of unresolved incarnations to be stored.
-    pub(crate) fn unresolved_records(
-        &self,
-        now: Instant,
-        wall: SystemTime,
-    ) -> Vec<IncarnationRecord> {
+    pub(crate) fn unresolved_records(&self, now: Instant) -> Vec<IncarnationRecord> {
         let record = |entry: &UnresolvedIncarnation| IncarnationRecord {
             incarnation: entry.incarnation.clone(),
-            expires: Some(wall + entry.until.saturating_duration_since(now)),
+            remaining: Some(remaining_time(entry.until, now)),
             tasks: entry.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
             machine: entry.machine.clone(),
         };
@@ -228,19 +217,14 @@
 
     /// Returns the record of a worker. It lists the tasks that may run there if
     /// the worker is sealed or decisions have ended.
-    pub(crate) fn incarnation_record(
-        &self,
-        worker: &Worker,
-        now: Instant,
-        wall: SystemTime,
-    ) -> IncarnationRecord {
+    pub(crate) fn incarnation_record(&self, worker: &Worker, now: Instant) -> IncarnationRecord {
         let (incarnation, machine) = (worker.incarnation.clone(), worker.machine.clone());
         if !worker.sealed && !self.frozen {
-            return IncarnationRecord { incarnation, expires: None, tasks: None, machine };
+            return IncarnationRecord { incarnation, remaining: None, tasks: None, machine };
         }
-        let expires = wall + worker.last_lease_end().saturating_duration_since(now);
+        let remaining = Some(remaining_time(worker.last_lease_end(), now));
         let tasks = self.unsettled_tasks(worker);
-        IncarnationRecord { incarnation, expires: Some(expires), tasks, machine }
+        IncarnationRecord { incarnation, remaining, tasks, machine }
     }
 
     /// Returns all tasks that may run on a worker or have an end there that is not
@@ -301,7 +285,10 @@
     /// Removes incarnations on which nothing can run any more.
     pub(crate) fn expire_unresolved(&mut self, now: Instant) {
         let unresolved = &mut self.unresolved;
+        let before = unresolved.incarnations.len();
         unresolved.retain(|entry| now < entry.until);
+        // The record counts from when it is read, so the next leader would wait once more.
+        self.records_changed |= unresolved.incarnations.len() < before;
         let all_until = unresolved.all_until.filter(|until| now < *until);
         unresolved.has_shrunk |= all_until != unresolved.all_until;
         unresolved.all_until = all_until;
@@ -370,3 +357,10 @@
         }
     }
 }
+
+/// Returns the time until `until`, as it is recorded.
+fn remaining_time(until: Instant, now: Instant) -> Duration {
+    let remaining = until.saturating_duration_since(now);
+    let units = remaining.as_nanos().div_ceil(REMAINING_UNIT.as_nanos());
+    REMAINING_UNIT * u32::try_from(units).unwrap_or(u32::MAX)
+}
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -69,7 +69,7 @@
     }
 
     fn write_records(&mut self) {
-        let records = self.scheduler.incarnation_records(self.now, self.wall);
+        let records = self.scheduler.incarnation_records(self.now);
         self.scheduler.records_written(&records);
     }
 
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -77,7 +77,7 @@
             cold_left: Duration::ZERO,
         };
         self.scheduler.register(&registration, self.now);
-        let records = self.scheduler.incarnation_records(self.now, self.wall());
+        let records = self.scheduler.incarnation_records(self.now);
         self.scheduler.records_written(&records);
         self.poll(id, start_ms);
     }
@@ -234,7 +234,7 @@
     let worker: HostId = id.parse().unwrap();
     let open = fixture.scheduler.renewal(&worker, fixture.now);
     assert!(open.is_some_and(|open| open.deadline_ms.is_none()));
-    let records = fixture.scheduler.incarnation_records(fixture.now, fixture.wall());
+    let records = fixture.scheduler.incarnation_records(fixture.now);
     fixture.scheduler.records_written(&records);
 
     fixture.submit(1, "q-a", vec![continuous(5)]);
@@ -326,7 +326,7 @@
     assert!(!fixture.commands.is_empty());
     fixture.now += Duration::from_millis(100);
     ids.iter().for_each(|id| fixture.poll(id, 5));
-    let records = fixture.scheduler.incarnation_records(fixture.now, fixture.wall());
+    let records = fixture.scheduler.incarnation_records(fixture.now);
     fixture.scheduler.records_written(&records);
     ids.iter().for_each(|id| fixture.poll(id, 5));
     fixture.submit(1, "q-a", vec![step(3, 12_000, 1000)]);
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -93,7 +93,7 @@
             machines.push(machine(at));
         }
         scheduler.set_machine_list(machines, now);
-        let records = scheduler.incarnation_records(now, wall);
+        let records = scheduler.incarnation_records(now);
         scheduler.records_written(&records);
         let answer = MachineAnswer::Done;
         TestFleet {
@@ -123,7 +123,7 @@
             machines.push(machine(at));
         }
         self.scheduler.set_machine_list(machines, self.now);
-        let records = self.scheduler.incarnation_records(self.now, self.wall);
+        let records = self.scheduler.incarnation_records(self.now);
         self.scheduler.records_written(&records);
     }
 
@@ -210,7 +210,7 @@
             unrecorded |= self.scheduler.apply_report(id, &report, sent, self.now);
         }
         if unrecorded {
-            let records = self.scheduler.incarnation_records(self.now, self.wall);
+            let records = self.scheduler.incarnation_records(self.now);
             self.scheduler.records_written(&records);
         }
         let all: usize = self.running.values().map(Vec::len).sum();
--- a/crates/flow/tests/overload.rs
+++ b/crates/flow/tests/overload.rs
@@ -57,7 +57,7 @@
             },
             now,
         );
-        let records = scheduler.incarnation_records(now, wall());
+        let records = scheduler.incarnation_records(now);
         scheduler.records_written(&records);
         let mut leader = SlowLeader {
             scheduler,
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -333,7 +333,7 @@
     pub(crate) fn planned_handover(&mut self) {
         self.scheduler.freeze();
         self.pending_records = None;
-        self.records = self.scheduler.incarnation_records(self.now(), self.wall());
+        self.records = self.scheduler.incarnation_records(self.now());
         self.change_leader();
     }
 
@@ -380,9 +380,8 @@
         // Answers to the earlier leader do not reach this one.
         self.pending_refusals.clear();
         self.lost_commands.clear();
-        let wall = self.wall();
         for record in self.records.clone() {
-            self.scheduler.add_unresolved(&record, until, now, wall);
+            self.scheduler.add_unresolved(&record, until, now);
         }
         self.pass_drained_zones();
         self.restore_machines();
@@ -657,7 +656,7 @@
         }
         let now = self.now();
         self.scheduler.seal_unreachable_workers(now);
-        self.pending_records = Some(self.scheduler.incarnation_records(now, self.wall()));
+        self.pending_records = Some(self.scheduler.incarnation_records(now));
         let batch = self.scheduler.next_batch();
         if batch.is_empty() {
             return;
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -320,10 +320,10 @@
     let capacity = world.workers[0].capacity;
     world.workers.push(SimulatedWorker::new("late", "a", "m-late", world.ms, capacity));
     world.register();
-    let records = world.scheduler.incarnation_records(world.now(), world.wall());
+    let records = world.scheduler.incarnation_records(world.now());
     assert_eq!(records.len(), 9);
     assert!(
-        records.iter().all(|record| record.expires.is_some() && record.tasks.is_some()),
+        records.iter().all(|record| record.remaining.is_some() && record.tasks.is_some()),
         "{records:?}"
     );
 }
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -7,7 +7,6 @@
 use rand::Rng;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinSet;
-use vg_base::WallBounds;
 use vg_base::prelude::*;
 use vg_events::{Code, Field, Recorder};
 use vg_flow::{JobOutcome, OperatorConfig, RetainedWork, RetrySlots, Wave};
@@ -56,8 +55,6 @@
     pub(crate) platform: P,
     pub(crate) store: MonitoredStore<P::Store, C>,
     pub(crate) clock: C,
-    /// Bounds of the wall time, for times that hosts pass to each other.
-    pub(crate) wall: WallBounds,
     pub(crate) options: Options,
     pub(crate) metrics: Metrics,
     pub(crate) recorder: Recorder<C>,
@@ -156,7 +153,6 @@
         let inner = Inner {
             store: MonitoredStore::new(platform.store().clone(), clock.clone()),
             platform,
-            wall: WallBounds::new(&clock),
             clock,
             options,
             metrics,
--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -66,25 +66,61 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CommandRecord {
     pub(crate) machine: SmolStr,
+    /// Wall time of the sender, for operators and earlier versions. It decides nothing here,
+    /// as the clocks of two hosts may differ.
     pub(crate) at: SystemTime,
     /// The wave for which the machine may be down. Earlier versions did not record it.
     #[serde(default)]
     pub(crate) wave: Option<u64>,
+    /// Time from the command until the record was written: the least time that has passed
+    /// when the record is read. Earlier versions did not record it.
+    #[serde(default)]
+    pub(crate) age: Duration,
 }
 
 impl CommandRecord {
-    pub(crate) fn new(command: &MachineCommand, at: SystemTime) -> CommandRecord {
+    /// Returns it for the leader that has read it.
+    pub(crate) fn to_earlier(&self) -> EarlierCommand {
+        EarlierCommand { machine: self.machine.clone(), wave: self.wave, age: self.age }
+    }
+}
+
+/// A command to a machine that this host has sent, or of which it has read the record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct RecordedCommand {
+    pub(crate) machine: SmolStr,
+    pub(crate) wave: Option<u64>,
+    /// Wall time of the sender.
+    pub(crate) at: SystemTime,
+    /// When it was sent, on this host's monotonic clock; not earlier than in truth.
+    pub(crate) since: Instant,
+}
+
+impl RecordedCommand {
+    /// Returns a command that is about to be sent.
+    pub(crate) fn new(command: &MachineCommand, at: SystemTime, now: Instant) -> RecordedCommand {
         let wave = match command {
             MachineCommand::Maintain { wave, .. } => Some(*wave),
             MachineCommand::Move { .. } => None,
         };
-        CommandRecord { machine: command.machine().clone(), at, wave }
+        RecordedCommand { machine: command.machine().clone(), wave, at, since: now }
+    }
+
+    /// Returns the command of a record that was read at `now` at the latest.
+    pub(crate) fn from_record(record: CommandRecord, now: Instant) -> RecordedCommand {
+        let since = now.checked_sub(record.age).unwrap_or(now);
+        RecordedCommand { machine: record.machine, wave: record.wave, at: record.at, since }
+    }
+
+    /// Returns the time since it was sent.
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
     }
 
-    /// Returns it for the leader that takes over at `wall`.
-    pub(crate) fn to_earlier(&self, wall: SystemTime) -> EarlierCommand {
-        let age = wall.duration_since(self.at).unwrap_or_default();
-        EarlierCommand { machine: self.machine.clone(), wave: self.wave, age }
+    /// Returns the record of it that is written at `now`.
+    pub(crate) fn to_record(&self, now: Instant) -> CommandRecord {
+        let (machine, wave) = (self.machine.clone(), self.wave);
+        CommandRecord { machine, at: self.at, wave, age: self.age(now) }
     }
 }
 
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -14,7 +14,7 @@
 use super::Leader;
 use crate::codec::encode;
 use crate::host::lock;
-use crate::keys::{COMMANDS_KEY, CommandRecord, TERM_KEY};
+use crate::keys::{COMMANDS_KEY, CommandRecord, RecordedCommand, TERM_KEY};
 use crate::{CommandAnswer, Platform};
 
 /// Time limit for one call to the adviser, regardless of the number of workers
@@ -176,7 +176,9 @@
     /// record is durable and the lease is valid.
     async fn record_commands(&self, commands: &[(MachineCommand, CommandTarget)]) -> bool {
         let revision = lock(&self.revisions).commands.0;
-        let records = self.command_records(commands);
+        let now = self.host.inner.clock.now();
+        let recorded = self.recorded_commands(commands, now);
+        let records: Vec<CommandRecord> = recorded.iter().map(|each| each.to_record(now)).collect();
         let Some(value) = encode(&records) else { return false };
         let txn = Txn::new()
             .expect(TERM_KEY, Some(StoreRevision(self.token.0 as i64)))
@@ -184,7 +186,7 @@
             .put(COMMANDS_KEY, value);
         match self.host.store().commit(txn).await {
             Ok(TxnOutcome::Committed { revision }) => {
-                lock(&self.revisions).commands = (Some(revision), records);
+                lock(&self.revisions).commands = (Some(revision), recorded);
                 self.host.is_lease_valid()
             }
             Ok(TxnOutcome::Conflict { found }) => {
@@ -204,26 +206,25 @@
         }
     }
 
-    /// Returns the record of these commands and of the earlier ones that matter to the next
-    /// leader: those within the machine hold, and those for which a machine may be down.
-    fn command_records(&self, commands: &[(MachineCommand, CommandTarget)]) -> Vec<CommandRecord> {
-        let clock = &self.host.inner.clock;
-        let now = clock.now();
-        let (earliest, latest) =
-            (self.host.inner.wall.earliest(clock), self.host.inner.wall.latest(clock));
+    /// Returns these commands and the earlier ones that matter to the next leader: those
+    /// within the machine hold, and those for which a machine may be down.
+    fn recorded_commands(
+        &self,
+        commands: &[(MachineCommand, CommandTarget)],
+        now: Instant,
+    ) -> Vec<RecordedCommand> {
         let hold = self.host.inner.options.rules.machine_hold;
-        let mut records = lock(&self.revisions).commands.1.clone();
-        records.retain(|each| commands.iter().all(|(new, _)| *new.machine() != each.machine));
+        let mut recorded = lock(&self.revisions).commands.1.clone();
+        recorded.retain(|each| commands.iter().all(|(new, _)| *new.machine() != each.machine));
         let scheduler = self.scheduler();
-        for each in &mut records {
+        for each in &mut recorded {
             each.wave = each.wave.filter(|_| scheduler.may_be_maintained(&each.machine, now));
         }
-        // The clock may have been set back since.
-        let is_recent =
-            |each: &CommandRecord| earliest.duration_since(each.at).map_or(true, |age| age < hold);
-        records.retain(|each| each.wave.is_some() || is_recent(each));
-        records.extend(commands.iter().map(|(command, _)| CommandRecord::new(command, latest)));
-        records
+        recorded.retain(|each| each.wave.is_some() || each.age(now) < hold);
+        let at = self.host.inner.clock.wall();
+        let new = commands.iter().map(|(command, _)| RecordedCommand::new(command, at, now));
+        recorded.extend(new);
+        recorded
     }
 
     /// Reads the revision of the command record, which the next write expects.
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -14,7 +14,7 @@
 use crate::Platform;
 use crate::codec::encode;
 use crate::host::lock;
-use crate::keys::{self, CommandRecord, OutcomeRecord, TERM_KEY};
+use crate::keys::{self, OutcomeRecord, RecordedCommand, TERM_KEY};
 
 /// Maximum time in which changes accumulate in a batch while no caller waits
 /// for one of them.
@@ -40,7 +40,7 @@
     pub(super) jobs: HashMap<JobId, StoreRevision>,
     pub(super) progress: HashMap<JobId, StoreRevision>,
     pub(super) waves: (Option<StoreRevision>, Vec<WaveRecord>),
-    pub(super) commands: (Option<StoreRevision>, Vec<CommandRecord>),
+    pub(super) commands: (Option<StoreRevision>, Vec<RecordedCommand>),
 }
 
 impl<P: Platform, C: Clock> Leader<P, C> {
--- a/crates/lead/src/leader/incarnations.rs
+++ b/crates/lead/src/leader/incarnations.rs
@@ -164,14 +164,13 @@
     /// the record is unsealed, which takes a write to the store, and the store
     /// may be unreachable.
     fn snapshot(&self) -> Snapshot {
-        let clock = &self.host.inner.clock;
-        let (now, wall) = (clock.now(), self.host.inner.wall.latest(clock));
+        let now = self.host.inner.clock.now();
         let mut scheduler = self.scheduler();
         if self.host.is_lease_valid() {
             scheduler.seal_unreachable_workers(now);
         }
         Snapshot {
-            incarnations: scheduler.incarnation_records(now, wall),
+            incarnations: scheduler.incarnation_records(now),
             is_final: scheduler.is_frozen(),
         }
     }
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -16,7 +16,7 @@
 use crate::host::lock;
 use crate::keys::{
     self, COMMANDS_KEY, CommandRecord, INCARNATIONS_KEY, INCARNATIONS_MOVED, INCARNATIONS_PREFIX,
-    JOB_PREFIX, JobKey, PROGRESS_PREFIX, WAVES_KEY,
+    JOB_PREFIX, JobKey, PROGRESS_PREFIX, RecordedCommand, WAVES_KEY,
 };
 use crate::members::LAPSED_TIME;
 
@@ -189,14 +189,13 @@
     fn restore_incarnations(&self, entry: &Entry) {
         let incarnations = self.host.decode::<Vec<IncarnationRecord>>(entry);
         let rules = &self.host.inner.options.rules;
-        let clock = &self.host.inner.clock;
-        let (now, wall) = (clock.now(), self.host.inner.wall.earliest(clock));
+        let now = self.host.inner.clock.now();
         let until = now + EXPIRED_LEASE_GRACE + rules.lease_bound();
         let mut scheduler = self.scheduler();
         match incarnations {
             Some(incarnations) => incarnations
                 .iter()
-                .for_each(|incarnation| scheduler.add_unresolved(incarnation, until, now, wall)),
+                .for_each(|incarnation| scheduler.add_unresolved(incarnation, until, now)),
             None => scheduler.mark_all_unresolved(until),
         }
     }
@@ -220,8 +219,7 @@
     /// command for a while, and may be down for their maintenance. Commands are recorded
     /// before they are sent, so all other machines can receive commands at once.
     fn restore_machine_commands(&self, entry: Option<&Entry>) {
-        let clock = &self.host.inner.clock;
-        let (now, wall) = (clock.now(), self.host.inner.wall.earliest(clock));
+        let now = self.host.inner.clock.now();
         let commands = match entry {
             None => Vec::new(),
             // The record is malformed: no machine receives a command until the
@@ -234,9 +232,10 @@
         let mut scheduler = self.scheduler();
         scheduler.end_machine_hold(now);
         for command in &commands {
-            scheduler.restore_command(&command.to_earlier(wall), now);
+            scheduler.restore_command(&command.to_earlier(), now);
         }
-        lock(&self.revisions).commands = (entry.map(|entry| entry.modified), commands);
+        let recorded = commands.into_iter().map(|each| RecordedCommand::from_record(each, now));
+        lock(&self.revisions).commands = (entry.map(|entry| entry.modified), recorded.collect());
     }
 
     /// Follows jobs and cancellations in the store.
--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -63,7 +63,7 @@
         records.extend(vg_net::from_msgpack::<Vec<IncarnationRecord>>(&entry.value).unwrap());
     }
     assert_eq!(records.len(), 2);
-    assert!(records.iter().all(|record| record.expires.is_some()), "{records:?}");
+    assert!(records.iter().all(|record| record.remaining.is_some()), "{records:?}");
     let tasks: Vec<_> = records.iter().flat_map(|record| record.tasks.as_ref().unwrap()).collect();
     // Tasks of the first step run or have just finished; the second step may
     // have started.
@@ -177,7 +177,7 @@
         records.extend(vg_net::from_msgpack::<Vec<IncarnationRecord>>(&entry.value).unwrap());
     }
     let record = records.iter().find(|record| record.incarnation.id.as_str() == id);
-    record.is_some_and(|record| record.expires.is_some())
+    record.is_some_and(|record| record.remaining.is_some())
 }
 
 /// Guards against a lease that is not renewed for longer than necessary: while a worker's
--- a/crates/measure/src/flow/simulation.rs
+++ b/crates/measure/src/flow/simulation.rs
@@ -69,7 +69,7 @@
         for queue in workload.queues().keys() {
             (0..workload.pool_workers).for_each(|_| simulation.add_worker(queue.as_str()));
         }
-        let records = simulation.scheduler.incarnation_records(base, simulation.wall());
+        let records = simulation.scheduler.incarnation_records(base);
         simulation.scheduler.records_written(&records);
         // The first poll tells the worker's clock, the second one renews its lease.
         (0..2 * simulation.workers.len()).for_each(|at| simulation.poll(at / 2));
