flow, lead: no clock decides whether a repeated command has ended a worker

What callers would see: tasks that run twice (TWICE) on a machine of a wave. The platform answers a repeated command with success if it was carried out before. Whether such an answer has ended the worker that is known on the machine was told by its start time, a wall time of the machine, compared with the wall time at which a host had first seen the wave. A machine whose clock is behind by more than the time since then, and a second, was taken for gone while its worker was back and running; its tasks started elsewhere. A clock that is ahead left attempts of a machine that was gone until their lease ended.

Change: an answer ends the known worker only if no earlier command or list can have begun the maintenance, which the wave's own table of machines tells.

Evidence: a_repeated_command_ends_no_tasks_on_a_machine_that_is_back_with_a_clock_behind failed before.

Paths: a leader killed, stopped or paused between the command and its answer; a command carried out late; commands that are repeated by the same leader.

--- a/crates/flow/src/pools/machines.rs
+++ b/crates/flow/src/pools/machines.rs
@@ -291,15 +291,11 @@
         }
     }
 
-    /// Whether a command that was carried out has ended the worker that is
-    /// known here. A worker that started after maintenance can have begun is
-    /// back from it: the command had taken effect before.
+    /// Whether a command that was carried out has ended the worker that is known here. If
+    /// an earlier command may have taken effect before, that worker may be back from it.
     fn ended_known_worker(&self, command: &MachineCommand) -> bool {
         let MachineCommand::Maintain { machine, wave } = command else { return true };
-        let start_ms = self.worker_on(machine).map(|key| self.workers[key].incarnation.start_ms);
-        let start_ms =
-            SystemTime::UNIX_EPOCH + Duration::from_millis(start_ms.unwrap_or(u64::MAX / 2));
-        self.machines.waves.get(wave).is_some_and(|active| start_ms < active.earliest_start)
+        self.machines.waves.get(wave).is_some_and(|active| !active.may_have_begun(machine))
     }
 
     /// Lets the worker on a machine get work again.
--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -24,8 +24,6 @@
 /// Time after a takeover at which a machine without a registered worker counts
 /// as having no worker.
 const REGISTRATION_TIME: Duration = Duration::from_secs(8);
-/// Maximum difference between the clocks of workers and hosts.
-const MAX_CLOCK_SKEW: Duration = Duration::from_secs(1);
 
 /// A wave as requested by operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,9 +67,6 @@
     /// The machines of the wave.
     listed: HashSet<SmolStr>,
     pub(crate) first_seen: SystemTime,
-    /// Earliest time at which maintenance can have begun: an incarnation that
-    /// started before has not had its maintenance yet.
-    pub(crate) earliest_start: SystemTime,
     pub(crate) due: Instant,
     pub(crate) done: BTreeSet<SmolStr>,
     /// Machines that are or were down for it.
@@ -103,29 +98,23 @@
 }
 
 impl Scheduler {
-    /// Adds a wave that operators requested, with its durable state if there is
-    /// any. `old` means that the wave was requested before this leader took
-    /// over. For a wave that is known, the limit that operators have set last counts.
+    /// Adds a wave that operators requested, with its durable state if there is any. Returns
+    /// whether it is new; for one that is known, the limit that operators have set last counts.
     pub fn add_wave(
         &mut self,
         wave: Wave,
         record: Option<&WaveRecord>,
-        old: bool,
         now: Instant,
         wall: SystemTime,
-    ) {
+    ) -> bool {
         if let Some(active) = self.machines.waves.get_mut(&wave.number) {
             active.wave.max_down = wave.max_down;
-            return;
+            return false;
         }
         let first_seen = record.map_or(wall, |record| record.first_seen);
         let due = first_seen + wave.time_limit;
         let active = ActiveWave {
             due: now + due.duration_since(wall).unwrap_or_default(),
-            earliest_start: match record {
-                None if old => SystemTime::UNIX_EPOCH,
-                _ => first_seen - MAX_CLOCK_SKEW,
-            },
             first_seen,
             done: record.map(|record| record.done.clone()).unwrap_or_default(),
             down: DownMachines::default(),
@@ -136,6 +125,7 @@
         };
         self.machines.waves.insert(active.wave.number, active);
         self.machines.waves_changed = true;
+        true
     }
 
     /// Returns the states of the waves to make durable, if they have changed.
--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -105,6 +105,12 @@
         self.down.0.get(machine).is_some_and(|down| now < down.until)
     }
 
+    /// Whether the maintenance of a machine may have begun, and may even have ended: a command
+    /// for it was sent before, or a list has shown it in maintenance.
+    pub(crate) fn may_have_begun(&self, machine: &SmolStr) -> bool {
+        self.down.0.contains_key(machine)
+    }
+
     /// Returns the number of machines that may be down and are not being drained for a
     /// command that is repeated.
     pub(crate) fn down_count(&self, now: Instant) -> usize {
@@ -166,10 +172,15 @@
         down.count() + in_flight.count() < active.wave.max_down.max(1) as usize
     }
 
-    /// Whether a machine may be down for its maintenance, or a command for it is in progress.
+    /// Whether a machine may be down for its maintenance, or have had it without an answer, or
+    /// a command for it is in progress.
     pub fn may_be_maintained(&self, machine: &SmolStr, now: Instant) -> bool {
-        let is_down = self.machines.waves.values().any(|active| active.is_down(machine, now));
-        is_down || self.machines.commands.contains_key(machine)
+        let may_be = |active: &ActiveWave| {
+            let is_unanswered = active.awaits(machine) && active.may_have_begun(machine);
+            is_unanswered || active.is_down(machine, now)
+        };
+        let in_progress = self.machines.commands.contains_key(machine);
+        in_progress || self.machines.waves.values().any(may_be)
     }
 
     /// Returns for how long a machine counts as down after its maintenance has begun.
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -185,7 +185,7 @@
         time_limit: Duration::from_secs(8),
         max_down: 1,
     };
-    fixture.scheduler.add_wave(wave, None, false, fixture.now, fixture.wall());
+    fixture.scheduler.add_wave(wave, None, fixture.now, fixture.wall());
     for _ in 0..100 {
         fixture.round(20);
         fixture.poll("w-new", 5000);
@@ -280,7 +280,7 @@
     let due: Vec<SmolStr> = names[..6].iter().map(SmolStr::from).collect();
     let wave =
         Wave { number: 1, machines: due.clone(), time_limit: Duration::from_secs(60), max_down: 1 };
-    fixture.scheduler.add_wave(wave, None, false, fixture.now, fixture.wall());
+    fixture.scheduler.add_wave(wave, None, fixture.now, fixture.wall());
     fixture.round(50);
     let moved: Vec<_> = fixture
         .commands
@@ -302,7 +302,7 @@
     fixture.scheduler.set_machine_list(list.collect(), fixture.now);
     let wave =
         Wave { number: 1, machines: names, time_limit: Duration::from_secs(6), max_down: 12 };
-    fixture.scheduler.add_wave(wave, None, false, fixture.now, fixture.wall());
+    fixture.scheduler.add_wave(wave, None, fixture.now, fixture.wall());
     (0..200).for_each(|_| fixture.round(50));
     let (maintained, moved): (Vec<_>, Vec<_>) = fixture
         .commands
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -156,7 +156,7 @@
 
     fn add_wave(&mut self, machines: usize, limit_secs: u64, max_down: u32) {
         let wave = wave(machines, limit_secs, max_down);
-        self.scheduler.add_wave(wave, None, false, self.now, self.wall);
+        self.scheduler.add_wave(wave, None, self.now, self.wall);
     }
 
     /// Runs until a machine is commanded.
@@ -175,7 +175,7 @@
         self.change_leader(wave.machines.len());
         let done = answered.then(|| earlier.machine.clone()).into_iter().collect();
         let record = WaveRecord { number: 1, first_seen: self.wall, done };
-        self.scheduler.add_wave(wave, Some(&record), true, self.now, self.wall);
+        self.scheduler.add_wave(wave, Some(&record), self.now, self.wall);
         self.scheduler.restore_command(earlier, self.now);
     }
 
@@ -494,3 +494,36 @@
     assert_eq!(fleet.maintenance_count(), 12);
     assert_eq!(fleet.most_down(), 1);
 }
+
+/// Guards against tasks that run twice after a machine was commanded again: the earlier
+/// command had been carried out, so the answer ends nothing, and the clock of the machine is
+/// behind, so that its worker seems to have started before the wave.
+#[test]
+fn a_repeated_command_ends_no_tasks_on_a_machine_that_is_back_with_a_clock_behind() {
+    let mut fleet = TestFleet::new(3);
+    fleet.add_wave(3, 30, 1);
+    let earlier = fleet.run_to_command();
+    fleet.change_wave_leader(wave(3, 30, 1), &earlier, false);
+    let back: HostId = earlier.machine.replace('m', "w").parse().unwrap();
+    let mut spec: JobSpec = (*job("q-a", vec![step(2, 1000, 60_000)], fleet.wall)).clone();
+    spec.team = None;
+    fleet.scheduler.add_job(JobId::new(1), Arc::new(spec), 10, fleet.now);
+    let running = |index| RunningAttempt {
+        task: TaskId {
+            step: vg_flow::StepId { job: JobId::new(1), occurrence: 0, step: 0 },
+            index,
+        },
+        attempt: vg_flow::AttemptNumber(1),
+        checkpoint: SmolStr::default(),
+        percent: 0,
+        gauge: 0.0,
+    };
+    fleet.running.insert(back.clone(), vec![running(0), running(1)]);
+    while !fleet.commands.iter().skip(1).any(|(_, each)| *each.machine() == earlier.machine) {
+        fleet.run(20);
+    }
+    // Its next poll is open for a while.
+    fleet.running.remove(&back);
+    fleet.run(500);
+    assert!(fleet.running.values().all(Vec::is_empty), "{:?}", fleet.running);
+}
--- a/crates/flow/tests/zone_drain.rs
+++ b/crates/flow/tests/zone_drain.rs
@@ -147,7 +147,7 @@
     let time_limit = Duration::from_secs(10);
     let wave = vg_flow::Wave { number: 1, machines, time_limit, max_down: 2 };
     let (now, wall) = (world.now(), world.wall());
-    world.scheduler.add_wave(wave, None, false, now, wall);
+    world.scheduler.add_wave(wave, None, now, wall);
     assert!(world.scheduler.is_fleet_drained());
     submit(&mut world, 3, vec![step(2, 1000, 200)]);
     let starts = world.starts;
--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -78,13 +78,6 @@
     pub(crate) age: Duration,
 }
 
-impl CommandRecord {
-    /// Returns it for the leader that has read it.
-    pub(crate) fn to_earlier(&self) -> EarlierCommand {
-        EarlierCommand { machine: self.machine.clone(), wave: self.wave, age: self.age }
-    }
-}
-
 /// A command to a machine that this host has sent, or of which it has read the record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RecordedCommand {
@@ -117,6 +110,11 @@
         now.saturating_duration_since(self.since)
     }
 
+    /// Returns it for a leader that has read it.
+    pub(crate) fn to_earlier(&self, now: Instant) -> EarlierCommand {
+        EarlierCommand { machine: self.machine.clone(), wave: self.wave, age: self.age(now) }
+    }
+
     /// Returns the record of it that is written at `now`.
     pub(crate) fn to_record(&self, now: Instant) -> CommandRecord {
         let (machine, wave) = (self.machine.clone(), self.wave);
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -247,7 +247,7 @@
             if let Some(config) = config.borrow_and_update().clone() {
                 self.scheduler().set_config(config);
             }
-            self.add_waves(&waves.borrow_and_update().clone(), false);
+            self.add_waves(&waves.borrow_and_update().clone());
             self.wake.notify_one();
             let changed = tokio::select! {
                 changed = config.changed() => changed,
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -212,7 +212,7 @@
         lock(&self.revisions).waves =
             (entry.map(|entry| entry.modified), records.unwrap_or_default());
         let waves = self.host.inner.waves.borrow().clone();
-        self.add_waves(&waves, true);
+        self.add_waves(&waves);
     }
 
     /// Notes the machines that an earlier leader commanded recently: they receive no other
@@ -231,11 +231,12 @@
         };
         let mut scheduler = self.scheduler();
         scheduler.end_machine_hold(now);
-        for command in &commands {
-            scheduler.restore_command(&command.to_earlier(), now);
+        let recorded: Vec<_> =
+            commands.into_iter().map(|each| RecordedCommand::from_record(each, now)).collect();
+        for command in &recorded {
+            scheduler.restore_command(&command.to_earlier(now), now);
         }
-        let recorded = commands.into_iter().map(|each| RecordedCommand::from_record(each, now));
-        lock(&self.revisions).commands = (entry.map(|entry| entry.modified), recorded.collect());
+        lock(&self.revisions).commands = (entry.map(|entry| entry.modified), recorded);
     }
 
     /// Follows jobs and cancellations in the store.
