lead, flow: a job that is newer than the term may run by the earlier leader

Callers saw: a task ran on two workers at once around a change of the leader, several tasks of several jobs in one moment, on a worker that had not answered the new leader.

Cause: a job accepted after the term was written counted as one that no earlier leader can have started, so nothing of it was held back for workers that have not answered. That holds only if a leader's lease lasts as long as the leader counts on. The store may end leases before their time while it is down for all or for some hosts. The earlier leader then goes on by what it knows for up to the lease and the grace time, accepts jobs, and starts them on workers that the new one has not reached.

Evidence: a_job_that_is_newer_than_the_term_may_run_by_the_earlier_leader (lead/tests/early_vacancy.rs) failed with "2.0.0.0 runs on w2 and on [w1]".

Change: a job that is read until the lease and the grace time have passed since the takeover counts as one that an earlier leader may have started, whatever its revision. It waits only for workers of its pool that have not answered and whose tasks are not recorded; after a planned stop there are none. The tests' workers now check each start, and a host can be cut off from single workers.

Paths looked at: jobs by the watch, by a message, by the host's own intake; workers that have answered refuse the earlier leader by its token; sealed and final records list all tasks, and the earlier leader cannot unseal them.

--- a/crates/flow/src/jobs/intake.rs
+++ b/crates/flow/src/jobs/intake.rs
@@ -8,6 +8,12 @@
 use crate::{JobOutcome, JobSpec, Progress, Scheduler, StopReason};
 
 impl Scheduler {
+    /// Notes until when the earlier leader may start jobs that are accepted after this one
+    /// took over: the store may end a lease before its time, and the host can't know.
+    pub fn set_overlap(&mut self, until: Instant) {
+        self.overlap_until = until;
+    }
+
     /// Adds a job that is durable in the store since `revision`; returns
     /// whether it was new.
     pub fn add_job(&mut self, id: JobId, spec: Arc<JobSpec>, revision: u64, now: Instant) -> bool {
@@ -20,7 +26,8 @@
         let pool = pool.unwrap_or_else(|| self.unknown_pool());
         self.record_arrival(&pool, &spec, now);
         let team = self.teams.index(spec.team.as_ref());
-        let job = Job::new(id, spec, pool, team, revision);
+        let is_earlier = revision <= self.token.0 || now < self.overlap_until;
+        let job = Job::new(id, spec, pool, team, is_earlier);
         self.queue_work.add(&job.spec.queue, job.work);
         self.job_sizes.add(&job.spec.queue, job.work);
         let key = self.jobs.insert(job);
--- a/crates/flow/src/jobs/job.rs
+++ b/crates/flow/src/jobs/job.rs
@@ -44,8 +44,8 @@
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) pool: PoolId,
     pub(crate) team_index: TeamIndex,
-    /// Revision of the store at which it was accepted.
-    pub(crate) revision: u64,
+    /// Whether an earlier leader may have started it.
+    pub(crate) is_earlier: bool,
     /// Estimated time from each step's start to the job's end.
     pub(crate) critical_paths: Vec<Duration>,
     pub(crate) work: f64,
@@ -83,13 +83,13 @@
         spec: Arc<JobSpec>,
         pool: PoolId,
         team_index: TeamIndex,
-        revision: u64,
+        is_earlier: bool,
     ) -> Job {
         Job {
             id,
             pool,
             team_index,
-            revision,
+            is_earlier,
             critical_paths: spec.critical_paths(),
             work: spec.work(),
             kinds: TaskKinds::of(&spec),
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -176,7 +176,7 @@
     /// Whether an earlier leader may have started tasks of a job on workers
     /// that are unresolved and whose tasks are not recorded.
     pub(crate) fn may_run_unseen(&self, job: &Job) -> bool {
-        job.revision <= self.token.0 && self.unresolved.affects_pool(&job.pool)
+        job.is_earlier && self.unresolved.affects_pool(&job.pool)
     }
 
     /// Starts waiting tasks of a step until one finds no worker, the team's limit is
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -49,6 +49,9 @@
     pub(crate) rules: SchedulingRules,
     pub(crate) token: FencingToken,
     pub(crate) leader_since: Instant,
+    /// Jobs that are read before this time may have been started by the earlier leader,
+    /// whatever their revision.
+    pub(crate) overlap_until: Instant,
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) job_ids: HashMap<JobId, JobKey>,
@@ -153,6 +156,7 @@
             rules,
             token,
             leader_since: now,
+            overlap_until: now,
             config,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -329,8 +329,8 @@
         if self.unresolved.is_empty() {
             return;
         }
-        let (token, early) = (self.token, self.early_opening());
-        let earlier = self.jobs.values_mut().filter(|job| job.revision <= token.0);
+        let early = self.early_opening();
+        let earlier = self.jobs.values_mut().filter(|job| job.is_earlier);
         earlier.for_each(|job| job.open_due(wall, early));
     }
 
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -104,11 +104,13 @@
     host.record(Code::LeadershipTaken, [Field::new("fence", token)]);
     let Some(config) = host.config() else { return };
     let rules = host.inner.options.rules.clone();
+    let mut scheduler = Scheduler::new(rules, token, config, started);
+    scheduler.set_overlap(started + host.inner.options.lease_ttl() + EXPIRED_LEASE_GRACE);
     let leader = Arc::new(Leader {
         host: host.clone(),
         token,
         lease: Mutex::new(lease),
-        scheduler: Mutex::new(Scheduler::new(rules, token, config, started)),
+        scheduler: Mutex::new(scheduler),
         wake: Notify::new(),
         commit_needed: Notify::new(),
         committed: Notify::new(),
--- /dev/null
+++ b/crates/lead/tests/early_vacancy.rs
@@ -0,0 +1,60 @@
+//! Tests of a leadership that becomes vacant before its leader can know: the store may end a
+//! lease before its time.
+
+#[allow(dead_code, reason = "each test file uses a part")]
+mod support;
+
+use support::{Cluster, Node, eventually, id, is_done, job, soon};
+use vg_base::prelude::*;
+use vg_flow::JobSpec;
+use vg_lead::SubmitOutcome;
+use vg_store::{CallKind, Fault};
+
+/// A job of one task.
+fn single() -> JobSpec {
+    let mut spec = job(1);
+    spec.steps.truncate(1);
+    spec
+}
+
+/// A host that leads by what it knows, and the one that has taken the leadership. The first
+/// is cut off from worker `w2`, the second one from worker `w1`.
+struct Deposed {
+    cluster: Cluster,
+    old: Node,
+    new: Node,
+}
+
+/// Ends the lease of a leader before its time. It does not see that, and writes jobs.
+async fn depose() -> Deposed {
+    let cluster = Cluster::new().await;
+    let old = cluster.node("a").await;
+    eventually(async || old.host.is_leading()).await;
+    let new = cluster.node("b").await;
+    // From here on both workers have a record.
+    assert_eq!(old.host.submit(id(1), job(4), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&new.host.job_status(id(1), soon()).await)).await;
+    cluster.fleet.set_cut("a", "w2", true);
+    cluster.fleet.set_cut("b", "w1", true);
+    old.faults.set_silent(true);
+    old.faults.script(CallKind::Lease, Fault::Unavailable, 10_000);
+    old.store.expire_leases().await;
+    eventually(async || new.host.is_leading()).await;
+    assert!(old.host.is_leading(), "the earlier leader has learned of its end");
+    Deposed { cluster, old, new }
+}
+
+/// Guards against two runs of a task: a leader whose lease the store has ended accepts a job
+/// and starts it, and its successor takes the job for one that nobody can have started.
+#[tokio::test]
+async fn a_job_that_is_newer_than_the_term_may_run_by_the_earlier_leader() {
+    let Deposed { cluster, old, new } = depose().await;
+    *cluster.fleet.task_duration.lock().unwrap() = Duration::from_secs(3);
+    assert_eq!(old.host.submit(id(2), single(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(2)) > 0).await;
+    assert_eq!(cluster.fleet.running_on("w1").len(), 1, "the earlier leader did not start it");
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    cluster.fleet.set_cut("b", "w1", false);
+    eventually(async || is_done(&new.host.job_status(id(2), soon()).await)).await;
+    assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
+}
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -1,7 +1,9 @@
 //! Hosts in one process that share an in-memory store and simulated workers.
 
 mod clock;
+mod oracle;
 
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::Instant as StdInstant;
 
@@ -22,6 +24,7 @@
 use vg_store::{Entry, FaultControl, FaultyStore, Key, MemStore, Store, Txn, Value};
 
 pub(crate) use clock::TestClock;
+use oracle::Oracle;
 
 /// Duration of a task, unless a test sets another.
 pub(crate) const TASK_DURATION: Duration = Duration::from_millis(150);
@@ -50,6 +53,9 @@
     /// Polls: the worker, whether its lease was renewed, and for how long it could hold
     /// back its answer.
     pub(crate) polls: Mutex<Vec<(HostId, bool, Duration)>>,
+    /// Hosts and the workers that they do not reach.
+    cuts: Mutex<HashSet<(SmolStr, SmolStr)>>,
+    pub(crate) oracle: Mutex<Oracle>,
 }
 
 impl Fleet {
@@ -60,11 +66,58 @@
     fn with<T>(&self, id: &HostId, act: impl FnOnce(&mut SimulatedWorker, u64) -> T) -> Option<T> {
         let ms = self.ms();
         let mut workers = self.workers.lock().unwrap();
+        for worker in workers.iter_mut() {
+            self.oracle.lock().unwrap().note_ends(&worker.advance(ms));
+        }
         let worker = workers.iter_mut().find(|worker| worker.id == id.as_str())?;
-        worker.advance(ms);
         worker.reachable.then(|| act(worker, ms))
     }
 
+    /// Carries out a start, and checks it.
+    fn start(
+        &self,
+        start: &StartCommand,
+        act: impl FnOnce(&mut SimulatedWorker, u64) -> StartAnswer,
+    ) -> Option<StartAnswer> {
+        let mut is_new = false;
+        let answer = self.with(&start.incarnation.id, |worker, ms| {
+            let before = worker.running.len();
+            let answer = act(worker, ms);
+            is_new = worker.running.len() > before;
+            answer
+        });
+        if is_new {
+            let workers = self.workers.lock().unwrap();
+            let id = start.incarnation.id.as_str();
+            let runs = |worker: &&SimulatedWorker| {
+                worker.id != id && worker.running.iter().any(|run| run.task == start.task)
+            };
+            let elsewhere: Vec<_> =
+                workers.iter().filter(runs).map(|worker| worker.id.to_string()).collect();
+            self.oracle.lock().unwrap().note_start(start.task, id, &elsewhere);
+        }
+        answer
+    }
+
+    /// Cuts a host off from a worker, or ends that. Others still reach the worker.
+    pub(crate) fn set_cut(&self, host: &str, worker: &str, cut: bool) {
+        let pair = (host.into(), worker.into());
+        let mut cuts = self.cuts.lock().unwrap();
+        _ = if cut { cuts.insert(pair) } else { cuts.remove(&pair) };
+    }
+
+    /// Returns the tasks that a worker runs.
+    pub(crate) fn running_on(&self, id: &str) -> Vec<TaskId> {
+        let workers = self.workers.lock().unwrap();
+        let worker = workers.iter().find(|worker| worker.id == id).unwrap();
+        worker.running.iter().map(|run| run.task).collect()
+    }
+
+    /// Returns what the workers have seen that must not be.
+    pub(crate) fn violations(&self) -> Vec<String> {
+        self.oracle.lock().unwrap().violations()
+    }
+
     /// Makes a worker reachable or unreachable.
     pub(crate) fn set_reachable(&self, id: &str, reachable: bool) {
         let mut workers = self.workers.lock().unwrap();
@@ -88,11 +141,21 @@
 /// The platform of one host.
 #[derive(Debug, Clone)]
 pub(crate) struct TestPlatform {
+    /// The name of the host.
+    name: SmolStr,
     pub(crate) store: SharedStore,
     layout: KeyLayout,
     pub(crate) fleet: Arc<Fleet>,
 }
 
+impl TestPlatform {
+    /// Whether the host is cut off from a worker.
+    fn is_cut(&self, worker: &HostId) -> bool {
+        let pair = (self.name.clone(), worker.as_str().into());
+        self.fleet.cuts.lock().unwrap().contains(&pair)
+    }
+}
+
 /// A store and workers that several hosts share.
 #[derive(Debug, Clone)]
 pub(crate) struct Cluster {
@@ -137,6 +200,8 @@
             start_workers: Mutex::default(),
             machines: Mutex::default(),
             polls: Mutex::default(),
+            cuts: Mutex::default(),
+            oracle: Mutex::default(),
         };
         let cluster = Cluster {
             inner: MemStore::new(SystemClock),
@@ -176,6 +241,7 @@
     async fn start_node(&self, name: &str, capacity: HostCapacity, watched: &str) -> Node {
         let faults = FaultControl::new();
         let platform = TestPlatform {
+            name: name.into(),
             store: FaultyStore::new(self.inner.clone(), faults.clone()),
             layout: KeyLayout {
                 operator_prefix: Key::from(watched),
@@ -357,9 +423,11 @@
             continuous: false,
             stop_ms: None,
         };
-        let answer = self
-            .fleet
-            .with(&start.incarnation.id, |worker, ms| worker.start(start, token, task_attempt, ms));
+        if self.is_cut(&start.incarnation.id) {
+            return StartAnswer::Unanswered;
+        }
+        let answer =
+            self.fleet.start(start, |worker, ms| worker.start(start, token, task_attempt, ms));
         if answer == Some(StartAnswer::Started) {
             self.fleet.starts.lock().unwrap().push((start.task, start.attempt));
             self.fleet.start_workers.lock().unwrap().push(start.incarnation.id.clone());
@@ -374,6 +442,9 @@
         attempt: AttemptNumber,
         token: FencingToken,
     ) -> CommandAnswer {
+        if self.is_cut(&incarnation.id) {
+            return CommandAnswer::Unanswered;
+        }
         match self
             .fleet
             .with(&incarnation.id, |worker, ms| worker.stop(task, attempt, token, 50, ms))
@@ -399,7 +470,14 @@
         let poll = (renewal.incarnation.id.clone(), renewal.deadline_ms.is_some(), wait);
         self.fleet.polls.lock().unwrap().push(poll);
         tokio::time::sleep(wait.min(Duration::from_millis(50))).await;
+        if self.is_cut(&renewal.incarnation.id) {
+            return Err(PollError::Unanswered);
+        }
+        let oracle = &self.fleet.oracle;
         let poll = |worker: &mut SimulatedWorker, ms| {
+            if renewal.token >= worker.token {
+                oracle.lock().unwrap().note_acknowledged(worker, renewal.acknowledged);
+            }
             worker.poll(renewal.token, renewal.deadline_ms, renewal.acknowledged, ms)
         };
         match self.fleet.with(&renewal.incarnation.id, poll) {
