lead: the end of a task whose job is not read yet is kept

Callers saw: a task was started again after it had ended `done` and that end was acknowledged, in the moment in which others ran twice.

Cause: a leader took a reported job that it did not know for one that has ended. It recorded nothing of its ends, and acknowledged them. A job that an earlier leader accepted and started after this one listed the jobs becomes known only by the watch or a message. Its tasks then started from the beginning, and the workers had forgotten their ends.

Evidence: the_end_of_a_task_whose_job_is_not_read_yet_is_kept (lead/tests/early_vacancy.rs) failed with "2.0.0.0 was started after its noted end".

Change: before a report is applied, the jobs of its new ends that are neither in memory nor known to have ended are read from the store, and added if they are there; for a worker's first report also those of running attempts. If the store does not answer, the report is not applied, and the worker reports the same again.

Paths looked at: jobs that have ended under this leader are known from memory and cost no read; a job is deleted in the transaction that writes its outcome; a cancellation is read with its job.

--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -14,6 +14,7 @@
 mod outcomes;
 mod polls;
 mod recovery;
+mod unknown_jobs;
 mod zone_drains;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -60,6 +60,14 @@
             let now = self.host.inner.clock.now();
             match result {
                 Ok(report) => {
+                    let read =
+                        self.read_unknown_jobs(&report, renewal.received, !has_answered).await;
+                    if let Err(error) = read {
+                        // The worker reports the same again.
+                        log::debug!(target: "store", "cannot read a reported job: {error}");
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        continue;
+                    }
                     let is_first = !std::mem::replace(&mut has_answered, true);
                     if unreachable.take().is_some() {
                         self.host.record(Code::EndpointRestored, [Field::new("worker", &id)]);
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -154,7 +154,7 @@
     }
 
     /// Adds one job unless it has finished or is known already.
-    fn add_job(&self, job: JobId, entry: &Entry) {
+    pub(super) fn add_job(&self, job: JobId, entry: &Entry) {
         // A watch that lags behind may show a job that has finished since.
         if self.host.cached_outcome(job).is_some() {
             return;
--- a/crates/lead/tests/early_vacancy.rs
+++ b/crates/lead/tests/early_vacancy.rs
@@ -58,3 +58,23 @@
     eventually(async || is_done(&new.host.job_status(id(2), soon()).await)).await;
     assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
 }
+
+/// Guards against a task that is started again after its end was acknowledged: the next
+/// leader reads the end of a job that it has not read yet, and takes it for an ended job.
+#[tokio::test]
+async fn the_end_of_a_task_whose_job_is_not_read_yet_is_kept() {
+    let Deposed { cluster, old, new } = depose().await;
+    eventually(async || new.host.job_status(id(9), soon()).await == vg_lead::JobStatus::Absent)
+        .await;
+    new.faults.set_silent(true);
+    assert_eq!(old.host.submit(id(2), single(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(2)) > 0).await;
+    assert_eq!(cluster.fleet.running_on("w1").len(), 1, "the earlier leader did not start it");
+    old.tasks.stop().await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.fleet.set_cut("b", "w1", false);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    new.faults.set_silent(false);
+    eventually(async || is_done(&new.host.job_status(id(2), soon()).await)).await;
+    assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
+}
