--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -14,6 +14,7 @@
 mod outcomes;
 mod polls;
 mod recovery;
+mod unknown_jobs;
 mod zone_drains;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -104,11 +105,13 @@
     host.record(Code::LeadershipTaken, [Field::new("fence", token)]);
     let Some(config) = host.config() else { return };
     let rules = host.inner.options.rules.clone();
+    let mut scheduler = Scheduler::new(rules, token, config, started);
+    scheduler.set_overlap(started + host.inner.options.lease_ttl() + EXPIRED_LEASE_GRACE);
     let leader = Arc::new(Leader {
         host: host.clone(),
         token,
         lease: Mutex::new(lease),
-        scheduler: Mutex::new(Scheduler::new(rules, token, config, started)),
+        scheduler: Mutex::new(scheduler),
         wake: Notify::new(),
         commit_needed: Notify::new(),
         committed: Notify::new(),
