workers: a life whose start is earlier is known by its answers

What callers saw: tasks on a worker whose wall clock was set back between two of its lives were neither run nor started elsewhere, and the worker got no work under this leader.

Cause: `start_ms` is a wall time of the worker, and orders its lives. A life with an earlier start was ignored in registrations and in answers to polls, while its answers kept the life before reachable.

Change: an answer to a poll that was sent since the known life is known comes from that life or a later one, whatever its start. Lives that have ended are remembered by their start, so that a registration of one does not replace the later one.

Paths looked at: register, apply_report, poll_failed, stop_answered, batch_committed and late starts (all compare starts for equality only), crash marks (an earlier start only delays certainty).

--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -33,7 +33,7 @@
         if let Some(start_ms) = report.start_ms
             && start_ms != self.workers[key].incarnation.start_ms
         {
-            if start_ms < self.workers[key].incarnation.start_ms {
+            if !self.workers[key].is_later_start(start_ms, sent) {
                 return false;
             }
             self.begin_incarnation(key, start_ms, now);
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -63,11 +63,14 @@
             self.stop_late_starts(key, now);
             return true;
         };
-        if self.workers[key].incarnation.start_ms != registration.incarnation.start_ms {
-            if registration.incarnation.start_ms < self.workers[key].incarnation.start_ms {
+        let (start_ms, present) =
+            (registration.incarnation.start_ms, self.workers[key].incarnation.start_ms);
+        if start_ms != present {
+            // If the worker's clock was set back, its answers will show the later one.
+            if start_ms < present || !self.workers[key].may_follow(start_ms) {
                 return false;
             }
-            self.begin_incarnation(key, registration.incarnation.start_ms, now);
+            self.begin_incarnation(key, start_ms, now);
         }
         let worker = &mut self.workers[key];
         let changed = worker.incarnation != registration.incarnation;
@@ -192,7 +195,7 @@
         self.note_restarted_worker(key, now);
         let late_lease = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
         let worker = &mut self.workers[key];
-        worker.incarnation.start_ms = start_ms;
+        worker.replace_start(start_ms, now);
         // What the previous one registered may not hold for this one.
         worker.registered = false;
         worker.recorded = false;
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -21,6 +21,10 @@
 /// Longest time after which a command or a poll without an answer arrives at its worker.
 pub(crate) const MESSAGE_DELAY_MAX: Duration = Duration::from_secs(12);
 
+/// Number of ended incarnations whose starts are kept. Their registrations lapse within
+/// seconds.
+const MAX_PAST_STARTS: usize = 8;
+
 /// One incarnation of a worker: the time from the start of its process to its
 /// end.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
@@ -79,6 +83,10 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
     pub(crate) incarnation: WorkerIncarnation,
+    /// Since when this leader knows the incarnation.
+    pub(crate) known_since: Instant,
+    /// Starts of incarnations that are known to have ended.
+    pub(crate) past_starts: Vec<u64>,
     pub(crate) capacity: Resources,
     /// The most that this incarnation has had: its capacity may shrink and grow again.
     pub(crate) full_capacity: Resources,
@@ -156,6 +164,8 @@
     pub(crate) fn new(registration: &WorkerRegistration, now: Instant) -> Worker {
         let mut worker = Worker {
             incarnation: registration.incarnation.clone(),
+            known_since: now,
+            past_starts: Vec::new(),
             capacity: registration.capacity,
             full_capacity: registration.capacity,
             labels: registration.labels.clone(),
@@ -231,6 +241,29 @@
         self.machine.clone().unwrap_or_else(|| self.incarnation.id.as_str().into())
     }
 
+    /// Whether a start that an answer to a poll names is that of a later incarnation. An
+    /// answer to a poll that was sent since the present one is known comes from no earlier
+    /// one, whatever its start: the worker's wall clock may be set back between two lives.
+    pub(crate) fn is_later_start(&self, start_ms: u64, sent: Instant) -> bool {
+        self.may_follow(start_ms)
+            && (start_ms > self.incarnation.start_ms || sent > self.known_since)
+    }
+
+    /// Whether a start differs from that of the present incarnation, and is not that of one
+    /// that has ended.
+    pub(crate) fn may_follow(&self, start_ms: u64) -> bool {
+        start_ms != self.incarnation.start_ms && !self.past_starts.contains(&start_ms)
+    }
+
+    /// Notes that its present incarnation has ended, and that a later one has begun.
+    pub(crate) fn replace_start(&mut self, start_ms: u64, now: Instant) {
+        let past = std::mem::replace(&mut self.incarnation.start_ms, start_ms);
+        self.past_starts.push(past);
+        let excess = self.past_starts.len().saturating_sub(MAX_PAST_STARTS);
+        self.past_starts.drain(..excess);
+        self.known_since = now;
+    }
+
     /// Notes that it has started again: polls that were sent before may still arrive. Those
     /// that acknowledge nothing do no harm, nor do those of an earlier leader, which are
     /// refused by their token.
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -5,7 +5,10 @@
 use support::spec::{job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Action, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand, StepSpec};
+use vg_flow::{
+    Action, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand, StepSpec,
+    WorkerIncarnation, WorkerRegistration,
+};
 
 /// When a late start arrives, after it was sent.
 const LATE_MS: u64 = 9000;
@@ -269,3 +272,76 @@
     assert_eq!((world.starts, running(&world)), (1, 1));
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Returns a registration of a worker of pool `a` on a machine.
+fn registration(world: &World, id: &str, start_ms: u64, machine: &str) -> WorkerRegistration {
+    let addr = ([127, 0, 0, 1], 900).into();
+    WorkerRegistration {
+        incarnation: WorkerIncarnation {
+            id: id.parse().unwrap(),
+            start_ms,
+            pool: "a".parse().unwrap(),
+            addr,
+        },
+        zone: "z0".parse().unwrap(),
+        draining: false,
+        capacity: world.workers[0].capacity,
+        labels: vec!["a".into(), "r0".into()],
+        machine: Some(machine.into()),
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// Starts a worker again after its wall clock was set back. Returns the start of the life
+/// before.
+fn restart_set_back(world: &mut World, at: usize) -> u64 {
+    world.restart(at);
+    world.run(500);
+    let before = world.workers[at].start_ms;
+    world.workers[at].restart(world.ms);
+    world.workers[at].start_ms = before - 1000;
+    world.register();
+    before
+}
+
+/// Guards against a worker that is ignored for ever, and tasks that wait for it for ever,
+/// because its wall clock was set back between two of its lives.
+#[test]
+fn a_worker_whose_clock_was_set_back_is_the_later_life() {
+    let mut world = World::new(1, 1, Faults::default());
+    world.run(2 * LATE_MS);
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(2, 4000, 2000)], wall));
+    world.run(300);
+    assert_eq!(running(&world), 2);
+    restart_set_back(&mut world, 0);
+    // Its registration comes with each heartbeat.
+    world.run(500);
+    world.register();
+    // Polls of an earlier life that acknowledge ends may arrive for 12 s.
+    world.run(18_000);
+    assert_eq!(world.open_jobs(), 0);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a task that runs twice: a registration of an earlier life is read again,
+/// whose start is later because the wall clock was set back since.
+#[test]
+fn a_registration_of_an_earlier_life_does_not_replace_the_later_one() {
+    let mut world = world();
+    let before = restart_set_back(&mut world, 0);
+    world.run(500);
+    world.register();
+    world.run(14_000);
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(4, 5000, 30_000) };
+    world.submit(1, job("q-a", vec![spread], wall));
+    world.run(500);
+    assert!(!world.workers[0].running.is_empty());
+    let (now, stale) = (world.now(), registration(&world, "w0", before, "m0"));
+    world.scheduler.register(&stale, now);
+    world.workers[0].reachable = false;
+    world.run(3000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert_eq!(running(&world), 4);
+}
