workers: only an answer shows that the others on its machine have ended

A worker on a machine whose wall clock was set back since an earlier worker began there was taken for ended as soon as the registration of the earlier one was read: by the leader that had started its tasks, and by the next one, which dropped the record of it.

Cause: a wall time of the machine (`start_ms`) ordered the workers on it, and a registration alone, which lapses seconds after its worker, was evidence.

Evidence: the test fails before, for the same leader, the next one, and one that leads again: two tasks run twice.

Change: a machine runs one worker at a time, so an answer to a poll that was sent after another worker on the machine was known shows that the other one has ended. No start is compared, and a registration alone shows nothing.

A worker that has registered on the machine of another is polled at once, so little waits longer.

Paths looked at: register, apply_report, worker_on (still the latest start: it chooses whom to drain, and ends no attempt but in machine_left).

--- a/crates/flow/src/workers/machine_workers.rs
+++ b/crates/flow/src/workers/machine_workers.rs
@@ -40,16 +40,24 @@
         }
     }
 
-    /// Marks earlier workers on a machine as gone: a later one has registered there.
-    /// What they ran has ended; what they were told to start is refused by the later
-    /// one.
-    pub(crate) fn end_earlier_workers(&mut self, later: WorkerKey, now: Instant) {
-        let Some(machine) = self.workers[later].machine.clone() else { return };
-        let start_ms = self.workers[later].incarnation.start_ms;
+    /// Marks the other workers on the machine of a worker as gone, as it has answered a poll
+    /// that was sent after they were known: a machine runs one at a time. Their starts are no
+    /// evidence, since the machine's wall clock may be set back between two lives. What they
+    /// ran has ended; what they were told to start is refused by the present one.
+    pub(crate) fn end_others_on_machine(
+        &mut self,
+        present: WorkerKey,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let worker = &self.workers[present];
+        // After a restart its machine is not known before it has registered.
+        let Some(machine) = worker.machine.clone().filter(|_| worker.registered) else { return };
+        self.clear_others(&worker.incarnation.id.clone(), &machine);
         let here = self.machines.workers.get(&machine).cloned().unwrap_or_default();
-        for key in here.into_iter().filter(|&key| key != later) {
+        for key in here.into_iter().filter(|&key| key != present) {
             let worker = &self.workers[key];
-            if worker.leaving || worker.incarnation.start_ms >= start_ms {
+            if worker.leaving || worker.known_since >= sent {
                 continue;
             }
             self.note_restarted_worker(key, now);
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -42,6 +42,7 @@
             self.clear_unresolved(id);
             self.workers[key].require_record();
         }
+        self.end_others_on_machine(key, sent, now);
         // The worker still answers although it should be gone by now, so the
         // command to take its machine away had taken effect before.
         let worker = &mut self.workers[key];
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -50,7 +50,6 @@
     /// not recorded and has to be recorded before the worker gets work; `false`
     /// if a later incarnation is known.
     pub fn register(&mut self, registration: &WorkerRegistration, now: Instant) -> bool {
-        self.clear_earlier(&registration.incarnation, registration.machine.as_ref());
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
             let mut worker = Worker::new(registration, now);
             worker.late_polls = self.late_polls.remove(&registration.incarnation.id);
@@ -59,7 +58,6 @@
             self.note_start(key);
             self.enter_zone(key);
             self.enter_machine(key, None);
-            self.end_earlier_workers(key, now);
             self.stop_late_starts(key, now);
             return true;
         };
@@ -87,7 +85,6 @@
         self.note_start(key);
         self.enter_zone(key);
         self.enter_machine(key, earlier);
-        self.end_earlier_workers(key, now);
         self.stop_late_starts(key, now);
         !recorded
     }
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -280,15 +280,11 @@
         worker.sealed && !self.frozen && !worker.leaving && !commanded
     }
 
-    /// Removes earlier incarnations of a machine on which a later one has
-    /// registered.
-    pub(crate) fn clear_earlier(&mut self, later: &WorkerIncarnation, machine: Option<&SmolStr>) {
-        let Some(machine) = machine else { return };
+    /// Removes the incarnations on a machine apart from that of `present`, which has answered
+    /// this leader: they were recorded before, and a machine runs one at a time.
+    pub(crate) fn clear_others(&mut self, present: &HostId, machine: &SmolStr) {
         self.unresolved.retain(|entry| {
-            let same_machine = entry.machine.as_ref() == Some(machine);
-            !same_machine
-                || entry.incarnation.id == later.id
-                || entry.incarnation.start_ms >= later.start_ms
+            entry.machine.as_ref() != Some(machine) || entry.incarnation.id == *present
         });
     }
 
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -345,3 +345,27 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
     assert_eq!(running(&world), 4);
 }
+
+/// Guards against tasks that run twice: an earlier worker on the machine is still registered,
+/// and its start is later because the machine's wall clock was set back since.
+#[test]
+fn a_registration_of_an_earlier_worker_on_a_machine_ends_nothing_on_the_later_one() {
+    let changes = [None, Some(World::change_leader as fn(&mut World)), Some(World::lead_again)];
+    for change in changes {
+        let mut world = world();
+        let wall = world.wall();
+        world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
+        world.run(300);
+        let busy = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+        world.workers[busy].reachable = false;
+        if let Some(change) = change {
+            change(&mut world);
+        }
+        let machine = world.workers[busy].machine.clone();
+        let (now, later) = (world.now(), world.ms + 5000);
+        let earlier = registration(&world, "earlier", later, &machine);
+        world.scheduler.register(&earlier, now);
+        world.run(3000);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+    }
+}
