--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -33,7 +33,7 @@
         if let Some(start_ms) = report.start_ms
             && start_ms != self.workers[key].incarnation.start_ms
         {
-            if start_ms < self.workers[key].incarnation.start_ms {
+            if !self.workers[key].is_later_start(start_ms, sent) {
                 return false;
             }
             self.begin_incarnation(key, start_ms, now);
@@ -42,6 +42,7 @@
             self.clear_unresolved(id);
             self.workers[key].require_record();
         }
+        self.end_others_on_machine(key, sent, now);
         // The worker still answers although it should be gone by now, so the
         // command to take its machine away had taken effect before.
         let worker = &mut self.workers[key];
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -50,7 +50,6 @@
     /// not recorded and has to be recorded before the worker gets work; `false`
     /// if a later incarnation is known.
     pub fn register(&mut self, registration: &WorkerRegistration, now: Instant) -> bool {
-        self.clear_earlier(&registration.incarnation, registration.machine.as_ref());
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
             let mut worker = Worker::new(registration, now);
             worker.late_polls = self.late_polls.remove(&registration.incarnation.id);
@@ -59,15 +58,17 @@
             self.note_start(key);
             self.enter_zone(key);
             self.enter_machine(key, None);
-            self.end_earlier_workers(key, now);
             self.stop_late_starts(key, now);
             return true;
         };
-        if self.workers[key].incarnation.start_ms != registration.incarnation.start_ms {
-            if registration.incarnation.start_ms < self.workers[key].incarnation.start_ms {
+        let (start_ms, present) =
+            (registration.incarnation.start_ms, self.workers[key].incarnation.start_ms);
+        if start_ms != present {
+            // If the worker's clock was set back, its answers will show the later one.
+            if start_ms < present || !self.workers[key].may_follow(start_ms) {
                 return false;
             }
-            self.begin_incarnation(key, registration.incarnation.start_ms, now);
+            self.begin_incarnation(key, start_ms, now);
         }
         let worker = &mut self.workers[key];
         let changed = worker.incarnation != registration.incarnation;
@@ -84,7 +85,6 @@
         self.note_start(key);
         self.enter_zone(key);
         self.enter_machine(key, earlier);
-        self.end_earlier_workers(key, now);
         self.stop_late_starts(key, now);
         !recorded
     }
@@ -192,7 +192,7 @@
         self.note_restarted_worker(key, now);
         let late_lease = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
         let worker = &mut self.workers[key];
-        worker.incarnation.start_ms = start_ms;
+        worker.replace_start(start_ms, now);
         // What the previous one registered may not hold for this one.
         worker.registered = false;
         worker.recorded = false;
