lead: outcomes are kept for their retention by the clock of one host

What callers saw: a job that had ended and was submitted again ran a second time. Cause: an outcome names the wall time at which its leader wrote it, and a later leader compared it with its own wall clock. A clock that is an hour ahead, or is set forward, makes each outcome look older than its retention, and it is deleted half a minute after the takeover; an eighth of the retention was allowed for. Change: the retention counts by the steady clock of the leader, from when it wrote an outcome or first found it. Records hold no time any more. Cost: where leaders follow each other more often than once in a retention, an outcome stays until one lasts that long. Paths looked at: remember_outcome (steady time before as well), outcomes without a time, cancellations of jobs that don't exist.

--- a/crates/lead/src/cancel.rs
+++ b/crates/lead/src/cancel.rs
@@ -73,12 +73,7 @@
         &self,
         job: JobId,
     ) -> Result<Option<CancelWriteOutcome>, vg_store::Error> {
-        let record = OutcomeRecord {
-            outcome: JobOutcome::Cancelled,
-            team: None,
-            at: Some(self.inner.clock.wall()),
-            unaccepted: true,
-        };
+        let record = OutcomeRecord { outcome: JobOutcome::Cancelled, team: None, unaccepted: true };
         let Some(value) = encode(&record) else { return Ok(None) };
         let txn = Txn::new()
             .expect(keys::job(job), None)
--- a/crates/lead/src/keys.rs
+++ b/crates/lead/src/keys.rs
@@ -88,15 +88,13 @@
     }
 }
 
-/// The outcome of a job and the team that the job belongs to.
+/// The outcome of a job and the team that the job belongs to. Earlier versions wrote it under
+/// a lease, or with a wall time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OutcomeRecord {
     #[serde(rename = "how")]
     pub(crate) outcome: JobOutcome,
     pub(crate) team: Option<TeamId>,
-    /// When it was written. Earlier versions recorded no time and wrote it under a lease.
-    #[serde(default)]
-    pub(crate) at: Option<SystemTime>,
     /// Whether the job was cancelled before it was accepted. No such job exists, and the
     /// record keeps a write of it that is on its way from taking effect. Earlier versions
     /// show the job as cancelled.
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -135,8 +135,7 @@
                 }
                 RecordKind::End(outcome) => {
                     let team = self.scheduler().job_team(job).flatten();
-                    let at = Some(self.host.inner.clock.wall());
-                    let value = OutcomeRecord { outcome: *outcome, team, at, unaccepted: false };
+                    let value = OutcomeRecord { outcome: *outcome, team, unaccepted: false };
                     let Some(value) = encode(&value) else { continue };
                     let stored = revisions.jobs.get(&job).copied();
                     txn = txn.expect(keys::job(job), stored).expect(keys::outcome(job), None);
--- a/crates/lead/src/leader/outcomes.rs
+++ b/crates/lead/src/leader/outcomes.rs
@@ -1,5 +1,7 @@
 //! Deletes the outcomes of jobs once they have been kept for their retention.
 //!
+//! The retention counts by the clock of this leader, from when it wrote an outcome or first
+//! found it: no time in a record says how old it is, since the wall clocks of hosts differ.
 //! Outcomes are written without a lease, since an outage of the store may end any lease.
 //! Load that this module handles: thousands of outcomes a minute, which are due in the order
 //! in which they were written. One transaction deletes up to [`DELETES_PER_TXN_MAX`].
@@ -13,7 +15,7 @@
 use super::Leader;
 use crate::Platform;
 use crate::host::lock;
-use crate::keys::{self, OUTCOME_PREFIX, OutcomeRecord, TERM_KEY};
+use crate::keys::{self, OUTCOME_PREFIX, TERM_KEY};
 
 /// Maximum number of outcomes that one transaction deletes.
 const DELETES_PER_TXN_MAX: usize = 30;
@@ -25,8 +27,6 @@
 /// Part of the retention between two checks, and for which an outcome that is due waits for
 /// others, so that a transaction deletes many.
 const CHECK_PART: u32 = 16;
-/// Part of the retention by which the wall clocks of two hosts may differ.
-const CLOCK_ERROR_PART: u32 = 8;
 /// Part of the retention between the listings of two parts of the outcomes.
 const LISTING_PAUSE_PART: u32 = 240;
 /// First digits of job ids; outcomes are listed in parts, one for each.
@@ -130,21 +130,11 @@
             log::warn!(target: "store", "unknown key among the outcomes: {}", entry.key);
             return true;
         };
-        let due = self.host.inner.clock.now() + self.remaining_retention(entry);
+        // How old it is isn't known: the wall clocks of hosts differ.
+        let due = self.host.inner.clock.now() + self.host.inner.options.outcome_retention;
         lock(&self.outcomes).insert(due, job)
     }
 
-    /// Returns for how long a listed outcome is to be kept from now on. One without a time
-    /// counts from now.
-    fn remaining_retention(&self, entry: &Entry) -> Duration {
-        let retention = self.host.inner.options.outcome_retention;
-        let record = self.host.decode::<OutcomeRecord>(entry);
-        let written = record.and_then(|record| record.at);
-        let age = written.and_then(|at| self.host.inner.clock.wall().duration_since(at).ok());
-        let age = age.unwrap_or_default().saturating_sub(retention / CLOCK_ERROR_PART);
-        retention.saturating_sub(age)
-    }
-
     /// Deletes the outcomes that are due, under the condition that this leader's term is
     /// unchanged.
     async fn delete_due(&self) -> Result<(), Error> {
--- a/crates/lead/tests/outcomes.rs
+++ b/crates/lead/tests/outcomes.rs
@@ -73,6 +73,27 @@
     assert!(sent < 20, "{sent} transactions for 41 outcomes");
 }
 
+/// Guards against a job that runs again when it is submitted again: a leader whose wall clock
+/// is ahead took its outcome for one whose retention has passed.
+#[tokio::test]
+async fn a_wall_clock_that_is_ahead_does_not_shorten_the_retention() {
+    let cluster = Cluster::with_retention(Duration::from_secs(4)).await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    run_job(&a, 1).await;
+    kill(a).await;
+    let b = cluster.node("b").await;
+    b.clock.set_forward(Duration::from_secs(3600));
+    eventually(async || b.host.is_leading()).await;
+    // The outcomes have been listed, and what seemed due would have been deleted.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert!(cluster.key("vg/end/1").await, "deleted before its retention has passed");
+    let starts = cluster.fleet.starts_of(id(1));
+    assert_eq!(b.host.submit(id(1), job(1), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&b.host.job_status(id(1), soon()).await)).await;
+    assert_eq!(cluster.fleet.starts_of(id(1)), starts);
+}
+
 /// Writes an outcome as earlier versions did.
 async fn put_untimed(cluster: &Cluster, number: u128, how: JobOutcome) {
     #[derive(serde::Serialize)]
