lead: a host that has shown a cancellation writes its outcome when it leads

What callers saw: nothing wrong at once; the cancelled job stayed in the store without an outcome for as long as that host led, and what still ran of it on workers that had not answered counted for no team. Cause: a host keeps each outcome that it is told in memory, and does not add jobs of which it has one. A cancellation is shown as soon as it is durable, and its outcome is written later, by the leader. Change: a cancellation that was told by the leader or by the store is not kept; one that this host has written as the leader is. Paths looked at: done and failed are shown once the job's record is gone, so they may be kept; the leader's own cache; late messages about jobs whose outcome is in memory.

--- a/crates/lead/src/query.rs
+++ b/crates/lead/src/query.rs
@@ -118,9 +118,12 @@
         StatusReply::Unknown
     }
 
-    /// Keeps the outcome in memory if the job has finished. Returns the state.
+    /// Keeps the outcome in memory if the job has finished. Returns the state. A cancelled job
+    /// may still be without an outcome, which this host has to write if it leads next.
     fn cache_if_finished(&self, job: JobId, status: StatusReply) -> StatusReply {
-        if let StatusReply::Finished(team, outcome) = &status {
+        if let StatusReply::Finished(team, outcome) = &status
+            && *outcome != JobOutcome::Cancelled
+        {
             self.cache_outcome(job, team.clone(), *outcome);
         }
         status
--- a/crates/lead/tests/outcomes.rs
+++ b/crates/lead/tests/outcomes.rs
@@ -182,6 +182,28 @@
     assert!(!cluster.key("vg/in/1").await);
 }
 
+/// Guards against a cancelled job that stays in the store without an outcome: the host that
+/// leads next had shown its cancelling before.
+#[tokio::test]
+async fn a_leader_ends_a_job_whose_cancellation_it_has_shown_before() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    assert_eq!(b.host.submit(id(1), short_job(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    a.faults.script(CallKind::Txn, Fault::Unavailable, 10_000);
+    assert_eq!(b.host.cancel(id(1), soon()).await, CancelOutcome::Cancelled);
+    let cancelled = JobStatus::Finished(None, JobOutcome::Cancelled);
+    eventually(async || b.host.job_status(id(1), soon()).await == cancelled).await;
+    kill(a).await;
+    eventually(async || b.host.is_leading()).await;
+    eventually(async || cluster.key("vg/end/1").await).await;
+    assert!(!cluster.key("vg/in/1").await && !cluster.key("vg/in/1/cancel").await);
+    assert_eq!(b.host.job_status(id(1), soon()).await, cancelled);
+    assert_eq!(cluster.fleet.starts_of(id(1)), 1);
+}
+
 /// Guards against a job that is said not to exist because nobody can be asked.
 #[tokio::test]
 async fn a_state_that_cannot_be_read_is_not_absent() {
