flow: the checkpoint of a stopped task is written before its end is acknowledged

What callers saw: after a change of the leader, a task that had been stopped, or whose lease or gang had ended, began with an older checkpoint or none, and its work was done again. Cause: only ends done and failed had their job's record written. The others left their checkpoint in the leader's memory and were acknowledged with the next batch, so that the worker forgot them as well. Evidence: the_checkpoint_of_each_end_is_written_before_the_end_is_acknowledged failed for stopped: no record in the batch that acknowledges the end. Change: an end that leaves a checkpoint has its job's record written. Paths looked at: a checkpoint equal to the one in memory, which may not be durable either (it comes from a report of a run that was given up); done tasks; jobs that have ended.

--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -215,15 +215,16 @@
     }
 
     /// Keeps the last checkpoint of an ended attempt for the next attempt of
-    /// its task.
+    /// its task, and has it written before the end is acknowledged.
     fn keep_checkpoint(&mut self, end: &EndedAttempt) {
         if !is_usable(&end.checkpoint) {
             return;
         }
-        if let Some(task) = self.task_mut(end.task)
-            && !task.done
-        {
-            task.checkpoint = end.checkpoint.clone();
+        let Some(task) = self.task_mut(end.task).filter(|task| !task.done) else { return };
+        task.checkpoint = end.checkpoint.clone();
+        // The worker forgets it once the end is acknowledged.
+        if let Some(&job) = self.job_ids.get(&end.task.step.job) {
+            self.mark_dirty(job);
         }
     }
 
