lead: a test that kills hosts in any write, and judges what workers and callers were told

Question: is each end durable before last-seen passes it at the worker, and what is shown as accepted, complete, cancelled or not run durable before it is shown? Hosts run in runtimes of their own, so that nothing of them goes on after they are killed: the leader before or after a drawn write, or all hosts right after a job was accepted. Jobs have steps after others, gangs, speculative steps, and occurrences that overlap. Each acknowledged end is compared with what the store holds at that moment, and each start with what was noted, shown and refused before.

--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Hosts in one process that share an in-memory store and simulated workers.
 
 mod clock;
+pub(crate) mod crashes;
 
 use std::sync::{Arc, Mutex};
 use std::time::Instant as StdInstant;
