lead: a record that the store refuses holds up no other job

What callers saw: no job was shown as ended any more, and no end was acknowledged, for as long as the leader led; the next one met the same. Cause: a transaction that the store refuses as too large was sent again without end, and the next batch waits for all of this one. Change: the records of a refused transaction are written one by one, and a record that is refused alone is written with half of its checkpoints until it is taken. A task without one starts from the beginning after a takeover. Ends stay unacknowledged until then. Paths looked at: a record that is refused without any checkpoint is sent again as before; outcomes are small.

--- a/crates/flow/src/jobs/progress.rs
+++ b/crates/flow/src/jobs/progress.rs
@@ -41,6 +41,18 @@
         let listed = self.occurrences.iter().map(|each| each.occurrence.saturating_add(1));
         listed.chain(self.next).chain([self.closed]).max().unwrap_or_default()
     }
+
+    /// Drops half of the checkpoints of each occurrence, for a store that takes no larger
+    /// record: their tasks start from the beginning after a takeover. Returns whether there
+    /// were any.
+    pub fn drop_checkpoints(&mut self) -> bool {
+        let mut dropped = false;
+        for each in &mut self.occurrences {
+            dropped |= !each.checkpoints.is_empty();
+            each.checkpoints.truncate(each.checkpoints.len() / 2);
+        }
+        dropped
+    }
 }
 
 /// Durable progress of one occurrence.
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -1,4 +1,8 @@
 //! Makes the leader's changes to jobs durable in the store.
+//!
+//! Each end that a worker may forget is in a record that was written before. A store that
+//! refuses a transaction, because it is too large, holds up no other record: each is then
+//! written alone, at last without checkpoints, which cost work that is done again.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -8,7 +12,7 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{JobOutcome, Record, RecordKind, WaveRecord};
-use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Error, Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
@@ -106,6 +110,17 @@
                     self.host.inner.metrics.count_commit("conflict");
                     written.append(&mut self.resolve_conflict(&mut batch, &found).await);
                 }
+                Err(Error::Refused { reason }) if batch.len() > 1 => {
+                    self.host.inner.metrics.count_commit("failed");
+                    log::debug!(target: "store", "records are written one by one: {reason}");
+                    for record in batch.drain(..) {
+                        written.append(&mut Box::pin(self.write_batch(vec![record])).await);
+                    }
+                }
+                Err(Error::Refused { reason }) if drop_checkpoints(&mut batch) => {
+                    self.host.inner.metrics.count_commit("failed");
+                    log::warn!(target: "store", "checkpoints are dropped: {reason}");
+                }
                 Err(error) => {
                     self.host.inner.metrics.count_commit("failed");
                     log::debug!(target: "store", "commit failed: {error}");
@@ -199,6 +214,15 @@
     }
 }
 
+/// Drops checkpoints from records that the store refuses. Returns whether there were any.
+fn drop_checkpoints(records: &mut [Record]) -> bool {
+    let dropped = records.iter_mut().map(|record| match &mut record.kind {
+        RecordKind::Progress(progress) => progress.drop_checkpoints(),
+        RecordKind::End(_) => false,
+    });
+    dropped.fold(false, |any, dropped| any | dropped)
+}
+
 fn is_outcome(record: &Record) -> bool {
     matches!(record.kind, RecordKind::End(_))
 }
--- a/crates/lead/tests/ends.rs
+++ b/crates/lead/tests/ends.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use support::crashes::{CrashNode, Crashes, KillPoint};
-use support::{id, job};
+use support::{eventually, id, job};
 use vg_base::prelude::*;
 use vg_flow::{JobSpec, Schedule, StepSpec};
 
@@ -197,6 +197,23 @@
     }
 }
 
+/// Guards against a leader that writes nothing more, neither ends nor outcomes of any job,
+/// because the checkpoints of one job together are larger than the store permits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_record_that_is_too_large_holds_up_no_other_job() {
+    let mut crashes = Crashes::new(1).await;
+    (crashes.failed_percent, crashes.checkpoint_bytes) = (100, 500);
+    let host = crashes.start("a", 1).await;
+    host.link.end_faults();
+    host.link.refuse_larger(3000);
+    eventually(async || host.is_leading()).await;
+    assert!(crashes.submit(&host, id(1), job(64)).await);
+    assert!(crashes.submit(&host, id(2), job(1)).await);
+    for job in [id(2), id(1)] {
+        eventually(async || crashes.ask(&host, job).await).await;
+    }
+}
+
 /// Returns the seeds to play: those in `VG_ENDS_SEEDS`, such as `5..20`, or a few.
 fn seeds() -> std::ops::Range<u64> {
     let given = std::env::var("VG_ENDS_SEEDS").ok();
