lead: a job is said not to run only if each peer says that it has not sent it

What callers saw: 503, so that the job never runs, and then it ran. They had sent the job to another host before, which was killed before it answered. Cause: a host that can't reach the store asks its peers whether they have sent a write of the job; those that did not answer counted as not having sent one. The store may carry out the write of a killed host seconds later. Evidence: job_that_a_killed_peer_may_have_written_is_not_refused failed: refused, and the job ran. Paths looked at: relayed submissions, whose lost answer counted as unknown before; peers that are silent, for which a rejection timed out already. Open: a host that was killed and started again at its address, or whose record has lapsed, is not known to have sent any.

--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -289,17 +289,17 @@
 
     /// Asks all peers whether they have sent a write of a job that this host
     /// knows not to be written: the caller may have submitted the same job to
-    /// another host before. Returns [`WriteOutcome::Rejected`] only if no peer
-    /// that answers has sent one.
+    /// another host before. Returns [`WriteOutcome::Rejected`] only if all peers answer
+    /// that they have sent none: the write of one that was killed may still take effect.
     pub(crate) async fn confirm_rejected(&self, job: JobId) -> WriteOutcome {
         let peers = lock(&self.inner.members)
             .others_or_lapsed(self.inner.options.peer_addr, &self.inner.clock);
         let query = JobQuery { job };
         let queries = peers.iter().map(|&addr| self.ask_peer(addr, "unsettled", &query));
         let answers: Vec<Result<UnresolvedAnswer, _>> = join_all(queries).await;
-        match answers.into_iter().flatten().any(|answer| answer.unresolved) {
-            true => WriteOutcome::Unknown,
-            false => WriteOutcome::Rejected,
+        match answers.iter().all(|answer| answer.as_ref().is_ok_and(|peer| !peer.unresolved)) {
+            true => WriteOutcome::Rejected,
+            false => WriteOutcome::Unknown,
         }
     }
 
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -124,6 +124,29 @@
     assert!(matches!(refused, SubmitOutcome::Refused(_)), "{refused:?}");
 }
 
+/// Guards against a job that runs although its caller was told that it never will: the host
+/// that had sent its write before was killed, so that it can't be asked, and the store
+/// carries the write out late.
+#[tokio::test]
+async fn job_that_a_killed_peer_may_have_written_is_not_refused() {
+    let late = Duration::from_millis(2500);
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    assert_eq!(b.host.submit(id(2), job(1), soon()).await, SubmitOutcome::Accepted);
+    b.faults.script(CallKind::Txn, Fault::DelayedEffect(late), 1000);
+    let submission = b.host.submit(id(1), job(1), soon());
+    let left = tokio::time::timeout(Duration::from_millis(20), submission).await;
+    assert!(left.is_err());
+    b.tasks.stop().await;
+    a.faults.set_down(true);
+    let answer = a.host.submit(id(1), job(1), soon()).await;
+    a.faults.set_down(false);
+    eventually(async || is_done(&a.host.job_status(id(1), soon()).await)).await;
+    assert_eq!(answer, SubmitOutcome::Unknown, "the job has run");
+}
+
 /// A host that is cut off from the store while its peers are not must still
 /// accept jobs, answer queries and receive new configurations.
 #[tokio::test]
