--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Hosts in one process that share an in-memory store and simulated workers.
 
 mod clock;
+pub(crate) mod crashes;
 mod oracle;
 
 use std::collections::HashSet;
