--- a/crates/lead/tests/support/crashes.rs
+++ b/crates/lead/tests/support/crashes.rs
@@ -388,6 +388,7 @@
             worker_prefix: Key::from("workers/"),
         };
         let inner = TestPlatform {
+            name: name.into(),
             store: FaultyStore::new(self.cluster.inner.clone(), FaultControl::new()),
             layout,
             fleet: Arc::clone(&self.cluster.fleet),
