lead: a leader acts on an outage only if each peer says that it sees it

Cause: a leader whose lease has ended goes on while the store is away for all. It asked its peers and ignored those that did not answer, so that one host on its side of a cut was enough to go on without end, while a host on the other side reached the store, led, and started the same tasks on workers that it had not reached after the hold. The class: absence of an answer was taken for "nobody else leads".

Change: each host that is known must answer that it does not reach the store, those among them whose records lapsed around the outage. Commands to machines are sent only while the leadership is proved, not under any lease of the host.

Cost: in an outage in which a host is lost as well, work lapses that went on before; the store's return starts it again.

Paths: cuts between hosts with and without the store, a host that is frozen or killed in an outage, a lone host (gave up before, and does).

--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -187,7 +187,7 @@
         match self.host.store().commit(txn).await {
             Ok(TxnOutcome::Committed { revision }) => {
                 lock(&self.revisions).commands = (Some(revision), recorded);
-                self.host.is_lease_valid()
+                self.holds_lease()
             }
             Ok(TxnOutcome::Conflict { found }) => {
                 if self.still_leads(&found).await {
@@ -245,7 +245,7 @@
     ) {
         let host = &self.host;
         // The process may have been suspended since the record was written.
-        let answer = if allowed && host.is_lease_valid() {
+        let answer = if allowed && self.holds_lease() {
             host.inner
                 .platform
                 .command_machine(&command, &host.inner.options.node, self.token)
--- a/crates/lead/src/peers.rs
+++ b/crates/lead/src/peers.rs
@@ -71,15 +71,17 @@
         });
     }
 
-    /// Whether at least one peer answers and none of those that answer reaches
-    /// the store. Only the leader asks, which tells its peers that it is alive.
+    /// Whether there are peers and each of them answers that it does not reach the store.
+    /// One that is cut off from this host may reach it, and lead. Only the leader asks, which
+    /// tells its peers that it is alive.
     pub(crate) async fn peers_lost_store(&self) -> bool {
-        let peers = self.pick_peers(usize::MAX);
+        let own = self.inner.options.peer_addr;
+        let peers = lock(&self.inner.members).others_or_lapsed(own, &self.inner.clock);
         let query = StoreQuery { leader: Some(self.inner.nonce) };
         let queries = peers.iter().map(|&addr| self.ask_peer(addr, "store", &query));
         let answers: Vec<Result<StoreAnswer, _>> = futures_util::future::join_all(queries).await;
-        let mut answers = answers.into_iter().flatten().peekable();
-        answers.peek().is_some() && answers.all(|answer| answer.silent_for > STORE_LOST_AFTER)
+        let has_lost = |answer: &StoreAnswer| answer.silent_for > STORE_LOST_AFTER;
+        !answers.is_empty() && answers.iter().all(|answer| answer.as_ref().is_ok_and(has_lost))
     }
 
     /// Answers a leader that does not reach the store, and notes that it is alive if this
--- a/crates/lead/tests/store_outage.rs
+++ b/crates/lead/tests/store_outage.rs
@@ -177,6 +177,21 @@
     }
 }
 
+/// Guards against two leaders on both sides of a cut: a leader went on for as long as one peer
+/// told it that the store is away, although another peer, which did not answer, may reach it.
+#[tokio::test]
+async fn a_peer_that_does_not_answer_may_reach_the_store() {
+    let cluster = Cluster::new().await;
+    let nodes: [Node; 3] = start_hosts(&cluster, ["a", "b", "c"]).await;
+    let (leader, others): (Vec<_>, Vec<_>) =
+        nodes.into_iter().partition(|node| node.host.is_leading());
+    let [leader] = leader.try_into().ok().unwrap();
+    let [other, cut_off]: [Node; 2] = others.try_into().ok().unwrap();
+    set_silent(&[&leader, &other], true);
+    cut_off.tasks.stop().await;
+    eventually(async || !leader.host.is_leading()).await;
+}
+
 /// Guards against a leadership that is kept for a leader that died while the store was away.
 #[tokio::test]
 async fn a_leader_that_dies_in_an_outage_is_replaced() {
