lead: a host whose record is refused pauses before it asks for another lease

Operators saw: calls for leases without a pause from a host whose lease had ended while the store refused its writes.

Cause: after a lease was granted and the host's record could not be written under it, the next lease was asked for at once.

Change: the same pause as after a refused lease.

Result: a_host_whose_record_is_refused_asks_for_few_leases (lead/tests/early_vacancy.rs) passes.

Paths looked at: renewals and refused leases pause already.

--- a/crates/lead/src/session.rs
+++ b/crates/lead/src/session.rs
@@ -26,11 +26,17 @@
         match host.store().grant(host.inner.options.lease_ttl()).await {
             Ok(lease) => {
                 *lock(&host.inner.lease_confirmed) = Some(sent);
-                if host.register_host(lease).await.is_ok() {
-                    *lock(&host.inner.lease) = Some(lease);
-                    host.inner.members_changed.notify_waiters();
-                    host.renew(lease).await;
-                    *lock(&host.inner.lease) = None;
+                match host.register_host(lease).await {
+                    Ok(()) => {
+                        *lock(&host.inner.lease) = Some(lease);
+                        host.inner.members_changed.notify_waiters();
+                        host.renew(lease).await;
+                        *lock(&host.inner.lease) = None;
+                    }
+                    Err(error) => {
+                        log::debug!(target: "store", "cannot write the host's record: {error}");
+                        tokio::time::sleep(RETRY_DELAY).await;
+                    }
                 }
             }
             Err(error) => {
--- a/crates/lead/tests/early_vacancy.rs
+++ b/crates/lead/tests/early_vacancy.rs
@@ -78,3 +78,18 @@
     eventually(async || is_done(&new.host.job_status(id(2), soon()).await)).await;
     assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
 }
+
+/// Guards against a host that asks for one lease after the other, without a pause, while the
+/// store refuses its writes.
+#[tokio::test]
+async fn a_host_whose_record_is_refused_asks_for_few_leases() {
+    let cluster = Cluster::new().await;
+    let node = cluster.node("a").await;
+    eventually(async || node.host.is_leading()).await;
+    let before = node.faults.counts().lease;
+    node.faults.script(CallKind::Txn, Fault::Unavailable, 2000);
+    node.faults.script(CallKind::Lease, Fault::LeaseExpired, 1);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = node.faults.counts().lease - before;
+    assert!(calls < 30, "{calls} calls for leases in two seconds");
+}
