lead, flow: a leader renews no lease for longer than its successor reckons

Callers saw: a task ran twice after a takeover, on a worker that the new leader could not reach.

Cause: a new leader holds tasks back for as long as leases may last that were renewed until 1.5 s after it took over. A leader whose own lease the store ended before its time goes on for 3.1 s after its last renewal, and each of its renewals let a worker's lease last for 4 s more.

Evidence: a_leader_renews_no_lease_for_longer_than_its_successor_reckons (lead/tests/early_vacancy.rs) failed with "2.0.0.0 runs on w2 and on [w1]".

Change: a renewal lets a worker's lease last until 5.5 s at most after the leadership was last proved. It shortens nothing before 1.5 s have passed without a confirmed renewal, nor while peers report an outage, and the next leader waits no longer than before.

Paths looked at: a start command grants 1.5 s, which ends earlier than the limit; workers under sealed records get no renewals; the time of the takeover counts from after the earlier leader's last confirmed renewal.

--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -52,6 +52,8 @@
     /// Jobs that are read before this time may have been started by the earlier leader,
     /// whatever their revision.
     pub(crate) overlap_until: Instant,
+    /// Time beyond which no renewal prolongs the lease of a worker.
+    pub(crate) lease_limit: Option<Instant>,
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) job_ids: HashMap<JobId, JobKey>,
@@ -157,6 +159,7 @@
             token,
             leader_since: now,
             overlap_until: now,
+            lease_limit: None,
             config,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -139,23 +139,30 @@
         self.worker_ids.keys().cloned().collect()
     }
 
+    /// Sets the time beyond which no renewal prolongs the lease of a worker, as the next
+    /// leader counts on it; `None` if there is none.
+    pub fn limit_leases(&mut self, until: Option<Instant>) {
+        self.lease_limit = until;
+    }
+
     /// Returns what to send to a worker in the next poll; `None` if the worker
     /// is unknown. The lease counts from `now`.
     pub fn renewal(&mut self, id: &HostId, now: Instant) -> Option<Renewal> {
         let key = *self.worker_ids.get(id)?;
         let bound = self.rules.lease_bound();
-        let lease = self.rules.lease.as_millis() as u64;
+        let left = self.lease_limit.map(|until| until.saturating_duration_since(now));
+        let lease = left.map_or(self.rules.lease, |left| left.min(self.rules.lease));
         let worker = &mut self.workers[key];
         // A poll that fails may still renew the lease. If each poll asked for a
         // renewal, the attempts on an unreachable worker would count for ever.
         let permitted = !worker.lease_capped && !worker.sealed && !self.frozen;
         let renewable = permitted && worker.unreachable_since.is_none();
-        let clock = worker.clock.filter(|_| renewable);
-        let deadline_ms = clock.map(|clock| clock.reading(now) + lease);
+        let clock = worker.clock.filter(|_| renewable && !lease.is_zero());
+        let deadline_ms = clock.map(|clock| clock.reading(now) + lease.as_millis() as u64);
         if deadline_ms.is_some() {
             worker.lease_end = worker.lease_end.max(now + bound);
         }
-        worker.renewed_until = deadline_ms.map(|_| now + self.rules.lease);
+        worker.renewed_until = deadline_ms.map(|_| now + lease);
         Some(Renewal {
             incarnation: worker.incarnation.clone(),
             token: self.token,
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -57,6 +57,8 @@
     /// The host's lease under which the leadership was last proved. Under a later one
     /// another host may have taken it meanwhile.
     lease: Mutex<LeaseId>,
+    /// When the last granted renewal of that lease was sent.
+    lease_confirmed: Mutex<Option<DualInstant>>,
     scheduler: Mutex<Scheduler>,
     /// Wakes the decision loop after a change that may require decisions.
     wake: Notify,
@@ -111,6 +113,7 @@
         host: host.clone(),
         token,
         lease: Mutex::new(lease),
+        lease_confirmed: Mutex::default(),
         scheduler: Mutex::new(scheduler),
         wake: Notify::new(),
         commit_needed: Notify::new(),
--- a/crates/lead/src/leader/outage.rs
+++ b/crates/lead/src/leader/outage.rs
@@ -21,6 +21,29 @@
         self.host.expired_for() <= EXPIRED_LEASE_GRACE || self.is_store_outage()
     }
 
+    /// Returns when this host was last proved to lead: another lease of its own proves
+    /// nothing.
+    fn proved_at(&self) -> Option<DualInstant> {
+        let mut confirmed = lock(&self.lease_confirmed);
+        if *lock(&self.host.inner.lease) == Some(*lock(&self.lease)) {
+            *confirmed = *lock(&self.host.inner.lease_confirmed);
+        }
+        *confirmed
+    }
+
+    /// Returns the time beyond which no worker's lease may last; `None` if no other host can
+    /// take over. The store may have ended the leader's lease right after it was last
+    /// confirmed, and the next leader counts on leases that are renewed for
+    /// [`EXPIRED_LEASE_GRACE`] after that.
+    pub(super) fn lease_limit(&self, now: Instant) -> Option<Instant> {
+        if self.is_store_outage() {
+            return None;
+        }
+        let lasts = EXPIRED_LEASE_GRACE + self.host.inner.options.rules.lease;
+        let age = self.proved_at().map_or(lasts, |at| at.age(&self.host.inner.clock));
+        Some(now + lasts.saturating_sub(age))
+    }
+
     /// Whether peers recently reported that none of them reaches the store.
     ///
     /// No other host can take the leadership during such an outage, so this
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -111,8 +111,7 @@
     /// that permits a longer lease.
     async fn next_renewal(&self, id: &HostId, has_answered: bool) -> Option<(Renewal, Instant)> {
         let (committed, recorded) = (self.committed.notified(), self.recorded.notified());
-        let sent = self.host.inner.clock.now();
-        let renewal = self.scheduler().renewal(id, sent)?;
+        let (renewal, sent) = self.renewal(id)?;
         if has_answered && renewal.received > renewal.acknowledged {
             // The worker reports ended attempts again until they are acknowledged.
             let _ = tokio::time::timeout(COMMIT_WAIT_MAX, committed).await;
@@ -121,8 +120,16 @@
         } else {
             return Some((renewal, sent));
         }
-        let sent = self.host.inner.clock.now();
-        Some((self.scheduler().renewal(id, sent)?, sent))
+        self.renewal(id)
+    }
+
+    /// Returns what to send in a poll that is sent now, and the time.
+    fn renewal(&self, id: &HostId) -> Option<(Renewal, Instant)> {
+        let now = self.host.inner.clock.now();
+        let limit = self.lease_limit(now);
+        let mut scheduler = self.scheduler();
+        scheduler.limit_leases(limit);
+        Some((scheduler.renewal(id, now)?, now))
     }
 
     /// Records an event for each attempt that was lost with its worker, and for each task
--- a/crates/lead/tests/early_vacancy.rs
+++ b/crates/lead/tests/early_vacancy.rs
@@ -79,6 +79,42 @@
     assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
 }
 
+/// Starts a task that lasts on worker `w1`, which the next leader does not reach.
+async fn occupy(cluster: &Cluster, old: &Node) {
+    *cluster.fleet.task_duration.lock().unwrap() = Duration::from_secs(60);
+    cluster.fleet.set_cut("a", "w2", true);
+    cluster.fleet.set_cut("b", "w1", true);
+    // From here on the leader gives no work to the other worker.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(old.host.submit(id(2), single(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.running_on("w1").len() == 1).await;
+}
+
+/// Starts two hosts, of which the first one leads.
+async fn two_hosts() -> (Cluster, Node, Node) {
+    let cluster = Cluster::new().await;
+    let old = cluster.node("a").await;
+    eventually(async || old.host.is_leading()).await;
+    let new = cluster.node("b").await;
+    assert_eq!(old.host.submit(id(1), job(4), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&new.host.job_status(id(1), soon()).await)).await;
+    (cluster, old, new)
+}
+
+/// Guards against two runs of a task: the earlier leader goes on for as long as its lease
+/// would have lasted, and renews the leases of workers that its successor does not reach.
+#[tokio::test]
+async fn a_leader_renews_no_lease_for_longer_than_its_successor_reckons() {
+    let (cluster, old, new) = two_hosts().await;
+    occupy(&cluster, &old).await;
+    old.faults.set_silent(true);
+    old.faults.script(CallKind::Lease, Fault::Unavailable, 10_000);
+    old.store.expire_leases().await;
+    eventually(async || new.host.is_leading()).await;
+    eventually(async || cluster.fleet.starts_of(id(2)) == 2).await;
+    assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
+}
+
 /// Guards against a host that asks for one lease after the other, without a pause, while the
 /// store refuses its writes.
 #[tokio::test]
