lead: leases without a proof of the leadership do not prolong it

Callers saw: a task ran twice after a takeover; the earlier leader went on without end.

Cause: whether a leader may go on counted from the last confirmed renewal of any lease of its host. A host whose lease has ended gets another one although the store refuses its writes, and it can't know then that another host leads. It went on with the work that it knew for as long as that lasted, on workers that the new leader had not reached.

Change: the lease counts under which the leadership was last proved.

Paths looked at: new jobs were held back in this state already; an outage that peers report still counts.

--- a/crates/lead/src/leader/outage.rs
+++ b/crates/lead/src/leader/outage.rs
@@ -14,11 +14,13 @@
 const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
 impl<P: Platform, C: Clock> Leader<P, C> {
-    /// Whether this host may still send commands as the leader: its lease has not been
-    /// expired for longer than [`EXPIRED_LEASE_GRACE`], or no other host can take
-    /// over.
+    /// Whether this host may still send commands as the leader: the lease under which it was
+    /// proved to lead has not been expired for longer than [`EXPIRED_LEASE_GRACE`], or no
+    /// other host can take over.
     pub(super) fn may_act(&self) -> bool {
-        self.host.expired_for() <= EXPIRED_LEASE_GRACE || self.is_store_outage()
+        let lasts = self.host.inner.options.lease_ttl() + EXPIRED_LEASE_GRACE;
+        let age = self.proved_at().map(|at| at.age(&self.host.inner.clock));
+        age.is_some_and(|age| age <= lasts) || self.is_store_outage()
     }
 
     /// Returns when this host was last proved to lead: another lease of its own proves
--- a/crates/lead/tests/early_vacancy.rs
+++ b/crates/lead/tests/early_vacancy.rs
@@ -115,6 +115,21 @@
     assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
 }
 
+/// Guards against two runs of a task: a leader whose lease has ended gets other leases while
+/// the store refuses its writes, and goes on although it can't know that it still leads.
+#[tokio::test]
+async fn leases_without_a_proof_of_the_leadership_do_not_prolong_it() {
+    let (cluster, old, new) = two_hosts().await;
+    occupy(&cluster, &old).await;
+    old.faults.set_silent(true);
+    old.faults.script(CallKind::Txn, Fault::Unavailable, 100_000);
+    old.faults.script(CallKind::Lease, Fault::LeaseExpired, 1);
+    eventually(async || new.host.is_leading()).await;
+    eventually(async || cluster.fleet.starts_of(id(2)) == 2).await;
+    assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
+    assert!(!old.host.is_leading(), "the earlier leader goes on");
+}
+
 /// Guards against a host that asks for one lease after the other, without a pause, while the
 /// store refuses its writes.
 #[tokio::test]
