workers: one whose lease had ended is recorded again before it gets work

Cause: the records leave out a worker that is silent and whose lease has ended. Only a later round of decisions noted that it has to be recorded again; if it answered before that round, it got work while the records that leave it out were being written. Where the leader's own lease is not confirmed its record is not sealed, which hid this elsewhere.

Evidence: the test fails before: two starts on a worker that no record names.

Change: the answer itself notes it, by the condition that leaves it out.

Paths looked at: sealed and unsealed records, unresolved incarnations, a record that is being written while the worker answers, a lapsed lease of the leader.

--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -42,6 +42,10 @@
             self.clear_unresolved(id);
             self.workers[key].require_record();
         }
+        if self.workers[key].has_lapsed(now) {
+            // Records that were taken since its lease ended leave it out.
+            self.workers[key].recorded = false;
+        }
         self.end_others_on_machine(key, sent, now);
         // The worker still answers although it should be gone by now, so the
         // command to take its machine away had taken effect before.
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -101,7 +101,7 @@
     pub fn incarnation_records(&self, now: Instant, wall: SystemTime) -> Vec<IncarnationRecord> {
         let may_run = |worker: &&Worker| {
             let unresolved = self.unresolved.expiry(&worker.incarnation.id).is_some();
-            !unresolved && (worker.unreachable_since.is_none() || now <= worker.last_lease_end())
+            !unresolved && !worker.has_lapsed(now)
         };
         let current = self.workers.values().filter(may_run);
         let mut records: Vec<_> =
@@ -239,7 +239,7 @@
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
-            let expired = worker.unreachable_since.is_some() && now > worker.last_lease_end();
+            let expired = worker.has_lapsed(now);
             if expired && worker.recorded {
                 // The incarnation has to be recorded again before it gets work.
                 self.workers[key].recorded = false;
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -281,6 +281,11 @@
         late.map_or(self.lease_end, |late| self.lease_end.max(late))
     }
 
+    /// Whether it does not answer and nothing can run on it any more.
+    pub(crate) fn has_lapsed(&self, now: Instant) -> bool {
+        self.unreachable_since.is_some() && now > self.last_lease_end()
+    }
+
     /// Returns the free capacity; `None` if it is not known, so that nothing may start
     /// that needs any.
     pub(crate) fn free(&self) -> Option<Resources> {
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -369,3 +369,28 @@
         assert!(world.violations.is_empty(), "{:?}", world.violations);
     }
 }
+
+/// Guards against work that no later leader knows of: a worker whose lease had ended when
+/// the records were taken answers before they are written, and they leave it out.
+#[test]
+fn a_worker_that_the_records_leave_out_gets_no_work() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    let poll = world.scheduler.renewal(&id, world.now()).unwrap();
+    let lost = world.now();
+    world.scheduler.poll_failed(&poll, PollFailure::Silent, lost);
+    // The leader's own lease is not confirmed, so that it seals no record.
+    let now = lost + Duration::from_secs(6);
+    let records = world.scheduler.incarnation_records(now, world.wall());
+    assert!(records.iter().all(|record| record.incarnation.id != id));
+    let start_ms = Some(world.workers[0].start_ms);
+    let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
+    world.scheduler.apply_report(&id, &report, now - Duration::from_millis(2), now);
+    world.scheduler.records_written(&records);
+    world.scheduler.renewal(&id, now);
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    let on_it = starts.iter().filter(|start| start.incarnation.id == id).count();
+    assert_eq!(on_it, 0, "{starts:?}");
+}
