waves: a command of an earlier leader counts for a wave that is read later

What callers could see: more machines down at once than a wave allows (rule LIMIT), after a takeover by a host that has not read the wave yet: it has the configuration from a peer, or has just started.

Cause: the record of commands is read once, at the takeover, and a command of a wave that was not known then was dropped. The next record of commands dropped it as well.

Evidence: the test fails before: five other machines are commanded while the earlier command may be on its way.

Change: such commands are kept, counted from when they were read, until their wave is known.

Paths looked at: restore_waves, follow_config, recorded commands, zone drains (read before the first decision).

--- a/crates/flow/src/pools/machines.rs
+++ b/crates/flow/src/pools/machines.rs
@@ -9,7 +9,7 @@
 use crate::pools::maintain::ActiveWave;
 use crate::scheduler::Removal;
 use crate::workers::worker::WorkerKey;
-use crate::{Action, MachineCommand, Scheduler};
+use crate::{Action, EarlierCommand, MachineCommand, Scheduler};
 
 /// Delay before a command that was not carried out is sent again.
 const COMMAND_RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -99,6 +99,8 @@
     /// before does not show its state.
     pub(crate) changed: HashMap<SmolStr, Instant>,
     pub(crate) waves: BTreeMap<u64, ActiveWave>,
+    /// Commands of earlier leaders for waves that are not known yet, and when they were read.
+    pub(crate) earlier: Vec<(EarlierCommand, Instant)>,
     /// Commands without an answer yet, and when they were sent.
     pub(crate) commands: HashMap<SmolStr, (MachineCommand, Instant)>,
     /// Machines whose last command to move was not answered, and since when that is
@@ -123,6 +125,7 @@
             list_asked: None,
             changed: HashMap::new(),
             waves: BTreeMap::new(),
+            earlier: Vec::new(),
             commands: HashMap::new(),
             unanswered_moves: HashMap::new(),
             is_failing: false,
--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -134,7 +134,9 @@
             listed: wave.machines.iter().cloned().collect(),
             wave,
         };
-        self.machines.waves.insert(active.wave.number, active);
+        let number = active.wave.number;
+        self.machines.waves.insert(number, active);
+        self.count_earlier_for(number, now);
         self.machines.waves_changed = true;
     }
 
--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -116,17 +116,35 @@
     /// Notes a command of an earlier leader: its machine gets no other one for a while, and
     /// counts as down if it may have its maintenance now or later.
     pub fn restore_command(&mut self, command: &EarlierCommand, now: Instant) {
+        let hold = self.rules.machine_hold.saturating_sub(command.age);
+        self.pause_machine(command.machine.clone(), now + hold);
+        let Some(wave) = command.wave else { return };
+        match self.machines.waves.contains_key(&wave) {
+            true => self.count_earlier(command, now, now),
+            false => self.machines.earlier.push((command.clone(), now)),
+        }
+    }
+
+    /// Notes the commands of earlier leaders for a wave that was added.
+    pub(crate) fn count_earlier_for(&mut self, wave: u64, now: Instant) {
+        let is_of = |(each, _): &mut (EarlierCommand, Instant)| each.wave == Some(wave);
+        let earlier: Vec<_> = self.machines.earlier.extract_if(.., is_of).collect();
+        for (command, read) in earlier {
+            self.count_earlier(&command, read, now);
+        }
+    }
+
+    /// Counts the machine of a command, which was read at `read`, for the wave of the command.
+    fn count_earlier(&mut self, command: &EarlierCommand, read: Instant, now: Instant) {
         let EarlierCommand { machine, age, .. } = command;
-        let hold = self.rules.machine_hold.saturating_sub(*age);
-        self.pause_machine(machine.clone(), now + hold);
         let down_time = self.down_time();
         let active = command.wave.and_then(|wave| self.machines.waves.get_mut(&wave));
         let Some(active) = active else { return };
         let is_answered = active.done.contains(machine);
         let delay = if is_answered { COMMAND_TIMEOUT } else { COMMAND_DELAY_MAX };
         let remaining = (delay + MAX_CLOCK_SKEW + down_time).saturating_sub(*age);
-        let begun = is_answered.then_some(now);
-        active.down.insert(machine.clone(), Down { until: now + remaining, begun });
+        let begun = is_answered.then_some(read);
+        active.down.insert(machine.clone(), Down { until: read + remaining, begun });
         if !is_answered && active.awaits(machine) {
             active.draining.insert(machine.clone(), now);
         }
@@ -169,7 +187,10 @@
     /// Whether a machine may be down for its maintenance, or a command for it is in progress.
     pub fn may_be_maintained(&self, machine: &SmolStr, now: Instant) -> bool {
         let is_down = self.machines.waves.values().any(|active| active.is_down(machine, now));
-        is_down || self.machines.commands.contains_key(machine)
+        let mut earlier = self.machines.earlier.iter();
+        is_down
+            || self.machines.commands.contains_key(machine)
+            || earlier.any(|(command, _)| command.machine == *machine)
     }
 
     /// Returns for how long a machine counts as down after its maintenance has begun.
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -494,3 +494,20 @@
     assert_eq!(fleet.maintenance_count(), 12);
     assert_eq!(fleet.most_down(), 1);
 }
+
+/// Guards against the same for a wave that the next leader reads after the record of its
+/// commands.
+#[test]
+fn a_command_counts_for_a_wave_that_is_read_later() {
+    let mut fleet = TestFleet::new(6);
+    fleet.add_wave(6, 12, 1);
+    fleet.answer = MachineAnswer::Unanswered;
+    let earlier = fleet.run_to_command();
+    fleet.change_leader(6);
+    fleet.scheduler.restore_command(&earlier, fleet.now);
+    fleet.run(500);
+    fleet.add_wave(6, 12, 1);
+    fleet.run(10_000);
+    let others = fleet.commands.iter().filter(|(_, each)| *each.machine() != earlier.machine);
+    assert_eq!(others.count(), 0, "the earlier command may be on its way");
+}
