--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -14,7 +14,7 @@
 use vg_base::prelude::*;
 
 use crate::pools::machines::COMMAND_TIMEOUT;
-use crate::pools::maintain::{ActiveWave, MAX_CLOCK_SKEW};
+use crate::pools::maintain::ActiveWave;
 use crate::{Machine, MachineCommand, MachineState, Scheduler};
 
 /// Longest time after which a command without an answer is carried out.
@@ -30,7 +30,7 @@
     /// The wave for which the machine may be down; `None` if it was moved, or the command
     /// is known to have had no effect.
     pub wave: Option<u64>,
-    /// Time since it was recorded.
+    /// Least time since it was recorded.
     pub age: Duration,
 }
 
@@ -105,6 +105,12 @@
         self.down.0.get(machine).is_some_and(|down| now < down.until)
     }
 
+    /// Whether the maintenance of a machine may have begun, and may even have ended: a command
+    /// for it was sent before, or a list has shown it in maintenance.
+    pub(crate) fn may_have_begun(&self, machine: &SmolStr) -> bool {
+        self.down.0.contains_key(machine)
+    }
+
     /// Returns the number of machines that may be down and are not being drained for a
     /// command that is repeated.
     pub(crate) fn down_count(&self, now: Instant) -> usize {
@@ -142,7 +148,7 @@
         let Some(active) = active else { return };
         let is_answered = active.done.contains(machine);
         let delay = if is_answered { COMMAND_TIMEOUT } else { COMMAND_DELAY_MAX };
-        let remaining = (delay + MAX_CLOCK_SKEW + down_time).saturating_sub(*age);
+        let remaining = (delay + down_time).saturating_sub(*age);
         let begun = is_answered.then_some(read);
         active.down.insert(machine.clone(), Down { until: read + remaining, begun });
         if !is_answered && active.awaits(machine) {
@@ -184,13 +190,17 @@
         down.count() + in_flight.count() < active.wave.max_down.max(1) as usize
     }
 
-    /// Whether a machine may be down for its maintenance, or a command for it is in progress.
+    /// Whether a machine may be down for its maintenance, or have had it without an answer, or
+    /// a command for it is in progress.
     pub fn may_be_maintained(&self, machine: &SmolStr, now: Instant) -> bool {
-        let is_down = self.machines.waves.values().any(|active| active.is_down(machine, now));
+        let may_be = |active: &ActiveWave| {
+            let is_unanswered = active.awaits(machine) && active.may_have_begun(machine);
+            is_unanswered || active.is_down(machine, now)
+        };
         let mut earlier = self.machines.earlier.iter();
-        is_down
-            || self.machines.commands.contains_key(machine)
-            || earlier.any(|(command, _)| command.machine == *machine)
+        let is_earlier = earlier.any(|(command, _)| command.machine == *machine);
+        let in_progress = self.machines.commands.contains_key(machine);
+        in_progress || is_earlier || self.machines.waves.values().any(may_be)
     }
 
     /// Returns for how long a machine counts as down after its maintenance has begun.
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -381,7 +381,7 @@
     world.scheduler.poll_failed(&poll, PollFailure::Silent, lost);
     // The leader's own lease is not confirmed, so that it seals no record.
     let now = lost + Duration::from_secs(6);
-    let records = world.scheduler.incarnation_records(now, world.wall());
+    let records = world.scheduler.incarnation_records(now);
     assert!(records.iter().all(|record| record.incarnation.id != id));
     let start_ms = Some(world.workers[0].start_ms);
     let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -1,4 +1,8 @@
 //! Makes the leader's changes to jobs durable in the store.
+//!
+//! Each end that a worker may forget is in a record that was written before. A store that
+//! refuses a transaction, because it is too large, holds up no other record: each is then
+//! written alone, at last without checkpoints, which cost work that is done again.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -8,13 +12,13 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{JobOutcome, Record, RecordKind, WaveRecord};
-use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
+use vg_store::{Error, Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
 use crate::Platform;
 use crate::codec::encode;
 use crate::host::lock;
-use crate::keys::{self, CommandRecord, OutcomeRecord, TERM_KEY};
+use crate::keys::{self, OutcomeRecord, RecordedCommand, TERM_KEY};
 
 /// Maximum time in which changes accumulate in a batch while no caller waits
 /// for one of them.
@@ -40,7 +44,7 @@
     pub(super) jobs: HashMap<JobId, StoreRevision>,
     pub(super) progress: HashMap<JobId, StoreRevision>,
     pub(super) waves: (Option<StoreRevision>, Vec<WaveRecord>),
-    pub(super) commands: (Option<StoreRevision>, Vec<CommandRecord>),
+    pub(super) commands: (Option<StoreRevision>, Vec<RecordedCommand>),
 }
 
 impl<P: Platform, C: Clock> Leader<P, C> {
@@ -106,6 +110,17 @@
                     self.host.inner.metrics.count_commit("conflict");
                     written.append(&mut self.resolve_conflict(&mut batch, &found).await);
                 }
+                Err(Error::Refused { reason }) if batch.len() > 1 => {
+                    self.host.inner.metrics.count_commit("failed");
+                    log::debug!(target: "store", "records are written one by one: {reason}");
+                    for record in batch.drain(..) {
+                        written.append(&mut Box::pin(self.write_batch(vec![record])).await);
+                    }
+                }
+                Err(Error::Refused { reason }) if drop_checkpoints(&mut batch) => {
+                    self.host.inner.metrics.count_commit("failed");
+                    log::warn!(target: "store", "checkpoints are dropped: {reason}");
+                }
                 Err(error) => {
                     self.host.inner.metrics.count_commit("failed");
                     log::debug!(target: "store", "commit failed: {error}");
@@ -135,8 +150,7 @@
                 }
                 RecordKind::End(outcome) => {
                     let team = self.scheduler().job_team(job).flatten();
-                    let at = Some(self.host.inner.clock.wall());
-                    let value = OutcomeRecord { outcome: *outcome, team, at, unaccepted: false };
+                    let value = OutcomeRecord { outcome: *outcome, team, unaccepted: false };
                     let Some(value) = encode(&value) else { continue };
                     let stored = revisions.jobs.get(&job).copied();
                     txn = txn.expect(keys::job(job), stored).expect(keys::outcome(job), None);
@@ -200,6 +214,15 @@
     }
 }
 
+/// Drops checkpoints from records that the store refuses. Returns whether there were any.
+fn drop_checkpoints(records: &mut [Record]) -> bool {
+    let dropped = records.iter_mut().map(|record| match &mut record.kind {
+        RecordKind::Progress(progress) => progress.drop_checkpoints(),
+        RecordKind::End(_) => false,
+    });
+    dropped.fold(false, |any, dropped| any | dropped)
+}
+
 fn is_outcome(record: &Record) -> bool {
     matches!(record.kind, RecordKind::End(_))
 }
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -16,7 +16,7 @@
 use crate::host::lock;
 use crate::keys::{
     self, COMMANDS_KEY, CommandRecord, INCARNATIONS_KEY, INCARNATIONS_MOVED, INCARNATIONS_PREFIX,
-    JOB_PREFIX, JobKey, PROGRESS_PREFIX, WAVES_KEY,
+    JOB_PREFIX, JobKey, PROGRESS_PREFIX, RecordedCommand, WAVES_KEY,
 };
 use crate::members::LAPSED_TIME;
 
@@ -154,7 +154,7 @@
     }
 
     /// Adds one job unless it has finished or is known already.
-    fn add_job(&self, job: JobId, entry: &Entry) {
+    pub(super) fn add_job(&self, job: JobId, entry: &Entry) {
         // A watch that lags behind may show a job that has finished since.
         if self.host.cached_outcome(job).is_some() {
             return;
@@ -189,14 +189,13 @@
     fn restore_incarnations(&self, entry: &Entry) {
         let incarnations = self.host.decode::<Vec<IncarnationRecord>>(entry);
         let rules = &self.host.inner.options.rules;
-        let clock = &self.host.inner.clock;
-        let (now, wall) = (clock.now(), self.host.inner.wall.earliest(clock));
+        let now = self.host.inner.clock.now();
         let until = now + EXPIRED_LEASE_GRACE + rules.lease_bound();
         let mut scheduler = self.scheduler();
         match incarnations {
             Some(incarnations) => incarnations
                 .iter()
-                .for_each(|incarnation| scheduler.add_unresolved(incarnation, until, now, wall)),
+                .for_each(|incarnation| scheduler.add_unresolved(incarnation, until, now)),
             None => scheduler.mark_all_unresolved(until),
         }
     }
@@ -213,15 +212,14 @@
         lock(&self.revisions).waves =
             (entry.map(|entry| entry.modified), records.unwrap_or_default());
         let waves = self.host.inner.waves.borrow().clone();
-        self.add_waves(&waves, true);
+        self.add_waves(&waves);
     }
 
     /// Notes the machines that an earlier leader commanded recently: they receive no other
     /// command for a while, and may be down for their maintenance. Commands are recorded
     /// before they are sent, so all other machines can receive commands at once.
     fn restore_machine_commands(&self, entry: Option<&Entry>) {
-        let clock = &self.host.inner.clock;
-        let (now, wall) = (clock.now(), self.host.inner.wall.earliest(clock));
+        let now = self.host.inner.clock.now();
         let commands = match entry {
             None => Vec::new(),
             // The record is malformed: no machine receives a command until the
@@ -233,10 +231,12 @@
         };
         let mut scheduler = self.scheduler();
         scheduler.end_machine_hold(now);
-        for command in &commands {
-            scheduler.restore_command(&command.to_earlier(wall), now);
+        let recorded: Vec<_> =
+            commands.into_iter().map(|each| RecordedCommand::from_record(each, now)).collect();
+        for command in &recorded {
+            scheduler.restore_command(&command.to_earlier(now), now);
         }
-        lock(&self.revisions).commands = (entry.map(|entry| entry.modified), commands);
+        lock(&self.revisions).commands = (entry.map(|entry| entry.modified), recorded);
     }
 
     /// Follows jobs and cancellations in the store.
