--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -122,17 +122,35 @@
     /// Notes a command of an earlier leader: its machine gets no other one for a while, and
     /// counts as down if it may have its maintenance now or later.
     pub fn restore_command(&mut self, command: &EarlierCommand, now: Instant) {
+        let hold = self.rules.machine_hold.saturating_sub(command.age);
+        self.pause_machine(command.machine.clone(), now + hold);
+        let Some(wave) = command.wave else { return };
+        match self.machines.waves.contains_key(&wave) {
+            true => self.count_earlier(command, now, now),
+            false => self.machines.earlier.push((command.clone(), now)),
+        }
+    }
+
+    /// Notes the commands of earlier leaders for a wave that was added.
+    pub(crate) fn count_earlier_for(&mut self, wave: u64, now: Instant) {
+        let is_of = |(each, _): &mut (EarlierCommand, Instant)| each.wave == Some(wave);
+        let earlier: Vec<_> = self.machines.earlier.extract_if(.., is_of).collect();
+        for (command, read) in earlier {
+            self.count_earlier(&command, read, now);
+        }
+    }
+
+    /// Counts the machine of a command, which was read at `read`, for the wave of the command.
+    fn count_earlier(&mut self, command: &EarlierCommand, read: Instant, now: Instant) {
         let EarlierCommand { machine, age, .. } = command;
-        let hold = self.rules.machine_hold.saturating_sub(*age);
-        self.pause_machine(machine.clone(), now + hold);
         let down_time = self.down_time();
         let active = command.wave.and_then(|wave| self.machines.waves.get_mut(&wave));
         let Some(active) = active else { return };
         let is_answered = active.done.contains(machine);
         let delay = if is_answered { COMMAND_TIMEOUT } else { COMMAND_DELAY_MAX };
         let remaining = (delay + down_time).saturating_sub(*age);
-        let begun = is_answered.then_some(now);
-        active.down.insert(machine.clone(), Down { until: now + remaining, begun });
+        let begun = is_answered.then_some(read);
+        active.down.insert(machine.clone(), Down { until: read + remaining, begun });
         if !is_answered && active.awaits(machine) {
             active.draining.insert(machine.clone(), now);
         }
@@ -179,8 +197,10 @@
             let is_unanswered = active.awaits(machine) && active.may_have_begun(machine);
             is_unanswered || active.is_down(machine, now)
         };
+        let mut earlier = self.machines.earlier.iter();
+        let is_earlier = earlier.any(|(command, _)| command.machine == *machine);
         let in_progress = self.machines.commands.contains_key(machine);
-        in_progress || self.machines.waves.values().any(may_be)
+        in_progress || is_earlier || self.machines.waves.values().any(may_be)
     }
 
     /// Returns for how long a machine counts as down after its maintenance has begun.
