lead: a refused write does not forget the write of another call

What callers saw: 503, so that the job never runs, and then it ran. Two calls had handed it in at the same host; the other one had left without an answer. Cause: a host keeps one entry for each job that it may have written. A call whose write the store refused (429) removed it, also when it was that of another call's write, which had no answer and was carried out later; and a call asked its peers only, not its own host, before it said that the job never runs. Evidence: job_that_another_call_may_have_written_is_not_refused failed: refused, and the job ran. Change: an entry names its write, and a call removes only its own. Before each write, and before a refusal, a call looks whether another one may have written the job. Result: the test passes; admission, leader, outcomes and store_outage pass. Paths looked at: relayed submissions take the same path; writes that are confirmed remove the entry for all, since the job is durable then.

--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -18,6 +18,7 @@
     DurableJob, JobQuery, RelayRequest, StatusReply, UnresolvedAnswer, WriteOutcome,
 };
 use crate::retry::{LOCAL_RETRY_LIMIT, answer_deadline};
+use crate::unresolved::WriteNumber;
 use crate::{Host, Platform, keys};
 
 /// Delay before a write is retried.
@@ -214,17 +215,17 @@
         deadline: Instant,
     ) -> WriteOutcome {
         let Some(value) = encode(spec.as_ref()) else { return WriteOutcome::Rejected };
-        // An earlier write of the same job may still take effect.
-        let mut outcome = match self.is_unresolved(job) {
-            true => WriteOutcome::Unknown,
-            false => WriteOutcome::Rejected,
-        };
+        let mut outcome = WriteOutcome::Rejected;
         loop {
+            // A write of another call, here or before, may still take effect.
+            if self.is_unresolved(job) {
+                outcome = WriteOutcome::Unknown;
+            }
             // What is not sent can't take effect.
             if self.store().is_held() {
                 return outcome;
             }
-            lock(&self.inner.unresolved).insert(job, self.inner.clock.now());
+            let number = lock(&self.inner.unresolved).insert(job, self.inner.clock.now());
             let txn = Txn::new()
                 .expect(keys::job(job), None)
                 .expect(keys::outcome(job), None)
@@ -252,11 +253,11 @@
                 }
                 Err(Error::Refused { reason }) => {
                     log::warn!(target: "store", "the store refused to write job {job}: {reason}");
-                    self.forget_rejected(job, outcome);
+                    self.forget_rejected(job, number, outcome);
                     return outcome;
                 }
                 Err(error) if !error.had_no_effect() => outcome = WriteOutcome::Unknown,
-                Err(_) => self.forget_rejected(job, outcome),
+                Err(_) => self.forget_rejected(job, number, outcome),
             }
             if self.inner.clock.now() + RETRY_DELAY >= deadline {
                 return outcome;
@@ -274,10 +275,10 @@
     }
 
     /// Removes a job from the unresolved writes if none of its writes had an
-    /// effect.
-    fn forget_rejected(&self, job: JobId, outcome: WriteOutcome) {
+    /// effect, and no other call has sent one since.
+    fn forget_rejected(&self, job: JobId, number: WriteNumber, outcome: WriteOutcome) {
         if outcome == WriteOutcome::Rejected {
-            lock(&self.inner.unresolved).remove(job);
+            lock(&self.inner.unresolved).remove_write(job, number);
         }
     }
 
@@ -291,13 +292,15 @@
     /// knows not to be written: the caller may have submitted the same job to
     /// another host before. Returns [`WriteOutcome::Rejected`] only if all peers answer
     /// that they have sent none: the write of one that was killed may still take effect.
+    /// Another call may have sent one here meanwhile.
     pub(crate) async fn confirm_rejected(&self, job: JobId) -> WriteOutcome {
         let peers = lock(&self.inner.members)
             .others_or_lapsed(self.inner.options.peer_addr, &self.inner.clock);
         let query = JobQuery { job };
         let queries = peers.iter().map(|&addr| self.ask_peer(addr, "unsettled", &query));
         let answers: Vec<Result<UnresolvedAnswer, _>> = join_all(queries).await;
-        match answers.iter().all(|answer| answer.as_ref().is_ok_and(|peer| !peer.unresolved)) {
+        let none_sent = answers.iter().all(|answer| matches!(answer, Ok(peer) if !peer.unresolved));
+        match none_sent && !self.is_unresolved(job) {
             true => WriteOutcome::Rejected,
             false => WriteOutcome::Unknown,
         }
--- a/crates/lead/src/unresolved.rs
+++ b/crates/lead/src/unresolved.rs
@@ -10,43 +10,61 @@
 /// Maximum number of jobs; the oldest is evicted first.
 const UNRESOLVED_JOBS_MAX: usize = 4096;
 
-/// Jobs that this host may have written, with the time of the last write.
+/// Names one write of a job, so that a call that knows its own write to have had no effect
+/// does not forget that of another call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct WriteNumber(u64);
+
+/// Jobs that this host may have written, with the last write of each and its time.
 #[derive(Debug, Default)]
 pub(crate) struct UnresolvedWrites {
-    sent_at: HashMap<JobId, Instant>,
+    sent: HashMap<JobId, (Instant, WriteNumber)>,
+    last: u64,
 }
 
 impl UnresolvedWrites {
     /// Whether a write of the job may still take effect or may have taken
     /// effect.
     pub(crate) fn contains(&self, job: JobId, now: Instant) -> bool {
-        self.sent_at
-            .get(&job)
-            .is_some_and(|at| now.saturating_duration_since(*at) < UNRESOLVED_MAX_AGE)
+        self.sent.get(&job).is_some_and(|(at, _)| is_recent(*at, now))
     }
 
     /// Returns the number of jobs of which a write may still take effect.
     pub(crate) fn len(&self, now: Instant) -> usize {
-        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < UNRESOLVED_MAX_AGE;
-        self.sent_at.values().filter(is_recent).count()
+        self.sent.values().filter(|(at, _)| is_recent(*at, now)).count()
     }
 
     /// Notes that a write of the job is being sent.
-    pub(crate) fn insert(&mut self, job: JobId, now: Instant) {
-        if self.sent_at.len() >= UNRESOLVED_JOBS_MAX {
-            self.sent_at.retain(|_, at| now.saturating_duration_since(*at) < UNRESOLVED_MAX_AGE);
+    pub(crate) fn insert(&mut self, job: JobId, now: Instant) -> WriteNumber {
+        if self.sent.len() >= UNRESOLVED_JOBS_MAX {
+            self.sent.retain(|_, (at, _)| is_recent(*at, now));
         }
-        if self.sent_at.len() >= UNRESOLVED_JOBS_MAX
+        if self.sent.len() >= UNRESOLVED_JOBS_MAX
             && let Some(oldest) =
-                self.sent_at.iter().min_by_key(|(_, at)| **at).map(|(job, _)| *job)
+                self.sent.iter().min_by_key(|(_, sent)| sent.0).map(|(job, _)| *job)
         {
-            self.sent_at.remove(&oldest);
+            self.sent.remove(&oldest);
         }
-        self.sent_at.insert(job, now);
+        self.last += 1;
+        let number = WriteNumber(self.last);
+        self.sent.insert(job, (now, number));
+        number
     }
 
     /// Notes that the outcome of all writes of the job is known.
     pub(crate) fn remove(&mut self, job: JobId) {
-        self.sent_at.remove(&job);
+        self.sent.remove(&job);
+    }
+
+    /// Notes that a write had no effect and no earlier one may take effect. A later write, of
+    /// another call, still may.
+    pub(crate) fn remove_write(&mut self, job: JobId, number: WriteNumber) {
+        if self.sent.get(&job).is_some_and(|(_, last)| *last == number) {
+            self.sent.remove(&job);
+        }
     }
 }
+
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < UNRESOLVED_MAX_AGE
+}
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -147,6 +147,37 @@
     assert_eq!(answer, SubmitOutcome::Unknown, "the job has run");
 }
 
+/// Guards against a job that runs although its caller was told that it never will: two calls
+/// hand the job in at one host, and the refused write of one made the host forget that the
+/// write of the other may still take effect.
+#[tokio::test]
+async fn job_that_another_call_may_have_written_is_not_refused() {
+    let late = Duration::from_millis(2500);
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    assert_eq!(b.host.submit(id(2), job(1), soon()).await, SubmitOutcome::Accepted);
+    a.faults.script(CallKind::Txn, Fault::Throttled, 1000);
+    b.faults.script(CallKind::Txn, Fault::Throttled, 1);
+    b.faults.script(CallKind::Txn, Fault::DelayedEffect(late), 1);
+    b.faults.script(CallKind::Txn, Fault::Throttled, 1000);
+    let first = b.host.submit(id(1), job(1), soon());
+    let second = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        // The caller leaves before the write is sent again.
+        let submission = b.host.submit(id(1), job(1), soon());
+        tokio::time::timeout(Duration::from_millis(10), submission).await.is_err()
+    };
+    let (answer, left) = futures_util::join!(first, second);
+    assert!(left);
+    for node in [&a, &b] {
+        node.faults.clear();
+    }
+    eventually(async || is_done(&a.host.job_status(id(1), soon()).await)).await;
+    assert!(!matches!(answer, SubmitOutcome::Refused(_)), "the job has run: {answer:?}");
+}
+
 /// A host that is cut off from the store while its peers are not must still
 /// accept jobs, answer queries and receive new configurations.
 #[tokio::test]
