lead: an accepted job that is sent again is not said not to run

What callers saw: 200 for a job, and for the same job sent again seconds later 503, so that it never runs; it had run or did so then. Cause: a host that can't reach the store looked only for writes without an answer, here and at its peers. A write that was confirmed is none, so nobody knew the job. Change: a host remembers the jobs that it knows to be durable, and answers a job that is sent again with 200. A peer that has one, leads and has it, or has shown its outcome, says so when it is asked before a refusal; the answer is then 504. Paths looked at: jobs that were cancelled before they were accepted, which stay refused; rejections for want of capacity, which ask the same.

--- a/crates/lead/src/admit.rs
+++ b/crates/lead/src/admit.rs
@@ -127,7 +127,7 @@
     /// outcome is not known, so that a refusal is true. The hosts are asked first: a
     /// write that ends in between is then found in the store.
     pub(crate) async fn is_new(&self, job: JobId) -> bool {
-        if self.is_unresolved(job) || self.confirm_rejected(job).await != WriteOutcome::Rejected {
+        if self.may_be_durable(job) || self.confirm_rejected(job).await != WriteOutcome::Rejected {
             return false;
         }
         let (record, outcome) = (keys::job(job), keys::outcome(job));
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -22,7 +22,7 @@
 use crate::members::Members;
 use crate::messages::StatusReply;
 use crate::submit::UNSENT_MAX;
-use crate::unresolved::UnresolvedWrites;
+use crate::unresolved::{AcceptedJobs, UnresolvedWrites};
 use crate::zone_drains::DrainedZones;
 use crate::{
     Metrics, Options, Platform, delay, election, follow, probe, serve, session, store_gauges,
@@ -82,6 +82,7 @@
     pub(crate) retained: Mutex<Option<RetainedWork>>,
     pub(crate) outcomes: Mutex<OutcomeCache>,
     pub(crate) unresolved: Mutex<UnresolvedWrites>,
+    pub(crate) accepted: Mutex<AcceptedJobs>,
     /// Places for submissions that wait unsent while the store does not answer.
     pub(crate) unsent_places: Semaphore,
     pub(crate) stopping: AtomicBool,
@@ -175,6 +176,7 @@
             retained: Mutex::default(),
             outcomes: Mutex::default(),
             unresolved: Mutex::default(),
+            accepted: Mutex::default(),
             unsent_places: Semaphore::new(UNSENT_MAX),
             stopping: AtomicBool::new(false),
             refusing_until: Mutex::default(),
--- a/crates/lead/src/messages.rs
+++ b/crates/lead/src/messages.rs
@@ -81,7 +81,7 @@
     Unknown,
 }
 
-/// Whether the answering host may have written the job.
+/// Whether the answering host may have written the job, or knows that it is durable.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct UnresolvedAnswer {
     #[serde(rename = "unsettled")]
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -94,7 +94,7 @@
             }
             "unsettled" => {
                 let message: JobQuery = decode(bytes)?;
-                encode(&UnresolvedAnswer { unresolved: self.is_unresolved(message.job) })
+                encode(&UnresolvedAnswer { unresolved: self.may_be_durable(message.job) })
             }
             "cancel" => {
                 let message: JobQuery = decode(bytes)?;
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -221,6 +221,9 @@
             if self.is_unresolved(job) {
                 outcome = WriteOutcome::Unknown;
             }
+            if lock(&self.inner.accepted).contains(job) {
+                return WriteOutcome::Durable;
+            }
             // What is not sent can't take effect.
             if self.store().is_held() {
                 return outcome;
@@ -232,17 +235,18 @@
                 .put(keys::job(job), value.clone());
             match self.store().commit(txn).await {
                 Ok(TxnOutcome::Committed { revision }) => {
-                    lock(&self.inner.unresolved).remove(job);
+                    self.note_durable(job);
                     self.announce_accepted(job, revision.0 as u64, spec);
                     return WriteOutcome::Durable;
                 }
                 // A job id is used for one job only, so an existing record
                 // means that the same job was written before.
                 Ok(TxnOutcome::Conflict { found }) => {
-                    lock(&self.inner.unresolved).remove(job);
                     if self.was_cancelled_before(job, &found) {
+                        lock(&self.inner.unresolved).remove(job);
                         return WriteOutcome::Rejected;
                     }
+                    self.note_durable(job);
                     let entry = found.iter().find(|entry| entry.key == keys::job(job));
                     if let Some(entry) = entry
                         && outcome == WriteOutcome::Unknown
@@ -288,11 +292,26 @@
         lock(&self.inner.unresolved).contains(job, self.inner.clock.now())
     }
 
+    /// Notes that a job is durable, whatever becomes of other writes of it.
+    fn note_durable(&self, job: JobId) {
+        lock(&self.inner.accepted).insert(job);
+        lock(&self.inner.unresolved).remove(job);
+    }
+
+    /// Whether this host may have written a job, or knows that it is durable: it has written
+    /// it, leads and has it, or has shown how it ended.
+    pub(crate) fn may_be_durable(&self, job: JobId) -> bool {
+        self.is_unresolved(job)
+            || lock(&self.inner.accepted).contains(job)
+            || self.cached_outcome(job).is_some()
+            || self.leading().is_some_and(|leader| leader.state(job).is_some())
+    }
+
     /// Asks all peers whether they have sent a write of a job that this host
     /// knows not to be written: the caller may have submitted the same job to
     /// another host before. Returns [`WriteOutcome::Rejected`] only if all peers answer
-    /// that they have sent none: the write of one that was killed may still take effect.
-    /// Another call may have sent one here meanwhile.
+    /// that they have sent none and don't know the job: the write of one that was killed may
+    /// still take effect. Another call may have sent one here meanwhile.
     pub(crate) async fn confirm_rejected(&self, job: JobId) -> WriteOutcome {
         let peers = lock(&self.inner.members)
             .others_or_lapsed(self.inner.options.peer_addr, &self.inner.clock);
@@ -300,7 +319,7 @@
         let queries = peers.iter().map(|&addr| self.ask_peer(addr, "unsettled", &query));
         let answers: Vec<Result<UnresolvedAnswer, _>> = join_all(queries).await;
         let none_sent = answers.iter().all(|answer| matches!(answer, Ok(peer) if !peer.unresolved));
-        match none_sent && !self.is_unresolved(job) {
+        match none_sent && !self.may_be_durable(job) {
             true => WriteOutcome::Rejected,
             false => WriteOutcome::Unknown,
         }
--- a/crates/lead/src/unresolved.rs
+++ b/crates/lead/src/unresolved.rs
@@ -1,6 +1,6 @@
-//! Jobs of which a write was sent whose outcome is not known.
+//! Jobs that this host has written or may have written.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use vg_base::prelude::*;
 
@@ -9,6 +9,8 @@
 const UNRESOLVED_MAX_AGE: Duration = Duration::from_secs(60);
 /// Maximum number of jobs; the oldest is evicted first.
 const UNRESOLVED_JOBS_MAX: usize = 4096;
+/// Maximum number of accepted jobs that a host remembers; the oldest is forgotten first.
+const ACCEPTED_JOBS_MAX: usize = 20_000;
 
 /// Names one write of a job, so that a call that knows its own write to have had no effect
 /// does not forget that of another call.
@@ -68,3 +70,29 @@
 fn is_recent(at: Instant, now: Instant) -> bool {
     now.saturating_duration_since(at) < UNRESOLVED_MAX_AGE
 }
+
+/// Jobs that this host knows to be durable since a short time ago. A caller may send one again
+/// when no host reaches the store.
+#[derive(Debug, Default)]
+pub(crate) struct AcceptedJobs {
+    jobs: HashSet<JobId>,
+    order: VecDeque<JobId>,
+}
+
+impl AcceptedJobs {
+    pub(crate) fn insert(&mut self, job: JobId) {
+        if !self.jobs.insert(job) {
+            return;
+        }
+        self.order.push_back(job);
+        if self.order.len() > ACCEPTED_JOBS_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.jobs.remove(&oldest);
+        }
+    }
+
+    pub(crate) fn contains(&self, job: JobId) -> bool {
+        self.jobs.contains(&job)
+    }
+}
--- a/crates/lead/tests/leader.rs
+++ b/crates/lead/tests/leader.rs
@@ -178,6 +178,29 @@
     assert!(!matches!(answer, SubmitOutcome::Refused(_)), "the job has run: {answer:?}");
 }
 
+/// Guards against a caller that is told that its accepted job never runs: the job is sent
+/// again, to the host that has accepted it or to another one, when none reaches the store.
+#[tokio::test]
+async fn accepted_job_that_is_sent_again_in_an_outage_is_not_refused() {
+    let cluster = Cluster::new().await;
+    let (a, b) = (cluster.node("a").await, cluster.node("b").await);
+    eventually(async || cluster.has_leader().await).await;
+    for (number, accepting) in [(1, &a), (2, &b)] {
+        let answer = accepting.host.submit(id(number), job(1), soon()).await;
+        assert_eq!(answer, SubmitOutcome::Accepted);
+        eventually(async || is_done(&accepting.host.job_status(id(number), soon()).await)).await;
+    }
+    for node in [&a, &b] {
+        node.faults.set_down(true);
+    }
+    for (number, node) in [(1, &a), (1, &b), (2, &a), (2, &b)] {
+        let answer = node.host.submit(id(number), job(1), soon()).await;
+        assert!(!matches!(answer, SubmitOutcome::Refused(_)), "job {number}: {answer:?}");
+    }
+    let answer = a.host.submit(id(3), job(1), soon()).await;
+    assert!(matches!(answer, SubmitOutcome::Refused(_)), "nobody has sent it: {answer:?}");
+}
+
 /// A host that is cut off from the store while its peers are not must still
 /// accept jobs, answer queries and receive new configurations.
 #[tokio::test]
