--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -33,7 +33,7 @@
 use crate::{Host, Platform};
 
 /// How long a leader continues with the work that it knows after its lease may
-/// have expired. It continues for longer only while peers report that they
+/// have expired. It continues for longer only while all peers report that they
 /// cannot reach the store either.
 pub(crate) const EXPIRED_LEASE_GRACE: Duration = Duration::from_millis(1500);
 /// Maximum time that a round of decisions waits for a change after
@@ -79,7 +79,7 @@
     recovered: AtomicBool,
     /// Revision of the store up to which all jobs have been read from it.
     jobs_read: AtomicU64,
-    /// When peers last reported that none of them reaches the store.
+    /// When all peers last reported that they do not reach the store.
     outage_reported: Mutex<Option<DualInstant>>,
     /// Workers whose registration was missing after an outage of the store.
     lapsed_workers: Mutex<std::collections::HashSet<HostId>>,
--- a/crates/lead/src/leader/outage.rs
+++ b/crates/lead/src/leader/outage.rs
@@ -46,7 +46,7 @@
         Some(now + lasts.saturating_sub(age))
     }
 
-    /// Whether peers recently reported that none of them reaches the store.
+    /// Whether all peers recently reported that they do not reach the store.
     ///
     /// No other host can take the leadership during such an outage, so this
     /// host may continue with the work that it knows.
