red: takeover: a queue that operators have moved to another pool

A new leader holds back the jobs of a pool while a worker of that pool hasn't answered (Scheduler::may_run_unseen), and takes the pool of a job from the configuration in force (set_config, add_job). Tasks that an earlier leader started while the queue belonged to another pool may run on a worker of that one, so they are started again at once.

Seen: the test fails each run: two tasks of the cut-off worker run twice. The configurations of the sites at hand change limits, keys, time-outs and idle routes and move no queue, so this is not known to be what the users saw. What would hold: a record of each incarnation that names the routes under which it was given work, written before a moved queue gets work.

--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -596,3 +596,31 @@
     world.run(8000);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Moves the queue `q-a` to the pool `b`.
+fn move_queue(world: &mut World) {
+    let mut config = (*world.config).clone();
+    config.version += 1;
+    let queue = config.queues.get_mut(&"q-a".parse().unwrap()).unwrap();
+    queue.pool = "b".parse().unwrap();
+    world.config = Arc::new(config);
+}
+
+/// Guards against a second attempt of tasks on workers that have not answered, where the
+/// operators have moved their queue to another pool since they started.
+#[test]
+fn tasks_of_a_queue_that_has_moved_to_another_pool_may_run_in_the_earlier_one() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(2, 30_000), wall));
+    world.run(1000);
+    assert!(has_started(&world, 1, 2));
+    for worker in &mut world.workers {
+        worker.reachable = worker.running.is_empty();
+    }
+    move_queue(&mut world);
+    world.change_leader();
+    world.run(2000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert!(has_started(&world, 1, 2), "a second attempt");
+}
