--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -33,7 +33,7 @@
         if let Some(start_ms) = report.start_ms
             && start_ms != self.workers[key].incarnation.start_ms
         {
-            if start_ms < self.workers[key].incarnation.start_ms {
+            if !self.workers[key].is_later_start(start_ms, sent) {
                 return false;
             }
             self.begin_incarnation(key, start_ms, now);
@@ -42,6 +42,7 @@
             self.clear_unresolved(id);
             self.workers[key].require_record();
         }
+        self.end_others_on_machine(key, sent, now);
         // The worker still answers although it should be gone by now, so the
         // command to take its machine away had taken effect before.
         let worker = &mut self.workers[key];
@@ -215,15 +216,16 @@
     }
 
     /// Keeps the last checkpoint of an ended attempt for the next attempt of
-    /// its task.
+    /// its task, and has it written before the end is acknowledged.
     fn keep_checkpoint(&mut self, end: &EndedAttempt) {
         if !is_usable(&end.checkpoint) {
             return;
         }
-        if let Some(task) = self.task_mut(end.task)
-            && !task.done
-        {
-            task.checkpoint = end.checkpoint.clone();
+        let Some(task) = self.task_mut(end.task).filter(|task| !task.done) else { return };
+        task.checkpoint = end.checkpoint.clone();
+        // The worker forgets it once the end is acknowledged.
+        if let Some(&job) = self.job_ids.get(&end.task.step.job) {
+            self.mark_dirty(job);
         }
     }
 
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -14,6 +14,7 @@
 mod outcomes;
 mod polls;
 mod recovery;
+mod unknown_jobs;
 mod zone_drains;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -104,11 +105,13 @@
     host.record(Code::LeadershipTaken, [Field::new("fence", token)]);
     let Some(config) = host.config() else { return };
     let rules = host.inner.options.rules.clone();
+    let mut scheduler = Scheduler::new(rules, token, config, started);
+    scheduler.set_overlap(started + host.inner.options.lease_ttl() + EXPIRED_LEASE_GRACE);
     let leader = Arc::new(Leader {
         host: host.clone(),
         token,
         lease: Mutex::new(lease),
-        scheduler: Mutex::new(Scheduler::new(rules, token, config, started)),
+        scheduler: Mutex::new(scheduler),
         wake: Notify::new(),
         commit_needed: Notify::new(),
         committed: Notify::new(),
@@ -247,7 +250,7 @@
             if let Some(config) = config.borrow_and_update().clone() {
                 self.scheduler().set_config(config);
             }
-            self.add_waves(&waves.borrow_and_update().clone(), false);
+            self.add_waves(&waves.borrow_and_update().clone());
             self.wake.notify_one();
             let changed = tokio::select! {
                 changed = config.changed() => changed,
