lead: takeovers under drawn faults of each piece that is read

The pieces that a new leader reads (jobs, progress, incarnations, waves, commands, drains, term, registrations) are read and written apart from each other.

--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod oracle;
+mod pieces;
 
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
@@ -25,6 +26,7 @@
 
 pub(crate) use clock::TestClock;
 use oracle::Oracle;
+use pieces::{PieceStore, Pieces};
 
 /// Duration of a task, unless a test sets another.
 pub(crate) const TASK_DURATION: Duration = Duration::from_millis(150);
@@ -35,7 +37,7 @@
 /// Maximum time for which a test waits for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
-type SharedStore = FaultyStore<MemStore>;
+type SharedStore = FaultyStore<PieceStore<MemStore>>;
 
 /// Simulated workers and the starts that they have carried out.
 #[derive(Debug)]
@@ -165,6 +167,7 @@
 }
 
 pub(crate) struct Node {
+    pub(crate) name: SmolStr,
     pub(crate) host: Host<TestPlatform, TestClock>,
     /// The store as this host reaches it.
     pub(crate) store: SharedStore,
@@ -172,6 +175,7 @@
     pub(crate) tasks: HostTasks,
     pub(crate) recorder: Recorder<TestClock>,
     pub(crate) faults: FaultControl,
+    pub(crate) pieces: Pieces,
 }
 
 impl Node {
@@ -239,10 +243,11 @@
     }
 
     async fn start_node(&self, name: &str, capacity: HostCapacity, watched: &str) -> Node {
-        let faults = FaultControl::new();
+        let (faults, pieces) = (FaultControl::new(), Pieces::default());
+        let inner = PieceStore::new(self.inner.clone(), pieces.clone());
         let platform = TestPlatform {
             name: name.into(),
-            store: FaultyStore::new(self.inner.clone(), faults.clone()),
+            store: FaultyStore::new(inner, faults.clone()),
             layout: KeyLayout {
                 operator_prefix: Key::from(watched),
                 drain_prefix: Key::from(DRAIN_PREFIX),
@@ -264,7 +269,7 @@
         let recorder = Recorder::new(clock.clone(), name, 4000);
         let started = Host::start(platform, clock.clone(), options, recorder.clone()).await;
         let (host, tasks) = started.unwrap();
-        let node = Node { host, store, clock, tasks, recorder, faults };
+        let node = Node { name: name.into(), host, store, clock, tasks, recorder, faults, pieces };
         eventually(async || node.host.config().is_some()).await;
         node
     }
