flow: unseen tasks are held back when their queue goes to another pool

Callers saw (by this test alone): a task ran twice after a takeover and a new configuration.

Cause: the tasks of a pool wait for workers of that pool that have not answered a new leader. A configuration that sends a queue to another pool moves its jobs there, where all workers may have answered, while their tasks still run in the former pool.

Evidence: unseen_tasks_are_held_back_when_their_queue_goes_to_another_pool (flow/tests/takeover.rs) failed with "1.0.0 runs twice".

Change: a job keeps the former pools of its queue, and waits for their workers as well.

Paths looked at: a configuration that changed before the takeover is not known to the next leader; that remains open.

--- a/crates/flow/src/jobs/job.rs
+++ b/crates/flow/src/jobs/job.rs
@@ -43,6 +43,8 @@
     pub(crate) id: JobId,
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) pool: PoolId,
+    /// Pools to which earlier configurations of this leader sent its queue.
+    pub(crate) former_pools: Vec<PoolId>,
     pub(crate) team_index: TeamIndex,
     /// Whether an earlier leader may have started it.
     pub(crate) is_earlier: bool,
@@ -88,6 +90,7 @@
         Job {
             id,
             pool,
+            former_pools: Vec::new(),
             team_index,
             is_earlier,
             critical_paths: spec.critical_paths(),
@@ -107,6 +110,16 @@
         }
     }
 
+    /// Sets the pool to which a new configuration sends its queue. Its tasks may run in the
+    /// former ones.
+    pub(crate) fn set_pool(&mut self, pool: &PoolId) {
+        if self.pool != *pool {
+            let former = std::mem::replace(&mut self.pool, pool.clone());
+            self.former_pools.push(former);
+            self.former_pools.retain(|former| former != pool);
+        }
+    }
+
     /// Whether new tasks of it may start.
     pub(crate) fn is_open(&self) -> bool {
         !self.cancelled && self.ended.is_none()
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -176,7 +176,8 @@
     /// Whether an earlier leader may have started tasks of a job on workers
     /// that are unresolved and whose tasks are not recorded.
     pub(crate) fn may_run_unseen(&self, job: &Job) -> bool {
-        job.is_earlier && self.unresolved.affects_pool(&job.pool)
+        let mut pools = std::iter::once(&job.pool).chain(&job.former_pools);
+        job.is_earlier && pools.any(|pool| self.unresolved.affects_pool(pool))
     }
 
     /// Starts waiting tasks of a step until one finds no worker, the team's limit is
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -197,7 +197,7 @@
     pub fn set_config(&mut self, config: Arc<OperatorConfig>) {
         for job in self.jobs.values_mut() {
             if let Some(queue) = config.queues.get(&job.spec.queue) {
-                job.pool = queue.pool.clone();
+                job.set_pool(&queue.pool);
             }
         }
         self.config = config;
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use support::spec::{job, scheduled_job, step};
+use support::spec::{job, pool, queue, scheduled_job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
 use vg_flow::{Action, JobSpec, MachineAnswer, Schedule, StepSpec};
@@ -596,3 +596,21 @@
     world.run(8000);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against a second attempt of tasks on a worker that has not answered the new leader:
+/// a new configuration sends their queue to another pool, of which all workers have answered.
+#[test]
+fn unseen_tasks_are_held_back_when_their_queue_goes_to_another_pool() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(2, 30_000), wall));
+    world.run(300);
+    let busy = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[busy].reachable = false;
+    world.change_leader();
+    let mut config = (*world.config).clone();
+    config.queues.get_mut(&queue("q-a")).unwrap().pool = pool("b");
+    world.scheduler.set_config(Arc::new(config));
+    world.run(8000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
