flow: a final record does not say what its leader never knew

Callers saw (by this test alone): a task ran twice after a planned stop that soon followed a takeover whose records could not be read.

Cause: such a leader holds everything back for workers that have not answered, but its own records of these workers were as those of idle ones: the final record said that nothing ran there, and later records left them out.

Evidence: a_final_record_does_not_say_what_its_leader_never_knew (flow/tests/takeover.rs) failed with "1.0.0 runs twice".

Change: while everything is held back, the record of a worker that has not answered names neither tasks nor an end of its lease.

Paths looked at: what a process retains keeps this mark; a worker that is not registered is still lost when its unreadable shard is written again, which remains open.

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -101,7 +101,8 @@
     pub fn incarnation_records(&self, now: Instant) -> Vec<IncarnationRecord> {
         let may_run = |worker: &&Worker| {
             let unresolved = self.unresolved.expiry(&worker.incarnation.id).is_some();
-            !unresolved && (worker.unreachable_since.is_none() || now <= worker.last_lease_end())
+            let is_over = worker.unreachable_since.is_some() && now > worker.last_lease_end();
+            !unresolved && (!is_over || self.may_run_any(worker))
         };
         let current = self.workers.values().filter(may_run);
         let mut records: Vec<_> =
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -215,11 +215,17 @@
         self.frozen
     }
 
-    /// Returns the record of a worker. It lists the tasks that may run there if
-    /// the worker is sealed or decisions have ended.
+    /// Whether a worker may run any task: the records could not be read, and it has not
+    /// answered.
+    pub(crate) fn may_run_any(&self, worker: &Worker) -> bool {
+        self.unresolved.all_until.is_some() && !worker.polled
+    }
+
+    /// Returns the record of a worker. It lists the tasks that may run there if they are
+    /// known, and the worker is sealed or decisions have ended.
     pub(crate) fn incarnation_record(&self, worker: &Worker, now: Instant) -> IncarnationRecord {
         let (incarnation, machine) = (worker.incarnation.clone(), worker.machine.clone());
-        if !worker.sealed && !self.frozen {
+        if self.may_run_any(worker) || (!worker.sealed && !self.frozen) {
             return IncarnationRecord { incarnation, remaining: None, tasks: None, machine };
         }
         let remaining = Some(remaining_time(worker.last_lease_end(), now));
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -337,6 +337,12 @@
         self.change_leader();
     }
 
+    /// Loses the records of incarnations, as if they could not be read.
+    pub(crate) fn forget_records(&mut self) {
+        self.records.clear();
+        self.pending_records = None;
+    }
+
     /// Lets the leader give up and lead again, as no other host has led meanwhile: it knows
     /// what each worker may run without the records.
     pub(crate) fn lead_again(&mut self) {
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -614,3 +614,23 @@
     world.run(8000);
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
+
+/// Guards against a second attempt of tasks on a worker that has not answered: the records could
+/// not be read, and the leader that held everything back stops as planned.
+#[test]
+fn a_final_record_does_not_say_what_its_leader_never_knew() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(2, 30_000), wall));
+    world.run(300);
+    let busy = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[busy].reachable = false;
+    world.forget_records();
+    world.change_leader();
+    let until = world.now() + Duration::from_millis(5850);
+    world.scheduler.mark_all_unresolved(until);
+    world.run(200);
+    world.planned_handover();
+    world.run(8000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
