red: two leaders in a partition, a queue that changes its pool, a lengthened lease over a takeover

Three failing tests of rule TWICE around a change of the leader, found while looking for what may be taken to run no longer although it may still run.

A leader goes on after its lease while the peers that answer say that the store is away. A peer that does not answer counts for nothing, so a leader and a peer on the smaller side of a partition go on for as long as it lasts, while a host on the other side leads. It ends as soon as the leader reaches a worker that the other one has reached, which has seen the higher fence.

A new leader holds back the older jobs of the pool of a worker that has not answered, by the pool that their queue has now. The worker has tasks of jobs whose queue had its pool before.

A record of a worker that is not sealed says nothing of a lease that late messages to an earlier life have lengthened, to `max-hold-ms` at most.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -394,3 +394,25 @@
     let on_it = starts.iter().filter(|start| start.incarnation.id == id).count();
     assert_eq!(on_it, 0, "{starts:?}");
 }
+
+/// Guards against a task that runs twice: a late message to an earlier life has renewed the
+/// lease of the present one for longer than its leader asked for, and the next leader counts
+/// the lease that leaders ask for.
+#[test]
+fn a_lengthened_lease_of_a_later_life_holds_over_a_takeover() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = start_late(&mut world, 60_000);
+    world.run(1500);
+    world.restart(at);
+    world.run(300);
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(4, 5000, 60_000) };
+    world.submit(2, job("q-a", vec![spread], wall));
+    world.run(LATE_MS - 1700);
+    assert!(!world.workers[at].running.is_empty());
+    world.workers[at].reachable = false;
+    world.change_leader();
+    world.run(20_000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use support::spec::{job, scheduled_job, step};
+use support::spec::{job, queue, scheduled_job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
 use vg_flow::{Action, JobSpec, MachineAnswer, Schedule, StepSpec};
@@ -596,3 +596,27 @@
     world.run(8000);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Gives queue `q-a` the pool of queue `q-b`. Leaders that take over from now on read that.
+fn move_queue(world: &mut World) {
+    let mut config = (*world.config).clone();
+    config.version += 1;
+    let pool = config.queues[&queue("q-b")].pool.clone();
+    config.queues.get_mut(&queue("q-a")).unwrap().pool = pool;
+    world.config = Arc::new(config);
+}
+
+/// Guards against tasks that run twice after a takeover: the operators have given their queue
+/// another pool, and the workers that run them have not answered the new leader.
+#[test]
+fn tasks_of_a_queue_that_has_changed_its_pool_wait_for_the_workers_of_the_earlier_one() {
+    let mut world = World::new(1, 8, Faults::default());
+    let wall = world.wall();
+    world.submit(1, job("q-a", short(2, 30_000), wall));
+    world.run(300);
+    move_queue(&mut world);
+    (0..8).step_by(2).for_each(|at| world.workers[at].reachable = false);
+    world.change_leader();
+    world.run(2000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -344,3 +344,27 @@
     eventually(async || cluster.fleet.starts_of(id(1)) == 2).await;
     assert!(cluster.fleet.has_lease_ended(&worker), "the task may still run there");
 }
+
+/// Guards against a task that runs twice because two hosts lead: the leader and a peer are cut
+/// off from the store, from the host that takes over and from the workers that it reaches.
+#[tokio::test]
+async fn a_leader_on_the_smaller_side_of_a_partition_renews_no_lease() {
+    let cluster = Cluster::new().await;
+    let a = cluster.node("a").await;
+    eventually(async || a.host.is_leading()).await;
+    let b = cluster.node("b").await;
+    *cluster.fleet.task_duration.lock().unwrap() = Duration::from_secs(60);
+    assert_eq!(a.host.submit(id(1), job(1), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) == 1).await;
+    let busy = cluster.fleet.start_workers.lock().unwrap()[0].clone();
+    let other = if busy.as_str() == "w1" { "w2" } else { "w1" };
+    // They have not heard of host `c`.
+    a.faults.set_all_silent(true);
+    b.faults.set_all_silent(true);
+    cluster.fleet.set_cut("c", busy.as_str(), true);
+    cluster.fleet.set_cut("a", other, true);
+    let c = cluster.node("c").await;
+    eventually(async || c.host.is_leading()).await;
+    eventually(async || cluster.fleet.starts_of(id(1)) == 2).await;
+    assert!(cluster.fleet.has_lease_ended(&busy), "the task runs on {busy} as well");
+}
