red: a broken connection is taken for the end of a lengthened lease

A late message to an earlier life of a worker may lengthen the lease of the present one. The leader waits for that, unless the connection has broken: but a network that resets connections and then cuts the worker off breaks them as well, and the worker runs on.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -416,3 +416,24 @@
     world.run(20_000);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against the same where the cut breaks the connections of the worker, which does not
+/// show that its process has ended.
+#[test]
+fn a_broken_connection_does_not_end_a_lengthened_lease() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.crashes.cuts_break = true;
+    world.run(2 * LATE_MS);
+    let at = start_late(&mut world, 60_000);
+    world.run(1500);
+    world.restart(at);
+    world.run(300);
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(4, 5000, 60_000) };
+    world.submit(2, job("q-a", vec![spread], wall));
+    world.run(LATE_MS - 1700);
+    assert!(!world.workers[at].running.is_empty());
+    world.workers[at].reachable = false;
+    world.run(20_000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
