--- a/crates/lead/tests/support/crashes.rs
+++ b/crates/lead/tests/support/crashes.rs
@@ -395,9 +395,10 @@
             drain_prefix: Key::from(DRAIN_PREFIX),
             worker_prefix: Key::from("workers/"),
         };
+        let pieces = PieceStore::new(self.cluster.inner.clone(), Pieces::default());
         let inner = TestPlatform {
             name: name.into(),
-            store: FaultyStore::new(self.cluster.inner.clone(), FaultControl::new()),
+            store: FaultyStore::new(pieces, FaultControl::new()),
             layout,
             fleet: Arc::clone(&self.cluster.fleet),
         };
