--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -33,7 +33,7 @@
 use crate::{Host, Platform};
 
 /// How long a leader continues with the work that it knows after its lease may
-/// have expired. It continues for longer only while peers report that they
+/// have expired. It continues for longer only while all peers report that they
 /// cannot reach the store either.
 pub(crate) const EXPIRED_LEASE_GRACE: Duration = Duration::from_millis(1500);
 /// Maximum time that a round of decisions waits for a change after
@@ -57,6 +57,8 @@
     /// The host's lease under which the leadership was last proved. Under a later one
     /// another host may have taken it meanwhile.
     lease: Mutex<LeaseId>,
+    /// When the last granted renewal of that lease was sent.
+    lease_confirmed: Mutex<Option<DualInstant>>,
     scheduler: Mutex<Scheduler>,
     /// Wakes the decision loop after a change that may require decisions.
     wake: Notify,
@@ -77,7 +79,7 @@
     recovered: AtomicBool,
     /// Revision of the store up to which all jobs have been read from it.
     jobs_read: AtomicU64,
-    /// When peers last reported that none of them reaches the store.
+    /// When all peers last reported that they do not reach the store.
     outage_reported: Mutex<Option<DualInstant>>,
     /// Workers whose registration was missing after an outage of the store.
     lapsed_workers: Mutex<std::collections::HashSet<HostId>>,
@@ -111,6 +113,7 @@
         host: host.clone(),
         token,
         lease: Mutex::new(lease),
+        lease_confirmed: Mutex::default(),
         scheduler: Mutex::new(scheduler),
         wake: Notify::new(),
         commit_needed: Notify::new(),
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -18,6 +18,7 @@
     DurableJob, JobQuery, RelayRequest, StatusReply, UnresolvedAnswer, WriteOutcome,
 };
 use crate::retry::{LOCAL_RETRY_LIMIT, answer_deadline};
+use crate::unresolved::WriteNumber;
 use crate::{Host, Platform, keys};
 
 /// Delay before a write is retried.
@@ -214,34 +215,38 @@
         deadline: Instant,
     ) -> WriteOutcome {
         let Some(value) = encode(spec.as_ref()) else { return WriteOutcome::Rejected };
-        // An earlier write of the same job may still take effect.
-        let mut outcome = match self.is_unresolved(job) {
-            true => WriteOutcome::Unknown,
-            false => WriteOutcome::Rejected,
-        };
+        let mut outcome = WriteOutcome::Rejected;
         loop {
+            // A write of another call, here or before, may still take effect.
+            if self.is_unresolved(job) {
+                outcome = WriteOutcome::Unknown;
+            }
+            if lock(&self.inner.accepted).contains(job) {
+                return WriteOutcome::Durable;
+            }
             // What is not sent can't take effect.
             if self.store().is_held() {
                 return outcome;
             }
-            lock(&self.inner.unresolved).insert(job, self.inner.clock.now());
+            let number = lock(&self.inner.unresolved).insert(job, self.inner.clock.now());
             let txn = Txn::new()
                 .expect(keys::job(job), None)
                 .expect(keys::outcome(job), None)
                 .put(keys::job(job), value.clone());
             match self.store().commit(txn).await {
                 Ok(TxnOutcome::Committed { revision }) => {
-                    lock(&self.inner.unresolved).remove(job);
+                    self.note_durable(job);
                     self.announce_accepted(job, revision.0 as u64, spec);
                     return WriteOutcome::Durable;
                 }
                 // A job id is used for one job only, so an existing record
                 // means that the same job was written before.
                 Ok(TxnOutcome::Conflict { found }) => {
-                    lock(&self.inner.unresolved).remove(job);
                     if self.was_cancelled_before(job, &found) {
+                        lock(&self.inner.unresolved).remove(job);
                         return WriteOutcome::Rejected;
                     }
+                    self.note_durable(job);
                     let entry = found.iter().find(|entry| entry.key == keys::job(job));
                     if let Some(entry) = entry
                         && outcome == WriteOutcome::Unknown
@@ -252,11 +257,11 @@
                 }
                 Err(Error::Refused { reason }) => {
                     log::warn!(target: "store", "the store refused to write job {job}: {reason}");
-                    self.forget_rejected(job, outcome);
+                    self.forget_rejected(job, number, outcome);
                     return outcome;
                 }
                 Err(error) if !error.had_no_effect() => outcome = WriteOutcome::Unknown,
-                Err(_) => self.forget_rejected(job, outcome),
+                Err(_) => self.forget_rejected(job, number, outcome),
             }
             if self.inner.clock.now() + RETRY_DELAY >= deadline {
                 return outcome;
@@ -274,10 +279,10 @@
     }
 
     /// Removes a job from the unresolved writes if none of its writes had an
-    /// effect.
-    fn forget_rejected(&self, job: JobId, outcome: WriteOutcome) {
+    /// effect, and no other call has sent one since.
+    fn forget_rejected(&self, job: JobId, number: WriteNumber, outcome: WriteOutcome) {
         if outcome == WriteOutcome::Rejected {
-            lock(&self.inner.unresolved).remove(job);
+            lock(&self.inner.unresolved).remove_write(job, number);
         }
     }
 
@@ -287,17 +292,34 @@
         lock(&self.inner.unresolved).contains(job, self.inner.clock.now())
     }
 
+    /// Notes that a job is durable, whatever becomes of other writes of it.
+    fn note_durable(&self, job: JobId) {
+        lock(&self.inner.accepted).insert(job);
+        lock(&self.inner.unresolved).remove(job);
+    }
+
+    /// Whether this host may have written a job, or knows that it is durable: it has written
+    /// it, leads and has it, or has shown how it ended.
+    pub(crate) fn may_be_durable(&self, job: JobId) -> bool {
+        self.is_unresolved(job)
+            || lock(&self.inner.accepted).contains(job)
+            || self.cached_outcome(job).is_some()
+            || self.leading().is_some_and(|leader| leader.state(job).is_some())
+    }
+
     /// Asks all peers whether they have sent a write of a job that this host
     /// knows not to be written: the caller may have submitted the same job to
     /// another host before. Returns [`WriteOutcome::Rejected`] only if all peers answer
-    /// that they have sent none: the write of one that was killed may still take effect.
+    /// that they have sent none and don't know the job: the write of one that was killed may
+    /// still take effect. Another call may have sent one here meanwhile.
     pub(crate) async fn confirm_rejected(&self, job: JobId) -> WriteOutcome {
         let peers = lock(&self.inner.members)
             .others_or_lapsed(self.inner.options.peer_addr, &self.inner.clock);
         let query = JobQuery { job };
         let queries = peers.iter().map(|&addr| self.ask_peer(addr, "unsettled", &query));
         let answers: Vec<Result<UnresolvedAnswer, _>> = join_all(queries).await;
-        match answers.iter().all(|answer| answer.as_ref().is_ok_and(|peer| !peer.unresolved)) {
+        let none_sent = answers.iter().all(|answer| matches!(answer, Ok(peer) if !peer.unresolved));
+        match none_sent && !self.may_be_durable(job) {
             true => WriteOutcome::Rejected,
             false => WriteOutcome::Unknown,
         }
