--- a/crates/flow/tests/contention.rs
+++ b/crates/flow/tests/contention.rs
@@ -193,6 +193,18 @@
     }
 }
 
+/// Guards against the same for one case that was drawn once.
+#[test]
+fn an_account_within_its_share_is_served_beside_a_flood_of_small_tasks() {
+    let mut replay = Replay::new(115, &EQUAL);
+    let within = Sender { cores: 8, ..sender("a", 0.11232822393761538, &[1, 2]) };
+    let flood = Sender { cores: 1, ..sender("d", 4.769316282689113, SMALL) };
+    replay.run(6000, &[flood, within]);
+    replay.run(6000, &[]);
+    let served = replay.in_time(0, |team, _| team == "a");
+    assert!(served >= 0.98, "{served}");
+}
+
 /// Guards against large jobs that starve at each peak, because small ones have more
 /// value per work.
 #[test]
