--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -98,18 +98,18 @@
 }
 
 impl Scheduler {
-    /// Adds a wave that operators requested, with its durable state if there is any. Returns
-    /// whether it is new; for one that is known, the limit that operators have set last counts.
+    /// Adds a wave that operators requested, with its durable state if there is any. For one
+    /// that is known, the limit that operators have set last counts.
     pub fn add_wave(
         &mut self,
         wave: Wave,
         record: Option<&WaveRecord>,
         now: Instant,
         wall: SystemTime,
-    ) -> bool {
+    ) {
         if let Some(active) = self.machines.waves.get_mut(&wave.number) {
             active.wave.max_down = wave.max_down;
-            return false;
+            return;
         }
         let first_seen = record.map_or(wall, |record| record.first_seen);
         let due = first_seen + wave.time_limit;
@@ -127,7 +127,6 @@
         self.machines.waves.insert(number, active);
         self.count_earlier_for(number, now);
         self.machines.waves_changed = true;
-        true
     }
 
     /// Returns the states of the waves to make durable, if they have changed.
--- a/crates/lead/src/leader/machines.rs
+++ b/crates/lead/src/leader/machines.rs
@@ -20,21 +20,14 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 impl<P: Platform, C: Clock> Leader<P, C> {
-    /// Adds maintenance waves with their recorded progress, and the recorded commands to their
-    /// machines if these were read before the wave was.
+    /// Adds maintenance waves with their recorded progress.
     pub(super) fn add_waves(&self, waves: &BTreeMap<u64, Wave>) {
-        let (records, commands) = {
-            let revisions = lock(&self.revisions);
-            (revisions.waves.1.clone(), revisions.commands.1.clone())
-        };
+        let records = lock(&self.revisions).waves.1.clone();
         let (now, wall) = (self.host.inner.clock.now(), self.host.inner.clock.wall());
         let mut scheduler = self.scheduler();
         for wave in waves.values() {
             let record = records.iter().find(|record| record.number == wave.number);
-            if scheduler.add_wave(wave.clone(), record, now, wall) {
-                let of_wave = commands.iter().filter(|each| each.wave == Some(wave.number));
-                of_wave.for_each(|each| scheduler.restore_command(&each.to_earlier(now), now));
-            }
+            scheduler.add_wave(wave.clone(), record, now, wall);
         }
     }
 
