lead: a leader whose lease has run out starts no more tasks

Cause: for 1.5 s after its lease has run out a leader went on as before. What refuses its starts is the worker's token, and a worker that has started again has seen none. The class: a right that has run out is used on the word of another that can't know.

Change: starts need a proved lease, or an outage that all peers report. What runs is still kept for 1.5 s, which the next leader counts on.

Paths: a pause, a cut from the store, leases that the store refuses to renew. A process that pauses between the check and the call is not covered.

--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -53,7 +53,7 @@
     /// Ends the leadership if the worker has seen a higher fencing token.
     async fn start(self: Arc<Self>, start: StartCommand) {
         // The process may have been suspended since the decision.
-        let answer = match self.may_act() {
+        let answer = match self.may_start() {
             true => self.host.inner.platform.start(&start, self.token).await,
             false => StartAnswer::NotSent,
         };
--- a/crates/lead/src/leader/outage.rs
+++ b/crates/lead/src/leader/outage.rs
@@ -23,6 +23,15 @@
         age.is_some_and(|age| age <= lasts) || self.is_store_outage()
     }
 
+    /// Whether this host may still start tasks as the leader: its leadership is proved, or no
+    /// other host can take over. After that it only keeps what runs: a worker that has started
+    /// again has seen no token, so it would obey two leaders.
+    pub(super) fn may_start(&self) -> bool {
+        let ttl = self.host.inner.options.lease_ttl();
+        let age = self.proved_at().map(|at| at.age(&self.host.inner.clock));
+        age.is_some_and(|age| age <= ttl) || self.is_store_outage()
+    }
+
     /// Returns when this host was last proved to lead: another lease of its own proves
     /// nothing.
     fn proved_at(&self) -> Option<DualInstant> {
--- a/crates/lead/tests/leadership.rs
+++ b/crates/lead/tests/leadership.rs
@@ -242,6 +242,24 @@
     assert!(later.iter().all(|(_, run)| Some(*run) > last_run), "{starts:?}");
 }
 
+/// Guards against tasks that run twice because a leader starts more when it wakes from a short
+/// pause: its lease has run out, and a worker that has started again refuses no earlier token.
+#[tokio::test]
+async fn a_leader_whose_lease_has_run_out_starts_no_more_tasks() {
+    let cluster = Cluster::new().await;
+    let (a, b) = (cluster.node("a").await, cluster.node("b").await);
+    eventually(async || cluster.has_leader().await).await;
+    let (old, new) = if a.host.is_leading() { (&a, &b) } else { (&b, &a) };
+    assert_eq!(new.host.submit(id(1), job(4), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(1)) > 0).await;
+    // The second step is due while the earlier leader still keeps what runs.
+    old.faults.set_down(true);
+    old.clock.suspend(Duration::from_secs(2));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert!(cluster.fleet.starts_of(id(1)) <= 4, "the earlier leader started the next step");
+    eventually(async || is_done(&new.host.job_status(id(1), soon()).await)).await;
+}
+
 /// Guards against one malformed value that stops a host, a takeover, or the work of
 /// others.
 #[tokio::test]
