--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,10 +1,12 @@
 //! The cases. Each returns whether its rule held.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::cloud::{Cloud, addr};
-use crate::link::{Cut, Trigger, open};
+use crate::link::{Cut, Fate, Trigger, open};
 use crate::record::Record;
 use crate::site::{Failure, Folder, HOSTS, Route, Site, sleep};
 use crate::worker::{Run, Worker};
@@ -13,6 +15,10 @@
 const SERVICE_WORKERS: usize = 6;
 /// Length of the cut of a worker: at most 5.5 s.
 const WORKER_CUT_S: f64 = 5.5;
+/// Workers of a service where one crashes: a share of 0.125, of at most 0.14.
+const CRASH_WORKERS: usize = 8;
+/// Length of the cut of a worker with broken connections: at most 5 s.
+const SERVER_CUT_S: f64 = 5.0;
 /// Length of the cut of a host: at most 12 s.
 const HOST_CUT_S: f64 = 8.0;
 /// Time from the kill of a host to its start: at most 3.5 s.
@@ -130,7 +136,7 @@
                 *found = Some(index);
                 note.line(format!("case: host-{index} has sent an order and is cut off"));
             }
-            meets
+            if meets { Fate::Cut } else { Fate::Pass }
         });
         open(to_store, store, cuts[index].clone(), None, &name, record);
         open(to_cloud, cloud_addr, cuts[index].clone(), Some(trigger), &name, record);
@@ -293,3 +299,103 @@
     }
     found
 }
+
+/// TWICE: a worker starts again under its id, a renewal of its earlier life arrives late, and
+/// then the worker is cut off, with broken connections, and runs on.
+pub fn lengthened(trouble: bool, record: &Record) -> Result<bool, Failure> {
+    let folder = Folder::create()?;
+    let mut site = Site::new(record)?;
+    site.configure(1, &["alpha"], &[Route { name: "r-desk", prefix: "/desk/", service: "alpha" }]);
+    let (mut workers, mut cuts, mut targets) = (Vec::new(), Vec::new(), Vec::new());
+    let renewal = Arc::new(Mutex::new(Renewal::NotWanted));
+    for index in 0..CRASH_WORKERS {
+        let (outer, inner, cut) = (site.net.listen()?, site.net.listen()?, Cut::default());
+        let (id, machine) = (format!("i-{index}"), format!("m-{index}"));
+        let registered = addr(&outer);
+        let renewal = Arc::clone(&renewal);
+        let trigger: Trigger = Arc::new(move |part: &[u8]| match index {
+            0 => renewal.lock().unwrap().take_if_wanted(part),
+            _ => Fate::Pass,
+        });
+        targets.push(addr(&inner));
+        open(outer, addr(&inner), cut.clone(), Some(trigger), &id, record);
+        let worker = Worker::start(&id, &machine, "alpha", inner, registered, &site.store, record);
+        workers.push(worker);
+        cuts.push(cut);
+    }
+    site.start_hosts(&folder.0, |_, store| Ok((store, None)))?;
+    sleep(8.0);
+    if trouble {
+        // A call to the first worker is on its way when the worker crashes.
+        *renewal.lock().unwrap() = Renewal::Wanted;
+        let is_held = |_: &Site| matches!(*renewal.lock().unwrap(), Renewal::Held(_));
+        site.await_that("a renewal for i-0 is on its way", Duration::from_secs(5), is_held)?;
+        cuts[0].refuse(true);
+        workers[0].crash();
+    }
+    // The others are busy when the worker is back, so that it gets the task.
+    for at in 1..CRASH_WORKERS {
+        site.submit(0, &format!("/desk/0a0b0c0d0e0f010{at}"), 32, 4500)?;
+    }
+    sleep(1.0);
+    if trouble {
+        workers[0].restart();
+        cuts[0].refuse(false);
+    }
+    sleep(1.0);
+    site.submit(0, &format!("/desk/{JOB}"), 1, 9000)?;
+    let is_running = |_: &Site| workers.iter().any(|worker| worker.is_running(JOB));
+    site.await_that("the task runs", Duration::from_secs(3), is_running)?;
+    sleep(0.5);
+    if trouble {
+        if !workers[0].is_running(JOB) {
+            return Err("the task runs on another worker".to_owned());
+        }
+        let held = std::mem::replace(&mut *renewal.lock().unwrap(), Renewal::NotWanted);
+        let Renewal::Held(call) = held else { return Err("no renewal".to_owned()) };
+        deliver(targets[0], &call, record);
+        cuts[0].refuse(true);
+        record.line("case: i-0 is cut off, its connections break, and it runs on");
+        sleep(SERVER_CUT_S);
+        cuts[0].refuse(false);
+        record.line("case: the cut has ended");
+        sleep(4.0);
+    } else {
+        sleep(9.5);
+    }
+    let runs: Vec<Run> = workers.iter().flat_map(Worker::runs).collect();
+    Ok(!runs_overlap(&runs, record))
+}
+
+/// The renewal of a lease that is on its way for long.
+enum Renewal {
+    NotWanted,
+    Wanted,
+    Held(Vec<u8>),
+}
+
+impl Renewal {
+    /// Takes a call if it is one and is wanted; it doesn't arrive then.
+    fn take_if_wanted(&mut self, part: &[u8]) -> Fate {
+        let text = String::from_utf8_lossy(part);
+        let is_renewal = text.starts_with("POST /v1/hold") && text.contains("\"deadline-ms\"");
+        if !is_renewal || !matches!(self, Renewal::Wanted) {
+            return Fate::Pass;
+        }
+        *self = Renewal::Held(part.to_vec());
+        Fate::Lost
+    }
+}
+
+/// Delivers a call that was on its way for long; nobody waits for the response.
+fn deliver(to: SocketAddr, call: &[u8], record: &Record) {
+    let told = TcpStream::connect(to).and_then(|mut stream| {
+        stream.write_all(call)?;
+        let mut part = [0; 4096];
+        let count = stream.read(&mut part)?;
+        Ok(String::from_utf8_lossy(&part[..count]).lines().last().unwrap_or_default().to_owned())
+    });
+    let body = String::from_utf8_lossy(call);
+    let body = body.lines().last().unwrap_or_default();
+    record.line(format!("case: the renewal {body} arrives late; response {told:?}"));
+}
--- a/review/standin-2/link.rs
+++ b/review/standin-2/link.rs
@@ -4,14 +4,23 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 
 use crate::record::Record;
 
-/// Called with each part that a client sends; cuts the link from this part on if it returns
-/// `true`.
-pub type Trigger = Arc<dyn Fn(&[u8]) -> bool + Send + Sync>;
+/// What happens to a part that a client sends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Pass,
+    /// The link is cut from this part on.
+    Cut,
+    /// It doesn't arrive on this connection, which stays open and silent.
+    Lost,
+}
+
+/// Called with each part that a client sends.
+pub type Trigger = Arc<dyn Fn(&[u8]) -> Fate + Send + Sync>;
 
 /// A cut that several links share.
 #[derive(Clone, Default)]
@@ -19,6 +28,9 @@
     shared: Arc<(Mutex<bool>, Condvar)>,
     /// How often the open connections have fallen silent.
     silences: Arc<AtomicU64>,
+    /// Whether connections are broken and refused.
+    refuses: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Cut {
@@ -27,6 +39,24 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Breaks all connections and refuses new ones, or takes new ones again.
+    pub fn refuse(&self, refuses: bool) {
+        self.refuses.store(refuses, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn refuses(&self) -> bool {
+        self.refuses.load(Ordering::SeqCst)
+    }
+
+    fn keep(&self, stream: &TcpStream) {
+        if let Ok(stream) = stream.try_clone() {
+            self.open.lock().unwrap().push(stream);
+        }
+    }
+
     fn silences(&self) -> u64 {
         self.silences.load(Ordering::SeqCst)
     }
@@ -65,6 +95,10 @@
             std::thread::spawn(move || {
                 // The opening of a connection doesn't pass a cut.
                 cut.wait();
+                if cut.refuses() {
+                    return;
+                }
+                cut.keep(&client);
                 let opened = cut.silences();
                 let Ok(server) = TcpStream::connect(to) else { return };
                 let _ = (client.set_nodelay(true), server.set_nodelay(true));
@@ -112,8 +146,10 @@
                 return;
             }
         };
-        if trigger.as_ref().is_some_and(|trigger| trigger(&part[..count])) {
-            cut.set(true);
+        match trigger.as_ref().map_or(Fate::Pass, |trigger| trigger(&part[..count])) {
+            Fate::Pass => {}
+            Fate::Cut => cut.set(true),
+            Fate::Lost => continue,
         }
         if cut.is_set() {
             cut.wait();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -32,6 +32,7 @@
         "late" => cases::late(trouble, &record),
         "renamed" => cases::renamed(trouble, &record),
         "silent" => cases::silent(trouble, &record),
+        "lengthened" => cases::lengthened(trouble, &record),
         _ => Err(format!("no such case: {case}")),
     };
     let status = match &held {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -312,6 +312,28 @@
         });
     }
 
+    /// Ends the present life with all that runs. Its registration stays for a while.
+    pub fn crash(&self) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.advance(&self.record);
+        let now = Instant::now();
+        for each in std::mem::take(&mut state.life.running) {
+            state.runs[each.at].ended = Some((now, "killed"));
+        }
+        state.life.is_up = false;
+        self.record.line(format!("{} crashes", state.life.id));
+    }
+
+    /// Starts the worker again under its id.
+    pub fn restart(&self) {
+        let mut state = self.shared.0.lock().unwrap();
+        let id = state.life.id.clone();
+        state.life = Life::new(&id);
+        self.record.line(format!("{id} starts again, born {}", state.life.born));
+        drop(state);
+        self.register(0);
+    }
+
     pub fn id(&self) -> String {
         self.shared.0.lock().unwrap().life.id.clone()
     }
