Events tell until when a worker's lease is taken to last, and why

E410 has the time for which the lease is still taken to last (lease-ms), the cause (lease: renewed, late-call, process-ended, recorded) and the start of the incarnation (born); it is written after the failed poll has been taken into account. E626 with how=lease has the cause, E608 the longest wait for a worker that has not answered (longest-ms), E620 and E623 the start of the incarnation.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -51,6 +51,7 @@
 pub use shares::share_changes::ShareChange;
 pub use workers::answers::{RefusalReason, StartAnswer};
 pub use workers::health_report::{DoubtfulWorker, HealthChange};
+pub use workers::lease::{LeaseCause, WorkerLease};
 pub use workers::losses::{LossCause, LostAttempt};
 pub use workers::quarantine::WorkerEvidence;
 pub use workers::register::{PollFailure, Renewal};
--- a/crates/flow/src/workers/losses.rs
+++ b/crates/flow/src/workers/losses.rs
@@ -5,7 +5,7 @@
 
 use crate::jobs::attempt::{AttemptKey, Phase};
 use crate::scheduler::Removal;
-use crate::{AttemptNumber, Scheduler, TaskId};
+use crate::{AttemptNumber, LeaseCause, Scheduler, TaskId};
 
 /// How the loss of an attempt was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -13,9 +13,20 @@
     /// A later incarnation of the worker, or a later worker on its machine, was seen.
     #[display("restarted")]
     Restarted,
-    /// The worker did not answer until its lease had expired.
+    /// The worker did not answer until its lease had expired, which lasted for a cause.
     #[display("lease")]
-    LeaseExpired,
+    LeaseExpired(LeaseCause),
+}
+
+impl LossCause {
+    /// Returns why the lease of the worker was taken to last until its end; `None` if the
+    /// loss was found otherwise.
+    pub fn lease_cause(self) -> Option<LeaseCause> {
+        match self {
+            LossCause::Restarted => None,
+            LossCause::LeaseExpired(cause) => Some(cause),
+        }
+    }
 }
 
 /// An attempt that was lost with its worker.
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -255,10 +255,11 @@
             }
             let worker = &self.workers[key];
             if expired && !worker.attempts.is_empty() {
+                let cause = LossCause::LeaseExpired(worker.lease_cause());
                 let mut lost = worker.attempts.clone();
                 lost.retain(|&attempt| !self.may_start_late(attempt, now));
                 for attempt in lost {
-                    self.lose_attempt(attempt, LossCause::LeaseExpired, now);
+                    self.lose_attempt(attempt, cause, now);
                 }
             }
             let worker = &self.workers[key];
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -148,6 +148,11 @@
     pub(crate) fn expiry(&self, id: &HostId) -> Option<Instant> {
         self.incarnations.get(id).map(|entry| entry.until)
     }
+
+    /// Returns the time after which nothing can run on any unresolved worker.
+    pub(crate) fn last_expiry(&self) -> Option<Instant> {
+        self.entries().map(|entry| entry.until).chain(self.all_until).max()
+    }
 }
 
 impl Scheduler {
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -6,8 +6,8 @@
 use support::world::{Faults, World};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand, StepSpec,
-    WorkerIncarnation, WorkerRegistration,
+    Action, LeaseCause, LossCause, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand,
+    StepSpec, WorkerIncarnation, WorkerRegistration,
 };
 
 /// When a late start arrives, after it was sent.
@@ -437,3 +437,38 @@
     world.run(20_000);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against events that do not tell for how long a leader waits for a worker, and why.
+#[test]
+fn the_cause_of_a_lease_is_known() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    let lease = |world: &World| world.scheduler.lease_of(&id, world.now()).unwrap();
+    assert_eq!(lease(&world).cause, LeaseCause::Renewed);
+    assert!(lease(&world).remaining > Duration::ZERO);
+    world.restart(0);
+    assert_eq!(lease(&world).cause, LeaseCause::LateCall);
+    assert!(lease(&world).remaining > Duration::from_secs(10));
+    assert_eq!(lease(&world).start_ms, world.workers[0].start_ms);
+    world.run(500);
+    world.workers[0].reachable = false;
+    world.change_leader();
+    assert_eq!(lease(&world).cause, LeaseCause::Recorded);
+    assert!(lease(&world).remaining <= world.scheduler.longest_unresolved(world.now()));
+}
+
+/// Guards against a lost attempt whose event does not tell why its worker was waited for.
+#[test]
+fn the_cause_of_a_lease_is_known_of_a_lost_attempt() {
+    let mut world = world();
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    world.run(300);
+    let at = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[at].reachable = false;
+    world.run(5500);
+    let losses = world.scheduler.take_losses();
+    let causes: Vec<_> = losses.iter().map(|lost| lost.cause).collect();
+    assert_eq!(causes, [LossCause::LeaseExpired(LeaseCause::Renewed)]);
+    assert_eq!(causes[0].to_string(), "lease");
+}
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -33,6 +33,7 @@
                     Field::new("task", task),
                     Field::new("run", attempt),
                     Field::new("worker", &incarnation.id),
+                    Field::new("born", incarnation.start_ms),
                     Field::new("reason", reason),
                 ];
                 self.host.record(Code::TaskStopped, fields);
@@ -62,6 +63,7 @@
             Field::new("task", start.task),
             Field::new("run", start.attempt),
             Field::new("worker", &start.incarnation.id),
+            Field::new("born", start.incarnation.start_ms),
             Field::new("answer", answer),
         ];
         self.host.record(Code::TaskStarted, fields);
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -87,16 +87,10 @@
                 }
                 Err(error) => {
                     has_answered = false;
+                    self.scheduler().poll_failed(&renewal, error.into(), now);
                     if unreachable.replace(error) != Some(error) {
-                        let runs = self.scheduler().attempts_on(&id);
-                        let fields = [
-                            Field::new("worker", &id),
-                            Field::new("cause", error),
-                            Field::new("runs", runs),
-                        ];
-                        self.host.record(Code::EndpointEjected, fields);
+                        self.record_ejection(&id, error, now);
                     }
-                    self.scheduler().poll_failed(&renewal, error.into(), now);
                     self.wake.notify_one();
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
@@ -132,6 +126,22 @@
         Some((scheduler.renewal(id, now)?, now))
     }
 
+    /// Records an event for a worker whose polls fail.
+    fn record_ejection(&self, id: &HostId, error: PollError, now: Instant) {
+        let (runs, lease) = {
+            let scheduler = self.scheduler();
+            (scheduler.attempts_on(id), scheduler.lease_of(id, now))
+        };
+        let mut fields =
+            vec![Field::new("worker", id), Field::new("cause", error), Field::new("runs", runs)];
+        if let Some(lease) = lease {
+            fields.push(Field::new("born", lease.start_ms));
+            fields.push(Field::new("lease-ms", lease.remaining.as_millis()));
+            fields.push(Field::new("lease", lease.cause));
+        }
+        self.host.record(Code::EndpointEjected, fields);
+    }
+
     /// Records an event for each attempt that was lost with its worker, and for each task
     /// that was given up because workers crash under it.
     pub(super) fn record_losses(&self) {
@@ -142,13 +152,15 @@
         }
         let losses = self.scheduler().take_losses();
         for lost in losses {
-            let fields = [
+            let mut fields = vec![
                 Field::new("task", lost.task),
                 Field::new("run", lost.attempt),
                 Field::new("worker", &lost.worker),
                 Field::new("age-ms", lost.age.as_millis()),
                 Field::new("how", lost.cause),
             ];
+            let lease = lost.cause.lease_cause();
+            fields.extend(lease.map(|cause| Field::new("lease", cause)));
             self.host.record(Code::TaskLost, fields);
         }
     }
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -80,11 +80,13 @@
     fn record_recovery(&self, took: Duration, retained: bool) {
         let jobs = self.scheduler().counts().jobs;
         let (workers, tasks) = self.scheduler().unresolved_counts();
+        let longest = self.scheduler().longest_unresolved(self.host.inner.clock.now());
         let fields = [
             Field::new("fence", self.token),
             Field::new("jobs", jobs),
             Field::new("unknown-workers", workers),
             Field::new("held-tasks", tasks),
+            Field::new("longest-ms", longest.as_millis()),
             Field::new("retained", retained),
             Field::new("ms", took.as_millis()),
         ];
