red: calls to an earlier life and a cut soon after a restart or a takeover start tasks twice

Nine failing tests in restarts.rs, each a path by which the incident's cause can act: the leader does not know, or does not tell the next one, that a call to an earlier life has renewed the present one's lease, or that the present life has accepted a start that was meant for the earlier one.

The simulated fleet was too mild for some of them. A poll that is sent to an earlier life and answered by the next one passed neither its deadline nor its acknowledgement; the next life takes both now. Polls can be late like starts, a restart can be unseen by the leader, a worker can register as leaving, and a late start that arrives before any leader has reached the life can be refused for lack of capacity instead of being left out.

The tests of vg-lead were not run.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use support::spec::{job, step};
-use support::world::{Faults, World};
+use support::world::{Faults, STEP_MS, World};
 use vg_base::prelude::*;
 use vg_flow::{
     Action, LeaseCause, LossCause, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand,
@@ -472,3 +472,205 @@
     assert_eq!(causes, [LossCause::LeaseExpired(LeaseCause::Renewed)]);
     assert_eq!(causes[0].to_string(), "lease");
 }
+
+/// When a call to an earlier life arrives, after the next one has begun and is known.
+const SHORT_MS: u64 = 40;
+
+/// Returns a world in which a worker has started again, and a start of its earlier life has
+/// been refused by the present one but has renewed its lease; and the worker.
+fn lengthened_lease() -> (World, usize) {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = start_late(&mut world, 60_000);
+    world.restart(at);
+    world.delay_late_starts(SHORT_MS);
+    world.run(800);
+    assert!(world.workers[at].running.is_empty());
+    (world, at)
+}
+
+/// Starts long tasks on all workers of pool `a`.
+fn start_long_tasks(world: &mut World, at: usize) {
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(8, 4000, 60_000) };
+    world.submit(2, job("q-a", vec![spread], wall));
+    world.run(200);
+    assert!(!world.workers[at].running.is_empty());
+}
+
+/// Returns the violations once the lease of a worker that is cut off from now on has ended.
+fn cut_off(mut world: World, at: usize) -> Vec<String> {
+    world.workers[at].reachable = false;
+    world.run(25_000);
+    world.violations
+}
+
+/// A way in which the leader changes, and its name.
+type Change = (&'static str, fn(&mut World));
+
+const CHANGES: [Change; 3] = [
+    ("crash", World::change_leader),
+    ("planned", World::planned_handover),
+    ("same host", World::lead_again),
+];
+
+/// Guards against a task that runs twice: a refused start of an earlier life has renewed the
+/// lease of the present one, the leader changes, and the worker is cut off after its first
+/// answer.
+#[test]
+fn a_refused_start_and_a_new_leader_that_was_answered_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let (mut world, at) = lengthened_lease();
+        start_long_tasks(&mut world, at);
+        change(&mut world);
+        world.run(100);
+        broken.extend((!cut_off(world, at).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same where the worker is cut off before it has answered the next leader.
+#[test]
+fn a_refused_start_and_a_new_leader_without_answer_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let (mut world, at) = lengthened_lease();
+        start_long_tasks(&mut world, at);
+        world.workers[at].reachable = false;
+        change(&mut world);
+        broken.extend((!cut_off(world, at).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same over two changes of the leader, the second of which is soon.
+#[test]
+fn a_refused_start_and_two_new_leaders_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    start_long_tasks(&mut world, at);
+    world.change_leader();
+    world.run(400);
+    world.change_leader();
+    world.run(100);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same without a change of the leader, where the cut breaks connections.
+#[test]
+fn a_refused_start_and_a_cut_that_breaks_connections_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    world.crashes.cuts_break = true;
+    start_long_tasks(&mut world, at);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker is about to leave.
+#[test]
+fn a_refused_start_and_a_cut_of_a_draining_worker_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    start_long_tasks(&mut world, at);
+    world.draining.insert(at);
+    world.register();
+    world.run(100);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker starts again twice, and calls to both earlier
+/// lives arrive in the third.
+#[test]
+fn calls_of_two_earlier_lives_and_a_new_leader_start_no_task_twice() {
+    for changes in [false, true] {
+        let mut world = World::new(1, 8, Faults::default());
+        world.run(2 * LATE_MS);
+        let at = start_late(&mut world, 60_000);
+        world.restart(at);
+        // Its clock is so far that a deadline of it is later than any in the next one.
+        world.run(4000);
+        world.send_late_poll(at, 2 * SHORT_MS);
+        world.restart(at);
+        world.delay_late_starts(SHORT_MS);
+        world.run(800);
+        start_long_tasks(&mut world, at);
+        if changes {
+            world.change_leader();
+        }
+        world.run(100);
+        let violations = cut_off(world, at);
+        assert!(violations.is_empty(), "changes: {changes}: {violations:?}");
+    }
+}
+
+/// Guards against the same where a poll of an earlier life renews the lease of the present
+/// one.
+#[test]
+fn a_poll_of_an_earlier_life_and_a_new_leader_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let mut world = World::new(1, 8, Faults::default());
+        world.run(2 * LATE_MS);
+        world.send_late_poll(0, SHORT_MS);
+        world.restart(0);
+        world.run(800);
+        start_long_tasks(&mut world, 0);
+        change(&mut world);
+        world.run(100);
+        broken.extend((!cut_off(world, 0).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same where the former leader has not seen the present life: its calls
+/// arrive before the first poll of the next leader.
+#[test]
+fn calls_of_a_former_leader_before_the_first_poll_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        for poll in [false, true] {
+            let mut world = World::new(1, 8, Faults::default());
+            world.run(2 * LATE_MS);
+            world.refuses_early_starts = true;
+            let mut at = 0;
+            match poll {
+                true => world.send_late_poll(at, STEP_MS),
+                false => at = start_late(&mut world, 60_000),
+            }
+            world.restart_unseen(at);
+            change(&mut world);
+            world.delay_late_starts(STEP_MS);
+            world.run(800);
+            start_long_tasks(&mut world, at);
+            broken.extend((!cut_off(world, at).is_empty()).then_some((name, poll)));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against a task that runs twice: its start was accepted by the next life of the
+/// worker that it was sent to, and the attempt is taken for lost with the earlier one as soon
+/// as that life is known.
+#[test]
+fn an_attempt_that_a_later_life_has_answered_is_not_lost_with_the_earlier_one() {
+    let mut broken = Vec::new();
+    for registered in [false, true] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 10_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        if registered {
+            world.register();
+        }
+        world.run(3000);
+        broken.extend((!world.violations.is_empty()).then_some(registered));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -9,8 +9,8 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, AttemptNumber, AttemptOutcome, FencingToken, IncarnationRecord, JobOutcome, JobSpec,
-    Machine, MachineCommand, OperatorConfig, PollFailure, Progress, RecordKind, Scheduler,
-    SchedulingRules, StartAnswer, StartCommand, StopReason, TaskId, WorkerIncarnation,
+    Machine, MachineCommand, OperatorConfig, PollFailure, Progress, RecordKind, Renewal, Report,
+    Scheduler, SchedulingRules, StartAnswer, StartCommand, StopReason, TaskId, WorkerIncarnation,
     WorkerRegistration,
 };
 use vg_jobs::Resources;
@@ -135,6 +135,14 @@
     token: FencingToken,
 }
 
+/// A poll that arrives late. Nobody reads its answer.
+#[derive(Debug, Clone)]
+pub(super) struct DelayedPoll {
+    at: u64,
+    worker: usize,
+    renewal: Renewal,
+}
+
 /// Returns the zone of a machine: `z0`, `z1` or `z2`, by its number.
 pub(crate) fn zone_of(machine: &str) -> ZoneId {
     let number: usize = machine[1..].parse().unwrap_or_default();
@@ -161,6 +169,12 @@
     pub(super) revision: u64,
     pub(super) outage_until: u64,
     pub(super) delayed_starts: Vec<DelayedStart>,
+    pub(super) delayed_polls: Vec<DelayedPoll>,
+    /// Workers that register as about to leave.
+    pub(crate) draining: HashSet<usize>,
+    /// Whether late starts that arrive in a life that no leader has reached are refused
+    /// for lack of capacity. Otherwise they are left out.
+    pub(crate) refuses_early_starts: bool,
     /// Tasks whose end `done` was acknowledged to the worker.
     pub(super) acknowledged_done: HashSet<TaskId>,
     /// Tasks that have ended `done` on a worker, acknowledged or not.
@@ -229,6 +243,9 @@
             revision: 100,
             outage_until: 0,
             delayed_starts: Vec::new(),
+            delayed_polls: Vec::new(),
+            draining: HashSet::new(),
+            refuses_early_starts: false,
             acknowledged_done: HashSet::new(),
             done: HashSet::new(),
             highest_attempts: HashMap::new(),
@@ -280,7 +297,7 @@
             let registration = WorkerRegistration {
                 incarnation: self.incarnation(at),
                 zone: zone.clone(),
-                draining: false,
+                draining: self.draining.contains(&at),
                 capacity: self.workers[at].capacity,
                 labels: vec!["a".into(), format!("r{}", at / 4).into()],
                 machine: Some(self.workers[at].machine.clone()),
@@ -430,6 +447,7 @@
         self.inject_faults();
         self.finish_moves();
         self.deliver_delayed_starts();
+        self.deliver_delayed_polls();
         self.deliver_refusals();
         self.advance_crashes();
         for at in 0..self.workers.len() {
@@ -500,9 +518,23 @@
 
     /// Starts a worker again under its id. Start commands that are late may arrive there.
     pub(crate) fn restart(&mut self, at: usize) {
+        self.restart_unseen(at);
+        self.register();
+    }
+
+    /// Starts a worker again under its id. The leader does not learn of it.
+    pub(crate) fn restart_unseen(&mut self, at: usize) {
         let ms = self.ms;
         self.workers[at].restart(ms);
-        self.register();
+    }
+
+    /// Sends a poll that arrives `delay_ms` later. The leader gets no answer.
+    pub(crate) fn send_late_poll(&mut self, worker: usize, delay_ms: u64) {
+        let id: HostId = self.workers[worker].id.parse().unwrap();
+        let now = self.now();
+        let Some(renewal) = self.scheduler.renewal(&id, now) else { return };
+        self.scheduler.poll_failed(&renewal, PollFailure::Silent, now);
+        self.delayed_polls.push(DelayedPoll { at: self.ms + delay_ms, worker, renewal });
     }
 
     /// Lets all start commands that are late arrive in `ms`. Returns their workers.
@@ -527,17 +559,64 @@
         for delayed in due {
             if !self.precedes_contact(&delayed) {
                 self.deliver_start(delayed.worker, &delayed.start, delayed.token);
+            } else if self.refuses_early_starts {
+                self.refuse_start(&delayed);
+            }
+        }
+    }
+
+    /// Delivers a start to a worker that has no room for it.
+    fn refuse_start(&mut self, delayed: &DelayedStart) {
+        let reservation = Resources::new(u32::MAX, 0, 0);
+        let task_attempt = TaskAttempt {
+            task: delayed.start.task,
+            attempt: delayed.start.attempt,
+            started_ms: 0,
+            finish_ms: 0,
+            outcome: AttemptOutcome::Done,
+            reservation,
+            continuous: false,
+            stop_ms: None,
+        };
+        let ms = self.ms;
+        let worker = &mut self.workers[delayed.worker];
+        if worker.up && worker.reachable {
+            worker.guards_capacity = true;
+            worker.start(&delayed.start, delayed.token, task_attempt, ms);
+        }
+    }
+
+    fn deliver_delayed_polls(&mut self) {
+        let ms = self.ms;
+        let due: Vec<_> = self.delayed_polls.extract_if(.., |delayed| delayed.at <= ms).collect();
+        for DelayedPoll { worker, renewal, .. } in due {
+            if self.workers[worker].up {
+                self.deliver_poll(worker, &renewal);
             }
         }
     }
 
+    /// Delivers a poll to a worker, which takes what was meant for an earlier life as well.
+    fn deliver_poll(&mut self, at: usize, renewal: &Renewal) -> Option<Report> {
+        let ms = self.ms;
+        let worker = &mut self.workers[at];
+        let before = worker.acknowledged;
+        let ends = worker.ended.clone();
+        let acknowledged = renewal.acknowledged;
+        let report = worker.poll(renewal.token, renewal.deadline_ms, acknowledged, ms)?;
+        let last_expired = worker.expiry_number;
+        for end in ends.iter().filter(|end| end.number > before && end.number <= acknowledged) {
+            self.record_end(end.task, end.outcome, end.number <= last_expired);
+        }
+        Some(report)
+    }
+
     fn poll_workers(&mut self) {
         for at in 0..self.workers.len() {
             let id: HostId = self.workers[at].id.parse().unwrap();
             let now = self.now();
             let Some(renewal) = self.scheduler.renewal(&id, now) else { continue };
-            let ms = self.ms;
-            let worker = &mut self.workers[at];
+            let worker = &self.workers[at];
             if !worker.up || !worker.reachable {
                 let breaks = match worker.reachable {
                     true => !self.crashes.silent,
@@ -547,18 +626,7 @@
                 self.scheduler.poll_failed(&renewal, failure, now);
                 continue;
             }
-            let before = worker.acknowledged;
-            let ends = worker.ended.clone();
-            // A new incarnation knows neither the deadline nor the ends.
-            let known = worker.start_ms == renewal.incarnation.start_ms;
-            let deadline = renewal.deadline_ms.filter(|_| known);
-            let acknowledged = if known { renewal.acknowledged } else { 0 };
-            let report = worker.poll(renewal.token, deadline, acknowledged, ms);
-            let last_expired = worker.expiry_number;
-            let Some(report) = report else { continue };
-            for end in ends.iter().filter(|end| end.number > before && end.number <= acknowledged) {
-                self.record_end(end.task, end.outcome, end.number <= last_expired);
-            }
+            let Some(report) = self.deliver_poll(at, &renewal) else { continue };
             let sent = now - Duration::from_millis(2);
             self.scheduler.apply_report(&id, &report, sent, now);
         }
