flow: only a report shows in which life of its worker an attempt runs

Cause: a start that is sent while the leader still believes in the earlier life can be accepted by the later one, and its answer names no life. When the later life became known by its registration, or by its report to a poll that was sent before that start, begin_incarnation took each confirmed attempt for lost with the earlier life, and the task started elsewhere.

Change: an attempt notes whether a report has shown it. Only such attempts end with the life that reported them. The others count as ones that may run in the later life, and a stop that was answered before counts no more, until a report to a poll that was sent after the answer of the start lists them, or does not: then the earlier life had them, and they are lost as restarted.

--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -62,6 +62,9 @@
     pub(crate) expires_ms: u64,
     /// When the worker first confirmed it.
     pub(crate) confirmed: Option<Instant>,
+    /// Whether a report has shown that the present incarnation of its worker runs it. The
+    /// answer to a command does not name the incarnation.
+    pub(crate) reported: bool,
     /// When the last stop command was sent, and when one was answered.
     pub(crate) stop_sent: Option<Instant>,
     pub(crate) stop_answered: Option<Instant>,
@@ -92,6 +95,12 @@
         self.phase == Phase::Running
     }
 
+    /// Whether only an answer to a command shows that it runs, and its worker is known to
+    /// have started again since.
+    pub(crate) fn is_in_doubt(&self, known_since: Instant) -> bool {
+        !self.reported && self.confirmed.is_some_and(|at| at <= known_since)
+    }
+
     /// Returns the time since its start command; `None` if that is not known.
     pub(crate) fn known_age(&self, now: Instant) -> Option<Duration> {
         (!self.adopted).then(|| now.saturating_duration_since(self.started))
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -352,6 +352,7 @@
             adopted: false,
             expires_ms: deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64,
             confirmed: None,
+            reported: false,
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -170,6 +170,7 @@
         worker,
         phase: Phase::Unresolved,
         confirmed: None,
+        reported: false,
         stop_sent: None,
         stop_answered: None,
         needs_stop: true,
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -8,8 +8,8 @@
 use crate::scheduler::Removal;
 use crate::workers::worker::{WorkerClock, WorkerKey};
 use crate::{
-    AttemptNumber, AttemptOutcome, EndedAttempt, Report, RunningAttempt, Scheduler, StopReason,
-    TaskId,
+    AttemptNumber, AttemptOutcome, EndedAttempt, LossCause, Report, RunningAttempt, Scheduler,
+    StopReason, TaskId,
 };
 
 /// Longest checkpoint that is kept, in bytes. Checkpoints are part of a job's record, and
@@ -243,6 +243,7 @@
         };
         self.confirm(key, now);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.reported = true;
         if attempt.percent != reported.percent {
             attempt.percent = reported.percent;
             attempt.last_progress = now;
@@ -291,6 +292,7 @@
             adopted: true,
             expires_ms: 0,
             confirmed: Some(now),
+            reported: true,
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
@@ -317,6 +319,7 @@
         sent: Instant,
         now: Instant,
     ) {
+        let known_since = self.workers[worker].known_since;
         for key in self.workers[worker].attempts.clone() {
             let attempt = &self.attempts[key];
             if listed.contains(&(attempt.task, attempt.attempt)) {
@@ -332,6 +335,11 @@
                 Phase::Starting => continue,
                 Phase::Unresolved if stopped || expired => Removal::NeverRan,
                 Phase::Unresolved => continue,
+                // An earlier incarnation had started it.
+                Phase::Running | Phase::Stopping if known && attempt.is_in_doubt(known_since) => {
+                    self.lose_attempt(key, LossCause::Restarted, now);
+                    continue;
+                }
                 // The worker confirmed it or answered its stop command before
                 // the poll was sent, so its end was reported or it never ran.
                 Phase::Running | Phase::Stopping if known || stopped => Removal::Ended,
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -194,8 +194,8 @@
         }
     }
 
-    /// Starts a new incarnation of a worker: attempts that ran in the previous
-    /// one have ended.
+    /// Starts a new incarnation of a worker: attempts that the previous one has reported have
+    /// ended.
     pub(crate) fn begin_incarnation(&mut self, key: WorkerKey, start_ms: u64, now: Instant) {
         self.note_restarted_worker(key, now);
         let late_lease = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
@@ -222,19 +222,16 @@
         worker.full_capacity = Resources::ZERO;
         worker.trial = None;
         let id = worker.incarnation.id.clone();
-        for attempt in worker.attempts.clone() {
-            match self.attempts[attempt].phase {
-                // The start command may still arrive, and the new incarnation
-                // may accept it.
-                Phase::Starting | Phase::Unresolved => {
-                    self.attempts[attempt].needs_stop = true;
-                    self.attempts[attempt].stop_sent = None;
-                    self.attempts[attempt].stop_answered = None;
-                }
-                Phase::Running | Phase::Stopping => {
-                    self.lose_attempt(attempt, LossCause::Restarted, now);
-                }
+        for key in worker.attempts.clone() {
+            let attempt = &mut self.attempts[key];
+            if attempt.reported {
+                self.lose_attempt(key, LossCause::Restarted, now);
+                continue;
             }
+            // The new incarnation may accept the start command, or has accepted it.
+            attempt.needs_stop |= matches!(attempt.phase, Phase::Starting | Phase::Unresolved);
+            attempt.stop_sent = None;
+            attempt.stop_answered = None;
         }
         self.clear_unresolved(&id);
         self.note_start(key);
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -6,8 +6,8 @@
 use support::world::{Faults, World};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand, StepSpec,
-    WorkerIncarnation, WorkerRegistration,
+    Action, AttemptNumber, LossCause, PollFailure, Report, RunningAttempt, StartAnswer,
+    StartCommand, StepSpec, TaskId, WorkerIncarnation, WorkerRegistration,
 };
 
 /// When a late start arrives, after it was sent.
@@ -437,3 +437,135 @@
     world.run(20_000);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Returns the report of a life of a worker that runs these attempts.
+fn report_of(start_ms: u64, running: &[(TaskId, AttemptNumber)]) -> Report {
+    let row = |&(task, attempt): &(TaskId, AttemptNumber)| RunningAttempt {
+        task,
+        attempt,
+        checkpoint: "".into(),
+        percent: 10,
+        gauge: 0.0,
+    };
+    let running = running.iter().map(row).collect();
+    Report { start_ms: Some(start_ms), clock_ms: 500, running, ended: Vec::new() }
+}
+
+/// Starts a task of 30 s, whose start is answered while its worker is still believed to be in
+/// its earlier life. Returns the start.
+fn start_answered_by_either(world: &mut World, spec: StepSpec) -> StartCommand {
+    let (now, wall) = (world.now(), world.wall());
+    world.submit(1, job("q-a", vec![spec], wall));
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    world.scheduler.start_answered(start.task, start.attempt, StartAnswer::Started, now);
+    start.clone()
+}
+
+/// Returns the starts and stops that are decided from `from_ms` to `to_ms` from now.
+fn decided(world: &mut World, from_ms: u64, to_ms: u64) -> (Vec<StartCommand>, Vec<Action>) {
+    let (now, wall) = (world.now(), world.wall());
+    let (mut starts, mut stops) = (Vec::new(), Vec::new());
+    for wait in (from_ms..to_ms).step_by(20) {
+        let found = commands(world.scheduler.plan(now + Duration::from_millis(wait), wall));
+        starts.extend(found.0);
+        stops.extend(found.1);
+    }
+    (starts, stops)
+}
+
+/// Guards against a task that runs twice: a start was answered before the later life of its
+/// worker is known, and it is that life which has carried it out.
+#[test]
+fn a_task_that_a_later_life_has_started_is_not_lost_with_the_earlier_one() {
+    for registered_first in [true, false] {
+        let mut world = world();
+        let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+        let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+        let later = start.incarnation.start_ms + 19_000;
+        let now = world.now();
+        let after = |ms| now + Duration::from_millis(ms);
+        if registered_first {
+            let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+            let machine = world.workers[at].machine.clone();
+            let registration = registration(&world, id.as_str(), later, &machine);
+            world.scheduler.register(&registration, after(10));
+        }
+        // The poll was sent before the start.
+        let before = now - Duration::from_millis(5);
+        world.scheduler.apply_report(id, &report_of(later, &[]), before, after(15));
+        let (starts, stops) = decided(&mut world, 20, 500);
+        assert!(starts.is_empty(), "{starts:?}");
+        assert!(stops.is_empty(), "{stops:?}");
+        world.scheduler.apply_report(id, &report_of(later, &runs), after(500), after(505));
+        let (starts, stops) = decided(&mut world, 520, 1500);
+        assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
+        assert_eq!(world.scheduler.attempts_on(id), 1);
+    }
+}
+
+/// Guards against a task that waits for ever: the later life of its worker answers, and it was
+/// the earlier one that had started it.
+#[test]
+fn a_task_that_a_later_life_does_not_report_has_ended_with_the_earlier_one() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let id = &start.incarnation.id;
+    let later = start.incarnation.start_ms + 19_000;
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.apply_report(id, &report_of(later, &[]), after(10), after(15));
+    let (starts, _) = decided(&mut world, 20, 500);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    let losses = world.scheduler.take_losses();
+    let causes: Vec<_> = losses.iter().map(|lost| lost.cause).collect();
+    assert_eq!(causes, [LossCause::Restarted]);
+}
+
+/// Guards against a task that waits although its worker had reported it: that life has ended,
+/// and with it the task.
+#[test]
+fn a_task_that_an_earlier_life_has_reported_has_ended_with_it() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+    let (earlier, later) = (start.incarnation.start_ms, start.incarnation.start_ms + 19_000);
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.apply_report(id, &report_of(earlier, &runs), after(1), after(5));
+    let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+    let machine = world.workers[at].machine.clone();
+    let registration = registration(&world, id.as_str(), later, &machine);
+    world.scheduler.register(&registration, after(10));
+    assert_eq!(world.scheduler.attempts_on(id), 0);
+    let (starts, _) = decided(&mut world, 20, 500);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+}
+
+/// Guards against a task that runs twice: its stop was answered before the later life of its
+/// worker is known, where it has not ended yet.
+#[test]
+fn a_task_that_ends_in_a_later_life_starts_nowhere_else_before() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, continuous_task());
+    let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+    let later = start.incarnation.start_ms + 19_000;
+    // Operators drain its zone, so that it is moved.
+    let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+    world.drain(support::world::zone_of(&world.workers[at].machine).as_str());
+    let (_, stops) = decided(&mut world, 20, 200);
+    assert!(!stops.is_empty());
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.stop_answered(&start.incarnation, start.task, start.attempt, after(200));
+    let before = now - Duration::from_millis(5);
+    world.scheduler.apply_report(id, &report_of(later, &[]), before, after(210));
+    let (starts, stops) = decided(&mut world, 220, 500);
+    assert!(starts.is_empty() && !stops.is_empty(), "{starts:?} {stops:?}");
+    world.scheduler.apply_report(id, &report_of(later, &runs), after(205), after(510));
+    let (starts, _) = decided(&mut world, 520, 700);
+    assert!(starts.is_empty(), "{starts:?}");
+    world.scheduler.apply_report(id, &report_of(later, &[]), after(700), after(705));
+    let (starts, _) = decided(&mut world, 720, 1500);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+}
