flow: a crash of an earlier life is none under a task that the later one runs

A continuous task that had started on two workers that had just started again had a proof against it (two crashes within 100 ms of its start), so that its job could be given up.

Cause: a start that was sent to the earlier life, and that the later one carried out, is marked with the crash when the restart is seen. The mark was withdrawn if a connection had broken and the worker answered again, or if the attempt was found by another leader, but not if the later life reports it.

Evidence: a_task_that_a_later_life_runs_is_not_blamed_for_the_crash_of_the_earlier_one failed before: four marks, of which none was withdrawn.

Change: the first report of an attempt withdraws its mark. An attempt runs in one life only, so that a crash before that report was in another one.

--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -243,7 +243,7 @@
         };
         self.confirm(key, now);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
-        attempt.reported = true;
+        let is_first = !std::mem::replace(&mut attempt.reported, true);
         if attempt.percent != reported.percent {
             attempt.percent = reported.percent;
             attempt.last_progress = now;
@@ -256,6 +256,10 @@
             // The stop command or its answer was lost.
             self.stop_attempt(key, StopReason::JobEnded, now);
         }
+        if is_first {
+            // A crash of an earlier incarnation was none under it.
+            self.withdraw_mark(reported.task, reported.attempt);
+        }
     }
 
     /// Adds an attempt that an earlier leader started. Stops it if its job is
--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -477,6 +477,32 @@
     assert_eq!(outcome(&world, 1), Some(JobOutcome::Done));
 }
 
+/// Guards against blame for a crash of an earlier life of a worker: the later one has carried
+/// out the start, before the leader knew of it.
+#[test]
+fn a_task_that_a_later_life_runs_is_not_blamed_for_the_crash_of_the_earlier_one() {
+    for unanswered in [0, 1000] {
+        let mut world = World::new(17, 8, Faults { unanswered, ..Faults::default() });
+        world.run(5000);
+        let (ms, wall) = (world.ms, world.wall());
+        world.workers.iter_mut().for_each(|worker| worker.restart(ms));
+        // A stop would end the only attempt.
+        world.refuses_stops = true;
+        let spec = StepSpec { continuous: true, max_unavailable: Some(1), ..step(4, 1000, 0) };
+        world.submit(1, job("q-a", vec![spec], wall));
+        while world.starts < 4 {
+            world.step();
+        }
+        world.register();
+        world.run(500);
+        let progress = world.store[&JobId::new(1)].progress.clone();
+        let marks = progress.map_or(0, |progress| progress.occurrences[0].crashes.len());
+        assert_eq!(marks, 0, "{unanswered}");
+        assert_eq!(world.starts, 4);
+        assert!(world.violations.is_empty(), "{:?}", world.violations);
+    }
+}
+
 /// Guards against blame for workers that are cut off and run on: their tasks go on
 /// like others when they answer again.
 #[test]
