flow, lead: each later life of a worker gets a higher fencing token before it gets work

A worker was back under its id; calls that were meant for its earlier life reached the next one up to 12 s later and renewed its lease for as long as workers permit, so that its tasks went on after the leader had started them elsewhere.

Cause: nothing told the lives apart. The header names the id, the deadline is a time on a clock that begins anew, and the token was that of the leadership, the same for all lives. So the leader could only wait: 22 s for a lease, and 12 s before a worker got work if polls to its earlier life acknowledged ends.

Change: the revision of the store at which the record of a later life becomes durable is its fencing token. The record is written under the condition of the leader's term, so that the revision is higher than any token before and lower than that of the next leader; it is written anyway before a worker gets work, so that no call is added to the store. The worker gets work once it has answered a poll with that token: from then on it refuses every call to an earlier life, and starts without an answer are resolved. The 12 s without work are gone. A refusal of a call with a superseded token does not end the leadership. A record whose write was not answered is written again, as its revision may be another leader's.

a_worker_that_starts_again_gets_no_work_while_earlier_polls_may_arrive asserted the 12 s. Its successor asserts that no work is given while the store is silent for 13 s, and that the worker has then seen a higher token than any poll of its earlier life. a_task_starts_once_no_late_start_can_arrive_although_no_stop _is_answered keeps its bounds with the store silent; beside it a test asserts that the task starts at once where the record is written, and that the late start does nothing.

--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use vg_base::prelude::*;
 
-use crate::{AttemptNumber, StepId, TaskId, WorkerIncarnation};
+use crate::{AttemptNumber, FencingToken, StepId, TaskId, WorkerIncarnation};
 
 /// An action for the leader to carry out. Messages may be lost; the caller
 /// reports the result of each to the scheduler.
@@ -17,6 +17,8 @@
     Stop {
         /// The incarnation that the attempt is on.
         incarnation: WorkerIncarnation,
+        /// Fencing token of the command.
+        token: FencingToken,
         /// The task.
         task: TaskId,
         /// The attempt.
@@ -28,6 +30,8 @@
     Throttle {
         /// The incarnation that the attempt is on.
         incarnation: WorkerIncarnation,
+        /// Fencing token of the command.
+        token: FencingToken,
         /// The task.
         task: TaskId,
         /// The attempt.
@@ -52,6 +56,8 @@
     /// The incarnation that is to run it. A worker with another id must refuse
     /// it; a later incarnation of the same worker may accept it.
     pub incarnation: WorkerIncarnation,
+    /// Fencing token of the command.
+    pub token: FencingToken,
     /// The task.
     pub task: TaskId,
     /// Number of the attempt.
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -340,7 +340,7 @@
         let bound = clock_bound(START_VALIDITY);
         let chosen = &mut self.workers[worker];
         chosen.lease_end = chosen.lease_end.max(now + bound);
-        let incarnation = chosen.incarnation.clone();
+        let (incarnation, token) = (chosen.incarnation.clone(), chosen.token);
         self.insert_attempt(Attempt {
             task,
             job: Some(key),
@@ -367,8 +367,16 @@
         });
         self.counts.starts += 1;
         self.start_window.add();
-        let start =
-            StartCommand { incarnation, task, attempt, payload, deadline_ms, checkpoint, ticket };
+        let start = StartCommand {
+            incarnation,
+            token,
+            task,
+            attempt,
+            payload,
+            deadline_ms,
+            checkpoint,
+            ticket,
+        };
         self.actions.push(Action::Start(start));
     }
 }
--- a/crates/flow/src/placement/throttle.rs
+++ b/crates/flow/src/placement/throttle.rs
@@ -91,9 +91,14 @@
                 let (task, number) = (state.task, state.attempt);
                 self.attempts[attempt].speed_changed = Some(now);
                 self.attempts[attempt].speed_percent = SPEED_STEPS_PERCENT[next];
-                let incarnation = self.workers[key].incarnation.clone();
-                let percent = SPEED_STEPS_PERCENT[next];
-                self.actions.push(Action::Throttle { incarnation, task, attempt: number, percent });
+                let worker = &self.workers[key];
+                self.actions.push(Action::Throttle {
+                    incarnation: worker.incarnation.clone(),
+                    token: worker.token,
+                    task,
+                    attempt: number,
+                    percent: SPEED_STEPS_PERCENT[next],
+                });
             }
         }
     }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -48,6 +48,8 @@
 pub struct Scheduler {
     pub(crate) rules: SchedulingRules,
     pub(crate) token: FencingToken,
+    /// Highest token that calls to any worker carry.
+    pub(crate) latest_token: FencingToken,
     pub(crate) leader_since: Instant,
     /// Jobs that are read before this time may have been started by the earlier leader,
     /// whatever their revision.
@@ -59,8 +61,8 @@
     pub(crate) job_ids: HashMap<JobId, JobKey>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) worker_ids: HashMap<HostId, WorkerKey>,
-    /// Until when polls may arrive at workers that were dropped, should they come back.
-    pub(crate) late_polls: HashMap<HostId, Instant>,
+    /// Until when calls may arrive at workers that were dropped, should they come back.
+    pub(crate) dropped_workers: HashMap<HostId, Instant>,
     /// Start commands without an answer.
     pub(crate) late_starts: LateStarts,
     pub(crate) attempts: SlotMap<AttemptKey, Attempt>,
@@ -157,6 +159,7 @@
             zone_drains: ZoneDrains::default(),
             rules,
             token,
+            latest_token: token,
             leader_since: now,
             overlap_until: now,
             lease_limit: None,
@@ -165,7 +168,7 @@
             job_ids: HashMap::new(),
             workers: SlotMap::with_key(),
             worker_ids: HashMap::new(),
-            late_polls: HashMap::new(),
+            dropped_workers: HashMap::new(),
             late_starts: LateStarts::default(),
             attempts: SlotMap::with_key(),
             attempt_ids: HashMap::new(),
@@ -183,7 +186,7 @@
         }
     }
 
-    /// Returns the leader's fencing token.
+    /// Returns the fencing token of the leadership. Calls to workers may carry higher ones.
     pub fn token(&self) -> FencingToken {
         self.token
     }
@@ -432,8 +435,9 @@
         }
         self.counts.stops += 1;
         let (task, number) = (attempt.task, attempt.attempt);
-        let incarnation = self.workers[attempt.worker].incarnation.clone();
-        self.actions.push(Action::Stop { incarnation, task, attempt: number, reason });
+        let worker = &self.workers[attempt.worker];
+        let (incarnation, token) = (worker.incarnation.clone(), worker.token);
+        self.actions.push(Action::Stop { incarnation, token, task, attempt: number, reason });
     }
 
     /// Stops all attempts of a task that is done.
--- /dev/null
+++ b/crates/flow/src/workers/fence.rs
@@ -0,0 +1,89 @@
+//! Fences the present life of a worker against calls to its earlier lives.
+//!
+//! Load that this module handles: workers crash and are back under their ids while calls are
+//! on their way, and are cut off soon after. A later life knows no fencing token, and carries
+//! out what was sent to the one before: starts, also refused ones, and polls renew its lease
+//! by a time on the earlier life's clock, and polls acknowledge ends by that life's numbers.
+//! So calls to each later life carry a higher token than those to the earlier ones: the
+//! revision of the store at which its record became durable. It gets work once it has answered
+//! a poll with that token, as it refuses all earlier calls from then on. Before that, a call
+//! may have renewed its lease for as long as workers permit ([`Worker::late_lease`]).
+
+use vg_base::prelude::*;
+
+use crate::rules::clock_bound;
+use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerKey};
+use crate::{FencingToken, Scheduler};
+
+/// Whether calls to earlier lives of a worker take effect in the present one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fence {
+    /// They may: the worker gets a higher token once its record is durable.
+    Open,
+    /// Calls have carried a higher token since then, and the worker has answered none.
+    Raised(Instant),
+    /// They do not, as it has seen the higher token, or has no earlier life.
+    Closed,
+}
+
+impl Worker {
+    /// Notes that calls to an earlier life may take effect until the fence is closed.
+    pub(crate) fn open_fence(&mut self, lease_max: Duration, now: Instant) {
+        self.fence = Fence::Open;
+        self.late_lease = Some(now + MESSAGE_DELAY_MAX + clock_bound(lease_max));
+        // The poll that closes the fence is sent as soon as the record is durable.
+        self.lease_capped = true;
+    }
+
+    /// Uses a higher token from `now` on, as the record of the present life is durable.
+    fn raise_token(&mut self, token: FencingToken, now: Instant) {
+        if self.fence == Fence::Open && token > self.token {
+            self.token = token;
+            self.fence = Fence::Raised(now);
+        }
+    }
+
+    /// Notes an answer to a poll that was sent at `sent`.
+    fn close_fence(&mut self, lease_max: Duration, sent: Instant, now: Instant) {
+        if let Fence::Raised(since) = self.fence
+            && sent >= since
+        {
+            self.fence = Fence::Closed;
+            self.bound_late_lease(lease_max, now);
+        }
+    }
+
+    /// Notes that no call to an earlier life takes effect after `now`.
+    fn bound_late_lease(&mut self, lease_max: Duration, now: Instant) {
+        let until = now + clock_bound(lease_max);
+        self.late_lease = Some(self.late_lease.map_or(until, |late| late.min(until)));
+    }
+
+    /// Whether no call to an earlier life takes effect.
+    pub(crate) fn is_fenced(&self) -> bool {
+        self.fence == Fence::Closed
+    }
+}
+
+impl Scheduler {
+    /// Whether a call with a token was meant for an earlier life of a worker, so that its
+    /// refusal does not show that another host leads.
+    pub fn is_superseded(&self, id: &HostId, token: FencingToken) -> bool {
+        let worker = self.worker_ids.get(id).map(|&key| &self.workers[key]);
+        worker.is_some_and(|worker| token < worker.token)
+    }
+
+    /// Uses higher tokens for a worker whose record has become durable at the revision
+    /// `token` of the store.
+    pub(crate) fn raise_token(&mut self, key: WorkerKey, token: FencingToken, now: Instant) {
+        self.latest_token = self.latest_token.max(token);
+        self.workers[key].raise_token(token, now);
+    }
+
+    /// Notes what an answer to a poll that was sent at `sent` shows: earlier calls are
+    /// refused from now on.
+    pub(crate) fn note_fence(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
+        let lease_max = self.rules.lease_max;
+        self.workers[key].close_fence(lease_max, sent, now);
+    }
+}
--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -6,15 +6,14 @@
 //! start by its deadline or by the stop that it has answered. The next one knows neither, and
 //! has seen no fencing token. So each one without an answer is remembered, also when its
 //! attempt is removed or its worker is dropped: a later incarnation gets a stop for it as soon
-//! as it is seen, and until that is answered its task starts nowhere else and its capacity is
-//! not given away.
+//! as it is seen, and until that is answered, or the incarnation is fenced, its task starts
+//! nowhere else and its capacity is not given away.
 
 use std::collections::HashMap;
 
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
-use crate::rules::clock_bound;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, WorkerKey};
 use crate::{AttemptNumber, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
@@ -104,11 +103,10 @@
     /// carry out although it was sent to an earlier one. Until it is answered, the attempt
     /// counts as one that may run there.
     pub(crate) fn stop_late_starts(&mut self, worker: WorkerKey, now: Instant) {
-        let open = self.late_starts.open_in(&self.workers[worker].incarnation, now);
-        if !open.is_empty() {
-            let until = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
-            self.workers[worker].late_lease.get_or_insert(until);
-        }
+        let open = match self.workers[worker].is_fenced() {
+            true => Vec::new(),
+            false => self.late_starts.open_in(&self.workers[worker].incarnation, now),
+        };
         for attempt in open {
             if !self.attempt_ids.contains_key(&(attempt.task, attempt.attempt)) {
                 self.insert_attempt(unresolved_in_later(attempt, worker));
--- a/crates/flow/src/workers/mod.rs
+++ b/crates/flow/src/workers/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod answers;
 pub(crate) mod failed_steps;
+pub(crate) mod fence;
 pub(crate) mod health;
 pub(crate) mod health_report;
 pub(crate) mod late_starts;
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -38,6 +38,7 @@
             }
             self.begin_incarnation(key, start_ms, now);
         }
+        self.note_fence(key, sent, now);
         if self.unresolved.expiry(id).is_some() {
             self.clear_unresolved(id);
             self.workers[key].require_record();
@@ -324,6 +325,7 @@
         now: Instant,
     ) {
         let known_since = self.workers[worker].known_since;
+        let is_fenced = self.workers[worker].is_fenced();
         for key in self.workers[worker].attempts.clone() {
             let attempt = &self.attempts[key];
             if listed.contains(&(attempt.task, attempt.attempt)) {
@@ -332,7 +334,7 @@
             let stopped = attempt.stop_answered.is_some_and(|at| at < sent);
             let known = attempt.confirmed.is_some_and(|at| at < sent);
             let expired = match attempt.needs_stop {
-                true => !self.may_arrive(attempt, sent),
+                true => is_fenced || !self.may_arrive(attempt, sent),
                 false => clock_ms > attempt.expires_ms,
             };
             let removal = match attempt.phase {
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -4,7 +4,6 @@
 use vg_jobs::Resources;
 
 use crate::jobs::attempt::Phase;
-use crate::rules::clock_bound;
 use crate::workers::unresolved::IncarnationRecord;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerKey};
 use crate::workers::worker_health::WorkerHealth;
@@ -15,8 +14,11 @@
 pub struct Renewal {
     /// The incarnation that is addressed.
     pub incarnation: WorkerIncarnation,
-    /// The leader's fencing token.
+    /// Fencing token of the calls to this incarnation.
     pub token: FencingToken,
+    /// Whether earlier calls to another incarnation take no effect any more. Until then an
+    /// answer is needed at once.
+    pub fenced: bool,
     /// New end of its lease on its own clock in milliseconds; `None` if the
     /// lease is not renewed.
     pub deadline_ms: Option<u64>,
@@ -51,8 +53,11 @@
     /// if a later incarnation is known.
     pub fn register(&mut self, registration: &WorkerRegistration, now: Instant) -> bool {
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
-            let mut worker = Worker::new(registration, now);
-            worker.late_polls = self.late_polls.remove(&registration.incarnation.id);
+            let id = &registration.incarnation.id;
+            let mut worker = Worker::new(registration, self.latest_token, now);
+            if self.dropped_workers.remove(id).is_some_and(|until| now < until) {
+                worker.open_fence(self.rules.lease_max, now);
+            }
             let key = self.workers.insert(worker);
             self.worker_ids.insert(registration.incarnation.id.clone(), key);
             self.note_start(key);
@@ -117,15 +122,21 @@
         std::mem::take(&mut self.records_changed)
     }
 
-    /// Marks the incarnations of these durable records as recorded, so that
-    /// they can be given work.
-    pub fn records_written(&mut self, records: &[IncarnationRecord]) {
+    /// Marks the incarnations of these records, which became durable at the revision
+    /// `token` of the store at the latest, as recorded, so that they can be given work.
+    pub fn records_written(
+        &mut self,
+        records: &[IncarnationRecord],
+        token: FencingToken,
+        now: Instant,
+    ) {
         for record in records.iter().filter(|record| record.remaining.is_none()) {
             if let Some(&key) = self.worker_ids.get(&record.incarnation.id)
                 && self.workers[key].incarnation == record.incarnation
             {
                 self.workers[key].recorded = true;
                 self.workers[key].lease_capped = false;
+                self.raise_token(key, token, now);
             }
         }
     }
@@ -166,7 +177,8 @@
         worker.renewed_until = deadline_ms.map(|_| now + lease);
         Some(Renewal {
             incarnation: worker.incarnation.clone(),
-            token: self.token,
+            token: worker.token,
+            fenced: worker.is_fenced(),
             deadline_ms,
             acknowledged: worker.acknowledged,
             busy: !worker.attempts.is_empty(),
@@ -198,7 +210,7 @@
     /// ended.
     pub(crate) fn begin_incarnation(&mut self, key: WorkerKey, start_ms: u64, now: Instant) {
         self.note_restarted_worker(key, now);
-        let late_lease = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
+        let lease_max = self.rules.lease_max;
         let worker = &mut self.workers[key];
         worker.replace_start(start_ms, now);
         // What the previous one registered may not hold for this one.
@@ -207,8 +219,7 @@
         worker.polled = false;
         worker.clock = None;
         worker.renewed_until = None;
-        worker.expect_late_polls(now);
-        worker.late_lease = Some(late_lease);
+        worker.open_fence(lease_max, now);
         worker.received = 0;
         worker.acknowledged = 0;
         worker.uncommitted_ends.clear();
@@ -267,11 +278,10 @@
                 if let Some(machine) = machine {
                     self.leave_machine(key, &machine);
                 }
-                self.workers[key].expect_late_polls(now);
-                let late_polls = self.workers.remove(key).and_then(|worker| worker.late_polls);
-                self.late_polls.retain(|_, until| now < *until);
-                self.late_polls.extend(late_polls.map(|until| (id.clone(), until)));
+                self.workers.remove(key);
                 self.worker_ids.remove(&id);
+                self.dropped_workers.retain(|_, until| now < *until);
+                self.dropped_workers.insert(id, now + MESSAGE_DELAY_MAX);
             }
         }
     }
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -160,11 +160,12 @@
     /// that was read at `now` at the latest. Nothing that was started there can run after
     /// the recorded time, or after `until` if none is recorded.
     pub fn add_unresolved(&mut self, record: &IncarnationRecord, until: Instant, now: Instant) {
-        let until = record.remaining.map_or(until, |remaining| now + remaining);
-        let incarnation = record.incarnation.clone();
-        let tasks = record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect());
-        let machine = record.machine.clone();
-        self.unresolved.insert(UnresolvedIncarnation { incarnation, until, tasks, machine });
+        self.unresolved.insert(UnresolvedIncarnation {
+            incarnation: record.incarnation.clone(),
+            until: record.remaining.map_or(until, |remaining| now + remaining),
+            tasks: record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
+            machine: record.machine.clone(),
+        });
     }
 
     /// Treats every worker as one that may have been given work until `until`,
@@ -229,13 +230,15 @@
     /// Returns the record of a worker. It lists the tasks that may run there if they are
     /// known, and the worker is sealed or decisions have ended.
     pub(crate) fn incarnation_record(&self, worker: &Worker, now: Instant) -> IncarnationRecord {
-        let (incarnation, machine) = (worker.incarnation.clone(), worker.machine.clone());
-        if self.may_run_any(worker) || (!worker.sealed && !self.frozen) {
-            return IncarnationRecord { incarnation, remaining: None, tasks: None, machine };
+        let is_open = self.may_run_any(worker) || (!worker.sealed && !self.frozen);
+        let remaining = (!is_open).then(|| remaining_time(worker.last_lease_end(), now));
+        let tasks = if is_open { None } else { self.unsettled_tasks(worker) };
+        IncarnationRecord {
+            incarnation: worker.incarnation.clone(),
+            remaining,
+            tasks,
+            machine: worker.machine.clone(),
         }
-        let remaining = Some(remaining_time(worker.last_lease_end(), now));
-        let tasks = self.unsettled_tasks(worker);
-        IncarnationRecord { incarnation, remaining, tasks, machine }
     }
 
     /// Returns all tasks that may run on a worker or have an end there that is not
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -5,11 +5,12 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
-use crate::TaskId;
 use crate::jobs::attempt::AttemptKey;
 use crate::jobs::trials::Trial;
+use crate::workers::fence::Fence;
 use crate::workers::occupancy::Occupancy;
 use crate::workers::worker_health::WorkerHealth;
+use crate::{FencingToken, TaskId};
 
 slotmap::new_key_type! {
     /// Key of a worker in its table.
@@ -105,14 +106,18 @@
     /// Whether the incarnation is durably recorded, so that the next leader
     /// knows it.
     pub(crate) recorded: bool,
-    /// Whether the record states when its lease ends: the lease is not renewed
-    /// before the record states otherwise.
+    /// Whether the lease is not renewed before a record without its end is durable: the
+    /// present record states when it ends, or is that of an earlier incarnation.
     pub(crate) lease_capped: bool,
     /// Whether the record lists, or is about to list, all that may run on it:
     /// the worker gets no work before the record is unsealed.
     pub(crate) sealed: bool,
     /// Whether it has answered a poll of this leader in this incarnation.
     pub(crate) polled: bool,
+    /// Token of the calls to this incarnation.
+    pub(crate) token: FencingToken,
+    /// Whether calls to earlier incarnations take effect in this one.
+    pub(crate) fence: Fence,
     pub(crate) attempts: Vec<AttemptKey>,
     pub(crate) used: Occupancy,
     /// Free capacity that is reserved for continuous tasks that leave drained zones.
@@ -120,7 +125,7 @@
     pub(crate) clock: Option<WorkerClock>,
     /// Time after which nothing that it was told to run can still run.
     pub(crate) lease_end: Instant,
-    /// Until when a lease may last that a late message to an earlier life has renewed: its
+    /// Until when a lease may last that a late call to an earlier life has renewed: its
     /// deadline is a time on the clock of that life, far ahead of the present one.
     pub(crate) late_lease: Option<Instant>,
     /// Until when the lease lasts that the last renewal asked for; `None` if that
@@ -132,9 +137,6 @@
     pub(crate) acknowledged: u64,
     /// Ends in memory that are not durable: number and task.
     pub(crate) uncommitted_ends: Vec<(u64, TaskId)>,
-    /// Until when polls of its earlier life may arrive. They acknowledge ends by the numbers
-    /// of that life, and it would forget ends of this one that nobody has read.
-    pub(crate) late_polls: Option<Instant>,
     /// Whether its last list of ends was truncated.
     pub(crate) ends_truncated: bool,
     /// When a poll was last answered.
@@ -161,7 +163,11 @@
 }
 
 impl Worker {
-    pub(crate) fn new(registration: &WorkerRegistration, now: Instant) -> Worker {
+    pub(crate) fn new(
+        registration: &WorkerRegistration,
+        token: FencingToken,
+        now: Instant,
+    ) -> Worker {
         let mut worker = Worker {
             incarnation: registration.incarnation.clone(),
             known_since: now,
@@ -180,6 +186,8 @@
             lease_capped: false,
             sealed: false,
             polled: false,
+            token,
+            fence: Fence::Closed,
             attempts: Vec::new(),
             used: Occupancy::default(),
             drain_reserve: Resources::ZERO,
@@ -190,7 +198,6 @@
             received: 0,
             acknowledged: 0,
             uncommitted_ends: Vec::new(),
-            late_polls: None,
             ends_truncated: false,
             last_poll: None,
             unreachable_since: None,
@@ -264,15 +271,6 @@
         self.known_since = now;
     }
 
-    /// Notes that it has started again: polls that were sent before may still arrive. Those
-    /// that acknowledge nothing do no harm, nor do those of an earlier leader, which are
-    /// refused by their token.
-    pub(crate) fn expect_late_polls(&mut self, now: Instant) {
-        if self.acknowledged > 0 {
-            self.late_polls = Some(now + MESSAGE_DELAY_MAX);
-        }
-    }
-
     /// Returns the time after which nothing can run on it, as it does not answer. A process
     /// that has ended runs nothing under a late lease.
     pub(crate) fn last_lease_end(&self) -> Instant {
@@ -322,7 +320,7 @@
             && self.unreachable_since.is_none()
             && self.clock.is_some()
             && self.is_being_renewed(now)
-            && self.late_polls.is_none_or(|until| until <= now)
+            && self.is_fenced()
             && self.backoff_until.is_none_or(|until| until <= now)
     }
 }
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -22,6 +22,10 @@
     wall: SystemTime,
     /// Start of all workers.
     start_ms: u64,
+    /// Revision of the store.
+    revision: u64,
+    /// Highest token that each worker has seen.
+    tokens: HashMap<HostId, FencingToken>,
     running: HashMap<HostId, Vec<RunningAttempt>>,
     ends: HashMap<HostId, Vec<EndedAttempt>>,
 }
@@ -62,7 +66,16 @@
             running.insert(worker(at), Vec::new());
         }
         let ends = HashMap::new();
-        let mut harness = Harness { scheduler, now, wall, start_ms: 1, running, ends };
+        let mut harness = Harness {
+            scheduler,
+            now,
+            wall,
+            start_ms: 1,
+            revision: 100,
+            tokens: HashMap::new(),
+            running,
+            ends,
+        };
         harness.write_records();
         harness.poll_workers();
         harness
@@ -70,7 +83,8 @@
 
     fn write_records(&mut self) {
         let records = self.scheduler.incarnation_records(self.now);
-        self.scheduler.records_written(&records);
+        self.revision += 1;
+        self.scheduler.records_written(&records, FencingToken(self.revision), self.now);
     }
 
     /// Lets time pass without answers to polls until the leader has dropped all workers.
@@ -102,9 +116,8 @@
 
     fn poll_workers(&mut self) {
         for (id, attempts) in &self.running {
-            if self.scheduler.renewal(id, self.now).is_none() {
-                continue;
-            }
+            let Some(renewal) = self.scheduler.renewal(id, self.now) else { continue };
+            self.tokens.insert(id.clone(), renewal.token);
             let report = Report {
                 start_ms: Some(self.start_ms),
                 clock_ms: 1000,
@@ -306,7 +319,7 @@
 /// Guards against ends that nobody reads: polls of a worker's earlier life arrive in the next
 /// one, and it forgets ends up to the number that they acknowledge. The tasks would run again.
 #[test]
-fn a_worker_that_starts_again_gets_no_work_while_earlier_polls_may_arrive() {
+fn a_worker_that_starts_again_gets_no_work_before_it_refuses_earlier_polls() {
     for (acknowledged, dropped) in [(false, false), (true, false), (true, true)] {
         let mut harness = Harness::new(1, config());
         harness.submit(1, vec![step(1, 1000, 500)]);
@@ -324,17 +337,18 @@
             harness.scheduler.deregister(&worker(0));
             harness.forget_workers();
         }
+        let earlier = harness.tokens[&worker(0)];
         let labels = ["kind-0", "r0"].map(String::from);
         harness.scheduler.register(&registration(0, 2, labels), harness.now);
         harness.submit(2, vec![step(1, 1000, 500)]);
-        let mut waited = 0;
-        while harness.advance(100).is_empty() {
-            harness.write_records();
-            waited += 1;
+        // Polls may be on their way for 12 s, and the store is silent for that time.
+        for _ in 0..130 {
+            assert!(harness.advance(100).is_empty(), "{:?}", harness.tokens);
         }
-        // A poll may be on its way for 12 s.
-        assert_eq!(waited >= 119, acknowledged, "{waited} rounds");
-        assert!(waited < 130, "{waited} rounds");
+        harness.write_records();
+        let actions = harness.advance(100);
+        assert_eq!(harness.execute_starts(actions).len(), 1);
+        assert!(harness.tokens[&worker(0)] > earlier, "{earlier:?}, {:?}", harness.tokens);
     }
 }
 
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -25,6 +25,8 @@
     /// Attempts that were started: worker and what it reports.
     running: Vec<(HostId, RunningAttempt)>,
     stops: usize,
+    /// Revision of the store.
+    revision: u64,
     start_answer: StartAnswer,
     machine_answer: MachineAnswer,
 }
@@ -51,6 +53,7 @@
             commands: Vec::new(),
             running: Vec::new(),
             stops: 0,
+            revision: TOKEN.0,
             start_answer: StartAnswer::Started,
             machine_answer: MachineAnswer::Done,
         }
@@ -78,7 +81,8 @@
         };
         self.scheduler.register(&registration, self.now);
         let records = self.scheduler.incarnation_records(self.now);
-        self.scheduler.records_written(&records);
+        self.revision += 1;
+        self.scheduler.records_written(&records, FencingToken(self.revision), self.now);
         self.poll(id, start_ms);
     }
 
@@ -235,7 +239,7 @@
     let open = fixture.scheduler.renewal(&worker, fixture.now);
     assert!(open.is_some_and(|open| open.deadline_ms.is_none()));
     let records = fixture.scheduler.incarnation_records(fixture.now);
-    fixture.scheduler.records_written(&records);
+    fixture.scheduler.records_written(&records, fixture.scheduler.token(), fixture.now);
 
     fixture.submit(1, "q-a", vec![continuous(5)]);
     fixture.round(1);
@@ -327,7 +331,7 @@
     fixture.now += Duration::from_millis(100);
     ids.iter().for_each(|id| fixture.poll(id, 5));
     let records = fixture.scheduler.incarnation_records(fixture.now);
-    fixture.scheduler.records_written(&records);
+    fixture.scheduler.records_written(&records, fixture.scheduler.token(), fixture.now);
     ids.iter().for_each(|id| fixture.poll(id, 5));
     fixture.submit(1, "q-a", vec![step(3, 12_000, 1000)]);
     fixture.submit(2, "q-a", vec![continuous(6)]);
--- a/crates/flow/tests/overload.rs
+++ b/crates/flow/tests/overload.rs
@@ -58,7 +58,7 @@
             now,
         );
         let records = scheduler.incarnation_records(now);
-        scheduler.records_written(&records);
+        scheduler.records_written(&records, scheduler.token(), now);
         let mut leader = SlowLeader {
             scheduler,
             now,
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -6,8 +6,9 @@
 use support::world::{Faults, STEP_MS, World};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, AttemptNumber, LeaseCause, LossCause, PollFailure, Report, RunningAttempt, StartAnswer,
-    StartCommand, StepSpec, TaskId, WorkerIncarnation, WorkerRegistration,
+    Action, AttemptNumber, FencingToken, LeaseCause, LossCause, PollFailure, Report,
+    RunningAttempt, StartAnswer, StartCommand, StepSpec, TaskId, WorkerIncarnation,
+    WorkerRegistration,
 };
 
 /// When a late start arrives, after it was sent.
@@ -257,13 +258,14 @@
 }
 
 /// Guards against a task that waits for ever, because the next life of its worker answers
-/// polls and refuses each stop.
+/// polls and refuses each stop, and its record can't be written.
 #[test]
 fn a_task_starts_once_no_late_start_can_arrive_although_no_stop_is_answered() {
     let mut world = world();
     let at = start_late(&mut world, 30_000);
     // The command is lost.
     world.delay_late_starts(60_000);
+    world.start_store_outage(20_000);
     world.restart(at);
     world.refuses_stops = true;
     world.run(11_000);
@@ -273,6 +275,21 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against the same where the record is written: the next life refuses the late start
+/// by its token, so that the task does not wait for the stop.
+#[test]
+fn a_task_starts_at_once_when_its_worker_refuses_calls_to_its_earlier_life() {
+    let mut world = world();
+    let at = start_late(&mut world, 30_000);
+    world.restart(at);
+    world.refuses_stops = true;
+    world.run(500);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    world.run(LATE_MS);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Returns a registration of a worker of pool `a` on a machine.
 fn registration(world: &World, id: &str, start_ms: u64, machine: &str) -> WorkerRegistration {
     let addr = ([127, 0, 0, 1], 900).into();
@@ -386,7 +403,7 @@
     let start_ms = Some(world.workers[0].start_ms);
     let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
     world.scheduler.apply_report(&id, &report, now - Duration::from_millis(2), now);
-    world.scheduler.records_written(&records);
+    world.scheduler.records_written(&records, FencingToken(200), now);
     world.scheduler.renewal(&id, now);
     let wall = world.wall();
     world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -132,7 +132,6 @@
     at: u64,
     worker: usize,
     start: StartCommand,
-    token: FencingToken,
 }
 
 /// A poll that arrives late. Nobody reads its answer.
@@ -558,7 +557,7 @@
         self.delayed_starts.retain(|delayed| delayed.at > ms);
         for delayed in due {
             if !self.precedes_contact(&delayed) {
-                self.deliver_start(delayed.worker, &delayed.start, delayed.token);
+                self.deliver_start(delayed.worker, &delayed.start);
             } else if self.refuses_early_starts {
                 self.refuse_start(&delayed);
             }
@@ -582,7 +581,7 @@
         let worker = &mut self.workers[delayed.worker];
         if worker.up && worker.reachable {
             worker.guards_capacity = true;
-            worker.start(&delayed.start, delayed.token, task_attempt, ms);
+            worker.start(&delayed.start, task_attempt, ms);
         }
     }
 
@@ -635,13 +634,12 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::Start(start) => self.send_start(start),
-            Action::Stop { incarnation, task, attempt, reason } => {
+            Action::Stop { incarnation, token, task, attempt, reason } => {
                 self.stops.push((self.ms, task, reason));
                 if self.refuses_stops {
                     return;
                 }
                 let Some(at) = self.worker_of(&incarnation.id) else { return };
-                let token = self.scheduler.token();
                 let (ms, now) = (self.ms, self.now());
                 let worker = &mut self.workers[at];
                 if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
@@ -659,7 +657,6 @@
 
     fn send_start(&mut self, start: StartCommand) {
         let Some(at) = self.worker_of(&start.incarnation.id) else { return };
-        let token = self.scheduler.token();
         let now = self.now();
         let (task, attempt) = (start.task, start.attempt);
         let faults = self.faults;
@@ -668,10 +665,10 @@
             self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
         } else if self.chance(faults.delayed) {
             let at_ms = self.ms + self.rng.random_range(2000..12_000);
-            self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start, token });
+            self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start });
             self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
         } else {
-            let answer = self.deliver_start(at, &start, token);
+            let answer = self.deliver_start(at, &start);
             let answer =
                 if self.chance(faults.unanswered) { StartAnswer::Unanswered } else { answer };
             self.scheduler.start_answered(task, attempt, answer, now);
@@ -679,12 +676,7 @@
     }
 
     /// Delivers a start command to a worker.
-    fn deliver_start(
-        &mut self,
-        at: usize,
-        start: &StartCommand,
-        token: FencingToken,
-    ) -> StartAnswer {
+    fn deliver_start(&mut self, at: usize, start: &StartCommand) -> StartAnswer {
         let Some(stored) = self.store.get(&start.task.step.job) else {
             self.violations.push(format!("{}: it was not submitted", start.task));
             return StartAnswer::Unanswered;
@@ -713,7 +705,7 @@
         }
         let ms = self.ms;
         let before = self.workers[at].running.len();
-        let answer = self.workers[at].start(start, token, task_attempt, ms);
+        let answer = self.workers[at].start(start, task_attempt, ms);
         if answer == StartAnswer::Started && self.workers[at].running.len() > before {
             self.starts += 1;
             self.started.push((ms, at, start.task));
@@ -726,7 +718,9 @@
     pub(crate) fn commit(&mut self) {
         if let Some(records) = self.pending_records.take() {
             self.records = records.clone();
-            self.scheduler.records_written(&records);
+            self.revision += 1;
+            let (token, now) = (FencingToken(self.revision), self.now());
+            self.scheduler.records_written(&records, token, now);
         }
         let now = self.now();
         self.scheduler.seal_unreachable_workers(now);
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -6,8 +6,8 @@
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
 use vg_flow::{
-    Action, AttemptNumber, CommandTarget, MachineAnswer, MachineCommand, RefusalReason,
-    StartAnswer, StartCommand, StepId, TaskId, WorkerIncarnation,
+    Action, AttemptNumber, CommandTarget, FencingToken, MachineAnswer, MachineCommand,
+    RefusalReason, StartAnswer, StartCommand, StepId, TaskId, WorkerIncarnation,
 };
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
@@ -28,7 +28,7 @@
         let leader = Arc::clone(self);
         match action {
             Action::Start(start) => self.spawn(leader.start(start)),
-            Action::Stop { incarnation, task, attempt, reason } => {
+            Action::Stop { incarnation, token, task, attempt, reason } => {
                 let fields = [
                     Field::new("task", task),
                     Field::new("run", attempt),
@@ -37,10 +37,10 @@
                     Field::new("reason", reason),
                 ];
                 self.host.record(Code::TaskStopped, fields);
-                self.spawn(leader.stop(incarnation, task, attempt));
+                self.spawn(leader.stop(incarnation, token, task, attempt));
             }
-            Action::Throttle { incarnation, task, attempt, percent } => {
-                self.spawn(leader.throttle(incarnation, task, attempt, percent));
+            Action::Throttle { incarnation, token, task, attempt, percent } => {
+                self.spawn(leader.throttle(incarnation, token, task, attempt, percent));
             }
             Action::AskAdviser { step, workers } => self.spawn(leader.ask_adviser(step, workers)),
             Action::Machine(command) => {
@@ -55,7 +55,7 @@
     async fn start(self: Arc<Self>, start: StartCommand) {
         // The process may have been suspended since the decision.
         let answer = match self.may_start() {
-            true => self.host.inner.platform.start(&start, self.token).await,
+            true => self.host.inner.platform.start(&start).await,
             false => StartAnswer::NotSent,
         };
         let now = self.host.inner.clock.now();
@@ -73,8 +73,9 @@
             StartAnswer::NotSent => "not-sent",
             StartAnswer::Unanswered => "unanswered",
         });
-        if answer == StartAnswer::Refused(RefusalReason::StaleToken) {
-            self.end_leadership("a worker has seen a higher fence");
+        if answer == StartAnswer::Refused(RefusalReason::StaleToken)
+            && self.is_stale(&start.incarnation.id, start.token)
+        {
             return;
         }
         self.scheduler().start_answered(start.task, start.attempt, answer, now);
@@ -83,20 +84,31 @@
         }
     }
 
+    /// Whether another host leads, as a worker has refused a call with a token. Ends the
+    /// leadership then. Calls to an earlier life of the worker are refused as well.
+    pub(super) fn is_stale(&self, worker: &HostId, token: FencingToken) -> bool {
+        let is_stale = !self.scheduler().is_superseded(worker, token);
+        if is_stale {
+            self.end_leadership("a worker has seen a higher fence");
+        }
+        is_stale
+    }
+
     /// Commands a worker to stop an attempt.
     async fn stop(
         self: Arc<Self>,
         incarnation: WorkerIncarnation,
+        token: FencingToken,
         task: TaskId,
         attempt: AttemptNumber,
     ) {
-        let answer = self.host.inner.platform.stop(&incarnation, task, attempt, self.token).await;
+        let answer = self.host.inner.platform.stop(&incarnation, task, attempt, token).await;
         match answer {
             CommandAnswer::Accepted => {
                 let now = self.host.inner.clock.now();
                 self.scheduler().stop_answered(&incarnation, task, attempt, now);
             }
-            CommandAnswer::StaleToken => self.end_leadership("a worker has seen a higher fence"),
+            CommandAnswer::StaleToken => _ = self.is_stale(&incarnation.id, token),
             CommandAnswer::Refused | CommandAnswer::Unanswered => {
                 log::debug!(target: "orders", "stop of {task} at {incarnation}: {answer}");
             }
@@ -107,16 +119,13 @@
     async fn throttle(
         self: Arc<Self>,
         incarnation: WorkerIncarnation,
+        token: FencingToken,
         task: TaskId,
         attempt: AttemptNumber,
         percent: u8,
     ) {
-        let answer = self
-            .host
-            .inner
-            .platform
-            .throttle(&incarnation, task, attempt, percent, self.token)
-            .await;
+        let answer =
+            self.host.inner.platform.throttle(&incarnation, task, attempt, percent, token).await;
         let fields = [
             Field::new("task", task),
             Field::new("run", attempt),
@@ -127,7 +136,11 @@
         self.host.record(Code::TaskThrottled, fields);
         match answer {
             CommandAnswer::Accepted => {}
-            CommandAnswer::StaleToken => self.end_leadership("a worker has seen a higher fence"),
+            CommandAnswer::StaleToken => {
+                if !self.is_stale(&incarnation.id, token) {
+                    self.scheduler().throttle_failed(task, attempt);
+                }
+            }
             CommandAnswer::Refused | CommandAnswer::Unanswered => {
                 self.scheduler().throttle_failed(task, attempt)
             }
--- a/crates/lead/src/leader/incarnation_shards.rs
+++ b/crates/lead/src/leader/incarnation_shards.rs
@@ -4,7 +4,7 @@
 //! written again for each of them, some times a second.
 
 use vg_base::prelude::*;
-use vg_flow::IncarnationRecord;
+use vg_flow::{FencingToken, IncarnationRecord};
 use vg_store::{Entry, StoreRevision, Value};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -33,16 +33,23 @@
     /// Revision of the record of all incarnations that an earlier version wrote, if
     /// it is still to be replaced; `None` inside if there is no such record.
     pub(super) earlier: Option<Option<StoreRevision>>,
+    /// Highest revision at which this leader has written a shard, as a fencing token: it is
+    /// higher than the term, and lower than that of any later leader.
+    pub(super) latest: FencingToken,
 }
 
 impl IncarnationShards {
-    /// Creates the shards that are in the store at a takeover. `all` is the record
-    /// under the key that earlier versions used.
-    pub(super) fn new(entries: &[Entry], all: Option<&Entry>) -> IncarnationShards {
+    /// Creates the shards that are in the store at a takeover with `token`. `all` is the
+    /// record under the key that earlier versions used.
+    pub(super) fn new(
+        entries: &[Entry],
+        all: Option<&Entry>,
+        token: FencingToken,
+    ) -> IncarnationShards {
         let is_replaced = all.is_some_and(|entry| entry.value == INCARNATIONS_MOVED);
         let earlier = (!is_replaced).then(|| all.map(|entry| entry.modified));
         let absent = Shard { revision: None, value: Some(Value::new()) };
-        let mut shards = IncarnationShards { shards: vec![absent; SHARDS], earlier };
+        let mut shards = IncarnationShards { shards: vec![absent; SHARDS], earlier, latest: token };
         for entry in entries {
             if let Some(shard) = keys::parse_incarnation_shard(&entry.key) {
                 shards.set(shard, Some(entry.modified), entry.value.clone());
@@ -57,6 +64,11 @@
         }
     }
 
+    /// Notes that this leader has written shards, under the condition of its term.
+    pub(super) fn note_committed(&mut self, revision: StoreRevision) {
+        self.latest = self.latest.max(FencingToken(revision.0 as u64));
+    }
+
     /// Notes that a write of a shard was not answered, so that the shard is written
     /// again whatever its content is to be.
     pub(super) fn mark_unknown(&mut self, shard: usize) {
--- a/crates/lead/src/leader/incarnations.rs
+++ b/crates/lead/src/leader/incarnations.rs
@@ -37,7 +37,8 @@
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             let Some(written) = self.write_incarnations(&mut shards).await else { return };
-            self.scheduler().records_written(&written.incarnations);
+            let now = self.host.inner.clock.now();
+            self.scheduler().records_written(&written.incarnations, shards.latest, now);
             self.recorded.notify_waiters();
             self.wake.notify_one();
             if written.is_final {
@@ -86,13 +87,15 @@
                     for (shard, value) in chunk {
                         shards.set(*shard, Some(revision), value.clone());
                     }
+                    shards.note_committed(revision);
                 }
                 Ok(TxnOutcome::Conflict { found }) => {
                     complete = false;
                     if !self.still_leads(&found).await {
                         return None;
                     }
-                    // An earlier write whose answer was lost has taken effect.
+                    // An earlier write whose answer was lost has taken effect. It is repeated,
+                    // as its revision is not known to be of this leadership.
                     self.reload_shards(shards, chunk).await;
                 }
                 Err(error) => {
@@ -130,7 +133,10 @@
     async fn reload_shards(&self, shards: &mut IncarnationShards, chunk: &[(usize, Value)]) {
         for (shard, _) in chunk {
             match self.host.store().get(&keys::incarnation_shard(*shard)).await {
-                Ok(Some(entry)) => shards.set(*shard, Some(entry.modified), entry.value),
+                Ok(Some(entry)) => {
+                    shards.set(*shard, Some(entry.modified), entry.value);
+                    shards.mark_unknown(*shard);
+                }
                 Ok(None) => shards.set(*shard, None, Value::new()),
                 Err(error) => {
                     shards.mark_unknown(*shard);
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -50,8 +50,9 @@
                 // The worker can be given work from now on.
                 self.wake.notify_one();
             }
-            let wait = match (has_answered && renewing, renewal.busy) {
-                // A poll that renews nothing must not delay the one that does.
+            let wait = match (has_answered && renewing && renewal.fenced, renewal.busy) {
+                // A poll that renews nothing must not delay the one that does, and the
+                // answer to a raised token is what a worker waits for.
                 (false, _) => Duration::ZERO,
                 (true, true) => BUSY_WAIT_MAX,
                 (true, false) => IDLE_WAIT_MAX,
@@ -82,8 +83,9 @@
                     }
                 }
                 Err(PollError::StaleToken) => {
-                    self.end_leadership("a worker has seen a higher fence");
-                    return;
+                    if self.is_stale(&id, renewal.token) {
+                        return;
+                    }
                 }
                 Err(error) => {
                     has_answered = false;
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -129,7 +129,7 @@
         self.restore_machine_commands(commands.as_ref());
         Ok(RecoveredRevisions {
             jobs: StoreRevision(jobs.revision.0 + 1),
-            incarnations: IncarnationShards::new(&shards.entries, all.as_ref()),
+            incarnations: IncarnationShards::new(&shards.entries, all.as_ref(), self.token),
         })
     }
 
--- a/crates/lead/src/platform.rs
+++ b/crates/lead/src/platform.rs
@@ -137,11 +137,7 @@
     fn wave_status_item(&self, number: u64, state: WaveState) -> (Key, Value);
 
     /// Commands a worker to start a task. The command is never sent twice.
-    fn start(
-        &self,
-        start: &StartCommand,
-        token: FencingToken,
-    ) -> impl Future<Output = StartAnswer> + Send;
+    fn start(&self, start: &StartCommand) -> impl Future<Output = StartAnswer> + Send;
 
     /// Commands a worker to stop an attempt.
     fn stop(
--- a/crates/lead/tests/support/crashes.rs
+++ b/crates/lead/tests/support/crashes.rs
@@ -646,7 +646,7 @@
     }
 
     /// Lets a worker carry out a start, and judges it.
-    fn carry_out(&self, start: &StartCommand, token: FencingToken) -> StartAnswer {
+    fn carry_out(&self, start: &StartCommand) -> StartAnswer {
         let fleet = &self.cluster.fleet;
         let ms = fleet.ms();
         let mut workers = fleet.workers.lock().unwrap();
@@ -671,9 +671,9 @@
             continuous: false,
             stop_ms: None,
         };
-        let answer = worker.start(start, token, attempt, ms);
+        let answer = worker.start(start, attempt, ms);
         if answer == StartAnswer::Started && worker.running.len() > had {
-            self.judge_start(start, token, elsewhere, &held, ms);
+            self.judge_start(start, elsewhere, &held, ms);
         }
         answer
     }
@@ -681,7 +681,6 @@
     fn judge_start(
         &self,
         start: &StartCommand,
-        token: FencingToken,
         elsewhere: bool,
         held: &[(SmolStr, u64, String)],
         ms: u64,
@@ -714,8 +713,8 @@
         if !step.speculative && facts.is_done(task) {
             for (worker, number, lease) in held {
                 let text = format!(
-                    "{name} on {} by token {token}: ended on {worker}, {lease}",
-                    start.incarnation.id
+                    "{name} on {} by token {}: ended on {worker}, {lease}",
+                    start.incarnation.id, start.token
                 );
                 facts.started_again.insert((worker.clone(), *number), text);
             }
@@ -850,9 +849,9 @@
         self.inner.wave_status_item(number, state)
     }
 
-    async fn start(&self, start: &StartCommand, token: FencingToken) -> StartAnswer {
+    async fn start(&self, start: &StartCommand) -> StartAnswer {
         self.store.link.live().await;
-        let answer = self.judge.carry_out(start, token);
+        let answer = self.judge.carry_out(start);
         self.store.link.live().await;
         answer
     }
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -418,7 +418,7 @@
         (Key::from(format!("status/{number}")), Value::from(state.to_string()))
     }
 
-    async fn start(&self, start: &StartCommand, token: FencingToken) -> StartAnswer {
+    async fn start(&self, start: &StartCommand) -> StartAnswer {
         let task_attempt = TaskAttempt {
             task: start.task,
             attempt: start.attempt,
@@ -432,8 +432,7 @@
         if self.is_cut(&start.incarnation.id) {
             return StartAnswer::Unanswered;
         }
-        let answer =
-            self.fleet.start(start, |worker, ms| worker.start(start, token, task_attempt, ms));
+        let answer = self.fleet.start(start, |worker, ms| worker.start(start, task_attempt, ms));
         if answer == Some(StartAnswer::Started) {
             self.fleet.starts.lock().unwrap().push((start.task, start.attempt));
             self.fleet.start_workers.lock().unwrap().push(start.incarnation.id.clone());
--- a/crates/measure/src/flow/simulation.rs
+++ b/crates/measure/src/flow/simulation.rs
@@ -70,7 +70,8 @@
             (0..workload.pool_workers).for_each(|_| simulation.add_worker(queue.as_str()));
         }
         let records = simulation.scheduler.incarnation_records(base);
-        simulation.scheduler.records_written(&records);
+        let token = simulation.scheduler.token();
+        simulation.scheduler.records_written(&records, token, base);
         // The first poll tells the worker's clock, the second one renews its lease.
         (0..2 * simulation.workers.len()).for_each(|at| simulation.poll(at / 2));
         simulation
@@ -187,9 +188,8 @@
         for action in actions {
             match action {
                 Action::Start(start) => self.start(&start),
-                Action::Stop { incarnation, task, attempt, .. } => {
+                Action::Stop { incarnation, token, task, attempt, .. } => {
                     let at = self.worker_at[&incarnation.id];
-                    let token = self.scheduler.token();
                     self.workers[at].stop(task, attempt, token, STOP_MS, self.ms);
                     self.due.push(Reverse((self.ms + STOP_MS, at)));
                     self.scheduler.stop_answered(&incarnation, task, attempt, now);
@@ -214,8 +214,7 @@
             continuous: false,
             stop_ms: None,
         };
-        let token = self.scheduler.token();
-        let answer = self.workers[at].start(start, token, attempt, self.ms);
+        let answer = self.workers[at].start(start, attempt, self.ms);
         self.due.push(Reverse((self.ms + task_ms, at)));
         self.scheduler.start_answered(start.task, start.attempt, answer, self.now());
     }
--- a/crates/standin/src/simulated.rs
+++ b/crates/standin/src/simulated.rs
@@ -193,15 +193,14 @@
     pub fn start(
         &mut self,
         start: &StartCommand,
-        token: FencingToken,
         mut attempt: TaskAttempt,
         now_ms: u64,
     ) -> StartAnswer {
         let clock = self.clock(now_ms);
-        if token < self.token {
+        if start.token < self.token {
             return StartAnswer::Refused(RefusalReason::StaleToken);
         }
-        self.token = token;
+        self.token = start.token;
         if self.running.iter().any(|each| each.task == start.task && each.attempt == start.attempt)
         {
             return StartAnswer::Started;
