flow: the record of a worker tells the next leader of a lease that a late call may have renewed

Cause: the leader that saw the restart reckoned with such a lease, and its record did not say so. The next leader counted the lease that leaders ask for, also for a life that no record names.

Change: the record says that a lease may be longer (`late`), until that is over; it is written once more then. The next leader waits for the longest lease if the record says so and the worker does not answer. If it answers, calls of earlier leaders are refused from then on, and its lease is bounded from then; the same for a worker whose record is that of an earlier life, and, in the first 12 s after a takeover, for one without a record. A worker that has not started again is waited for as before.

--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -50,6 +50,8 @@
     pub(crate) token: FencingToken,
     /// Highest token that calls to any worker carry.
     pub(crate) latest_token: FencingToken,
+    /// Whether an earlier leader has left records of workers.
+    pub(crate) has_predecessor: bool,
     pub(crate) leader_since: Instant,
     /// Jobs that are read before this time may have been started by the earlier leader,
     /// whatever their revision.
@@ -160,6 +162,7 @@
             rules,
             token,
             latest_token: token,
+            has_predecessor: false,
             leader_since: now,
             overlap_until: now,
             lease_limit: None,
--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -7,7 +7,8 @@
 //! So calls to each later life carry a higher token than those to the earlier ones: the
 //! revision of the store at which its record became durable. It gets work once it has answered
 //! a poll with that token, as it refuses all earlier calls from then on. Before that, a call
-//! may have renewed its lease for as long as workers permit ([`Worker::late_lease`]).
+//! may have renewed its lease for as long as workers permit ([`Worker::late_lease`]), and the
+//! record tells the next leader so.
 
 use vg_base::prelude::*;
 
@@ -84,6 +85,32 @@
     /// refused from now on.
     pub(crate) fn note_fence(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
         let lease_max = self.rules.lease_max;
+        let is_first = !self.workers[key].polled && self.workers[key].is_fenced();
+        if is_first && self.may_have_late_lease(key, now) {
+            self.workers[key].bound_late_lease(lease_max, now);
+            self.records_changed = true;
+        }
         self.workers[key].close_fence(lease_max, sent, now);
     }
+
+    /// Whether an earlier leader may have called an earlier life of a worker that answers
+    /// this one for the first time, so that the call has renewed the present one's lease.
+    fn may_have_late_lease(&self, key: WorkerKey, now: Instant) -> bool {
+        let incarnation = &self.workers[key].incarnation;
+        match self.unresolved.late_lease(&incarnation.id, incarnation.start_ms) {
+            Some(late) => late,
+            // The record of a worker that is away is deleted once nothing can run there.
+            None => self.has_predecessor && now < self.leader_since + MESSAGE_DELAY_MAX,
+        }
+    }
+
+    /// Forgets late leases that have ended, and has the records written that mention them.
+    pub(crate) fn expire_late_leases(&mut self, now: Instant) {
+        for worker in self.workers.values_mut() {
+            if worker.is_fenced() && worker.late_lease.is_some_and(|until| until < now) {
+                worker.late_lease = None;
+                self.records_changed = true;
+            }
+        }
+    }
 }
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -252,6 +252,7 @@
     /// workers that are no longer registered.
     pub(crate) fn expire_workers(&mut self, now: Instant) {
         self.late_starts.expire(now);
+        self.expire_late_leases(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -8,6 +8,7 @@
 use vg_jobs::Resources;
 
 use crate::jobs::job::Job;
+use crate::rules::clock_bound;
 use crate::workers::worker::{Worker, WorkerKey};
 use crate::{Scheduler, StepSpec, TaskId, WorkerIncarnation};
 
@@ -37,6 +38,10 @@
     /// The machine that the incarnation runs on.
     #[serde(default)]
     pub machine: Option<SmolStr>,
+    /// Whether a late call to an earlier incarnation may have renewed its lease for longer
+    /// than leaders ask for.
+    #[serde(rename = "late", default, skip_serializing_if = "std::ops::Not::not")]
+    pub late_lease: bool,
 }
 
 /// Incarnations that have not answered since this leader took over. Tasks of
@@ -66,6 +71,8 @@
     tasks: Option<HashSet<TaskId>>,
     /// The machine that it runs on.
     machine: Option<SmolStr>,
+    /// Whether its lease may be longer than leaders ask for.
+    late_lease: bool,
 }
 
 impl UnresolvedIncarnation {
@@ -149,6 +156,14 @@
         self.incarnations.get(id).map(|entry| entry.until)
     }
 
+    /// Whether the lease of a worker that has started at `start_ms` may be longer than
+    /// leaders ask for: its record says so, or is that of an earlier incarnation. `None` if
+    /// there is no record.
+    pub(crate) fn late_lease(&self, id: &HostId, start_ms: u64) -> Option<bool> {
+        let entry = self.incarnations.get(id)?;
+        Some(entry.late_lease || entry.incarnation.start_ms != start_ms)
+    }
+
     /// Returns the time after which nothing can run on any unresolved worker.
     pub(crate) fn last_expiry(&self) -> Option<Instant> {
         self.entries().map(|entry| entry.until).chain(self.all_until).max()
@@ -158,19 +173,27 @@
 impl Scheduler {
     /// Adds an incarnation to which an earlier leader may have given work, from a record
     /// that was read at `now` at the latest. Nothing that was started there can run after
-    /// the recorded time, or after `until` if none is recorded.
+    /// the recorded time, or after `until` if none is recorded, or as much later as the
+    /// longest lease is longer than the one that leaders ask for.
     pub fn add_unresolved(&mut self, record: &IncarnationRecord, until: Instant, now: Instant) {
+        let excess = match record.late_lease {
+            true => clock_bound(self.rules.lease_max).saturating_sub(self.rules.lease_bound()),
+            false => Duration::ZERO,
+        };
+        self.has_predecessor = true;
         self.unresolved.insert(UnresolvedIncarnation {
             incarnation: record.incarnation.clone(),
-            until: record.remaining.map_or(until, |remaining| now + remaining),
+            until: record.remaining.map_or(until + excess, |remaining| now + remaining),
             tasks: record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
             machine: record.machine.clone(),
+            late_lease: record.late_lease,
         });
     }
 
     /// Treats every worker as one that may have been given work until `until`,
     /// because the records of incarnations cannot be read.
     pub fn mark_all_unresolved(&mut self, until: Instant) {
+        self.has_predecessor = true;
         self.unresolved.all_until = Some(until);
     }
 
@@ -194,6 +217,7 @@
             remaining: Some(remaining_time(entry.until, now)),
             tasks: entry.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
             machine: entry.machine.clone(),
+            late_lease: entry.late_lease,
         };
         self.unresolved.incarnations.values().map(record).collect()
     }
@@ -238,6 +262,7 @@
             remaining,
             tasks,
             machine: worker.machine.clone(),
+            late_lease: worker.late_lease.is_some(),
         }
     }
 
@@ -261,6 +286,7 @@
                 until: worker.last_lease_end(),
                 tasks: self.unsettled_tasks(worker),
                 machine: worker.machine.clone(),
+                late_lease: worker.late_lease.is_some(),
             })
             .collect();
         entries.into_iter().for_each(|entry| work.insert(entry));
