events: tell when a worker that has started again refuses calls to its earlier lives

E415 has the worker, its start and the fencing token. Before, no event told when such a worker could be given work. docs: what a new leader knows of such a worker.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -131,6 +131,8 @@
     EndpointRemoved = 413, "endpoint-gone", Info;
     /// The host list shows an endpoint as live.
     EndpointJoined = 414, "endpoint-joined", Info;
+    /// An endpoint that has started again refuses calls to its earlier lives from now on.
+    EndpointFenced = 415, "endpoint-fenced", Info;
 
     /// Permits of a team were transferred to another entry host.
     PermitsMoved = 500, "units-moved", Debug;
--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -74,6 +74,13 @@
         worker.is_some_and(|worker| token < worker.token)
     }
 
+    /// Returns the token by which a worker refuses calls to its earlier lives; `None` if it is
+    /// unknown, or may still carry them out.
+    pub fn fence_of(&self, id: &HostId) -> Option<FencingToken> {
+        let worker = self.worker_ids.get(id).map(|&key| &self.workers[key])?;
+        worker.is_fenced().then_some(worker.token)
+    }
+
     /// Uses higher tokens for a worker whose record has become durable at the revision
     /// `token` of the store.
     pub(crate) fn raise_token(&mut self, key: WorkerKey, token: FencingToken, now: Instant) {
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -4,7 +4,7 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{AttemptOutcome, DeadlyTask, Renewal};
+use vg_flow::{AttemptOutcome, DeadlyTask, Renewal, Report};
 
 use super::Leader;
 use crate::host::lock;
@@ -74,9 +74,7 @@
                         self.host.record(Code::EndpointRestored, [Field::new("worker", &id)]);
                     }
                     self.record_ended_attempts(&id, &report.ended, renewal.received);
-                    if self.scheduler().apply_report(&id, &report, sent, now) {
-                        self.record_needed.notify_one();
-                    }
+                    self.apply_report(&renewal, &report, sent, now);
                     self.wake.notify_one();
                     if !is_first {
                         tokio::time::sleep(POLL_DELAY).await;
@@ -101,6 +99,20 @@
         lock(&self.polled_workers).remove(&id);
     }
 
+    /// Applies the report to a poll that was sent at `sent`.
+    fn apply_report(&self, poll: &Renewal, report: &Report, sent: Instant, now: Instant) {
+        let id = &poll.incarnation.id;
+        if self.scheduler().apply_report(id, report, sent, now) {
+            self.record_needed.notify_one();
+        }
+        let fence = self.scheduler().fence_of(id).filter(|_| !poll.fenced);
+        if let Some(fence) = fence {
+            let born = Field::new("born", poll.incarnation.start_ms);
+            let fields = [Field::new("worker", id), born, Field::new("fence", fence)];
+            self.host.record(Code::EndpointFenced, fields);
+        }
+    }
+
     /// Returns what to send in the next poll of a worker, and when it is sent; `None`
     /// if the scheduler has forgotten the worker. Waits for a short time for what the
     /// last answer requires to be durable: the effects of ended attempts, or a record
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -4,7 +4,8 @@
 //! durable in the store. One host at a time leads: it makes decisions with a
 //! [`Scheduler`](vg_flow::Scheduler) and sends commands to workers and
 //! machines. The leadership is a key under a lease; the fencing token is the
-//! store revision at which the leadership was taken. Design:
+//! store revision at which the leadership was taken; calls to a worker that has
+//! started again carry that of its record. Design:
 //! docs/design/platform.md.
 
 mod admit;
