flow: fuzz restarts of which the leader learns later

A worker that started again was registered in the same step, and polls were answered at once, so that no start reached a later life before it was known.

--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -90,6 +90,14 @@
     (0..seeds()).for_each(|seed| run_seed(1000 + seed, faults));
 }
 
+/// Guards against a second attempt of a task that a later life of a worker has started, while
+/// the leader still believed in the earlier one.
+#[test]
+fn invariants_hold_when_workers_restart_unseen() {
+    let faults = Faults { unseen_restarts: 8, delayed: 10, failures: 20, ..Faults::default() };
+    (0..seeds()).for_each(|seed| run_seed(9000 + seed, faults));
+}
+
 /// Guards against a new leader that starts again what an earlier one has
 /// started, and against progress that is acknowledged but not durable.
 #[test]
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -19,6 +19,8 @@
 use super::crash::Crashes;
 use super::spec::{CORES, MEMORY, config};
 
+/// Polls that wait for longer where workers start again unseen, in thousandths.
+const LONG_POLLS: u32 = 850;
 /// Duration of one step of the simulation.
 pub(crate) const STEP_MS: u64 = 20;
 /// Time for which an earlier leader may continue without proof of its
@@ -46,6 +48,9 @@
     pub(crate) failures: u32,
     /// Restarts of a worker, per step.
     pub(crate) restarts: u32,
+    /// Restarts of a worker whose registration comes up to 0.6 s later, per step. Polls that
+    /// were sent before may be answered by the later life.
+    pub(crate) unseen_restarts: u32,
     /// Interrupted connections between the leader and a worker, per step.
     pub(crate) partitions: u32,
     /// Takeovers by another leader, per step.
@@ -71,6 +76,7 @@
         dropped: 20,
         failures: 30,
         restarts: 3,
+        unseen_restarts: 0,
         partitions: 6,
         takeovers: 4,
         returns: 0,
@@ -160,6 +166,8 @@
     pub(super) pending_records: Option<Vec<IncarnationRecord>>,
     pub(super) revision: u64,
     pub(super) outage_until: u64,
+    /// When the registrations of workers that have started again are read.
+    registrations_due: Vec<u64>,
     pub(super) delayed_starts: Vec<DelayedStart>,
     /// Tasks whose end `done` was acknowledged to the worker.
     pub(super) acknowledged_done: HashSet<TaskId>,
@@ -228,6 +236,7 @@
             pending_records: None,
             revision: 100,
             outage_until: 0,
+            registrations_due: Vec::new(),
             delayed_starts: Vec::new(),
             acknowledged_done: HashSet::new(),
             done: HashSet::new(),
@@ -464,6 +473,7 @@
             let at = self.rng.random_range(0..self.workers.len());
             self.restart(at);
         }
+        self.inject_unseen_restart();
         if self.chance(faults.partitions) {
             let at = self.rng.random_range(0..self.workers.len());
             let until = self.ms + self.rng.random_range(200..9000);
@@ -498,6 +508,19 @@
         }
     }
 
+    /// Starts a worker again under its id, of which the leader learns later.
+    fn inject_unseen_restart(&mut self) {
+        let ms = self.ms;
+        if self.chance(self.faults.unseen_restarts) {
+            let at = self.rng.random_range(0..self.workers.len());
+            self.workers[at].restart(ms);
+            self.registrations_due.push(ms + self.rng.random_range(20..600));
+        }
+        if self.registrations_due.extract_if(.., |due| *due <= ms).count() > 0 {
+            self.register();
+        }
+    }
+
     /// Starts a worker again under its id. Start commands that are late may arrive there.
     pub(crate) fn restart(&mut self, at: usize) {
         let ms = self.ms;
@@ -533,6 +556,9 @@
 
     fn poll_workers(&mut self) {
         for at in 0..self.workers.len() {
+            if self.faults.unseen_restarts > 0 && self.chance(LONG_POLLS) {
+                continue;
+            }
             let id: HostId = self.workers[at].id.parse().unwrap();
             let now = self.now();
             let Some(renewal) = self.scheduler.renewal(&id, now) else { continue };
@@ -559,7 +585,11 @@
             for end in ends.iter().filter(|end| end.number > before && end.number <= acknowledged) {
                 self.record_end(end.task, end.outcome, end.number <= last_expired);
             }
-            let sent = now - Duration::from_millis(2);
+            let waited = match self.faults.unseen_restarts {
+                0 => 2,
+                _ => self.rng.random_range(2..500),
+            };
+            let sent = now - Duration::from_millis(waited);
             self.scheduler.apply_report(&id, &report, sent, now);
         }
     }
