flow: a poll after a failed one acknowledges no ends

A task that was done ran again.

Cause: a worker had started again unseen, had carried out starts that were meant for its earlier life, and their tasks had ended. The leader's next poll acknowledged ends by the earlier life's numbers, so that the later life forgot ends that nobody had read.

Change: after a poll that failed, and the open one fails when a process ends, polls acknowledge nothing until one is answered.

What remains: a poll that was sent before the crash and arrives seconds later, before the fence is closed, while such a task has ended.

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -22,7 +22,7 @@
     /// New end of its lease on its own clock in milliseconds; `None` if the
     /// lease is not renewed.
     pub deadline_ms: Option<u64>,
-    /// Number of the last end that is durable here.
+    /// Number of the last end that is durable here; 0 if it is not acknowledged now.
     pub acknowledged: u64,
     /// Whether the worker has any attempts.
     pub busy: bool,
@@ -175,12 +175,14 @@
             worker.lease_end = worker.lease_end.max(now + bound);
         }
         worker.renewed_until = deadline_ms.map(|_| now + lease);
+        // After a failed poll another life may answer, whose ends have numbers of their own.
+        let acknowledged = if worker.unreachable_since.is_none() { worker.acknowledged } else { 0 };
         Some(Renewal {
             incarnation: worker.incarnation.clone(),
             token: worker.token,
             fenced: worker.is_fenced(),
             deadline_ms,
-            acknowledged: worker.acknowledged,
+            acknowledged,
             busy: !worker.attempts.is_empty(),
             received: worker.received,
         })
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -823,3 +823,22 @@
     let (starts, _) = decided(&mut world, 720, 1500);
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
+
+/// Guards against a task that runs again after it is done: a poll after a failed one, which the
+/// next life of the worker may answer, acknowledges ends by the numbers of the earlier life.
+#[test]
+fn a_poll_after_a_failed_one_acknowledges_no_ends() {
+    let mut world = world();
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(4, 4000, 300)], wall));
+    world.run(1000);
+    let id = worker_id(&world, 0);
+    let now = world.now();
+    let poll = world.scheduler.renewal(&id, now).unwrap();
+    assert!(poll.acknowledged > 0);
+    world.scheduler.poll_failed(&poll, PollFailure::Broken, now);
+    assert_eq!(world.scheduler.renewal(&id, now).unwrap().acknowledged, 0);
+    world.run(100);
+    let answered = world.scheduler.renewal(&id, world.now()).unwrap();
+    assert_eq!(answered.acknowledged, poll.acknowledged);
+}
