flow: a registration resolves nothing that an earlier leader has started

Cause: a leader sends a start to a worker in its earlier life, the later one carries it out, and the leader ends before it knows of that life. The next one reads the earlier registration, then the later one; begin_incarnation dropped the entry of what may run on the worker, as if all had ended with the earlier life, and the task started elsewhere before the worker had answered a poll.

The simulated fleet registers an unseen worker as before its restart now, also with a new leader.

Change: only an answer to a poll of this leader, or the recorded end of the lease, resolves the entry.

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -221,7 +221,6 @@
         worker.blamed = false;
         worker.full_capacity = Resources::ZERO;
         worker.trial = None;
-        let id = worker.incarnation.id.clone();
         for key in worker.attempts.clone() {
             let attempt = &mut self.attempts[key];
             if attempt.reported {
@@ -233,7 +232,6 @@
             attempt.stop_sent = None;
             attempt.stop_answered = None;
         }
-        self.clear_unresolved(&id);
         self.note_start(key);
     }
 
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -98,6 +98,13 @@
     (0..seeds()).for_each(|seed| run_seed(9000 + seed, faults));
 }
 
+/// Guards against a second attempt of a task that such a life runs for an earlier leader.
+#[test]
+fn invariants_hold_when_workers_restart_unseen_around_takeovers() {
+    let faults = Faults { unseen_restarts: 6, takeovers: 10, failures: 20, ..Faults::default() };
+    (0..seeds()).for_each(|seed| run_seed(9100 + seed, faults));
+}
+
 /// Guards against a new leader that starts again what an earlier one has
 /// started, and against progress that is acknowledged but not durable.
 #[test]
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -569,3 +569,23 @@
     let (starts, _) = decided(&mut world, 720, 1500);
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
+
+/// Guards against a task that runs twice: the earlier leader did not know of the later life of
+/// its worker, which has carried out a start and has not answered the new leader yet.
+#[test]
+fn a_registration_does_not_resolve_what_an_earlier_leader_has_started() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let at = world.workers.iter().position(|worker| worker.id == start.incarnation.id.as_str());
+    let at = at.unwrap();
+    // The new leader reads the registration of the earlier life first.
+    world.change_leader();
+    world.workers[at].reachable = false;
+    world.restart(at);
+    world.run(2000);
+    assert_eq!(world.starts, 0);
+    world.workers[at].reachable = true;
+    world.run(500);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -166,8 +166,9 @@
     pub(super) pending_records: Option<Vec<IncarnationRecord>>,
     pub(super) revision: u64,
     pub(super) outage_until: u64,
-    /// When the registrations of workers that have started again are read.
-    registrations_due: Vec<u64>,
+    /// Workers that have started again and are still registered as before: the earlier start,
+    /// and when the registration of the present one is read.
+    unseen: BTreeMap<usize, (u64, u64)>,
     /// The last start of each worker of which a leader has known in a round.
     seen_starts: HashMap<usize, u64>,
     pub(super) delayed_starts: Vec<DelayedStart>,
@@ -238,7 +239,7 @@
             pending_records: None,
             revision: 100,
             outage_until: 0,
-            registrations_due: Vec::new(),
+            unseen: BTreeMap::new(),
             seen_starts: HashMap::new(),
             delayed_starts: Vec::new(),
             acknowledged_done: HashSet::new(),
@@ -280,6 +281,11 @@
         }
     }
 
+    /// Returns the start of the incarnation of a worker that is registered.
+    fn registered_start(&self, at: usize) -> u64 {
+        self.unseen.get(&at).map_or(self.workers[at].start_ms, |&(earlier, _)| earlier)
+    }
+
     /// Registers all workers that are up with the leader.
     pub(crate) fn register(&mut self) {
         let now = self.now();
@@ -290,7 +296,10 @@
             let zone = zone_of(&self.workers[at].machine);
             let is_cold = zone.as_str() == "z0";
             let registration = WorkerRegistration {
-                incarnation: self.incarnation(at),
+                incarnation: WorkerIncarnation {
+                    start_ms: self.registered_start(at),
+                    ..self.incarnation(at)
+                },
                 zone: zone.clone(),
                 draining: false,
                 capacity: self.workers[at].capacity,
@@ -517,10 +526,13 @@
         let ms = self.ms;
         if self.chance(self.faults.unseen_restarts) {
             let at = self.rng.random_range(0..self.workers.len());
+            let registered = self.registered_start(at);
             self.workers[at].restart(ms);
-            self.registrations_due.push(ms + self.rng.random_range(20..600));
+            self.unseen.insert(at, (registered, ms + self.rng.random_range(20..600)));
         }
-        if self.registrations_due.extract_if(.., |due| *due <= ms).count() > 0 {
+        let unseen = self.unseen.len();
+        self.unseen.retain(|_, (_, due)| *due > ms);
+        if self.unseen.len() < unseen {
             self.register();
         }
     }
