--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -842,3 +842,23 @@
     let answered = world.scheduler.renewal(&id, world.now()).unwrap();
     assert_eq!(answered.acknowledged, poll.acknowledged);
 }
+
+/// Guards against a task that runs twice: the earlier leader did not know of the later life of
+/// its worker, which has carried out a start and has not answered the new leader yet.
+#[test]
+fn a_registration_does_not_resolve_what_an_earlier_leader_has_started() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let at = world.workers.iter().position(|worker| worker.id == start.incarnation.id.as_str());
+    let at = at.unwrap();
+    // The new leader reads the registration of the earlier life first.
+    world.change_leader();
+    world.workers[at].reachable = false;
+    world.restart(at);
+    world.run(2000);
+    assert_eq!(world.starts, 0);
+    world.workers[at].reachable = true;
+    world.run(500);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
