red: calls that cross lives and cuts that follow soon, at random

Restarts while calls are on their way come in sequence now: late polls and starts arrive 20 to 600 ms later, the restart is seen at once or up to 600 ms later, half of them are followed by a change of the leader, and the worker is cut off for 3 to 15 s. Late starts and acknowledgements that arrive before a leader that knows the life has reached it are left out or refused, as no leader can prevent what they do; that test counted a late call as contact before.

--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -158,6 +158,28 @@
     (0..seeds()).for_each(|seed| run_seed(3000 + seed, Faults::ALL));
 }
 
+/// Guards against a second attempt of a task on a worker that has started again while calls
+/// to its earlier life were on their way, which renew its lease or are carried out, and that
+/// is cut off soon after, with or without a new leader between.
+#[test]
+fn invariants_hold_when_calls_cross_lives_and_cuts_follow() {
+    let faults = Faults {
+        recuts: 8,
+        late_polls: 5,
+        unanswered: 10,
+        delayed: 60,
+        takeovers: 1,
+        ..Faults::default()
+    };
+    for seed in (0..seeds()).map(|seed| 9000 + seed) {
+        let mut world = World::new(seed, 8, faults);
+        world.truth.long_tasks = 120;
+        world.refuses_early_starts = seed.is_multiple_of(2);
+        world.crashes.cuts_break = seed.is_multiple_of(3);
+        run_world(world, seed);
+    }
+}
+
 /// Guards against attempts on machines that are being moved while takeovers
 /// happen and commands to machines are refused or not answered.
 #[test]
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod crash;
 mod machines;
 mod oracle;
+pub(crate) mod recuts;
 pub(crate) mod replay;
 pub(crate) mod spec;
 pub(crate) mod world;
