--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -340,7 +340,7 @@
         let bound = clock_bound(START_VALIDITY);
         let chosen = &mut self.workers[worker];
         chosen.lease_end = chosen.lease_end.max(now + bound);
-        let incarnation = chosen.incarnation.clone();
+        let (incarnation, token) = (chosen.incarnation.clone(), chosen.token);
         self.insert_attempt(Attempt {
             task,
             job: Some(key),
@@ -352,6 +352,7 @@
             adopted: false,
             expires_ms: deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64,
             confirmed: None,
+            reported: false,
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
@@ -366,8 +367,16 @@
         });
         self.counts.starts += 1;
         self.start_window.add();
-        let start =
-            StartCommand { incarnation, task, attempt, payload, deadline_ms, checkpoint, ticket };
+        let start = StartCommand {
+            incarnation,
+            token,
+            task,
+            attempt,
+            payload,
+            deadline_ms,
+            checkpoint,
+            ticket,
+        };
         self.actions.push(Action::Start(start));
     }
 }
