red: three more paths of a lease that a call to an earlier life has renewed

A new leader takes calls of the former one into account for 12 s, the longest time for which a call is on its way. The lease that such a call has renewed lasts for 10 s more: a worker that is reached for the first time after 13 s may have it, and is taken for fenced without one. The same holds for a worker that was dropped and registers its next life more than 12 s later.

The third: the leader believes in the earlier life, and the next one accepts its start with a deadline by the earlier life's clock, so that the lease lasts for 10 s. If the worker is cut off before any poll is answered, the leader, or the next one, waits for the lease that leaders ask for.

In the first two the worker must be out of the leader's reach for more than 12 s while a call reaches it; in the third the cut must come within the time in which a restart isn't known.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -823,3 +823,70 @@
     let (starts, _) = decided(&mut world, 720, 1500);
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
+
+/// Guards against a task that runs twice: a call of the former leader arrives at the end of
+/// the time in which it may, and the next leader reaches the worker only after that.
+#[test]
+fn a_call_of_a_former_leader_before_a_late_first_answer_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    world.send_late_poll(0, 11_500);
+    world.restart_unseen(0);
+    world.workers[0].reachable = false;
+    world.change_leader();
+    world.run(13_000);
+    world.workers[0].reachable = true;
+    world.run(800);
+    start_long_tasks(&mut world, 0);
+    let violations = cut_off(world, 0);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker was dropped, and the registration of its next
+/// life is read late.
+#[test]
+fn a_call_before_a_late_registration_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    world.send_late_poll(0, 11_900);
+    let sent = world.ms;
+    remove(&mut world, 0);
+    while world.scheduler.worker_ids().contains(&worker_id(&world, 0)) {
+        world.step();
+    }
+    let dropped = world.ms;
+    world.run(sent + 11_500 - dropped);
+    world.restart_unseen(0);
+    world.run(dropped + 12_100 - world.ms);
+    world.register();
+    world.run(300);
+    start_long_tasks(&mut world, 0);
+    let violations = cut_off(world, 0);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against a task that runs twice: its start was accepted by a life that the leader does
+/// not know, which took the deadline by the earlier one's clock, and the worker is cut off
+/// before any poll.
+#[test]
+fn a_start_of_an_unknown_life_that_is_cut_off_starts_no_task_twice() {
+    let mut broken = Vec::new();
+    for change in [None, Some(World::change_leader as fn(&mut World))] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 30_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        world.workers[0].reachable = false;
+        if let Some(change) = change {
+            change(&mut world);
+        }
+        broken.extend((!cut_off(world, 0).is_empty()).then_some(change.is_some()));
+    }
+    assert!(broken.is_empty(), "changes of the leader: {broken:?}");
+}
