flow: only the answer to a poll with the higher token closes the fence of a later life

A worker that has started again could be given work before it has seen its higher token, so that a call to its earlier life could still renew its lease or start a task.

Cause: the fence closed by the time of the answered poll, compared with the time of the write of the record. Both are read before the lock of the scheduler is taken, so that a poll with the earlier token could bear the later time.

Evidence: the_answer_to_a_poll_with_the_earlier_token_does_not_show_the_higher_one failed before: the fence is closed by the answer to a poll with the earlier token.

Change: the scheduler notes when it handed out the last poll with the earlier token, and closes the fence by the answer to a later one. The time of the write is not needed any more.

--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -21,8 +21,9 @@
 pub(crate) enum Fence {
     /// They may: the worker gets a higher token once its record is durable.
     Open,
-    /// Calls have carried a higher token since then, and the worker has answered none.
-    Raised(Instant),
+    /// Calls carry a higher token, and the worker has answered no poll with it: none that was
+    /// sent later than this.
+    Raised(Option<Instant>),
     /// They do not, as it has seen the higher token, or has no earlier life.
     Closed,
 }
@@ -36,18 +37,18 @@
         self.lease_capped = true;
     }
 
-    /// Uses a higher token from `now` on, as the record of the present life is durable.
-    fn raise_token(&mut self, token: FencingToken, now: Instant) {
+    /// Uses a higher token from now on, as the record of the present life is durable.
+    fn raise_token(&mut self, token: FencingToken) {
         if self.fence == Fence::Open && token > self.token {
             self.token = token;
-            self.fence = Fence::Raised(now);
+            self.fence = Fence::Raised(self.poll_sent);
         }
     }
 
     /// Notes an answer to a poll that was sent at `sent`.
     fn close_fence(&mut self, lease_max: Duration, sent: Instant, now: Instant) {
-        if let Fence::Raised(since) = self.fence
-            && sent >= since
+        if let Fence::Raised(last_earlier) = self.fence
+            && last_earlier.is_none_or(|last| sent > last)
         {
             self.fence = Fence::Closed;
             self.bound_late_lease(lease_max, now);
@@ -83,9 +84,9 @@
 
     /// Uses higher tokens for a worker whose record has become durable at the revision
     /// `token` of the store.
-    pub(crate) fn raise_token(&mut self, key: WorkerKey, token: FencingToken, now: Instant) {
+    pub(crate) fn raise_token(&mut self, key: WorkerKey, token: FencingToken) {
         self.latest_token = self.latest_token.max(token);
-        self.workers[key].raise_token(token, now);
+        self.workers[key].raise_token(token);
     }
 
     /// Notes what an answer to a poll that was sent at `sent` shows: earlier calls are
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -124,19 +124,14 @@
 
     /// Marks the incarnations of these records, which became durable at the revision
     /// `token` of the store at the latest, as recorded, so that they can be given work.
-    pub fn records_written(
-        &mut self,
-        records: &[IncarnationRecord],
-        token: FencingToken,
-        now: Instant,
-    ) {
+    pub fn records_written(&mut self, records: &[IncarnationRecord], token: FencingToken) {
         for record in records.iter().filter(|record| record.remaining.is_none()) {
             if let Some(&key) = self.worker_ids.get(&record.incarnation.id)
                 && self.workers[key].incarnation == record.incarnation
             {
                 self.workers[key].recorded = true;
                 self.workers[key].lease_capped = false;
-                self.raise_token(key, token, now);
+                self.raise_token(key, token);
             }
         }
     }
@@ -165,6 +160,7 @@
         let left = self.lease_limit.map(|until| until.saturating_duration_since(now));
         let lease = left.map_or(self.rules.lease, |left| left.min(self.rules.lease));
         let worker = &mut self.workers[key];
+        worker.poll_sent = Some(now);
         // A poll that fails may still renew the lease. If each poll asked for a
         // renewal, the attempts on an unreachable worker would count for ever.
         let permitted = !worker.lease_capped && !worker.sealed && !self.frozen;
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -139,6 +139,8 @@
     pub(crate) uncommitted_ends: Vec<(u64, TaskId)>,
     /// Whether its last list of ends was truncated.
     pub(crate) ends_truncated: bool,
+    /// When a poll was last sent, also to an earlier incarnation.
+    pub(crate) poll_sent: Option<Instant>,
     /// When a poll was last answered.
     pub(crate) last_poll: Option<Instant>,
     /// Since when all polls have failed.
@@ -199,6 +201,7 @@
             acknowledged: 0,
             uncommitted_ends: Vec::new(),
             ends_truncated: false,
+            poll_sent: None,
             last_poll: None,
             unreachable_since: None,
             backoff_until: None,
--- a/crates/flow/tests/durable_ends.rs
+++ b/crates/flow/tests/durable_ends.rs
@@ -33,7 +33,7 @@
         let mut scheduler = Scheduler::new(rules, FencingToken(3), Arc::new(config()), now);
         scheduler.register(&registration(), now);
         let records = scheduler.incarnation_records(now);
-        scheduler.records_written(&records, scheduler.token(), now);
+        scheduler.records_written(&records, scheduler.token());
         for _ in 0..2 {
             let sent = now;
             now += Duration::from_millis(10);
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -84,7 +84,7 @@
     fn write_records(&mut self) {
         let records = self.scheduler.incarnation_records(self.now);
         self.revision += 1;
-        self.scheduler.records_written(&records, FencingToken(self.revision), self.now);
+        self.scheduler.records_written(&records, FencingToken(self.revision));
     }
 
     /// Lets time pass without answers to polls until the leader has dropped all workers.
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -82,7 +82,7 @@
         self.scheduler.register(&registration, self.now);
         let records = self.scheduler.incarnation_records(self.now);
         self.revision += 1;
-        self.scheduler.records_written(&records, FencingToken(self.revision), self.now);
+        self.scheduler.records_written(&records, FencingToken(self.revision));
         self.poll(id, start_ms);
     }
 
@@ -239,7 +239,7 @@
     let open = fixture.scheduler.renewal(&worker, fixture.now);
     assert!(open.is_some_and(|open| open.deadline_ms.is_none()));
     let records = fixture.scheduler.incarnation_records(fixture.now);
-    fixture.scheduler.records_written(&records, fixture.scheduler.token(), fixture.now);
+    fixture.scheduler.records_written(&records, fixture.scheduler.token());
 
     fixture.submit(1, "q-a", vec![continuous(5)]);
     fixture.round(1);
@@ -331,7 +331,7 @@
     fixture.now += Duration::from_millis(100);
     ids.iter().for_each(|id| fixture.poll(id, 5));
     let records = fixture.scheduler.incarnation_records(fixture.now);
-    fixture.scheduler.records_written(&records, fixture.scheduler.token(), fixture.now);
+    fixture.scheduler.records_written(&records, fixture.scheduler.token());
     ids.iter().for_each(|id| fixture.poll(id, 5));
     fixture.submit(1, "q-a", vec![step(3, 12_000, 1000)]);
     fixture.submit(2, "q-a", vec![continuous(6)]);
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -94,7 +94,7 @@
         }
         scheduler.set_machine_list(machines, now);
         let records = scheduler.incarnation_records(now);
-        scheduler.records_written(&records, scheduler.token(), now);
+        scheduler.records_written(&records, scheduler.token());
         let answer = MachineAnswer::Done;
         TestFleet {
             scheduler,
@@ -124,7 +124,7 @@
         }
         self.scheduler.set_machine_list(machines, self.now);
         let records = self.scheduler.incarnation_records(self.now);
-        self.scheduler.records_written(&records, self.scheduler.token(), self.now);
+        self.scheduler.records_written(&records, self.scheduler.token());
     }
 
     fn continuous(&mut self, id: u128, count: u32, max_unavailable: u32) {
@@ -211,7 +211,7 @@
         }
         if unrecorded {
             let records = self.scheduler.incarnation_records(self.now);
-            self.scheduler.records_written(&records, self.scheduler.token(), self.now);
+            self.scheduler.records_written(&records, self.scheduler.token());
         }
         let all: usize = self.running.values().map(Vec::len).sum();
         self.most_unavailable = self.most_unavailable.max(all.max(available) - available);
--- a/crates/flow/tests/overload.rs
+++ b/crates/flow/tests/overload.rs
@@ -58,7 +58,7 @@
             now,
         );
         let records = scheduler.incarnation_records(now);
-        scheduler.records_written(&records, scheduler.token(), now);
+        scheduler.records_written(&records, scheduler.token());
         let mut leader = SlowLeader {
             scheduler,
             now,
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -403,7 +403,7 @@
     let start_ms = Some(world.workers[0].start_ms);
     let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
     world.scheduler.apply_report(&id, &report, now - Duration::from_millis(2), now);
-    world.scheduler.records_written(&records, FencingToken(200), now);
+    world.scheduler.records_written(&records, FencingToken(200));
     world.scheduler.renewal(&id, now);
     let wall = world.wall();
     world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
@@ -823,3 +823,25 @@
     let (starts, _) = decided(&mut world, 720, 1500);
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
+
+/// Guards against work for a worker that has not seen the higher token: a poll with the lower
+/// one was sent just after the time at which the record was written.
+#[test]
+fn the_answer_to_a_poll_with_the_earlier_token_does_not_show_the_higher_one() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    world.restart(0);
+    let (now, start_ms) = (world.now(), world.workers[0].start_ms);
+    let after = |ms| now + Duration::from_millis(ms);
+    let sent = world.scheduler.renewal(&id, after(2)).unwrap();
+    let records = world.scheduler.incarnation_records(now);
+    let token = FencingToken(world.scheduler.token().0 + 1000);
+    world.scheduler.records_written(&records, token);
+    assert!(sent.token < token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(2), after(5));
+    assert_eq!(world.scheduler.fence_of(&id), None);
+    let sent = world.scheduler.renewal(&id, after(20)).unwrap();
+    assert_eq!(sent.token, token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(20), after(25));
+    assert_eq!(world.scheduler.fence_of(&id), Some(token));
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -719,8 +719,8 @@
         if let Some(records) = self.pending_records.take() {
             self.records = records.clone();
             self.revision += 1;
-            let (token, now) = (FencingToken(self.revision), self.now());
-            self.scheduler.records_written(&records, token, now);
+            let token = FencingToken(self.revision);
+            self.scheduler.records_written(&records, token);
         }
         let now = self.now();
         self.scheduler.seal_unreachable_workers(now);
--- a/crates/lead/src/leader/incarnations.rs
+++ b/crates/lead/src/leader/incarnations.rs
@@ -37,8 +37,7 @@
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             let Some(written) = self.write_incarnations(&mut shards).await else { return };
-            let now = self.host.inner.clock.now();
-            self.scheduler().records_written(&written.incarnations, shards.latest, now);
+            self.scheduler().records_written(&written.incarnations, shards.latest);
             self.recorded.notify_waiters();
             self.wake.notify_one();
             if written.is_final {
--- a/crates/measure/src/flow/simulation.rs
+++ b/crates/measure/src/flow/simulation.rs
@@ -71,7 +71,7 @@
         }
         let records = simulation.scheduler.incarnation_records(base);
         let token = simulation.scheduler.token();
-        simulation.scheduler.records_written(&records, token, base);
+        simulation.scheduler.records_written(&records, token);
         // The first poll tells the worker's clock, the second one renews its lease.
         (0..2 * simulation.workers.len()).for_each(|at| simulation.poll(at / 2));
         simulation
