--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -21,8 +21,9 @@
 pub(crate) enum Fence {
     /// They may: the worker gets a higher token once its record is durable.
     Open,
-    /// Calls have carried a higher token since then, and the worker has answered none.
-    Raised(Instant),
+    /// Calls carry a higher token, and the worker has answered no poll with it: none that was
+    /// sent later than this.
+    Raised(Option<Instant>),
     /// They do not, as it has seen the higher token, or has no earlier life.
     Closed,
 }
@@ -36,27 +37,27 @@
         self.lease_capped = true;
     }
 
-    /// Uses a higher token from `now` on, as the record of the present life is durable.
-    fn raise_token(&mut self, token: FencingToken, now: Instant) {
+    /// Uses a higher token from now on, as the record of the present life is durable.
+    fn raise_token(&mut self, token: FencingToken) {
         if self.fence == Fence::Open && token > self.token {
             self.token = token;
-            self.fence = Fence::Raised(now);
+            self.fence = Fence::Raised(self.poll_sent);
         }
     }
 
     /// Notes an answer to a poll that was sent at `sent`.
     fn close_fence(&mut self, lease_max: Duration, sent: Instant, now: Instant) {
-        if let Fence::Raised(since) = self.fence
-            && sent >= since
+        if let Fence::Raised(last_earlier) = self.fence
+            && last_earlier.is_none_or(|last| sent > last)
         {
             self.fence = Fence::Closed;
             self.bound_late_lease(lease_max, now);
         }
     }
 
-    /// Notes that no call to an earlier life takes effect after `now`.
-    fn bound_late_lease(&mut self, lease_max: Duration, now: Instant) {
-        let until = now + clock_bound(lease_max);
+    /// Notes that no call to an earlier life takes effect after `last_arrival`.
+    fn bound_late_lease(&mut self, lease_max: Duration, last_arrival: Instant) {
+        let until = last_arrival + clock_bound(lease_max);
         self.late_lease = Some(self.late_lease.map_or(until, |late| late.min(until)));
     }
 
@@ -83,9 +84,9 @@
 
     /// Uses higher tokens for a worker whose record has become durable at the revision
     /// `token` of the store.
-    pub(crate) fn raise_token(&mut self, key: WorkerKey, token: FencingToken, now: Instant) {
+    pub(crate) fn raise_token(&mut self, key: WorkerKey, token: FencingToken) {
         self.latest_token = self.latest_token.max(token);
-        self.workers[key].raise_token(token, now);
+        self.workers[key].raise_token(token);
     }
 
     /// Notes what an answer to a poll that was sent at `sent` shows: earlier calls are
@@ -93,8 +94,11 @@
     pub(crate) fn note_fence(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
         let lease_max = self.rules.lease_max;
         let is_first = !self.workers[key].polled && self.workers[key].is_fenced();
-        if is_first && self.may_have_late_lease(key, now) {
-            self.workers[key].bound_late_lease(lease_max, now);
+        // Calls of earlier leaders arrive until then.
+        let last_arrival = now.min(self.leader_since + MESSAGE_DELAY_MAX);
+        let may_last = now < last_arrival + clock_bound(lease_max);
+        if is_first && may_last && self.may_have_late_lease(key) {
+            self.workers[key].bound_late_lease(lease_max, last_arrival);
             self.records_changed = true;
         }
         self.workers[key].close_fence(lease_max, sent, now);
@@ -102,12 +106,12 @@
 
     /// Whether an earlier leader may have called an earlier life of a worker that answers
     /// this one for the first time, so that the call has renewed the present one's lease.
-    fn may_have_late_lease(&self, key: WorkerKey, now: Instant) -> bool {
+    fn may_have_late_lease(&self, key: WorkerKey) -> bool {
         let incarnation = &self.workers[key].incarnation;
         match self.unresolved.late_lease(&incarnation.id, incarnation.start_ms) {
             Some(late) => late,
             // The record of a worker that is away is deleted once nothing can run there.
-            None => self.has_predecessor && now < self.leader_since + MESSAGE_DELAY_MAX,
+            None => self.has_predecessor,
         }
     }
 
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -403,7 +403,7 @@
     let start_ms = Some(world.workers[0].start_ms);
     let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
     world.scheduler.apply_report(&id, &report, now - Duration::from_millis(2), now);
-    world.scheduler.records_written(&records, FencingToken(200), now);
+    world.scheduler.records_written(&records, FencingToken(200));
     world.scheduler.renewal(&id, now);
     let wall = world.wall();
     world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
@@ -929,3 +929,55 @@
     }
     assert!(broken.is_empty(), "changes of the leader: {broken:?}");
 }
+
+/// Guards against work for a worker that has not seen the higher token: a poll with the lower
+/// one was sent just after the time at which the record was written.
+#[test]
+fn the_answer_to_a_poll_with_the_earlier_token_does_not_show_the_higher_one() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    world.restart(0);
+    let (now, start_ms) = (world.now(), world.workers[0].start_ms);
+    let after = |ms| now + Duration::from_millis(ms);
+    let sent = world.scheduler.renewal(&id, after(2)).unwrap();
+    let records = world.scheduler.incarnation_records(now);
+    let token = FencingToken(world.scheduler.token().0 + 1000);
+    world.scheduler.records_written(&records, token);
+    assert!(sent.token < token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(2), after(5));
+    assert_eq!(world.scheduler.fence_of(&id), None);
+    let sent = world.scheduler.renewal(&id, after(20)).unwrap();
+    assert_eq!(sent.token, token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(20), after(25));
+    assert_eq!(world.scheduler.fence_of(&id), Some(token));
+}
+
+/// Lets a worker answer again, and starts long tasks on all workers of pool `a` once it can be
+/// given work.
+fn start_on_return(world: &mut World, at: usize) {
+    world.workers[at].reachable = true;
+    world.register();
+    world.run(160);
+    let wall = world.wall();
+    world.submit(2, job("q-a", vec![step(13, 4000, 60_000)], wall));
+    world.run(100);
+    assert!(!world.workers[at].running.is_empty());
+}
+
+/// Guards against the same where the worker answers the next leader for the first time once no
+/// call of the former one can arrive any more.
+#[test]
+fn a_poll_of_a_former_leader_before_a_late_first_answer_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = 0;
+    world.workers[at].clock_drift = 20;
+    world.restart_unseen(at);
+    world.send_late_poll(at, 11_900);
+    world.workers[at].reachable = false;
+    world.change_leader();
+    world.run(12_040);
+    start_on_return(&mut world, at);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
