entry, standin: an answer of a later life is no proof that an attempt never ran

A job of a queue with idempotent = no begins a second time.

Cause: a worker begins a job and ends before its answer is read. The owner asks it for the attempt after a second. The next process at the address knows no such attempt and says so (no-task); the answer names no incarnation, and the query named none, so that the owner took it for the word of the worker that the job was assigned to (NeverStarted) and started the job again. A renewal of the lease that is answered first shows the new incarnation; this one wasn't. Starts name the incarnation, queries did not.

Change: a query names the incarnation that the attempt was assigned to. Another one that doesn't know the attempt answers other-incarnation, and the attempt counts as lost: a job that may run twice is queued again, another one ends as unknown, as when a renewal shows the restart. The attempt is still never started there.

--- a/crates/entry/src/jobs/worker.rs
+++ b/crates/entry/src/jobs/worker.rs
@@ -158,14 +158,22 @@
     }
 
     /// Asks what became of an attempt. The worker will not start the attempt after this
-    /// query.
+    /// query. Another incarnation than the one that the attempt is assigned to can't tell
+    /// whether that one has run it.
     pub(super) async fn query(&self, task: &Task) -> Option<Report> {
-        let body = json!({ "attempt": task.attempt.0 });
+        let body = json!({
+            "attempt": task.attempt.0,
+            "incarnation": task.instance.incarnation,
+        });
         let reply = self.send(Method::POST, format!("/jobs/{}/query", task.job), &body).await?;
         if reply.status.is_success() {
             return report(&reply);
         }
-        (code(&reply).as_deref() == Some("no-task")).then_some(Report::NeverStarted)
+        match code(&reply)?.as_str() {
+            "no-task" => Some(Report::NeverStarted),
+            "other-incarnation" => Some(Report::UnknownAttempt),
+            _ => None,
+        }
     }
 
     /// Stops an attempt, after a checkpoint if one is requested.
--- a/crates/jobs/src/report.rs
+++ b/crates/jobs/src/report.rs
@@ -12,8 +12,8 @@
     Running,
     /// The worker has not started the attempt and never will.
     NeverStarted,
-    /// The worker does not know the attempt, which has expired, and can't prove
-    /// that the attempt never ran: the worker may have restarted since.
+    /// The worker does not know the attempt, which will not start any more, and can't
+    /// prove that it never ran: the worker may have restarted since.
     UnknownAttempt,
     /// The start failed before any part of the task ran.
     StartFailed,
--- a/crates/standin/src/worker/handlers.rs
+++ b/crates/standin/src/worker/handlers.rs
@@ -37,7 +37,7 @@
     let request: QueryRequest = exchange.read_json().await?;
     state.faults.wait_while_hung().await;
     let job = exchange.id.parse().map_err(|_| TaskError::UnknownTask)?;
-    let status = state.table().query(job, request.attempt, state.clock.now())?;
+    let status = state.table().query(job, &request, state.clock.now())?;
     json(&status)
 }
 
--- a/crates/standin/src/worker/spec.rs
+++ b/crates/standin/src/worker/spec.rs
@@ -85,6 +85,9 @@
 pub struct QueryRequest {
     /// Number of the attempt.
     pub attempt: u64,
+    /// Incarnation of the worker that the attempt was assigned to; by default any.
+    #[serde(default)]
+    pub incarnation: Option<Incarnation>,
 }
 
 /// Body of `POST /tasks/{id}/renew`, which renews the lease of a task.
--- a/crates/standin/src/worker/table.rs
+++ b/crates/standin/src/worker/table.rs
@@ -6,7 +6,9 @@
 
 use crate::runs::{RunLabel, RunLog};
 use crate::worker::task::Task;
-use crate::worker::{Capacity, TaskError, TaskSpec, TaskState, TaskStatus, WorkerSettings};
+use crate::worker::{
+    Capacity, QueryRequest, TaskError, TaskSpec, TaskState, TaskStatus, WorkerSettings,
+};
 
 /// Exit status of a task that was killed because the worker ran out of memory.
 const EXIT_OUT_OF_MEMORY: i32 = 137;
@@ -126,21 +128,27 @@
     ///
     /// # Errors
     ///
-    /// Returns [`TaskError::UnknownTask`] if the attempt is unknown.
+    /// Returns [`TaskError::UnknownTask`] if the attempt is unknown, and
+    /// [`TaskError::OtherIncarnation`] if it was assigned to another incarnation, which may
+    /// have run it.
     pub(crate) fn query(
         &mut self,
         job: JobId,
-        attempt: u64,
+        request: &QueryRequest,
         now: Instant,
     ) -> Result<TaskStatus, TaskError> {
         self.advance(now);
+        let attempt = request.attempt;
         let is_attempt = |task: &&Task| task.spec.job == job && task.spec.attempt == attempt;
         if let Some(task) = self.tasks.values().find(is_attempt) {
             return Ok(task.status());
         }
         let seen = self.highest_attempts.entry(job).or_default();
         *seen = attempt.max(*seen);
-        Err(TaskError::UnknownTask)
+        match request.incarnation.is_none_or(|assigned| assigned == self.incarnation) {
+            true => Err(TaskError::UnknownTask),
+            false => Err(TaskError::OtherIncarnation { current: self.incarnation }),
+        }
     }
 
     /// Renews the lease of a running task.
--- a/crates/standin/tests/worker.rs
+++ b/crates/standin/tests/worker.rs
@@ -93,6 +93,21 @@
     }
 }
 
+/// Guards against a job that runs twice: the next life of a worker says that it doesn't know an
+/// attempt, which the earlier one may have run.
+#[tokio::test]
+async fn a_query_for_an_attempt_of_another_life_is_no_proof_that_it_never_ran() {
+    let test_worker = TestWorker::start().await;
+    let incarnation = test_worker.list().await["incarnation"].as_u64().unwrap();
+    let path = format!("/jobs/{:032x}/query", 1);
+    for (asked, code) in [(incarnation + 1, "other-incarnation"), (incarnation, "no-task")] {
+        let query = json!({"attempt": 1, "incarnation": asked});
+        let (_, body) = test_worker.post(&path, query).await;
+        assert_eq!(body["code"], code);
+    }
+    assert_eq!(test_worker.post(&path, json!({"attempt": 1})).await.1["code"], "no-task");
+}
+
 /// Guards against a job that runs twice: a delayed request to start an earlier attempt
 /// must be refused after a later attempt was seen, also if the task was forgotten.
 #[tokio::test]
