--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -4,7 +4,6 @@
 use vg_jobs::Resources;
 
 use crate::jobs::attempt::Phase;
-use crate::rules::clock_bound;
 use crate::workers::unresolved::IncarnationRecord;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerKey};
 use crate::workers::worker_health::WorkerHealth;
@@ -15,12 +14,15 @@
 pub struct Renewal {
     /// The incarnation that is addressed.
     pub incarnation: WorkerIncarnation,
-    /// The leader's fencing token.
+    /// Fencing token of the calls to this incarnation.
     pub token: FencingToken,
+    /// Whether earlier calls to another incarnation take no effect any more. Until then an
+    /// answer is needed at once.
+    pub fenced: bool,
     /// New end of its lease on its own clock in milliseconds; `None` if the
     /// lease is not renewed.
     pub deadline_ms: Option<u64>,
-    /// Number of the last end that is durable here.
+    /// Number of the last end that is durable here; 0 if it is not acknowledged now.
     pub acknowledged: u64,
     /// Whether the worker has any attempts.
     pub busy: bool,
@@ -51,8 +53,8 @@
     /// if a later incarnation is known.
     pub fn register(&mut self, registration: &WorkerRegistration, now: Instant) -> bool {
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
-            let mut worker = Worker::new(registration, now);
-            worker.late_polls = self.late_polls.remove(&registration.incarnation.id);
+            let mut worker = Worker::new(registration, self.latest_token, now);
+            self.fence_returned(&mut worker, now);
             let key = self.workers.insert(worker);
             self.worker_ids.insert(registration.incarnation.id.clone(), key);
             self.note_start(key);
@@ -117,15 +119,16 @@
         std::mem::take(&mut self.records_changed)
     }
 
-    /// Marks the incarnations of these durable records as recorded, so that
-    /// they can be given work.
-    pub fn records_written(&mut self, records: &[IncarnationRecord]) {
+    /// Marks the incarnations of these records, which became durable at the revision
+    /// `token` of the store at the latest, as recorded, so that they can be given work.
+    pub fn records_written(&mut self, records: &[IncarnationRecord], token: FencingToken) {
         for record in records.iter().filter(|record| record.remaining.is_none()) {
             if let Some(&key) = self.worker_ids.get(&record.incarnation.id)
                 && self.workers[key].incarnation == record.incarnation
             {
                 self.workers[key].recorded = true;
                 self.workers[key].lease_capped = false;
+                self.raise_token(key, token);
             }
         }
     }
@@ -154,6 +157,7 @@
         let left = self.lease_limit.map(|until| until.saturating_duration_since(now));
         let lease = left.map_or(self.rules.lease, |left| left.min(self.rules.lease));
         let worker = &mut self.workers[key];
+        worker.poll_sent = Some(now);
         // A poll that fails may still renew the lease. If each poll asked for a
         // renewal, the attempts on an unreachable worker would count for ever.
         let permitted = !worker.lease_capped && !worker.sealed && !self.frozen;
@@ -164,11 +168,14 @@
             worker.lease_end = worker.lease_end.max(now + bound);
         }
         worker.renewed_until = deadline_ms.map(|_| now + lease);
+        // After a failed poll another life may answer, whose ends have numbers of their own.
+        let acknowledged = if worker.unreachable_since.is_none() { worker.acknowledged } else { 0 };
         Some(Renewal {
             incarnation: worker.incarnation.clone(),
-            token: self.token,
+            token: worker.token,
+            fenced: worker.is_fenced(),
             deadline_ms,
-            acknowledged: worker.acknowledged,
+            acknowledged,
             busy: !worker.attempts.is_empty(),
             received: worker.received,
         })
@@ -198,7 +205,7 @@
     /// ended.
     pub(crate) fn begin_incarnation(&mut self, key: WorkerKey, start_ms: u64, now: Instant) {
         self.note_restarted_worker(key, now);
-        let late_lease = now + MESSAGE_DELAY_MAX + clock_bound(self.rules.lease_max);
+        let lease_max = self.rules.lease_max;
         let worker = &mut self.workers[key];
         worker.replace_start(start_ms, now);
         // What the previous one registered may not hold for this one.
@@ -207,8 +214,7 @@
         worker.polled = false;
         worker.clock = None;
         worker.renewed_until = None;
-        worker.expect_late_polls(now);
-        worker.late_lease = Some(late_lease);
+        worker.open_fence(lease_max, now + MESSAGE_DELAY_MAX);
         worker.received = 0;
         worker.acknowledged = 0;
         worker.uncommitted_ends.clear();
@@ -239,6 +245,7 @@
     /// workers that are no longer registered.
     pub(crate) fn expire_workers(&mut self, now: Instant) {
         self.late_starts.expire(now);
+        self.expire_late_leases(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
@@ -250,10 +257,11 @@
             }
             let worker = &self.workers[key];
             if expired && !worker.attempts.is_empty() {
+                let cause = LossCause::LeaseExpired(worker.lease_cause());
                 let mut lost = worker.attempts.clone();
                 lost.retain(|&attempt| !self.may_start_late(attempt, now));
                 for attempt in lost {
-                    self.lose_attempt(attempt, LossCause::LeaseExpired, now);
+                    self.lose_attempt(attempt, cause, now);
                 }
             }
             let worker = &self.workers[key];
@@ -264,11 +272,9 @@
                 if let Some(machine) = machine {
                     self.leave_machine(key, &machine);
                 }
-                self.workers[key].expect_late_polls(now);
-                let late_polls = self.workers.remove(key).and_then(|worker| worker.late_polls);
-                self.late_polls.retain(|_, until| now < *until);
-                self.late_polls.extend(late_polls.map(|until| (id.clone(), until)));
+                self.workers.remove(key);
                 self.worker_ids.remove(&id);
+                self.note_dropped(id, now);
             }
         }
     }
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -3,11 +3,12 @@
 mod support;
 
 use support::spec::{job, step};
-use support::world::{Faults, World};
+use support::world::{Faults, STEP_MS, World};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, AttemptNumber, LossCause, PollFailure, Report, RunningAttempt, StartAnswer,
-    StartCommand, StepSpec, TaskId, WorkerIncarnation, WorkerRegistration,
+    Action, AttemptNumber, FencingToken, LeaseCause, LossCause, PollFailure, Report,
+    RunningAttempt, StartAnswer, StartCommand, StepSpec, TaskId, WorkerIncarnation,
+    WorkerRegistration,
 };
 
 /// When a late start arrives, after it was sent.
@@ -257,13 +258,14 @@
 }
 
 /// Guards against a task that waits for ever, because the next life of its worker answers
-/// polls and refuses each stop.
+/// polls and refuses each stop, and its record can't be written.
 #[test]
 fn a_task_starts_once_no_late_start_can_arrive_although_no_stop_is_answered() {
     let mut world = world();
     let at = start_late(&mut world, 30_000);
     // The command is lost.
     world.delay_late_starts(60_000);
+    world.start_store_outage(20_000);
     world.restart(at);
     world.refuses_stops = true;
     world.run(11_000);
@@ -273,6 +275,21 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against the same where the record is written: the next life refuses the late start
+/// by its token, so that the task does not wait for the stop.
+#[test]
+fn a_task_starts_at_once_when_its_worker_refuses_calls_to_its_earlier_life() {
+    let mut world = world();
+    let at = start_late(&mut world, 30_000);
+    world.restart(at);
+    world.refuses_stops = true;
+    world.run(500);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    world.run(LATE_MS);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Returns a registration of a worker of pool `a` on a machine.
 fn registration(world: &World, id: &str, start_ms: u64, machine: &str) -> WorkerRegistration {
     let addr = ([127, 0, 0, 1], 900).into();
@@ -386,7 +403,7 @@
     let start_ms = Some(world.workers[0].start_ms);
     let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
     world.scheduler.apply_report(&id, &report, now - Duration::from_millis(2), now);
-    world.scheduler.records_written(&records);
+    world.scheduler.records_written(&records, FencingToken(200));
     world.scheduler.renewal(&id, now);
     let wall = world.wall();
     world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
@@ -438,6 +455,243 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against events that do not tell for how long a leader waits for a worker, and why.
+#[test]
+fn the_cause_of_a_lease_is_known() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    let lease = |world: &World| world.scheduler.lease_of(&id, world.now()).unwrap();
+    assert_eq!(lease(&world).cause, LeaseCause::Renewed);
+    assert!(lease(&world).remaining > Duration::ZERO);
+    world.restart(0);
+    assert_eq!(lease(&world).cause, LeaseCause::LateCall);
+    assert!(lease(&world).remaining > Duration::from_secs(10));
+    assert_eq!(lease(&world).start_ms, world.workers[0].start_ms);
+    world.run(500);
+    world.workers[0].reachable = false;
+    world.change_leader();
+    assert_eq!(lease(&world).cause, LeaseCause::Recorded);
+    assert!(lease(&world).remaining <= world.scheduler.longest_unresolved(world.now()));
+}
+
+/// Guards against a lost attempt whose event does not tell why its worker was waited for.
+#[test]
+fn the_cause_of_a_lease_is_known_of_a_lost_attempt() {
+    let mut world = world();
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    world.run(300);
+    let at = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[at].reachable = false;
+    world.run(5500);
+    let losses = world.scheduler.take_losses();
+    let causes: Vec<_> = losses.iter().map(|lost| lost.cause).collect();
+    assert_eq!(causes, [LossCause::LeaseExpired(LeaseCause::Renewed)]);
+    assert_eq!(causes[0].to_string(), "lease");
+}
+
+/// When a call to an earlier life arrives, after the next one has begun and is known.
+const SHORT_MS: u64 = 40;
+
+/// Returns a world in which a worker has started again, and a start of its earlier life has
+/// been refused by the present one but has renewed its lease; and the worker.
+fn lengthened_lease() -> (World, usize) {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = start_late(&mut world, 60_000);
+    world.restart(at);
+    world.delay_late_starts(SHORT_MS);
+    world.run(800);
+    assert!(world.workers[at].running.is_empty());
+    (world, at)
+}
+
+/// Starts long tasks on all workers of pool `a`.
+fn start_long_tasks(world: &mut World, at: usize) {
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(8, 4000, 60_000) };
+    world.submit(2, job("q-a", vec![spread], wall));
+    world.run(200);
+    assert!(!world.workers[at].running.is_empty());
+}
+
+/// Returns the violations once the lease of a worker that is cut off from now on has ended.
+fn cut_off(mut world: World, at: usize) -> Vec<String> {
+    world.workers[at].reachable = false;
+    world.run(25_000);
+    world.violations
+}
+
+/// A way in which the leader changes, and its name.
+type Change = (&'static str, fn(&mut World));
+
+const CHANGES: [Change; 3] = [
+    ("crash", World::change_leader),
+    ("planned", World::planned_handover),
+    ("same host", World::lead_again),
+];
+
+/// Guards against a task that runs twice: a refused start of an earlier life has renewed the
+/// lease of the present one, the leader changes, and the worker is cut off after its first
+/// answer.
+#[test]
+fn a_refused_start_and_a_new_leader_that_was_answered_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let (mut world, at) = lengthened_lease();
+        start_long_tasks(&mut world, at);
+        change(&mut world);
+        world.run(100);
+        broken.extend((!cut_off(world, at).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same where the worker is cut off before it has answered the next leader.
+#[test]
+fn a_refused_start_and_a_new_leader_without_answer_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let (mut world, at) = lengthened_lease();
+        start_long_tasks(&mut world, at);
+        world.workers[at].reachable = false;
+        change(&mut world);
+        broken.extend((!cut_off(world, at).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same over two changes of the leader, the second of which is soon.
+#[test]
+fn a_refused_start_and_two_new_leaders_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    start_long_tasks(&mut world, at);
+    world.change_leader();
+    world.run(400);
+    world.change_leader();
+    world.run(100);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same without a change of the leader, where the cut breaks connections.
+#[test]
+fn a_refused_start_and_a_cut_that_breaks_connections_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    world.crashes.cuts_break = true;
+    start_long_tasks(&mut world, at);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker is about to leave.
+#[test]
+fn a_refused_start_and_a_cut_of_a_draining_worker_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    start_long_tasks(&mut world, at);
+    world.draining.insert(at);
+    world.register();
+    world.run(100);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker starts again twice, and calls to both earlier
+/// lives arrive in the third.
+#[test]
+fn calls_of_two_earlier_lives_and_a_new_leader_start_no_task_twice() {
+    for changes in [false, true] {
+        let mut world = World::new(1, 8, Faults::default());
+        world.run(2 * LATE_MS);
+        let at = start_late(&mut world, 60_000);
+        world.restart(at);
+        // Its clock is so far that a deadline of it is later than any in the next one.
+        world.run(4000);
+        world.send_late_poll(at, 2 * SHORT_MS);
+        world.restart(at);
+        world.delay_late_starts(SHORT_MS);
+        world.run(800);
+        start_long_tasks(&mut world, at);
+        if changes {
+            world.change_leader();
+        }
+        world.run(100);
+        let violations = cut_off(world, at);
+        assert!(violations.is_empty(), "changes: {changes}: {violations:?}");
+    }
+}
+
+/// Guards against the same where a poll of an earlier life renews the lease of the present
+/// one.
+#[test]
+fn a_poll_of_an_earlier_life_and_a_new_leader_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let mut world = World::new(1, 8, Faults::default());
+        world.run(2 * LATE_MS);
+        world.send_late_poll(0, SHORT_MS);
+        world.restart(0);
+        world.run(800);
+        start_long_tasks(&mut world, 0);
+        change(&mut world);
+        world.run(100);
+        broken.extend((!cut_off(world, 0).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same where the former leader has not seen the present life: its calls
+/// arrive before the first poll of the next leader.
+#[test]
+fn calls_of_a_former_leader_before_the_first_poll_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        for poll in [false, true] {
+            let mut world = World::new(1, 8, Faults::default());
+            world.run(2 * LATE_MS);
+            world.refuses_early_starts = true;
+            let mut at = 0;
+            match poll {
+                true => world.send_late_poll(at, STEP_MS),
+                false => at = start_late(&mut world, 60_000),
+            }
+            world.restart_unseen(at);
+            change(&mut world);
+            world.delay_late_starts(STEP_MS);
+            world.run(800);
+            start_long_tasks(&mut world, at);
+            broken.extend((!cut_off(world, at).is_empty()).then_some((name, poll)));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against a task that runs twice: its start was accepted by the next life of the
+/// worker that it was sent to, and the attempt is taken for lost with the earlier one as soon
+/// as that life is known.
+#[test]
+fn an_attempt_that_a_later_life_has_answered_is_not_lost_with_the_earlier_one() {
+    let mut broken = Vec::new();
+    for registered in [false, true] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 10_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        if registered {
+            world.register();
+        }
+        world.run(3000);
+        broken.extend((!world.violations.is_empty()).then_some(registered));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
 /// Returns the report of a life of a worker that runs these attempts.
 fn report_of(start_ms: u64, running: &[(TaskId, AttemptNumber)]) -> Report {
     let row = |&(task, attempt): &(TaskId, AttemptNumber)| RunningAttempt {
@@ -570,6 +824,25 @@
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
 
+/// Guards against a task that runs again after it is done: a poll after a failed one, which the
+/// next life of the worker may answer, acknowledges ends by the numbers of the earlier life.
+#[test]
+fn a_poll_after_a_failed_one_acknowledges_no_ends() {
+    let mut world = world();
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(4, 4000, 300)], wall));
+    world.run(1000);
+    let id = worker_id(&world, 0);
+    let now = world.now();
+    let poll = world.scheduler.renewal(&id, now).unwrap();
+    assert!(poll.acknowledged > 0);
+    world.scheduler.poll_failed(&poll, PollFailure::Broken, now);
+    assert_eq!(world.scheduler.renewal(&id, now).unwrap().acknowledged, 0);
+    world.run(100);
+    let answered = world.scheduler.renewal(&id, world.now()).unwrap();
+    assert_eq!(answered.acknowledged, poll.acknowledged);
+}
+
 /// Guards against a task that runs twice: the earlier leader did not know of the later life of
 /// its worker, which has carried out a start and has not answered the new leader yet.
 #[test]
@@ -589,3 +862,122 @@
     assert_eq!((world.starts, running(&world)), (1, 1));
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against a task that runs twice: a call of the former leader arrives at the end of
+/// the time in which it may, and the next leader reaches the worker only after that.
+#[test]
+fn a_call_of_a_former_leader_before_a_late_first_answer_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    world.send_late_poll(0, 11_500);
+    world.restart_unseen(0);
+    world.workers[0].reachable = false;
+    world.change_leader();
+    world.run(13_000);
+    world.workers[0].reachable = true;
+    world.run(800);
+    start_long_tasks(&mut world, 0);
+    let violations = cut_off(world, 0);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker was dropped, and the registration of its next
+/// life is read late.
+#[test]
+fn a_call_before_a_late_registration_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    world.send_late_poll(0, 11_900);
+    let sent = world.ms;
+    remove(&mut world, 0);
+    while world.scheduler.worker_ids().contains(&worker_id(&world, 0)) {
+        world.step();
+    }
+    let dropped = world.ms;
+    world.run(sent + 11_500 - dropped);
+    world.restart_unseen(0);
+    world.run(dropped + 12_100 - world.ms);
+    world.register();
+    world.run(300);
+    start_long_tasks(&mut world, 0);
+    let violations = cut_off(world, 0);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against a task that runs twice: its start was accepted by a life that the leader does
+/// not know, which took the deadline by the earlier one's clock, and the worker is cut off
+/// before any poll.
+#[test]
+fn a_start_of_an_unknown_life_that_is_cut_off_starts_no_task_twice() {
+    let mut broken = Vec::new();
+    for change in [None, Some(World::change_leader as fn(&mut World))] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 30_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        world.workers[0].reachable = false;
+        if let Some(change) = change {
+            change(&mut world);
+        }
+        broken.extend((!cut_off(world, 0).is_empty()).then_some(change.is_some()));
+    }
+    assert!(broken.is_empty(), "changes of the leader: {broken:?}");
+}
+
+/// Guards against work for a worker that has not seen the higher token: a poll with the lower
+/// one was sent just after the time at which the record was written.
+#[test]
+fn the_answer_to_a_poll_with_the_earlier_token_does_not_show_the_higher_one() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    world.restart(0);
+    let (now, start_ms) = (world.now(), world.workers[0].start_ms);
+    let after = |ms| now + Duration::from_millis(ms);
+    let sent = world.scheduler.renewal(&id, after(2)).unwrap();
+    let records = world.scheduler.incarnation_records(now);
+    let token = FencingToken(world.scheduler.token().0 + 1000);
+    world.scheduler.records_written(&records, token);
+    assert!(sent.token < token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(2), after(5));
+    assert_eq!(world.scheduler.fence_of(&id), None);
+    let sent = world.scheduler.renewal(&id, after(20)).unwrap();
+    assert_eq!(sent.token, token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(20), after(25));
+    assert_eq!(world.scheduler.fence_of(&id), Some(token));
+}
+
+/// Lets a worker answer again, and starts long tasks on all workers of pool `a` once it can be
+/// given work.
+fn start_on_return(world: &mut World, at: usize) {
+    world.workers[at].reachable = true;
+    world.register();
+    world.run(160);
+    let wall = world.wall();
+    world.submit(2, job("q-a", vec![step(13, 4000, 60_000)], wall));
+    world.run(100);
+    assert!(!world.workers[at].running.is_empty());
+}
+
+/// Guards against the same where the worker answers the next leader for the first time once no
+/// call of the former one can arrive any more.
+#[test]
+fn a_poll_of_a_former_leader_before_a_late_first_answer_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = 0;
+    world.workers[at].clock_drift = 20;
+    world.restart_unseen(at);
+    world.send_late_poll(at, 11_900);
+    world.workers[at].reachable = false;
+    world.change_leader();
+    world.run(12_040);
+    start_on_return(&mut world, at);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -9,14 +9,15 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, AttemptNumber, AttemptOutcome, FencingToken, IncarnationRecord, JobOutcome, JobSpec,
-    Machine, MachineCommand, OperatorConfig, PollFailure, Progress, RecordKind, Scheduler,
-    SchedulingRules, StartAnswer, StartCommand, StopReason, TaskId, WorkerIncarnation,
+    Machine, MachineCommand, OperatorConfig, PollFailure, Progress, RecordKind, Renewal, Report,
+    Scheduler, SchedulingRules, StartAnswer, StartCommand, StopReason, TaskId, WorkerIncarnation,
     WorkerRegistration,
 };
 use vg_jobs::Resources;
 use vg_standin::{SimulatedWorker, TaskAttempt};
 
 use super::crash::Crashes;
+use super::recuts::Recuts;
 use super::spec::{CORES, MEMORY, config};
 
 /// Polls that wait for longer where workers start again unseen, in thousandths.
@@ -65,6 +66,10 @@
     pub(crate) refusals: u32,
     /// Commands to machines that are not answered, half of which are carried out.
     pub(crate) lost_commands: u32,
+    /// Polls that are not answered and arrive up to 12 s later.
+    pub(crate) late_polls: u32,
+    /// Restarts while calls are on their way, with a cut soon after, per step.
+    pub(crate) recuts: u32,
 }
 
 #[allow(dead_code, reason = "each test uses a part")]
@@ -84,6 +89,8 @@
         cancels: 0,
         refusals: 0,
         lost_commands: 0,
+        late_polls: 0,
+        recuts: 0,
     };
 }
 
@@ -135,10 +142,17 @@
 /// A start command that arrives late.
 #[derive(Debug, Clone)]
 pub(super) struct DelayedStart {
+    pub(super) at: u64,
+    pub(super) worker: usize,
+    start: StartCommand,
+}
+
+/// A poll that arrives late. Nobody reads its answer.
+#[derive(Debug, Clone)]
+pub(super) struct DelayedPoll {
     at: u64,
     worker: usize,
-    start: StartCommand,
-    token: FencingToken,
+    renewal: Renewal,
 }
 
 /// Returns the zone of a machine: `z0`, `z1` or `z2`, by its number.
@@ -156,6 +170,7 @@
     pub(crate) faults: Faults,
     pub(crate) truth: Truth,
     pub(crate) crashes: Crashes,
+    pub(super) recuts: Recuts,
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) scheduler: Scheduler,
     pub(crate) workers: Vec<SimulatedWorker>,
@@ -166,12 +181,22 @@
     pub(super) pending_records: Option<Vec<IncarnationRecord>>,
     pub(super) revision: u64,
     pub(super) outage_until: u64,
+    /// Workers that have ended while a poll of them was open, which fails.
+    broken_polls: HashSet<usize>,
     /// Workers that have started again and are still registered as before: the earlier start,
     /// and when the registration of the present one is read.
     unseen: BTreeMap<usize, (u64, u64)>,
     /// The last start of each worker of which a leader has known in a round.
     seen_starts: HashMap<usize, u64>,
     pub(super) delayed_starts: Vec<DelayedStart>,
+    pub(super) delayed_polls: Vec<DelayedPoll>,
+    /// The lives of workers that a leader has reached: their starts, by worker.
+    pub(super) reached: HashMap<usize, u64>,
+    /// Workers that register as about to leave.
+    pub(crate) draining: HashSet<usize>,
+    /// Whether late starts that arrive in a life that no leader has reached are refused
+    /// for lack of capacity. Otherwise they are left out.
+    pub(crate) refuses_early_starts: bool,
     /// Tasks whose end `done` was acknowledged to the worker.
     pub(super) acknowledged_done: HashSet<TaskId>,
     /// Tasks that have ended `done` on a worker, acknowledged or not.
@@ -230,6 +255,7 @@
             faults,
             truth: Truth::default(),
             crashes: Crashes::default(),
+            recuts: Recuts::default(),
             config,
             scheduler,
             workers: (0..workers).map(worker).collect(),
@@ -239,9 +265,14 @@
             pending_records: None,
             revision: 100,
             outage_until: 0,
+            broken_polls: HashSet::new(),
             unseen: BTreeMap::new(),
             seen_starts: HashMap::new(),
             delayed_starts: Vec::new(),
+            delayed_polls: Vec::new(),
+            reached: HashMap::new(),
+            draining: HashSet::new(),
+            refuses_early_starts: false,
             acknowledged_done: HashSet::new(),
             done: HashSet::new(),
             highest_attempts: HashMap::new(),
@@ -301,7 +332,7 @@
                     ..self.incarnation(at)
                 },
                 zone: zone.clone(),
-                draining: false,
+                draining: self.draining.contains(&at),
                 capacity: self.workers[at].capacity,
                 labels: vec!["a".into(), format!("r{}", at / 4).into()],
                 machine: Some(self.workers[at].machine.clone()),
@@ -451,6 +482,7 @@
         self.inject_faults();
         self.finish_moves();
         self.deliver_delayed_starts();
+        self.deliver_delayed_polls();
         self.deliver_refusals();
         self.advance_crashes();
         for at in 0..self.workers.len() {
@@ -487,11 +519,14 @@
             self.restart(at);
         }
         self.inject_unseen_restart();
+        if self.chance(faults.recuts) {
+            self.begin_recut();
+        }
+        self.advance_recuts();
         if self.chance(faults.partitions) {
             let at = self.rng.random_range(0..self.workers.len());
             let until = self.ms + self.rng.random_range(200..9000);
-            self.workers[at].reachable = false;
-            self.unreachable_until.insert(at, until);
+            self.cut_off(at, until);
         }
         let ms = self.ms;
         let healed: Vec<_> = self
@@ -528,6 +563,7 @@
             let at = self.rng.random_range(0..self.workers.len());
             let registered = self.registered_start(at);
             self.workers[at].restart(ms);
+            self.broken_polls.insert(at);
             self.unseen.insert(at, (registered, ms + self.rng.random_range(20..600)));
         }
         let unseen = self.unseen.len();
@@ -537,11 +573,31 @@
         }
     }
 
+    /// Cuts a worker off from the leader, until the given time.
+    pub(super) fn cut_off(&mut self, at: usize, until: u64) {
+        self.workers[at].reachable = false;
+        self.unreachable_until.insert(at, until);
+    }
+
     /// Starts a worker again under its id. Start commands that are late may arrive there.
     pub(crate) fn restart(&mut self, at: usize) {
+        self.restart_unseen(at);
+        self.register();
+    }
+
+    /// Starts a worker again under its id. The leader does not learn of it.
+    pub(crate) fn restart_unseen(&mut self, at: usize) {
         let ms = self.ms;
         self.workers[at].restart(ms);
-        self.register();
+    }
+
+    /// Sends a poll that arrives `delay_ms` later. The leader gets no answer.
+    pub(crate) fn send_late_poll(&mut self, worker: usize, delay_ms: u64) {
+        let id: HostId = self.workers[worker].id.parse().unwrap();
+        let now = self.now();
+        let Some(renewal) = self.scheduler.renewal(&id, now) else { return };
+        self.scheduler.poll_failed(&renewal, PollFailure::Silent, now);
+        self.delayed_polls.push(DelayedPoll { at: self.ms + delay_ms, worker, renewal });
     }
 
     /// Lets all start commands that are late arrive in `ms`. Returns their workers.
@@ -551,14 +607,27 @@
         self.delayed_starts.iter().map(|delayed| delayed.worker).collect()
     }
 
-    /// Whether a late start arrives at a later incarnation that no leader has reached since
-    /// it began, or that none has known of in a round. No leader can prevent what it does
-    /// then, so such starts are left out.
+    /// Whether a late start arrives at a later incarnation that no call has reached since it
+    /// began, or that no leader has known of in a round or by a call. No leader can prevent
+    /// what it does then, so such starts are left out.
     fn precedes_contact(&self, delayed: &DelayedStart) -> bool {
         let worker = &self.workers[delayed.worker];
-        let is_unseen = self.seen_starts.get(&delayed.worker) != Some(&worker.start_ms);
+        let is_seen = self.seen_starts.get(&delayed.worker) == Some(&worker.start_ms);
         worker.start_ms != delayed.start.incarnation.start_ms
-            && (worker.token == FencingToken(0) || is_unseen)
+            && (worker.token == FencingToken(0) || !is_seen && !self.is_reached(delayed.worker))
+    }
+
+    /// Whether a leader that knows the present life of a worker has called it, or has got an
+    /// answer that shows it.
+    fn is_reached(&self, at: usize) -> bool {
+        self.reached.get(&at) == Some(&self.workers[at].start_ms)
+    }
+
+    /// Notes that a call has arrived which was meant for the life that started at `start_ms`.
+    fn note_call(&mut self, at: usize, start_ms: u64) {
+        if start_ms == self.workers[at].start_ms {
+            self.reached.insert(at, start_ms);
+        }
     }
 
     /// Notes the incarnations of which the leader has known in a round.
@@ -577,11 +646,64 @@
         self.delayed_starts.retain(|delayed| delayed.at > ms);
         for delayed in due {
             if !self.precedes_contact(&delayed) {
-                self.deliver_start(delayed.worker, &delayed.start, delayed.token);
+                self.deliver_start(delayed.worker, &delayed.start);
+            } else if self.refuses_early_starts {
+                self.refuse_start(&delayed);
             }
         }
     }
 
+    /// Delivers a start to a worker that has no room for it.
+    fn refuse_start(&mut self, delayed: &DelayedStart) {
+        let reservation = Resources::new(u32::MAX, 0, 0);
+        let task_attempt = TaskAttempt {
+            task: delayed.start.task,
+            attempt: delayed.start.attempt,
+            started_ms: 0,
+            finish_ms: 0,
+            outcome: AttemptOutcome::Done,
+            reservation,
+            continuous: false,
+            stop_ms: None,
+        };
+        let ms = self.ms;
+        let worker = &mut self.workers[delayed.worker];
+        if worker.up && worker.reachable {
+            worker.guards_capacity = true;
+            worker.start(&delayed.start, task_attempt, ms);
+        }
+    }
+
+    fn deliver_delayed_polls(&mut self) {
+        let ms = self.ms;
+        let due: Vec<_> = self.delayed_polls.extract_if(.., |delayed| delayed.at <= ms).collect();
+        for DelayedPoll { worker, renewal, .. } in due {
+            if self.workers[worker].up {
+                let mut renewal = renewal;
+                if !self.is_reached(worker) {
+                    // No leader can prevent that it acknowledges ends of this life.
+                    renewal.acknowledged = 0;
+                }
+                self.deliver_poll(worker, &renewal);
+            }
+        }
+    }
+
+    /// Delivers a poll to a worker, which takes what was meant for an earlier life as well.
+    fn deliver_poll(&mut self, at: usize, renewal: &Renewal) -> Option<Report> {
+        let ms = self.ms;
+        let worker = &mut self.workers[at];
+        let before = worker.acknowledged;
+        let ends = worker.ended.clone();
+        let acknowledged = renewal.acknowledged;
+        let report = worker.poll(renewal.token, renewal.deadline_ms, acknowledged, ms)?;
+        let last_expired = worker.expiry_number;
+        for end in ends.iter().filter(|end| end.number > before && end.number <= acknowledged) {
+            self.record_end(end.task, end.outcome, end.number <= last_expired);
+        }
+        Some(report)
+    }
+
     fn poll_workers(&mut self) {
         for at in 0..self.workers.len() {
             if self.faults.unseen_restarts > 0 && self.chance(LONG_POLLS) {
@@ -589,9 +711,18 @@
             }
             let id: HostId = self.workers[at].id.parse().unwrap();
             let now = self.now();
+            if self.chance(self.faults.late_polls) && self.workers[at].reachable {
+                let delay_ms = self.rng.random_range(STEP_MS..12_000);
+                self.send_late_poll(at, delay_ms);
+                continue;
+            }
             let Some(renewal) = self.scheduler.renewal(&id, now) else { continue };
-            let ms = self.ms;
-            let worker = &mut self.workers[at];
+            let worker = &self.workers[at];
+            // The connection of an open poll ends with the process.
+            if self.broken_polls.remove(&at) && renewal.incarnation.start_ms != worker.start_ms {
+                self.scheduler.poll_failed(&renewal, PollFailure::Broken, now);
+                continue;
+            }
             if !worker.up || !worker.reachable {
                 let breaks = match worker.reachable {
                     true => !self.crashes.silent,
@@ -601,18 +732,8 @@
                 self.scheduler.poll_failed(&renewal, failure, now);
                 continue;
             }
-            let before = worker.acknowledged;
-            let ends = worker.ended.clone();
-            // A new incarnation knows neither the deadline nor the ends.
-            let known = worker.start_ms == renewal.incarnation.start_ms;
-            let deadline = renewal.deadline_ms.filter(|_| known);
-            let acknowledged = if known { renewal.acknowledged } else { 0 };
-            let report = worker.poll(renewal.token, deadline, acknowledged, ms);
-            let last_expired = worker.expiry_number;
-            let Some(report) = report else { continue };
-            for end in ends.iter().filter(|end| end.number > before && end.number <= acknowledged) {
-                self.record_end(end.task, end.outcome, end.number <= last_expired);
-            }
+            let Some(report) = self.deliver_poll(at, &renewal) else { continue };
+            self.reached.insert(at, self.workers[at].start_ms);
             let waited = match self.faults.unseen_restarts {
                 0 => 2,
                 _ => self.rng.random_range(2..500),
@@ -628,16 +749,16 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::Start(start) => self.send_start(start),
-            Action::Stop { incarnation, task, attempt, reason } => {
+            Action::Stop { incarnation, token, task, attempt, reason } => {
                 self.stops.push((self.ms, task, reason));
                 if self.refuses_stops {
                     return;
                 }
                 let Some(at) = self.worker_of(&incarnation.id) else { return };
-                let token = self.scheduler.token();
                 let (ms, now) = (self.ms, self.now());
                 let worker = &mut self.workers[at];
                 if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
+                    self.note_call(at, incarnation.start_ms);
                     self.scheduler.stop_answered(&incarnation, task, attempt, now);
                 }
             }
@@ -652,7 +773,6 @@
 
     fn send_start(&mut self, start: StartCommand) {
         let Some(at) = self.worker_of(&start.incarnation.id) else { return };
-        let token = self.scheduler.token();
         let now = self.now();
         let (task, attempt) = (start.task, start.attempt);
         let faults = self.faults;
@@ -661,10 +781,11 @@
             self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
         } else if self.chance(faults.delayed) {
             let at_ms = self.ms + self.rng.random_range(2000..12_000);
-            self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start, token });
+            self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start });
             self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
         } else {
-            let answer = self.deliver_start(at, &start, token);
+            self.note_call(at, start.incarnation.start_ms);
+            let answer = self.deliver_start(at, &start);
             let answer =
                 if self.chance(faults.unanswered) { StartAnswer::Unanswered } else { answer };
             self.scheduler.start_answered(task, attempt, answer, now);
@@ -672,12 +793,7 @@
     }
 
     /// Delivers a start command to a worker.
-    fn deliver_start(
-        &mut self,
-        at: usize,
-        start: &StartCommand,
-        token: FencingToken,
-    ) -> StartAnswer {
+    fn deliver_start(&mut self, at: usize, start: &StartCommand) -> StartAnswer {
         let Some(stored) = self.store.get(&start.task.step.job) else {
             self.violations.push(format!("{}: it was not submitted", start.task));
             return StartAnswer::Unanswered;
@@ -706,7 +822,7 @@
         }
         let ms = self.ms;
         let before = self.workers[at].running.len();
-        let answer = self.workers[at].start(start, token, task_attempt, ms);
+        let answer = self.workers[at].start(start, task_attempt, ms);
         if answer == StartAnswer::Started && self.workers[at].running.len() > before {
             self.starts += 1;
             self.started.push((ms, at, start.task));
@@ -719,7 +835,9 @@
     pub(crate) fn commit(&mut self) {
         if let Some(records) = self.pending_records.take() {
             self.records = records.clone();
-            self.scheduler.records_written(&records);
+            self.revision += 1;
+            let token = FencingToken(self.revision);
+            self.scheduler.records_written(&records, token);
         }
         let now = self.now();
         self.scheduler.seal_unreachable_workers(now);
@@ -746,6 +864,7 @@
     /// Ends all faults, so that all waiting work must complete.
     pub(crate) fn end_faults(&mut self) {
         self.faults = Faults::default();
+        self.end_recuts();
         self.unreachable_until.clear();
         self.workers.iter_mut().for_each(|worker| worker.reachable = true);
         self.outage_until = 0;
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -4,7 +4,7 @@
 
 use vg_base::prelude::*;
 use vg_events::{Code, Field};
-use vg_flow::{AttemptOutcome, DeadlyTask, Renewal};
+use vg_flow::{AttemptOutcome, DeadlyTask, Renewal, Report};
 
 use super::Leader;
 use crate::host::lock;
@@ -50,8 +50,9 @@
                 // The worker can be given work from now on.
                 self.wake.notify_one();
             }
-            let wait = match (has_answered && renewing, renewal.busy) {
-                // A poll that renews nothing must not delay the one that does.
+            let wait = match (has_answered && renewing && renewal.fenced, renewal.busy) {
+                // A poll that renews nothing must not delay the one that does, and the
+                // answer to a raised token is what a worker waits for.
                 (false, _) => Duration::ZERO,
                 (true, true) => BUSY_WAIT_MAX,
                 (true, false) => IDLE_WAIT_MAX,
@@ -73,30 +74,23 @@
                         self.host.record(Code::EndpointRestored, [Field::new("worker", &id)]);
                     }
                     self.record_ended_attempts(&id, &report.ended, renewal.received);
-                    if self.scheduler().apply_report(&id, &report, sent, now) {
-                        self.record_needed.notify_one();
-                    }
+                    self.apply_report(&renewal, &report, sent, now);
                     self.wake.notify_one();
                     if !is_first {
                         tokio::time::sleep(POLL_DELAY).await;
                     }
                 }
                 Err(PollError::StaleToken) => {
-                    self.end_leadership("a worker has seen a higher fence");
-                    return;
+                    if self.is_stale(&id, renewal.token) {
+                        return;
+                    }
                 }
                 Err(error) => {
                     has_answered = false;
+                    self.scheduler().poll_failed(&renewal, error.into(), now);
                     if unreachable.replace(error) != Some(error) {
-                        let runs = self.scheduler().attempts_on(&id);
-                        let fields = [
-                            Field::new("worker", &id),
-                            Field::new("cause", error),
-                            Field::new("runs", runs),
-                        ];
-                        self.host.record(Code::EndpointEjected, fields);
+                        self.record_ejection(&id, error, now);
                     }
-                    self.scheduler().poll_failed(&renewal, error.into(), now);
                     self.wake.notify_one();
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
@@ -105,6 +99,20 @@
         lock(&self.polled_workers).remove(&id);
     }
 
+    /// Applies the report to a poll that was sent at `sent`.
+    fn apply_report(&self, poll: &Renewal, report: &Report, sent: Instant, now: Instant) {
+        let id = &poll.incarnation.id;
+        if self.scheduler().apply_report(id, report, sent, now) {
+            self.record_needed.notify_one();
+        }
+        let fence = self.scheduler().fence_of(id).filter(|_| !poll.fenced);
+        if let Some(fence) = fence {
+            let born = Field::new("born", poll.incarnation.start_ms);
+            let fields = [Field::new("worker", id), born, Field::new("fence", fence)];
+            self.host.record(Code::EndpointFenced, fields);
+        }
+    }
+
     /// Returns what to send in the next poll of a worker, and when it is sent; `None`
     /// if the scheduler has forgotten the worker. Waits for a short time for what the
     /// last answer requires to be durable: the effects of ended attempts, or a record
@@ -132,6 +140,22 @@
         Some((scheduler.renewal(id, now)?, now))
     }
 
+    /// Records an event for a worker whose polls fail.
+    fn record_ejection(&self, id: &HostId, error: PollError, now: Instant) {
+        let (runs, lease) = {
+            let scheduler = self.scheduler();
+            (scheduler.attempts_on(id), scheduler.lease_of(id, now))
+        };
+        let mut fields =
+            vec![Field::new("worker", id), Field::new("cause", error), Field::new("runs", runs)];
+        if let Some(lease) = lease {
+            fields.push(Field::new("born", lease.start_ms));
+            fields.push(Field::new("lease-ms", lease.remaining.as_millis()));
+            fields.push(Field::new("lease", lease.cause));
+        }
+        self.host.record(Code::EndpointEjected, fields);
+    }
+
     /// Records an event for each attempt that was lost with its worker, and for each task
     /// that was given up because workers crash under it.
     pub(super) fn record_losses(&self) {
@@ -142,13 +166,15 @@
         }
         let losses = self.scheduler().take_losses();
         for lost in losses {
-            let fields = [
+            let mut fields = vec![
                 Field::new("task", lost.task),
                 Field::new("run", lost.attempt),
                 Field::new("worker", &lost.worker),
                 Field::new("age-ms", lost.age.as_millis()),
                 Field::new("how", lost.cause),
             ];
+            let lease = lost.cause.lease_cause();
+            fields.extend(lease.map(|cause| Field::new("lease", cause)));
             self.host.record(Code::TaskLost, fields);
         }
     }
