flow: a lost attempt is told with the lease that its worker was waited for

Evidence: the new test failed with `LeaseExpired(Renewed)`. Change: what has ended is forgotten after the attempts have been removed.

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -253,7 +253,6 @@
     /// workers that are no longer registered.
     pub(crate) fn expire_workers(&mut self, now: Instant) {
         self.late_starts.expire(now);
-        self.expire_late_leases(now);
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
@@ -286,5 +285,7 @@
                 self.dropped_workers.insert(id, late_lease_end(now, self.rules.lease_max));
             }
         }
+        // A lost attempt is told with the lease that has ended.
+        self.expire_late_leases(now);
     }
 }
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -490,6 +490,20 @@
     assert_eq!(causes[0].to_string(), "lease");
 }
 
+/// Guards against a lost attempt whose event names another cause than the one for which its
+/// worker was waited for: a late call may have renewed its lease.
+#[test]
+fn a_late_call_is_the_cause_of_a_lease_until_its_end() {
+    let (mut world, at) = lengthened_lease();
+    start_long_tasks(&mut world, at);
+    world.workers[at].reachable = false;
+    world.run(25_000);
+    let losses = world.scheduler.take_losses();
+    assert!(!losses.is_empty());
+    let cause = LossCause::LeaseExpired(LeaseCause::LateCall);
+    assert!(losses.iter().all(|lost| lost.cause == cause), "{losses:?}");
+}
+
 /// When a call to an earlier life arrives, after the next one has begun and is known.
 const SHORT_MS: u64 = 40;
 
