--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -115,7 +115,8 @@
         let lease_max = self.rules.lease_max;
         let is_first = !self.workers[key].polled && self.workers[key].is_fenced();
         // Calls of earlier leaders arrive until then.
-        let last_arrival = now.min(self.leader_since + MESSAGE_DELAY_MAX);
+        let last_call = self.predecessor_until.unwrap_or(self.leader_since);
+        let last_arrival = now.min(last_call + MESSAGE_DELAY_MAX);
         let may_last = now < last_arrival + clock_bound(lease_max);
         if is_first && may_last && self.may_have_late_lease(key) {
             self.workers[key].bound_late_lease(lease_max, last_arrival);
@@ -131,7 +132,7 @@
         match self.unresolved.late_lease(&incarnation.id, incarnation.start_ms) {
             Some(late) => late,
             // The record of a worker that is away is deleted once nothing can run there.
-            None => self.has_predecessor,
+            None => self.predecessor_until.is_some(),
         }
     }
 
