flow: a record that leaves out a longer lease permits no work

A worker gets work although no durable record tells the next leader that a late call may have renewed its lease for longer. If the leader changes before the next write (30 ms, or as long as the store is away), the task may run twice.

Cause: a worker that answers a new leader for the first time counted as recorded if its record had been written before, or was being written at that time; both leave out its longer lease.

Evidence: a_record_that_leaves_out_a_longer_lease_permits_no_work failed before, for a record that was being written; with that mended it failed for one that had been written before.

Change: such a worker has to be recorded again before it gets work, and a record that leaves its longer lease out does not count.

--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -13,6 +13,7 @@
 use vg_base::prelude::*;
 
 use crate::rules::clock_bound;
+use crate::workers::unresolved::IncarnationRecord;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerKey};
 use crate::{FencingToken, Scheduler};
 
@@ -61,6 +62,12 @@
         self.late_lease = Some(self.late_lease.map_or(until, |late| late.min(until)));
     }
 
+    /// Whether a record is that of the present life, and tells of a lease that may be longer.
+    pub(crate) fn is_recorded_in(&self, record: &IncarnationRecord) -> bool {
+        let tells_lease = record.late_lease || self.late_lease.is_none();
+        self.incarnation == record.incarnation && tells_lease
+    }
+
     /// Whether no call to an earlier life takes effect.
     pub(crate) fn is_fenced(&self) -> bool {
         self.fence == Fence::Closed
@@ -99,7 +106,7 @@
         let may_last = now < last_arrival + clock_bound(lease_max);
         if is_first && may_last && self.may_have_late_lease(key) {
             self.workers[key].bound_late_lease(lease_max, last_arrival);
-            self.records_changed = true;
+            self.workers[key].require_record();
         }
         self.workers[key].close_fence(lease_max, sent, now);
     }
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -128,7 +128,7 @@
     pub fn records_written(&mut self, records: &[IncarnationRecord], token: FencingToken) {
         for record in records.iter().filter(|record| record.remaining.is_none()) {
             if let Some(&key) = self.worker_ids.get(&record.incarnation.id)
-                && self.workers[key].incarnation == record.incarnation
+                && self.workers[key].is_recorded_in(record)
             {
                 self.workers[key].recorded = true;
                 self.workers[key].lease_capped = false;
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -897,3 +897,34 @@
     let violations = cut_off(world, at);
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// Guards against a task that runs twice after a further change of the leader: the record that was
+/// being written at the first answer does not tell of the longer lease.
+#[test]
+fn a_record_that_leaves_out_a_longer_lease_permits_no_work() {
+    for is_written in [false, true] {
+        let mut world = world();
+        let id = worker_id(&world, 0);
+        world.restart_unseen(0);
+        world.forget_record(0);
+        world.change_leader();
+        let (now, token) = (world.now(), FencingToken(world.scheduler.token().0 + 10));
+        let machine = world.workers[0].machine.clone();
+        let start_ms = world.workers[0].start_ms;
+        let mut registration = registration(&world, id.as_str(), start_ms, &machine);
+        registration.incarnation.addr = ([127, 0, 0, 1], 1000).into();
+        let after = |ms| now + Duration::from_millis(ms);
+        let before = world.scheduler.incarnation_records(now);
+        if is_written {
+            world.scheduler.records_written(&before, token);
+        }
+        world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(10), after(15));
+        if !is_written {
+            world.scheduler.records_written(&before, token);
+        }
+        assert!(world.scheduler.register(&registration, after(25)), "written: {is_written}");
+        let records = world.scheduler.incarnation_records(after(30));
+        world.scheduler.records_written(&records, token);
+        assert!(!world.scheduler.register(&registration, after(45)));
+    }
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -359,6 +359,13 @@
         self.pending_records = None;
     }
 
+    /// Loses the record of a worker, as if it was deleted while the worker was away.
+    pub(crate) fn forget_record(&mut self, at: usize) {
+        let id: HostId = self.workers[at].id.parse().unwrap();
+        self.records.retain(|record| record.incarnation.id != id);
+        self.pending_records = None;
+    }
+
     /// Lets the leader give up and lead again, as no other host has led meanwhile: it knows
     /// what each worker may run without the records.
     pub(crate) fn lead_again(&mut self) {
