flow, lead: the refusal of a worker that is forgotten does not end a leadership

A healthy leader gives up, and nothing starts until the next one has taken over.

Cause: a call to an earlier life is refused by the later one, and is told from that of an earlier leader by the worker's present token. A worker that has been forgotten when the refusal is read has none.

Evidence: the_refusal_of_a_worker_that_is_forgotten_shows_no_other_leader failed before.

Change: for such a worker, the highest token of all calls is the measure. A leader that another one has followed learns it from its lease, from the store and from the other workers.

--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -76,10 +76,11 @@
 
 impl Scheduler {
     /// Whether a call with a token was meant for an earlier life of a worker, so that its
-    /// refusal does not show that another host leads.
+    /// refusal does not show that another host leads. It may have been, if the worker has been
+    /// dropped since.
     pub fn is_superseded(&self, id: &HostId, token: FencingToken) -> bool {
         let worker = self.worker_ids.get(id).map(|&key| &self.workers[key]);
-        worker.is_some_and(|worker| token < worker.token)
+        token < worker.map_or(self.latest_token, |worker| worker.token)
     }
 
     /// Returns the token by which a worker refuses calls to its earlier lives; `None` if it is
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -928,3 +928,21 @@
         assert!(!world.scheduler.register(&registration, after(45)));
     }
 }
+
+/// Guards against a leader that gives up for nothing: a worker refuses a call to its earlier
+/// life, and is forgotten when the refusal is read.
+#[test]
+fn the_refusal_of_a_worker_that_is_forgotten_shows_no_other_leader() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    world.restart(0);
+    world.run(400);
+    assert!(world.scheduler.fence_of(&id).is_some());
+    let earlier = world.scheduler.token();
+    assert!(world.scheduler.is_superseded(&id, earlier));
+    remove(&mut world, 0);
+    while world.scheduler.worker_ids().contains(&id) {
+        world.step();
+    }
+    assert!(world.scheduler.is_superseded(&id, earlier));
+}
