flow: the record of a worker that is forgotten is written again

A worker that is forgotten and comes back gets its higher token by a write of its record. If the record in the store is as it was, nothing is written, and the worker gets no work before the record of another one changes. Besides, the next leader waits for a worker on which nothing can run.

Cause: the record of a forgotten worker stayed in the store until another change.

Evidence: the_record_of_a_worker_that_is_forgotten_is_written_again failed before: no write was asked for. That a worker then gets no work was not seen; its record is sealed as a rule while it is away, which differs.

Change: forgetting a worker asks for a write of the records.

--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -281,6 +281,8 @@
                 self.dropped_workers.retain(|_, until| now < *until);
                 let lease = clock_bound(self.rules.lease_max);
                 self.dropped_workers.insert(id, now + MESSAGE_DELAY_MAX + lease);
+                // If it comes back, its record has to differ: it gets a token by a write.
+                self.records_changed = true;
             }
         }
     }
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -946,3 +946,19 @@
     }
     assert!(world.scheduler.is_superseded(&id, earlier));
 }
+
+/// Guards against a worker that gets no work any more: it was forgotten and is back, its record
+/// is as it was, so that nothing is written and it gets no higher token.
+#[test]
+fn the_record_of_a_worker_that_is_forgotten_is_written_again() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    world.restart(0);
+    world.run(400);
+    remove(&mut world, 0);
+    while world.scheduler.worker_ids().contains(&id) {
+        world.scheduler.take_records_changed();
+        world.step();
+    }
+    assert!(world.scheduler.take_records_changed());
+}
