red: a start that an unseen later life has accepted, and a cut, start a task twice

The answer to a start names no life.

Not mended: it would take a wait of 10.65 s for each attempt that no report has shown yet, which after an ordinary crash are all tasks of the last 0.5 to 1.5 s before. That choice is the lead's.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -962,3 +962,21 @@
     }
     assert!(world.scheduler.take_records_changed());
 }
+
+/// Guards against a task that runs twice: its start was accepted by the next life of its worker,
+/// which is cut off before the leader learns of it.
+#[test]
+fn a_start_that_an_unseen_later_life_has_accepted_and_a_cut_start_no_task_twice() {
+    let mut world = world();
+    while !world.ms.is_multiple_of(60) {
+        world.step();
+    }
+    world.restart_unseen(0);
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(4, 4000, 60_000) };
+    world.submit(1, job("q-a", vec![spread], wall));
+    world.step();
+    assert!(!world.workers[0].running.is_empty());
+    let violations = cut_off(world, 0);
+    assert!(violations.is_empty(), "{violations:?}");
+}
