--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -22,9 +22,11 @@
 pub(crate) enum Fence {
     /// They may: the worker gets a higher token once its record is durable.
     Open,
-    /// Calls carry a higher token, and the worker has answered no poll with it: none that was
-    /// sent later than this.
-    Raised(Option<Instant>),
+    /// Calls carry a higher token, and the worker has answered no poll that carries it.
+    Raised {
+        /// When the last poll with the lower token was sent.
+        last_earlier: Option<Instant>,
+    },
     /// They do not, as it has seen the higher token, or has no earlier life.
     Closed,
 }
@@ -42,13 +44,13 @@
     fn raise_token(&mut self, token: FencingToken) {
         if self.fence == Fence::Open && token > self.token {
             self.token = token;
-            self.fence = Fence::Raised(self.poll_sent);
+            self.fence = Fence::Raised { last_earlier: self.poll_sent };
         }
     }
 
     /// Notes an answer to a poll that was sent at `sent`.
     fn close_fence(&mut self, lease_max: Duration, sent: Instant, now: Instant) {
-        if let Fence::Raised(last_earlier) = self.fence
+        if let Fence::Raised { last_earlier } = self.fence
             && last_earlier.is_none_or(|last| sent > last)
         {
             self.fence = Fence::Closed;
@@ -102,7 +104,7 @@
     pub(crate) fn note_fence(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
         let lease_max = self.rules.lease_max;
         let is_first = !self.workers[key].polled && self.workers[key].is_fenced();
-        // Calls of earlier leaders arrive until then.
+        // Calls of earlier leaders arrive until then, but none after this answer.
         let last_arrival = now.min(self.leader_since + MESSAGE_DELAY_MAX);
         let may_last = now < last_arrival + clock_bound(lease_max);
         if is_first && may_last && self.may_have_late_lease(key) {
