red: the next life forgets the end of a late start by a poll of the earlier one

While the store is silent, a worker that has started again keeps the lower token (its fence is open), so that calls to its earlier life take effect: a late start, if its stops are lost, and a poll that acknowledges ends by the earlier life's numbers. If that poll arrives after the end of the task and before a report lists it, nobody learns of the end, and the task starts again.

Not mended: no report tells such an end from a loss.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -995,3 +995,29 @@
     let violations = cut_off(world, at);
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// Guards against a task that is done again: the store is silent when its worker starts again, the
+/// next life carries out a late start, and forgets its end by a poll of the earlier life.
+#[test]
+fn an_end_that_a_poll_of_an_earlier_life_forgets_is_not_repeated() {
+    let mut broken = Vec::new();
+    for poll_ms in (600..900).step_by(20) {
+        let mut world = world();
+        let wall = world.wall();
+        world.submit(3, job("q-a", vec![step(16, 4000, 300)], wall));
+        world.run(3000);
+        let at = start_late(&mut world, 500);
+        world.send_late_poll(at, 40 + poll_ms);
+        world.run(40);
+        world.start_store_outage(8000);
+        world.refuses_stops = true;
+        world.restart(at);
+        world.delay_late_starts(200);
+        world.run(8000);
+        world.refuses_stops = false;
+        world.run(20_000);
+        let violations = std::mem::take(&mut world.violations);
+        broken.extend((!violations.is_empty()).then_some((poll_ms, violations)));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
