--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -13,6 +13,7 @@
 use vg_base::prelude::*;
 
 use crate::rules::clock_bound;
+use crate::workers::unresolved::IncarnationRecord;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerKey};
 use crate::{FencingToken, Scheduler};
 
@@ -21,9 +22,11 @@
 pub(crate) enum Fence {
     /// They may: the worker gets a higher token once its record is durable.
     Open,
-    /// Calls carry a higher token, and the worker has answered no poll with it: none that was
-    /// sent later than this.
-    Raised(Option<Instant>),
+    /// Calls carry a higher token, and the worker has answered no poll that carries it.
+    Raised {
+        /// When the last poll with the lower token was sent.
+        last_earlier: Option<Instant>,
+    },
     /// They do not, as it has seen the higher token, or has no earlier life.
     Closed,
 }
@@ -42,13 +45,13 @@
     fn raise_token(&mut self, token: FencingToken) {
         if self.fence == Fence::Open && token > self.token {
             self.token = token;
-            self.fence = Fence::Raised(self.poll_sent);
+            self.fence = Fence::Raised { last_earlier: self.poll_sent };
         }
     }
 
     /// Notes an answer to a poll that was sent at `sent`.
     fn close_fence(&mut self, lease_max: Duration, sent: Instant, now: Instant) {
-        if let Fence::Raised(last_earlier) = self.fence
+        if let Fence::Raised { last_earlier } = self.fence
             && last_earlier.is_none_or(|last| sent > last)
         {
             self.fence = Fence::Closed;
@@ -62,6 +65,12 @@
         self.late_lease = Some(self.late_lease.map_or(until, |late| late.min(until)));
     }
 
+    /// Whether a record is that of the present life, and tells of a lease that may be longer.
+    pub(crate) fn is_recorded_in(&self, record: &IncarnationRecord) -> bool {
+        let tells_lease = record.late_lease || self.late_lease.is_none();
+        self.incarnation == record.incarnation && tells_lease
+    }
+
     /// Whether no call to an earlier life takes effect.
     pub(crate) fn is_fenced(&self) -> bool {
         self.fence == Fence::Closed
@@ -70,10 +79,11 @@
 
 impl Scheduler {
     /// Whether a call with a token was meant for an earlier life of a worker, so that its
-    /// refusal does not show that another host leads.
+    /// refusal does not show that another host leads. It may have been, if the worker has been
+    /// dropped since.
     pub fn is_superseded(&self, id: &HostId, token: FencingToken) -> bool {
         let worker = self.worker_ids.get(id).map(|&key| &self.workers[key]);
-        worker.is_some_and(|worker| token < worker.token)
+        token < worker.map_or(self.latest_token, |worker| worker.token)
     }
 
     /// Returns the token by which a worker refuses calls to its earlier lives; `None` if it is
@@ -114,13 +124,13 @@
     pub(crate) fn note_fence(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
         let lease_max = self.rules.lease_max;
         let is_first = !self.workers[key].polled && self.workers[key].is_fenced();
-        // Calls of earlier leaders arrive until then.
+        // Calls of earlier leaders arrive until then, but none after this answer.
         let last_call = self.predecessor_until.unwrap_or(self.leader_since);
         let last_arrival = now.min(last_call + MESSAGE_DELAY_MAX);
         let may_last = now < last_arrival + clock_bound(lease_max);
         if is_first && may_last && self.may_have_late_lease(key) {
             self.workers[key].bound_late_lease(lease_max, last_arrival);
-            self.records_changed = true;
+            self.workers[key].require_record();
         }
         self.workers[key].close_fence(lease_max, sent, now);
     }
@@ -137,8 +147,13 @@
     }
 
     /// Forgets late leases that have ended, and has the records written that mention them.
+    /// Workers for whom no call to an earlier life can arrive any more need no fence.
     pub(crate) fn expire_late_leases(&mut self, now: Instant) {
+        let lease_max = clock_bound(self.rules.lease_max);
         for worker in self.workers.values_mut() {
+            if worker.late_lease.is_some_and(|until| until < now + lease_max) {
+                worker.fence = Fence::Closed;
+            }
             if worker.is_fenced() && worker.late_lease.is_some_and(|until| until < now) {
                 worker.late_lease = None;
                 self.records_changed = true;
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -124,7 +124,7 @@
     pub fn records_written(&mut self, records: &[IncarnationRecord], token: FencingToken) {
         for record in records.iter().filter(|record| record.remaining.is_none()) {
             if let Some(&key) = self.worker_ids.get(&record.incarnation.id)
-                && self.workers[key].incarnation == record.incarnation
+                && self.workers[key].is_recorded_in(record)
             {
                 self.workers[key].recorded = true;
                 self.workers[key].lease_capped = false;
@@ -277,6 +277,8 @@
                 self.workers.remove(key);
                 self.worker_ids.remove(&id);
                 self.note_dropped(id, now);
+                // If it comes back, its record has to differ: it gets a token by a write.
+                self.records_changed = true;
             }
         }
         // A lost attempt is told with the lease that has ended.
