emulator: a start of an attempt that runs already renews the lease

Cause: the simulated worker answered a repeated start without taking its deadline. Starts that are refused as `old` or `room` renewed the lease already, and a lower token did nothing.

--- a/crates/standin/src/simulated.rs
+++ b/crates/standin/src/simulated.rs
@@ -189,7 +189,7 @@
     }
 
     /// Executes a command to start an attempt. A repeated command for a running
-    /// attempt is answered as started and has no further effect.
+    /// attempt is answered as started and renews the lease.
     pub fn start(
         &mut self,
         start: &StartCommand,
@@ -204,6 +204,7 @@
         self.token = token;
         if self.running.iter().any(|each| each.task == start.task && each.attempt == start.attempt)
         {
+            self.extend_lease(start.deadline_ms, clock);
             return StartAnswer::Started;
         }
         if start.deadline_ms < clock {
