--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -8,8 +8,8 @@
 use crate::scheduler::Removal;
 use crate::workers::worker::{WorkerClock, WorkerKey};
 use crate::{
-    AttemptNumber, AttemptOutcome, EndedAttempt, Report, RunningAttempt, Scheduler, StopReason,
-    TaskId,
+    AttemptNumber, AttemptOutcome, EndedAttempt, LossCause, Report, RunningAttempt, Scheduler,
+    StopReason, TaskId,
 };
 
 /// Longest checkpoint that is kept, in bytes. Checkpoints are part of a job's record, and
@@ -38,6 +38,7 @@
             }
             self.begin_incarnation(key, start_ms, now);
         }
+        self.note_fence(key, sent, now);
         if self.unresolved.expiry(id).is_some() {
             self.clear_unresolved(id);
             self.workers[key].require_record();
@@ -243,6 +244,7 @@
         };
         self.confirm(key, now);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
+        let is_first = !std::mem::replace(&mut attempt.reported, true);
         if attempt.percent != reported.percent {
             attempt.percent = reported.percent;
             attempt.last_progress = now;
@@ -255,6 +257,10 @@
             // The stop command or its answer was lost.
             self.stop_attempt(key, StopReason::JobEnded, now);
         }
+        if is_first {
+            // A crash of an earlier incarnation was none under it.
+            self.withdraw_mark(reported.task, reported.attempt);
+        }
     }
 
     /// Adds an attempt that an earlier leader started. Stops it if its job is
@@ -291,6 +297,7 @@
             adopted: true,
             expires_ms: 0,
             confirmed: Some(now),
+            reported: true,
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
@@ -317,6 +324,8 @@
         sent: Instant,
         now: Instant,
     ) {
+        let known_since = self.workers[worker].known_since;
+        let is_fenced = self.workers[worker].is_fenced();
         for key in self.workers[worker].attempts.clone() {
             let attempt = &self.attempts[key];
             if listed.contains(&(attempt.task, attempt.attempt)) {
@@ -325,13 +334,18 @@
             let stopped = attempt.stop_answered.is_some_and(|at| at < sent);
             let known = attempt.confirmed.is_some_and(|at| at < sent);
             let expired = match attempt.needs_stop {
-                true => !self.may_arrive(attempt, sent),
+                true => is_fenced || !self.may_arrive(attempt, sent),
                 false => clock_ms > attempt.expires_ms,
             };
             let removal = match attempt.phase {
                 Phase::Starting => continue,
                 Phase::Unresolved if stopped || expired => Removal::NeverRan,
                 Phase::Unresolved => continue,
+                // An earlier incarnation had started it.
+                Phase::Running | Phase::Stopping if known && attempt.is_in_doubt(known_since) => {
+                    self.lose_attempt(key, LossCause::Restarted, now);
+                    continue;
+                }
                 // The worker confirmed it or answered its stop command before
                 // the poll was sent, so its end was reported or it never ran.
                 Phase::Running | Phase::Stopping if known || stopped => Removal::Ended,
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -3,11 +3,12 @@
 mod support;
 
 use support::spec::{job, step};
-use support::world::{Faults, World};
+use support::world::{Faults, STEP_MS, World};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, PollFailure, Report, RunningAttempt, StartAnswer, StartCommand, StepSpec,
-    WorkerIncarnation, WorkerRegistration,
+    Action, AttemptNumber, FencingToken, LeaseCause, LossCause, PollFailure, Report,
+    RunningAttempt, StartAnswer, StartCommand, StepSpec, TaskId, WorkerIncarnation,
+    WorkerRegistration,
 };
 
 /// When a late start arrives, after it was sent.
@@ -257,13 +258,14 @@
 }
 
 /// Guards against a task that waits for ever, because the next life of its worker answers
-/// polls and refuses each stop.
+/// polls and refuses each stop, and its record can't be written.
 #[test]
 fn a_task_starts_once_no_late_start_can_arrive_although_no_stop_is_answered() {
     let mut world = world();
     let at = start_late(&mut world, 30_000);
     // The command is lost.
     world.delay_late_starts(60_000);
+    world.start_store_outage(20_000);
     world.restart(at);
     world.refuses_stops = true;
     world.run(11_000);
@@ -273,6 +275,21 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against the same where the record is written: the next life refuses the late start
+/// by its token, so that the task does not wait for the stop.
+#[test]
+fn a_task_starts_at_once_when_its_worker_refuses_calls_to_its_earlier_life() {
+    let mut world = world();
+    let at = start_late(&mut world, 30_000);
+    world.restart(at);
+    world.refuses_stops = true;
+    world.run(500);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    world.run(LATE_MS);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Returns a registration of a worker of pool `a` on a machine.
 fn registration(world: &World, id: &str, start_ms: u64, machine: &str) -> WorkerRegistration {
     let addr = ([127, 0, 0, 1], 900).into();
@@ -386,7 +403,7 @@
     let start_ms = Some(world.workers[0].start_ms);
     let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
     world.scheduler.apply_report(&id, &report, now - Duration::from_millis(2), now);
-    world.scheduler.records_written(&records);
+    world.scheduler.records_written(&records, FencingToken(200), now);
     world.scheduler.renewal(&id, now);
     let wall = world.wall();
     world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
@@ -437,3 +454,372 @@
     world.run(20_000);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against events that do not tell for how long a leader waits for a worker, and why.
+#[test]
+fn the_cause_of_a_lease_is_known() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    let lease = |world: &World| world.scheduler.lease_of(&id, world.now()).unwrap();
+    assert_eq!(lease(&world).cause, LeaseCause::Renewed);
+    assert!(lease(&world).remaining > Duration::ZERO);
+    world.restart(0);
+    assert_eq!(lease(&world).cause, LeaseCause::LateCall);
+    assert!(lease(&world).remaining > Duration::from_secs(10));
+    assert_eq!(lease(&world).start_ms, world.workers[0].start_ms);
+    world.run(500);
+    world.workers[0].reachable = false;
+    world.change_leader();
+    assert_eq!(lease(&world).cause, LeaseCause::Recorded);
+    assert!(lease(&world).remaining <= world.scheduler.longest_unresolved(world.now()));
+}
+
+/// Guards against a lost attempt whose event does not tell why its worker was waited for.
+#[test]
+fn the_cause_of_a_lease_is_known_of_a_lost_attempt() {
+    let mut world = world();
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    world.run(300);
+    let at = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    world.workers[at].reachable = false;
+    world.run(5500);
+    let losses = world.scheduler.take_losses();
+    let causes: Vec<_> = losses.iter().map(|lost| lost.cause).collect();
+    assert_eq!(causes, [LossCause::LeaseExpired(LeaseCause::Renewed)]);
+    assert_eq!(causes[0].to_string(), "lease");
+}
+
+/// When a call to an earlier life arrives, after the next one has begun and is known.
+const SHORT_MS: u64 = 40;
+
+/// Returns a world in which a worker has started again, and a start of its earlier life has
+/// been refused by the present one but has renewed its lease; and the worker.
+fn lengthened_lease() -> (World, usize) {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = start_late(&mut world, 60_000);
+    world.restart(at);
+    world.delay_late_starts(SHORT_MS);
+    world.run(800);
+    assert!(world.workers[at].running.is_empty());
+    (world, at)
+}
+
+/// Starts long tasks on all workers of pool `a`.
+fn start_long_tasks(world: &mut World, at: usize) {
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(8, 4000, 60_000) };
+    world.submit(2, job("q-a", vec![spread], wall));
+    world.run(200);
+    assert!(!world.workers[at].running.is_empty());
+}
+
+/// Returns the violations once the lease of a worker that is cut off from now on has ended.
+fn cut_off(mut world: World, at: usize) -> Vec<String> {
+    world.workers[at].reachable = false;
+    world.run(25_000);
+    world.violations
+}
+
+/// A way in which the leader changes, and its name.
+type Change = (&'static str, fn(&mut World));
+
+const CHANGES: [Change; 3] = [
+    ("crash", World::change_leader),
+    ("planned", World::planned_handover),
+    ("same host", World::lead_again),
+];
+
+/// Guards against a task that runs twice: a refused start of an earlier life has renewed the
+/// lease of the present one, the leader changes, and the worker is cut off after its first
+/// answer.
+#[test]
+fn a_refused_start_and_a_new_leader_that_was_answered_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let (mut world, at) = lengthened_lease();
+        start_long_tasks(&mut world, at);
+        change(&mut world);
+        world.run(100);
+        broken.extend((!cut_off(world, at).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same where the worker is cut off before it has answered the next leader.
+#[test]
+fn a_refused_start_and_a_new_leader_without_answer_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let (mut world, at) = lengthened_lease();
+        start_long_tasks(&mut world, at);
+        world.workers[at].reachable = false;
+        change(&mut world);
+        broken.extend((!cut_off(world, at).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same over two changes of the leader, the second of which is soon.
+#[test]
+fn a_refused_start_and_two_new_leaders_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    start_long_tasks(&mut world, at);
+    world.change_leader();
+    world.run(400);
+    world.change_leader();
+    world.run(100);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same without a change of the leader, where the cut breaks connections.
+#[test]
+fn a_refused_start_and_a_cut_that_breaks_connections_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    world.crashes.cuts_break = true;
+    start_long_tasks(&mut world, at);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker is about to leave.
+#[test]
+fn a_refused_start_and_a_cut_of_a_draining_worker_start_no_task_twice() {
+    let (mut world, at) = lengthened_lease();
+    start_long_tasks(&mut world, at);
+    world.draining.insert(at);
+    world.register();
+    world.run(100);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker starts again twice, and calls to both earlier
+/// lives arrive in the third.
+#[test]
+fn calls_of_two_earlier_lives_and_a_new_leader_start_no_task_twice() {
+    for changes in [false, true] {
+        let mut world = World::new(1, 8, Faults::default());
+        world.run(2 * LATE_MS);
+        let at = start_late(&mut world, 60_000);
+        world.restart(at);
+        // Its clock is so far that a deadline of it is later than any in the next one.
+        world.run(4000);
+        world.send_late_poll(at, 2 * SHORT_MS);
+        world.restart(at);
+        world.delay_late_starts(SHORT_MS);
+        world.run(800);
+        start_long_tasks(&mut world, at);
+        if changes {
+            world.change_leader();
+        }
+        world.run(100);
+        let violations = cut_off(world, at);
+        assert!(violations.is_empty(), "changes: {changes}: {violations:?}");
+    }
+}
+
+/// Guards against the same where a poll of an earlier life renews the lease of the present
+/// one.
+#[test]
+fn a_poll_of_an_earlier_life_and_a_new_leader_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        let mut world = World::new(1, 8, Faults::default());
+        world.run(2 * LATE_MS);
+        world.send_late_poll(0, SHORT_MS);
+        world.restart(0);
+        world.run(800);
+        start_long_tasks(&mut world, 0);
+        change(&mut world);
+        world.run(100);
+        broken.extend((!cut_off(world, 0).is_empty()).then_some(name));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against the same where the former leader has not seen the present life: its calls
+/// arrive before the first poll of the next leader.
+#[test]
+fn calls_of_a_former_leader_before_the_first_poll_start_no_task_twice() {
+    let mut broken = Vec::new();
+    for (name, change) in CHANGES {
+        for poll in [false, true] {
+            let mut world = World::new(1, 8, Faults::default());
+            world.run(2 * LATE_MS);
+            world.refuses_early_starts = true;
+            let mut at = 0;
+            match poll {
+                true => world.send_late_poll(at, STEP_MS),
+                false => at = start_late(&mut world, 60_000),
+            }
+            world.restart_unseen(at);
+            change(&mut world);
+            world.delay_late_starts(STEP_MS);
+            world.run(800);
+            start_long_tasks(&mut world, at);
+            broken.extend((!cut_off(world, at).is_empty()).then_some((name, poll)));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against a task that runs twice: its start was accepted by the next life of the
+/// worker that it was sent to, and the attempt is taken for lost with the earlier one as soon
+/// as that life is known.
+#[test]
+fn an_attempt_that_a_later_life_has_answered_is_not_lost_with_the_earlier_one() {
+    let mut broken = Vec::new();
+    for registered in [false, true] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 10_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        if registered {
+            world.register();
+        }
+        world.run(3000);
+        broken.extend((!world.violations.is_empty()).then_some(registered));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Returns the report of a life of a worker that runs these attempts.
+fn report_of(start_ms: u64, running: &[(TaskId, AttemptNumber)]) -> Report {
+    let row = |&(task, attempt): &(TaskId, AttemptNumber)| RunningAttempt {
+        task,
+        attempt,
+        checkpoint: "".into(),
+        percent: 10,
+        gauge: 0.0,
+    };
+    let running = running.iter().map(row).collect();
+    Report { start_ms: Some(start_ms), clock_ms: 500, running, ended: Vec::new() }
+}
+
+/// Starts a task of 30 s, whose start is answered while its worker is still believed to be in
+/// its earlier life. Returns the start.
+fn start_answered_by_either(world: &mut World, spec: StepSpec) -> StartCommand {
+    let (now, wall) = (world.now(), world.wall());
+    world.submit(1, job("q-a", vec![spec], wall));
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    world.scheduler.start_answered(start.task, start.attempt, StartAnswer::Started, now);
+    start.clone()
+}
+
+/// Returns the starts and stops that are decided from `from_ms` to `to_ms` from now.
+fn decided(world: &mut World, from_ms: u64, to_ms: u64) -> (Vec<StartCommand>, Vec<Action>) {
+    let (now, wall) = (world.now(), world.wall());
+    let (mut starts, mut stops) = (Vec::new(), Vec::new());
+    for wait in (from_ms..to_ms).step_by(20) {
+        let found = commands(world.scheduler.plan(now + Duration::from_millis(wait), wall));
+        starts.extend(found.0);
+        stops.extend(found.1);
+    }
+    (starts, stops)
+}
+
+/// Guards against a task that runs twice: a start was answered before the later life of its
+/// worker is known, and it is that life which has carried it out.
+#[test]
+fn a_task_that_a_later_life_has_started_is_not_lost_with_the_earlier_one() {
+    for registered_first in [true, false] {
+        let mut world = world();
+        let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+        let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+        let later = start.incarnation.start_ms + 19_000;
+        let now = world.now();
+        let after = |ms| now + Duration::from_millis(ms);
+        if registered_first {
+            let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+            let machine = world.workers[at].machine.clone();
+            let registration = registration(&world, id.as_str(), later, &machine);
+            world.scheduler.register(&registration, after(10));
+        }
+        // The poll was sent before the start.
+        let before = now - Duration::from_millis(5);
+        world.scheduler.apply_report(id, &report_of(later, &[]), before, after(15));
+        let (starts, stops) = decided(&mut world, 20, 500);
+        assert!(starts.is_empty(), "{starts:?}");
+        assert!(stops.is_empty(), "{stops:?}");
+        world.scheduler.apply_report(id, &report_of(later, &runs), after(500), after(505));
+        let (starts, stops) = decided(&mut world, 520, 1500);
+        assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
+        assert_eq!(world.scheduler.attempts_on(id), 1);
+    }
+}
+
+/// Guards against a task that waits for ever: the later life of its worker answers, and it was
+/// the earlier one that had started it.
+#[test]
+fn a_task_that_a_later_life_does_not_report_has_ended_with_the_earlier_one() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let id = &start.incarnation.id;
+    let later = start.incarnation.start_ms + 19_000;
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.apply_report(id, &report_of(later, &[]), after(10), after(15));
+    let (starts, _) = decided(&mut world, 20, 500);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    let losses = world.scheduler.take_losses();
+    let causes: Vec<_> = losses.iter().map(|lost| lost.cause).collect();
+    assert_eq!(causes, [LossCause::Restarted]);
+}
+
+/// Guards against a task that waits although its worker had reported it: that life has ended,
+/// and with it the task.
+#[test]
+fn a_task_that_an_earlier_life_has_reported_has_ended_with_it() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+    let (earlier, later) = (start.incarnation.start_ms, start.incarnation.start_ms + 19_000);
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.apply_report(id, &report_of(earlier, &runs), after(1), after(5));
+    let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+    let machine = world.workers[at].machine.clone();
+    let registration = registration(&world, id.as_str(), later, &machine);
+    world.scheduler.register(&registration, after(10));
+    assert_eq!(world.scheduler.attempts_on(id), 0);
+    let (starts, _) = decided(&mut world, 20, 500);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+}
+
+/// Guards against a task that runs twice: its stop was answered before the later life of its
+/// worker is known, where it has not ended yet.
+#[test]
+fn a_task_that_ends_in_a_later_life_starts_nowhere_else_before() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, continuous_task());
+    let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+    let later = start.incarnation.start_ms + 19_000;
+    // Operators drain its zone, so that it is moved.
+    let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+    world.drain(support::world::zone_of(&world.workers[at].machine).as_str());
+    let (_, stops) = decided(&mut world, 20, 200);
+    assert!(!stops.is_empty());
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.stop_answered(&start.incarnation, start.task, start.attempt, after(200));
+    let before = now - Duration::from_millis(5);
+    world.scheduler.apply_report(id, &report_of(later, &[]), before, after(210));
+    let (starts, stops) = decided(&mut world, 220, 500);
+    assert!(starts.is_empty() && !stops.is_empty(), "{starts:?} {stops:?}");
+    world.scheduler.apply_report(id, &report_of(later, &runs), after(205), after(510));
+    let (starts, _) = decided(&mut world, 520, 700);
+    assert!(starts.is_empty(), "{starts:?}");
+    world.scheduler.apply_report(id, &report_of(later, &[]), after(700), after(705));
+    let (starts, _) = decided(&mut world, 720, 1500);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+}
