--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -22,7 +22,7 @@
     /// New end of its lease on its own clock in milliseconds; `None` if the
     /// lease is not renewed.
     pub deadline_ms: Option<u64>,
-    /// Number of the last end that is durable here.
+    /// Number of the last end that is durable here; 0 if it is not acknowledged now.
     pub acknowledged: u64,
     /// Whether the worker has any attempts.
     pub busy: bool,
@@ -53,11 +53,8 @@
     /// if a later incarnation is known.
     pub fn register(&mut self, registration: &WorkerRegistration, now: Instant) -> bool {
         let Some(&key) = self.worker_ids.get(&registration.incarnation.id) else {
-            let id = &registration.incarnation.id;
             let mut worker = Worker::new(registration, self.latest_token, now);
-            if self.dropped_workers.remove(id).is_some_and(|until| now < until) {
-                worker.open_fence(self.rules.lease_max, now);
-            }
+            self.fence_returned(&mut worker, now);
             let key = self.workers.insert(worker);
             self.worker_ids.insert(registration.incarnation.id.clone(), key);
             self.note_start(key);
@@ -124,19 +121,14 @@
 
     /// Marks the incarnations of these records, which became durable at the revision
     /// `token` of the store at the latest, as recorded, so that they can be given work.
-    pub fn records_written(
-        &mut self,
-        records: &[IncarnationRecord],
-        token: FencingToken,
-        now: Instant,
-    ) {
+    pub fn records_written(&mut self, records: &[IncarnationRecord], token: FencingToken) {
         for record in records.iter().filter(|record| record.remaining.is_none()) {
             if let Some(&key) = self.worker_ids.get(&record.incarnation.id)
                 && self.workers[key].incarnation == record.incarnation
             {
                 self.workers[key].recorded = true;
                 self.workers[key].lease_capped = false;
-                self.raise_token(key, token, now);
+                self.raise_token(key, token);
             }
         }
     }
@@ -165,6 +157,7 @@
         let left = self.lease_limit.map(|until| until.saturating_duration_since(now));
         let lease = left.map_or(self.rules.lease, |left| left.min(self.rules.lease));
         let worker = &mut self.workers[key];
+        worker.poll_sent = Some(now);
         // A poll that fails may still renew the lease. If each poll asked for a
         // renewal, the attempts on an unreachable worker would count for ever.
         let permitted = !worker.lease_capped && !worker.sealed && !self.frozen;
@@ -175,12 +168,14 @@
             worker.lease_end = worker.lease_end.max(now + bound);
         }
         worker.renewed_until = deadline_ms.map(|_| now + lease);
+        // After a failed poll another life may answer, whose ends have numbers of their own.
+        let acknowledged = if worker.unreachable_since.is_none() { worker.acknowledged } else { 0 };
         Some(Renewal {
             incarnation: worker.incarnation.clone(),
             token: worker.token,
             fenced: worker.is_fenced(),
             deadline_ms,
-            acknowledged: worker.acknowledged,
+            acknowledged,
             busy: !worker.attempts.is_empty(),
             received: worker.received,
         })
@@ -219,7 +214,7 @@
         worker.polled = false;
         worker.clock = None;
         worker.renewed_until = None;
-        worker.open_fence(lease_max, now);
+        worker.open_fence(lease_max, now + MESSAGE_DELAY_MAX);
         worker.received = 0;
         worker.acknowledged = 0;
         worker.uncommitted_ends.clear();
@@ -232,7 +227,6 @@
         worker.blamed = false;
         worker.full_capacity = Resources::ZERO;
         worker.trial = None;
-        let id = worker.incarnation.id.clone();
         for key in worker.attempts.clone() {
             let attempt = &mut self.attempts[key];
             if attempt.reported {
@@ -244,7 +238,6 @@
             attempt.stop_sent = None;
             attempt.stop_answered = None;
         }
-        self.clear_unresolved(&id);
         self.note_start(key);
     }
 
@@ -281,8 +274,7 @@
                 }
                 self.workers.remove(key);
                 self.worker_ids.remove(&id);
-                self.dropped_workers.retain(|_, until| now < *until);
-                self.dropped_workers.insert(id, now + MESSAGE_DELAY_MAX);
+                self.note_dropped(id, now);
             }
         }
     }
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -403,7 +403,7 @@
     let start_ms = Some(world.workers[0].start_ms);
     let report = Report { start_ms, clock_ms: 30_000, ..Report::default() };
     world.scheduler.apply_report(&id, &report, now - Duration::from_millis(2), now);
-    world.scheduler.records_written(&records, FencingToken(200), now);
+    world.scheduler.records_written(&records, FencingToken(200));
     world.scheduler.renewal(&id, now);
     let wall = world.wall();
     world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
@@ -823,3 +823,161 @@
     let (starts, _) = decided(&mut world, 720, 1500);
     assert_eq!(starts.len(), 1, "{starts:?}");
 }
+
+/// Guards against a task that runs again after it is done: a poll after a failed one, which the
+/// next life of the worker may answer, acknowledges ends by the numbers of the earlier life.
+#[test]
+fn a_poll_after_a_failed_one_acknowledges_no_ends() {
+    let mut world = world();
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(4, 4000, 300)], wall));
+    world.run(1000);
+    let id = worker_id(&world, 0);
+    let now = world.now();
+    let poll = world.scheduler.renewal(&id, now).unwrap();
+    assert!(poll.acknowledged > 0);
+    world.scheduler.poll_failed(&poll, PollFailure::Broken, now);
+    assert_eq!(world.scheduler.renewal(&id, now).unwrap().acknowledged, 0);
+    world.run(100);
+    let answered = world.scheduler.renewal(&id, world.now()).unwrap();
+    assert_eq!(answered.acknowledged, poll.acknowledged);
+}
+
+/// Guards against a task that runs twice: the earlier leader did not know of the later life of
+/// its worker, which has carried out a start and has not answered the new leader yet.
+#[test]
+fn a_registration_does_not_resolve_what_an_earlier_leader_has_started() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let at = world.workers.iter().position(|worker| worker.id == start.incarnation.id.as_str());
+    let at = at.unwrap();
+    // The new leader reads the registration of the earlier life first.
+    world.change_leader();
+    world.workers[at].reachable = false;
+    world.restart(at);
+    world.run(2000);
+    assert_eq!(world.starts, 0);
+    world.workers[at].reachable = true;
+    world.run(500);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against a task that runs twice: a call of the former leader arrives at the end of
+/// the time in which it may, and the next leader reaches the worker only after that.
+#[test]
+fn a_call_of_a_former_leader_before_a_late_first_answer_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    world.send_late_poll(0, 11_500);
+    world.restart_unseen(0);
+    world.workers[0].reachable = false;
+    world.change_leader();
+    world.run(13_000);
+    world.workers[0].reachable = true;
+    world.run(800);
+    start_long_tasks(&mut world, 0);
+    let violations = cut_off(world, 0);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the worker was dropped, and the registration of its next
+/// life is read late.
+#[test]
+fn a_call_before_a_late_registration_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    world.send_late_poll(0, 11_900);
+    let sent = world.ms;
+    remove(&mut world, 0);
+    while world.scheduler.worker_ids().contains(&worker_id(&world, 0)) {
+        world.step();
+    }
+    let dropped = world.ms;
+    world.run(sent + 11_500 - dropped);
+    world.restart_unseen(0);
+    world.run(dropped + 12_100 - world.ms);
+    world.register();
+    world.run(300);
+    start_long_tasks(&mut world, 0);
+    let violations = cut_off(world, 0);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against a task that runs twice: its start was accepted by a life that the leader does
+/// not know, which took the deadline by the earlier one's clock, and the worker is cut off
+/// before any poll.
+#[test]
+fn a_start_of_an_unknown_life_that_is_cut_off_starts_no_task_twice() {
+    let mut broken = Vec::new();
+    for change in [None, Some(World::change_leader as fn(&mut World))] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 30_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        world.workers[0].reachable = false;
+        if let Some(change) = change {
+            change(&mut world);
+        }
+        broken.extend((!cut_off(world, 0).is_empty()).then_some(change.is_some()));
+    }
+    assert!(broken.is_empty(), "changes of the leader: {broken:?}");
+}
+
+/// Guards against work for a worker that has not seen the higher token: a poll with the lower
+/// one was sent just after the time at which the record was written.
+#[test]
+fn the_answer_to_a_poll_with_the_earlier_token_does_not_show_the_higher_one() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    world.restart(0);
+    let (now, start_ms) = (world.now(), world.workers[0].start_ms);
+    let after = |ms| now + Duration::from_millis(ms);
+    let sent = world.scheduler.renewal(&id, after(2)).unwrap();
+    let records = world.scheduler.incarnation_records(now);
+    let token = FencingToken(world.scheduler.token().0 + 1000);
+    world.scheduler.records_written(&records, token);
+    assert!(sent.token < token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(2), after(5));
+    assert_eq!(world.scheduler.fence_of(&id), None);
+    let sent = world.scheduler.renewal(&id, after(20)).unwrap();
+    assert_eq!(sent.token, token);
+    world.scheduler.apply_report(&id, &report_of(start_ms, &[]), after(20), after(25));
+    assert_eq!(world.scheduler.fence_of(&id), Some(token));
+}
+
+/// Lets a worker answer again, and starts long tasks on all workers of pool `a` once it can be
+/// given work.
+fn start_on_return(world: &mut World, at: usize) {
+    world.workers[at].reachable = true;
+    world.register();
+    world.run(160);
+    let wall = world.wall();
+    world.submit(2, job("q-a", vec![step(13, 4000, 60_000)], wall));
+    world.run(100);
+    assert!(!world.workers[at].running.is_empty());
+}
+
+/// Guards against the same where the worker answers the next leader for the first time once no
+/// call of the former one can arrive any more.
+#[test]
+fn a_poll_of_a_former_leader_before_a_late_first_answer_starts_no_task_twice() {
+    let mut world = World::new(1, 8, Faults::default());
+    world.run(2 * LATE_MS);
+    let at = 0;
+    world.workers[at].clock_drift = 20;
+    world.restart_unseen(at);
+    world.send_late_poll(at, 11_900);
+    world.workers[at].reachable = false;
+    world.change_leader();
+    world.run(12_040);
+    start_on_return(&mut world, at);
+    let violations = cut_off(world, at);
+    assert!(violations.is_empty(), "{violations:?}");
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -17,8 +17,11 @@
 use vg_standin::{SimulatedWorker, TaskAttempt};
 
 use super::crash::Crashes;
+use super::recuts::Recuts;
 use super::spec::{CORES, MEMORY, config};
 
+/// Polls that wait for longer where workers start again unseen, in thousandths.
+const LONG_POLLS: u32 = 850;
 /// Duration of one step of the simulation.
 pub(crate) const STEP_MS: u64 = 20;
 /// Time for which an earlier leader may continue without proof of its
@@ -46,6 +49,9 @@
     pub(crate) failures: u32,
     /// Restarts of a worker, per step.
     pub(crate) restarts: u32,
+    /// Restarts of a worker whose registration comes up to 0.6 s later, per step. Polls that
+    /// were sent before may be answered by the later life.
+    pub(crate) unseen_restarts: u32,
     /// Interrupted connections between the leader and a worker, per step.
     pub(crate) partitions: u32,
     /// Takeovers by another leader, per step.
@@ -60,6 +66,10 @@
     pub(crate) refusals: u32,
     /// Commands to machines that are not answered, half of which are carried out.
     pub(crate) lost_commands: u32,
+    /// Polls that are not answered and arrive up to 12 s later.
+    pub(crate) late_polls: u32,
+    /// Restarts while calls are on their way, with a cut soon after, per step.
+    pub(crate) recuts: u32,
 }
 
 #[allow(dead_code, reason = "each test uses a part")]
@@ -71,6 +81,7 @@
         dropped: 20,
         failures: 30,
         restarts: 3,
+        unseen_restarts: 0,
         partitions: 6,
         takeovers: 4,
         returns: 0,
@@ -78,6 +89,8 @@
         cancels: 0,
         refusals: 0,
         lost_commands: 0,
+        late_polls: 0,
+        recuts: 0,
     };
 }
 
@@ -129,8 +142,8 @@
 /// A start command that arrives late.
 #[derive(Debug, Clone)]
 pub(super) struct DelayedStart {
-    at: u64,
-    worker: usize,
+    pub(super) at: u64,
+    pub(super) worker: usize,
     start: StartCommand,
 }
 
@@ -157,6 +170,7 @@
     pub(crate) faults: Faults,
     pub(crate) truth: Truth,
     pub(crate) crashes: Crashes,
+    pub(super) recuts: Recuts,
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) scheduler: Scheduler,
     pub(crate) workers: Vec<SimulatedWorker>,
@@ -167,8 +181,17 @@
     pub(super) pending_records: Option<Vec<IncarnationRecord>>,
     pub(super) revision: u64,
     pub(super) outage_until: u64,
+    /// Workers that have ended while a poll of them was open, which fails.
+    broken_polls: HashSet<usize>,
+    /// Workers that have started again and are still registered as before: the earlier start,
+    /// and when the registration of the present one is read.
+    unseen: BTreeMap<usize, (u64, u64)>,
+    /// The last start of each worker of which a leader has known in a round.
+    seen_starts: HashMap<usize, u64>,
     pub(super) delayed_starts: Vec<DelayedStart>,
     pub(super) delayed_polls: Vec<DelayedPoll>,
+    /// The lives of workers that a leader has reached: their starts, by worker.
+    pub(super) reached: HashMap<usize, u64>,
     /// Workers that register as about to leave.
     pub(crate) draining: HashSet<usize>,
     /// Whether late starts that arrive in a life that no leader has reached are refused
@@ -232,6 +255,7 @@
             faults,
             truth: Truth::default(),
             crashes: Crashes::default(),
+            recuts: Recuts::default(),
             config,
             scheduler,
             workers: (0..workers).map(worker).collect(),
@@ -241,8 +265,12 @@
             pending_records: None,
             revision: 100,
             outage_until: 0,
+            broken_polls: HashSet::new(),
+            unseen: BTreeMap::new(),
+            seen_starts: HashMap::new(),
             delayed_starts: Vec::new(),
             delayed_polls: Vec::new(),
+            reached: HashMap::new(),
             draining: HashSet::new(),
             refuses_early_starts: false,
             acknowledged_done: HashSet::new(),
@@ -284,6 +312,11 @@
         }
     }
 
+    /// Returns the start of the incarnation of a worker that is registered.
+    fn registered_start(&self, at: usize) -> u64 {
+        self.unseen.get(&at).map_or(self.workers[at].start_ms, |&(earlier, _)| earlier)
+    }
+
     /// Registers all workers that are up with the leader.
     pub(crate) fn register(&mut self) {
         let now = self.now();
@@ -294,7 +327,10 @@
             let zone = zone_of(&self.workers[at].machine);
             let is_cold = zone.as_str() == "z0";
             let registration = WorkerRegistration {
-                incarnation: self.incarnation(at),
+                incarnation: WorkerIncarnation {
+                    start_ms: self.registered_start(at),
+                    ..self.incarnation(at)
+                },
                 zone: zone.clone(),
                 draining: self.draining.contains(&at),
                 capacity: self.workers[at].capacity,
@@ -462,6 +498,7 @@
         for action in self.scheduler.plan(now, wall) {
             self.execute(action);
         }
+        self.note_seen_starts();
         if self.ms.is_multiple_of(40) && self.ms >= self.outage_until {
             self.commit();
         }
@@ -481,11 +518,15 @@
             let at = self.rng.random_range(0..self.workers.len());
             self.restart(at);
         }
+        self.inject_unseen_restart();
+        if self.chance(faults.recuts) {
+            self.begin_recut();
+        }
+        self.advance_recuts();
         if self.chance(faults.partitions) {
             let at = self.rng.random_range(0..self.workers.len());
             let until = self.ms + self.rng.random_range(200..9000);
-            self.workers[at].reachable = false;
-            self.unreachable_until.insert(at, until);
+            self.cut_off(at, until);
         }
         let ms = self.ms;
         let healed: Vec<_> = self
@@ -515,6 +556,29 @@
         }
     }
 
+    /// Starts a worker again under its id, of which the leader learns later.
+    fn inject_unseen_restart(&mut self) {
+        let ms = self.ms;
+        if self.chance(self.faults.unseen_restarts) {
+            let at = self.rng.random_range(0..self.workers.len());
+            let registered = self.registered_start(at);
+            self.workers[at].restart(ms);
+            self.broken_polls.insert(at);
+            self.unseen.insert(at, (registered, ms + self.rng.random_range(20..600)));
+        }
+        let unseen = self.unseen.len();
+        self.unseen.retain(|_, (_, due)| *due > ms);
+        if self.unseen.len() < unseen {
+            self.register();
+        }
+    }
+
+    /// Cuts a worker off from the leader, until the given time.
+    pub(super) fn cut_off(&mut self, at: usize, until: u64) {
+        self.workers[at].reachable = false;
+        self.unreachable_until.insert(at, until);
+    }
+
     /// Starts a worker again under its id. Start commands that are late may arrive there.
     pub(crate) fn restart(&mut self, at: usize) {
         self.restart_unseen(at);
@@ -543,11 +607,36 @@
         self.delayed_starts.iter().map(|delayed| delayed.worker).collect()
     }
 
-    /// Whether a late start arrives at a later incarnation that no leader has reached since
-    /// it began. No leader can prevent what it does then, so such starts are left out.
+    /// Whether a late start arrives at a later incarnation that no call has reached since it
+    /// began, or that no leader has known of in a round or by a call. No leader can prevent
+    /// what it does then, so such starts are left out.
     fn precedes_contact(&self, delayed: &DelayedStart) -> bool {
         let worker = &self.workers[delayed.worker];
-        worker.start_ms != delayed.start.incarnation.start_ms && worker.token == FencingToken(0)
+        let is_seen = self.seen_starts.get(&delayed.worker) == Some(&worker.start_ms);
+        worker.start_ms != delayed.start.incarnation.start_ms
+            && (worker.token == FencingToken(0) || !is_seen && !self.is_reached(delayed.worker))
+    }
+
+    /// Whether a leader that knows the present life of a worker has called it, or has got an
+    /// answer that shows it.
+    fn is_reached(&self, at: usize) -> bool {
+        self.reached.get(&at) == Some(&self.workers[at].start_ms)
+    }
+
+    /// Notes that a call has arrived which was meant for the life that started at `start_ms`.
+    fn note_call(&mut self, at: usize, start_ms: u64) {
+        if start_ms == self.workers[at].start_ms {
+            self.reached.insert(at, start_ms);
+        }
+    }
+
+    /// Notes the incarnations of which the leader has known in a round.
+    fn note_seen_starts(&mut self) {
+        for at in 0..self.workers.len() {
+            if self.scheduler.knows(&self.incarnation(at)) {
+                self.seen_starts.insert(at, self.workers[at].start_ms);
+            }
+        }
     }
 
     fn deliver_delayed_starts(&mut self) {
@@ -590,6 +679,11 @@
         let due: Vec<_> = self.delayed_polls.extract_if(.., |delayed| delayed.at <= ms).collect();
         for DelayedPoll { worker, renewal, .. } in due {
             if self.workers[worker].up {
+                let mut renewal = renewal;
+                if !self.is_reached(worker) {
+                    // No leader can prevent that it acknowledges ends of this life.
+                    renewal.acknowledged = 0;
+                }
                 self.deliver_poll(worker, &renewal);
             }
         }
@@ -612,10 +706,23 @@
 
     fn poll_workers(&mut self) {
         for at in 0..self.workers.len() {
+            if self.faults.unseen_restarts > 0 && self.chance(LONG_POLLS) {
+                continue;
+            }
             let id: HostId = self.workers[at].id.parse().unwrap();
             let now = self.now();
+            if self.chance(self.faults.late_polls) && self.workers[at].reachable {
+                let delay_ms = self.rng.random_range(STEP_MS..12_000);
+                self.send_late_poll(at, delay_ms);
+                continue;
+            }
             let Some(renewal) = self.scheduler.renewal(&id, now) else { continue };
             let worker = &self.workers[at];
+            // The connection of an open poll ends with the process.
+            if self.broken_polls.remove(&at) && renewal.incarnation.start_ms != worker.start_ms {
+                self.scheduler.poll_failed(&renewal, PollFailure::Broken, now);
+                continue;
+            }
             if !worker.up || !worker.reachable {
                 let breaks = match worker.reachable {
                     true => !self.crashes.silent,
@@ -626,8 +733,16 @@
                 continue;
             }
             let Some(report) = self.deliver_poll(at, &renewal) else { continue };
-            let sent = now - Duration::from_millis(2);
+            self.reached.insert(at, self.workers[at].start_ms);
+            let waited = match self.faults.unseen_restarts {
+                0 => 2,
+                _ => self.rng.random_range(2..500),
+            };
+            let sent = now - Duration::from_millis(waited);
             self.scheduler.apply_report(&id, &report, sent, now);
+            if report.start_ms == Some(self.workers[at].start_ms) {
+                self.seen_starts.insert(at, self.workers[at].start_ms);
+            }
         }
     }
 
@@ -643,6 +758,7 @@
                 let (ms, now) = (self.ms, self.now());
                 let worker = &mut self.workers[at];
                 if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
+                    self.note_call(at, incarnation.start_ms);
                     self.scheduler.stop_answered(&incarnation, task, attempt, now);
                 }
             }
@@ -668,6 +784,7 @@
             self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start });
             self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
         } else {
+            self.note_call(at, start.incarnation.start_ms);
             let answer = self.deliver_start(at, &start);
             let answer =
                 if self.chance(faults.unanswered) { StartAnswer::Unanswered } else { answer };
@@ -719,8 +836,8 @@
         if let Some(records) = self.pending_records.take() {
             self.records = records.clone();
             self.revision += 1;
-            let (token, now) = (FencingToken(self.revision), self.now());
-            self.scheduler.records_written(&records, token, now);
+            let token = FencingToken(self.revision);
+            self.scheduler.records_written(&records, token);
         }
         let now = self.now();
         self.scheduler.seal_unreachable_workers(now);
@@ -747,6 +864,7 @@
     /// Ends all faults, so that all waiting work must complete.
     pub(crate) fn end_faults(&mut self) {
         self.faults = Faults::default();
+        self.end_recuts();
         self.unreachable_until.clear();
         self.workers.iter_mut().for_each(|worker| worker.reachable = true);
         self.outage_until = 0;
