net: one budget in bytes for all unfinished requests of a process

Cause: bodies were counted as the client sends them, one by one, and not as the process holds them, together. A chunk of one byte kept a view of the whole read buffer (2.4 MB for a body of 65,536 bytes), nothing bounded the sum, and an unfinished body was awaited for ever.

Change: request bodies are copied into one buffer, and its capacity is counted, with an estimate for the connection and with unread responses, in a budget that all listeners of the process share (a quarter of the memory in the settings, of 256 MB if they give none). If it is exhausted, the connection that has waited longest for a request, a body or a reader gives way: a body is refused with 503, not run. One request may hold half of the budget. A body without a byte for 10 to 20 s, or of more than 30 s or than the caller's deadline, is refused, and a client that takes nothing of a response for 10 s is closed. No response of a request that may have had an effect is replaced.

A whole request in chunks of one byte is still served in calm.

--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -19,6 +19,8 @@
 
 /// Delay between two attempts to reach a pool's owner while the owner changes.
 const OWNER_RETRY: Duration = Duration::from_millis(100);
+/// Delay before a caller retries whose body found no room.
+const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 /// How long a call waits for an owner change before the caller is told to retry.
 const OWNER_WAIT: Duration = Duration::from_millis(1500);
 
@@ -107,18 +109,20 @@
     limit: Duration,
 ) -> Result<bytes::Bytes, Problem> {
     let max = node.options.max_body_bytes;
-    match tokio::time::timeout(limit, vg_net::read_body(body, max)).await {
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(vg_net::Error::BodyTooLong { limit })) => {
+    vg_net::read_request(body, max, limit).await.map_err(|error| match error {
+        vg_net::Error::BodyTooLong { limit } => {
             let detail = format!("a body has at most {limit} bytes");
-            Err(Problem::not_run(ProblemCode::BodyTooLong, detail))
+            Problem::not_run(ProblemCode::BodyTooLong, detail)
         }
-        Ok(Err(e)) => Err(Problem::not_run(ProblemCode::BodyCut, e.to_string())),
-        Err(_) => {
+        vg_net::Error::Overloaded => {
+            Problem::not_run(ProblemCode::Overloaded, error.to_string()).retry_after(OVERLOAD_RETRY)
+        }
+        vg_net::Error::SlowBody => {
             let detail = format!("the body did not come within {} ms", limit.as_millis());
-            Err(Problem::not_run(ProblemCode::BodyCut, detail))
+            Problem::not_run(ProblemCode::BodyCut, detail)
         }
-    }
+        error => Problem::not_run(ProblemCode::BodyCut, error.to_string()),
+    })
 }
 
 /// Passes a call to its pool's owner, and tries again as long as the call has not run
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -54,6 +54,9 @@
     /// The body ended early.
     #[display("body-cut")]
     BodyCut,
+    /// Too many unfinished requests hold the memory for them.
+    #[display("overloaded")]
+    Overloaded,
     /// The idempotency key was used with another request.
     #[display("key-reused")]
     KeyReused,
@@ -120,6 +123,7 @@
             | ProblemCode::NoEndpoint
             | ProblemCode::NoOwner
             | ProblemCode::StaleConfiguration
+            | ProblemCode::Overloaded
             | ProblemCode::Stopping
             | ProblemCode::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             ProblemCode::EndpointBroke
@@ -141,6 +145,7 @@
             ProblemCode::MethodNotAllowed => "This path has other methods",
             ProblemCode::BodyTooLong => "The body is too long",
             ProblemCode::BodyCut => "The body ended early",
+            ProblemCode::Overloaded => "There are too many unfinished requests",
             ProblemCode::KeyReused => "The idempotency key belongs to another request",
             ProblemCode::KeyInUse => "A request with this idempotency key is running",
             ProblemCode::QueueFull => "The queue is full",
--- a/crates/entry/src/web/peers.rs
+++ b/crates/entry/src/web/peers.rs
@@ -25,6 +25,8 @@
 
 /// Size limit for messages between entry hosts, except forwarded calls.
 const MESSAGE_MAX_BYTES: usize = 1024 * 1024;
+/// Time limit for reading such a message.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// `POST /peer/queues/{queue}/calls`
 pub(crate) async fn post_call<P: Platform>(mut state: State) -> HandlerResult {
@@ -166,7 +168,11 @@
 
 async fn read_bytes(state: &mut State) -> Result<Bytes, Problem> {
     let (_, body) = take_request(state);
-    vg_net::read_body(body, MESSAGE_MAX_BYTES).await.map_err(malformed)
+    let read = vg_net::read_request(body, MESSAGE_MAX_BYTES, MESSAGE_TIMEOUT).await;
+    read.map_err(|error| match error {
+        vg_net::Error::Overloaded => Problem::not_run(ProblemCode::Overloaded, error.to_string()),
+        error => malformed(error),
+    })
 }
 
 fn malformed(error: vg_net::Error) -> Problem {
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -148,7 +148,8 @@
     ) -> Result<(Host<P, C>, HostTasks), StartError> {
         let server = Server::bind(options.peer_addr, Limits::default())
             .await
-            .map_err(|source| StartError::Listen { source })?;
+            .map_err(|source| StartError::Listen { source })?
+            .with_budget(options.budget.clone());
         let options = Options { peer_addr: server.addr(), ..options };
         let metrics = Metrics::new().map_err(|source| StartError::Metrics { source })?;
         let inner = Inner {
--- a/crates/lead/src/options.rs
+++ b/crates/lead/src/options.rs
@@ -4,6 +4,7 @@
 
 use vg_base::prelude::*;
 use vg_flow::SchedulingRules;
+use vg_net::Budget;
 
 use crate::HostCapacity;
 
@@ -18,6 +19,8 @@
     pub peer_addr: SocketAddr,
     /// Processor and link of the host.
     pub capacity: HostCapacity,
+    /// What the clients of the process may hold, peers included.
+    pub budget: Budget,
     /// Shortest lease that the store grants.
     pub min_lease: Duration,
     /// Time limits and rules for decisions.
--- a/crates/lead/src/serve.rs
+++ b/crates/lead/src/serve.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use vg_base::prelude::*;
 use vg_net::{
-    Body, Service, ServiceError, empty_body, from_msgpack, full_body, read_body, to_msgpack,
+    Body, Service, ServiceError, empty_body, from_msgpack, full_body, read_request, to_msgpack,
 };
 
 use crate::host::lock;
@@ -23,6 +23,8 @@
 /// Time limit for handling a peer's call; the caller's limit, [`PEER_TIMEOUT`],
 /// is longer.
 const HANDLER_TIMEOUT: Duration = Duration::from_millis(550);
+/// Time limit for the body of a peer's call. The caller gives up earlier.
+const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// HTTP service for the calls of peers.
 pub(crate) struct PeerService<P: Platform, C: Clock>(pub(crate) Host<P, C>);
@@ -34,7 +36,8 @@
         _: SocketAddr,
     ) -> Result<Response<Body>, ServiceError> {
         let name = request.uri().path().trim_start_matches('/').to_owned();
-        let bytes = read_body(request.into_body(), PEER_MESSAGE_MAX_BYTES)
+        let body = request.into_body();
+        let bytes = read_request(body, PEER_MESSAGE_MAX_BYTES, PEER_BODY_TIMEOUT)
             .await
             .map_err(ServiceError::new)?;
         let answer = self.0.answer(&name, &bytes).await;
--- a/crates/lead/tests/support/crashes.rs
+++ b/crates/lead/tests/support/crashes.rs
@@ -409,6 +409,7 @@
             zone: "z".parse().unwrap(),
             peer_addr: ([127, 0, 0, 1], 0).into(),
             capacity: HostCapacity::default(),
+            budget: vg_net::Budget::default(),
             min_lease: Duration::from_millis(500),
             rules: SchedulingRules::default(),
             outcome_retention: self.cluster.outcome_retention,
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -261,6 +261,7 @@
             zone: "z".parse().unwrap(),
             peer_addr: ([127, 0, 0, 1], 0).into(),
             capacity,
+            budget: vg_net::Budget::default(),
             min_lease: Duration::from_millis(500),
             rules: SchedulingRules::default(),
             outcome_retention: self.outcome_retention,
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -49,6 +49,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The process has no room for the body. Nothing of the request has been done.
+    #[snafu(display("too many unfinished requests"))]
+    Overloaded,
+    /// The body did not arrive in time. Nothing of the request has been done.
+    #[snafu(display("the body did not arrive in time"))]
+    SlowBody,
     /// The body is longer than allowed.
     #[snafu(display("the body has more than {limit} bytes"))]
     BodyTooLong {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,14 +5,18 @@
 //! request to `gotham` through the public function `call_handler`.
 
 mod body;
+mod budget;
 mod client;
 mod codec;
 mod error;
 mod gate;
 mod limits;
+mod response;
 mod server;
+mod stream;
 
-pub use body::{Body, empty_body, full_body, read_body, stream_body};
+pub use body::{Body, empty_body, full_body, read_body, read_request, stream_body};
+pub use budget::{Budget, Usage};
 pub use client::{Client, Reply};
 pub use codec::{from_msgpack, to_msgpack};
 pub use error::Error;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -7,8 +7,9 @@
 use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
-use http::{Request, Response};
-use hyper::body::Incoming;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -16,13 +17,17 @@
 use snafu::ResultExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::Body;
+use crate::body::full_body;
+use crate::budget::{Budget, Connection};
 use crate::error::{BindSnafu, Error};
 use crate::gate::Gate;
 use crate::limits::Limits;
+use crate::response::counted;
+use crate::stream::Stream;
 
 /// The complete response to a connection above the limit.
 const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
@@ -32,6 +37,9 @@
     content-length: 70\r\n\r\n\
     {\"status\":503,\"code\":\"too-many-connections\",\"outcome\":\"not-run\"      }";
 
+/// The body of the response to a request whose connection gives way.
+const OVERLOADED: &str = r#"{"status":503,"code":"overloaded","outcome":"not-run"}"#;
+
 /// A server that is bound to an address and does not serve requests yet.
 #[derive(Debug)]
 pub struct Server {
@@ -39,6 +47,7 @@
     addr: SocketAddr,
     limits: Limits,
     gate: Gate,
+    budget: Budget,
 }
 
 impl Server {
@@ -50,7 +59,7 @@
     pub async fn bind(addr: SocketAddr, limits: Limits) -> Result<Server, Error> {
         let listener = TcpListener::bind(addr).await.context(BindSnafu { addr })?;
         let addr = listener.local_addr().context(BindSnafu { addr })?;
-        Ok(Server { listener, addr, limits, gate: Gate::default() })
+        Ok(Server { listener, addr, limits, gate: Gate::default(), budget: Budget::default() })
     }
 
     /// Returns the server with a gate. It serves new connections only while
@@ -60,6 +69,13 @@
         Server { gate, ..self }
     }
 
+    /// Returns the server with a budget, which limits what the clients of all servers that
+    /// have it hold together.
+    #[must_use]
+    pub fn with_budget(self, budget: Budget) -> Server {
+        Server { budget, ..self }
+    }
+
     /// Returns the bound address with the actual port.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -170,7 +186,7 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(server.limits.max_connections));
+    let listener = server.budget.add_listener();
     let mut connections = tokio::task::JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -190,7 +206,8 @@
         if server.gate.is_closed() {
             continue;
         }
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+        let evicted = server.budget.usage().evicted;
+        let Ok(connection) = server.budget.admit(listener, server.limits) else {
             connections.spawn(reject_connection(socket));
             continue;
         };
@@ -202,10 +219,13 @@
             socket,
             client,
             Arc::clone(&service),
-            server.limits,
+            connection,
             watcher,
-            permit,
         ));
+        if server.budget.usage().evicted != evicted {
+            // The connections that give way are closed before the next one is accepted.
+            tokio::task::yield_now().await;
+        }
     }
     drop(server.listener);
     graceful.shutdown().await;
@@ -222,21 +242,52 @@
     socket: TcpStream,
     client: SocketAddr,
     service: Arc<S>,
-    limits: Limits,
+    connection: Connection,
     watcher: hyper_util::server::graceful::Watcher,
-    _permit: OwnedSemaphorePermit,
 ) {
-    let service = service_fn(move |request: Request<Incoming>| {
-        let service = Arc::clone(&service);
-        async move { service.call(request, client).await }
-    });
-    let connection = http1::Builder::new()
+    let limits = connection.limits();
+    let stream = Stream::new(socket, connection.clone(), limits.write_stall);
+    let answer = service_fn(|request| serve_request(&*service, request, client, &connection));
+    let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(8192))
         .max_headers(limits.max_headers)
-        .serve_connection(TokioIo::new(socket), service);
-    // An error of the connection affects only its client. The handler has already
-    // recorded the outcome of the request.
-    let _ = watcher.watch(connection).await;
+        .serve_connection(TokioIo::new(stream), answer);
+    tokio::select! {
+        biased;
+        () = connection.closed() => {}
+        // An error of the connection affects only its client. The handler has already
+        // recorded the outcome of the request.
+        _ = connection.scope(watcher.watch(served)) => {}
+    }
+}
+
+/// Answers one request, unless its connection gives way.
+async fn serve_request<S: Service>(
+    service: &S,
+    request: Request<Incoming>,
+    client: SocketAddr,
+    connection: &Connection,
+) -> Result<Response<Body>, ServiceError> {
+    let mut response = if connection.begin() {
+        service.call(request, client).await?
+    } else {
+        overloaded_response()
+    };
+    if connection.is_evicted() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let bytes = response.body().size_hint().exact().unwrap_or_default();
+    connection.respond(usize::try_from(bytes).unwrap_or(usize::MAX));
+    Ok(response.map(|body| counted(body, connection.clone())))
+}
+
+fn overloaded_response() -> Response<Body> {
+    let mut response = Response::new(full_body(OVERLOADED));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let fields = response.headers_mut();
+    fields.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    fields.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    response
 }
