platform: limits of connections from the descriptors in the settings

Cause: each listener took 4,096 connections by default, whatever the settings left: 4,100 descriptors, 200 of them not for sockets, and the host's own calls to the store, peers and workers need some, too.

Change: of the descriptors in the settings (4,096 if they give none) less 200, callers get half, peers a fifth, the readiness checks and the metrics a fiftieth each, so that none of them takes those of another or of the host's own calls.

--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -146,7 +146,8 @@
         options: Options,
         recorder: Recorder<C>,
     ) -> Result<(Host<P, C>, HostTasks), StartError> {
-        let server = Server::bind(options.peer_addr, Limits::default())
+        let limits = Limits { max_connections: options.max_peers, ..Limits::default() };
+        let server = Server::bind(options.peer_addr, limits)
             .await
             .map_err(|source| StartError::Listen { source })?
             .with_budget(options.budget.clone());
--- a/crates/lead/src/options.rs
+++ b/crates/lead/src/options.rs
@@ -21,6 +21,8 @@
     pub capacity: HostCapacity,
     /// What the clients of the process may hold, peers included.
     pub budget: Budget,
+    /// Maximum number of connections of peers.
+    pub max_peers: usize,
     /// Shortest lease that the store grants.
     pub min_lease: Duration,
     /// Time limits and rules for decisions.
--- a/crates/lead/tests/support/crashes.rs
+++ b/crates/lead/tests/support/crashes.rs
@@ -410,6 +410,7 @@
             peer_addr: ([127, 0, 0, 1], 0).into(),
             capacity: HostCapacity::default(),
             budget: vg_net::Budget::default(),
+            max_peers: 1000,
             min_lease: Duration::from_millis(500),
             rules: SchedulingRules::default(),
             outcome_retention: self.cluster.outcome_retention,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod client;
 mod codec;
+mod descriptors;
 mod error;
 mod gate;
 mod limits;
@@ -19,6 +20,7 @@
 pub use budget::{Budget, Usage};
 pub use client::{Client, Reply};
 pub use codec::{from_msgpack, to_msgpack};
+pub use descriptors::Descriptors;
 pub use error::Error;
 pub use gate::Gate;
 pub use limits::Limits;
