verbenagapd: budget and limits of connections for callers and entry hosts

Cause: as on the platform; the limit of connections was 4,096 for each of the two listeners, whatever the process may open.

Callers get at most half of the descriptors that the system lets the process open, less 200, other entry hosts a fifth. The estimate of a connection grows with header-bytes, which bounds its read buffer. GET /metrics shows bytes, connections, evictions and refusals.

--- a/crates/conf/src/settings/parsers.rs
+++ b/crates/conf/src/settings/parsers.rs
@@ -39,6 +39,10 @@
     accepted: "a whole number from 8192 to 1048576",
     parse: |text| parse_number(text, 8192..=1024 * 1024),
 };
+pub(crate) const MEMORY: ValueParser<usize> = ValueParser {
+    accepted: "a whole number from 16777216 to 1099511627776",
+    parse: |text| parse_number(text, 16 * 1024 * 1024..=1024 * 1024 * 1024 * 1024),
+};
 pub(crate) const COUNT: ValueParser<usize> = ValueParser {
     accepted: "a whole number from 1 to 1000000",
     parse: |text| parse_number(text, 1..=1_000_000),
--- a/crates/conf/src/settings/table.rs
+++ b/crates/conf/src/settings/table.rs
@@ -78,7 +78,12 @@
     /// Largest accepted request line with headers, in bytes.
     header_bytes: usize =
         "header-bytes" in ["limits"] "header-bytes", Some("16384"), parsers::HEADER;
-    /// Number of connections that callers may have open at once.
+    /// Memory of this entry host for the process, in bytes, at least eight times the
+    /// largest body. A quarter is for connections, unfinished requests and unread answers.
+    memory_bytes: usize =
+        "memory-bytes" in ["limits"] "memory-bytes", Some("268435456"), parsers::MEMORY;
+    /// Number of connections that callers may have open at once; at most half of the
+    /// descriptors that the process may open, less 200.
     max_connections: usize = "connections" in ["limits"] "connections", Some("4096"), parsers::COUNT;
     /// Time after which an idle connection is closed.
     idle_timeout: Duration = "idle" in ["limits"] "idle", Some("60s"), parsers::DURATION;
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -86,8 +86,12 @@
         timing: Timing,
     ) -> Result<NodeHandle<P>, StartError> {
         timing.check().context(TimingSnafu)?;
-        let callers = Server::bind(options.listen, options.limits).await.context(ListenSnafu)?;
-        let peers = Server::bind(options.peer_listen, options.limits).await.context(ListenSnafu)?;
+        let bind = async |addr, limits| {
+            let server = Server::bind(addr, limits).await.context(ListenSnafu)?;
+            Ok(server.with_budget(options.budget.clone()))
+        };
+        let callers = bind(options.listen, options.limits).await?;
+        let peers = bind(options.peer_listen, options.peer_limits).await?;
         let me = Member { node: options.node.clone(), incarnation: incarnation(&clock) };
         let events = Recorder::new(clock.clone(), me.to_string(), options.event_capacity);
         let node = Node::new(NodeInner {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use vg_base::prelude::*;
-use vg_net::Limits;
+use vg_net::{Budget, Limits};
 
 /// The validated options of one node.
 #[derive(Debug, Clone)]
@@ -24,6 +24,10 @@
     pub max_body_bytes: usize,
     /// Limits on callers' connections and headers.
     pub limits: Limits,
+    /// Limits on the connections and headers of other entry hosts.
+    pub peer_limits: Limits,
+    /// What callers and other entry hosts may hold together.
+    pub budget: Budget,
     /// Time to live of the node's lease in the store.
     pub lease_ttl: Duration,
     /// Interval at which the host list is read.
--- a/crates/entry/src/web/status.rs
+++ b/crates/entry/src/web/status.rs
@@ -67,6 +67,11 @@
     node.metrics.set_table_size("running", node.pools.running());
     node.metrics.set_table_size("receipts", node.receipts.lock().len());
     node.metrics.set_table_size("receipt-bytes", node.receipts.lock().bytes());
+    let clients = node.options.budget.usage();
+    node.metrics.set_table_size("client-bytes", clients.bytes);
+    node.metrics.set_table_size("client-connections", clients.connections);
+    node.metrics.set_table_size("client-evictions", clients.evicted as usize);
+    node.metrics.set_table_size("client-refusals", clients.refused as usize);
     let response = match node.metrics.encode_text() {
         Ok(metrics) => text(StatusCode::OK, metrics),
         Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -14,8 +14,8 @@
 
 use crate::limits::Limits;
 
-/// Estimate of the bytes of a connection without a body: its task, read buffer and headers.
-pub(crate) const CONNECTION_BYTES: usize = 32 * 1024;
+/// Estimate of the bytes of a connection without its read buffer and a body.
+const CONNECTION_BYTES: usize = 16 * 1024;
 /// One request may hold this part of the budget at most.
 const REQUEST_SHARE: usize = 2;
 
@@ -81,6 +81,8 @@
 #[derive(Debug)]
 struct Entry {
     listener: Listener,
+    /// Bytes of the connection and of its read buffer, which holds the headers.
+    base: usize,
     /// Bytes of the request that is read or served.
     request: usize,
     /// Bytes of responses that are not flushed.
@@ -108,7 +110,7 @@
 
 impl Entry {
     fn held(&self) -> usize {
-        CONNECTION_BYTES + self.request + self.response
+        self.base + self.request + self.response
     }
 }
 
@@ -172,10 +174,12 @@
             let victim = found.ok_or(Exhausted).inspect_err(|_| self.count_refusal())?;
             self.evict(&mut ledger, victim);
         }
-        self.make_room(&mut ledger, CONNECTION_BYTES, None)?;
+        let base = CONNECTION_BYTES + limits.max_header_bytes;
+        self.make_room(&mut ledger, base, None)?;
         let signals = Arc::new(Signals::default());
         let entry = Entry {
             listener,
+            base,
             request: 0,
             response: 0,
             phase: Phase::Waiting,
@@ -183,7 +187,7 @@
             position: None,
             signals: Arc::clone(&signals),
         };
-        ledger.held += CONNECTION_BYTES;
+        ledger.held += base;
         ledger.open[listener.0] += 1;
         let key = ledger.connections.insert(entry);
         ledger.queue(key);
--- a/crates/verbenagap/src/daemon/options.rs
+++ b/crates/verbenagap/src/daemon/options.rs
@@ -3,7 +3,7 @@
 use snafu::ResultExt;
 use vg_conf::Settings;
 use vg_entry::Options;
-use vg_net::Limits;
+use vg_net::{Budget, Descriptors, Limits};
 use vg_peer::Timing;
 
 use super::DaemonError;
@@ -13,8 +13,20 @@
 /// in the same region.
 const FAR_PERIOD_FACTOR: u32 = 3;
 
+/// Clients may hold this part of the memory in the settings.
+const CLIENT_MEMORY_SHARE: usize = 4;
+/// Number of descriptors that a process may open if the system does not tell.
+const DEFAULT_DESCRIPTORS: Descriptors = Descriptors(1024);
+
 /// Returns the options of the node.
 pub fn options(settings: &Settings) -> Options {
+    let descriptors = process_descriptors();
+    let limits = |max_connections| Limits {
+        max_connections,
+        max_header_bytes: settings.header_bytes,
+        idle_timeout: settings.idle_timeout,
+        ..Limits::default()
+    };
     Options {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
@@ -23,12 +35,9 @@
         peer_listen: settings.peer_listen,
         host_list: settings.host_list,
         max_body_bytes: settings.body_bytes,
-        limits: Limits {
-            max_connections: settings.max_connections,
-            max_header_bytes: settings.header_bytes,
-            idle_timeout: settings.idle_timeout,
-            ..Limits::default()
-        },
+        limits: limits(settings.max_connections.min(descriptors.callers())),
+        peer_limits: limits(descriptors.peers()),
+        budget: Budget::new(settings.memory_bytes / CLIENT_MEMORY_SHARE),
         lease_ttl: settings.lease_ttl,
         host_period: Options::HOST_PERIOD,
         drain_timeout: settings.drain_timeout,
@@ -36,6 +45,17 @@
     }
 }
 
+/// Returns the number of descriptors that the system lets this process open.
+fn process_descriptors() -> Descriptors {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"));
+    match line.and_then(|line| line.split_whitespace().next()) {
+        Some("unlimited") => Descriptors(usize::MAX),
+        Some(count) => count.parse().map_or(DEFAULT_DESCRIPTORS, Descriptors),
+        None => DEFAULT_DESCRIPTORS,
+    }
+}
+
 /// Returns the timing of membership, derived from the heartbeat period and the lease's
 /// time to live.
 ///
--- a/crates/verbenagap/src/site/mod.rs
+++ b/crates/verbenagap/src/site/mod.rs
@@ -19,7 +19,7 @@
 use vg_base::prelude::*;
 use vg_conf::Lists;
 use vg_entry::{NodeHandle, Options};
-use vg_net::Limits;
+use vg_net::{Budget, Limits};
 use vg_standin::{Endpoint, HostListServer, RunLog, Worker};
 use vg_store::{FaultControl, FaultyStore, MemStore};
 
@@ -224,6 +224,8 @@
             host_list: self.host_list.addr(),
             max_body_bytes: Options::MAX_BODY_BYTES,
             limits: Limits::default(),
+            peer_limits: Limits::default(),
+            budget: Budget::default(),
             lease_ttl: self.plan.timing.lease_ttl,
             host_period: self.plan.host_period,
             drain_timeout: Options::DRAIN_TIMEOUT,
