net: a refused client that reads nothing doesn't hold up the bodies of others

Seen in a review of the budget, not in a run: a body that needs room waits until those that give way have released theirs. The estimate of a connection whose body is refused was released only when the connection closed, so that a client that doesn't read its refusal could hold up others for the 10 s of the write limit. It is released at once now; only the body, whose release doesn't depend on the client, is waited for.

--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -277,11 +277,17 @@
         }
     }
 
-    /// Marks a connection as one that gives way.
+    /// Marks a connection as one that gives way. What it holds stays counted until it is
+    /// released, but for what a client that doesn't read its refusal could keep.
     fn dismiss(&mut self, key: ConnectionKey) -> Option<&Entry> {
         self.keep(key);
         let entry = self.connections.get_mut(key)?;
         entry.leaving = true;
+        if entry.phase == Phase::Reading {
+            self.held -= entry.base + entry.response;
+            entry.base = 0;
+            entry.response = 0;
+        }
         self.leaving += entry.held();
         self.open[entry.listener.0] -= 1;
         Some(entry)
@@ -403,6 +409,9 @@
         let mut ledger = self.lock();
         ledger.set_phase(key, Phase::Responding);
         ledger.set_request(key, 0);
+        if ledger.is_leaving(key) {
+            return;
+        }
         // If nobody gives way, the response is counted beyond the limit.
         let _ = self.inner.budget.make_room(&mut ledger, bytes, None);
         let unflushed = ledger.connections.get(key).map_or(0, |entry| entry.response);
