--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -79,6 +79,8 @@
     SettingsRefused = 104, "settings-refused", Error;
     /// The process runs late: its processor is used up, or it was suspended.
     ProcessDelayed = 105, "process-delayed", Warn;
+    /// Connections of clients gave way or were refused, because the memory or the number of connections for them is used up.
+    ClientsEvicted = 106, "clients-evicted", Warn;
 
     /// A revision of the two lists came into force on this node.
     RevisionInForce = 200, "revision-in-force", Info;
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -24,7 +24,8 @@
 use crate::unresolved::{AcceptedJobs, UnresolvedWrites};
 use crate::zone_drains::DrainedZones;
 use crate::{
-    Metrics, Options, Platform, delay, election, follow, probe, serve, session, store_gauges,
+    Metrics, Options, Platform, client_gauges, delay, election, follow, probe, serve, session,
+    store_gauges,
 };
 
 /// Time limit for connecting to a peer.
@@ -193,6 +194,7 @@
         set.spawn(election::run(host.clone()));
         set.spawn(probe::run(host.clone()));
         set.spawn(store_gauges::publish(host.clone()));
+        set.spawn(client_gauges::publish(host.clone()));
         set.spawn(delay::measure(host.clone()));
         host.record(
             Code::ProcessStarted,
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -10,6 +10,7 @@
 mod admit;
 mod cancel;
 mod capacity;
+mod client_gauges;
 mod codec;
 mod delay;
 mod election;
--- a/crates/lead/src/metrics.rs
+++ b/crates/lead/src/metrics.rs
@@ -7,6 +7,7 @@
 use vg_base::prelude::*;
 use vg_flow::{Counts, PoolContention};
 
+use crate::client_gauges::ClientGauges;
 use crate::learned_gauges::LearnedGauges;
 use crate::store_gauges::StoreGauges;
 use crate::team_gauges::TeamGauges;
@@ -29,6 +30,7 @@
     loop_delay: IntGauge,
     scheduler: IntGaugeVec,
     pub(crate) store: StoreGauges,
+    pub(crate) clients: ClientGauges,
     pub(crate) zones: ZoneGauges,
     pub(crate) learned: LearnedGauges,
     teams: TeamGauges,
@@ -73,6 +75,7 @@
             loop_delay,
             scheduler,
             store: StoreGauges::new(&registry)?,
+            clients: ClientGauges::new(&registry)?,
             zones: ZoneGauges::new(&registry)?,
             learned: LearnedGauges::new(&registry)?,
             teams: TeamGauges::new(&registry)?,
