--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -11,6 +11,7 @@
 mod admit;
 mod cancel;
 mod capacity;
+mod client_gauges;
 mod codec;
 mod delay;
 mod election;
