--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -48,7 +48,8 @@
 pub struct Scheduler {
     pub(crate) rules: SchedulingRules,
     pub(crate) token: FencingToken,
-    /// Highest token that calls to any worker carry.
+    /// Highest token that calls to any worker carry. Workers that are registered for the
+    /// first time get it: calls to no earlier life of theirs have carried a higher one.
     pub(crate) latest_token: FencingToken,
     /// Until when an earlier leader may have sent calls, if one has left records of workers.
     pub(crate) predecessor_until: Option<Instant>,
--- a/crates/flow/src/workers/fence.rs
+++ b/crates/flow/src/workers/fence.rs
@@ -67,7 +67,7 @@
 
     /// Whether a record is that of the present life, and tells of a lease that may be longer.
     pub(crate) fn is_recorded_in(&self, record: &IncarnationRecord) -> bool {
-        let tells_lease = record.late_lease || self.late_lease.is_none();
+        let tells_lease = record.lengthened || self.late_lease.is_none();
         self.incarnation == record.incarnation && tells_lease
     }
 
@@ -139,7 +139,7 @@
     /// this one for the first time, so that the call has renewed the present one's lease.
     fn may_have_late_lease(&self, key: WorkerKey) -> bool {
         let incarnation = &self.workers[key].incarnation;
-        match self.unresolved.late_lease(&incarnation.id, incarnation.start_ms) {
+        match self.unresolved.is_lengthened(&incarnation.id, incarnation.start_ms) {
             Some(late) => late,
             // The record of a worker that is away is deleted once nothing can run there.
             None => self.predecessor_until.is_some(),
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -40,7 +40,7 @@
     /// Whether a late call to an earlier incarnation may have renewed its lease for longer
     /// than leaders ask for.
     #[serde(rename = "late", default, skip_serializing_if = "std::ops::Not::not")]
-    pub late_lease: bool,
+    pub lengthened: bool,
 }
 
 /// Incarnations that have not answered since this leader took over. Tasks of
@@ -71,7 +71,7 @@
     /// The machine that it runs on.
     machine: Option<SmolStr>,
     /// Whether its lease may be longer than leaders ask for.
-    late_lease: bool,
+    lengthened: bool,
 }
 
 impl UnresolvedIncarnation {
@@ -158,9 +158,9 @@
     /// Whether the lease of a worker that has started at `start_ms` may be longer than
     /// leaders ask for: its record says so, or is that of an earlier incarnation. `None` if
     /// there is no record.
-    pub(crate) fn late_lease(&self, id: &HostId, start_ms: u64) -> Option<bool> {
+    pub(crate) fn is_lengthened(&self, id: &HostId, start_ms: u64) -> Option<bool> {
         let entry = self.incarnations.get(id)?;
-        Some(entry.late_lease || entry.incarnation.start_ms != start_ms)
+        Some(entry.lengthened || entry.incarnation.start_ms != start_ms)
     }
 
     /// Returns the time after which nothing can run on any unresolved worker.
@@ -175,7 +175,7 @@
     /// the recorded time, or after `until` if none is recorded, or as much later as the
     /// longest lease is longer than the one that leaders ask for.
     pub fn add_unresolved(&mut self, record: &IncarnationRecord, until: Instant, now: Instant) {
-        let excess = match record.late_lease {
+        let excess = match record.lengthened {
             true => self.rules.late_lease_bound().saturating_sub(self.rules.lease_bound()),
             false => Duration::ZERO,
         };
@@ -185,7 +185,7 @@
             until: record.remaining.map_or(until + excess, |remaining| now + remaining),
             tasks: record.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
             machine: record.machine.clone(),
-            late_lease: record.late_lease,
+            lengthened: record.lengthened,
         });
     }
 
@@ -223,7 +223,7 @@
             remaining: Some(remaining_time(entry.until, now)),
             tasks: entry.tasks.as_ref().map(|tasks| tasks.iter().copied().collect()),
             machine: entry.machine.clone(),
-            late_lease: entry.late_lease,
+            lengthened: entry.lengthened,
         };
         self.unresolved.incarnations.values().map(record).collect()
     }
@@ -268,7 +268,7 @@
             remaining,
             tasks,
             machine: worker.machine.clone(),
-            late_lease: worker.late_lease.is_some(),
+            lengthened: worker.late_lease.is_some(),
         }
     }
 
@@ -292,7 +292,7 @@
                 until: self.last_run_end(worker),
                 tasks: self.unsettled_tasks(worker),
                 machine: worker.machine.clone(),
-                late_lease: worker.late_lease.is_some(),
+                lengthened: worker.late_lease.is_some(),
             })
             .collect();
         entries.into_iter().for_each(|entry| work.insert(entry));
