flow, platform: a job is stored with the terms on which it was accepted

Cause, one for both: what a job, its queue and its pool meant when it was accepted was read from the present configuration, by name, in nine places. A new leader held tasks back only for the pool that this configuration names, and left out a job whose queue it doesn't have.

Change: a job's record holds its terms (queue, team, version). A newer version overrides them as long as it has the queue. The pools of a job are in its own records, and a task starts in another pool no earlier than the record names that one. The tables of queues and teams are private to the configuration; `OperatorConfig::terms` takes it apart completely, so that a table that is added does not compile before somebody has decided whether accepted jobs need it. The limit of a removed team holds for its accepted jobs (before: none).

--- a/crates/flow/src/commit.rs
+++ b/crates/flow/src/commit.rs
@@ -83,11 +83,15 @@
     /// Records that a batch is durable.
     pub fn batch_committed(&mut self, batch: &CommitBatch) {
         for record in &batch.records {
-            let RecordKind::End(outcome) = record.kind else { continue };
             let Some(&key) = self.job_ids.get(&record.job) else { continue };
-            self.jobs[key].ended = Some(outcome);
-            self.jobs[key].ended_durably = true;
-            self.forget_if_finished(key);
+            match &record.kind {
+                RecordKind::Progress(progress) => self.jobs[key].pools.recorded(&progress.pools),
+                RecordKind::End(outcome) => {
+                    self.jobs[key].ended = Some(*outcome);
+                    self.jobs[key].ended_durably = true;
+                    self.forget_if_finished(key);
+                }
+            }
         }
         for &(key, start_ms, received) in &batch.ends {
             let Some(worker) = self.workers.get_mut(key) else { continue };
--- a/crates/flow/src/config.rs
+++ b/crates/flow/src/config.rs
@@ -1,7 +1,10 @@
 //! What operators configure: queues, pools and teams.
 
+pub(crate) mod terms;
+
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 use xxhash_rust::xxh3::xxh3_128;
@@ -11,12 +14,12 @@
 pub struct OperatorConfig {
     /// Version; increases with each accepted change.
     pub version: u64,
-    /// Queues by id.
-    pub queues: HashMap<QueueId, Queue>,
+    /// Queues by id. Accepted jobs are not to be looked up here, see [`terms`].
+    queues: HashMap<QueueId, Queue>,
     /// Pools by id.
     pub pools: HashMap<PoolId, Pool>,
-    /// Teams by id.
-    pub teams: HashMap<TeamId, Team>,
+    /// Teams by id. Those of accepted jobs are not to be looked up here, see [`terms`].
+    teams: HashMap<TeamId, Team>,
     /// Team of each key, by the key's digest.
     pub keys: HashMap<u128, TeamId>,
     /// Maximum size of the body of a submission in bytes.
@@ -32,7 +35,7 @@
 }
 
 /// A queue of jobs.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// The pool whose workers run its tasks.
     pub pool: PoolId,
@@ -51,7 +54,7 @@
 }
 
 /// Timing of the adviser for a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviserTiming {
     /// Constant part of its response time.
     pub base: Duration,
@@ -75,7 +78,7 @@
 pub const SHARE_UNIT: u32 = 1000;
 
 /// A team.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Team {
     /// Its share under contention, in units of 1 / [`SHARE_UNIT`].
     pub share: Share,
@@ -112,6 +115,48 @@
 }
 
 impl OperatorConfig {
+    /// Creates a version without queues, pools, teams and keys. The body of a submission has
+    /// at most `body_bytes` bytes.
+    pub fn new(version: u64, body_bytes: usize) -> OperatorConfig {
+        OperatorConfig { version, body_bytes, ..OperatorConfig::default() }
+    }
+
+    /// Returns a queue to which jobs can be submitted.
+    pub fn present_queue(&self, id: &QueueId) -> Option<&Queue> {
+        self.queues.get(id)
+    }
+
+    /// Returns a queue for changes.
+    pub fn queue_mut(&mut self, id: &QueueId) -> Option<&mut Queue> {
+        self.queues.get_mut(id)
+    }
+
+    /// Returns all queues to which jobs can be submitted.
+    pub fn present_queues(&self) -> impl ExactSizeIterator<Item = (&QueueId, &Queue)> {
+        self.queues.iter()
+    }
+
+    /// Returns a team of which jobs can be submitted.
+    pub fn present_team(&self, id: &TeamId) -> Option<&Team> {
+        self.teams.get(id)
+    }
+
+    /// Replaces all teams.
+    pub fn set_teams(&mut self, teams: HashMap<TeamId, Team>) {
+        self.teams = teams;
+    }
+
+    /// Removes a team.
+    pub fn remove_team(&mut self, id: &TeamId) {
+        self.teams.remove(id);
+    }
+
+    /// Removes a queue and the path prefixes that lead to it.
+    pub fn remove_queue(&mut self, id: &QueueId) {
+        self.queues.remove(id);
+        self.paths.values_mut().for_each(|prefixes| prefixes.retain(|(_, queue)| queue != id));
+    }
+
     /// Finds the queue of a host name and path, and the rest of the path. The
     /// longest prefix counts.
     pub fn find_queue<'a>(&'a self, host: &str, path: &'a str) -> Option<(&'a QueueId, &'a str)> {
--- a/crates/flow/src/jobs/gangs.rs
+++ b/crates/flow/src/jobs/gangs.rs
@@ -45,7 +45,7 @@
             spec: step_spec,
             step,
             advised,
-            at_risk: self.expects_crashes(&job.pool, now),
+            at_risk: self.expects_crashes(job.pool(), now),
             rack: None,
         };
         let Some(places) = self.gang_places(&request, workers, now) else { return };
--- a/crates/flow/src/jobs/intake.rs
+++ b/crates/flow/src/jobs/intake.rs
@@ -20,10 +20,8 @@
         if self.job_ids.contains_key(&id) {
             return false;
         }
-        // A queue that was removed keeps its jobs; they wait in a pool without
-        // workers.
-        let pool = self.config.queues.get(&spec.queue).map(|queue| queue.pool.clone());
-        let pool = pool.unwrap_or_else(|| self.unknown_pool());
+        let pool = self.accepted_pool(&spec);
+        self.teams.note_terms(spec.team.as_ref(), spec.terms.as_ref());
         self.record_arrival(&pool, &spec, now);
         let team = self.teams.index(spec.team.as_ref());
         let is_earlier = revision <= self.token.0 || now < self.overlap_until;
@@ -97,8 +95,13 @@
         }
     }
 
-    /// Returns a pool without workers, for jobs of queues that were removed.
-    fn unknown_pool(&self) -> PoolId {
-        "none".parse().unwrap_or_else(|_| unreachable!("`none` is a valid name"))
+    /// Returns the pool in which a job was accepted. A job without terms, of which an earlier
+    /// version has stored nothing else, waits in a pool without workers if its queue is gone.
+    fn accepted_pool(&self, spec: &JobSpec) -> PoolId {
+        let accepted = spec.terms.as_ref().map(|terms| &terms.queue);
+        match accepted.or(self.config.queue_of(spec)) {
+            Some(queue) => queue.pool.clone(),
+            None => "none".parse().unwrap_or_else(|_| unreachable!("`none` is a valid name")),
+        }
     }
 }
--- a/crates/flow/src/jobs/job.rs
+++ b/crates/flow/src/jobs/job.rs
@@ -6,6 +6,7 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::Usage;
+use crate::jobs::job_pools::JobPools;
 use crate::jobs::occurrence::{Occurrence, ReadyStep, Step, Task};
 use crate::jobs::remaining::Corrected;
 use crate::shares::teams::TeamIndex;
@@ -42,9 +43,7 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) spec: Arc<JobSpec>,
-    pub(crate) pool: PoolId,
-    /// Pools to which earlier configurations of this leader sent its queue.
-    pub(crate) former_pools: Vec<PoolId>,
+    pub(crate) pools: JobPools,
     pub(crate) team_index: TeamIndex,
     /// Whether an earlier leader may have started it.
     pub(crate) is_earlier: bool,
@@ -89,8 +88,7 @@
     ) -> Job {
         Job {
             id,
-            pool,
-            former_pools: Vec::new(),
+            pools: JobPools::new(pool),
             team_index,
             is_earlier,
             critical_paths: spec.critical_paths(),
@@ -110,14 +108,9 @@
         }
     }
 
-    /// Sets the pool to which a new configuration sends its queue. Its tasks may run in the
-    /// former ones.
-    pub(crate) fn set_pool(&mut self, pool: &PoolId) {
-        if self.pool != *pool {
-            let former = std::mem::replace(&mut self.pool, pool.clone());
-            self.former_pools.push(former);
-            self.former_pools.retain(|former| former != pool);
-        }
+    /// Returns the pool in which its tasks start.
+    pub(crate) fn pool(&self) -> &PoolId {
+        self.pools.current()
     }
 
     /// Whether new tasks of it may start.
@@ -240,6 +233,16 @@
             closed: open.unwrap_or(self.next_occurrence),
             occurrences: self.occurrences.iter().map(Occurrence::progress).collect(),
             next: Some(self.next_occurrence),
+            pools: self.recorded_pools(),
+            queued: !self.started,
+        }
+    }
+
+    /// Returns the pools that its progress names: none while its terms tell the only one.
+    fn recorded_pools(&self) -> Vec<PoolId> {
+        match self.pools.has_moved() || self.spec.terms.is_none() {
+            true => self.pools.record(),
+            false => Vec::new(),
         }
     }
 
@@ -256,7 +259,8 @@
         }
         self.occurrences.sort_unstable_by_key(|occurrence| occurrence.number);
         self.occurrences.dedup_by_key(|occurrence| occurrence.number);
-        self.started = true;
+        self.pools.restore(&progress.pools);
+        self.started = !progress.queued;
     }
 }
 
--- a/crates/flow/src/jobs/mod.rs
+++ b/crates/flow/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod gangs;
 pub(crate) mod intake;
 pub(crate) mod job;
+pub(crate) mod job_pools;
 pub(crate) mod job_size;
 pub(crate) mod occurrence;
 pub(crate) mod progress;
--- a/crates/flow/src/jobs/progress.rs
+++ b/crates/flow/src/jobs/progress.rs
@@ -33,6 +33,13 @@
     /// done. `None` in records of earlier versions: it then follows the last one listed.
     #[serde(default)]
     pub next: Option<u32>,
+    /// Pools in which its tasks may have started; the last one is where they are to start.
+    /// Empty if that is only the one in the job's terms.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pools: Vec<PoolId>,
+    /// Whether none of its tasks has started.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub queued: bool,
 }
 
 impl Progress {
--- a/crates/flow/src/jobs/spec.rs
+++ b/crates/flow/src/jobs/spec.rs
@@ -7,6 +7,8 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::JobTerms;
+
 /// Maximum number of steps of a job.
 const MAX_STEPS: usize = 1000;
 /// Maximum number of tasks of a step.
@@ -35,6 +37,9 @@
     pub schedule: Option<Schedule>,
     /// Wall time at which an entry host received it.
     pub accepted: SystemTime,
+    /// What the configuration said of it then. Earlier versions did not record it.
+    #[serde(default)]
+    pub terms: Option<JobTerms>,
 }
 
 /// Occurrences of a job that repeats.
--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -197,7 +197,7 @@
         let job = &self.jobs[key];
         let waits_since = job.task(id).and_then(|task| task.not_before);
         let waited = waits_since.map(|since| now.saturating_duration_since(since));
-        self.full_pools.contains(&job.pool) && waited.is_some_and(|waited| waited < MAX_DEFERRAL)
+        self.full_pools.contains(job.pool()) && waited.is_some_and(|waited| waited < MAX_DEFERRAL)
     }
 
     /// Returns how much is lost if a worker crashes.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub use action::{Action, MachineCommand, StartCommand, StopReason};
 pub use commit::{CommitBatch, Record, RecordKind};
+pub use config::terms::JobTerms;
 pub use config::{AdviserTiming, OperatorConfig, Pool, Queue, SHARE_UNIT, Team, key_digest};
 pub use counts::Counts;
 pub use id::{AttemptNumber, FencingToken, StepId, TaskId};
--- a/crates/flow/src/order/job_group.rs
+++ b/crates/flow/src/order/job_group.rs
@@ -56,11 +56,11 @@
         input.objective().saturating_sub(needed).as_secs_f64()
     }
 
-    /// Returns the input of a job's rank; `None` if its queue was removed. The value of
+    /// Returns the input of a job's rank; `None` if nothing is known of its queue. The value of
     /// the job, which depends on its queue's mean work, is not meant to be used.
     pub(crate) fn rank_input_of(&self, key: JobKey, wall: SystemTime) -> Option<RankInput> {
         let job = &self.jobs[key];
-        let queue = self.config.queues.get(&job.spec.queue)?;
+        let queue = self.config.queue_of(&job.spec)?;
         Some(rank_input(job, queue, job.work, wall))
     }
 
--- a/crates/flow/src/order/share_order.rs
+++ b/crates/flow/src/order/share_order.rs
@@ -85,7 +85,7 @@
         now: Instant,
     ) {
         for &(_, key) in tier {
-            if let Some(round) = rounds.get_mut(&self.jobs[key].pool)
+            if let Some(round) = rounds.get_mut(self.jobs[key].pool())
                 && round.contended.is_none()
             {
                 self.place_job(key, &mut round.pass, now);
--- a/crates/flow/src/placement/advise.rs
+++ b/crates/flow/src/placement/advise.rs
@@ -16,7 +16,7 @@
 impl Scheduler {
     /// Whether the steps of a job need the adviser's permission.
     pub(crate) fn needs_adviser(&self, key: JobKey) -> bool {
-        let queue = self.config.queues.get(&self.jobs[key].spec.queue);
+        let queue = self.config.queue_of(&self.jobs[key].spec);
         queue.is_some_and(|queue| queue.adviser.is_some())
     }
 
@@ -30,7 +30,7 @@
         workers: &[WorkerKey],
         now: Instant,
     ) {
-        let queue = self.config.queues.get(&self.jobs[key].spec.queue);
+        let queue = self.config.queue_of(&self.jobs[key].spec);
         let Some(timing) = queue.and_then(|queue| queue.adviser) else { return };
         let Some(step) = self.jobs[key].step(id.occurrence, id.step) else { return };
         if step.tickets.is_paused(now) {
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -135,7 +135,7 @@
     /// waiting tasks in the order in which they are served.
     pub(crate) fn rank_jobs(&mut self, wall: SystemTime) -> Vec<(Rank, JobKey)> {
         let early = self.early_opening();
-        let mut ranked = Vec::new();
+        let (mut ranked, mut moving) = (Vec::new(), Vec::new());
         for (key, job) in &mut self.jobs {
             if !job.is_open() {
                 continue;
@@ -144,11 +144,16 @@
             if !has_waiting(job) {
                 continue;
             }
-            let Some(queue) = self.config.queues.get(&job.spec.queue) else { continue };
-            let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
             job.correct(self.durations.of(&job.spec.queue));
+            let Some(queue) = self.config.queue_of(&job.spec) else { continue };
+            let target = self.config.target_pool(&job.spec);
+            if target.is_some_and(|pool| job.pools.retarget(pool)) {
+                moving.push(key);
+            }
+            let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
             ranked.push((rank(&rank_input(job, queue, mean_work, wall)), key));
         }
+        moving.into_iter().for_each(|key| self.mark_dirty(key));
         ranked.sort_unstable();
         ranked
     }
@@ -165,7 +170,7 @@
             if gang {
                 let job = &self.jobs[key];
                 let spec = &job.spec.steps[usize::from(step.step)];
-                let workers = self.workers_for_whole(&job.pool, spec, &pass.workers, now);
+                let workers = self.workers_for_whole(job.pool(), spec, &pass.workers, now);
                 self.place_gang(key, step, &workers, now);
             } else {
                 self.place_step(key, step, pass, now);
@@ -176,8 +181,7 @@
     /// Whether an earlier leader may have started tasks of a job on workers
     /// that are unresolved and whose tasks are not recorded.
     pub(crate) fn may_run_unseen(&self, job: &Job) -> bool {
-        let mut pools = std::iter::once(&job.pool).chain(&job.former_pools);
-        job.is_earlier && pools.any(|pool| self.unresolved.affects_pool(pool))
+        job.is_earlier && job.pools.occupied().any(|pool| self.unresolved.affects_pool(pool))
     }
 
     /// Starts waiting tasks of a step until one finds no worker, the team's limit is
@@ -218,7 +222,7 @@
                     pass.misfits.push(step.reservation());
                 }
                 if step.continuous {
-                    self.unplaced_pools.insert(self.jobs[key].pool.clone());
+                    self.unplaced_pools.insert(self.jobs[key].pool().clone());
                     self.preempt_for(key, task, &pass.workers, now);
                 }
                 return;
@@ -269,7 +273,7 @@
         if !self.quarantine.is_active {
             return None;
         }
-        let workers = self.workers_for_whole(&self.jobs[key].pool, step, &pass.workers, now);
+        let workers = self.workers_for_whole(self.jobs[key].pool(), step, &pass.workers, now);
         self.find_worker(key, task, &workers, now)
     }
 
@@ -297,7 +301,7 @@
             spec: job.spec.steps.get(usize::from(task.step.step))?,
             step: job.step(task.step.occurrence, task.step.step)?,
             advised: self.needs_adviser(key),
-            at_risk: self.expects_crashes(&job.pool, now),
+            at_risk: self.expects_crashes(job.pool(), now),
             rack: None,
         })
     }
@@ -306,7 +310,7 @@
     /// may be using. Attempts of an unknown team may be those of this one.
     pub(crate) fn team_allows(&self, key: JobKey, need: &Resources) -> bool {
         let Some(team) = &self.jobs[key].spec.team else { return true };
-        let Some(limits) = self.config.teams.get(team) else { return true };
+        let Some(limits) = self.limits_of(team) else { return true };
         let used = self.team_usage.get(team).copied().unwrap_or_default();
         let unresolved = self.unresolved_usage.get(team).copied().unwrap_or_default();
         limits.allows(&used.plus(&unresolved).plus(&self.unknown_usage), need)
--- a/crates/flow/src/placement/speculative.rs
+++ b/crates/flow/src/placement/speculative.rs
@@ -27,7 +27,7 @@
             if !self.team_allows(key, &need) {
                 continue;
             }
-            let pool = &self.jobs[key].pool;
+            let pool = self.jobs[key].pool();
             if self.full_pools.contains(pool) && !self.gains_by_attempt(task, now) {
                 continue;
             }
--- a/crates/flow/src/pools/demand.rs
+++ b/crates/flow/src/pools/demand.rs
@@ -266,7 +266,7 @@
         let mut need: HashMap<PoolId, f64> = HashMap::new();
         let mut spread: HashMap<PoolId, usize> = HashMap::new();
         for job in self.jobs.values().filter(|job| job.is_open()) {
-            let capacity = self.typical_capacity(&job.pool);
+            let capacity = self.typical_capacity(job.pool());
             for ReadyStep { id, spec, step } in job.ready_steps() {
                 let share = spec.reservation().dominant_share(&capacity);
                 let waiting = step.waiting.len() as f64;
@@ -276,10 +276,10 @@
                     false => self.expected_time(job, usize::from(id.step)).min(MAX_TASK_TIME),
                 };
                 let waiting = waiting * task_time.as_secs_f64();
-                *need.entry(job.pool.clone()).or_default() +=
+                *need.entry(job.pool().clone()).or_default() +=
                     (running + waiting) * share / USABLE_FRACTION;
                 if let Some(max_tasks) = spec.per_worker {
-                    let min_machines = spread.entry(job.pool.clone()).or_default();
+                    let min_machines = spread.entry(job.pool().clone()).or_default();
                     *min_machines = (*min_machines).max(spec.count.div_ceil(max_tasks) as usize);
                 }
             }
--- a/crates/flow/src/pools/wave_choice.rs
+++ b/crates/flow/src/pools/wave_choice.rs
@@ -124,7 +124,7 @@
 
     /// Whether tasks wait for capacity of a pool.
     fn has_waiting_tasks(&self, pool: &PoolId) -> bool {
-        let mut open = self.jobs.values().filter(|job| job.pool == *pool && job.is_open());
+        let mut open = self.jobs.values().filter(|job| job.pool() == pool && job.is_open());
         open.any(|job| job.ready_steps().any(|ready| !ready.step.waiting.is_empty()))
     }
 
--- a/crates/flow/src/pools/zone_exit.rs
+++ b/crates/flow/src/pools/zone_exit.rs
@@ -159,7 +159,7 @@
             let free = worker.free().map(|free| free.minus(&worker.drain_reserve));
             free.is_some_and(|free| moving.reservation.fits(&free)) && !is_promised()
         };
-        let pool = &self.jobs[moving.job].pool;
+        let pool = self.jobs[moving.job].pool();
         let workers = pass.targets(pool, |pool| self.eviction_targets(pool, now));
         let mut with_room = workers.iter().copied().filter(has_room);
         loop {
@@ -178,7 +178,7 @@
     /// move: it is asked about waiting tasks only, and this one runs.
     fn ask_about_exit(&mut self, moving: TaskToPlace, now: Instant) {
         if self.needs_adviser(moving.job) {
-            let workers = self.usable_workers(&self.jobs[moving.job].pool, now);
+            let workers = self.usable_workers(self.jobs[moving.job].pool(), now);
             self.ask_adviser(moving.job, moving.task.step, &workers, now);
         }
     }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -202,11 +202,6 @@
 
     /// Puts another version of the operators' configuration in force.
     pub fn set_config(&mut self, config: Arc<OperatorConfig>) {
-        for job in self.jobs.values_mut() {
-            if let Some(queue) = config.queues.get(&job.spec.queue) {
-                job.set_pool(&queue.pool);
-            }
-        }
         self.config = config;
     }
 
--- a/crates/flow/src/shares/contention.rs
+++ b/crates/flow/src/shares/contention.rs
@@ -230,14 +230,14 @@
     /// none for a team that was removed.
     pub(crate) fn share_of(&self, team: Option<&TeamId>) -> Share {
         match team {
-            Some(team) => self.config.teams.get(team).map(|team| team.share).unwrap_or_default(),
+            Some(id) => self.config.present_team(id).map(|team| team.share).unwrap_or_default(),
             None => Share(SHARE_UNIT),
         }
     }
 
     /// Returns the amount, or the limit of the team where that is lower.
     pub(crate) fn within_limit(&self, team: Option<&TeamId>, amount: &Resources) -> Resources {
-        let limits = team.and_then(|team| self.config.teams.get(team));
+        let limits = team.and_then(|team| self.limits_of(team));
         limits.map_or(*amount, |limits| limits.capped(amount))
     }
 
@@ -246,9 +246,9 @@
         let mut pools: BTreeMap<PoolId, PoolJobs> = BTreeMap::new();
         for &(rank, key) in ranked {
             let job = &self.jobs[key];
-            match pools.get_mut(&job.pool) {
+            match pools.get_mut(job.pool()) {
                 Some(jobs) => jobs.add(job, rank, key),
-                None => pools.entry(job.pool.clone()).or_default().add(job, rank, key),
+                None => pools.entry(job.pool().clone()).or_default().add(job, rank, key),
             }
         }
         pools
--- a/crates/flow/src/shares/load_digest.rs
+++ b/crates/flow/src/shares/load_digest.rs
@@ -143,10 +143,10 @@
         let machine = self.typical_capacity(pool);
         let mut backlogs = Backlogs::default();
         for (key, job) in &self.jobs {
-            if !job.is_open() || job.pool != *pool {
+            if !job.is_open() || job.pool() != pool {
                 continue;
             }
-            let Some(queue) = self.config.queues.get(&job.spec.queue) else { continue };
+            let Some(queue) = self.config.queue_of(&job.spec) else { continue };
             let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
             let rank = rank(&rank_input(job, queue, mean_work, wall));
             let is_on_time = match rank.timeliness {
--- a/crates/flow/src/shares/pool_measure.rs
+++ b/crates/flow/src/shares/pool_measure.rs
@@ -86,7 +86,7 @@
     /// Adds what an earlier leader may have started and this one does not know.
     fn add_unresolved_usage(&self, pool: &mut ContendedPool) {
         self.for_each_unresolved(|job, spec| {
-            if job.pool == pool.id {
+            if *job.pool() == pool.id {
                 let state = &mut pool.teams[job.team_index.position()];
                 state.used = state.used.plus(&spec.reservation());
             }
--- a/crates/flow/src/shares/teams.rs
+++ b/crates/flow/src/shares/teams.rs
@@ -5,6 +5,8 @@
 
 use vg_base::prelude::*;
 
+use crate::{JobTerms, Scheduler, Team};
+
 /// Number of a team; it is valid as long as the leader. The default stands for jobs
 /// without a team.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,11 +30,13 @@
 pub(crate) struct TeamTable {
     ids: Vec<Option<TeamId>>,
     indexes: HashMap<TeamId, TeamIndex>,
+    /// What the newest terms of accepted jobs say of teams, and the version of these terms.
+    accepted: HashMap<TeamId, (u64, Team)>,
 }
 
 impl Default for TeamTable {
     fn default() -> TeamTable {
-        TeamTable { ids: vec![None], indexes: HashMap::new() }
+        TeamTable { ids: vec![None], indexes: HashMap::new(), accepted: HashMap::new() }
     }
 }
 
@@ -49,9 +53,29 @@
         index
     }
 
+    /// Notes what the terms of an accepted job say of its team.
+    pub(crate) fn note_terms(&mut self, team: Option<&TeamId>, terms: Option<&JobTerms>) {
+        let Some((id, terms)) = team.zip(terms) else { return };
+        let Some(team) = terms.team else { return };
+        let known = self.accepted.get(id);
+        if known.is_none_or(|&(version, _)| version <= terms.version) {
+            self.accepted.insert(id.clone(), (terms.version, team));
+        }
+    }
+
     /// Returns all teams in the order of their numbers; `None` stands for jobs without
     /// a team.
     pub(crate) fn ids(&self) -> &[Option<TeamId>] {
         &self.ids
     }
 }
+
+impl Scheduler {
+    /// Returns a team with its limits as the present configuration has it; one that was
+    /// removed, or that the configuration does not have yet, as the newest of its accepted
+    /// jobs do.
+    pub(crate) fn limits_of(&self, id: &TeamId) -> Option<&Team> {
+        let present = self.config.present_team(id);
+        present.or_else(|| self.teams.accepted.get(id).map(|(_, team)| team))
+    }
+}
--- a/crates/flow/src/workers/answers.rs
+++ b/crates/flow/src/workers/answers.rs
@@ -240,8 +240,8 @@
         let Some(&key) = self.job_ids.get(&task.step.job) else { return };
         let continuous = self.spec_of(task).is_some_and(|spec| spec.continuous);
         let job = &mut self.jobs[key];
-        let max_failures =
-            self.config.queues.get(&job.spec.queue).map_or(u32::MAX, |q| q.max_failures);
+        let queue = self.config.queue_of(&job.spec);
+        let max_failures = queue.map_or(u32::MAX, |queue| queue.max_failures);
         let Some(state) = job.task_mut(task) else { return };
         let is_new = !state.done && state.record_failure(attempt);
         if continuous {
--- a/crates/flow/src/workers/probes.rs
+++ b/crates/flow/src/workers/probes.rs
@@ -48,7 +48,7 @@
         for worker in workers {
             for _ in 0..self.free_probes(worker) {
                 let pool = &self.workers[worker].incarnation.pool;
-                let candidates = jobs.clone().filter(|&key| self.jobs[key].pool == *pool);
+                let candidates = jobs.clone().filter(|&key| self.jobs[key].pool() == pool);
                 let mut tasks = candidates
                     .take(MAX_CANDIDATES)
                     .filter_map(|key| Some((key, self.probe_task(key, worker, rule, now, wall)?)));
@@ -87,7 +87,7 @@
         if self.may_run_unseen(job) {
             return None;
         }
-        let max_failures = self.config.queues.get(&job.spec.queue)?.max_failures as usize;
+        let max_failures = self.config.queue_of(&job.spec)?.max_failures as usize;
         for ready in job.ready_steps().filter(|ready| is_probe(ready.spec)) {
             if !self.team_allows(key, &ready.spec.need) {
                 continue;
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -62,7 +62,7 @@
 }
 
 fn queue_a() -> Queue {
-    config().queues[&queue("q-a")].clone()
+    config().present_queue(&queue("q-a")).unwrap().clone()
 }
 
 /// A job of one task of 1 core: its objective is 1.6 times `ms` and 600 ms.
@@ -301,8 +301,8 @@
     let mut config = config();
     let accounts: Vec<_> = (0..200).map(|at| team(&format!("account-{at}"))).collect();
     let limit = Resources::ZERO;
-    config.teams =
-        accounts.iter().map(|id| (id.clone(), Team { share: Share(1), limit })).collect();
+    let teams = accounts.iter().map(|id| (id.clone(), Team { share: Share(1), limit }));
+    config.set_teams(teams.collect());
     world.config = Arc::new(config);
     world.scheduler.set_config(Arc::clone(&world.config));
     world.run(400);
--- a/crates/flow/tests/contention.rs
+++ b/crates/flow/tests/contention.rs
@@ -47,7 +47,7 @@
     fn new(seed: u64, shares: &[(&str, u32)]) -> Replay {
         let mut world = World::new(seed, 16, Faults::default());
         let mut config = (*world.config).clone();
-        config.queues.get_mut(&queue("q-a")).unwrap().slack = Duration::from_secs(2);
+        config.queue_mut(&queue("q-a")).unwrap().slack = Duration::from_secs(2);
         set_shares(&mut config, shares);
         world.config = Arc::new(config);
         world.scheduler.set_config(Arc::clone(&world.config));
@@ -140,7 +140,7 @@
     let with = |&(name, weight): &(&str, u32)| {
         (team(name), Team { share: Share(weight * SHARE_UNIT), ..Team::default() })
     };
-    config.teams = shares.iter().map(with).collect();
+    config.set_teams(shares.iter().map(with).collect());
 }
 
 fn sender(team: &'static str, load: f64, sizes: &'static [u32]) -> Sender {
@@ -303,7 +303,7 @@
     let shares: Vec<_> = names.iter().map(|name| (name.as_str(), 1)).collect();
     let mut config = (*world.config).clone();
     set_shares(&mut config, &shares);
-    config.queues.get_mut(&queue("q-a")).unwrap().slack = Duration::from_secs(60);
+    config.queue_mut(&queue("q-a")).unwrap().slack = Duration::from_secs(60);
     world.config = Arc::new(config);
     world.scheduler.set_config(Arc::clone(&world.config));
     world.run(200);
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -275,7 +275,7 @@
         per_worker: Duration::from_millis(5),
         validity: Duration::from_secs(3),
     };
-    advised.queues.get_mut(&queue("q-a")).unwrap().adviser = Some(timing);
+    advised.queue_mut(&queue("q-a")).unwrap().adviser = Some(timing);
     let mut harness = Harness::new(3, advised);
     harness.submit(1, vec![step(2, 1000, 500)]);
     let actions = harness.advance(10);
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use rand::Rng;
-use support::spec::{job, scheduled_job, step};
+use support::spec::{job, queue, scheduled_job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
 use vg_flow::{Schedule, StepSpec};
@@ -34,8 +34,10 @@
         }
         steps.push(each);
     }
-    let queue = if world.rng.random_range(0..2) == 0 { "q-a" } else { "q-b" };
-    let id = world.submit(number, job(queue, steps, wall));
+    let names = if world.rng.random_range(0..2) == 0 { ["q-a", "q-b"] } else { ["q-b", "q-a"] };
+    let is_present = |name: &&str| world.config.present_queue(&queue(name)).is_some();
+    let name = names.into_iter().find(is_present).unwrap();
+    let id = world.submit(number, job(name, steps, wall));
     if world.rng.random_range(0..12) == 0 {
         world.run(400);
         world.cancel(id);
@@ -166,6 +168,15 @@
     }
 }
 
+/// Guards against a second attempt of a task whose queue has moved to another pool, and
+/// against jobs that stand still because theirs is gone.
+#[test]
+fn invariants_hold_when_queues_move_and_vanish() {
+    let faults =
+        Faults { versions: 8, takeovers: 8, partitions: 8, outages: 3, ..Faults::default() };
+    (0..seeds()).for_each(|seed| run_seed(9500 + seed, faults));
+}
+
 /// Guards against faults of the scheduler that show only when lost answers,
 /// restarts, takeovers and outages coincide.
 #[test]
--- a/crates/flow/tests/goodput.rs
+++ b/crates/flow/tests/goodput.rs
@@ -53,7 +53,7 @@
     let mut world = World::new(1, 4, Faults::default());
     world.run(1000);
     let start = world.ms;
-    let queue = config().queues[&queue("q-a")].clone();
+    let queue = config().present_queue(&queue("q-a")).unwrap().clone();
     let mut rng = SmallRng::seed_from_u64(7);
     let mut arrivals = poisson_arrivals(start, JOBS_PER_S * factor, &mut rng);
     let (mut slots, mut open, mut next_id) = (RetrySlots::default(), Vec::new(), 1);
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod recuts;
 pub(crate) mod replay;
 pub(crate) mod spec;
+pub(crate) mod versions;
 pub(crate) mod world;
--- a/crates/flow/tests/support/oracle.rs
+++ b/crates/flow/tests/support/oracle.rs
@@ -83,10 +83,10 @@
     /// worker.
     pub(super) fn check_limit(&mut self, stored: &StoredJob) {
         let Some(team) = &stored.spec.team else { return };
-        // A team that is not configured has no limit.
-        let Some(limit) = self.config.teams.get(team).map(|team| team.limit.cores.0) else {
-            return;
-        };
+        // A team that is not configured any more has the limit on which the job was accepted.
+        let accepted = stored.spec.terms.as_ref().and_then(|terms| terms.team.as_ref());
+        let Some(team_terms) = self.config.present_team(team).or(accepted) else { return };
+        let limit = team_terms.limit.cores.0;
         let running = self.workers.iter().filter(|worker| worker.up).flat_map(|w| &w.running);
         let mut cores = 0;
         for attempt in running {
--- a/crates/flow/tests/support/replay.rs
+++ b/crates/flow/tests/support/replay.rs
@@ -43,7 +43,7 @@
     pub(crate) fn new(seed: u64, workers: usize) -> Replay {
         let mut world = World::new(seed, workers, Faults::default());
         let mut config = (*world.config).clone();
-        config.teams = TEAMS.into_iter().map(with_share).collect();
+        config.set_teams(TEAMS.into_iter().map(with_share).collect());
         world.config = Arc::new(config);
         world.scheduler.set_config(Arc::clone(&world.config));
         world.run(400);
--- a/crates/flow/tests/support/spec.rs
+++ b/crates/flow/tests/support/spec.rs
@@ -36,8 +36,7 @@
         public: false,
         adviser: None,
     };
-    let mut config =
-        OperatorConfig { version: 1, body_bytes: 1 << 18, ..OperatorConfig::default() };
+    let mut config = OperatorConfig::new(1, 1 << 18);
     config.add_queue(queue("q-a"), "host".into(), "/a/".into(), queue_of("a", 0));
     config.add_queue(queue("q-b"), "host".into(), "/b/".into(), queue_of("b", 1));
     config.pools = HashMap::from([
@@ -46,7 +45,7 @@
         (pool("spare"), Pool { rejects_overload: true, spare: true }),
     ]);
     let limit = Resources::new(60_000, 0, 0);
-    config.teams = HashMap::from([(team("t"), Team { share: Share(1), limit })]);
+    config.set_teams(HashMap::from([(team("t"), Team { share: Share(1), limit })]));
     config
 }
 
@@ -67,6 +66,7 @@
         steps,
         schedule: None,
         accepted,
+        terms: None,
     })
 }
 
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -70,6 +70,8 @@
     pub(crate) late_polls: u32,
     /// Restarts while calls are on their way, with a cut soon after, per step.
     pub(crate) recuts: u32,
+    /// Versions of the configuration that move, remove or add a queue, per step.
+    pub(crate) versions: u32,
 }
 
 #[allow(dead_code, reason = "each test uses a part")]
@@ -91,6 +93,7 @@
         lost_commands: 0,
         late_polls: 0,
         recuts: 0,
+        versions: 0,
     };
 }
 
@@ -342,8 +345,16 @@
         }
     }
 
+    /// Accepts a job on the terms of the present configuration, as a host does.
     pub(crate) fn submit(&mut self, id: u128, spec: Arc<JobSpec>) -> JobId {
         let id = JobId::new(id);
+        let terms = self.config.terms(&spec.queue, spec.team.as_ref());
+        self.submit_as_stored(id, Arc::new(JobSpec { terms, ..Arc::unwrap_or_clone(spec) }));
+        id
+    }
+
+    /// Adds a job whose record is `spec`.
+    pub(crate) fn submit_as_stored(&mut self, id: JobId, spec: Arc<JobSpec>) {
         self.revision += 1;
         let stored = StoredJob {
             spec: Arc::clone(&spec),
@@ -355,7 +366,6 @@
         self.store.insert(id, stored);
         let now = self.now();
         self.scheduler.add_job(id, spec, self.revision, now);
-        id
     }
 
     pub(crate) fn cancel(&mut self, id: JobId) {
@@ -530,6 +540,9 @@
             self.begin_recut();
         }
         self.advance_recuts();
+        if self.chance(faults.versions) {
+            self.draw_version();
+        }
         if self.chance(faults.partitions) {
             let at = self.rng.random_range(0..self.workers.len());
             let until = self.ms + self.rng.random_range(200..9000);
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -601,7 +601,7 @@
 fn move_queue(world: &mut World) {
     let mut config = (*world.config).clone();
     config.version += 1;
-    let queue = config.queues.get_mut(&"q-a".parse().unwrap()).unwrap();
+    let queue = config.queue_mut(&queue("q-a")).unwrap();
     queue.pool = "b".parse().unwrap();
     world.config = Arc::new(config);
 }
@@ -637,7 +637,7 @@
     world.workers[busy].reachable = false;
     world.change_leader();
     let mut config = (*world.config).clone();
-    config.queues.get_mut(&queue("q-a")).unwrap().pool = pool("b");
+    config.queue_mut(&queue("q-a")).unwrap().pool = pool("b");
     world.scheduler.set_config(Arc::new(config));
     world.run(8000);
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
--- a/crates/lead/src/admit.rs
+++ b/crates/lead/src/admit.rs
@@ -94,7 +94,7 @@
     async fn hopeless_refusal(&self, job: JobId, spec: &JobSpec) -> Option<Duration> {
         let (digest, age) = self.current_load().await?;
         let config = self.config()?;
-        let queue = config.queues.get(&spec.queue)?;
+        let queue = config.present_queue(&spec.queue)?;
         let Admission::Reject(rejection) = decide(&digest, age, spec, queue) else { return None };
         if !self.is_new(job).await {
             return None;
--- a/crates/lead/src/follow.rs
+++ b/crates/lead/src/follow.rs
@@ -184,7 +184,7 @@
         let version = config.version;
         let fields = [
             Field::new("version", version),
-            Field::new("queues", config.queues.len()),
+            Field::new("queues", config.present_queues().len()),
             Field::new("keys", config.keys.len()),
         ];
         let newer = self.inner.config.send_if_modified(|current| {
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -350,6 +350,7 @@
         steps: vec![step(vec![]), step(vec![0])],
         schedule: None,
         accepted: SystemTime::now(),
+        terms: None,
     }
 }
 
@@ -376,8 +377,7 @@
         }
         let text = std::str::from_utf8(value).unwrap_or_default();
         let version = text.parse().map_err(|_| ParseError { reason: "no number".into() })?;
-        let mut config =
-            OperatorConfig { version, body_bytes: 1 << 18, ..OperatorConfig::default() };
+        let mut config = OperatorConfig::new(version, 1 << 18);
         let queue = Queue {
             pool: "p".parse().unwrap(),
             priority: 0,
--- a/crates/measure/src/flow/simulation.rs
+++ b/crates/measure/src/flow/simulation.rs
@@ -227,7 +227,7 @@
 
 /// Returns a configuration with a pool for each queue and without limits of teams.
 fn config(workload: &Workload) -> OperatorConfig {
-    let mut config = OperatorConfig { version: 1, ..OperatorConfig::default() };
+    let mut config = OperatorConfig::new(1, 0);
     for id in workload.queues().into_keys() {
         let pool: PoolId = parse(id.as_str());
         config.pools.insert(pool.clone(), Pool { rejects_overload: true, spare: false });
@@ -240,14 +240,15 @@
             public: false,
             adviser: None,
         };
-        config.queues.insert(id, queue);
+        let prefix = SmolStr::new(id.as_str());
+        config.add_queue(id, SmolStr::default(), prefix, queue);
     }
     let team = |share: f64| Team {
         share: Share((share * f64::from(SHARE_UNIT)).round().max(1.0) as u32),
         limit: Resources::ZERO,
     };
     let shares: &BTreeMap<TeamId, f64> = &workload.shares;
-    config.teams = shares.iter().map(|(id, &share)| (id.clone(), team(share))).collect();
+    config.set_teams(shares.iter().map(|(id, &share)| (id.clone(), team(share))).collect());
     config
 }
 
@@ -266,5 +267,6 @@
         steps: steps.collect(),
         schedule: None,
         accepted: SystemTime::UNIX_EPOCH + Duration::from_millis(arrival.at_ms),
+        terms: None,
     }
 }
