net: a call without an answer speaks for the unused connections to its address

Cause: a burst leaves many unused connections in the pool, and a call that is not answered says nothing of them. Each was tried in turn, for its whole time limit.

Change: a call without an answer speaks for all connections that were open when it was sent, unless one of them has brought an answer since. The unused ones are left behind and the next call opens a new one. Silence costs one time limit for an address, whatever the number of connections. It is in the client that the store, peers, workers, endpoints and verbenagapd share.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,16 +1,24 @@
 //! An HTTP client with a connection pool.
 
+mod connector;
+mod silence;
+
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::uri::Authority;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as Pool;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+// The clock of the runtime, by which the pool closes unused connections.
+use tokio::time::Instant;
 
+use self::connector::{Connector, Opened, Sequence};
+use self::silence::{Call, Silence};
 use crate::body::{Body, full_body, read_body, read_flowing_body};
 use crate::codec::{from_msgpack, to_msgpack};
 use crate::error::Error;
@@ -26,10 +34,40 @@
     pub body: Bytes,
 }
 
+/// The connections that wait for another request, by address.
+type Connections = Pool<Connector, Body>;
+
 /// An HTTP/1.1 client. Clones share the connections.
+///
+/// A call that is not answered in time says that the connections to its address are silent,
+/// unless another one that was open when it was sent has brought an answer since. Those that
+/// wait for another request are not used again then.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pool: Pool<HttpConnector, Body>,
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    connector: Connector,
+    sequence: Sequence,
+    idle_timeout: Duration,
+    shared: Connections,
+    silence: Silence<Connections>,
+}
+
+impl Inner {
+    /// Registers a call that is sent now.
+    fn begin(&self, to: Authority) -> Call<Connections> {
+        self.silence.begin(to, self.sequence.next())
+    }
+
+    /// Leaves the unused connections behind if a call that was not answered in time tells
+    /// that they are silent. Returns whether it does.
+    fn leave_unused(&self, call: &Call<Connections>) -> bool {
+        let new_pool = || new_pool(&self.connector, self.idle_timeout);
+        call.unanswered(new_pool, Instant::now(), self.idle_timeout)
+    }
 }
 
 impl Default for Client {
@@ -45,14 +83,11 @@
     /// connection that is unused for `idle_timeout` is closed. `idle_timeout` must
     /// be shorter than the idle timeout of the server.
     pub fn new(connect_timeout: Duration, idle_timeout: Duration) -> Client {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(connect_timeout));
-        let pool = Pool::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(idle_timeout)
-            .build(connector);
-        Client { pool }
+        let sequence = Sequence::default();
+        let connector = Connector::new(connect_timeout, sequence.clone());
+        let shared = new_pool(&connector, idle_timeout);
+        let silence = Silence::default();
+        Client { inner: Arc::new(Inner { connector, sequence, idle_timeout, shared, silence }) }
     }
 
     /// Sends a request and returns when the head of the response has arrived.
@@ -68,12 +103,27 @@
         request: Request<Body>,
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
-        let to = request.uri().authority().map(|each| each.to_string()).unwrap_or_default();
-        match tokio::time::timeout(limit, self.pool.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+        let authority = request.uri().authority().cloned();
+        let to = authority.as_ref().map(Authority::to_string).unwrap_or_default();
+        let call = authority.map(|to| self.inner.begin(to));
+        let pool = call.as_ref().and_then(|call| call.replacement(Instant::now()));
+        let pool = pool.unwrap_or_else(|| self.inner.shared.clone());
+        match tokio::time::timeout(limit, pool.request(request)).await {
+            Ok(Ok(response)) => {
+                let opened = response.extensions().get::<Opened>();
+                if let Some((call, &opened)) = call.zip(opened) {
+                    call.answered(opened);
+                }
+                Ok(response)
+            }
             Ok(Err(source)) if source.is_connect() => Err(Error::Connect { to, source }),
             Ok(Err(source)) => Err(Error::IncompleteExchange { to, source }),
-            Err(_) => Err(Error::Timeout { to, limit }),
+            Err(_) => {
+                if call.is_some_and(|call| self.inner.leave_unused(&call)) {
+                    log::debug!(target: "net", "unused connections to {to} are not used again");
+                }
+                Err(Error::Timeout { to, limit })
+            }
         }
     }
 
@@ -90,14 +140,11 @@
         max_bytes: usize,
     ) -> Result<Reply, Error> {
         let to = request.uri().authority().map(|each| each.to_string()).unwrap_or_default();
-        let exchange = async {
-            let response = self.send(request, limit).await?;
-            let (head, body) = response.into_parts();
-            let body = read_body(body, max_bytes).await?;
-            Ok(Reply { status: head.status, headers: head.headers, body })
-        };
-        match tokio::time::timeout(limit, exchange).await {
-            Ok(reply) => reply,
+        let deadline = Instant::now() + limit;
+        let response = self.send(request, limit).await?;
+        let (head, body) = response.into_parts();
+        match tokio::time::timeout_at(deadline, read_body(body, max_bytes)).await {
+            Ok(body) => Ok(Reply { status: head.status, headers: head.headers, body: body? }),
             Err(_) => Err(Error::Timeout { to, limit }),
         }
     }
@@ -152,3 +199,10 @@
         from_msgpack(&reply.body)
     }
 }
+
+fn new_pool(connector: &Connector, idle_timeout: Duration) -> Connections {
+    Pool::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(idle_timeout)
+        .build(connector.clone())
+}
