--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -234,8 +234,7 @@
     }
 
     /// Records that a machine gets its maintenance for a wave now, or needs
-    /// none because it does not exist. It counts as down for as long as
-    /// maintenance takes.
+    /// none because it does not exist. It counts as down until a list shows it up.
     pub(crate) fn maintained(&mut self, wave: u64, machine: &SmolStr, now: Instant) {
         let down = Down::begun(now, self.down_time());
         let Some(active) = self.machines.waves.get_mut(&wave) else { return };
--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -5,21 +5,24 @@
 //! command on, whoever sent it: the record of commands, which is durable before any of them
 //! is sent, tells the next leader of those that may be on their way, and the platform's list
 //! of those that have arrived. A command without an answer is repeated: the answer tells that
-//! the machine is down now or has been, and ends the wait for the earlier one. So that a wave
-//! still ends in time, a machine whose maintenance has begun counts only until the list shows
-//! it up again.
+//! the machine is down now or has been, and ends the wait for the earlier one.
+//!
+//! No clock tells that a machine is up again: maintenance takes longer than its usual time when
+//! a machine is slow to start. A machine counts until a list that was asked for after its
+//! maintenance began shows so. Such lists are read more often when machines are due back, so
+//! that a wave still ends in time, and without one a machine counts for as long as a command
+//! can be on its way.
 
 use std::collections::HashMap;
 
 use vg_base::prelude::*;
 
-use crate::pools::machines::COMMAND_TIMEOUT;
 use crate::pools::maintain::ActiveWave;
 use crate::{Machine, MachineCommand, MachineState, Scheduler};
 
 /// Longest time after which a command without an answer is carried out.
 const COMMAND_DELAY_MAX: Duration = Duration::from_secs(12);
-/// Added to the time for which a machine counts as down.
+/// Added to the usual time of maintenance.
 const DOWN_MARGIN: Duration = Duration::from_millis(250);
 
 /// A command that an earlier leader recorded before it was sent.
@@ -37,7 +40,7 @@
 /// A machine that is or was down for a wave.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Down {
-    /// Until when it is assumed to be.
+    /// Until when it counts as down if no list shows it up before.
     until: Instant,
     /// Since when its maintenance is known to have begun; `None` if the command may still be
     /// on its way.
@@ -45,19 +48,25 @@
 }
 
 impl Down {
-    /// Returns the state of a machine whose maintenance began at `now` at the latest.
+    /// Returns the state of a machine whose maintenance, which usually takes `time`, began at
+    /// `now` at the latest.
     pub(crate) fn begun(now: Instant, time: Duration) -> Down {
-        Down { until: now + time, begun: Some(now) }
+        Down { begun: Some(now), ..Down::commanded(now, time) }
+    }
+
+    /// Returns the state of a machine with a command that may be on its way.
+    fn commanded(now: Instant, time: Duration) -> Down {
+        Down { until: now + COMMAND_DELAY_MAX + time, begun: None }
     }
 
     /// Applies that a list that was asked for at `asked` shows the machine in maintenance.
     fn listed_down(&mut self, asked: Instant, time: Duration) {
-        if self.begun.is_none() {
-            *self = Down::begun(asked, time);
-        }
+        let listed = Down::begun(asked, time);
+        self.until = self.until.max(listed.until);
+        self.begun = self.begun.or(listed.begun);
     }
 
-    /// Applies that such a list shows the machine up: its maintenance has ended, or the
+    /// Applies that such a list shows the machine in no maintenance: it has ended, or the
     /// command is on its way.
     fn listed_up(&mut self, asked: Instant) {
         if self.begun.is_some_and(|begun| begun <= asked) {
@@ -81,6 +90,12 @@
         self.0.iter().filter(move |(_, down)| now < down.until).map(|(machine, _)| machine)
     }
 
+    /// Whether a machine has been down for its usual time or longer, so that it should be up.
+    fn has_overdue(&self, now: Instant, usual: Duration) -> bool {
+        let is_overdue = |down: &Down| down.begun.is_some_and(|begun| begun + usual <= now);
+        self.0.values().any(|down| now < down.until && is_overdue(down))
+    }
+
     /// Applies the state of a machine in a list that was asked for at `asked`.
     fn apply_listed(&mut self, machine: &Machine, asked: Instant, time: Duration) {
         match machine.state {
@@ -89,12 +104,12 @@
                 .entry(machine.id.clone())
                 .or_insert_with(|| Down::begun(asked, time))
                 .listed_down(asked, time),
-            MachineState::Up => {
+            MachineState::Up | MachineState::Moving => {
                 if let Some(down) = self.0.get_mut(&machine.id) {
                     down.listed_up(asked);
                 }
             }
-            MachineState::Moving | MachineState::Down => {}
+            MachineState::Down => {}
         }
     }
 }
@@ -147,10 +162,9 @@
         let active = command.wave.and_then(|wave| self.machines.waves.get_mut(&wave));
         let Some(active) = active else { return };
         let is_answered = active.done.contains(machine);
-        let delay = if is_answered { COMMAND_TIMEOUT } else { COMMAND_DELAY_MAX };
-        let remaining = (delay + down_time).saturating_sub(*age);
+        let until = read + (COMMAND_DELAY_MAX + down_time).saturating_sub(*age);
         let begun = is_answered.then_some(read);
-        active.down.insert(machine.clone(), Down { until: read + remaining, begun });
+        active.down.insert(machine.clone(), Down { until, begun });
         if !is_answered && active.awaits(machine) {
             active.draining.insert(machine.clone(), now);
         }
@@ -172,15 +186,25 @@
     /// Notes that a command for a wave was not answered: the machine counts as down until
     /// the command is answered when it is repeated, or can't be on its way any more.
     pub(crate) fn note_unanswered(&mut self, wave: u64, machine: &SmolStr, now: Instant) {
-        let until = now + COMMAND_DELAY_MAX + self.down_time();
+        let down = Down::commanded(now, self.down_time());
         if let Some(active) = self.machines.waves.get_mut(&wave) {
-            active.down.insert(machine.clone(), Down { until, begun: None });
+            active.down.insert(machine.clone(), down);
         }
     }
 
-    /// Whether the machine of a wave may be commanded: with it, no more machines are down
-    /// than the wave allows. It may be down itself.
+    /// Whether a machine should be up again after its maintenance and no list has shown it.
+    pub fn awaits_machine(&self, now: Instant) -> bool {
+        let usual = self.rules.maintain_time;
+        self.machines.waves.values().any(|active| active.down.has_overdue(now, usual))
+    }
+
+    /// Whether the machine of a wave may be commanded: a list has been read since this leader
+    /// took over, and with the machine no more are down than the wave allows. It may be down
+    /// itself.
     pub(crate) fn is_within_limit(&self, number: u64, machine: &SmolStr, now: Instant) -> bool {
+        if self.machines.list_asked.is_none() {
+            return false;
+        }
         let active = &self.machines.waves[&number];
         let down = active.down.at(now).filter(|each| *each != machine);
         let in_flight = self.machines.commands.values().filter(|(command, _)| {
@@ -203,7 +227,7 @@
         in_progress || is_earlier || self.machines.waves.values().any(may_be)
     }
 
-    /// Returns for how long a machine counts as down after its maintenance has begun.
+    /// Returns how long maintenance takes where no machine is slow.
     pub(crate) fn down_time(&self) -> Duration {
         self.rules.maintain_time + DOWN_MARGIN
     }
--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -307,7 +307,11 @@
     let wave =
         Wave { number: 1, machines: names, time_limit: Duration::from_secs(6), max_down: 12 };
     fixture.scheduler.add_wave(wave, None, fixture.now, fixture.wall());
-    (0..200).for_each(|_| fixture.round(50));
+    (0..100).for_each(|_| fixture.round(50));
+    let back = fixture.commands.iter().map(|command| machine(command.machine(), "spare"));
+    let back = back.collect();
+    fixture.scheduler.set_machine_list(back, fixture.now);
+    (0..100).for_each(|_| fixture.round(50));
     let (maintained, moved): (Vec<_>, Vec<_>) = fixture
         .commands
         .iter()
--- a/crates/flow/tests/maintain.rs
+++ b/crates/flow/tests/maintain.rs
@@ -34,12 +34,20 @@
     most_unavailable: usize,
     /// Answer to all commands to machines from now on.
     answer: MachineAnswer,
+    /// How long maintenance takes.
+    maintenance: Duration,
+    /// Maintenance of machines: from when until when.
+    maintained: Vec<(SmolStr, Instant, Instant)>,
+    /// Whether the platform lists its machines.
+    lists: bool,
     /// Time from the start of a continuous task until it is available.
     startup: Duration,
 }
 
 /// Time between two polls of a worker, and between two rounds of decisions.
 const ROUND: Duration = Duration::from_millis(20);
+/// Rounds between two lists of machines.
+const LIST_ROUNDS: usize = 12;
 const CAPACITY: Resources = Resources::new(16_000, 32 << 30, 0);
 
 fn registration(at: usize) -> WorkerRegistration {
@@ -106,6 +114,9 @@
             stopped: HashMap::new(),
             most_unavailable: 0,
             answer,
+            maintenance: SchedulingRules::default().maintain_time,
+            maintained: Vec::new(),
+            lists: true,
             startup: Duration::from_millis(500),
         }
     }
@@ -117,12 +128,10 @@
         self.scheduler =
             Scheduler::new(SchedulingRules::default(), FencingToken(50), config, self.now);
         self.scheduler.end_machine_hold(self.now);
-        let mut machines = Vec::new();
         for at in 0..workers {
             self.scheduler.register(&registration(at), self.now);
-            machines.push(machine(at));
         }
-        self.scheduler.set_machine_list(machines, self.now);
+        self.list_machines();
         let records = self.scheduler.incarnation_records(self.now);
         self.scheduler.records_written(&records, self.scheduler.token());
     }
@@ -179,10 +188,36 @@
         self.scheduler.restore_command(earlier, self.now);
     }
 
+    /// Lets the leader read the list of machines as it is now.
+    fn list_machines(&mut self) {
+        let mut machines: Vec<_> = (0..self.running.len()).map(machine).collect();
+        for each in &mut machines {
+            if self.is_in_maintenance(&each.id) {
+                each.state = MachineState::Maintenance;
+            }
+        }
+        self.scheduler.set_machine_list(machines, self.now);
+    }
+
+    fn is_in_maintenance(&self, machine: &SmolStr) -> bool {
+        let mut maintained = self.maintained.iter();
+        maintained.any(|(each, from, until)| each == machine && (*from..*until).contains(&self.now))
+    }
+
+    /// Lets maintenance of a machine begin, unless it has begun before.
+    fn begin_maintenance(&mut self, machine: &SmolStr) {
+        if self.maintained.iter().all(|(each, ..)| each != machine) {
+            self.maintained.push((machine.clone(), self.now, self.now + self.maintenance));
+        }
+    }
+
     fn run(&mut self, ms: u64) {
-        for _ in 0..ms / ROUND.as_millis() as u64 {
+        for round in 0..(ms / ROUND.as_millis() as u64) as usize {
             self.now += ROUND;
             self.wall += ROUND;
+            if self.lists && round.is_multiple_of(LIST_ROUNDS) {
+                self.list_machines();
+            }
             self.poll_workers();
             for action in self.scheduler.plan(self.now, self.wall) {
                 self.execute(action);
@@ -244,6 +279,9 @@
             }
             Action::Machine(command) => {
                 self.commands.push((self.now, command.clone()));
+                if self.answer == MachineAnswer::Done {
+                    self.begin_maintenance(command.machine());
+                }
                 self.scheduler.machine_answered(&command, self.answer, self.now);
             }
             Action::Throttle { .. } | Action::AskAdviser { .. } => {}
@@ -256,14 +294,12 @@
         self.commands.iter().filter(|(_, command)| is_maintenance(command)).count()
     }
 
-    /// Returns the maximum number of maintenance commands within the time for
-    /// which a machine is down.
+    /// Returns the maximum number of machines that were down at the same time.
     fn most_down(&self) -> usize {
-        let down = SchedulingRules::default().maintain_time;
-        let within = |from: &Instant| {
-            self.commands.iter().filter(|(at, _)| at >= from && *at < *from + down).count()
+        let at = |now: &Instant| {
+            self.maintained.iter().filter(|(_, from, until)| (*from..*until).contains(now)).count()
         };
-        self.commands.iter().map(|(at, _)| within(at)).max().unwrap_or_default()
+        self.maintained.iter().map(|(_, from, _)| at(from)).max().unwrap_or_default()
     }
 }
 
@@ -473,17 +509,58 @@
 #[test]
 fn a_machine_that_is_listed_in_maintenance_counts_as_down() {
     let mut fleet = TestFleet::new(3);
+    fleet.begin_maintenance(&machine(2).id);
     fleet.change_leader(3);
-    let mut machines: Vec<_> = (0..3).map(machine).collect();
-    machines[2].state = MachineState::Maintenance;
     fleet.add_wave(3, 6, 1);
-    fleet.scheduler.set_machine_list(machines, fleet.now);
     fleet.run(2000);
     assert_eq!(fleet.maintenance_count(), 0);
     fleet.run(2000);
     assert_eq!(fleet.maintenance_count(), 1);
 }
 
+/// Guards against more machines down at once than a wave allows where machines are slow to come
+/// back: they counted as down for the usual time only.
+#[test]
+fn a_machine_counts_as_down_until_it_is_listed_up() {
+    for maintenance_ms in [2300, 3200, 9000] {
+        let mut fleet = TestFleet::new(6);
+        fleet.maintenance = Duration::from_millis(maintenance_ms);
+        fleet.add_wave(6, 20, 1);
+        fleet.run(90_000);
+        assert_eq!(fleet.most_down(), 1, "{maintenance_ms} ms");
+        assert_eq!(fleet.maintained.len(), 6, "{maintenance_ms} ms");
+    }
+}
+
+/// The same over a takeover, at any moment of the maintenance.
+#[test]
+fn a_new_leader_counts_a_machine_that_is_slow_to_come_back() {
+    for (answered, after_ms) in [(true, 0), (false, 0), (true, 2200), (false, 2200), (true, 2900)] {
+        let mut fleet = TestFleet::new(6);
+        fleet.maintenance = Duration::from_millis(3200);
+        fleet.add_wave(6, 20, 1);
+        let earlier = fleet.run_to_command();
+        fleet.run(after_ms);
+        let earlier = EarlierCommand { age: Duration::from_millis(after_ms), ..earlier };
+        fleet.change_wave_leader(wave(6, 20, 1), &earlier, answered);
+        fleet.run(90_000);
+        assert_eq!(fleet.most_down(), 1, "answered: {answered}, after {after_ms} ms");
+        assert_eq!(fleet.maintained.len(), 6, "answered: {answered}, after {after_ms} ms");
+    }
+}
+
+/// Guards against a wave that stands still for good because no list can be read.
+#[test]
+fn a_wave_goes_on_without_lists() {
+    let mut fleet = TestFleet::new(3);
+    fleet.add_wave(3, 20, 1);
+    fleet.run(500);
+    fleet.lists = false;
+    fleet.run(60_000);
+    assert_eq!(fleet.maintained.len(), 3);
+    assert_eq!(fleet.most_down(), 1);
+}
+
 /// Guards against a limit that operators have lowered and that the leader does not know.
 #[test]
 fn the_limit_of_a_wave_that_was_set_last_counts() {
--- a/crates/lead/src/leader/machines.rs
+++ b/crates/lead/src/leader/machines.rs
@@ -13,7 +13,8 @@
 use crate::host::lock;
 use crate::keys::{TERM_KEY, WAVES_KEY};
 
-/// Interval at which the list of machines is read while it is needed.
+/// Interval at which the list of machines is read while it is needed. It is
+/// [`POLL_INTERVAL`] while a wave waits for a machine that is due back.
 const LIST_INTERVAL: Duration = Duration::from_millis(1000);
 /// Interval at which the leader checks whether the list is needed and whether
 /// waves have changed.
@@ -37,7 +38,9 @@
         let mut last_read: Option<Instant> = None;
         loop {
             let now = self.host.inner.clock.now();
-            let due = last_read.is_none_or(|at| now.saturating_duration_since(at) >= LIST_INTERVAL);
+            let awaited = self.scheduler().awaits_machine(now);
+            let interval = if awaited { POLL_INTERVAL } else { LIST_INTERVAL };
+            let due = last_read.is_none_or(|at| now.saturating_duration_since(at) >= interval);
             if due && self.scheduler().needs_machine_list() {
                 last_read = Some(now);
                 if let Some(list) = self.host.inner.platform.machines().await {
