flow: the record of a worker that has restarted names each task before it starts

Cause: the record of a worker names no tasks until it has been unreachable for a while, so the next leader holds back all earlier jobs of its pool. For a worker that has restarted it does so for as long as a late call may have renewed the lease (12.15 s), and takeovers in a row leave more of them.

Change: while the lease of a worker may be longer than leaders ask for, its record names its tasks. An attempt is kept for it, named in the next record and sent once that is durable; the next leader holds back these tasks only.

The new test of leases.rs fails without the change.

--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -16,6 +16,8 @@
 /// Phase of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
+    /// It is kept for its worker, and is sent once the worker's durable record names it.
+    Listing,
     /// The start command was sent and is not answered yet.
     Starting,
     /// The answer to the start command was lost: the attempt runs, never
@@ -95,6 +97,11 @@
         self.phase == Phase::Running
     }
 
+    /// Whether its start command is still to be sent, or to be answered.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        matches!(self.phase, Phase::Listing | Phase::Starting)
+    }
+
     /// Whether only an answer to a command shows that it runs, and its worker is known to
     /// have started again since.
     pub(crate) fn is_in_doubt(&self, known_since: Instant) -> bool {
--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -222,7 +222,7 @@
         let is_quiet = |each: &AttemptKey| {
             let attempt = &self.attempts[*each];
             let age = now.saturating_duration_since(attempt.started);
-            on_trial.contains(&each) || (attempt.phase != Phase::Starting && age >= QUIET_TIME)
+            on_trial.contains(&each) || (!attempt.is_unanswered() && age >= QUIET_TIME)
         };
         state.free().is_some_and(|free| request.spec.reservation().fits(&free))
             && state.attempts.iter().all(is_quiet)
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -5,12 +5,13 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
-use crate::jobs::attempt::{Attempt, Phase};
+use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
 use crate::jobs::crashes::CrashState;
 use crate::jobs::job::{Job, JobKey};
 use crate::order::rank::{Rank, RankInput, rank};
 use crate::placement::place::PlacementRequest;
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
+use crate::scheduler::Removal;
 use crate::workers::worker::WorkerKey;
 use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StepSpec, StopReason, TaskId};
 
@@ -56,6 +57,7 @@
         self.open_unresolved(wall);
         self.unresolved_usage = self.measure_unresolved();
         self.unknown_usage = self.measure_unknown();
+        self.send_named_starts(now);
         if self.cadence.is_attempt_check(now) {
             self.resend_stops(now);
             self.stop_stalled(now);
@@ -170,7 +172,9 @@
             if gang {
                 let job = &self.jobs[key];
                 let spec = &job.spec.steps[usize::from(step.step)];
-                let workers = self.workers_for_whole(job.pool(), spec, &pass.workers, now);
+                let mut workers = self.workers_for_whole(job.pool(), spec, &pass.workers, now);
+                // Its members are present together, so that none may wait to be named.
+                workers.retain(|&each| !self.workers[each].listed);
                 self.place_gang(key, step, &workers, now);
             } else {
                 self.place_step(key, step, pass, now);
@@ -321,7 +325,7 @@
         self.token.attempt_after(last)
     }
 
-    /// Starts an attempt of a task on a worker.
+    /// Starts an attempt of a task on a worker, as soon as the worker's record permits.
     pub(crate) fn start(
         &mut self,
         key: JobKey,
@@ -330,31 +334,20 @@
         worker: WorkerKey,
         now: Instant,
     ) {
-        let job = &mut self.jobs[key];
+        let job = &self.jobs[key];
         let Some(usage) = job.usage(task.step.step) else { return };
-        let payload = Arc::clone(&job.spec.payload);
-        let Some(state) = job.step_mut(task.step) else { return };
-        let ticket = state.tickets.get(worker, now).cloned().unwrap_or_default();
-        let Some(state) = state.tasks.get_mut(task.index as usize) else { return };
+        let Some(state) = job.task(task) else { return };
         let checkpoint = state.checkpoint.clone();
-        let Some(clock) = self.workers[worker].clock else { return };
-        let deadline_ms = clock.reading(now) + START_VALIDITY.as_millis() as u64;
-        // The attempt may begin until the command has expired on the worker's
-        // clock.
-        let bound = clock_bound(START_VALIDITY);
-        let chosen = &mut self.workers[worker];
-        chosen.lease_end = chosen.lease_end.max(now + bound);
-        let (incarnation, token) = (chosen.incarnation.clone(), chosen.token);
-        self.insert_attempt(Attempt {
+        let attempt = self.insert_attempt(Attempt {
             task,
             job: Some(key),
             attempt,
             worker,
             usage: Some(usage),
-            phase: Phase::Starting,
+            phase: Phase::Listing,
             started: now,
             adopted: false,
-            expires_ms: deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64,
+            expires_ms: 0,
             confirmed: None,
             reported: false,
             stop_sent: None,
@@ -369,17 +362,49 @@
             speed_percent: 100,
             speed_changed: None,
         });
+        if self.workers[worker].listed {
+            self.records_changed = true;
+        } else {
+            self.send_start(attempt, now);
+        }
+    }
+
+    /// Sends the start command of an attempt.
+    pub(crate) fn send_start(&mut self, key: AttemptKey, now: Instant) {
+        let Attempt { task, attempt: number, worker, .. } = self.attempts[key];
+        let checkpoint = self.attempts[key].checkpoint.clone();
+        let Some(job) = self.job_of(task) else {
+            return self.remove_attempt(key, Removal::NeverRan, now);
+        };
+        let payload = Arc::clone(&job.spec.payload);
+        let step = job.step(task.step.occurrence, task.step.step);
+        let ticket = step.and_then(|step| step.tickets.get(worker, now)).cloned();
+        let Some(clock) = self.workers[worker].clock else {
+            return self.remove_attempt(key, Removal::NeverRan, now);
+        };
+        let deadline_ms = clock.reading(now) + START_VALIDITY.as_millis() as u64;
+        // The attempt may begin until the command has expired on the worker's
+        // clock.
+        let bound = clock_bound(START_VALIDITY);
+        let chosen = &mut self.workers[worker];
+        chosen.lease_end = chosen.lease_end.max(now + bound);
+        let (incarnation, token) = (chosen.incarnation.clone(), chosen.token);
+        let sent = &mut self.attempts[key];
+        sent.phase = Phase::Starting;
+        sent.started = now;
+        sent.last_progress = now;
+        sent.expires_ms = deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64;
         self.counts.starts += 1;
         self.start_window.add();
         let start = StartCommand {
             incarnation,
             token,
             task,
-            attempt,
+            attempt: number,
             payload,
             deadline_ms,
             checkpoint,
-            ticket,
+            ticket: ticket.unwrap_or_default(),
         };
         self.actions.push(Action::Start(start));
     }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -70,6 +70,8 @@
     pub(crate) late_starts: LateStarts,
     pub(crate) attempts: SlotMap<AttemptKey, Attempt>,
     pub(crate) attempt_ids: HashMap<(TaskId, AttemptNumber), AttemptKey>,
+    /// Attempts that durable records name since the last round, and that are to be sent.
+    pub(crate) named_starts: Vec<AttemptKey>,
     /// Resources that count against the limit of each team.
     pub(crate) team_usage: HashMap<TeamId, Resources>,
     pub(crate) teams: TeamTable,
@@ -176,6 +178,7 @@
             late_starts: LateStarts::default(),
             attempts: SlotMap::with_key(),
             attempt_ids: HashMap::new(),
+            named_starts: Vec::new(),
             team_usage: HashMap::new(),
             dirty: Vec::new(),
             urgent: false,
@@ -429,6 +432,10 @@
             return;
         }
         attempt.stop_sent = Some(now);
+        if attempt.phase == Phase::Listing {
+            // It was not sent, and is removed in the next round.
+            return;
+        }
         if attempt.phase == Phase::Running {
             attempt.phase = Phase::Stopping;
         }
--- a/crates/flow/src/workers/mod.rs
+++ b/crates/flow/src/workers/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod health_report;
 pub(crate) mod late_starts;
 pub(crate) mod lease;
+pub(crate) mod listed_starts;
 pub(crate) mod losses;
 pub(crate) mod machine_workers;
 pub(crate) mod observe;
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -338,7 +338,7 @@
                 false => clock_ms > attempt.expires_ms,
             };
             let removal = match attempt.phase {
-                Phase::Starting => continue,
+                Phase::Listing | Phase::Starting => continue,
                 Phase::Unresolved if stopped || expired => Removal::NeverRan,
                 Phase::Unresolved => continue,
                 // An earlier incarnation had started it.
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -128,6 +128,7 @@
             {
                 self.workers[key].recorded = true;
                 self.workers[key].lease_capped = false;
+                self.note_listed(key, record);
                 self.raise_token(key, token);
             }
         }
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -258,11 +258,14 @@
     }
 
     /// Returns the record of a worker. It lists the tasks that may run there if they are
-    /// known, and the worker is sealed or decisions have ended.
+    /// known, and the worker is sealed, decisions have ended, or its lease may be longer than
+    /// leaders ask for.
     pub(crate) fn incarnation_record(&self, worker: &Worker, now: Instant) -> IncarnationRecord {
-        let is_open = self.may_run_any(worker) || (!worker.sealed && !self.frozen);
+        let is_any = self.may_run_any(worker);
+        let is_open = is_any || (!worker.sealed && !self.frozen);
         let remaining = (!is_open).then(|| remaining_time(self.last_run_end(worker), now));
-        let tasks = if is_open { None } else { self.unsettled_tasks(worker) };
+        let is_listed = !is_open || (worker.names_tasks() && !is_any);
+        let tasks = if is_listed { self.unsettled_tasks(worker) } else { None };
         IncarnationRecord {
             incarnation: worker.incarnation.clone(),
             remaining,
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -106,6 +106,9 @@
     /// Whether the incarnation is durably recorded, so that the next leader
     /// knows it.
     pub(crate) recorded: bool,
+    /// Whether its durable record names all that may run on it, so that an attempt has to be
+    /// named before it is sent.
+    pub(crate) listed: bool,
     /// Whether the lease is not renewed before a record without its end is durable: the
     /// present record states when it ends, or is that of an earlier incarnation.
     pub(crate) lease_capped: bool,
@@ -185,6 +188,7 @@
             registered: true,
             draining: registration.draining,
             recorded: false,
+            listed: false,
             lease_capped: false,
             sealed: false,
             polled: false,
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -310,6 +310,9 @@
     harness.advance(10);
     let id =
         harness.submit(2, vec![StepSpec { label: Some("kind-1".into()), ..step(1, 1000, 500) }]);
+    // Soon after the restart its record names each task before it starts.
+    assert!(harness.advance(100).is_empty());
+    harness.write_records();
     let actions = harness.advance(100);
     let starts = harness.execute_starts(actions);
     assert_eq!(starts.len(), 1, "{starts:?}");
@@ -346,6 +349,9 @@
             assert!(harness.advance(100).is_empty(), "{:?}", harness.tokens);
         }
         harness.write_records();
+        // Its record names each task before it starts.
+        assert!(harness.advance(100).is_empty(), "{:?}", harness.tokens);
+        harness.write_records();
         let actions = harness.advance(100);
         assert_eq!(harness.execute_starts(actions).len(), 1);
         assert!(harness.tokens[&worker(0)] > earlier, "{earlier:?}, {:?}", harness.tokens);
--- a/crates/flow/tests/restarts/leases.rs
+++ b/crates/flow/tests/restarts/leases.rs
@@ -414,3 +414,60 @@
     let violations = cut_off(world, at);
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// Starts a worker of pool `a` again and waits until it may get work.
+fn restart_and_wait(world: &mut World) {
+    world.restart(0);
+    world.run(500);
+}
+
+/// Guards against work that stands still after a takeover: a worker that has started again and
+/// is silent then holds back all jobs of its pool, for as long as a late call may have renewed
+/// its lease.
+#[test]
+fn a_new_leader_holds_back_only_named_tasks_of_a_worker_that_has_started_again() {
+    let mut world = world();
+    restart_and_wait(&mut world);
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(6, 5000, 60_000) };
+    world.submit(1, job("q-a", vec![spread], wall));
+    world.run(400);
+    assert!(!world.workers[0].running.is_empty());
+    let waiting = world.submit(2, job("q-a", vec![step(2, 1000, 500)], wall));
+    world.workers[0].reachable = false;
+    world.change_leader();
+    world.run(1500);
+    assert!(world.store[&waiting].end.is_some(), "a job stands still");
+    world.run(20_000);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Guards against work that waits for a record while the store is away, although other workers
+/// need none.
+#[test]
+fn a_task_that_cannot_be_named_starts_on_another_worker() {
+    let mut world = world();
+    restart_and_wait(&mut world);
+    world.start_store_outage(8000);
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(4, 4000, 30_000)], wall));
+    world.run(1500);
+    assert_eq!(running(&world), 4);
+    assert!(world.workers[0].running.is_empty());
+}
+
+/// Guards against a start that takes effect although its job was cancelled before it was sent.
+#[test]
+fn a_task_that_is_cancelled_before_it_is_named_is_not_sent() {
+    let mut world = world();
+    restart_and_wait(&mut world);
+    world.workers[2].reachable = false;
+    world.run(1000);
+    let (wall, before) = (world.wall(), world.starts);
+    let id = world.submit(1, job("q-a", vec![step(2, 4000, 30_000)], wall));
+    world.step();
+    world.cancel(id);
+    world.run(2000);
+    assert_eq!(world.starts, before);
+    assert_eq!(world.open_jobs(), 0);
+}
