--- a/crates/flow/src/config/terms.rs
+++ b/crates/flow/src/config/terms.rs
@@ -43,19 +43,42 @@
     /// terms do. `None` for a job without terms, which an earlier version has stored, whose
     /// queue is gone.
     pub(crate) fn queue_of<'a>(&'a self, spec: &'a JobSpec) -> Option<&'a Queue> {
-        let accepted = spec.terms.as_ref().map(|terms| &terms.queue);
-        self.overriding_queue(spec).or(accepted)
+        self.resolve_queue(spec).map(AcceptedQueue::queue)
     }
 
-    /// Returns the pool to which an accepted job goes from the one where it is, if this
-    /// configuration says anything of it.
-    pub(crate) fn target_pool(&self, spec: &JobSpec) -> Option<&PoolId> {
-        self.overriding_queue(spec).map(|queue| &queue.pool)
+    /// Returns the same, and whether this configuration has it.
+    pub(crate) fn resolve_queue<'a>(&'a self, spec: &'a JobSpec) -> Option<AcceptedQueue<'a>> {
+        let terms = spec.terms.as_ref();
+        let is_older = terms.is_some_and(|terms| terms.version > self.version);
+        match self.queues.get(&spec.queue).filter(|_| !is_older) {
+            Some(queue) => Some(AcceptedQueue::Present(queue)),
+            None => terms.map(|terms| AcceptedQueue::Former(&terms.queue)),
+        }
+    }
+}
+
+/// The queue of an accepted job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum AcceptedQueue<'a> {
+    /// As the present configuration has it.
+    Present(&'a Queue),
+    /// As it was when the job was accepted: it is gone, or the present configuration is older.
+    Former(&'a Queue),
+}
+
+impl<'a> AcceptedQueue<'a> {
+    pub(crate) fn queue(self) -> &'a Queue {
+        match self {
+            AcceptedQueue::Present(queue) | AcceptedQueue::Former(queue) => queue,
+        }
     }
 
-    /// Returns the queue of an accepted job, unless the job was accepted on a later version.
-    fn overriding_queue(&self, spec: &JobSpec) -> Option<&Queue> {
-        let is_older = spec.terms.as_ref().is_some_and(|terms| terms.version > self.version);
-        self.queues.get(&spec.queue).filter(|_| !is_older)
+    /// Returns the pool to which its jobs go from the one where they are, if any
+    /// configuration says so.
+    pub(crate) fn target(self) -> Option<&'a PoolId> {
+        match self {
+            AcceptedQueue::Present(queue) => Some(&queue.pool),
+            AcceptedQueue::Former(_) => None,
+        }
     }
 }
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -147,11 +147,11 @@
                 continue;
             }
             job.correct(self.durations.of(&job.spec.queue));
-            let Some(queue) = self.config.queue_of(&job.spec) else { continue };
-            let target = self.config.target_pool(&job.spec);
-            if target.is_some_and(|pool| job.pools.retarget(pool)) {
+            let Some(accepted) = self.config.resolve_queue(&job.spec) else { continue };
+            if accepted.target().is_some_and(|pool| job.pools.retarget(pool)) {
                 moving.push(key);
             }
+            let queue = accepted.queue();
             let mean_work = self.queue_work.mean(&job.spec.queue).unwrap_or(job.work);
             ranked.push((rank(&rank_input(job, queue, mean_work, wall)), key));
         }
