net: a call that is given up resets its connection

Cause: a call that is given up closed its connection by a FIN, and the system goes on delivering what was written before. The bytes were held up by the cut and arrived when it ended.

Change: connections of the client are closed by a reset, which discards what is held up. It holds for machines, workers, peers and the store.

--- a/crates/net/src/client/connector.rs
+++ b/crates/net/src/client/connector.rs
@@ -1,4 +1,8 @@
-//! Opens connections and numbers them.
+//! Opens connections, numbers them, and closes them by a reset.
+//!
+//! A call that is given up must not be carried out later. Its bytes may be held up on the way,
+//! as long as a partition lasts, and the system goes on delivering them after a usual close.
+//! A reset discards them.
 
 use std::io;
 use std::pin::Pin;
@@ -65,6 +69,9 @@
         let sequence = self.sequence.clone();
         Box::pin(async move {
             let stream = connecting.await?;
+            if let Err(error) = stream.inner().set_zero_linger() {
+                log::warn!(target: "net", "a connection won't be reset when it is closed: {error}");
+            }
             Ok(NumberedStream { stream, opened: Opened(sequence.next()) })
         })
     }
@@ -106,8 +113,9 @@
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    /// Does nothing: the reset when the stream is dropped must not follow a usual close.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -1,5 +1,6 @@
 //! Tests of what the client writes to its connections.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -88,6 +89,28 @@
     assert!(end.is_ok() && rest.is_empty(), "{end:?}");
 }
 
+/// Guards against a command that is delivered after its call was given up, when a partition
+/// ends: a usual close lets the system go on sending.
+#[tokio::test]
+async fn a_call_that_is_given_up_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let client = Client::default();
+    let call = tokio::spawn(async move { post(&client, addr, SHORT).await });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(call.await.unwrap().is_err());
+    let read = tokio::time::timeout(LIMIT, async {
+        loop {
+            match stream.read(&mut [0; 1024]).await {
+                Ok(count) if count > 0 => {}
+                end => return end,
+            }
+        }
+    });
+    let end = read.await.unwrap();
+    assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset));
+}
+
 /// A server whose connections that are open fall silent, while new ones work.
 struct Silencer {
     /// Connections that were opened.
