--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -2,7 +2,9 @@
 //! contract, a store, and messages that are lost or arrive late.
 
 pub(crate) mod crash;
+pub(crate) mod faults;
 mod machines;
+mod messages;
 mod oracle;
 pub(crate) mod recuts;
 pub(crate) mod replay;
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -8,20 +8,19 @@
 use rand::{Rng, SeedableRng};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, AttemptNumber, AttemptOutcome, FencingToken, IncarnationRecord, JobOutcome, JobSpec,
-    Machine, MachineCommand, OperatorConfig, PollFailure, Progress, RecordKind, Renewal, Report,
-    Scheduler, SchedulingRules, StartAnswer, StartCommand, StartReply, StopReason, TaskId,
-    WorkerIncarnation, WorkerRegistration,
+    AttemptNumber, AttemptOutcome, FencingToken, IncarnationRecord, JobOutcome, JobSpec, Machine,
+    MachineCommand, OperatorConfig, Progress, RecordKind, Scheduler, SchedulingRules, StopReason,
+    TaskId, WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
-use vg_standin::{SimulatedWorker, TaskAttempt};
+use vg_standin::SimulatedWorker;
 
 use super::crash::Crashes;
+pub(crate) use super::faults::Faults;
+use super::messages::{DelayedPoll, DelayedStart};
 use super::recuts::Recuts;
 use super::spec::{CORES, MEMORY, config};
 
-/// Polls that wait for longer where workers start again unseen, in thousandths.
-const LONG_POLLS: u32 = 850;
 /// Duration of one step of the simulation.
 pub(crate) const STEP_MS: u64 = 20;
 /// Time for which an earlier leader may continue without proof of its
@@ -30,73 +29,12 @@
 /// Time for which the leader waits for the answer to a command to a machine.
 pub(super) const COMMAND_TIMEOUT_MS: u64 = 1000;
 /// Time that a worker takes to stop an attempt.
-const STOP_MS: u64 = 150;
+pub(super) const STOP_MS: u64 = 150;
 
 /// Time after the request to drain a zone from which nothing may start there: a start
 /// command that was sent before is valid for that long, on a worker's slow clock.
 pub(super) const START_LIMIT_MS: u64 = 1800;
 
-/// Fault rates, in thousandths of messages or of steps.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Faults {
-    /// Starts whose answer is lost after they took effect.
-    pub(crate) unanswered: u32,
-    /// Starts that take effect 2 to 12 s later.
-    pub(crate) delayed: u32,
-    /// Starts that never arrive.
-    pub(crate) dropped: u32,
-    /// Attempts that fail.
-    pub(crate) failures: u32,
-    /// Restarts of a worker, per step.
-    pub(crate) restarts: u32,
-    /// Restarts of a worker whose registration comes up to 0.6 s later, per step. Polls that
-    /// were sent before may be answered by the later life.
-    pub(crate) unseen_restarts: u32,
-    /// Interrupted connections between the leader and a worker, per step.
-    pub(crate) partitions: u32,
-    /// Takeovers by another leader, per step.
-    pub(crate) takeovers: u32,
-    /// Leaders that give up and lead again, per step.
-    pub(crate) returns: u32,
-    /// Outages of the store, per step.
-    pub(crate) outages: u32,
-    /// Cancellations of some open job, per step.
-    pub(crate) cancels: u32,
-    /// Commands to machines that are refused.
-    pub(crate) refusals: u32,
-    /// Commands to machines that are not answered, half of which are carried out.
-    pub(crate) lost_commands: u32,
-    /// Polls that are not answered and arrive up to 12 s later.
-    pub(crate) late_polls: u32,
-    /// Restarts while calls are on their way, with a cut soon after, per step.
-    pub(crate) recuts: u32,
-    /// Versions of the configuration that move, remove or add a queue, per step.
-    pub(crate) versions: u32,
-}
-
-#[allow(dead_code, reason = "each test uses a part")]
-impl Faults {
-    /// All faults of hosts, workers and links together.
-    pub(crate) const ALL: Faults = Faults {
-        unanswered: 30,
-        delayed: 30,
-        dropped: 20,
-        failures: 30,
-        restarts: 3,
-        unseen_restarts: 0,
-        partitions: 6,
-        takeovers: 4,
-        returns: 0,
-        outages: 4,
-        cancels: 0,
-        refusals: 0,
-        lost_commands: 0,
-        late_polls: 0,
-        recuts: 0,
-        versions: 0,
-    };
-}
-
 /// How tasks and workers differ from what specifications and registrations say. The
 /// default is that they do not.
 #[derive(Debug, Clone, Default)]
@@ -142,22 +80,6 @@
     pub(crate) cancelled: bool,
 }
 
-/// A start command that arrives late.
-#[derive(Debug, Clone)]
-pub(super) struct DelayedStart {
-    pub(super) at: u64,
-    pub(super) worker: usize,
-    start: StartCommand,
-}
-
-/// A poll that arrives late. Nobody reads its answer.
-#[derive(Debug, Clone)]
-pub(super) struct DelayedPoll {
-    at: u64,
-    worker: usize,
-    renewal: Renewal,
-}
-
 /// Returns the zone of a machine: `z0`, `z1` or `z2`, by its number.
 pub(crate) fn zone_of(machine: &str) -> ZoneId {
     let number: usize = machine[1..].parse().unwrap_or_default();
@@ -185,12 +107,12 @@
     pub(super) revision: u64,
     pub(super) outage_until: u64,
     /// Workers that have ended while a poll of them was open, which fails.
-    broken_polls: HashSet<usize>,
+    pub(super) broken_polls: HashSet<usize>,
     /// Workers that have started again and are still registered as before: the earlier start,
     /// and when the registration of the present one is read.
-    unseen: BTreeMap<usize, (u64, u64)>,
+    pub(super) unseen: BTreeMap<usize, (u64, u64)>,
     /// The last start of each worker of which a leader has known in a round.
-    seen_starts: HashMap<usize, u64>,
+    pub(super) seen_starts: HashMap<usize, u64>,
     pub(super) delayed_starts: Vec<DelayedStart>,
     pub(super) delayed_polls: Vec<DelayedPoll>,
     /// The lives of workers that a leader has reached: their starts, by worker.
@@ -316,7 +238,7 @@
     }
 
     /// Returns the start of the incarnation of a worker that is registered.
-    fn registered_start(&self, at: usize) -> u64 {
+    pub(super) fn registered_start(&self, at: usize) -> u64 {
         self.unseen.get(&at).map_or(self.workers[at].start_ms, |&(earlier, _)| earlier)
     }
 
@@ -379,7 +301,7 @@
     }
 
     /// Cancels one of the open jobs that are not continuous.
-    fn cancel_some_job(&mut self) {
+    pub(super) fn cancel_some_job(&mut self) {
         let open = self.store.iter().filter(|(_, stored)| stored.end.is_none());
         let open = open.filter(|(_, stored)| !stored.cancelled && !stored.spec.is_continuous());
         let mut open: Vec<_> = open.map(|(&id, _)| id).collect();
@@ -528,331 +450,6 @@
         }
     }
 
-    /// Injects the faults of one step and ends those that are over.
-    fn inject_faults(&mut self) {
-        let faults = self.faults;
-        if self.chance(faults.restarts) {
-            let at = self.rng.random_range(0..self.workers.len());
-            self.restart(at);
-        }
-        self.inject_unseen_restart();
-        if self.chance(faults.recuts) {
-            self.begin_recut();
-        }
-        self.advance_recuts();
-        if self.chance(faults.versions) {
-            self.draw_version();
-        }
-        if self.chance(faults.partitions) {
-            let at = self.rng.random_range(0..self.workers.len());
-            let until = self.ms + self.rng.random_range(200..9000);
-            self.cut_off(at, until);
-        }
-        let ms = self.ms;
-        let healed: Vec<_> = self
-            .unreachable_until
-            .iter()
-            .filter(|(_, until)| **until <= ms)
-            .map(|(at, _)| *at)
-            .collect();
-        for at in healed {
-            self.unreachable_until.remove(&at);
-            self.workers[at].reachable = true;
-        }
-        if self.chance(faults.outages) {
-            self.outage_until = self.ms + self.rng.random_range(100..4000);
-        }
-        if self.chance(faults.cancels) {
-            self.cancel_some_job();
-        }
-        if self.chance(faults.returns) {
-            self.lead_again();
-        }
-        if self.chance(faults.takeovers) && self.ms >= self.outage_until {
-            match self.rng.random_bool(0.5) {
-                true => self.planned_handover(),
-                false => self.change_leader(),
-            }
-        }
-    }
-
-    /// Starts a worker again under its id, of which the leader learns later.
-    fn inject_unseen_restart(&mut self) {
-        let ms = self.ms;
-        if self.chance(self.faults.unseen_restarts) {
-            let at = self.rng.random_range(0..self.workers.len());
-            let registered = self.registered_start(at);
-            self.workers[at].restart(ms);
-            self.broken_polls.insert(at);
-            self.unseen.insert(at, (registered, ms + self.rng.random_range(20..600)));
-        }
-        let unseen = self.unseen.len();
-        self.unseen.retain(|_, (_, due)| *due > ms);
-        if self.unseen.len() < unseen {
-            self.register();
-        }
-    }
-
-    /// Cuts a worker off from the leader, until the given time.
-    pub(super) fn cut_off(&mut self, at: usize, until: u64) {
-        self.workers[at].reachable = false;
-        self.unreachable_until.insert(at, until);
-    }
-
-    /// Starts a worker again under its id. Start commands that are late may arrive there.
-    pub(crate) fn restart(&mut self, at: usize) {
-        self.restart_unseen(at);
-        self.register();
-    }
-
-    /// Starts a worker again under its id. The leader does not learn of it.
-    pub(crate) fn restart_unseen(&mut self, at: usize) {
-        let ms = self.ms;
-        self.workers[at].restart(ms);
-    }
-
-    /// Sends a poll that arrives `delay_ms` later. The leader gets no answer.
-    pub(crate) fn send_late_poll(&mut self, worker: usize, delay_ms: u64) {
-        let id: HostId = self.workers[worker].id.parse().unwrap();
-        let now = self.now();
-        let Some(renewal) = self.scheduler.renewal(&id, now) else { return };
-        self.scheduler.poll_failed(&renewal, PollFailure::Silent, now);
-        self.delayed_polls.push(DelayedPoll { at: self.ms + delay_ms, worker, renewal });
-    }
-
-    /// Lets all start commands that are late arrive in `ms`. Returns their workers.
-    pub(crate) fn delay_late_starts(&mut self, ms: u64) -> Vec<usize> {
-        let at = self.ms + ms;
-        self.delayed_starts.iter_mut().for_each(|delayed| delayed.at = at);
-        self.delayed_starts.iter().map(|delayed| delayed.worker).collect()
-    }
-
-    /// Whether a late start arrives at a later incarnation that no call has reached since it
-    /// began, or that no leader has known of in a round or by a call. No leader can prevent
-    /// what it does then, so such starts are left out.
-    fn precedes_contact(&self, delayed: &DelayedStart) -> bool {
-        let worker = &self.workers[delayed.worker];
-        let is_seen = self.seen_starts.get(&delayed.worker) == Some(&worker.start_ms);
-        worker.start_ms != delayed.start.incarnation.start_ms
-            && (worker.token == FencingToken(0) || !is_seen && !self.is_reached(delayed.worker))
-    }
-
-    /// Whether a leader that knows the present life of a worker has called it, or has got an
-    /// answer that shows it.
-    fn is_reached(&self, at: usize) -> bool {
-        self.reached.get(&at) == Some(&self.workers[at].start_ms)
-    }
-
-    /// Notes that a call has arrived which was meant for the life that started at `start_ms`.
-    fn note_call(&mut self, at: usize, start_ms: u64) {
-        if start_ms == self.workers[at].start_ms {
-            self.reached.insert(at, start_ms);
-        }
-    }
-
-    /// Notes the incarnations of which the leader has known in a round.
-    fn note_seen_starts(&mut self) {
-        for at in 0..self.workers.len() {
-            if self.scheduler.knows(&self.incarnation(at)) {
-                self.seen_starts.insert(at, self.workers[at].start_ms);
-            }
-        }
-    }
-
-    fn deliver_delayed_starts(&mut self) {
-        let ms = self.ms;
-        let due: Vec<_> =
-            self.delayed_starts.iter().filter(|delayed| delayed.at <= ms).cloned().collect();
-        self.delayed_starts.retain(|delayed| delayed.at > ms);
-        for delayed in due {
-            if !self.precedes_contact(&delayed) {
-                self.deliver_start(delayed.worker, &delayed.start);
-            } else if self.refuses_early_starts {
-                self.refuse_start(&delayed);
-            }
-        }
-    }
-
-    /// Delivers a start to a worker that has no room for it.
-    fn refuse_start(&mut self, delayed: &DelayedStart) {
-        let reservation = Resources::new(u32::MAX, 0, 0);
-        let task_attempt = TaskAttempt {
-            task: delayed.start.task,
-            attempt: delayed.start.attempt,
-            started_ms: 0,
-            finish_ms: 0,
-            outcome: AttemptOutcome::Done,
-            reservation,
-            continuous: false,
-            stop_ms: None,
-        };
-        let ms = self.ms;
-        let worker = &mut self.workers[delayed.worker];
-        if worker.up && worker.reachable {
-            worker.guards_capacity = true;
-            worker.start(&delayed.start, task_attempt, ms);
-        }
-    }
-
-    fn deliver_delayed_polls(&mut self) {
-        let ms = self.ms;
-        let due: Vec<_> = self.delayed_polls.extract_if(.., |delayed| delayed.at <= ms).collect();
-        for DelayedPoll { worker, renewal, .. } in due {
-            if self.workers[worker].up {
-                let mut renewal = renewal;
-                if !self.is_reached(worker) {
-                    // No leader can prevent that it acknowledges ends of this life.
-                    renewal.acknowledged = 0;
-                }
-                self.deliver_poll(worker, &renewal);
-            }
-        }
-    }
-
-    /// Delivers a poll to a worker, which takes what was meant for an earlier life as well.
-    fn deliver_poll(&mut self, at: usize, renewal: &Renewal) -> Option<Report> {
-        let ms = self.ms;
-        let worker = &mut self.workers[at];
-        let before = worker.acknowledged;
-        let ends = worker.ended.clone();
-        let acknowledged = renewal.acknowledged;
-        let report = worker.poll(renewal.token, renewal.deadline_ms, acknowledged, ms)?;
-        let last_expired = worker.expiry_number;
-        for end in ends.iter().filter(|end| end.number > before && end.number <= acknowledged) {
-            self.record_end(end.task, end.outcome, end.number <= last_expired);
-        }
-        Some(report)
-    }
-
-    fn poll_workers(&mut self) {
-        for at in 0..self.workers.len() {
-            if self.faults.unseen_restarts > 0 && self.chance(LONG_POLLS) {
-                continue;
-            }
-            let id: HostId = self.workers[at].id.parse().unwrap();
-            let now = self.now();
-            if self.chance(self.faults.late_polls) && self.workers[at].reachable {
-                let delay_ms = self.rng.random_range(STEP_MS..12_000);
-                self.send_late_poll(at, delay_ms);
-                continue;
-            }
-            let Some(renewal) = self.scheduler.renewal(&id, now) else { continue };
-            let worker = &self.workers[at];
-            // The connection of an open poll ends with the process.
-            if self.broken_polls.remove(&at) && renewal.incarnation.start_ms != worker.start_ms {
-                self.scheduler.poll_failed(&renewal, PollFailure::Broken, now);
-                continue;
-            }
-            if !worker.up || !worker.reachable {
-                let breaks = match worker.reachable {
-                    true => !self.crashes.silent,
-                    false => self.crashes.cuts_break,
-                };
-                let failure = if breaks { PollFailure::Broken } else { PollFailure::Silent };
-                self.scheduler.poll_failed(&renewal, failure, now);
-                continue;
-            }
-            let Some(report) = self.deliver_poll(at, &renewal) else { continue };
-            self.reached.insert(at, self.workers[at].start_ms);
-            let waited = match self.faults.unseen_restarts {
-                0 => 2,
-                _ => self.rng.random_range(2..500),
-            };
-            let sent = now - Duration::from_millis(waited);
-            self.scheduler.apply_report(&id, &report, sent, now);
-            if report.start_ms == Some(self.workers[at].start_ms) {
-                self.seen_starts.insert(at, self.workers[at].start_ms);
-            }
-        }
-    }
-
-    fn execute(&mut self, action: Action) {
-        match action {
-            Action::Start(start) => self.send_start(start),
-            Action::Stop { incarnation, token, task, attempt, reason } => {
-                self.stops.push((self.ms, task, reason));
-                if self.refuses_stops {
-                    return;
-                }
-                let Some(at) = self.worker_of(&incarnation.id) else { return };
-                let (ms, now) = (self.ms, self.now());
-                let worker = &mut self.workers[at];
-                if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
-                    self.note_call(at, incarnation.start_ms);
-                    self.scheduler.stop_answered(&incarnation, task, attempt, now);
-                }
-            }
-            Action::Machine(command) => self.execute_machine_command(command),
-            Action::Throttle { .. } | Action::AskAdviser { .. } => {}
-        }
-    }
-
-    fn worker_of(&self, id: &HostId) -> Option<usize> {
-        self.workers.iter().position(|worker| worker.id == id.as_str())
-    }
-
-    fn send_start(&mut self, start: StartCommand) {
-        let Some(at) = self.worker_of(&start.incarnation.id) else { return };
-        let now = self.now();
-        let (task, attempt) = (start.task, start.attempt);
-        let faults = self.faults;
-        let worker = &self.workers[at];
-        if !worker.up || !worker.reachable || self.chance(faults.dropped) {
-            self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
-        } else if self.chance(faults.delayed) {
-            let at_ms = self.ms + self.rng.random_range(2000..12_000);
-            self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start });
-            self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
-        } else {
-            self.note_call(at, start.incarnation.start_ms);
-            let answer = self.deliver_start(at, &start);
-            let answer =
-                if self.chance(faults.unanswered) { StartAnswer::Unanswered } else { answer };
-            let clock_ms = Some(self.workers[at].clock(self.ms));
-            self.scheduler.start_answered(task, attempt, StartReply { answer, clock_ms }, now);
-        }
-    }
-
-    /// Delivers a start command to a worker.
-    fn deliver_start(&mut self, at: usize, start: &StartCommand) -> StartAnswer {
-        let Some(stored) = self.store.get(&start.task.step.job) else {
-            self.violations.push(format!("{}: it was not submitted", start.task));
-            return StartAnswer::Unanswered;
-        };
-        let spec = &stored.spec.steps[usize::from(start.task.step.step)];
-        let (reservation, continuous, speculative) =
-            (spec.reservation(), spec.continuous, spec.speculative);
-        let ratio = self.truth.ratio(start.task, stored.spec.team.as_ref());
-        let finish_ms = spec.estimate.mul_f64(ratio).as_millis() as u64;
-        let doomed = self.truth.doomed.contains(&start.task.step.job);
-        let failing = self.truth.failing.get(&at).copied().unwrap_or_default();
-        let fails = self.chance(self.faults.failures) || self.chance(failing) || doomed;
-        let outcome = if fails { AttemptOutcome::Failed } else { AttemptOutcome::Done };
-        let task_attempt = TaskAttempt {
-            task: start.task,
-            attempt: start.attempt,
-            started_ms: 0,
-            finish_ms,
-            outcome,
-            reservation,
-            continuous,
-            stop_ms: None,
-        };
-        if !self.workers[at].up {
-            return StartAnswer::Unanswered;
-        }
-        let ms = self.ms;
-        let before = self.workers[at].running.len();
-        let answer = self.workers[at].start(start, task_attempt, ms);
-        if answer == StartAnswer::Started && self.workers[at].running.len() > before {
-            self.starts += 1;
-            self.started.push((ms, at, start.task));
-            self.check_start(at, start, speculative);
-            self.note_deadly_start(at, start.task);
-        }
-        answer
-    }
-
     pub(crate) fn commit(&mut self) {
         if let Some(records) = self.pending_records.take() {
             self.records = records.clone();
@@ -877,20 +474,6 @@
         self.scheduler.batch_committed(&batch);
     }
 
-    /// Makes the store unavailable for a while: nothing is recorded.
-    pub(crate) fn start_store_outage(&mut self, ms: u64) {
-        self.outage_until = self.ms + ms;
-    }
-
-    /// Ends all faults, so that all waiting work must complete.
-    pub(crate) fn end_faults(&mut self) {
-        self.faults = Faults::default();
-        self.end_recuts();
-        self.unreachable_until.clear();
-        self.workers.iter_mut().for_each(|worker| worker.reachable = true);
-        self.outage_until = 0;
-    }
-
     pub(crate) fn open_jobs(&self) -> usize {
         self.store.values().filter(|stored| stored.end.is_none()).count()
     }
