--- /dev/null
+++ b/review/standin-3/src/cases/advice.rs
@@ -0,0 +1,86 @@
+//! Many jobs come at once to a queue whose steps need the adviser's permission.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use crate::adviser::AdviceTimes;
+use crate::deployment::{Deployment, Failure, SERVICE, Size};
+use crate::plan::StepPlan;
+
+/// Jobs a second, and how many times as many come while the burst lasts.
+const RATE: f64 = 1.2;
+const BURST: f64 = 2.6;
+const BURST_AT: Duration = Duration::from_secs(6);
+const BURST_TIME: Duration = Duration::from_secs(4);
+/// Time for which jobs are submitted.
+const TRAFFIC: Duration = Duration::from_secs(40);
+/// `finish_s`: jobs are asked for that long after the end of the traffic.
+const FINISH: Duration = Duration::from_secs(14);
+/// Time for which a job may have nothing running then.
+const IDLE_MAX: Duration = Duration::from_secs(3);
+const TASKS: u32 = 4;
+
+/// Whether all tasks of a job have ended `done`.
+fn is_done(deployment: &Deployment, job: &str) -> bool {
+    let happenings = deployment.floor.happenings();
+    let done = happenings.iter().filter(|each| each.how == "done" && each.task.starts_with(job));
+    done.count() >= TASKS as usize
+}
+
+/// Plays the case; returns whether the rule held.
+pub async fn play(dir: &Path, trouble: bool) -> Result<bool, Failure> {
+    let times = AdviceTimes {
+        decide: Duration::from_millis(100),
+        period: Duration::from_millis(25),
+        valid: Duration::from_secs(3),
+    };
+    let mut deployment = Deployment::start(Size {
+        hosts: 3,
+        minions: 16,
+        millicores: 16_000,
+        max_hold: Duration::from_secs(6),
+        advice: Some(times),
+    })
+    .await?;
+    let step = StepPlan { count: TASKS, work_ms: 500, cpu: 1000, ..StepPlan::default() };
+    let started = Instant::now();
+    let mut jobs = Vec::new();
+    let mut due = Duration::ZERO;
+    while due < TRAFFIC {
+        tokio::time::sleep(due.saturating_sub(started.elapsed())).await;
+        let job = format!("8d{:014x}", jobs.len());
+        let accepted = deployment.submit(SERVICE, &job, std::slice::from_ref(&step)).await;
+        if accepted {
+            jobs.push(job);
+        }
+        let is_burst = trouble && due >= BURST_AT && due < BURST_AT + BURST_TIME;
+        due += Duration::from_secs_f64(1.0 / (RATE * if is_burst { BURST } else { 1.0 }));
+    }
+    tokio::time::sleep((TRAFFIC + FINISH).saturating_sub(started.elapsed())).await;
+    let mut idle: Vec<_> = jobs.iter().filter(|job| !is_done(&deployment, job)).cloned().collect();
+    let (mut most, mut all) = (0, 0);
+    let window = Instant::now();
+    while window.elapsed() < IDLE_MAX {
+        let (used, room) = deployment.floor.use_of(SERVICE);
+        (most, all) = (used.max(most), room);
+        idle.retain(|job| deployment.floor.running(job).is_empty() && !is_done(&deployment, job));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    if let Some(job) = idle.first().cloned() {
+        let state = deployment.state(&job).await;
+        deployment.record.add(format!("job {job} is {state}"));
+    }
+    let result = format!(
+        "{} of {} accepted jobs had nothing running for {} s, {} s after the end of the traffic; \
+         the service used at most {most} of {all} thousandths of a core",
+        idle.len(),
+        jobs.len(),
+        IDLE_MAX.as_secs(),
+        FINISH.as_secs(),
+    );
+    println!("{result}");
+    deployment.record.add(result);
+    deployment.write_record(dir);
+    // Under half of the service's capacity is in use.
+    Ok(idle.is_empty() || most * 2 >= all)
+}
--- /dev/null
+++ b/review/standin-3/src/cases/mod.rs
@@ -0,0 +1,5 @@
+//! The cases.
+
+pub mod advice;
+pub mod gang;
+pub mod lasting;
