--- a/review/standin-3/src/cases/advice.rs
+++ b/review/standin-3/src/cases/advice.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::adviser::AdviceTimes;
+use crate::cases::idle::{self, FINISH};
 use crate::deployment::{Deployment, Failure, SERVICE, Size};
 use crate::plan::StepPlan;
 
@@ -14,19 +15,8 @@
 const BURST_TIME: Duration = Duration::from_secs(4);
 /// Time for which jobs are submitted.
 const TRAFFIC: Duration = Duration::from_secs(40);
-/// `finish_s`: jobs are asked for that long after the end of the traffic.
-const FINISH: Duration = Duration::from_secs(14);
-/// Time for which a job may have nothing running then.
-const IDLE_MAX: Duration = Duration::from_secs(3);
 const TASKS: u32 = 4;
 
-/// Whether all tasks of a job have ended `done`.
-fn is_done(deployment: &Deployment, job: &str) -> bool {
-    let happenings = deployment.floor.happenings();
-    let done = happenings.iter().filter(|each| each.how == "done" && each.task.starts_with(job));
-    done.count() >= TASKS as usize
-}
-
 /// Plays the case; returns whether the rule held.
 pub async fn play(dir: &Path, trouble: bool) -> Result<bool, Failure> {
     let times = AdviceTimes {
@@ -57,30 +47,7 @@
         due += Duration::from_secs_f64(1.0 / (RATE * if is_burst { BURST } else { 1.0 }));
     }
     tokio::time::sleep((TRAFFIC + FINISH).saturating_sub(started.elapsed())).await;
-    let mut idle: Vec<_> = jobs.iter().filter(|job| !is_done(&deployment, job)).cloned().collect();
-    let (mut most, mut all) = (0, 0);
-    let window = Instant::now();
-    while window.elapsed() < IDLE_MAX {
-        let (used, room) = deployment.floor.use_of(SERVICE);
-        (most, all) = (used.max(most), room);
-        idle.retain(|job| deployment.floor.running(job).is_empty() && !is_done(&deployment, job));
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    if let Some(job) = idle.first().cloned() {
-        let state = deployment.state(&job).await;
-        deployment.record.add(format!("job {job} is {state}"));
-    }
-    let result = format!(
-        "{} of {} accepted jobs had nothing running for {} s, {} s after the end of the traffic; \
-         the service used at most {most} of {all} thousandths of a core",
-        idle.len(),
-        jobs.len(),
-        IDLE_MAX.as_secs(),
-        FINISH.as_secs(),
-    );
-    println!("{result}");
-    deployment.record.add(result);
+    let holds = idle::holds(&mut deployment, &jobs, TASKS as usize).await;
     deployment.write_record(dir);
-    // Under half of the service's capacity is in use.
-    Ok(idle.is_empty() || most * 2 >= all)
+    Ok(holds)
 }
--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod advice;
 pub mod gang;
+mod idle;
 pub mod lasting;
+pub mod suspects;
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -50,6 +50,7 @@
     match case {
         "gang" => cases::gang::play(&dir, trouble).await,
         "lasting" => cases::lasting::play(&dir, trouble).await,
+        "suspects" => cases::suspects::play(&dir, trouble).await,
         "advice" => cases::advice::play(&dir, trouble).await,
         _ => Err(format!("there is no case {case}").into()),
     }
