flow, call: queries to the adviser pass one window, by urgency

Cause: each step asked by itself, gave its query up after 1.5 s whatever the line was, and asked again 0.2 s later. The adviser works on a query whether or not it is waited for, so that its load was made by the leader's own repeats: each query had waited for nearly its whole time limit when its turn came.

Change: the new crate vg-call has one way to call a side of limited speed. A CallWindow bounds the calls in flight, counts one that was given up until the callee is done with it, takes the timeout from the stated times and the calls ahead, and limits repeats to a part of the answers. Its Permit is an argument of Platform::advise, so that a query that no window has admitted does not compile. The scheduler collects the steps that lack permitted workers in each round and sends the most urgent one: by timeliness and priority, the pools by turns. A query names as many workers as the waiting tasks need, not sixteen, and known permitted ones first. Where more steps need the adviser than it can answer, new jobs are rejected before they are accepted, by the same bounds as for a full pool. RetryBudget of vg-route uses the same tokens.

The simulated fleet now has an adviser with a line, and an oracle of LOST's bound on waits.

--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -4,12 +4,13 @@
 
 use derive_more::Display;
 use vg_base::prelude::*;
+use vg_call::Permit;
 
 use crate::{AttemptNumber, FencingToken, StepId, TaskId, WorkerIncarnation};
 
 /// An action for the leader to carry out. Messages may be lost; the caller
 /// reports the result of each to the scheduler.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum Action {
     /// Start a task. The command is sent at most once.
     Start(StartCommand),
@@ -45,6 +46,8 @@
         step: StepId,
         /// Workers to ask about, those with sufficient free capacity first.
         workers: Vec<HostId>,
+        /// Permission for the query, with its time limit.
+        permit: Permit,
     },
     /// Send a command to a machine.
     Machine(MachineCommand),
--- a/crates/flow/src/config.rs
+++ b/crates/flow/src/config.rs
@@ -64,6 +64,13 @@
     pub validity: Duration,
 }
 
+impl AdviserTiming {
+    /// Returns the response time of a query about so many workers.
+    pub fn cost(&self, workers: usize) -> Duration {
+        self.base + self.per_worker * workers as u32
+    }
+}
+
 /// A pool of workers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Pool {
--- a/crates/flow/src/jobs/gangs.rs
+++ b/crates/flow/src/jobs/gangs.rs
@@ -29,7 +29,7 @@
         }
         let advised = self.needs_adviser(key);
         if advised {
-            self.ask_adviser(key, id, workers, now);
+            self.request_advice(key, id, now);
         }
         let job = &self.jobs[key];
         let Some(step) = job.step(id.occurrence, id.step) else { return };
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -36,6 +36,7 @@
 pub use jobs::spec::{JobSpec, Schedule, SpecError, StepSpec};
 pub use learned::durations::DurationQuantiles;
 pub use order::rank::{Rank, RankInput, Timeliness, rank};
+pub use placement::advise::AdviserAnswer;
 pub use pools::machines::{CommandTarget, Machine, MachineAnswer, MachineState};
 pub use pools::maintain::{Wave, WaveRecord, WaveState};
 pub use pools::wave_limit::EarlierCommand;
@@ -43,6 +44,7 @@
 pub use rules::SchedulingRules;
 pub use scheduler::Scheduler;
 pub use shares::admission::{Admission, DIGEST_MAX_AGE, Rejection, decide, expected_wait};
+pub use shares::advice_load::QueueAdvice;
 pub use shares::contention::{PoolContention, TeamContention};
 pub use shares::fair_share::{TeamDemand, allocate};
 pub use shares::load::{
--- a/crates/flow/src/order/share_order.rs
+++ b/crates/flow/src/order/share_order.rs
@@ -48,7 +48,9 @@
         self.holds.begin_round();
         let jobs = self.jobs_by_pool(&ranked);
         let mut rounds = self.pool_rounds(jobs, now);
-        for tier in ranked.chunk_by(|(a, _), (b, _)| same_tier(a, b)) {
+        let tiers = ranked.chunk_by(|(a, _), (b, _)| same_tier(a, b));
+        for (at, tier) in tiers.enumerate() {
+            self.adviser.begin_tier(at);
             self.place_uncontended(tier, &mut rounds, now);
             for round in rounds.values_mut() {
                 self.place_contended(&tier[0].0, round, now, wall);
--- a/crates/flow/src/placement/place.rs
+++ b/crates/flow/src/placement/place.rs
@@ -11,7 +11,7 @@
 
 /// Suitability of a worker for a task: the lowest value is the best one.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-struct Fit {
+pub(crate) struct Fit {
     /// The task failed, stalled or was slow there before.
     avoided: bool,
     /// The task's data is on another rack.
@@ -143,7 +143,7 @@
     }
 
     /// Returns how suitable a worker is whose free capacity is `free`.
-    fn fit(
+    pub(crate) fn fit(
         &self,
         request: &PlacementRequest<'_>,
         key: WorkerKey,
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -74,11 +74,13 @@
             self.start_speculative(now);
         }
         self.review_trials(now);
+        self.adviser.begin_round(now);
         self.evict_from_drained_zones(now);
         let starting = |attempt: &&Attempt| attempt.phase == Phase::Starting;
         let unanswered = self.attempts.values().filter(starting).count();
         self.start_window.begin_round(unanswered, now);
         self.place_all(now, wall);
+        self.ask_adviser(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -199,7 +201,7 @@
             .unwrap_or_default();
         let advised = self.needs_adviser(key);
         if advised {
-            self.ask_adviser(key, id, &pass.workers, now);
+            self.request_advice(key, id, now);
         }
         self.try_suspects(key, id, pass, now);
         if !self.jobs[key].is_open() {
--- a/crates/flow/src/placement/tickets.rs
+++ b/crates/flow/src/placement/tickets.rs
@@ -15,13 +15,18 @@
 pub(crate) struct Tickets {
     /// Ticket and its end; `None` if the adviser gave no permission.
     known: HashMap<WorkerKey, Option<(SmolStr, Instant)>>,
-    /// Time until which no query is sent: the answer to the last one is
-    /// expected by then, or the last one failed shortly before. `None` before
-    /// the first query and after an answer.
-    pub(crate) paused_until: Option<Instant>,
+    /// Whether the last query has brought no answer.
+    pub(crate) has_failed: bool,
+    /// When the step was last found to need no query.
+    pub(crate) reviewed: Option<Instant>,
 }
 
 impl Tickets {
+    /// Whether there has been no answer for the step.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Returns the ticket for a worker if it is valid.
     pub(crate) fn get(&self, worker: WorkerKey, now: Instant) -> Option<&SmolStr> {
         let (ticket, until) = self.known.get(&worker)?.as_ref()?;
@@ -38,10 +43,10 @@
         }
     }
 
-    /// Whether no query may be sent now: one is in progress, or failed shortly
-    /// before.
-    pub(crate) fn is_paused(&self, now: Instant) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
+    /// Whether a worker is permitted: the adviser's answer does not change for a step, so
+    /// that it outlives the ticket.
+    pub(crate) fn is_known(&self, worker: WorkerKey) -> bool {
+        self.known.get(&worker).is_some_and(Option::is_some)
     }
 
     /// Records the adviser's answer about a worker.
--- a/crates/flow/src/pools/zone_exit.rs
+++ b/crates/flow/src/pools/zone_exit.rs
@@ -178,8 +178,7 @@
     /// move: it is asked about waiting tasks only, and this one runs.
     fn ask_about_exit(&mut self, moving: TaskToPlace, now: Instant) {
         if self.needs_adviser(moving.job) {
-            let workers = self.usable_workers(self.jobs[moving.job].pool(), now);
-            self.ask_adviser(moving.job, moving.task.step, &workers, now);
+            self.request_advice(moving.job, moving.task.step, now);
         }
     }
 }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::jobs::queue_work::QueueWork;
 use crate::learned::durations::Durations;
 use crate::order::turns::Turns;
+use crate::placement::advise::Adviser;
 use crate::placement::hold::Holds;
 use crate::placement::start_window::StartWindow;
 use crate::pools::machines::Machines;
@@ -99,6 +100,7 @@
     pub(crate) empty_pools: EmptyPools,
     pub(crate) cadence: Cadence,
     pub(crate) start_window: StartWindow,
+    pub(crate) adviser: Adviser,
     /// Jobs with changes that are not in a batch yet.
     pub(crate) dirty: Vec<JobKey>,
     /// Whether a job has an outcome that is not in a batch yet: callers wait
@@ -160,6 +162,7 @@
             empty_pools: EmptyPools::default(),
             cadence: Cadence::default(),
             start_window: StartWindow::default(),
+            adviser: Adviser::default(),
             machines: Machines::new(now + rules.machine_hold),
             zone_drains: ZoneDrains::default(),
             rules,
--- a/crates/flow/src/shares/admission.rs
+++ b/crates/flow/src/shares/admission.rs
@@ -9,6 +9,7 @@
 use vg_base::prelude::*;
 
 use crate::order::rank::{LATE_FACTOR, objective};
+use crate::shares::advice_load::QueueAdvice;
 use crate::shares::load::{Backlog, LoadDigest, PoolLoad, TeamLoad};
 use crate::{JobSpec, Queue, SizeClass};
 
@@ -81,8 +82,11 @@
     if age > DIGEST_MAX_AGE || spec.is_continuous() || spec.schedule.is_some() {
         return Admission::Admit;
     }
-    let Some(pool) = digest.pool(&queue.pool) else { return Admission::Admit };
     let times = JobTimes::new(spec, queue);
+    if let Some(rejection) = digest.advice(&spec.queue).and_then(|load| unadvised(load, &times)) {
+        return Admission::Reject(rejection);
+    }
+    let Some(pool) = digest.pool(&queue.pool) else { return Admission::Admit };
     if let Some(empty_for) = pool.empty_for {
         return decide_empty(empty_for, &times);
     }
@@ -104,6 +108,17 @@
     })
 }
 
+/// Returns the rejection of a job that would be answered by the adviser neither in time to be
+/// on time nor in time to have value.
+fn unadvised(load: &QueueAdvice, times: &JobTimes) -> Option<Rejection> {
+    let own = Duration::from_millis(load.own_ms.into());
+    let on_time = Duration::from_millis(load.on_time_ms.into()) + own;
+    let late = Duration::from_millis(load.late_ms.into()) + own;
+    let (limit, backlog) = (times.last_start(), late);
+    let is_hopeless = on_time > times.on_time_start() && late > limit;
+    is_hopeless.then_some(Rejection { wait: Some(late), limit, backlog, own })
+}
+
 /// Decides on a job whose pool has had no machine for a time.
 fn decide_empty(empty_for: Duration, times: &JobTimes) -> Admission {
     if empty_for < MAX_EMPTY_TIME {
--- a/crates/flow/src/shares/load.rs
+++ b/crates/flow/src/shares/load.rs
@@ -9,6 +9,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::shares::advice_load::QueueAdvice;
 use crate::{FencingToken, JobSpec, SizeClass};
 
 /// Number of size classes.
@@ -59,6 +60,9 @@
     /// The contended pools.
     #[serde(rename = "p")]
     pub pools: Vec<PoolLoad>,
+    /// Queues whose jobs wait for the adviser.
+    #[serde(rename = "a", default)]
+    pub advice: Vec<QueueAdvice>,
 }
 
 /// Load of a contended pool.
@@ -171,6 +175,11 @@
         self.pools.iter().find(|load| load.pool == *pool)
     }
 
+    /// Returns the waits of a queue for the adviser if they are long.
+    pub fn advice(&self, queue: &QueueId) -> Option<&QueueAdvice> {
+        self.advice.iter().find(|load| load.queue == *queue)
+    }
+
     /// Keeps the `count` teams of each pool that have the largest backlog. Jobs of
     /// the others are admitted.
     pub fn keep_largest(&mut self, count: usize) {
--- a/crates/flow/src/shares/load_digest.rs
+++ b/crates/flow/src/shares/load_digest.rs
@@ -67,15 +67,17 @@
 }
 
 impl Scheduler {
-    /// Returns the load of the contended pools; `None` if no pool is contended.
+    /// Returns the load of the contended pools and of the adviser; `None` if no pool is
+    /// contended and no queue waits for long for the adviser.
     pub fn load_digest(&mut self, now: Instant, wall: SystemTime) -> Option<LoadDigest> {
         let contended = self.contended_pools();
         self.empty_pools.keep(&contended);
-        if contended.is_empty() {
+        let advice = self.advice_load(now, wall);
+        if contended.is_empty() && advice.is_empty() {
             return None;
         }
         let pools = contended.iter().map(|each| self.pool_load(each, now, wall)).collect();
-        Some(LoadDigest { token: self.token, pools })
+        Some(LoadDigest { token: self.token, pools, advice })
     }
 
     fn pool_load(
--- a/crates/flow/src/shares/mod.rs
+++ b/crates/flow/src/shares/mod.rs
@@ -2,6 +2,7 @@
 //! hosts are told of it.
 
 pub(crate) mod admission;
+pub(crate) mod advice_load;
 pub(crate) mod contention;
 pub(crate) mod fair_share;
 pub(crate) mod load;
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -58,7 +58,7 @@
         queues: vec![sizes],
         teams,
     };
-    LoadDigest { token: FencingToken(1), pools: vec![load] }
+    LoadDigest { token: FencingToken(1), pools: vec![load], advice: Vec::new() }
 }
 
 fn queue_a() -> Queue {
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -8,10 +8,10 @@
 use support::spec::{config, job, pool, queue, step};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, AdviserTiming, AttemptNumber, AttemptOutcome, EndedAttempt, FencingToken, JobOutcome,
-    JobState, OperatorConfig, PollFailure, Report, RunningAttempt, Schedule, Scheduler,
-    SchedulingRules, StartAnswer, StartCommand, StepSpec, StopReason, TaskId, WorkerIncarnation,
-    WorkerRegistration,
+    Action, AdviserAnswer, AdviserTiming, AttemptNumber, AttemptOutcome, EndedAttempt,
+    FencingToken, JobOutcome, JobState, OperatorConfig, PollFailure, Report, RunningAttempt,
+    Schedule, Scheduler, SchedulingRules, StartAnswer, StartCommand, StepSpec, StopReason, TaskId,
+    WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
 
@@ -279,12 +279,14 @@
     let mut harness = Harness::new(3, advised);
     harness.submit(1, vec![step(2, 1000, 500)]);
     let actions = harness.advance(10);
-    let Some(Action::AskAdviser { step, workers }) = actions.first() else { panic!("{actions:?}") };
+    let Some(Action::AskAdviser { step, workers, permit }) = actions.first() else {
+        panic!("{actions:?}")
+    };
     assert_eq!(workers.len(), 3);
     assert!(harness.advance(10).is_empty(), "one query at a time, and no start before its answer");
     let permitted = vec![(worker(1), SmolStr::from("ticket-1"))];
-    let (step, workers, now) = (*step, workers.clone(), harness.now);
-    harness.scheduler.adviser_answered(step, &workers, Some(&permitted), timing.validity, now);
+    let answer = AdviserAnswer { permitted, valid_for: timing.validity };
+    harness.scheduler.adviser_answered(*step, permit.key(), workers, Ok(&answer), harness.now);
     let actions = harness.advance(10);
     let starts = harness.execute_starts(actions);
     assert_eq!(starts.len(), 2);
--- a/crates/flow/tests/support/messages.rs
+++ b/crates/flow/tests/support/messages.rs
@@ -4,8 +4,8 @@
 use rand::Rng;
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, AttemptOutcome, FencingToken, PollFailure, Renewal, Report, StartAnswer, StartCommand,
-    StartReply,
+    Action, AttemptOutcome, FencingToken, PollFailure, RefusalReason, Renewal, Report, StartAnswer,
+    StartCommand, StartReply,
 };
 use vg_jobs::Resources;
 use vg_standin::TaskAttempt;
@@ -205,7 +205,10 @@
                 }
             }
             Action::Machine(command) => self.execute_machine_command(command),
-            Action::Throttle { .. } | Action::AskAdviser { .. } => {}
+            Action::AskAdviser { step, workers, permit } => {
+                self.send_query(step, workers, &permit);
+            }
+            Action::Throttle { .. } => {}
         }
     }
 
@@ -263,6 +266,9 @@
         if !self.workers[at].up {
             return StartAnswer::Unanswered;
         }
+        if !self.is_ticket_valid(&start.ticket) {
+            return StartAnswer::Refused(RefusalReason::InvalidTicket);
+        }
         let ms = self.ms;
         let before = self.workers[at].running.len();
         let answer = self.workers[at].start(start, task_attempt, ms);
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small simulated fleet for the scheduler: workers that keep the platform's
 //! contract, a store, and messages that are lost or arrive late.
 
+pub(crate) mod adviser;
 pub(crate) mod crash;
 pub(crate) mod faults;
 mod machines;
@@ -10,4 +11,5 @@
 pub(crate) mod replay;
 pub(crate) mod spec;
 pub(crate) mod versions;
+pub(crate) mod waits;
 pub(crate) mod world;
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -15,11 +15,13 @@
 use vg_jobs::Resources;
 use vg_standin::SimulatedWorker;
 
+use super::adviser::SimulatedAdviser;
 use super::crash::Crashes;
 pub(crate) use super::faults::Faults;
 use super::messages::{DelayedPoll, DelayedStart};
 use super::recuts::Recuts;
 use super::spec::{CORES, MEMORY, config};
+use super::waits::Waits;
 
 /// Duration of one step of the simulation.
 pub(crate) const STEP_MS: u64 = 20;
@@ -95,6 +97,8 @@
     pub(crate) faults: Faults,
     pub(crate) truth: Truth,
     pub(crate) crashes: Crashes,
+    pub(crate) adviser: Option<SimulatedAdviser>,
+    pub(crate) waits: Waits,
     pub(super) recuts: Recuts,
     pub(crate) config: Arc<OperatorConfig>,
     pub(crate) scheduler: Scheduler,
@@ -180,6 +184,8 @@
             faults,
             truth: Truth::default(),
             crashes: Crashes::default(),
+            adviser: None,
+            waits: Waits::default(),
             recuts: Recuts::default(),
             config,
             scheduler,
@@ -424,6 +430,7 @@
         self.deliver_delayed_polls();
         self.deliver_refusals();
         self.advance_crashes();
+        self.advance_adviser();
         for at in 0..self.workers.len() {
             let ms = self.ms;
             let ends = self.workers[at].advance(ms);
@@ -438,6 +445,7 @@
             self.execute(action);
         }
         self.note_seen_starts();
+        self.check_waits();
         if self.ms.is_multiple_of(40) && self.ms >= self.outage_until {
             self.commit();
         }
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use vg_base::prelude::*;
+use vg_call::Permit;
 use vg_events::{Code, Field};
 use vg_flow::{
     Action, AttemptNumber, CommandTarget, FencingToken, MachineAnswer, MachineCommand,
@@ -17,10 +18,6 @@
 use crate::keys::{COMMANDS_KEY, CommandRecord, RecordedCommand, TERM_KEY};
 use crate::{CommandAnswer, Platform};
 
-/// Time limit for one call to the adviser, regardless of the number of workers
-/// that it is asked about.
-const ADVISE_TIMEOUT: Duration = Duration::from_millis(1500);
-
 impl<P: Platform, C: Clock> Leader<P, C> {
     /// Starts to carry out an action that the scheduler decided. Commands to
     /// machines are collected until the end of the round.
@@ -42,7 +39,9 @@
             Action::Throttle { incarnation, token, task, attempt, percent } => {
                 self.spawn(leader.throttle(incarnation, token, task, attempt, percent));
             }
-            Action::AskAdviser { step, workers } => self.spawn(leader.ask_adviser(step, workers)),
+            Action::AskAdviser { step, workers, permit } => {
+                self.spawn(leader.ask_adviser(step, workers, permit));
+            }
             Action::Machine(command) => {
                 let target = self.scheduler().command_target(&command, self.host.inner.clock.now());
                 lock(&self.machine_commands).push((command, target));
@@ -149,18 +148,22 @@
     }
 
     /// Asks the adviser which workers may run a step.
-    async fn ask_adviser(self: Arc<Self>, step: StepId, workers: Vec<HostId>) {
-        let answer = self.host.inner.platform.advise(step, &workers, ADVISE_TIMEOUT).await;
+    async fn ask_adviser(self: Arc<Self>, step: StepId, workers: Vec<HostId>, permit: Permit) {
+        let sent = self.host.inner.clock.now();
+        let (call, limit) = (permit.key(), permit.timeout());
+        let answer = self.host.inner.platform.advise(permit, step, &workers).await;
         let now = self.host.inner.clock.now();
-        let permitted = answer.as_ref().map(|answer| answer.permitted.as_slice());
-        let valid_for = answer.as_ref().map(|answer| answer.valid_for).unwrap_or_default();
+        let permitted = answer.as_ref().map_or(-1, |answer| answer.permitted.len() as i64);
         let fields = [
             Field::new("step", step),
             Field::new("asked", workers.len()),
-            Field::new("good", permitted.map_or(-1, |permitted| permitted.len() as i64)),
+            Field::new("good", permitted),
+            Field::new("ms", now.saturating_duration_since(sent).as_millis()),
+            Field::new("limit-ms", limit.as_millis()),
         ];
         self.host.record(Code::AdviserAsked, fields);
-        self.scheduler().adviser_answered(step, &workers, permitted, valid_for, now);
+        let answer = answer.as_ref().map_err(|&failure| failure);
+        self.scheduler().adviser_answered(step, call, &workers, answer, now);
         self.wake.notify_one();
     }
 
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -46,8 +46,6 @@
 pub use host::{Host, HostTasks};
 pub use metrics::Metrics;
 pub use options::Options;
-pub use platform::{
-    AdviserAnswer, CommandAnswer, KeyLayout, OperatorItem, ParseError, Platform, PollError,
-};
+pub use platform::{CommandAnswer, KeyLayout, OperatorItem, ParseError, Platform, PollError};
 pub use query::{CancelOutcome, JobStatus, PendingCount};
 pub use submit::SubmitOutcome;
--- a/crates/lead/src/platform.rs
+++ b/crates/lead/src/platform.rs
@@ -4,10 +4,11 @@
 
 use derive_more::Display;
 use vg_base::prelude::*;
+use vg_call::{Failure, Permit};
 use vg_flow::{
-    AttemptNumber, FencingToken, Machine, MachineAnswer, MachineCommand, OperatorConfig,
-    PollFailure, Renewal, Report, StartCommand, StartReply, StepId, TaskId, Wave, WaveState,
-    WorkerIncarnation, WorkerRegistration,
+    AdviserAnswer, AttemptNumber, FencingToken, Machine, MachineAnswer, MachineCommand,
+    OperatorConfig, PollFailure, Renewal, Report, StartCommand, StartReply, StepId, TaskId, Wave,
+    WaveState, WorkerIncarnation, WorkerRegistration,
 };
 use vg_store::{Key, Store, Value};
 
@@ -92,15 +93,6 @@
     }
 }
 
-/// The adviser's answer for a step.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AdviserAnswer {
-    /// Workers that may run the step, each with its ticket.
-    pub permitted: Vec<(HostId, SmolStr)>,
-    /// How long the tickets are valid.
-    pub valid_for: Duration,
-}
-
 /// The platform: store, operators, workers, machines and adviser.
 ///
 /// Implementations only translate: they make no decisions, keep no queues and
@@ -182,12 +174,16 @@
         token: FencingToken,
     ) -> impl Future<Output = MachineAnswer> + Send;
 
-    /// Asks the adviser which of `workers` may run a step; `None` if no answer
-    /// came within `timeout`.
+    /// Asks the adviser which of `workers` may run a step, within the time that `permit`
+    /// allows.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] says whether the adviser may still be at work on the query.
     fn advise(
         &self,
+        permit: Permit,
         step: StepId,
         workers: &[HostId],
-        timeout: Duration,
-    ) -> impl Future<Output = Option<AdviserAnswer>> + Send;
+    ) -> impl Future<Output = Result<AdviserAnswer, Failure>> + Send;
 }
--- a/crates/lead/tests/admission.rs
+++ b/crates/lead/tests/admission.rs
@@ -114,7 +114,7 @@
 }
 
 fn message(token: u64, pools: Vec<PoolLoad>) -> LoadMessage {
-    let digest = LoadDigest { token: FencingToken(token), pools };
+    let digest = LoadDigest { token: FencingToken(token), pools, advice: Vec::new() };
     let digest = to_msgpack(&digest).unwrap();
     LoadMessage { token: FencingToken(token), age: Duration::ZERO, digest }
 }
--- a/crates/lead/tests/support/crashes.rs
+++ b/crates/lead/tests/support/crashes.rs
@@ -909,10 +909,10 @@
 
     async fn advise(
         &self,
+        permit: Permit,
         step: StepId,
         workers: &[HostId],
-        timeout: Duration,
-    ) -> Option<AdviserAnswer> {
-        self.inner.advise(step, workers, timeout).await
+    ) -> Result<AdviserAnswer, Failure> {
+        self.inner.advise(permit, step, workers).await
     }
 }
--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -11,17 +11,18 @@
 
 use vg_base::SystemClock;
 use vg_base::prelude::*;
+use vg_call::{Failure, Permit};
 use vg_events::{Code, Recorder};
 use vg_flow::{
-    AttemptNumber, AttemptOutcome, FencingToken, JobOutcome, JobSpec, Machine, MachineAnswer,
-    MachineCommand, OperatorConfig, Pool, Queue, Renewal, Report, SchedulingRules, StartAnswer,
-    StartCommand, StartReply, StepId, StepSpec, TaskId, WaveState, WorkerIncarnation,
+    AdviserAnswer, AttemptNumber, AttemptOutcome, FencingToken, JobOutcome, JobSpec, Machine,
+    MachineAnswer, MachineCommand, OperatorConfig, Pool, Queue, Renewal, Report, SchedulingRules,
+    StartAnswer, StartCommand, StartReply, StepId, StepSpec, TaskId, WaveState, WorkerIncarnation,
     WorkerRegistration,
 };
 use vg_jobs::Resources;
 use vg_lead::{
-    AdviserAnswer, CommandAnswer, Host, HostCapacity, HostTasks, JobStatus, KeyLayout,
-    OperatorItem, Options, ParseError, Platform, PollError,
+    CommandAnswer, Host, HostCapacity, HostTasks, JobStatus, KeyLayout, OperatorItem, Options,
+    ParseError, Platform, PollError,
 };
 use vg_standin::{SimulatedWorker, TaskAttempt};
 use vg_store::{Entry, FaultControl, FaultyStore, Key, MemStore, Store, Txn, Value};
@@ -509,7 +510,7 @@
         MachineAnswer::Done
     }
 
-    async fn advise(&self, _: StepId, _: &[HostId], _: Duration) -> Option<AdviserAnswer> {
-        None
+    async fn advise(&self, _: Permit, _: StepId, _: &[HostId]) -> Result<AdviserAnswer, Failure> {
+        Err(Failure::Refused)
     }
 }
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -1,16 +1,8 @@
 //! Limits retries in proportion to successes.
 
 use vg_base::prelude::*;
+use vg_call::RetryTokens;
 
-/// Retries added to the budget by each answered call.
-const RETRIES_PER_SUCCESS: f64 = 0.1;
-/// Retries added to the budget in each second, so that a queue with few calls may
-/// retry too.
-const RETRIES_PER_SECOND: f64 = 0.5;
-/// Largest number of retries that the budget holds.
-const MAX_RETRIES: f64 = 20.0;
-/// Retries that a new budget holds.
-const INITIAL_RETRIES: f64 = 5.0;
 /// Largest number of attempts of one request, including the first.
 const MAX_ATTEMPTS: u32 = 4;
 /// Longest backoff before the first retry. It doubles with each further retry.
@@ -50,23 +42,10 @@
     BudgetExhausted,
 }
 
-/// A token bucket of retries that successes and time fill.
-///
-/// When a service fails most of its calls, successes stop, and with them retries:
-/// besides a small constant rate, retries are at most a tenth of the successful
-/// calls.
-#[derive(Debug, Clone)]
+/// Retries of requests to one service, in proportion to its answers ([`RetryTokens`]).
+#[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
-    /// Retries that may be made now.
-    tokens: f64,
-    /// Time up to which retries were added, `None` before the first use.
-    refilled_at: Option<Instant>,
-}
-
-impl Default for RetryBudget {
-    fn default() -> RetryBudget {
-        RetryBudget { tokens: INITIAL_RETRIES, refilled_at: None }
-    }
+    tokens: RetryTokens,
 }
 
 impl RetryBudget {
@@ -77,14 +56,12 @@
 
     /// Records an answered call, which adds to the budget.
     pub fn record_success(&mut self, now: Instant) {
-        self.refill(now);
-        self.tokens = (self.tokens + RETRIES_PER_SUCCESS).min(MAX_RETRIES);
+        self.tokens.record_success(now);
     }
 
     /// Decides whether a request is retried, and takes the retry from the budget if
     /// it is.
     pub fn try_retry(&mut self, request: &RetryRequest, now: Instant) -> RetryDecision {
-        self.refill(now);
         let allowed = match request.outcome {
             Outcome::NotRun => true,
             Outcome::Unknown => request.idempotent,
@@ -100,24 +77,15 @@
         if now + backoff + request.typical_run > request.deadline {
             return RetryDecision::TooLate;
         }
-        if self.tokens < 1.0 {
-            return RetryDecision::BudgetExhausted;
+        match self.tokens.take(now) {
+            true => RetryDecision::After(backoff),
+            false => RetryDecision::BudgetExhausted,
         }
-        self.tokens -= 1.0;
-        RetryDecision::After(backoff)
     }
 
     /// Returns the number of retries in the budget.
     pub fn available(&self) -> f64 {
-        self.tokens
-    }
-
-    /// Adds the retries for the time since the last refill.
-    fn refill(&mut self, now: Instant) {
-        let since = self.refilled_at.unwrap_or(now);
-        let secs = now.saturating_duration_since(since).as_secs_f64();
-        self.tokens = (self.tokens + secs * RETRIES_PER_SECOND).min(MAX_RETRIES);
-        self.refilled_at = Some(now.max(since));
+        self.tokens.available()
     }
 }
 
