flow: the wait of a suspect does not depend on the number of suspects

Cause: one crash makes all tasks that had started within a second suspects. Each was tried alone, a quarter of the pool's workers at a time, and the pool shrank under them, as a waiting task counts for no more than its own size. So the wait grew with their number.

Change: a suspect that has waited for a second shares a trial with all others that have, at any time while there is room, on up to half of the pool: beyond that half of its capacity is in use. Idle workers hold trials up to half of the pool, before a quarter. Jobs that wait for a trial, and workers on trial, keep the machines that their pool has.

Who is proven: a shared trial proves nothing, unless just one of its tasks is as old as it was at its first crash. Proof now needs two crashes on two machines at the same age, as a deadly task crashes its workers at the same point and chance does not; and one more where workers of the pool have crashed for other causes one after another. A task that was blamed three times is tried alone only, so that a deadly one stays within five starts.

--- a/crates/flow/src/jobs/crashes.rs
+++ b/crates/flow/src/jobs/crashes.rs
@@ -15,12 +15,15 @@
 //! proof only just after a start and on two machines, as chance rarely has them. Others
 //! are counted until it has run for a while.
 
+use std::collections::HashMap;
+
 use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{Attempt, AttemptKey};
 use crate::jobs::job::JobKey;
 use crate::jobs::occurrence::Task;
+use crate::jobs::trials::TrialKind;
 use crate::workers::worker::WorkerKey;
 use crate::{AttemptNumber, JobOutcome, PollFailure, Scheduler, StepSpec, TaskId};
 
@@ -37,6 +40,11 @@
 const MAX_CRASHES: usize = 5;
 /// Crashes that have to be certain for a task to be given up.
 const MIN_CRASHES: usize = 2;
+/// Ages at two crashes are the same if they differ by no more than this, or by
+/// [`AGE_PART`] of the larger one: crashes are seen with different delays.
+const AGE_MARGIN: Duration = Duration::from_millis(150);
+/// Part of an age by which the age at the next crash may differ.
+const AGE_PART: u64 = 4;
 /// Age of an attempt of a continuous task up to which a crash is proof.
 const IMMEDIATE_AGE: Duration = Duration::from_millis(100);
 /// Time after the start of a continuous task from which a crash says nothing about it, and
@@ -79,6 +87,9 @@
     pub age_ms: u64,
     /// What the crash says about the task.
     pub suspicion: Suspicion,
+    /// Crashes for other causes that the pool had shortly before, one after the other.
+    #[serde(default)]
+    pub chances: u32,
 }
 
 /// Crashes in a pool that follow each other within [`CRASH_MEMORY`]. Those within
@@ -107,11 +118,20 @@
         }
     }
 
+    /// Adds a crash to the series of a pool.
+    fn note(all: &mut HashMap<PoolId, CrashSeries>, pool: PoolId, at: Instant) {
+        let series = all.entry(pool);
+        series.and_modify(|series| series.add(at)).or_insert_with(|| CrashSeries::new(at));
+    }
+
     /// Whether the next task may crash its worker too: the crashes came one after another,
     /// or of one worker alone.
     fn goes_on(&self, now: Instant) -> bool {
-        let is_recent = now.saturating_duration_since(self.last) < CRASH_MEMORY;
-        is_recent && (self.events > 1 || self.workers == 1)
+        self.is_recent(now) && (self.events > 1 || self.workers == 1)
+    }
+
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last) < CRASH_MEMORY
     }
 }
 
@@ -143,6 +163,12 @@
         self.confirmed || self.suspicion == Suspicion::Trial
     }
 
+    /// Whether both crashes came as long after the start: a task that crashes its workers
+    /// does it at the same point each time, and chance does not.
+    fn is_as_old_as(&self, other: &CrashMark) -> bool {
+        is_same_age(self.age_ms, other.age_ms)
+    }
+
     fn is_immediate(&self) -> bool {
         Duration::from_millis(self.age_ms) <= IMMEDIATE_AGE
     }
@@ -164,22 +190,27 @@
     }
 }
 
-/// Whether these crashes prove that a task of a step causes them.
+fn is_same_age(a_ms: u64, b_ms: u64) -> bool {
+    let margin = (AGE_MARGIN.as_millis() as u64).max(a_ms.max(b_ms) / AGE_PART);
+    a_ms.abs_diff(b_ms) <= margin
+}
+
+/// Whether these crashes prove that a task of a step causes them: one on trial, and another
+/// on a second machine that came as long after the start. Where workers crash for other
+/// causes too, one more.
 fn is_proof<'a>(marks: impl Iterator<Item = &'a CrashMark> + Clone, spec: &StepSpec) -> bool {
     let blamed = marks.filter(|mark| mark.suspicion != Suspicion::Bystander);
+    if spec.gang {
+        let recent = blamed.filter(|mark| mark.suspicion == Suspicion::Recent);
+        return recent.count() >= MAX_GANG_CRASHES;
+    }
     let counted = blamed.filter(|mark| !spec.continuous || mark.is_immediate());
-    let count = |suspicion| counted.clone().filter(|mark| mark.suspicion == suspicion).count();
-    let (recent, trials) = (count(Suspicion::Recent), count(Suspicion::Trial));
-    let enough = match spec.gang {
-        true => recent >= MAX_GANG_CRASHES,
-        false => trials >= 2 || (trials == 1 && recent >= 1),
-    };
-    enough && (!spec.continuous || has_several_homes(counted))
-}
-
-fn has_several_homes<'a>(mut marks: impl Iterator<Item = &'a CrashMark>) -> bool {
-    let first = marks.next().map(|mark| &mark.home);
-    marks.any(|mark| Some(&mark.home) != first)
+    let mut trials = counted.clone().filter(|mark| mark.suspicion == Suspicion::Trial);
+    trials.any(|trial| {
+        let others = counted.clone();
+        let same = others.filter(|other| other.home != trial.home && other.is_as_old_as(trial));
+        same.count() >= if trial.chances > 1 { 2 } else { 1 }
+    })
 }
 
 impl Scheduler {
@@ -269,18 +300,15 @@
     /// the attempts that started last.
     fn blame_crash(&mut self, key: WorkerKey, now: Instant) {
         self.workers[key].blamed = true;
-        let trial = self.workers[key].trial.take();
-        let mut tried = trial.map(|trial| trial.attempts).unwrap_or_default();
-        tried.retain(|&attempt| self.attempts.contains_key(attempt));
-        if !tried.is_empty() {
-            tried.into_iter().for_each(|each| self.add_mark(each, Suspicion::Trial, now));
+        if self.blame_trial(key, now) {
             self.note_crash(key, now);
             return;
         }
         let attempts = self.workers[key].attempts.clone();
         let recent = self.recent_attempts(&attempts, now);
-        if !recent.is_empty() {
-            self.note_crash(key, now);
+        match recent.is_empty() {
+            true => self.note_chance_crash(key, now),
+            false => self.note_crash(key, now),
         }
         for attempt in attempts {
             let is_recent = recent.contains(&attempt);
@@ -289,6 +317,36 @@
         }
     }
 
+    /// Blames a crash at `now` on the attempts on trial. Returns whether there were any.
+    fn blame_trial(&mut self, key: WorkerKey, now: Instant) -> bool {
+        let Some(mut trial) = self.workers[key].trial.take() else { return false };
+        trial.attempts.retain(|&attempt| self.attempts.contains_key(attempt));
+        let is_lone = matches!(trial.kind, TrialKind::Lone(_));
+        let tried = trial.attempts.into_iter();
+        let (repeated, others): (Vec<_>, Vec<_>) =
+            tried.partition(|&each| self.repeats_a_crash(each, now));
+        if repeated.is_empty() {
+            self.note_chance_crash(key, now);
+        }
+        let is_alone = is_lone || repeated.len() == 1;
+        let of_repeated = if is_alone { Suspicion::Trial } else { Suspicion::Recent };
+        let of_others = if is_lone { Suspicion::Trial } else { Suspicion::Bystander };
+        let has_blamed = !repeated.is_empty() || !others.is_empty();
+        repeated.into_iter().for_each(|each| self.add_mark(each, of_repeated, now));
+        others.into_iter().for_each(|each| self.add_mark(each, of_others, now));
+        has_blamed
+    }
+
+    /// Whether an attempt whose worker crashes at `now` is as old as an earlier one of its
+    /// task was when its worker crashed.
+    fn repeats_a_crash(&self, key: AttemptKey, now: Instant) -> bool {
+        let attempt = &self.attempts[key];
+        let age_ms = now.saturating_duration_since(attempt.started).as_millis() as u64;
+        let task = self.job_of_attempt(attempt).and_then(|job| job.task(attempt.task));
+        let mut marks = task.into_iter().flat_map(|task| &task.crashes);
+        marks.any(|mark| is_same_age(mark.age_ms, age_ms))
+    }
+
     /// Returns those of a crashed worker's attempts that had started last, if that was a
     /// short time before. Those of an earlier leader had started before all others, so
     /// that they are never among them.
@@ -296,7 +354,9 @@
         let age = |&each: &AttemptKey| Some((each, self.attempts[each].known_age(now)?));
         let ages: Vec<_> = attempts.iter().filter_map(age).collect();
         let youngest = ages.iter().map(|&(_, age)| age).min();
-        let Some(youngest) = youngest.filter(|&age| age <= RECENT_AGE) else { return Vec::new() };
+        let Some(youngest) = youngest.filter(|&age| age <= RECENT_AGE) else {
+            return Vec::new();
+        };
         let oldest = youngest + RECENT_MARGIN.max(youngest);
         ages.into_iter().filter(|&(_, age)| age <= oldest).map(|(each, _)| each).collect()
     }
@@ -306,6 +366,7 @@
         let (id, number) = (attempt.task, attempt.attempt);
         let worker = &self.workers[attempt.worker];
         let (home, start_ms) = (worker.home(), worker.incarnation.start_ms);
+        let chances = self.chance_crashes(&worker.incarnation.pool, at);
         let confirmed = attempt.confirmed.is_some();
         let age_ms = at.saturating_duration_since(attempt.started).as_millis() as u64;
         // A continuous task has run for long on most workers that crash.
@@ -315,7 +376,8 @@
             return;
         }
         let Some(task) = self.task_mut(id).filter(|task| !task.done) else { return };
-        let mark = CrashMark { attempt: number, home, start_ms, confirmed, age_ms, suspicion };
+        let mark =
+            CrashMark { attempt: number, home, start_ms, confirmed, age_ms, suspicion, chances };
         task.crashes.push(mark);
         // Bystanders' marks become durable with the next record of their job.
         if suspicion != Suspicion::Bystander
@@ -325,11 +387,23 @@
         }
     }
 
+    /// Notes that a worker has crashed for another cause than a task: nothing had started
+    /// there for a while, or what was on trial was of another age than at its crashes.
+    fn note_chance_crash(&mut self, key: WorkerKey, at: Instant) {
+        let pool = self.workers[key].incarnation.pool.clone();
+        CrashSeries::note(&mut self.chance_crashes, pool, at);
+    }
+
+    /// Returns how often workers of a pool have crashed for other causes than tasks lately.
+    fn chance_crashes(&self, pool: &PoolId, now: Instant) -> u32 {
+        let series = self.chance_crashes.get(pool).filter(|series| series.is_recent(now));
+        series.map_or(0, |series| series.events as u32)
+    }
+
     fn note_crash(&mut self, key: WorkerKey, at: Instant) {
         self.counts.crashes += 1;
         let pool = self.workers[key].incarnation.pool.clone();
-        let series = self.crash_series.entry(pool);
-        series.and_modify(|series| series.add(at)).or_insert_with(|| CrashSeries::new(at));
+        CrashSeries::note(&mut self.crash_series, pool, at);
     }
 
     /// Whether the next task of a pool may crash its worker, as others did lately.
--- a/crates/flow/src/jobs/occurrence.rs
+++ b/crates/flow/src/jobs/occurrence.rs
@@ -49,6 +49,8 @@
     pub(crate) avoided: Vec<WorkerKey>,
     /// Workers that crashed under it.
     pub(crate) crashes: Vec<CrashMark>,
+    /// Since when it could start on trial.
+    pub(crate) trial_wanted: Option<Instant>,
     /// It does not start before this time.
     pub(crate) not_before: Option<Instant>,
 }
--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -3,9 +3,17 @@
 //! Load that this module handles: several tasks started just before a worker crashed, and
 //! one of them crashes the next worker too. Each is started where nothing else has started
 //! for a moment, so that a second crash has one possible cause, and where the least work
-//! is lost by it. Few workers of a pool hold a trial at once, and they get nothing else
-//! until it has lasted longer than the attempt that crashed.
+//! is lost by it. A worker on trial gets nothing else until the attempt has lasted longer
+//! than the one that crashed. Few workers of a busy pool hold a trial at once, and each idle
+//! one up to half of the pool.
+//!
+//! One crash of a well filled worker makes dozens of suspects. They would wait for each
+//! other in a pool with free capacity, so that a suspect that has waited for
+//! [`MAX_LONE_WAIT`] shares a trial with all others that have: its wait does not depend on
+//! their number. A crash there is blamed on those that are as old as they were at their
+//! first crash, and proves nothing unless this is one task alone.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use vg_base::prelude::*;
@@ -17,13 +25,17 @@
 use crate::workers::worker::WorkerKey;
 use crate::{Scheduler, StepId, TaskId};
 
-/// A pool's usable workers divided by this number may hold trials at once, but at least
-/// one.
+/// A pool's usable workers divided by this number may hold trials of one job at once, but at
+/// least one. Idle workers hold more.
 const TRIAL_DIVISOR: usize = 4;
 /// Time after the last start on a worker from which a crash is not due to that start.
 const QUIET_TIME: Duration = Duration::from_millis(100);
 /// Time by which a trial outlasts the attempts that crashed.
 const TRIAL_MARGIN: Duration = Duration::from_millis(150);
+/// Time for which a suspect waits to be tried without those of other jobs.
+const MAX_LONE_WAIT: Duration = Duration::from_secs(1);
+/// Crashes blamed on a task up to which it may be tried together with others.
+const MAX_SHARED_BLAMES: usize = 2;
 /// Longest trial.
 const MAX_TRIAL: Duration = Duration::from_secs(5);
 /// Time after which a worker that is kept for a trial is released.
@@ -35,18 +47,41 @@
 /// would be lost.
 const CONTINUOUS_WEIGHT: usize = 8;
 
+/// Who takes part in a trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TrialKind {
+    /// Tasks of one job. They are tried together: if one of them crashes the worker, the
+    /// job fails, whichever it is.
+    Lone(JobId),
+    /// Tasks that have waited for long, at any time while there is room.
+    Shared,
+}
+
 /// A worker that is kept for a trial, or holds one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Trial {
-    /// The job whose tasks are tried. They are tried together: if one of them crashes the
-    /// worker, the job fails, whichever it is.
-    pub(crate) job: JobId,
+    pub(crate) kind: TrialKind,
     /// The attempts, once they are started.
     pub(crate) attempts: Vec<AttemptKey>,
-    /// When the worker was chosen, or the attempts were started.
+    /// When the worker was chosen, or the last attempt was started.
     pub(crate) since: Instant,
 }
 
+impl Trial {
+    fn new(kind: TrialKind, since: Instant) -> Trial {
+        Trial { kind, attempts: Vec::new(), since }
+    }
+
+    fn is_shared(&self) -> bool {
+        self.kind == TrialKind::Shared
+    }
+
+    /// Whether another task of a job can start in it.
+    fn is_open_to(&self, job: JobId, now: Instant) -> bool {
+        self.kind == TrialKind::Lone(job) && (self.attempts.is_empty() || self.since == now)
+    }
+}
+
 impl Scheduler {
     /// Ends the trials that are passed, and those that can't go on.
     pub(crate) fn review_trials(&mut self, now: Instant) {
@@ -59,9 +94,16 @@
                 continue;
             }
             trial.attempts.retain(|&each| self.attempts.contains_key(each));
-            if trial.attempts.iter().all(|&each| self.has_outlasted(each, now)) {
-                trial.attempts.iter().for_each(|&each| self.pass_trial(each));
-            } else {
+            let outlasted = |each: &mut AttemptKey| self.has_outlasted(*each, now);
+            let passed: Vec<_> = match trial.kind {
+                TrialKind::Shared => trial.attempts.extract_if(.., outlasted).collect(),
+                TrialKind::Lone(_) if trial.attempts.iter_mut().all(outlasted) => {
+                    std::mem::take(&mut trial.attempts)
+                }
+                TrialKind::Lone(_) => Vec::new(),
+            };
+            passed.into_iter().for_each(|each| self.pass_trial(each));
+            if !trial.attempts.is_empty() {
                 self.workers[key].trial = Some(trial);
             }
         }
@@ -70,12 +112,21 @@
     /// Whether a worker is still to be kept for a trial.
     fn is_wanted(&self, trial: &Trial, key: WorkerKey, now: Instant) -> bool {
         let in_time = now.saturating_duration_since(trial.since) < MAX_RESERVATION;
-        let job = self.job_ids.get(&trial.job).map(|&job| &self.jobs[job]);
-        in_time && job.is_some_and(Job::is_open) && self.workers[key].is_usable(now)
+        let is_open = match trial.kind {
+            TrialKind::Lone(job) => {
+                let job = self.job_ids.get(&job).map(|&job| &self.jobs[job]);
+                job.is_some_and(Job::is_open)
+            }
+            TrialKind::Shared => true,
+        };
+        in_time && is_open && self.workers[key].is_usable(now)
     }
 
-    /// Whether an attempt on trial has lasted longer than those that crashed.
+    /// Whether an attempt on trial has lasted longer than those that crashed, as far as its
+    /// worker has answered.
     fn has_outlasted(&self, key: AttemptKey, now: Instant) -> bool {
+        let worker = &self.workers[self.attempts[key].worker];
+        let now = worker.unreachable_since.unwrap_or(now);
         let attempt = &self.attempts[key];
         let task = self.job_of_attempt(attempt).and_then(|job| job.task(attempt.task));
         let ages = task.into_iter().flat_map(|task| &task.crashes).map(|mark| mark.age_ms);
@@ -142,12 +193,18 @@
         if !startable || !self.team_allows(key, &step.need) || !self.start_window.allows(1) {
             return;
         }
+        if let Some(state) = self.jobs[key].task_mut(task) {
+            state.trial_wanted.get_or_insert(now);
+        }
         let Some(worker) = self.trial_worker(key, task, workers, now) else { return };
         if !self.is_ready_for_trial(key, task, worker, now) {
             return;
         }
         let attempt = self.next_attempt(key, task);
         self.start(key, task, attempt, worker, now);
+        if let Some(state) = self.jobs[key].task_mut(task) {
+            state.trial_wanted = None;
+        }
         let started = self.attempt_ids.get(&(task, attempt)).copied();
         if let Some(trial) = &mut self.workers[worker].trial {
             trial.attempts.extend(started);
@@ -155,9 +212,9 @@
         }
     }
 
-    /// Returns the worker for a task's trial: that which is kept for its job, that on which
-    /// tasks of its job have just been started on trial, or one that is chosen now: that on
-    /// which the least work would be lost. `None` if the pool holds as many trials as it may.
+    /// Returns the worker for a task's trial: that on which its job is tried, one whose trial
+    /// it may share, or one that is chosen now. `None` if the pool holds as many trials as
+    /// it may.
     fn trial_worker(
         &mut self,
         key: JobKey,
@@ -165,31 +222,96 @@
         workers: &[WorkerKey],
         now: Instant,
     ) -> Option<WorkerKey> {
-        let of_job = |trial: &Trial| {
-            trial.job == task.step.job && (trial.attempts.is_empty() || trial.since == now)
-        };
-        let trials = workers.iter().filter(|&&each| self.workers[each].trial.is_some());
-        let count = trials.clone().count();
-        let mut kept =
-            trials.filter(|&&each| self.workers[each].trial.as_ref().is_some_and(of_job));
-        if let Some(&worker) = kept.next() {
+        let job = task.step.job;
+        let trial = |each: &WorkerKey| self.workers[*each].trial.as_ref();
+        let is_own = |each: &&WorkerKey| trial(each).is_some_and(|it| it.is_open_to(job, now));
+        if let Some(&worker) = workers.iter().find(is_own) {
             return Some(worker);
         }
-        if count >= (workers.len() / TRIAL_DIVISOR).max(1) || self.is_deferred(key, task, now) {
-            return None;
+        let on_trial = workers.iter().filter_map(trial);
+        let (shared, lone): (Vec<_>, Vec<_>) = on_trial.partition(|each| each.is_shared());
+        let (shared, lone) = (shared.len(), lone.len());
+        let half = workers.len() / 2;
+        let kind = if self.may_share_trial(key, task, now) {
+            let is_joinable = |each: &&WorkerKey| {
+                trial(each).is_some_and(Trial::is_shared)
+                    && self.is_ready_for_trial(key, task, **each, now)
+            };
+            if let Some(&worker) = workers.iter().find(is_joinable) {
+                return Some(worker);
+            }
+            (shared < half.saturating_sub(lone).max(1)).then_some(TrialKind::Shared)
+        } else {
+            None
+        };
+        let kind = kind.unwrap_or(TrialKind::Lone(job));
+        let chosen = self.choose_for_trial(key, task, workers, now)?;
+        if kind == TrialKind::Lone(job) {
+            let is_idle = self.workers[chosen].attempts.is_empty();
+            let most = if is_idle { half } else { workers.len() / TRIAL_DIVISOR };
+            if lone >= most.max(1) || self.is_deferred(key, task, now) {
+                return None;
+            }
         }
+        self.workers[chosen].trial = Some(Trial::new(kind, now));
+        Some(chosen)
+    }
+
+    /// Returns the worker on which a trial of a task loses the least work, if it crashes:
+    /// one that has not crashed under the task, if there is one.
+    fn choose_for_trial(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
         let request = self.placement_request(key, task, now)?;
         let reservation = request.spec.reservation();
+        let crashes = &request.step.tasks[task.index as usize].crashes;
+        let has_crashed = |each: WorkerKey| {
+            let home = self.workers[each].home();
+            crashes.iter().any(|mark| mark.home == home)
+        };
         let suitable = workers.iter().copied().filter(|&each| {
             let worker = &self.workers[each];
             worker.trial.is_none()
                 && reservation.fits(&self.freeable(each))
                 && self.meets_conditions(&request, each, worker, &[], now)
         });
-        let chosen = suitable.min_by_key(|&each| self.work_at_risk(each))?;
-        let trial = Trial { job: task.step.job, attempts: Vec::new(), since: now };
-        self.workers[chosen].trial = Some(trial);
-        Some(chosen)
+        suitable.min_by_key(|&each| (has_crashed(each), self.work_at_risk(each)))
+    }
+
+    /// Whether a task has waited for so long that it may be tried together with others. A
+    /// task that was blamed several times is tried alone, so that it is found out.
+    fn may_share_trial(&self, key: JobKey, id: TaskId, now: Instant) -> bool {
+        let Some(task) = self.jobs[key].task(id) else { return false };
+        let since = task.trial_wanted.unwrap_or(now);
+        let blamed = task.crashes.iter().filter(|mark| mark.suspicion != Suspicion::Bystander);
+        now.saturating_duration_since(since) >= MAX_LONE_WAIT && blamed.count() <= MAX_SHARED_BLAMES
+    }
+
+    /// Returns the number of jobs of each pool that wait for a trial, and of workers on trial:
+    /// each takes a worker for itself.
+    pub(crate) fn trial_demand(&self, now: Instant) -> HashMap<PoolId, usize> {
+        let mut demand: HashMap<PoolId, usize> = HashMap::new();
+        for worker in self.workers.values().filter(|worker| worker.trial.is_some()) {
+            *demand.entry(worker.incarnation.pool.clone()).or_default() += 1;
+        }
+        for job in self.jobs.values().filter(|job| job.is_open()) {
+            let waits_for_trial = job.ready_steps().any(|ready| {
+                let mut waiting = ready.step.waiting.iter();
+                waiting.any(|&index| {
+                    let task = &ready.step.tasks[index as usize];
+                    !task.crashes.is_empty()
+                        && self.crash_state(task, ready.spec, now) == CrashState::Suspect
+                })
+            });
+            if waits_for_trial {
+                *demand.entry(job.pool().clone()).or_default() += 1;
+            }
+        }
+        demand
     }
 
     /// Whether a trial is to wait because its pool is full.
--- a/crates/flow/src/pools/demand.rs
+++ b/crates/flow/src/pools/demand.rs
@@ -103,6 +103,8 @@
     missing: f64,
     /// Whether a continuous task found no place in it.
     unplaced: bool,
+    /// Machines on which tasks are tried, and could be (`trials.rs`).
+    trials: usize,
 }
 
 impl PoolSize {
@@ -129,10 +131,12 @@
     }
 
     /// Capacity that continuous tasks leave free on the machines over which
-    /// they are spread counts as headroom too.
+    /// they are spread counts as headroom too. Tasks that wait for a trial keep the machines
+    /// that the pool has.
     fn machines_for(&self, need: f64) -> usize {
         ((need + self.missing + HEADROOM_MACHINES).ceil() as usize)
             .max(self.spread)
+            .max(self.trials.min(self.present))
             .max(MIN_POOL_MACHINES)
     }
 }
@@ -222,6 +226,11 @@
                 size.unplaced = true;
             }
         }
+        for (pool, trials) in self.trial_demand(now) {
+            if let Some(size) = sizes.get_mut(&pool) {
+                size.trials = trials;
+            }
+        }
         let (need, spread) = self.current_need();
         for (pool, need) in need {
             if let Some(size) = sizes.get_mut(&pool) {
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -118,6 +118,8 @@
     pub(crate) latest_starts: HashMap<SmolStr, u64>,
     /// Crashes of workers under tasks, by pool.
     pub(crate) crash_series: HashMap<PoolId, CrashSeries>,
+    /// Crashes of workers for other causes than tasks, by pool.
+    pub(crate) chance_crashes: HashMap<PoolId, CrashSeries>,
     /// Tasks that were given up because workers crash under them, until they are
     /// reported.
     pub(crate) deadly: Vec<DeadlyTask>,
@@ -190,6 +192,7 @@
             actions: Vec::new(),
             latest_starts: HashMap::new(),
             crash_series: HashMap::new(),
+            chance_crashes: HashMap::new(),
             deadly: Vec::new(),
             losses: Vec::new(),
             counts: Counts::default(),
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -7,12 +7,14 @@
 use support::spec::{job, queue, scheduled_job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Schedule, StepSpec};
+use vg_flow::{AdviserTiming, Schedule, StepSpec};
 
 /// Number of seeds of a run; `VG_SEEDS` sets another number.
 const SEEDS: u64 = 60;
 /// Simulated time under faults.
 const FAULTY_MS: u64 = 25_000;
+/// Time after the end of the faults from which no job may stand still while there is room.
+const CALM_MS: u64 = 14_000;
 /// Simulated time in which all work must complete once the faults end.
 const RECOVERY_MS: u64 = 60_000;
 
@@ -65,6 +67,7 @@
         assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
     }
     world.end_faults();
+    world.judge_waits_in(CALM_MS);
     let until = world.ms + RECOVERY_MS;
     while world.ms < until && world.open_jobs() > 1 {
         world.run(500);
@@ -226,3 +229,30 @@
         run_world(world, 4000 + seed);
     }
 }
+
+/// Guards against tasks that wait for each other, or are given up, because their workers
+/// have crashed under them by chance.
+#[test]
+fn invariants_hold_when_workers_crash() {
+    let faults = Faults { crashes: 12, failures: 20, takeovers: 2, ..Faults::default() };
+    (0..seeds()).for_each(|seed| run_seed(9600 + seed, faults));
+}
+
+/// Guards against steps that wait for an adviser that is busy with what nobody waits for, or
+/// start without its permission: bursts, lost answers, restarts and takeovers.
+#[test]
+fn invariants_hold_with_an_adviser_of_limited_speed() {
+    let faults = Faults { restarts: 2, takeovers: 3, partitions: 3, ..Faults::default() };
+    for seed in (0..seeds()).map(|seed| 9700 + seed) {
+        let mut world = World::new(seed, 8, faults);
+        let timing = AdviserTiming {
+            base: Duration::from_millis(world.rng.random_range(5..60)),
+            per_worker: Duration::from_millis(world.rng.random_range(1..20)),
+            validity: Duration::from_millis(world.rng.random_range(1500..5000)),
+        };
+        world.add_adviser(timing);
+        let adviser = world.adviser.as_mut().unwrap();
+        adviser.lost = if seed.is_multiple_of(2) { 50 } else { 0 };
+        run_world(world, seed);
+    }
+}
--- a/crates/flow/tests/support/faults.rs
+++ b/crates/flow/tests/support/faults.rs
@@ -17,6 +17,8 @@
     pub(crate) failures: u32,
     /// Restarts of a worker, per step.
     pub(crate) restarts: u32,
+    /// Crashes of a worker, which is back after some seconds, per step.
+    pub(crate) crashes: u32,
     /// Restarts of a worker whose registration comes up to 0.6 s later, per step. Polls that
     /// were sent before may be answered by the later life.
     pub(crate) unseen_restarts: u32,
@@ -51,6 +53,7 @@
         dropped: 20,
         failures: 30,
         restarts: 3,
+        crashes: 0,
         unseen_restarts: 0,
         partitions: 6,
         takeovers: 4,
@@ -74,6 +77,15 @@
             let at = self.rng.random_range(0..self.workers.len());
             self.restart(at);
         }
+        if self.chance(faults.crashes) {
+            let up = self.workers.iter().enumerate().filter(|(_, worker)| worker.up);
+            let up: Vec<_> = up.map(|(at, _)| at).collect();
+            // Both pools keep workers.
+            if up.len() > 4 {
+                let at = self.rng.random_range(0..up.len());
+                self.crash(up[at]);
+            }
+        }
         self.inject_unseen_restart();
         if self.chance(faults.recuts) {
             self.begin_recut();
