flow: others give way to a suspected continuous task

Cause: preemption is asked for by the placement of ordinary starts. A suspect starts by way of trials, which kept a worker and waited for its tasks to end by themselves, and while the pool was full did not even begin for 5 s.

--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -198,6 +198,9 @@
         }
         let Some(worker) = self.trial_worker(key, task, workers, now) else { return };
         if !self.is_ready_for_trial(key, task, worker, now) {
+            if step.continuous {
+                self.preempt_on(worker, step, now);
+            }
             return;
         }
         let attempt = self.next_attempt(key, task);
@@ -314,9 +317,13 @@
         demand
     }
 
-    /// Whether a trial is to wait because its pool is full.
+    /// Whether a trial is to wait because its pool is full. A continuous task is not: others
+    /// give way to it.
     fn is_deferred(&self, key: JobKey, id: TaskId, now: Instant) -> bool {
         let job = &self.jobs[key];
+        if self.spec_of(id).is_some_and(|step| step.continuous) {
+            return false;
+        }
         let waits_since = job.task(id).and_then(|task| task.not_before);
         let waited = waits_since.map(|since| now.saturating_duration_since(since));
         self.full_pools.contains(job.pool()) && waited.is_some_and(|waited| waited < MAX_DEFERRAL)
--- a/crates/flow/src/placement/preempt.rs
+++ b/crates/flow/src/placement/preempt.rs
@@ -41,6 +41,17 @@
         }
     }
 
+    /// Stops less important attempts on a worker so that a continuous task fits there.
+    pub(crate) fn preempt_on(&mut self, worker: WorkerKey, spec: &StepSpec, now: Instant) {
+        if self.is_preempting(worker) {
+            return;
+        }
+        let victims = self.victims(worker, spec, now);
+        for attempt in victims.map(|victims| victims.attempts).unwrap_or_default() {
+            self.stop_attempt(attempt, StopReason::Preempted, now);
+        }
+    }
+
     /// Whether a worker may run the task once it has the capacity.
     fn may_host(
         &self,
--- a/crates/flow/tests/suspects.rs
+++ b/crates/flow/tests/suspects.rs
@@ -8,7 +8,7 @@
 use support::spec::{job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{JobOutcome, JobSpec, StepId, TaskId};
+use vg_flow::{JobOutcome, JobSpec, StepId, StepSpec, TaskId};
 
 fn only_task(job: u128) -> TaskId {
     TaskId { step: StepId { job: JobId::new(job), occurrence: 0, step: 0 }, index: 0 }
@@ -127,3 +127,36 @@
     }
     assert!(failed * 500 <= jobs, "{failed} of {jobs}");
 }
+
+/// Guards against a continuous task that waits in a full pool because it is suspected of a
+/// crash: others give way to it as they do to one that is not.
+#[test]
+fn others_give_way_to_a_suspected_continuous_task() {
+    let mut world = world_of(36, 4);
+    let of_no_team =
+        |steps, wall| Arc::new(JobSpec { team: None, ..JobSpec::clone(&job("q-a", steps, wall)) });
+    submit_many(&mut world, 4, |wall| of_no_team(vec![step(4, 4000, 45_000)], wall));
+    run_until_running(&mut world, 16);
+    let continuous = StepSpec { continuous: true, max_unavailable: Some(1), ..step(2, 3000, 0) };
+    let wall = world.wall();
+    let id = world.submit(1000, of_no_team(vec![continuous], wall));
+    let runs = |world: &World| {
+        let up = world.workers.iter().filter(|worker| worker.up);
+        up.flat_map(|worker| &worker.running).filter(|each| each.task.step.job == id).count()
+    };
+    while runs(&world) < 2 {
+        world.step();
+    }
+    world.run(400);
+    let holds = |worker: &vg_standin::SimulatedWorker| {
+        worker.up && worker.running.iter().any(|each| each.task.step.job == id)
+    };
+    let at = world.workers.iter().position(holds).unwrap();
+    world.crashes.gone = true;
+    world.crash(at);
+    let gone = world.workers[at].id.parse::<HostId>().unwrap();
+    world.scheduler.deregister(&gone);
+    world.run(10_000);
+    assert_eq!(runs(&world), 2, "it does not run again");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
