flow: a continuous job is not ended for crashes that chance explains

Cause: five marks of any kind gave a task up, also those of a bystander, whatever else crashed in its pool.

Change: a number of crashes gives a task up only if the pool had not half as many for other causes in the same series, and a continuous one only if three of them were blamed on it at the same age. So that a deadly one stays within five starts, a trial whose worker falls silent and starts again counts as a trial, and does not pass by the time of the silence.

--- a/crates/flow/src/jobs/crashes.rs
+++ b/crates/flow/src/jobs/crashes.rs
@@ -38,8 +38,13 @@
 const MAX_GANG_CRASHES: usize = 3;
 /// Crashes from which a task is given up although no trial has proved anything.
 const MAX_CRASHES: usize = 5;
+/// A task is not given up for so many crashes if its pool had a large part of that number for
+/// other causes: this is the inverse of the part.
+const CHANCE_FACTOR: usize = 2;
 /// Crashes that have to be certain for a task to be given up.
 const MIN_CRASHES: usize = 2;
+/// Crashes at the same age from which a continuous task is given up.
+const MIN_REPEATED: usize = 3;
 /// Ages at two crashes are the same if they differ by no more than this, or by
 /// [`AGE_PART`] of the larger one: crashes are seen with different delays.
 const AGE_MARGIN: Duration = Duration::from_millis(150);
@@ -213,6 +218,24 @@
     })
 }
 
+/// Whether a task has so many crashes that it is given up although no trial has proved
+/// anything: more than chance explains, and under a continuous task several at one age.
+fn is_excess(crashes: &[CrashMark], spec: &StepSpec) -> bool {
+    let chances = crashes.last().map_or(0, |mark| mark.chances as usize);
+    crashes.len() >= MAX_CRASHES
+        && crashes.len() > chances * CHANCE_FACTOR
+        && (!spec.continuous || is_repeated(crashes.iter()))
+}
+
+/// Whether several crashes came as long after the start.
+fn is_repeated<'a>(marks: impl Iterator<Item = &'a CrashMark> + Clone) -> bool {
+    let blamed = marks.filter(|mark| mark.suspicion != Suspicion::Bystander);
+    blamed.clone().any(|mark| {
+        let same = blamed.clone().filter(|other| other.is_as_old_as(mark));
+        same.count() >= MIN_REPEATED
+    })
+}
+
 impl Scheduler {
     /// Returns the tasks that were given up since the last call because workers crash
     /// under them.
@@ -227,7 +250,7 @@
         }
         let ran = || task.crashes.iter().filter(|mark| mark.has_run());
         let certain = || ran().filter(|mark| self.is_certain(mark));
-        let many = task.crashes.len() >= MAX_CRASHES;
+        let many = is_excess(&task.crashes, spec);
         if is_proof(certain(), spec) || (many && certain().count() >= MIN_CRASHES) {
             return CrashState::Proven;
         }
@@ -282,8 +305,14 @@
             return;
         }
         let since = self.workers[key].unreachable_since.unwrap_or(now);
+        let trial = self.workers[key].trial.take();
+        let tried = trial.map(|trial| trial.attempts).unwrap_or_default();
         for attempt in self.workers[key].attempts.clone() {
-            self.add_mark(attempt, Suspicion::Bystander, since);
+            // Other marks would never show that a continuous task is at fault.
+            let continuous = self.is_continuous(attempt);
+            let is_trial = continuous && tried.contains(&attempt);
+            let suspicion = if is_trial { Suspicion::Trial } else { Suspicion::Bystander };
+            self.add_mark(attempt, suspicion, since);
         }
     }
 
--- a/crates/flow/tests/suspects.rs
+++ b/crates/flow/tests/suspects.rs
@@ -160,3 +160,23 @@
     assert_eq!(runs(&world), 2, "it does not run again");
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// Guards against a continuous job that is ended, and whose sound tasks are stopped, as workers
+/// have crashed under one of them five times by chance.
+#[test]
+fn five_crashes_by_chance_do_not_end_a_continuous_job() {
+    let mut world = world_of(37, 8);
+    let wall = world.wall();
+    let continuous = StepSpec { continuous: true, max_unavailable: Some(1), ..step(1, 1000, 0) };
+    world.submit(1, job("q-a", vec![continuous], wall));
+    for age_ms in [700, 1900, 200, 2600, 1200, 3100, 450] {
+        run_until_running(&mut world, 1);
+        world.run(age_ms);
+        let at = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+        world.crash(at);
+    }
+    world.run(12_000);
+    assert_eq!(world.store[&JobId::new(1)].end, None);
+    assert!(world.workers.iter().any(|worker| worker.up && !worker.running.is_empty()));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
