flow: an answer of a worker's later life is not taken for one of an earlier life as young

Callers saw (the users' record, rule TWICE, one case): two runs of a task at once, both started by the same host, neither late, on two workers that were up; the first one was never stopped and never noted, and ended as its worker died.

A reading within 150 ms of the known life's clock counted as proof. If a worker starts again twice within that time, the answer of the later life fits the clock of the earlier one. Once the later life registers, the attempt is taken for lost with the earlier life, and starts elsewhere while it runs.

Change: a reading is proof only if it is also older than any life that can have begun since the known one last answered. Otherwise the attempt waits for a report, as one whose answer had no reading does.

That this is what the users saw is suspected, not shown: their record has no starts of workers.

--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -4,7 +4,8 @@
 //! that were meant for its earlier life, and is cut off before it answers a poll. The answer
 //! to a start names no life, but it has a reading of the worker's clock, which begins anew with
 //! each life: an answer whose reading fits the clock of the life that is known comes from that
-//! one. Any other may come from a later life, whose lease lasts as long as workers permit, as
+//! one, unless that life was so young when it last answered that a later one could read the
+//! same by now. Any other may come from a later life, whose lease lasts as long as workers permit, as
 //! the deadline of the start is a time on the earlier life's clock.
 
 use vg_base::prelude::*;
@@ -15,12 +16,15 @@
 use crate::workers::worker::{Worker, WorkerClock};
 
 impl WorkerClock {
-    /// Whether a reading in an answer that was received at `now` is one of this clock.
+    /// Whether a reading in an answer that was received at `now` is one of this clock, and
+    /// none of a clock that began with a later life.
     fn fits(&self, reading_ms: u64, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.at);
         let margin = WORKER_CLOCK_MARGIN + age.mul_f64(MAX_CLOCK_DRIFT - 1.0);
         let difference = Duration::from_millis(self.reading(now).abs_diff(reading_ms));
-        difference <= margin
+        // A later life began after the last answer of this one, which took a while.
+        let latest = age + margin;
+        difference <= margin && Duration::from_millis(reading_ms) > latest
     }
 }
 
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -240,3 +240,42 @@
     let violations = cut_off(world, 0);
     assert!(violations.is_empty(), "{violations:?}");
 }
+
+/// Guards against a task that runs twice: both lives of its worker are so young that their
+/// clocks read nearly the same, so that an answer by the later one looks like one by the
+/// earlier one, with which the attempt is then taken for lost.
+#[test]
+fn an_answer_of_a_later_life_is_not_taken_for_one_of_an_earlier_life_as_young() {
+    let (mut started, mut broken) = (0, Vec::new());
+    for gap_ms in (20..=200).step_by(20) {
+        let mut world = world();
+        // The others take no work before the later life is known.
+        world.draining.extend(1..world.workers.len());
+        world.register();
+        world.restart(0);
+        let wall = world.wall();
+        world.submit(1, job("q-a", vec![step(3, 4000, 10_000)], wall));
+        run_with_commits(&mut world, gap_ms);
+        if world.starts > 0 {
+            continue;
+        }
+        world.restart_unseen(0);
+        run_with_commits(&mut world, 20);
+        started += world.starts;
+        world.draining.clear();
+        world.register();
+        world.run(3000);
+        broken.extend((!world.violations.is_empty()).then_some(gap_ms));
+    }
+    assert!(started > 0, "no start reached a later life");
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Runs with a store that answers at once, so that new lives get work early.
+fn run_with_commits(world: &mut World, ms: u64) {
+    let until = world.ms + ms;
+    while world.ms < until {
+        world.step();
+        world.commit();
+    }
+}
