lead, call: retries of callers are paced for all of them together

Callers would see: while the store or the peers fail most calls, each submission, cancel and query repeated its call after a fixed delay of 40 to 80 ms by itself, so that the load of the retries grew with the number of callers that waited. Not seen to break a rule: the store refuses what exceeds its rate at once.

Change: RetryPacer, one for the store and one for the peers of a host. While most calls succeed a retry is free; else the retries of the host take turns at a fixed rate, and a caller whose turn would come too late gets its true answer at once.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -15,11 +15,16 @@
 //! - A call that was given up stays in flight for as long as the callee may work on it.
 //! - [`RetryTokens`] limit repeated calls in proportion to answered ones.
 //!
+//! Where a callee handles many calls at a time and refuses those beyond its rate, the calls of
+//! many callers are not queued, and [`RetryPacer`] bounds the rate of their retries.
+//!
 //! A window hands out a [`Permit`] for each call. The function that makes a call takes the
 //! permit, so that a call which no window has admitted does not compile.
 
+mod pacer;
 mod tokens;
 mod window;
 
+pub use pacer::RetryPacer;
 pub use tokens::RetryTokens;
 pub use window::{Call, CallKey, CallKind, CallWindow, Failure, Permit};
--- a/crates/lead/src/cancel.rs
+++ b/crates/lead/src/cancel.rs
@@ -9,9 +9,12 @@
 use crate::host::lock;
 use crate::keys::{self, OutcomeRecord};
 use crate::messages::{CancelWriteOutcome, DurableCancel};
-use crate::retry::read_with_retry;
+use crate::retry::Callee;
 use crate::{Host, Platform};
 
+/// Delay before a cancellation is written again.
+const RETRY_DELAY: Duration = Duration::from_millis(40);
+
 impl<P: Platform, C: Clock> Host<P, C> {
     /// Makes a cancellation durable and notifies the leader.
     ///
@@ -33,7 +36,9 @@
                     log::debug!(target: "store", "cannot cancel job {job}: {error}")
                 }
             }
-            tokio::time::sleep(Duration::from_millis(40)).await;
+            if !self.wait_to_retry(Callee::Store, RETRY_DELAY, deadline).await {
+                break;
+            }
         }
         CancelWriteOutcome::Unknown
     }
@@ -45,11 +50,8 @@
         job: JobId,
         deadline: Instant,
     ) -> Result<Option<CancelWriteOutcome>, vg_store::Error> {
-        let clock = &self.inner.clock;
-        let Some(entry) = read_with_retry(self.store(), &keys::job(job), clock, deadline).await?
-        else {
-            let outcome =
-                read_with_retry(self.store(), &keys::outcome(job), clock, deadline).await?;
+        let Some(entry) = self.read_with_retry(&keys::job(job), deadline).await? else {
+            let outcome = self.read_with_retry(&keys::outcome(job), deadline).await?;
             let Some(entry) = outcome else { return self.cancel_unaccepted(job).await };
             return Ok(Some(match self.decode::<OutcomeRecord>(&entry) {
                 Some(OutcomeRecord {
--- a/crates/lead/src/host.rs
+++ b/crates/lead/src/host.rs
@@ -20,6 +20,7 @@
 use crate::load::ReceivedLoad;
 use crate::members::Members;
 use crate::messages::StatusReply;
+use crate::retry::CallerRetries;
 use crate::submit::UNSENT_MAX;
 use crate::unresolved::{AcceptedJobs, UnresolvedWrites};
 use crate::zone_drains::DrainedZones;
@@ -83,6 +84,7 @@
     pub(crate) accepted: Mutex<AcceptedJobs>,
     /// Places for submissions that wait unsent while the store does not answer.
     pub(crate) unsent_places: Semaphore,
+    pub(crate) caller_retries: CallerRetries,
     pub(crate) stopping: AtomicBool,
     /// Until when new jobs are refused, because the leader can not start them in
     /// time.
@@ -177,6 +179,7 @@
             unresolved: Mutex::default(),
             accepted: Mutex::default(),
             unsent_places: Semaphore::new(UNSENT_MAX),
+            caller_retries: CallerRetries::default(),
             stopping: AtomicBool::new(false),
             refusing_until: Mutex::default(),
             load: Mutex::default(),
--- a/crates/lead/src/query.rs
+++ b/crates/lead/src/query.rs
@@ -6,7 +6,7 @@
 
 use crate::keys::{self, OutcomeRecord};
 use crate::messages::{CancelWriteOutcome, CountAnswer, CountQuery, JobQuery, StatusReply};
-use crate::retry::{LOCAL_RETRY_LIMIT, answer_deadline};
+use crate::retry::{Callee, LOCAL_RETRY_LIMIT, answer_deadline};
 use crate::{Host, Platform};
 
 /// Delay before a query is retried.
@@ -69,10 +69,13 @@
         let deadline = self.query_deadline(deadline);
         loop {
             let status = self.query_once(job).await;
-            if status != StatusReply::Unknown || self.inner.clock.now() + RETRY_DELAY >= deadline {
+            if status != StatusReply::Unknown {
+                self.note_success(Callee::Peers);
+                return status.into();
+            }
+            if !self.wait_to_retry(Callee::Peers, RETRY_DELAY, deadline).await {
                 return status.into();
             }
-            tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
@@ -214,13 +217,13 @@
                 let query = CountQuery { queue: queue.clone() };
                 let answer: Result<CountAnswer, _> = self.ask_peer(addr, "pending", &query).await;
                 if let Ok(CountAnswer { pending: Some(pending) }) = answer {
+                    self.note_success(Callee::Peers);
                     return PendingCount::Known(pending);
                 }
             }
-            if self.inner.clock.now() + RETRY_DELAY >= deadline {
+            if !self.wait_to_retry(Callee::Peers, RETRY_DELAY, deadline).await {
                 return PendingCount::Unknown;
             }
-            tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 }
--- a/crates/lead/src/submit.rs
+++ b/crates/lead/src/submit.rs
@@ -17,7 +17,7 @@
 use crate::messages::{
     DurableJob, JobQuery, RelayRequest, StatusReply, UnresolvedAnswer, WriteOutcome,
 };
-use crate::retry::{LOCAL_RETRY_LIMIT, answer_deadline};
+use crate::retry::{Callee, LOCAL_RETRY_LIMIT, answer_deadline};
 use crate::unresolved::WriteNumber;
 use crate::{Host, Platform, keys};
 
@@ -157,7 +157,9 @@
                     if !self.wait_until_answered(deadline).await {
                         return WriteOutcome::Unknown;
                     }
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    if !self.wait_to_retry(Callee::Store, RETRY_DELAY, deadline).await {
+                        return WriteOutcome::Unknown;
+                    }
                     match self.write_job(job, spec, deadline).await {
                         WriteOutcome::Durable => WriteOutcome::Durable,
                         _ => WriteOutcome::Unknown,
@@ -235,6 +237,7 @@
                 .put(keys::job(job), value.clone());
             match self.store().commit(txn).await {
                 Ok(TxnOutcome::Committed { revision }) => {
+                    self.note_success(Callee::Store);
                     self.note_durable(job);
                     self.announce_accepted(job, revision.0 as u64, spec);
                     return WriteOutcome::Durable;
@@ -263,10 +266,9 @@
                 Err(error) if !error.had_no_effect() => outcome = WriteOutcome::Unknown,
                 Err(_) => self.forget_rejected(job, number, outcome),
             }
-            if self.inner.clock.now() + RETRY_DELAY >= deadline {
+            if !self.wait_to_retry(Callee::Store, RETRY_DELAY, deadline).await {
                 return outcome;
             }
-            tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
