flow: all members of a gang continue from one checkpoint

Cause: each member was started with the last checkpoint that itself had reported. The last report of a lost worker may be one checkpoint older than those of the others, and nothing made the values equal again.

Change: a checkpoint is kept with the time at which its value was first reported. A gang starts all members from the value that came last, or, after a takeover, from the one that most members have in the record.

--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -3,6 +3,7 @@
 use vg_base::prelude::*;
 use vg_jobs::Resources;
 
+use crate::jobs::checkpoint::Checkpoint;
 use crate::jobs::job::JobKey;
 use crate::shares::teams::TeamIndex;
 use crate::workers::worker::WorkerKey;
@@ -73,7 +74,7 @@
     /// Whether only an answered stop resolves it: the worker restarted, and its
     /// clock no longer shows whether the start command has expired.
     pub(crate) needs_stop: bool,
-    pub(crate) checkpoint: SmolStr,
+    pub(crate) checkpoint: Checkpoint,
     /// Progress in percent, and when it last changed.
     pub(crate) percent: u8,
     pub(crate) last_progress: Instant,
--- a/crates/flow/src/jobs/gangs.rs
+++ b/crates/flow/src/jobs/gangs.rs
@@ -6,6 +6,7 @@
 use vg_jobs::Resources;
 
 use crate::jobs::attempt::Phase;
+use crate::jobs::checkpoint::Checkpoint;
 use crate::jobs::crashes::CrashState;
 use crate::jobs::job::JobKey;
 use crate::placement::place::PlacementRequest;
@@ -54,9 +55,10 @@
         }
         let last = step.tasks.iter().map(|task| task.last_attempt).max().unwrap_or_default();
         let attempt = self.token.attempt_after(last);
+        let checkpoint = Checkpoint::common(step.tasks.iter().map(|task| &task.checkpoint));
         for (index, worker) in places.into_iter().enumerate() {
             let task = TaskId { step: id, index: index as u32 };
-            self.start(key, task, attempt, worker, now);
+            self.start_from(key, task, attempt, checkpoint.clone(), worker, now);
         }
     }
 
--- a/crates/flow/src/jobs/mod.rs
+++ b/crates/flow/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 //! attempts, what is durable of them, and what is left of them.
 
 pub(crate) mod attempt;
+pub(crate) mod checkpoint;
 pub(crate) mod crashes;
 pub(crate) mod gangs;
 pub(crate) mod intake;
--- a/crates/flow/src/jobs/occurrence.rs
+++ b/crates/flow/src/jobs/occurrence.rs
@@ -5,6 +5,7 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::AttemptKey;
+use crate::jobs::checkpoint::Checkpoint;
 use crate::placement::tickets::Tickets;
 use crate::workers::worker::WorkerKey;
 use crate::{AttemptNumber, CrashMark, JobSpec, OccurrenceProgress, StepId, StepSpec};
@@ -41,7 +42,7 @@
     pub(crate) attempts: Vec<AttemptKey>,
     pub(crate) last_attempt: AttemptNumber,
     pub(crate) failed_attempts: Vec<AttemptNumber>,
-    pub(crate) checkpoint: SmolStr,
+    pub(crate) checkpoint: Checkpoint,
     /// Worker on which it was completed, and the time from the start command to
     /// the report of the end.
     pub(crate) completion: Option<(WorkerKey, Duration)>,
@@ -92,7 +93,7 @@
                 let crashes = task.crashes.iter();
                 progress.crashes.extend(crashes.map(|mark| (at, index, mark.clone())));
                 if !task.checkpoint.is_empty() {
-                    progress.checkpoints.push((at, index, task.checkpoint.clone()));
+                    progress.checkpoints.push((at, index, task.checkpoint.value.clone()));
                 }
             }
         }
@@ -118,7 +119,7 @@
         }
         for (step, index, checkpoint) in &progress.checkpoints {
             if let Some(task) = self.task_mut(*step, *index) {
-                task.checkpoint = checkpoint.clone();
+                task.checkpoint = Checkpoint::restored(checkpoint.clone());
             }
         }
     }
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -6,6 +6,7 @@
 use vg_jobs::Resources;
 
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
+use crate::jobs::checkpoint::Checkpoint;
 use crate::jobs::crashes::CrashState;
 use crate::jobs::job::{Job, JobKey};
 use crate::order::rank::{Rank, RankInput, rank};
@@ -336,10 +337,22 @@
         worker: WorkerKey,
         now: Instant,
     ) {
-        let job = &self.jobs[key];
-        let Some(usage) = job.usage(task.step.step) else { return };
-        let Some(state) = job.task(task) else { return };
+        let Some(state) = self.jobs[key].task(task) else { return };
         let checkpoint = state.checkpoint.clone();
+        self.start_from(key, task, attempt, checkpoint, worker, now);
+    }
+
+    /// Starts an attempt that continues from a checkpoint.
+    pub(crate) fn start_from(
+        &mut self,
+        key: JobKey,
+        task: TaskId,
+        attempt: AttemptNumber,
+        checkpoint: Checkpoint,
+        worker: WorkerKey,
+        now: Instant,
+    ) {
+        let Some(usage) = self.jobs[key].usage(task.step.step) else { return };
         let attempt = self.insert_attempt(Attempt {
             task,
             job: Some(key),
@@ -374,7 +387,7 @@
     /// Sends the start command of an attempt.
     pub(crate) fn send_start(&mut self, key: AttemptKey, now: Instant) {
         let Attempt { task, attempt: number, worker, .. } = self.attempts[key];
-        let checkpoint = self.attempts[key].checkpoint.clone();
+        let checkpoint = self.attempts[key].checkpoint.value.clone();
         let Some(job) = self.job_of(task) else {
             return self.remove_attempt(key, Removal::NeverRan, now);
         };
--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -14,6 +14,7 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
+use crate::jobs::checkpoint::Checkpoint;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, WorkerKey};
 use crate::{AttemptNumber, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
@@ -173,7 +174,7 @@
         stop_answered: None,
         needs_stop: true,
         // The task may have a later one.
-        checkpoint: SmolStr::default(),
+        checkpoint: Checkpoint::default(),
         ..attempt
     }
 }
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -5,6 +5,7 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
+use crate::jobs::checkpoint::Checkpoint;
 use crate::scheduler::Removal;
 use crate::workers::worker::{WorkerClock, WorkerKey};
 use crate::{
@@ -110,7 +111,7 @@
         if let Some(key) = key
             && is_usable(&end.checkpoint)
         {
-            self.attempts[key].checkpoint = end.checkpoint.clone();
+            self.attempts[key].checkpoint.set(&end.checkpoint, now);
         }
         match end.outcome {
             AttemptOutcome::Done => self.apply_done(worker, end, key, now),
@@ -119,7 +120,7 @@
             | AttemptOutcome::LeaseExpired
             | AttemptOutcome::GangBroken
             | AttemptOutcome::GangIncomplete => {
-                self.keep_checkpoint(end);
+                self.keep_checkpoint(end, now);
                 if let Some(key) = key {
                     self.counts.lost += u64::from(end.outcome == AttemptOutcome::LeaseExpired);
                     self.remove_attempt(key, Removal::Ended, now);
@@ -204,7 +205,7 @@
         now: Instant,
     ) {
         self.counts.failed += 1;
-        self.keep_checkpoint(end);
+        self.keep_checkpoint(end, now);
         self.record_task_failure(end.task, end.attempt);
         self.record_worker_failure(worker, end.task.step.job, now);
         self.avoid_worker(end.task, worker);
@@ -222,12 +223,12 @@
 
     /// Keeps the last checkpoint of an ended attempt for the next attempt of
     /// its task, and has it written before the end is acknowledged.
-    fn keep_checkpoint(&mut self, end: &EndedAttempt) {
+    fn keep_checkpoint(&mut self, end: &EndedAttempt, now: Instant) {
         if !is_usable(&end.checkpoint) {
             return;
         }
         let Some(task) = self.task_mut(end.task).filter(|task| !task.done) else { return };
-        task.checkpoint = end.checkpoint.clone();
+        task.checkpoint.set(&end.checkpoint, now);
         // The worker forgets it once the end is acknowledged.
         if let Some(&job) = self.job_ids.get(&end.task.step.job) {
             self.mark_dirty(job);
@@ -250,7 +251,7 @@
             attempt.last_progress = now;
         }
         if is_usable(&reported.checkpoint) {
-            attempt.checkpoint = reported.checkpoint.clone();
+            attempt.checkpoint.set(&reported.checkpoint, now);
         }
         attempt.gauge = reported.gauge;
         if attempt.phase == Phase::Stopping {
@@ -286,6 +287,10 @@
 
     fn adopted_state(&self, worker: WorkerKey, reported: &RunningAttempt, now: Instant) -> Attempt {
         let job = self.job_of(reported.task);
+        let mut checkpoint = Checkpoint::default();
+        if is_usable(&reported.checkpoint) {
+            checkpoint.set(&reported.checkpoint, now);
+        }
         Attempt {
             task: reported.task,
             job: self.job_ids.get(&reported.task.step.job).copied(),
@@ -301,10 +306,7 @@
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
-            checkpoint: Some(&reported.checkpoint)
-                .filter(|each| is_usable(each))
-                .cloned()
-                .unwrap_or_default(),
+            checkpoint,
             percent: reported.percent,
             complete_run: false,
             last_progress: now,
--- a/crates/flow/tests/features.rs
+++ b/crates/flow/tests/features.rs
@@ -233,6 +233,34 @@
     assert!(stopped.iter().all(|(.., reason)| *reason == StopReason::GangIncomplete));
 }
 
+/// Guards against members that carry different checkpoints, so that they wait for each other
+/// in run after run: the last report of one was older than those of the others.
+#[test]
+fn all_members_of_a_gang_continue_from_one_checkpoint() {
+    let mut harness = Harness::new(4, config());
+    let gang = StepSpec { gang: true, checkpoint: true, ..step(3, 9000, 500) };
+    harness.submit(1, vec![gang]);
+    let actions = harness.advance(10);
+    let starts = harness.execute_starts(actions);
+    assert_eq!(starts.len(), 3);
+    for (index, values) in [["c1", "c1", "c1"], ["c1", "c2", "c1"]].into_iter().enumerate() {
+        for (start, value) in starts.iter().zip(values) {
+            let running = harness.running.get_mut(&start.incarnation.id).unwrap();
+            running.iter_mut().for_each(|attempt| attempt.checkpoint = value.into());
+        }
+        harness.advance(100 + index as u64);
+    }
+    starts.iter().for_each(|start| harness.end_attempt(start, AttemptOutcome::GangBroken));
+    let actions = harness.advance(100);
+    let mut again = harness.execute_starts(actions);
+    if again.is_empty() {
+        let actions = harness.advance(100);
+        again = harness.execute_starts(actions);
+    }
+    let checkpoints: Vec<_> = again.iter().map(|start| start.checkpoint.as_str()).collect();
+    assert_eq!(checkpoints, ["c2"; 3]);
+}
+
 /// Guards against occurrences that start too early or not at all, and against a
 /// job that ends before its last occurrence.
 #[test]
