lead tests: an end that lapsed is not mistaken for a later noted one

Cause: the check. It kept tasks, not ends: a task had ended on a worker that was cut off, its lease lapsed before the end was noted, and it was started again on another worker, as the rule allows ("unless the minion's lease lapsed between the two; that stands for good"). The end of that second run was noted, and was taken for the one before it. Traced with a log of polls and ends: the first end is number 8, the lease lapses at 22, nothing was acknowledged.

Change: each end is kept with its worker and number, and a start breaks the rule if an end before it is noted. That is as strict: every end before a start counts, whenever it is noted.

--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -72,7 +72,8 @@
         let ms = self.ms();
         let mut workers = self.workers.lock().unwrap();
         for worker in workers.iter_mut() {
-            self.oracle.lock().unwrap().note_ends(&worker.advance(ms));
+            let ends = worker.advance(ms);
+            self.oracle.lock().unwrap().note_ends(&worker.id, &ends);
         }
         let worker = workers.iter_mut().find(|worker| worker.id == id.as_str())?;
         worker.reachable.then(|| act(worker, ms))
--- a/crates/lead/tests/support/oracle.rs
+++ b/crates/lead/tests/support/oracle.rs
@@ -1,27 +1,32 @@
 //! What the workers see: tasks that run twice, or again after a noted end.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
+use vg_base::prelude::*;
 use vg_flow::{AttemptOutcome, EndedAttempt, TaskId};
 use vg_standin::SimulatedWorker;
 
+/// An end: the worker, and its number there.
+type End = (SmolStr, u64);
+
 /// The ends that workers have had, and the starts that contradict what ran before.
 #[derive(Debug, Default)]
 pub(crate) struct Oracle {
-    /// Tasks that have ended `done`.
-    done: HashSet<TaskId>,
-    /// Those of which the end was acknowledged.
-    noted: HashSet<TaskId>,
-    /// Tasks that were started after they had ended `done`.
-    repeated: HashSet<TaskId>,
+    /// The ends `done` of each task.
+    done: HashMap<TaskId, Vec<End>>,
+    /// Those that were acknowledged before the lease of their worker lapsed.
+    noted: HashSet<End>,
+    /// Those after which their task was started again.
+    repeated: HashMap<End, TaskId>,
     violations: Vec<String>,
 }
 
 impl Oracle {
     /// Notes the ends of attempts on a worker.
-    pub(super) fn note_ends(&mut self, ends: &[EndedAttempt]) {
-        let done = ends.iter().filter(|end| end.outcome == AttemptOutcome::Done);
-        self.done.extend(done.map(|end| end.task));
+    pub(super) fn note_ends(&mut self, worker: &SmolStr, ends: &[EndedAttempt]) {
+        for end in ends.iter().filter(|end| end.outcome == AttemptOutcome::Done) {
+            self.done.entry(end.task).or_default().push((worker.clone(), end.number));
+        }
     }
 
     /// Notes that a poll acknowledges the ends up to a number.
@@ -29,8 +34,8 @@
         let lapsed = worker.expiry_number;
         let noted =
             worker.ended.iter().filter(|end| end.number <= acknowledged && end.number > lapsed);
-        self.noted
-            .extend(noted.filter(|end| end.outcome == AttemptOutcome::Done).map(|end| end.task));
+        let done = noted.filter(|end| end.outcome == AttemptOutcome::Done);
+        self.noted.extend(done.map(|end| (worker.id.clone(), end.number)));
     }
 
     /// Checks a start that a worker has carried out. `elsewhere` are the other workers that
@@ -39,15 +44,14 @@
         if !elsewhere.is_empty() {
             self.violations.push(format!("{task} runs on {worker} and on {elsewhere:?}"));
         }
-        if self.done.contains(&task) {
-            self.repeated.insert(task);
-        }
+        let ends = self.done.get(&task).into_iter().flatten();
+        self.repeated.extend(ends.map(|end| (end.clone(), task)));
     }
 
     /// Returns what was broken. An end counts whenever it is noted.
     pub(crate) fn violations(&self) -> Vec<String> {
-        let repeated = self.repeated.intersection(&self.noted);
-        let repeated = repeated.map(|task| format!("{task} was started after its noted end"));
+        let repeated = self.repeated.iter().filter(|(end, _)| self.noted.contains(*end));
+        let repeated = repeated.map(|(_, task)| format!("{task} was started after its noted end"));
         self.violations.iter().cloned().chain(repeated).collect()
     }
 }
