flow: a suspect that was blamed often shares a trial after two seconds

Cause: a task that was blamed for three crashes was tried alone only, so that its wait still grew with the number of such tasks. Result: tests/crashes.rs and tests/suspects.rs pass.

--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -34,8 +34,9 @@
 const TRIAL_MARGIN: Duration = Duration::from_millis(150);
 /// Time for which a suspect waits to be tried without those of other jobs.
 const MAX_LONE_WAIT: Duration = Duration::from_secs(1);
-/// Crashes blamed on a task up to which it may be tried together with others.
-const MAX_SHARED_BLAMES: usize = 2;
+/// The same for a task that was blamed more often than [`FEW_BLAMES`]: alone it is found out.
+const MAX_BLAMED_WAIT: Duration = Duration::from_secs(2);
+const FEW_BLAMES: usize = 2;
 /// Longest trial.
 const MAX_TRIAL: Duration = Duration::from_secs(5);
 /// Time after which a worker that is kept for a trial is released.
@@ -285,13 +286,13 @@
         suitable.min_by_key(|&each| (has_crashed(each), self.work_at_risk(each)))
     }
 
-    /// Whether a task has waited for so long that it may be tried together with others. A
-    /// task that was blamed several times is tried alone, so that it is found out.
+    /// Whether a task has waited for so long that it may be tried together with others.
     fn may_share_trial(&self, key: JobKey, id: TaskId, now: Instant) -> bool {
         let Some(task) = self.jobs[key].task(id) else { return false };
         let since = task.trial_wanted.unwrap_or(now);
         let blamed = task.crashes.iter().filter(|mark| mark.suspicion != Suspicion::Bystander);
-        now.saturating_duration_since(since) >= MAX_LONE_WAIT && blamed.count() <= MAX_SHARED_BLAMES
+        let limit = if blamed.count() <= FEW_BLAMES { MAX_LONE_WAIT } else { MAX_BLAMED_WAIT };
+        now.saturating_duration_since(since) >= limit
     }
 
     /// Returns the number of jobs of each pool that wait for a trial, and of workers on trial:
