flow: a trial whose start was never confirmed proves nothing beside one crash

Cause: a trial counted as a run without confirmation, as nothing else starts there. That says which task a crash is blamed on, not that it has begun.

Change: an unconfirmed trial is proof only together with another trial.

--- a/crates/flow/src/jobs/crashes.rs
+++ b/crates/flow/src/jobs/crashes.rs
@@ -212,7 +212,9 @@
     let counted = blamed.filter(|mark| !spec.continuous || mark.is_immediate());
     let mut trials = counted.clone().filter(|mark| mark.suspicion == Suspicion::Trial);
     trials.any(|trial| {
-        let others = counted.clone();
+        // A trial that was not confirmed may never have begun: the worker had crashed before.
+        let is_known = |other: &&CrashMark| trial.confirmed || other.suspicion == Suspicion::Trial;
+        let others = counted.clone().filter(is_known);
         let same = others.filter(|other| other.home != trial.home && other.is_as_old_as(trial));
         same.count() >= if trial.chances > 1 { 2 } else { 1 }
     })
--- a/crates/flow/tests/crashes.rs
+++ b/crates/flow/tests/crashes.rs
@@ -236,6 +236,30 @@
     assert_eq!(outcome(&world, 1), Some(JobOutcome::Failed));
 }
 
+/// Guards against a job that is given up after one crash under its task: the worker of its
+/// trial crashed before the start reached it.
+#[test]
+fn a_trial_that_never_ran_is_no_proof() {
+    let mut world = World::new(29, 8, Faults::default());
+    world.run(300);
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(1, 1000, 900)], wall));
+    run_until_started(&mut world, 1);
+    world.run(40);
+    crash_under_work(&mut world);
+    world.faults.dropped = 1000;
+    let sent = world.scheduler.counts().starts;
+    while world.scheduler.counts().starts == sent {
+        world.step();
+    }
+    let up = (0..world.workers.len()).filter(|&at| world.workers[at].up);
+    up.collect::<Vec<_>>().into_iter().for_each(|at| world.crash(at));
+    world.faults.dropped = 0;
+    world.run(30_000);
+    assert_eq!(outcome(&world, 1), Some(JobOutcome::Done));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 /// Guards against a gang that is started without end: its members can't be tried alone.
 #[test]
 fn a_gang_with_a_deadly_member_is_given_up() {
