flow: crash marks, series of crashes and the choice of a trial's worker in pieces of their own

Change: what a mark says and what proves is in crash_mark.rs, series in crash_series.rs; the choice of a trial's worker is three functions and a type with the limits. No behaviour changes. Result: tests/crashes.rs and tests/suspects.rs pass.

--- a/crates/flow/src/jobs/crashes.rs
+++ b/crates/flow/src/jobs/crashes.rs
@@ -15,17 +15,18 @@
 //! proof only just after a start and on two machines, as chance rarely has them. Others
 //! are counted until it has run for a while.
 
-use std::collections::HashMap;
-
-use serde::{Deserialize, Serialize};
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{Attempt, AttemptKey};
+use crate::jobs::crash_mark::{is_excess, is_proof, is_same_age};
+use crate::jobs::crash_series::CrashSeries;
 use crate::jobs::job::JobKey;
 use crate::jobs::occurrence::Task;
 use crate::jobs::trials::TrialKind;
 use crate::workers::worker::WorkerKey;
-use crate::{AttemptNumber, JobOutcome, PollFailure, Scheduler, StepSpec, TaskId};
+use crate::{
+    AttemptNumber, CrashMark, JobOutcome, PollFailure, Scheduler, StepSpec, Suspicion, TaskId,
+};
 
 /// Maximum age of the youngest attempt on a crashed worker at which the crash is blamed
 /// on the youngest ones.
@@ -33,25 +34,8 @@
 /// Attempts that started within this time before the youngest one count as young too:
 /// start commands and the crash reach this host with different delays.
 const RECENT_MARGIN: Duration = Duration::from_millis(100);
-/// Crashes from which a task of a gang is given up: its members start together, so that
-/// none can be tried alone.
-const MAX_GANG_CRASHES: usize = 3;
-/// Crashes from which a task is given up although no trial has proved anything.
-const MAX_CRASHES: usize = 5;
-/// A task is not given up for so many crashes if its pool had a large part of that number for
-/// other causes: this is the inverse of the part.
-const CHANCE_FACTOR: usize = 2;
 /// Crashes that have to be certain for a task to be given up.
 const MIN_CRASHES: usize = 2;
-/// Crashes at the same age from which a continuous task is given up.
-const MIN_REPEATED: usize = 3;
-/// Ages at two crashes are the same if they differ by no more than this, or by
-/// [`AGE_PART`] of the larger one: crashes are seen with different delays.
-const AGE_MARGIN: Duration = Duration::from_millis(150);
-/// Part of an age by which the age at the next crash may differ.
-const AGE_PART: u64 = 4;
-/// Age of an attempt of a continuous task up to which a crash is proof.
-const IMMEDIATE_AGE: Duration = Duration::from_millis(100);
 /// Time after the start of a continuous task from which a crash says nothing about it, and
 /// the crashes before are forgotten.
 const SOUND_TIME: Duration = Duration::from_secs(5);
@@ -59,87 +43,6 @@
 /// when its last attempt is known to have ended. Then it is tried again.
 const MAX_DOUBT: Duration = Duration::from_secs(2);
 
-/// Time after a crash under a task for which its pool is expected to have more of them.
-const CRASH_MEMORY: Duration = Duration::from_secs(10);
-/// Time between two crashes within which they may have one cause, as those of a rack have.
-const COMMON_CAUSE_TIME: Duration = Duration::from_millis(300);
-
-/// How much a crash says about a task that was on the worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Suspicion {
-    /// Others had started later.
-    Bystander,
-    /// It was among those that had started last.
-    Recent,
-    /// It was on trial: nothing else had started there for a while.
-    Trial,
-}
-
-/// A worker that seems to have crashed under an attempt of a task.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashMark {
-    /// The attempt.
-    pub attempt: AttemptNumber,
-    /// The worker's machine, or the worker if that is not known.
-    pub home: SmolStr,
-    /// Wall time of the start of the worker's incarnation, in milliseconds since 1970.
-    pub start_ms: u64,
-    /// Whether the worker had confirmed the attempt, which may never have started otherwise.
-    pub confirmed: bool,
-    /// Time from the start command until the crash was seen, in milliseconds. An attempt
-    /// that an earlier leader started is older than that.
-    pub age_ms: u64,
-    /// What the crash says about the task.
-    pub suspicion: Suspicion,
-    /// Crashes for other causes that the pool had shortly before, one after the other.
-    #[serde(default)]
-    pub chances: u32,
-}
-
-/// Crashes in a pool that follow each other within [`CRASH_MEMORY`]. Those within
-/// [`COMMON_CAUSE_TIME`] are one event.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct CrashSeries {
-    last: Instant,
-    events: usize,
-    /// Workers that crashed in the last event.
-    workers: usize,
-}
-
-impl CrashSeries {
-    fn new(at: Instant) -> CrashSeries {
-        CrashSeries { last: at, events: 1, workers: 1 }
-    }
-
-    fn add(&mut self, at: Instant) {
-        let pause = at.saturating_duration_since(self.last);
-        if pause >= CRASH_MEMORY {
-            *self = CrashSeries::new(at);
-        } else if pause >= COMMON_CAUSE_TIME {
-            *self = CrashSeries { last: at, events: self.events + 1, workers: 1 };
-        } else {
-            *self = CrashSeries { last: at, workers: self.workers + 1, ..*self };
-        }
-    }
-
-    /// Adds a crash to the series of a pool.
-    fn note(all: &mut HashMap<PoolId, CrashSeries>, pool: PoolId, at: Instant) {
-        let series = all.entry(pool);
-        series.and_modify(|series| series.add(at)).or_insert_with(|| CrashSeries::new(at));
-    }
-
-    /// Whether the next task may crash its worker too: the crashes came one after another,
-    /// or of one worker alone.
-    fn goes_on(&self, now: Instant) -> bool {
-        self.is_recent(now) && (self.events > 1 || self.workers == 1)
-    }
-
-    fn is_recent(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last) < CRASH_MEMORY
-    }
-}
-
 /// What may be done with a task, by the crashes under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CrashState {
@@ -162,23 +65,6 @@
     pub crashes: usize,
 }
 
-impl CrashMark {
-    /// Whether the attempt has run: nothing else had started there if it was a trial.
-    fn has_run(&self) -> bool {
-        self.confirmed || self.suspicion == Suspicion::Trial
-    }
-
-    /// Whether both crashes came as long after the start: a task that crashes its workers
-    /// does it at the same point each time, and chance does not.
-    fn is_as_old_as(&self, other: &CrashMark) -> bool {
-        is_same_age(self.age_ms, other.age_ms)
-    }
-
-    fn is_immediate(&self) -> bool {
-        Duration::from_millis(self.age_ms) <= IMMEDIATE_AGE
-    }
-}
-
 impl Task {
     /// Drops the mark of an attempt whose worker has not crashed. Returns whether there
     /// was one.
@@ -195,49 +81,6 @@
     }
 }
 
-fn is_same_age(a_ms: u64, b_ms: u64) -> bool {
-    let margin = (AGE_MARGIN.as_millis() as u64).max(a_ms.max(b_ms) / AGE_PART);
-    a_ms.abs_diff(b_ms) <= margin
-}
-
-/// Whether these crashes prove that a task of a step causes them: one on trial, and another
-/// on a second machine that came as long after the start. Where workers crash for other
-/// causes too, one more.
-fn is_proof<'a>(marks: impl Iterator<Item = &'a CrashMark> + Clone, spec: &StepSpec) -> bool {
-    let blamed = marks.filter(|mark| mark.suspicion != Suspicion::Bystander);
-    if spec.gang {
-        let recent = blamed.filter(|mark| mark.suspicion == Suspicion::Recent);
-        return recent.count() >= MAX_GANG_CRASHES;
-    }
-    let counted = blamed.filter(|mark| !spec.continuous || mark.is_immediate());
-    let mut trials = counted.clone().filter(|mark| mark.suspicion == Suspicion::Trial);
-    trials.any(|trial| {
-        // A trial that was not confirmed may never have begun: the worker had crashed before.
-        let is_known = |other: &&CrashMark| trial.confirmed || other.suspicion == Suspicion::Trial;
-        let others = counted.clone().filter(is_known);
-        let same = others.filter(|other| other.home != trial.home && other.is_as_old_as(trial));
-        same.count() >= if trial.chances > 1 { 2 } else { 1 }
-    })
-}
-
-/// Whether a task has so many crashes that it is given up although no trial has proved
-/// anything: more than chance explains, and under a continuous task several at one age.
-fn is_excess(crashes: &[CrashMark], spec: &StepSpec) -> bool {
-    let chances = crashes.last().map_or(0, |mark| mark.chances as usize);
-    crashes.len() >= MAX_CRASHES
-        && crashes.len() > chances * CHANCE_FACTOR
-        && (!spec.continuous || is_repeated(crashes.iter()))
-}
-
-/// Whether several crashes came as long after the start.
-fn is_repeated<'a>(marks: impl Iterator<Item = &'a CrashMark> + Clone) -> bool {
-    let blamed = marks.filter(|mark| mark.suspicion != Suspicion::Bystander);
-    blamed.clone().any(|mark| {
-        let same = blamed.clone().filter(|other| other.is_as_old_as(mark));
-        same.count() >= MIN_REPEATED
-    })
-}
-
 impl Scheduler {
     /// Returns the tasks that were given up since the last call because workers crash
     /// under them.
@@ -427,8 +270,7 @@
 
     /// Returns how often workers of a pool have crashed for other causes than tasks lately.
     fn chance_crashes(&self, pool: &PoolId, now: Instant) -> u32 {
-        let series = self.chance_crashes.get(pool).filter(|series| series.is_recent(now));
-        series.map_or(0, |series| series.events as u32)
+        self.chance_crashes.get(pool).map_or(0, |series| series.recent_events(now) as u32)
     }
 
     fn note_crash(&mut self, key: WorkerKey, at: Instant) {
--- a/crates/flow/src/jobs/mod.rs
+++ b/crates/flow/src/jobs/mod.rs
@@ -3,6 +3,8 @@
 
 pub(crate) mod attempt;
 pub(crate) mod checkpoint;
+pub(crate) mod crash_mark;
+pub(crate) mod crash_series;
 pub(crate) mod crashes;
 pub(crate) mod gangs;
 pub(crate) mod intake;
--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -19,11 +19,11 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{AttemptKey, Phase};
-use crate::jobs::crashes::{CrashState, Suspicion};
+use crate::jobs::crashes::CrashState;
 use crate::jobs::job::{Job, JobKey};
 use crate::placement::plan::PoolPass;
 use crate::workers::worker::WorkerKey;
-use crate::{Scheduler, StepId, TaskId};
+use crate::{Scheduler, StepId, Suspicion, TaskId};
 
 /// A pool's usable workers divided by this number may hold trials of one job at once, but at
 /// least one. Idle workers hold more.
@@ -83,6 +83,28 @@
     }
 }
 
+/// Usable workers of a pool, and those on trial.
+#[derive(Debug, Clone, Copy)]
+struct TrialCounts {
+    workers: usize,
+    lone: usize,
+    shared: usize,
+}
+
+impl TrialCounts {
+    /// Returns how many workers may hold trials of one job, if the next one is idle or not.
+    fn max_lone(&self, is_idle: bool) -> usize {
+        let most = if is_idle { self.workers / 2 } else { self.workers / TRIAL_DIVISOR };
+        most.max(1)
+    }
+
+    /// Returns how many workers may hold shared trials: together with the others half of the
+    /// pool. If these are full, half of its capacity is in use.
+    fn max_shared(&self) -> usize {
+        (self.workers / 2).saturating_sub(self.lone).max(1)
+    }
+}
+
 impl Scheduler {
     /// Ends the trials that are passed, and those that can't go on.
     pub(crate) fn review_trials(&mut self, now: Instant) {
@@ -227,40 +249,52 @@
         now: Instant,
     ) -> Option<WorkerKey> {
         let job = task.step.job;
-        let trial = |each: &WorkerKey| self.workers[*each].trial.as_ref();
-        let is_own = |each: &&WorkerKey| trial(each).is_some_and(|it| it.is_open_to(job, now));
+        let is_own = |each: &&WorkerKey| {
+            let trial = self.workers[**each].trial.as_ref();
+            trial.is_some_and(|trial| trial.is_open_to(job, now))
+        };
         if let Some(&worker) = workers.iter().find(is_own) {
             return Some(worker);
         }
-        let on_trial = workers.iter().filter_map(trial);
-        let (shared, lone): (Vec<_>, Vec<_>) = on_trial.partition(|each| each.is_shared());
-        let (shared, lone) = (shared.len(), lone.len());
-        let half = workers.len() / 2;
-        let kind = if self.may_share_trial(key, task, now) {
-            let is_joinable = |each: &&WorkerKey| {
-                trial(each).is_some_and(Trial::is_shared)
-                    && self.is_ready_for_trial(key, task, **each, now)
-            };
-            if let Some(&worker) = workers.iter().find(is_joinable) {
-                return Some(worker);
-            }
-            (shared < half.saturating_sub(lone).max(1)).then_some(TrialKind::Shared)
+        let may_share = self.may_share_trial(key, task, now);
+        if may_share && let Some(worker) = self.joinable_trial(key, task, workers, now) {
+            return Some(worker);
+        }
+        let chosen = self.choose_for_trial(key, task, workers, now)?;
+        let counts = self.count_trials(workers);
+        let is_idle = self.workers[chosen].attempts.is_empty();
+        let kind = if may_share && counts.shared < counts.max_shared() {
+            TrialKind::Shared
+        } else if counts.lone < counts.max_lone(is_idle) && !self.is_deferred(key, task, now) {
+            TrialKind::Lone(job)
         } else {
-            None
+            return None;
         };
-        let kind = kind.unwrap_or(TrialKind::Lone(job));
-        let chosen = self.choose_for_trial(key, task, workers, now)?;
-        if kind == TrialKind::Lone(job) {
-            let is_idle = self.workers[chosen].attempts.is_empty();
-            let most = if is_idle { half } else { workers.len() / TRIAL_DIVISOR };
-            if lone >= most.max(1) || self.is_deferred(key, task, now) {
-                return None;
-            }
-        }
         self.workers[chosen].trial = Some(Trial::new(kind, now));
         Some(chosen)
     }
 
+    /// Returns a worker with a shared trial in which a task can start now.
+    fn joinable_trial(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let is_joinable = |each: &&WorkerKey| {
+            self.workers[**each].trial.as_ref().is_some_and(Trial::is_shared)
+                && self.is_ready_for_trial(key, task, **each, now)
+        };
+        workers.iter().find(is_joinable).copied()
+    }
+
+    fn count_trials(&self, workers: &[WorkerKey]) -> TrialCounts {
+        let on_trial = workers.iter().filter_map(|&each| self.workers[each].trial.as_ref());
+        let (shared, lone): (Vec<_>, Vec<_>) = on_trial.partition(|trial| trial.is_shared());
+        TrialCounts { workers: workers.len(), lone: lone.len(), shared: shared.len() }
+    }
+
     /// Returns the worker on which a trial of a task loses the least work, if it crashes:
     /// one that has not crashed under the task, if there is one.
     fn choose_for_trial(
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -9,7 +9,7 @@
 
 use crate::cadence::Cadence;
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase, Usage};
-use crate::jobs::crashes::CrashSeries;
+use crate::jobs::crash_series::CrashSeries;
 use crate::jobs::job::{Job, JobKey};
 use crate::jobs::job_size::JobSizes;
 use crate::jobs::occurrence::Task;
