flow: the passes over marks skip jobs under which nothing has crashed

Cause: the demand of trials looked at each waiting task of each job in each pass over the fleet. Change: a job notes that a worker has crashed under it. Result: tests/crashes.rs, tests/suspects.rs and tests/takeover.rs pass.

--- a/crates/flow/src/jobs/crashes.rs
+++ b/crates/flow/src/jobs/crashes.rs
@@ -253,6 +253,9 @@
         let mark =
             CrashMark { attempt: number, home, start_ms, confirmed, age_ms, suspicion, chances };
         task.crashes.push(mark);
+        if let Some(&job) = self.job_ids.get(&id.step.job) {
+            self.jobs[job].has_crashes = true;
+        }
         // Bystanders' marks become durable with the next record of their job.
         if suspicion != Suspicion::Bystander
             && let Some(&job) = self.job_ids.get(&id.step.job)
--- a/crates/flow/src/jobs/job.rs
+++ b/crates/flow/src/jobs/job.rs
@@ -67,6 +67,9 @@
     pub(crate) dirty: bool,
     /// Number of attempts of all its tasks.
     pub(crate) attempt_count: u32,
+    /// Whether a worker has crashed under one of its tasks, so that passes over the marks need
+    /// not look at the tasks of other jobs.
+    pub(crate) has_crashes: bool,
 }
 
 /// Kinds of tasks among those of a job, so that passes over all attempts need not look
@@ -104,6 +107,7 @@
             ended: None,
             ended_durably: false,
             dirty: false,
+            has_crashes: false,
             attempt_count: 0,
         }
     }
@@ -261,6 +265,7 @@
         self.occurrences.dedup_by_key(|occurrence| occurrence.number);
         self.pools.restore(&progress.pools);
         self.started = !progress.queued;
+        self.has_crashes = progress.occurrences.iter().any(|each| !each.crashes.is_empty());
     }
 }
 
--- a/crates/flow/src/jobs/trials.rs
+++ b/crates/flow/src/jobs/trials.rs
@@ -336,7 +336,7 @@
         for worker in self.workers.values().filter(|worker| worker.trial.is_some()) {
             *demand.entry(worker.incarnation.pool.clone()).or_default() += 1;
         }
-        for job in self.jobs.values().filter(|job| job.is_open()) {
+        for job in self.jobs.values().filter(|job| job.has_crashes && job.is_open()) {
             let waits_for_trial = job.ready_steps().any(|ready| {
                 let mut waiting = ready.step.waiting.iter();
                 waiting.any(|&index| {
