flow, lead: an attempt is removed by a proof alone, which the next start of its task logs

What callers saw: a task ran twice, and no log told on what belief its second start was allowed (E620 told the worker, E626 two ways of a loss, and nothing told of attempts removed for a machine's command, a report or a refusal).

Change: `Removal` and `LossCause` become one type, `Proof`: what was seen, of which life, sent and read when. Only the constructors of `workers/proof.rs` build one, each from the attempt and what it is compared with. A task keeps its last proof; a start carries it (`StartGround`), or why work of an earlier leader counts as resolved (`Release`). E620 tells it (ground, after-run, after-worker, after-born, asked-ms, read-ms), E626 as well, also for a machine's command. No decision changes.

--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -6,7 +6,7 @@
 use vg_base::prelude::*;
 use vg_call::Permit;
 
-use crate::{AttemptNumber, FencingToken, StepId, TaskId, WorkerIncarnation};
+use crate::{AttemptNumber, FencingToken, Proof, Release, StepId, TaskId, WorkerIncarnation};
 
 /// An action for the leader to carry out. Messages may be lost; the caller
 /// reports the result of each to the scheduler.
@@ -75,6 +75,30 @@
     /// Ticket of the adviser that permits the start; empty where none is
     /// needed.
     pub ticket: SmolStr,
+    /// Why the attempt may start.
+    pub ground: StartGround,
+}
+
+/// Why an attempt may start: what shows that no other one of its task can run.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum StartGround {
+    /// Its task has had no attempt: this leader knows its job since it was accepted.
+    #[display("new")]
+    New,
+    /// An earlier leader may have started the task, and no record of a worker named it, or
+    /// could have.
+    #[display("unrecorded")]
+    Unrecorded,
+    /// An earlier leader may have started the task, and the last worker was resolved that may
+    /// have run it.
+    #[display("{_0}")]
+    Released(Release),
+    /// The attempt before can't run.
+    #[display("{}", _0.finding())]
+    After(Proof),
+    /// Its step permits several attempts of a task at the same time.
+    #[display("copy")]
+    Copy,
 }
 
 /// Why an attempt is stopped.
--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -51,6 +51,9 @@
     pub(crate) job: Option<JobKey>,
     pub(crate) attempt: AttemptNumber,
     pub(crate) worker: WorkerKey,
+    /// Start of the life of its worker that has reported it or, before that, to which its start
+    /// command was sent, in milliseconds since 1970.
+    pub(crate) life: u64,
     /// What it takes; `None` if that is not known, as an earlier leader started it and
     /// this one does not know its job or its step.
     pub(crate) usage: Option<Usage>,
--- a/crates/flow/src/jobs/occurrence.rs
+++ b/crates/flow/src/jobs/occurrence.rs
@@ -7,6 +7,7 @@
 use crate::jobs::attempt::AttemptKey;
 use crate::jobs::checkpoint::Checkpoint;
 use crate::placement::tickets::Tickets;
+use crate::workers::proof::Proof;
 use crate::workers::worker::WorkerKey;
 use crate::{AttemptNumber, CrashMark, JobSpec, OccurrenceProgress, StepId, StepSpec};
 
@@ -41,6 +42,8 @@
     pub(crate) done: bool,
     pub(crate) attempts: Vec<AttemptKey>,
     pub(crate) last_attempt: AttemptNumber,
+    /// Why the attempt that was removed last can't run.
+    pub(crate) last_proof: Option<Proof>,
     pub(crate) failed_attempts: Vec<AttemptNumber>,
     pub(crate) checkpoint: Checkpoint,
     /// Worker on which it was completed, and the time from the start command to
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -12,9 +12,11 @@
 use crate::order::rank::{Rank, RankInput, rank};
 use crate::placement::place::PlacementRequest;
 use crate::rules::{START_VALIDITY, WORKER_CLOCK_MARGIN, clock_bound};
-use crate::scheduler::Removal;
 use crate::workers::worker::WorkerKey;
-use crate::{Action, AttemptNumber, Scheduler, StartCommand, StepId, StepSpec, StopReason, TaskId};
+use crate::{
+    Action, AttemptNumber, Scheduler, StartCommand, StartGround, StepId, StepSpec, StopReason,
+    TaskId,
+};
 
 /// A scheduling pass over one pool.
 pub(crate) struct PoolPass {
@@ -358,6 +360,7 @@
             job: Some(key),
             attempt,
             worker,
+            life: self.workers[worker].incarnation.start_ms,
             usage: Some(usage),
             phase: Phase::Listing,
             started: now,
@@ -388,15 +391,12 @@
     pub(crate) fn send_start(&mut self, key: AttemptKey, now: Instant) {
         let Attempt { task, attempt: number, worker, .. } = self.attempts[key];
         let checkpoint = self.attempts[key].checkpoint.value.clone();
-        let Some(job) = self.job_of(task) else {
-            return self.remove_attempt(key, Removal::NeverRan, now);
-        };
+        let Some(job) = self.job_of(task) else { return self.remove_unsent(key, now) };
         let payload = Arc::clone(&job.spec.payload);
+        let ground = self.start_ground(job, key);
         let step = job.step(task.step.occurrence, task.step.step);
         let ticket = step.and_then(|step| step.tickets.get(worker, now)).cloned();
-        let Some(clock) = self.workers[worker].clock else {
-            return self.remove_attempt(key, Removal::NeverRan, now);
-        };
+        let Some(clock) = self.workers[worker].clock else { return self.remove_unsent(key, now) };
         let deadline_ms = clock.reading(now) + START_VALIDITY.as_millis() as u64;
         // The attempt may begin until the command has expired on the worker's
         // clock.
@@ -406,6 +406,7 @@
         let (incarnation, token) = (chosen.incarnation.clone(), chosen.token);
         let sent = &mut self.attempts[key];
         sent.phase = Phase::Starting;
+        sent.life = incarnation.start_ms;
         sent.started = now;
         sent.last_progress = now;
         sent.expires_ms = deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64;
@@ -420,9 +421,27 @@
             deadline_ms,
             checkpoint,
             ticket: ticket.unwrap_or_default(),
+            ground,
         };
         self.actions.push(Action::Start(start));
     }
+
+    /// Returns why an attempt of a job may start although others of its task were started.
+    fn start_ground(&self, job: &Job, key: AttemptKey) -> StartGround {
+        let id = self.attempts[key].task;
+        let Some(task) = job.task(id) else { return StartGround::New };
+        if task.attempts.iter().any(|&each| each != key) {
+            return StartGround::Copy;
+        }
+        match &task.last_proof {
+            Some(proof) => StartGround::After(proof.clone()),
+            None if job.is_earlier => {
+                let release = self.unresolved.release(id, job.pools.occupied());
+                release.cloned().map_or(StartGround::Unrecorded, StartGround::Released)
+            }
+            None => StartGround::New,
+        }
+    }
 }
 
 fn has_waiting(job: &Job) -> bool {
--- a/crates/flow/src/pools/machines.rs
+++ b/crates/flow/src/pools/machines.rs
@@ -7,7 +7,7 @@
 use vg_jobs::Resources;
 
 use crate::pools::maintain::ActiveWave;
-use crate::scheduler::Removal;
+use crate::workers::proof::{Exchange, Proof};
 use crate::workers::worker::WorkerKey;
 use crate::{Action, EarlierCommand, MachineCommand, Scheduler};
 
@@ -255,8 +255,10 @@
             matches!(answer, MachineAnswer::Unanswered | MachineAnswer::Limited);
         match answer {
             MachineAnswer::Done => {
-                if sent.is_some() && self.ended_known_worker(command) {
-                    self.machine_left(&machine, now);
+                if let Some((_, sent)) = sent
+                    && self.ended_known_worker(command)
+                {
+                    self.machine_left(command, Exchange { sent, read: now });
                 }
                 match command {
                     MachineCommand::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
@@ -332,16 +334,17 @@
 
     /// Removes the confirmed attempts of a machine that a command took away:
     /// all that ran on it has ended.
-    pub(crate) fn machine_left(&mut self, machine: &SmolStr, now: Instant) {
-        let Some(key) = self.worker_on(machine) else { return };
+    fn machine_left(&mut self, command: &MachineCommand, seen: Exchange) {
+        let Some(key) = self.worker_on(command.machine()) else { return };
+        let now = seen.read;
         self.workers[key].leaving = true;
         self.records_changed = true;
         self.workers[key].cordoned = false;
         self.workers[key].backoff_until = Some(now + LEAVING_TIME);
         for attempt in self.workers[key].attempts.clone() {
-            if self.attempts[attempt].confirmed.is_some() {
-                self.remove_attempt(attempt, Removal::Ended, now);
-            }
+            let on = &self.workers[key];
+            let proof = Proof::by_command(&self.attempts[attempt], on, command, seen);
+            self.remove_proven(attempt, proof, now);
         }
     }
 }
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -27,6 +27,7 @@
 use crate::shares::share_changes::ReportedShares;
 use crate::shares::teams::TeamTable;
 use crate::workers::late_starts::LateStarts;
+use crate::workers::proof::Proof;
 use crate::workers::quarantine::Quarantine;
 use crate::workers::unresolved::UnresolvedWork;
 use crate::workers::worker::{Worker, WorkerKey};
@@ -128,15 +129,6 @@
     pub(crate) counts: Counts,
 }
 
-/// Why an attempt is removed from its worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Removal {
-    /// It never ran there.
-    NeverRan,
-    /// It has ended, or cannot run any more.
-    Ended,
-}
-
 impl Scheduler {
     /// Creates the state of a leader that has taken over at `now`.
     pub fn new(
@@ -336,7 +328,7 @@
 
     /// Removes an attempt from all tables and returns its task to the waiting
     /// tasks if necessary.
-    pub(crate) fn remove_attempt(&mut self, key: AttemptKey, removal: Removal, now: Instant) {
+    pub(crate) fn remove_attempt(&mut self, key: AttemptKey, proof: Proof, now: Instant) {
         let Some(state) = self.attempts.remove(key) else { return };
         self.attempt_ids.remove(&(state.task, state.attempt));
         let worker = &mut self.workers[state.worker];
@@ -346,7 +338,7 @@
         let Some(&job_key) = self.job_ids.get(&state.task.step.job) else { return };
         self.jobs[job_key].attempt_count -= 1;
         self.forget_crashes(job_key, &state, now);
-        self.detach_attempt(job_key, key, &state, removal, now);
+        self.detach_attempt(job_key, key, &state, proof, now);
         if self.jobs[job_key].ended_durably {
             self.forget_if_finished(job_key);
         }
@@ -385,7 +377,7 @@
         job: JobKey,
         key: AttemptKey,
         state: &Attempt,
-        removal: Removal,
+        proof: Proof,
         now: Instant,
     ) {
         let continuous = self.spec_of(state.task).is_some_and(|spec| spec.continuous);
@@ -395,14 +387,16 @@
         if !state.checkpoint.is_empty() {
             task.checkpoint = state.checkpoint.clone();
         }
-        if removal == Removal::NeverRan {
+        let is_unrun = proof.finding().is_unrun();
+        if is_unrun {
             task.withdraw_crash(state.attempt);
         }
+        task.last_proof = Some(proof);
         if task.done || !task.attempts.is_empty() {
             return;
         }
-        let delay = match (removal, continuous) {
-            (Removal::NeverRan, _) => Duration::ZERO,
+        let delay = match (is_unrun, continuous) {
+            (true, _) => Duration::ZERO,
             (_, true) => CONTINUOUS_RETRY_DELAY * (task.failed_attempts.len() as u32).min(4),
             (_, false) => TASK_RETRY_DELAY,
         };
--- a/crates/flow/src/workers/answers.rs
+++ b/crates/flow/src/workers/answers.rs
@@ -4,7 +4,7 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{AttemptKey, Phase};
-use crate::scheduler::Removal;
+use crate::workers::proof::Proof;
 use crate::{AttemptNumber, JobOutcome, Scheduler, StopReason, TaskId, WorkerIncarnation};
 
 /// Backoff of a worker that refused a start because it is unhealthy, that could
@@ -104,7 +104,7 @@
             StartAnswer::NotSent => {
                 let worker = self.attempts[key].worker;
                 self.back_off(worker, now + UNHEALTHY_BACKOFF);
-                self.remove_attempt(key, Removal::NeverRan, now);
+                self.remove_unstarted(key, answer, now);
             }
             StartAnswer::Unanswered => self.mark_unresolved(key, now),
         }
@@ -201,7 +201,7 @@
             | RefusalReason::Expired
             | RefusalReason::Malformed => {}
         }
-        self.remove_attempt(key, Removal::NeverRan, now);
+        self.remove_unstarted(key, StartAnswer::Refused(reason), now);
         if reason == RefusalReason::Malformed
             && let Some(task) = self.task_mut(task)
         {
@@ -209,6 +209,14 @@
         }
     }
 
+    /// Removes an attempt whose start command was not carried out, as the answer shows.
+    fn remove_unstarted(&mut self, key: AttemptKey, answer: StartAnswer, now: Instant) {
+        let attempt = &self.attempts[key];
+        let on = &self.workers[attempt.worker];
+        let proof = Proof::by_start_answer(attempt, on, answer, now);
+        self.remove_proven(key, proof, now);
+    }
+
     /// Records that a worker answered the command to stop an attempt: the
     /// attempt is ending, has ended, or will never start in that incarnation. The answer of
     /// an earlier one says nothing about the present one.
--- a/crates/flow/src/workers/listed_starts.rs
+++ b/crates/flow/src/workers/listed_starts.rs
@@ -12,7 +12,7 @@
 use vg_base::prelude::*;
 
 use crate::jobs::attempt::{AttemptKey, Phase};
-use crate::scheduler::Removal;
+use crate::workers::proof::Proof;
 use crate::workers::unresolved::IncarnationRecord;
 use crate::workers::worker::{Worker, WorkerKey};
 use crate::{Scheduler, TaskId};
@@ -58,7 +58,7 @@
             .collect();
         for key in listing {
             if !self.may_be_sent(key, now) {
-                self.remove_attempt(key, Removal::NeverRan, now);
+                self.remove_unsent(key, now);
             } else if named.contains(&key) {
                 self.send_start(key, now);
             } else {
@@ -80,7 +80,14 @@
         let (worker, since) = (self.attempts[key].worker, self.attempts[key].started);
         if now.saturating_duration_since(since) >= LISTING_TIME_MAX {
             self.back_off(worker, now + LISTING_BACKOFF);
-            self.remove_attempt(key, Removal::NeverRan, now);
+            self.remove_unsent(key, now);
         }
     }
+
+    /// Removes an attempt whose start command is still to be sent.
+    pub(crate) fn remove_unsent(&mut self, key: AttemptKey, now: Instant) {
+        let attempt = &self.attempts[key];
+        let proof = Proof::unsent(attempt, &self.workers[attempt.worker], now);
+        self.remove_proven(key, proof, now);
+    }
 }
--- a/crates/flow/src/workers/machine_workers.rs
+++ b/crates/flow/src/workers/machine_workers.rs
@@ -3,9 +3,10 @@
 
 use vg_base::prelude::*;
 
+use crate::Scheduler;
 use crate::pools::machines::LEAVING_TIME;
+use crate::workers::proof::{Exchange, Proof};
 use crate::workers::worker::WorkerKey;
-use crate::{LossCause, Scheduler};
 
 impl Scheduler {
     /// Returns the worker on a machine: the one that started last of those that are
@@ -53,7 +54,8 @@
         let worker = &self.workers[present];
         // After a restart its machine is not known before it has registered.
         let Some(machine) = worker.machine.clone().filter(|_| worker.registered) else { return };
-        self.clear_others(&worker.incarnation.id.clone(), &machine);
+        let seen = Exchange { sent, read: now };
+        self.clear_others(&worker.incarnation.id.clone(), &machine, seen);
         let here = self.machines.workers.get(&machine).cloned().unwrap_or_default();
         for key in here.into_iter().filter(|&key| key != present) {
             let worker = &self.workers[key];
@@ -65,9 +67,9 @@
             worker.leaving = true;
             worker.backoff_until = Some(now + LEAVING_TIME);
             for attempt in worker.attempts.clone() {
-                if self.attempts[attempt].confirmed.is_some() {
-                    self.lose_attempt(attempt, LossCause::Restarted, now);
-                }
+                let (on, by) = (&self.workers[key], &self.workers[present]);
+                let proof = Proof::by_machine(&self.attempts[attempt], on, by, seen);
+                self.remove_proven(attempt, proof, now);
             }
         }
     }
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -6,11 +6,11 @@
 
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase};
 use crate::jobs::checkpoint::Checkpoint;
-use crate::scheduler::Removal;
+use crate::workers::proof::{Exchange, Proof};
 use crate::workers::worker::{WorkerClock, WorkerKey};
 use crate::{
-    AttemptNumber, AttemptOutcome, EndedAttempt, LossCause, Report, RunningAttempt, Scheduler,
-    StopReason, TaskId,
+    AttemptNumber, AttemptOutcome, EndedAttempt, Report, RunningAttempt, Scheduler, StopReason,
+    TaskId,
 };
 
 /// Longest checkpoint that is kept, in bytes. Checkpoints are part of a job's record, and
@@ -37,11 +37,11 @@
             if !self.workers[key].is_later_start(start_ms, sent) {
                 return false;
             }
-            self.begin_incarnation(key, start_ms, now);
+            self.begin_incarnation(key, start_ms, Exchange { sent, read: now });
         }
         self.note_fence(key, sent, now);
         if self.unresolved.expiry(id).is_some() {
-            self.clear_unresolved(id);
+            self.clear_unresolved(id, Exchange { sent, read: now });
             self.workers[key].require_record();
         }
         if self.workers[key].has_lapsed(now) {
@@ -74,8 +74,9 @@
         worker.ends_truncated = report.ended.len() >= MAX_ENDS_PER_REPORT;
         worker.clock = Some(WorkerClock { reading_ms: report.clock_ms, at: now });
         let recorded = worker.recorded;
+        let seen = Exchange { sent, read: now };
         for end in &report.ended {
-            self.apply_end(key, end, now);
+            self.apply_end(key, end, seen);
         }
         let listed: HashSet<_> =
             report.running.iter().map(|running| (running.task, running.attempt)).collect();
@@ -85,7 +86,7 @@
         // A full list of ends continues in the next report, which may contain
         // the end of an absent attempt.
         if !self.workers[key].ends_truncated {
-            self.resolve_absent(key, &listed, report.clock_ms, sent, now);
+            self.resolve_absent(key, &listed, report.clock_ms, seen);
         }
         if was_unreachable {
             self.repeat_late_stops(key);
@@ -95,7 +96,8 @@
     }
 
     /// Applies an end unless an earlier report has contained it.
-    fn apply_end(&mut self, worker: WorkerKey, end: &EndedAttempt, now: Instant) {
+    fn apply_end(&mut self, worker: WorkerKey, end: &EndedAttempt, seen: Exchange) {
+        let now = seen.read;
         if end.number <= self.workers[worker].received {
             return;
         }
@@ -114,8 +116,8 @@
             self.attempts[key].checkpoint.set(&end.checkpoint, now);
         }
         match end.outcome {
-            AttemptOutcome::Done => self.apply_done(worker, end, key, now),
-            AttemptOutcome::Failed => self.apply_failed(worker, end, key, now),
+            AttemptOutcome::Done => self.apply_done(worker, end, key, seen),
+            AttemptOutcome::Failed => self.apply_failed(worker, end, key, seen),
             AttemptOutcome::Stopped
             | AttemptOutcome::LeaseExpired
             | AttemptOutcome::GangBroken
@@ -123,12 +125,19 @@
                 self.keep_checkpoint(end, now);
                 if let Some(key) = key {
                     self.counts.lost += u64::from(end.outcome == AttemptOutcome::LeaseExpired);
-                    self.remove_attempt(key, Removal::Ended, now);
+                    self.remove_ended(key, end, seen);
                 }
             }
         }
     }
 
+    /// Removes an attempt whose end a report lists.
+    fn remove_ended(&mut self, key: AttemptKey, end: &EndedAttempt, seen: Exchange) {
+        let attempt = &self.attempts[key];
+        let proof = Proof::by_end(attempt, &self.workers[attempt.worker], end, seen);
+        self.remove_proven(key, proof, seen.read);
+    }
+
     /// Opens the occurrence of a task that runs or has ended on a worker. The
     /// occurrence was due, even if the clock here says otherwise.
     fn open_occurrence(&mut self, task: TaskId) {
@@ -142,8 +151,9 @@
         worker: WorkerKey,
         end: &EndedAttempt,
         key: Option<AttemptKey>,
-        now: Instant,
+        seen: Exchange,
     ) {
+        let now = seen.read;
         self.counts.done += 1;
         self.record_success(worker);
         if let Some(key) = key {
@@ -152,7 +162,7 @@
         let Some(&job_key) = self.job_ids.get(&end.task.step.job) else {
             // The job has ended, so there is nothing to record.
             if let Some(key) = key {
-                self.remove_attempt(key, Removal::Ended, now);
+                self.remove_ended(key, end, seen);
             }
             return;
         };
@@ -169,7 +179,7 @@
         }
         self.mark_dirty(job_key);
         if let Some(key) = key {
-            self.remove_attempt(key, Removal::Ended, now);
+            self.remove_ended(key, end, seen);
         }
         if !gang {
             self.stop_task_attempts(end.task, now);
@@ -202,8 +212,9 @@
         worker: WorkerKey,
         end: &EndedAttempt,
         key: Option<AttemptKey>,
-        now: Instant,
+        seen: Exchange,
     ) {
+        let now = seen.read;
         self.counts.failed += 1;
         self.keep_checkpoint(end, now);
         self.record_task_failure(end.task, end.attempt);
@@ -212,7 +223,7 @@
         if let Some(key) = key {
             let attempt = self.attempts[key].clone();
             self.record_evidence(&attempt, true, now);
-            self.remove_attempt(key, Removal::Ended, now);
+            self.remove_ended(key, end, seen);
         }
         if let Some(&job) = self.job_ids.get(&end.task.step.job)
             && !self.jobs[job].is_open()
@@ -244,7 +255,9 @@
             return;
         };
         self.confirm(key, now);
+        let life = self.workers[worker].incarnation.start_ms;
         let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.life = life;
         let is_first = !std::mem::replace(&mut attempt.reported, true);
         if attempt.percent != reported.percent {
             attempt.percent = reported.percent;
@@ -296,6 +309,7 @@
             job: self.job_ids.get(&reported.task.step.job).copied(),
             attempt: reported.attempt,
             worker,
+            life: self.workers[worker].incarnation.start_ms,
             usage: job.and_then(|job| job.usage(reported.task.step.step)),
             phase: Phase::Running,
             started: now,
@@ -323,37 +337,17 @@
         worker: WorkerKey,
         listed: &HashSet<(TaskId, AttemptNumber)>,
         clock_ms: u64,
-        sent: Instant,
-        now: Instant,
+        seen: Exchange,
     ) {
-        let known_since = self.workers[worker].known_since;
-        let is_fenced = self.workers[worker].is_fenced();
         for key in self.workers[worker].attempts.clone() {
             let attempt = &self.attempts[key];
             if listed.contains(&(attempt.task, attempt.attempt)) {
                 continue;
             }
-            let stopped = attempt.stop_answered.is_some_and(|at| at < sent);
-            let known = attempt.confirmed.is_some_and(|at| at < sent);
-            let expired = match attempt.needs_stop {
-                true => is_fenced || !self.may_arrive(attempt, sent),
-                false => clock_ms > attempt.expires_ms,
-            };
-            let removal = match attempt.phase {
-                Phase::Listing | Phase::Starting => continue,
-                Phase::Unresolved if stopped || expired => Removal::NeverRan,
-                Phase::Unresolved => continue,
-                // An earlier incarnation had started it.
-                Phase::Running | Phase::Stopping if known && attempt.is_in_doubt(known_since) => {
-                    self.lose_attempt(key, LossCause::Restarted, now);
-                    continue;
-                }
-                // The worker confirmed it or answered its stop command before
-                // the poll was sent, so its end was reported or it never ran.
-                Phase::Running | Phase::Stopping if known || stopped => Removal::Ended,
-                Phase::Running | Phase::Stopping => continue,
-            };
-            self.remove_attempt(key, removal, now);
+            let on = &self.workers[worker];
+            let may_arrive = self.may_arrive(attempt, seen.sent);
+            let proof = Proof::by_absence(attempt, on, clock_ms, seen, may_arrive);
+            self.remove_proven(key, proof, seen.read);
         }
     }
 }
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -4,10 +4,11 @@
 use vg_jobs::Resources;
 
 use crate::jobs::attempt::Phase;
+use crate::workers::proof::{Exchange, Proof};
 use crate::workers::unresolved::IncarnationRecord;
 use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerKey};
 use crate::workers::worker_health::WorkerHealth;
-use crate::{FencingToken, LossCause, Scheduler, WorkerIncarnation, WorkerRegistration};
+use crate::{FencingToken, Scheduler, WorkerIncarnation, WorkerRegistration};
 
 /// What to send to a worker in the next poll.
 #[derive(Debug, Clone, PartialEq)]
@@ -70,7 +71,7 @@
             if start_ms < present || !self.workers[key].may_follow(start_ms) {
                 return false;
             }
-            self.begin_incarnation(key, start_ms, now);
+            self.begin_incarnation(key, start_ms, Exchange { sent: now, read: now });
         }
         let worker = &mut self.workers[key];
         let changed = worker.incarnation != registration.incarnation;
@@ -204,7 +205,8 @@
 
     /// Starts a new incarnation of a worker: attempts that the previous one has reported have
     /// ended.
-    pub(crate) fn begin_incarnation(&mut self, key: WorkerKey, start_ms: u64, now: Instant) {
+    pub(crate) fn begin_incarnation(&mut self, key: WorkerKey, start_ms: u64, seen: Exchange) {
+        let now = seen.read;
         self.note_restarted_worker(key, now);
         let lease_max = self.rules.lease_max;
         let worker = &mut self.workers[key];
@@ -228,12 +230,13 @@
         worker.blamed = false;
         worker.full_capacity = Resources::ZERO;
         worker.trial = None;
-        for key in worker.attempts.clone() {
-            let attempt = &mut self.attempts[key];
-            if attempt.reported {
-                self.lose_attempt(key, LossCause::Restarted, now);
+        for each in worker.attempts.clone() {
+            let proof = Proof::by_later_life(&self.attempts[each], &self.workers[key], seen);
+            if proof.is_some() {
+                self.remove_proven(each, proof, now);
                 continue;
             }
+            let attempt = &mut self.attempts[each];
             // The new incarnation may accept the start command, or has accepted it.
             attempt.needs_stop |= matches!(attempt.phase, Phase::Starting | Phase::Unresolved);
             attempt.stop_sent = None;
@@ -257,14 +260,14 @@
             }
             let worker = &self.workers[key];
             if expired && !worker.attempts.is_empty() {
-                let cause = LossCause::LeaseExpired(worker.lease_cause());
                 let mut lost = worker.attempts.clone();
                 lost.retain(|&attempt| {
                     !self.may_start_late(attempt, now)
                         && !self.may_run_in_unknown_life(attempt, now)
                 });
                 for attempt in lost {
-                    self.lose_attempt(attempt, cause, now);
+                    let proof = Proof::by_lease(&self.attempts[attempt], &self.workers[key], now);
+                    self.remove_proven(attempt, proof, now);
                 }
             }
             let worker = &self.workers[key];
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -8,6 +8,8 @@
 use vg_jobs::Resources;
 
 use crate::jobs::job::Job;
+use crate::workers::proof::{Exchange, WorkerLife};
+use crate::workers::releases::{Release, ReleaseCause, Releases};
 use crate::workers::worker::{Worker, WorkerKey};
 use crate::{Scheduler, StepSpec, TaskId, WorkerIncarnation};
 
@@ -59,6 +61,7 @@
     all_until: Option<Instant>,
     /// Whether some of it was resolved since the last round.
     has_shrunk: bool,
+    releases: Releases,
 }
 
 /// An incarnation that has not answered.
@@ -80,6 +83,20 @@
         &self.incarnation.id
     }
 
+    /// Returns the life that is recorded.
+    pub(crate) fn life(&self) -> WorkerLife {
+        self.incarnation.life()
+    }
+
+    pub(crate) fn pool(&self) -> &PoolId {
+        &self.incarnation.pool
+    }
+
+    /// Returns all tasks that it may run; `None`: any task of its pool.
+    pub(crate) fn tasks(&self) -> Option<impl Iterator<Item = TaskId>> {
+        self.tasks.as_ref().map(|tasks| tasks.iter().copied())
+    }
+
     /// Returns the tasks that are recorded on it.
     pub(crate) fn recorded_tasks(&self) -> impl Iterator<Item = TaskId> {
         self.tasks.iter().flatten().copied()
@@ -129,10 +146,31 @@
         self.incarnations.insert(entry.incarnation.id.clone(), entry);
     }
 
-    /// Removes the incarnations that `keep` refuses.
-    fn retain(&mut self, keep: impl Fn(&UnresolvedIncarnation) -> bool) {
+    /// Returns why a task that may have run in some pools is not unresolved any more; `None` if
+    /// it never was.
+    pub(crate) fn release<'a>(
+        &self,
+        task: TaskId,
+        pools: impl Iterator<Item = &'a PoolId>,
+    ) -> Option<&Release> {
+        self.releases.of(task, pools)
+    }
+
+    /// Removes the incarnations for which `find` returns why, and what shows it.
+    fn release_where(
+        &mut self,
+        find: impl Fn(&UnresolvedIncarnation) -> Option<(ReleaseCause, Exchange)>,
+    ) {
         let before = self.incarnations.len();
-        self.incarnations.retain(|_, entry| keep(entry));
+        let releases = &mut self.releases;
+        self.incarnations.retain(|_, entry| {
+            let found = find(entry);
+            let is_kept = found.is_none();
+            if let Some((cause, seen)) = found {
+                releases.note(entry, cause, seen);
+            }
+            is_kept
+        });
         if self.incarnations.len() == before {
             return;
         }
@@ -315,23 +353,30 @@
 
     /// Removes the incarnations on a machine apart from that of `present`, which has answered
     /// this leader: they were recorded before, and a machine runs one at a time.
-    pub(crate) fn clear_others(&mut self, present: &HostId, machine: &SmolStr) {
-        self.unresolved.retain(|entry| {
-            entry.machine.as_ref() != Some(machine) || entry.incarnation.id == *present
+    pub(crate) fn clear_others(&mut self, present: &HostId, machine: &SmolStr, seen: Exchange) {
+        self.unresolved.release_where(|entry| {
+            let is_here = entry.machine.as_ref() == Some(machine);
+            (is_here && entry.incarnation.id != *present)
+                .then(|| (ReleaseCause::MachineTaken { by: present.clone() }, seen))
         });
     }
 
     /// Removes an incarnation that answered, or whose worker has a new
     /// incarnation.
-    pub(crate) fn clear_unresolved(&mut self, id: &HostId) {
-        self.unresolved.retain(|entry| entry.incarnation.id != *id);
+    pub(crate) fn clear_unresolved(&mut self, id: &HostId, seen: Exchange) {
+        self.unresolved.release_where(|entry| {
+            (entry.incarnation.id == *id).then_some((ReleaseCause::Answered, seen))
+        });
     }
 
     /// Removes incarnations on which nothing can run any more.
     pub(crate) fn expire_unresolved(&mut self, now: Instant) {
         let unresolved = &mut self.unresolved;
         let before = unresolved.incarnations.len();
-        unresolved.retain(|entry| now < entry.until);
+        unresolved.release_where(|entry| {
+            let seen = Exchange { sent: entry.until, read: now };
+            (now >= entry.until).then_some((ReleaseCause::LeaseEnded, seen))
+        });
         // The record counts from when it is read, so the next leader would wait once more.
         self.records_changed |= unresolved.incarnations.len() < before;
         let all_until = unresolved.all_until.filter(|until| now < *until);
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -9,6 +9,7 @@
 use crate::jobs::trials::Trial;
 use crate::workers::fence::Fence;
 use crate::workers::occupancy::Occupancy;
+use crate::workers::proof::WorkerLife;
 use crate::workers::worker_health::WorkerHealth;
 use crate::{FencingToken, TaskId};
 
@@ -43,6 +44,13 @@
     pub addr: std::net::SocketAddr,
 }
 
+impl WorkerIncarnation {
+    /// Returns which life of its worker it is.
+    pub fn life(&self) -> WorkerLife {
+        WorkerLife { worker: self.id.clone(), start_ms: self.start_ms }
+    }
+}
+
 /// The registration of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WorkerRegistration {
--- a/crates/flow/tests/restarts/leases.rs
+++ b/crates/flow/tests/restarts/leases.rs
@@ -97,9 +97,9 @@
     world.workers[at].reachable = false;
     world.run(5500);
     let losses = world.scheduler.take_losses();
-    let causes: Vec<_> = losses.iter().map(|lost| lost.cause).collect();
-    assert_eq!(causes, [LossCause::LeaseExpired(LeaseCause::Renewed)]);
-    assert_eq!(causes[0].to_string(), "lease");
+    let findings: Vec<_> = losses.iter().map(|lost| lost.proof.finding().clone()).collect();
+    assert_eq!(findings, [Finding::LeaseEnded(LeaseCause::Renewed)]);
+    assert_eq!(findings[0].to_string(), "lease");
 }
 
 /// Guards against a lost attempt whose event names another cause than the one for which its
@@ -112,8 +112,8 @@
     world.run(25_000);
     let losses = world.scheduler.take_losses();
     assert!(!losses.is_empty());
-    let cause = LossCause::LeaseExpired(LeaseCause::LateCall);
-    assert!(losses.iter().all(|lost| lost.cause == cause), "{losses:?}");
+    let finding = Finding::LeaseEnded(LeaseCause::LateCall);
+    assert!(losses.iter().all(|lost| *lost.proof.finding() == finding), "{losses:?}");
 }
 
 /// When a call to an earlier life arrives, after the next one has begun and is known.
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -95,8 +95,8 @@
     let (starts, _) = decided(&mut world, 20, 500);
     assert_eq!(starts.len(), 1, "{starts:?}");
     let losses = world.scheduler.take_losses();
-    let causes: Vec<_> = losses.iter().map(|lost| lost.cause).collect();
-    assert_eq!(causes, [LossCause::Restarted]);
+    let findings: Vec<_> = losses.iter().map(|lost| lost.proof.finding().clone()).collect();
+    assert_eq!(findings, [Finding::LaterLife { start_ms: later }]);
 }
 
 /// Guards against a task that waits although its worker had reported it: that life has ended,
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -13,6 +13,7 @@
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
+use super::grounds::ground_fields;
 use crate::codec::encode;
 use crate::host::lock;
 use crate::keys::{COMMANDS_KEY, CommandRecord, RecordedCommand, TERM_KEY};
@@ -52,6 +53,7 @@
     /// Commands a worker to start a task and passes the answer to the scheduler.
     /// Ends the leadership if the worker has seen a higher fencing token.
     async fn start(self: Arc<Self>, start: StartCommand) {
+        let mut ground = ground_fields(&start.ground, self.host.inner.clock.now());
         // The process may have been suspended since the decision.
         let reply = match self.may_start() {
             true => self.host.inner.platform.start(&start).await,
@@ -59,13 +61,14 @@
         };
         let answer = reply.answer;
         let now = self.host.inner.clock.now();
-        let fields = [
+        let mut fields = vec![
             Field::new("task", start.task),
             Field::new("run", start.attempt),
             Field::new("worker", &start.incarnation.id),
             Field::new("born", start.incarnation.start_ms),
             Field::new("answer", answer),
         ];
+        fields.append(&mut ground);
         self.host.record(Code::TaskStarted, fields);
         self.host.inner.metrics.count_command(match answer {
             StartAnswer::Started => "started",
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod conflicts;
 mod contention;
 mod give_way;
+mod grounds;
 mod incarnation_shards;
 mod incarnations;
 mod learned;
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -7,6 +7,7 @@
 use vg_flow::{AttemptOutcome, DeadlyTask, Renewal, Report};
 
 use super::Leader;
+use super::grounds::loss_fields;
 use crate::host::lock;
 use crate::{Platform, PollError};
 
@@ -164,18 +165,10 @@
             let fields = [Field::new("task", task), Field::new("crashes", crashes)];
             self.host.record(Code::TaskDeadly, fields);
         }
+        let now = self.host.inner.clock.now();
         let losses = self.scheduler().take_losses();
         for lost in losses {
-            let mut fields = vec![
-                Field::new("task", lost.task),
-                Field::new("run", lost.attempt),
-                Field::new("worker", &lost.worker),
-                Field::new("age-ms", lost.age.as_millis()),
-                Field::new("how", lost.cause),
-            ];
-            let lease = lost.cause.lease_cause();
-            fields.extend(lease.map(|cause| Field::new("lease", cause)));
-            self.host.record(Code::TaskLost, fields);
+            self.host.record(Code::TaskLost, loss_fields(&lost, now));
         }
     }
 
