flow tests: three ways in which a task runs twice on the word of an answer about something else

The tests fail on this code, each run: a machine's command that is answered late or was done before; a poll that lengthens the lease of a life that nobody has seen; a worker that is taken for gone for another one on its machine.

--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -28,7 +28,8 @@
     /// Revision of the store.
     revision: u64,
     start_answer: StartAnswer,
-    machine_answer: MachineAnswer,
+    /// Answer to each command to a machine; `None`: the commands are not answered yet.
+    machine_answer: Option<MachineAnswer>,
 }
 
 fn machine(id: &str, in_pool: &str) -> Machine {
@@ -55,7 +56,7 @@
             stops: 0,
             revision: TOKEN.0,
             start_answer: StartAnswer::Started,
-            machine_answer: MachineAnswer::Done,
+            machine_answer: Some(MachineAnswer::Done),
         }
     }
 
@@ -125,7 +126,9 @@
                     self.scheduler.start_answered(start.task, start.attempt, answer, self.now);
                 }
                 Action::Machine(command) => {
-                    self.scheduler.machine_answered(&command, self.machine_answer, self.now);
+                    if let Some(answer) = self.machine_answer {
+                        self.scheduler.machine_answered(&command, answer, self.now);
+                    }
                     self.commands.push(command);
                 }
                 Action::Stop { .. } => self.stops += 1,
@@ -169,6 +172,56 @@
     assert_eq!(fixture.commands_to("m1"), 1, "{:?}", fixture.commands);
 }
 
+/// Guards against a task that runs twice: the answer to a move is applied late, and ends the
+/// attempts of the worker that the move has brought.
+#[test]
+fn a_late_answer_to_a_move_ends_no_task_of_the_worker_that_it_brought() {
+    let mut fixture = Fixture::new();
+    fixture.machine_answer = None;
+    fixture.scheduler.set_machine_list(vec![machine("m1", "spare")], fixture.now);
+    fixture.submit(1, "q-a", vec![step(1, 12_000, 20_000)]);
+    fixture.round(20);
+    let command = fixture.commands[0].clone();
+    fixture.now += Duration::from_millis(1600);
+    fixture.join("w1", "a", "m1", 1600);
+    fixture.round(20);
+    fixture.poll("w1", 1600);
+    fixture.scheduler.machine_answered(&command, MachineAnswer::Done, fixture.now);
+    fixture.join("w2", "a", "m2", 1600);
+    for _ in 0..20 {
+        fixture.round(20);
+        fixture.poll("w1", 1600);
+    }
+    assert_eq!(fixture.running.len(), 1, "{:?}", fixture.running);
+}
+
+/// Guards against a task that is started again although its machine was not taken away: its
+/// worker still answers after a command was said to be done.
+#[test]
+fn a_worker_that_answers_after_a_command_to_its_machine_has_its_tasks() {
+    let mut fixture = Fixture::new();
+    fixture.scheduler.set_machine_list(vec![machine("m1", "a"), machine("m2", "a")], fixture.now);
+    fixture.join("w1", "a", "m1", 100);
+    fixture.submit(1, "q-a", vec![step(1, 12_000, 20_000)]);
+    fixture.round(20);
+    fixture.poll("w1", 100);
+    let wave = Wave {
+        number: 1,
+        machines: vec!["m1".into()],
+        time_limit: Duration::from_secs(3),
+        max_down: 1,
+    };
+    fixture.scheduler.add_wave(wave, None, fixture.now, fixture.wall());
+    fixture.join("w2", "a", "m2", 100);
+    for _ in 0..20 {
+        (0..10).for_each(|_| fixture.round(20));
+        fixture.poll("w1", 100);
+        fixture.poll("w2", 100);
+    }
+    assert!(fixture.commands_to("m1") > 0);
+    assert_eq!(fixture.running.len(), 1, "{:?}", fixture.running);
+}
+
 /// Guards against a machine that is taken from its tasks because an earlier worker on
 /// it, whose registration has not lapsed yet, is idle.
 #[test]
@@ -220,7 +273,7 @@
 #[test]
 fn a_task_starts_only_on_a_worker_whose_lease_is_being_renewed() {
     let mut fixture = Fixture::new();
-    fixture.machine_answer = MachineAnswer::Limited;
+    fixture.machine_answer = Some(MachineAnswer::Limited);
     let workers = [("w1", "m1"), ("w2", "m2"), ("w3", "m3"), ("w4", "m4"), ("w5", "m5")];
     for (id, on) in workers {
         fixture.join(id, "a", on, 5);
@@ -325,7 +378,7 @@
 #[test]
 fn a_worker_that_answers_after_an_unanswered_move_gets_work_again() {
     let mut fixture = Fixture::new();
-    fixture.machine_answer = MachineAnswer::Unanswered;
+    fixture.machine_answer = Some(MachineAnswer::Unanswered);
     let ids: Vec<String> = (0..8).map(|at| format!("w{at}")).collect();
     let list = ids.iter().map(|id| machine(&id.replace('w', "m"), "a")).collect();
     ids.iter().for_each(|id| fixture.join(id, "a", &id.replace('w', "m"), 5));
@@ -362,7 +415,7 @@
             list.push(machine(&on, in_pool));
         }
         fixture.scheduler.set_machine_list(list.clone(), fixture.now);
-        fixture.machine_answer = answer;
+        fixture.machine_answer = Some(answer);
         fixture.submit(1, "q-a", vec![step(60, 8000, 1000)]);
         fixture.round(50);
         fixture.round(50);
@@ -373,7 +426,7 @@
         fixture.scheduler.set_machine_list(list, fixture.now);
         fixture.round(50);
         assert_eq!(fixture.commands.len(), first + 1, "{answer}");
-        fixture.machine_answer = MachineAnswer::Done;
+        fixture.machine_answer = Some(MachineAnswer::Done);
         fixture.round(3000);
         fixture.round(50);
         assert!(fixture.commands.len() > first + 10, "{answer}");
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -203,6 +203,74 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
+/// Guards against a task that runs twice: a poll that was meant for the earlier life renews the
+/// lease of the one that nobody has seen, after that has accepted a start.
+#[test]
+fn a_poll_may_lengthen_the_lease_of_an_unknown_life_that_has_accepted_a_start() {
+    for delay_ms in [20, 400, 3000, 11_000] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 60_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        world.ms += 300;
+        world.send_late_poll(0, delay_ms);
+        let violations = cut_off(world, 0);
+        assert!(violations.is_empty(), "{delay_ms} ms: {violations:?}");
+    }
+}
+
+/// Guards against a task that runs twice: its worker is back under its id on another machine,
+/// and is taken for gone as another worker answers from the machine that it had.
+#[test]
+fn a_worker_on_another_machine_than_before_is_not_gone_with_its_former_one() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+    let later = start.incarnation.start_ms + 19_000;
+    let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+    let machine = world.workers[at].machine.clone();
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.apply_report(id, &report_of(later, &runs), after(5), after(10));
+    let other = registration(&world, "w-other", later, &machine);
+    world.scheduler.register(&other, after(20));
+    let other = other.incarnation.id;
+    world.scheduler.apply_report(&other, &report_of(later, &[]), after(30), after(35));
+    let (starts, _) = decided(&mut world, 40, 500);
+    assert!(starts.is_empty(), "{starts:?}");
+    assert_eq!(world.scheduler.attempts_on(id), 1);
+}
+
+/// Guards against a task that runs twice: another worker is said to be on the machine of its worker,
+/// which still answers.
+#[test]
+fn a_worker_that_answers_is_not_gone_for_another_one_on_its_machine() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let (id, runs) = (&start.incarnation.id, [(start.task, start.attempt)]);
+    let start_ms = start.incarnation.start_ms;
+    let at = world.workers.iter().position(|each| each.id == id.as_str()).unwrap();
+    let machine = world.workers[at].machine.clone();
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.apply_report(id, &report_of(start_ms, &runs), after(5), after(10));
+    let other = registration(&world, "w-other", start_ms + 10, &machine);
+    world.scheduler.register(&other, after(20));
+    let other = other.incarnation.id;
+    world.scheduler.apply_report(&other, &report_of(start_ms + 10, &[]), after(30), after(35));
+    let (starts, _) = decided(&mut world, 40, 500);
+    assert!(starts.is_empty(), "{starts:?}");
+    world.scheduler.apply_report(id, &report_of(start_ms, &runs), after(400), after(505));
+    let (starts, stops) = decided(&mut world, 520, 1500);
+    assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
+}
+
 /// Guards against a wait for the longest lease of a worker that has not started again: the
 /// clock in the answer to a start shows the life.
 #[test]
