flow: a command to a machine ends the attempts of the worker that it was decided for

Cause: `machine_answered` with `Done` removed the attempts of the worker that was on the machine when the answer was read. "Done" is also said of a command that was done before, and a host may stand still between the answer and its use, so that the worker may be the one that the move has brought, or one that is back from its maintenance. Class: an answer is applied to what is known now, and not to what it was asked about.

Change: a command keeps the life that was on its machine when it was decided. `Done` speaks of that life alone, of a move only if that life was not in the target pool, and of maintenance only if none may have begun before. And its attempts are removed once a poll of that life has failed since the decision; an answer to a later poll withdraws it. Doubts about late leases and unseen lives are dropped for a worker that is proven to be gone (`gone`), no longer for one that is said to leave.

--- a/crates/flow/src/pools/machines.rs
+++ b/crates/flow/src/pools/machines.rs
@@ -7,7 +7,7 @@
 use vg_jobs::Resources;
 
 use crate::pools::maintain::ActiveWave;
-use crate::workers::proof::{Exchange, Proof};
+use crate::workers::proof::WorkerLife;
 use crate::workers::worker::WorkerKey;
 use crate::{Action, EarlierCommand, MachineCommand, Scheduler};
 
@@ -86,6 +86,16 @@
     pub list_age: Option<Duration>,
 }
 
+/// A command that has no answer yet.
+#[derive(Debug, Clone)]
+pub(crate) struct SentCommand {
+    pub(crate) command: MachineCommand,
+    /// When it was decided. It is sent once its record is durable.
+    pub(crate) at: Instant,
+    /// The worker that was on the machine then.
+    pub(crate) life: Option<WorkerLife>,
+}
+
 /// Machines, waves and commands.
 #[derive(Debug)]
 pub(crate) struct Machines {
@@ -101,8 +111,8 @@
     pub(crate) waves: BTreeMap<u64, ActiveWave>,
     /// Commands of earlier leaders for waves that are not known yet, and when they were read.
     pub(crate) earlier: Vec<(EarlierCommand, Instant)>,
-    /// Commands without an answer yet, and when they were sent.
-    pub(crate) commands: HashMap<SmolStr, (MachineCommand, Instant)>,
+    /// Commands without an answer yet.
+    pub(crate) commands: HashMap<SmolStr, SentCommand>,
     /// Machines whose last command to move was not answered, and since when that is
     /// known.
     unanswered_moves: HashMap<SmolStr, Instant>,
@@ -229,12 +239,15 @@
 
     /// Sends a command to a machine and seals the record of its worker.
     pub(crate) fn command_machine(&mut self, command: MachineCommand, now: Instant) {
-        self.machines.commands.insert(command.machine().clone(), (command.clone(), now));
+        let on = self.worker_on(command.machine());
+        let life = on.map(|key| self.workers[key].incarnation.life());
+        let sent = SentCommand { command: command.clone(), at: now, life };
+        self.machines.commands.insert(command.machine().clone(), sent);
         self.machines.unanswered_moves.remove(command.machine());
         self.machines.note_change(command.machine(), now);
         // The worker gets no more work, so that the next leader need not wait
         // for its lease to expire.
-        if let Some(key) = self.worker_on(command.machine()) {
+        if let Some(key) = on {
             self.workers[key].sealed = true;
             self.records_changed = true;
         }
@@ -255,10 +268,8 @@
             matches!(answer, MachineAnswer::Unanswered | MachineAnswer::Limited);
         match answer {
             MachineAnswer::Done => {
-                if let Some((_, sent)) = sent
-                    && self.ended_known_worker(command)
-                {
-                    self.machine_left(command, Exchange { sent, read: now });
+                if let Some(sent) = sent.filter(|sent| sent.command == *command) {
+                    self.note_departure(&sent, now);
                 }
                 match command {
                     MachineCommand::Maintain { wave, .. } => self.maintained(*wave, &machine, now),
@@ -296,15 +307,8 @@
         }
     }
 
-    /// Whether a command that was carried out has ended the worker that is known here. If
-    /// an earlier command may have taken effect before, that worker may be back from it.
-    fn ended_known_worker(&self, command: &MachineCommand) -> bool {
-        let MachineCommand::Maintain { machine, wave } = command else { return true };
-        self.machines.waves.get(wave).is_some_and(|active| !active.may_have_begun(machine))
-    }
-
     /// Lets the worker on a machine get work again.
-    fn uncordon(&mut self, machine: &SmolStr) {
+    pub(crate) fn uncordon(&mut self, machine: &SmolStr) {
         if let Some(key) = self.worker_on(machine) {
             self.workers[key].cordoned = false;
         }
@@ -331,20 +335,4 @@
     pub(crate) fn may_be_moved(&self, machine: Option<&SmolStr>) -> bool {
         machine.is_some_and(|machine| self.machines.unanswered_moves.contains_key(machine))
     }
-
-    /// Removes the confirmed attempts of a machine that a command took away:
-    /// all that ran on it has ended.
-    fn machine_left(&mut self, command: &MachineCommand, seen: Exchange) {
-        let Some(key) = self.worker_on(command.machine()) else { return };
-        let now = seen.read;
-        self.workers[key].leaving = true;
-        self.records_changed = true;
-        self.workers[key].cordoned = false;
-        self.workers[key].backoff_until = Some(now + LEAVING_TIME);
-        for attempt in self.workers[key].attempts.clone() {
-            let on = &self.workers[key];
-            let proof = Proof::by_command(&self.attempts[attempt], on, command, seen);
-            self.remove_proven(attempt, proof, now);
-        }
-    }
 }
--- a/crates/flow/src/pools/maintain.rs
+++ b/crates/flow/src/pools/maintain.rs
@@ -172,7 +172,7 @@
     fn expire_commands(&mut self, now: Instant) {
         self.machines
             .commands
-            .retain(|_, (_, sent)| now.saturating_duration_since(*sent) < COMMAND_TIMEOUT * 3);
+            .retain(|_, sent| now.saturating_duration_since(sent.at) < COMMAND_TIMEOUT * 3);
     }
 
     pub(crate) fn is_up(&self, machine: &SmolStr) -> bool {
--- a/crates/flow/src/pools/wave_limit.rs
+++ b/crates/flow/src/pools/wave_limit.rs
@@ -207,8 +207,10 @@
         }
         let active = &self.machines.waves[&number];
         let down = active.down.at(now).filter(|each| *each != machine);
-        let in_flight = self.machines.commands.values().filter(|(command, _)| {
-            let MachineCommand::Maintain { machine: each, wave } = command else { return false };
+        let in_flight = self.machines.commands.values().filter(|sent| {
+            let MachineCommand::Maintain { machine: each, wave } = &sent.command else {
+                return false;
+            };
             *wave == number && each != machine && !active.is_down(each, now)
         });
         down.count() + in_flight.count() < active.wave.max_down.max(1) as usize
--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -144,7 +144,7 @@
         let attempt = &self.attempts[key];
         let worker = &self.workers[attempt.worker];
         let continuous = || self.spec_of(attempt.task).is_some_and(|spec| spec.continuous);
-        let may_return = worker.blamed && !worker.leaving && !continuous();
+        let may_return = worker.blamed && !worker.gone && !continuous();
         attempt.phase == Phase::Unresolved
             && (attempt.needs_stop || may_return)
             && self.may_arrive(attempt, now)
--- a/crates/flow/src/workers/machine_workers.rs
+++ b/crates/flow/src/workers/machine_workers.rs
@@ -65,6 +65,7 @@
             self.note_restarted_worker(key, now);
             let worker = &mut self.workers[key];
             worker.leaving = true;
+            worker.gone = true;
             worker.backoff_until = Some(now + LEAVING_TIME);
             for attempt in worker.attempts.clone() {
                 let (on, by) = (&self.workers[key], &self.workers[present]);
--- a/crates/flow/src/workers/mod.rs
+++ b/crates/flow/src/workers/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod answered_starts;
 pub(crate) mod answers;
+pub(crate) mod departures;
 pub(crate) mod failed_steps;
 pub(crate) mod fence;
 pub(crate) mod health;
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -52,6 +52,9 @@
         // The worker still answers although it should be gone by now, so the
         // command to take its machine away had taken effect before.
         let worker = &mut self.workers[key];
+        worker.gone = false;
+        // It has answered a poll that was sent after the command was said to be done.
+        worker.departure.take_if(|departure| sent > departure.seen.read);
         if worker.leaving && worker.backoff_until.is_none_or(|until| until <= now) {
             worker.leaving = false;
         }
--- a/crates/flow/src/workers/proof.rs
+++ b/crates/flow/src/workers/proof.rs
@@ -231,15 +231,13 @@
         is_proven.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended, as a command has taken its machine away.
-    pub(crate) fn by_command(
-        attempt: &Attempt,
-        on: &Worker,
-        command: &MachineCommand,
-        seen: Exchange,
-    ) -> Option<Proof> {
-        let finding = Finding::MachineCommanded(command.clone());
-        attempt.confirmed.is_some().then(|| Proof::new(attempt, on, finding, seen))
+    /// Proves that an attempt has ended which a report of its worker has shown, as a command has
+    /// taken its machine away. What is seen is when the command was decided, and when its answer was read.
+    pub(crate) fn by_command(attempt: &Attempt, on: &Worker) -> Option<Proof> {
+        let departure = on.departure.as_ref().filter(|departure| departure.has_ended(on))?;
+        let finding = Finding::MachineCommanded(departure.command.clone());
+        let is_its = attempt.reported && attempt.life == on.incarnation.start_ms;
+        is_its.then(|| Proof::new(attempt, on, finding, departure.seen))
     }
 
     /// Proves that an attempt has ended, as its worker doesn't answer and its lease has ended.
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -200,6 +200,7 @@
             // The worker's record has to be sealed, so that it lists what may
             // run there.
             self.records_changed |= repeated && !worker.sealed;
+            self.end_departed(key, now);
         }
     }
 
@@ -227,6 +228,8 @@
         worker.health = WorkerHealth::default();
         worker.cordoned = false;
         worker.leaving = false;
+        worker.departure = None;
+        worker.gone = false;
         worker.blamed = false;
         worker.full_capacity = Resources::ZERO;
         worker.trial = None;
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::jobs::attempt::AttemptKey;
 use crate::jobs::trials::Trial;
+use crate::workers::departures::Departure;
 use crate::workers::fence::Fence;
 use crate::workers::occupancy::Occupancy;
 use crate::workers::proof::WorkerLife;
@@ -167,8 +168,13 @@
     pub(crate) health: WorkerHealth,
     /// Whether it is being drained for maintenance or a move.
     pub(crate) cordoned: bool,
-    /// Whether a command has taken its machine away, which ends its attempts.
+    /// Whether a command is said to have taken its machine away, or another worker is on it: it
+    /// gets no work.
     pub(crate) leaving: bool,
+    /// The command that is said to have taken its machine away, until it answers again.
+    pub(crate) departure: Option<Departure>,
+    /// Whether it is proven that it has ended, and no later life of it runs on its machine.
+    pub(crate) gone: bool,
     /// Whether its tasks are marked for a crash of it.
     pub(crate) blamed: bool,
     /// The trial that it holds or is kept for: nothing else starts there.
@@ -222,6 +228,8 @@
             health: WorkerHealth::default(),
             cordoned: false,
             leaving: false,
+            departure: None,
+            gone: false,
             blamed: false,
             trial: None,
         };
@@ -290,7 +298,7 @@
     /// runs under a late lease on a machine that was taken away. A broken connection does
     /// not show that the process has ended.
     pub(crate) fn last_lease_end(&self) -> Instant {
-        let late = self.late_lease.filter(|_| !self.leaving);
+        let late = self.late_lease.filter(|_| !self.gone);
         late.map_or(self.lease_end, |late| self.lease_end.max(late))
     }
 
