flow: a worker is gone with its machine only if it is known there and does not answer

Cause: as soon as another worker answered from a machine, all other workers entered under it were taken for gone. A worker that had started again under its id stayed entered under the machine of its earlier life, and one that answers was not asked. Class: a belief about one life is applied to another.

Change: a machine counts as that of a life only once this life has registered (`located`), also in the record for the next leader. Another worker there ends a life only if no poll of it is answered any more, and only those of its attempts that a report has shown. Whether an attempt may run in a life that nobody has seen doesn't depend on the machine any more.

--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -47,8 +47,7 @@
 
     /// Whether an attempt may run in a life of an unreachable worker that is not known.
     pub(crate) fn may_run_in_unknown_life(&self, key: AttemptKey, now: Instant) -> bool {
-        let gone = self.workers[self.attempts[key].worker].gone;
-        !gone && self.unseen_until(key).is_some_and(|until| now <= until)
+        self.unseen_until(key).is_some_and(|until| now <= until)
     }
 
     /// Returns the time after which nothing can run on a worker that does not answer, in any
--- a/crates/flow/src/workers/machine_workers.rs
+++ b/crates/flow/src/workers/machine_workers.rs
@@ -6,7 +6,17 @@
 use crate::Scheduler;
 use crate::pools::machines::LEAVING_TIME;
 use crate::workers::proof::{Exchange, Proof};
-use crate::workers::worker::WorkerKey;
+use crate::workers::worker::{Worker, WorkerKey};
+
+impl Worker {
+    /// Whether a worker on a machine has ended, as another one there has answered a poll that
+    /// was sent at `sent`.
+    pub(crate) fn is_replaced(&self, machine: &SmolStr, sent: Instant) -> bool {
+        self.known_machine() == Some(machine)
+            && self.known_since < sent
+            && self.unreachable_since.is_some()
+    }
+}
 
 impl Scheduler {
     /// Returns the worker on a machine: the one that started last of those that are
@@ -42,9 +52,10 @@
     }
 
     /// Marks the other workers on the machine of a worker as gone, as it has answered a poll
-    /// that was sent after they were known: a machine runs one at a time. Their starts are no
-    /// evidence, since the machine's wall clock may be set back between two lives. What they
-    /// ran has ended; what they were told to start is refused by the present one.
+    /// that was sent after they were known, and they do not answer: a machine runs one at a
+    /// time. Their starts are no evidence, since the machine's wall clock may be set back between
+    /// two lives. What they ran has ended; what they were told to start is refused by the
+    /// present one.
     pub(crate) fn end_others_on_machine(
         &mut self,
         present: WorkerKey,
@@ -59,7 +70,7 @@
         let here = self.machines.workers.get(&machine).cloned().unwrap_or_default();
         for key in here.into_iter().filter(|&key| key != present) {
             let worker = &self.workers[key];
-            if worker.leaving || worker.known_since >= sent {
+            if worker.gone || !worker.is_replaced(&machine, sent) {
                 continue;
             }
             self.note_restarted_worker(key, now);
--- a/crates/flow/src/workers/proof.rs
+++ b/crates/flow/src/workers/proof.rs
@@ -217,17 +217,17 @@
         attempt.reported.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended, as the worker `by` on the machine of its worker has answered
-    /// a poll that was sent after that one was known.
+    /// Proves that an attempt has ended which a report of its worker has shown, as the worker `by` on
+    /// its machine has answered a poll that was sent after that one was known.
     pub(crate) fn by_machine(
         attempt: &Attempt,
         on: &Worker,
         by: &Worker,
         seen: Exchange,
     ) -> Option<Proof> {
-        let is_later = on.known_since < seen.sent;
         let finding = Finding::MachineTaken { by: by.incarnation.id.clone() };
-        let is_proven = is_later && attempt.confirmed.is_some();
+        let is_replaced = by.known_machine().is_some_and(|here| on.is_replaced(here, seen.sent));
+        let is_proven = is_replaced && attempt.reported;
         is_proven.then(|| Proof::new(attempt, on, finding, seen))
     }
 
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -77,6 +77,7 @@
         let changed = worker.incarnation != registration.incarnation;
         worker.incarnation = registration.incarnation.clone();
         worker.registered = true;
+        worker.located = true;
         worker.draining = registration.draining;
         worker.set_capacity(registration.capacity);
         worker.zone = registration.zone.clone();
@@ -214,6 +215,7 @@
         worker.replace_start(start_ms, now);
         // What the previous one registered may not hold for this one.
         worker.registered = false;
+        worker.located = false;
         worker.recorded = false;
         worker.polled = false;
         worker.clock = None;
--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -308,7 +308,7 @@
             incarnation: worker.incarnation.clone(),
             remaining,
             tasks,
-            machine: worker.machine.clone(),
+            machine: worker.known_machine().cloned(),
             lengthened: worker.late_lease.is_some(),
         }
     }
@@ -332,7 +332,7 @@
                 incarnation: worker.incarnation.clone(),
                 until: self.last_run_end(worker),
                 tasks: self.unsettled_tasks(worker),
-                machine: worker.machine.clone(),
+                machine: worker.known_machine().cloned(),
                 lengthened: worker.late_lease.is_some(),
             })
             .collect();
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -103,6 +103,9 @@
     pub(crate) labels: Vec<SmolStr>,
     pub(crate) rack: Option<SmolStr>,
     pub(crate) machine: Option<SmolStr>,
+    /// Whether the present incarnation has registered, so that `machine` is its own and not
+    /// that of an earlier one.
+    pub(crate) located: bool,
     /// Its availability zone.
     pub(crate) zone: ZoneId,
     /// Whether its zone is drained, so that nothing may start on it.
@@ -173,7 +176,8 @@
     pub(crate) leaving: bool,
     /// The command that is said to have taken its machine away, until it answers again.
     pub(crate) departure: Option<Departure>,
-    /// Whether it is proven that it has ended, and no later life of it runs on its machine.
+    /// Whether it is proven that the incarnation has ended with its machine. A later one may run
+    /// elsewhere.
     pub(crate) gone: bool,
     /// Whether its tasks are marked for a crash of it.
     pub(crate) blamed: bool,
@@ -196,6 +200,7 @@
             labels: registration.labels.clone(),
             rack: rack_of(&registration.labels),
             machine: registration.machine.clone(),
+            located: true,
             zone: registration.zone.clone(),
             zone_drained: false,
             cold_until: None,
@@ -265,6 +270,11 @@
         self.capacity.scarcest_share(&self.full_capacity)
     }
 
+    /// Returns the machine that the present incarnation runs on, if it is known.
+    pub(crate) fn known_machine(&self) -> Option<&SmolStr> {
+        self.machine.as_ref().filter(|_| self.located)
+    }
+
     /// Returns what stays when the worker is replaced: its machine, or its id if that is
     /// not known.
     pub(crate) fn home(&self) -> SmolStr {
