flow: tests of a start without an answer that an unknown life has carried out

What callers see: a task runs twice. One leader starts it both times, in time, and no stop arrives at the first run, whose worker is cut off. Cause: unseen_until takes attempts alone whose start was answered. A start that a life unknown to the leader has carried out, and whose answer is lost in a cut that breaks no connection, is given up once the earlier life's lease has ended; its own lasts as long as workers permit.

--- a/crates/flow/tests/restarts/leases.rs
+++ b/crates/flow/tests/restarts/leases.rs
@@ -133,9 +133,9 @@
 }
 
 /// A way in which the leader changes, and its name.
-type Change = (&'static str, fn(&mut World));
+pub(super) type Change = (&'static str, fn(&mut World));
 
-const CHANGES: [Change; 3] = [
+pub(super) const CHANGES: [Change; 3] = [
     ("crash", World::change_leader),
     ("planned", World::planned_handover),
     ("same host", World::lead_again),
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -1,5 +1,6 @@
 //! In which life of its worker an attempt runs.
 
+use super::leases::CHANGES;
 use super::*;
 
 /// Guards against a task that runs twice: its start was accepted by the next life of the
@@ -203,6 +204,45 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
+/// Returns the violations after a life that the leader does not know has carried out starts whose
+/// answers are lost, as its worker is cut off then. The leader may change.
+fn cut_off_unanswered(change: Option<fn(&mut World)>) -> Vec<String> {
+    let mut world = world();
+    while !world.ms.is_multiple_of(60) {
+        world.step();
+    }
+    world.restart_unseen(0);
+    world.faults.unanswered = 1000;
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(4, 4000, 30_000) };
+    world.submit(1, job("q-a", vec![spread], wall));
+    world.step();
+    world.faults.unanswered = 0;
+    assert!(!world.workers[0].running.is_empty());
+    world.workers[0].reachable = false;
+    if let Some(change) = change {
+        change(&mut world);
+    }
+    cut_off(world, 0)
+}
+
+/// Guards against a task that runs twice: nothing is known of the life that runs it, and its
+/// worker, which is cut off, is waited for as long as the earlier life's lease lasts.
+#[test]
+fn an_unanswered_start_of_an_unknown_life_starts_no_task_twice() {
+    let violations = cut_off_unanswered(None);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the leader hands over, or leads again.
+#[test]
+fn an_unanswered_start_of_an_unknown_life_and_a_handover_start_no_task_twice() {
+    let changes = CHANGES.into_iter().filter(|(name, _)| *name != "crash");
+    let violations: Vec<_> =
+        changes.map(|(name, change)| (name, cut_off_unanswered(Some(change)))).collect();
+    assert!(violations.iter().all(|(_, found)| found.is_empty()), "{violations:?}");
+}
+
 /// Guards against a wait for the longest lease of a worker that has not started again: the
 /// clock in the answer to a start shows the life.
 #[test]
