flow tests: a start that breaks TWICE names its ground and the other run

Cause: the judge of the fuzz said 'runs twice' and nothing of either run. Change: the violation tells where the other run is, its attempt, its age and lease, whether a stop was sent for it, and the ground of the start with the ages of what was seen.

--- a/crates/flow/tests/support/messages.rs
+++ b/crates/flow/tests/support/messages.rs
@@ -193,6 +193,7 @@
             Action::Start(start) => self.send_start(start),
             Action::Stop { incarnation, token, task, attempt, reason } => {
                 self.stops.push((self.ms, task, reason));
+                self.stop_sent.entry((task, attempt)).or_insert(self.ms);
                 if self.refuses_stops {
                     return;
                 }
--- a/crates/flow/tests/support/oracle.rs
+++ b/crates/flow/tests/support/oracle.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use vg_flow::{AttemptOutcome, StartCommand, StepId, TaskId};
+use vg_base::prelude::*;
+use vg_flow::{AttemptOutcome, Exchange, StartCommand, StartGround, StepId, TaskId};
+use vg_standin::{SimulatedWorker, TaskAttempt};
 
 use super::spec::CORES;
 use super::world::{START_LIMIT_MS, StoredJob, World, zone_of};
@@ -22,14 +24,15 @@
         let task = start.task;
         let stored = self.store[&task.step.job].clone();
         let ms = self.ms;
-        let elsewhere = self.workers.iter().enumerate().any(|(other, worker)| {
-            other != at && worker.up && worker.running.iter().any(|attempt| attempt.task == task)
-        });
-        if elsewhere && !speculative {
-            self.violations.push(format!("{ms}: {task} runs twice"));
+        if let Some(first) = self.run_elsewhere(at, task)
+            && !speculative
+        {
+            let second = self.describe_start(at, start);
+            self.violations.push(format!("{ms}: {task} runs twice: {first}, while {second}"));
         }
         if self.acknowledged_done.contains(&task) && !speculative {
-            self.violations.push(format!("{ms}: {task} started after it was done"));
+            let second = self.describe_start(at, start);
+            self.violations.push(format!("{ms}: {task} started after it was done: {second}"));
         }
         self.check_step_order(start);
         let failures = self.acknowledged_failures.get(&task).copied().unwrap_or_default();
@@ -55,6 +58,49 @@
         self.check_limit(&stored);
     }
 
+    /// Tells of a run of a task on another worker than `at`.
+    fn run_elsewhere(&self, at: usize, task: TaskId) -> Option<String> {
+        let others = self.workers.iter().enumerate().filter(|(other, _)| *other != at);
+        let mut runs = others.filter(|(_, worker)| worker.up).flat_map(|(_, worker)| {
+            worker.running.iter().filter(|run| run.task == task).map(move |run| (worker, run))
+        });
+        runs.next().map(|(worker, run)| self.describe_run(worker, run))
+    }
+
+    fn describe_run(&self, worker: &SimulatedWorker, run: &TaskAttempt) -> String {
+        let age = worker.clock(self.ms).saturating_sub(run.started_ms);
+        let stop = match self.stop_sent.get(&(run.task, run.attempt)) {
+            Some(at) => format!("stop sent {} ms ago", self.ms - at),
+            None => "no stop".into(),
+        };
+        let lease = worker.deadline_ms.saturating_sub(worker.clock(self.ms));
+        let place = describe_worker(worker);
+        format!("attempt {} on {place} since {age} ms, lease {lease} ms, {stop}", run.attempt)
+    }
+
+    fn describe_start(&self, at: usize, start: &StartCommand) -> String {
+        let place = describe_worker(&self.workers[at]);
+        let sent_to = start.incarnation.start_ms;
+        let ground = self.describe_ground(&start.ground);
+        format!("attempt {} on {place}, sent to @{sent_to}, by {ground}", start.attempt)
+    }
+
+    /// Tells why an attempt may start: what was seen, of which life, and how long ago.
+    fn describe_ground(&self, ground: &StartGround) -> String {
+        let (of, seen) = match ground {
+            StartGround::New | StartGround::Unrecorded | StartGround::Copy => {
+                return ground.to_string();
+            }
+            StartGround::Released(release) => (release.life.to_string(), release.seen),
+            StartGround::After(proof) => {
+                (format!("attempt {} on {}", proof.attempt(), proof.life()), proof.seen())
+            }
+        };
+        let Exchange { sent, read } = seen;
+        let age = |at: Instant| self.now().saturating_duration_since(at).as_millis();
+        format!("{ground} of {of}, sent {} ms ago, read {} ms ago", age(sent), age(read))
+    }
+
     /// Checks that the steps that the started task depends on are done, and
     /// that the attempt's number is higher than those of all earlier attempts
     /// of the task.
@@ -101,3 +147,8 @@
         }
     }
 }
+
+fn describe_worker(worker: &SimulatedWorker) -> String {
+    let reach = if worker.reachable { "" } else { ", cut off" };
+    format!("{}@{} ({}, {}{reach})", worker.id, worker.start_ms, worker.pool, worker.machine)
+}
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -141,6 +141,8 @@
     pub(crate) started: Vec<(u64, usize, TaskId)>,
     /// Stop commands that were decided: when, for which task, and why.
     pub(crate) stops: Vec<(u64, TaskId, StopReason)>,
+    /// Attempts for which stop commands were decided, and when the first one was.
+    pub(super) stop_sent: HashMap<(TaskId, AttemptNumber), u64>,
     /// Commands to machines, and when they were sent.
     pub(crate) commands: Vec<(u64, MachineCommand)>,
     /// Machines and their pools; if empty, commands to machines are ignored.
@@ -212,6 +214,7 @@
             starts: 0,
             started: Vec::new(),
             stops: Vec::new(),
+            stop_sent: HashMap::new(),
             commands: Vec::new(),
             machines: Vec::new(),
             pending_refusals: Vec::new(),
