flow tests: a late poll renews the lease of an unseen life that runs a task

Cause: Scheduler::unseen_until reckons with the longest lease from the answer to the start on. A poll that has no answer may arrive later, and renews the lease of the unseen life by a time on the earlier life's clock.

--- a/crates/flow/tests/support/messages.rs
+++ b/crates/flow/tests/support/messages.rs
@@ -38,6 +38,12 @@
         let id: HostId = self.workers[worker].id.parse().unwrap();
         let now = self.now();
         let Some(renewal) = self.scheduler.renewal(&id, now) else { return };
+        self.delay_poll(worker, renewal, delay_ms);
+    }
+
+    /// Lets a poll arrive `delay_ms` from now. The leader gets no answer.
+    pub(crate) fn delay_poll(&mut self, worker: usize, renewal: Renewal, delay_ms: u64) {
+        let now = self.now();
         self.scheduler.poll_failed(&renewal, PollFailure::Silent, now);
         self.delayed_polls.push(DelayedPoll { at: self.ms + delay_ms, worker, renewal });
     }
@@ -188,7 +194,7 @@
         }
     }
 
-    pub(super) fn execute(&mut self, action: Action) {
+    pub(crate) fn execute(&mut self, action: Action) {
         match action {
             Action::Start(start) => self.send_start(start),
             Action::Stop { incarnation, token, task, attempt, reason } => {
