flow: a life that nobody has seen is waited for as long as a call may renew its lease

Cause: a worker starts again between two polls, under its id. Its new life carries out a start with a deadline by the earlier life's clock, so that its lease lasts for as long as workers permit, and is cut off before it answers a poll. The leader waited for that life only if the start was answered, and only from the answer on. It took a start whose answer was lost for one of the earlier life, whose lease ends sooner; and it left out that a poll to the earlier life, sent before or after, renews the later one's lease when it arrives. Class: a belief about one life is applied to another.

Change: `unseen_until` counts from the last call that may renew the lease, also one that is still on its way where a start was answered by a clock that isn't that of the known life; and it counts for starts without an answer, unless a poll was open when the start was sent (`watched`, told by `poll_opened`): the end of a process breaks its open poll, and then the worker is waited for anyway.

--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -66,6 +66,8 @@
     /// Reading of the worker's clock in milliseconds after which the start
     /// command cannot take effect: its deadline plus `WORKER_CLOCK_MARGIN`.
     pub(crate) expires_ms: u64,
+    /// Whether a poll of its worker was open when its start command was sent.
+    pub(crate) watched: bool,
     /// When the worker first confirmed it.
     pub(crate) confirmed: Option<Instant>,
     /// Whether a report, or the clock in the answer to its start, has shown that the present
@@ -112,6 +114,13 @@
         !self.reported && self.confirmed.is_some_and(|at| at <= known_since)
     }
 
+    /// Whether a life of its worker that nobody has seen may have carried out its start command,
+    /// which has no answer.
+    pub(crate) fn may_have_begun(&self) -> bool {
+        let is_unanswered = matches!(self.phase, Phase::Starting | Phase::Unresolved);
+        is_unanswered && !self.watched && !self.needs_stop
+    }
+
     /// Returns the time since its start command; `None` if that is not known.
     pub(crate) fn known_age(&self, now: Instant) -> Option<Duration> {
         (!self.adopted).then(|| now.saturating_duration_since(self.started))
--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -6,33 +6,49 @@
 //! each life: an answer whose reading fits the clock of the life that is known comes from that
 //! one, unless that life was so young when it last answered that a later one could read the
 //! same by now. Any other may come from a later life, whose lease lasts as long as workers permit, as
-//! the deadline of the start is a time on the earlier life's clock.
+//! the deadline of the start is a time on the earlier life's clock, and so is that of each call
+//! that is still on its way to it.
+//!
+//! A start without an answer may have been carried out in time by such a life as well. It was not
+//! if a poll was open when it was sent, and did not break since: the end of a process breaks its
+//! connections.
 
 use vg_base::prelude::*;
 
 use crate::Scheduler;
 use crate::jobs::attempt::AttemptKey;
 use crate::rules::{MAX_CLOCK_DRIFT, WORKER_CLOCK_MARGIN, clock_bound};
-use crate::workers::worker::{Worker, WorkerClock};
+use crate::workers::worker::{MESSAGE_DELAY_MAX, Worker, WorkerClock};
 
 impl WorkerClock {
-    /// Whether a reading in an answer that was received at `now` is one of this clock, and
-    /// none of a clock that began with a later life.
-    fn fits(&self, reading_ms: u64, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.at);
-        let margin = WORKER_CLOCK_MARGIN + age.mul_f64(MAX_CLOCK_DRIFT - 1.0);
+    /// Whether a reading in an answer that was received at `now` may be one of this clock.
+    fn matches(&self, reading_ms: u64, now: Instant) -> bool {
         let difference = Duration::from_millis(self.reading(now).abs_diff(reading_ms));
-        // A later life began after the last answer of this one, which took a while.
-        let latest = age + margin;
-        difference <= margin && Duration::from_millis(reading_ms) > latest
+        difference <= self.margin(now)
+    }
+
+    /// Whether a reading at `now` is none of a clock that began with a later life. That life
+    /// began after the last answer of this one, which was made after its poll was sent.
+    fn is_too_late(&self, reading_ms: u64, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.at);
+        Duration::from_millis(reading_ms) > age + self.margin(now)
+    }
+
+    fn margin(&self, now: Instant) -> Duration {
+        let age = now.saturating_duration_since(self.at);
+        WORKER_CLOCK_MARGIN + age.mul_f64(MAX_CLOCK_DRIFT - 1.0)
     }
 }
 
 impl Scheduler {
     /// Notes the reading of its worker's clock in the answer by which a start was carried out.
+    /// If both clocks read the same, it tells by the poll that was open when the start was sent: the end of a
+    /// process breaks it.
     pub(crate) fn note_start_clock(&mut self, key: AttemptKey, reading_ms: u64, now: Instant) {
-        let clock = self.workers[self.attempts[key].worker].clock;
-        if clock.is_some_and(|clock| clock.fits(reading_ms, now)) {
+        let attempt = &self.attempts[key];
+        let Some(clock) = self.workers[attempt.worker].clock else { return };
+        let is_known = attempt.watched || clock.is_too_late(reading_ms, now);
+        if clock.matches(reading_ms, now) && is_known {
             self.attempts[key].reported = true;
         }
     }
@@ -41,8 +57,20 @@
     /// leaders have asked for it; `None` if it may not.
     fn unseen_until(&self, key: AttemptKey) -> Option<Instant> {
         let attempt = &self.attempts[key];
-        let confirmed = attempt.confirmed.filter(|_| !attempt.reported)?;
-        Some(confirmed + clock_bound(self.rules.lease_max))
+        let worker = &self.workers[attempt.worker];
+        let last_renewal = match (attempt.reported, attempt.confirmed) {
+            (true, _) => return None,
+            // A call that has no answer may still be on its way, and renews the lease.
+            (false, Some(confirmed)) => {
+                let last_arrival = worker.call_sent.map(|sent| sent + MESSAGE_DELAY_MAX);
+                last_arrival.map_or(confirmed, |arrival| arrival.max(confirmed))
+            }
+            (false, None) if attempt.may_have_begun() => {
+                worker.call_sent.map_or(attempt.started, |sent| sent.max(attempt.started))
+            }
+            (false, None) => return None,
+        };
+        Some(last_renewal + clock_bound(self.rules.lease_max))
     }
 
     /// Whether an attempt may run in a life of an unreachable worker that is not known.
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -39,6 +39,7 @@
             }
             self.begin_incarnation(key, start_ms, Exchange { sent, read: now });
         }
+        self.workers[key].poll_open = false;
         self.note_fence(key, sent, now);
         if self.unresolved.expiry(id).is_some() {
             self.clear_unresolved(id, Exchange { sent, read: now });
@@ -318,6 +319,7 @@
             started: now,
             adopted: true,
             expires_ms: 0,
+            watched: false,
             confirmed: Some(now),
             reported: true,
             stop_sent: None,
--- a/crates/flow/src/workers/proof.rs
+++ b/crates/flow/src/workers/proof.rs
@@ -217,7 +217,7 @@
         attempt.reported.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended which a report of its worker has shown, as the worker `by` on
+    /// Proves that an attempt has ended which runs in the life that is known, as the worker `by` on
     /// its machine has answered a poll that was sent after that one was known.
     pub(crate) fn by_machine(
         attempt: &Attempt,
@@ -231,7 +231,7 @@
         is_proven.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended which a report of its worker has shown, as a command has
+    /// Proves that an attempt has ended which runs in the life that is known, as a command has
     /// taken its machine away. What is seen is when the command was decided, and when its answer was read.
     pub(crate) fn by_command(attempt: &Attempt, on: &Worker) -> Option<Proof> {
         let departure = on.departure.as_ref().filter(|departure| departure.has_ended(on))?;
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -169,6 +169,7 @@
         let deadline_ms = clock.map(|clock| clock.reading(now) + lease.as_millis() as u64);
         if deadline_ms.is_some() {
             worker.lease_end = worker.lease_end.max(now + bound);
+            worker.call_sent = Some(now);
         }
         worker.renewed_until = deadline_ms.map(|_| now + lease);
         // After a failed poll another life may answer, whose ends have numbers of their own.
@@ -184,6 +185,14 @@
         })
     }
 
+    /// Records that a poll is sent now, which stays open until it is answered or fails.
+    pub fn poll_opened(&mut self, poll: &Renewal) {
+        if let Some(&key) = self.worker_ids.get(&poll.incarnation.id) {
+            let worker = &mut self.workers[key];
+            worker.poll_open = worker.incarnation.start_ms == poll.incarnation.start_ms;
+        }
+    }
+
     /// Records that a poll of a worker failed. The failure of one that was sent to an earlier
     /// incarnation says nothing about the present one.
     pub fn poll_failed(&mut self, poll: &Renewal, failure: PollFailure, now: Instant) {
@@ -196,6 +205,7 @@
                 self.note_lost_worker(key, failure, now);
             }
             let worker = &mut self.workers[key];
+            worker.poll_open = false;
             let repeated = worker.unreachable_since.is_some();
             worker.unreachable_since.get_or_insert(now);
             // The worker's record has to be sealed, so that it lists what may
@@ -218,6 +228,7 @@
         worker.located = false;
         worker.recorded = false;
         worker.polled = false;
+        worker.poll_open = false;
         worker.clock = None;
         worker.renewed_until = None;
         worker.open_fence(lease_max, now + MESSAGE_DELAY_MAX);
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -156,6 +156,10 @@
     pub(crate) ends_truncated: bool,
     /// When a poll was last sent, also to an earlier incarnation.
     pub(crate) poll_sent: Option<Instant>,
+    /// Whether a poll is open: the end of the process would break it.
+    pub(crate) poll_open: bool,
+    /// When a call was last sent that renews the lease.
+    pub(crate) call_sent: Option<Instant>,
     /// When a poll was last answered.
     pub(crate) last_poll: Option<Instant>,
     /// Since when all polls have failed.
@@ -225,6 +229,8 @@
             uncommitted_ends: Vec::new(),
             ends_truncated: false,
             poll_sent: None,
+            poll_open: false,
+            call_sent: None,
             last_poll: None,
             unreachable_since: None,
             backoff_until: None,
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -28,6 +28,14 @@
     world
 }
 
+/// Returns the same world, where a poll of each worker is open when a start is sent.
+fn world_of_open_polls() -> World {
+    let mut world = world();
+    world.open_polls = true;
+    world.run(100);
+    world
+}
+
 /// Submits a job of one task that takes `ms`. Its first start has no answer and is late.
 /// Returns the worker that it was sent to.
 fn start_late(world: &mut World, ms: u64) -> usize {
@@ -63,7 +71,7 @@
 /// when its worker has started again, while the task runs elsewhere.
 #[test]
 fn a_late_start_does_not_run_after_a_restart_while_its_task_runs_elsewhere() {
-    let mut world = world();
+    let mut world = world_of_open_polls();
     let at = start_late(&mut world, 30_000);
     world.workers[at].reachable = false;
     world.run(5500);
@@ -129,16 +137,29 @@
 }
 
 /// Guards against tasks that wait for more than the lease of a worker that is cut off: its
-/// clock refuses a late start.
+/// clock refuses a late start, and it is in the same life, as its open poll has not broken.
 #[test]
 fn a_task_does_not_wait_for_a_late_start_at_a_silent_worker() {
-    let mut world = world();
+    let mut world = world_of_open_polls();
     let at = start_late(&mut world, 30_000);
     world.workers[at].reachable = false;
     world.run(5500);
     assert_eq!((world.starts, running(&world)), (1, 1));
 }
 
+/// Guards against tasks that wait for ever for a life that may not be: no poll was open when the
+/// start was sent, so that a life that nobody has seen may run it for the longest lease.
+#[test]
+fn a_task_waits_for_a_life_that_nobody_has_seen_as_long_as_its_lease_may_last() {
+    let mut world = world();
+    let at = start_late(&mut world, 30_000);
+    world.workers[at].reachable = false;
+    world.run(10_000);
+    assert_eq!((world.starts, running(&world)), (0, 0));
+    world.run(1000);
+    assert_eq!((world.starts, running(&world)), (1, 1));
+}
+
 /// Returns the start and the stop that a step of decisions sends.
 fn commands(actions: Vec<Action>) -> (Vec<StartCommand>, Vec<Action>) {
     let (mut starts, mut stops) = (Vec::new(), Vec::new());
--- a/crates/flow/tests/support/messages.rs
+++ b/crates/flow/tests/support/messages.rs
@@ -188,6 +188,9 @@
             };
             let sent = now - Duration::from_millis(waited);
             self.scheduler.apply_report(&id, &report, sent, now);
+            if self.open_polls {
+                self.scheduler.poll_opened(&renewal);
+            }
             if report.start_ms == Some(self.workers[at].start_ms) {
                 self.seen_starts.insert(at, self.workers[at].start_ms);
             }
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -58,6 +58,7 @@
                 (true, true) => BUSY_WAIT_MAX,
                 (true, false) => IDLE_WAIT_MAX,
             };
+            self.scheduler().poll_opened(&renewal);
             let result = self.host.inner.platform.poll(&renewal, wait).await;
             let now = self.host.inner.clock.now();
             match result {
