flow: a start whose answer is still to be read is not lost with its worker's lease

Cause: a host that stands still between a start and its answer finds the lease of the worker ended in its first round after that, takes the attempt for lost, starts its task elsewhere, and then drops the answer, which a later life of the worker may have given. Class: an answer is applied to what is known now, or not at all.

Change: the end of a lease proves nothing of an attempt whose start is still to be answered.

Measured: a_start_whose_answer_is_still_to_be_read_is_not_lost_with_its_worker failed before and passes.

--- a/crates/flow/src/workers/proof.rs
+++ b/crates/flow/src/workers/proof.rs
@@ -241,8 +241,12 @@
     }
 
     /// Proves that an attempt has ended, as its worker doesn't answer and its lease has ended.
-    /// What is seen is the end of the lease, by this host's clock.
+    /// What is seen is the end of the lease, by this host's clock. It proves nothing of a start
+    /// whose answer is still to be read: a later life may have given it.
     pub(crate) fn by_lease(attempt: &Attempt, on: &Worker, now: Instant) -> Option<Proof> {
+        if attempt.phase == Phase::Starting {
+            return None;
+        }
         let seen = Exchange { sent: on.last_lease_end(), read: now };
         let finding = Finding::LeaseEnded(on.lease_cause());
         on.has_lapsed(now).then(|| Proof::new(attempt, on, finding, seen))
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -226,6 +226,34 @@
     }
 }
 
+/// Guards against a task that runs twice: the host stands still until the lease of its worker has
+/// ended, and decides before it reads the answer to the start, which a later life has given.
+#[test]
+fn a_start_whose_answer_is_still_to_be_read_is_not_lost_with_its_worker() {
+    let mut world = world();
+    let (now, wall) = (world.now(), world.wall());
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let polls: Vec<_> = (0..4).map(|at| worker_id(&world, at)).collect();
+    let polls: Vec<_> = polls.iter().map(|id| world.scheduler.renewal(id, now).unwrap()).collect();
+    polls.iter().for_each(|poll| world.scheduler.poll_opened(poll));
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    let after = |ms| now + Duration::from_millis(ms);
+    let poll = polls.iter().find(|poll| poll.incarnation.id == start.incarnation.id).unwrap();
+    world.scheduler.poll_failed(poll, PollFailure::Silent, after(5000));
+    for poll in polls.iter().filter(|poll| poll.incarnation.id != start.incarnation.id) {
+        let (id, start_ms) = (&poll.incarnation.id, poll.incarnation.start_ms);
+        world.scheduler.apply_report(id, &report_of(start_ms, &[]), after(4990), after(5000));
+        world.scheduler.renewal(id, after(5000));
+    }
+    let (starts, _) = decided(&mut world, 5000, 5100);
+    assert!(starts.is_empty(), "{starts:?}");
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(700) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, after(5100));
+    let (starts, _) = decided(&mut world, 5120, 10_000);
+    assert!(starts.is_empty(), "{starts:?}");
+}
+
 /// Guards against a task that runs twice: its worker is back under its id on another machine,
 /// and is taken for gone as another worker answers from the machine that it had.
 #[test]
