flow: a clock that was read late does not tell which life of a worker answers a start

Cause: the reading in the answer to a start shows the life that gave it, unless a later life could read the same. How old a later life can be was counted from when the known one's last answer was read. Where the host stood still with that answer waiting, a later life is older. Class: an answer is applied as if it were made when it is read.

Change: it counts from when the poll was sent.

Measured: an_answer_that_was_read_late_does_not_make_a_later_life_the_earlier_one failed before and passes.

--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -30,12 +30,12 @@
     /// Whether a reading at `now` is none of a clock that began with a later life. That life
     /// began after the last answer of this one, which was made after its poll was sent.
     fn is_too_late(&self, reading_ms: u64, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.at);
+        let age = now.saturating_duration_since(self.asked);
         Duration::from_millis(reading_ms) > age + self.margin(now)
     }
 
     fn margin(&self, now: Instant) -> Duration {
-        let age = now.saturating_duration_since(self.at);
+        let age = now.saturating_duration_since(self.asked);
         WORKER_CLOCK_MARGIN + age.mul_f64(MAX_CLOCK_DRIFT - 1.0)
     }
 }
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -76,7 +76,7 @@
         let was_unreachable = worker.unreachable_since.take().is_some();
         worker.last_poll = Some(now);
         worker.ends_truncated = report.ended.len() >= MAX_ENDS_PER_REPORT;
-        worker.clock = Some(WorkerClock { reading_ms: report.clock_ms, at: now });
+        worker.clock = Some(WorkerClock { reading_ms: report.clock_ms, asked: sent, at: now });
         let recorded = worker.recorded;
         let seen = Exchange { sent, read: now };
         for end in &report.ended {
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -76,6 +76,8 @@
 pub(crate) struct WorkerClock {
     /// Reading of the clock in milliseconds.
     pub(crate) reading_ms: u64,
+    /// When the poll was sent whose answer has this reading.
+    pub(crate) asked: Instant,
     /// When the answer with this reading was received. The true reading was not
     /// lower at that time: a poll waits at the worker before the clock is read.
     pub(crate) at: Instant,
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -254,6 +254,36 @@
     assert!(starts.is_empty(), "{starts:?}");
 }
 
+/// Guards against a task that runs twice: the host reads the answer of an earlier life late, so
+/// that the clock of a later one, which has begun meanwhile, seems to be the same.
+#[test]
+fn an_answer_that_was_read_late_does_not_make_a_later_life_the_earlier_one() {
+    let mut world = world();
+    let young = 20_000;
+    let now = world.now();
+    let before = |ms| now - Duration::from_millis(ms);
+    let after = |ms| now + Duration::from_millis(ms);
+    world.draining.extend(0..world.workers.len());
+    world.register();
+    let earlier = registration(&world, "w-new", young, "m-new");
+    let id = earlier.incarnation.id.clone();
+    world.scheduler.register(&earlier, before(3100));
+    let records = world.scheduler.incarnation_records(before(3050));
+    world.scheduler.records_written(&records, FencingToken(1000));
+    world.scheduler.renewal(&id, before(3050));
+    let report = Report { clock_ms: 3000, ..report_of(young, &[]) };
+    // The host stands still before it reads the answer. A later life begins meanwhile.
+    world.scheduler.apply_report(&id, &report, before(2900), now);
+    world.scheduler.renewal(&id, now);
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    assert_eq!(start.incarnation.id, id);
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(3000) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, now);
+    let later = registration(&world, "w-new", young + 200, "m-new");
+    world.scheduler.register(&later, after(10));
+    assert_eq!(world.scheduler.attempts_on(&id), 1);
+}
+
 /// Guards against a task that runs twice: its worker is back under its id on another machine,
 /// and is taken for gone as another worker answers from the machine that it had.
 #[test]
