flow: a report with a full list of ends resolves no work of an earlier leader

Cause: a new leader took a worker for resolved by its first report. A report holds 500 ends at most, so that the end of a task may follow in the next one; the task was startable between the two.

Change: only a report whose list of ends isn't full resolves a worker.

Measured: a_report_with_a_full_list_of_ends_does_not_resolve_what_an_earlier_leader_has_started failed before and passes.

--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -41,7 +41,9 @@
         }
         self.workers[key].poll_open = false;
         self.note_fence(key, sent, now);
-        if self.unresolved.expiry(id).is_some() {
+        let is_full = report.ended.len() >= MAX_ENDS_PER_REPORT;
+        // The end of a task that an earlier leader has started may be in the next report.
+        if !is_full && self.unresolved.expiry(id).is_some() {
             self.clear_unresolved(id, Exchange { sent, read: now });
             self.workers[key].require_record();
         }
@@ -75,7 +77,7 @@
         let worker = &mut self.workers[key];
         let was_unreachable = worker.unreachable_since.take().is_some();
         worker.last_poll = Some(now);
-        worker.ends_truncated = report.ended.len() >= MAX_ENDS_PER_REPORT;
+        worker.ends_truncated = is_full;
         worker.clock = Some(WorkerClock { reading_ms: report.clock_ms, asked: sent, at: now });
         let recorded = worker.recorded;
         let seen = Exchange { sent, read: now };
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -12,9 +12,9 @@
 use support::world::{Faults, STEP_MS, World};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, AttemptNumber, FencingToken, Finding, LeaseCause, PollFailure, Report, RunningAttempt,
-    SchedulingRules, StartAnswer, StartCommand, StartReply, StepSpec, TaskId, WorkerIncarnation,
-    WorkerRegistration,
+    Action, AttemptNumber, AttemptOutcome, EndedAttempt, FencingToken, Finding, LeaseCause,
+    PollFailure, Report, RunningAttempt, SchedulingRules, StartAnswer, StartCommand, StartReply,
+    StepId, StepSpec, TaskId, WorkerIncarnation, WorkerRegistration,
 };
 
 /// When a late start arrives, after it was sent.
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -168,6 +168,33 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a task that runs again: a new leader takes a worker for resolved by a report whose
+/// list of ends is full, and the end of the task comes in the next one.
+#[test]
+fn a_report_with_a_full_list_of_ends_does_not_resolve_what_an_earlier_leader_has_started() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let id = &start.incarnation.id;
+    let at = world.workers.iter().position(|worker| worker.id == id.as_str()).unwrap();
+    world.change_leader();
+    world.workers[at].reachable = false;
+    world.step();
+    let other = StepId { job: JobId::new(2), ..start.task.step };
+    let end = |number: u32| EndedAttempt {
+        number: number.into(),
+        task: TaskId { step: other, index: number },
+        attempt: start.attempt,
+        outcome: AttemptOutcome::Done,
+        checkpoint: "".into(),
+    };
+    let ended = (1..=500).map(end).collect();
+    let full = Report { ended, ..report_of(start.incarnation.start_ms, &[]) };
+    let now = world.now();
+    world.scheduler.apply_report(id, &full, now, now);
+    world.run(1500);
+    assert_eq!(world.starts, 0);
+}
+
 /// Returns the violations after a worker has started again unseen, has accepted starts with
 /// deadlines by its earlier life's clock, and is cut off before any poll. The leader may change
 /// then.
