flow, lead: a job of the overlap of two leaders counts as one, however late it is read

Cause: the store may end a lease before its time, so that the earlier leader starts jobs for a while that are accepted after the takeover. The new one took a job for such a one by when it read the job. A watch that is late, or a host that stands still, reads it later. Class: what is read is applied as if it had happened then.

Change: the overlap ends at a revision of the store: that of the first answer to a call sent after its end. Until it is known all jobs count as earlier ones, which matters only while a worker is unresolved.

Measured: a_job_of_the_overlap_that_is_read_late_waits_for_what_the_earlier_leader_may_have_started failed before and passes; it also shows that a job accepted after that does not wait.

--- a/crates/flow/src/jobs/intake.rs
+++ b/crates/flow/src/jobs/intake.rs
@@ -7,11 +7,35 @@
 use crate::jobs::job::Job;
 use crate::{JobOutcome, JobSpec, Progress, Scheduler, StopReason};
 
+/// The time after a takeover in which the earlier leader may start jobs that are accepted then.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Overlap {
+    until: Instant,
+    /// Revision of the store after its end. Jobs may be read long after they were accepted.
+    end: Option<u64>,
+}
+
+impl Overlap {
+    /// Whether a job that is durable since `revision` may have been accepted in this time.
+    fn includes(&self, revision: u64) -> bool {
+        self.end.is_none_or(|end| revision <= end)
+    }
+}
+
 impl Scheduler {
     /// Notes until when the earlier leader may start jobs that are accepted after this one
     /// took over: the store may end a lease before its time, and the host can't know.
     pub fn set_overlap(&mut self, until: Instant) {
-        self.overlap_until = until;
+        self.overlap = Some(Overlap { until, end: None });
+    }
+
+    /// Notes the revision of the store in the answer to a call that was sent at `sent`.
+    pub fn note_revision(&mut self, revision: u64, sent: Instant) {
+        if let Some(overlap) = &mut self.overlap
+            && sent >= overlap.until
+        {
+            overlap.end.get_or_insert(revision);
+        }
     }
 
     /// Adds a job that is durable in the store since `revision`; returns
@@ -24,7 +48,8 @@
         self.teams.note_terms(spec.team.as_ref(), spec.terms.as_ref());
         self.record_arrival(&pool, &spec, now);
         let team = self.teams.index(spec.team.as_ref());
-        let is_earlier = revision <= self.token.0 || now < self.overlap_until;
+        let is_overlapping = self.overlap.is_some_and(|overlap| overlap.includes(revision));
+        let is_earlier = revision <= self.token.0 || is_overlapping;
         let job = Job::new(id, spec, pool, team, is_earlier);
         self.queue_work.add(&job.spec.queue, job.work);
         self.job_sizes.add(&job.spec.queue, job.work);
--- a/crates/flow/src/scheduler.rs
+++ b/crates/flow/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::cadence::Cadence;
 use crate::jobs::attempt::{Attempt, AttemptKey, Phase, Usage};
 use crate::jobs::crash_series::CrashSeries;
+use crate::jobs::intake::Overlap;
 use crate::jobs::job::{Job, JobKey};
 use crate::jobs::job_size::JobSizes;
 use crate::jobs::occurrence::Task;
@@ -56,9 +57,9 @@
     /// Until when an earlier leader may have sent calls, if one has left records of workers.
     pub(crate) predecessor_until: Option<Instant>,
     pub(crate) leader_since: Instant,
-    /// Jobs that are read before this time may have been started by the earlier leader,
+    /// Jobs that were accepted in this time may have been started by the earlier leader,
     /// whatever their revision.
-    pub(crate) overlap_until: Instant,
+    pub(crate) overlap: Option<Overlap>,
     /// Time beyond which no renewal prolongs the lease of a worker.
     pub(crate) lease_limit: Option<Instant>,
     pub(crate) config: Arc<OperatorConfig>,
@@ -164,7 +165,7 @@
             latest_token: token,
             predecessor_until: None,
             leader_since: now,
-            overlap_until: now,
+            overlap: None,
             lease_limit: None,
             config,
             jobs: SlotMap::with_key(),
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -168,6 +168,31 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a task that runs twice: the earlier leader has started a job that was accepted
+/// after the takeover, and the new one reads that job later.
+#[test]
+fn a_job_of_the_overlap_that_is_read_late_waits_for_what_the_earlier_leader_may_have_started() {
+    let mut world = world();
+    world.change_leader();
+    (0..world.workers.len()).for_each(|at| world.workers[at].reachable = at != 0);
+    let (now, token) = (world.now(), world.scheduler.token().0);
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.set_overlap(after(1000));
+    world.run(1500);
+    let wall = world.wall();
+    let spec = job("q-a", vec![step(1, 4000, 30_000)], wall);
+    world.scheduler.add_job(JobId::new(1), spec, token + 1, after(1500));
+    let (starts, _) = decided(&mut world, 0, 500);
+    assert!(starts.is_empty(), "{starts:?}");
+    // A job that was accepted after that does not wait.
+    world.scheduler.note_revision(token + 10, after(2000));
+    let spec = job("q-a", vec![step(1, 4000, 30_000)], wall);
+    world.scheduler.add_job(JobId::new(2), spec, token + 11, after(2000));
+    let (starts, _) = decided(&mut world, 500, 700);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert_eq!(starts[0].task.step.job, JobId::new(2));
+}
+
 /// Guards against a task that runs again: a new leader takes a worker for resolved by a report whose
 /// list of ends is full, and the end of the task comes in the next one.
 #[test]
