flow tests: four beliefs about answers that can be false

Found by the table of proofs, by reading; each order of events is played by a test that fails on: - a report that lists 500 ends, and not all, resolves all tasks that are recorded on its worker; - the clock of a worker counts from when an answer was read, so that an answer that waited tells the wrong life; - a late poll renews the lease of a life that no leader has seen, beyond what is reckoned for its starts; - an attempt whose start is still to be answered is lost with the lease, and the answer is dropped.

--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -279,3 +279,85 @@
         world.commit();
     }
 }
+
+/// Guards against a task that runs twice: the last answer of a life of its worker waited to be
+/// read for as long as the next life has lasted, so that an answer by the next one looks like one
+/// by the earlier one, with which the attempt is then taken for lost.
+#[test]
+fn an_answer_that_waited_to_be_read_tells_no_life_of_a_later_answer() {
+    let mut world = world();
+    let at = 0;
+    let id = worker_id(&world, at);
+    // The others take no work.
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    // The process of the leader stands still after it has sent a poll, which is answered.
+    let (sent, earlier) = (world.now(), world.workers[at].start_ms);
+    let poll = world.scheduler.renewal(&id, sent).unwrap();
+    let read = sent + Duration::from_millis(2900);
+    let last =
+        Report { start_ms: Some(earlier), clock_ms: 2900, running: Vec::new(), ended: Vec::new() };
+    world.scheduler.apply_report(&poll.incarnation.id, &last, sent, read);
+    let after = |ms| read + Duration::from_millis(ms);
+    world.scheduler.renewal(&id, after(1));
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let (starts, _) = commands(world.scheduler.plan(after(2), wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    // A later life, which has begun after that answer, carries it out.
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(2850) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, after(10));
+    let machine = world.workers[at].machine.clone();
+    let registration = registration(&world, id.as_str(), earlier + 19_000, &machine);
+    world.scheduler.register(&registration, after(20));
+    assert_eq!(world.scheduler.attempts_on(&id), 1, "taken for lost with the earlier life");
+}
+
+/// Guards against a task that runs twice: a life that the leader does not know has accepted its
+/// start and is cut off, and a late poll of the life before renews its lease once more.
+#[test]
+fn a_late_poll_that_reaches_an_unseen_life_starts_no_task_twice() {
+    let mut broken = Vec::new();
+    for delay_ms in [3000, 6000, 9000] {
+        let mut world = world();
+        while !world.ms.is_multiple_of(60) {
+            world.step();
+        }
+        world.restart_unseen(0);
+        let wall = world.wall();
+        let spread = StepSpec { best_effort: true, ..step(4, 4000, 60_000) };
+        world.submit(1, job("q-a", vec![spread], wall));
+        world.step();
+        assert!(!world.workers[0].running.is_empty());
+        world.send_late_poll(0, delay_ms);
+        let violations = cut_off(world, 0);
+        broken.extend(violations.into_iter().map(|violation| (delay_ms, violation)));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against a task that runs twice: the leader stands still with the answer to its start
+/// unread, so that the lease of its worker ends first, and a life that the leader does not know
+/// has accepted the start for longer than that.
+#[test]
+fn an_attempt_whose_start_is_still_to_be_answered_is_not_lost_with_its_lease() {
+    let mut world = world();
+    let id = worker_id(&world, 0);
+    // The others take no work.
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    let now = world.now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let poll = world.scheduler.renewal(&id, now).unwrap();
+    let wall = world.wall();
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let (starts, _) = commands(world.scheduler.plan(after(1900), wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    world.scheduler.poll_failed(&poll, PollFailure::Silent, after(4500));
+    let (_, _) = decided(&mut world, 4500, 4520);
+    assert!(world.scheduler.take_losses().is_empty());
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(500) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, after(4520));
+    let _ = decided(&mut world, 4540, 11_000);
+    assert_eq!(world.scheduler.attempts_on(&id), 1);
+}
--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -7,7 +7,10 @@
 use support::spec::{job, pool, queue, scheduled_job, step};
 use support::world::{Faults, World};
 use vg_base::prelude::*;
-use vg_flow::{Action, JobSpec, MachineAnswer, Schedule, StepSpec};
+use vg_flow::{
+    Action, AttemptNumber, AttemptOutcome, EndedAttempt, JobSpec, MachineAnswer, Report, Schedule,
+    StepId, StepSpec, TaskId,
+};
 use vg_jobs::Resources;
 use vg_standin::SimulatedWorker;
 
@@ -662,3 +665,41 @@
     world.run(8000);
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
+
+/// Guards against a task that runs again after it is done: a worker has more ends than a report
+/// lists, and the end of the task is in the next one.
+#[test]
+fn a_report_that_does_not_list_all_ends_resolves_no_task() {
+    let mut world = World::new(1, 4, Faults::default());
+    let wall = world.wall();
+    let id = world.submit(1, job("q-a", short(1, 30_000), wall));
+    world.run(300);
+    let at = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    let worker: HostId = world.workers[at].id.parse().unwrap();
+    world.workers[at].reachable = false;
+    world.change_leader();
+    world.run(500);
+    assert_eq!(world.starts, 1);
+    let end = |number| EndedAttempt {
+        number,
+        task: TaskId { step: StepId { job: JobId::new(7), occurrence: 0, step: 0 }, index: 0 },
+        attempt: AttemptNumber(number),
+        outcome: AttemptOutcome::Done,
+        checkpoint: "".into(),
+    };
+    let ended = (1..=500).map(end).collect();
+    let start_ms = Some(world.workers[at].start_ms);
+    let report = Report { start_ms, clock_ms: world.ms, running: Vec::new(), ended };
+    let now = world.now();
+    world.scheduler.apply_report(&worker, &report, now, now);
+    let mut starts = Vec::new();
+    for wait in (20..200).step_by(20) {
+        starts.extend(world.scheduler.plan(now + Duration::from_millis(wait), wall));
+    }
+    let started = |action: &Action| match action {
+        Action::Start(start) => (start.task.step.job == id).then_some(start.task),
+        _ => None,
+    };
+    let started: Vec<_> = starts.iter().filter_map(started).collect();
+    assert!(started.is_empty(), "{started:?}");
+}
