lead: E700 tells the life on the machine, and how long the command took

Change: the life that was known when the command was decided (born), the time from the decision until it was sent (decided-ms), and from then until its answer was read (ms).

--- a/crates/flow/src/pools/machines.rs
+++ b/crates/flow/src/pools/machines.rs
@@ -78,8 +78,10 @@
 /// What was known of a machine when a command to it was decided.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CommandTarget {
+    /// When the command was decided.
+    pub decided: Instant,
     /// The worker that is registered on it.
-    pub worker: Option<HostId>,
+    pub life: Option<WorkerLife>,
     /// Number of attempts of that worker.
     pub attempts: usize,
     /// Time since the list of machines was asked for; `None` if there is none.
@@ -226,12 +228,13 @@
         }
     }
 
-    /// Returns what is known of the machine of a command.
+    /// Returns what is known of the machine of a command that is decided at `now`.
     pub fn command_target(&self, command: &MachineCommand, now: Instant) -> CommandTarget {
         let worker = self.worker_on(command.machine()).map(|key| &self.workers[key]);
         let asked = self.machines.list_asked;
         CommandTarget {
-            worker: worker.map(|worker| worker.incarnation.id.clone()),
+            decided: now,
+            life: worker.map(|worker| worker.incarnation.life()),
             attempts: worker.map_or(0, |worker| worker.attempts.len()),
             list_age: asked.map(|at| now.saturating_duration_since(at)),
         }
--- a/crates/lead/src/leader/commands.rs
+++ b/crates/lead/src/leader/commands.rs
@@ -13,7 +13,7 @@
 use vg_store::{Store, StoreRevision, Txn, TxnOutcome};
 
 use super::Leader;
-use super::grounds::ground_fields;
+use super::grounds::{ground_fields, target_fields};
 use crate::codec::encode;
 use crate::host::lock;
 use crate::keys::{COMMANDS_KEY, CommandRecord, RecordedCommand, TERM_KEY};
@@ -266,6 +266,7 @@
         allowed: bool,
     ) {
         let host = &self.host;
+        let sent = host.inner.clock.now();
         // The process may have been suspended since the record was written.
         let answer = if allowed && self.holds_lease() {
             host.inner
@@ -276,15 +277,8 @@
             MachineAnswer::Limited
         };
         let now = host.inner.clock.now();
-        let worker = target.worker.as_ref().map_or("none", HostId::as_str);
-        let list_ms = target.list_age.map_or(-1, |age| age.as_millis() as i64);
-        let fields = [
-            Field::new("order", &command),
-            Field::new("answer", answer),
-            Field::new("worker", worker),
-            Field::new("runs", target.attempts),
-            Field::new("list-ms", list_ms),
-        ];
+        let order = [Field::new("order", &command), Field::new("answer", answer)];
+        let fields = order.into_iter().chain(target_fields(&target, sent, now));
         host.record(Code::MachineCommandSent, fields);
         self.scheduler().machine_answered(&command, answer, now);
         self.wake.notify_one();
--- a/crates/lead/src/leader/grounds.rs
+++ b/crates/lead/src/leader/grounds.rs
@@ -1,9 +1,11 @@
-//! Tells operators why a start was allowed, and what shows that an attempt is lost.
+//! Tells operators why a start was allowed, what shows that an attempt is lost, and what was
+//! known of a machine when a command to it was decided.
 
 use vg_base::prelude::*;
 use vg_events::Field;
 use vg_flow::{
-    Exchange, Finding, LostAttempt, Proof, Release, ReleaseCause, StartGround, WorkerLife,
+    CommandTarget, Exchange, Finding, LostAttempt, Proof, Release, ReleaseCause, StartGround,
+    WorkerLife,
 };
 
 /// Returns the fields that tell why an attempt may start, which was decided at `now`.
@@ -36,6 +38,23 @@
     fields
 }
 
+/// Returns the fields of a command to a machine: what was known when it was decided, and how
+/// long it took until it was sent, and from then until its answer was read at `now`.
+pub(super) fn target_fields(target: &CommandTarget, sent: Instant, now: Instant) -> Vec<Field> {
+    let life = target.life.as_ref();
+    let list_ms = target.list_age.map_or(-1, |age| age.as_millis() as i64);
+    let since = |from: Instant, to: Instant| to.saturating_duration_since(from).as_millis();
+    let worker = Field::new("worker", life.map_or("none", |life| life.worker.as_str()));
+    let born = life.map(|life| Field::new("born", life.start_ms));
+    let others = [
+        Field::new("runs", target.attempts),
+        Field::new("list-ms", list_ms),
+        Field::new("decided-ms", since(target.decided, sent)),
+        Field::new("ms", since(sent, now)),
+    ];
+    [worker].into_iter().chain(born).chain(others).collect()
+}
+
 fn proof_fields(proof: &Proof, now: Instant) -> impl Iterator<Item = Field> {
     let fields = life_fields(proof.life()).into_iter().chain(finding_field(proof.finding()));
     fields.chain(exchange_fields(proof.seen(), now))
