--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -16,8 +16,8 @@
 use vg_flow::{
     AdviserAnswer, AttemptNumber, AttemptOutcome, FencingToken, JobOutcome, JobSpec, Machine,
     MachineAnswer, MachineCommand, OperatorConfig, Pool, Queue, Renewal, Report, SchedulingRules,
-    StartAnswer, StartCommand, StartReply, StepId, StepSpec, TaskId, WaveState, WorkerIncarnation,
-    WorkerRegistration,
+    StartAnswer, StartCommand, StartReply, StepId, StepSpec, TaskId, Wave, WaveState,
+    WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
 use vg_lead::{
@@ -35,6 +35,8 @@
 pub(crate) const TASK_DURATION: Duration = Duration::from_millis(150);
 /// An operator's item at which the platform's parser panics.
 pub(crate) const PANICS: &[u8] = b"panics";
+/// Prefix of the maintenance waves; the value of each names its machine.
+pub(crate) const WAVE_PREFIX: &str = "op/wave/";
 /// Prefix of the requests to drain zones.
 pub(crate) const DRAIN_PREFIX: &str = "op/drain/";
 /// Maximum time for which a test waits for a condition.
@@ -131,6 +133,19 @@
         worker.reachable = reachable;
     }
 
+    /// Starts a worker again under its id. Its registration stays as it was.
+    pub(crate) fn restart(&self, id: &str) {
+        let ms = self.ms();
+        let mut workers = self.workers.lock().unwrap();
+        workers.iter_mut().find(|worker| worker.id == id).unwrap().restart(ms);
+    }
+
+    /// Returns the start of a worker's present life.
+    pub(crate) fn start_of(&self, id: &str) -> u64 {
+        let workers = self.workers.lock().unwrap();
+        workers.iter().find(|worker| worker.id == id).unwrap().start_ms
+    }
+
     /// Whether the lease of a worker has ended by its own clock.
     pub(crate) fn has_lease_ended(&self, id: &HostId) -> bool {
         let ms = self.ms();
@@ -356,6 +371,12 @@
     }
 }
 
+/// Returns a wave of one machine, which has to be complete soon.
+fn wave(number: u64, machine: &str) -> Wave {
+    let time_limit = Duration::from_secs(4);
+    Wave { number, machines: vec![machine.into()], time_limit, max_down: 1 }
+}
+
 pub(crate) fn soon() -> Instant {
     Instant::now() + Duration::from_secs(3)
 }
@@ -378,6 +399,9 @@
             return zone.parse().map(OperatorItem::ZoneDrain).map_err(malformed);
         }
         let text = std::str::from_utf8(value).unwrap_or_default();
+        if let Some(number) = key.0.strip_prefix(WAVE_PREFIX) {
+            return Ok(OperatorItem::Wave(wave(number.parse().unwrap(), text)));
+        }
         let version = text.parse().map_err(|_| ParseError { reason: "no number".into() })?;
         let mut config = OperatorConfig::new(version, 1 << 18);
         let queue = Queue {
@@ -492,7 +516,7 @@
             worker.poll(renewal.token, renewal.deadline_ms, renewal.acknowledged, ms)
         };
         match self.fleet.with(&renewal.incarnation.id, poll) {
-            Some(Some(report)) => Ok(Report { start_ms: None, ..report }),
+            Some(Some(report)) => Ok(report),
             Some(None) => Err(PollError::StaleToken),
             None => Err(PollError::Unanswered),
         }
@@ -502,12 +526,17 @@
         Some(self.fleet.machines.lock().unwrap().clone())
     }
 
+    /// A machine in maintenance does not answer any more, and what ran there has ended.
     async fn command_machine(
         &self,
-        _: &MachineCommand,
+        command: &MachineCommand,
         _: &NodeId,
         _: FencingToken,
     ) -> MachineAnswer {
+        if let MachineCommand::Maintain { machine, .. } = command {
+            self.fleet.restart(machine);
+            self.fleet.set_reachable(machine, false);
+        }
         MachineAnswer::Done
     }
 
