lead tests: a job that is read late counts as one that nobody can have started

Found by the table of proofs: a leader takes a job for new by when it reads it. A watch that is stuck for 3.2 s after an early vacancy is enough: the earlier leader has started the job, and its task starts again at once.

--- a/crates/lead/tests/early_vacancy.rs
+++ b/crates/lead/tests/early_vacancy.rs
@@ -59,6 +59,23 @@
     assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
 }
 
+/// Guards against two runs of a task: the same, where the next leader reads the job late, as its
+/// watch is stuck.
+#[tokio::test]
+async fn a_job_that_is_read_long_after_it_was_accepted_may_run_by_the_earlier_leader() {
+    let Deposed { cluster, old, new } = depose().await;
+    *cluster.fleet.task_duration.lock().unwrap() = Duration::from_secs(60);
+    new.faults.set_silent(true);
+    assert_eq!(old.host.submit(id(2), single(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(2)) > 0).await;
+    assert_eq!(cluster.fleet.running_on("w1").len(), 1, "the earlier leader did not start it");
+    // As long as a stuck watch takes to fail.
+    tokio::time::sleep(Duration::from_millis(3200)).await;
+    new.faults.set_silent(false);
+    eventually(async || cluster.fleet.starts_of(id(2)) == 2).await;
+    assert_eq!(cluster.fleet.violations(), Vec::<String>::new());
+}
+
 /// Guards against a task that is started again after its end was acknowledged: the next
 /// leader reads the end of a job that it has not read yet, and takes it for an ended job.
 #[tokio::test]
