--- a/crates/lead/tests/support/mod.rs
+++ b/crates/lead/tests/support/mod.rs
@@ -42,6 +42,18 @@
 
 type SharedStore = FaultyStore<PieceStore<MemStore>>;
 
+/// What becomes of a start command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum StartFate {
+    /// It is carried out and answered.
+    #[default]
+    Answered,
+    /// It is carried out, and its host is cut off from the worker before the answer.
+    Unanswered,
+    /// Its host is cut off from the worker, where it arrives after this time.
+    Late(Duration),
+}
+
 /// Simulated workers and the starts that they have carried out.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -60,6 +72,8 @@
     pub(crate) polls: Mutex<Vec<(HostId, bool, Duration)>>,
     /// Hosts and the workers that they do not reach.
     cuts: Mutex<HashSet<(SmolStr, SmolStr)>>,
+    /// What becomes of the next start.
+    pub(crate) next_start: Mutex<StartFate>,
     pub(crate) oracle: Mutex<Oracle>,
 }
 
@@ -112,6 +126,11 @@
         _ = if cut { cuts.insert(pair) } else { cuts.remove(&pair) };
     }
 
+    /// Whether a host is cut off from a worker.
+    pub(crate) fn is_cut(&self, host: &str, worker: &str) -> bool {
+        self.cuts.lock().unwrap().contains(&(host.into(), worker.into()))
+    }
+
     /// Returns the tasks that a worker runs.
     pub(crate) fn running_on(&self, id: &str) -> Vec<TaskId> {
         let workers = self.workers.lock().unwrap();
@@ -155,10 +174,30 @@
 }
 
 impl TestPlatform {
+    /// Delivers a start to its worker.
+    fn carry_out(&self, start: &StartCommand) -> StartReply {
+        let task_attempt = TaskAttempt {
+            task: start.task,
+            attempt: start.attempt,
+            started_ms: 0,
+            finish_ms: self.fleet.task_duration.lock().unwrap().as_millis() as u64,
+            outcome: AttemptOutcome::Done,
+            reservation: Resources::new(1000, 1 << 30, 0),
+            continuous: false,
+            stop_ms: None,
+        };
+        let answer = self.fleet.start(start, |worker, ms| worker.start(start, task_attempt, ms));
+        if answer == Some(StartAnswer::Started) {
+            self.fleet.starts.lock().unwrap().push((start.task, start.attempt));
+            self.fleet.start_workers.lock().unwrap().push(start.incarnation.id.clone());
+        }
+        let clock_ms = self.fleet.with(&start.incarnation.id, |worker, ms| worker.clock(ms));
+        StartReply { answer: answer.unwrap_or(StartAnswer::Unanswered), clock_ms }
+    }
+
     /// Whether the host is cut off from a worker.
     fn is_cut(&self, worker: &HostId) -> bool {
-        let pair = (self.name.clone(), worker.as_str().into());
-        self.fleet.cuts.lock().unwrap().contains(&pair)
+        self.fleet.is_cut(&self.name, worker.as_str())
     }
 }
 
@@ -209,6 +248,7 @@
             machines: Mutex::default(),
             polls: Mutex::default(),
             cuts: Mutex::default(),
+            next_start: Mutex::default(),
             oracle: Mutex::default(),
         };
         let cluster = Cluster {
@@ -424,26 +464,27 @@
     }
 
     async fn start(&self, start: &StartCommand) -> StartReply {
-        let task_attempt = TaskAttempt {
-            task: start.task,
-            attempt: start.attempt,
-            started_ms: 0,
-            finish_ms: self.fleet.task_duration.lock().unwrap().as_millis() as u64,
-            outcome: AttemptOutcome::Done,
-            reservation: Resources::new(1000, 1 << 30, 0),
-            continuous: false,
-            stop_ms: None,
-        };
-        if self.is_cut(&start.incarnation.id) {
+        let worker = &start.incarnation.id;
+        if self.is_cut(worker) {
             return StartAnswer::Unanswered.into();
         }
-        let answer = self.fleet.start(start, |worker, ms| worker.start(start, task_attempt, ms));
-        if answer == Some(StartAnswer::Started) {
-            self.fleet.starts.lock().unwrap().push((start.task, start.attempt));
-            self.fleet.start_workers.lock().unwrap().push(start.incarnation.id.clone());
+        match std::mem::take(&mut *self.fleet.next_start.lock().unwrap()) {
+            StartFate::Answered => self.carry_out(start),
+            StartFate::Unanswered => {
+                self.carry_out(start);
+                self.fleet.set_cut(&self.name, worker.as_str(), true);
+                StartAnswer::Unanswered.into()
+            }
+            StartFate::Late(delay) => {
+                self.fleet.set_cut(&self.name, worker.as_str(), true);
+                let (platform, start) = (self.clone(), start.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    platform.carry_out(&start);
+                });
+                StartAnswer::Unanswered.into()
+            }
         }
-        let clock_ms = self.fleet.with(&start.incarnation.id, |worker, ms| worker.clock(ms));
-        StartReply { answer: answer.unwrap_or(StartAnswer::Unanswered), clock_ms }
     }
 
     async fn stop(
