flow: test of a later life as old as an answer that has waited

What callers see: a task runs twice. One leader starts it both times, in time, and sends no stop. Cause: WorkerClock::fits asks whether a later life could read the same by now, and counts from when the last answer was read. A host that stood still reads it late: a life that began meanwhile is older than that, its answer to a start counts as one of the life before, and its registration shows the attempt as lost.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -13,7 +13,7 @@
 use vg_base::prelude::*;
 use vg_flow::{
     Action, AttemptNumber, FencingToken, Finding, LeaseCause, PollFailure, Report, RunningAttempt,
-    SchedulingRules, StartAnswer, StartCommand, StepSpec, TaskId, WorkerIncarnation,
+    SchedulingRules, StartAnswer, StartCommand, StartReply, StepSpec, TaskId, WorkerIncarnation,
     WorkerRegistration,
 };
 
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -311,6 +311,37 @@
     assert!(broken.is_empty(), "{broken:?}");
 }
 
+/// Guards against the same where the answer to the last poll of the earlier life has waited, as
+/// the host stood still: a later life may be as old as the call, and not as its reading.
+#[test]
+fn an_answer_that_has_waited_does_not_show_how_young_a_later_life_is() {
+    let mut world = World::new(1, 4, Faults::default());
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    run_with_commits(&mut world, 600);
+    let id = worker_id(&world, 0);
+    let (earlier, machine) = (world.workers[0].start_ms, world.workers[0].machine.clone());
+    let clock_ms = world.workers[0].clock(world.ms);
+    let (now, wall) = (world.now(), world.wall());
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.renewal(&id, now).unwrap();
+    let report = Report { clock_ms, ..report_of(earlier, &[]) };
+    // The later life begins after this report, 0.6 s before it answers the start.
+    world.scheduler.apply_report(&id, &report, now, after(2000));
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let (starts, _) = commands(world.scheduler.plan(after(2005), wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(clock_ms + 20) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, after(2010));
+    world.draining.clear();
+    world.register();
+    let later = registration(&world, id.as_str(), earlier + 1500, &machine);
+    world.scheduler.register(&later, after(2050));
+    let (starts, stops) = decided(&mut world, 2060, 2500);
+    assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
+    assert_eq!(world.scheduler.attempts_on(&id), 1);
+}
+
 /// Runs with a store that answers at once, so that new lives get work early.
 fn run_with_commits(world: &mut World, ms: u64) {
     let until = world.ms + ms;
