flow: test of two starts that an unknown life has carried out

Cause: may_run_in_unknown_life counts for each attempt from its own answer, and a lease holds for all that runs on a worker: the later start lengthens it for the earlier one too. Result: fails in each run: the first attempt is given up 10.7 s after its start, 1.3 s before the lease that the second start asked for has ended.

--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -342,6 +342,38 @@
     assert_eq!(world.scheduler.attempts_on(&id), 1);
 }
 
+/// Guards against a task that runs twice: a life that the leader does not know carries out two
+/// starts, between which the host stood still. The second one lengthens the lease of both.
+#[test]
+fn a_second_start_of_an_unknown_life_lengthens_the_lease_of_the_first() {
+    let mut world = world();
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    let id = worker_id(&world, 0);
+    let (now, wall) = (world.now(), world.wall());
+    let after = |ms| now + Duration::from_millis(ms);
+    let clock_ms = world.workers[0].clock(world.ms);
+    let renewal = world.scheduler.renewal(&id, now).unwrap();
+    let report = Report { clock_ms, ..report_of(world.workers[0].start_ms, &[]) };
+    world.scheduler.apply_report(&id, &report, now, after(5));
+    // The clock in the answers is that of a life that has just begun.
+    let mut start = |number, at_ms| {
+        world.submit(number, job("q-a", vec![step(1, 4000, 60_000)], wall));
+        let (starts, _) = commands(world.scheduler.plan(after(at_ms), wall));
+        let [start] = starts.as_slice() else { panic!("{starts:?}") };
+        let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(100 + at_ms) };
+        world.scheduler.start_answered(start.task, start.attempt, reply, after(at_ms + 5));
+    };
+    start(1, 10);
+    start(2, 2000);
+    world.scheduler.poll_failed(&renewal, PollFailure::Silent, after(2100));
+    // The longest lease of the second start ends 12 s after the first one was sent.
+    decided(&mut world, 2200, 12_000);
+    assert_eq!(world.scheduler.attempts_on(&id), 2, "{:?}", world.scheduler.take_losses());
+    decided(&mut world, 12_000, 14_000);
+    assert_eq!(world.scheduler.attempts_on(&id), 0);
+}
+
 /// Runs with a store that answers at once, so that new lives get work early.
 fn run_with_commits(world: &mut World, ms: u64) {
     let until = world.ms + ms;
