--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -489,6 +489,69 @@
     assert!(broken.is_empty(), "{broken:?}");
 }
 
+/// Guards against the same where the answer to the last poll of the earlier life has waited, as
+/// the host stood still: a later life may be as old as the call, and not as its reading.
+#[test]
+fn an_answer_that_has_waited_does_not_show_how_young_a_later_life_is() {
+    let mut world = World::new(1, 4, Faults::default());
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    run_with_commits(&mut world, 600);
+    let id = worker_id(&world, 0);
+    let (earlier, machine) = (world.workers[0].start_ms, world.workers[0].machine.clone());
+    let clock_ms = world.workers[0].clock(world.ms);
+    let (now, wall) = (world.now(), world.wall());
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.renewal(&id, now).unwrap();
+    let report = Report { clock_ms, ..report_of(earlier, &[]) };
+    // The later life begins after this report, 0.6 s before it answers the start.
+    world.scheduler.apply_report(&id, &report, now, after(2000));
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let (starts, _) = commands(world.scheduler.plan(after(2005), wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(clock_ms + 20) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, after(2010));
+    world.draining.clear();
+    world.register();
+    let later = registration(&world, id.as_str(), earlier + 1500, &machine);
+    world.scheduler.register(&later, after(2050));
+    let (starts, stops) = decided(&mut world, 2060, 2500);
+    assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
+    assert_eq!(world.scheduler.attempts_on(&id), 1);
+}
+
+/// Guards against a task that runs twice: a life that the leader does not know carries out two
+/// starts, between which the host stood still. The second one lengthens the lease of both.
+#[test]
+fn a_second_start_of_an_unknown_life_lengthens_the_lease_of_the_first() {
+    let mut world = world();
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    let id = worker_id(&world, 0);
+    let (now, wall) = (world.now(), world.wall());
+    let after = |ms| now + Duration::from_millis(ms);
+    let clock_ms = world.workers[0].clock(world.ms);
+    let renewal = world.scheduler.renewal(&id, now).unwrap();
+    let report = Report { clock_ms, ..report_of(world.workers[0].start_ms, &[]) };
+    world.scheduler.apply_report(&id, &report, now, after(5));
+    // The clock in the answers is that of a life that has just begun.
+    let mut start = |number, at_ms| {
+        world.submit(number, job("q-a", vec![step(1, 4000, 60_000)], wall));
+        let (starts, _) = commands(world.scheduler.plan(after(at_ms), wall));
+        let [start] = starts.as_slice() else { panic!("{starts:?}") };
+        let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(100 + at_ms) };
+        world.scheduler.start_answered(start.task, start.attempt, reply, after(at_ms + 5));
+    };
+    start(1, 10);
+    start(2, 2000);
+    world.scheduler.poll_failed(&renewal, PollFailure::Silent, after(2100));
+    // The longest lease of the second start ends 12 s after the first one was sent.
+    decided(&mut world, 2200, 12_000);
+    assert_eq!(world.scheduler.attempts_on(&id), 2, "{:?}", world.scheduler.take_losses());
+    decided(&mut world, 12_000, 14_000);
+    assert_eq!(world.scheduler.attempts_on(&id), 0);
+}
+
 /// Runs with a store that answers at once, so that new lives get work early.
 fn run_with_commits(world: &mut World, ms: u64) {
     let until = world.ms + ms;
