flow tests: a machine service that is slow, silent or late, and leaders that stand still

Cause: the fuzz world carried out each command to a machine at once and answered at once, and each answer was applied in the step in which it was given. Change: a service that is slow, silent, carries commands out 1 to 12 s later, says done of what was done before and refuses what is away; maintenance, waves and their limit; lists of machines that are up to 4 s old; pauses of the leader after which answers are applied in any order.

--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -230,6 +230,87 @@
     }
 }
 
+/// Guards against attempts that are taken for ended by the answer to a command that ended
+/// nothing, or another worker: the service for machines is slow, silent or late, says "done" of
+/// what was done before, and lists of machines are old.
+#[test]
+fn invariants_hold_when_machine_commands_are_late_or_repeated() {
+    let faults = Faults {
+        failures: 20,
+        refusals: 100,
+        lost_commands: 100,
+        late_commands: 150,
+        slow_commands: 250,
+        old_lists: 300,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(5000, faults);
+}
+
+/// Guards against the same around changes of the leader, cuts and outages of the store.
+#[test]
+fn invariants_hold_when_machine_commands_are_late_around_takeovers() {
+    let faults = Faults {
+        failures: 20,
+        unanswered: 10,
+        partitions: 3,
+        takeovers: 6,
+        returns: 2,
+        outages: 4,
+        lost_commands: 100,
+        late_commands: 200,
+        slow_commands: 300,
+        old_lists: 400,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(5200, faults);
+}
+
+/// Guards against answers that are applied to what is known when they are used, and not to what
+/// they were asked about: the leader stands still between.
+#[test]
+fn invariants_hold_when_a_leader_stands_still_before_it_uses_answers() {
+    let faults = Faults {
+        pauses: 10,
+        unanswered: 10,
+        delayed: 10,
+        restarts: 2,
+        unseen_restarts: 2,
+        partitions: 3,
+        failures: 20,
+        ..Faults::default()
+    };
+    (0..seeds()).for_each(|seed| run_seed(5400 + seed, faults));
+}
+
+/// Guards against the same with answers to commands to machines, and with takeovers.
+#[test]
+fn invariants_hold_when_a_leader_stands_still_while_machines_are_commanded() {
+    let faults = Faults {
+        pauses: 10,
+        takeovers: 2,
+        restarts: 2,
+        failures: 20,
+        lost_commands: 100,
+        late_commands: 100,
+        slow_commands: 400,
+        old_lists: 300,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(5600, faults);
+}
+
+fn run_with_service(first: u64, faults: Faults) {
+    for seed in (0..seeds()).map(|seed| first + seed) {
+        let mut world = World::new(seed, 8, faults);
+        world.add_machine_service(6);
+        run_world(world, seed);
+    }
+}
+
 /// Guards against tasks that wait for each other, or are given up, because their workers
 /// have crashed under them by chance.
 #[test]
--- a/crates/flow/tests/support/faults.rs
+++ b/crates/flow/tests/support/faults.rs
@@ -36,6 +36,16 @@
     pub(crate) refusals: u32,
     /// Commands to machines that are not answered, half of which are carried out.
     pub(crate) lost_commands: u32,
+    /// Commands to a machine service that are carried out 1 to 12 s later, without an answer.
+    pub(crate) late_commands: u32,
+    /// Commands to a machine service that are answered up to 0.9 s later.
+    pub(crate) slow_commands: u32,
+    /// Lists of machines that are read up to 4 s after they were asked for.
+    pub(crate) old_lists: u32,
+    /// Waves of maintenance that are requested from a machine service, per step.
+    pub(crate) waves: u32,
+    /// Leaders that stand still for 1 to 4 s after their commands were sent, per step.
+    pub(crate) pauses: u32,
     /// Polls that are not answered and arrive up to 12 s later.
     pub(crate) late_polls: u32,
     /// Restarts while calls are on their way, with a cut soon after, per step.
@@ -62,6 +72,11 @@
         cancels: 0,
         refusals: 0,
         lost_commands: 0,
+        late_commands: 0,
+        slow_commands: 0,
+        old_lists: 0,
+        waves: 0,
+        pauses: 0,
         late_polls: 0,
         recuts: 0,
         versions: 0,
@@ -75,7 +90,10 @@
         let faults = self.faults;
         if self.chance(faults.restarts) {
             let at = self.rng.random_range(0..self.workers.len());
-            self.restart(at);
+            // Nothing comes back from a machine that was taken away.
+            if self.workers[at].up {
+                self.restart(at);
+            }
         }
         if self.chance(faults.crashes) {
             let up = self.workers.iter().enumerate().filter(|(_, worker)| worker.up);
@@ -116,11 +134,15 @@
         if self.chance(faults.cancels) {
             self.cancel_some_job();
         }
-        if self.chance(faults.returns) {
+        if self.chance(faults.pauses) {
+            self.pause_at_random();
+        }
+        let is_paused = self.inbox.is_paused();
+        if self.chance(faults.returns) && !is_paused {
             self.lead_again();
         }
         if self.chance(faults.takeovers) && self.ms >= self.outage_until {
-            match self.rng.random_bool(0.5) {
+            match !is_paused && self.rng.random_bool(0.5) {
                 true => self.planned_handover(),
                 false => self.change_leader(),
             }
@@ -130,8 +152,9 @@
     /// Starts a worker again under its id, of which the leader learns later.
     fn inject_unseen_restart(&mut self) {
         let ms = self.ms;
-        if self.chance(self.faults.unseen_restarts) {
-            let at = self.rng.random_range(0..self.workers.len());
+        let is_drawn = self.chance(self.faults.unseen_restarts);
+        let at = if is_drawn { self.rng.random_range(0..self.workers.len()) } else { 0 };
+        if is_drawn && self.workers[at].up {
             let registered = self.registered_start(at);
             self.workers[at].restart(ms);
             self.broken_polls.insert(at);
--- a/crates/flow/tests/support/machines.rs
+++ b/crates/flow/tests/support/machines.rs
@@ -7,6 +7,7 @@
 use vg_jobs::Resources;
 use vg_standin::SimulatedWorker;
 
+use super::inbox::Answer;
 use super::spec::{CORES, MEMORY};
 use super::world::{COMMAND_TIMEOUT_MS, World, zone_of};
 
@@ -18,6 +19,10 @@
         if self.machines.is_empty() {
             return;
         }
+        if self.service.is_some() {
+            self.restore_service();
+            return;
+        }
         let now = self.now();
         self.scheduler.end_machine_hold(now);
         self.scheduler.set_machine_list(self.machines.clone(), now);
@@ -47,10 +52,14 @@
         self.scheduler.set_machine_list(self.machines.clone(), now);
     }
 
-    /// Executes a command to a machine, or refuses it later. A command to
-    /// maintain a machine is only recorded; a move ends the machine's worker at
+    /// Executes a command to a machine, or refuses it later. Without a service for machines,
+    /// a command to maintain a machine is only recorded; a move ends the machine's worker at
     /// once.
     pub(super) fn execute_machine_command(&mut self, command: MachineCommand) {
+        if self.service.is_some() {
+            self.send_machine_command(command);
+            return;
+        }
         if self.chance(self.faults.refusals) {
             let at = self.ms + self.rng.random_range(20..400);
             self.pending_refusals.push((at, command));
@@ -74,21 +83,21 @@
         });
         self.in_transit.push((self.ms + 1500, moved));
         if !is_lost {
-            let now = self.now();
-            self.scheduler.machine_answered(&command, MachineAnswer::Done, now);
+            self.receive(Answer::Machine { command, answer: MachineAnswer::Done });
         }
     }
 
     pub(super) fn deliver_refusals(&mut self) {
-        let (ms, now) = (self.ms, self.now());
+        let ms = self.ms;
         let (due, left): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.pending_refusals).into_iter().partition(|(at, _)| *at <= ms);
         self.pending_refusals = left;
         for (_, command) in due {
-            self.scheduler.machine_answered(&command, MachineAnswer::Limited, now);
+            self.receive(Answer::Machine { command, answer: MachineAnswer::Limited });
         }
-        for (_, command) in self.lost_commands.extract_if(.., |(at, _)| *at <= ms) {
-            self.scheduler.machine_answered(&command, MachineAnswer::Unanswered, now);
+        let lost: Vec<_> = self.lost_commands.extract_if(.., |(at, _)| *at <= ms).collect();
+        for (_, command) in lost {
+            self.receive(Answer::Machine { command, answer: MachineAnswer::Unanswered });
         }
     }
 
--- a/crates/flow/tests/support/messages.rs
+++ b/crates/flow/tests/support/messages.rs
@@ -10,6 +10,7 @@
 use vg_jobs::Resources;
 use vg_standin::TaskAttempt;
 
+use super::inbox::Answer;
 use super::world::{STEP_MS, STOP_MS, World};
 
 /// Polls that wait for longer where workers start again unseen, in thousandths.
@@ -168,7 +169,8 @@
             let worker = &self.workers[at];
             // The connection of an open poll ends with the process.
             if self.broken_polls.remove(&at) && renewal.incarnation.start_ms != worker.start_ms {
-                self.scheduler.poll_failed(&renewal, PollFailure::Broken, now);
+                let failure = PollFailure::Broken;
+                self.receive(Answer::PollFailed { poll: renewal, failure });
                 continue;
             }
             if !worker.up || !worker.reachable {
@@ -177,20 +179,17 @@
                     false => self.crashes.cuts_break,
                 };
                 let failure = if breaks { PollFailure::Broken } else { PollFailure::Silent };
-                self.scheduler.poll_failed(&renewal, failure, now);
+                self.receive(Answer::PollFailed { poll: renewal, failure });
                 continue;
             }
             let Some(report) = self.deliver_poll(at, &renewal) else { continue };
-            self.reached.insert(at, self.workers[at].start_ms);
+            self.note_call(at, renewal.incarnation.start_ms);
             let waited = match self.faults.unseen_restarts {
                 0 => 2,
                 _ => self.rng.random_range(2..500),
             };
             let sent = now - Duration::from_millis(waited);
-            self.scheduler.apply_report(&id, &report, sent, now);
-            if report.start_ms == Some(self.workers[at].start_ms) {
-                self.seen_starts.insert(at, self.workers[at].start_ms);
-            }
+            self.receive(Answer::Report { at, report, sent });
         }
     }
 
@@ -204,11 +203,11 @@
                     return;
                 }
                 let Some(at) = self.worker_of(&incarnation.id) else { return };
-                let (ms, now) = (self.ms, self.now());
+                let ms = self.ms;
                 let worker = &mut self.workers[at];
                 if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
                     self.note_call(at, incarnation.start_ms);
-                    self.scheduler.stop_answered(&incarnation, task, attempt, now);
+                    self.receive(Answer::Stop { by: incarnation, task, attempt });
                 }
             }
             Action::Machine(command) => self.execute_machine_command(command),
@@ -225,23 +224,24 @@
 
     fn send_start(&mut self, start: StartCommand) {
         let Some(at) = self.worker_of(&start.incarnation.id) else { return };
-        let now = self.now();
         let (task, attempt) = (start.task, start.attempt);
+        let unanswered = || Answer::Start { task, attempt, reply: StartAnswer::Unanswered.into() };
         let faults = self.faults;
         let worker = &self.workers[at];
         if !worker.up || !worker.reachable || self.chance(faults.dropped) {
-            self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
+            self.receive(unanswered());
         } else if self.chance(faults.delayed) {
             let at_ms = self.ms + self.rng.random_range(2000..12_000);
             self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start });
-            self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
+            self.receive(unanswered());
         } else {
             self.note_call(at, start.incarnation.start_ms);
             let answer = self.deliver_start(at, &start);
             let answer =
                 if self.chance(faults.unanswered) { StartAnswer::Unanswered } else { answer };
             let clock_ms = Some(self.workers[at].clock(self.ms));
-            self.scheduler.start_answered(task, attempt, StartReply { answer, clock_ms }, now);
+            let reply = StartReply { answer, clock_ms };
+            self.receive(Answer::Start { task, attempt, reply });
         }
     }
 
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -4,6 +4,8 @@
 pub(crate) mod adviser;
 pub(crate) mod crash;
 pub(crate) mod faults;
+mod inbox;
+mod machine_service;
 mod machines;
 mod messages;
 mod oracle;
--- a/crates/flow/tests/support/recuts.rs
+++ b/crates/flow/tests/support/recuts.rs
@@ -65,6 +65,7 @@
         for (_, event) in due {
             match event {
                 Event::Register => self.register(),
+                Event::Takeover if self.inbox.is_paused() => self.change_leader(),
                 Event::Takeover => match self.rng.random_range(0..3) {
                     0 => self.lead_again(),
                     1 => self.planned_handover(),
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -18,6 +18,8 @@
 use super::adviser::SimulatedAdviser;
 use super::crash::Crashes;
 pub(crate) use super::faults::Faults;
+use super::inbox::Inbox;
+use super::machine_service::MachineService;
 use super::messages::{DelayedPoll, DelayedStart};
 use super::recuts::Recuts;
 use super::spec::{CORES, MEMORY, config};
@@ -153,6 +155,10 @@
     pub(super) lost_commands: Vec<(u64, MachineCommand)>,
     /// Machines that are being moved, and when they arrive.
     pub(super) in_transit: Vec<(u64, Machine)>,
+    /// The service that carries out commands to machines, if there is one.
+    pub(crate) service: Option<MachineService>,
+    /// Answers that the leader has not applied.
+    pub(super) inbox: Inbox,
     /// Drained zones, and when the drain was requested.
     pub(super) drained: BTreeMap<ZoneId, u64>,
     /// What workers of zone `z0` register as the time for which they are still cold.
@@ -220,6 +226,8 @@
             pending_refusals: Vec::new(),
             lost_commands: Vec::new(),
             in_transit: Vec::new(),
+            service: None,
+            inbox: Inbox::default(),
             drained: BTreeMap::new(),
             cold_left: Duration::ZERO,
             refuses_stops: false,
@@ -253,6 +261,10 @@
 
     /// Registers all workers that are up with the leader.
     pub(crate) fn register(&mut self) {
+        if self.inbox.is_paused() {
+            self.inbox.unread = true;
+            return;
+        }
         let now = self.now();
         for at in 0..self.workers.len() {
             if !self.workers[at].up {
@@ -386,6 +398,7 @@
         // Answers to the earlier leader do not reach this one.
         self.pending_refusals.clear();
         self.lost_commands.clear();
+        self.clear_inbox();
         for record in self.records.clone() {
             self.scheduler.add_unresolved(&record, until, now);
         }
@@ -428,7 +441,9 @@
     pub(crate) fn step(&mut self) {
         self.ms += STEP_MS;
         self.inject_faults();
+        self.advance_inbox();
         self.finish_moves();
+        self.advance_machine_service();
         self.deliver_delayed_starts();
         self.deliver_delayed_polls();
         self.deliver_refusals();
@@ -440,6 +455,9 @@
             let done = ends.iter().filter(|end| end.outcome == AttemptOutcome::Done);
             self.done.extend(done.map(|end| end.task));
         }
+        if self.stands_still() {
+            return;
+        }
         if self.ms.is_multiple_of(60) {
             self.poll_workers();
         }
