flow tests: unseen lives that are cut off, ids and addresses that come back elsewhere

Cause: the fuzz world never cut a worker off right after its unseen life had answered a start, and ids stayed on their machines, addresses with their workers. Change: cuts with late polls after such starts; workers that come back on each other's machines; addresses that go to the next worker of a machine or of the other pool. A worker that is back on another machine is a test of its own.

--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -303,6 +303,64 @@
     run_with_service(5600, faults);
 }
 
+/// Guards against a second attempt of a task that an unseen life of its worker runs: late calls
+/// to the life before renew its lease, and the worker is cut off right after it has answered a
+/// start.
+#[test]
+fn invariants_hold_when_unseen_lives_are_cut_off_and_polls_are_late() {
+    let faults = Faults {
+        unseen_restarts: 12,
+        unseen_cuts: 500,
+        late_polls: 5,
+        unanswered: 10,
+        delayed: 10,
+        failures: 20,
+        partitions: 3,
+        ..Faults::default()
+    };
+    for seed in (0..seeds()).map(|seed| 9800 + seed) {
+        let mut world = World::new(seed, 8, faults);
+        world.truth.long_tasks = 120;
+        world.refuses_early_starts = seed.is_multiple_of(2);
+        world.crashes.cuts_break = seed.is_multiple_of(3);
+        run_world(world, seed);
+    }
+}
+
+/// Guards against a worker that is taken for gone because of another one: ids come back on
+/// other machines, and addresses go to other workers.
+#[test]
+fn invariants_hold_when_ids_and_addresses_come_back_elsewhere() {
+    let faults = Faults {
+        swaps: 6,
+        unseen_restarts: 3,
+        unanswered: 10,
+        delayed: 10,
+        failures: 20,
+        partitions: 3,
+        ..Faults::default()
+    };
+    (0..seeds()).for_each(|seed| run_seed(10_000 + seed, faults));
+}
+
+/// Guards against the same where machines are moved and maintained.
+#[test]
+fn invariants_hold_when_addresses_are_taken_over_from_machines_that_left() {
+    let faults = Faults {
+        taken_addresses: 700,
+        swaps: 3,
+        failures: 20,
+        takeovers: 2,
+        lost_commands: 100,
+        late_commands: 200,
+        slow_commands: 300,
+        old_lists: 300,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(10_500, faults);
+}
+
 fn run_with_service(first: u64, faults: Faults) {
     for seed in (0..seeds()).map(|seed| first + seed) {
         let mut world = World::new(seed, 8, faults);
--- a/crates/flow/tests/support/faults.rs
+++ b/crates/flow/tests/support/faults.rs
@@ -46,6 +46,12 @@
     pub(crate) waves: u32,
     /// Leaders that stand still for 1 to 4 s after their commands were sent, per step.
     pub(crate) pauses: u32,
+    /// Starts that reach an unseen life, after which a poll is late and the worker is cut off.
+    pub(crate) unseen_cuts: u32,
+    /// Workers that come back on each other's machines, per step.
+    pub(crate) swaps: u32,
+    /// Workers that get the address of the one before them on their machine.
+    pub(crate) taken_addresses: u32,
     /// Polls that are not answered and arrive up to 12 s later.
     pub(crate) late_polls: u32,
     /// Restarts while calls are on their way, with a cut soon after, per step.
@@ -77,6 +83,9 @@
         old_lists: 0,
         waves: 0,
         pauses: 0,
+        unseen_cuts: 0,
+        swaps: 0,
+        taken_addresses: 0,
         late_polls: 0,
         recuts: 0,
         versions: 0,
@@ -105,6 +114,9 @@
             }
         }
         self.inject_unseen_restart();
+        if self.chance(faults.swaps) {
+            self.swap();
+        }
         if self.chance(faults.recuts) {
             self.begin_recut();
         }
--- a/crates/flow/tests/support/machine_service.rs
+++ b/crates/flow/tests/support/machine_service.rs
@@ -1,6 +1,6 @@
 //! A service that carries out commands to machines, and that is slow, silent or late.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 use rand::Rng;
 use rand::seq::SliceRandom;
@@ -36,7 +36,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct MachineService {
     /// Machines that are not up, when they are back, and for which wave they are away.
-    away: BTreeMap<SmolStr, (u64, Option<u64>)>,
+    away: Vec<(SmolStr, u64, Option<u64>)>,
     maintained: BTreeSet<(u64, SmolStr)>,
     /// Commands that are carried out later, and whether they are answered then.
     on_way: Vec<(u64, MachineCommand, bool)>,
@@ -126,7 +126,7 @@
                 (ms + MAINTAIN_MS, Some(*wave))
             }
         };
-        self.service().away.insert(machine.id.clone(), (until, wave));
+        self.service().away.push((machine.id.clone(), until, wave));
         self.end_worker_on(&machine.id);
         MachineAnswer::Done
     }
@@ -135,7 +135,7 @@
     fn check_wave_limit(&mut self, wave: u64) {
         let ms = self.ms;
         let service = self.service();
-        let down = service.away.values().filter(|(_, of)| *of == Some(wave)).count();
+        let down = service.away.iter().filter(|(.., of)| *of == Some(wave)).count();
         let limit = service.waves.iter().find(|each| each.number == wave).map(|each| each.max_down);
         if limit.is_some_and(|limit| down >= limit as usize) {
             self.violations.push(format!("{ms}: wave {wave} has {down} machines down already"));
@@ -198,15 +198,21 @@
     fn return_machines(&mut self) {
         let ms = self.ms;
         let back: Vec<_> =
-            self.service().away.extract_if(.., |_, (until, _)| *until <= ms).collect();
-        for (id, _) in &back {
+            self.service().away.extract_if(.., |(_, until, _)| *until <= ms).collect();
+        for (id, ..) in &back {
             let machine = self.machines.iter_mut().find(|each| each.id == *id).unwrap();
             machine.state = MachineState::Up;
             let pool = machine.pool.as_str();
             if pool != "spare" {
                 let id = format!("w{}", self.workers.len());
                 let worker = SimulatedWorker::new(&id, pool, &machine.id, ms, machine.capacity);
+                let before = self.workers.iter().rposition(|each| each.machine == machine.id);
                 self.workers.push(worker);
+                if let Some(before) = before
+                    && self.chance(self.faults.taken_addresses)
+                {
+                    self.take_address(self.workers.len() - 1, before);
+                }
             }
         }
         if !back.is_empty() {
--- a/crates/flow/tests/support/messages.rs
+++ b/crates/flow/tests/support/messages.rs
@@ -11,11 +11,15 @@
 use vg_standin::TaskAttempt;
 
 use super::inbox::Answer;
+use super::swaps::Target;
 use super::world::{STEP_MS, STOP_MS, World};
 
 /// Polls that wait for longer where workers start again unseen, in thousandths.
 const LONG_POLLS: u32 = 850;
 
+/// Duration of a cut after a start in an unseen life, in milliseconds.
+const UNSEEN_CUT_MS: std::ops::Range<u64> = 5000..25_000;
+
 /// A start command that arrives late.
 #[derive(Debug, Clone)]
 pub(super) struct DelayedStart {
@@ -94,6 +98,9 @@
             self.delayed_starts.iter().filter(|delayed| delayed.at <= ms).cloned().collect();
         self.delayed_starts.retain(|delayed| delayed.at > ms);
         for delayed in due {
+            if self.target(&delayed.start.incarnation) != Target::Meant(delayed.worker) {
+                continue;
+            }
             if !self.precedes_contact(&delayed) {
                 self.deliver_start(delayed.worker, &delayed.start);
             } else if self.refuses_early_starts {
@@ -127,7 +134,7 @@
         let ms = self.ms;
         let due: Vec<_> = self.delayed_polls.extract_if(.., |delayed| delayed.at <= ms).collect();
         for DelayedPoll { worker, renewal, .. } in due {
-            if self.workers[worker].up {
+            if self.target(&renewal.incarnation) == Target::Meant(worker) {
                 let mut renewal = renewal;
                 if !self.is_reached(worker) {
                     // No leader can prevent that it acknowledges ends of this life.
@@ -182,6 +189,11 @@
                 self.receive(Answer::PollFailed { poll: renewal, failure });
                 continue;
             }
+            if self.target(&renewal.incarnation) != Target::Meant(at) {
+                let failure = PollFailure::Silent;
+                self.receive(Answer::PollFailed { poll: renewal, failure });
+                continue;
+            }
             let Some(report) = self.deliver_poll(at, &renewal) else { continue };
             self.note_call(at, renewal.incarnation.start_ms);
             let waited = match self.faults.unseen_restarts {
@@ -202,7 +214,7 @@
                 if self.refuses_stops {
                     return;
                 }
-                let Some(at) = self.worker_of(&incarnation.id) else { return };
+                let Target::Meant(at) = self.target(&incarnation) else { return };
                 let ms = self.ms;
                 let worker = &mut self.workers[at];
                 if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
@@ -227,8 +239,12 @@
         let (task, attempt) = (start.task, start.attempt);
         let unanswered = || Answer::Start { task, attempt, reply: StartAnswer::Unanswered.into() };
         let faults = self.faults;
+        let target = self.target(&start.incarnation);
         let worker = &self.workers[at];
-        if !worker.up || !worker.reachable || self.chance(faults.dropped) {
+        if target == Target::Other && worker.reachable {
+            let reply = StartAnswer::Refused(RefusalReason::OtherIncarnation).into();
+            self.receive(Answer::Start { task, attempt, reply });
+        } else if target == Target::Nobody || !worker.reachable || self.chance(faults.dropped) {
             self.receive(unanswered());
         } else if self.chance(faults.delayed) {
             let at_ms = self.ms + self.rng.random_range(2000..12_000);
@@ -242,7 +258,22 @@
             let clock_ms = Some(self.workers[at].clock(self.ms));
             let reply = StartReply { answer, clock_ms };
             self.receive(Answer::Start { task, attempt, reply });
+            let is_seen = start.incarnation.start_ms == self.workers[at].start_ms;
+            if !is_seen && self.chance(faults.unseen_cuts) {
+                self.cut_off_unseen(at);
+            }
+        }
+    }
+
+    /// Cuts a worker off that has carried out a start in a life that no leader has seen. A
+    /// poll to the earlier life is late.
+    fn cut_off_unseen(&mut self, at: usize) {
+        if self.rng.random_bool(0.5) {
+            let delay_ms = self.rng.random_range(STEP_MS..12_000);
+            self.send_late_poll(at, delay_ms);
         }
+        let until = self.ms + self.rng.random_range(UNSEEN_CUT_MS);
+        self.cut_off(at, until);
     }
 
     /// Delivers a start command to a worker.
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod recuts;
 pub(crate) mod replay;
 pub(crate) mod spec;
+mod swaps;
 pub(crate) mod versions;
 pub(crate) mod waits;
 pub(crate) mod world;
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -23,6 +23,7 @@
 use super::messages::{DelayedPoll, DelayedStart};
 use super::recuts::Recuts;
 use super::spec::{CORES, MEMORY, config};
+use super::swaps::Places;
 use super::waits::Waits;
 
 /// Duration of one step of the simulation.
@@ -159,6 +160,7 @@
     pub(crate) service: Option<MachineService>,
     /// Answers that the leader has not applied.
     pub(super) inbox: Inbox,
+    pub(super) places: Places,
     /// Drained zones, and when the drain was requested.
     pub(super) drained: BTreeMap<ZoneId, u64>,
     /// What workers of zone `z0` register as the time for which they are still cold.
@@ -227,6 +229,7 @@
             lost_commands: Vec::new(),
             in_transit: Vec::new(),
             service: None,
+            places: Places::default(),
             inbox: Inbox::default(),
             drained: BTreeMap::new(),
             cold_left: Duration::ZERO,
@@ -250,7 +253,7 @@
             id: worker.id.parse().unwrap(),
             start_ms: worker.start_ms,
             pool: worker.pool.parse().unwrap(),
-            addr: ([127, 0, 0, 1], 1000 + at as u16).into(),
+            addr: self.socket_of(at),
         }
     }
 
@@ -270,18 +273,16 @@
             if !self.workers[at].up {
                 continue;
             }
-            let zone = zone_of(&self.workers[at].machine);
+            let (incarnation, machine) = self.registered(at);
+            let zone = zone_of(&machine);
             let is_cold = zone.as_str() == "z0";
             let registration = WorkerRegistration {
-                incarnation: WorkerIncarnation {
-                    start_ms: self.registered_start(at),
-                    ..self.incarnation(at)
-                },
+                incarnation,
                 zone: zone.clone(),
                 draining: self.draining.contains(&at),
                 capacity: self.workers[at].capacity,
                 labels: vec!["a".into(), format!("r{}", at / 4).into()],
-                machine: Some(self.workers[at].machine.clone()),
+                machine: Some(machine),
                 cold_left: if is_cold { self.cold_left } else { Duration::ZERO },
             };
             self.scheduler.register(&registration, now);
--- a/crates/flow/tests/unseen_lives.rs
+++ b/crates/flow/tests/unseen_lives.rs
@@ -60,3 +60,27 @@
         assert!(world.violations.is_empty(), "{delay_ms} ms: {:#?}", world.violations);
     }
 }
+
+/// Guards against a task that runs twice: a worker has come back on another machine and has
+/// carried out a start, and another worker answers from the machine that it was on.
+#[test]
+fn a_worker_that_is_back_on_another_machine_is_not_gone_with_its_earlier_one() {
+    let mut world = World::new(1, 6, Faults::default());
+    world.run(18_000);
+    while !world.ms.is_multiple_of(60) {
+        world.step();
+    }
+    // Both are in pool a.
+    world.swap_machines(0, 2, false);
+    world.register_in(0, 5000);
+    world.register_in(2, 40);
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(6, 4000, 60_000) };
+    world.submit(1, job("q-a", vec![spread], wall));
+    world.step();
+    assert!(!world.workers[0].running.is_empty());
+    // It doesn't answer polls for a while.
+    world.workers[0].reachable = false;
+    world.run(3000);
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
