--- a/crates/flow/tests/support/messages.rs
+++ b/crates/flow/tests/support/messages.rs
@@ -10,11 +10,16 @@
 use vg_jobs::Resources;
 use vg_standin::TaskAttempt;
 
+use super::inbox::Answer;
+use super::swaps::Target;
 use super::world::{STEP_MS, STOP_MS, World};
 
 /// Polls that wait for longer where workers start again unseen, in thousandths.
 const LONG_POLLS: u32 = 850;
 
+/// Duration of a cut after a start in an unseen life, in milliseconds.
+const UNSEEN_CUT_MS: std::ops::Range<u64> = 5000..25_000;
+
 /// A start command that arrives late.
 #[derive(Debug, Clone)]
 pub(super) struct DelayedStart {
@@ -93,6 +98,9 @@
             self.delayed_starts.iter().filter(|delayed| delayed.at <= ms).cloned().collect();
         self.delayed_starts.retain(|delayed| delayed.at > ms);
         for delayed in due {
+            if self.target(&delayed.start.incarnation) != Target::Meant(delayed.worker) {
+                continue;
+            }
             if !self.precedes_contact(&delayed) {
                 self.deliver_start(delayed.worker, &delayed.start);
             } else if self.refuses_early_starts {
@@ -126,7 +134,7 @@
         let ms = self.ms;
         let due: Vec<_> = self.delayed_polls.extract_if(.., |delayed| delayed.at <= ms).collect();
         for DelayedPoll { worker, renewal, .. } in due {
-            if self.workers[worker].up {
+            if self.target(&renewal.incarnation) == Target::Meant(worker) {
                 let mut renewal = renewal;
                 if !self.is_reached(worker) {
                     // No leader can prevent that it acknowledges ends of this life.
@@ -168,7 +176,8 @@
             let worker = &self.workers[at];
             // The connection of an open poll ends with the process.
             if self.broken_polls.remove(&at) && renewal.incarnation.start_ms != worker.start_ms {
-                self.scheduler.poll_failed(&renewal, PollFailure::Broken, now);
+                let failure = PollFailure::Broken;
+                self.receive(Answer::PollFailed { poll: renewal, failure });
                 continue;
             }
             if !worker.up || !worker.reachable {
@@ -177,23 +186,25 @@
                     false => self.crashes.cuts_break,
                 };
                 let failure = if breaks { PollFailure::Broken } else { PollFailure::Silent };
-                self.scheduler.poll_failed(&renewal, failure, now);
+                self.receive(Answer::PollFailed { poll: renewal, failure });
+                continue;
+            }
+            if self.target(&renewal.incarnation) != Target::Meant(at) {
+                let failure = PollFailure::Silent;
+                self.receive(Answer::PollFailed { poll: renewal, failure });
                 continue;
             }
             let Some(report) = self.deliver_poll(at, &renewal) else { continue };
-            self.reached.insert(at, self.workers[at].start_ms);
+            self.note_call(at, renewal.incarnation.start_ms);
             let waited = match self.faults.unseen_restarts {
                 0 => 2,
                 _ => self.rng.random_range(2..500),
             };
             let sent = now - Duration::from_millis(waited);
-            self.scheduler.apply_report(&id, &report, sent, now);
+            self.receive(Answer::Report { at, report, sent });
             if self.open_polls {
                 self.scheduler.poll_opened(&renewal);
             }
-            if report.start_ms == Some(self.workers[at].start_ms) {
-                self.seen_starts.insert(at, self.workers[at].start_ms);
-            }
         }
     }
 
@@ -206,12 +217,12 @@
                 if self.refuses_stops {
                     return;
                 }
-                let Some(at) = self.worker_of(&incarnation.id) else { return };
-                let (ms, now) = (self.ms, self.now());
+                let Target::Meant(at) = self.target(&incarnation) else { return };
+                let ms = self.ms;
                 let worker = &mut self.workers[at];
                 if worker.up && worker.reachable && worker.stop(task, attempt, token, STOP_MS, ms) {
                     self.note_call(at, incarnation.start_ms);
-                    self.scheduler.stop_answered(&incarnation, task, attempt, now);
+                    self.receive(Answer::Stop { by: incarnation, task, attempt });
                 }
             }
             Action::Machine(command) => self.execute_machine_command(command),
@@ -228,24 +239,44 @@
 
     fn send_start(&mut self, start: StartCommand) {
         let Some(at) = self.worker_of(&start.incarnation.id) else { return };
-        let now = self.now();
         let (task, attempt) = (start.task, start.attempt);
+        let unanswered = || Answer::Start { task, attempt, reply: StartAnswer::Unanswered.into() };
         let faults = self.faults;
+        let target = self.target(&start.incarnation);
         let worker = &self.workers[at];
-        if !worker.up || !worker.reachable || self.chance(faults.dropped) {
-            self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
+        if target == Target::Other && worker.reachable {
+            let reply = StartAnswer::Refused(RefusalReason::OtherIncarnation).into();
+            self.receive(Answer::Start { task, attempt, reply });
+        } else if target == Target::Nobody || !worker.reachable || self.chance(faults.dropped) {
+            self.receive(unanswered());
         } else if self.chance(faults.delayed) {
             let at_ms = self.ms + self.rng.random_range(2000..12_000);
             self.delayed_starts.push(DelayedStart { at: at_ms, worker: at, start });
-            self.scheduler.start_answered(task, attempt, StartAnswer::Unanswered, now);
+            self.receive(unanswered());
         } else {
             self.note_call(at, start.incarnation.start_ms);
             let answer = self.deliver_start(at, &start);
             let answer =
                 if self.chance(faults.unanswered) { StartAnswer::Unanswered } else { answer };
             let clock_ms = Some(self.workers[at].clock(self.ms));
-            self.scheduler.start_answered(task, attempt, StartReply { answer, clock_ms }, now);
+            let reply = StartReply { answer, clock_ms };
+            self.receive(Answer::Start { task, attempt, reply });
+            let is_seen = start.incarnation.start_ms == self.workers[at].start_ms;
+            if !is_seen && self.chance(faults.unseen_cuts) {
+                self.cut_off_unseen(at);
+            }
+        }
+    }
+
+    /// Cuts a worker off that has carried out a start in a life that no leader has seen. A
+    /// poll to the earlier life is late.
+    fn cut_off_unseen(&mut self, at: usize) {
+        if self.rng.random_bool(0.5) {
+            let delay_ms = self.rng.random_range(STEP_MS..12_000);
+            self.send_late_poll(at, delay_ms);
         }
+        let until = self.ms + self.rng.random_range(UNSEEN_CUT_MS);
+        self.cut_off(at, until);
     }
 
     /// Delivers a start command to a worker.
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -4,12 +4,15 @@
 pub(crate) mod adviser;
 pub(crate) mod crash;
 pub(crate) mod faults;
+mod inbox;
+mod machine_service;
 mod machines;
 mod messages;
 mod oracle;
 pub(crate) mod recuts;
 pub(crate) mod replay;
 pub(crate) mod spec;
+mod swaps;
 pub(crate) mod versions;
 pub(crate) mod waits;
 pub(crate) mod world;
--- a/crates/flow/tests/support/world.rs
+++ b/crates/flow/tests/support/world.rs
@@ -18,9 +18,12 @@
 use super::adviser::SimulatedAdviser;
 use super::crash::Crashes;
 pub(crate) use super::faults::Faults;
+use super::inbox::Inbox;
+use super::machine_service::MachineService;
 use super::messages::{DelayedPoll, DelayedStart};
 use super::recuts::Recuts;
 use super::spec::{CORES, MEMORY, config};
+use super::swaps::Places;
 use super::waits::Waits;
 
 /// Duration of one step of the simulation.
@@ -153,6 +156,11 @@
     pub(super) lost_commands: Vec<(u64, MachineCommand)>,
     /// Machines that are being moved, and when they arrive.
     pub(super) in_transit: Vec<(u64, Machine)>,
+    /// The service that carries out commands to machines, if there is one.
+    pub(crate) service: Option<MachineService>,
+    /// Answers that the leader has not applied.
+    pub(super) inbox: Inbox,
+    pub(super) places: Places,
     /// Drained zones, and when the drain was requested.
     pub(super) drained: BTreeMap<ZoneId, u64>,
     /// What workers of zone `z0` register as the time for which they are still cold.
@@ -223,6 +231,9 @@
             pending_refusals: Vec::new(),
             lost_commands: Vec::new(),
             in_transit: Vec::new(),
+            service: None,
+            places: Places::default(),
+            inbox: Inbox::default(),
             drained: BTreeMap::new(),
             cold_left: Duration::ZERO,
             refuses_stops: false,
@@ -246,7 +257,7 @@
             id: worker.id.parse().unwrap(),
             start_ms: worker.start_ms,
             pool: worker.pool.parse().unwrap(),
-            addr: ([127, 0, 0, 1], 1000 + at as u16).into(),
+            addr: self.socket_of(at),
         }
     }
 
@@ -257,23 +268,25 @@
 
     /// Registers all workers that are up with the leader.
     pub(crate) fn register(&mut self) {
+        if self.inbox.is_paused() {
+            self.inbox.unread = true;
+            return;
+        }
         let now = self.now();
         for at in 0..self.workers.len() {
             if !self.workers[at].up {
                 continue;
             }
-            let zone = zone_of(&self.workers[at].machine);
+            let (incarnation, machine) = self.registered(at);
+            let zone = zone_of(&machine);
             let is_cold = zone.as_str() == "z0";
             let registration = WorkerRegistration {
-                incarnation: WorkerIncarnation {
-                    start_ms: self.registered_start(at),
-                    ..self.incarnation(at)
-                },
+                incarnation,
                 zone: zone.clone(),
                 draining: self.draining.contains(&at),
                 capacity: self.workers[at].capacity,
                 labels: vec!["a".into(), format!("r{}", at / 4).into()],
-                machine: Some(self.workers[at].machine.clone()),
+                machine: Some(machine),
                 cold_left: if is_cold { self.cold_left } else { Duration::ZERO },
             };
             self.scheduler.register(&registration, now);
@@ -390,6 +403,7 @@
         // Answers to the earlier leader do not reach this one.
         self.pending_refusals.clear();
         self.lost_commands.clear();
+        self.clear_inbox();
         for record in self.records.clone() {
             self.scheduler.add_unresolved(&record, until, now);
         }
@@ -432,7 +446,9 @@
     pub(crate) fn step(&mut self) {
         self.ms += STEP_MS;
         self.inject_faults();
+        self.advance_inbox();
         self.finish_moves();
+        self.advance_machine_service();
         self.deliver_delayed_starts();
         self.deliver_delayed_polls();
         self.deliver_refusals();
@@ -444,6 +460,9 @@
             let done = ends.iter().filter(|end| end.outcome == AttemptOutcome::Done);
             self.done.extend(done.map(|end| end.task));
         }
+        if self.stands_still() {
+            return;
+        }
         if self.ms.is_multiple_of(60) {
             self.poll_workers();
         }
