--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -66,13 +66,16 @@
     /// Reading of the worker's clock in milliseconds after which the start
     /// command cannot take effect: its deadline plus `WORKER_CLOCK_MARGIN`.
     pub(crate) expires_ms: u64,
-    /// Whether a poll of its worker was open when its start command was sent.
+    /// Whether a poll was open at the life that is known when its start command was sent.
     pub(crate) watched: bool,
     /// When the worker first confirmed it.
     pub(crate) confirmed: Option<Instant>,
     /// Whether a report, or the clock in the answer to its start, has shown that the present
     /// incarnation of its worker runs it. The answer to a command does not name the incarnation.
     pub(crate) reported: bool,
+    /// Whether the clock in the answer to its start may be that of the life that is known. A
+    /// later life that has begun at nearly the same time reads the same.
+    pub(crate) matched: bool,
     /// When the last stop command was sent, and when one was answered.
     pub(crate) stop_sent: Option<Instant>,
     pub(crate) stop_answered: Option<Instant>,
@@ -114,6 +117,12 @@
         !self.reported && self.confirmed.is_some_and(|at| at <= known_since)
     }
 
+    /// Whether it runs on the machine of its worker, in the life that is known or in one that
+    /// began there at nearly the same time.
+    pub(crate) fn is_placed(&self) -> bool {
+        self.confirmed.is_some() && (self.reported || self.matched)
+    }
+
     /// Whether a life of its worker that nobody has seen may have carried out its start command,
     /// which has no answer.
     pub(crate) fn may_have_begun(&self) -> bool {
--- a/crates/flow/src/jobs/intake.rs
+++ b/crates/flow/src/jobs/intake.rs
@@ -29,13 +29,14 @@
         self.overlap = Some(Overlap { until, end: None });
     }
 
-    /// Notes the revision of the store in the answer to a call that was sent at `sent`.
-    pub fn note_revision(&mut self, revision: u64, sent: Instant) {
-        if let Some(overlap) = &mut self.overlap
-            && sent >= overlap.until
-        {
+    /// Notes the revision of the store in the answer to a call that was sent at `sent`. Returns
+    /// whether it shows which jobs were accepted after that time.
+    pub fn note_revision(&mut self, revision: u64, sent: Instant) -> bool {
+        let Some(overlap) = &mut self.overlap else { return true };
+        if sent >= overlap.until {
             overlap.end.get_or_insert(revision);
         }
+        overlap.end.is_some()
     }
 
     /// Adds a job that is durable in the store since `revision`; returns
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -369,6 +369,7 @@
             watched: false,
             confirmed: None,
             reported: false,
+            matched: false,
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -42,15 +42,11 @@
 
 impl Scheduler {
     /// Notes the reading of its worker's clock in the answer by which a start was carried out.
-    /// If both clocks read the same, it tells by the poll that was open when the start was sent: the end of a
-    /// process breaks it.
     pub(crate) fn note_start_clock(&mut self, key: AttemptKey, reading_ms: u64, now: Instant) {
-        let attempt = &self.attempts[key];
+        let attempt = &mut self.attempts[key];
         let Some(clock) = self.workers[attempt.worker].clock else { return };
-        let is_known = attempt.watched || clock.is_too_late(reading_ms, now);
-        if clock.matches(reading_ms, now) && is_known {
-            self.attempts[key].reported = true;
-        }
+        attempt.matched = clock.matches(reading_ms, now);
+        attempt.reported |= attempt.matched && clock.is_too_late(reading_ms, now);
     }
 
     /// Returns until when an attempt may run although its worker's lease has ended as far as
--- a/crates/flow/src/workers/late_starts.rs
+++ b/crates/flow/src/workers/late_starts.rs
@@ -170,6 +170,7 @@
         phase: Phase::Unresolved,
         confirmed: None,
         reported: false,
+        matched: false,
         stop_sent: None,
         stop_answered: None,
         needs_stop: true,
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -39,12 +39,13 @@
             }
             self.begin_incarnation(key, start_ms, Exchange { sent, read: now });
         }
-        self.workers[key].poll_open = false;
         self.note_fence(key, sent, now);
         let is_full = report.ended.len() >= MAX_ENDS_PER_REPORT;
-        // The end of a task that an earlier leader has started may be in the next report.
-        if !is_full && self.unresolved.expiry(id).is_some() {
-            self.clear_unresolved(id, Exchange { sent, read: now });
+        if self.unresolved.expiry(id).is_some() {
+            // The end of a task that an earlier leader has started may be in the next report.
+            if !is_full {
+                self.clear_unresolved(id, Exchange { sent, read: now });
+            }
             self.workers[key].require_record();
         }
         if self.workers[key].has_lapsed(now) {
@@ -324,6 +325,7 @@
             watched: false,
             confirmed: Some(now),
             reported: true,
+            matched: false,
             stop_sent: None,
             stop_answered: None,
             needs_stop: false,
--- a/crates/flow/src/workers/proof.rs
+++ b/crates/flow/src/workers/proof.rs
@@ -217,7 +217,7 @@
         attempt.reported.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended which runs in the life that is known, as the worker `by` on
+    /// Proves that an attempt has ended which runs on the machine of its worker, as the worker `by` on
     /// its machine has answered a poll that was sent after that one was known.
     pub(crate) fn by_machine(
         attempt: &Attempt,
@@ -227,16 +227,16 @@
     ) -> Option<Proof> {
         let finding = Finding::MachineTaken { by: by.incarnation.id.clone() };
         let is_replaced = by.known_machine().is_some_and(|here| on.is_replaced(here, seen.sent));
-        let is_proven = is_replaced && attempt.reported;
+        let is_proven = is_replaced && attempt.is_placed();
         is_proven.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended which runs in the life that is known, as a command has
+    /// Proves that an attempt has ended which runs on the machine of its worker, as a command has
     /// taken its machine away. What is seen is when the command was decided, and when its answer was read.
     pub(crate) fn by_command(attempt: &Attempt, on: &Worker) -> Option<Proof> {
         let departure = on.departure.as_ref().filter(|departure| departure.has_ended(on))?;
         let finding = Finding::MachineCommanded(departure.command.clone());
-        let is_its = attempt.reported && attempt.life == on.incarnation.start_ms;
+        let is_its = attempt.is_placed() && attempt.life == on.incarnation.start_ms;
         is_its.then(|| Proof::new(attempt, on, finding, departure.seen))
     }
 
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -185,11 +185,21 @@
         })
     }
 
-    /// Records that a poll is sent now, which stays open until it is answered or fails.
+    /// Records that a poll is sent now, at once after an answer of the same life: that life can
+    /// hardly have ended between the two. It stays open until it is answered or fails.
     pub fn poll_opened(&mut self, poll: &Renewal) {
-        if let Some(&key) = self.worker_ids.get(&poll.incarnation.id) {
+        self.set_poll_open(&poll.incarnation, true);
+    }
+
+    /// Records that a poll was answered or has failed. Its answer may be applied later.
+    pub fn poll_closed(&mut self, poll: &Renewal) {
+        self.set_poll_open(&poll.incarnation, false);
+    }
+
+    fn set_poll_open(&mut self, to: &WorkerIncarnation, open: bool) {
+        if let Some(&key) = self.worker_ids.get(&to.id) {
             let worker = &mut self.workers[key];
-            worker.poll_open = worker.incarnation.start_ms == poll.incarnation.start_ms;
+            worker.poll_open = open && worker.incarnation.start_ms == to.start_ms;
         }
     }
 
@@ -205,7 +215,6 @@
                 self.note_lost_worker(key, failure, now);
             }
             let worker = &mut self.workers[key];
-            worker.poll_open = false;
             let repeated = worker.unreachable_since.is_some();
             worker.unreachable_since.get_or_insert(now);
             // The worker's record has to be sealed, so that it lists what may
--- a/crates/lead/src/leader/commit.rs
+++ b/crates/lead/src/leader/commit.rs
@@ -100,10 +100,8 @@
     async fn write_batch(&self, mut batch: Vec<Record>) -> Vec<Record> {
         let mut written = Vec::new();
         while !batch.is_empty() {
-            let sent = self.host.inner.clock.now();
             match self.host.store().commit(self.transaction(&batch)).await {
                 Ok(TxnOutcome::Committed { revision }) => {
-                    self.scheduler().note_revision(revision.0 as u64, sent);
                     self.host.inner.metrics.count_commit("done");
                     self.mark_written(&batch, revision);
                     written.append(&mut batch);
--- a/crates/lead/src/leader/incarnations.rs
+++ b/crates/lead/src/leader/incarnations.rs
@@ -77,14 +77,12 @@
                 let key = keys::incarnation_shard(*shard);
                 txn = txn.expect(key.clone(), known.revision(*shard)).put(key, value.clone());
             }
-            let sent = self.host.inner.clock.now();
-            (chunk, sent, self.host.store().commit(txn).await)
+            (chunk, self.host.store().commit(txn).await)
         });
         let mut complete = true;
-        for (chunk, sent, outcome) in join_all(writes).await {
+        for (chunk, outcome) in join_all(writes).await {
             match outcome {
                 Ok(TxnOutcome::Committed { revision }) => {
-                    self.scheduler().note_revision(revision.0 as u64, sent);
                     for (shard, value) in chunk {
                         shards.set(*shard, Some(revision), value.clone());
                     }
--- a/crates/lead/src/leader/mod.rs
+++ b/crates/lead/src/leader/mod.rs
@@ -109,7 +109,7 @@
     let Some(config) = host.config() else { return };
     let rules = host.inner.options.rules.clone();
     let mut scheduler = Scheduler::new(rules, token, config, started);
-    scheduler.set_overlap(started + host.inner.options.lease_ttl() + EXPIRED_LEASE_GRACE);
+    scheduler.set_overlap(started + recovery::overlap_time(host));
     let leader = Arc::new(Leader {
         host: host.clone(),
         token,
@@ -156,6 +156,7 @@
     async fn run(self: &Arc<Self>) {
         let Some(recovered) = self.recover().await else { return };
         self.spawn(Arc::clone(self).follow_jobs(recovered.jobs));
+        self.spawn(Arc::clone(self).end_overlap());
         self.spawn(Arc::clone(self).follow_workers());
         self.spawn(Arc::clone(self).record_incarnations(recovered.incarnations));
         self.spawn(Arc::clone(self).commit_changes());
--- a/crates/lead/src/leader/recovery.rs
+++ b/crates/lead/src/leader/recovery.rs
@@ -11,7 +11,6 @@
 
 use super::incarnation_shards::IncarnationShards;
 use super::{EXPIRED_LEASE_GRACE, Leader};
-use crate::Platform;
 use crate::follow::{PrefixUpdate, follow};
 use crate::host::lock;
 use crate::keys::{
@@ -19,6 +18,7 @@
     JOB_PREFIX, JobKey, PROGRESS_PREFIX, RecordedCommand, WAVES_KEY,
 };
 use crate::members::LAPSED_TIME;
+use crate::{Host, Platform};
 
 /// Delay before a failed call to the store is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -30,6 +30,11 @@
 /// may be slow.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
 
+/// Returns for how long after a takeover the earlier leader may start jobs that are accepted then.
+pub(super) fn overlap_time<P: Platform, C: Clock>(host: &Host<P, C>) -> Duration {
+    host.inner.options.lease_ttl() + EXPIRED_LEASE_GRACE
+}
+
 /// Store revisions from which the leader continues after recovery.
 pub(super) struct RecoveredRevisions {
     pub(super) jobs: StoreRevision,
@@ -244,6 +249,22 @@
         lock(&self.revisions).commands = (entry.map(|entry| entry.modified), recorded);
     }
 
+    /// Asks for the revision of the store once the earlier leader can't start any more jobs that
+    /// are accepted: they may be read long after that.
+    pub(super) async fn end_overlap(self: Arc<Self>) {
+        tokio::time::sleep(overlap_time(&self.host)).await;
+        let prefix = &self.host.inner.platform.layout().drain_prefix;
+        loop {
+            let sent = self.host.inner.clock.now();
+            if let Ok(listing) = self.host.store().range(prefix).await
+                && self.scheduler().note_revision(listing.revision.0 as u64, sent)
+            {
+                return;
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
     /// Follows jobs and cancellations in the store.
     pub(super) async fn follow_jobs(self: Arc<Self>, from: StoreRevision) {
         let prefix = Key::from(JOB_PREFIX);
