flow: no open poll shows in which life a start without an answer may run

So a start without an answer on a worker that doesn't answer is waited for as long as the longest lease may last, open poll or not; not for a continuous task, and not where the machine of the worker is gone.

--- a/crates/flow/src/jobs/attempt.rs
+++ b/crates/flow/src/jobs/attempt.rs
@@ -66,8 +66,6 @@
     /// Reading of the worker's clock in milliseconds after which the start
     /// command cannot take effect: its deadline plus `WORKER_CLOCK_MARGIN`.
     pub(crate) expires_ms: u64,
-    /// Whether a poll was open at the life that is known when its start command was sent.
-    pub(crate) watched: bool,
     /// When the worker first confirmed it.
     pub(crate) confirmed: Option<Instant>,
     /// Whether a report, or the clock in the answer to its start, has shown that the present
@@ -127,7 +125,7 @@
     /// which has no answer.
     pub(crate) fn may_have_begun(&self) -> bool {
         let is_unanswered = matches!(self.phase, Phase::Starting | Phase::Unresolved);
-        is_unanswered && !self.watched && !self.needs_stop
+        is_unanswered && !self.needs_stop
     }
 
     /// Returns the time since its start command; `None` if that is not known.
--- a/crates/flow/src/placement/plan.rs
+++ b/crates/flow/src/placement/plan.rs
@@ -366,7 +366,6 @@
             started: now,
             adopted: false,
             expires_ms: 0,
-            watched: false,
             confirmed: None,
             reported: false,
             matched: false,
@@ -406,13 +405,11 @@
         let chosen = &mut self.workers[worker];
         chosen.lease_end = chosen.lease_end.max(now + bound);
         chosen.call_sent = Some(now);
-        let watched = chosen.poll_open;
         let (incarnation, token) = (chosen.incarnation.clone(), chosen.token);
         let sent = &mut self.attempts[key];
         sent.phase = Phase::Starting;
         sent.life = incarnation.start_ms;
         sent.started = now;
-        sent.watched = watched;
         sent.last_progress = now;
         sent.expires_ms = deadline_ms + WORKER_CLOCK_MARGIN.as_millis() as u64;
         self.counts.starts += 1;
--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -9,9 +9,7 @@
 //! the deadline of the start is a time on the earlier life's clock, and so is that of each call
 //! that is still on its way to it.
 //!
-//! A start without an answer may have been carried out in time by such a life as well. It was not
-//! if a poll was open when it was sent, and did not break since: the end of a process breaks its
-//! connections.
+//! A start without an answer may have been carried out in time by such a life as well.
 
 use vg_base::prelude::*;
 
@@ -50,21 +48,19 @@
     }
 
     /// Returns until when an attempt may run although its worker's lease has ended as far as
-    /// leaders have asked for it; `None` if it may not.
+    /// leaders have asked for it; `None` if it may not. Continuous tasks do not wait for what may
+    /// come.
     fn unseen_until(&self, key: AttemptKey) -> Option<Instant> {
         let attempt = &self.attempts[key];
         let worker = &self.workers[attempt.worker];
-        let last_renewal = match (attempt.reported, attempt.confirmed) {
-            (true, _) => return None,
+        let continuous = self.is_continuous(key);
+        let last_renewal = match attempt.confirmed {
+            _ if attempt.reported => return None,
+            Some(confirmed) if continuous => confirmed,
             // A call that has no answer may still be on its way, and renews the lease.
-            (false, Some(confirmed)) => {
-                let last_arrival = worker.call_sent.map(|sent| sent + MESSAGE_DELAY_MAX);
-                last_arrival.map_or(confirmed, |arrival| arrival.max(confirmed))
-            }
-            (false, None) if attempt.may_have_begun() => {
-                worker.call_sent.map_or(attempt.started, |sent| sent.max(attempt.started))
-            }
-            (false, None) => return None,
+            Some(confirmed) => confirmed.max(worker.call_sent? + MESSAGE_DELAY_MAX),
+            None if continuous || worker.gone || !attempt.may_have_begun() => return None,
+            None => attempt.started.max(worker.call_sent?),
         };
         Some(last_renewal + clock_bound(self.rules.lease_max))
     }
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -322,7 +322,6 @@
             started: now,
             adopted: true,
             expires_ms: 0,
-            watched: false,
             confirmed: Some(now),
             reported: true,
             matched: false,
--- a/crates/flow/src/workers/register.rs
+++ b/crates/flow/src/workers/register.rs
@@ -185,24 +185,6 @@
         })
     }
 
-    /// Records that a poll is sent now, at once after an answer of the same life: that life can
-    /// hardly have ended between the two. It stays open until it is answered or fails.
-    pub fn poll_opened(&mut self, poll: &Renewal) {
-        self.set_poll_open(&poll.incarnation, true);
-    }
-
-    /// Records that a poll was answered or has failed. Its answer may be applied later.
-    pub fn poll_closed(&mut self, poll: &Renewal) {
-        self.set_poll_open(&poll.incarnation, false);
-    }
-
-    fn set_poll_open(&mut self, to: &WorkerIncarnation, open: bool) {
-        if let Some(&key) = self.worker_ids.get(&to.id) {
-            let worker = &mut self.workers[key];
-            worker.poll_open = open && worker.incarnation.start_ms == to.start_ms;
-        }
-    }
-
     /// Records that a poll of a worker failed. The failure of one that was sent to an earlier
     /// incarnation says nothing about the present one.
     pub fn poll_failed(&mut self, poll: &Renewal, failure: PollFailure, now: Instant) {
@@ -237,7 +219,6 @@
         worker.located = false;
         worker.recorded = false;
         worker.polled = false;
-        worker.poll_open = false;
         worker.clock = None;
         worker.renewed_until = None;
         worker.open_fence(lease_max, now + MESSAGE_DELAY_MAX);
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -158,8 +158,6 @@
     pub(crate) ends_truncated: bool,
     /// When a poll was last sent, also to an earlier incarnation.
     pub(crate) poll_sent: Option<Instant>,
-    /// Whether a poll is open: the end of the process would break it.
-    pub(crate) poll_open: bool,
     /// When a call was last sent that renews the lease.
     pub(crate) call_sent: Option<Instant>,
     /// When a poll was last answered.
@@ -231,7 +229,6 @@
             uncommitted_ends: Vec::new(),
             ends_truncated: false,
             poll_sent: None,
-            poll_open: false,
             call_sent: None,
             last_poll: None,
             unreachable_since: None,
--- a/crates/lead/src/leader/polls.rs
+++ b/crates/lead/src/leader/polls.rs
@@ -23,9 +23,6 @@
 /// Maximum time for which a poll is delayed until the worker's record permits a longer
 /// lease.
 const RECORD_WAIT_MAX: Duration = Duration::from_millis(200);
-/// Longest time between an answer and the next poll in which the worker can't have started
-/// again.
-const POLL_GAP_MAX: Duration = Duration::from_millis(50);
 /// Delay after a poll without an answer.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -40,7 +37,6 @@
     /// Polls a worker until the scheduler forgets it or the leadership ends.
     async fn poll_worker(self: Arc<Self>, id: HostId) {
         let mut has_answered = false;
-        let mut answered: Option<Instant> = None;
         let mut unreachable = None;
         let mut renewing = false;
         loop {
@@ -62,16 +58,8 @@
                 (true, true) => BUSY_WAIT_MAX,
                 (true, false) => IDLE_WAIT_MAX,
             };
-            let began = self.host.inner.clock.now();
-            if answered.is_some_and(|at| began.saturating_duration_since(at) <= POLL_GAP_MAX) {
-                self.scheduler().poll_opened(&renewal);
-            }
             let result = self.host.inner.platform.poll(&renewal, wait).await;
-            self.scheduler().poll_closed(&renewal);
             let now = self.host.inner.clock.now();
-            // An answer that has waited doesn't show that its life goes on.
-            let is_fresh = now.saturating_duration_since(began) <= wait + POLL_GAP_MAX;
-            answered = (result.is_ok() && is_fresh).then_some(now);
             match result {
                 Ok(report) => {
                     let read =
