flow tests: what an open poll, a full report and a recorded machine don't show

A poll that is open may have been sent to a life that nobody has seen; a late poll renews the lease after an unanswered start too; a full first report leaves the lease uncapped while the durable record tells its end; a recorded machine is believed after a takeover.

--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -6,6 +6,8 @@
 mod leases;
 #[path = "restarts/lives.rs"]
 mod lives;
+#[path = "restarts/open_polls.rs"]
+mod open_polls;
 mod support;
 
 use support::spec::{job, step};
--- a/crates/flow/tests/unseen_lives.rs
+++ b/crates/flow/tests/unseen_lives.rs
@@ -84,3 +84,27 @@
     world.run(3000);
     assert!(world.violations.is_empty(), "{:#?}", world.violations);
 }
+
+/// Guards against the same after a takeover: the record names the machine of the life before.
+#[test]
+fn a_record_of_a_worker_that_is_back_on_another_machine_is_not_released_by_its_earlier_one() {
+    let mut world = World::new(1, 6, Faults::default());
+    world.run(18_000);
+    while !world.ms.is_multiple_of(60) {
+        world.step();
+    }
+    // Both are in pool a.
+    world.swap_machines(0, 2, false);
+    world.register_in(0, 5000);
+    world.register_in(2, 40);
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(6, 4000, 60_000) };
+    world.submit(1, job("q-a", vec![spread], wall));
+    world.step();
+    assert!(!world.workers[0].running.is_empty());
+    world.workers[0].reachable = false;
+    world.change_leader();
+    // Less than the lease that any leader asks for.
+    world.run(3000);
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
