flow tests: a worker on another machine that answers before it registers

Cause: end_others_on_machine takes the machine that the earlier life of a worker had for that of its present life, which a poll has shown and whose registration is still to be read. The runs that this life reports are removed as ended.

--- a/crates/flow/tests/unseen_lives.rs
+++ b/crates/flow/tests/unseen_lives.rs
@@ -61,10 +61,10 @@
     }
 }
 
-/// Guards against a task that runs twice: a worker has come back on another machine and has
-/// carried out a start, and another worker answers from the machine that it was on.
-#[test]
-fn a_worker_that_is_back_on_another_machine_is_not_gone_with_its_earlier_one() {
+/// Returns a world in which worker 0 is back on another machine and has carried out starts that
+/// were meant for its earlier life. Its registration is read late. Another worker is back on the
+/// machine that it was on.
+fn started_on_another_machine() -> World {
     let mut world = World::new(1, 6, Faults::default());
     world.run(18_000);
     while !world.ms.is_multiple_of(60) {
@@ -79,8 +79,25 @@
     world.submit(1, job("q-a", vec![spread], wall));
     world.step();
     assert!(!world.workers[0].running.is_empty());
+    world
+}
+
+/// Guards against a task that runs twice: a worker has come back on another machine and has
+/// carried out a start, and another worker answers from the machine that it was on.
+#[test]
+fn a_worker_that_is_back_on_another_machine_is_not_gone_with_its_earlier_one() {
+    let mut world = started_on_another_machine();
     // It doesn't answer polls for a while.
     world.workers[0].reachable = false;
     world.run(3000);
     assert!(world.violations.is_empty(), "{:#?}", world.violations);
 }
+
+/// Guards against the same where the worker answers polls before its registration is read: which
+/// machine it is on isn't known before.
+#[test]
+fn a_worker_that_answers_before_it_registers_is_not_gone_with_its_earlier_machine() {
+    let mut world = started_on_another_machine();
+    world.run(3000);
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
