lead tests: commands share a record, whoever leads and however long it takes

Cause: two faults of the test. The record names a command for 3.5 s only, and the test counted the ones that it names at the end: where the jobs take longer, they are never 20. After a pause the leadership changes to host b, whose store is fast, so that each round has a record of its own.

Change: each command that the record has named counts, with when it was recorded; the store is slow for whichever host leads, and the other one takes the jobs. The bound is the same.

--- a/crates/lead/tests/machine_commands.rs
+++ b/crates/lead/tests/machine_commands.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
-use support::{Cluster, eventually, id, job, soon};
+use support::{Cluster, Node, eventually, id, job};
 use vg_base::prelude::*;
 use vg_flow::{Machine, MachineState, StepSpec};
 use vg_jobs::Resources;
@@ -14,23 +14,46 @@
 
 /// Machines of the spare pool.
 const SPARE_MACHINES: usize = 40;
+/// Time by which the store delays each call.
+const STORE_DELAY: Duration = Duration::from_millis(150);
 /// Time between two jobs, more than a round of decisions takes.
 const JOB_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time within which a job is accepted, also if the process stands still meanwhile.
+const SUBMIT_TIME_MAX: Duration = Duration::from_secs(20);
 /// An entry of the record of commands.
 #[derive(Debug, Deserialize)]
 struct CommandRecord {
-    #[serde(rename = "machine")]
-    _machine: SmolStr,
+    machine: SmolStr,
     at: SystemTime,
 }
 
-/// Returns the numbers of recorded commands and of the records that they were written in.
-async fn count_commands(cluster: &Cluster) -> (usize, usize) {
-    let Some(value) = cluster.value("vg/orders").await else { return (0, 0) };
-    let commands: Vec<CommandRecord> = rmp_serde::from_slice(&value).unwrap();
-    let records: BTreeSet<_> = commands.iter().map(|command| command.at).collect();
-    (commands.len(), records.len())
+/// The commands that the record has named, and when they were recorded. The record names each
+/// for a few seconds only.
+#[derive(Debug, Default)]
+struct Commands(BTreeSet<(SystemTime, SmolStr)>);
+
+impl Commands {
+    async fn read(&mut self, cluster: &Cluster) {
+        let Some(value) = cluster.value("vg/orders").await else { return };
+        let commands: Vec<CommandRecord> = rmp_serde::from_slice(&value).unwrap();
+        self.0.extend(commands.into_iter().map(|each| (each.at, each.machine)));
+    }
+
+    /// Returns the numbers of commands and of the records that they were written in.
+    fn count(&self) -> (usize, usize) {
+        let records: BTreeSet<_> = self.0.iter().map(|(at, _)| at).collect();
+        (self.0.len(), records.len())
+    }
+}
+
+/// Makes the store slow for the host that leads, and for that one only. Returns the other one.
+/// The leadership changes if the process stands still for as long as it lasts.
+fn slow_down_leader<'a>(a: &'a Node, b: &'a Node) -> &'a Node {
+    let (leader, other) = if b.host.is_leading() { (b, a) } else { (a, b) };
+    leader.faults.set_delay(STORE_DELAY);
+    other.faults.set_delay(Duration::ZERO);
+    other
 }
 
 /// Guards against a record for each round of decisions: with a slow store, a few
@@ -49,9 +72,8 @@
     let a = cluster.node("a").await;
     eventually(async || cluster.has_leader().await).await;
     // The pool has its smallest size before the load begins.
-    eventually(async || count_commands(&cluster).await.0 > 0).await;
+    eventually(async || cluster.key("vg/orders").await).await;
     let b = cluster.node("b").await;
-    a.faults.set_delay(Duration::from_millis(150));
     // Each job needs one more machine, so that most rounds decide about one move.
     let step = StepSpec {
         count: 8,
@@ -59,12 +81,20 @@
         continuous: true,
         ..StepSpec::default()
     };
+    let mut commands = Commands::default();
     for number in 1..=30 {
         let spec = vg_flow::JobSpec { steps: vec![step.clone()], ..job(1) };
-        assert_eq!(b.host.submit(id(number), spec, soon()).await, SubmitOutcome::Accepted);
+        let until = Instant::now() + SUBMIT_TIME_MAX;
+        let other = slow_down_leader(&a, &b);
+        assert_eq!(other.host.submit(id(number), spec, until).await, SubmitOutcome::Accepted);
         tokio::time::sleep(JOB_INTERVAL).await;
+        commands.read(&cluster).await;
     }
-    eventually(async || count_commands(&cluster).await.0 >= 20).await;
-    let (commands, records) = count_commands(&cluster).await;
+    eventually(async || {
+        commands.read(&cluster).await;
+        commands.count().0 >= 20
+    })
+    .await;
+    let (commands, records) = commands.count();
     assert!(records * 2 <= commands, "{records} records for {commands} commands");
 }
