--- a/crates/flow/src/workers/proof.rs
+++ b/crates/flow/src/workers/proof.rs
@@ -217,21 +217,21 @@
         attempt.reported.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended, as the worker `by` on the machine of its worker has answered
-    /// a poll that was sent after that one was known.
+    /// Proves that an attempt has ended which runs in the life that is known, as the worker `by` on
+    /// its machine has answered a poll that was sent after that one was known.
     pub(crate) fn by_machine(
         attempt: &Attempt,
         on: &Worker,
         by: &Worker,
         seen: Exchange,
     ) -> Option<Proof> {
-        let is_later = on.known_since < seen.sent;
         let finding = Finding::MachineTaken { by: by.incarnation.id.clone() };
-        let is_proven = is_later && attempt.confirmed.is_some();
+        let is_replaced = by.known_machine().is_some_and(|here| on.is_replaced(here, seen.sent));
+        let is_proven = is_replaced && attempt.reported;
         is_proven.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended which a report of its worker has shown, as a command has
+    /// Proves that an attempt has ended which runs in the life that is known, as a command has
     /// taken its machine away. What is seen is when the command was decided, and when its answer was read.
     pub(crate) fn by_command(attempt: &Attempt, on: &Worker) -> Option<Proof> {
         let departure = on.departure.as_ref().filter(|departure| departure.has_ended(on))?;
@@ -241,8 +241,12 @@
     }
 
     /// Proves that an attempt has ended, as its worker doesn't answer and its lease has ended.
-    /// What is seen is the end of the lease, by this host's clock.
+    /// What is seen is the end of the lease, by this host's clock. It proves nothing of a start
+    /// whose answer is still to be read: a later life may have given it.
     pub(crate) fn by_lease(attempt: &Attempt, on: &Worker, now: Instant) -> Option<Proof> {
+        if attempt.phase == Phase::Starting {
+            return None;
+        }
         let seen = Exchange { sent: on.last_lease_end(), read: now };
         let finding = Finding::LeaseEnded(on.lease_cause());
         on.has_lapsed(now).then(|| Proof::new(attempt, on, finding, seen))
--- a/crates/flow/src/workers/worker.rs
+++ b/crates/flow/src/workers/worker.rs
@@ -76,6 +76,8 @@
 pub(crate) struct WorkerClock {
     /// Reading of the clock in milliseconds.
     pub(crate) reading_ms: u64,
+    /// When the poll was sent whose answer has this reading.
+    pub(crate) asked: Instant,
     /// When the answer with this reading was received. The true reading was not
     /// lower at that time: a poll waits at the worker before the clock is read.
     pub(crate) at: Instant,
@@ -103,6 +105,9 @@
     pub(crate) labels: Vec<SmolStr>,
     pub(crate) rack: Option<SmolStr>,
     pub(crate) machine: Option<SmolStr>,
+    /// Whether the present incarnation has registered, so that `machine` is its own and not
+    /// that of an earlier one.
+    pub(crate) located: bool,
     /// Its availability zone.
     pub(crate) zone: ZoneId,
     /// Whether its zone is drained, so that nothing may start on it.
@@ -153,6 +158,10 @@
     pub(crate) ends_truncated: bool,
     /// When a poll was last sent, also to an earlier incarnation.
     pub(crate) poll_sent: Option<Instant>,
+    /// Whether a poll is open: the end of the process would break it.
+    pub(crate) poll_open: bool,
+    /// When a call was last sent that renews the lease.
+    pub(crate) call_sent: Option<Instant>,
     /// When a poll was last answered.
     pub(crate) last_poll: Option<Instant>,
     /// Since when all polls have failed.
@@ -173,7 +182,8 @@
     pub(crate) leaving: bool,
     /// The command that is said to have taken its machine away, until it answers again.
     pub(crate) departure: Option<Departure>,
-    /// Whether it is proven that it has ended, and no later life of it runs on its machine.
+    /// Whether it is proven that the incarnation has ended with its machine. A later one may run
+    /// elsewhere.
     pub(crate) gone: bool,
     /// Whether its tasks are marked for a crash of it.
     pub(crate) blamed: bool,
@@ -196,6 +206,7 @@
             labels: registration.labels.clone(),
             rack: rack_of(&registration.labels),
             machine: registration.machine.clone(),
+            located: true,
             zone: registration.zone.clone(),
             zone_drained: false,
             cold_until: None,
@@ -220,6 +231,8 @@
             uncommitted_ends: Vec::new(),
             ends_truncated: false,
             poll_sent: None,
+            poll_open: false,
+            call_sent: None,
             last_poll: None,
             unreachable_since: None,
             backoff_until: None,
@@ -265,6 +278,11 @@
         self.capacity.scarcest_share(&self.full_capacity)
     }
 
+    /// Returns the machine that the present incarnation runs on, if it is known.
+    pub(crate) fn known_machine(&self) -> Option<&SmolStr> {
+        self.machine.as_ref().filter(|_| self.located)
+    }
+
     /// Returns what stays when the worker is replaced: its machine, or its id if that is
     /// not known.
     pub(crate) fn home(&self) -> SmolStr {
--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -230,6 +230,149 @@
     }
 }
 
+/// Guards against attempts that are taken for ended by the answer to a command that ended
+/// nothing, or another worker: the service for machines is slow, silent or late, says "done" of
+/// what was done before, and lists of machines are old.
+#[test]
+fn invariants_hold_when_machine_commands_are_late_or_repeated() {
+    let faults = Faults {
+        failures: 20,
+        refusals: 100,
+        lost_commands: 100,
+        late_commands: 150,
+        slow_commands: 250,
+        old_lists: 300,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(5000, faults);
+}
+
+/// Guards against the same around changes of the leader, cuts and outages of the store.
+#[test]
+fn invariants_hold_when_machine_commands_are_late_around_takeovers() {
+    let faults = Faults {
+        failures: 20,
+        unanswered: 10,
+        partitions: 3,
+        takeovers: 6,
+        returns: 2,
+        outages: 4,
+        lost_commands: 100,
+        late_commands: 200,
+        slow_commands: 300,
+        old_lists: 400,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(5200, faults);
+}
+
+/// Guards against answers that are applied to what is known when they are used, and not to what
+/// they were asked about: the leader stands still between.
+#[test]
+fn invariants_hold_when_a_leader_stands_still_before_it_uses_answers() {
+    let faults = Faults {
+        pauses: 10,
+        unanswered: 10,
+        delayed: 10,
+        restarts: 2,
+        unseen_restarts: 2,
+        partitions: 3,
+        failures: 20,
+        ..Faults::default()
+    };
+    (0..seeds()).for_each(|seed| run_seed(5400 + seed, faults));
+}
+
+/// Guards against the same with answers to commands to machines, and with takeovers.
+#[test]
+fn invariants_hold_when_a_leader_stands_still_while_machines_are_commanded() {
+    let faults = Faults {
+        pauses: 10,
+        takeovers: 2,
+        restarts: 2,
+        failures: 20,
+        lost_commands: 100,
+        late_commands: 100,
+        slow_commands: 400,
+        old_lists: 300,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(5600, faults);
+}
+
+/// Guards against a second attempt of a task that an unseen life of its worker runs: late calls
+/// to the life before renew its lease, and the worker is cut off right after it has answered a
+/// start.
+#[test]
+fn invariants_hold_when_unseen_lives_are_cut_off_and_polls_are_late() {
+    let faults = Faults {
+        unseen_restarts: 5,
+        unseen_cuts: 800,
+        late_polls: 5,
+        unanswered: 10,
+        failures: 20,
+        partitions: 1,
+        ..Faults::default()
+    };
+    for seed in (0..seeds()).map(|seed| 9800 + seed) {
+        let mut world = World::new(seed, 8, faults);
+        // They outlast the longest lease, and are lost and started again with their workers.
+        for number in 0..8 {
+            let wall = world.wall();
+            world.submit(3_000_000 + number, job("q-a", vec![step(3, 1000, 18_000)], wall));
+            world.submit(4_000_000 + number, job("q-b", vec![step(3, 1000, 18_000)], wall));
+        }
+        world.refuses_early_starts = seed.is_multiple_of(2);
+        world.crashes.cuts_break = seed.is_multiple_of(3);
+        run_world(world, seed);
+    }
+}
+
+/// Guards against a worker that is taken for gone because of another one: ids come back on
+/// other machines, and addresses go to other workers.
+#[test]
+fn invariants_hold_when_ids_and_addresses_come_back_elsewhere() {
+    let faults = Faults {
+        swaps: 6,
+        unseen_restarts: 3,
+        unanswered: 10,
+        delayed: 10,
+        failures: 20,
+        partitions: 3,
+        ..Faults::default()
+    };
+    (0..seeds()).for_each(|seed| run_seed(10_000 + seed, faults));
+}
+
+/// Guards against the same where machines are moved and maintained.
+#[test]
+fn invariants_hold_when_addresses_are_taken_over_from_machines_that_left() {
+    let faults = Faults {
+        taken_addresses: 700,
+        swaps: 3,
+        failures: 20,
+        takeovers: 2,
+        lost_commands: 100,
+        late_commands: 200,
+        slow_commands: 300,
+        old_lists: 300,
+        waves: 4,
+        ..Faults::default()
+    };
+    run_with_service(10_500, faults);
+}
+
+fn run_with_service(first: u64, faults: Faults) {
+    for seed in (0..seeds()).map(|seed| first + seed) {
+        let mut world = World::new(seed, 8, faults);
+        world.add_machine_service(6);
+        run_world(world, seed);
+    }
+}
+
 /// Guards against tasks that wait for each other, or are given up, because their workers
 /// have crashed under them by chance.
 #[test]
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -1,5 +1,6 @@
 //! In which life of its worker an attempt runs.
 
+use super::leases::CHANGES;
 use super::*;
 
 /// Guards against a task that runs twice: its start was accepted by the next life of the
@@ -167,6 +168,58 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a task that runs twice: the earlier leader has started a job that was accepted
+/// after the takeover, and the new one reads that job later.
+#[test]
+fn a_job_of_the_overlap_that_is_read_late_waits_for_what_the_earlier_leader_may_have_started() {
+    let mut world = world();
+    world.change_leader();
+    (0..world.workers.len()).for_each(|at| world.workers[at].reachable = at != 0);
+    let (now, token) = (world.now(), world.scheduler.token().0);
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.set_overlap(after(1000));
+    world.run(1500);
+    let wall = world.wall();
+    let spec = job("q-a", vec![step(1, 4000, 30_000)], wall);
+    world.scheduler.add_job(JobId::new(1), spec, token + 1, after(1500));
+    let (starts, _) = decided(&mut world, 0, 500);
+    assert!(starts.is_empty(), "{starts:?}");
+    // A job that was accepted after that does not wait.
+    world.scheduler.note_revision(token + 10, after(2000));
+    let spec = job("q-a", vec![step(1, 4000, 30_000)], wall);
+    world.scheduler.add_job(JobId::new(2), spec, token + 11, after(2000));
+    let (starts, _) = decided(&mut world, 500, 700);
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert_eq!(starts[0].task.step.job, JobId::new(2));
+}
+
+/// Guards against a task that runs again: a new leader takes a worker for resolved by a report whose
+/// list of ends is full, and the end of the task comes in the next one.
+#[test]
+fn a_report_with_a_full_list_of_ends_does_not_resolve_what_an_earlier_leader_has_started() {
+    let mut world = world();
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    let id = &start.incarnation.id;
+    let at = world.workers.iter().position(|worker| worker.id == id.as_str()).unwrap();
+    world.change_leader();
+    world.workers[at].reachable = false;
+    world.step();
+    let other = StepId { job: JobId::new(2), ..start.task.step };
+    let end = |number: u32| EndedAttempt {
+        number: number.into(),
+        task: TaskId { step: other, index: number },
+        attempt: start.attempt,
+        outcome: AttemptOutcome::Done,
+        checkpoint: "".into(),
+    };
+    let ended = (1..=500).map(end).collect();
+    let full = Report { ended, ..report_of(start.incarnation.start_ms, &[]) };
+    let now = world.now();
+    world.scheduler.apply_report(id, &full, now, now);
+    world.run(1500);
+    assert_eq!(world.starts, 0);
+}
+
 /// Returns the violations after a worker has started again unseen, has accepted starts with
 /// deadlines by its earlier life's clock, and is cut off before any poll. The leader may change
 /// then.
@@ -225,6 +278,64 @@
     }
 }
 
+/// Guards against a task that runs twice: the host stands still until the lease of its worker has
+/// ended, and decides before it reads the answer to the start, which a later life has given.
+#[test]
+fn a_start_whose_answer_is_still_to_be_read_is_not_lost_with_its_worker() {
+    let mut world = world();
+    let (now, wall) = (world.now(), world.wall());
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let polls: Vec<_> = (0..4).map(|at| worker_id(&world, at)).collect();
+    let polls: Vec<_> = polls.iter().map(|id| world.scheduler.renewal(id, now).unwrap()).collect();
+    polls.iter().for_each(|poll| world.scheduler.poll_opened(poll));
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    let after = |ms| now + Duration::from_millis(ms);
+    let poll = polls.iter().find(|poll| poll.incarnation.id == start.incarnation.id).unwrap();
+    world.scheduler.poll_failed(poll, PollFailure::Silent, after(5000));
+    for poll in polls.iter().filter(|poll| poll.incarnation.id != start.incarnation.id) {
+        let (id, start_ms) = (&poll.incarnation.id, poll.incarnation.start_ms);
+        world.scheduler.apply_report(id, &report_of(start_ms, &[]), after(4990), after(5000));
+        world.scheduler.renewal(id, after(5000));
+    }
+    let (starts, _) = decided(&mut world, 5000, 5100);
+    assert!(starts.is_empty(), "{starts:?}");
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(700) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, after(5100));
+    let (starts, _) = decided(&mut world, 5120, 10_000);
+    assert!(starts.is_empty(), "{starts:?}");
+}
+
+/// Guards against a task that runs twice: the host reads the answer of an earlier life late, so
+/// that the clock of a later one, which has begun meanwhile, seems to be the same.
+#[test]
+fn an_answer_that_was_read_late_does_not_make_a_later_life_the_earlier_one() {
+    let mut world = world();
+    let young = 20_000;
+    let now = world.now();
+    let before = |ms| now - Duration::from_millis(ms);
+    let after = |ms| now + Duration::from_millis(ms);
+    world.draining.extend(0..world.workers.len());
+    world.register();
+    let earlier = registration(&world, "w-new", young, "m-new");
+    let id = earlier.incarnation.id.clone();
+    world.scheduler.register(&earlier, before(3100));
+    let records = world.scheduler.incarnation_records(before(3050));
+    world.scheduler.records_written(&records, FencingToken(1000));
+    world.scheduler.renewal(&id, before(3050));
+    let report = Report { clock_ms: 3000, ..report_of(young, &[]) };
+    // The host stands still before it reads the answer. A later life begins meanwhile.
+    world.scheduler.apply_report(&id, &report, before(2900), now);
+    world.scheduler.renewal(&id, now);
+    let start = start_answered_by_either(&mut world, step(1, 4000, 30_000));
+    assert_eq!(start.incarnation.id, id);
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(3000) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, now);
+    let later = registration(&world, "w-new", young + 200, "m-new");
+    world.scheduler.register(&later, after(10));
+    assert_eq!(world.scheduler.attempts_on(&id), 1);
+}
+
 /// Guards against a task that runs twice: its worker is back under its id on another machine,
 /// and is taken for gone as another worker answers from the machine that it had.
 #[test]
@@ -271,6 +382,45 @@
     assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
 }
 
+/// Returns the violations after a life that the leader does not know has carried out starts whose
+/// answers are lost, as its worker is cut off then. The leader may change.
+fn cut_off_unanswered(change: Option<fn(&mut World)>) -> Vec<String> {
+    let mut world = world();
+    while !world.ms.is_multiple_of(60) {
+        world.step();
+    }
+    world.restart_unseen(0);
+    world.faults.unanswered = 1000;
+    let wall = world.wall();
+    let spread = StepSpec { best_effort: true, ..step(4, 4000, 30_000) };
+    world.submit(1, job("q-a", vec![spread], wall));
+    world.step();
+    world.faults.unanswered = 0;
+    assert!(!world.workers[0].running.is_empty());
+    world.workers[0].reachable = false;
+    if let Some(change) = change {
+        change(&mut world);
+    }
+    cut_off(world, 0)
+}
+
+/// Guards against a task that runs twice: nothing is known of the life that runs it, and its
+/// worker, which is cut off, is waited for as long as the earlier life's lease lasts.
+#[test]
+fn an_unanswered_start_of_an_unknown_life_starts_no_task_twice() {
+    let violations = cut_off_unanswered(None);
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against the same where the leader hands over, or leads again.
+#[test]
+fn an_unanswered_start_of_an_unknown_life_and_a_handover_start_no_task_twice() {
+    let changes = CHANGES.into_iter().filter(|(name, _)| *name != "crash");
+    let violations: Vec<_> =
+        changes.map(|(name, change)| (name, cut_off_unanswered(Some(change)))).collect();
+    assert!(violations.iter().all(|(_, found)| found.is_empty()), "{violations:?}");
+}
+
 /// Guards against a wait for the longest lease of a worker that has not started again: the
 /// clock in the answer to a start shows the life.
 #[test]
@@ -339,6 +489,70 @@
     assert!(broken.is_empty(), "{broken:?}");
 }
 
+/// Guards against the same where the answer to the last poll of the earlier life has waited, as
+/// the host stood still: a later life may be as old as the call, and not as its reading.
+#[test]
+fn an_answer_that_has_waited_does_not_show_how_young_a_later_life_is() {
+    let mut world = World::new(1, 4, Faults::default());
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    run_with_commits(&mut world, 600);
+    let id = worker_id(&world, 0);
+    let (earlier, machine) = (world.workers[0].start_ms, world.workers[0].machine.clone());
+    let clock_ms = world.workers[0].clock(world.ms);
+    let (now, wall) = (world.now(), world.wall());
+    let after = |ms| now + Duration::from_millis(ms);
+    world.scheduler.renewal(&id, now).unwrap();
+    let report = Report { clock_ms, ..report_of(earlier, &[]) };
+    // The later life begins after this report, 0.6 s before it answers the start.
+    world.scheduler.apply_report(&id, &report, now, after(2000));
+    world.submit(1, job("q-a", vec![step(1, 4000, 30_000)], wall));
+    let (starts, _) = commands(world.scheduler.plan(after(2005), wall));
+    let [start] = starts.as_slice() else { panic!("{starts:?}") };
+    let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(clock_ms + 20) };
+    world.scheduler.start_answered(start.task, start.attempt, reply, after(2010));
+    world.draining.clear();
+    world.register();
+    let later = registration(&world, id.as_str(), earlier + 1500, &machine);
+    world.scheduler.register(&later, after(2050));
+    let (starts, stops) = decided(&mut world, 2060, 2500);
+    assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
+    assert_eq!(world.scheduler.attempts_on(&id), 1);
+}
+
+/// Guards against a task that runs twice: a life that the leader does not know carries out two
+/// starts, between which the host stood still. The second one lengthens the lease of both.
+#[test]
+fn a_second_start_of_an_unknown_life_lengthens_the_lease_of_the_first() {
+    let mut world = world();
+    world.draining.extend(1..world.workers.len());
+    world.register();
+    let id = worker_id(&world, 0);
+    let (now, wall) = (world.now(), world.wall());
+    let after = |ms| now + Duration::from_millis(ms);
+    let clock_ms = world.workers[0].clock(world.ms);
+    let renewal = world.scheduler.renewal(&id, now).unwrap();
+    let report = Report { clock_ms, ..report_of(world.workers[0].start_ms, &[]) };
+    world.scheduler.apply_report(&id, &report, now, after(5));
+    // The clock in the answers is that of a life that has just begun.
+    let mut start = |number, at_ms| {
+        world.submit(number, job("q-a", vec![step(1, 4000, 60_000)], wall));
+        let (starts, _) = commands(world.scheduler.plan(after(at_ms), wall));
+        let [start] = starts.as_slice() else { panic!("{starts:?}") };
+        let reply = StartReply { answer: StartAnswer::Started, clock_ms: Some(100 + at_ms) };
+        world.scheduler.start_answered(start.task, start.attempt, reply, after(at_ms + 5));
+    };
+    start(1, 10);
+    start(2, 2000);
+    world.scheduler.poll_failed(&renewal, PollFailure::Silent, after(2100));
+    // The longest lease of the second start ends 12 s after the first one was sent. The poll that
+    // has failed may lengthen it as long as it can be on its way.
+    decided(&mut world, 2200, 12_000);
+    assert_eq!(world.scheduler.attempts_on(&id), 2, "{:?}", world.scheduler.take_losses());
+    decided(&mut world, 12_000, 24_700);
+    assert_eq!(world.scheduler.attempts_on(&id), 0);
+}
+
 /// Runs with a store that answers at once, so that new lives get work early.
 fn run_with_commits(world: &mut World, ms: u64) {
     let until = world.ms + ms;
