--- a/crates/flow/tests/takeover.rs
+++ b/crates/flow/tests/takeover.rs
@@ -703,3 +703,38 @@
     let started: Vec<_> = starts.iter().filter_map(started).collect();
     assert!(started.is_empty(), "{started:?}");
 }
+
+/// Guards against the same while the store takes no writes: the report is full again and again, as
+/// no end is acknowledged, for longer than the lease that the earlier leader has recorded.
+#[test]
+fn reports_that_do_not_list_all_ends_resolve_no_task_when_the_recorded_lease_ends() {
+    let mut world = World::new(1, 4, Faults::default());
+    let wall = world.wall();
+    let id = world.submit(1, job("q-a", short(1, 30_000), wall));
+    world.run(300);
+    let at = world.workers.iter().position(|worker| !worker.running.is_empty()).unwrap();
+    let worker: HostId = world.workers[at].id.parse().unwrap();
+    world.workers[at].reachable = false;
+    world.change_leader();
+    let end = |number| EndedAttempt {
+        number,
+        task: TaskId { step: StepId { job: JobId::new(7), occurrence: 0, step: 0 }, index: 0 },
+        attempt: AttemptNumber(number),
+        outcome: AttemptOutcome::Done,
+        checkpoint: "".into(),
+    };
+    let ended: Vec<_> = (1..=500).map(end).collect();
+    let start_ms = Some(world.workers[at].start_ms);
+    let until = world.ms + 8000;
+    while world.ms < until {
+        let now = world.now();
+        if world.ms.is_multiple_of(200) {
+            let (clock_ms, ended) = (world.ms, ended.clone());
+            let report = Report { start_ms, clock_ms, running: Vec::new(), ended };
+            world.scheduler.apply_report(&worker, &report, now, now);
+        }
+        world.step();
+    }
+    let starts = world.started.iter().filter(|(_, _, task)| task.step.job == id).count();
+    assert_eq!(starts, 1, "it is started again");
+}
