flow: a worker with ends left to report stays unresolved while it answers

Cause: ends are acknowledged once they are durable, so that reports stay full while the store is away; a worker whose reports are full counted as one that had not answered as soon as its recorded lease ended.

Measured: reports_that_do_not_list_all_ends_resolve_no_task_when_the_recorded_lease_ends failed before and passes.

--- a/crates/flow/src/workers/unresolved.rs
+++ b/crates/flow/src/workers/unresolved.rs
@@ -369,13 +369,22 @@
         });
     }
 
-    /// Removes incarnations on which nothing can run any more.
+    /// Removes incarnations on which nothing can run any more. One that answers and has ends left
+    /// to report is none of them.
     pub(crate) fn expire_unresolved(&mut self, now: Instant) {
+        let (workers, ids) = (&self.workers, &self.worker_ids);
+        let lease = self.rules.lease_bound();
+        let is_reporting = |id: &HostId| {
+            let worker = ids.get(id).map(|&key| &workers[key]);
+            let left = worker.filter(|worker| worker.ends_truncated);
+            left.and_then(|worker| worker.last_poll).is_some_and(|at| now < at + lease)
+        };
         let unresolved = &mut self.unresolved;
         let before = unresolved.incarnations.len();
         unresolved.release_where(|entry| {
             let seen = Exchange { sent: entry.until, read: now };
-            (now >= entry.until).then_some((ReleaseCause::LeaseEnded, seen))
+            let has_ended = now >= entry.until && !is_reporting(entry.id());
+            has_ended.then_some((ReleaseCause::LeaseEnded, seen))
         });
         // The record counts from when it is read, so the next leader would wait once more.
         self.records_changed |= unresolved.incarnations.len() < before;
