lead tests: a job that is accepted after a quiet takeover

Cause: since the end of the overlap is known only by a commit that is sent after it. A leader that has nothing to write takes each new job for one that the earlier leader may have started.

--- a/crates/lead/tests/early_vacancy.rs
+++ b/crates/lead/tests/early_vacancy.rs
@@ -161,3 +161,26 @@
     let calls = node.faults.counts().lease - before;
     assert!(calls < 30, "{calls} calls for leases in two seconds");
 }
+
+/// Guards against a job that waits for a lost worker although it was accepted long after the
+/// takeover: the leader has written nothing since, which would have told it the revision.
+#[tokio::test]
+async fn a_job_that_is_accepted_after_a_quiet_takeover_waits_for_no_worker() {
+    let cluster = Cluster::new().await;
+    let old = cluster.node("a").await;
+    eventually(async || old.host.is_leading()).await;
+    let new = cluster.node("b").await;
+    assert_eq!(old.host.submit(id(1), job(4), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || is_done(&new.host.job_status(id(1), soon()).await)).await;
+    cluster.fleet.set_cut("b", "w1", true);
+    old.tasks.stop().await;
+    old.store.expire_leases().await;
+    eventually(async || new.host.is_leading()).await;
+    // The earlier leader has started nothing for 0.9 s when the job is accepted.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = Instant::now();
+    assert_eq!(new.host.submit(id(2), single(), soon()).await, SubmitOutcome::Accepted);
+    eventually(async || cluster.fleet.starts_of(id(2)) > 0).await;
+    let took = before.elapsed();
+    assert!(took < Duration::from_millis(500), "{took:?}");
+}
