flow tests: a late answer to a command, and a later worker on the machine that is cut off

Cause: no test failed when a command's answer was applied to another life than the one that it was decided for, as long as a failed poll was asked for.

--- a/crates/flow/tests/machines.rs
+++ b/crates/flow/tests/machines.rs
@@ -6,9 +6,9 @@
 use support::spec::{config, job, pool, step};
 use vg_base::prelude::*;
 use vg_flow::{
-    Action, FencingToken, Machine, MachineAnswer, MachineCommand, MachineState, PollFailure,
-    Report, RunningAttempt, Scheduler, SchedulingRules, StartAnswer, StepSpec, Wave,
-    WorkerIncarnation, WorkerRegistration,
+    Action, AttemptNumber, FencingToken, Machine, MachineAnswer, MachineCommand, MachineState,
+    PollFailure, Report, RunningAttempt, Scheduler, SchedulingRules, StartAnswer, StepId, StepSpec,
+    TaskId, Wave, WorkerIncarnation, WorkerRegistration,
 };
 use vg_jobs::Resources;
 
@@ -222,6 +222,66 @@
     assert_eq!(fixture.running.len(), 1, "{:?}", fixture.running);
 }
 
+/// Has machine `m1` maintained while worker `w1` is on it, and lets another worker, which came
+/// before the answer, run a task. Returns the fixture and the command.
+fn busy_after_maintenance() -> (Fixture, MachineCommand) {
+    let mut fixture = Fixture::new();
+    fixture.scheduler.set_machine_list(vec![machine("m1", "a"), machine("m2", "a")], fixture.now);
+    fixture.join("w1", "a", "m1", 100);
+    fixture.machine_answer = None;
+    let wave = Wave {
+        number: 1,
+        machines: vec!["m1".into()],
+        time_limit: Duration::from_secs(30),
+        max_down: 1,
+    };
+    fixture.scheduler.add_wave(wave, None, fixture.now, fixture.wall());
+    while fixture.commands_to("m1") == 0 {
+        fixture.round(20);
+        fixture.poll("w1", 100);
+    }
+    let id = "w1".parse().unwrap();
+    let poll = fixture.scheduler.renewal(&id, fixture.now).unwrap();
+    fixture.scheduler.poll_failed(&poll, PollFailure::Broken, fixture.now);
+    fixture.now += Duration::from_millis(1600);
+    fixture.join("w3", "a", "m1", 1700);
+    fixture.submit(1, "q-a", vec![step(1, 12_000, 20_000)]);
+    // An earlier leader has started it there.
+    let step = StepId { job: JobId::new(1), occurrence: 0, step: 0 };
+    let attempt = RunningAttempt {
+        task: TaskId { step, index: 0 },
+        attempt: AttemptNumber(1),
+        checkpoint: SmolStr::default(),
+        percent: 100,
+        gauge: 0.0,
+    };
+    fixture.running.push(("w3".parse().unwrap(), attempt));
+    let command = fixture.commands[0].clone();
+    (fixture, command)
+}
+
+/// Guards against a task that runs twice: the answer to a command is late, and the worker that
+/// has come since is cut off and not the one that the command was decided for.
+#[test]
+fn a_late_answer_ends_no_task_of_a_later_worker_that_is_cut_off() {
+    let (mut fixture, command) = busy_after_maintenance();
+    for _ in 0..10 {
+        fixture.round(20);
+        fixture.poll("w3", 1700);
+    }
+    assert_eq!(fixture.running.len(), 1);
+    let id = "w3".parse().unwrap();
+    let poll = fixture.scheduler.renewal(&id, fixture.now).unwrap();
+    fixture.scheduler.poll_failed(&poll, PollFailure::Silent, fixture.now);
+    fixture.scheduler.machine_answered(&command, MachineAnswer::Done, fixture.now);
+    fixture.join("w2", "a", "m2", 100);
+    for _ in 0..50 {
+        fixture.round(20);
+        fixture.poll("w2", 100);
+    }
+    assert_eq!(fixture.running.len(), 1, "{:?}", fixture.running);
+}
+
 /// Guards against a machine that is taken from its tasks because an earlier worker on
 /// it, whose registration has not lapsed yet, is idle.
 #[test]
