flow tests: machines that are back before their commands' answers are read

Cause: machine_left removes the attempts of the worker that is on the machine when the answer is used. Change: a fuzz test in which machines are away for 300 ms and answers are up to 0.9 s late.

--- a/crates/flow/tests/fuzz.rs
+++ b/crates/flow/tests/fuzz.rs
@@ -372,6 +372,27 @@
     run_with_service(10_500, faults);
 }
 
+/// Guards against the answer to a command that is applied to the worker that has joined from
+/// the machine since: machines are back before some answers are read.
+#[test]
+fn invariants_hold_when_machines_are_back_before_answers_are_read() {
+    let faults = Faults {
+        failures: 20,
+        pauses: 5,
+        lost_commands: 50,
+        slow_commands: 600,
+        old_lists: 200,
+        waves: 5,
+        ..Faults::default()
+    };
+    for seed in (0..seeds()).map(|seed| 10_800 + seed) {
+        let mut world = World::new(seed, 8, faults);
+        world.add_machine_service(6);
+        world.make_machines_quick();
+        run_world(world, seed);
+    }
+}
+
 fn run_with_service(first: u64, faults: Faults) {
     for seed in (0..seeds()).map(|seed| first + seed) {
         let mut world = World::new(seed, 8, faults);
--- a/crates/flow/tests/support/machine_service.rs
+++ b/crates/flow/tests/support/machine_service.rs
@@ -21,6 +21,8 @@
 const MOVE_MS: u64 = 1500;
 /// Time that maintenance takes.
 const MAINTAIN_MS: u64 = 2000;
+/// Time that a move or maintenance takes where machines are quick.
+const QUICK_MS: u64 = 300;
 /// Interval at which the leader reads the list of machines.
 const LIST_MS: u64 = 1000;
 /// Age of an old list when it is read.
@@ -46,6 +48,8 @@
     lists: Vec<(u64, u64, Vec<Machine>)>,
     /// Workers whose registrations lapse.
     lapses: Vec<(u64, HostId)>,
+    /// Whether machines are back before some answers are read.
+    is_quick: bool,
     waves: Vec<Wave>,
     records: HashMap<u64, WaveRecord>,
 }
@@ -58,6 +62,11 @@
         self.service = Some(MachineService::default());
     }
 
+    /// Lets machines be back before some answers are read.
+    pub(crate) fn make_machines_quick(&mut self) {
+        self.service().is_quick = true;
+    }
+
     /// Sends a command to the service.
     pub(super) fn send_machine_command(&mut self, command: MachineCommand) {
         let (ms, faults) = (self.ms, self.faults);
@@ -113,19 +122,20 @@
         if machine.state != MachineState::Up {
             return MachineAnswer::Busy;
         }
-        let (until, wave) = match command {
+        let (away_ms, wave) = match command {
             MachineCommand::Move { pool, .. } => {
                 self.machines[at].pool = pool.clone();
                 self.machines[at].state = MachineState::Moving;
-                (ms + MOVE_MS, None)
+                (MOVE_MS, None)
             }
             MachineCommand::Maintain { wave, .. } => {
                 self.check_wave_limit(*wave);
                 self.machines[at].state = MachineState::Maintenance;
                 self.service().maintained.insert((*wave, machine.id.clone()));
-                (ms + MAINTAIN_MS, Some(*wave))
+                (MAINTAIN_MS, Some(*wave))
             }
         };
+        let until = ms + if self.service().is_quick { QUICK_MS } else { away_ms };
         self.service().away.push((machine.id.clone(), until, wave));
         self.end_worker_on(&machine.id);
         MachineAnswer::Done
