--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -5,9 +5,9 @@
 //! to a start names no life, but it has a reading of the worker's clock, which begins anew with
 //! each life: an answer whose reading fits the clock of the life that is known comes from that
 //! one, unless that life was so young when it last answered that a later one could read the
-//! same by now. Any other may come from a later life, whose lease lasts as long as workers permit, as
-//! the deadline of the start is a time on the earlier life's clock, and so is that of each call
-//! that is still on its way to it.
+//! same by now. Any other may come from a later life, whose lease lasts as long as workers
+//! permit: the deadline of the start is a time on the earlier life's clock, and so is that of
+//! each call that is still on its way to it.
 //!
 //! A start without an answer may have been carried out in time by such a life as well.
 
--- a/crates/flow/src/workers/departures.rs
+++ b/crates/flow/src/workers/departures.rs
@@ -2,10 +2,10 @@
 //!
 //! Load that this module handles: machines move and are maintained while the service that does
 //! it answers late, or answers that a command was done before, and while hosts stand still
-//! between an answer and its use. By then another worker may be on the machine, or the same one may run on. So a
-//! command ends the attempts of that life alone which was on the machine when it was decided,
-//! and only once a poll of that life has failed since. A process that ends breaks its open poll,
-//! so that nothing waits for this.
+//! between an answer and its use. By then another worker may be on the machine, or the same one
+//! may run on. So a command ends the attempts of that life alone which was on the machine when
+//! it was decided, and only once a poll of that life has failed since. A process that ends
+//! breaks its open poll, so that nothing waits for this.
 
 use vg_base::prelude::*;
 
@@ -31,7 +31,8 @@
 }
 
 impl Scheduler {
-    /// Notes that a command was carried out, now or before, as an answer that is read at `now` says.
+    /// Notes that a command was carried out, now or before, as an answer says that is read at
+    /// `now`.
     pub(crate) fn note_departure(&mut self, sent: &SentCommand, now: Instant) {
         let Some(key) = self.commanded_worker(sent) else {
             // The worker that is there now stays.
@@ -48,8 +49,7 @@
     }
 
     /// Returns the worker that a command which was carried out has ended: the one that was on
-    /// the machine when it was decided. If it or another command may have taken effect before, that
-    /// worker may be back from it.
+    /// the machine when it was decided, unless that one may be back from a command before.
     fn commanded_worker(&self, sent: &SentCommand) -> Option<WorkerKey> {
         let key = self.worker_on(sent.command.machine())?;
         let present = &self.workers[key].incarnation;
--- a/crates/flow/src/workers/proof.rs
+++ b/crates/flow/src/workers/proof.rs
@@ -217,8 +217,8 @@
         attempt.reported.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended which runs on the machine of its worker, as the worker `by` on
-    /// its machine has answered a poll that was sent after that one was known.
+    /// Proves that an attempt has ended which runs on the machine of its worker, as the worker
+    /// `by` there has answered a poll that was sent after that one was known.
     pub(crate) fn by_machine(
         attempt: &Attempt,
         on: &Worker,
@@ -231,8 +231,9 @@
         is_proven.then(|| Proof::new(attempt, on, finding, seen))
     }
 
-    /// Proves that an attempt has ended which runs on the machine of its worker, as a command has
-    /// taken its machine away. What is seen is when the command was decided, and when its answer was read.
+    /// Proves that an attempt has ended which runs on the machine of its worker, as a command
+    /// has taken the machine away. What is seen is when the command was decided, and when its
+    /// answer was read.
     pub(crate) fn by_command(attempt: &Attempt, on: &Worker) -> Option<Proof> {
         let departure = on.departure.as_ref().filter(|departure| departure.has_ended(on))?;
         let finding = Finding::MachineCommanded(departure.command.clone());
--- a/crates/flow/tests/restarts/lives.rs
+++ b/crates/flow/tests/restarts/lives.rs
@@ -193,8 +193,8 @@
     assert_eq!(starts[0].task.step.job, JobId::new(2));
 }
 
-/// Guards against a task that runs again: a new leader takes a worker for resolved by a report whose
-/// list of ends is full, and the end of the task comes in the next one.
+/// Guards against a task that runs again: a new leader takes a worker for resolved by a report
+/// whose list of ends is full, and the end of the task comes in the next one.
 #[test]
 fn a_report_with_a_full_list_of_ends_does_not_resolve_what_an_earlier_leader_has_started() {
     let mut world = world();
@@ -357,8 +357,8 @@
     assert_eq!(world.scheduler.attempts_on(id), 1);
 }
 
-/// Guards against a task that runs twice: another worker is said to be on the machine of its worker,
-/// which still answers.
+/// Guards against a task that runs twice: another worker is said to be on the machine of its
+/// worker, which still answers.
 #[test]
 fn a_worker_that_answers_is_not_gone_for_another_one_on_its_machine() {
     let mut world = world();
