flow: an attempt that waits to be named is dropped once its task is found running

Cause: a report that shows a run of an earlier leader was answered by a stop if its task had an attempt, also one that was still to be sent to a worker whose record names its tasks. That one was sent before the stop took effect.

Change: attempts that are still to be sent are removed then, and the run goes on.

Measured: an_attempt_that_waits_to_be_named_is_not_sent_once_its_task_is_found_running failed before and passes.

--- a/crates/flow/src/workers/listed_starts.rs
+++ b/crates/flow/src/workers/listed_starts.rs
@@ -84,6 +84,19 @@
         }
     }
 
+    /// Removes the attempts of a task that wait to be named, as it has been found running,
+    /// unless its step permits several at a time.
+    pub(crate) fn withdraw_unsent(&mut self, task: TaskId, now: Instant) {
+        if self.spec_of(task).is_some_and(|spec| spec.speculative) {
+            return;
+        }
+        let attempts = self.job_of(task).and_then(|job| job.task(task));
+        let attempts = attempts.map(|task| task.attempts.clone()).unwrap_or_default();
+        let is_unsent = |key: &AttemptKey| self.attempts[*key].phase == Phase::Listing;
+        let unsent: Vec<_> = attempts.into_iter().filter(is_unsent).collect();
+        unsent.into_iter().for_each(|key| self.remove_unsent(key, now));
+    }
+
     /// Removes an attempt whose start command is still to be sent.
     pub(crate) fn remove_unsent(&mut self, key: AttemptKey, now: Instant) {
         let attempt = &self.attempts[key];
--- a/crates/flow/src/workers/observe.rs
+++ b/crates/flow/src/workers/observe.rs
@@ -291,6 +291,7 @@
     fn adopt(&mut self, worker: WorkerKey, reported: &RunningAttempt, now: Instant) {
         self.open_occurrence(reported.task);
         self.withdraw_mark(reported.task, reported.attempt);
+        self.withdraw_unsent(reported.task, now);
         let state = self.adopted_state(worker, reported, now);
         let wanted = self.job_of(reported.task).is_some_and(|job| {
             let speculative = self.spec_of(reported.task).is_some_and(|spec| spec.speculative);
--- a/crates/flow/tests/restarts/leases.rs
+++ b/crates/flow/tests/restarts/leases.rs
@@ -67,6 +67,29 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Guards against a task that runs twice: it is found running on a worker while an attempt of it
+/// waits to be named in the record of another one, and is sent after that.
+#[test]
+fn an_attempt_that_waits_to_be_named_is_not_sent_once_its_task_is_found_running() {
+    let (mut world, at) = lengthened_lease();
+    world.draining.extend((0..world.workers.len()).filter(|&other| other != at));
+    world.register();
+    let wall = world.wall();
+    let id = world.submit(3, job("q-a", vec![step(1, 4000, 60_000)], wall));
+    let now = world.now();
+    let (starts, _) = commands(world.scheduler.plan(now, wall));
+    assert!(starts.is_empty(), "{starts:?}");
+    assert_eq!(world.scheduler.attempts_on(&worker_id(&world, at)), 1);
+    let other = worker_id(&world, (at + 2) % 4);
+    let task = TaskId { step: StepId { job: id, occurrence: 0, step: 0 }, index: 0 };
+    let report = report_of(world.workers[(at + 2) % 4].start_ms, &[(task, AttemptNumber(1))]);
+    world.scheduler.apply_report(&other, &report, now, now);
+    let records = world.scheduler.incarnation_records(now);
+    world.scheduler.records_written(&records, FencingToken(100_000));
+    let (starts, stops) = commands(world.scheduler.plan(now, wall));
+    assert!(starts.is_empty() && stops.is_empty(), "{starts:?} {stops:?}");
+}
+
 /// Guards against events that do not tell for how long a leader waits for a worker, and why.
 #[test]
 fn the_cause_of_a_lease_is_known() {
