--- a/crates/flow/src/workers/answered_starts.rs
+++ b/crates/flow/src/workers/answered_starts.rs
@@ -57,6 +57,8 @@
         let last_renewal = match attempt.confirmed {
             _ if attempt.reported => return None,
             Some(confirmed) if continuous => confirmed,
+            // It may well be the life that is known.
+            Some(confirmed) if attempt.matched => confirmed.max(worker.call_sent?),
             // A call that has no answer may still be on its way, and renews the lease.
             Some(confirmed) => confirmed.max(worker.call_sent? + MESSAGE_DELAY_MAX),
             None if continuous || worker.gone || !attempt.may_have_begun() => return None,
